--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,33 @@
+/**
+ * Coordination parts: a replicated log with leases and fences, claims, configuration and membership.
+ * @packageDocumentation
+ */
+export { type Folder, openDiskFolder } from "./process/folder.js";
+export {
+    CorruptLogError,
+    createLogStorage,
+    type HardState,
+    type LogStorage,
+    type StorageRecord,
+    type StoredState,
+} from "./process/logStorage.js";
+export {
+    type MemberFacts,
+    Membership,
+    type MembershipFunctions,
+    type MembershipOptions,
+    type MembershipTiming,
+} from "./process/membership.js";
+export { createFirstReplica, Replica, type ReplicaChangeResult, type ReplicaStatus } from "./process/replica.js";
+export type { ReplicaChangeRefusal } from "./process/replicaChange.js";
+export type {
+    ProposalResult,
+    ReplicaEvent,
+    ReplicaFunctions,
+    ReplicaOptions,
+    ReplicaTiming,
+} from "./process/replicaContext.js";
+export type { Role } from "./process/roleMachine.js";
+export { ClaimRegister } from "./version/claimRegister.js";
+export { ConfigurationRegister, type HistoryEntry } from "./version/configurationRegister.js";
+export { ReplicatedState } from "./version/replicatedState.js";
--- /dev/null
+++ b/packages/coordination/src/version/replicatedState.ts
@@ -0,0 +1,61 @@
+/**
+ * The state that every voter holds: configuration, plans and claims. Commands change it, in the order of the log.
+ */
+import { type Command, commandSchema } from "@crankfork/schemas";
+import { z } from "zod";
+import { claimListSchema, ClaimRegister } from "./claimRegister.js";
+import { ConfigurationRegister, configurationStateSchema } from "./configurationRegister.js";
+
+const replicatedStateSchema = z.object({ configuration: configurationStateSchema, claims: claimListSchema });
+
+/** Configuration, plans and claims. */
+export class ReplicatedState {
+    readonly configurations = new ConfigurationRegister();
+    readonly claims: ClaimRegister;
+
+    /**
+     * @param claimRetentionMs - how long claims are kept; the same on every voter
+     */
+    constructor(claimRetentionMs: number) {
+        this.claims = new ClaimRegister(claimRetentionMs);
+    }
+
+    /**
+     * Applies a committed command.
+     * @param raw - the command as it stands in the log
+     * @returns what the proposer is told
+     */
+    apply(raw: unknown): unknown {
+        const command: Command = commandSchema.parse(raw);
+        switch (command.kind) {
+            case "record-plan":
+                return this.configurations.recordPlan(command.plan);
+            case "confirm-plan":
+                return this.configurations.confirmPlan(command.plan_id, command.at_ms);
+            case "open-claim":
+                return this.claims.open(command);
+            case "settle-claim":
+                return this.claims.settle(command);
+            case "release-claim":
+                return this.claims.release(command);
+        }
+    }
+
+    /**
+     * Gets the whole state for a snapshot.
+     * @returns plain data that is not changed later
+     */
+    getState(): unknown {
+        return { configuration: this.configurations.getState(), claims: this.claims.getState() };
+    }
+
+    /**
+     * Puts a snapshot's state in the place of the present one.
+     * @param raw - what `getState` gave
+     */
+    restore(raw: unknown): void {
+        const state = replicatedStateSchema.parse(raw);
+        this.configurations.restore(state.configuration);
+        this.claims.restore(state.claims);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -0,0 +1,90 @@
+/**
+ * The one place that knows how a model engine is spoken to. The rest of crankfork sees `EngineFunctions`.
+ */
+import {
+    type EngineStatus,
+    engineStatusSchema,
+    type ExportedCache,
+    exportedCacheSchema,
+    type Order,
+    type OrderAnswer,
+    orderAnswerSchema,
+    type Step,
+    type StepAnswer,
+} from "@crankfork/schemas";
+import crc32 from "crc-32";
+import type { Agent } from "undici";
+import { fetchJson } from "./httpClient.js";
+import { StepBatcher } from "./stepBatcher.js";
+
+/** What an engine can do for crankfork, free of any transport. */
+export interface EngineFunctions {
+    /** Runs one step; rejects with ExchangeError where no answer that fits comes. */
+    readonly runStep: (step: Step, signal: AbortSignal) => Promise<StepAnswer>;
+    /** Ends a run and frees its slot; failures don't matter, since engines forget idle runs. */
+    readonly cancelRun: (run: string) => void;
+    readonly getStatus: () => Promise<EngineStatus>;
+    readonly sendOrder: (order: Order) => Promise<OrderAnswer>;
+    readonly exportCache: (run: string) => Promise<readonly ExportedCache[]>;
+    readonly importCache: (caches: readonly ExportedCache[]) => Promise<void>;
+    /** Rejects all steps that wait for an answer, because the engine is taken for lost. */
+    readonly abandonSteps: () => void;
+}
+
+/** What a client is made with. */
+export interface EngineClientOptions {
+    readonly agent: Agent;
+    readonly name: string;
+    readonly address: string;
+    readonly timeoutMs: number;
+    /** How long a status may take, in milliseconds. */
+    readonly statusTimeoutMs: number;
+    /** Called for each answer that fits no step that waits: late, doubled or crossed. */
+    readonly handleStrayAnswer: () => void;
+}
+
+const jsonHeaders = { "content-type": "application/json" };
+
+/**
+ * Creates the functions of one engine.
+ * @param options - its name and address, and the connections to use
+ * @returns the functions
+ */
+export function createEngineClient(options: EngineClientOptions): EngineFunctions {
+    const { agent, name: peer, address, timeoutMs, statusTimeoutMs } = options;
+    const base = `http://${address}/v1`;
+    const batcher = new StepBatcher({ ...options, url: `${base}/steps` });
+    const post = (path: string, body: unknown, limitMs = timeoutMs): Promise<unknown> =>
+        fetchJson(
+            { agent, peer, url: `${base}/${path}`, method: "POST", headers: jsonHeaders, body: JSON.stringify(body) },
+            limitMs,
+        );
+    return {
+        runStep: (step, signal) => batcher.run(step, signal),
+        cancelRun: (run) => {
+            void post("cancel", { run }).catch(() => undefined);
+        },
+        getStatus: async () => {
+            const raw = await fetchJson({ agent, peer, url: `${base}/status`, method: "GET" }, statusTimeoutMs);
+            return engineStatusSchema.parse(raw);
+        },
+        sendOrder: async (order) => orderAnswerSchema.parse(await post("orders", order)),
+        exportCache: async (run) => exportedCacheSchema.array().parse(await post("export", { run }, statusTimeoutMs)),
+        importCache: async (caches) => {
+            await post("import", { caches }, statusTimeoutMs);
+        },
+        abandonSteps: () => {
+            batcher.abandon();
+        },
+    };
+}
+
+/**
+ * Splits a prompt into token ids, as the engines' tokenizer does: one a word.
+ * @param prompt - the text
+ * @returns token ids; at least one
+ */
+export function createPromptTokens(prompt: string): readonly number[] {
+    const words = prompt.split(/\s+/).filter((word) => word !== "");
+    return (words.length === 0 ? [""] : words).map((word) => crc32.str(word) >>> 0);
+}
--- /dev/null
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -0,0 +1,149 @@
+/**
+ * HTTP to upstreams and peers by undici, with faults told apart by whether anything was sent.
+ */
+import { Agent, type Dispatcher, errors, request } from "undici";
+
+/** Why an exchange failed. */
+export type ExchangeFailure =
+    /** No connection was made, so nothing was sent. */
+    | "not-reached"
+    /** The connection broke after it was made. */
+    | "lost"
+    /** The answer did not come in time. */
+    | "silent"
+    /** The answer makes no sense. */
+    | "rubbish"
+    /** Given up by us. */
+    | "cancelled";
+
+/** An exchange that failed. */
+export class ExchangeError extends Error {
+    override readonly name = "ExchangeError";
+
+    /**
+     * @param failure - why
+     * @param peer - with whom
+     * @param message - what was seen
+     */
+    constructor(readonly failure: ExchangeFailure, readonly peer: string, message: string) {
+        super(message);
+    }
+}
+
+const CONNECT_TIMEOUT_MS = 1_000;
+const MOST_CONNECTIONS = 64;
+
+/**
+ * Opens connections that are kept alive and shared by all exchanges of one kind.
+ * @returns the connections; close them at the end of the process
+ */
+export function openConnections(): Agent {
+    return new Agent({
+        connections: MOST_CONNECTIONS,
+        connect: { timeout: CONNECT_TIMEOUT_MS },
+        keepAliveTimeout: 30_000,
+        bodyTimeout: 0,
+        headersTimeout: 0,
+        pipelining: 1,
+    });
+}
+
+/** What is sent. */
+export interface ExchangeOptions {
+    readonly agent: Agent;
+    readonly peer: string;
+    readonly url: string;
+    readonly method: Dispatcher.HttpMethod;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string | Buffer;
+    readonly signal?: AbortSignal;
+}
+
+/**
+ * Sends a request and gets the head of its answer.
+ * @param options - where to, what, and a signal that ends it
+ * @returns the answer, its body unread
+ * @throws ExchangeError
+ */
+export async function sendRequest(options: ExchangeOptions): Promise<Dispatcher.ResponseData> {
+    const { agent, url, method, headers, body, signal, peer } = options;
+    try {
+        return await request(url, {
+            dispatcher: agent,
+            method,
+            headers: { ...headers },
+            body: body ?? null,
+            signal: signal ?? null,
+        });
+    }
+    catch (error) {
+        throw createExchangeError(error, peer, signal);
+    }
+}
+
+/**
+ * Sends a request and reads its answer as JSON.
+ * @param options - where to and what
+ * @param timeoutMs - how long the whole exchange may take
+ * @returns the parsed body
+ * @throws ExchangeError also where the status is not 2xx
+ */
+export async function fetchJson(options: ExchangeOptions, timeoutMs: number): Promise<unknown> {
+    const timeout = AbortSignal.timeout(Math.ceil(timeoutMs));
+    const signal = options.signal === undefined ? timeout : AbortSignal.any([options.signal, timeout]);
+    const response = await sendRequest({ ...options, signal });
+    const text = await readText(response, options.peer, signal);
+    if (response.statusCode >= 300) {
+        throw new ExchangeError(
+            "rubbish",
+            options.peer,
+            `status ${String(response.statusCode)}: ${text.slice(0, 200)}`,
+        );
+    }
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        throw new ExchangeError("rubbish", options.peer, `found no JSON: ${text.slice(0, 80)}`);
+    }
+}
+
+/**
+ * Tells what kind of failure an error is.
+ * @param error - what was thrown
+ * @param peer - with whom
+ * @param signal - the signal of the exchange
+ * @returns the error of ours
+ */
+export function createExchangeError(error: unknown, peer: string, signal?: AbortSignal): ExchangeError {
+    if (error instanceof ExchangeError) {
+        return error;
+    }
+    if (signal?.aborted === true) {
+        const isTimeout = signal.reason instanceof DOMException && signal.reason.name === "TimeoutError";
+        return new ExchangeError(
+            isTimeout ? "silent" : "cancelled",
+            peer,
+            isTimeout ? "no answer in time" : "given up",
+        );
+    }
+    const message = error instanceof Error ? error.message : String(error);
+    return new ExchangeError(isConnectFailure(error) ? "not-reached" : "lost", peer, message);
+}
+
+async function readText(response: Dispatcher.ResponseData, peer: string, signal: AbortSignal): Promise<string> {
+    try {
+        return await response.body.text();
+    }
+    catch (error) {
+        throw createExchangeError(error, peer, signal);
+    }
+}
+
+function isConnectFailure(error: unknown): boolean {
+    if (error instanceof errors.ConnectTimeoutError) {
+        return true;
+    }
+    const code = error instanceof Error && "code" in error ? error.code : undefined;
+    return code === "ECONNREFUSED" || code === "EHOSTUNREACH" || code === "ENETUNREACH";
+}
--- /dev/null
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -0,0 +1,167 @@
+/**
+ * Gathers steps of many requests to one engine: those of one turn of the loop go out in one call.
+ * The answers come as lines, each as soon as it is there, and are matched to steps by what they echo.
+ */
+import { type Step, type StepAnswer, stepAnswerSchema } from "@crankfork/schemas";
+import type { Agent } from "undici";
+import { createExchangeError, ExchangeError, sendRequest } from "./httpClient.js";
+
+/** What a batcher is made with. */
+export interface StepBatcherOptions {
+    readonly agent: Agent;
+    readonly name: string;
+    readonly url: string;
+    readonly timeoutMs: number;
+    readonly handleStrayAnswer: () => void;
+}
+
+interface WaitingStep {
+    readonly step: Step;
+    readonly resolve: (answer: StepAnswer) => void;
+    readonly reject: (error: ExchangeError) => void;
+}
+
+const MOST_STEPS_A_CALL = 256;
+
+/** Steps to one engine. */
+export class StepBatcher {
+    private queued: WaitingStep[] = [];
+    private readonly waiting = new Map<string, WaitingStep>();
+    private calls = new AbortController();
+
+    /**
+     * @param options - the engine and the connections to it
+     */
+    constructor(private readonly options: StepBatcherOptions) {}
+
+    /**
+     * Runs a step.
+     * @param step - the step
+     * @param signal - gives the step up; its answer is then a stray one
+     * @returns the answer that echoes the step
+     * @throws ExchangeError
+     */
+    run(step: Step, signal: AbortSignal): Promise<StepAnswer> {
+        return new Promise((resolve, reject) => {
+            const name = formatStepName(step);
+            const finish = (): void => {
+                clearTimeout(timer);
+                signal.removeEventListener("abort", cancel);
+                this.waiting.delete(name);
+            };
+            const waitingStep: WaitingStep = {
+                step,
+                resolve: (answer) => {
+                    finish();
+                    resolve(answer);
+                },
+                reject: (error) => {
+                    finish();
+                    reject(error);
+                },
+            };
+            const cancel = (): void => {
+                waitingStep.reject(new ExchangeError("cancelled", this.options.name, "given up"));
+            };
+            const timer = setTimeout(() => {
+                waitingStep.reject(new ExchangeError("silent", this.options.name, "no answer in time"));
+            }, this.options.timeoutMs);
+            if (signal.aborted) {
+                cancel();
+                return;
+            }
+            signal.addEventListener("abort", cancel, { once: true });
+            this.waiting.set(name, waitingStep);
+            this.enqueue(waitingStep);
+        });
+    }
+
+    /** Gives up all steps that wait. */
+    abandon(): void {
+        this.calls.abort();
+        this.calls = new AbortController();
+        [...this.waiting.values()].forEach((one) => {
+            one.reject(new ExchangeError("lost", this.options.name, "the engine is taken for lost"));
+        });
+    }
+
+    private enqueue(step: WaitingStep): void {
+        this.queued.push(step);
+        if (this.queued.length === 1) {
+            setImmediate(() => {
+                this.flush();
+            });
+        }
+    }
+
+    private flush(): void {
+        const steps = this.queued.filter((one) => this.waiting.get(formatStepName(one.step)) === one);
+        this.queued = [];
+        for (let from = 0; from < steps.length; from += MOST_STEPS_A_CALL) {
+            void this.call(steps.slice(from, from + MOST_STEPS_A_CALL));
+        }
+    }
+
+    private async call(steps: readonly WaitingStep[]): Promise<void> {
+        const { agent, name, url } = this.options;
+        const { signal } = this.calls;
+        try {
+            const body = JSON.stringify({ steps: steps.map((one) => one.step) });
+            const headers = { "content-type": "application/json" };
+            const response = await sendRequest({ agent, peer: name, url, method: "POST", headers, body, signal });
+            if (response.statusCode !== 200) {
+                await response.body.dump();
+                throw new ExchangeError("rubbish", name, `status ${String(response.statusCode)}`);
+            }
+            await this.readAnswers(response.body);
+            throw new ExchangeError("rubbish", name, "the answer ended before all steps were answered");
+        }
+        catch (error) {
+            const failure = createExchangeError(error, name, signal);
+            this.rejectUnanswered(steps, failure);
+        }
+    }
+
+    private rejectUnanswered(steps: readonly WaitingStep[], failure: ExchangeError): void {
+        steps.filter((one) => this.waiting.get(formatStepName(one.step)) === one).forEach((one) => {
+            one.reject(failure);
+        });
+    }
+
+    private async readAnswers(body: AsyncIterable<Buffer>): Promise<void> {
+        const decoder = new TextDecoder();
+        let rest = "";
+        for await (const chunk of body) {
+            const lines = (rest + decoder.decode(chunk, { stream: true })).split("\n");
+            rest = lines.pop() ?? "";
+            lines.forEach((line) => {
+                this.handleLine(line);
+            });
+        }
+    }
+
+    private handleLine(line: string): void {
+        const answer = parseAnswer(line, this.options.name);
+        const step = this.waiting.get(formatStepName(answer));
+        if (step === undefined) {
+            this.options.handleStrayAnswer();
+            return;
+        }
+        step.resolve(answer);
+    }
+}
+
+function parseAnswer(line: string, peer: string): StepAnswer {
+    try {
+        return stepAnswerSchema.parse(JSON.parse(line));
+    }
+    catch {
+        throw new ExchangeError("rubbish", peer, `found a line that is no answer: ${line.slice(0, 80)}`);
+    }
+}
+
+function formatStepName(step: Pick<Step, "run" | "epoch" | "position" | "first_layer" | "end_layer">): string {
+    return `${step.run} ${String(step.epoch)} ${String(step.position)} ${String(step.first_layer)} ${
+        String(step.end_layer)
+    }`;
+}
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,93 @@
+#!/usr/bin/env node
+/**
+ * `crankforkd`: the only daemon.
+ */
+import { intentSchema, parseToml, type Settings } from "@crankfork/schemas";
+import cac from "cac";
+import { readFileSync } from "node:fs";
+import { dirname, resolve } from "node:path";
+import { Daemon } from "./process/daemon.js";
+import { readSettings } from "./process/readSettings.js";
+
+const EXIT_BAD_SETTINGS = 2;
+const EXIT_FAILED = 1;
+
+const cli = cac("crankforkd");
+cli.command("", "run one instance").option("--settings <file>", "TOML file with the settings").action(run);
+cli.help();
+cli.parse();
+
+async function run(options: { settings?: string; }): Promise<void> {
+    if (options.settings === undefined) {
+        fail(EXIT_BAD_SETTINGS, ["crankforkd: found no settings; expected --settings FILE"]);
+    }
+    const checked = readSettings(options.settings);
+    if (checked.kind === "invalid") {
+        fail(EXIT_BAD_SETTINGS, checked.faults);
+    }
+    const folder = dirname(resolve(options.settings));
+    await startDaemon(resolvePaths(checked.value, folder));
+}
+
+async function startDaemon(settings: Settings): Promise<void> {
+    const daemon = new Daemon(settings);
+    try {
+        await daemon.start();
+        if (settings.instance.alone) {
+            await daemon.startAlone(readIntent(settings));
+        }
+    }
+    catch (error) {
+        fail(EXIT_FAILED, [`crankforkd: ${error instanceof Error ? error.message : String(error)}`]);
+    }
+    stopOnSignal(daemon);
+}
+
+/** The first signal stops as planned; the second at once. */
+function stopOnSignal(daemon: Daemon): void {
+    let isStopping = false;
+    const handle = (): void => {
+        if (isStopping) {
+            process.exit(EXIT_FAILED);
+        }
+        isStopping = true;
+        void daemon.stop().then(() => process.exit(0));
+    };
+    process.on("SIGTERM", handle);
+    process.on("SIGINT", handle);
+}
+
+/** Paths in settings are meant from the file that they stand in. */
+function resolvePaths(settings: Settings, folder: string): Settings {
+    const { instance, log } = settings;
+    const resolveOptional = (path: string | undefined): string | undefined =>
+        path === undefined ? undefined : resolve(folder, path);
+    return {
+        ...settings,
+        instance: {
+            ...instance,
+            data_folder: resolveOptional(instance.data_folder),
+            initial_intent: resolveOptional(instance.initial_intent),
+        },
+        log: { ...log, file: resolveOptional(log.file) },
+    };
+}
+
+function readIntent(settings: Settings): ReturnType<typeof intentSchema.parse> | undefined {
+    const file = settings.instance.initial_intent;
+    if (file === undefined) {
+        return undefined;
+    }
+    const checked = parseToml(intentSchema, readFileSync(file, "utf8"), file);
+    if (checked.kind === "invalid") {
+        fail(EXIT_BAD_SETTINGS, checked.faults);
+    }
+    return checked.value;
+}
+
+function fail(code: number, lines: readonly string[]): never {
+    lines.forEach((line) => {
+        process.stderr.write(`${line}\n`);
+    });
+    process.exit(code);
+}
--- /dev/null
+++ b/packages/daemon/src/process/eventLog.ts
@@ -0,0 +1,76 @@
+/**
+ * Events of the process: one key=value line each. The names are listed in docs/EVENTS.md.
+ */
+import bunyan from "bunyan";
+import { createWriteStream } from "node:fs";
+import { createRequire } from "node:module";
+import { formatHybridTime, type HybridClock } from "./hybridClock.js";
+
+const logfmt = createRequire(import.meta.url)("logfmt") as { stringify: (value: EventFields) => string; };
+
+/** Values of an event. */
+export type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
+
+/** How an event is written. */
+export type EventLevel = "debug" | "info" | "warn" | "error";
+
+/** Writes events. */
+export interface EventLog {
+    /**
+     * Writes one event.
+     * @param level - how much it matters
+     * @param event - its name
+     * @param fields - its values; undefined ones are left out
+     */
+    readonly record: (level: EventLevel, event: string, fields?: EventFields) => void;
+}
+
+/** How the log is written. */
+export interface EventLogOptions {
+    readonly instance: string;
+    readonly level: EventLevel;
+    /** The file to append to; standard output where left out. */
+    readonly file: string | undefined;
+    readonly clock: HybridClock;
+}
+
+interface RawRecord {
+    readonly time: Date;
+    readonly level: number;
+    readonly msg: string;
+    readonly fields: EventFields;
+}
+
+/**
+ * Opens the log.
+ * @param options - name of the instance, least level, file and clock
+ * @returns the log
+ */
+export function openEventLog(options: EventLogOptions): EventLog {
+    const output = options.file === undefined ? process.stdout : createWriteStream(options.file, { flags: "a" });
+    const write = (raw: RawRecord): void => {
+        output.write(`${formatEvent(raw, options)}\n`);
+    };
+    const logger = bunyan.createLogger({
+        name: "crankforkd",
+        level: options.level,
+        streams: [{ type: "raw", level: options.level, stream: { write } as unknown as NodeJS.WritableStream }],
+    });
+    return {
+        record: (level, event, fields = {}) => {
+            logger[level]({ fields }, event);
+        },
+    };
+}
+
+function formatEvent(raw: RawRecord, options: EventLogOptions): string {
+    const present = Object.entries(raw.fields).filter(([, value]) => value !== undefined && value !== "");
+    return logfmt.stringify({
+        time: raw.time.toISOString(),
+        clock: formatHybridTime(options.clock.get()),
+        level: bunyan.nameFromLevel[raw.level] ?? String(raw.level),
+        instance: options.instance,
+        event: raw.msg,
+        ...Object.fromEntries(present),
+    });
+}
--- /dev/null
+++ b/packages/daemon/src/process/gates.ts
@@ -0,0 +1,98 @@
+/**
+ * One gate and one retry budget for each model and service.
+ */
+import { RetryBudget } from "@crankfork/decisions";
+import type { Model, Service } from "@crankfork/schemas";
+import type { ConfigurationView } from "../version/configurationInForce.js";
+import { computeModelSlots, computeServiceSlots, computeShare } from "../version/slotShare.js";
+import { WorkGate } from "./workGate.js";
+
+/** What gates need from the process. */
+export interface GatesOptions {
+    readonly queueLimit: number;
+    /** Entries that are alive, this one included. */
+    readonly countEntries: () => number;
+}
+
+/** The gates of this instance. */
+export class Gates {
+    private readonly gates = new Map<string, WorkGate>();
+    private readonly budgets = new Map<string, RetryBudget>();
+    private readonly slots = new Map<string, number>();
+
+    /**
+     * @param options - queue limit and live entries
+     */
+    constructor(private readonly options: GatesOptions) {}
+
+    /**
+     * Takes a new version.
+     * @param view - the version
+     */
+    applyConfiguration(view: ConfigurationView): void {
+        const { configuration } = view;
+        this.slots.clear();
+        configuration.models.forEach((model) => {
+            this.slots.set(formatModelName(model), computeModelSlots(configuration, model));
+        });
+        configuration.services.forEach((service) => {
+            this.slots.set(formatServiceName(service), computeServiceSlots(configuration, service));
+        });
+        this.startWaiting();
+    }
+
+    /** Lets waiting requests run where slots have become free. */
+    startWaiting(): void {
+        this.gates.forEach((gate) => {
+            gate.startWaiting();
+        });
+    }
+
+    /**
+     * Gets the gate of a model.
+     * @param model - the model
+     * @returns its gate
+     */
+    getForModel(model: Model): WorkGate {
+        return this.getGate(formatModelName(model), model.name);
+    }
+
+    /**
+     * Gets the gate of a service.
+     * @param service - the service
+     * @returns its gate
+     */
+    getForService(service: Service): WorkGate {
+        return this.getGate(formatServiceName(service), service.name);
+    }
+
+    /**
+     * Gets the retry budget of a model or service.
+     * @param name - its name
+     * @returns its budget
+     */
+    getBudget(name: string): RetryBudget {
+        const known = this.budgets.get(name) ?? new RetryBudget();
+        this.budgets.set(name, known);
+        return known;
+    }
+
+    private getGate(name: string, target: string): WorkGate {
+        const known = this.gates.get(name)
+            ?? new WorkGate(
+                target,
+                this.options.queueLimit,
+                () => computeShare(this.slots.get(name) ?? 0, this.options.countEntries()),
+            );
+        this.gates.set(name, known);
+        return known;
+    }
+}
+
+function formatModelName(model: Model): string {
+    return `model ${model.name}`;
+}
+
+function formatServiceName(service: Service): string {
+    return `service ${service.name}`;
+}
--- /dev/null
+++ b/packages/daemon/src/process/httpServer.ts
@@ -0,0 +1,136 @@
+/**
+ * What the three servers of an instance share: opening, closing, secrets and bodies.
+ */
+import { parseAddress } from "@crankfork/schemas";
+import { createHash, timingSafeEqual } from "node:crypto";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+
+/** A server that listens. */
+export interface OpenServer {
+    /** Where it listens; the port that was given where the settings say 0. */
+    readonly address: string;
+    /** Stops to accept and ends connections that are idle; resolves once all are closed. */
+    readonly close: () => Promise<void>;
+}
+
+/** Handles one request. */
+export type RequestHandler = (request: IncomingMessage, response: ServerResponse) => void;
+
+/**
+ * Opens a server.
+ * @param address - where to listen
+ * @param handle - called for each request
+ * @returns the open server
+ * @throws the system's error where the address can't be had
+ */
+export async function openServer(address: string, handle: RequestHandler): Promise<OpenServer> {
+    const { host, port } = parseAddress(address);
+    const server = createServer(handle);
+    server.keepAliveTimeout = 30_000;
+    await listen(server, host, port);
+    const bound = server.address() as AddressInfo;
+    return {
+        address: `${bound.family === "IPv6" ? `[${bound.address}]` : bound.address}:${String(bound.port)}`,
+        close: () =>
+            new Promise((resolve) => {
+                server.close(() => {
+                    resolve();
+                });
+                server.closeIdleConnections();
+            }),
+    };
+}
+
+/**
+ * Compares a bearer secret in constant time.
+ * @param header - the `authorization` header
+ * @param secret - what it must hold; undefined lets all in
+ * @returns true where it holds the secret
+ */
+export function hasSecret(header: string | undefined, secret: string | undefined): boolean {
+    return secret === undefined || isEqualSecret(header?.replace(/^Bearer /i, "") ?? "", secret);
+}
+
+/**
+ * Compares two texts in constant time.
+ * @param found - what was given
+ * @param expected - what it should be
+ * @returns true where they are equal
+ */
+export function isEqualSecret(found: string, expected: string): boolean {
+    return timingSafeEqual(computeHash(found), computeHash(expected));
+}
+
+/**
+ * Computes the digest under which a secret is kept.
+ * @param text - the secret
+ * @returns SHA-256 in hexadecimal
+ */
+export function computeSecretDigest(text: string): string {
+    return computeHash(text).toString("hex");
+}
+
+/** The body was larger than allowed. */
+export class BodyTooLargeError extends Error {
+    override readonly name = "BodyTooLargeError";
+}
+
+/**
+ * Reads a whole body.
+ * @param request - the request
+ * @param limitBytes - the most that is read
+ * @returns the body
+ * @throws BodyTooLargeError as soon as it is known to be larger
+ */
+export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer> {
+    if (Number(request.headers["content-length"] ?? 0) > limitBytes) {
+        throw new BodyTooLargeError();
+    }
+    const chunks: Buffer[] = [];
+    let length = 0;
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        length += chunk.length;
+        if (length > limitBytes) {
+            throw new BodyTooLargeError();
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
+
+/**
+ * Sends JSON.
+ * @param response - the response, not begun yet
+ * @param status - HTTP status
+ * @param body - what to send
+ * @param headers - more headers
+ */
+export function sendJson(
+    response: ServerResponse,
+    status: number,
+    body: unknown,
+    headers: Readonly<Record<string, string>> = {},
+): void {
+    const text = JSON.stringify(body);
+    response.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        ...headers,
+    });
+    response.end(text);
+}
+
+function listen(server: Server, host: string, port: number): Promise<void> {
+    return new Promise((resolve, reject) => {
+        server.once("error", reject);
+        server.listen(port, host, () => {
+            server.off("error", reject);
+            resolve();
+        });
+    });
+}
+
+function computeHash(text: string): Buffer {
+    return createHash("sha256").update(text).digest();
+}
--- /dev/null
+++ b/packages/daemon/src/process/lifecycle.ts
@@ -0,0 +1,39 @@
+/**
+ * The life of the process: it serves only once it knows the confirmed configuration.
+ */
+import { createMachine, interpret, state, transition } from "robot3";
+
+/** States of the process. */
+export type LifecycleState = "starting" | "ready" | "draining" | "stopped";
+/** What changes the state. */
+export type LifecycleEvent = "configured" | "asked-to-stop" | "drained";
+
+const lifecycleMachine = createMachine("starting", {
+    starting: state(transition("configured", "ready"), transition("asked-to-stop", "stopped")),
+    ready: state(transition("asked-to-stop", "draining")),
+    draining: state(transition("drained", "stopped")),
+    stopped: state(),
+});
+
+/** The running machine. */
+export interface Lifecycle {
+    readonly get: () => LifecycleState;
+    readonly send: (event: LifecycleEvent) => void;
+}
+
+/**
+ * Starts the machine.
+ * @param handleChange - called with each new state
+ * @returns the machine in state `starting`
+ */
+export function startLifecycle(handleChange: (state: LifecycleState) => void): Lifecycle {
+    const service = interpret(lifecycleMachine, (changed) => {
+        handleChange(changed.machine.current as LifecycleState);
+    });
+    return {
+        get: () => service.machine.current as LifecycleState,
+        send: (event) => {
+            service.send(event);
+        },
+    };
+}
--- /dev/null
+++ b/packages/daemon/src/process/orderSender.ts
@@ -0,0 +1,127 @@
+/**
+ * The leader's orders to engines: hold just the layers that the configuration places there.
+ *
+ * Each order carries a fence, and is sent only inside the leader's lease. Engines that check the fence refuse older
+ * ones. For the others a new leader first waits until every order of an earlier leader is void.
+ */
+import type { Fence, HeldRange, Placement } from "@crankfork/schemas";
+import type { ConfigurationView } from "../version/configurationInForce.js";
+import type { EventFields } from "./eventLog.js";
+import type { ReplicaHost } from "./replicaHost.js";
+import type { UpstreamState } from "./upstreamState.js";
+import type { UpstreamTable } from "./upstreamTable.js";
+
+/** What the sender needs from the process. */
+export interface OrderSenderOptions {
+    readonly host: ReplicaHost;
+    readonly upstreams: UpstreamTable;
+    readonly getView: () => ConfigurationView;
+    /** How long the lease of an earlier leader can last, in milliseconds. */
+    readonly leaseMs: number;
+    readonly record: (event: string, fields: EventFields) => void;
+}
+
+const ROUND_MS = 200;
+/** An order is void this long after it was sent. */
+const ORDER_LIFE_MS = 1_000;
+
+/** Sends orders while this instance leads. */
+export class OrderSender {
+    private timer: NodeJS.Timeout | undefined;
+    private leaderTerm = 0;
+    private leaderSinceMs = 0;
+    private readonly pending = new Set<string>();
+
+    /**
+     * @param options - replica, upstreams and configuration
+     */
+    constructor(private readonly options: OrderSenderOptions) {}
+
+    /** Starts to compare what engines hold with what they should. */
+    start(): void {
+        this.timer = setInterval(() => {
+            this.runRound();
+        }, ROUND_MS);
+    }
+
+    /** Stops. */
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    private runRound(): void {
+        const { host, upstreams, getView } = this.options;
+        const status = host.replica.getStatus();
+        if (!host.replica.hasNewestState()) {
+            return;
+        }
+        if (status.term !== this.leaderTerm) {
+            this.leaderTerm = status.term;
+            this.leaderSinceMs = performance.now();
+        }
+        const { placements } = getView().configuration;
+        const byUpstream = createRanges(placements);
+        for (const state of upstreams.getAll()) {
+            const wanted = byUpstream.get(state.upstream.name) ?? [];
+            if (this.isOrderDue(state, wanted)) {
+                void this.send(state, wanted, { term: status.term, index: status.commitIndex });
+            }
+        }
+    }
+
+    private isOrderDue(state: UpstreamState, wanted: readonly HeldRange[]): boolean {
+        if (state.engine === undefined || state.lastStatus === undefined || state.isLeaving) {
+            return false;
+        }
+        const isSafe = state.upstream.checks_fence
+            || performance.now() - this.leaderSinceMs >= this.options.leaseMs + ORDER_LIFE_MS;
+        return isSafe && !this.pending.has(state.upstream.name) && !hasSameRanges(state.holds, wanted);
+    }
+
+    private async send(state: UpstreamState, wanted: readonly HeldRange[], fence: Fence): Promise<void> {
+        const { host, record } = this.options;
+        const peer = state.upstream.name;
+        // A process that was frozen wakes between any two lines: the lease is asked right before the sending.
+        if (!host.replica.hasNewestState()) {
+            return;
+        }
+        this.pending.add(peer);
+        try {
+            const answer = await state.engine?.sendOrder({ fence, life_ms: ORDER_LIFE_MS, holds: [...wanted] });
+            const layers = wanted.map((range) =>
+                `${range.model}:${String(range.first_layer)}-${String(range.end_layer - 1)}`
+            );
+            record(answer?.kind === "accepted" ? "order-accepted" : "order-fenced", {
+                peer,
+                layers: layers.join(","),
+                term: fence.term,
+            });
+        }
+        catch (error) {
+            record("order-failed", { peer, reason: error instanceof Error ? error.message : String(error) });
+        }
+        finally {
+            this.pending.delete(peer);
+        }
+    }
+}
+
+function createRanges(placements: readonly Placement[]): ReadonlyMap<string, readonly HeldRange[]> {
+    const ranges = new Map<string, HeldRange[]>();
+    for (const { upstream, ...range } of placements) {
+        ranges.set(upstream, [...ranges.get(upstream) ?? [], range]);
+    }
+    return ranges;
+}
+
+function hasSameRanges(left: readonly HeldRange[], right: readonly HeldRange[]): boolean {
+    return formatRanges(left) === formatRanges(right);
+}
+
+function formatRanges(ranges: readonly HeldRange[]): string {
+    return ranges.map((range) =>
+        `${range.model}@${range.version}:${String(range.first_layer)}-${String(range.end_layer)}`
+    )
+        .sort()
+        .join(" ");
+}
--- /dev/null
+++ b/packages/daemon/src/process/upstreamState.ts
@@ -0,0 +1,114 @@
+/**
+ * What this instance knows of one upstream.
+ */
+import { Circuit } from "@crankfork/decisions";
+import type { EngineStatus, HeldRange, Upstream } from "@crankfork/schemas";
+import type { EngineFunctions } from "../connection/engineClient.js";
+
+/** Whether an upstream answers. */
+export type Reachability = "unknown" | "reachable" | "unreachable";
+
+/** One upstream. */
+export class UpstreamState {
+    readonly circuit = new Circuit();
+    reachability: Reachability = "unknown";
+    isLeaving = false;
+    /** Status questions in a row that got no answer. */
+    silentPolls = 0;
+    private status: EngineStatus | undefined;
+    private sampledMs = 0;
+    /** Start times of own requests in flight, by run, on the monotonic clock. */
+    private readonly running = new Map<string, number>();
+
+    /**
+     * @param upstream - its configuration
+     * @param engine - its functions; undefined for a plain service
+     */
+    constructor(public upstream: Upstream, readonly engine: EngineFunctions | undefined) {}
+
+    /** Own requests in flight there. */
+    get ownInFlight(): number {
+        return this.running.size;
+    }
+
+    /** Layers that it said it holds. */
+    get holds(): readonly HeldRange[] {
+        return this.status?.holds ?? [];
+    }
+
+    /** Its last report of load. */
+    get lastStatus(): EngineStatus | undefined {
+        return this.status;
+    }
+
+    /**
+     * Takes a new configuration of the same upstream.
+     * @param upstream - its configuration
+     * @returns this state
+     */
+    updateUpstream(upstream: Upstream): this {
+        this.upstream = upstream;
+        return this;
+    }
+
+    /**
+     * Takes a status.
+     * @param status - what it reported
+     * @param nowMs - the monotonic clock
+     */
+    receiveStatus(status: EngineStatus, nowMs: number): void {
+        this.status = status;
+        this.sampledMs = nowMs - status.load.age_ms;
+        this.isLeaving ||= status.is_leaving;
+    }
+
+    /**
+     * Marks an own request that starts there.
+     * @param run - the request
+     * @param nowMs - the monotonic clock
+     */
+    recordStart(run: string, nowMs: number): void {
+        if (!this.running.has(run)) {
+            this.running.set(run, nowMs);
+            this.circuit.recordStart();
+        }
+    }
+
+    /**
+     * Marks an own request that ended there.
+     * @param run - the request
+     */
+    recordEnd(run: string): void {
+        this.running.delete(run);
+    }
+
+    /**
+     * Counts own requests that its last report can't include.
+     * @returns requests that started after the report was sampled
+     */
+    countSinceReport(): number {
+        let count = 0;
+        for (const startedMs of this.running.values()) {
+            count += startedMs > this.sampledMs ? 1 : 0;
+        }
+        return count;
+    }
+
+    /**
+     * Gets the age of the last report.
+     * @param nowMs - the monotonic clock
+     * @returns milliseconds
+     */
+    getReportAgeMs(nowMs: number): number {
+        return nowMs - this.sampledMs;
+    }
+
+    /**
+     * Tells whether new work may go there.
+     * @param nowMs - the monotonic clock
+     * @returns false while it leaves, is lost, or its circuit is open
+     */
+    isUsable(nowMs: number): boolean {
+        return !this.isLeaving && this.reachability !== "unreachable" && this.circuit.isUsable(nowMs);
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/process/upstreamTable.ts
@@ -0,0 +1,247 @@
+/**
+ * All upstreams of the version in force, asked for their status from time to time.
+ */
+import {
+    chooseCandidate,
+    chooseRoute,
+    computeLoadScore,
+    createHolderIndex,
+    type Holder,
+    type HolderIndex,
+    type RouteStage,
+} from "@crankfork/decisions";
+import type { Model, Upstream } from "@crankfork/schemas";
+import type { EngineFunctions } from "../connection/engineClient.js";
+import { ExchangeError } from "../connection/httpClient.js";
+import type { ConfigurationView } from "../version/configurationInForce.js";
+import { UpstreamState } from "./upstreamState.js";
+
+/** What the table needs from the process around it. */
+export interface UpstreamTableFunctions {
+    readonly createEngine: (upstream: Upstream) => EngineFunctions;
+    /** Requests in flight at an upstream from other live entries. */
+    readonly countOthersInFlight: (upstream: string) => number;
+    readonly random: () => number;
+    /** Called when an upstream was lost, came back or began to leave. */
+    readonly handleChange: (state: UpstreamState, change: UpstreamChange) => void;
+}
+
+/** What changed about an upstream. */
+export type UpstreamChange = "lost" | "back" | "leaving" | "held-layers";
+
+/** Status questions without an answer after which an engine is taken for lost. */
+const MOST_SILENT_POLLS = 2;
+
+/** The upstreams as this instance sees them. */
+export class UpstreamTable {
+    private states = new Map<string, UpstreamState>();
+    private indexes = new Map<string, HolderIndex>();
+    private timer: NodeJS.Timeout | undefined;
+    private readonly leavingAddresses = new Set<string>();
+
+    /**
+     * @param pollMs - between two status questions to one engine
+     * @param functions - what it needs
+     */
+    constructor(private readonly pollMs: number, private readonly functions: UpstreamTableFunctions) {}
+
+    /** Starts to ask. */
+    start(): void {
+        this.timer = setInterval(() => {
+            this.pollAll();
+        }, this.pollMs);
+    }
+
+    /** Stops to ask. */
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    /**
+     * Takes a new version: upstreams whose configuration is as before keep their state.
+     * @param view - the version
+     */
+    applyConfiguration(view: ConfigurationView): void {
+        const old = this.states;
+        this.states = new Map(view.configuration.upstreams.map((upstream) => {
+            const known = old.get(upstream.name);
+            const isSame = known?.upstream.address === upstream.address && known.upstream.kind === upstream.kind;
+            return [upstream.name, isSame ? known.updateUpstream(upstream) : this.createState(upstream)];
+        }));
+        this.indexes.clear();
+        this.pollAll();
+    }
+
+    /**
+     * Gets an upstream.
+     * @param name - its name
+     * @returns what is known of it
+     */
+    get(name: string): UpstreamState | undefined {
+        return this.states.get(name);
+    }
+
+    /**
+     * Gets all upstreams.
+     * @returns what is known of each
+     */
+    getAll(): readonly UpstreamState[] {
+        return [...this.states.values()];
+    }
+
+    /**
+     * Counts own requests in flight, for gossip.
+     * @returns counts by upstream; those with none are left out
+     */
+    countInFlight(): Readonly<Record<string, number>> {
+        const busy = this.getAll().filter((state) => state.ownInFlight > 0);
+        return Object.fromEntries(busy.map((state) => [state.upstream.name, state.ownInFlight]));
+    }
+
+    /**
+     * Takes the platform's list of instances that leave.
+     * @param addresses - their addresses
+     */
+    applyLeaving(addresses: readonly string[]): void {
+        addresses.forEach((address) => this.leavingAddresses.add(address));
+        for (const state of this.states.values()) {
+            if (!state.isLeaving && this.leavingAddresses.has(state.upstream.address)) {
+                state.isLeaving = true;
+                this.functions.handleChange(state, "leaving");
+            }
+        }
+    }
+
+    /**
+     * Chooses a route for a model.
+     * @param model - the model
+     * @param avoided - upstreams that failed this request already
+     * @returns the stages, or undefined where no usable upstreams hold all layers
+     */
+    chooseRoute(model: Model, avoided: ReadonlySet<string>): readonly RouteStage[] | undefined {
+        const nowMs = performance.now();
+        const isUsable = (holder: Holder): boolean =>
+            !avoided.has(holder.upstream) && this.get(holder.upstream)?.isUsable(nowMs) === true;
+        const score = (holder: Holder): number => this.computeScore(holder.upstream, nowMs);
+        return chooseRoute(this.getIndex(model), score, isUsable, this.functions.random);
+    }
+
+    /**
+     * Chooses an instance of a plain service.
+     * @param names - its upstreams
+     * @param avoided - those that failed this request already
+     * @returns the upstream, or undefined where none is usable
+     */
+    chooseService(names: readonly string[], avoided: ReadonlySet<string>): UpstreamState | undefined {
+        const nowMs = performance.now();
+        const usable = names.flatMap((name) => {
+            const state = this.get(name);
+            return state !== undefined && !avoided.has(name) && state.isUsable(nowMs) ? [state] : [];
+        });
+        const score = (state: UpstreamState): number => this.computeScore(state.upstream.name, nowMs);
+        return chooseCandidate(usable, score, this.functions.random);
+    }
+
+    /**
+     * Marks that an exchange failed.
+     * @param state - the upstream
+     * @param error - what failed
+     */
+    recordFailure(state: UpstreamState, error: ExchangeError): void {
+        if (error.failure === "cancelled") {
+            return;
+        }
+        state.circuit.recordFailure(performance.now());
+        if (error.failure === "not-reached" && state.engine !== undefined) {
+            this.markLost(state);
+        }
+    }
+
+    private createState(upstream: Upstream): UpstreamState {
+        const engine = upstream.kind === "engine" ? this.functions.createEngine(upstream) : undefined;
+        const state = new UpstreamState(upstream, engine);
+        state.isLeaving = this.leavingAddresses.has(upstream.address);
+        return state;
+    }
+
+    private computeScore(name: string, nowMs: number): number {
+        const state = this.states.get(name);
+        if (state === undefined) {
+            return Number.POSITIVE_INFINITY;
+        }
+        const load = state.lastStatus?.load;
+        return computeLoadScore({
+            reported: load === undefined ? undefined : load.running + load.waiting,
+            reportAgeMs: state.getReportAgeMs(nowMs),
+            ownInFlight: state.ownInFlight,
+            ownSinceReport: state.countSinceReport(),
+            othersInFlight: this.functions.countOthersInFlight(name),
+            slots: state.upstream.slots,
+            speed: state.upstream.speed,
+        });
+    }
+
+    private getIndex(model: Model): HolderIndex {
+        const name = `${model.name}@${model.version}`;
+        const known = this.indexes.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        const holders = this.getAll().flatMap((state) => createHolders(state, model));
+        const index = createHolderIndex(holders, model.layers);
+        this.indexes.set(name, index);
+        return index;
+    }
+
+    private pollAll(): void {
+        this.getAll().forEach((state) => {
+            if (state.engine !== undefined) {
+                void this.poll(state, state.engine);
+            }
+        });
+    }
+
+    private async poll(state: UpstreamState, engine: EngineFunctions): Promise<void> {
+        const heldBefore = JSON.stringify(state.holds);
+        try {
+            const status = await engine.getStatus();
+            const wasLeaving = state.isLeaving;
+            state.receiveStatus(status, performance.now());
+            state.silentPolls = 0;
+            if (state.reachability !== "reachable") {
+                state.reachability = "reachable";
+                state.circuit.recordSuccess();
+                this.functions.handleChange(state, "back");
+            }
+            if (!wasLeaving && state.isLeaving) {
+                this.functions.handleChange(state, "leaving");
+            }
+        }
+        catch (error) {
+            state.silentPolls += 1;
+            const isRefused = error instanceof ExchangeError && error.failure === "not-reached";
+            if (isRefused || state.silentPolls >= MOST_SILENT_POLLS) {
+                this.markLost(state);
+            }
+        }
+        if (heldBefore !== JSON.stringify(state.holds)) {
+            this.indexes.clear();
+            this.functions.handleChange(state, "held-layers");
+        }
+    }
+
+    private markLost(state: UpstreamState): void {
+        if (state.reachability === "unreachable") {
+            return;
+        }
+        state.reachability = "unreachable";
+        state.engine?.abandonSteps();
+        this.functions.handleChange(state, "lost");
+    }
+}
+
+function createHolders(state: UpstreamState, model: Model): readonly Holder[] {
+    return state.holds
+        .filter((held) => held.model === model.name && held.version === model.version)
+        .map((held) => ({ upstream: state.upstream.name, firstLayer: held.first_layer, endLayer: held.end_layer }));
+}
--- /dev/null
+++ b/packages/daemon/src/process/workGate.ts
@@ -0,0 +1,178 @@
+/**
+ * The gate before a model or service: what runs, what waits, what is refused.
+ * The decisions are pure; this file keeps the counts and wakes those that waited.
+ */
+import { type AdmissionDecision, chooseAdmission, FairQueue, type QueuedRequest } from "@crankfork/decisions";
+import type { ClassBound } from "@crankfork/schemas";
+import type VError from "verror";
+import { createCallerFault } from "../request/callerFault.js";
+
+/** A request that wants to run. */
+export interface GateRequest extends QueuedRequest {
+    /** Tokens before its first token. */
+    readonly promptTokens: number;
+    readonly bound: ClassBound;
+    /** Time until the caller's deadline, in milliseconds; infinite without one. */
+    readonly deadlineMs: number;
+    /** Ends the wait when the caller is gone. */
+    readonly signal: AbortSignal;
+}
+
+/** What a request leaves behind when it ends. */
+export interface GateUsage {
+    readonly tokens: number;
+    readonly durationMs: number;
+    /** Time to its first token from when it ran; undefined where none came. */
+    readonly firstTokenMs: number | undefined;
+}
+
+interface WaitingRequest extends GateRequest {
+    readonly start: () => void;
+    readonly fail: (error: VError) => void;
+}
+
+/** Weight of the newest measurement in the running means. */
+const SMOOTHING = 0.1;
+
+/** What runs and waits for one model or service at this instance. */
+export class WorkGate {
+    private readonly queue = new FairQueue<WaitingRequest>();
+    private running = 0;
+    private msPerToken = 0;
+    private startMs = 0;
+
+    /**
+     * @param name - model or service, for errors
+     * @param queueLimit - most requests that wait
+     * @param getSlots - this instance's share of what may run now
+     */
+    constructor(
+        private readonly name: string,
+        private readonly queueLimit: number,
+        private readonly getSlots: () => number,
+    ) {}
+
+    /** Requests that run now. */
+    get runningRequests(): number {
+        return this.running;
+    }
+
+    /** Requests that wait now. */
+    get waitingRequests(): number {
+        return this.queue.length;
+    }
+
+    /**
+     * Waits for a turn.
+     * @param request - the request
+     * @returns resolves when it may run; call `leave` at its end
+     * @throws a caller's error at once where it can't be served within its bound
+     */
+    async enter(request: GateRequest): Promise<void> {
+        const decision = this.decide(request);
+        switch (decision.kind) {
+            case "run":
+                this.running += 1;
+                return;
+            case "wait":
+                await this.wait(request);
+                return;
+            case "refuse-late":
+                throw createCallerFault("overloaded", {
+                    step: "admission",
+                    peer: this.name,
+                    values: {
+                        expected_ms: Math.round(decision.expectedMs),
+                        bound_ms: Math.round(Math.min(request.bound.first_token_ms, request.deadlineMs)),
+                    },
+                    retryAfterMs: decision.retryAfterMs,
+                });
+            case "refuse-full":
+                throw createCallerFault("queue-full", {
+                    step: "admission",
+                    peer: this.name,
+                    values: { limit: this.queueLimit },
+                    retryAfterMs: decision.retryAfterMs,
+                });
+        }
+    }
+
+    /**
+     * Ends a request that ran, and lets the next ones run.
+     * @param usage - what it took
+     */
+    leave(usage: GateUsage): void {
+        this.running -= 1;
+        if (usage.tokens > 0) {
+            this.msPerToken = smooth(this.msPerToken, usage.durationMs / usage.tokens);
+        }
+        if (usage.firstTokenMs !== undefined) {
+            this.startMs = smooth(this.startMs, usage.firstTokenMs);
+        }
+        this.startWaiting();
+    }
+
+    /** Lets requests run where slots have become free. */
+    startWaiting(): void {
+        while (this.running < this.getSlots()) {
+            const next = this.queue.pop();
+            if (next === undefined) {
+                return;
+            }
+            this.running += 1;
+            next.start();
+        }
+    }
+
+    private decide(request: GateRequest): AdmissionDecision {
+        const slots = this.getSlots();
+        return chooseAdmission({
+            tokensAhead: this.queue.countTokensAhead(request.priority),
+            promptTokens: request.promptTokens,
+            tokensPerSecond: this.msPerToken === 0 ? 0 : slots * 1_000 / this.msPerToken,
+            startMs: this.startMs,
+            freeSlots: Math.max(0, slots - this.running),
+            waitingRequests: this.queue.length,
+            queueLimit: this.queueLimit,
+            deadlineMs: request.deadlineMs,
+        }, request.bound);
+    }
+
+    /** Waits no longer than the class's bound: past it the answer would come too late anyway. */
+    private wait(request: GateRequest): Promise<void> {
+        const limitMs = Math.min(request.bound.first_token_ms, request.deadlineMs);
+        return new Promise((resolve, reject) => {
+            const finish = (): void => {
+                clearTimeout(timer);
+                request.signal.removeEventListener("abort", cancel);
+            };
+            const waiting: WaitingRequest = {
+                ...request,
+                start: () => {
+                    finish();
+                    resolve();
+                },
+                fail: (error) => {
+                    finish();
+                    this.queue.remove(waiting);
+                    reject(error);
+                },
+            };
+            const cancel = (): void => {
+                waiting.fail(createCallerFault("deadline-passed", { step: "admission", peer: this.name }));
+            };
+            const timer = setTimeout(() => {
+                const expected_ms = Math.round(limitMs + this.startMs);
+                const values = { expected_ms, bound_ms: Math.round(limitMs) };
+                const retryAfterMs = Math.max(100, this.startMs);
+                waiting.fail(createCallerFault("overloaded", { step: "queue", peer: this.name, values, retryAfterMs }));
+            }, limitMs);
+            request.signal.addEventListener("abort", cancel, { once: true });
+            this.queue.push(waiting);
+        });
+    }
+}
+
+function smooth(mean: number, value: number): number {
+    return mean === 0 ? value : mean + SMOOTHING * (value - mean);
+}
--- /dev/null
+++ b/packages/daemon/src/request/callerAnswer.ts
@@ -0,0 +1,110 @@
+/**
+ * Writes one answer to a caller: whole or as a stream, no faster than the caller reads.
+ */
+import type { KeptAnswer } from "@crankfork/schemas";
+import type { ServerResponse } from "node:http";
+import { sendJson } from "../process/httpServer.js";
+import { createCallerFault, createFaultAnswer } from "./callerFault.js";
+
+/** Bounds of an answer that is read slowly. */
+export interface AnswerLimits {
+    /** Bytes that may wait for the caller. */
+    readonly bufferBytes: number;
+    /** How long the caller may leave them unread, in milliseconds. */
+    readonly stallMs: number;
+}
+
+/** The answer to one request. */
+export class CallerAnswer {
+    /** Aborted when the caller is gone before the answer is whole. */
+    readonly gone = new AbortController();
+
+    /**
+     * @param response - the response, not begun yet
+     * @param requestId - the request
+     * @param limits - bounds for slow readers
+     */
+    constructor(
+        private readonly response: ServerResponse,
+        private readonly requestId: string,
+        private readonly limits: AnswerLimits,
+    ) {
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                this.gone.abort();
+            }
+        });
+    }
+
+    /**
+     * Writes a part of a stream; the first one begins the answer.
+     * @param text - the part
+     * @returns resolves once more may be written
+     * @throws a caller's error where the caller is gone or reads nothing for too long
+     */
+    async writePart(text: string): Promise<void> {
+        if (!this.response.headersSent) {
+            this.response.writeHead(200, {
+                "content-type": "text/event-stream",
+                "cache-control": "no-cache",
+                "x-request-id": this.requestId,
+            });
+        }
+        this.response.write(text);
+        if (this.response.writableLength > this.limits.bufferBytes) {
+            await this.waitForReader();
+        }
+        if (this.gone.signal.aborted) {
+            throw createCallerFault("cancelled", { step: "answer", peer: "caller" });
+        }
+    }
+
+    /** Ends a stream. */
+    end(): void {
+        this.response.end();
+    }
+
+    /**
+     * Sends an answer whole.
+     * @param answer - status, type and body
+     */
+    sendWhole(answer: KeptAnswer): void {
+        this.response.writeHead(answer.status, {
+            "content-type": answer.content_type,
+            "content-length": Buffer.byteLength(answer.body),
+            "x-request-id": this.requestId,
+        });
+        this.response.end(answer.body);
+    }
+
+    /**
+     * Sends an error: as the answer where none has begun, else as an explicit last event of the stream.
+     * @param error - anything that was thrown
+     */
+    sendFault(error: unknown): void {
+        const fault = createFaultAnswer(error, this.requestId);
+        if (!this.response.headersSent) {
+            sendJson(this.response, fault.status, fault.body, { ...fault.headers, "x-request-id": this.requestId });
+            return;
+        }
+        this.response.end(`data: ${JSON.stringify(fault.body)}\n\n`);
+    }
+
+    private waitForReader(): Promise<void> {
+        return new Promise((resolve) => {
+            const finish = (): void => {
+                clearTimeout(timer);
+                this.response.off("drain", finish);
+                this.response.off("close", finish);
+                resolve();
+            };
+            const timer = setTimeout(() => {
+                this.response.destroy();
+                this.gone.abort();
+                finish();
+            }, this.limits.stallMs);
+            this.response.once("drain", finish);
+            this.response.once("close", finish);
+        });
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/request/callerRequest.ts
@@ -0,0 +1,128 @@
+/**
+ * What every request of a caller carries in its headers, checked against the configuration.
+ */
+import type { Organisation, PriorityClass } from "@crankfork/schemas";
+import { priorityClassSchema } from "@crankfork/schemas";
+import type { IncomingHttpHeaders } from "node:http";
+import { computeSecretDigest, isEqualSecret } from "../process/httpServer.js";
+import type { ConfigurationView } from "../version/configurationInForce.js";
+import { createCallerFault } from "./callerFault.js";
+
+/** The parts of a model or service that headers must agree with. */
+export interface ServedBy {
+    readonly name: string;
+    readonly repeatable: boolean;
+    readonly classes: readonly PriorityClass[];
+}
+
+/** What the headers say. */
+export interface CallerHeaders {
+    readonly organisation: Organisation;
+    readonly priority: PriorityClass;
+    /** Time until the caller's deadline, in milliseconds; infinite without one. */
+    readonly deadlineMs: number;
+    readonly isRepeatable: boolean;
+    /** Present for every request that may not run twice. */
+    readonly key: string | undefined;
+}
+
+const STEP = "headers";
+const MOST_KEY_LENGTH = 256;
+
+/**
+ * Tells which organisation sends a request.
+ * @param headers - the request's headers
+ * @param view - the version in force
+ * @returns the organisation
+ * @throws a caller's error where it is unknown or its secret is wrong
+ */
+export function authenticate(headers: IncomingHttpHeaders, view: ConfigurationView): Organisation {
+    const name = getHeader(headers, "x-organisation") ?? getHeader(headers, "openai-organization");
+    if (name === undefined) {
+        throw createCallerFault("missing-organisation", { step: STEP, peer: "" });
+    }
+    const organisation = view.organisations.get(name);
+    if (organisation === undefined) {
+        throw createCallerFault("unknown-organisation", { step: STEP, peer: "", values: { organisation: name } });
+    }
+    const secret = (getHeader(headers, "authorization") ?? "").replace(/^Bearer /i, "");
+    if (!isEqualSecret(computeSecretDigest(secret), organisation.secret_sha256)) {
+        throw createCallerFault("wrong-secret", { step: STEP, peer: "", values: { organisation: name } });
+    }
+    return organisation;
+}
+
+/**
+ * Reads the headers of a request to a model or service.
+ * @param headers - the request's headers
+ * @param organisation - who sends it
+ * @param served - what it is for
+ * @returns class, deadline, whether it may run twice, and its key
+ * @throws a caller's error where a header contradicts the configuration
+ */
+export function parseCallerHeaders(
+    headers: IncomingHttpHeaders,
+    organisation: Organisation,
+    served: ServedBy,
+): CallerHeaders {
+    const isRepeatable = parseRepeatable(getHeader(headers, "x-repeatable"), served);
+    const key = getHeader(headers, "idempotency-key");
+    if (!isRepeatable && (key === undefined || key === "")) {
+        throw createCallerFault("missing-key", { step: STEP, peer: "", values: { name: served.name } });
+    }
+    if (key !== undefined && key.length > MOST_KEY_LENGTH) {
+        throw createContradiction("idempotency-key", `${String(key.length)} characters`, "256 are the most");
+    }
+    return {
+        organisation,
+        priority: parsePriority(getHeader(headers, "x-priority"), served),
+        deadlineMs: parseDeadline(getHeader(headers, "x-deadline-ms")),
+        isRepeatable,
+        key,
+    };
+}
+
+/** A caller may ask for more care than the configuration demands, never for less. */
+function parseRepeatable(text: string | undefined, served: ServedBy): boolean {
+    if (text === undefined) {
+        return served.repeatable;
+    }
+    if (text !== "true" && text !== "false") {
+        throw createContradiction("x-repeatable", text, "only true or false are known");
+    }
+    if (text === "true" && !served.repeatable) {
+        throw createContradiction("x-repeatable", text, `${served.name} is configured as not repeatable`);
+    }
+    return text === "true";
+}
+
+function parsePriority(text: string | undefined, served: ServedBy): PriorityClass {
+    if (text === undefined) {
+        return served.classes.includes("interactive") ? "interactive" : served.classes[0] ?? "interactive";
+    }
+    const parsed = priorityClassSchema.safeParse(text);
+    if (!parsed.success || !served.classes.includes(parsed.data)) {
+        throw createContradiction("x-priority", text, `${served.name} serves ${served.classes.join(", ")}`);
+    }
+    return parsed.data;
+}
+
+function parseDeadline(text: string | undefined): number {
+    if (text === undefined) {
+        return Number.POSITIVE_INFINITY;
+    }
+    const deadlineMs = Number(text);
+    if (!Number.isFinite(deadlineMs) || deadlineMs <= 0) {
+        throw createContradiction("x-deadline-ms", text, "milliseconds above 0 are expected");
+    }
+    return deadlineMs;
+}
+
+function createContradiction(header: string, found: string, expected: string): Error {
+    return createCallerFault("contradicting-header", { step: STEP, peer: "", values: { header, found, expected } });
+}
+
+function getHeader(headers: IncomingHttpHeaders, name: string): string | undefined {
+    const value = headers[name];
+    return Array.isArray(value) ? value[0] : value;
+}
--- /dev/null
+++ b/packages/daemon/src/request/pipelineRun.ts
@@ -0,0 +1,270 @@
+/**
+ * One generation over a pipeline: each token's position passes all layers, once and in order.
+ *
+ * A new route is a new epoch, from position 0 with everything generated so far as its prompt. Engines refuse steps of
+ * older epochs and positions out of turn, so whatever still travels from an older route changes nothing.
+ */
+import { isExactTiling, type RouteStage } from "@crankfork/decisions";
+import type { Model, PriorityClass, StepAnswer } from "@crankfork/schemas";
+import { ExchangeError } from "../connection/httpClient.js";
+import type { EventFields } from "../process/eventLog.js";
+import type { UpstreamState } from "../process/upstreamState.js";
+import { createCallerFault } from "./callerFault.js";
+import { createStageFault, StageFailure } from "./stageFailure.js";
+
+/** What a run needs from the process around it. */
+export interface PipelineFunctions {
+    readonly chooseRoute: (model: Model, avoided: ReadonlySet<string>) => readonly RouteStage[] | undefined;
+    readonly getUpstream: (name: string) => UpstreamState | undefined;
+    readonly recordFailure: (state: UpstreamState, error: ExchangeError) => void;
+    /** Takes one retry out of the budget; false where it is spent. */
+    readonly claimRetry: () => boolean;
+    readonly record: (event: string, fields: EventFields) => void;
+}
+
+/** What is generated. */
+export interface PipelineRequest {
+    readonly run: string;
+    readonly model: Model;
+    readonly promptTokens: readonly number[];
+    readonly maxTokens: number;
+    readonly priority: PriorityClass;
+    readonly isRepeatable: boolean;
+    /** How long a run that has begun waits for a route, in milliseconds. */
+    readonly routeWaitMs: number;
+    /** Ends the run when the caller is gone. */
+    readonly signal: AbortSignal;
+}
+
+/** One generated token. */
+export interface GeneratedToken {
+    readonly text: string;
+    readonly isLast: boolean;
+    /** Why generation ends here; undefined before the last. */
+    readonly finishReason: "stop" | "length" | undefined;
+}
+
+const ROUTE_POLL_MS = 50;
+const NO_ROUTE_RETRY_MS = 1_000;
+/** Attempts in a row without a new token after which a run is given up. */
+const MOST_ATTEMPTS = 6;
+
+/**
+ * Generates tokens one by one. Work at the engines goes on only as fast as tokens are taken.
+ * @param request - what is generated
+ * @param functions - routes, upstreams and the budget for retries
+ * @returns the tokens, whole and in order
+ * @throws a caller's error with what is known of the work
+ */
+export async function* generateTokens(
+    request: PipelineRequest,
+    functions: PipelineFunctions,
+): AsyncGenerator<GeneratedToken, void> {
+    const run = new PipelineRun(request, functions);
+    try {
+        for (let count = 1; count <= request.maxTokens; count += 1) {
+            const token = await run.generateNext();
+            const finishReason = token.isEnd ? "stop" : count === request.maxTokens ? "length" : undefined;
+            yield { text: token.text, isLast: finishReason !== undefined, finishReason };
+            if (finishReason !== undefined) {
+                return;
+            }
+        }
+    }
+    finally {
+        run.end();
+    }
+}
+
+interface NextToken {
+    readonly text: string;
+    readonly isEnd: boolean;
+}
+
+class PipelineRun {
+    private readonly tokens: number[];
+    private readonly avoided = new Set<string>();
+    private readonly touched = new Set<UpstreamState>();
+    private route: readonly RouteStage[] | undefined;
+    private epoch = 0;
+    /** The next position that the present route has not seen. */
+    private position = 0;
+    private attempts = 0;
+    private hasRun = false;
+    private lastFailure: StageFailure | undefined;
+
+    constructor(private readonly request: PipelineRequest, private readonly functions: PipelineFunctions) {
+        this.tokens = [...request.promptTokens];
+    }
+
+    async generateNext(): Promise<NextToken> {
+        for (;;) {
+            const route = await this.getRoute();
+            try {
+                return await this.passThrough(route);
+            }
+            catch (error) {
+                this.handleFailure(error);
+            }
+        }
+    }
+
+    /** Frees what the run holds at engines, whether it ended or was given up. */
+    end(): void {
+        for (const state of this.touched) {
+            state.engine?.cancelRun(this.request.run);
+            state.recordEnd(this.request.run);
+        }
+    }
+
+    private async passThrough(route: readonly RouteStage[]): Promise<NextToken> {
+        let inputs: readonly number[] = this.tokens.slice(this.position);
+        for (const stage of route) {
+            const { result } = await this.runStage(stage, inputs);
+            if (result.kind === "refused") {
+                throw new StageFailure(stage, result.reason);
+            }
+            const isLastStage = stage.endLayer === this.request.model.layers;
+            if (result.kind === "token" && isLastStage) {
+                return this.acceptToken(result);
+            }
+            if (result.kind === "token" || isLastStage || result.outputs.length !== inputs.length) {
+                throw new StageFailure(
+                    stage,
+                    new ExchangeError("rubbish", stage.upstream, `a ${result.kind} is out of place`),
+                );
+            }
+            inputs = result.outputs;
+        }
+        throw new Error("a route ended before the last layer");
+    }
+
+    private acceptToken(result: Extract<StepAnswer["result"], { kind: "token"; }>): NextToken {
+        this.position = this.tokens.length;
+        this.tokens.push(result.token);
+        this.attempts = 0;
+        return { text: result.text, isEnd: result.is_end };
+    }
+
+    private async runStage(stage: RouteStage, inputs: readonly number[]): Promise<StepAnswer> {
+        const state = this.functions.getUpstream(stage.upstream);
+        if (state?.engine === undefined) {
+            throw new StageFailure(stage, "not-held");
+        }
+        const { run, model, priority, signal } = this.request;
+        this.touched.add(state);
+        state.recordStart(run, performance.now());
+        try {
+            const answer = await state.engine.runStep({
+                run,
+                epoch: this.epoch,
+                position: this.position,
+                model: model.name,
+                version: model.version,
+                first_layer: stage.firstLayer,
+                end_layer: stage.endLayer,
+                priority,
+                inputs: [...inputs],
+            }, signal);
+            this.hasRun ||= answer.result.kind !== "refused";
+            state.circuit.recordSuccess();
+            return answer;
+        }
+        catch (error) {
+            throw error instanceof ExchangeError ? new StageFailure(stage, error) : error;
+        }
+    }
+
+    private async getRoute(): Promise<readonly RouteStage[]> {
+        const { model, routeWaitMs } = this.request;
+        const deadline = performance.now() + (this.hasRun ? routeWaitMs : 0);
+        while (this.route === undefined) {
+            this.route = this.functions.chooseRoute(model, this.avoided);
+            if (this.route !== undefined) {
+                this.recordRoute(this.route);
+            }
+            else if (performance.now() >= deadline) {
+                throw this.createNoRouteFault();
+            }
+            else {
+                await this.waitForRoute();
+            }
+        }
+        return this.route;
+    }
+
+    private async waitForRoute(): Promise<void> {
+        // What failed a moment ago may be back, or be all there is.
+        this.avoided.clear();
+        await new Promise((resolve) => setTimeout(resolve, ROUTE_POLL_MS));
+        if (this.request.signal.aborted) {
+            throw createCallerFault("cancelled", { step: "route", peer: "" });
+        }
+    }
+
+    private recordRoute(route: readonly RouteStage[]): void {
+        const { run, model } = this.request;
+        if (!isExactTiling(route, model.layers)) {
+            throw new Error(`the route of ${run} does not cover the layers of ${model.name} exactly`);
+        }
+        const stages = route.map((stage) =>
+            `${stage.upstream}:${String(stage.firstLayer)}-${String(stage.endLayer - 1)}`
+        );
+        this.functions.record("route-chosen", { request: run, epoch: this.epoch, route: stages.join(",") });
+    }
+
+    private createNoRouteFault(): Error {
+        if (this.lastFailure?.reason === "full") {
+            return createStageFault(this.lastFailure, this.hasRun);
+        }
+        return createCallerFault("no-route", {
+            step: "route",
+            peer: [...this.avoided].join(","),
+            values: { model: this.request.model.name },
+            outcome: this.hasRun ? "unknown" : "not-run",
+            retryAfterMs: NO_ROUTE_RETRY_MS,
+        });
+    }
+
+    /** Prepares the next attempt, or ends the run. */
+    private handleFailure(error: unknown): void {
+        if (!(error instanceof StageFailure)) {
+            throw error;
+        }
+        this.lastFailure = error;
+        const { stage, reason } = error;
+        const state = this.functions.getUpstream(stage.upstream);
+        if (reason instanceof ExchangeError && state !== undefined) {
+            this.functions.recordFailure(state, reason);
+        }
+        const { isCancelled, isCertainlyNotRun, mayUseAgain } = error;
+        this.hasRun ||= !isCertainlyNotRun;
+        this.attempts += 1;
+        const isOver = isCancelled || this.attempts >= MOST_ATTEMPTS || (this.hasRun && !this.request.isRepeatable);
+        if (isOver) {
+            throw createStageFault(error, this.hasRun);
+        }
+        if (!this.functions.claimRetry()) {
+            throw createCallerFault("retries-spent", {
+                step: error.step,
+                peer: stage.upstream,
+                values: { reason: error.message },
+                outcome: this.hasRun ? "unknown" : "not-run",
+                retryAfterMs: NO_ROUTE_RETRY_MS,
+            });
+        }
+        if (!mayUseAgain) {
+            this.avoided.add(stage.upstream);
+        }
+        this.functions.record("route-lost", {
+            request: this.request.run,
+            epoch: this.epoch,
+            step: error.step,
+            peer: stage.upstream,
+            reason: error.message,
+        });
+        this.epoch += 1;
+        this.position = 0;
+        this.route = undefined;
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/request/requestScope.ts
@@ -0,0 +1,137 @@
+/**
+ * One request's life, from its head to its end, as it stands in logs and metrics.
+ */
+import type { PriorityClass } from "@crankfork/schemas";
+import { createMachine, interpret, state, transition } from "robot3";
+import type { EventFields } from "../process/eventLog.js";
+import { getFaultId, getFaultOutcome } from "./callerFault.js";
+
+/** States of a request. */
+export type RequestState = "received" | "waiting" | "running" | "finished" | "refused" | "failed";
+/** What changes the state. */
+export type RequestEvent = "admitted" | "started" | "answered" | "refused" | "broke";
+
+const requestMachine = createMachine("received", {
+    received: state(
+        transition("admitted", "waiting"),
+        transition("answered", "finished"),
+        transition("refused", "refused"),
+        transition("broke", "failed"),
+    ),
+    waiting: state(
+        transition("started", "running"),
+        transition("answered", "finished"),
+        transition("refused", "refused"),
+        transition("broke", "failed"),
+    ),
+    running: state(
+        transition("answered", "finished"),
+        transition("refused", "refused"),
+        transition("broke", "failed"),
+    ),
+    finished: state(),
+    refused: state(),
+    failed: state(),
+});
+
+/** What a scope tells of its request. */
+export interface RequestScopeFunctions {
+    readonly record: (event: string, fields: EventFields) => void;
+    readonly count: (name: string, tags: Readonly<Record<string, string>>) => void;
+    readonly recordMs: (name: string, durationMs: number, tags: Readonly<Record<string, string>>) => void;
+}
+
+/** One request's life. */
+export class RequestScope {
+    private readonly service = interpret(requestMachine, () => undefined);
+    private readonly startedMs = performance.now();
+    private target = "";
+    private organisation = "";
+    private priority: PriorityClass | "" = "";
+
+    /**
+     * @param requestId - the request
+     * @param functions - log and metrics
+     */
+    constructor(readonly requestId: string, private readonly functions: RequestScopeFunctions) {}
+
+    /** Time since its head was read, in milliseconds. */
+    get ageMs(): number {
+        return performance.now() - this.startedMs;
+    }
+
+    /** The state of the request. */
+    get state(): RequestState {
+        return this.service.machine.current as RequestState;
+    }
+
+    /**
+     * Marks the request as understood.
+     * @param target - model or service
+     * @param organisation - who sent it
+     * @param priority - its class
+     */
+    recordAdmission(target: string, organisation: string, priority: PriorityClass): void {
+        this.target = target;
+        this.organisation = organisation;
+        this.priority = priority;
+        this.send("admitted");
+        this.functions.record("request-received", { request: this.requestId, target, organisation, priority });
+    }
+
+    /** Marks that the request runs. */
+    recordStart(): void {
+        this.send("started");
+        this.functions.recordMs("request.wait", this.ageMs, this.createTags());
+        this.functions.record("request-started", { request: this.requestId, wait_ms: Math.round(this.ageMs) });
+    }
+
+    /** Marks the first token. */
+    recordFirstToken(): void {
+        this.functions.recordMs("request.first_token", this.ageMs, this.createTags());
+        this.functions.record("request-first-token", { request: this.requestId, after_ms: Math.round(this.ageMs) });
+    }
+
+    /**
+     * Marks a whole answer.
+     * @param status - HTTP status
+     * @param fields - more about it
+     */
+    recordAnswer(status: number, fields: EventFields = {}): void {
+        this.send("answered");
+        this.functions.recordMs("request.duration", this.ageMs, this.createTags());
+        this.functions.count("request.finished", this.createTags());
+        this.functions.record("request-finished", {
+            request: this.requestId,
+            status,
+            duration_ms: Math.round(this.ageMs),
+            ...fields,
+        });
+    }
+
+    /**
+     * Marks an error.
+     * @param error - anything that was thrown
+     */
+    recordFault(error: unknown): void {
+        const outcome = getFaultOutcome(error);
+        const id = getFaultId(error);
+        this.send(outcome === "not-run" ? "refused" : "broke");
+        this.functions.count("request.failed", { ...this.createTags(), id, outcome });
+        this.functions.record(outcome === "not-run" ? "request-refused" : "request-failed", {
+            request: this.requestId,
+            error: id,
+            outcome,
+            message: error instanceof Error ? error.message : String(error),
+            duration_ms: Math.round(this.ageMs),
+        });
+    }
+
+    private send(event: RequestEvent): void {
+        this.service.send(event);
+    }
+
+    private createTags(): Readonly<Record<string, string>> {
+        return { target: this.target, organisation: this.organisation, class: this.priority };
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/request/stageFailure.ts
@@ -0,0 +1,85 @@
+/**
+ * A stage of a pipeline that gave no result, and what follows from why.
+ */
+import type { RouteStage } from "@crankfork/decisions";
+import type { StepRefusal } from "@crankfork/schemas";
+import type VError from "verror";
+import { ExchangeError, type ExchangeFailure } from "../connection/httpClient.js";
+import { createCallerFault } from "./callerFault.js";
+
+const FULL_RETRY_MS = 500;
+
+/** A stage that gave no result. */
+export class StageFailure extends Error {
+    override readonly name = "StageFailure";
+
+    /**
+     * @param stage - where
+     * @param reason - what the engine said, or what happened to the exchange
+     */
+    constructor(readonly stage: RouteStage, readonly reason: StepRefusal | ExchangeError) {
+        super(reason instanceof ExchangeError ? `${reason.failure}: ${reason.message}` : `refused: ${reason}`);
+    }
+
+    /** The step's name for errors and logs. */
+    get step(): string {
+        return `layers ${String(this.stage.firstLayer)}-${String(this.stage.endLayer - 1)}`;
+    }
+
+    /** Whether we gave the step up ourselves. */
+    get isCancelled(): boolean {
+        return this.reason instanceof ExchangeError && this.reason.failure === "cancelled";
+    }
+
+    /** Whether the engine certainly ran nothing of the step. */
+    get isCertainlyNotRun(): boolean {
+        return !(this.reason instanceof ExchangeError) || this.reason.failure === "not-reached";
+    }
+
+    /** Whether the same engine may serve the next attempt: it forgot the run, but works. */
+    get mayUseAgain(): boolean {
+        return this.reason === "unknown-run" || this.reason === "wrong-position" || this.reason === "old-epoch";
+    }
+}
+
+/**
+ * Creates the caller's error for a stage that can't be tried again.
+ * @param failure - what happened last
+ * @param hasRun - whether any work of the request may have been done
+ * @returns the error
+ */
+export function createStageFault(failure: StageFailure, hasRun: boolean): VError {
+    const outcome = hasRun ? "unknown" : "not-run";
+    const options = { step: failure.step, peer: failure.stage.upstream, outcome } as const;
+    const { reason } = failure;
+    if (!(reason instanceof ExchangeError)) {
+        const id = reason === "full" ? "upstream-not-reached" : "upstream-lost";
+        return createCallerFault(id, { ...options, values: { reason: failure.message }, retryAfterMs: FULL_RETRY_MS });
+    }
+    return createExchangeFault(reason, options);
+}
+
+const faultIds = {
+    "not-reached": "upstream-not-reached",
+    "lost": "upstream-lost",
+    "silent": "upstream-silent",
+    "rubbish": "upstream-rubbish",
+    "cancelled": "cancelled",
+} as const satisfies Record<ExchangeFailure, string>;
+
+/**
+ * Creates the caller's error for an exchange that failed.
+ * @param error - what happened
+ * @param options - step, peer and what is known of the work
+ * @returns the error
+ */
+export function createExchangeFault(
+    error: ExchangeError,
+    options: { readonly step: string; readonly peer: string; readonly outcome: "not-run" | "unknown"; },
+): VError {
+    return createCallerFault(faultIds[error.failure], {
+        ...options,
+        values: { reason: error.message },
+        retryAfterMs: FULL_RETRY_MS,
+    });
+}
--- /dev/null
+++ b/packages/daemon/src/version/slotShare.ts
@@ -0,0 +1,49 @@
+/**
+ * How much of the upstreams' slots one entry may use.
+ */
+import type { Configuration, Model, Service } from "@crankfork/schemas";
+
+/** Part of its fair share that an entry may use beyond it, since entries are seldom all busy. */
+const OVERCOMMIT = 1.5;
+
+/**
+ * Computes how many requests of a model fit into its pipelines at once: those of the narrowest stage.
+ * @param configuration - the version in force
+ * @param model - the model
+ * @returns requests over all entries
+ */
+export function computeModelSlots(configuration: Configuration, model: Model): number {
+    const slotsOf = new Map(configuration.upstreams.map((upstream) => [upstream.name, upstream.slots]));
+    const byLayer = new Array<number>(model.layers).fill(0);
+    for (const placement of configuration.placements) {
+        if (placement.model === model.name && placement.version === model.version) {
+            const slots = slotsOf.get(placement.upstream) ?? 0;
+            for (let layer = placement.first_layer; layer < placement.end_layer; layer += 1) {
+                byLayer[layer] = (byLayer[layer] ?? 0) + slots;
+            }
+        }
+    }
+    return Math.min(...byLayer);
+}
+
+/**
+ * Computes how many calls fit into a plain service at once.
+ * @param configuration - the version in force
+ * @param service - the service
+ * @returns calls over all entries
+ */
+export function computeServiceSlots(configuration: Configuration, service: Service): number {
+    return configuration.upstreams
+        .filter((upstream) => service.upstreams.includes(upstream.name))
+        .reduce((sum, upstream) => sum + upstream.slots, 0);
+}
+
+/**
+ * Computes one entry's share of slots.
+ * @param slots - slots over all entries
+ * @param entries - live entries
+ * @returns at least one
+ */
+export function computeShare(slots: number, entries: number): number {
+    return entries <= 1 ? slots : Math.max(1, Math.ceil(slots * OVERCOMMIT / entries));
+}
--- /dev/null
+++ b/packages/decisions/src/connection/retryBudget.ts
@@ -0,0 +1,43 @@
+/**
+ * A budget for retries: a share of fresh requests, so that a failing upstream can't multiply the load.
+ */
+
+/** How a budget is filled. */
+export interface RetryBudgetOptions {
+    /** Retries earned by each fresh request. */
+    readonly share: number;
+    /** Most retries that can be saved up; also what it starts with. */
+    readonly most: number;
+}
+
+/** The usual budget: one retry for five requests, ten saved up. */
+export const defaultRetryBudget: RetryBudgetOptions = { share: 0.2, most: 10 };
+
+/** Retries that may still be made for one service. */
+export class RetryBudget {
+    private tokens: number;
+
+    /**
+     * @param options - how it is filled
+     */
+    constructor(private readonly options: RetryBudgetOptions = defaultRetryBudget) {
+        this.tokens = options.most;
+    }
+
+    /** Counts a fresh request. */
+    recordRequest(): void {
+        this.tokens = Math.min(this.options.most, this.tokens + this.options.share);
+    }
+
+    /**
+     * Takes one retry out.
+     * @returns false where the budget is spent: the request must end now
+     */
+    claimRetry(): boolean {
+        if (this.tokens < 1) {
+            return false;
+        }
+        this.tokens -= 1;
+        return true;
+    }
+}
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,25 @@
+/**
+ * Decisions, free of input, output and timers: what runs where, what waits, what is refused.
+ * @packageDocumentation
+ */
+export { Circuit, type CircuitOptions, type CircuitState, defaultCircuit } from "./connection/circuit.js";
+export { defaultRetryBudget, RetryBudget, type RetryBudgetOptions } from "./connection/retryBudget.js";
+export { type AdmissionDecision, chooseAdmission, type QueueView } from "./request/chooseAdmission.js";
+export { chooseCandidate } from "./request/chooseCandidate.js";
+export {
+    chooseRoute,
+    createHolderIndex,
+    type Holder,
+    type HolderIndex,
+    isExactTiling,
+    type RouteStage,
+} from "./request/chooseRoute.js";
+export { computeLoadScore, type LoadView } from "./request/computeLoadScore.js";
+export { FairQueue, type QueuedRequest } from "./request/fairQueue.js";
+export {
+    computePlacement,
+    type PlacementFault,
+    type PlacementResult,
+    splitLayers,
+} from "./version/computePlacement.js";
+export { createPlan, formatDifferences, type PlanningResult } from "./version/createPlan.js";
--- /dev/null
+++ b/packages/decisions/src/request/chooseCandidate.ts
@@ -0,0 +1,29 @@
+/**
+ * Picks one of several equal holders: the better of two drawn at random (Mitzenmacher, 2001), so that entries which
+ * see the same loads don't all pick the same upstream, and the cost does not grow with their number.
+ */
+
+/**
+ * Chooses a candidate.
+ * @param candidates - the candidates
+ * @param computeScore - lower is better
+ * @param random - a number from 0 up to 1
+ * @returns the better of two, or undefined where there is none
+ */
+export function chooseCandidate<Candidate>(
+    candidates: readonly Candidate[],
+    computeScore: (candidate: Candidate) => number,
+    random: () => number,
+): Candidate | undefined {
+    if (candidates.length <= 1) {
+        return candidates[0];
+    }
+    const first = Math.floor(random() * candidates.length);
+    const offset = 1 + Math.floor(random() * (candidates.length - 1));
+    const left = candidates[first];
+    const right = candidates[(first + offset) % candidates.length];
+    if (left === undefined || right === undefined) {
+        return left ?? right;
+    }
+    return computeScore(left) <= computeScore(right) ? left : right;
+}
--- /dev/null
+++ b/packages/decisions/src/request/chooseRoute.ts
@@ -0,0 +1,101 @@
+/**
+ * A route: upstreams whose ranges, joined, are exactly the layers of a model, each once and in order.
+ */
+import { chooseCandidate } from "./chooseCandidate.js";
+
+/** A range of layers that an upstream can run. */
+export interface Holder {
+    readonly upstream: string;
+    readonly firstLayer: number;
+    /** One past the last layer. */
+    readonly endLayer: number;
+}
+
+/** Part of a route. */
+export interface RouteStage {
+    readonly upstream: string;
+    readonly firstLayer: number;
+    readonly endLayer: number;
+}
+
+/** Holders of one model version, indexed once so that a request's way scans only what it can use. */
+export interface HolderIndex {
+    readonly layers: number;
+    /** Holders by the layer at which their range starts, without those from which no route reaches the end. */
+    readonly byFirstLayer: ReadonlyMap<number, readonly Holder[]>;
+}
+
+/**
+ * Indexes holders; done when they change, not for each request.
+ * @param holders - all that hold a part of the model version
+ * @param layers - layers of the model
+ * @returns the index
+ */
+export function createHolderIndex(holders: readonly Holder[], layers: number): HolderIndex {
+    const sorted = [...holders]
+        .filter((holder) => holder.firstLayer < holder.endLayer && holder.endLayer <= layers)
+        .sort((left, right) => right.firstLayer - left.firstLayer);
+    const byFirstLayer = new Map<number, Holder[]>();
+    for (const holder of sorted) {
+        const reachesEnd = holder.endLayer === layers || byFirstLayer.has(holder.endLayer);
+        if (reachesEnd) {
+            const present = byFirstLayer.get(holder.firstLayer) ?? [];
+            byFirstLayer.set(holder.firstLayer, [...present, holder]);
+        }
+    }
+    return { layers, byFirstLayer };
+}
+
+/**
+ * Chooses a route.
+ * @param index - the holders
+ * @param computeScore - load of a holder; lower is better
+ * @param isUsable - whether a holder may be used now
+ * @param random - a number from 0 up to 1
+ * @returns the stages in order, or undefined where the layers can't be covered
+ */
+export function chooseRoute(
+    index: HolderIndex,
+    computeScore: (holder: Holder) => number,
+    isUsable: (holder: Holder) => boolean,
+    random: () => number,
+): readonly RouteStage[] | undefined {
+    const stages: RouteStage[] = [];
+    const ends = createUsableEnds(index, isUsable);
+    for (let layer = 0; layer < index.layers;) {
+        const holders = (index.byFirstLayer.get(layer) ?? []).filter((one) => isUsable(one) && ends.has(one.endLayer));
+        const chosen = chooseCandidate(holders, computeScore, random);
+        if (chosen === undefined) {
+            return undefined;
+        }
+        stages.push(chosen);
+        layer = chosen.endLayer;
+    }
+    return stages;
+}
+
+/**
+ * Tells whether stages are the layers of a model, each once and in order.
+ * @param stages - the stages
+ * @param layers - layers of the model
+ * @returns true where they tile `[0, layers)` exactly
+ */
+export function isExactTiling(stages: readonly RouteStage[], layers: number): boolean {
+    const end = stages.reduce(
+        (layer, stage) => stage.firstLayer === layer && stage.endLayer > layer ? stage.endLayer : Number.NaN,
+        0,
+    );
+    return end === layers;
+}
+
+/** Layers from which the end can be reached over usable holders, the end itself included. */
+function createUsableEnds(index: HolderIndex, isUsable: (holder: Holder) => boolean): ReadonlySet<number> {
+    const ends = new Set([index.layers]);
+    // The map was filled from the last layer to the first, and keeps that order.
+    for (const [firstLayer, holders] of index.byFirstLayer) {
+        if (holders.some((holder) => ends.has(holder.endLayer) && isUsable(holder))) {
+            ends.add(firstLayer);
+        }
+    }
+    return ends;
+}
--- /dev/null
+++ b/packages/decisions/src/request/fairQueue.ts
@@ -0,0 +1,159 @@
+/**
+ * Waiting requests: classes in strict order with a floor for the lowest, organisations by weighted fair shares.
+ *
+ * Inside a class each organisation has a virtual time of tokens served over weight, and the least is served first
+ * (start-time fair queuing, Goyal, Vin and Cheng 1996; by tokens as in VTC, Sheng et al. 2024).
+ */
+import { type PriorityClass, priorityClasses } from "@crankfork/schemas";
+import { Heap } from "heap-js";
+
+/** A request that waits. */
+export interface QueuedRequest {
+    readonly organisation: string;
+    readonly weight: number;
+    readonly priority: PriorityClass;
+    /** Tokens that it is expected to cost. */
+    readonly tokens: number;
+}
+
+interface OrganisationQueue<Request> {
+    readonly organisation: string;
+    readonly requests: Request[];
+    /** Virtual time at which its next request starts. */
+    startTag: number;
+}
+
+/** One in this many dispatches goes to the lowest class that waits, whatever else waits. */
+const FLOOR_EVERY = 20;
+
+class ClassQueue<Request extends QueuedRequest> {
+    private readonly byOrganisation = new Map<string, OrganisationQueue<Request>>();
+    private readonly heap = new Heap<OrganisationQueue<Request>>((left, right) => left.startTag - right.startTag);
+    private readonly finishTags = new Map<string, number>();
+    private virtualTime = 0;
+    tokens = 0;
+    length = 0;
+
+    push(request: Request): void {
+        const known = this.byOrganisation.get(request.organisation);
+        if (known === undefined) {
+            // An organisation that was idle starts at the present time: it saves up no share.
+            const startTag = Math.max(this.virtualTime, this.finishTags.get(request.organisation) ?? 0);
+            const queue = { organisation: request.organisation, requests: [request], startTag };
+            this.byOrganisation.set(request.organisation, queue);
+            this.heap.push(queue);
+        }
+        else {
+            known.requests.push(request);
+        }
+        this.tokens += request.tokens;
+        this.length += 1;
+    }
+
+    pop(): Request | undefined {
+        const queue = this.heap.pop();
+        const request = queue?.requests.shift();
+        if (queue === undefined || request === undefined) {
+            return undefined;
+        }
+        this.virtualTime = queue.startTag;
+        queue.startTag += request.tokens / request.weight;
+        this.requeue(queue);
+        this.count(request);
+        return request;
+    }
+
+    remove(request: Request): boolean {
+        const queue = this.byOrganisation.get(request.organisation);
+        const at = queue?.requests.indexOf(request) ?? -1;
+        if (queue === undefined || at === -1) {
+            return false;
+        }
+        queue.requests.splice(at, 1);
+        if (queue.requests.length === 0) {
+            this.heap.remove(queue, (left, right) => left === right);
+            this.byOrganisation.delete(queue.organisation);
+        }
+        this.count(request);
+        return true;
+    }
+
+    private requeue(queue: OrganisationQueue<Request>): void {
+        if (queue.requests.length > 0) {
+            this.heap.push(queue);
+            return;
+        }
+        this.byOrganisation.delete(queue.organisation);
+        this.finishTags.set(queue.organisation, queue.startTag);
+        if (this.length <= 1) {
+            // Nobody waits any more, so nobody is owed anything.
+            this.finishTags.clear();
+        }
+    }
+
+    private count(request: Request): void {
+        this.tokens -= request.tokens;
+        this.length -= 1;
+    }
+}
+
+/** All waiting requests of one service at one entry. */
+export class FairQueue<Request extends QueuedRequest> {
+    private readonly classes = new Map(priorityClasses.map((name) => [name, new ClassQueue<Request>()]));
+    private dispatches = 0;
+
+    /** How many requests wait. */
+    get length(): number {
+        return priorityClasses.reduce((sum, name) => sum + this.getClass(name).length, 0);
+    }
+
+    /**
+     * Adds a request.
+     * @param request - the request
+     */
+    push(request: Request): void {
+        this.getClass(request.priority).push(request);
+    }
+
+    /**
+     * Takes the request that is served next.
+     * @returns the request, or undefined where none waits
+     */
+    pop(): Request | undefined {
+        const waiting = priorityClasses.filter((name) => this.getClass(name).length > 0);
+        const isFloorTurn = waiting.length > 1 && (this.dispatches + 1) % FLOOR_EVERY === 0;
+        const name = isFloorTurn ? waiting.at(-1) : waiting[0];
+        if (name === undefined) {
+            return undefined;
+        }
+        this.dispatches += 1;
+        return this.getClass(name).pop();
+    }
+
+    /**
+     * Takes a request out that no longer waits for its turn.
+     * @param request - the request
+     * @returns false where it does not wait here
+     */
+    remove(request: Request): boolean {
+        return this.getClass(request.priority).remove(request);
+    }
+
+    /**
+     * Counts the tokens that would be served before a new request of a class.
+     * @param priority - the class
+     * @returns tokens of this class and of more pressing ones
+     */
+    countTokensAhead(priority: PriorityClass): number {
+        const upTo = priorityClasses.indexOf(priority);
+        return priorityClasses.slice(0, upTo + 1).reduce((sum, name) => sum + this.getClass(name).tokens, 0);
+    }
+
+    private getClass(name: PriorityClass): ClassQueue<Request> {
+        const found = this.classes.get(name);
+        if (found === undefined) {
+            throw new Error(`no queue for the class ${name}`);
+        }
+        return found;
+    }
+}
--- /dev/null
+++ b/packages/scenarios/src/engine/engine.ts
@@ -0,0 +1,219 @@
+/**
+ * A stand-in for a model engine: holds ranges of layers and answers what crankfork asks of one.
+ */
+import {
+    type EngineStatus,
+    type ExportedCache,
+    type Fence,
+    type HeldRange,
+    type LoadReport,
+    type Order,
+    type OrderAnswer,
+    type Step,
+    type StepAnswer,
+} from "@crankfork/schemas";
+import { BatchScheduler } from "./batchScheduler.js";
+import { type EngineFaults, engineFaultsSchema, type EngineSettings } from "./engineSettings.js";
+import { type CacheEvent, PrefixCache } from "./prefixCache.js";
+import { RunTable } from "./runTable.js";
+
+const FULL: StepAnswer["result"] = { kind: "refused", reason: "full" };
+const LEAVING: StepAnswer["result"] = { kind: "refused", reason: "leaving" };
+const MOST_EVENTS = 1_000;
+
+/** Counts that tests check against. */
+export interface EngineCounts {
+    /** Positions computed through one layer. */
+    readonly computed: number;
+    readonly orders: number;
+    readonly fencedOrders: number;
+    readonly running: number;
+    readonly waiting: number;
+}
+
+/** One engine. */
+export class Engine {
+    private readonly runs: RunTable;
+    private readonly scheduler: BatchScheduler;
+    private readonly prefixes: PrefixCache;
+    private readonly events: CacheEvent[] = [];
+    private holds: readonly HeldRange[] = [];
+    private newestFence: Fence = { term: 0, index: 0 };
+    private sample: LoadReport & { readonly sampledMs: number; };
+    private readonly timer: NodeJS.Timeout;
+    private orders = 0;
+    private fencedOrders = 0;
+    faults: EngineFaults = engineFaultsSchema.parse({});
+
+    /**
+     * @param settings - what it is like
+     */
+    constructor(private readonly settings: EngineSettings) {
+        this.runs = new RunTable(settings.model_layers);
+        this.prefixes = new PrefixCache(settings.prefix_tokens, (event) => {
+            this.publish(event);
+        });
+        this.scheduler = new BatchScheduler({
+            slots: settings.slots,
+            queue: settings.queue,
+            computeBatchMs: (steps) => this.computeBatchMs(steps),
+        });
+        this.sample = this.createSample(0, 0);
+        this.timer = setInterval(() => {
+            this.sample = this.createSample(this.scheduler.runningRuns, this.scheduler.waitingRuns);
+        }, settings.report_every_ms);
+    }
+
+    /** Stops its clock. */
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    /**
+     * Runs steps.
+     * @param steps - the steps
+     * @param send - called with each answer as soon as it is there
+     * @returns resolves after the last answer
+     */
+    async runSteps(steps: readonly Step[], send: (answer: StepAnswer) => void): Promise<void> {
+        await Promise.all(steps.map(async (step) => {
+            const result = await this.runStep(step);
+            const { run, epoch, position, first_layer, end_layer } = step;
+            send({ run, epoch, position, first_layer, end_layer, result });
+        }));
+    }
+
+    /**
+     * Ends a run.
+     * @param run - the run
+     */
+    cancel(run: string): void {
+        this.scheduler.remove(run);
+        this.runs.remove(run);
+    }
+
+    /**
+     * Gets the state, its load as it was sampled some time ago.
+     * @returns the status
+     */
+    getStatus(): EngineStatus {
+        const { sampledMs, ...load } = this.sample;
+        return {
+            holds: [...this.holds],
+            load: { ...load, age_ms: performance.now() - sampledMs },
+            is_leaving: this.faults.leaving,
+        };
+    }
+
+    /**
+     * Takes an order; layers are held once they are loaded.
+     * @param order - the order
+     * @returns `fenced` where a newer order was seen and the fence is checked
+     */
+    takeOrder(order: Order): OrderAnswer {
+        const isOlder = compareFences(order.fence, this.newestFence) < 0;
+        if (isOlder && this.settings.checks_fence) {
+            this.fencedOrders += 1;
+            return { kind: "fenced", newest: this.newestFence };
+        }
+        this.newestFence = order.fence;
+        this.orders += 1;
+        setTimeout(() => {
+            this.holds = order.holds;
+        }, this.settings.load_ms);
+        return { kind: "accepted" };
+    }
+
+    /**
+     * Exports a run's caches.
+     * @param run - the run
+     * @returns the caches
+     */
+    exportRun(run: string): readonly ExportedCache[] {
+        return this.runs.exportRun(run);
+    }
+
+    /**
+     * Imports caches.
+     * @param caches - the caches
+     */
+    importRuns(caches: readonly ExportedCache[]): void {
+        caches.forEach((cache) => {
+            this.runs.importRun(cache);
+        });
+    }
+
+    /**
+     * Gets cache events; late, and with gaps.
+     * @param after - sequence number of the last one known
+     * @returns newer events
+     */
+    getEvents(after: number): readonly CacheEvent[] {
+        return this.events.filter((event) => event.sequence > after);
+    }
+
+    /**
+     * Gets counts for tests.
+     * @returns the counts
+     */
+    getCounts(): EngineCounts {
+        return {
+            computed: this.runs.computed,
+            orders: this.orders,
+            fencedOrders: this.fencedOrders,
+            running: this.scheduler.runningRuns,
+            waiting: this.scheduler.waitingRuns,
+        };
+    }
+
+    private runStep(step: Step): Promise<StepAnswer["result"]> {
+        if (this.faults.leaving && !this.runs.has(step.run)) {
+            return Promise.resolve(LEAVING);
+        }
+        return new Promise((resolve) => {
+            this.scheduler.add({
+                step,
+                finish: () => {
+                    resolve(this.runs.run(step, this.holds));
+                },
+                refuse: () => {
+                    resolve(FULL);
+                },
+            });
+        });
+    }
+
+    private computeBatchMs(steps: readonly Step[]): number {
+        const work = steps.reduce((sum, step) => {
+            const cached = step.position === 0 ? this.prefixes.use(step.inputs) : 0;
+            return sum + (step.inputs.length - cached) * (step.end_layer - step.first_layer);
+        }, 0);
+        return (this.settings.batch_ms + work * this.settings.token_layer_ms) / this.settings.speed;
+    }
+
+    private publish(event: CacheEvent): void {
+        const gap = this.settings.event_gap_every;
+        if (gap > 0 && event.sequence % gap === 0) {
+            return;
+        }
+        setTimeout(() => {
+            this.events.push(event);
+            this.events.splice(0, this.events.length - MOST_EVENTS);
+        }, this.settings.event_delay_ms);
+    }
+
+    private createSample(running: number, waiting: number): LoadReport & { readonly sampledMs: number; } {
+        return {
+            running,
+            waiting,
+            kv_used: running,
+            kv_total: this.settings.slots,
+            age_ms: 0,
+            sampledMs: performance.now(),
+        };
+    }
+}
+
+function compareFences(left: Fence, right: Fence): number {
+    return left.term - right.term || left.index - right.index;
+}
--- /dev/null
+++ b/packages/schemas/src/index.ts
@@ -0,0 +1,18 @@
+/**
+ * Schemas of everything that crosses a process boundary, with the types inferred from them.
+ * @packageDocumentation
+ */
+export * from "./address.js";
+export * from "./callerError.js";
+export * from "./command.js";
+export * from "./configuration.js";
+export * from "./engineMessage.js";
+export * from "./member.js";
+export * from "./operatorMessage.js";
+export * from "./outcome.js";
+export * from "./peerMessage.js";
+export * from "./plan.js";
+export * from "./priorityClass.js";
+export * from "./readToml.js";
+export * from "./replicaMessage.js";
+export * from "./settings.js";
--- /dev/null
+++ b/packages/schemas/src/operatorMessage.ts
@@ -0,0 +1,84 @@
+/**
+ * What the operators' port answers.
+ */
+import { z } from "zod";
+import { memberSchema } from "./member.js";
+import { planSchema } from "./plan.js";
+import { replicaAddressSchema, replicaSetSchema } from "./replicaMessage.js";
+
+/** Answer of `GET /v1/status`. */
+export const statusAnswerSchema = z.object({
+    instance: z.string(),
+    state: z.string(),
+    configuration_version: z.int(),
+    members: z.array(memberSchema),
+    replica: z.object({
+        role: z.string(),
+        term: z.int(),
+        leader: replicaAddressSchema.optional(),
+        commit_index: z.int(),
+        last_index: z.int(),
+        replicas: replicaSetSchema,
+    }).optional(),
+});
+
+/** One row of `GET /v1/upstreams`. */
+export const upstreamRowSchema = z.object({
+    name: z.string(),
+    kind: z.string(),
+    address: z.string(),
+    failure_domain: z.string(),
+    state: z.string(),
+    circuit: z.string(),
+    holds: z.array(z.string()),
+    own_in_flight: z.int(),
+    others_in_flight: z.int(),
+    reported_running: z.int().optional(),
+    reported_waiting: z.int().optional(),
+});
+
+/** Answer of `GET /v1/upstreams`. */
+export const upstreamsAnswerSchema = z.object({ upstreams: z.array(upstreamRowSchema) });
+
+/** Answer of `POST /v1/plans`. */
+export const planAnswerSchema = z.object({ plan: planSchema, confirmed_version: z.int().optional() });
+
+/** Answer of `POST /v1/plans/ID/confirm`. */
+export const confirmAnswerSchema = z.object({
+    version: z.int(),
+    is_repeat: z.boolean(),
+    /** Live instances by whether the version was in force there when the answer was given. */
+    in_force: z.array(z.string()),
+    not_in_force: z.array(z.string()),
+});
+
+/** Answer of `GET /v1/configuration/history`. */
+export const historyAnswerSchema = z.object({
+    history: z.array(z.object({
+        version: z.int(),
+        intent_id: z.string(),
+        plan_id: z.string(),
+        confirmed_ms: z.number(),
+        differences: z.array(z.string()),
+    })),
+});
+
+/** Body of every refusal of the operators' port. */
+export const operatorRefusalSchema = z.object({
+    error: z.object({
+        id: z.string(),
+        message: z.string(),
+        step: z.string(),
+        peer: z.string(),
+        /** What to do next. */
+        next: z.string(),
+        details: z.array(z.string()),
+    }),
+});
+
+/** Answer of `GET /v1/status`. */
+export type StatusAnswer = z.infer<typeof statusAnswerSchema>;
+/** One row of `GET /v1/upstreams`. */
+export type UpstreamRow = z.infer<typeof upstreamRowSchema>;
+/** Body of a refusal. */
+export type OperatorRefusal = z.infer<typeof operatorRefusalSchema>;
