--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -168,7 +168,7 @@
 
 function printTimeline(files: string[], options: TimelineFilter & { versionNumber?: string; json?: boolean; }): void {
     const { versionNumber, ...filter } = options;
-    const wanted = versionNumber === undefined ? filter : { ...filter, version: String(versionNumber) };
+    const wanted = versionNumber === undefined ? filter : { ...filter, version: versionNumber };
     const events = readTimeline(files, wanted);
     const text = options.json === true ? JSON.stringify(events, undefined, 4) : formatTimeline(events);
     process.stdout.write(`${text}\n`);
--- a/packages/schemas/tests/settings.test.ts
+++ b/packages/schemas/tests/settings.test.ts
@@ -27,18 +27,18 @@
         title: "a number without a unit",
         text: `${minimal}[timing]\nheartbeat = "100"`,
         faults: [
-            "s.toml: timing.heartbeat: found \"100\"; expected a duration with a unit: ms, s, min or h, such as 250ms",
+            's.toml: timing.heartbeat: found "100"; expected a duration with a unit: ms, s, min or h, such as 250ms',
         ],
     },
     {
         title: "a size in an unknown unit",
         text: `${minimal}[limits]\nbody = "1MB"`,
-        faults: ["s.toml: limits.body: found \"1MB\"; expected a size with a unit: B, KiB or MiB, such as 512KiB"],
+        faults: ['s.toml: limits.body: found "1MB"; expected a size with a unit: B, KiB or MiB, such as 512KiB'],
     },
     {
         title: "two ports that clash",
         text: minimal.replace("8082", "8080"),
-        faults: ["s.toml: ports.peers: found \"127.0.0.1:8080\"; expected an address other than that of ports.callers"],
+        faults: ['s.toml: ports.peers: found "127.0.0.1:8080"; expected an address other than that of ports.callers'],
     },
     {
         title: "ports of the system's choice, which can't clash",
@@ -55,20 +55,18 @@
     {
         title: "an election that can't wait for three heartbeats",
         text: `${minimal}[timing]\nelection = "200ms"`,
-        faults: ["s.toml: timing.election: found \"200ms\"; expected at least three times timing.heartbeat"],
+        faults: ['s.toml: timing.election: found "200ms"; expected at least three times timing.heartbeat'],
     },
     {
         title: "an instance alone that has peers",
-        text: `${
-            minimal.replace("[ports]", "alone = true\n[ports]")
-        }[peers]\naddresses = ["127.0.0.1:9000"]`,
+        text: `${minimal.replace("[ports]", "alone = true\n[ports]")}[peers]\naddresses = ["127.0.0.1:9000"]`,
         faults: ["s.toml: instance.alone: found true; expected false where peers.addresses names other instances"],
     },
     {
         title: "a host name in place of an IP number",
         text: minimal.replace("127.0.0.1:8080", "localhost:8080"),
         faults: [
-            "s.toml: ports.callers: found \"localhost:8080\"; expected an IP number and a port, such as 127.0.0.1:8080",
+            's.toml: ports.callers: found "localhost:8080"; expected an IP number and a port, such as 127.0.0.1:8080',
         ],
     },
 ];
@@ -87,7 +85,11 @@
     });
 
     it("durations are read as milliseconds and sizes as bytes", () => {
-        const checked = parseToml(settingsSchema, `${minimal}[timing]\nprobe = "2s"\n[limits]\nbody = "2KiB"`, "s.toml");
+        const checked = parseToml(
+            settingsSchema,
+            `${minimal}[timing]\nprobe = "2s"\n[limits]\nbody = "2KiB"`,
+            "s.toml",
+        );
         expect(checked.kind === "valid" && [checked.value.timing.probe, checked.value.limits.body]).to.deep.equal([
             2_000,
             2_048,
