--- a/packages/coordination/src/process/memberRecord.ts
+++ b/packages/coordination/src/process/memberRecord.ts
@@ -13,7 +13,7 @@
 }
 
 /** Members on one message besides the sender. */
-const MOST_GOSSIP = 8;
+const MOST_GOSSIP = 4;
 
 /** Of two statements of one incarnation the higher rank holds; leaving goes before alive and suspect. */
 const statusRanks: Readonly<Record<MemberStatus, number>> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
--- a/packages/coordination/src/process/membership.ts
+++ b/packages/coordination/src/process/membership.ts
@@ -25,6 +25,8 @@
     readonly random: () => number;
     /** Called when the status of another instance changed. */
     readonly handleStatus: (member: Member) => void;
+    /** Called when another instance has a newer configuration than was known of it. */
+    readonly handleVersion: (member: Member) => void;
 }
 
 /** What an instance says of itself, apart from its status. */
@@ -40,6 +42,8 @@
 }
 
 const INDIRECT_PROBES = 2;
+/** Members that are told at once of a new version; each tells as many (Demers et al., "Epidemic Algorithms", 1987). */
+const SPREAD_FANOUT = 3;
 /** A dead member is forgotten after this many suspicion times. */
 const FORGET_AFTER_SUSPICIONS = 200;
 
@@ -104,11 +108,18 @@
     }
 
     /**
-     * Says something new of the instance itself.
+     * Says something new of the instance itself. A new version is told to some members at once, since it must be in
+     * force everywhere within seconds; all else travels with the next probes.
      * @param facts - what changed
      */
     updateSelf(facts: Partial<MemberFacts>): void {
+        const isNewVersion = (facts.configuration_version ?? 0) > this.self.configuration_version;
         this.self = { ...this.self, ...facts, revision: this.self.revision + 1 };
+        if (isNewVersion) {
+            this.chooseOthers(SPREAD_FANOUT).forEach((member) => {
+                this.options.functions.send(member.address, this.createProbe());
+            });
+        }
     }
 
     /** Says that the instance leaves; told at once to some, so that it spreads before the process ends. */
@@ -175,18 +186,19 @@
         if (!this.openProbes.has(sequence)) {
             return;
         }
-        const others = this.getOthersAlive().filter((member) => member.address !== target);
-        for (let count = 0; count < INDIRECT_PROBES && others.length > 0; count += 1) {
-            const [chosen] = others.splice(this.drawIndex(others.length), 1);
-            if (chosen !== undefined) {
-                this.options.functions.send(chosen.address, {
-                    kind: "probe-for",
-                    sequence,
-                    target,
-                    members: this.chooseMembers(),
-                });
-            }
+        this.chooseOthers(INDIRECT_PROBES, target).forEach((member) => {
+            const members = this.chooseMembers();
+            this.options.functions.send(member.address, { kind: "probe-for", sequence, target, members });
+        });
+    }
+
+    private chooseOthers(count: number, exceptAddress = ""): readonly Member[] {
+        const others = this.getOthersAlive().filter((member) => member.address !== exceptAddress);
+        const chosen: Member[] = [];
+        while (chosen.length < count && others.length > 0) {
+            chosen.push(...others.splice(this.drawIndex(others.length), 1));
         }
+        return chosen;
     }
 
     private relayProbe(fromAddress: string, sequence: number, target: string): void {
@@ -294,6 +306,9 @@
         if (record?.member.status !== merged.member.status) {
             this.options.functions.handleStatus(merged.member);
         }
+        if (merged.member.configuration_version > (record?.member.configuration_version ?? 0)) {
+            this.options.functions.handleVersion(merged.member);
+        }
     }
 
     private refute(heard: Member): void {
--- a/packages/coordination/tests/membership.test.ts
+++ b/packages/coordination/tests/membership.test.ts
@@ -42,6 +42,7 @@
                 send: (to, message) => this.deliver(address, to, message),
                 random: () => (this.random.next() >>> 0) / 2 ** 32,
                 handleStatus: () => undefined,
+                handleVersion: () => undefined,
             },
         });
         this.nodes[number] = membership;
--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -114,17 +114,19 @@
                 throw new ExchangeError("rubbish", name, `status ${String(response.statusCode)}`);
             }
             await this.readAnswers(response.body);
-            throw new ExchangeError("rubbish", name, "the answer ended before all steps were answered");
+            this.rejectUnanswered(
+                steps,
+                () => new ExchangeError("rubbish", name, "the answer ended before all steps were answered"),
+            );
         }
         catch (error) {
-            const failure = createExchangeError(error, name, signal);
-            this.rejectUnanswered(steps, failure);
+            this.rejectUnanswered(steps, () => createExchangeError(error, name, signal));
         }
     }
 
-    private rejectUnanswered(steps: readonly WaitingStep[], failure: ExchangeError): void {
+    private rejectUnanswered(steps: readonly WaitingStep[], createFailure: () => ExchangeError): void {
         steps.filter((one) => this.waiting.get(formatStepName(one.step)) === one).forEach((one) => {
-            one.reject(failure);
+            one.reject(createFailure());
         });
     }
 
--- a/packages/daemon/src/process/configurationPuller.ts
+++ b/packages/daemon/src/process/configurationPuller.ts
@@ -38,6 +38,13 @@
         }, PULL_MS);
     }
 
+    /** Pulls now rather than at the next turn, because a newer version was heard of. */
+    pullSoon(): void {
+        if (this.hasFirst) {
+            void this.pull();
+        }
+    }
+
     /** Stops. */
     stop(): void {
         clearInterval(this.timer);
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -30,7 +30,7 @@
 import { ConfigurationPuller } from "./configurationPuller.js";
 import { type EventLog, openEventLog } from "./eventLog.js";
 import { Gates } from "./gates.js";
-import { type OpenServer, openServer } from "./httpServer.js";
+import { type OpenServer, openServer, sendJson } from "./httpServer.js";
 import { HybridClock } from "./hybridClock.js";
 import { InFlightGossip } from "./inFlightGossip.js";
 import { type Lifecycle, startLifecycle } from "./lifecycle.js";
@@ -79,6 +79,7 @@
     private hasLeft = false;
 
     private host: ReplicaHost | undefined;
+    private peerPort: ReturnType<typeof createPeerHandler> | undefined;
     private membership!: Membership;
     private voters!: Voters;
     private gossip!: InFlightGossip;
@@ -112,6 +113,7 @@
         const peersAddress = await this.openPeers();
         this.createParts(peersAddress);
         await this.startReplica(peersAddress);
+        this.peerPort = this.createPeerPort();
         this.startParts();
         const addresses = {
             peers: peersAddress,
@@ -197,12 +199,17 @@
         return this.callerServer.countOpen() + this.claims.size;
     }
 
-    /** The peers' port opens first: its number is what the other parts are known by. */
+    /**
+     * The peers' port opens first: its number is what the other parts are known by. Until the replica is there its
+     * messages are turned away, as they would be were the port closed.
+     */
     private async openPeers(): Promise<string> {
-        let handler: ReturnType<typeof createPeerHandler> | undefined;
         return await this.open(this.settings.ports.peers, (request, response) => {
-            handler ??= this.createPeerPort();
-            handler(request, response);
+            if (this.peerPort === undefined) {
+                sendJson(response, 503, { error: "this instance is starting" });
+                return;
+            }
+            this.peerPort(request, response);
         });
     }
 
@@ -238,6 +245,9 @@
                     this.log.record("info", "member", { peer: member.id, status: member.status });
                     this.gates.startWaiting();
                 },
+                handleVersion: () => {
+                    this.puller.pullSoon();
+                },
             },
         });
         this.gossip = new InFlightGossip(this.membership);
--- /dev/null
+++ b/packages/scenarios/src/bench/control.ts
@@ -0,0 +1,299 @@
+/**
+ * What control costs a node: real processes at today's sizes, and the library alone up to the size of two years.
+ */
+import { Membership } from "@crankfork/coordination";
+import type { Member, MembershipMessage } from "@crankfork/schemas";
+import FakeTimers from "@sinonjs/fake-timers";
+import { readFileSync } from "node:fs";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import { Cluster, type Entry } from "../harness/cluster.js";
+import { ManagedProcess } from "../harness/processes.js";
+import { World } from "../harness/world.js";
+import type { Bench, BenchRow } from "./row.js";
+import { computeQuantiles } from "./row.js";
+
+const processCounts = [3, 5, 7, 9];
+const libraryCounts = [20, 80, 320];
+const MEASURE_MS = 4_000;
+const SIMULATED_SECONDS = 20;
+/** Clock ticks a second in /proc/PID/stat on Linux. */
+const TICKS_A_SECOND = 100;
+const DOWN_TO_KIB = 1_024;
+const CONFIRMS = 40;
+const claimBatches = [1, 16, 64];
+const CLAIMS_A_BATCH = 20;
+
+/** Measures what control costs. */
+export const runControlBench: Bench = async ({ seed, repeats }) => {
+    const rows: BenchRow[] = [];
+    const bareKib = await measureBareKib();
+    rows.push(createRow("bare-node-process", "resident-memory", "MiB", bareKib / DOWN_TO_KIB, 1));
+    for (const count of processCounts) {
+        rows.push(...await measureProcesses(count, bareKib));
+    }
+    rows.push(...await measureVoters(repeats));
+    for (const count of libraryCounts) {
+        rows.push(...await measureLibrary(count, seed));
+    }
+    return rows;
+};
+
+function createRow(scenario: string, metric: string, unit: string, value: number, repeats: number): BenchRow {
+    return { scenario, policy: "crankfork", metric, unit, value, repeats };
+}
+
+/** A process that listens with the same HTTP library and does nothing else. */
+async function measureBareKib(): Promise<number> {
+    const script =
+        "import http from 'node:http'; http.createServer(() => {}).listen(0, '127.0.0.1', () => console.log('up'));";
+    const bare = ManagedProcess.start("bare", "--input-type=module", ["--eval", script]);
+    await bare.waitForLine((line) => line === "up" ? true : undefined);
+    const kib = readResidentKib(bare.id);
+    await bare.kill();
+    return kib;
+}
+
+interface ProcessSample {
+    readonly processorSeconds: number;
+    readonly writtenBytes: number;
+}
+
+async function measureProcesses(count: number, bareKib: number): Promise<readonly BenchRow[]> {
+    const cluster = new Cluster();
+    try {
+        for (let number = 1; number <= count; number += 1) {
+            await cluster.startEntry({ name: `entry-${String(number)}`, hasDisk: number <= 3 });
+        }
+        await cluster.init();
+        await cluster.waitReady();
+        await delay(1_000);
+        const entries = [...cluster.entries.values()];
+        const before = entries.map(readSample);
+        await delay(MEASURE_MS);
+        const after = entries.map(readSample);
+        const seconds = MEASURE_MS / 1_000;
+        const shares = after.map((sample, index) =>
+            (sample.processorSeconds - (before[index]?.processorSeconds ?? 0)) / seconds
+        );
+        const rates = after.map((sample, index) =>
+            (sample.writtenBytes - (before[index]?.writtenBytes ?? 0)) / seconds
+        );
+        const addedMib = entries.map((entry) => (readResidentKib(entry.process.id) - bareKib) / DOWN_TO_KIB);
+        const scenario = `processes-${String(count)}`;
+        return [
+            createRow(scenario, "processor-share-mean", "core", mean(shares), count),
+            createRow(scenario, "processor-share-max", "core", Math.max(...shares), count),
+            createRow(scenario, "written-mean", "KB/s", mean(rates) / 1_000, count),
+            createRow(scenario, "written-max", "KB/s", Math.max(...rates) / 1_000, count),
+            createRow(scenario, "added-memory-max", "MiB", Math.max(...addedMib), count),
+        ];
+    }
+    finally {
+        await cluster.close();
+    }
+}
+
+/** Commit latency, claims a second by batch, and restart against the length of the log. */
+async function measureVoters(repeats: number): Promise<readonly BenchRow[]> {
+    const world = new World();
+    try {
+        await world.startService("printer-1", { work_ms: 0 });
+        for (const number of [1, 2, 3]) {
+            await world.cluster.startEntry({ name: `entry-${String(number)}`, hasDisk: true });
+        }
+        await world.cluster.init();
+        await world.serve({ id: "bench" });
+        const confirmMs: number[] = [];
+        for (let count = 0; count < CONFIRMS; count += 1) {
+            const startedMs = performance.now();
+            await world.cluster.confirm(
+                "entry-2",
+                world.createIntent({ id: `change-${String(count)}`, serviceRepeatable: count % 2 === 0 }),
+            );
+            confirmMs.push(performance.now() - startedMs);
+        }
+        await world.serve({ id: "claims" });
+        const quantiles = computeQuantiles(confirmMs);
+        const rows = (["p50", "p95", "max"] as const).map((name) =>
+            createRow("change-in-force-everywhere", `plan-and-confirm-${name}`, "ms", quantiles[name], CONFIRMS)
+        );
+        for (const batch of claimBatches) {
+            rows.push(await measureClaims(world, batch));
+        }
+        rows.push(...await measureRestarts(world, repeats));
+        return rows;
+    }
+    finally {
+        await world.close();
+    }
+}
+
+async function measureClaims(world: World, batch: number): Promise<BenchRow> {
+    const startedMs = performance.now();
+    let done = 0;
+    const workers = Array.from({ length: batch }, async (_, worker) => {
+        for (let count = 0; count < CLAIMS_A_BATCH; count += 1) {
+            const slip = `slip ${String(batch)} ${String(worker)} ${String(count)}`;
+            const answer = await world.callService(`entry-${String(worker % 3 + 1)}`, slip, {
+                "idempotency-key": slip,
+            });
+            done += answer.status === 200 ? 1 : 0;
+        }
+    });
+    await Promise.all(workers);
+    const perSecond = done / (performance.now() - startedMs) * 1_000;
+    return createRow(`claims-at-a-time-${String(batch)}`, "claimed-calls-per-second", "1/s", perSecond, done);
+}
+
+async function measureRestarts(world: World, repeats: number): Promise<readonly BenchRow[]> {
+    const seconds: number[] = [];
+    for (let repeat = 0; repeat < repeats; repeat += 1) {
+        await world.cluster.get("entry-3").process.kill();
+        const startedMs = performance.now();
+        await world.cluster.restartEntry("entry-3");
+        await world.cluster.waitReady();
+        seconds.push((performance.now() - startedMs) / 1_000);
+    }
+    const { p50, max } = computeQuantiles(seconds);
+    return [
+        createRow("restart-of-a-voter", "ready-again-p50", "s", p50, repeats),
+        createRow("restart-of-a-voter", "ready-again-max", "s", max, repeats),
+    ];
+}
+
+/** The membership alone, in one process on a paused clock. */
+async function measureLibrary(count: number, seed: number): Promise<readonly BenchRow[]> {
+    const clock = FakeTimers.install({
+        toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance", "Date"],
+    });
+    try {
+        const network = new LibraryNetwork(count, seed);
+        await clock.tickAsync(15_000);
+        network.bytes = 0;
+        network.messages = 0;
+        const before = process.cpuUsage();
+        await clock.tickAsync(SIMULATED_SECONDS * 1_000);
+        const { user, system } = process.cpuUsage(before);
+        const nodeSeconds = count * SIMULATED_SECONDS;
+        const rows = [
+            createRow(`library-${String(count)}`, "messages", "1/s a node", network.messages / nodeSeconds, 1),
+            createRow(`library-${String(count)}`, "sent", "KB/s a node", network.bytes / nodeSeconds / 1_000, 1),
+            createRow(
+                `library-${String(count)}`,
+                "processor-share",
+                "core a node",
+                (user + system) / 1e6 / nodeSeconds,
+                1,
+            ),
+        ];
+        const spreadMs = await network.measureSpreadMs((ms) => clock.tickAsync(ms));
+        network.close();
+        return [...rows, createRow(`library-${String(count)}`, "version-known-everywhere", "ms", spreadMs, 1)];
+    }
+    finally {
+        clock.uninstall();
+    }
+}
+
+/** The defaults of the settings. */
+const timing = { probeMs: 500, probeTimeoutMs: 200, suspicionMs: 1_500 };
+const LINK_MS = 1;
+
+class LibraryNetwork {
+    readonly nodes: Membership[] = [];
+    bytes = 0;
+    messages = 0;
+    private readonly random;
+
+    constructor(count: number, seed: number) {
+        this.random = xoroshiro128plus(seed);
+        for (let number = 0; number < count; number += 1) {
+            this.add(number);
+        }
+    }
+
+    /** A version is told by one node; how long until every node has heard of it and taken it. */
+    async measureSpreadMs(advance: (ms: number) => Promise<unknown>): Promise<number> {
+        const stepMs = 5;
+        this.nodes[0]?.updateSelf({ configuration_version: 1 });
+        for (let elapsedMs = 0;; elapsedMs += stepMs) {
+            const isKnown = this.nodes.every((node) => node.getMembers()[0]?.configuration_version === 1);
+            if (isKnown) {
+                return elapsedMs;
+            }
+            await advance(stepMs);
+        }
+    }
+
+    close(): void {
+        this.nodes.forEach((node) => node.stop());
+    }
+
+    private add(number: number): void {
+        const address = createAddress(number);
+        const self: Member = {
+            id: `node-${String(number)}`,
+            address,
+            failure_domain: `domain-${String(number % 6)}`,
+            incarnation: 1,
+            status: "alive",
+            has_replica: false,
+            configuration_version: 0,
+            revision: 0,
+            in_flight: {},
+        };
+        const membership: Membership = new Membership({
+            self,
+            seeds: [createAddress(0), createAddress(1), createAddress(2)],
+            timing,
+            functions: {
+                send: (to, message) => this.deliver(address, to, message),
+                random: () => (this.random.next() >>> 0) / 2 ** 32,
+                handleStatus: () => undefined,
+                handleVersion: ({ configuration_version }) => {
+                    if (configuration_version > (membership.getMembers()[0]?.configuration_version ?? 0)) {
+                        membership.updateSelf({ configuration_version });
+                    }
+                },
+            },
+        });
+        this.nodes.push(membership);
+        membership.start();
+    }
+
+    private deliver(from: string, to: string, message: MembershipMessage): void {
+        const text = JSON.stringify(message);
+        this.bytes += text.length;
+        this.messages += 1;
+        setTimeout(() => {
+            this.nodes[Number(to.split(":")[1]) - 1]?.receive(from, JSON.parse(text) as MembershipMessage);
+        }, LINK_MS);
+    }
+}
+
+function createAddress(number: number): string {
+    return `127.0.0.1:${String(number + 1)}`;
+}
+
+function readSample(entry: Entry): ProcessSample {
+    const stat = readFileSync(`/proc/${String(entry.process.id)}/stat`, "utf8");
+    const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ");
+    const [userTicks, systemTicks] = [Number(fields[11]), Number(fields[12])];
+    const io = readFileSync(`/proc/${String(entry.process.id)}/io`, "utf8");
+    return {
+        processorSeconds: (userTicks + systemTicks) / TICKS_A_SECOND,
+        writtenBytes: Number(/wchar: (\d+)/.exec(io)?.[1] ?? 0),
+    };
+}
+
+function readResidentKib(id: number): number {
+    return Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${String(id)}/status`, "utf8"))?.[1] ?? 0);
+}
+
+function mean(values: readonly number[]): number {
+    return values.reduce((sum, value) => sum + value, 0) / values.length;
+}
+
+function delay(ms: number): Promise<void> {
+    return new Promise((resolve) => setTimeout(resolve, ms));
+}
--- a/packages/scenarios/src/harness/processes.ts
+++ b/packages/scenarios/src/harness/processes.ts
@@ -25,6 +25,11 @@
         return new ManagedProcess(name, child);
     }
 
+    /** Its process id. */
+    get id(): number {
+        return this.child.pid ?? 0;
+    }
+
     /** Whether it still runs. */
     get isRunning(): boolean {
         return this.child.exitCode === null && this.child.signalCode === null;
--- a/packages/scenarios/src/harness/world.ts
+++ b/packages/scenarios/src/harness/world.ts
@@ -29,6 +29,8 @@
     readonly serviceRepeatable?: boolean;
     readonly maxTokens?: number;
     readonly checksFence?: boolean;
+    /** Requests that an engine runs at the same time. */
+    readonly slots?: number;
 }
 
 /** One scenario's state. */
@@ -66,12 +68,15 @@
      * @returns the intent
      */
     createIntent(options: IntentOptions): Record<string, unknown> {
-        const { modelRepeatable = true, serviceRepeatable = false, maxTokens = 512, checksFence = true } = options;
+        const { modelRepeatable = true, serviceRepeatable = false, maxTokens = 512, checksFence = true, slots = 8 } =
+            options;
         const services = [...this.services.keys()];
         return {
             id: options.id,
             organisations: [createOrganisation(ORGANISATION), createOrganisation("island-kiosks")],
-            models: [{ name: MODEL, layers: LAYERS, repeatable: modelRepeatable, max_tokens: maxTokens }],
+            models: this.engines.size === 0
+                ? []
+                : [{ name: MODEL, layers: LAYERS, repeatable: modelRepeatable, max_tokens: maxTokens }],
             services: services.length === 0
                 ? []
                 : [{ name: "slips", repeatable: serviceRepeatable, upstreams: services }],
@@ -82,6 +87,7 @@
                     address: engine.address,
                     memory_layers: LAYERS / 2,
                     checks_fence: checksFence,
+                    slots,
                 })),
                 ...[...this.services].map(([name, service]) => ({ name, kind: "service", address: service.address })),
             ],
--- a/packages/scenarios/tests/steps/cluster.ts
+++ b/packages/scenarios/tests/steps/cluster.ts
@@ -41,6 +41,25 @@
         },
     );
 
+    steps.define(
+        "{int} entries before {int} engines that don't check the fence",
+        async (world, entries: number, engines: number) => {
+            for (let number = 1; number <= engines; number += 1) {
+                await world.startEngine(`engine-${String(number)}`, { checks_fence: false });
+            }
+            await startEntries(world, entries, entries);
+            await world.cluster.init();
+            await world.serve({ id: "first", checksFence: false });
+        },
+    );
+
+    steps.define("{int} entries before 0 engines and 1 slow printer", async (world, entries: number) => {
+        await world.startService("printer-1", { work_ms: 300 });
+        await startEntries(world, entries, entries);
+        await world.cluster.init();
+        await world.serve({ id: "first" });
+    });
+
     steps.define("the model may not run twice", async (world) => {
         await world.serve({ id: "once", modelRepeatable: false });
     });
--- /dev/null
+++ b/packages/scenarios/tests/steps/operators.ts
@@ -0,0 +1,269 @@
+import { expect } from "chai";
+import { z } from "zod";
+import { streamCompletion } from "../../src/harness/caller.js";
+import type { PortAnswer } from "../../src/harness/cluster.js";
+import type { StepRegistry } from "../../src/harness/gherkin.js";
+import { MODEL, type World } from "../../src/harness/world.js";
+import { createCall } from "./requests.js";
+
+const confirmSchema = z.object({ version: z.int(), is_repeat: z.boolean() });
+const refusalSchema = z.object({ error: z.object({ id: z.string(), details: z.array(z.string()) }) });
+const statusSchema = z.object({
+    configuration_version: z.int(),
+    replica: z.object({ role: z.string(), term: z.int() }).optional(),
+});
+const heldSchema = z.object({ holds: z.array(z.object({ version: z.string() })) });
+
+/** What operators did in one scenario. */
+interface OperatorNotes {
+    plans: string[];
+    answers: PortAnswer[];
+    frozen: string | undefined;
+    lastVersion: number;
+}
+
+const notesOf = new WeakMap<World, OperatorNotes>();
+
+/** Steps of operators: plans, confirms, and what is in force. */
+export function defineOperatorSteps(steps: StepRegistry<World>): void {
+    steps.define("an operator plans intent {string} at {word}", async (world, id: string, entry: string) => {
+        getNotes(world).plans.push(await world.cluster.plan(entry, world.createIntent({ id, maxTokens: 400 })));
+    });
+
+    steps.define("an operator plans intent {string} at a living entry", async (world, id: string) => {
+        getNotes(world).plans.push(
+            await world.cluster.plan(getLiving(world), world.createIntent({ id, maxTokens: 400 })),
+        );
+    });
+
+    steps.define(
+        "an operator plans another intent named {string} at {word}",
+        async (world, id: string, entry: string) => {
+            const body = JSON.stringify(world.createIntent({ id, maxTokens: 300 }));
+            getNotes(world).answers.push(await world.cluster.askOperators(entry, "POST", "/v1/plans", body));
+        },
+    );
+
+    steps.define("both plans are the same", (world) => {
+        const { plans } = getNotes(world);
+        expect(plans).to.have.length(2);
+        expect(plans[0]).to.equal(plans[1]);
+    });
+
+    steps.define("an operator confirms the plan at {word}", (world, entry: string) => confirmLast(world, entry));
+    steps.define("an operator confirms the plan at a living entry", (world) => confirmLast(world, getLiving(world)));
+
+    steps.define("an operator confirms intent {string} at {word}", async (world, id: string, entry: string) => {
+        await world.cluster.confirm(entry, world.createIntent({ id, maxTokens: 400 }));
+    });
+
+    steps.define("an operator confirms an intent without engine-4 at a living entry", async (world) => {
+        const intent = world.createIntent({ id: "smaller" });
+        const upstreams = (intent.upstreams as { name: string; }[]).filter((one) => one.name !== "engine-4");
+        await confirmAnywhere(world, { ...intent, upstreams });
+    });
+
+    steps.define("an operator confirms an intent with a new model version at a living entry", async (world) => {
+        const intent = world.createIntent({ id: "newer", checksFence: false });
+        const models = (intent.models as object[]).map((model) => ({ ...model, version: "v2" }));
+        await confirmAnywhere(world, { ...intent, models });
+    });
+
+    steps.define(
+        "operators plan {string} at {word} and {string} at {word} and confirm both at once",
+        async (world, left: string, leftEntry: string, right: string, rightEntry: string) => {
+            const plans = [
+                {
+                    entry: leftEntry,
+                    plan: await world.cluster.plan(leftEntry, world.createIntent({ id: left, maxTokens: 400 })),
+                },
+                {
+                    entry: rightEntry,
+                    plan: await world.cluster.plan(rightEntry, world.createIntent({ id: right, maxTokens: 300 })),
+                },
+            ];
+            getNotes(world).answers = await Promise.all(
+                plans.map(({ entry, plan }) => world.cluster.askOperators(entry, "POST", `/v1/plans/${plan}/confirm`)),
+            );
+        },
+    );
+
+    steps.define("one confirm wins with version {int} and the other is told what moved", (world, version: number) => {
+        const { answers } = getNotes(world);
+        const won = answers.filter((answer) => answer.status === 200);
+        const [lost] = answers.filter((answer) => answer.status === 409);
+        expect(won.map((answer) => confirmSchema.parse(answer.body).version)).to.deep.equal([version]);
+        const { error } = refusalSchema.parse(lost?.body);
+        expect([error.id, error.details]).to.deep.equal(["moved", [`version ${String(version)}: ~ model ${MODEL}`]]);
+    });
+
+    steps.define("the operator is refused with {word}", (world, id: string) => {
+        expect(refusalSchema.parse(getNotes(world).answers.at(-1)?.body).error.id).to.equal(id);
+    });
+
+    steps.define(
+        "the version is {int} and it is no repeat",
+        (world, version: number) => expectConfirmed(world, version, false),
+    );
+    steps.define(
+        "the version is {int} and it is a repeat",
+        (world, version: number) => expectConfirmed(world, version, true),
+    );
+
+    steps.define("version {int} is in force at every entry", (world, version: number) => expectInForce(world, version));
+    steps.define(
+        "version {int} is in force at every living entry",
+        (world, version: number) => expectInForce(world, version),
+    );
+
+    steps.define("{word} refuses callers as not ready", async (world, entry: string) => {
+        const completion = await streamCompletion(createCall(world, entry, 3));
+        expect([completion.errorId, completion.outcome]).to.deep.equal(["not-ready", "not-run"]);
+    });
+
+    steps.define("the leader is killed", async (world) => {
+        await world.cluster.get(await findLeader(world)).process.kill();
+    });
+
+    steps.define("the leader is frozen", async (world) => {
+        const leader = await findLeader(world);
+        getNotes(world).frozen = leader;
+        world.cluster.get(leader).process.signal("SIGSTOP");
+    });
+
+    steps.define("the frozen leader wakes", (world) => {
+        world.cluster.get(getNotes(world).frozen ?? "").process.signal("SIGCONT");
+    });
+
+    steps.define("{word} has seen orders of the new leader", async (world, engine: string) => {
+        const before = getNotes(world).lastVersion;
+        expect(before).to.be.above(0);
+        await world.cluster.waitFor("the engines to hold what the new plan says", async () => {
+            const { orders } = await world.getCounts(engine);
+            return orders >= 1;
+        });
+    });
+
+    steps.define("within a second no engine has taken an order of the old leader", async (world) => {
+        const before = await countOrders(world);
+        await new Promise((resolve) => setTimeout(resolve, 1_000));
+        expect(await countOrders(world)).to.equal(before);
+    });
+
+    steps.define("every engine comes to hold the new model version", async (world) => {
+        for (const [name, engine] of world.engines) {
+            await world.cluster.waitFor(`${name} to hold v2`, async () => {
+                const response = await fetch(`http://${engine.address}/v1/status`);
+                return heldSchema.parse(await response.json()).holds.some((range) => range.version === "v2");
+            });
+        }
+    });
+
+    steps.define(
+        "an operator confirms {int} changes while all entries die at random points",
+        async (world, changes: number) => {
+            const notes = getNotes(world);
+            notes.lastVersion = 1;
+            const rounds = 5;
+            for (let round = 0; round < rounds; round += 1) {
+                await confirmUntilDeath(world, notes, changes / rounds, round);
+            }
+            expect(notes.lastVersion).to.be.at.least(changes);
+        },
+    );
+
+    steps.define("every entry comes back to the last confirmed version or a newer one", async (world) => {
+        for (const name of world.cluster.entries.keys()) {
+            const { body } = await world.cluster.askOperators(name, "GET", "/v1/status");
+            expect(statusSchema.parse(body).configuration_version).to.be.at.least(getNotes(world).lastVersion);
+        }
+    });
+}
+
+/** Confirms changes one after another; in the midst of the last ones all processes die, and come back. */
+async function confirmUntilDeath(world: World, notes: OperatorNotes, changes: number, round: number): Promise<void> {
+    const entries = [...world.cluster.entries.keys()];
+    const target = notes.lastVersion + changes;
+    while (notes.lastVersion < target) {
+        const entry = entries[notes.lastVersion % entries.length] ?? "";
+        const maxTokens = 100 + notes.lastVersion;
+        const intent = world.createIntent({ id: `change-${String(round)}-${String(notes.lastVersion)}`, maxTokens });
+        notes.lastVersion = Math.max(notes.lastVersion, await world.cluster.confirm(entry, intent));
+    }
+    const dying = world.cluster.plan(
+        entries[0] ?? "",
+        world.createIntent({ id: `dying-${String(round)}`, maxTokens: 99 }),
+    )
+        .then((plan) => world.cluster.askOperators(entries[0] ?? "", "POST", `/v1/plans/${plan}/confirm`))
+        .then((answer) => {
+            if (answer.status === 200) {
+                notes.lastVersion = Math.max(notes.lastVersion, confirmSchema.parse(answer.body).version);
+            }
+        })
+        .catch(() => undefined);
+    await new Promise((resolve) => setTimeout(resolve, round * 7));
+    await Promise.all(entries.map((name) => world.cluster.get(name).process.kill()));
+    await dying;
+    await Promise.all(entries.map((name) => world.cluster.restartEntry(name)));
+    await world.cluster.waitReady();
+}
+
+async function confirmLast(world: World, entry: string): Promise<void> {
+    const notes = getNotes(world);
+    notes.answers.push(
+        await world.cluster.askOperators(entry, "POST", `/v1/plans/${notes.plans.at(-1) ?? ""}/confirm`),
+    );
+}
+
+async function confirmAnywhere(world: World, intent: object): Promise<void> {
+    const notes = getNotes(world);
+    await world.cluster.waitFor("a new leader to confirm", async () => {
+        notes.lastVersion = await world.cluster.confirm(getLiving(world), intent);
+        return true;
+    });
+}
+
+function expectConfirmed(world: World, version: number, isRepeat: boolean): void {
+    const confirmed = confirmSchema.parse(getNotes(world).answers.at(-1)?.body);
+    expect([confirmed.version, confirmed.is_repeat]).to.deep.equal([version, isRepeat]);
+}
+
+async function expectInForce(world: World, version: number): Promise<void> {
+    for (const [name, entry] of world.cluster.entries) {
+        if (entry.process.isRunning) {
+            await world.cluster.waitFor(`version ${String(version)} at ${name}`, async () => {
+                const { body } = await world.cluster.askOperators(name, "GET", "/v1/status");
+                return statusSchema.parse(body).configuration_version === version;
+            });
+        }
+    }
+}
+
+async function findLeader(world: World): Promise<string> {
+    for (const [name, entry] of world.cluster.entries) {
+        if (entry.process.isRunning) {
+            const { body } = await world.cluster.askOperators(name, "GET", "/v1/status");
+            if (statusSchema.parse(body).replica?.role === "leader") {
+                return name;
+            }
+        }
+    }
+    throw new Error("there is no leader");
+}
+
+function getLiving(world: World): string {
+    const { frozen } = getNotes(world);
+    const living = [...world.cluster.entries].find(([name, entry]) => name !== frozen && entry.process.isRunning);
+    return living?.[0] ?? "";
+}
+
+async function countOrders(world: World): Promise<number> {
+    const counts = await Promise.all([...world.engines.keys()].map((name) => world.getCounts(name)));
+    return counts.reduce((sum, count) => sum + count.orders, 0);
+}
+
+function getNotes(world: World): OperatorNotes {
+    const known = notesOf.get(world) ?? { plans: [], answers: [], frozen: undefined, lastVersion: 0 };
+    notesOf.set(world, known);
+    return known;
+}
--- a/packages/scenarios/tests/steps/requests.ts
+++ b/packages/scenarios/tests/steps/requests.ts
@@ -132,6 +132,82 @@
         },
     );
 
+    steps.define("{word} drops its answers", (world, name: string) => world.setFaults(name, { drop_answers: true }));
+    steps.define("{word} runs nothing", (world, name: string) => world.setFaults(name, { not_run: true }));
+    steps.define("{word} is well again", (world, name: string) => world.setFaults(name, {}));
+
+    steps.define(
+        "a caller sends slip {string} with key {string} to {word}, which is killed {int} ms later",
+        async (world, slip: string, key: string, entry: string, delayMs: number) => {
+            const call = world.callService(entry, slip, { "idempotency-key": key }).catch(() => undefined);
+            await new Promise((resolve) => setTimeout(resolve, delayMs));
+            await world.cluster.get(entry).process.kill();
+            await call;
+            lastSlips.set(world, { slip, key });
+        },
+    );
+
+    steps.define("the same slip is sent to {word} until it is answered", async (world, entry: string) => {
+        const sent = lastSlips.get(world);
+        await world.cluster.waitFor("a final answer", async () => {
+            const answer = await world.callService(entry, sent?.slip ?? "", { "idempotency-key": sent?.key ?? "" });
+            const { error } = (answer.body ?? {}) as { error?: { id: string; }; };
+            world.answers = [answer];
+            return answer.status === 200 || error?.id === "owner-lost";
+        });
+    });
+
+    steps.define(
+        "slip {string} was printed at most once, and exactly once where the answer is 200",
+        async (world, slip: string) => {
+            const count = await world.countEffects(slip);
+            expect(count).to.be.at.most(1);
+            if (world.answers[0]?.status === 200) {
+                expect(count).to.equal(1);
+            }
+        },
+    );
+
+    steps.define("the answer is {int} with an outcome of {word}", (world, status: number, outcome: string) => {
+        const { error } = world.answers.at(-1)?.body as { error: { outcome: string; }; };
+        expect([world.answers.at(-1)?.status, error.outcome]).to.deep.equal([status, outcome]);
+    });
+
+    steps.define("all answers but the first are {int}", (world, status: number) => {
+        const rest = world.answers.slice(1).map((answer) => answer.status);
+        expect(rest).to.deep.equal(rest.map(() => status)).and.have.length.above(0);
+    });
+
+    steps.define(
+        "a caller streams {int} tokens with key {string} from {word}",
+        async (world, tokens: number, key: string, entry: string) => {
+            world.completions.push(await streamCompletion(createKeyedCall(world, entry, tokens, key)));
+        },
+    );
+
+    steps.define(
+        "a caller streams {int} tokens with key {string} from {word} and its first stage is killed at token {int}",
+        async (world, tokens: number, key: string, entry: string, at: number) => {
+            const handleToken = async (count: number): Promise<void> => {
+                if (count === at) {
+                    await killBusyEngine(world);
+                }
+            };
+            world.completions = [
+                await streamCompletion({ ...createKeyedCall(world, entry, tokens, key), handleToken }),
+            ];
+        },
+    );
+
+    steps.define("the stream ends with outcome {word}", (world, outcome: string) => {
+        expect(world.completions.map((one) => one.outcome)).to.deep.equal([outcome]);
+    });
+
+    steps.define("the answer is the error that was kept", (world) => {
+        const [first, second] = world.completions;
+        expect([second?.errorId, second?.outcome, second?.tokens]).to.deep.equal([first?.errorId, first?.outcome, 0]);
+    });
+
     steps.define("all answers are {int} and alike", (world, status: number) => {
         expect(world.answers.map((answer) => answer.status)).to.deep.equal(world.answers.map(() => status));
         expect(new Set(world.answers.map((answer) => JSON.stringify(answer.body))).size).to.equal(1);
@@ -142,6 +218,23 @@
     });
 }
 
+const lastSlips = new WeakMap<World, { readonly slip: string; readonly key: string; }>();
+
+function createKeyedCall(world: World, entry: string, tokens: number, key: string): CompletionCall {
+    const call = createCall(world, entry, tokens);
+    return { ...call, headers: { ...call.headers, "idempotency-key": key } };
+}
+
+async function killBusyEngine(world: World): Promise<void> {
+    for (const [name, engine] of world.engines) {
+        if ((await world.getCounts(name)).running > 0) {
+            await engine.process.kill();
+            world.engines.delete(name);
+            return;
+        }
+    }
+}
+
 /** Creates a completion call of the usual organisation. */
 export function createCall(world: World, entry: string, maxTokens: number, name = "a caller"): CompletionCall {
     return {
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -42,10 +42,10 @@
 });
 
 const timingSchema = z.strictObject({
-    heartbeat: durationSchema.prefault("100ms"),
-    election: durationSchema.prefault("600ms"),
-    probe: durationSchema.prefault("300ms"),
-    probe_timeout: durationSchema.prefault("150ms"),
+    heartbeat: durationSchema.prefault("200ms"),
+    election: durationSchema.prefault("700ms"),
+    probe: durationSchema.prefault("500ms"),
+    probe_timeout: durationSchema.prefault("200ms"),
     suspicion: durationSchema.prefault("1500ms"),
     upstream_poll: durationSchema.prefault("250ms"),
     upstream_timeout: durationSchema.prefault("5s"),
