--- /dev/null
+++ b/packages/coordination/src/example.ts
@@ -0,0 +1,68 @@
+/**
+ * A log of two voters in one process: founded, joined, written, crashed and read back.
+ */
+import type { ReplicaAddress, ReplicaMessage } from "@crankfork/schemas";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createFirstReplica, createLogStorage, openDiskFolder, Replica } from "./index.js";
+
+const root = mkdtempSync(join(tmpdir(), "crankfork-example-"));
+const running = new Map<string, Replica>();
+
+/** A state machine that adds numbers up. */
+async function startAdder(self: ReplicaAddress): Promise<Replica> {
+    let sum = 0;
+    const replica = await Replica.start({
+        self,
+        timing: { heartbeatMs: 50, electionMs: 300 },
+        storage: createLogStorage(await openDiskFolder(join(root, self.id))),
+        snapshotEvery: 100,
+        functions: {
+            send: (to: ReplicaAddress, message: ReplicaMessage) => {
+                setImmediate(() => running.get(to.id)?.receive(self, message));
+            },
+            random: Math.random,
+            applyCommand: (command) => {
+                sum += Number(command);
+                return sum;
+            },
+            getState: () => sum,
+            restoreState: (state) => {
+                sum = Number(state);
+            },
+            record: () => undefined,
+        },
+    });
+    running.set(self.id, replica);
+    return replica;
+}
+
+async function waitForLeader(replica: Replica): Promise<void> {
+    while (!replica.hasNewestState()) {
+        await new Promise((resolve) => setTimeout(resolve, 20));
+    }
+}
+
+const first: ReplicaAddress = { id: "first", address: "first" };
+const second: ReplicaAddress = { id: "second", address: "second" };
+await createFirstReplica(createLogStorage(await openDiskFolder(join(root, first.id))), first);
+let leader = await startAdder(first);
+await waitForLeader(leader);
+const follower = await startAdder(second);
+await leader.changeReplicas({ voters: [first], learners: [second] });
+await leader.changeReplicas({ voters: [first, second], learners: [] });
+await leader.propose(40);
+console.log("two voters say", await leader.propose(2));
+
+leader.stop();
+leader = await startAdder(first);
+while (!leader.hasNewestState() && !follower.hasNewestState()) {
+    await new Promise((resolve) => setTimeout(resolve, 20));
+}
+const present = leader.hasNewestState() ? leader : follower;
+console.log("after a crash they say", await present.propose(0));
+running.forEach((replica) => {
+    replica.stop();
+});
+rmSync(root, { recursive: true, force: true });
--- a/packages/coordination/src/process/membership.ts
+++ b/packages/coordination/src/process/membership.ts
@@ -30,7 +30,7 @@
 }
 
 /** What an instance says of itself, apart from its status. */
-export type MemberFacts = Pick<Member, "configuration_version" | "in_flight" | "has_replica">;
+export type MemberFacts = Pick<Member, "configuration_version" | "in_flight" | "demand" | "has_replica">;
 
 /** Everything that a membership is made with. */
 export interface MembershipOptions {
--- a/packages/coordination/tests/membership.test.ts
+++ b/packages/coordination/tests/membership.test.ts
@@ -35,6 +35,7 @@
                 configuration_version: 0,
                 revision: 0,
                 in_flight: {},
+                demand: {},
             },
             seeds: [createAddress(0), createAddress(1)],
             timing,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,3 +7,4 @@
 export { Daemon, type DaemonAddresses } from "./process/daemon.js";
 export { formatHybridTime, HybridClock, type HybridTime, parseHybridTime } from "./process/hybridClock.js";
 export { readSettings } from "./process/readSettings.js";
+export { type GateRequest, type GateUsage, WorkGate } from "./process/workGate.js";
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -233,6 +233,7 @@
                 configuration_version: 0,
                 revision: 0,
                 in_flight: {},
+                demand: {},
             },
             seeds: peers.addresses,
             timing: { probeMs: timing.probe, probeTimeoutMs: timing.probe_timeout, suspicionMs: timing.suspicion },
@@ -251,7 +252,11 @@
             },
         });
         this.gossip = new InFlightGossip(this.membership);
-        this.gates = new Gates({ queueLimit: limits.queue_requests, countEntries: () => this.countEntries() });
+        this.gates = new Gates({
+            queueLimit: limits.queue_requests,
+            countEntries: () => this.countEntries(),
+            countOthersDemand: (gate) => this.gossip.countDemand(gate),
+        });
         this.upstreams = this.createUpstreams();
         this.inForce.handleChange((view) => {
             this.upstreams.applyConfiguration(view);
@@ -363,7 +368,10 @@
     }
 
     private refreshGossip(): void {
-        this.membership.updateSelf({ in_flight: { ...this.upstreams.countInFlight() } });
+        this.membership.updateSelf({
+            in_flight: { ...this.upstreams.countInFlight() },
+            demand: { ...this.gates.countDemand() },
+        });
         this.gates.startWaiting();
     }
 
--- a/packages/daemon/src/process/gates.ts
+++ b/packages/daemon/src/process/gates.ts
@@ -1,10 +1,10 @@
 /**
  * One gate and one retry budget for each model and service.
  */
-import { RetryBudget } from "@crankfork/decisions";
+import { computeShare, RetryBudget } from "@crankfork/decisions";
 import type { Model, Service } from "@crankfork/schemas";
 import type { ConfigurationView } from "../version/configurationInForce.js";
-import { computeModelSlots, computeServiceSlots, computeShare } from "../version/slotShare.js";
+import { computeModelSlots, computeServiceSlots } from "../version/slotShare.js";
 import { WorkGate } from "./workGate.js";
 
 /** What gates need from the process. */
@@ -12,6 +12,8 @@
     readonly queueLimit: number;
     /** Entries that are alive, this one included. */
     readonly countEntries: () => number;
+    /** Requests of a gate that run or wait at other entries, as their last gossip told. */
+    readonly countOthersDemand: (gate: string) => number;
 }
 
 /** The gates of this instance. */
@@ -77,13 +79,27 @@
         return known;
     }
 
+    /**
+     * Counts requests that run or wait, for gossip.
+     * @returns counts by gate; those with none are left out
+     */
+    countDemand(): Readonly<Record<string, number>> {
+        const busy = [...this.gates].filter(([, gate]) => gate.demand > 0);
+        return Object.fromEntries(busy.map(([name, gate]) => [name, gate.demand]));
+    }
+
+    private computeShare(name: string, ownDemand: number): number {
+        return computeShare({
+            slots: this.slots.get(name) ?? 0,
+            entries: this.options.countEntries(),
+            ownDemand,
+            othersDemand: this.options.countOthersDemand(name),
+        });
+    }
+
     private getGate(name: string, target: string): WorkGate {
         const known = this.gates.get(name)
-            ?? new WorkGate(
-                target,
-                this.options.queueLimit,
-                () => computeShare(this.slots.get(name) ?? 0, this.options.countEntries()),
-            );
+            ?? new WorkGate(target, this.options.queueLimit, (ownDemand) => this.computeShare(name, ownDemand));
         this.gates.set(name, known);
         return known;
     }
--- a/packages/daemon/src/process/inFlightGossip.ts
+++ b/packages/daemon/src/process/inFlightGossip.ts
@@ -1,14 +1,16 @@
 /**
- * Requests in flight at upstreams, as entries tell each other.
+ * What other entries tell of their requests.
  */
 import type { Membership } from "@crankfork/coordination";
+import type { Member } from "@crankfork/schemas";
 
-/** Counts kept for a moment, so that a request's way does not walk over all members. */
+/** Sums are kept for a moment, so that a request's way does not walk over all members. */
 const REFRESH_MS = 50;
 
-/** Counts of other entries' requests, by upstream. */
+/** Sums over the other live entries. */
 export class InFlightGossip {
-    private counts = new Map<string, number>();
+    private inFlight: ReadonlyMap<string, number> = new Map();
+    private demand: ReadonlyMap<string, number> = new Map();
     private refreshedMs = Number.NEGATIVE_INFINITY;
 
     /**
@@ -17,27 +19,45 @@
     constructor(private readonly membership: Membership) {}
 
     /**
-     * Counts the requests of other live entries.
+     * Counts requests in flight of other entries.
      * @param upstream - the upstream
-     * @returns requests in flight there, as of their last gossip
+     * @returns requests there, as of their last gossip
      */
     count(upstream: string): number {
+        this.refreshIfOld();
+        return this.inFlight.get(upstream) ?? 0;
+    }
+
+    /**
+     * Counts requests that run or wait at other entries.
+     * @param gate - model or service
+     * @returns requests, as of their last gossip
+     */
+    countDemand(gate: string): number {
+        this.refreshIfOld();
+        return this.demand.get(gate) ?? 0;
+    }
+
+    private refreshIfOld(): void {
         const nowMs = performance.now();
         if (nowMs - this.refreshedMs >= REFRESH_MS) {
             this.refreshedMs = nowMs;
-            this.counts = this.sumCounts();
+            const [, ...others] = this.membership.getLiveMembers();
+            this.inFlight = sumCounts(others, (member) => member.in_flight);
+            this.demand = sumCounts(others, (member) => member.demand);
         }
-        return this.counts.get(upstream) ?? 0;
     }
+}
 
-    private sumCounts(): Map<string, number> {
-        const counts = new Map<string, number>();
-        const [, ...others] = this.membership.getLiveMembers();
-        for (const member of others) {
-            for (const [upstream, count] of Object.entries(member.in_flight)) {
-                counts.set(upstream, (counts.get(upstream) ?? 0) + count);
-            }
+function sumCounts(
+    members: readonly Member[],
+    getCounts: (member: Member) => Readonly<Record<string, number>>,
+): ReadonlyMap<string, number> {
+    const sums = new Map<string, number>();
+    for (const member of members) {
+        for (const [name, count] of Object.entries(getCounts(member))) {
+            sums.set(name, (sums.get(name) ?? 0) + count);
         }
-        return counts;
     }
+    return sums;
 }
--- a/packages/daemon/src/process/workGate.ts
+++ b/packages/daemon/src/process/workGate.ts
@@ -2,8 +2,14 @@
  * The gate before a model or service: what runs, what waits, what is refused.
  * The decisions are pure; this file keeps the counts and wakes those that waited.
  */
-import { type AdmissionDecision, chooseAdmission, FairQueue, type QueuedRequest } from "@crankfork/decisions";
-import type { ClassBound } from "@crankfork/schemas";
+import {
+    type AdmissionDecision,
+    chooseAdmission,
+    ClassRoom,
+    FairQueue,
+    type QueuedRequest,
+} from "@crankfork/decisions";
+import type { ClassBound, PriorityClass } from "@crankfork/schemas";
 import type VError from "verror";
 import { createCallerFault } from "../request/callerFault.js";
 
@@ -37,24 +43,24 @@
 /** What runs and waits for one model or service at this instance. */
 export class WorkGate {
     private readonly queue = new FairQueue<WaitingRequest>();
-    private running = 0;
+    private readonly room = new ClassRoom();
     private msPerToken = 0;
     private startMs = 0;
 
     /**
      * @param name - model or service, for errors
      * @param queueLimit - most requests that wait
-     * @param getSlots - this instance's share of what may run now
+     * @param computeSlots - this instance's share of what may run now, from its own demand
      */
     constructor(
         private readonly name: string,
         private readonly queueLimit: number,
-        private readonly getSlots: () => number,
+        private readonly computeSlots: (ownDemand: number) => number,
     ) {}
 
     /** Requests that run now. */
     get runningRequests(): number {
-        return this.running;
+        return this.room.size;
     }
 
     /** Requests that wait now. */
@@ -62,6 +68,11 @@
         return this.queue.length;
     }
 
+    /** Requests that run or wait now. */
+    get demand(): number {
+        return this.room.size + this.queue.length;
+    }
+
     /**
      * Waits for a turn.
      * @param request - the request
@@ -72,7 +83,7 @@
         const decision = this.decide(request);
         switch (decision.kind) {
             case "run":
-                this.running += 1;
+                this.room.recordStart(request.priority);
                 return;
             case "wait":
                 await this.wait(request);
@@ -99,10 +110,11 @@
 
     /**
      * Ends a request that ran, and lets the next ones run.
+     * @param priority - its class
      * @param usage - what it took
      */
-    leave(usage: GateUsage): void {
-        this.running -= 1;
+    leave(priority: PriorityClass, usage: GateUsage): void {
+        this.room.recordEnd(priority);
         if (usage.tokens > 0) {
             this.msPerToken = smooth(this.msPerToken, usage.durationMs / usage.tokens);
         }
@@ -114,24 +126,22 @@
 
     /** Lets requests run where slots have become free. */
     startWaiting(): void {
-        while (this.running < this.getSlots()) {
-            const next = this.queue.pop();
-            if (next === undefined) {
-                return;
-            }
-            this.running += 1;
+        const slots = this.computeSlots(this.demand);
+        const mayStart = (priority: PriorityClass): boolean => this.room.countFree(priority, slots) > 0;
+        for (let next = this.queue.pop(mayStart); next !== undefined; next = this.queue.pop(mayStart)) {
+            this.room.recordStart(next.priority);
             next.start();
         }
     }
 
     private decide(request: GateRequest): AdmissionDecision {
-        const slots = this.getSlots();
+        const slots = this.computeSlots(this.demand + 1);
         return chooseAdmission({
-            tokensAhead: this.queue.countTokensAhead(request.priority),
+            tokensAhead: this.queue.countTokensAhead(request),
             promptTokens: request.promptTokens,
             tokensPerSecond: this.msPerToken === 0 ? 0 : slots * 1_000 / this.msPerToken,
             startMs: this.startMs,
-            freeSlots: Math.max(0, slots - this.running),
+            freeSlots: this.room.countFree(request.priority, slots),
             waitingRequests: this.queue.length,
             queueLimit: this.queueLimit,
             deadlineMs: request.deadlineMs,
--- a/packages/daemon/src/request/modelRequest.ts
+++ b/packages/daemon/src/request/modelRequest.ts
@@ -149,7 +149,8 @@
         return await generateAnswer(checked, functions.getPipeline(model), bound.first_token_ms, signal, usage);
     }
     finally {
-        gate.leave(usage.get());
+        const used = usage.get();
+        gate.leave(caller.priority, { ...used, tokens: used.tokens === 0 ? 0 : used.tokens + promptTokens.length });
     }
 }
 
--- a/packages/daemon/src/request/serviceRequest.ts
+++ b/packages/daemon/src/request/serviceRequest.ts
@@ -118,7 +118,7 @@
     }
     finally {
         const durationMs = performance.now() - startedMs;
-        gate.leave({ tokens: 1, durationMs, firstTokenMs: durationMs });
+        gate.leave(caller.priority, { tokens: 1, durationMs, firstTokenMs: durationMs });
     }
 }
 
--- a/packages/daemon/src/version/slotShare.ts
+++ b/packages/daemon/src/version/slotShare.ts
@@ -1,11 +1,8 @@
 /**
- * How much of the upstreams' slots one entry may use.
+ * How many requests fit into the upstreams of a version at once, over all entries.
  */
 import type { Configuration, Model, Service } from "@crankfork/schemas";
 
-/** Part of its fair share that an entry may use beyond it, since entries are seldom all busy. */
-const OVERCOMMIT = 1.5;
-
 /**
  * Computes how many requests of a model fit into its pipelines at once: those of the narrowest stage.
  * @param configuration - the version in force
@@ -37,13 +34,3 @@
         .filter((upstream) => service.upstreams.includes(upstream.name))
         .reduce((sum, upstream) => sum + upstream.slots, 0);
 }
-
-/**
- * Computes one entry's share of slots.
- * @param slots - slots over all entries
- * @param entries - live entries
- * @returns at least one
- */
-export function computeShare(slots: number, entries: number): number {
-    return entries <= 1 ? slots : Math.max(1, Math.ceil(slots * OVERCOMMIT / entries));
-}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -14,6 +14,7 @@
     isExactTiling,
     type RouteStage,
 } from "./request/chooseRoute.js";
+export { ClassRoom } from "./request/classRoom.js";
 export { computeLoadScore, type LoadView } from "./request/computeLoadScore.js";
 export { FairQueue, type QueuedRequest } from "./request/fairQueue.js";
 export {
@@ -22,4 +23,5 @@
     type PlacementResult,
     splitLayers,
 } from "./version/computePlacement.js";
+export { computeShare, type ShareView } from "./version/computeShare.js";
 export { createPlan, formatDifferences, type PlanningResult } from "./version/createPlan.js";
--- a/packages/decisions/src/request/fairQueue.ts
+++ b/packages/decisions/src/request/fairQueue.ts
@@ -19,8 +19,11 @@
 interface OrganisationQueue<Request> {
     readonly organisation: string;
     readonly requests: Request[];
+    readonly weight: number;
     /** Virtual time at which its next request starts. */
     startTag: number;
+    /** Virtual time at which its last request will have ended. */
+    finishTag: number;
 }
 
 /** One in this many dispatches goes to the lowest class that waits, whatever else waits. */
@@ -29,23 +32,17 @@
 class ClassQueue<Request extends QueuedRequest> {
     private readonly byOrganisation = new Map<string, OrganisationQueue<Request>>();
     private readonly heap = new Heap<OrganisationQueue<Request>>((left, right) => left.startTag - right.startTag);
+    /** Where organisations that wait no more would go on; forgotten once nobody waits. */
     private readonly finishTags = new Map<string, number>();
     private virtualTime = 0;
+    private weight = 0;
     tokens = 0;
     length = 0;
 
     push(request: Request): void {
-        const known = this.byOrganisation.get(request.organisation);
-        if (known === undefined) {
-            // An organisation that was idle starts at the present time: it saves up no share.
-            const startTag = Math.max(this.virtualTime, this.finishTags.get(request.organisation) ?? 0);
-            const queue = { organisation: request.organisation, requests: [request], startTag };
-            this.byOrganisation.set(request.organisation, queue);
-            this.heap.push(queue);
-        }
-        else {
-            known.requests.push(request);
-        }
+        const queue = this.byOrganisation.get(request.organisation) ?? this.createQueue(request);
+        queue.requests.push(request);
+        queue.finishTag += request.tokens / queue.weight;
         this.tokens += request.tokens;
         this.length += 1;
     }
@@ -57,9 +54,14 @@
             return undefined;
         }
         this.virtualTime = queue.startTag;
-        queue.startTag += request.tokens / request.weight;
-        this.requeue(queue);
+        queue.startTag += request.tokens / queue.weight;
         this.count(request);
+        if (queue.requests.length > 0) {
+            this.heap.push(queue);
+        }
+        else {
+            this.removeQueue(queue);
+        }
         return request;
     }
 
@@ -70,24 +72,46 @@
             return false;
         }
         queue.requests.splice(at, 1);
+        queue.finishTag -= request.tokens / queue.weight;
+        this.count(request);
         if (queue.requests.length === 0) {
             this.heap.remove(queue, (left, right) => left === right);
-            this.byOrganisation.delete(queue.organisation);
+            this.removeQueue(queue);
         }
-        this.count(request);
         return true;
     }
 
-    private requeue(queue: OrganisationQueue<Request>): void {
-        if (queue.requests.length > 0) {
-            this.heap.push(queue);
-            return;
-        }
+    /** Until its turn comes, every organisation that waits is served as far as its own last request's tag. */
+    countTokensAhead(request: QueuedRequest): number {
+        const queue = this.byOrganisation.get(request.organisation);
+        const tag = queue?.finishTag ?? this.getRestingTag(request.organisation);
+        const weight = this.weight + (queue === undefined ? request.weight : 0);
+        return Math.min(this.tokens, (tag - this.virtualTime) * weight);
+    }
+
+    private createQueue(request: Request): OrganisationQueue<Request> {
+        const { organisation, weight } = request;
+        const tag = this.getRestingTag(organisation);
+        const queue = { organisation, weight, requests: [], startTag: tag, finishTag: tag };
+        this.byOrganisation.set(organisation, queue);
+        this.heap.push(queue);
+        this.weight += weight;
+        return queue;
+    }
+
+    /** An organisation that was idle starts at the present time: it saves up no share. */
+    private getRestingTag(organisation: string): number {
+        return Math.max(this.virtualTime, this.finishTags.get(organisation) ?? 0);
+    }
+
+    private removeQueue(queue: OrganisationQueue<Request>): void {
         this.byOrganisation.delete(queue.organisation);
+        this.weight -= queue.weight;
         this.finishTags.set(queue.organisation, queue.startTag);
-        if (this.length <= 1) {
+        if (this.length === 0) {
             // Nobody waits any more, so nobody is owed anything.
             this.finishTags.clear();
+            this.weight = 0;
         }
     }
 
@@ -117,10 +141,11 @@
 
     /**
      * Takes the request that is served next.
-     * @returns the request, or undefined where none waits
+     * @param mayStart - whether a class has room now; all have where left out
+     * @returns the request, or undefined where none waits that may start
      */
-    pop(): Request | undefined {
-        const waiting = priorityClasses.filter((name) => this.getClass(name).length > 0);
+    pop(mayStart: (priority: PriorityClass) => boolean = () => true): Request | undefined {
+        const waiting = priorityClasses.filter((name) => this.getClass(name).length > 0 && mayStart(name));
         const isFloorTurn = waiting.length > 1 && (this.dispatches + 1) % FLOOR_EVERY === 0;
         const name = isFloorTurn ? waiting.at(-1) : waiting[0];
         if (name === undefined) {
@@ -140,13 +165,14 @@
     }
 
     /**
-     * Counts the tokens that would be served before a new request of a class.
-     * @param priority - the class
-     * @returns tokens of this class and of more pressing ones
+     * Counts the tokens that would be served before a new request.
+     * @param request - the request, not added yet
+     * @returns tokens of more pressing classes, and of its own class what goes before it by fair shares
      */
-    countTokensAhead(priority: PriorityClass): number {
-        const upTo = priorityClasses.indexOf(priority);
-        return priorityClasses.slice(0, upTo + 1).reduce((sum, name) => sum + this.getClass(name).tokens, 0);
+    countTokensAhead(request: QueuedRequest): number {
+        const before = priorityClasses.slice(0, priorityClasses.indexOf(request.priority));
+        const pressing = before.reduce((sum, name) => sum + this.getClass(name).tokens, 0);
+        return pressing + this.getClass(request.priority).countTokensAhead(request);
     }
 
     private getClass(name: PriorityClass): ClassQueue<Request> {
--- a/packages/decisions/tests/fairQueue.test.ts
+++ b/packages/decisions/tests/fairQueue.test.ts
@@ -81,15 +81,25 @@
         expect(rest.filter((name) => name === "b")).to.have.length(2);
     });
 
-    it("counts the tokens that go before a class", () => {
+    it("counts the tokens of more pressing classes as going before a request", () => {
         const queue = new FairQueue<QueuedRequest>();
         queue.push(create("a", 5, "urgent"));
         queue.push(create("a", 7));
         queue.push(create("a", 9, "narrative"));
-        const counts = (["urgent", "interactive", "narrative"] as const).map((name) => queue.countTokensAhead(name));
+        const counts = (["urgent", "interactive", "narrative"] as const)
+            .map((name) => queue.countTokensAhead(create("a", 1, name)));
         expect(counts).to.deep.equal([5, 12, 21]);
     });
 
+    it("counts nothing of another organisation's backlog beyond the turns they take in between", () => {
+        const queue = new FairQueue<QueuedRequest>();
+        Array.from({ length: 50 }, () => queue.push(create("heavy")));
+        queue.push(create("light"));
+        expect(queue.countTokensAhead(create("heavy"))).to.equal(510);
+        expect(queue.countTokensAhead(create("light"))).to.equal(20);
+        expect(queue.countTokensAhead(create("new"))).to.equal(0);
+    });
+
     it("loses and doubles no request, whatever is pushed, popped and removed", () => {
         const request = fc.record({
             organisation: fc.constantFrom("a", "b", "c"),
@@ -126,7 +136,7 @@
                 }
                 const rest = popAll(queue);
                 expect(rest.every((one) => inside.delete(one)) && inside.size === 0).to.equal(true);
-                expect(queue.countTokensAhead("narrative")).to.equal(0);
+                expect(queue.countTokensAhead(create("a", 1, "narrative"))).to.equal(0);
             }),
             { seed: 4_711, numRuns: 300 },
         );
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -4,10 +4,20 @@
     type Intent,
     intentSchema,
     type Placement,
+    type PriorityClass,
+    priorityClasses,
     type Upstream,
 } from "@crankfork/schemas";
 import { expect } from "chai";
-import { computePlacement, createPlan, isExactTiling, splitLayers } from "../src/index.js";
+import {
+    ClassRoom,
+    computePlacement,
+    computeShare,
+    createPlan,
+    isExactTiling,
+    type ShareView,
+    splitLayers,
+} from "../src/index.js";
 
 const engine = (name: string, speed: number, memory_layers: number, failure_domain = "local"): Upstream => ({
     name,
@@ -132,3 +142,55 @@
         expect(isExactTiling(stages, 12)).to.equal(true);
     });
 });
+
+describe("slots are shared out to entries partly evenly, mostly by demand", () => {
+    const rows: readonly { readonly title: string; readonly view: ShareView; readonly share: number; }[] = [
+        { title: "an entry alone has all", view: { slots: 80, entries: 1, ownDemand: 0, othersDemand: 0 }, share: 80 },
+        {
+            title: "without demand all is even",
+            view: { slots: 80, entries: 8, ownDemand: 0, othersDemand: 0 },
+            share: 11,
+        },
+        {
+            title: "equal demand is even too",
+            view: { slots: 80, entries: 8, ownDemand: 10, othersDemand: 70 },
+            share: 11,
+        },
+        {
+            title: "an idle entry keeps a quarter of its even share",
+            view: { slots: 80, entries: 8, ownDemand: 0, othersDemand: 70 },
+            share: 3,
+        },
+        {
+            title: "the only busy one is lent the rest",
+            view: { slots: 80, entries: 8, ownDemand: 50, othersDemand: 0 },
+            share: 69,
+        },
+        { title: "there is always one", view: { slots: 1, entries: 8, ownDemand: 0, othersDemand: 9 }, share: 1 },
+    ];
+    for (const { title, view, share } of rows) {
+        it(title, () => {
+            expect(computeShare(view)).to.equal(share);
+        });
+    }
+});
+
+describe("running requests of less pressing classes don't stand in the way", () => {
+    const rows: readonly {
+        readonly title: string;
+        readonly running: readonly PriorityClass[];
+        readonly free: readonly number[];
+    }[] = [
+        { title: "nothing runs", running: [], free: [3, 3, 3] },
+        { title: "narrative fills the slots", running: ["narrative", "narrative", "narrative"], free: [3, 3, 0] },
+        { title: "urgent fills the slots", running: ["urgent", "urgent", "urgent"], free: [0, 0, 0] },
+        { title: "a mixture", running: ["urgent", "interactive", "narrative"], free: [2, 1, 0] },
+    ];
+    for (const { title, running, free } of rows) {
+        it(title, () => {
+            const room = new ClassRoom();
+            running.forEach((priority) => room.recordStart(priority));
+            expect(priorityClasses.map((priority) => room.countFree(priority, 3))).to.deep.equal(free);
+        });
+    }
+});
--- a/packages/scenarios/src/bench/control.ts
+++ b/packages/scenarios/src/bench/control.ts
@@ -241,6 +241,7 @@
             configuration_version: 0,
             revision: 0,
             in_flight: {},
+            demand: {},
         };
         const membership: Membership = new Membership({
             self,
--- a/packages/scenarios/src/bench/loadLoop.ts
+++ b/packages/scenarios/src/bench/loadLoop.ts
@@ -164,12 +164,15 @@
 
     /** A clerk sends the slip again and again until its end is known. */
     private async sendSlip(slip: string): Promise<void> {
+        const startedMs = performance.now();
         while (!this.isStopped) {
             const answer = await this.world.callService(this.chooseEntry(), slip, { "idempotency-key": slip })
                 .catch(() => undefined);
             const { error } = (answer?.body ?? {}) as { error?: { id: string; outcome: string; }; };
             const isFinal = answer?.status === 200 || error?.id === "owner-lost" || error?.id === "upstream-lost";
             if (isFinal) {
+                const nowMs = performance.now();
+                this.lastBadMs = nowMs - startedMs > this.bounds.firstTokenMs ? nowMs : this.lastBadMs;
                 return;
             }
             this.recordBad();
--- a/packages/scenarios/src/bench/main.ts
+++ b/packages/scenarios/src/bench/main.ts
@@ -4,6 +4,7 @@
 import cac from "cac";
 import { runControlBench } from "./control.js";
 import { runPathBench } from "./path.js";
+import { runPolicyBench } from "./policy/bench.js";
 import { runRecoveryBench } from "./recovery.js";
 import { type Bench, writeRows } from "./row.js";
 import { runStepsBench } from "./steps.js";
@@ -13,6 +14,7 @@
     ["steps", runStepsBench],
     ["recovery", runRecoveryBench],
     ["control", runControlBench],
+    ["policy", runPolicyBench],
 ]);
 
 interface MainOptions {
--- /dev/null
+++ b/packages/scenarios/src/bench/policy/bench.ts
@@ -0,0 +1,215 @@
+/**
+ * The decisions under load, against baselines, by seed.
+ */
+import { computeShare } from "@crankfork/decisions";
+import { defaultClassBounds, type PriorityClass, priorityClasses } from "@crankfork/schemas";
+import type { Bench, BenchRow } from "../row.js";
+import { computeQuantiles } from "../row.js";
+import type { PolicySettings } from "./entry.js";
+import { type PolicyPlan, type PolicyRun, type PolicySample, runPolicy } from "./run.js";
+
+/** Even shares, half as much again: what the product did before it lent by demand. */
+const computeEvenShare: PolicySettings["share"] = ({ slots, entries }) => Math.ceil(slots * 1.5 / entries);
+
+const policies: readonly PolicySettings[] = [
+    { name: "crankfork", gate: "admission", selection: "score", share: computeShare },
+    { name: "random", gate: "none", selection: "random", share: computeShare },
+    { name: "round-robin", gate: "none", selection: "round-robin", share: computeShare },
+    { name: "least-own-in-flight", gate: "none", selection: "own-in-flight", share: computeShare },
+    { name: "fifo-no-refusal", gate: "queue", selection: "score", share: computeShare },
+    { name: "even-shares", gate: "admission", selection: "score", share: computeEvenShare },
+];
+
+/** The product's gate with other ways to select: the paper's idea and its rivals. */
+const selections: readonly PolicySettings[] = [
+    { name: "own-counts", gate: "admission", selection: "own-in-flight", share: computeShare },
+    { name: "reports-as-they-come", gate: "admission", selection: "report", share: computeShare },
+    { name: "clamp-an-entry", gate: "admission", selection: "clamp", share: computeShare },
+    { name: "clamp-all-entries", gate: "admission", selection: "clamp-all", share: computeShare },
+];
+
+const cedarlineLoads = [0.5, 1, 1.5, 2, 3];
+const cedarlineMix: Readonly<Record<PriorityClass, number>> = { urgent: 0.1, interactive: 0.7, narrative: 0.2 };
+const LENGTH_MS = 12_000;
+/** The beginning is left out: nothing is measured yet. */
+const WARM_UP_MS = 3_000;
+const WINDOW_MS = 500;
+
+const dust = { startMs: 4_000, endMs: 9_000, failureMs: 6_000, lengthMs: 14_000 } as const;
+
+const plans: readonly PolicyPlan[] = [
+    ...cedarlineLoads.map((load) => ({
+        name: `cedarline-${String(load)}`,
+        entries: 8,
+        lengthMs: LENGTH_MS,
+        computeLoads: () => scaleMix(cedarlineMix, load),
+        failureMs: undefined,
+    })),
+    {
+        name: "umwuka-dust",
+        entries: 8,
+        lengthMs: dust.lengthMs,
+        computeLoads: (nowMs) => {
+            const isDust = nowMs >= dust.startMs && nowMs < dust.endMs;
+            return { urgent: isDust ? 0.7 : 0.05, interactive: 0.2, narrative: 0.9 };
+        },
+        failureMs: dust.failureMs,
+    },
+];
+
+/** Measures policies; at least five seeds, from the given one on. */
+export const runPolicyBench: Bench = async ({ seed, repeats }) => {
+    const rows: BenchRow[] = [];
+    for (const plan of plans) {
+        for (const policy of [...policies, ...selections]) {
+            const figures: PolicyFigures[] = [];
+            for (let offset = 0; offset < repeats; offset += 1) {
+                figures.push(computeFigures(plan, await runPolicy(plan, policy, seed + offset)));
+            }
+            rows.push(...createRows(plan.name, policy.name, figures));
+        }
+    }
+    return rows;
+};
+
+interface PolicyFigures {
+    readonly completedWithinBound: number;
+    readonly urgentP99OverBound: number;
+    readonly interactiveP95Ms: number;
+    readonly leastShareOverFair: number;
+    readonly refused: number;
+    readonly backWithinBoundsS: number;
+}
+
+function computeFigures(plan: PolicyPlan, run: PolicyRun): PolicyFigures {
+    const samples = run.samples.filter(({ request }) => request.arrivedMs >= WARM_UP_MS);
+    const seconds = (plan.lengthMs - WARM_UP_MS) / 1_000;
+    const isInTime = ({ outcome }: PolicySample): boolean =>
+        outcome.endedMs >= WARM_UP_MS && outcome.endedMs < plan.lengthMs;
+    const good = run.samples.filter((sample) => isInTime(sample) && isWithinBound(sample));
+    const offered = sumTokens(samples) / seconds;
+    const urgent = selectFirstTokens(samples, "urgent");
+    return {
+        // Below the limit the offered load is all there is to complete.
+        completedWithinBound: sumTokens(good) / seconds / Math.min(run.limit, offered),
+        urgentP99OverBound: computeQuantiles(urgent).p99 / defaultClassBounds.urgent.first_token_ms,
+        interactiveP95Ms: computeQuantiles(selectFirstTokens(samples, "interactive")).p95,
+        leastShareOverFair: computeLeastShare(samples),
+        refused: samples.filter(({ outcome }) => outcome.kind === "refused").length / samples.length,
+        backWithinBoundsS: computeBackSeconds(plan, run.samples),
+    };
+}
+
+function isWithinBound({ request, outcome }: PolicySample): boolean {
+    const bound = defaultClassBounds[request.priority];
+    return outcome.kind === "finished" && outcome.firstTokenMs <= bound.first_token_ms
+        && outcome.meanGapMs <= bound.between_tokens_ms;
+}
+
+function selectFirstTokens(samples: readonly PolicySample[], priority: PriorityClass): readonly number[] {
+    return samples
+        .filter(({ request, outcome }) => request.priority === priority && outcome.kind === "finished")
+        .map(({ outcome }) => outcome.firstTokenMs);
+}
+
+/**
+ * The least share over its fair one, among organisations that did not get all they asked for. Shares are fair inside a
+ * class; classes in which next to nothing is served, because more pressing ones take all, are left out.
+ */
+function computeLeastShare(samples: readonly PolicySample[]): number {
+    const all = sumTokens(samples.filter(isWithinBound));
+    const ratios = priorityClasses.map((priority) => {
+        const ofClass = samples.filter(({ request }) => request.priority === priority);
+        return sumTokens(ofClass.filter(isWithinBound)) < all * LEAST_CLASS_PART ? 1 : computeLeastShareOf(ofClass);
+    });
+    return Math.min(...ratios);
+}
+
+/** Part of all tokens that a class must have for its shares to mean something. */
+const LEAST_CLASS_PART = 0.1;
+
+function computeLeastShareOf(samples: readonly PolicySample[]): number {
+    const names = [...new Set(samples.map(({ request }) => request.organisation))];
+    const asked = names.map((name) => sumTokens(samples.filter(({ request }) => request.organisation === name)));
+    const got = names.map((name) =>
+        sumTokens(samples.filter((sample) => sample.request.organisation === name && isWithinBound(sample)))
+    );
+    const fair = computeMaxMinShares(asked, got.reduce((sum, tokens) => sum + tokens, 0));
+    const ratios = names.flatMap((_, index) => {
+        const [wanted = 0, received = 0, due = 0] = [asked[index], got[index], fair[index]];
+        return received < wanted * BACKLOG_SHARE ? [received / due] : [];
+    });
+    return Math.min(1, ...ratios);
+}
+
+/** Below this part of what it asked for, an organisation counts as having a backlog. */
+const BACKLOG_SHARE = 0.95;
+
+/** Shares so that nobody gets more than asked and the least is as large as can be. */
+function computeMaxMinShares(asked: readonly number[], total: number): readonly number[] {
+    const shares = asked.map(() => 0);
+    let left = total;
+    let open = asked.map((_, index) => index);
+    while (open.length > 0 && left > 1) {
+        const part = left / open.length;
+        for (const index of open) {
+            const given = Math.min(part, (asked[index] ?? 0) - (shares[index] ?? 0));
+            shares[index] = (shares[index] ?? 0) + given;
+            left -= given;
+        }
+        open = open.filter((index) => (asked[index] ?? 0) - (shares[index] ?? 0) > 1);
+    }
+    return shares;
+}
+
+/** The contract's bounds hold for 95 in 100. */
+const MOST_BAD_PART = 0.05;
+
+/** From the failure to the end of the last window in which urgent requests broke their bound. */
+function computeBackSeconds(plan: PolicyPlan, samples: readonly PolicySample[]): number {
+    const { failureMs } = plan;
+    if (failureMs === undefined) {
+        return 0;
+    }
+    let lastBadMs = failureMs;
+    for (let fromMs = failureMs; fromMs < plan.lengthMs; fromMs += WINDOW_MS) {
+        const window = samples.filter(({ request }) =>
+            request.priority === "urgent" && request.arrivedMs >= fromMs && request.arrivedMs < fromMs + WINDOW_MS
+        );
+        const bad = window.filter((sample) => !isWithinBound(sample));
+        if (bad.length > window.length * MOST_BAD_PART) {
+            lastBadMs = fromMs + WINDOW_MS;
+        }
+    }
+    return (lastBadMs - failureMs) / 1_000;
+}
+
+function createRows(scenario: string, policy: string, figures: readonly PolicyFigures[]): readonly BenchRow[] {
+    const mean = (get: (one: PolicyFigures) => number): number =>
+        figures.reduce((sum, one) => sum + get(one), 0) / figures.length;
+    const row = (metric: string, unit: string, value: number): BenchRow => ({
+        scenario,
+        policy,
+        metric,
+        unit,
+        value,
+        repeats: figures.length,
+    });
+    return [
+        row("completed-within-bound", "share of the limit", mean((one) => one.completedWithinBound)),
+        row("urgent-p99-over-bound", "ratio", mean((one) => one.urgentP99OverBound)),
+        row("interactive-first-token-p95", "ms", mean((one) => one.interactiveP95Ms)),
+        row("least-share-over-fair", "ratio", mean((one) => one.leastShareOverFair)),
+        row("refused", "share", mean((one) => one.refused)),
+        ...(scenario === "umwuka-dust" ? [row("back-within-bounds", "s", mean((one) => one.backWithinBoundsS))] : []),
+    ];
+}
+
+function scaleMix(mix: Readonly<Record<PriorityClass, number>>, load: number): Readonly<Record<PriorityClass, number>> {
+    const [urgent, interactive, narrative] = priorityClasses.map((name) => mix[name] * load);
+    return { urgent: urgent ?? 0, interactive: interactive ?? 0, narrative: narrative ?? 0 };
+}
+
+function sumTokens(samples: readonly PolicySample[]): number {
+    return samples.reduce((sum, { request }) => sum + request.outputTokens, 0);
+}
--- /dev/null
+++ b/packages/scenarios/src/bench/policy/worker.ts
@@ -0,0 +1,173 @@
+/**
+ * A worker of the policy bench as functions: continuous batching, slots, priorities, lagging reports.
+ */
+import { type PriorityClass, priorityClasses } from "@crankfork/schemas";
+
+/** A request as workers and entries of the bench see it. */
+export interface PolicyRequest {
+    readonly number: number;
+    readonly organisation: string;
+    readonly priority: PriorityClass;
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+    readonly arrivedMs: number;
+    readonly entry: number;
+}
+
+/** How a worker ends a request. */
+export interface WorkerHandlers {
+    readonly handleToken: (count: number) => void;
+    readonly handleEnd: () => void;
+    /** The worker died; what was generated so far is known. */
+    readonly handleLost: () => void;
+}
+
+interface WorkerJob {
+    readonly request: PolicyRequest;
+    readonly handlers: WorkerHandlers;
+    /** Prompt tokens that are still to be computed. */
+    prefillLeft: number;
+    generated: number;
+}
+
+/** Speed and size of a worker. */
+export interface WorkerSettings {
+    readonly name: string;
+    readonly speed: number;
+    readonly slots: number;
+}
+
+/** Time of a batch at speed 1, and what each running request and each prompt token add, in milliseconds. */
+export const batchCosts = { baseMs: 16, requestMs: 0.9, promptTokenMs: 0.08 } as const;
+/** Prompt tokens that one batch takes in. */
+const PREFILL_CHUNK = 256;
+const REPORT_EVERY_MS = 250;
+
+/** One worker. */
+export class PolicyWorker {
+    private running: WorkerJob[] = [];
+    private waiting: WorkerJob[] = [];
+    private isBusy = false;
+    private report = { count: 0, sampledMs: 0 };
+    private readonly timer: NodeJS.Timeout;
+    isDead = false;
+
+    /**
+     * @param settings - speed and slots
+     */
+    constructor(readonly settings: WorkerSettings) {
+        this.timer = setInterval(() => {
+            this.report = { count: this.running.length + this.waiting.length, sampledMs: performance.now() };
+        }, REPORT_EVERY_MS);
+    }
+
+    /** Its last report: requests there, and how old that is. */
+    get lastReport(): { readonly count: number; readonly sampledMs: number; } {
+        return this.report;
+    }
+
+    /** Ends its clock. */
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    /**
+     * Takes a request.
+     * @param request - the request
+     * @param generated - tokens that it has from another worker
+     * @param handlers - told of each token and of the end
+     */
+    add(request: PolicyRequest, generated: number, handlers: WorkerHandlers): void {
+        const job = { request, handlers, generated, prefillLeft: request.promptTokens + generated };
+        this.waiting.push(job);
+        this.startBatch();
+    }
+
+    /** Dies with all that it runs. */
+    kill(): void {
+        this.isDead = true;
+        this.stop();
+        const lost = [...this.running, ...this.waiting];
+        this.running = [];
+        this.waiting = [];
+        lost.forEach((job) => job.handlers.handleLost());
+    }
+
+    private startBatch(): void {
+        if (this.isBusy || this.isDead) {
+            return;
+        }
+        this.grantSlots();
+        if (this.running.length === 0) {
+            return;
+        }
+        this.isBusy = true;
+        setTimeout(() => {
+            this.isBusy = false;
+            if (!this.isDead) {
+                this.endBatch();
+                this.startBatch();
+            }
+        }, this.computeBatchMs());
+    }
+
+    /** The most pressing first; a running one gives way to a more pressing one and goes on later. */
+    private grantSlots(): void {
+        const all = [...this.running, ...this.waiting].sort((left, right) =>
+            rankOf(left) - rankOf(right) || left.request.number - right.request.number
+        );
+        if (this.waiting.length > 0) {
+            this.running = all.slice(0, this.settings.slots);
+            this.waiting = all.slice(this.settings.slots);
+        }
+    }
+
+    private computeBatchMs(): number {
+        const prompt = this.running.reduce((sum, job) => sum + Math.min(job.prefillLeft, PREFILL_CHUNK), 0);
+        const { baseMs, requestMs, promptTokenMs } = batchCosts;
+        const chunk = Math.min(prompt, PREFILL_CHUNK);
+        return (baseMs + this.running.length * requestMs + chunk * promptTokenMs) / this.settings.speed;
+    }
+
+    private endBatch(): void {
+        let chunk = PREFILL_CHUNK;
+        const ended: WorkerJob[] = [];
+        for (const job of this.running) {
+            if (job.prefillLeft > 0) {
+                const taken = Math.min(chunk, job.prefillLeft);
+                job.prefillLeft -= taken;
+                chunk -= taken;
+            }
+            if (job.prefillLeft === 0) {
+                job.generated += 1;
+                job.handlers.handleToken(job.generated);
+                if (job.generated >= job.request.outputTokens) {
+                    ended.push(job);
+                }
+            }
+        }
+        this.running = this.running.filter((job) => !ended.includes(job));
+        ended.forEach((job) => job.handlers.handleEnd());
+    }
+}
+
+/**
+ * Computes what a worker can do at most while its tokens keep their bound.
+ * @param settings - the worker
+ * @param betweenTokensMs - the bound
+ * @param promptShare - prompt tokens for each generated token
+ * @returns generated tokens a second
+ */
+export function computeWorkerLimit(settings: WorkerSettings, betweenTokensMs: number, promptShare: number): number {
+    let best = 0;
+    for (let running = 1; running <= settings.slots; running += 1) {
+        const { baseMs, requestMs, promptTokenMs } = batchCosts;
+        const batchMs = (baseMs + running * (requestMs + promptShare * promptTokenMs)) / settings.speed;
+        best = batchMs <= betweenTokensMs ? Math.max(best, running / batchMs * 1_000) : best;
+    }
+    return best;
+}
+
+function rankOf(job: WorkerJob): number {
+    return priorityClasses.indexOf(job.request.priority);
+}
--- a/packages/scenarios/src/bench/recovery.ts
+++ b/packages/scenarios/src/bench/recovery.ts
@@ -61,10 +61,13 @@
     try {
         await startWorld(world, scenario);
         const backSeconds: number[] = [];
+        const leaderSeconds: number[] = [];
         const sums = { broken: 0, doubled: 0, effects: 0, finished: 0 };
         for (let repeat = 0; repeat < repeats; repeat += 1) {
             const loop = new LoadLoop(world, bounds);
-            backSeconds.push(await measureOnce(world, scenario, loop));
+            const { backMs, leaderMs } = await measureOnce(world, scenario, loop);
+            backSeconds.push(backMs / 1_000);
+            leaderSeconds.push(leaderMs / 1_000);
             const counts = loop.getCounts();
             sums.broken += counts.broken;
             sums.doubled += counts.doubled;
@@ -84,6 +87,7 @@
             row("back-within-bounds-p50", "s", p50),
             row("back-within-bounds-p95", "s", p95),
             row("back-within-bounds-max", "s", max),
+            row("leader-there-again-max", "s", Math.max(...leaderSeconds)),
             row("answers-finished", "count", sums.finished),
             row("answers-broken", "count", sums.broken),
             row("answers-doubled", "count", sums.doubled),
@@ -95,18 +99,26 @@
     }
 }
 
-async function measureOnce(world: World, scenario: RecoveryScenario, loop: LoadLoop): Promise<number> {
+interface RecoveryTimes {
+    readonly backMs: number;
+    /** Until a living replica says that it leads; 0 where the leader lived on. */
+    readonly leaderMs: number;
+}
+
+async function measureOnce(world: World, scenario: RecoveryScenario, loop: LoadLoop): Promise<RecoveryTimes> {
     loop.start(CALLERS);
     await delay(WARM_UP_MS);
     const failedMs = performance.now();
     const mend = await scenario.fail(world);
+    await world.cluster.waitFor("a leader", async () => await findLeader(world) !== "");
+    const leaderMs = performance.now() - failedMs;
     await delay(AFTER_MS);
     const backMs = loop.getBackMs(failedMs);
     await loop.stop();
     await mend();
     await world.cluster.waitReady();
     await world.cluster.waitHolding(world.engines.size);
-    return backMs / 1_000;
+    return { backMs, leaderMs };
 }
 
 async function startWorld(world: World, scenario: RecoveryScenario): Promise<void> {
@@ -153,7 +165,8 @@
 }
 
 function readRoles(world: World): Promise<readonly { readonly name: string; readonly role: string | undefined; }[]> {
-    return Promise.all([...world.cluster.entries.keys()].map(async (name) => {
+    const living = [...world.cluster.entries].filter(([, entry]) => entry.process.isRunning);
+    return Promise.all(living.map(async ([name]) => {
         const { body } = await world.cluster.askOperators(name, "GET", "/v1/status");
         return { name, role: statusSchema.parse(body).replica?.role };
     }));
--- /dev/null
+++ b/packages/scenarios/src/demo/standIns.ts
@@ -0,0 +1,19 @@
+/**
+ * `npm run stand-ins`: the upstreams that `examples/single-intent.toml` names, until it is interrupted.
+ */
+import { startStandIn } from "../harness/processes.js";
+
+const FIRST_PORT = 9_101;
+const model_layers = { "teller-llm": 12 };
+
+const standIns = await Promise.all([
+    startStandIn("engine", { name: "engine-1", port: FIRST_PORT, model_layers }),
+    startStandIn("engine", { name: "engine-2", port: FIRST_PORT + 1, model_layers }),
+    startStandIn("service", { port: FIRST_PORT + 2 }),
+]);
+standIns.forEach(({ address }) => {
+    console.log(`listening on ${address}`);
+});
+process.on("SIGINT", () => {
+    void Promise.all(standIns.map((standIn) => standIn.process.kill())).then(() => process.exit(0));
+});
--- a/packages/schemas/src/member.ts
+++ b/packages/schemas/src/member.ts
@@ -23,6 +23,8 @@
     revision: z.int().nonnegative(),
     /** Requests in flight from this instance, by upstream. */
     in_flight: z.record(z.string(), z.int().nonnegative()),
+    /** Requests that run or wait at this instance, by model or service. */
+    demand: z.record(z.string(), z.int().nonnegative()),
 });
 
 /** Messages of the membership protocol. */
