Caches move when an engine gives a run up; time line as a page; proofs of not-run and of a lost disk

Cause: an engine that leaves in a hurry cost a new prefill, and a draft that may not be repeated ended unknown; refusals under load, without engines and while stopping had no proof by the upstreams' own record; nor had a lost disk. Measured: the engines' own counts show layers x (prompt + tokens - 1) positions, none twice, with the first or last stage evicted, also for a run that may not be repeated.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -4,7 +4,7 @@
  */
 import { parseToml, settingsSchema } from "@crankfork/schemas";
 import cac from "cac";
-import { readFileSync } from "node:fs";
+import { readFileSync, writeFileSync } from "node:fs";
 import {
     changeVoters,
     type CommandOptions,
@@ -22,6 +22,7 @@
 } from "./commands.js";
 import { OperatorError } from "./operatorClient.js";
 import { formatTimeline, readTimeline, type TimelineFilter } from "./timeline.js";
+import { formatTimelineHtml } from "./timelineHtml.js";
 
 /** Exit codes; docs/API.md lists them. */
 const exitCodes = { failed: 1, badInput: 2 } as const;
@@ -68,6 +69,7 @@
     .option("--version-number <number>", "only this configuration version")
     .option("--instance <name>", "only this instance or peer")
     .option("--step <name>", "only this step")
+    .option("--html <file>", "write one page with a lane for each instance")
     .action((files: string[], options: SharedOptions & TimelineFilter & { versionNumber?: string; }) =>
         run(() => {
             printTimeline(files, options);
@@ -166,10 +168,18 @@
     return version;
 }
 
-function printTimeline(files: string[], options: TimelineFilter & { versionNumber?: string; json?: boolean; }): void {
-    const { versionNumber, ...filter } = options;
+function printTimeline(
+    files: string[],
+    options: TimelineFilter & { versionNumber?: string; json?: boolean; html?: string; },
+): void {
+    const { versionNumber, html, ...filter } = options;
     const wanted = versionNumber === undefined ? filter : { ...filter, version: versionNumber };
     const events = readTimeline(files, wanted);
+    if (html !== undefined) {
+        writeFileSync(html, formatTimelineHtml(events));
+        process.stdout.write(`${html}: ${String(events.length)} events\n`);
+        return;
+    }
     const text = options.json === true ? JSON.stringify(events, undefined, 4) : formatTimeline(events);
     process.stdout.write(`${text}\n`);
 }
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -451,6 +451,7 @@
         budget.recordRequest();
         return {
             chooseRoute: (target, avoided) => this.upstreams.chooseRoute(target, avoided),
+            chooseReplacement: (target, stage, avoided) => this.upstreams.chooseReplacement(target, stage, avoided),
             getUpstream: (name) => this.upstreams.get(name),
             recordFailure: (state, error) => {
                 this.upstreams.recordFailure(state, error);
--- a/packages/daemon/src/process/upstreamTable.ts
+++ b/packages/daemon/src/process/upstreamTable.ts
@@ -3,6 +3,7 @@
  */
 import {
     chooseCandidate,
+    chooseReplacement,
     chooseRoute,
     computeLoadScore,
     createHolderIndex,
@@ -119,13 +120,22 @@
      * @returns the stages, or undefined where no usable upstreams hold all layers
      */
     chooseRoute(model: Model, avoided: ReadonlySet<string>): readonly RouteStage[] | undefined {
-        const nowMs = performance.now();
-        const isUsable = (holder: Holder): boolean =>
-            !avoided.has(holder.upstream) && this.get(holder.upstream)?.isUsable(nowMs) === true;
-        const score = (holder: Holder): number => this.computeScore(holder.upstream, nowMs);
+        const { score, isUsable } = this.createHolderFunctions(avoided);
         return chooseRoute(this.getIndex(model), score, isUsable, this.functions.random);
     }
 
+    /**
+     * Chooses another upstream for one stage of a route.
+     * @param model - the model
+     * @param stage - the stage to replace
+     * @param avoided - upstreams that failed this request already
+     * @returns the stage elsewhere, or undefined where no usable upstream holds just its layers
+     */
+    chooseReplacement(model: Model, stage: RouteStage, avoided: ReadonlySet<string>): RouteStage | undefined {
+        const { score, isUsable } = this.createHolderFunctions(avoided);
+        return chooseReplacement(this.getIndex(model), stage, score, isUsable, this.functions.random);
+    }
+
     /**
      * Chooses an instance of a plain service.
      * @param names - its upstreams
@@ -157,6 +167,17 @@
         }
     }
 
+    private createHolderFunctions(avoided: ReadonlySet<string>): {
+        readonly score: (holder: Holder) => number;
+        readonly isUsable: (holder: Holder) => boolean;
+    } {
+        const nowMs = performance.now();
+        return {
+            score: (holder) => this.computeScore(holder.upstream, nowMs),
+            isUsable: (holder) => !avoided.has(holder.upstream) && this.get(holder.upstream)?.isUsable(nowMs) === true,
+        };
+    }
+
     private createState(upstream: Upstream): UpstreamState {
         const engine = upstream.kind === "engine" ? this.functions.createEngine(upstream) : undefined;
         const state = new UpstreamState(upstream, engine);
--- a/packages/daemon/src/request/pipelineRun.ts
+++ b/packages/daemon/src/request/pipelineRun.ts
@@ -15,6 +15,12 @@
 /** What a run needs from the process around it. */
 export interface PipelineFunctions {
     readonly chooseRoute: (model: Model, avoided: ReadonlySet<string>) => readonly RouteStage[] | undefined;
+    /** Chooses another upstream that holds just the layers of a stage. */
+    readonly chooseReplacement: (
+        model: Model,
+        stage: RouteStage,
+        avoided: ReadonlySet<string>,
+    ) => RouteStage | undefined;
     readonly getUpstream: (name: string) => UpstreamState | undefined;
     readonly recordFailure: (state: UpstreamState, error: ExchangeError) => void;
     /** Takes one retry out of the budget; false where it is spent. */
@@ -104,11 +110,41 @@
                 return await this.passThrough(route);
             }
             catch (error) {
-                this.handleFailure(error);
+                if (!(error instanceof StageFailure && await this.moveStage(route, error))) {
+                    this.handleFailure(error);
+                }
             }
         }
     }
 
+    /**
+     * Where an engine gives a run up but still has its cache, the cache goes on to another engine and the run with
+     * it: no position passes a layer twice. The stages before it keep the answer of the step that is sent again.
+     */
+    private async moveStage(route: readonly RouteStage[], failure: StageFailure): Promise<boolean> {
+        const { model, run } = this.request;
+        const { stage } = failure;
+        const source = this.functions.getUpstream(stage.upstream);
+        if (failure.reason !== "leaving" || this.position === 0 || source === undefined) {
+            return false;
+        }
+        this.avoided.add(stage.upstream);
+        const replacement = this.functions.chooseReplacement(model, stage, this.avoided);
+        const target = replacement === undefined ? undefined : this.functions.getUpstream(replacement.upstream);
+        if (replacement === undefined || target === undefined || !await moveCache(run, stage, source, target)) {
+            return false;
+        }
+        this.touched.add(target);
+        this.route = route.map((one) => one === stage ? replacement : one);
+        this.functions.record("stage-moved", {
+            request: run,
+            step: failure.step,
+            peer: stage.upstream,
+            to: replacement.upstream,
+        });
+        return true;
+    }
+
     /** Frees what the run holds at engines, whether it ended or was given up. */
     end(): void {
         for (const state of this.touched) {
@@ -268,3 +304,26 @@
         this.route = undefined;
     }
 }
+
+/** Returns false where the cache could not be had or delivered; the run is then routed anew. */
+async function moveCache(
+    run: string,
+    stage: RouteStage,
+    source: UpstreamState,
+    target: UpstreamState,
+): Promise<boolean> {
+    try {
+        const caches = await source.engine?.exportCache(run) ?? [];
+        const needed = caches.filter((cache) =>
+            cache.first_layer === stage.firstLayer && cache.end_layer === stage.endLayer
+        );
+        if (needed.length !== 1) {
+            return false;
+        }
+        await target.engine?.importCache(needed);
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -7,6 +7,7 @@
 export { type AdmissionDecision, chooseAdmission, type QueueView } from "./request/chooseAdmission.js";
 export { chooseCandidate } from "./request/chooseCandidate.js";
 export {
+    chooseReplacement,
     chooseRoute,
     createHolderIndex,
     type Holder,
--- a/packages/decisions/src/request/chooseRoute.ts
+++ b/packages/decisions/src/request/chooseRoute.ts
@@ -74,6 +74,28 @@
     return stages;
 }
 
+/**
+ * Chooses another holder of just the layers of one stage.
+ * @param index - the holders
+ * @param stage - the stage to replace
+ * @param computeScore - load of a holder; lower is better
+ * @param isUsable - whether a holder may be used now
+ * @param random - a number from 0 up to 1
+ * @returns the stage at another upstream, or undefined where there is none
+ */
+export function chooseReplacement(
+    index: HolderIndex,
+    stage: RouteStage,
+    computeScore: (holder: Holder) => number,
+    isUsable: (holder: Holder) => boolean,
+    random: () => number,
+): RouteStage | undefined {
+    const equals = (index.byFirstLayer.get(stage.firstLayer) ?? []).filter((holder) =>
+        holder.endLayer === stage.endLayer && holder.upstream !== stage.upstream && isUsable(holder)
+    );
+    return chooseCandidate(equals, computeScore, random);
+}
+
 /**
  * Tells whether stages are the layers of a model, each once and in order.
  * @param stages - the stages
--- a/packages/scenarios/src/engine/engine.ts
+++ b/packages/scenarios/src/engine/engine.ts
@@ -152,6 +152,14 @@
         return this.events.filter((event) => event.sequence > after);
     }
 
+    /**
+     * Gets the runs that were ever computed here.
+     * @returns their ids
+     */
+    getSeenRuns(): readonly string[] {
+        return [...this.runs.seen];
+    }
+
     /**
      * Gets counts for tests.
      * @returns the counts
@@ -167,7 +175,8 @@
     }
 
     private runStep(step: Step): Promise<StepAnswer["result"]> {
-        if (this.faults.leaving && !this.runs.has(step.run)) {
+        const isRefused = this.faults.evicting || (this.faults.leaving && !this.runs.has(step.run));
+        if (isRefused) {
             return Promise.resolve(LEAVING);
         }
         return new Promise((resolve) => {
--- a/packages/scenarios/src/engine/engineServer.ts
+++ b/packages/scenarios/src/engine/engineServer.ts
@@ -69,6 +69,9 @@
     app.get("/v1/counts", (_request, response) => {
         sendJson(response, engine.getCounts());
     });
+    app.get("/v1/seen", (_request, response) => {
+        sendJson(response, engine.getSeenRuns());
+    });
     app.get("/v1/events", (request, response) => {
         sendJson(response, engine.getEvents(Number(request.query.after ?? 0)));
     });
--- a/packages/scenarios/src/engine/engineSettings.ts
+++ b/packages/scenarios/src/engine/engineSettings.ts
@@ -45,6 +45,8 @@
     late_ms: z.number().nonnegative().default(0),
     /** Says that it leaves. */
     leaving: z.boolean().default(false),
+    /** Gives up the runs it has, too; their caches can still be exported. */
+    evicting: z.boolean().default(false),
 });
 
 /** Settings of a stand-in. */
--- a/packages/scenarios/src/engine/runTable.ts
+++ b/packages/scenarios/src/engine/runTable.ts
@@ -16,6 +16,8 @@
 /** All runs of one engine. */
 export class RunTable {
     private readonly runs = new Map<string, Map<string, RunState>>();
+    /** Every run that was ever computed, by the engine's own record. */
+    readonly seen = new Set<string>();
     /** Positions computed through one layer, over all runs: the engine's own count of work. */
     computed = 0;
 
@@ -117,6 +119,7 @@
     }
 
     private compute(step: Step, state: RunState): StepAnswer["result"] {
+        this.seen.add(step.run);
         const outputs = step.inputs.map((input, offset) => this.passLayers(step, state, step.position + offset, input));
         state.position = step.position + step.inputs.length;
         const isLast = step.end_layer === this.modelLayers[step.model];
--- a/packages/scenarios/tests/features/configuration.feature
+++ b/packages/scenarios/tests/features/configuration.feature
@@ -53,3 +53,16 @@
     Given 3 entries before 2 engines and 0 printers
     When an operator confirms 500 changes while all entries die at random points
     Then every entry comes back to the last confirmed version or a newer one
+
+  Scenario: a voter that lost its disk does not vote from an empty memory, and is replaced
+    Given 3 entries before 2 engines and 0 printers
+    And entry-3 loses its disk
+    And entry-2 is killed
+    When entry-3 starts again
+    Then entry-1 can't confirm anything
+    When entry-2 starts again
+    And all entries are ready
+    And an operator replaces the old replica of entry-3 by its new one at entry-1
+    And entry-2 is killed
+    And an operator confirms intent "second" at entry-1
+    Then version 2 is in force at every living entry
--- a/packages/scenarios/tests/steps/cluster.ts
+++ b/packages/scenarios/tests/steps/cluster.ts
@@ -1,4 +1,6 @@
 import { expect } from "chai";
+import { rmSync } from "node:fs";
+import { askPort } from "../../src/harness/cluster.js";
 import type { StepRegistry } from "../../src/harness/gherkin.js";
 import type { World } from "../../src/harness/world.js";
 
@@ -60,6 +62,57 @@
         await world.serve({ id: "first" });
     });
 
+    steps.define(
+        "{int} entries before 2 engines with links of {int} ms and {int} ms",
+        async (world, entries: number, first: number, second: number) => {
+            await world.startEngine("engine-1", { link_ms: first });
+            await world.startEngine("engine-2", { link_ms: second });
+            await startEntries(world, entries, entries);
+            await world.cluster.init();
+            await world.serve({ id: "first" });
+        },
+    );
+
+    steps.define(
+        "{int} entries before 2 slow engines of {int} slot(s)",
+        async (world, entries: number, slots: number) => {
+            await world.startEngine("engine-1", { slots, batch_ms: 20 });
+            await world.startEngine("engine-2", { slots, batch_ms: 20 });
+            await startEntries(world, entries, entries);
+            await world.cluster.init();
+            await world.serve({ id: "first", slots });
+        },
+    );
+
+    steps.define("{word} loses its disk", async (world, name: string) => {
+        const entry = world.cluster.get(name);
+        await entry.process.kill();
+        rmSync(entry.dataFolder, { recursive: true });
+    });
+
+    steps.define("all engines are killed", async (world) => {
+        await Promise.all([...world.engines.values()].map((engine) => engine.process.kill()));
+    });
+
+    steps.define("{word} knows that no engine is left", async (world, entry: string) => {
+        await world.cluster.waitFor("all engines to be unreachable", async () => {
+            const { body } = await world.cluster.askOperators(entry, "GET", "/v1/upstreams");
+            const rows = (body as { upstreams: { kind: string; state: string; }[]; }).upstreams;
+            return rows.every((row) => row.kind !== "engine" || row.state === "unreachable");
+        });
+    });
+
+    steps.define("{word} is draining and takes no more requests", async (world, name: string) => {
+        await world.cluster.askOperators(name, "POST", "/v1/drain");
+        const { callers } = world.cluster.get(name).addresses;
+        await world.cluster.waitFor("requests to be refused", async () => {
+            const { status } = await askPort(callers, "POST", "/v1/completions", "{}");
+            return status === 503;
+        });
+    });
+
+    steps.define("the model may run twice", () => undefined);
+
     steps.define("the model may not run twice", async (world) => {
         await world.serve({ id: "once", modelRepeatable: false });
     });
--- a/packages/scenarios/tests/steps/operators.ts
+++ b/packages/scenarios/tests/steps/operators.ts
@@ -12,6 +12,9 @@
     configuration_version: z.int(),
     replica: z.object({ role: z.string(), term: z.int() }).optional(),
 });
+const votersSchema = z.object({
+    replica: z.object({ replicas: z.object({ voters: z.array(z.object({ id: z.string() })) }) }),
+});
 const heldSchema = z.object({ holds: z.array(z.object({ version: z.string() })) });
 
 /** What operators did in one scenario. */
@@ -121,6 +124,32 @@
         expect([completion.errorId, completion.outcome]).to.deep.equal(["not-ready", "not-run"]);
     });
 
+    steps.define("{word} can't confirm anything", async (world, entry: string) => {
+        const body = JSON.stringify(world.createIntent({ id: "impossible", maxTokens: 200 }));
+        const answer = await world.cluster.askOperators(entry, "POST", "/v1/plans", body);
+        expect(refusalSchema.parse(answer.body).error.id).to.equal("no-quorum");
+    });
+
+    steps.define(
+        "an operator replaces the old replica of {word} by its new one at {word}",
+        async (world, lost: string, entry: string) => {
+            const { body } = await world.cluster.askOperators(entry, "GET", "/v1/status");
+            const { voters } = votersSchema.parse(body).replica.replicas;
+            const old = voters.find((voter) => voter.id.startsWith(`${lost}.`))?.id ?? "";
+            for (const change of [{ action: "add", name: lost }, { action: "remove", name: old }]) {
+                await world.cluster.waitFor(`${change.action} ${change.name}`, async () => {
+                    const answer = await world.cluster.askOperators(
+                        entry,
+                        "POST",
+                        "/v1/voters",
+                        JSON.stringify(change),
+                    );
+                    return answer.status === 200;
+                });
+            }
+        },
+    );
+
     steps.define("the leader is killed", async (world) => {
         await world.cluster.get(await findLeader(world)).process.kill();
     });
--- a/packages/scenarios/tests/steps/requests.ts
+++ b/packages/scenarios/tests/steps/requests.ts
@@ -1,5 +1,7 @@
+import { readTimeline } from "@crankfork/cli";
 import { expect } from "chai";
 import { type CompletionCall, computeExpectedText, streamCompletion } from "../../src/harness/caller.js";
+import { askPort } from "../../src/harness/cluster.js";
 import type { StepRegistry } from "../../src/harness/gherkin.js";
 import { createCallerHeaders, LAYERS, MODEL, ORGANISATION, type World } from "../../src/harness/world.js";
 import { getProcess } from "./cluster.js";
@@ -133,6 +135,7 @@
     );
 
     steps.define("{word} drops its answers", (world, name: string) => world.setFaults(name, { drop_answers: true }));
+    steps.define("{word} gives up all runs", (world, name: string) => world.setFaults(name, { evicting: true }));
     steps.define("{word} runs nothing", (world, name: string) => world.setFaults(name, { not_run: true }));
     steps.define("{word} is well again", (world, name: string) => world.setFaults(name, {}));
 
@@ -199,6 +202,81 @@
         },
     );
 
+    steps.define(
+        "a caller streams {int} tokens with key {string} from {word} and the busy engine number {int} evicts at token {int}",
+        async (world, tokens: number, key: string, entry: string, number: number, at: number) => {
+            const before = await countComputed(world);
+            const handleToken = async (count: number): Promise<void> => {
+                if (count === at) {
+                    const busy = await findBusyEngines(world);
+                    await world.setFaults(busy[number - 1] ?? "", { leaving: true, evicting: true });
+                }
+            };
+            world.completions = [
+                await streamCompletion({ ...createKeyedCall(world, entry, tokens, key), handleToken }),
+            ];
+            computedSince.set(world, await countComputed(world) - before);
+        },
+    );
+
+    steps.define("the time line of {word} has the event {word}", (world, entry: string, event: string) => {
+        const events = readTimeline([world.cluster.get(entry).logFile], {}).map((one) => one.event);
+        expect(events).to.include(event);
+    });
+
+    steps.define(
+        "no position passed a layer twice: {int} layers, {int} tokens and a prompt of {int}",
+        (world, layers: number, tokens: number, prompt: number) => {
+            // The last token is generated and never fed back.
+            expect(computedSince.get(world)).to.equal(layers * (prompt + tokens - 1));
+        },
+    );
+
+    steps.define(
+        "{int} other caller(s) keep(s) the engines busy from {word}",
+        async (world, callers: number, entry: string) => {
+            const started = Array.from({ length: callers }, (_, number) =>
+                new Promise<void>((resolve) => {
+                    const call = createCall(world, entry, 400, `busy caller ${String(number)}`);
+                    const handleToken = (): void => {
+                        resolve();
+                    };
+                    world.background.push(streamCompletion({ ...call, handleToken }).catch(() => undefined));
+                }));
+            await Promise.all(started);
+        },
+    );
+
+    steps.define("a caller asks {word} with a deadline of {int} ms", async (world, entry: string, deadline: number) => {
+        const call = createCall(world, entry, 3);
+        const headers = { ...call.headers, "x-deadline-ms": String(deadline) };
+        world.completions = [await streamCompletion({ ...call, headers, priority: "interactive" })];
+    });
+
+    steps.define(
+        "a caller streams {int} tokens from {word} that are never computed",
+        async (world, tokens: number, entry: string) => {
+            world.completions = [await streamCompletion(createCall(world, entry, tokens, "a refused caller"))];
+        },
+    );
+
+    steps.define("the stream is refused with {word}, not-run, and when to come back", (world, id: string) => {
+        const [completion] = world.completions;
+        expect([completion?.errorId, completion?.outcome, completion?.tokens]).to.deep.equal([id, "not-run", 0]);
+        expect(completion?.retryAfterMs).to.be.above(0);
+    });
+
+    steps.define("the engines have run no request {string}", async (world, name: string) => {
+        // Runs are counted by the engines themselves, by the id that the entry gave the refused request.
+        const refused = world.completions[0]?.requestId ?? name;
+        for (const engine of world.engines.values()) {
+            if (engine.process.isRunning) {
+                const { body } = await askPort(engine.address, "GET", "/v1/seen");
+                expect(body).to.not.include(refused);
+            }
+        }
+    });
+
     steps.define("the stream ends with outcome {word}", (world, outcome: string) => {
         expect(world.completions.map((one) => one.outcome)).to.deep.equal([outcome]);
     });
@@ -225,14 +303,23 @@
     return { ...call, headers: { ...call.headers, "idempotency-key": key } };
 }
 
+const computedSince = new WeakMap<World, number>();
+
+async function countComputed(world: World): Promise<number> {
+    const counts = await Promise.all([...world.engines.keys()].map((name) => world.getCounts(name)));
+    return counts.reduce((sum, count) => sum + count.computed, 0);
+}
+
+async function findBusyEngines(world: World): Promise<readonly string[]> {
+    const names = [...world.engines.keys()];
+    const counts = await Promise.all(names.map((name) => world.getCounts(name)));
+    return names.filter((_, index) => (counts[index]?.running ?? 0) > 0);
+}
+
 async function killBusyEngine(world: World): Promise<void> {
-    for (const [name, engine] of world.engines) {
-        if ((await world.getCounts(name)).running > 0) {
-            await engine.process.kill();
-            world.engines.delete(name);
-            return;
-        }
-    }
+    const [busy = ""] = await findBusyEngines(world);
+    await world.engines.get(busy)?.process.kill();
+    world.engines.delete(busy);
 }
 
 /** Creates a completion call of the usual organisation. */
