--- a/packages/coordination/src/process/election.ts
+++ b/packages/coordination/src/process/election.ts
@@ -9,6 +9,10 @@
 import { computeQuorum, getMonotonicMs, isVoter, type ReplicaContext, writeHardState } from "./replicaContext.js";
 import { appendAsLeader, sendAppendToAll } from "./replication.js";
 
+/** Parts of the election time after which one that came to nothing is tried again. */
+const LEAST_RETRY_SHARE = 0.25;
+const RETRY_SPREAD = 0.5;
+
 /**
  * Starts an election where no leader was heard for long enough.
  * @param context - the replica
@@ -20,7 +24,7 @@
         return;
     }
     role.send("timed-out");
-    resetPatience(context);
+    shortenPatience(context);
     context.leader = undefined;
     context.grants = new Set([options.self.id]);
     sendToVoters(context, { kind: "pre-vote", term: context.term + 1, ...getLastPosition(context) });
@@ -162,6 +166,16 @@
     context.patienceMs = context.options.timing.electionMs * (1 + context.options.functions.random());
 }
 
+/**
+ * An election that came to nothing, such as a split vote, is tried again soon. The least election time is for leaders
+ * that may still be there; that has passed already, and others grant their votes by their own clocks.
+ */
+function shortenPatience(context: ReplicaContext): void {
+    context.waitingSinceMs = getMonotonicMs();
+    const share = LEAST_RETRY_SHARE + RETRY_SPREAD * context.options.functions.random();
+    context.patienceMs = context.options.timing.electionMs * share;
+}
+
 function hasFreshLeader(context: ReplicaContext): boolean {
     if (context.role.get() === "leader") {
         return true;
@@ -192,7 +206,7 @@
     context.votedFor = context.options.self.id;
     context.leader = undefined;
     context.grants.clear();
-    resetPatience(context);
+    shortenPatience(context);
     writeHardState(context);
     const { term } = context;
     context.queue.runAfterSync(() => {
--- /dev/null
+++ b/packages/daemon/src/connection/answerCollector.ts
@@ -0,0 +1,40 @@
+/**
+ * Lets messages that answer a message at once travel back in its HTTP answer, in place of exchanges of their own.
+ */
+
+/** Collects messages to one peer while one of its messages is being handled. */
+export class AnswerCollector<Message> {
+    private current: { readonly to: string; readonly answers: Message[]; } | undefined;
+
+    /**
+     * Handles a message and collects what is sent to its sender meanwhile.
+     * @param from - the sender
+     * @param handle - handles the message, without waiting for anything
+     * @returns the answers
+     */
+    collect(from: string, handle: () => void): readonly Message[] {
+        const answers: Message[] = [];
+        this.current = { to: from, answers };
+        try {
+            handle();
+        }
+        finally {
+            this.current = undefined;
+        }
+        return answers;
+    }
+
+    /**
+     * Takes a message that is about to be sent.
+     * @param to - its addressee
+     * @param message - the message
+     * @returns false where it has to be sent by itself
+     */
+    take(to: string, message: Message): boolean {
+        if (this.current?.to !== to) {
+            return false;
+        }
+        this.current.answers.push(message);
+        return true;
+    }
+}
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -57,6 +57,8 @@
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: string | Buffer;
     readonly signal?: AbortSignal;
+    /** Called with the headers of the answer. */
+    readonly handleHeaders?: (headers: Dispatcher.ResponseData["headers"]) => void;
 }
 
 /**
@@ -92,6 +94,7 @@
     const timeout = AbortSignal.timeout(Math.ceil(timeoutMs));
     const signal = options.signal === undefined ? timeout : AbortSignal.any([options.signal, timeout]);
     const response = await sendRequest({ ...options, signal });
+    options.handleHeaders?.(response.headers);
     const text = await readText(response, options.peer, signal);
     if (response.statusCode >= 300) {
         throw new ExchangeError(
--- a/packages/daemon/src/connection/peerClient.ts
+++ b/packages/daemon/src/connection/peerClient.ts
@@ -4,7 +4,7 @@
 import { JSONRPCClient, type JSONRPCResponse } from "json-rpc-2.0";
 import type { Agent } from "undici";
 import { formatHybridTime, type HybridClock, parseHybridTime } from "../process/hybridClock.js";
-import { fetchJson, sendRequest } from "./httpClient.js";
+import { fetchJson } from "./httpClient.js";
 
 /** The header that carries hybrid logical time between instances. */
 export const CLOCK_HEADER = "x-crankfork-clock";
@@ -18,13 +18,16 @@
 
 /** Speaks to other instances. */
 export interface PeerClient {
-    /** Sends a message that nobody waits for; failures are left to the protocol above. */
-    readonly notify: (address: string, method: string, parameters: object) => void;
     /** Asks and waits for the result; rejects with ExchangeError or the peer's JSON-RPC error. */
     readonly ask: (address: string, method: string, parameters: object, timeoutMs: number) => Promise<unknown>;
+    /**
+     * Sends a message of a protocol that bears losses, and hands on the messages that answered it at once.
+     * Failures are left to the protocol.
+     */
+    readonly send: (address: string, method: string, parameters: object, handleAnswers: (raw: unknown) => void) => void;
 }
 
-const NOTIFY_TIMEOUT_MS = 2_000;
+const SEND_TIMEOUT_MS = 2_000;
 
 /**
  * Creates the client.
@@ -37,39 +40,27 @@
         [CLOCK_HEADER]: formatHybridTime(options.clock.get()),
         ...(options.secret === undefined ? {} : { authorization: `Bearer ${options.secret}` }),
     });
-    const notifyAsync = async (address: string, body: string): Promise<void> => {
-        const signal = AbortSignal.timeout(NOTIFY_TIMEOUT_MS);
-        const url = `http://${address}/rpc`;
-        const response = await sendRequest({
-            agent: options.agent,
-            peer: address,
-            url,
-            method: "POST",
-            headers: createHeaders(),
-            body,
-            signal,
+    const ask: PeerClient["ask"] = async (address, method, parameters, timeoutMs) => {
+        const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
+            const answer = await fetchJson({
+                agent: options.agent,
+                peer: address,
+                url: `http://${address}/rpc`,
+                method: "POST",
+                headers: createHeaders(),
+                body: JSON.stringify(payload),
+                handleHeaders: (headers) => {
+                    receiveClock(options.clock, headers[CLOCK_HEADER]);
+                },
+            }, timeoutMs);
+            client.receive(answer as JSONRPCResponse);
         });
-        receiveClock(options.clock, response.headers[CLOCK_HEADER]);
-        await response.body.dump();
+        return await (client.request(method, parameters) as Promise<unknown>);
     };
     return {
-        notify: (address, method, parameters) => {
-            const body = JSON.stringify({ jsonrpc: "2.0", method, params: parameters });
-            notifyAsync(address, body).catch(() => undefined);
-        },
-        ask: async (address, method, parameters, timeoutMs) => {
-            const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
-                const answer = await fetchJson({
-                    agent: options.agent,
-                    peer: address,
-                    url: `http://${address}/rpc`,
-                    method: "POST",
-                    headers: createHeaders(),
-                    body: JSON.stringify(payload),
-                }, timeoutMs);
-                client.receive(answer as JSONRPCResponse);
-            });
-            return await (client.request(method, parameters) as Promise<unknown>);
+        ask,
+        send: (address, method, parameters, handleAnswers) => {
+            ask(address, method, parameters, SEND_TIMEOUT_MS).then(handleAnswers).catch(() => undefined);
         },
     };
 }
--- a/packages/daemon/src/process/peerServer.ts
+++ b/packages/daemon/src/process/peerServer.ts
@@ -1,7 +1,6 @@
 /**
  * The port for other instances: JSON-RPC 2.0 over HTTP.
  */
-import type { Membership } from "@crankfork/coordination";
 import {
     awaitAnswerParametersSchema,
     type AwaitAnswerResult,
@@ -21,6 +20,7 @@
 import { CLOCK_HEADER, receiveClock } from "../connection/peerClient.js";
 import { hasSecret, readBody, sendJson } from "./httpServer.js";
 import { formatHybridTime, type HybridClock } from "./hybridClock.js";
+import type { PeerLink } from "./peerLink.js";
 import type { ReplicaHost } from "./replicaHost.js";
 
 /** What the port needs from the process. */
@@ -28,7 +28,7 @@
     readonly instance: string;
     readonly secret: string | undefined;
     readonly clock: HybridClock;
-    readonly membership: Membership;
+    readonly link: PeerLink;
     readonly host: ReplicaHost | undefined;
     readonly getConfiguration: () => Configuration;
     readonly changeVoters: (change: VoterChange) => Promise<ChangeVotersResult>;
@@ -71,13 +71,14 @@
 
 function createRpcServer(options: PeerServerOptions): JSONRPCServer {
     const server = new JSONRPCServer({ errorListener: () => undefined });
-    const { host, membership } = options;
+    const { host } = options;
     server.addMethod("member", (raw) => {
         const { from, message } = memberParametersSchema.parse(raw);
-        membership.receive(from, message);
+        return { answers: options.link.receiveMember(from, message) };
     });
     server.addMethod("replica", async (raw) => {
-        await host?.receive(replicaParametersSchema.parse(raw));
+        const envelope = replicaParametersSchema.parse(raw);
+        return { answers: await host?.receive(envelope) ?? [] };
     });
     server.addMethod("propose", async (raw): Promise<ProposeResult> => {
         const { command } = proposeParametersSchema.parse(raw);
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -10,9 +10,10 @@
     type ReplicaEvent,
     ReplicatedState,
 } from "@crankfork/coordination";
-import type { ReplicaAddress, ReplicaEnvelope } from "@crankfork/schemas";
+import type { ReplicaAddress, ReplicaEnvelope, ReplicaMessage } from "@crankfork/schemas";
 import { ulid } from "ulid";
 import { z } from "zod";
+import { AnswerCollector } from "../connection/answerCollector.js";
 
 const IDENTITY_FILE = "identity.json";
 const SNAPSHOT_EVERY = 2_000;
@@ -39,6 +40,7 @@
 export class ReplicaHost {
     readonly state: ReplicatedState;
     private current: Replica | undefined;
+    private readonly answers = new AnswerCollector<ReplicaEnvelope>();
 
     private constructor(
         private readonly options: ReplicaHostOptions,
@@ -95,17 +97,21 @@
     /**
      * Takes a message of another replica. The first one decides the cluster of a replica that has none.
      * @param envelope - the message
+     * @returns messages that answer it at once
      */
-    async receive(envelope: ReplicaEnvelope): Promise<void> {
+    async receive(envelope: ReplicaEnvelope): Promise<readonly ReplicaEnvelope[]> {
         if (envelope.to !== this.identity.replica) {
-            return;
+            return [];
         }
         if (this.identity.cluster === undefined) {
             await this.writeIdentity({ ...this.identity, cluster: envelope.cluster });
         }
-        if (this.identity.cluster === envelope.cluster) {
-            this.replica.receive(envelope.from, envelope.message);
+        if (this.identity.cluster !== envelope.cluster) {
+            return [];
         }
+        return this.answers.collect(envelope.from.id, () => {
+            this.replica.receive(envelope.from, envelope.message);
+        });
     }
 
     /** Stops the replica. */
@@ -122,9 +128,7 @@
             snapshotEvery: SNAPSHOT_EVERY,
             functions: {
                 send: (to, message) => {
-                    if (this.identity.cluster !== undefined) {
-                        options.send(to, { cluster: this.identity.cluster, from: this.self, to: to.id, message });
-                    }
+                    this.send(to, message);
                 },
                 random: options.random,
                 applyCommand: (command) => {
@@ -142,6 +146,17 @@
         });
     }
 
+    private send(to: ReplicaAddress, message: ReplicaMessage): void {
+        const { cluster } = this.identity;
+        if (cluster === undefined) {
+            return;
+        }
+        const envelope = { cluster, from: this.self, to: to.id, message };
+        if (!this.answers.take(to.id, envelope)) {
+            this.options.send(to, envelope);
+        }
+    }
+
     private async writeIdentity(identity: Identity): Promise<void> {
         await this.folder.replace(IDENTITY_FILE, Buffer.from(JSON.stringify(identity)));
         this.identity = identity;
--- a/packages/scenarios/tests/features/configuration.feature
+++ b/packages/scenarios/tests/features/configuration.feature
@@ -66,3 +66,18 @@
     And entry-2 is killed
     And an operator confirms intent "second" at entry-1
     Then version 2 is in force at every living entry
+
+  Scenario: operators' mistakes get a clear refusal and change nothing
+    Given an entry alone before 2 engines and 0 printers
+    Then entry-1 refuses each of these requests of an operator:
+      | path                    | body                                        | status | id             |
+      | /v1/plans               | {"id":                                      | 400    | broken-json    |
+      | /v1/plans               | {"id":"x","modles":[]}                      | 400    | bad-intent     |
+      | /v1/plans               | {"id":"x","models":[{"name":"m","layers":9}]} | 422  | cannot-place   |
+      | /v1/plans/none/confirm  | {}                                          | 404    | unknown-plan   |
+      | /v1/voters              | {"action":"promote","name":"x"}             | 400    | bad-body       |
+      | /v1/voters              | {"action":"add","name":"nobody"}            | 409    | voters-refused |
+      | /v1/voters              | {"action":"remove","name":"entry-1"}        | 409    | voters-refused |
+      | /v1/init                | {}                                          | 409    | cluster-exists |
+      | /v1/nothing             | {}                                          | 404    | unknown-path   |
+    And version 1 is in force at every entry
--- a/packages/scenarios/tests/steps/operators.ts
+++ b/packages/scenarios/tests/steps/operators.ts
@@ -9,7 +9,7 @@
 const confirmSchema = z.object({ version: z.int(), is_repeat: z.boolean() });
 const NOT_READY_ATTEMPTS = 12;
 const NOT_READY_EVERY_MS = 100;
-const refusalSchema = z.object({ error: z.object({ id: z.string(), details: z.array(z.string()) }) });
+const refusalSchema = z.object({ error: z.object({ id: z.string(), next: z.string(), details: z.array(z.string()) }) });
 const statusSchema = z.object({
     configuration_version: z.int(),
     replica: z.object({ role: z.string(), term: z.int() }).optional(),
@@ -156,6 +156,18 @@
         },
     );
 
+    steps.define(
+        "{word} refuses each of these requests of an operator:",
+        async (world, entry: string, table: readonly string[][]) => {
+            for (const [path = "", body = "", status = "", id = ""] of table.slice(1)) {
+                const answer = await world.cluster.askOperators(entry, "POST", path, body);
+                const { error } = refusalSchema.parse(answer.body);
+                expect([path, body, String(answer.status), error.id]).to.deep.equal([path, body, status, id]);
+                expect(error.next).to.have.length.above(0);
+            }
+        },
+    );
+
     steps.define("the leader is killed", async (world) => {
         await world.cluster.get(await findLeader(world)).process.kill();
     });
--- a/packages/schemas/src/peerMessage.ts
+++ b/packages/schemas/src/peerMessage.ts
@@ -8,10 +8,14 @@
 import { membershipMessageSchema } from "./member.js";
 import { replicaAddressSchema, replicaEnvelopeSchema, replicaSetSchema } from "./replicaMessage.js";
 
-/** Parameters of `member`, a notification. */
+/** Parameters of `member`. */
 export const memberParametersSchema = z.object({ from: addressSchema, message: membershipMessageSchema });
-/** Parameters of `replica`, a notification. */
+/** Result of `member`: messages that answer at once; others come by themselves. */
+export const memberResultSchema = z.object({ answers: z.array(membershipMessageSchema) });
+/** Parameters of `replica`. */
 export const replicaParametersSchema = replicaEnvelopeSchema;
+/** Result of `replica`: messages that answer at once; others come by themselves. */
+export const replicaResultSchema = z.object({ answers: z.array(replicaEnvelopeSchema) });
 /** Parameters of `propose`. */
 export const proposeParametersSchema = z.object({ command: commandSchema });
 
