--- a/packages/scenarios/src/harness/processes.ts
+++ b/packages/scenarios/src/harness/processes.ts
@@ -9,6 +9,20 @@
 
 const addressSchema = z.object({ address: z.string() });
 
+const running = new Set<ChildProcess>();
+
+/** Whatever ends this process, nothing that it started stays behind. */
+process.on("exit", () => {
+    running.forEach((child) => {
+        child.kill("SIGKILL");
+    });
+});
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => {
+        process.exit(1);
+    });
+}
+
 /** A process that was started here. */
 export class ManagedProcess {
     private constructor(readonly name: string, private readonly child: ChildProcess) {}
@@ -22,6 +36,8 @@
      */
     static start(name: string, script: string, processArguments: readonly string[]): ManagedProcess {
         const child = spawn(process.execPath, [script, ...processArguments], { stdio: ["ignore", "pipe", "inherit"] });
+        running.add(child);
+        child.once("exit", () => running.delete(child));
         return new ManagedProcess(name, child);
     }
 
