--- a/packages/coordination/src/process/election.ts
+++ b/packages/coordination/src/process/election.ts
@@ -19,12 +19,12 @@
  */
 export function startElectionIfDue(context: ReplicaContext): void {
     const { log, options, role } = context;
-    const isDue = getMonotonicMs() - context.waitingSinceMs >= context.patienceMs;
+    const isDue = getMonotonicMs() - context.electionTimerMs >= context.electionTimeoutMs;
     if (!isDue || role.get() === "leader" || !isVoter(log.getReplicas(), options.self.id)) {
         return;
     }
     role.send("timed-out");
-    shortenPatience(context);
+    resetRetryTimeout(context);
     context.leader = undefined;
     context.grants = new Set([options.self.id]);
     sendToVoters(context, { kind: "pre-vote", term: context.term + 1, ...getLastPosition(context) });
@@ -86,7 +86,7 @@
     const is_granted = message.term === context.term && isFree && isUpToDate(context, message);
     if (is_granted && context.votedFor === undefined) {
         context.votedFor = from.id;
-        resetPatience(context);
+        resetElectionTimeout(context);
         writeHardState(context);
     }
     const { term } = context;
@@ -161,19 +161,19 @@
  * Draws how long to wait for a leader the next time.
  * @param context - the replica
  */
-export function resetPatience(context: ReplicaContext): void {
-    context.waitingSinceMs = getMonotonicMs();
-    context.patienceMs = context.options.timing.electionMs * (1 + context.options.functions.random());
+export function resetElectionTimeout(context: ReplicaContext): void {
+    context.electionTimerMs = getMonotonicMs();
+    context.electionTimeoutMs = context.options.timing.electionMs * (1 + context.options.functions.random());
 }
 
 /**
  * An election that came to nothing, such as a split vote, is tried again soon. The least election time is for leaders
  * that may still be there; that has passed already, and others grant their votes by their own clocks.
  */
-function shortenPatience(context: ReplicaContext): void {
-    context.waitingSinceMs = getMonotonicMs();
+function resetRetryTimeout(context: ReplicaContext): void {
+    context.electionTimerMs = getMonotonicMs();
     const share = LEAST_RETRY_SHARE + RETRY_SPREAD * context.options.functions.random();
-    context.patienceMs = context.options.timing.electionMs * share;
+    context.electionTimeoutMs = context.options.timing.electionMs * share;
 }
 
 function hasFreshLeader(context: ReplicaContext): boolean {
@@ -206,7 +206,7 @@
     context.votedFor = context.options.self.id;
     context.leader = undefined;
     context.grants.clear();
-    shortenPatience(context);
+    resetRetryTimeout(context);
     writeHardState(context);
     const { term } = context;
     context.queue.runAfterSync(() => {
--- a/packages/coordination/src/process/membership.ts
+++ b/packages/coordination/src/process/membership.ts
@@ -157,8 +157,8 @@
     }
 
     private runPeriod(): void {
-        this.suspectSilent();
-        this.buryOldSuspects();
+        this.recordSuspects();
+        this.recordDead();
         const target = this.chooseTarget();
         if (target !== undefined) {
             this.sendProbe(target.address, target.id);
@@ -196,7 +196,7 @@
         const others = this.getOthersAlive().filter((member) => member.address !== exceptAddress);
         const chosen: Member[] = [];
         while (chosen.length < count && others.length > 0) {
-            chosen.push(...others.splice(this.drawIndex(others.length), 1));
+            chosen.push(...others.splice(this.chooseIndex(others.length), 1));
         }
         return chosen;
     }
@@ -221,7 +221,7 @@
     }
 
     /** What is still open from the last period has had a whole period, direct and indirect. */
-    private suspectSilent(): void {
+    private recordSuspects(): void {
         for (const { targetId } of this.openProbes.values()) {
             const record = targetId === undefined ? undefined : this.records.get(targetId);
             if (record?.member.status === "alive") {
@@ -235,7 +235,7 @@
         this.relays.clear();
     }
 
-    private buryOldSuspects(): void {
+    private recordDead(): void {
         const now = performance.now();
         const { suspicionMs } = this.options.timing;
         for (const [id, { member, statusSinceMs }] of this.records) {
@@ -268,17 +268,17 @@
             member.id
         );
         for (let last = ids.length - 1; last > 0; last -= 1) {
-            const drawn = this.drawIndex(last + 1);
+            const drawn = this.chooseIndex(last + 1);
             [ids[last], ids[drawn]] = [ids[drawn] ?? "", ids[last] ?? ""];
         }
         return ids;
     }
 
-    /** After a long cut each side has buried the other; the seeds bring them together again. */
+    /** After a long cut each side has declared the other dead; the seeds bring them together again. */
     private probeMissingSeed(): void {
         const known = new Set(this.getOthersAlive().map((member) => member.address));
         const missing = this.options.seeds.filter((seed) => seed !== this.self.address && !known.has(seed));
-        const seed = missing[this.drawIndex(missing.length)];
+        const seed = missing[this.chooseIndex(missing.length)];
         if (seed !== undefined) {
             this.sendProbe(seed, undefined);
         }
@@ -318,7 +318,7 @@
         }
     }
 
-    private drawIndex(count: number): number {
+    private chooseIndex(count: number): number {
         return Math.floor(this.options.functions.random() * count);
     }
 }
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -11,7 +11,7 @@
     handleTakeOver,
     handleVote,
     handleVoteAnswer,
-    resetPatience,
+    resetElectionTimeout,
     startElectionIfDue,
     stepDown,
 } from "./election.js";
@@ -98,7 +98,7 @@
             context.appliedIndex = stored.snapshot.index;
         }
         context.log.append(stored.entries);
-        resetPatience(context);
+        resetElectionTimeout(context);
         const tickMs = options.timing.heartbeatMs / TICKS_A_HEARTBEAT;
         replica.timer = setInterval(() => {
             replica.tick();
@@ -293,8 +293,8 @@
         leader: undefined,
         // A replica can't know whether it answered a leader just before it restarted.
         heardMs: now,
-        waitingSinceMs: now,
-        patienceMs: options.timing.electionMs,
+        electionTimerMs: now,
+        electionTimeoutMs: options.timing.electionMs,
         commitIndex: 0,
         appliedIndex: 0,
         grants: new Set(),
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -82,9 +82,9 @@
     /** When a leader was last heard, by the monotonic clock. */
     heardMs: number;
     /** Since when a leader is waited for, by the monotonic clock. */
-    waitingSinceMs: number;
+    electionTimerMs: number;
     /** How long to wait for a leader from then. */
-    patienceMs: number;
+    electionTimeoutMs: number;
     commitIndex: number;
     appliedIndex: number;
     /** Ids that granted the present vote or pre-vote. */
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -3,7 +3,7 @@
  */
 import type { LogPayload, ReplicaAddress, ReplicaMessageOf, Snapshot } from "@crankfork/schemas";
 import { applyCommits, applyUpTo, recordOwnSync } from "./commit.js";
-import { resetPatience, stepDown, stepDownIfNewer } from "./election.js";
+import { resetElectionTimeout, stepDown, stepDownIfNewer } from "./election.js";
 import {
     appendEntries,
     applyCompaction,
@@ -219,7 +219,7 @@
     }
     context.leader = leader;
     context.heardMs = getMonotonicMs();
-    resetPatience(context);
+    resetElectionTimeout(context);
 }
 
 function answerAfterSync(context: ReplicaContext, to: ReplicaAddress, sentMs: number, matchIndex: number): void {
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -16,7 +16,7 @@
 const replicas: ReplicaSet = { voters: [self, left, right], learners: [learner] };
 
 /** A replica whose peers are played by the test. */
-class Stage {
+class ScriptedPeers {
     readonly sent: { readonly to: string; readonly message: ReplicaMessage; }[] = [];
     readonly applied: unknown[] = [];
     replica!: Replica;
@@ -71,97 +71,97 @@
 
 describe("a replica", () => {
     let clock: InstalledClock;
-    let stage: Stage;
+    let peers: ScriptedPeers;
 
     beforeEach(() => {
         clock = FakeTimers.install({
             toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"],
         });
-        stage = new Stage(clock);
+        peers = new ScriptedPeers(clock);
     });
 
     afterEach(() => {
-        stage.replica.stop();
+        peers.replica.stop();
         clock.uninstall();
     });
 
     it("commits an entry of an earlier term only with one of its own (Raft, figure 8)", async () => {
-        await stage.start([{ index: 2, term: 0, payload: { kind: "command", command: "old" } }]);
-        await stage.elect();
-        stage.answerAppend(left, 2);
-        expect(stage.replica.getStatus().commitIndex).to.equal(0);
-        stage.answerAppend(left, 3);
-        expect([stage.replica.getStatus().commitIndex, stage.applied]).to.deep.equal([3, ["old"]]);
+        await peers.start([{ index: 2, term: 0, payload: { kind: "command", command: "old" } }]);
+        await peers.elect();
+        peers.answerAppend(left, 2);
+        expect(peers.replica.getStatus().commitIndex).to.equal(0);
+        peers.answerAppend(left, 3);
+        expect([peers.replica.getStatus().commitIndex, peers.applied]).to.deep.equal([3, ["old"]]);
     });
 
     it("has no lease the moment it wakes after a freeze, before any of its timers ran", async () => {
-        await stage.start();
-        await stage.elect();
-        stage.answerAppend(left, 2);
-        expect(stage.replica.hasNewestState()).to.equal(true);
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 2);
+        expect(peers.replica.hasNewestState()).to.equal(true);
         const now = performance.now();
         const thaw = stubNow(() => now + timing.electionMs);
-        expect(stage.replica.hasNewestState()).to.equal(false);
+        expect(peers.replica.hasNewestState()).to.equal(false);
         thaw();
     });
 
     it("has no lease before it committed in its own term", async () => {
-        await stage.start();
-        await stage.elect();
-        stage.answerAppend(left, 1);
-        expect(stage.replica.hasNewestState()).to.equal(false);
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 1);
+        expect(peers.replica.hasNewestState()).to.equal(false);
     });
 
     it("steps down when no quorum answers for an election time", async () => {
-        await stage.start();
-        await stage.elect();
-        stage.answerAppend(left, 2);
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 2);
         await clock.tickAsync(timing.electionMs + timing.heartbeatMs);
-        expect(stage.replica.getStatus().role).to.not.equal("leader");
+        expect(peers.replica.getStatus().role).to.not.equal("leader");
     });
 
     it("tells a proposer that the end is unknown when it loses leadership before the commit", async () => {
-        await stage.start();
-        await stage.elect();
-        stage.answerAppend(left, 2);
-        const proposed = stage.replica.propose("lost?");
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 2);
+        const proposed = peers.replica.propose("lost?");
         await clock.tickAsync(timing.electionMs + timing.heartbeatMs);
         expect(await proposed).to.deep.equal({ kind: "unknown" });
     });
 
     it("grants no vote right after its start, since it may have answered a leader before", async () => {
-        await stage.start();
-        stage.replica.receive(left, { kind: "vote", term: 9, last_index: 9, last_term: 9, is_transfer: false });
+        await peers.start();
+        peers.replica.receive(left, { kind: "vote", term: 9, last_index: 9, last_term: 9, is_transfer: false });
         await clock.tickAsync(10);
-        expect([stage.find("vote-answer", "left"), stage.term]).to.deep.equal([undefined, 0]);
+        expect([peers.find("vote-answer", "left"), peers.term]).to.deep.equal([undefined, 0]);
     });
 
     it("grants a vote at the leader's request even right after its start", async () => {
-        await stage.start();
-        stage.replica.receive(left, { kind: "vote", term: 9, last_index: 9, last_term: 9, is_transfer: true });
+        await peers.start();
+        peers.replica.receive(left, { kind: "vote", term: 9, last_index: 9, last_term: 9, is_transfer: true });
         await clock.tickAsync(10);
-        expect(stage.find("vote-answer", "left")?.is_granted).to.equal(true);
+        expect(peers.find("vote-answer", "left")?.is_granted).to.equal(true);
     });
 
     it("gives one vote a term", async () => {
-        await stage.start();
+        await peers.start();
         const message = { kind: "vote" as const, term: 9, last_index: 9, last_term: 9, is_transfer: true };
-        stage.replica.receive(left, message);
-        stage.replica.receive(right, message);
+        peers.replica.receive(left, message);
+        peers.replica.receive(right, message);
         await clock.tickAsync(10);
-        expect(stage.find("vote-answer", "right")?.is_granted).to.equal(false);
+        expect(peers.find("vote-answer", "right")?.is_granted).to.equal(false);
     });
 
     it("never asks for votes without being a voter", async () => {
-        await stage.start([], { voters: [left, right], learners: [self] });
+        await peers.start([], { voters: [left, right], learners: [self] });
         await clock.tickAsync(timing.electionMs * 10);
-        expect(stage.sent).to.deep.equal([]);
+        expect(peers.sent).to.deep.equal([]);
     });
 
     it("never asks for votes with an empty log, as after a lost disk", async () => {
-        await stage.start([], { voters: [], learners: [] });
+        await peers.start([], { voters: [], learners: [] });
         await clock.tickAsync(timing.electionMs * 10);
-        expect(stage.sent).to.deep.equal([]);
+        expect(peers.sent).to.deep.equal([]);
     });
 
     const changes: readonly { readonly title: string; readonly next: ReplicaSet; readonly kind: string; }[] = [
@@ -179,31 +179,31 @@
     ];
     for (const { title, next, kind } of changes) {
         it(`refuses a change of voters that is unsafe: ${title}`, async () => {
-            await stage.start();
-            await stage.elect();
-            stage.answerAppend(left, 2);
-            expect(await stage.replica.changeReplicas(next)).to.deep.equal({ kind: "refused", reason: kind });
+            await peers.start();
+            await peers.elect();
+            peers.answerAppend(left, 2);
+            expect(await peers.replica.changeReplicas(next)).to.deep.equal({ kind: "refused", reason: kind });
         });
     }
 
     it("refuses a second change before the first is committed", async () => {
-        await stage.start();
-        await stage.elect();
-        stage.answerAppend(left, 2);
-        void stage.replica.changeReplicas({ voters: [self, left], learners: [] });
-        expect(await stage.replica.changeReplicas(replicas)).to.deep.equal({
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 2);
+        void peers.replica.changeReplicas({ voters: [self, left], learners: [] });
+        expect(await peers.replica.changeReplicas(replicas)).to.deep.equal({
             kind: "refused",
             reason: "another-change-is-open",
         });
     });
 
     it("gives its lease up before it hands leadership over", async () => {
-        await stage.start();
-        await stage.elect();
-        stage.answerAppend(left, 2);
-        expect(stage.replica.handOver()?.id).to.equal("left");
-        expect(stage.replica.hasNewestState()).to.equal(false);
-        expect((await stage.replica.propose("late")).kind).to.equal("not-leader");
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 2);
+        expect(peers.replica.handOver()?.id).to.equal("left");
+        expect(peers.replica.hasNewestState()).to.equal(false);
+        expect((await peers.replica.propose("late")).kind).to.equal("not-leader");
     });
 });
 
--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -74,7 +74,7 @@
             await post("import", { caches }, statusTimeoutMs);
         },
         abandonSteps: () => {
-            batcher.abandon();
+            batcher.rejectAll();
         },
     };
 }
--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -77,7 +77,7 @@
     }
 
     /** Gives up all steps that wait. */
-    abandon(): void {
+    rejectAll(): void {
         this.calls.abort();
         this.calls = new AbortController();
         [...this.waiting.values()].forEach((one) => {
--- a/packages/daemon/src/process/control.ts
+++ b/packages/daemon/src/process/control.ts
@@ -26,7 +26,7 @@
 }
 
 /** Budget of one command to the voters. */
-const VOTERS_PATIENCE_MS = 3_000;
+const VOTERS_TIMEOUT_MS = 3_000;
 
 /** Membership, log and claims of one instance. */
 export class Control {
@@ -43,7 +43,7 @@
         const { settings, peers, log } = options;
         this.link = link;
         this.membership = this.createMembership();
-        this.voters = new Voters({ host, membership: this.membership, peers, patienceMs: VOTERS_PATIENCE_MS });
+        this.voters = new Voters({ host, membership: this.membership, peers, timeoutMs: VOTERS_TIMEOUT_MS });
         const { membership, voters } = this;
         this.claims = new ClaimKeeper({ instance: settings.instance.id, membership, voters, peers, log });
     }
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -121,12 +121,12 @@
         this.lifecycle.send("asked-to-stop");
         this.parts.control.membership.announceLeaving();
         this.parts.control.host?.replica.handOver();
-        await delay(timing.drain_notice);
+        await waitMs(timing.drain_notice);
         this.takesRequests = false;
         await this.waitUntilIdle(limits.drain);
         // It may have been elected again meanwhile.
         if (this.parts.control.host?.replica.handOver() !== undefined) {
-            await delay(timing.heartbeat);
+            await waitMs(timing.heartbeat);
         }
         this.lifecycle.send("drained");
         this.close();
@@ -161,7 +161,7 @@
         const { callerServer, control } = this.parts;
         const deadline = performance.now() + limitMs;
         while (callerServer.countOpen() + control.claims.size > 0 && performance.now() < deadline) {
-            await delay(DRAIN_POLL_MS);
+            await waitMs(DRAIN_POLL_MS);
         }
     }
 
@@ -335,6 +335,6 @@
     }
 }
 
-function delay(ms: number): Promise<void> {
+function waitMs(ms: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/daemon/src/process/inFlightGossip.ts
+++ b/packages/daemon/src/process/inFlightGossip.ts
@@ -43,13 +43,13 @@
         if (nowMs - this.refreshedMs >= REFRESH_MS) {
             this.refreshedMs = nowMs;
             const [, ...others] = this.membership.getLiveMembers();
-            this.inFlight = sumCounts(others, (member) => member.in_flight);
-            this.demand = sumCounts(others, (member) => member.demand);
+            this.inFlight = computeSums(others, (member) => member.in_flight);
+            this.demand = computeSums(others, (member) => member.demand);
         }
     }
 }
 
-function sumCounts(
+function computeSums(
     members: readonly Member[],
     getCounts: (member: Member) => Readonly<Record<string, number>>,
 ): ReadonlyMap<string, number> {
--- a/packages/daemon/src/process/upstreamTable.ts
+++ b/packages/daemon/src/process/upstreamTable.ts
@@ -163,7 +163,7 @@
         }
         state.circuit.recordFailure(performance.now());
         if (error.failure === "not-reached" && state.engine !== undefined) {
-            this.markLost(state);
+            this.recordLost(state);
         }
     }
 
@@ -242,7 +242,7 @@
             state.silentPolls += 1;
             const isRefused = error instanceof ExchangeError && error.failure === "not-reached";
             if (isRefused || state.silentPolls >= MOST_SILENT_POLLS) {
-                this.markLost(state);
+                this.recordLost(state);
             }
         }
         if (heldBefore !== JSON.stringify(state.holds)) {
@@ -251,7 +251,7 @@
         }
     }
 
-    private markLost(state: UpstreamState): void {
+    private recordLost(state: UpstreamState): void {
         if (state.reachability === "unreachable") {
             return;
         }
--- a/packages/daemon/src/process/voters.ts
+++ b/packages/daemon/src/process/voters.ts
@@ -21,7 +21,7 @@
     readonly membership: Membership;
     readonly peers: PeerClient;
     /** How long to look for a leader, in milliseconds. */
-    readonly patienceMs: number;
+    readonly timeoutMs: number;
 }
 
 const RETRY_MS = 40;
@@ -38,10 +38,10 @@
     /**
      * Gets a command into the log, wherever the leader is. All commands may be proposed again without harm.
      * @param command - the command
-     * @returns what applying it gave, or what is known of it when patience ends
+     * @returns what applying it gave, or what is known of it at the timeout
      */
     async propose(command: Command): Promise<CommandResult> {
-        const deadline = performance.now() + this.options.patienceMs;
+        const deadline = performance.now() + this.options.timeoutMs;
         let mayBeInLog = false;
         while (performance.now() < deadline) {
             const result = await this.proposeOnce(command, deadline - performance.now());
@@ -55,11 +55,11 @@
     }
 
     /**
-     * Asks the leader, inside its lease, for the newest configuration; looks for a leader while patience lasts.
+     * Asks the leader, inside its lease, for the newest configuration; looks for a leader until the timeout.
      * @returns the configuration, or undefined where no leader could say so
      */
     async getNewestConfiguration(): Promise<Configuration | undefined> {
-        const deadline = performance.now() + this.options.patienceMs;
+        const deadline = performance.now() + this.options.timeoutMs;
         for (;;) {
             const configuration = await this.askNewestConfiguration();
             if (configuration !== undefined || performance.now() >= deadline) {
@@ -79,7 +79,7 @@
             return undefined;
         }
         try {
-            const raw = await this.options.peers.ask(address, "getNewest", {}, this.options.patienceMs);
+            const raw = await this.options.peers.ask(address, "getNewest", {}, this.options.timeoutMs);
             const result = newestResultSchema.parse(raw);
             if (result.kind === "newest") {
                 return result.configuration;
@@ -114,7 +114,7 @@
         const { host, peers } = this.options;
         const role = host?.replica.getStatus().role;
         if (host !== undefined && role === "leader") {
-            return await withTimeout(host.replica.propose(command), timeoutMs);
+            return await awaitWithTimeout(host.replica.propose(command), timeoutMs);
         }
         const address = this.chooseAddress();
         if (address === undefined) {
@@ -152,7 +152,7 @@
     }
 }
 
-async function withTimeout(result: Promise<ProposeResult>, timeoutMs: number): Promise<ProposeResult> {
+async function awaitWithTimeout(result: Promise<ProposeResult>, timeoutMs: number): Promise<ProposeResult> {
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<ProposeResult>((resolve) => {
         timer = setTimeout(() => {
--- a/packages/daemon/src/process/workGate.ts
+++ b/packages/daemon/src/process/workGate.ts
@@ -5,7 +5,7 @@
 import {
     type AdmissionDecision,
     chooseAdmission,
-    ClassRoom,
+    ClassSlots,
     DrainMeter,
     FairQueue,
     type QueuedRequest,
@@ -42,7 +42,7 @@
 /** What runs and waits for one model or service at this instance. */
 export class WorkGate {
     private readonly queue = new FairQueue<WaitingRequest>();
-    private readonly room = new ClassRoom();
+    private readonly running = new ClassSlots();
     private readonly drains = new Map(priorityClasses.map((name) => [name, new DrainMeter()]));
     private readonly refusals = new RecentCount();
     private startMs = 0;
@@ -60,7 +60,7 @@
 
     /** Requests that run now. */
     get runningRequests(): number {
-        return this.room.size;
+        return this.running.size;
     }
 
     /** Requests that wait now. */
@@ -70,7 +70,7 @@
 
     /** Requests that run or wait now, and those refused of late: refusing must not make an entry seem idle. */
     get demand(): number {
-        return this.room.size + this.queue.length + Math.round(this.refusals.get(performance.now()));
+        return this.running.size + this.queue.length + Math.round(this.refusals.get(performance.now()));
     }
 
     /**
@@ -83,7 +83,7 @@
         const decision = this.decide(request);
         switch (decision.kind) {
             case "run":
-                this.room.recordStart(request.priority);
+                this.running.recordStart(request.priority);
                 return;
             case "wait":
                 await this.wait(request, decision.limitMs);
@@ -116,9 +116,9 @@
      * @param usage - what it took
      */
     leave(priority: PriorityClass, usage: GateUsage): void {
-        this.room.recordEnd(priority);
+        this.running.recordEnd(priority);
         if (usage.firstTokenMs !== undefined) {
-            this.startMs = smooth(this.startMs, usage.firstTokenMs);
+            this.startMs = computeRunningMean(this.startMs, usage.firstTokenMs);
         }
         this.startWaiting();
     }
@@ -126,9 +126,9 @@
     /** Lets requests run where slots have become free. */
     startWaiting(): void {
         const slots = this.computeSlots(this.demand);
-        const mayStart = (priority: PriorityClass): boolean => this.room.countFree(priority, slots) > 0;
+        const mayStart = (priority: PriorityClass): boolean => this.running.countFree(priority, slots) > 0;
         for (let next = this.queue.pop(mayStart); next !== undefined; next = this.queue.pop(mayStart)) {
-            this.room.recordStart(next.priority);
+            this.running.recordStart(next.priority);
             const isEmpty = this.queue.countWaiting(next.priority) === 0;
             this.getDrain(next.priority).recordDeparture(next.tokens, isEmpty, performance.now());
             next.start();
@@ -142,7 +142,7 @@
             ownTokens: request.tokens,
             msPerToken: this.getDrain(request.priority).getMsPerToken(performance.now()),
             startMs: this.startMs,
-            freeSlots: this.room.countFree(request.priority, slots),
+            freeSlots: this.running.countFree(request.priority, slots),
             waitingRequests: this.queue.length,
             queueLimit: this.queueLimit,
             deadlineMs: request.deadlineMs,
@@ -196,6 +196,6 @@
     }
 }
 
-function smooth(mean: number, value: number): number {
+function computeRunningMean(mean: number, value: number): number {
     return mean === 0 ? value : mean + SMOOTHING * (value - mean);
 }
--- a/packages/daemon/src/request/pipelineRun.ts
+++ b/packages/daemon/src/request/pipelineRun.ts
@@ -107,7 +107,7 @@
         for (;;) {
             const route = await this.getRoute();
             try {
-                return await this.passThrough(route);
+                return await this.runStages(route);
             }
             catch (error) {
                 if (!(error instanceof StageFailure && await this.moveStage(route, error))) {
@@ -153,7 +153,7 @@
         }
     }
 
-    private async passThrough(route: readonly RouteStage[]): Promise<NextToken> {
+    private async runStages(route: readonly RouteStage[]): Promise<NextToken> {
         let inputs: readonly number[] = this.tokens.slice(this.position);
         for (const stage of route) {
             const { result } = await this.runStage(stage, inputs);
--- a/packages/daemon/src/version/configurationInForce.ts
+++ b/packages/daemon/src/version/configurationInForce.ts
@@ -73,14 +73,14 @@
 function createView(configuration: Configuration): ConfigurationView {
     return {
         configuration,
-        organisations: mapByName(configuration.organisations),
-        models: mapByName(configuration.models),
-        services: mapByName(configuration.services),
-        upstreams: mapByName(configuration.upstreams),
+        organisations: createMapByName(configuration.organisations),
+        models: createMapByName(configuration.models),
+        services: createMapByName(configuration.services),
+        upstreams: createMapByName(configuration.upstreams),
         bounds: new Map(configuration.classes.map((bound) => [bound.class, bound])),
     };
 }
 
-function mapByName<Item extends { readonly name: string; }>(items: readonly Item[]): ReadonlyMap<string, Item> {
+function createMapByName<Item extends { readonly name: string; }>(items: readonly Item[]): ReadonlyMap<string, Item> {
     return new Map(items.map((item) => [item.name, item]));
 }
--- a/packages/daemon/tests/orderSender.test.ts
+++ b/packages/daemon/tests/orderSender.test.ts
@@ -14,7 +14,7 @@
 const placement = { upstream: "e", ...wanted };
 
 /** A leader, one engine, and what is sent to it. */
-class Scene {
+class LeaderAndEngine {
     readonly orders: Order[] = [];
     hasLease = true;
     term = 3;
@@ -53,11 +53,11 @@
 
 describe("orders leave only inside the lease, with the fence of the term", () => {
     let clock: ReturnType<typeof FakeTimers.install>;
-    let scene: Scene;
+    let setup: LeaderAndEngine;
 
     const start = (checksFence: boolean): void => {
-        scene = new Scene(checksFence);
-        scene.sender.start();
+        setup = new LeaderAndEngine(checksFence);
+        setup.sender.start();
     };
 
     beforeEach(() => {
@@ -65,14 +65,14 @@
     });
 
     afterEach(() => {
-        scene.sender.stop();
+        setup.sender.stop();
         clock.uninstall();
     });
 
     it("an engine that holds other layers is told what to hold", async () => {
         start(true);
         await clock.tickAsync(ROUND_MS);
-        expect(scene.orders).to.deep.equal([{
+        expect(setup.orders).to.deep.equal([{
             fence: { term: 3, index: 9 },
             life_ms: ORDER_LIFE_MS,
             holds: [wanted],
@@ -81,32 +81,32 @@
 
     it("one that holds them already is left alone", async () => {
         start(true);
-        scene.report([wanted]);
+        setup.report([wanted]);
         await clock.tickAsync(ROUND_MS * 5);
-        expect(scene.orders).to.deep.equal([]);
+        expect(setup.orders).to.deep.equal([]);
     });
 
     it("without a lease nothing is sent", async () => {
         start(true);
-        scene.hasLease = false;
+        setup.hasLease = false;
         await clock.tickAsync(ROUND_MS * 5);
-        expect(scene.orders).to.deep.equal([]);
+        expect(setup.orders).to.deep.equal([]);
     });
 
     it("an engine that does not check fences gets nothing before all older orders are void", async () => {
         start(false);
         await clock.tickAsync(LEASE_MS + ORDER_LIFE_MS);
-        expect(scene.orders).to.deep.equal([]);
+        expect(setup.orders).to.deep.equal([]);
         await clock.tickAsync(ROUND_MS * 2);
-        expect(scene.orders).to.have.length.above(0);
+        expect(setup.orders).to.have.length.above(0);
     });
 
     it("and again waits after the next change of leader", async () => {
         start(false);
         await clock.tickAsync(LEASE_MS + ORDER_LIFE_MS + ROUND_MS * 2);
-        scene.orders.length = 0;
-        scene.term = 5;
+        setup.orders.length = 0;
+        setup.term = 5;
         await clock.tickAsync(LEASE_MS + ORDER_LIFE_MS - ROUND_MS);
-        expect(scene.orders).to.deep.equal([]);
+        expect(setup.orders).to.deep.equal([]);
     });
 });
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -15,7 +15,7 @@
     isExactTiling,
     type RouteStage,
 } from "./request/chooseRoute.js";
-export { ClassRoom } from "./request/classRoom.js";
+export { ClassSlots } from "./request/classSlots.js";
 export { computeLoadScore, type LoadView } from "./request/computeLoadScore.js";
 export { DrainMeter } from "./request/drainMeter.js";
 export { FairQueue, type QueuedRequest } from "./request/fairQueue.js";
--- a/packages/decisions/src/request/classRoom.ts
+++ b/packages/decisions/src/request/classSlots.ts
@@ -6,7 +6,7 @@
 import { type PriorityClass, priorityClasses } from "@crankfork/schemas";
 
 /** Requests that run, by class. */
-export class ClassRoom {
+export class ClassSlots {
     private readonly running = new Map<PriorityClass, number>();
 
     /** Requests that run, of all classes. */
--- a/packages/decisions/src/request/computeLoadScore.ts
+++ b/packages/decisions/src/request/computeLoadScore.ts
@@ -30,12 +30,12 @@
  */
 export function computeLoadScore(view: LoadView): number {
     const counted = view.ownInFlight + view.othersInFlight;
-    const requests = view.reported === undefined ? counted : joinReport(view, view.reported, counted);
+    const requests = view.reported === undefined ? counted : mergeReport(view, view.reported, counted);
     return (requests + 1) / (view.slots * view.speed);
 }
 
 /** An old report gives way to the entries' own counts; a fresh one is corrected by what was sent since. */
-function joinReport(view: LoadView, reported: number, counted: number): number {
+function mergeReport(view: LoadView, reported: number, counted: number): number {
     const trust = 2 ** (-view.reportAgeMs / REPORT_HALF_LIFE_MS);
     const corrected = Math.max(reported + view.ownSinceReport, view.ownInFlight);
     return trust * corrected + (1 - trust) * counted;
--- a/packages/decisions/src/version/computePlacement.ts
+++ b/packages/decisions/src/version/computePlacement.ts
@@ -33,13 +33,13 @@
     present: readonly Placement[],
 ): PlacementResult {
     const engines = upstreams.filter((upstream) => upstream.kind === "engine");
-    const shares = shareEngines(models, engines, present);
+    const shares = splitEngines(models, engines, present);
     const placements: Placement[] = [];
     const faults: PlacementFault[] = [];
     for (const [index, model] of models.entries()) {
         const share = shares[index] ?? [];
         const kept = getKeptPlacements(model, share, present);
-        const computed = kept ?? placeModel(model, share);
+        const computed = kept ?? computeModelPlacement(model, share);
         placements.push(...computed);
         if (computed.length === 0) {
             faults.push({ model: model.name, neededLayers: model.layers, foundLayers: countMemory(share) });
@@ -82,7 +82,7 @@
 }
 
 /** Engines stay with the model they serve now; others go where the memory is shortest against the need. */
-function shareEngines(
+function splitEngines(
     models: readonly Model[],
     engines: readonly Upstream[],
     present: readonly Placement[],
@@ -112,11 +112,11 @@
         const engine = engines.find((candidate) => candidate.name === one.upstream);
         return engine !== undefined && one.end_layer - one.first_layer <= engine.memory_layers;
     });
-    const isWhole = kept.length === engines.length && coversLayers(kept, model.layers);
+    const isWhole = kept.length === engines.length && hasAllLayers(kept, model.layers);
     return fits && isWhole ? kept : undefined;
 }
 
-function coversLayers(placements: readonly Placement[], layers: number): boolean {
+function hasAllLayers(placements: readonly Placement[], layers: number): boolean {
     const reached = new Set([0]);
     const sorted = [...placements].sort((left, right) => left.first_layer - right.first_layer);
     for (const { first_layer, end_layer } of sorted) {
@@ -127,7 +127,7 @@
     return reached.has(layers);
 }
 
-function placeModel(model: Model, engines: readonly Upstream[]): readonly Placement[] {
+function computeModelPlacement(model: Model, engines: readonly Upstream[]): readonly Placement[] {
     const placements: Placement[] = [];
     let rest = [...engines].sort(compareEngines);
     for (;;) {
@@ -139,7 +139,7 @@
         placements.push(...createStages(model, pipeline, counts));
         rest = rest.filter((engine) => !pipeline.includes(engine));
     }
-    return placements.length === 0 ? [] : [...placements, ...doubleSlowStages(placements, rest, engines)];
+    return placements.length === 0 ? [] : [...placements, ...addSlowStageReplicas(placements, rest, engines)];
 }
 
 /** Takes engines of one failure domain where they suffice: hops inside it are short. */
@@ -176,7 +176,7 @@
     });
 }
 
-function doubleSlowStages(
+function addSlowStageReplicas(
     placements: readonly Placement[],
     rest: readonly Upstream[],
     engines: readonly Upstream[],
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -10,7 +10,7 @@
 } from "@crankfork/schemas";
 import { expect } from "chai";
 import {
-    ClassRoom,
+    ClassSlots,
     computePlacement,
     computeShare,
     createPlan,
@@ -188,7 +188,7 @@
     ];
     for (const { title, running, free } of rows) {
         it(title, () => {
-            const room = new ClassRoom();
+            const room = new ClassSlots();
             running.forEach((priority) => room.recordStart(priority));
             expect(priorityClasses.map((priority) => room.countFree(priority, 3))).to.deep.equal(free);
         });
--- a/packages/scenarios/src/bench/control.ts
+++ b/packages/scenarios/src/bench/control.ts
@@ -68,10 +68,10 @@
         }
         await cluster.init();
         await cluster.waitReady();
-        await delay(1_000);
+        await waitMs(1_000);
         const entries = [...cluster.entries.values()];
         const before = entries.map(readSample);
-        await delay(MEASURE_MS);
+        await waitMs(MEASURE_MS);
         const after = entries.map(readSample);
         const seconds = MEASURE_MS / 1_000;
         const shares = after.map((sample, index) =>
@@ -83,9 +83,9 @@
         const addedMib = entries.map((entry) => (readResidentKib(entry.process.id) - bareKib) / DOWN_TO_KIB);
         const scenario = `processes-${String(count)}`;
         return [
-            createRow(scenario, "processor-share-mean", "core", mean(shares), count),
+            createRow(scenario, "processor-share-mean", "core", computeMean(shares), count),
             createRow(scenario, "processor-share-max", "core", Math.max(...shares), count),
-            createRow(scenario, "written-mean", "KB/s", mean(rates) / 1_000, count),
+            createRow(scenario, "written-mean", "KB/s", computeMean(rates) / 1_000, count),
             createRow(scenario, "written-max", "KB/s", Math.max(...rates) / 1_000, count),
             createRow(scenario, "added-memory-max", "MiB", Math.max(...addedMib), count),
         ];
@@ -295,10 +295,10 @@
     return Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${String(id)}/status`, "utf8"))?.[1] ?? 0);
 }
 
-function mean(values: readonly number[]): number {
+function computeMean(values: readonly number[]): number {
     return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
-function delay(ms: number): Promise<void> {
+function waitMs(ms: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/scenarios/src/bench/path.ts
+++ b/packages/scenarios/src/bench/path.ts
@@ -111,7 +111,7 @@
     let position = 0;
     let firstTokenMs = 0;
     for (let count = 1; count <= TOKENS; count += 1) {
-        const token = await passEngines(engines, { run, position, inputs, signal });
+        const token = await runThroughEngines(engines, { run, position, inputs, signal });
         position += inputs.length;
         inputs = [token];
         firstTokenMs = count === 1 ? performance.now() - startedMs : firstTokenMs;
@@ -127,7 +127,7 @@
     readonly signal: AbortSignal;
 }
 
-async function passEngines(engines: readonly EngineFunctions[], step: DirectStep): Promise<number> {
+async function runThroughEngines(engines: readonly EngineFunctions[], step: DirectStep): Promise<number> {
     let { inputs } = step;
     const share = LAYERS / engines.length;
     for (const [index, engine] of engines.entries()) {
--- a/packages/scenarios/src/bench/policy/arrivals.ts
+++ b/packages/scenarios/src/bench/policy/arrivals.ts
@@ -60,7 +60,7 @@
             for (let one = 0; one < count; one += 1) {
                 const number = requests.length;
                 requests.push(
-                    drawRequest(plan, { number, arrivedMs: nowMs, priority: priority as PriorityClass }, draw),
+                    createRequest(plan, { number, arrivedMs: nowMs, priority: priority as PriorityClass }, draw),
                 );
             }
         }
@@ -77,7 +77,7 @@
     return () => (generator.next() >>> 0) / 2 ** 32;
 }
 
-function drawRequest(
+function createRequest(
     plan: PolicyPlan,
     known: Pick<PolicyRequest, "number" | "arrivedMs" | "priority">,
     draw: () => number,
@@ -85,20 +85,20 @@
     const drawBetween = (least: number, most: number): number => least + Math.floor(draw() * (most - least + 1));
     return {
         ...known,
-        entry: drawEntry(plan, known.arrivedMs, draw),
-        organisation: drawOrganisation(draw),
+        entry: chooseEntry(plan, known.arrivedMs, draw),
+        organisation: chooseOrganisation(draw),
         promptTokens: drawBetween(PROMPT.least, PROMPT.most),
         outputTokens: drawBetween(OUTPUT.least, OUTPUT.most),
     };
 }
 
 /** Once entry 0 is dead the balancer favours the next one. */
-function drawEntry(plan: PolicyPlan, nowMs: number, draw: () => number): number {
+function chooseEntry(plan: PolicyPlan, nowMs: number, draw: () => number): number {
     const first = plan.failureMs !== undefined && nowMs >= plan.failureMs ? 1 : 0;
     return draw() < FAVOURED_SHARE ? first : first + Math.floor(draw() * (plan.entries - first));
 }
 
-function drawOrganisation(draw: () => number): string {
+function chooseOrganisation(draw: () => number): string {
     let left = draw();
     const index = organisationShares.findIndex((share) => {
         left -= share;
--- a/packages/scenarios/src/bench/policy/bench.ts
+++ b/packages/scenarios/src/bench/policy/bench.ts
@@ -63,7 +63,7 @@
         workers,
         costs,
         lengthMs: LENGTH_MS,
-        computeLoads: () => scaleMix(cedarlineMix, load),
+        computeLoads: () => computeMix(cedarlineMix, load),
         failureMs: undefined,
     })),
     {
@@ -117,13 +117,13 @@
     const isInTime = ({ outcome }: PolicySample): boolean =>
         outcome.endedMs >= WARM_UP_MS && outcome.endedMs < plan.lengthMs;
     const good = run.samples.filter((sample) => isInTime(sample) && isWithinBound(sample));
-    const offered = sumTokens(samples) / seconds;
-    const urgent = selectFirstTokens(samples, "urgent");
+    const offered = countTokens(samples) / seconds;
+    const urgent = getFirstTokens(samples, "urgent");
     return {
         // Below the limit the offered load is all there is to complete.
-        completedWithinBound: sumTokens(good) / seconds / Math.min(run.limit, offered),
+        completedWithinBound: countTokens(good) / seconds / Math.min(run.limit, offered),
         urgentP99OverBound: computeQuantiles(urgent).p99 / defaultClassBounds.urgent.first_token_ms,
-        interactiveP95Ms: computeQuantiles(selectFirstTokens(samples, "interactive")).p95,
+        interactiveP95Ms: computeQuantiles(getFirstTokens(samples, "interactive")).p95,
         leastShareOverFair: computeLeastShare(samples),
         refused: samples.filter(({ outcome }) => outcome.kind === "refused").length / samples.length,
         backWithinBoundsS: computeBackSeconds(plan, run.samples),
@@ -136,7 +136,7 @@
         && outcome.meanGapMs <= bound.between_tokens_ms;
 }
 
-function selectFirstTokens(samples: readonly PolicySample[], priority: PriorityClass): readonly number[] {
+function getFirstTokens(samples: readonly PolicySample[], priority: PriorityClass): readonly number[] {
     return samples
         .filter(({ request, outcome }) => request.priority === priority && outcome.kind === "finished")
         .map(({ outcome }) => outcome.firstTokenMs);
@@ -147,10 +147,10 @@
  * class; classes in which next to nothing is served, because more pressing ones take all, are left out.
  */
 function computeLeastShare(samples: readonly PolicySample[]): number {
-    const all = sumTokens(samples.filter(isWithinBound));
+    const all = countTokens(samples.filter(isWithinBound));
     const ratios = priorityClasses.map((priority) => {
         const ofClass = samples.filter(({ request }) => request.priority === priority);
-        return sumTokens(ofClass.filter(isWithinBound)) < all * LEAST_CLASS_PART ? 1 : computeLeastShareOf(ofClass);
+        return countTokens(ofClass.filter(isWithinBound)) < all * LEAST_CLASS_PART ? 1 : computeLeastShareOf(ofClass);
     });
     return Math.min(...ratios);
 }
@@ -160,9 +160,9 @@
 
 function computeLeastShareOf(samples: readonly PolicySample[]): number {
     const names = [...new Set(samples.map(({ request }) => request.organisation))];
-    const asked = names.map((name) => sumTokens(samples.filter(({ request }) => request.organisation === name)));
+    const asked = names.map((name) => countTokens(samples.filter(({ request }) => request.organisation === name)));
     const got = names.map((name) =>
-        sumTokens(samples.filter((sample) => sample.request.organisation === name && isWithinBound(sample)))
+        countTokens(samples.filter((sample) => sample.request.organisation === name && isWithinBound(sample)))
     );
     const fair = computeMaxMinShares(asked, got.reduce((sum, tokens) => sum + tokens, 0));
     const ratios = names.flatMap((_, index) => {
@@ -242,11 +242,14 @@
     ];
 }
 
-function scaleMix(mix: Readonly<Record<PriorityClass, number>>, load: number): Readonly<Record<PriorityClass, number>> {
+function computeMix(
+    mix: Readonly<Record<PriorityClass, number>>,
+    load: number,
+): Readonly<Record<PriorityClass, number>> {
     const [urgent, interactive, narrative] = priorityClasses.map((name) => mix[name] * load);
     return { urgent: urgent ?? 0, interactive: interactive ?? 0, narrative: narrative ?? 0 };
 }
 
-function sumTokens(samples: readonly PolicySample[]): number {
+function countTokens(samples: readonly PolicySample[]): number {
     return samples.reduce((sum, { request }) => sum + request.outputTokens, 0);
 }
--- a/packages/scenarios/src/bench/policy/run.ts
+++ b/packages/scenarios/src/bench/policy/run.ts
@@ -61,8 +61,8 @@
             random: createDraw(xoroshiro128plus(seed + POLICY_SEED)),
             countEntries: () => this.entries.filter((entry) => !entry.isDead).length,
             countOthers: (entry: number, worker: string) =>
-                sumOthers(this.gossip, entry, (counts) => counts.get(worker) ?? 0),
-            countOthersDemand: (entry: number) => sumOthers(this.demands, entry, (demand) => demand),
+                computeSumOfOthers(this.gossip, entry, (counts) => counts.get(worker) ?? 0),
+            countOthersDemand: (entry: number) => computeSumOfOthers(this.demands, entry, (demand) => demand),
             record: (request: PolicyRequest, outcome: RequestOutcome) => {
                 this.samples.push({ request, outcome });
             },
@@ -116,6 +116,6 @@
     }
 }
 
-function sumOthers<Value>(values: readonly Value[], except: number, get: (value: Value) => number): number {
+function computeSumOfOthers<Value>(values: readonly Value[], except: number, get: (value: Value) => number): number {
     return values.reduce((sum, value, index) => index === except ? sum : sum + get(value), 0);
 }
--- a/packages/scenarios/src/bench/policy/worker.ts
+++ b/packages/scenarios/src/bench/policy/worker.ts
@@ -122,7 +122,7 @@
         setTimeout(() => {
             this.isBusy = false;
             if (!this.isDead) {
-                this.endBatch(batch);
+                this.handleBatchEnd(batch);
                 this.startBatch();
             }
         }, this.computeBatchMs(batch));
@@ -131,7 +131,7 @@
     /** The most pressing first; a running one gives way to a more pressing one and goes on later. */
     private grantSlots(): void {
         const all = [...this.running, ...this.waiting].sort((left, right) =>
-            rankOf(left) - rankOf(right) || left.request.number - right.request.number
+            getRank(left) - getRank(right) || left.request.number - right.request.number
         );
         if (this.waiting.length > 0) {
             this.running = all.slice(0, this.settings.slots);
@@ -146,7 +146,7 @@
         return (baseMs + batch.length * requestMs + chunk * promptTokenMs) / this.settings.speed;
     }
 
-    private endBatch(batch: readonly WorkerJob[]): void {
+    private handleBatchEnd(batch: readonly WorkerJob[]): void {
         let chunk = PREFILL_CHUNK;
         const ended: WorkerJob[] = [];
         const { roundTripMs } = this.costs;
@@ -201,6 +201,6 @@
     return best;
 }
 
-function rankOf(job: WorkerJob): number {
+function getRank(job: WorkerJob): number {
     return priorityClasses.indexOf(job.request.priority);
 }
--- a/packages/scenarios/src/bench/recovery.ts
+++ b/packages/scenarios/src/bench/recovery.ts
@@ -107,12 +107,12 @@
 
 async function measureOnce(world: World, scenario: RecoveryScenario, loop: LoadLoop): Promise<RecoveryTimes> {
     loop.start(CALLERS);
-    await delay(WARM_UP_MS);
+    await waitMs(WARM_UP_MS);
     const failedMs = performance.now();
     const mend = await scenario.fail(world);
     await world.cluster.waitFor("a leader", async () => await findLeader(world) !== "");
     const leaderMs = performance.now() - failedMs;
-    await delay(AFTER_MS);
+    await waitMs(AFTER_MS);
     const backMs = loop.getBackMs(failedMs);
     await loop.stop();
     await mend();
@@ -172,6 +172,6 @@
     }));
 }
 
-function delay(ms: number): Promise<void> {
+function waitMs(ms: number): Promise<void> {
     return new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/scenarios/src/engine/batchScheduler.ts
+++ b/packages/scenarios/src/engine/batchScheduler.ts
@@ -91,9 +91,9 @@
     private grantSlots(): void {
         const nowMs = performance.now();
         this.dropIdle(nowMs);
-        const byPriority = [...this.waiting].sort((left, right) => rankOf(left.step) - rankOf(right.step));
+        const byPriority = [...this.waiting].sort((left, right) => getRank(left.step) - getRank(right.step));
         for (const { step } of byPriority) {
-            const priority = rankOf(step);
+            const priority = getRank(step);
             if (this.running.has(step.run) || this.running.size < this.options.slots || this.pauseBelow(priority)) {
                 this.running.set(step.run, { priority, seenMs: nowMs });
             }
@@ -116,6 +116,6 @@
     }
 }
 
-function rankOf(step: Step): number {
+function getRank(step: Step): number {
     return priorityClasses.indexOf(step.priority);
 }
--- a/packages/scenarios/src/engine/engineServer.ts
+++ b/packages/scenarios/src/engine/engineServer.ts
@@ -101,7 +101,7 @@
     response: ServerResponse,
 ): Promise<void> {
     const { steps } = stepsSchema.parse(await readJson(request));
-    await delay(settings.link_ms);
+    await waitMs(settings.link_ms);
     response.writeHead(200, { "content-type": "application/x-ndjson" });
     response.flushHeaders();
     const sends: Promise<void>[] = [];
@@ -120,7 +120,7 @@
     response: ServerResponse,
     line: string,
 ): Promise<void> {
-    await delay(settings.link_ms + engine.faults.late_ms);
+    await waitMs(settings.link_ms + engine.faults.late_ms);
     const { silent, rubbish, doubled } = engine.faults;
     if (silent) {
         return;
@@ -131,6 +131,6 @@
     }
 }
 
-function delay(ms: number): Promise<void> {
+function waitMs(ms: number): Promise<void> {
     return ms === 0 ? Promise.resolve() : new Promise((resolve) => setTimeout(resolve, ms));
 }
--- a/packages/scenarios/src/engine/referenceText.ts
+++ b/packages/scenarios/src/engine/referenceText.ts
@@ -98,7 +98,7 @@
     for (let generated = 0; generated < count; generated += 1) {
         let activation = 0;
         for (; position < tokens.length; position += 1) {
-            activation = passLayers(model, caches, position, tokens[position] ?? 0);
+            activation = runLayers(model, caches, position, tokens[position] ?? 0);
         }
         const next = createToken(activation);
         tokens.push(next.token);
@@ -107,7 +107,7 @@
     return text;
 }
 
-function passLayers(model: string, caches: number[], position: number, token: number): number {
+function runLayers(model: string, caches: number[], position: number, token: number): number {
     let input = token;
     for (let layer = 0; layer < caches.length; layer += 1) {
         const step = { model, layer, position, cache: caches[layer] ?? 0, input };
--- a/packages/scenarios/src/engine/runTable.ts
+++ b/packages/scenarios/src/engine/runTable.ts
@@ -50,7 +50,7 @@
      * @returns the result
      */
     run(step: Step, holds: readonly HeldRange[]): StepAnswer["result"] {
-        if (!holds.some((range) => coversStep(range, step))) {
+        if (!holds.some((range) => hasLayersOf(range, step))) {
             return { kind: "refused", reason: "not-held" };
         }
         const state = this.getState(step);
@@ -120,7 +120,7 @@
 
     private compute(step: Step, state: RunState): StepAnswer["result"] {
         this.seen.add(step.run);
-        const outputs = step.inputs.map((input, offset) => this.passLayers(step, state, step.position + offset, input));
+        const outputs = step.inputs.map((input, offset) => this.runLayers(step, state, step.position + offset, input));
         state.position = step.position + step.inputs.length;
         const isLast = step.end_layer === this.modelLayers[step.model];
         const result: StepAnswer["result"] = isLast
@@ -131,7 +131,7 @@
         return result;
     }
 
-    private passLayers(step: Step, state: RunState, position: number, token: number): number {
+    private runLayers(step: Step, state: RunState, position: number, token: number): number {
         const model = `${step.model}@${step.version}`;
         let input = token;
         for (let layer = step.first_layer; layer < step.end_layer; layer += 1) {
@@ -172,7 +172,7 @@
     return step.position === state.position && (step.epoch === state.epoch || step.position > 0);
 }
 
-function coversStep(range: HeldRange, step: Step): boolean {
+function hasLayersOf(range: HeldRange, step: Step): boolean {
     return range.model === step.model && range.version === step.version
         && range.first_layer <= step.first_layer && range.end_layer >= step.end_layer;
 }
