An upstream that came back after leaving is used again

Cause: read as a newcomer: leaving was never taken back, neither by the engine's own word nor by the platform's list, so an engine restarted in place got no work until its configuration changed. Change: an upstream leaves while its last status or the last list says so.

--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -31,7 +31,8 @@
 }
 
 const CONNECT_TIMEOUT_MS = 1_000;
-const MOST_CONNECTIONS = 64;
+/** Each turn of the loop may open one call to an engine, and a call lasts until its last step is answered. */
+const MOST_CONNECTIONS = 256;
 
 /**
  * Opens connections that are kept alive and shared by all exchanges of one kind.
--- a/packages/daemon/src/process/upstreamState.ts
+++ b/packages/daemon/src/process/upstreamState.ts
@@ -12,7 +12,8 @@
 export class UpstreamState {
     readonly circuit = new Circuit();
     reachability: Reachability = "unknown";
-    isLeaving = false;
+    /** Whether the platform's list, which lags, says that it leaves. */
+    isListedLeaving = false;
     /** Status questions in a row that got no answer. */
     silentPolls = 0;
     private status: EngineStatus | undefined;
@@ -26,6 +27,11 @@
      */
     constructor(public upstream: Upstream, readonly engine: EngineFunctions | undefined) {}
 
+    /** Whether it leaves, by its own word or the list's; one that came back after a restart leaves no more. */
+    get isLeaving(): boolean {
+        return this.isListedLeaving || this.status?.is_leaving === true;
+    }
+
     /** Own requests in flight there. */
     get ownInFlight(): number {
         return this.running.size;
@@ -59,7 +65,6 @@
     receiveStatus(status: EngineStatus, nowMs: number): void {
         this.status = status;
         this.sampledMs = nowMs - status.load.age_ms;
-        this.isLeaving ||= status.is_leaving;
     }
 
     /**
--- a/packages/daemon/src/process/upstreamTable.ts
+++ b/packages/daemon/src/process/upstreamTable.ts
@@ -38,7 +38,7 @@
     private states = new Map<string, UpstreamState>();
     private indexes = new Map<string, HolderIndex>();
     private timer: NodeJS.Timeout | undefined;
-    private readonly leavingAddresses = new Set<string>();
+    private leavingAddresses: ReadonlySet<string> = new Set();
 
     /**
      * @param pollMs - between two status questions to one engine
@@ -100,16 +100,15 @@
     }
 
     /**
-     * Takes the platform's list of instances that leave.
+     * Takes the platform's list of instances that leave; it replaces the last one.
      * @param addresses - their addresses
      */
     applyLeaving(addresses: readonly string[]): void {
-        addresses.forEach((address) => this.leavingAddresses.add(address));
+        this.leavingAddresses = new Set(addresses);
         for (const state of this.states.values()) {
-            if (!state.isLeaving && this.leavingAddresses.has(state.upstream.address)) {
-                state.isLeaving = true;
-                this.functions.handleChange(state, "leaving");
-            }
+            const wasLeaving = state.isLeaving;
+            state.isListedLeaving = this.leavingAddresses.has(state.upstream.address);
+            this.handleLeaving(state, wasLeaving);
         }
     }
 
@@ -181,7 +180,7 @@
     private createState(upstream: Upstream): UpstreamState {
         const engine = upstream.kind === "engine" ? this.functions.createEngine(upstream) : undefined;
         const state = new UpstreamState(upstream, engine);
-        state.isLeaving = this.leavingAddresses.has(upstream.address);
+        state.isListedLeaving = this.leavingAddresses.has(upstream.address);
         return state;
     }
 
@@ -234,9 +233,7 @@
                 state.circuit.recordSuccess();
                 this.functions.handleChange(state, "back");
             }
-            if (!wasLeaving && state.isLeaving) {
-                this.functions.handleChange(state, "leaving");
-            }
+            this.handleLeaving(state, wasLeaving);
         }
         catch (error) {
             state.silentPolls += 1;
@@ -251,6 +248,12 @@
         }
     }
 
+    private handleLeaving(state: UpstreamState, wasLeaving: boolean): void {
+        if (!wasLeaving && state.isLeaving) {
+            this.functions.handleChange(state, "leaving");
+        }
+    }
+
     private recordLost(state: UpstreamState): void {
         if (state.reachability === "unreachable") {
             return;
