The leader stamps commands with its clock and retention

Change: commands travel bare; the leader puts clock and retention beside them in the log. Seen: the old register took at_ms from the command it was given, whoever made it (no test could tell the two apart).

--- a/packages/coordination/src/version/claimRegister.ts
+++ b/packages/coordination/src/version/claimRegister.ts
@@ -11,7 +11,8 @@
     digest: z.string(),
     owner: z.string(),
     token: z.string(),
-    opened_ms: z.number(),
+    /** From then on the claim is forgotten, by the leaders' clocks. */
+    expires_ms: z.number(),
     answer: z.object({ status: z.int(), content_type: z.string(), body: z.string() }).optional(),
 });
 
@@ -25,11 +26,6 @@
 export class ClaimRegister {
     private claims = new Map<string, Claim>();
 
-    /**
-     * @param retentionMs - how long a claim is kept from its opening on; the same on every voter
-     */
-    constructor(private readonly retentionMs: number) {}
-
     /** How many claims are kept. */
     get size(): number {
         return this.claims.size;
@@ -38,15 +34,17 @@
     /**
      * Opens a claim, unless another holds it.
      * @param command - the request and who wants to run it
+     * @param atMs - wall clock of the leader
+     * @param retentionMs - how long the claim is kept from then on
      * @returns `granted` to one token only, however often it asks
      */
-    open(command: CommandOf<"open-claim">): ClaimResult {
-        this.removeExpired(command.at_ms);
+    open(command: CommandOf<"open-claim">, atMs: number, retentionMs: number): ClaimResult {
+        this.removeExpired(atMs);
         const name = formatName(command);
         const known = this.claims.get(name);
         if (known === undefined) {
-            const { organisation, key, digest, owner, token, at_ms } = command;
-            this.claims.set(name, { organisation, key, digest, owner, token, opened_ms: at_ms });
+            const { organisation, key, digest, owner, token } = command;
+            this.claims.set(name, { organisation, key, digest, owner, token, expires_ms: atMs + retentionMs });
             return { kind: "granted" };
         }
         if (known.digest !== command.digest) {
@@ -115,7 +113,7 @@
     /** Claims stand in the order of their opening, so the walk ends at the first that is kept. */
     private removeExpired(nowMs: number): void {
         for (const [name, claim] of this.claims) {
-            if (nowMs - claim.opened_ms <= this.retentionMs) {
+            if (nowMs <= claim.expires_ms) {
                 return;
             }
             this.claims.delete(name);
--- a/packages/coordination/src/version/replicatedState.ts
+++ b/packages/coordination/src/version/replicatedState.ts
@@ -1,7 +1,7 @@
 /**
  * The state that every voter holds: configuration, plans and claims. Commands change it, in the order of the log.
  */
-import { type Command, commandSchema } from "@crankfork/schemas";
+import { stampedCommandSchema } from "@crankfork/schemas";
 import { z } from "zod";
 import { claimListSchema, ClaimRegister } from "./claimRegister.js";
 import { ConfigurationRegister, configurationStateSchema } from "./configurationRegister.js";
@@ -11,14 +11,7 @@
 /** Configuration, plans and claims. */
 export class ReplicatedState {
     readonly configurations = new ConfigurationRegister();
-    readonly claims: ClaimRegister;
-
-    /**
-     * @param claimRetentionMs - how long claims are kept; the same on every voter
-     */
-    constructor(claimRetentionMs: number) {
-        this.claims = new ClaimRegister(claimRetentionMs);
-    }
+    readonly claims = new ClaimRegister();
 
     /**
      * Applies a committed command.
@@ -26,14 +19,14 @@
      * @returns what the proposer is told
      */
     apply(raw: unknown): unknown {
-        const command: Command = commandSchema.parse(raw);
+        const { command, at_ms, claim_retention_ms } = stampedCommandSchema.parse(raw);
         switch (command.kind) {
             case "record-plan":
                 return this.configurations.recordPlan(command.plan);
             case "confirm-plan":
-                return this.configurations.confirmPlan(command.plan_id, command.at_ms);
+                return this.configurations.confirmPlan(command.plan_id, at_ms);
             case "open-claim":
-                return this.claims.open(command);
+                return this.claims.open(command, at_ms, claim_retention_ms);
             case "settle-claim":
                 return this.claims.settle(command);
             case "release-claim":
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -105,8 +105,8 @@
             throw new Error(`the initial intent can't be met: ${planned.reasons.join("; ")}`);
         }
         const { plan } = planned;
-        await voters.propose({ kind: "record-plan", at_ms: Date.now(), plan });
-        await voters.propose({ kind: "confirm-plan", at_ms: Date.now(), plan_id: plan.id });
+        await voters.propose({ kind: "record-plan", plan });
+        await voters.propose({ kind: "confirm-plan", plan_id: plan.id });
     }
 
     /**
--- a/packages/daemon/src/process/peerServer.ts
+++ b/packages/daemon/src/process/peerServer.ts
@@ -82,7 +82,7 @@
     });
     server.addMethod("propose", async (raw): Promise<ProposeResult> => {
         const { command } = proposeParametersSchema.parse(raw);
-        return await (host?.replica.propose(command) ?? { kind: "not-leader" as const });
+        return await (host?.propose(command) ?? { kind: "not-leader" as const });
     });
     server.addMethod("getNewest", (): NewestResult => getNewest(host));
     server.addMethod("getConfiguration", () => ({ configuration: options.getConfiguration() }));
--- a/packages/daemon/src/process/planRequests.ts
+++ b/packages/daemon/src/process/planRequests.ts
@@ -46,7 +46,7 @@
         const next = "add engines or make models smaller, then state the intent again";
         throw new OperatorFault(422, "cannot-place", "the intent can't be met", next, "plan", "", planned.reasons);
     }
-    const command = { kind: "record-plan" as const, at_ms: Date.now(), plan: planned.plan };
+    const command = { kind: "record-plan" as const, plan: planned.plan };
     const result = getApplied(await options.voters.propose(command), "plan") as PlanResult;
     if (result.kind === "intent-reused") {
         const message = `the intent id ${result.intentId} stands for another intent`;
@@ -64,7 +64,7 @@
  * @throws OperatorFault
  */
 export async function confirmPlan(options: PlanRequestOptions, planId: string): Promise<object> {
-    const command = { kind: "confirm-plan" as const, at_ms: Date.now(), plan_id: planId };
+    const command = { kind: "confirm-plan" as const, plan_id: planId };
     const result = getApplied(await options.voters.propose(command), "confirm") as ConfirmResult;
     switch (result.kind) {
         case "confirmed":
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -6,11 +6,12 @@
     createLogStorage,
     type Folder,
     openDiskFolder,
+    type ProposalResult,
     Replica,
     type ReplicaEvent,
     ReplicatedState,
 } from "@crankfork/coordination";
-import type { ReplicaAddress, ReplicaEnvelope, ReplicaMessage } from "@crankfork/schemas";
+import type { Command, ReplicaAddress, ReplicaEnvelope, ReplicaMessage, StampedCommand } from "@crankfork/schemas";
 import { ulid } from "ulid";
 import { z } from "zod";
 import { AnswerCollector } from "../connection/answerCollector.js";
@@ -38,7 +39,7 @@
 
 /** A replica with its identity and state. */
 export class ReplicaHost {
-    readonly state: ReplicatedState;
+    readonly state = new ReplicatedState();
     private current: Replica | undefined;
     private readonly answers = new AnswerCollector<ReplicaEnvelope>();
 
@@ -46,9 +47,7 @@
         private readonly options: ReplicaHostOptions,
         private readonly folder: Folder,
         private identity: Identity,
-    ) {
-        this.state = new ReplicatedState(options.claimRetentionMs);
-    }
+    ) {}
 
     /**
      * Opens the folder and starts the replica. A replica without a cluster waits to be found or added.
@@ -80,6 +79,20 @@
         return this.current;
     }
 
+    /**
+     * Proposes a command, stamped with this instance's clock and retention; only the leader takes it.
+     * @param command - the command
+     * @returns how the proposal ended
+     */
+    propose(command: Command): Promise<ProposalResult> {
+        const stamped: StampedCommand = {
+            command,
+            at_ms: Date.now(),
+            claim_retention_ms: this.options.claimRetentionMs,
+        };
+        return this.replica.propose(stamped);
+    }
+
     /**
      * Founds a cluster with this replica as its only voter.
      * @throws Error where it belongs to one already
--- a/packages/daemon/src/process/voters.ts
+++ b/packages/daemon/src/process/voters.ts
@@ -114,7 +114,7 @@
         const { host, peers } = this.options;
         const role = host?.replica.getStatus().role;
         if (host !== undefined && role === "leader") {
-            return await awaitWithTimeout(host.replica.propose(command), timeoutMs);
+            return await awaitWithTimeout(host.propose(command), timeoutMs);
         }
         const address = this.chooseAddress();
         if (address === undefined) {
--- a/packages/daemon/src/request/claimedRun.ts
+++ b/packages/daemon/src/request/claimedRun.ts
@@ -123,7 +123,6 @@
     const { organisation, key, digest } = request;
     const command: Command = {
         kind: "open-claim",
-        at_ms: Date.now(),
         organisation,
         key,
         digest,
@@ -142,7 +141,7 @@
 async function runGranted(request: ClaimedRequest, functions: ClaimFunctions, own: OwnToken): Promise<KeptAnswer> {
     const { end, error } = await runToEnd(request);
     own.end.resolve(end);
-    const name = { at_ms: Date.now(), organisation: request.organisation, key: request.key, token: own.token };
+    const name = { organisation: request.organisation, key: request.key, token: own.token };
     await functions.settle(
         end.kind === "finished"
             ? { kind: "settle-claim", ...name, answer: end.answer }
@@ -194,7 +193,6 @@
         case "not-run":
             await functions.propose({
                 kind: "release-claim",
-                at_ms: Date.now(),
                 organisation,
                 key,
                 token: claim.token,
--- a/packages/daemon/tests/claimedRun.test.ts
+++ b/packages/daemon/tests/claimedRun.test.ts
@@ -9,7 +9,7 @@
 
 /** Voters and two entries; `delay` holds an answer of the voters back. */
 class Entries {
-    readonly register = new ClaimRegister(1_000_000);
+    readonly register = new ClaimRegister();
     readonly tables = { left: new ClaimTable(), right: new ClaimTable() };
     readonly dead = new Set<string>();
     runs = 0;
@@ -64,7 +64,7 @@
     private apply(command: Command): ClaimResult | boolean {
         switch (command.kind) {
             case "open-claim":
-                return this.register.open(command);
+                return this.register.open(command, 0, 1_000);
             case "settle-claim":
                 return this.register.settle(command);
             case "release-claim":
--- a/packages/schemas/src/command.ts
+++ b/packages/schemas/src/command.ts
@@ -13,13 +13,12 @@
 
 const claimNameShape = { organisation: z.string(), key: z.string() };
 
-/** A command; `at_ms` is the wall clock of the leader that proposed it. */
+/** A command, as any instance may ask for it. */
 export const commandSchema = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("record-plan"), at_ms: z.number(), plan: planSchema }),
-    z.object({ kind: z.literal("confirm-plan"), at_ms: z.number(), plan_id: z.string() }),
+    z.object({ kind: z.literal("record-plan"), plan: planSchema }),
+    z.object({ kind: z.literal("confirm-plan"), plan_id: z.string() }),
     z.object({
         kind: z.literal("open-claim"),
-        at_ms: z.number(),
         ...claimNameShape,
         digest: z.string(),
         /** Instance and start of the process that runs the request. */
@@ -28,19 +27,31 @@
     }),
     z.object({
         kind: z.literal("settle-claim"),
-        at_ms: z.number(),
         ...claimNameShape,
         token: z.string(),
         answer: keptAnswerSchema,
     }),
-    z.object({ kind: z.literal("release-claim"), at_ms: z.number(), ...claimNameShape, token: z.string() }),
+    z.object({ kind: z.literal("release-claim"), ...claimNameShape, token: z.string() }),
 ]);
 
+/**
+ * A command as it stands in the log. The leader adds what must be the same on all replicas: its wall clock and its
+ * retention, so that no other instance's clock or settings can make a claim expire.
+ */
+export const stampedCommandSchema = z.object({
+    command: commandSchema,
+    at_ms: z.number(),
+    claim_retention_ms: z.number(),
+});
+
 /** An answer kept for repeats. */
 export type KeptAnswer = z.infer<typeof keptAnswerSchema>;
 /** A command. */
 export type Command = z.infer<typeof commandSchema>;
 
+/** A command in the log. */
+export type StampedCommand = z.infer<typeof stampedCommandSchema>;
+
 /** What came of asking for a claim. */
 export type ClaimResult =
     | { readonly kind: "granted"; }
