Answers of plain services come back byte for byte

Cause: read as a newcomer: a slip that is no text was turned into UTF-8 and back, so kept and first answers were broken. Change: what is no UTF-8 is kept as base64 and sent as the bytes it was.

--- a/packages/coordination/src/version/claimRegister.ts
+++ b/packages/coordination/src/version/claimRegister.ts
@@ -2,7 +2,7 @@
  * Claims: who may run a request that must run at most once, and the answer kept for repeats.
  * Part of the replicated state, so all decisions here follow from the commands alone.
  */
-import type { ClaimResult, Command, KeptAnswer } from "@crankfork/schemas";
+import { type ClaimResult, type Command, type KeptAnswer, keptAnswerSchema } from "@crankfork/schemas";
 import { z } from "zod";
 
 const claimSchema = z.object({
@@ -13,7 +13,7 @@
     token: z.string(),
     /** From then on the claim is forgotten, by the leaders' clocks. */
     expires_ms: z.number(),
-    answer: z.object({ status: z.int(), content_type: z.string(), body: z.string() }).optional(),
+    answer: keptAnswerSchema.optional(),
 });
 
 /** Schema of the claims in a snapshot. */
--- a/packages/coordination/tests/claimRegister.test.ts
+++ b/packages/coordination/tests/claimRegister.test.ts
@@ -10,7 +10,7 @@
     owner: `owner of ${token}`,
     token,
 });
-const answer = { status: 200, content_type: "text/plain", body: "done" };
+const answer = { status: 200, content_type: "text/plain", encoding: "utf8" as const, body: "done" };
 const settle = (token: string) => ({ kind: "settle-claim" as const, organisation: "o", key: "k", token, answer });
 const release = (token: string) => ({ kind: "release-claim" as const, organisation: "o", key: "k", token });
 
--- a/packages/daemon/src/connection/serviceClient.ts
+++ b/packages/daemon/src/connection/serviceClient.ts
@@ -2,6 +2,7 @@
  * The one place that knows how a plain service is spoken to.
  */
 import type { KeptAnswer } from "@crankfork/schemas";
+import { isUtf8 } from "node:buffer";
 import type { Agent, Dispatcher } from "undici";
 import { createExchangeError, ExchangeError, sendRequest } from "./httpClient.js";
 
@@ -60,7 +61,7 @@
     }
     const type = response.headers["content-type"];
     const content_type = typeof type === "string" ? type : "application/octet-stream";
-    return { kind: "answered", answer: { status: response.statusCode, content_type, body } };
+    return { kind: "answered", answer: { status: response.statusCode, content_type, ...encodeBody(body) } };
 }
 
 async function readLimited(
@@ -68,7 +69,7 @@
     peer: string,
     limit: number,
     signal: AbortSignal,
-): Promise<string> {
+): Promise<Buffer> {
     const chunks: Buffer[] = [];
     let length = 0;
     try {
@@ -83,5 +84,12 @@
     catch (error) {
         throw createExchangeError(error, peer, signal);
     }
-    return Buffer.concat(chunks).toString("utf8");
+    return Buffer.concat(chunks);
+}
+
+/** Text stays readable in the log; what is no text must come back byte for byte. */
+function encodeBody(body: Buffer): Pick<KeptAnswer, "body" | "encoding"> {
+    return isUtf8(body)
+        ? { body: body.toString("utf8"), encoding: "utf8" }
+        : { body: body.toString("base64"), encoding: "base64" };
 }
--- a/packages/daemon/src/request/callerAnswer.ts
+++ b/packages/daemon/src/request/callerAnswer.ts
@@ -69,12 +69,13 @@
      * @param answer - status, type and body
      */
     sendWhole(answer: KeptAnswer): void {
+        const body = Buffer.from(answer.body, answer.encoding);
         this.response.writeHead(answer.status, {
             "content-type": answer.content_type,
-            "content-length": Buffer.byteLength(answer.body),
+            "content-length": body.length,
             "x-request-id": this.requestId,
         });
-        this.response.end(answer.body);
+        this.response.end(body);
     }
 
     /**
--- a/packages/daemon/src/request/claimedRun.ts
+++ b/packages/daemon/src/request/claimedRun.ts
@@ -172,7 +172,12 @@
         }
         // Repeats of a request whose end is not known get the same answer, for good.
         const { status, body } = createFaultAnswer(error, request.requestId);
-        const answer: KeptAnswer = { status, content_type: "application/json", body: JSON.stringify(body) };
+        const answer: KeptAnswer = {
+            status,
+            content_type: "application/json",
+            encoding: "utf8",
+            body: JSON.stringify(body),
+        };
         return { end: { kind: "finished", answer }, error };
     }
 }
--- a/packages/daemon/src/request/modelRequest.ts
+++ b/packages/daemon/src/request/modelRequest.ts
@@ -175,10 +175,15 @@
     }
     if (request.isStream) {
         await writePart(checked, parts, format.formatEnd());
-        return { status: 200, content_type: "text/event-stream", body: parts.join("") };
+        return { status: 200, content_type: "text/event-stream", encoding: "utf8", body: parts.join("") };
     }
     const counts = { promptTokens: promptTokens.length, completionTokens: usage.tokens };
-    return { status: 200, content_type: "application/json", body: format.formatWhole(text, finishReason, counts) };
+    return {
+        status: 200,
+        content_type: "application/json",
+        encoding: "utf8",
+        body: format.formatWhole(text, finishReason, counts),
+    };
 }
 
 async function writePart(checked: CheckedCompletion, parts: string[], part: string): Promise<void> {
--- a/packages/daemon/tests/claimedRun.test.ts
+++ b/packages/daemon/tests/claimedRun.test.ts
@@ -5,7 +5,7 @@
 import { createCallerFault, getFaultId } from "../src/request/callerFault.js";
 import { type ClaimFunctions, type CommandResult, runClaimed } from "../src/request/claimedRun.js";
 
-const answer: KeptAnswer = { status: 200, content_type: "text/plain", body: "slip printed" };
+const answer: KeptAnswer = { status: 200, content_type: "text/plain", encoding: "utf8" as const, body: "slip printed" };
 
 /** Voters and two entries; `delay` holds an answer of the voters back. */
 class Entries {
--- a/packages/schemas/src/command.ts
+++ b/packages/schemas/src/command.ts
@@ -9,6 +9,8 @@
     status: z.int(),
     content_type: z.string(),
     body: z.string(),
+    /** How the body stands in the text above; anything that is no UTF-8 is kept as base64. */
+    encoding: z.enum(["utf8", "base64"]).default("utf8"),
 });
 
 const claimNameShape = { organisation: z.string(), key: z.string() };
