A repeat is told at once when its owner's process is gone

Repeats of slips whose owner had died were kept asking until membership declared it dead. Change: nobody listening where the owner did means that its process is gone: the repeat gets owner-lost at once. Were that wrong, the request would still not run twice, since owner-lost never runs anything.

--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -24,8 +24,14 @@
      * @param failure - why
      * @param peer - with whom
      * @param message - what was seen
+     * @param isRefused - whether nobody listens there: the process that did is gone
      */
-    constructor(readonly failure: ExchangeFailure, readonly peer: string, message: string) {
+    constructor(
+        readonly failure: ExchangeFailure,
+        readonly peer: string,
+        message: string,
+        readonly isRefused: boolean = false,
+    ) {
         super(message);
     }
 }
@@ -132,7 +138,8 @@
         );
     }
     const message = error instanceof Error ? error.message : String(error);
-    return new ExchangeError(isConnectFailure(error) ? "not-reached" : "lost", peer, message);
+    const failure = isConnectFailure(error) ? "not-reached" : "lost";
+    return new ExchangeError(failure, peer, message, getCode(error) === "ECONNREFUSED");
 }
 
 async function readText(response: Dispatcher.ResponseData, peer: string, signal: AbortSignal): Promise<string> {
@@ -148,6 +155,10 @@
     if (error instanceof errors.ConnectTimeoutError) {
         return true;
     }
-    const code = error instanceof Error && "code" in error ? error.code : undefined;
+    const code = getCode(error);
     return code === "ECONNREFUSED" || code === "EHOSTUNREACH" || code === "ENETUNREACH";
 }
+
+function getCode(error: unknown): unknown {
+    return error instanceof Error && "code" in error ? error.code : undefined;
+}
--- a/packages/daemon/src/process/claimKeeper.ts
+++ b/packages/daemon/src/process/claimKeeper.ts
@@ -4,6 +4,7 @@
 import type { Membership } from "@crankfork/coordination";
 import { type AwaitAnswerResult, awaitAnswerResultSchema, type Command } from "@crankfork/schemas";
 import { randomInt } from "node:crypto";
+import { ExchangeError } from "../connection/httpClient.js";
 import type { PeerClient } from "../connection/peerClient.js";
 import type { ClaimFunctions } from "../request/claimedRun.js";
 import { ClaimTable } from "./claimTable.js";
@@ -104,7 +105,11 @@
             const raw = await this.options.peers.ask(member.address, "awaitAnswer", parameters, ASK_OWNER_TIMEOUT_MS);
             return awaitAnswerResultSchema.parse(raw);
         }
-        catch {
+        catch (error) {
+            if (error instanceof ExchangeError && error.isRefused) {
+                // Nobody listens where the owner did. Were it wrong, the request would still not run twice.
+                return { kind: "lost" };
+            }
             // It may be slow, cut off or dying; membership decides which, and the caller of this asks again.
             await new Promise((resolve) => setTimeout(resolve, ASK_AGAIN_MS));
             return { kind: "running" };
