--- a/packages/scenarios/tests/features/badInput.feature
+++ b/packages/scenarios/tests/features/badInput.feature
@@ -64,3 +64,10 @@
     And engine-1 answers rubbish
     When a caller streams 20 tokens from entry-1
     Then every answer is whole
+
+  Scenario: a caller that reads nothing holds the engines back, and is given up
+    Given an entry alone that gives up stalled callers, before a model whose chunks are large
+    When a caller asks for 5000 tokens and reads nothing
+    Then no engine has a run left
+    And the engines have computed less than half of 5000 tokens
+    And the log of entry-1 says that the request failed as cancelled
--- a/packages/scenarios/tests/steps/badInput.ts
+++ b/packages/scenarios/tests/steps/badInput.ts
@@ -1,8 +1,9 @@
+import { readTimeline } from "@crankfork/cli";
 import { expect } from "chai";
 import { createConnection } from "node:net";
 import { askPort, type PortAnswer } from "../../src/harness/cluster.js";
 import type { StepRegistry } from "../../src/harness/gherkin.js";
-import { createCallerHeaders, MODEL, type World } from "../../src/harness/world.js";
+import { createCallerHeaders, LAYERS, MODEL, type World } from "../../src/harness/world.js";
 
 interface RawRequest {
     readonly path?: string;
@@ -10,6 +11,8 @@
     readonly body?: string;
 }
 
+/** Each chunk of a stream names the model, so that a few hundred chunks fill all buffers on the way to a caller. */
+const LONG_MODEL = `m${"x".repeat(16_000)}`;
 const good = JSON.stringify({ model: MODEL, prompt: "a question", max_tokens: 3 });
 const headers = createCallerHeaders();
 
@@ -77,6 +80,59 @@
         await world.setFaults(name, { doubled: true, late_ms });
     });
 
+    steps.define(
+        "an entry alone that gives up stalled callers, before a model whose chunks are large",
+        async (world) => {
+            for (const name of ["engine-1", "engine-2"]) {
+                await world.startEngine(name, {
+                    model_layers: { [LONG_MODEL]: LAYERS },
+                    batch_ms: 0,
+                    token_layer_ms: 0,
+                });
+            }
+            const limits = { stream_buffer: "16KiB", caller_stall: "500ms" };
+            await world.cluster.startEntry({
+                name: "entry-1",
+                hasDisk: true,
+                sections: { instance: { alone: true }, limits },
+            });
+            const models = [{ name: LONG_MODEL, layers: LAYERS, max_tokens: 5_000 }];
+            await world.cluster.confirm("entry-1", { ...world.createIntent({ id: "first" }), models });
+            await world.cluster.waitReady();
+            await world.cluster.waitHolding(world.engines.size);
+        },
+    );
+
+    steps.define("a caller asks for {int} tokens and reads nothing", async (world, max_tokens: number) => {
+        const [host, port] = world.cluster.get("entry-1").addresses.callers.split(":");
+        const body = JSON.stringify({ model: LONG_MODEL, prompt: "a question", max_tokens, stream: true });
+        const lines = Object.entries({ ...headers, "content-length": String(body.length) }).map((pair) =>
+            pair.join(": ")
+        );
+        const socket = createConnection(Number(port), host).pause();
+        socket.on("error", () => undefined);
+        await new Promise<void>((resolve) => {
+            socket.write(["POST /v1/completions HTTP/1.1", "host: x", ...lines, "", body].join("\r\n"), () => {
+                resolve();
+            });
+        });
+        await world.cluster.waitFor("the run to begin", async () => (await world.getCounts("engine-1")).computed > 0);
+    });
+
+    steps.define("the engines have computed less than half of {int} tokens", async (world, tokens: number) => {
+        expect(await world.countAllWork()).to.be.within(1, LAYERS * tokens / 2);
+    });
+
+    steps.define(
+        "the log of {word} says that the request failed as {word}",
+        async (world, entry: string, id: string) => {
+            await world.cluster.waitFor("the event", () => {
+                const events = readTimeline([world.cluster.get(entry).logFile], {});
+                return Promise.resolve(events.some((one) => one.event === "request-failed" && one.fields.error === id));
+            });
+        },
+    );
+
     steps.define("a caller sends half a request to {word} and goes away", async (world, entry: string) => {
         const [host, port] = world.cluster.get(entry).addresses.callers.split(":");
         const socket = createConnection(Number(port), host);
