An entry is ready only after its engines were asked once

An entry that starts again said ready as soon as it knew the version, before any engine had answered its status question, so a request in that gap is refused with no-route; the step that waits for each stream's first token then waited for good. Change: ready after all engines were asked once (each question has its timeout); the step ends when a stream ends, so that a refusal fails the check that follows instead of hanging.

--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -225,7 +225,7 @@
         return {
             control,
             serving,
-            puller: this.startPuller(control),
+            puller: this.startPuller(control, serving),
             orders: this.startOrders(control, serving),
             platformList: this.startPlatformList(serving),
             callerServer: this.createCallerPort(serving),
@@ -235,15 +235,18 @@
         };
     }
 
-    private startPuller({ membership, voters, link }: Control): ConfigurationPuller {
+    private startPuller({ membership, voters, link }: Control, { upstreams }: Serving): ConfigurationPuller {
         const puller = new ConfigurationPuller({
             membership,
             peers: link.peers,
             voters,
             inForce: this.inForce,
             handleFirst: () => {
-                this.takesRequests = true;
-                this.lifecycle.send("configured");
+                // Before the engines were asked once, every request would be refused for want of a route.
+                void upstreams.pollAll().then(() => {
+                    this.takesRequests = true;
+                    this.lifecycle.send("configured");
+                });
             },
         });
         puller.start();
--- a/packages/daemon/src/process/upstreamTable.ts
+++ b/packages/daemon/src/process/upstreamTable.ts
@@ -49,7 +49,7 @@
     /** Starts to ask. */
     start(): void {
         this.timer = setInterval(() => {
-            this.pollAll();
+            void this.pollAll();
         }, this.pollMs);
     }
 
@@ -70,7 +70,7 @@
             return [upstream.name, isSame ? known.updateUpstream(upstream) : this.createState(upstream)];
         }));
         this.indexes.clear();
-        this.pollAll();
+        void this.pollAll();
     }
 
     /**
@@ -213,12 +213,15 @@
         return index;
     }
 
-    private pollAll(): void {
-        this.getAll().forEach((state) => {
-            if (state.engine !== undefined) {
-                void this.poll(state, state.engine);
-            }
-        });
+    /**
+     * Asks all engines once.
+     * @returns resolves when each has answered or failed to; a status may take no longer than its timeout
+     */
+    async pollAll(): Promise<void> {
+        const polls = this.getAll().flatMap((state) =>
+            state.engine === undefined ? [] : [this.poll(state, state.engine)]
+        );
+        await Promise.all(polls);
     }
 
     private async poll(state: UpstreamState, engine: EngineFunctions): Promise<void> {
--- a/packages/scenarios/tests/steps/requests.ts
+++ b/packages/scenarios/tests/steps/requests.ts
@@ -46,12 +46,9 @@
                             markStarted = resolve;
                         }),
                     );
-                    return streamCompletion({
-                        ...createCall(world, entry, tokens, `caller ${String(number)}`),
-                        handleToken: () => {
-                            markStarted();
-                        },
-                    });
+                    const call = createCall(world, entry, tokens, `caller ${String(number)}`);
+                    // One that is refused has no first token; the step after this one tells of it.
+                    return streamCompletion({ ...call, handleToken: () => markStarted() }).finally(() => markStarted());
                 })
             );
             world.background.push(
