--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -3,7 +3,7 @@
  * connection is never used again after an answer that was cut, late or too long; undici sees to that, and the
  * caller compares the request's id.
  */
-import { Agent, type Dispatcher } from "undici";
+import { Agent, buildConnector, type Dispatcher } from "undici";
 
 /** What is sent. */
 export interface UpstreamRequest {
@@ -55,7 +55,7 @@
  */
 export function openUpstreamConnections(): Agent {
     return new Agent({
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connect: createConnector(),
         keepAliveTimeout: IDLE_MS,
         keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
         headersTimeout: 0,
@@ -65,6 +65,25 @@
     });
 }
 
+/**
+ * Makes a reset count as a reset. undici takes an answer without a length as whole when its connection is reset, if
+ * the error has the code ECONNRESET; such an answer is cut short.
+ */
+function createConnector(): buildConnector.connector {
+    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    return (options, callback) => {
+        connect(options, (...result) => {
+            const [, socket] = result;
+            socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
+                error.code = error.code === "ECONNRESET" ? RESET_CODE : error.code;
+            });
+            callback(...result);
+        });
+    };
+}
+
+const RESET_CODE = "UPSTREAM_RESET";
+
 /**
  * Starts an exchange.
  * @param agent - connections
--- /dev/null
+++ b/packages/daemon/tests/routedHarness.ts
@@ -0,0 +1,203 @@
+import type { Route } from "@crankfork/schemas";
+import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
+import { createServer, type Server } from "node:http";
+import type { Agent } from "undici";
+import { openUpstreamConnections } from "../src/connection/upstreamExchange.js";
+import { RoutedAnswer, removeConnectionHeaders } from "../src/request/routedAnswer.js";
+import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
+import { handleRoutedRequest, type RequestEnd, type RoutedRequestFunctions, type StallAnswer } from "../src/request/routedRequest.js";
+import { RoutedRun } from "../src/request/routedRun.js";
+
+/** Plain names in place of a platform's. */
+export const testCodec: CallCodec = {
+    parseCall: (message) => ({
+        requestId: String(message.headers["x-id"] ?? ""),
+        method: message.method ?? "GET",
+        host: "h",
+        target: message.url ?? "/",
+        path: message.url ?? "/",
+        key: undefined,
+        deadlineMs: message.headers["x-deadline"] === undefined ? undefined : Number(message.headers["x-deadline"]),
+        size: undefined,
+        lastEventId: undefined,
+        rawHeaders: message.rawHeaders,
+    }),
+    createUpstreamHeaders: (call, target) => [
+        ...removeConnectionHeaders(call.rawHeaders, new Set(["content-length"])),
+        ...(target.lastEventId === undefined ? [] : ["last-event-id", target.lastEventId]),
+        "x-left",
+        String(target.leftMs),
+    ],
+    judgeHead: (call, head) => {
+        if (head.headers["x-id"] !== call.requestId) {
+            return { kind: "stray", faultAddress: undefined };
+        }
+        const fault = head.headers["x-fault"];
+        const faultAddress = typeof fault === "string" ? fault : undefined;
+        return { kind: head.headers["x-not-run"] === undefined ? "answer" : "declined", faultAddress };
+    },
+    createErrorHeaders: (call) => ["x-id", call.requestId],
+};
+
+/** What a stand-in upstream does with a request, given the request's text. */
+export type UpstreamScript = (socket: Socket, requestId: string, request: string) => void;
+
+/** An upstream that writes bytes as the script says. */
+export class ScriptedUpstream {
+    readonly requests: string[] = [];
+    private readonly sockets = new Set<Socket>();
+
+    private constructor(readonly name: string, readonly address: string, private readonly server: TcpServer) {}
+
+    static async open(name: string, script: UpstreamScript): Promise<ScriptedUpstream> {
+        const server = createTcpServer();
+        await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+        const upstream = new ScriptedUpstream(name, `127.0.0.1:${String((server.address() as AddressInfo).port)}`, server);
+        server.on("connection", (socket) => {
+            upstream.sockets.add(socket);
+            socket.on("error", () => undefined);
+            socket.on("data", (chunk) => {
+                const text = chunk.toString();
+                upstream.requests.push(text);
+                script(socket, /x-id: (\S+)/i.exec(text)?.[1] ?? "", text);
+            });
+        });
+        return upstream;
+    }
+
+    close(): void {
+        this.server.close();
+        this.sockets.forEach((socket) => socket.destroy());
+    }
+}
+
+/** Formats an answer with a length. */
+export function formatAnswer(status: number, requestId: string, body: string, headers: string = ""): string {
+    return `HTTP/1.1 ${String(status)} X\r\nx-id: ${requestId}\r\n${headers}content-length: ${String(body.length)}\r\n\r\n${body}`;
+}
+
+/** Formats the head of a stream. */
+export function formatStreamHead(requestId: string): string {
+    return `HTTP/1.1 200 OK\r\nx-id: ${requestId}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n`;
+}
+
+/** Formats bytes as a chunk; an empty text ends the stream. */
+export function formatChunk(text: string): string {
+    return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+/** Formats an event. */
+export function formatEvent(id: number): string {
+    return `id: ${String(id)}\ndata: token${String(id)}\n\n`;
+}
+
+/** What a caller saw. */
+export interface SeenAnswer {
+    readonly status: number | undefined;
+    readonly body: string;
+    readonly isWhole: boolean;
+    readonly retryAfter: string | undefined;
+}
+
+/** What is different in one case. */
+export interface EntryOptions {
+    readonly upstreams: readonly ScriptedUpstream[];
+    readonly route: Partial<Route>;
+    readonly isPath?: boolean;
+    readonly askStall?: (target: CallTarget) => Promise<StallAnswer>;
+}
+
+/** An entry of one route, that tries the upstreams in their order. */
+export class TestEntry {
+    readonly ends: RequestEnd[] = [];
+    readonly suspects: string[] = [];
+
+    private constructor(private readonly server: Server, readonly url: string, private readonly agent: Agent) {}
+
+    static async open(options: EntryOptions): Promise<TestEntry> {
+        const agent = openUpstreamConnections();
+        const server = createServer();
+        await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+        const url = `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+        const entry = new TestEntry(server, url, agent);
+        server.on("request", (request, response) => {
+            const chunks: Buffer[] = [];
+            request.on("data", (chunk: Buffer) => chunks.push(chunk));
+            request.on("end", () => {
+                const run = new RoutedRun({
+                    call: testCodec.parseCall(request),
+                    route: createTestRoute(options.route),
+                    service: { name: "s", most_connections: 10 },
+                    organisation: undefined,
+                    body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
+                    arrivedMs: performance.now(),
+                }, () => performance.now());
+                response.once("close", () => {
+                    if (!response.writableFinished) {
+                        run.stop("caller-left");
+                    }
+                });
+                const answer = new RoutedAnswer(response, testCodec, () => false);
+                void handleRoutedRequest(run, answer, entry.createFunctions(options)).then((end) => {
+                    run.close();
+                    entry.ends.push(end);
+                });
+            });
+        });
+        return entry;
+    }
+
+    async close(): Promise<void> {
+        this.server.close();
+        this.server.closeAllConnections();
+        await this.agent.destroy();
+    }
+
+    private createFunctions(options: EntryOptions): RoutedRequestFunctions {
+        return {
+            agent: this.agent,
+            codec: testCodec,
+            getNowMs: () => performance.now(),
+            chooseTarget: (run, lastEventId) => {
+                const next = options.upstreams.find((one) => !run.tried.has(one.name));
+                return next === undefined ? undefined : {
+                    upstreamId: next.name,
+                    address: next.address,
+                    stages: options.isPath === true ? [] : undefined,
+                    leftMs: Math.round(run.leftMs),
+                    organisation: undefined,
+                    priority: 1,
+                    lastEventId,
+                };
+            },
+            mayUseKey: () => true,
+            recordStart: () => undefined,
+            recordEnd: () => undefined,
+            recordAnswer: () => undefined,
+            suspect: (id) => this.suspects.push(id),
+            findIdAt: (address) => options.upstreams.find((one) => one.address === address)?.name ?? address,
+            claimRepeat: () => true,
+            askStall: options.askStall ?? (() => Promise.resolve({ kind: "moving" })),
+            isAlive: () => true,
+            record: () => undefined,
+        };
+    }
+}
+
+function createTestRoute(change: Partial<Route>): Route {
+    return {
+        name: "r",
+        host: "h",
+        prefix: "/",
+        kind: "call",
+        is_repeatable: true,
+        timeout_ms: 5_000,
+        objective_ms: 100,
+        pause_objective_ms: 40,
+        priority: 1,
+        most_attempts: 2,
+        is_anonymous: true,
+        targets: [{ service: "s", weight: 1 }],
+        ...change,
+    };
+}
--- /dev/null
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -0,0 +1,213 @@
+import type { Route } from "@crankfork/schemas";
+import { expect } from "chai";
+import { request as sendHttp } from "node:http";
+import { createServer, type Socket } from "node:net";
+import {
+    formatAnswer,
+    formatChunk,
+    formatEvent,
+    formatStreamHead,
+    ScriptedUpstream,
+    type SeenAnswer,
+    TestEntry,
+    type UpstreamScript,
+} from "./routedHarness.js";
+
+const answers: Readonly<Record<string, UpstreamScript>> = {
+    good: (socket, id) => socket.write(formatAnswer(200, id, "good")),
+    failing: (socket, id) => socket.write(formatAnswer(500, id, "bad")),
+    declining: (socket, id) => socket.write(formatAnswer(503, id, "", "x-not-run: 1\r\n")),
+    crossed: (socket) => socket.write(formatAnswer(200, "another", "other")),
+    reset: (socket) => socket.resetAndDestroy(),
+    short: (socket, id) => {
+        socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\ncontent-length: 100\r\n\r\npart`);
+        setTimeout(() => socket.resetAndDestroy(), 5);
+    },
+    rubbish: (socket) => socket.write("what?\r\n\r\n"),
+    unframed: (socket, id) => socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nconnection: close\r\n\r\nto the end`),
+    unframedReset: (socket, id) => {
+        socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nconnection: close\r\n\r\npart`);
+        setTimeout(() => socket.resetAndDestroy(), 5);
+    },
+    surplus: (socket, id) => socket.write(formatAnswer(200, id, "good") + formatAnswer(200, id, "again")),
+    stream: (socket, id, request) => {
+        const after = Number(/last-event-id: (\d+)/i.exec(request)?.[1] ?? 0);
+        const rest = [1, 2, 3, 4].filter((event) => event > after).map((event) => formatChunk(formatEvent(event)));
+        socket.write(formatStreamHead(id) + rest.join("") + formatChunk(""));
+    },
+    streamReset: (socket, id) => {
+        socket.write(formatStreamHead(id) + formatChunk(formatEvent(1) + formatEvent(2) + "id: 3\nda"));
+        setTimeout(() => socket.resetAndDestroy(), 10);
+    },
+    streamCut: (socket, id) =>
+        socket.write(formatStreamHead(id) + formatChunk(formatEvent(1) + "id: 2\nda") + formatChunk("")),
+    streamSilent: (socket, id) => socket.write(formatStreamHead(id) + formatChunk(formatEvent(1))),
+    streamBack: (socket, id) =>
+        socket.write(formatStreamHead(id) + formatChunk(formatEvent(2) + formatEvent(1)) + formatChunk("")),
+    mute: () => undefined,
+};
+
+async function ask(url: string, leaveAfterMs?: number): Promise<SeenAnswer> {
+    return await new Promise((resolve) => {
+        let body = "";
+        const request = sendHttp(url, { method: "POST", headers: { "x-id": "one" }, agent: false }, (response) => {
+            const finish = (isWhole: boolean): void => {
+                const retryAfter = response.headers["retry-after"];
+                resolve({ status: response.statusCode, body, isWhole, retryAfter });
+            };
+            response.on("data", (chunk: Buffer) => body += chunk.toString());
+            response.on("end", () => {
+                finish(true);
+            });
+            response.on("error", () => {
+                finish(false);
+            });
+        });
+        request.on("error", () => {
+            resolve({ status: undefined, body, isWhole: false, retryAfter: undefined });
+        });
+        request.end("body");
+        if (leaveAfterMs !== undefined) {
+            setTimeout(() => request.destroy(), leaveAfterMs);
+        }
+    });
+}
+
+async function play(names: readonly string[], route: Partial<Route>, isPath: boolean = false): Promise<{
+    readonly seen: SeenAnswer;
+    readonly requests: readonly string[][];
+    readonly suspects: readonly string[];
+}> {
+    const upstreams = await Promise.all(
+        names.map((name, index) => ScriptedUpstream.open(`${name}${String(index)}`, answers[name] ?? (() => undefined))),
+    );
+    const entry = await TestEntry.open({
+        upstreams,
+        route,
+        isPath,
+        askStall: () => Promise.resolve({ kind: "stalled", faultAddress: "at-fault" }),
+    });
+    const seen = await ask(entry.url);
+    await entry.close();
+    upstreams.forEach((upstream) => {
+        upstream.close();
+    });
+    return { seen, requests: upstreams.map((upstream) => upstream.requests), suspects: entry.suspects };
+}
+
+const once = { is_repeatable: false, most_attempts: 1 };
+const events = (...ids: readonly number[]): string => ids.map(formatEvent).join("");
+
+const rows: readonly {
+    readonly title: string;
+    readonly upstreams: readonly string[];
+    readonly route?: Partial<Route>;
+    readonly status: number | undefined;
+    readonly body?: string;
+    readonly sent: readonly number[];
+}[] = [
+    { title: "a good answer comes back as it is", upstreams: ["good"], status: 200, body: "good", sent: [1] },
+    { title: "a failure is tried elsewhere", upstreams: ["failing", "good"], status: 200, body: "good", sent: [1, 1] },
+    { title: "two failures hand the last on", upstreams: ["failing", "failing", "good"], status: 500, body: "bad", sent: [1, 1, 0] },
+    { title: "once only: a failure is handed on", upstreams: ["failing", "good"], route: once, status: 500, body: "bad", sent: [1, 0] },
+    { title: "once only: declined is tried elsewhere", upstreams: ["declining", "good"], route: once, status: 200, sent: [1, 1] },
+    { title: "declined by all is refused as not run", upstreams: ["declining", "declining"], status: 503, sent: [1, 1] },
+    { title: "once only: a reset may have run", upstreams: ["reset", "good"], route: once, status: 502, sent: [1, 0] },
+    { title: "a reset is tried elsewhere", upstreams: ["reset", "good"], status: 200, sent: [1, 1] },
+    { title: "an answer to another request is not handed on", upstreams: ["crossed", "good"], status: 200, body: "good", sent: [1, 1] },
+    { title: "once only: an answer to another request may have run", upstreams: ["crossed", "good"], route: once, status: 502, sent: [1, 0] },
+    { title: "an answer that is cut short is not handed on", upstreams: ["short", "good"], status: 200, body: "good", sent: [1, 1] },
+    { title: "bytes that are no answer", upstreams: ["rubbish", "good"], status: 200, body: "good", sent: [1, 1] },
+    { title: "an answer that ends with its connection is whole", upstreams: ["unframed"], status: 200, body: "to the end", sent: [1] },
+    { title: "one that is reset on the way is not", upstreams: ["unframedReset", "good"], status: 200, body: "good", sent: [1, 1] },
+    { title: "bytes after a whole answer belong to nobody", upstreams: ["surplus"], status: 200, body: "good", sent: [1] },
+    { title: "no upstream", upstreams: [], status: 503, sent: [] },
+    { title: "the route's time is over, and it may have run", upstreams: ["mute"], route: { timeout_ms: 60 }, status: 504, sent: [1] },
+    { title: "a stream comes event by event", upstreams: ["stream"], route: { kind: "stream" }, status: 200, body: events(1, 2, 3, 4), sent: [1] },
+    {
+        title: "a stream that breaks inside an event goes on elsewhere, with nothing lost or twice",
+        upstreams: ["streamReset", "stream"],
+        route: { kind: "stream" },
+        status: 200,
+        body: events(1, 2, 3, 4),
+        sent: [1, 1],
+    },
+    {
+        title: "a stream that ends inside an event is not complete",
+        upstreams: ["streamCut", "stream"],
+        route: { kind: "stream" },
+        status: 200,
+        body: events(1, 2, 3, 4),
+        sent: [1, 1],
+    },
+    {
+        title: "events that go back are not handed on",
+        upstreams: ["streamBack", "stream"],
+        route: { kind: "stream" },
+        status: 200,
+        body: events(2, 3, 4),
+        sent: [1, 1],
+    },
+];
+
+describe("a routed request gets its own answer, whole, and runs no more often than it may", () => {
+    for (const { title, upstreams, route = {}, status, body, sent } of rows) {
+        it(title, async () => {
+            const { seen, requests } = await play(upstreams, route);
+            expect(seen.status).to.equal(status);
+            expect(requests.map((list) => list.length)).to.deep.equal(sent);
+            if (body !== undefined) {
+                expect(seen.body).to.equal(body);
+            }
+            if (status === 503) {
+                expect(Number(seen.retryAfter)).to.be.above(0);
+            }
+        });
+    }
+
+    it("a stream that may run only once breaks off visibly", async () => {
+        const { seen } = await play(["streamReset", "stream"], { kind: "stream", ...once });
+        expect(seen).to.include({ status: 200, body: events(1, 2), isWhole: false });
+    });
+
+    it("a stream whose path stands still goes on elsewhere, and the engine at fault is left out", async () => {
+        const { seen, suspects } = await play(["streamSilent", "stream"], { kind: "stream" }, true);
+        expect(seen).to.include({ body: events(1, 2, 3, 4), isWhole: true });
+        expect(suspects).to.deep.equal(["at-fault"]);
+    });
+
+    it("an upstream that nobody listens at was not sent anything", async () => {
+        const closed = createServer();
+        await new Promise<void>((resolve) => closed.listen(0, "127.0.0.1", resolve));
+        const { port } = closed.address() as { port: number; };
+        await new Promise((resolve) => closed.close(resolve));
+        const gone = { name: "gone", address: `127.0.0.1:${String(port)}` } as ScriptedUpstream;
+        const good = await ScriptedUpstream.open("good", answers.good ?? (() => undefined));
+        const entry = await TestEntry.open({ upstreams: [gone, good], route: once });
+        expect(await ask(entry.url)).to.include({ status: 200, body: "good" });
+        expect(entry.suspects).to.deep.equal(["gone"]);
+        await entry.close();
+        good.close();
+    });
+
+    it("the upstream's connection is closed when the caller leaves", async () => {
+        let socket: Socket | undefined;
+        const upstream = await ScriptedUpstream.open("mute", (opened) => {
+            socket = opened;
+        });
+        const entry = await TestEntry.open({ upstreams: [upstream], route: {} });
+        await ask(entry.url, 30);
+        await new Promise((resolve) => {
+            if (socket?.destroyed === false) {
+                socket.once("close", resolve);
+                socket.once("end", resolve);
+            }
+            else {
+                resolve(undefined);
+            }
+        });
+        expect(entry.ends.map((end) => end.outcome)).to.deep.equal(["caller-left"]);
+        await entry.close();
+        upstream.close();
+    });
+});
--- /dev/null
+++ b/packages/decisions/tests/layerPlan.test.ts
@@ -0,0 +1,180 @@
+import type { EngineProfile, LayerSpan } from "@crankfork/schemas";
+import { expect } from "chai";
+import {
+    type Chain,
+    chooseChain,
+    computeChains,
+    computeExpectedMs,
+    computeLayerPlan,
+    computeLayerRoom,
+    type HoldingEngine,
+    type PlannedEngine,
+} from "../src/index.js";
+
+/** Ten layers; a fast engine holds 4 beside its requests, a slow one 2. */
+const profile: EngineProfile = {
+    layers: 10,
+    layer_mb: 100,
+    token_bytes: 10_000_000,
+    capacity_tokens: 125,
+    slots: 8,
+    step_ms: 1,
+    step_ms_a_request: 0,
+    read_tokens_a_second: 10_000,
+    load_ms: 1_000,
+    usual_prompt_tokens: 10,
+    usual_answer_tokens: 10,
+    accelerators: [
+        { name: "fast", memory_mb: 850, step_factor: 1, read_factor: 1 },
+        { name: "slow", memory_mb: 450, step_factor: 10, read_factor: 5 },
+    ],
+};
+
+const span = (first: number, end: number): LayerSpan => ({ first, end });
+const engine = (id: string, accelerator: string, held?: LayerSpan, failureDomain: string = "d"): PlannedEngine => ({
+    id,
+    failureDomain,
+    accelerator,
+    span: held,
+    mayBeOrdered: held === undefined,
+});
+const format = (layers: LayerSpan): string => `${String(layers.first)}-${String(layers.end)}`;
+const formatPlan = (engines: readonly PlannedEngine[]): string =>
+    computeLayerPlan(engines, profile).map((order) => `${order.id}=${format(order.span)}`).join(" ");
+
+const planRows: readonly { readonly title: string; readonly engines: readonly PlannedEngine[]; readonly plan: string; }[] = [
+    { title: "nothing to place", engines: [], plan: "" },
+    {
+        title: "the fastest engines come first, the last takes what is left",
+        engines: [engine("s1", "slow"), engine("f1", "fast"), engine("f2", "fast"), engine("s2", "slow")],
+        plan: "f1=0-4 f2=4-8 s1=8-10",
+    },
+    {
+        title: "a second path is begun only where the engines reach to its end",
+        engines: ["f1", "f2", "f3", "f4", "f5"].map((id) => engine(id, "fast")),
+        plan: "f1=0-4 f2=4-8 f3=8-10",
+    },
+    {
+        title: "two paths where there is room for two",
+        engines: ["f1", "f2", "f3", "f4", "f5", "f6"].map((id) => engine(id, "fast")),
+        plan: "f1=0-4 f2=4-8 f3=8-10 f4=0-4 f5=4-8 f6=8-10",
+    },
+    {
+        title: "a lost part is filled by empty engines, and the others keep theirs",
+        engines: [engine("f1", "fast", span(0, 4)), engine("f3", "fast", span(8, 10)), engine("s1", "slow"), engine("s2", "slow")],
+        plan: "s1=4-6 s2=6-8",
+    },
+    {
+        title: "a hole that can't be closed yet is filled as far as it goes",
+        engines: [engine("f1", "fast", span(0, 4)), engine("s1", "slow")],
+        plan: "s1=4-6",
+    },
+    {
+        title: "an engine with an order under way counts as holding, and gets no other",
+        engines: [{ ...engine("f1", "fast", span(0, 4)), mayBeOrdered: false }, engine("f2", "fast"), engine("f3", "fast")],
+        plan: "f2=4-8 f3=8-10",
+    },
+    {
+        title: "no path crosses from one failure domain to another",
+        engines: [engine("a", "fast", undefined, "d1"), engine("b", "fast", undefined, "d2")],
+        plan: "a=0-4 b=0-4",
+    },
+    { title: "an unknown accelerator takes nothing", engines: [engine("x", "odd")], plan: "" },
+];
+
+describe("layers go to few fast engines inside a failure domain", () => {
+    for (const { title, engines, plan } of planRows) {
+        it(title, () => {
+            expect(formatPlan(engines)).to.equal(plan);
+        });
+    }
+
+    it("no engine is given more than fits beside the requests", () => {
+        const rooms = profile.accelerators.map((accelerator) => computeLayerRoom(accelerator, profile));
+        expect(rooms).to.deep.equal([4, 2]);
+        profile.accelerators.forEach((accelerator, index) => {
+            expect((rooms[index] ?? 0) * profile.layer_mb).to.be.below(accelerator.memory_mb);
+        });
+    });
+});
+
+const holder = (id: string, held: LayerSpan, accelerator: string = "fast", failureDomain: string = "d"): HoldingEngine => ({
+    id,
+    address: id,
+    failureDomain,
+    accelerator,
+    span: held,
+});
+const formatChain = (chain: Chain): string =>
+    chain.stages.map((stage) => `${stage.engine.id}=${format(stage.span)}`).join(",");
+
+const chainRows: readonly { readonly title: string; readonly engines: readonly HoldingEngine[]; readonly chains: readonly string[]; }[] = [
+    { title: "parts that join", engines: [holder("b", span(4, 10)), holder("a", span(0, 4))], chains: ["a=0-4,b=4-10"] },
+    { title: "a gap", engines: [holder("a", span(0, 4)), holder("b", span(5, 10))], chains: [] },
+    {
+        title: "overlapping parts are cut where they meet, to the faster engine's favour",
+        engines: [holder("a", span(0, 6)), holder("b", span(4, 10), "slow")],
+        chains: ["a=0-6,b=6-10"],
+    },
+    {
+        title: "paths share no engine, the fastest first",
+        engines: [holder("s", span(0, 10), "slow"), holder("a", span(0, 5)), holder("b", span(5, 10))],
+        chains: ["a=0-5,b=5-10", "s=0-10"],
+    },
+    {
+        title: "a path inside a failure domain goes before one across, however fast",
+        engines: [holder("a", span(0, 5)), holder("b", span(5, 10), "fast", "e"), holder("s", span(0, 10), "slow", "f")],
+        chains: ["s=0-10"],
+    },
+    {
+        title: "across failure domains only where nothing else is left",
+        engines: [holder("a", span(0, 5)), holder("b", span(5, 10), "fast", "e")],
+        chains: ["a=0-5,b=5-10"],
+    },
+];
+
+describe("a path runs every layer once and in order", () => {
+    for (const { title, engines, chains } of chainRows) {
+        it(title, () => {
+            const found = computeChains(engines, profile);
+            expect(found.map(formatChain)).to.deep.equal(chains);
+            found.forEach((chain) => {
+                const ends = chain.stages.map((stage) => stage.span);
+                expect(ends[0]?.first).to.equal(0);
+                expect(ends.at(-1)?.end).to.equal(profile.layers);
+                ends.slice(1).forEach((one, index) => {
+                    expect(one.first).to.equal(ends[index]?.end);
+                });
+            });
+        });
+    }
+});
+
+describe("a request takes the path on which it is answered soonest", () => {
+    const [fast, slow] = computeChains(
+        [holder("f", span(0, 10)), holder("s", span(0, 10), "slow", "e")],
+        profile,
+    ) as [Chain, Chain];
+    const size = { promptTokens: 100, answerTokens: 20 };
+    const rows = [
+        { title: "the fast one while both are empty", open: [0, 0], choice: "f" },
+        { title: "the fast one while its queue costs less than the other's pace", open: [30, 0], choice: "f" },
+        { title: "the slow one when the fast one is full enough", open: [80, 0], choice: "s" },
+    ] as const;
+    for (const { title, open, choice } of rows) {
+        it(title, () => {
+            const loaded = [{ chain: fast, open: open[0] }, { chain: slow, open: open[1] }];
+            expect(chooseChain(loaded, size)?.chain.stages[0]?.engine.id).to.equal(choice);
+        });
+    }
+
+    it("none where there is no path", () => {
+        expect(chooseChain([], size)).to.equal(undefined);
+    });
+
+    it("a longer prompt and a longer answer take longer", () => {
+        const base = computeExpectedMs({ chain: fast, open: 1 }, size);
+        expect(computeExpectedMs({ chain: fast, open: 1 }, { ...size, promptTokens: 200 })).to.be.above(base);
+        expect(computeExpectedMs({ chain: fast, open: 1 }, { ...size, answerTokens: 40 })).to.be.above(base);
+    });
+});
--- /dev/null
+++ b/packages/decisions/tests/nextStep.test.ts
@@ -0,0 +1,146 @@
+import type { ReplicaAddress } from "@crankfork/schemas";
+import { expect } from "chai";
+import {
+    chooseNextStep,
+    chooseVoterChange,
+    computeVoterTarget,
+    type NextStep,
+    SharedRetryBudget,
+    type TryView,
+    type VoterView,
+} from "../src/index.js";
+
+const view: TryView = {
+    end: "broken",
+    isRepeatable: true,
+    mayHaveRun: true,
+    runs: 1,
+    tries: 1,
+    mostAttempts: 2,
+    leftMs: 1_000,
+    hasAlternative: true,
+    claimRepeat: () => true,
+};
+const notRun = { mayHaveRun: false, runs: 0 };
+
+const rows: readonly { readonly title: string; readonly change: Partial<TryView>; readonly step: NextStep["kind"]; }[] = [
+    { title: "a broken try of a repeatable request", change: {}, step: "try-again" },
+    { title: "a stalled one", change: { end: "stalled" }, step: "try-again" },
+    { title: "a failure that the upstream gave", change: { end: "failed" }, step: "try-again" },
+    { title: "a broken try of what may run once", change: { isRepeatable: false }, step: "fail" },
+    { title: "a failure of what may run once is handed on", change: { end: "failed", isRepeatable: false }, step: "hand-on" },
+    { title: "the route's attempts are used up", change: { runs: 2 }, step: "fail" },
+    { title: "used up, and the upstream gave a failure", change: { runs: 2, end: "failed" }, step: "hand-on" },
+    { title: "the budget is spent", change: { claimRepeat: () => false }, step: "fail" },
+    { title: "the budget is spent before it ran", change: { ...notRun, end: "declined", claimRepeat: () => false }, step: "refuse" },
+    { title: "no time is left", change: { leftMs: 5 }, step: "fail" },
+    { title: "nobody else is there", change: { hasAlternative: false }, step: "fail" },
+    { title: "not sent, though it may run only once", change: { ...notRun, end: "not-sent", isRepeatable: false }, step: "try-again" },
+    { title: "not sent costs no budget", change: { ...notRun, end: "not-sent", claimRepeat: () => false }, step: "try-again" },
+    { title: "declined, though it may run only once", change: { ...notRun, end: "declined", isRepeatable: false }, step: "try-again" },
+    { title: "declined by all", change: { ...notRun, end: "declined", tries: 4 }, step: "refuse" },
+    {
+        title: "declined after a try that may have run, and it may run only once",
+        change: { end: "declined", isRepeatable: false },
+        step: "fail",
+    },
+];
+
+describe("what follows a try never runs a request twice that may run once, and says not-run only where that is true", () => {
+    for (const { title, change, step } of rows) {
+        it(`${title}: ${step}`, () => {
+            expect(chooseNextStep({ ...view, ...change }).kind).to.equal(step);
+        });
+    }
+});
+
+describe("all entries together stay within the budget of repeats", () => {
+    const terms = { ratio: 0.2, slack: 90, windowMs: 10_000 };
+    const claimAll = (budget: SharedRetryBudget): number => {
+        let claimed = 0;
+        while (budget.claimRepeat()) {
+            claimed += 1;
+        }
+        return claimed;
+    };
+
+    it("nine entries spend no more than the slack", () => {
+        const budgets = Array.from({ length: 9 }, () => new SharedRetryBudget(terms, () => 9, () => 0));
+        const total = budgets.reduce((sum, budget) => sum + claimAll(budget), 0);
+        expect(total).to.be.above(0).and.at.most(terms.slack);
+    });
+
+    it("requests earn their share", () => {
+        const budget = new SharedRetryBudget(terms, () => 9, () => 0);
+        const before = claimAll(budget);
+        for (let request = 0; request < 100; request += 1) {
+            budget.recordRequest();
+        }
+        expect(before + claimAll(budget)).to.be.at.most(100 * terms.ratio + terms.slack / 9);
+    });
+
+    it("what was spent is free again only after the whole window", () => {
+        let nowMs = 0;
+        const budget = new SharedRetryBudget(terms, () => 1, () => nowMs);
+        const first = claimAll(budget);
+        nowMs = 8_900;
+        expect(claimAll(budget)).to.equal(0);
+        nowMs = 10_001;
+        expect(claimAll(budget)).to.equal(first);
+    });
+});
+
+const replica = (id: string, address: string = id): ReplicaAddress => ({ id, address });
+const voterView: VoterView = {
+    replicas: { voters: ["a", "b", "c"].map((id) => replica(id)), learners: [] },
+    selfId: "a",
+    joining: [],
+    getSilenceMs: () => 0,
+    toleratedLosses: 2,
+};
+const five = ["a", "b", "c", "d", "e"].map((id) => replica(id));
+
+const voterRows: readonly { readonly title: string; readonly change: Partial<VoterView>; readonly next: string | undefined; }[] = [
+    { title: "nothing to do", change: {}, next: undefined },
+    { title: "a newcomer learns first", change: { joining: [replica("d")] }, next: "a,b,c|d" },
+    {
+        title: "a learner votes while voters are missing",
+        change: { replicas: { voters: voterView.replicas.voters, learners: [replica("d")] } },
+        next: "a,b,c,d|",
+    },
+    { title: "a learner waits while all vote", change: { replicas: { voters: five, learners: [replica("f")] } }, next: undefined },
+    {
+        title: "a silent voter makes room for a learner",
+        change: { replicas: { voters: five, learners: [replica("f")] }, getSilenceMs: (id) => id === "c" ? 4_000 : 0 },
+        next: "a,b,d,e|f",
+    },
+    { title: "a silent voter keeps its place while nobody waits for it", change: { getSilenceMs: (id) => id === "c" ? 60_000 : 0 }, next: undefined },
+    { title: "another replica at a voter's address means its disk is gone", change: { joining: [replica("b2", "b")] }, next: "a,c|" },
+    {
+        title: "a learner that is gone is dropped",
+        change: { replicas: { voters: five, learners: [replica("f")] }, getSilenceMs: (id) => id === "f" ? 11_000 : 0 },
+        next: "a,b,c,d,e|",
+    },
+    {
+        title: "a silent learner is not promoted",
+        change: {
+            replicas: { voters: voterView.replicas.voters, learners: [replica("d")] },
+            getSilenceMs: (id) => id === "d" ? 5_000 : 0,
+        },
+        next: undefined,
+    },
+];
+
+describe("voters change one at a time, until as many vote as the losses to be borne ask for", () => {
+    for (const { title, change, next } of voterRows) {
+        it(title, () => {
+            const set = chooseVoterChange({ ...voterView, ...change });
+            const formatted = set && `${set.voters.map((one) => one.id).join(",")}|${set.learners.map((one) => one.id).join(",")}`;
+            expect(formatted).to.equal(next);
+        });
+    }
+
+    it("two losses ask for five", () => {
+        expect(computeVoterTarget(2)).to.equal(5);
+    });
+});
