--- /dev/null
+++ b/packages/daemon/tests/admitCall.test.ts
@@ -0,0 +1,106 @@
+import type { Route, RoutingTable } from "@crankfork/schemas";
+import { expect } from "chai";
+import { admitCall, type AdmissionView } from "../src/request/admitCall.js";
+import { EventSplitter } from "../src/request/eventSplitter.js";
+import type { RoutedCall } from "../src/request/routedCall.js";
+import { removeConnectionHeaders } from "../src/request/routedAnswer.js";
+import { FleetView } from "../src/version/fleetView.js";
+
+const route = (prefix: string, change: Partial<Route> = {}): Route => ({
+    name: prefix,
+    host: "h",
+    prefix,
+    kind: "call",
+    is_repeatable: true,
+    timeout_ms: 1_000,
+    objective_ms: 100,
+    priority: 1,
+    most_attempts: 2,
+    is_anonymous: false,
+    targets: [{ service: "a", weight: 1 }, { service: "b", weight: 3 }],
+    ...change,
+});
+const table: RoutingTable = {
+    version: 1,
+    routes: [route("/keyed/"), route("/open/", { is_anonymous: true })],
+    services: [{ name: "a", most_connections: 1 }, { name: "b", most_connections: 1 }],
+    organisations: [{ name: "o", keys: ["k"] }],
+    limits: { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 },
+};
+const fleet = new FleetView();
+fleet.applyTable(table);
+const view: AdmissionView = { routing: fleet.routing, ageMs: 10, applyMs: 2_000, revocationMs: 5_000, draw: 0.5 };
+const createCall = (path: string, key: string | undefined): RoutedCall => ({
+    requestId: "r",
+    method: "GET",
+    host: "h",
+    target: path,
+    path,
+    key,
+    deadlineMs: undefined,
+    size: undefined,
+    lastEventId: undefined,
+    rawHeaders: [],
+});
+
+const rows: readonly {
+    readonly title: string;
+    readonly path: string;
+    readonly key?: string;
+    readonly change?: Partial<AdmissionView>;
+    readonly outcome: string;
+}[] = [
+    { title: "a known key", path: "/keyed/x", key: "k", outcome: "b" },
+    { title: "the draw chooses by weight", path: "/keyed/x", key: "k", change: { draw: 0.2 }, outcome: "a" },
+    { title: "an unknown key", path: "/keyed/x", key: "z", outcome: "unknown-key" },
+    { title: "no key", path: "/keyed/x", outcome: "unknown-key" },
+    { title: "no key where none is asked for", path: "/open/x", outcome: "b" },
+    { title: "no route", path: "/none/", key: "k", outcome: "unknown-route" },
+    { title: "before the first table nothing is denied", path: "/none/", change: { routing: undefined }, outcome: "starting" },
+    { title: "an entry that is cut off denies nothing for good", path: "/none/", change: { ageMs: 3_000 }, outcome: "not-confirmed" },
+    { title: "neither does it deny a key", path: "/keyed/x", key: "z", change: { ageMs: 3_000 }, outcome: "not-confirmed" },
+    { title: "a key is used while its lease holds", path: "/keyed/x", key: "k", change: { ageMs: 4_000 }, outcome: "b" },
+    { title: "and no longer", path: "/keyed/x", key: "k", change: { ageMs: 4_300 }, outcome: "not-confirmed" },
+    { title: "a route without a key is served on", path: "/open/x", change: { ageMs: 60_000 }, outcome: "b" },
+];
+
+describe("an entry lets in what the confirmed table allows, and denies only what it is sure of", () => {
+    for (const { title, path, key, change, outcome } of rows) {
+        it(title, () => {
+            const admission = admitCall(createCall(path, key), { ...view, ...change });
+            expect(admission.kind === "admitted" ? admission.service.name : admission.refusal).to.equal(outcome);
+        });
+    }
+
+    it("a table that is not higher does not come into force", () => {
+        expect(fleet.applyTable({ ...table, routes: [] })).to.equal(false);
+        expect(fleet.routing?.findRoute("h", "/open/")?.name).to.equal("/open/");
+    });
+});
+
+const splitRows: readonly { readonly title: string; readonly chunks: readonly string[]; readonly ids: readonly (string | undefined)[]; readonly hasPart: boolean; }[] = [
+    { title: "one event", chunks: ["id: 1\ndata: a\n\n"], ids: ["1"], hasPart: false },
+    { title: "two in one chunk", chunks: ["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], ids: ["1", "2"], hasPart: false },
+    { title: "one over three chunks", chunks: ["id: 1\nda", "ta: a\n", "\n"], ids: ["1"], hasPart: false },
+    { title: "a part is kept back", chunks: ["id: 1\ndata: a\n\nid: 2\n"], ids: ["1"], hasPart: true },
+    { title: "an event without an id", chunks: ["data: a\n\n"], ids: [undefined], hasPart: false },
+];
+
+describe("events are handed on whole, byte for byte", () => {
+    for (const { title, chunks, ids, hasPart } of splitRows) {
+        it(title, () => {
+            const splitter = new EventSplitter();
+            const events = chunks.flatMap((chunk) => splitter.push(Buffer.from(chunk)));
+            expect(events.map((event) => event.id)).to.deep.equal(ids);
+            expect(splitter.hasPart).to.equal(hasPart);
+            expect(chunks.join("").startsWith(Buffer.concat(events.map((event) => event.bytes)).toString())).to.equal(true);
+        });
+    }
+});
+
+describe("headers of one connection stay there", () => {
+    it("leaves out the known ones, those that are named, and those that are asked for", () => {
+        const raw = ["Host", "h", "Connection", "close, X-Hop", "X-Hop", "1", "TE", "trailers", "X-Kept", "2", "Mine", "3"];
+        expect(removeConnectionHeaders(raw, new Set(["mine"]))).to.deep.equal(["Host", "h", "X-Kept", "2"]);
+    });
+});
--- /dev/null
+++ b/packages/daemon/tests/fleetVoter.test.ts
@@ -0,0 +1,181 @@
+import { FleetState, type Folder } from "@crankfork/coordination";
+import type { FleetCommand, RoutingTable } from "@crankfork/schemas";
+import FakeTimers from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import { mkdtemp, rm } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { EntryRegister } from "../src/process/entryRegister.js";
+import type { EventLog } from "../src/process/eventLog.js";
+import { type FleetReplicaHost, FleetVoter, type UpstreamHeartbeat } from "../src/process/fleetVoter.js";
+import { createRateLimitedLog } from "../src/process/rateLimitedLog.js";
+import { ReplicaHost } from "../src/process/replicaHost.js";
+
+const silentLog: EventLog = { record: () => undefined };
+const limits = { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
+const createTable = (version: number): RoutingTable => ({ version, routes: [], services: [], limits });
+const createHeartbeat = (
+    id: string,
+    sequence: number,
+    status: UpstreamHeartbeat["status"] = "ready",
+    address: string = id,
+): UpstreamHeartbeat => ({ facts: { id, service: "s", address, failure_domain: "d", slots: 1 }, status, sequence });
+
+interface OpenVoter {
+    readonly host: FleetReplicaHost;
+    readonly voter: FleetVoter;
+    readonly close: () => Promise<void>;
+}
+
+/** A voter that founds its log alone, on a real disk. */
+async function openVoter(folder?: string): Promise<OpenVoter & { readonly folder: string; }> {
+    const path = folder ?? await mkdtemp(join(tmpdir(), "crankfork-voter-"));
+    const self = { id: "founder.one", address: "one" };
+    const host = await ReplicaHost.start<FleetState, FleetCommand>({
+        instance: "one",
+        folder: path,
+        address: "one",
+        heartbeatMs: 10,
+        electionMs: 40,
+        snapshotEvery: 5,
+        createState: () => new FleetState(),
+        stampCommand: (command) => command,
+        founding: { cluster: "c", founders: [self] },
+        random: Math.random,
+        send: () => undefined,
+        record: () => undefined,
+        handleState: () => undefined,
+    });
+    while (!host.replica.hasNewestState()) {
+        await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    const voter = new FleetVoter({ host, log: silentLog, getNowMs: () => performance.now(), heartbeatMs: 1_000 });
+    return {
+        host,
+        voter,
+        folder: path,
+        close: async () => {
+            host.stop();
+            await rm(path, { recursive: true, force: true });
+        },
+    };
+}
+
+describe("a voter acknowledges what a quorum holds", () => {
+    const rows: readonly { readonly title: string; readonly beats: readonly UpstreamHeartbeat[]; readonly upstreams: Record<string, string>; }[] = [
+        { title: "a new upstream", beats: [createHeartbeat("u", 1)], upstreams: { u: "ready" } },
+        { title: "leaving", beats: [createHeartbeat("u", 1), createHeartbeat("u", 2, "leaving")], upstreams: { u: "leaving" } },
+        { title: "an older heartbeat that comes late", beats: [createHeartbeat("u", 5, "leaving"), createHeartbeat("u", 4)], upstreams: { u: "leaving" } },
+        {
+            title: "another upstream at the same address",
+            beats: [createHeartbeat("old", 1, "ready", "a"), createHeartbeat("new", 1, "ready", "a")],
+            upstreams: { new: "ready" },
+        },
+    ];
+    for (const { title, beats, upstreams } of rows) {
+        it(title, async () => {
+            const { voter, host, close } = await openVoter();
+            for (const beat of beats) {
+                expect((await voter.registerUpstream(beat)).kind).to.equal("done");
+            }
+            const found = Object.fromEntries(host.state.listUpstreams().map((one) => [one.id, one.status]));
+            await close();
+            expect(found).to.deep.equal(upstreams);
+        });
+    }
+
+    it("an upstream that was removed does not come back with a late heartbeat", async () => {
+        const { voter, host, close } = await openVoter();
+        await voter.registerUpstream(createHeartbeat("u", 1));
+        await voter.removeUpstream("u");
+        await voter.registerUpstream(createHeartbeat("u", 2));
+        const count = host.state.listUpstreams().length;
+        await close();
+        expect(count).to.equal(0);
+    });
+
+    it("the highest version prevails, and lower ones are acknowledged", async () => {
+        const { voter, close } = await openVoter();
+        const kinds = [];
+        for (const [version, content] of [[3, "three"], [2, "two"], [3, "other"], [9, "nine"]] as const) {
+            kinds.push((await voter.confirmDocument(createTable(version), content)).kind);
+        }
+        const newest = voter.getNewestDocument();
+        await close();
+        expect(kinds).to.deep.equal(["done", "done", "done", "done"]);
+        expect(newest).to.deep.equal({ kind: "done", value: "nine" });
+    });
+
+    it("what was acknowledged is there after a crash, also behind a snapshot", async () => {
+        const first = await openVoter();
+        for (let version = 1; version <= 12; version += 1) {
+            await first.voter.confirmDocument(createTable(version), { version });
+        }
+        await first.voter.registerUpstream(createHeartbeat("u", 1));
+        first.host.stop();
+        const second = await openVoter(first.folder);
+        const newest = second.voter.getNewestDocument();
+        const upstreams = second.host.state.listUpstreams().map((one) => one.id);
+        await second.close();
+        expect(newest).to.deep.equal({ kind: "done", value: { version: 12 } });
+        expect(upstreams).to.deep.equal(["u"]);
+    });
+
+    it("a voter without a quorum acknowledges nothing", async () => {
+        const { voter, host, close } = await openVoter();
+        host.stop();
+        const results = [
+            (await voter.confirmDocument(createTable(1), {})).kind,
+            (await voter.registerUpstream(createHeartbeat("u", 1))).kind,
+            (await voter.removeUpstream("u")).kind,
+            voter.getNewestDocument().kind,
+        ];
+        const entries = new EntryRegister({ host, getNowMs: () => 0, handleSuspects: () => undefined });
+        const told = await entries.synchronise({ instance: "e", known_index: 0, open: {}, suspects: [] });
+        await close();
+        expect(results).to.deep.equal(["unavailable", "unavailable", "unavailable", "unavailable"]);
+        expect(told.kind).to.equal("not-leader");
+    });
+});
+
+describe("a replica whose disk refused a write goes on once it takes writes again", () => {
+    it("keeps what it acknowledged, and acknowledges nothing meanwhile", async () => {
+        const { voter, host, folder, close } = await openVoter();
+        await voter.confirmDocument(createTable(1), "one");
+        const storageFolder = (host as unknown as { folder: Folder & { append: Folder["append"]; }; }).folder;
+        const append = storageFolder.append.bind(storageFolder);
+        (storageFolder as { append: Folder["append"]; }).append = () => Promise.reject(new Error("ENOSPC: no space left"));
+        const refused = await voter.confirmDocument(createTable(2), "two");
+        (storageFolder as { append: Folder["append"]; }).append = append;
+        while (!host.replica.hasNewestState()) {
+            await new Promise((resolve) => setTimeout(resolve, 20));
+        }
+        const newest = voter.getNewestDocument();
+        const later = await voter.confirmDocument(createTable(3), "three");
+        await close();
+        expect(folder).to.be.a("string");
+        expect(refused.kind).to.equal("unavailable");
+        expect(newest).to.deep.equal({ kind: "done", value: "one" });
+        expect(later.kind).to.equal("done");
+    });
+});
+
+describe("the log is bounded", () => {
+    it("says how many lines of a kind it left out", () => {
+        const clock = FakeTimers.install({ now: 0 });
+        const lines: string[] = [];
+        const log = createRateLimitedLog({
+            record: (_level, event, fields) => lines.push(`${event} ${JSON.stringify(fields ?? {})}`),
+        }, () => Date.now());
+        for (let line = 0; line < 100; line += 1) {
+            log.record("info", "often");
+        }
+        log.record("info", "seldom");
+        clock.tick(1_000);
+        log.record("info", "often");
+        clock.uninstall();
+        expect(lines.filter((line) => line.startsWith("often"))).to.have.length(41);
+        expect(lines).to.include('lines-dropped {"of":"often","count":60}');
+        expect(lines).to.include("seldom {}");
+    });
+});
