A stopping entry takes nothing it can't finish; requests wait a little for a leader or a lost part

Ruled out: closing connections at once (the balancer sends new ones for two questions more). Change: 2.8 s after the request to stop everything new is refused as not run.

--- a/packages/coordination/tests/fleetState.test.ts
+++ b/packages/coordination/tests/fleetState.test.ts
@@ -20,12 +20,20 @@
     return state;
 }
 
-const documentRows: readonly { readonly title: string; readonly commands: readonly FleetCommand[]; readonly content: unknown; }[] = [
+const documentRows: readonly {
+    readonly title: string;
+    readonly commands: readonly FleetCommand[];
+    readonly content: unknown;
+}[] = [
     { title: "none", commands: [], content: undefined },
     { title: "the first", commands: [putDocument(3)], content: { version: 3 } },
     { title: "a higher one", commands: [putDocument(3), putDocument(7)], content: { version: 7 } },
     { title: "a lower one that comes later", commands: [putDocument(7), putDocument(3)], content: { version: 7 } },
-    { title: "other content under the same version", commands: [putDocument(7, "first"), putDocument(7, "second")], content: "first" },
+    {
+        title: "other content under the same version",
+        commands: [putDocument(7, "first"), putDocument(7, "second")],
+        content: "first",
+    },
 ];
 
 describe("the highest version of the document prevails", () => {
@@ -36,13 +44,25 @@
     }
 });
 
-const upstreamRows: readonly { readonly title: string; readonly commands: readonly FleetCommand[]; readonly status: UpstreamStatus | undefined; }[] = [
+const upstreamRows: readonly {
+    readonly title: string;
+    readonly commands: readonly FleetCommand[];
+    readonly status: UpstreamStatus | undefined;
+}[] = [
     { title: "registered", commands: [putUpstream("u")], status: "ready" },
     { title: "leaving", commands: [putUpstream("u"), putUpstream("u", "leaving")], status: "leaving" },
-    { title: "a late heartbeat does not undo leaving", commands: [putUpstream("u", "leaving"), putUpstream("u")], status: "leaving" },
+    {
+        title: "a late heartbeat does not undo leaving",
+        commands: [putUpstream("u", "leaving"), putUpstream("u")],
+        status: "leaving",
+    },
     { title: "lost, and heard again", commands: [putUpstream("u", "lost"), putUpstream("u")], status: "ready" },
     { title: "removed", commands: [putUpstream("u"), remove("u")], status: undefined },
-    { title: "a late heartbeat does not undo a removal", commands: [putUpstream("u"), remove("u"), putUpstream("u")], status: undefined },
+    {
+        title: "a late heartbeat does not undo a removal",
+        commands: [putUpstream("u"), remove("u"), putUpstream("u")],
+        status: undefined,
+    },
     { title: "removed before it was heard of", commands: [remove("u"), putUpstream("u")], status: undefined },
 ];
 
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -6,12 +6,14 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Agent } from "undici";
 import type { EngineControl } from "../connection/engineControl.js";
-import { admitCall, isKeyLeaseValid } from "../request/admitCall.js";
+import { admitCall, type CallAdmission, isKeyLeaseValid } from "../request/admitCall.js";
 import { RoutedAnswer } from "../request/routedAnswer.js";
 import type { CallCodec, CallTarget, RoutedCall } from "../request/routedCall.js";
 import { type RefusalId, refusals } from "../request/routedRefusal.js";
 import {
+    computePatienceMs,
     handleRoutedRequest,
+    PATIENCE_POLL_MS,
     type RequestEnd,
     type RoutedRequestFunctions,
     type StallAnswer,
@@ -20,6 +22,7 @@
 import { FleetView } from "../version/fleetView.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
+import { waitMs } from "./fleetProcess.js";
 import { BodyTooLargeError, readBody } from "./httpServer.js";
 import { StallReports } from "./stallReports.js";
 import { TargetChooser } from "./targetChooser.js";
@@ -41,6 +44,8 @@
     readonly getAgeMs: () => number;
     readonly countEntries: () => number;
     readonly isStopping: () => boolean;
+    /** False once a stop has been under way for so long that a request might not end before the process does. */
+    readonly takesRequests: () => boolean;
 }
 
 /**
@@ -48,6 +53,8 @@
  * stop to work soon after.
  */
 const READY_LEASE_SHARE = 0.6;
+/** Body that is read before the first table names a limit; as large as the example of the users' pages. */
+const MOST_BODY_BYTES = 4_194_304;
 
 /** Takes requests. */
 export class FleetEntry {
@@ -150,16 +157,9 @@
         const arrivedMs = getNowMs();
         const call = codec.parseCall(message);
         const answer = new RoutedAnswer(response, codec, isStopping);
-        const admission = admitCall(call, {
-            routing: this.view.routing,
-            ageMs: this.options.getAgeMs(),
-            applyMs: this.options.settings.contract.apply,
-            revocationMs: this.options.settings.contract.revocation,
-            draw: this.options.random(),
-        });
-        if (admission.kind === "refused") {
+        if (!this.options.takesRequests()) {
             message.resume();
-            this.refuse(call, answer, admission.refusal, arrivedMs);
+            this.refuse(call, answer, "stopping", arrivedMs);
             return;
         }
         const body = await this.readCallerBody(message);
@@ -167,13 +167,44 @@
             this.refuse(call, answer, body === "too-large" ? "body-too-large" : "unreadable", arrivedMs);
             return;
         }
+        const admission = await this.admitPatiently(call, response);
+        if (admission.kind === "refused") {
+            this.refuse(call, answer, admission.refusal, arrivedMs);
+            return;
+        }
         const { route, service, organisation } = admission;
         await this.run({ call, route, service, organisation, body, arrivedMs }, response, answer);
     }
 
+    /** An entry that is about to learn what it lacks lets a request wait a little rather than send it away. */
+    private async admitPatiently(call: RoutedCall, response: ServerResponse): Promise<CallAdmission> {
+        const { getNowMs } = this.options;
+        const untilMs = getNowMs() + computePatienceMs(call.deadlineMs ?? 0);
+        let admission = this.admit(call);
+        while (admission.kind === "refused" && isPassing(admission.refusal) && !response.closed) {
+            if (getNowMs() >= untilMs || !this.options.takesRequests()) {
+                return admission;
+            }
+            await waitMs(PATIENCE_POLL_MS);
+            admission = this.admit(call);
+        }
+        return admission;
+    }
+
+    private admit(call: RoutedCall): CallAdmission {
+        const { apply, revocation } = this.options.settings.contract;
+        return admitCall(call, {
+            routing: this.view.routing,
+            ageMs: this.options.getAgeMs(),
+            applyMs: apply,
+            revocationMs: revocation,
+            draw: this.options.random(),
+        });
+    }
+
     private async readCallerBody(message: IncomingMessage): Promise<Buffer | undefined | "too-large" | "unreadable"> {
         try {
-            const body = await readBody(message, this.view.routing?.table.limits.body_bytes ?? 0);
+            const body = await readBody(message, this.view.routing?.table.limits.body_bytes ?? MOST_BODY_BYTES);
             return body.length === 0 ? undefined : body;
         }
         catch (error) {
@@ -197,7 +228,7 @@
 
     private refuse(call: RoutedCall, answer: RoutedAnswer, id: RefusalId, arrivedMs: number): void {
         const { log, metrics, getNowMs, getAgeMs } = this.options;
-        answer.sendRefusal(call, refusals[id]);
+        answer.sendRefusal(call, refusals[id], (call.deadlineMs ?? 0) - (getNowMs() - arrivedMs));
         metrics.countRequest("", id);
         log.record("info", "request", {
             request: call.requestId,
@@ -278,3 +309,8 @@
         return await this.stallReports.ask(target.address, requestId);
     }
 }
+
+/** A refusal that may be over in a moment. */
+function isPassing(refusal: RefusalId): boolean {
+    return refusal === "starting" || refusal === "not-confirmed";
+}
--- a/packages/daemon/src/process/runEntry.ts
+++ b/packages/daemon/src/process/runEntry.ts
@@ -23,7 +23,7 @@
  * Time after the request to stop for which new connections still come: the balancer asks every second, and takes an
  * instance out after two questions without a good answer.
  */
-const BALANCER_NOTICE_MS = 3_200;
+const BALANCER_NOTICE_MS = 2_800;
 /** Left of the time to stop when the process ends, whatever is still open. */
 const STOP_MARGIN_MS = 700;
 const IDLE_POLL_MS = 50;
@@ -45,7 +45,8 @@
     const lifecycle = startLifecycle((state) => {
         log.record("info", "state", { state });
     });
-    const isStopping = (): boolean => lifecycle.get() === "draining" || lifecycle.get() === "stopped";
+    let stopMs = Number.POSITIVE_INFINITY;
+    const isStopping = (): boolean => getNowMs() >= stopMs;
     const agent = openUpstreamConnections();
     const entry: FleetEntry = new FleetEntry({
         ...protocol,
@@ -58,6 +59,7 @@
         getAgeMs: () => link.ageMs,
         countEntries: () => link.countEntries(),
         isStopping,
+        takesRequests: () => getNowMs() < stopMs + BALANCER_NOTICE_MS,
     });
     const link: FleetLink = new FleetLink({
         peers: fleet.peers,
@@ -86,6 +88,7 @@
 
     async function stopEntry(): Promise<void> {
         const startMs = getNowMs();
+        stopMs = startMs;
         log.record("info", "stopping", { open: entry.countOpen });
         lifecycle.send("asked-to-stop");
         const endMs = startMs + settings.contract.stop - STOP_MARGIN_MS;
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/runVoter.ts
@@ -32,9 +32,9 @@
     readonly createOperatorHandler: (voter: FleetVoter, process: FleetProcess) => RequestHandler;
 }
 
-/** Heartbeats and elections: a new leader within some 1.5 s, and no election for a pause of the process. */
-const HEARTBEAT_MS = 150;
-const ELECTION_MS = 900;
+/** Heartbeats and elections: a new leader within a second, and no election for a pause of the process. */
+const HEARTBEAT_MS = 120;
+const ELECTION_MS = 600;
 /** A document may have 100 KB; so many entries of the log fit the disk many times. */
 const SNAPSHOT_EVERY = 150;
 const SILENCE_CHECK_MS = 250;
--- a/packages/daemon/src/request/routedAnswer.ts
+++ b/packages/daemon/src/request/routedAnswer.ts
@@ -22,6 +22,9 @@
 /** Bytes that a caller may leave unread before the upstream is held up. */
 const MOST_UNREAD_BYTES = 256 * 1_024;
 const MS_A_SECOND = 1_000;
+/** Part of its time left after which a caller would not come back: a third (the users' pages), less the way. */
+const RETRY_SHARE = 0.3;
+const LEAST_RETRY_MS = 10;
 
 /**
  * Leaves out the headers that concern one connection only.
@@ -78,12 +81,14 @@
      * Sends an answer of our own.
      * @param call - the request
      * @param refusal - what is said
+     * @param leftMs - the caller's time until its deadline; it comes back within a part of that, or not at all
      */
-    sendRefusal(call: RoutedCall, refusal: Refusal): void {
+    sendRefusal(call: RoutedCall, refusal: Refusal, leftMs: number): void {
         const body = Buffer.from(JSON.stringify({ error: refusal.id, message: refusal.text }));
         const headers = [...this.codec.createErrorHeaders(call), "Content-Type", "application/json"];
         if (refusal.retryAfterMs !== undefined) {
-            headers.push("Retry-After", String(refusal.retryAfterMs / MS_A_SECOND));
+            const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.min(refusal.retryAfterMs, leftMs * RETRY_SHARE));
+            headers.push("Retry-After", String(Math.round(retryAfterMs) / MS_A_SECOND));
         }
         headers.push("Content-Length", String(body.length));
         this.writeHead(refusal.status, headers);
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -5,6 +5,7 @@
 /** Why a request gets an answer of our own. */
 export type RefusalId =
     | "starting"
+    | "stopping"
     | "not-confirmed"
     | "unknown-route"
     | "unknown-key"
@@ -26,9 +27,13 @@
 }
 
 /** Time to come back while an instance starts or has lost the voters; a leader is elected in that time. */
-const REJOIN_RETRY_MS = 300;
-/** Time to come back where no upstream takes the request now. */
-const BUSY_RETRY_MS = 250;
+const REJOIN_RETRY_MS = 1_500;
+/** Time to come back to another instance. */
+const OTHER_INSTANCE_RETRY_MS = 10;
+/** Time to come back where no upstream takes the request now; a lost part of a model is loaded in that time. */
+const NO_UPSTREAM_RETRY_MS = 1_500;
+/** Time to come back where all upstreams are full; a request takes about as long. */
+const BUSY_RETRY_MS = 500;
 
 /** Texts and statuses. 503 promises that the request has not run and will not. */
 export const refusals: Readonly<Record<RefusalId, Refusal>> = {
@@ -38,6 +43,12 @@
         text: "this instance does not know the configuration yet",
         retryAfterMs: REJOIN_RETRY_MS,
     },
+    "stopping": {
+        id: "stopping",
+        status: 503,
+        text: "this instance is about to stop; others take the request",
+        retryAfterMs: OTHER_INSTANCE_RETRY_MS,
+    },
     "not-confirmed": {
         id: "not-confirmed",
         status: 503,
@@ -52,7 +63,7 @@
         id: "no-upstream",
         status: 503,
         text: "no upstream can take the request now; it has not run",
-        retryAfterMs: BUSY_RETRY_MS,
+        retryAfterMs: NO_UPSTREAM_RETRY_MS,
     },
     "declined": {
         id: "declined",
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -8,7 +8,7 @@
 import type { RoutedAnswer } from "./routedAnswer.js";
 import type { CallCodec, CallTarget } from "./routedCall.js";
 import { type RefusalId, refusals } from "./routedRefusal.js";
-import type { RoutedRun } from "./routedRun.js";
+import type { RoutedRun, RunStop } from "./routedRun.js";
 import { runTry, type TryResult, type WholeAnswer } from "./routedTry.js";
 import { StreamRelay } from "./streamRelay.js";
 
@@ -59,6 +59,25 @@
 /** Reports without an answer after which the first engine counts as gone. */
 const MOST_UNREACHABLE = 2;
 
+/**
+ * Part of the time left for which a request waits where nothing can take it now: an engine that is lost is replaced,
+ * and a leader elected, in that time. A caller with little time is better sent away at once.
+ */
+const PATIENCE_SHARE = 0.1;
+/** A second and a half: the usual time to load a lost part anew, and more than an election takes. */
+const MOST_PATIENCE_MS = 1_800;
+/** Between two looks whether something can take a waiting request. */
+export const PATIENCE_POLL_MS = 40;
+
+/**
+ * Computes how long a request may wait for something that can take it.
+ * @param leftMs - its time until the deadline
+ * @returns milliseconds
+ */
+export function computePatienceMs(leftMs: number): number {
+    return Math.max(0, Math.min(MOST_PATIENCE_MS, leftMs * PATIENCE_SHARE));
+}
+
 /**
  * Runs a request to its end.
  * @param run - the request
@@ -79,7 +98,10 @@
         if (run.admitted.organisation !== undefined && !functions.mayUseKey()) {
             return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "not-confirmed");
         }
-        const target = functions.chooseTarget(run, relay?.lastEventId);
+        const target = await chooseTargetPatiently(run, relay, functions);
+        if (run.stopReason !== undefined) {
+            return endStopped(run, answer, run.stopReason);
+        }
         if (target === undefined) {
             return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "no-upstream");
         }
@@ -92,9 +114,7 @@
                 answer.endStream();
                 return { outcome: "answered", status: 200, refusal: undefined };
             case "stopped":
-                return result.stop === "caller-left"
-                    ? { outcome: "caller-left", status: undefined, refusal: undefined }
-                    : sendRefusal(run, answer, run.mayHaveRun ? "timeout" : "timeout-not-run");
+                return endStopped(run, answer, result.stop);
             case "ended": {
                 const end = applyNextStep(run, answer, result, functions);
                 if (end !== undefined) {
@@ -105,6 +125,26 @@
     }
 }
 
+function endStopped(run: RoutedRun, answer: RoutedAnswer, stop: RunStop): RequestEnd {
+    return stop === "caller-left"
+        ? { outcome: "caller-left", status: undefined, refusal: undefined }
+        : sendRefusal(run, answer, run.mayHaveRun ? "timeout" : "timeout-not-run");
+}
+
+async function chooseTargetPatiently(
+    run: RoutedRun,
+    relay: StreamRelay | undefined,
+    functions: RoutedRequestFunctions,
+): Promise<CallTarget | undefined> {
+    const untilMs = functions.getNowMs() + computePatienceMs(run.leftMs);
+    let target = functions.chooseTarget(run, relay?.lastEventId);
+    while (target === undefined && run.stopReason === undefined && functions.getNowMs() < untilMs) {
+        await new Promise((resolve) => setTimeout(resolve, PATIENCE_POLL_MS));
+        target = functions.chooseTarget(run, relay?.lastEventId);
+    }
+    return target;
+}
+
 async function tryTarget(
     run: RoutedRun,
     target: CallTarget,
@@ -250,7 +290,7 @@
         answer.breakOff();
         return { outcome: "broken-off", status: undefined, refusal: id };
     }
-    answer.sendRefusal(run.admitted.call, refusals[id]);
+    answer.sendRefusal(run.admitted.call, refusals[id], run.leftMs);
     return { outcome: run.mayHaveRun ? "failed" : "refused", status: refusals[id].status, refusal: id };
 }
 
--- a/packages/daemon/tests/admitCall.test.ts
+++ b/packages/daemon/tests/admitCall.test.ts
@@ -1,9 +1,9 @@
 import type { Route, RoutingTable } from "@crankfork/schemas";
 import { expect } from "chai";
-import { admitCall, type AdmissionView } from "../src/request/admitCall.js";
+import { type AdmissionView, admitCall } from "../src/request/admitCall.js";
 import { EventSplitter } from "../src/request/eventSplitter.js";
-import type { RoutedCall } from "../src/request/routedCall.js";
 import { removeConnectionHeaders } from "../src/request/routedAnswer.js";
+import type { RoutedCall } from "../src/request/routedCall.js";
 import { FleetView } from "../src/version/fleetView.js";
 
 const route = (prefix: string, change: Partial<Route> = {}): Route => ({
@@ -56,10 +56,32 @@
     { title: "no key", path: "/keyed/x", outcome: "unknown-key" },
     { title: "no key where none is asked for", path: "/open/x", outcome: "b" },
     { title: "no route", path: "/none/", key: "k", outcome: "unknown-route" },
-    { title: "before the first table nothing is denied", path: "/none/", change: { routing: undefined }, outcome: "starting" },
-    { title: "an entry that is cut off denies nothing for good", path: "/none/", change: { ageMs: 3_000 }, outcome: "not-confirmed" },
-    { title: "neither does it deny a key", path: "/keyed/x", key: "z", change: { ageMs: 3_000 }, outcome: "not-confirmed" },
-    { title: "a key is used while its lease holds", path: "/keyed/x", key: "k", change: { ageMs: 4_000 }, outcome: "b" },
+    {
+        title: "before the first table nothing is denied",
+        path: "/none/",
+        change: { routing: undefined },
+        outcome: "starting",
+    },
+    {
+        title: "an entry that is cut off denies nothing for good",
+        path: "/none/",
+        change: { ageMs: 3_000 },
+        outcome: "not-confirmed",
+    },
+    {
+        title: "neither does it deny a key",
+        path: "/keyed/x",
+        key: "z",
+        change: { ageMs: 3_000 },
+        outcome: "not-confirmed",
+    },
+    {
+        title: "a key is used while its lease holds",
+        path: "/keyed/x",
+        key: "k",
+        change: { ageMs: 4_000 },
+        outcome: "b",
+    },
     { title: "and no longer", path: "/keyed/x", key: "k", change: { ageMs: 4_300 }, outcome: "not-confirmed" },
     { title: "a route without a key is served on", path: "/open/x", change: { ageMs: 60_000 }, outcome: "b" },
 ];
@@ -78,7 +100,12 @@
     });
 });
 
-const splitRows: readonly { readonly title: string; readonly chunks: readonly string[]; readonly ids: readonly (string | undefined)[]; readonly hasPart: boolean; }[] = [
+const splitRows: readonly {
+    readonly title: string;
+    readonly chunks: readonly string[];
+    readonly ids: readonly (string | undefined)[];
+    readonly hasPart: boolean;
+}[] = [
     { title: "one event", chunks: ["id: 1\ndata: a\n\n"], ids: ["1"], hasPart: false },
     { title: "two in one chunk", chunks: ["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"], ids: ["1", "2"], hasPart: false },
     { title: "one over three chunks", chunks: ["id: 1\nda", "ta: a\n", "\n"], ids: ["1"], hasPart: false },
@@ -93,14 +120,29 @@
             const events = chunks.flatMap((chunk) => splitter.push(Buffer.from(chunk)));
             expect(events.map((event) => event.id)).to.deep.equal(ids);
             expect(splitter.hasPart).to.equal(hasPart);
-            expect(chunks.join("").startsWith(Buffer.concat(events.map((event) => event.bytes)).toString())).to.equal(true);
+            expect(chunks.join("").startsWith(Buffer.concat(events.map((event) => event.bytes)).toString())).to.equal(
+                true,
+            );
         });
     }
 });
 
 describe("headers of one connection stay there", () => {
     it("leaves out the known ones, those that are named, and those that are asked for", () => {
-        const raw = ["Host", "h", "Connection", "close, X-Hop", "X-Hop", "1", "TE", "trailers", "X-Kept", "2", "Mine", "3"];
+        const raw = [
+            "Host",
+            "h",
+            "Connection",
+            "close, X-Hop",
+            "X-Hop",
+            "1",
+            "TE",
+            "trailers",
+            "X-Kept",
+            "2",
+            "Mine",
+            "3",
+        ];
         expect(removeConnectionHeaders(raw, new Set(["mine"]))).to.deep.equal(["Host", "h", "X-Kept", "2"]);
     });
 });
--- a/packages/daemon/tests/fleetVoter.test.ts
+++ b/packages/daemon/tests/fleetVoter.test.ts
@@ -62,10 +62,22 @@
 }
 
 describe("a voter acknowledges what a quorum holds", () => {
-    const rows: readonly { readonly title: string; readonly beats: readonly UpstreamHeartbeat[]; readonly upstreams: Record<string, string>; }[] = [
+    const rows: readonly {
+        readonly title: string;
+        readonly beats: readonly UpstreamHeartbeat[];
+        readonly upstreams: Record<string, string>;
+    }[] = [
         { title: "a new upstream", beats: [createHeartbeat("u", 1)], upstreams: { u: "ready" } },
-        { title: "leaving", beats: [createHeartbeat("u", 1), createHeartbeat("u", 2, "leaving")], upstreams: { u: "leaving" } },
-        { title: "an older heartbeat that comes late", beats: [createHeartbeat("u", 5, "leaving"), createHeartbeat("u", 4)], upstreams: { u: "leaving" } },
+        {
+            title: "leaving",
+            beats: [createHeartbeat("u", 1), createHeartbeat("u", 2, "leaving")],
+            upstreams: { u: "leaving" },
+        },
+        {
+            title: "an older heartbeat that comes late",
+            beats: [createHeartbeat("u", 5, "leaving"), createHeartbeat("u", 4)],
+            upstreams: { u: "leaving" },
+        },
         {
             title: "another upstream at the same address",
             beats: [createHeartbeat("old", 1, "ready", "a"), createHeartbeat("new", 1, "ready", "a")],
@@ -144,7 +156,8 @@
         await voter.confirmDocument(createTable(1), "one");
         const storageFolder = (host as unknown as { folder: Folder & { append: Folder["append"]; }; }).folder;
         const append = storageFolder.append.bind(storageFolder);
-        (storageFolder as { append: Folder["append"]; }).append = () => Promise.reject(new Error("ENOSPC: no space left"));
+        (storageFolder as { append: Folder["append"]; }).append = () =>
+            Promise.reject(new Error("ENOSPC: no space left"));
         const refused = await voter.confirmDocument(createTable(2), "two");
         (storageFolder as { append: Folder["append"]; }).append = append;
         while (!host.replica.hasNewestState()) {
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -1,11 +1,16 @@
 import type { Route } from "@crankfork/schemas";
-import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 import { createServer, type Server } from "node:http";
+import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 import type { Agent } from "undici";
 import { openUpstreamConnections } from "../src/connection/upstreamExchange.js";
-import { RoutedAnswer, removeConnectionHeaders } from "../src/request/routedAnswer.js";
+import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
-import { handleRoutedRequest, type RequestEnd, type RoutedRequestFunctions, type StallAnswer } from "../src/request/routedRequest.js";
+import {
+    handleRoutedRequest,
+    type RequestEnd,
+    type RoutedRequestFunctions,
+    type StallAnswer,
+} from "../src/request/routedRequest.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 
 /** Plain names in place of a platform's. */
@@ -52,7 +57,11 @@
     static async open(name: string, script: UpstreamScript): Promise<ScriptedUpstream> {
         const server = createTcpServer();
         await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-        const upstream = new ScriptedUpstream(name, `127.0.0.1:${String((server.address() as AddressInfo).port)}`, server);
+        const upstream = new ScriptedUpstream(
+            name,
+            `127.0.0.1:${String((server.address() as AddressInfo).port)}`,
+            server,
+        );
         server.on("connection", (socket) => {
             upstream.sockets.add(socket);
             socket.on("error", () => undefined);
@@ -73,7 +82,9 @@
 
 /** Formats an answer with a length. */
 export function formatAnswer(status: number, requestId: string, body: string, headers: string = ""): string {
-    return `HTTP/1.1 ${String(status)} X\r\nx-id: ${requestId}\r\n${headers}content-length: ${String(body.length)}\r\n\r\n${body}`;
+    return `HTTP/1.1 ${String(status)} X\r\nx-id: ${requestId}\r\n${headers}content-length: ${
+        String(body.length)
+    }\r\n\r\n${body}`;
 }
 
 /** Formats the head of a stream. */
@@ -101,7 +112,7 @@
 
 /** What is different in one case. */
 export interface EntryOptions {
-    readonly upstreams: readonly ScriptedUpstream[];
+    readonly upstreams: readonly Pick<ScriptedUpstream, "name" | "address">[];
     readonly route: Partial<Route>;
     readonly isPath?: boolean;
     readonly askStall?: (target: CallTarget) => Promise<StallAnswer>;
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -79,7 +79,9 @@
     readonly suspects: readonly string[];
 }> {
     const upstreams = await Promise.all(
-        names.map((name, index) => ScriptedUpstream.open(`${name}${String(index)}`, answers[name] ?? (() => undefined))),
+        names.map((name, index) =>
+            ScriptedUpstream.open(`${name}${String(index)}`, answers[name] ?? (() => undefined))
+        ),
     );
     const entry = await TestEntry.open({
         upstreams,
@@ -108,22 +110,95 @@
 }[] = [
     { title: "a good answer comes back as it is", upstreams: ["good"], status: 200, body: "good", sent: [1] },
     { title: "a failure is tried elsewhere", upstreams: ["failing", "good"], status: 200, body: "good", sent: [1, 1] },
-    { title: "two failures hand the last on", upstreams: ["failing", "failing", "good"], status: 500, body: "bad", sent: [1, 1, 0] },
-    { title: "once only: a failure is handed on", upstreams: ["failing", "good"], route: once, status: 500, body: "bad", sent: [1, 0] },
-    { title: "once only: declined is tried elsewhere", upstreams: ["declining", "good"], route: once, status: 200, sent: [1, 1] },
-    { title: "declined by all is refused as not run", upstreams: ["declining", "declining"], status: 503, sent: [1, 1] },
+    {
+        title: "two failures hand the last on",
+        upstreams: ["failing", "failing", "good"],
+        status: 500,
+        body: "bad",
+        sent: [1, 1, 0],
+    },
+    {
+        title: "once only: a failure is handed on",
+        upstreams: ["failing", "good"],
+        route: once,
+        status: 500,
+        body: "bad",
+        sent: [1, 0],
+    },
+    {
+        title: "once only: declined is tried elsewhere",
+        upstreams: ["declining", "good"],
+        route: once,
+        status: 200,
+        sent: [1, 1],
+    },
+    {
+        title: "declined by all is refused as not run",
+        upstreams: ["declining", "declining"],
+        status: 503,
+        sent: [1, 1],
+    },
     { title: "once only: a reset may have run", upstreams: ["reset", "good"], route: once, status: 502, sent: [1, 0] },
     { title: "a reset is tried elsewhere", upstreams: ["reset", "good"], status: 200, sent: [1, 1] },
-    { title: "an answer to another request is not handed on", upstreams: ["crossed", "good"], status: 200, body: "good", sent: [1, 1] },
-    { title: "once only: an answer to another request may have run", upstreams: ["crossed", "good"], route: once, status: 502, sent: [1, 0] },
-    { title: "an answer that is cut short is not handed on", upstreams: ["short", "good"], status: 200, body: "good", sent: [1, 1] },
+    {
+        title: "an answer to another request is not handed on",
+        upstreams: ["crossed", "good"],
+        status: 200,
+        body: "good",
+        sent: [1, 1],
+    },
+    {
+        title: "once only: an answer to another request may have run",
+        upstreams: ["crossed", "good"],
+        route: once,
+        status: 502,
+        sent: [1, 0],
+    },
+    {
+        title: "an answer that is cut short is not handed on",
+        upstreams: ["short", "good"],
+        status: 200,
+        body: "good",
+        sent: [1, 1],
+    },
     { title: "bytes that are no answer", upstreams: ["rubbish", "good"], status: 200, body: "good", sent: [1, 1] },
-    { title: "an answer that ends with its connection is whole", upstreams: ["unframed"], status: 200, body: "to the end", sent: [1] },
-    { title: "one that is reset on the way is not", upstreams: ["unframedReset", "good"], status: 200, body: "good", sent: [1, 1] },
-    { title: "bytes after a whole answer belong to nobody", upstreams: ["surplus"], status: 200, body: "good", sent: [1] },
+    {
+        title: "an answer that ends with its connection is whole",
+        upstreams: ["unframed"],
+        status: 200,
+        body: "to the end",
+        sent: [1],
+    },
+    {
+        title: "one that is reset on the way is not",
+        upstreams: ["unframedReset", "good"],
+        status: 200,
+        body: "good",
+        sent: [1, 1],
+    },
+    {
+        title: "bytes after a whole answer belong to nobody",
+        upstreams: ["surplus"],
+        status: 200,
+        body: "good",
+        sent: [1],
+    },
     { title: "no upstream", upstreams: [], status: 503, sent: [] },
-    { title: "the route's time is over, and it may have run", upstreams: ["mute"], route: { timeout_ms: 60 }, status: 504, sent: [1] },
-    { title: "a stream comes event by event", upstreams: ["stream"], route: { kind: "stream" }, status: 200, body: events(1, 2, 3, 4), sent: [1] },
+    {
+        title: "the route's time is over, and it may have run",
+        upstreams: ["mute"],
+        route: { timeout_ms: 60 },
+        status: 504,
+        sent: [1],
+    },
+    {
+        title: "a stream comes event by event",
+        upstreams: ["stream"],
+        route: { kind: "stream" },
+        status: 200,
+        body: events(1, 2, 3, 4),
+        sent: [1],
+    },
     {
         title: "a stream that breaks inside an event goes on elsewhere, with nothing lost or twice",
         upstreams: ["streamReset", "stream"],
@@ -181,7 +256,7 @@
         await new Promise<void>((resolve) => closed.listen(0, "127.0.0.1", resolve));
         const { port } = closed.address() as { port: number; };
         await new Promise((resolve) => closed.close(resolve));
-        const gone = { name: "gone", address: `127.0.0.1:${String(port)}` } as ScriptedUpstream;
+        const gone = { name: "gone", address: `127.0.0.1:${String(port)}` };
         const good = await ScriptedUpstream.open("good", answers.good ?? (() => undefined));
         const entry = await TestEntry.open({ upstreams: [gone, good], route: once });
         expect(await ask(entry.url)).to.include({ status: 200, body: "good" });
--- a/packages/decisions/tests/layerPlan.test.ts
+++ b/packages/decisions/tests/layerPlan.test.ts
@@ -42,7 +42,11 @@
 const formatPlan = (engines: readonly PlannedEngine[]): string =>
     computeLayerPlan(engines, profile).map((order) => `${order.id}=${format(order.span)}`).join(" ");
 
-const planRows: readonly { readonly title: string; readonly engines: readonly PlannedEngine[]; readonly plan: string; }[] = [
+const planRows: readonly {
+    readonly title: string;
+    readonly engines: readonly PlannedEngine[];
+    readonly plan: string;
+}[] = [
     { title: "nothing to place", engines: [], plan: "" },
     {
         title: "the fastest engines come first, the last takes what is left",
@@ -61,7 +65,12 @@
     },
     {
         title: "a lost part is filled by empty engines, and the others keep theirs",
-        engines: [engine("f1", "fast", span(0, 4)), engine("f3", "fast", span(8, 10)), engine("s1", "slow"), engine("s2", "slow")],
+        engines: [
+            engine("f1", "fast", span(0, 4)),
+            engine("f3", "fast", span(8, 10)),
+            engine("s1", "slow"),
+            engine("s2", "slow"),
+        ],
         plan: "s1=4-6 s2=6-8",
     },
     {
@@ -71,7 +80,11 @@
     },
     {
         title: "an engine with an order under way counts as holding, and gets no other",
-        engines: [{ ...engine("f1", "fast", span(0, 4)), mayBeOrdered: false }, engine("f2", "fast"), engine("f3", "fast")],
+        engines: [
+            { ...engine("f1", "fast", span(0, 4)), mayBeOrdered: false },
+            engine("f2", "fast"),
+            engine("f3", "fast"),
+        ],
         plan: "f2=4-8 f3=8-10",
     },
     {
@@ -98,7 +111,12 @@
     });
 });
 
-const holder = (id: string, held: LayerSpan, accelerator: string = "fast", failureDomain: string = "d"): HoldingEngine => ({
+const holder = (
+    id: string,
+    held: LayerSpan,
+    accelerator: string = "fast",
+    failureDomain: string = "d",
+): HoldingEngine => ({
     id,
     address: id,
     failureDomain,
@@ -108,8 +126,16 @@
 const formatChain = (chain: Chain): string =>
     chain.stages.map((stage) => `${stage.engine.id}=${format(stage.span)}`).join(",");
 
-const chainRows: readonly { readonly title: string; readonly engines: readonly HoldingEngine[]; readonly chains: readonly string[]; }[] = [
-    { title: "parts that join", engines: [holder("b", span(4, 10)), holder("a", span(0, 4))], chains: ["a=0-4,b=4-10"] },
+const chainRows: readonly {
+    readonly title: string;
+    readonly engines: readonly HoldingEngine[];
+    readonly chains: readonly string[];
+}[] = [
+    {
+        title: "parts that join",
+        engines: [holder("b", span(4, 10)), holder("a", span(0, 4))],
+        chains: ["a=0-4,b=4-10"],
+    },
     { title: "a gap", engines: [holder("a", span(0, 4)), holder("b", span(5, 10))], chains: [] },
     {
         title: "overlapping parts are cut where they meet, to the faster engine's favour",
@@ -123,7 +149,11 @@
     },
     {
         title: "a path inside a failure domain goes before one across, however fast",
-        engines: [holder("a", span(0, 5)), holder("b", span(5, 10), "fast", "e"), holder("s", span(0, 10), "slow", "f")],
+        engines: [
+            holder("a", span(0, 5)),
+            holder("b", span(5, 10), "fast", "e"),
+            holder("s", span(0, 10), "slow", "f"),
+        ],
         chains: ["s=0-10"],
     },
     {
--- a/packages/decisions/tests/nextStep.test.ts
+++ b/packages/decisions/tests/nextStep.test.ts
@@ -23,28 +23,49 @@
 };
 const notRun = { mayHaveRun: false, runs: 0 };
 
-const rows: readonly { readonly title: string; readonly change: Partial<TryView>; readonly step: NextStep["kind"]; }[] = [
-    { title: "a broken try of a repeatable request", change: {}, step: "try-again" },
-    { title: "a stalled one", change: { end: "stalled" }, step: "try-again" },
-    { title: "a failure that the upstream gave", change: { end: "failed" }, step: "try-again" },
-    { title: "a broken try of what may run once", change: { isRepeatable: false }, step: "fail" },
-    { title: "a failure of what may run once is handed on", change: { end: "failed", isRepeatable: false }, step: "hand-on" },
-    { title: "the route's attempts are used up", change: { runs: 2 }, step: "fail" },
-    { title: "used up, and the upstream gave a failure", change: { runs: 2, end: "failed" }, step: "hand-on" },
-    { title: "the budget is spent", change: { claimRepeat: () => false }, step: "fail" },
-    { title: "the budget is spent before it ran", change: { ...notRun, end: "declined", claimRepeat: () => false }, step: "refuse" },
-    { title: "no time is left", change: { leftMs: 5 }, step: "fail" },
-    { title: "nobody else is there", change: { hasAlternative: false }, step: "fail" },
-    { title: "not sent, though it may run only once", change: { ...notRun, end: "not-sent", isRepeatable: false }, step: "try-again" },
-    { title: "not sent costs no budget", change: { ...notRun, end: "not-sent", claimRepeat: () => false }, step: "try-again" },
-    { title: "declined, though it may run only once", change: { ...notRun, end: "declined", isRepeatable: false }, step: "try-again" },
-    { title: "declined by all", change: { ...notRun, end: "declined", tries: 4 }, step: "refuse" },
-    {
-        title: "declined after a try that may have run, and it may run only once",
-        change: { end: "declined", isRepeatable: false },
-        step: "fail",
-    },
-];
+const rows: readonly { readonly title: string; readonly change: Partial<TryView>; readonly step: NextStep["kind"]; }[] =
+    [
+        { title: "a broken try of a repeatable request", change: {}, step: "try-again" },
+        { title: "a stalled one", change: { end: "stalled" }, step: "try-again" },
+        { title: "a failure that the upstream gave", change: { end: "failed" }, step: "try-again" },
+        { title: "a broken try of what may run once", change: { isRepeatable: false }, step: "fail" },
+        {
+            title: "a failure of what may run once is handed on",
+            change: { end: "failed", isRepeatable: false },
+            step: "hand-on",
+        },
+        { title: "the route's attempts are used up", change: { runs: 2 }, step: "fail" },
+        { title: "used up, and the upstream gave a failure", change: { runs: 2, end: "failed" }, step: "hand-on" },
+        { title: "the budget is spent", change: { claimRepeat: () => false }, step: "fail" },
+        {
+            title: "the budget is spent before it ran",
+            change: { ...notRun, end: "declined", claimRepeat: () => false },
+            step: "refuse",
+        },
+        { title: "no time is left", change: { leftMs: 5 }, step: "fail" },
+        { title: "nobody else is there", change: { hasAlternative: false }, step: "fail" },
+        {
+            title: "not sent, though it may run only once",
+            change: { ...notRun, end: "not-sent", isRepeatable: false },
+            step: "try-again",
+        },
+        {
+            title: "not sent costs no budget",
+            change: { ...notRun, end: "not-sent", claimRepeat: () => false },
+            step: "try-again",
+        },
+        {
+            title: "declined, though it may run only once",
+            change: { ...notRun, end: "declined", isRepeatable: false },
+            step: "try-again",
+        },
+        { title: "declined by all", change: { ...notRun, end: "declined", tries: 4 }, step: "refuse" },
+        {
+            title: "declined after a try that may have run, and it may run only once",
+            change: { end: "declined", isRepeatable: false },
+            step: "fail",
+        },
+    ];
 
 describe("what follows a try never runs a request twice that may run once, and says not-run only where that is true", () => {
     for (const { title, change, step } of rows) {
@@ -100,7 +121,11 @@
 };
 const five = ["a", "b", "c", "d", "e"].map((id) => replica(id));
 
-const voterRows: readonly { readonly title: string; readonly change: Partial<VoterView>; readonly next: string | undefined; }[] = [
+const voterRows: readonly {
+    readonly title: string;
+    readonly change: Partial<VoterView>;
+    readonly next: string | undefined;
+}[] = [
     { title: "nothing to do", change: {}, next: undefined },
     { title: "a newcomer learns first", change: { joining: [replica("d")] }, next: "a,b,c|d" },
     {
@@ -108,14 +133,26 @@
         change: { replicas: { voters: voterView.replicas.voters, learners: [replica("d")] } },
         next: "a,b,c,d|",
     },
-    { title: "a learner waits while all vote", change: { replicas: { voters: five, learners: [replica("f")] } }, next: undefined },
+    {
+        title: "a learner waits while all vote",
+        change: { replicas: { voters: five, learners: [replica("f")] } },
+        next: undefined,
+    },
     {
         title: "a silent voter makes room for a learner",
         change: { replicas: { voters: five, learners: [replica("f")] }, getSilenceMs: (id) => id === "c" ? 4_000 : 0 },
         next: "a,b,d,e|f",
     },
-    { title: "a silent voter keeps its place while nobody waits for it", change: { getSilenceMs: (id) => id === "c" ? 60_000 : 0 }, next: undefined },
-    { title: "another replica at a voter's address means its disk is gone", change: { joining: [replica("b2", "b")] }, next: "a,c|" },
+    {
+        title: "a silent voter keeps its place while nobody waits for it",
+        change: { getSilenceMs: (id) => id === "c" ? 60_000 : 0 },
+        next: undefined,
+    },
+    {
+        title: "another replica at a voter's address means its disk is gone",
+        change: { joining: [replica("b2", "b")] },
+        next: "a,c|",
+    },
     {
         title: "a learner that is gone is dropped",
         change: { replicas: { voters: five, learners: [replica("f")] }, getSilenceMs: (id) => id === "f" ? 11_000 : 0 },
@@ -135,7 +172,8 @@
     for (const { title, change, next } of voterRows) {
         it(title, () => {
             const set = chooseVoterChange({ ...voterView, ...change });
-            const formatted = set && `${set.voters.map((one) => one.id).join(",")}|${set.learners.map((one) => one.id).join(",")}`;
+            const formatted = set
+                && `${set.voters.map((one) => one.id).join(",")}|${set.learners.map((one) => one.id).join(",")}`;
             expect(formatted).to.equal(next);
         });
     }
--- a/packages/decisions/tests/routing.test.ts
+++ b/packages/decisions/tests/routing.test.ts
@@ -2,7 +2,12 @@
 import { expect } from "chai";
 import { checkRoutingTable, createRouteIndex, findRoute } from "../src/index.js";
 
-const createRoute = (name: string, host: string, prefix: string, targets: Route["targets"] = [target("a", 1)]): Route => ({
+const createRoute = (
+    name: string,
+    host: string,
+    prefix: string,
+    targets: Route["targets"] = [target("a", 1)],
+): Route => ({
     name,
     host,
     prefix,
@@ -49,21 +54,55 @@
 const service = (name: string): RoutingTable["services"][number] => ({ name, most_connections: 10 });
 const limits = { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
 
-const tableRows: readonly { readonly title: string; readonly table: Partial<RoutingTable>; readonly faults: number; }[] = [
+const tableRows: readonly {
+    readonly title: string;
+    readonly table: Partial<RoutingTable>;
+    readonly faults: number;
+}[] = [
     { title: "valid: routes, services, keys", table: {}, faults: 0 },
-    { title: "valid: a weight of 0 beside another", table: { routes: [createRoute("r", "h", "/", [target("a", 0), target("a", 2)])] }, faults: 0 },
-    { title: "valid: one organisation names its key twice", table: { organisations: [{ name: "o", keys: ["k", "k"] }] }, faults: 0 },
-    { title: "invalid: an unknown service", table: { routes: [createRoute("r", "h", "/", [target("b", 1)])] }, faults: 1 },
-    { title: "invalid: weights without a sum", table: { routes: [createRoute("r", "h", "/", [target("a", 0)])] }, faults: 1 },
+    {
+        title: "valid: a weight of 0 beside another",
+        table: { routes: [createRoute("r", "h", "/", [target("a", 0), target("a", 2)])] },
+        faults: 0,
+    },
+    {
+        title: "valid: one organisation names its key twice",
+        table: { organisations: [{ name: "o", keys: ["k", "k"] }] },
+        faults: 0,
+    },
+    {
+        title: "invalid: an unknown service",
+        table: { routes: [createRoute("r", "h", "/", [target("b", 1)])] },
+        faults: 1,
+    },
+    {
+        title: "invalid: weights without a sum",
+        table: { routes: [createRoute("r", "h", "/", [target("a", 0)])] },
+        faults: 1,
+    },
     { title: "invalid: no target", table: { routes: [createRoute("r", "h", "/", [])] }, faults: 1 },
-    { title: "invalid: two routes in one place", table: { routes: [createRoute("r", "h", "/"), createRoute("s", "h", "/")] }, faults: 1 },
-    { title: "invalid: a key with two holders", table: { organisations: [{ name: "o", keys: ["k"] }, { name: "p", keys: ["k"] }] }, faults: 1 },
+    {
+        title: "invalid: two routes in one place",
+        table: { routes: [createRoute("r", "h", "/"), createRoute("s", "h", "/")] },
+        faults: 1,
+    },
+    {
+        title: "invalid: a key with two holders",
+        table: { organisations: [{ name: "o", keys: ["k"] }, { name: "p", keys: ["k"] }] },
+        faults: 1,
+    },
 ];
 
 describe("a routing table that makes no sense as a whole is named with its faults", () => {
     for (const { title, table, faults } of tableRows) {
         it(title, () => {
-            const whole = { version: 1, routes: [createRoute("r", "h", "/")], services: [service("a")], limits, ...table };
+            const whole = {
+                version: 1,
+                routes: [createRoute("r", "h", "/")],
+                services: [service("a")],
+                limits,
+                ...table,
+            };
             expect(checkRoutingTable(whole)).to.have.length(faults);
         });
     }
