A peer that is cut off no longer holds a question up; repeatable calls leave a silent upstream

Change: a question is settled when its signal fires; connect time-out 700 ms; a repeatable call whose answer does not come within the objective is tried elsewhere.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,16 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["**/dist/**", "**/node_modules/**", "target/**", "scripts/**", "eslint.config.js"] },
+    {
+        ignores: [
+            "**/dist/**",
+            "**/node_modules/**",
+            "packages/*/bin/**",
+            "target/**",
+            "scripts/**",
+            "eslint.config.js",
+        ],
+    },
     ...tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -77,19 +77,33 @@
 export async function sendRequest(options: ExchangeOptions): Promise<Dispatcher.ResponseData> {
     const { agent, url, method, headers, body, signal, peer } = options;
     try {
-        return await request(url, {
+        const response = request(url, {
             dispatcher: agent,
             method,
             headers: { ...headers },
             body: body ?? null,
             signal: signal ?? null,
         });
+        return await (signal === undefined ? response : rejectOnAbort(response, signal));
     }
     catch (error) {
         throw createExchangeError(error, peer, signal);
     }
 }
 
+/** undici heeds a signal only once a connection is there; a peer that is cut off would hold the caller up until then. */
+function rejectOnAbort<Value>(result: Promise<Value>, signal: AbortSignal): Promise<Value> {
+    return new Promise((resolve, reject) => {
+        const handleAbort = (): void => {
+            reject(signal.reason instanceof Error ? signal.reason : new Error("given up"));
+        };
+        signal.addEventListener("abort", handleAbort, { once: true });
+        result.then(resolve, reject).finally(() => {
+            signal.removeEventListener("abort", handleAbort);
+        });
+    });
+}
+
 /**
  * Sends a request and reads its answer as JSON.
  * @param options - where to and what
--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -40,8 +40,8 @@
     readonly resume: () => void;
 }
 
-/** Time for a new connection; the round trip is some milliseconds, a lost packet is sent again after 1 s. */
-const CONNECT_TIMEOUT_MS = 1_500;
+/** Time for a new connection; the round trip is some milliseconds. undici's timers are exact up to a second only. */
+const CONNECT_TIMEOUT_MS = 700;
 /** Idle connections are closed after this time unless the upstream names a shorter one. */
 const IDLE_MS = 4_000;
 /** An upstream's own idle time is cut by this, so that a request does not cross its close. */
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -246,7 +246,8 @@
         const { call, route, service } = run.admitted;
         metrics.countRequest(service.name, end.refusal ?? end.outcome);
         metrics.recordRequestMs(service.name, run.ageMs);
-        log.record(end.outcome === "answered" ? "debug" : "info", "request", {
+        const firstMs = end.firstMs === undefined ? undefined : end.firstMs - run.admitted.arrivedMs;
+        log.record(end.outcome === "answered" && !isLate(run, end, firstMs) ? "debug" : "info", "request", {
             request: call.requestId,
             route: route.name,
             service: service.name,
@@ -254,6 +255,8 @@
             refusal: end.refusal,
             status: end.status,
             ms: Math.round(run.ageMs),
+            first_ms: firstMs === undefined ? undefined : Math.round(firstMs),
+            pause_ms: end.longestPauseMs === undefined ? undefined : Math.round(end.longestPauseMs),
             tries: run.steps.join(" "),
             version: this.view.routing?.table.version,
             index: this.view.knownIndex,
@@ -314,3 +317,10 @@
 function isPassing(refusal: RefusalId): boolean {
     return refusal === "starting" || refusal === "not-confirmed";
 }
+
+/** Whether an answer missed what the route's contract asks for. */
+function isLate(run: RoutedRun, end: RequestEnd, firstMs: number | undefined): boolean {
+    const { objective_ms, pause_objective_ms } = run.admitted.route;
+    const isPaused = (end.longestPauseMs ?? 0) > (pause_objective_ms ?? Number.POSITIVE_INFINITY);
+    return (firstMs ?? run.ageMs) > objective_ms || isPaused;
+}
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -45,6 +45,9 @@
     readonly outcome: "answered" | "handed-on" | "refused" | "failed" | "broken-off" | "caller-left";
     readonly status: number | undefined;
     readonly refusal: RefusalId | undefined;
+    /** When the first event of a stream was handed on, by the monotonic clock. */
+    readonly firstMs?: number | undefined;
+    readonly longestPauseMs?: number | undefined;
 }
 
 /**
@@ -94,6 +97,16 @@
     const relay = route.kind === "stream"
         ? new StreamRelay(answer, call.lastEventId, functions.getNowMs)
         : undefined;
+    const end = await runTries(run, answer, relay, functions);
+    return relay === undefined ? end : { ...end, firstMs: relay.firstMs, longestPauseMs: relay.longestPauseMs };
+}
+
+async function runTries(
+    run: RoutedRun,
+    answer: RoutedAnswer,
+    relay: StreamRelay | undefined,
+    functions: RoutedRequestFunctions,
+): Promise<RequestEnd> {
     for (;;) {
         if (run.admitted.organisation !== undefined && !functions.mayUseKey()) {
             return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "not-confirmed");
@@ -155,7 +168,7 @@
     run.tries += 1;
     run.tried.add(target.upstreamId);
     functions.recordStart(target.upstreamId);
-    let watch: SilenceWatch | undefined;
+    let watch: { readonly stop: () => void; } | undefined;
     const result = await runTry({
         agent: functions.agent,
         codec: functions.codec,
@@ -163,9 +176,7 @@
         target,
         sink: relay?.createSink(),
         handleStart: (stall) => {
-            if (relay !== undefined && target.stages !== undefined && run.admitted.route.is_repeatable) {
-                watch = new SilenceWatch(run, target, relay, functions, stall);
-            }
+            watch = startWatch(run, target, relay, functions, stall);
         },
     });
     watch?.stop();
@@ -174,6 +185,34 @@
     return result;
 }
 
+/** Only a request that may run again is worth watching; any other has to wait for its answer. */
+function startWatch(
+    run: RoutedRun,
+    target: CallTarget,
+    relay: StreamRelay | undefined,
+    functions: RoutedRequestFunctions,
+    stall: (reason: string, faultAddress: string | undefined) => void,
+): { readonly stop: () => void; } | undefined {
+    const { route } = run.admitted;
+    if (!route.is_repeatable) {
+        return undefined;
+    }
+    if (relay !== undefined) {
+        return target.stages === undefined ? undefined : new SilenceWatch(run, target, relay, functions, stall);
+    }
+    if (run.runs + 1 >= route.most_attempts || functions.chooseTarget(run, undefined) === undefined) {
+        return undefined;
+    }
+    const timer = setTimeout(() => {
+        stall(`no answer for ${String(route.objective_ms)} ms`, undefined);
+    }, route.objective_ms);
+    return {
+        stop: () => {
+            clearTimeout(timer);
+        },
+    };
+}
+
 /** Notes what the try says of the upstream, and whether the request may have run there. */
 function recordTry(
     run: RoutedRun,
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -11,6 +11,9 @@
     private lastId: string | undefined;
     private movedMs: number;
     private events = 0;
+    private longestPause = 0;
+    private eventMs = 0;
+    private firstEventMs: number | undefined;
 
     /**
      * @param answer - where events go
@@ -36,6 +39,16 @@
         return this.events;
     }
 
+    /** When the first event was handed on, by the monotonic clock; undefined before it. */
+    get firstMs(): number | undefined {
+        return this.firstEventMs;
+    }
+
+    /** Longest time between two events so far, in milliseconds. */
+    get longestPauseMs(): number {
+        return this.longestPause;
+    }
+
     /** Time since the last event, or since the present try began. */
     get silentMs(): number {
         return this.getNowMs() - this.movedMs;
@@ -77,12 +90,24 @@
             this.begin(head);
             this.answer.sendEvent(event.bytes, exchange);
             this.lastId = event.id ?? this.lastId;
-            this.movedMs = this.getNowMs();
-            this.events += 1;
+            this.recordEvent();
         }
         return undefined;
     }
 
+    private recordEvent(): void {
+        const nowMs = this.getNowMs();
+        if (this.firstEventMs === undefined) {
+            this.firstEventMs = nowMs;
+        }
+        else {
+            this.longestPause = Math.max(this.longestPause, nowMs - this.eventMs);
+        }
+        this.eventMs = nowMs;
+        this.movedMs = nowMs;
+        this.events += 1;
+    }
+
     /** The first upstream's head is kept, also where others go on with the stream. */
     private begin(head: UpstreamHead | undefined): void {
         if (!this.answer.isBegun && head !== undefined) {
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -191,6 +191,19 @@
         status: 504,
         sent: [1],
     },
+    {
+        title: "no answer within the objective is tried elsewhere",
+        upstreams: ["mute", "good"],
+        status: 200,
+        sent: [1, 1],
+    },
+    {
+        title: "once only: no answer within the objective is waited for",
+        upstreams: ["mute", "good"],
+        route: { ...once, timeout_ms: 200 },
+        status: 504,
+        sent: [1, 0],
+    },
     {
         title: "a stream comes event by event",
         upstreams: ["stream"],
--- a/packages/scenarios/src/harness/gherkin.ts
+++ b/packages/scenarios/src/harness/gherkin.ts
@@ -4,8 +4,7 @@
 import { CucumberExpression, ParameterTypeRegistry } from "@cucumber/cucumber-expressions";
 import { AstBuilder, compile, GherkinClassicTokenMatcher, Parser } from "@cucumber/gherkin";
 import { IdGenerator, type Pickle, type PickleStep } from "@cucumber/messages";
-import { readdirSync, readFileSync } from "node:fs";
-import { join } from "node:path";
+import { readFileSync } from "node:fs";
 
 /** What a step does; it gets the values of its expression, then the rows of its table if it has one. */
 export type StepFunction<World> = (world: World, ...values: never[]) => Promise<void> | void;
@@ -49,18 +48,20 @@
     }
 }
 
+/** A feature's title and its scenarios, outlines spread over their rows. */
+export interface Feature {
+    readonly title: string;
+    readonly scenarios: readonly Pickle[];
+}
+
 /**
- * Reads the scenarios of all features in a folder.
- * @param folder - the folder
- * @returns scenarios by feature, outlines spread over their rows
+ * Reads a feature.
+ * @param file - the file's path
+ * @returns title and scenarios
  */
-export function readFeatures(folder: string): ReadonlyMap<string, readonly Pickle[]> {
-    const features = new Map<string, readonly Pickle[]>();
-    for (const file of readdirSync(folder).filter((name) => name.endsWith(".feature")).sort()) {
-        const createId = IdGenerator.incrementing();
-        const parser = new Parser(new AstBuilder(createId), new GherkinClassicTokenMatcher());
-        const document = parser.parse(readFileSync(join(folder, file), "utf8"));
-        features.set(document.feature?.name ?? file, compile(document, file, createId));
-    }
-    return features;
+export function readFeature(file: string): Feature {
+    const createId = IdGenerator.incrementing();
+    const parser = new Parser(new AstBuilder(createId), new GherkinClassicTokenMatcher());
+    const document = parser.parse(readFileSync(file, "utf8"));
+    return { title: document.feature?.name ?? file, scenarios: compile(document, file, createId) };
 }
--- a/packages/scenarios/tests/features.test.ts
+++ b/packages/scenarios/tests/defineFeature.ts
@@ -1,20 +1,25 @@
 import { fileURLToPath } from "node:url";
-import { readFeatures, StepRegistry } from "../src/harness/gherkin.js";
+import { readFeature, StepRegistry } from "../src/harness/gherkin.js";
 import { World } from "../src/harness/world.js";
 import { defineBadInputSteps } from "./steps/badInput.js";
 import { defineClusterSteps } from "./steps/cluster.js";
 import { defineOperatorSteps } from "./steps/operators.js";
 import { defineRequestSteps } from "./steps/requests.js";
 
-const folder = fileURLToPath(new URL("../../tests/features", import.meta.url));
-const registry = new StepRegistry<World>();
-defineClusterSteps(registry);
-defineRequestSteps(registry);
-defineOperatorSteps(registry);
-defineBadInputSteps(registry);
-
-for (const [feature, scenarios] of readFeatures(folder)) {
-    describe(feature, () => {
+/**
+ * Defines the tests of one feature. Each feature has a test file of its own, so that mocha runs them side by side.
+ * @param name - the file's name, without its ending
+ */
+export function defineFeature(name: string): void {
+    const registry = new StepRegistry<World>();
+    defineClusterSteps(registry);
+    defineRequestSteps(registry);
+    defineOperatorSteps(registry);
+    defineBadInputSteps(registry);
+    const { title, scenarios } = readFeature(
+        fileURLToPath(new URL(`../../tests/features/${name}.feature`, import.meta.url)),
+    );
+    describe(title, () => {
         for (const scenario of scenarios) {
             it(scenario.name, async () => {
                 const world = new World();
--- /dev/null
+++ b/packages/scenarios/tests/notRun.feature.test.ts
@@ -0,0 +1,3 @@
+import { defineFeature } from "./defineFeature.js";
+
+defineFeature("notRun");
