An answer without a length is handed on without one

In the trial 'unframed' a crash ends connections in order (undici: other side closed), so nobody can tell it from the end of an answer without a length. Change: framing is handed on: no length, connection closed. A stream whose resumed part has no length is not taken as complete. Test: 'an answer without a length is handed on without one' failed first (length 10).

--- a/packages/daemon/src/request/routedAnswer.ts
+++ b/packages/daemon/src/request/routedAnswer.ts
@@ -22,6 +22,7 @@
 /** Bytes that a caller may leave unread before the upstream is held up. */
 const MOST_UNREAD_BYTES = 256 * 1_024;
 const MS_A_SECOND = 1_000;
+const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 /** Part of its time left after which a caller would not come back: a third (the users' pages), less the way. */
 const RETRY_SHARE = 0.3;
 const LEAST_RETRY_MS = 10;
@@ -48,8 +49,19 @@
     return kept;
 }
 
+/**
+ * Tells whether an answer says where it ends.
+ * @param head - its head
+ * @returns false where it ends with its connection
+ */
+export function isFramed(head: UpstreamHead): boolean {
+    return head.headers["content-length"] !== undefined || head.headers["transfer-encoding"] !== undefined;
+}
+
 /** Writes one answer. */
 export class RoutedAnswer {
+    private hasNoFrame = false;
+
     /**
      * @param response - nothing written yet
      * @param codec - names of headers
@@ -71,8 +83,13 @@
      * @param answer - head and body
      */
     sendWhole(answer: WholeAnswer): void {
-        const headers = removeConnectionHeaders(answer.head.rawHeaders, new Set(["content-length"]));
-        headers.push("Content-Length", String(answer.body.length));
+        const headers = removeConnectionHeaders(answer.head.rawHeaders, LENGTH_HEADERS);
+        if (isFramed(answer.head)) {
+            headers.push("Content-Length", String(answer.body.length));
+        }
+        else {
+            this.leaveUnframed();
+        }
         this.writeHead(answer.head.status, headers);
         this.response.end(answer.body);
     }
@@ -100,7 +117,15 @@
      * @param head - as it came
      */
     beginStream(head: UpstreamHead): void {
-        this.writeHead(head.status, removeConnectionHeaders(head.rawHeaders, new Set(["content-length"])));
+        if (!isFramed(head)) {
+            this.leaveUnframed();
+        }
+        this.writeHead(head.status, removeConnectionHeaders(head.rawHeaders, LENGTH_HEADERS));
+    }
+
+    /** Whether the answer ends with its connection, so that nobody can take an early end for a whole answer. */
+    get isUnframed(): boolean {
+        return this.hasNoFrame;
     }
 
     /**
@@ -128,6 +153,16 @@
         this.response.destroy();
     }
 
+    /**
+     * An upstream that crashes ends its connection as one does that has said everything. An answer without a length is
+     * handed on without one, so that it claims no more than the upstream did.
+     */
+    private leaveUnframed(): void {
+        this.hasNoFrame = true;
+        this.response.shouldKeepAlive = false;
+        this.response.useChunkedEncodingByDefault = false;
+    }
+
     private writeHead(status: number, headers: string[]): void {
         if (this.isStopping()) {
             headers.push("Connection", "close");
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -3,7 +3,7 @@
  */
 import type { OpenExchange, UpstreamHead } from "../connection/upstreamExchange.js";
 import { EventSplitter } from "./eventSplitter.js";
-import type { RoutedAnswer } from "./routedAnswer.js";
+import { isFramed, type RoutedAnswer } from "./routedAnswer.js";
 import type { StreamSink } from "./routedTry.js";
 
 /** One stream of a caller. */
@@ -72,7 +72,8 @@
                     return "the stream ended inside an event";
                 }
                 this.begin(head);
-                return undefined;
+                const isSure = head === undefined || isFramed(head) || this.answer.isUnframed;
+                return isSure ? undefined : "a part of the stream has no length, so its end can't be told";
             },
         };
     }
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -107,7 +107,9 @@
     readonly status: number | undefined;
     readonly body: string;
     readonly isWhole: boolean;
-    readonly retryAfter: string | undefined;
+    readonly retryAfter?: string | undefined;
+    readonly length?: string | undefined;
+    readonly encoding?: string | undefined;
 }
 
 /** What is different in one case. */
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -53,7 +53,8 @@
         const request = sendHttp(url, { method: "POST", headers: { "x-id": "one" }, agent: false }, (response) => {
             const finish = (isWhole: boolean): void => {
                 const retryAfter = response.headers["retry-after"];
-                resolve({ status: response.statusCode, body, isWhole, retryAfter });
+                const { "content-length": length, "transfer-encoding": encoding } = response.headers;
+                resolve({ status: response.statusCode, body, isWhole, retryAfter, length, encoding });
             };
             response.on("data", (chunk: Buffer) => body += chunk.toString());
             response.on("end", () => {
@@ -64,7 +65,7 @@
             });
         });
         request.on("error", () => {
-            resolve({ status: undefined, body, isWhole: false, retryAfter: undefined });
+            resolve({ status: undefined, body, isWhole: false });
         });
         request.end("body");
         if (leaveAfterMs !== undefined) {
@@ -253,6 +254,13 @@
         });
     }
 
+    it("an answer without a length is handed on without one, since its upstream may have crashed", async () => {
+        const { seen } = await play(["unframed"], {});
+        expect(seen).to.include({ body: "to the end", length: undefined, encoding: undefined });
+        const framed = await play(["good"], {});
+        expect(framed.seen.length).to.equal("4");
+    });
+
     it("a stream that may run only once breaks off visibly", async () => {
         const { seen } = await play(["streamReset", "stream"], { kind: "stream", ...once });
         expect(seen).to.include({ status: 200, body: events(1, 2), isWhole: false });
