Paths that are full are left alone: refused soon, with a time to come back that is spread

Change: a path takes what its memory holds and a queue of prompts that leaves time for the first token; others wait 0.15 of the objective and are then refused, to come back after 1.5 to 5 s. Streams under way go on wherever they can. Entries tell open and unstarted requests. Engines keep memory for all the tokens that their profile names.

--- a/packages/daemon/src/process/entryRegister.ts
+++ b/packages/daemon/src/process/entryRegister.ts
@@ -2,7 +2,7 @@
  * The entries that a leader heard of, and what they have open; and the answers to their questions.
  */
 import type { FleetState } from "@crankfork/coordination";
-import type { SynchronisedState, SynchroniseParameters, SynchroniseResult } from "@crankfork/schemas";
+import type { SynchronisedState, SynchroniseParameters, SynchroniseResult, UpstreamLoads } from "@crankfork/schemas";
 import type { FleetReplicaHost } from "./fleetVoter.js";
 
 /** What the register needs from the process. */
@@ -24,7 +24,7 @@
 
 interface KnownEntry {
     heardMs: number;
-    open: Readonly<Record<string, number>>;
+    loads: UpstreamLoads;
 }
 
 /** Answers entries. */
@@ -64,7 +64,7 @@
     }
 
     private record(parameters: SynchroniseParameters): void {
-        this.entries.set(parameters.instance, { heardMs: this.options.getNowMs(), open: parameters.open });
+        this.entries.set(parameters.instance, { heardMs: this.options.getNowMs(), loads: parameters.loads });
         if (parameters.suspects.length > 0) {
             this.options.handleSuspects(parameters.suspects);
         }
@@ -96,7 +96,7 @@
             upstreams: [...changes.upstreams],
             removed: [...changes.removed],
             entries: this.countEntries(),
-            open_elsewhere: this.sumOpenElsewhere(parameters.instance),
+            loads_elsewhere: this.sumElsewhere(parameters.instance),
             voters: [...replicas.voters, ...replicas.learners].map((replica) => replica.address),
         };
     }
@@ -118,13 +118,14 @@
         return Math.max(1, this.entries.size);
     }
 
-    private sumOpenElsewhere(instance: string): Record<string, number> {
+    private sumElsewhere(instance: string): UpstreamLoads {
         const nowMs = this.options.getNowMs();
-        const sums: Record<string, number> = {};
-        for (const [other, { heardMs, open }] of this.entries) {
+        const sums: UpstreamLoads = {};
+        for (const [other, { heardMs, loads }] of this.entries) {
             if (other !== instance && nowMs - heardMs <= OPEN_MEMORY_MS) {
-                Object.entries(open).forEach(([upstream, count]) => {
-                    sums[upstream] = (sums[upstream] ?? 0) + count;
+                Object.entries(loads).forEach(([upstream, { open, unstarted }]) => {
+                    const sum = sums[upstream];
+                    sums[upstream] = { open: (sum?.open ?? 0) + open, unstarted: (sum?.unstarted ?? 0) + unstarted };
                 });
             }
         }
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -2,7 +2,7 @@
  * An entry of a fleet: it takes callers' requests, and knows by its link to the voters where they may go.
  */
 import { SharedRetryBudget } from "@crankfork/decisions";
-import type { FleetSettings, RoutingTable, SynchronisedState, SynchroniseParameters } from "@crankfork/schemas";
+import type { FleetSettings, RoutingTable, SynchronisedState, SynchroniseParameters, UpstreamLoads } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Agent } from "undici";
 import type { EngineControl } from "../connection/engineControl.js";
@@ -64,7 +64,7 @@
     private readonly stallReports: StallReports;
     private readonly budgets = new Map<string, SharedRetryBudget>();
     private readonly functions: RoutedRequestFunctions;
-    private openElsewhere: Readonly<Record<string, number>> = {};
+    private loadsElsewhere: UpstreamLoads = {};
     private open = 0;
 
     /**
@@ -76,7 +76,7 @@
         this.chooser = new TargetChooser({
             view: this.view,
             health: this.health,
-            countElsewhere: (id) => this.openElsewhere[id] ?? 0,
+            getLoadElsewhere: (id) => this.loadsElsewhere[id] ?? { open: 0, unstarted: 0 },
             random: options.random,
         });
         this.functions = this.createFunctions();
@@ -107,7 +107,7 @@
         return {
             instance: this.options.settings.instance.id,
             known_index: this.view.knownIndex,
-            open: this.health.listOpen(),
+            loads: this.health.listLoads(),
             suspects: [...this.health.takeSuspects()],
         };
     }
@@ -117,7 +117,7 @@
      * @param state - what this entry lacked
      */
     applyState(state: SynchronisedState): void {
-        this.openElsewhere = state.open_elsewhere;
+        this.loadsElsewhere = state.loads_elsewhere;
         this.view.applyUpstreams(state);
         this.health.forget((id) => this.view.getUpstream(id) !== undefined);
         if (state.document !== undefined) {
@@ -282,11 +282,14 @@
             agent,
             codec,
             getNowMs,
-            chooseTarget: (run, lastEventId) => this.chooser.choose(run, lastEventId),
+            chooseTarget: (run, lastEventId, isUnderWay) => this.chooser.choose(run, lastEventId, isUnderWay),
             mayUseKey: () => isKeyLeaseValid({ ageMs: getAgeMs(), revocationMs: settings.contract.revocation }),
             recordStart: (id) => {
                 this.health.recordStart(id);
             },
+            recordStarted: (id) => {
+                this.health.recordStarted(id);
+            },
             recordEnd: (id) => {
                 this.health.recordEnd(id);
             },
--- a/packages/daemon/src/process/targetChooser.ts
+++ b/packages/daemon/src/process/targetChooser.ts
@@ -1,9 +1,10 @@
 /**
  * Chooses where a try of a routed request goes, by what this entry and the others have open.
  */
-import { chooseChain, type LoadedChain, type RequestSize } from "@crankfork/decisions";
-import type { RegisteredUpstream, RoutedService } from "@crankfork/schemas";
+import { type Chain, type ChainLoad, chooseChain, hasChainRoom, type RequestSize } from "@crankfork/decisions";
+import type { EngineProfile, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
 import type { CallTarget } from "../request/routedCall.js";
+import type { TargetChoice } from "../request/routedRequest.js";
 import type { RoutedRun } from "../request/routedRun.js";
 import type { FleetView } from "../version/fleetView.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
@@ -12,8 +13,8 @@
 export interface TargetChooserOptions {
     readonly view: FleetView;
     readonly health: UpstreamHealth;
-    /** Requests that other entries have open at an upstream, as the leader told last. */
-    readonly countElsewhere: (id: string) => number;
+    /** What other entries have open at an upstream, as the leader told last. */
+    readonly getLoadElsewhere: (id: string) => ChainLoad;
     readonly random: () => number;
 }
 
@@ -31,17 +32,18 @@
      * Chooses where the next try goes.
      * @param run - the request
      * @param lastEventId - event after which a stream is resumed
-     * @returns the target, or undefined where no upstream is left
+     * @param isUnderWay - whether the caller has a part of its answer already, so that it goes on wherever it can
+     * @returns the target, or whether there is none or all are full
      */
-    choose(run: RoutedRun, lastEventId: string | undefined): CallTarget | undefined {
+    choose(run: RoutedRun, lastEventId: string | undefined, isUnderWay: boolean): TargetChoice {
         const { service } = run.admitted;
         return service.engine === undefined
             ? this.choosePlain(run, service)
-            : this.chooseModel(run, service, lastEventId);
+            : this.chooseModel(run, service, service.engine, lastEventId, isUnderWay);
     }
 
-    private choosePlain(run: RoutedRun, service: RoutedService): CallTarget | undefined {
-        const { view, health, countElsewhere, random } = this.options;
+    private choosePlain(run: RoutedRun, service: RoutedService): TargetChoice {
+        const { view, health, getLoadElsewhere, random } = this.options;
         const ready = view.listReady(service.name).filter((one) => !run.tried.has(one.id));
         const usable = ready.filter((one) => health.isUsable(one.id));
         const candidates = usable.length > 0 ? usable : ready;
@@ -49,39 +51,58 @@
         let bestScore = Number.POSITIVE_INFINITY;
         candidates.forEach((one) => {
             // Equal scores are drawn, so that entries that know nothing don't all choose the same.
-            const score = health.computeScore(one.id, countElsewhere(one.id)) * (1 + TIE_SPREAD * random());
+            const score = health.computeScore(one.id, getLoadElsewhere(one.id).open) * (1 + TIE_SPREAD * random());
             if (score < bestScore) {
                 best = one;
                 bestScore = score;
             }
         });
-        return best === undefined ? undefined : this.createTarget(run, best.id, best.address, undefined, undefined);
+        return best === undefined
+            ? { kind: "none" }
+            : { kind: "target", target: this.createTarget(run, best.id, best.address, undefined, undefined) };
     }
 
     private chooseModel(
         run: RoutedRun,
         service: RoutedService,
+        engine: EngineProfile,
         lastEventId: string | undefined,
-    ): CallTarget | undefined {
-        const chain = this.chooseLoadedChain(run, service)?.chain;
-        const first = chain?.stages[0]?.engine;
-        return chain === undefined || first === undefined
-            ? undefined
-            : this.createTarget(run, first.id, first.address, chain.stages, lastEventId);
+        isUnderWay: boolean,
+    ): TargetChoice {
+        const chains = this.listChains(run, service);
+        if (chains.length === 0) {
+            return { kind: "none" };
+        }
+        const { objective_ms } = run.admitted.route;
+        const loaded = chains.map((chain) => ({ chain, load: this.getLoad(getFirstId(chain)) }));
+        const open = isUnderWay
+            ? loaded
+            : loaded.filter(({ chain, load }) => hasChainRoom(chain, load, engine, objective_ms));
+        const chosen = chooseChain(
+            open.map(({ chain, load }) => ({ chain, open: load.open })),
+            run.admitted.call.size ?? UNKNOWN_SIZE,
+        );
+        const first = chosen?.chain.stages[0]?.engine;
+        if (chosen === undefined || first === undefined) {
+            return { kind: "full" };
+        }
+        const { stages } = chosen.chain;
+        return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
-    private chooseLoadedChain(run: RoutedRun, service: RoutedService): LoadedChain | undefined {
+    /** Paths that this request has not been on go first; where there are none, any. */
+    private listChains(run: RoutedRun, service: RoutedService): readonly Chain[] {
         const { view, health } = this.options;
         const usable = view.getChains(service, (id) => health.isUsable(id), health.formatSuspects());
         const chains = usable.length > 0 ? usable : view.getChains(service, () => true, "all");
-        const loaded = chains.map((chain) => ({ chain, open: this.countOpen(chain.stages[0]?.engine.id ?? "") }));
-        const fresh = loaded.filter(({ chain }) => !run.tried.has(chain.stages[0]?.engine.id ?? ""));
-        const size: RequestSize = run.admitted.call.size ?? UNKNOWN_SIZE;
-        return chooseChain(fresh.length > 0 ? fresh : loaded, size);
+        const fresh = chains.filter((chain) => !run.tried.has(getFirstId(chain)));
+        return fresh.length > 0 ? fresh : chains;
     }
 
-    private countOpen(id: string): number {
-        return this.options.health.countOpen(id) + this.options.countElsewhere(id);
+    private getLoad(id: string): ChainLoad {
+        const here = this.options.health.getLoad(id);
+        const elsewhere = this.options.getLoadElsewhere(id);
+        return { open: here.open + elsewhere.open, unstarted: here.unstarted + elsewhere.unstarted };
     }
 
     private createTarget(
@@ -104,6 +125,10 @@
     }
 }
 
+function getFirstId(chain: Chain): string {
+    return chain.stages[0]?.engine.id ?? "";
+}
+
 /** Spread of equal scores. */
 const TIE_SPREAD = 0.05;
 /** A request that does not say its size; any figure that is alike on all paths will do. */
--- a/packages/daemon/src/process/upstreamHealth.ts
+++ b/packages/daemon/src/process/upstreamHealth.ts
@@ -1,10 +1,14 @@
 /**
  * How upstreams did by this entry's own traffic: what is open, how long answers take, which ones failed lately.
  */
+import type { ChainLoad } from "@crankfork/decisions";
+import type { UpstreamLoads } from "@crankfork/schemas";
 
 /** What is known of one upstream. */
 interface Health {
     open: number;
+    /** Open requests that have no first token yet. */
+    unstarted: number;
     /** Smoothed time of an answer; undefined before the first. */
     answerMs: number | undefined;
     /** Smoothed share of failures, from 0 to 1. */
@@ -38,7 +42,18 @@
      * @param id - the upstream
      */
     recordStart(id: string): void {
-        this.get(id).open += 1;
+        const health = this.get(id);
+        health.open += 1;
+        health.unstarted += 1;
+    }
+
+    /**
+     * Marks that a request has its first token, or ends without one.
+     * @param id - the upstream
+     */
+    recordStarted(id: string): void {
+        const health = this.get(id);
+        health.unstarted = Math.max(0, health.unstarted - 1);
     }
 
     /**
@@ -109,22 +124,22 @@
     }
 
     /**
-     * Counts what is open at an upstream from here.
+     * Gets what is open at an upstream from here.
      * @param id - the upstream
      * @returns requests
      */
-    countOpen(id: string): number {
-        return this.byId.get(id)?.open ?? 0;
+    getLoad(id: string): ChainLoad {
+        const { open = 0, unstarted = 0 } = this.byId.get(id) ?? {};
+        return { open, unstarted };
     }
 
     /**
      * Lists what is open.
      * @returns requests by upstream; those without any are left out
      */
-    listOpen(): Record<string, number> {
-        return Object.fromEntries(
-            [...this.byId].filter(([, { open }]) => open > 0).map(([id, { open }]) => [id, open]),
-        );
+    listLoads(): UpstreamLoads {
+        const busy = [...this.byId].filter(([, { open }]) => open > 0);
+        return Object.fromEntries(busy.map(([id, { open, unstarted }]) => [id, { open, unstarted }]));
     }
 
     /**
@@ -165,7 +180,14 @@
         if (known !== undefined) {
             return known;
         }
-        const health: Health = { open: 0, answerMs: undefined, failures: 0, suspectUntilMs: 0, suspicions: 0 };
+        const health: Health = {
+            open: 0,
+            unstarted: 0,
+            answerMs: undefined,
+            failures: 0,
+            suspectUntilMs: 0,
+            suspicions: 0,
+        };
         this.byId.set(id, health);
         return health;
     }
--- a/packages/daemon/src/request/routedAnswer.ts
+++ b/packages/daemon/src/request/routedAnswer.ts
@@ -104,7 +104,8 @@
         const body = Buffer.from(JSON.stringify({ error: refusal.id, message: refusal.text }));
         const headers = [...this.codec.createErrorHeaders(call), "Content-Type", "application/json"];
         if (refusal.retryAfterMs !== undefined) {
-            const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.min(refusal.retryAfterMs, leftMs * RETRY_SHARE));
+            const laterMs = refusal.retryAfterMs + (refusal.retrySpreadMs ?? 0) * Math.random();
+            const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.min(laterMs, leftMs * RETRY_SHARE));
             headers.push("Retry-After", String(Math.round(retryAfterMs) / MS_A_SECOND));
         }
         headers.push("Content-Length", String(body.length));
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -12,6 +12,7 @@
     | "body-too-large"
     | "unreadable"
     | "no-upstream"
+    | "full"
     | "declined"
     | "timeout-not-run"
     | "timeout"
@@ -24,6 +25,8 @@
     readonly text: string;
     /** When to come back, for a request that has not run and may be tried again. */
     readonly retryAfterMs?: number;
+    /** Drawn in addition, so that those refused together don't come back together. */
+    readonly retrySpreadMs?: number;
 }
 
 /** Time to come back while an instance starts or has lost the voters; a leader is elected in that time. */
@@ -35,6 +38,10 @@
 /** Time to come back where all upstreams are full; a request takes about as long. */
 const BUSY_RETRY_MS = 500;
 
+/** Time to come back to full paths: a stream takes some three seconds, and a burst about as long. */
+const FULL_RETRY_MS = 1_500;
+const FULL_RETRY_SPREAD_MS = 3_500;
+
 /** Texts and statuses. 503 promises that the request has not run and will not. */
 export const refusals: Readonly<Record<RefusalId, Refusal>> = {
     "starting": {
@@ -65,6 +72,13 @@
         text: "no upstream can take the request now; it has not run",
         retryAfterMs: NO_UPSTREAM_RETRY_MS,
     },
+    "full": {
+        id: "full",
+        status: 503,
+        text: "all paths are full; the request has not run",
+        retryAfterMs: FULL_RETRY_MS,
+        retrySpreadMs: FULL_RETRY_SPREAD_MS,
+    },
     "declined": {
         id: "declined",
         status: 503,
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -19,15 +19,25 @@
     /** The first engine of the path gave no report. */
     | { readonly kind: "unreachable"; };
 
+/** Where a try may go. */
+export type TargetChoice =
+    | { readonly kind: "target"; readonly target: CallTarget; }
+    /** Nothing there can take the request. */
+    | { readonly kind: "none"; }
+    /** What is there has no room. */
+    | { readonly kind: "full"; };
+
 /** What a request needs from the process. */
 export interface RoutedRequestFunctions {
     readonly agent: Agent;
     readonly codec: CallCodec;
     readonly getNowMs: () => number;
-    readonly chooseTarget: (run: RoutedRun, lastEventId: string | undefined) => CallTarget | undefined;
+    readonly chooseTarget: (run: RoutedRun, lastEventId: string | undefined, isUnderWay: boolean) => TargetChoice;
     /** Whether the key of the request may still be used. */
     readonly mayUseKey: () => boolean;
     readonly recordStart: (id: string) => void;
+    /** The request has its first token, or ended without one. */
+    readonly recordStarted: (id: string) => void;
     readonly recordEnd: (id: string) => void;
     readonly recordAnswer: (id: string, durationMs: number, isFailure: boolean) => void;
     /** Leaves an upstream out for a while. */
@@ -69,6 +79,11 @@
 const PATIENCE_SHARE = 0.1;
 /** A second and a half: the usual time to load a lost part anew, and more than an election takes. */
 const MOST_PATIENCE_MS = 1_800;
+/**
+ * Part of the objective for which a request waits where all paths are full; then the caller is told when to come back,
+ * as long as a second attempt is worth most to it (within a quarter of the objective, by the users' contract).
+ */
+const FULL_PATIENCE_SHARE = 0.15;
 /** Between two looks whether something can take a waiting request. */
 export const PATIENCE_POLL_MS = 40;
 
@@ -111,13 +126,15 @@
         if (run.admitted.organisation !== undefined && !functions.mayUseKey()) {
             return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "not-confirmed");
         }
-        const target = await chooseTargetPatiently(run, relay, functions);
+        const choice = await chooseTargetPatiently(run, relay, functions);
         if (run.stopReason !== undefined) {
             return endStopped(run, answer, run.stopReason);
         }
-        if (target === undefined) {
-            return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "no-upstream");
+        if (choice.kind !== "target") {
+            const refusal = choice.kind === "full" ? "full" : "no-upstream";
+            return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : refusal);
         }
+        const { target } = choice;
         const result = await tryTarget(run, target, relay, functions);
         switch (result.kind) {
             case "answered":
@@ -148,14 +165,20 @@
     run: RoutedRun,
     relay: StreamRelay | undefined,
     functions: RoutedRequestFunctions,
-): Promise<CallTarget | undefined> {
-    const untilMs = functions.getNowMs() + computePatienceMs(run.leftMs);
-    let target = functions.chooseTarget(run, relay?.lastEventId);
-    while (target === undefined && run.stopReason === undefined && functions.getNowMs() < untilMs) {
+): Promise<TargetChoice> {
+    const startMs = functions.getNowMs();
+    const noneMs = computePatienceMs(run.leftMs);
+    const fullMs = run.admitted.route.objective_ms * FULL_PATIENCE_SHARE;
+    const choose = (): TargetChoice => functions.chooseTarget(run, relay?.lastEventId, (relay?.count ?? 0) > 0);
+    let choice = choose();
+    while (choice.kind !== "target" && run.stopReason === undefined) {
+        if (functions.getNowMs() - startMs >= (choice.kind === "full" ? fullMs : noneMs)) {
+            return choice;
+        }
         await new Promise((resolve) => setTimeout(resolve, PATIENCE_POLL_MS));
-        target = functions.chooseTarget(run, relay?.lastEventId);
+        choice = choose();
     }
-    return target;
+    return choice;
 }
 
 async function tryTarget(
@@ -168,23 +191,37 @@
     run.tries += 1;
     run.tried.add(target.upstreamId);
     functions.recordStart(target.upstreamId);
+    const recordStarted = createOnce(() => {
+        functions.recordStarted(target.upstreamId);
+    });
     let watch: { readonly stop: () => void; } | undefined;
     const result = await runTry({
         agent: functions.agent,
         codec: functions.codec,
         run,
         target,
-        sink: relay?.createSink(),
+        sink: relay?.createSink(recordStarted),
         handleStart: (stall) => {
             watch = startWatch(run, target, relay, functions, stall);
         },
     });
     watch?.stop();
+    recordStarted();
     functions.recordEnd(target.upstreamId);
     recordTry(run, target, result, functions.getNowMs() - startMs, functions);
     return result;
 }
 
+function createOnce(run: () => void): () => void {
+    let isDone = false;
+    return () => {
+        if (!isDone) {
+            isDone = true;
+            run();
+        }
+    };
+}
+
 /** Only a request that may run again is worth watching; any other has to wait for its answer. */
 function startWatch(
     run: RoutedRun,
@@ -200,7 +237,7 @@
     if (relay !== undefined) {
         return target.stages === undefined ? undefined : new SilenceWatch(run, target, relay, functions, stall);
     }
-    if (run.runs + 1 >= route.most_attempts || functions.chooseTarget(run, undefined) === undefined) {
+    if (run.runs + 1 >= route.most_attempts || functions.chooseTarget(run, undefined, true).kind !== "target") {
         return undefined;
     }
     const timer = setTimeout(() => {
@@ -284,7 +321,7 @@
         tries: run.tries,
         mostAttempts: route.most_attempts,
         leftMs: run.leftMs,
-        hasAlternative: functions.chooseTarget(run, undefined) !== undefined,
+        hasAlternative: functions.chooseTarget(run, undefined, true).kind === "target",
         claimRepeat: () => functions.claimRepeat(service.name),
     });
     switch (step.kind) {
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -56,9 +56,10 @@
 
     /**
      * Begins a try.
+     * @param handleEvent - called when bytes of events come
      * @returns takes what the upstream sends
      */
-    createSink(): StreamSink {
+    createSink(handleEvent: () => void): StreamSink {
         const splitter = new EventSplitter();
         let head: UpstreamHead | undefined;
         this.movedMs = this.getNowMs();
@@ -66,7 +67,10 @@
             handleHead: (begun) => {
                 head = begun;
             },
-            handleData: (chunk, exchange) => this.handleData(splitter, head, chunk, exchange),
+            handleData: (chunk, exchange) => {
+                handleEvent();
+                return this.handleData(splitter, head, chunk, exchange);
+            },
             handleEnd: () => {
                 if (splitter.hasPart) {
                     return "the stream ended inside an event";
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -261,6 +261,15 @@
         expect(framed.seen.length).to.equal("4");
     });
 
+    it("where all paths are full the caller is soon told when to come back", async () => {
+        const entry = await TestEntry.open({ upstreams: [], route: { objective_ms: 100 }, isFull: true });
+        const seen = await ask(entry.url);
+        await entry.close();
+        expect(entry.ends.map((end) => end.refusal)).to.deep.equal(["full"]);
+        expect(seen.status).to.equal(503);
+        expect(Number(seen.retryAfter)).to.be.above(1);
+    });
+
     it("a stream that may run only once breaks off visibly", async () => {
         const { seen } = await play(["streamReset", "stream"], { kind: "stream", ...once });
         expect(seen).to.include({ status: 200, body: events(1, 2), isWhole: false });
--- /dev/null
+++ b/packages/decisions/src/request/hasChainRoom.ts
@@ -0,0 +1,60 @@
+/**
+ * Whether a path takes one more request now. Beyond its memory the newest requests are thrown out and read anew; behind
+ * a long queue of prompts the first token comes after the caller has left. Both waste what the others need.
+ */
+import type { EngineProfile } from "@crankfork/schemas";
+import type { Chain } from "../version/computeChains.js";
+
+/** What runs on a path, from all entries as far as known. */
+export interface ChainLoad {
+    /** Requests that are open. */
+    readonly open: number;
+    /** Those of them that have no first token yet. */
+    readonly unstarted: number;
+}
+
+/** Part of the objective that the queue of prompts before a request may take; the rest is its own prompt and the way. */
+const QUEUE_SHARE = 0.6;
+/** A request on its way holds its prompt, and on average half of its answer. */
+const HELD_ANSWER_SHARE = 0.5;
+/** Requests that a path takes at the least, so that one with odd figures is not shut out. */
+const LEAST_OPEN = 4;
+
+/**
+ * Tells whether a path has room.
+ * @param chain - the path
+ * @param load - what runs on it
+ * @param profile - usual sizes and the slots of its first engine
+ * @param objectiveMs - time to the first token that the contract asks for
+ * @returns false where one more request would cost others more than it gains
+ */
+export function hasChainRoom(chain: Chain, load: ChainLoad, profile: EngineProfile, objectiveMs: number): boolean {
+    return load.open < computeMostOpen(chain, profile)
+        && load.unstarted < computeMostUnstarted(chain, profile, objectiveMs);
+}
+
+/**
+ * Computes how many requests a path holds.
+ * @param chain - the path
+ * @param profile - usual sizes and slots
+ * @returns requests that its memory and slots are meant for
+ */
+export function computeMostOpen(chain: Chain, profile: EngineProfile): number {
+    const heldTokens = profile.usual_prompt_tokens + profile.usual_answer_tokens * HELD_ANSWER_SHARE;
+    const byMemory = heldTokens === 0 ? profile.slots : Math.floor(chain.contextTokens / heldTokens);
+    return Math.max(LEAST_OPEN, Math.min(profile.slots, byMemory));
+}
+
+/**
+ * Computes how many prompts may wait on a path.
+ * @param chain - the path
+ * @param profile - usual sizes
+ * @param objectiveMs - time to the first token that the contract asks for
+ * @returns requests
+ */
+export function computeMostUnstarted(chain: Chain, profile: EngineProfile, objectiveMs: number): number {
+    const promptMs = profile.usual_prompt_tokens * chain.readMs;
+    return promptMs === 0
+        ? Number.MAX_SAFE_INTEGER
+        : Math.max(LEAST_OPEN, Math.floor(objectiveMs * QUEUE_SHARE / promptMs));
+}
--- a/packages/decisions/src/version/computeLayerPlan.ts
+++ b/packages/decisions/src/version/computeLayerPlan.ts
@@ -8,8 +8,11 @@
  */
 import type { Accelerator, EngineProfile, LayerSpan } from "@crankfork/schemas";
 
-/** Part of the profile's tokens of context for which an engine keeps memory free beside its layers. */
-const CONTEXT_SHARE = 0.8;
+/**
+ * Part of the profile's tokens of context for which an engine keeps memory free beside its layers. All of it: with
+ * less the fastest cards run out of memory first, and the rounding to whole layers costs nothing more.
+ */
+const CONTEXT_SHARE = 1;
 
 /** An engine as the plan sees it. */
 export interface PlannedEngine {
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -5,13 +5,23 @@
 import { registeredUpstreamSchema } from "./registeredUpstream.js";
 import { replicaAddressSchema } from "./replicaMessage.js";
 
+/** Requests by the first upstream of their path. */
+export const upstreamLoadsSchema = z.record(
+    z.string(),
+    z.object({
+        open: z.int().nonnegative(),
+        /** Those of them that have no first token yet. */
+        unstarted: z.int().nonnegative(),
+    }),
+);
+
 /** Parameters of `synchronise`: what an entry knows, and what it did. */
 export const synchroniseParametersSchema = z.object({
     instance: z.string(),
     /** Position of the log up to which the entry knows the state; 0 for nothing. */
     known_index: z.int().nonnegative(),
-    /** Requests that the entry has open, by the first upstream of their path. */
-    open: z.record(z.string(), z.int().nonnegative()),
+    /** What the entry has open. */
+    loads: upstreamLoadsSchema,
     /** Upstreams that failed this entry's requests lately. */
     suspects: z.array(z.string()),
 });
@@ -30,8 +40,8 @@
         removed: z.array(z.string()),
         /** Entries that were heard of lately, this one included. */
         entries: z.int().positive(),
-        /** Requests that other entries have open, by the first upstream of their path. */
-        open_elsewhere: z.record(z.string(), z.int().nonnegative()),
+        /** What other entries have open. */
+        loads_elsewhere: upstreamLoadsSchema,
         /** Peers' addresses of all replicas. */
         voters: z.array(z.string()),
     }),
@@ -44,6 +54,8 @@
 /** Result of `join`. */
 export const joinResultSchema = z.object({ leader: replicaAddressSchema.optional() });
 
+/** Requests by the first upstream of their path. */
+export type UpstreamLoads = z.infer<typeof upstreamLoadsSchema>;
 /** Parameters of `synchronise`. */
 export type SynchroniseParameters = z.infer<typeof synchroniseParametersSchema>;
 /** Result of `synchronise`. */
