A leader tells followers of a commit at once when nothing else is on its way

Cause: 'five hundred confirmed changes' met mocha's 60 s beside busy processes. It was slow, not stuck (80 s beside eight busy processes, passed with a longer limit): a follower learnt of a commit with the next heartbeat, some 100 ms later in the mean, and each confirm waits until all entries have the version in force. Ruled out: a hang (all 500 went through), the gossip of versions (it is sent at once on a change), a longer limit. Change: when a commit leaves nothing on its way, an append tells it at once.

--- a/packages/coordination/src/process/commit.ts
+++ b/packages/coordination/src/process/commit.ts
@@ -4,7 +4,7 @@
 import type { LogEntry } from "@crankfork/schemas";
 import { stepDown } from "./election.js";
 import { applyCompaction, computeQuorum, isVoter, type ProposalResult, type ReplicaContext } from "./replicaContext.js";
-import { getProgress } from "./replication.js";
+import { getProgress, sendAppendToAll } from "./replication.js";
 
 /**
  * Moves the leader's commit on as far as a quorum has synced; call it after a sync here too.
@@ -22,10 +22,18 @@
     // Only an entry of the present term may be counted (Raft, section 5.4.2); it commits those before it.
     if (index > context.commitIndex && context.log.getTerm(index) === context.term) {
         applyUpTo(context, index);
+        tellCommitIfIdle(context);
         stepDownIfRemoved(context);
     }
 }
 
+/** Followers apply what they know is committed; with no entry on its way to tell them, the next heartbeat would. */
+function tellCommitIfIdle(context: ReplicaContext): void {
+    if (context.commitIndex === context.log.last.index) {
+        sendAppendToAll(context);
+    }
+}
+
 /**
  * Marks what the leader has synced itself.
  * @param context - the leader
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -205,6 +205,19 @@
         expect(peers.replica.hasNewestState()).to.equal(false);
         expect((await peers.replica.propose("late")).kind).to.equal("not-leader");
     });
+
+    it("tells its followers of a commit at once, not with the next heartbeat", async () => {
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 2);
+        await clock.tickAsync(1);
+        const proposed = peers.replica.propose("command");
+        await clock.tickAsync(1);
+        peers.answerAppend(left, 3);
+        await clock.tickAsync(1);
+        expect((await proposed).kind).to.equal("applied");
+        expect(peers.find("append", right.id)?.commit_index).to.equal(3);
+    });
 });
 
 /** Moves the monotonic clock without running timers, as it is for a process that was frozen. */
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -2,7 +2,13 @@
  * An entry of a fleet: it takes callers' requests, and knows by its link to the voters where they may go.
  */
 import { SharedRetryBudget } from "@crankfork/decisions";
-import type { FleetSettings, RoutingTable, SynchronisedState, SynchroniseParameters, UpstreamLoads } from "@crankfork/schemas";
+import type {
+    FleetSettings,
+    RoutingTable,
+    SynchronisedState,
+    SynchroniseParameters,
+    UpstreamLoads,
+} from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Agent } from "undici";
 import type { EngineControl } from "../connection/engineControl.js";
