Streams under way have a part of the repeat budget to themselves

Ruled out: no alternative (two paths were whole), the route's attempts (the second did not run). Change: requests without any answer spend at most 0.6 of an entry's part.

--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -308,7 +308,7 @@
                 log.record("warn", "upstream-suspected", { peer: id, reason, index: this.view.knownIndex });
             },
             findIdAt: (address) => this.view.findIdAt(address),
-            claimRepeat: (service) => this.getBudget(service).claimRepeat(),
+            claimRepeat: (service, isUnderWay) => this.getBudget(service).claimRepeat(isUnderWay),
             askStall: (target, requestId) => this.askStall(target, requestId),
             isAlive: (id) => this.view.getUpstream(id)?.status === "ready" && this.health.isUsable(id),
             record: (event, fields) => {
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -43,7 +43,8 @@
     /** Leaves an upstream out for a while. */
     readonly suspect: (id: string, reason: string) => void;
     readonly findIdAt: (address: string) => string | undefined;
-    readonly claimRepeat: (service: string) => boolean;
+    /** Draws on the budget of repeats; `isUnderWay` tells whether the caller has a part of its answer already. */
+    readonly claimRepeat: (service: string, isUnderWay: boolean) => boolean;
     readonly askStall: (target: CallTarget, requestId: string) => Promise<StallAnswer>;
     /** Whether an upstream is still believed to be there. */
     readonly isAlive: (id: string) => boolean;
@@ -322,7 +323,7 @@
         mostAttempts: route.most_attempts,
         leftMs: run.leftMs,
         hasAlternative: functions.chooseTarget(run, undefined, true).kind === "target",
-        claimRepeat: () => functions.claimRepeat(service.name),
+        claimRepeat: () => functions.claimRepeat(service.name, answer.isBegun),
     });
     switch (step.kind) {
         case "try-again":
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -17,6 +17,8 @@
  * forgot what they spent, and windows that begin between its own slots.
  */
 const SAFE_SHARE = 0.8;
+/** Part of it that requests without any answer yet may spend. */
+const FRESH_SHARE = 0.6;
 /** Slots of a window in which repeats and requests are counted. */
 const SLOTS = 10;
 
@@ -48,14 +50,17 @@
 
     /**
      * Takes one repeat out of the budget.
+     * @param isUnderWay - whether the caller has a part of its answer already; others leave such requests a part of
+     * the budget, since a broken stream costs more than a refused one
      * @returns false where it is spent
      */
-    claimRepeat(): boolean {
+    claimRepeat(isUnderWay: boolean): boolean {
         const slot = this.getSlot();
         const requests = this.slots.reduce((sum, one) => sum + one.requests, 0);
         const repeats = this.slots.reduce((sum, one) => sum + one.repeats, 0);
         const { ratio, slack } = this.terms;
-        if (repeats + 1 > SAFE_SHARE * (requests * ratio + slack / this.getEntries())) {
+        const share = isUnderWay ? SAFE_SHARE : SAFE_SHARE * FRESH_SHARE;
+        if (repeats + 1 > share * (requests * ratio + slack / this.getEntries())) {
             return false;
         }
         slot.repeats += 1;
--- a/packages/decisions/tests/nextStep.test.ts
+++ b/packages/decisions/tests/nextStep.test.ts
@@ -77,9 +77,9 @@
 
 describe("all entries together stay within the budget of repeats", () => {
     const terms = { ratio: 0.2, slack: 90, windowMs: 10_000 };
-    const claimAll = (budget: SharedRetryBudget): number => {
+    const claimAll = (budget: SharedRetryBudget, isUnderWay: boolean = true): number => {
         let claimed = 0;
-        while (budget.claimRepeat()) {
+        while (budget.claimRepeat(isUnderWay)) {
             claimed += 1;
         }
         return claimed;
@@ -100,6 +100,15 @@
         expect(before + claimAll(budget)).to.be.at.most(100 * terms.ratio + terms.slack / 9);
     });
 
+    it("requests without an answer leave a part to streams that are under way", () => {
+        const budget = new SharedRetryBudget(terms, () => 1, () => 0);
+        const fresh = claimAll(budget, false);
+        const underWay = claimAll(budget, true);
+        expect(fresh).to.be.above(underWay);
+        expect(underWay).to.be.above(0);
+        expect(fresh + underWay).to.be.at.most(terms.slack);
+    });
+
     it("what was spent is free again only after the whole window", () => {
         let nowMs = 0;
         const budget = new SharedRetryBudget(terms, () => 1, () => nowMs);
