--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/fleetVoter.ts
@@ -53,6 +53,8 @@
 /** Keeps document and upstreams. */
 export class FleetVoter {
     private readonly heard = new Map<string, Hearing>();
+    /** Upstreams whose loss is on its way into the log. */
+    private readonly beingMarked = new Set<string>();
     private electedMs = 0;
 
     /**
@@ -172,15 +174,15 @@
      */
     markLost(upstream: RegisteredUpstream, reason: string): void {
         const { status, ...facts } = upstream;
-        if (status === "lost") {
+        if (status === "lost" || this.beingMarked.has(facts.id)) {
             return;
         }
-        this.options.log.record("warn", "upstream-lost", { peer: upstream.id, address: upstream.address, reason });
-        if (status === "leaving") {
-            void this.propose({ kind: "remove-upstream", id: upstream.id });
-            return;
-        }
-        void this.propose({ kind: "put-upstream", facts, status: "lost" });
+        this.options.log.record("warn", "upstream-lost", { peer: facts.id, address: facts.address, reason });
+        this.beingMarked.add(facts.id);
+        const command: FleetCommand = status === "leaving"
+            ? { kind: "remove-upstream", id: facts.id }
+            : { kind: "put-upstream", facts, status: "lost" };
+        void this.propose(command).finally(() => this.beingMarked.delete(facts.id));
     }
 
     /**
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -5,12 +5,14 @@
 import { chooseNextStep, type TryEnd } from "@crankfork/decisions";
 import type { Agent } from "undici";
 import type { EventFields } from "../process/eventLog.js";
+import { recordTry } from "./recordTry.js";
 import type { RoutedAnswer } from "./routedAnswer.js";
 import type { CallCodec, CallTarget } from "./routedCall.js";
 import { type RefusalId, refusals } from "./routedRefusal.js";
 import type { RoutedRun, RunStop } from "./routedRun.js";
 import { runTry, type TryResult, type WholeAnswer } from "./routedTry.js";
 import { StreamRelay } from "./streamRelay.js";
+import { startWatch, type TryWatch } from "./tryWatch.js";
 
 /** What an engine's report says of a request that makes no progress. */
 export type StallAnswer =
@@ -61,18 +63,6 @@
     readonly longestPauseMs?: number | undefined;
 }
 
-/**
- * Silence of a stream after which its engine is asked: a little more than a contracted pause, so that a path which
- * stands still is left before the caller gives up.
- */
-const ASK_AFTER_PAUSE_SHARE = 1.25;
-/** Used where the route names no pause. */
-const DEFAULT_PAUSE_MS = 200;
-/** Part of the objective after which the engine is asked about a stream that has not begun. */
-const ASK_BEFORE_FIRST_SHARE = 0.6;
-/** Reports without an answer after which the first engine counts as gone. */
-const MOST_UNREACHABLE = 2;
-
 /**
  * Part of the time left for which a request waits where nothing can take it now: an engine that is lost is replaced,
  * and a leader elected, in that time. A caller with little time is better sent away at once.
@@ -195,7 +185,7 @@
     const recordStarted = createOnce(() => {
         functions.recordStarted(target.upstreamId);
     });
-    let watch: { readonly stop: () => void; } | undefined;
+    let watch: TryWatch | undefined;
     const result = await runTry({
         agent: functions.agent,
         codec: functions.codec,
@@ -223,90 +213,6 @@
     };
 }
 
-/** Only a request that may run again is worth watching; any other has to wait for its answer. */
-function startWatch(
-    run: RoutedRun,
-    target: CallTarget,
-    relay: StreamRelay | undefined,
-    functions: RoutedRequestFunctions,
-    stall: (reason: string, faultAddress: string | undefined) => void,
-): { readonly stop: () => void; } | undefined {
-    const { route } = run.admitted;
-    if (!route.is_repeatable) {
-        return undefined;
-    }
-    if (relay !== undefined) {
-        return target.stages === undefined ? undefined : new SilenceWatch(run, target, relay, functions, stall);
-    }
-    if (run.runs + 1 >= route.most_attempts || functions.chooseTarget(run, undefined, true).kind !== "target") {
-        return undefined;
-    }
-    const timer = setTimeout(() => {
-        stall(`no answer for ${String(route.objective_ms)} ms`, undefined);
-    }, route.objective_ms);
-    return {
-        stop: () => {
-            clearTimeout(timer);
-        },
-    };
-}
-
-/** Notes what the try says of the upstream, and whether the request may have run there. */
-function recordTry(
-    run: RoutedRun,
-    target: CallTarget,
-    result: TryResult,
-    durationMs: number,
-    functions: RoutedRequestFunctions,
-): void {
-    const { upstreamId } = target;
-    const label = result.kind === "ended" ? `${result.end}(${result.reason})` : result.kind;
-    run.steps.push(`${upstreamId}:${label}:${String(Math.round(durationMs))}ms`);
-    switch (result.kind) {
-        case "answered":
-        case "streamed":
-            functions.recordAnswer(upstreamId, durationMs, false);
-            return;
-        case "stopped":
-            run.mayHaveRun = true;
-            if (result.stop === "timeout") {
-                functions.recordAnswer(upstreamId, durationMs, true);
-            }
-            return;
-        case "ended":
-            recordFailedTry(run, target, result, durationMs, functions);
-    }
-}
-
-function recordFailedTry(
-    run: RoutedRun,
-    target: CallTarget,
-    result: Extract<TryResult, { kind: "ended"; }>,
-    durationMs: number,
-    functions: RoutedRequestFunctions,
-): void {
-    const { upstreamId } = target;
-    const faultId = result.faultAddress === undefined ? undefined : functions.findIdAt(result.faultAddress);
-    if (faultId !== undefined && faultId !== upstreamId) {
-        functions.suspect(faultId, result.reason);
-    }
-    else if (result.end === "not-sent" || result.end === "stalled" || (result.end === "declined" && isFault(result))) {
-        functions.suspect(upstreamId, result.reason);
-    }
-    else {
-        functions.recordAnswer(upstreamId, durationMs, true);
-    }
-    if (result.end !== "not-sent" && result.end !== "declined") {
-        run.mayHaveRun = true;
-        run.runs += 1;
-    }
-}
-
-/** A declined request says that the upstream is full, unless it names itself at fault. */
-function isFault(result: Extract<TryResult, { kind: "ended"; }>): boolean {
-    return result.faultAddress !== undefined;
-}
-
 function applyNextStep(
     run: RoutedRun,
     answer: RoutedAnswer,
@@ -370,67 +276,3 @@
     answer.sendRefusal(run.admitted.call, refusals[id], run.leftMs);
     return { outcome: run.mayHaveRun ? "failed" : "refused", status: refusals[id].status, refusal: id };
 }
-
-/** Watches a stream for silence, and asks its engine whether the path stands still. */
-class SilenceWatch {
-    private timer: NodeJS.Timeout;
-    private unreachable = 0;
-    private isStopped = false;
-
-    constructor(
-        private readonly run: RoutedRun,
-        private readonly target: CallTarget,
-        private readonly relay: StreamRelay,
-        private readonly functions: RoutedRequestFunctions,
-        private readonly stall: (reason: string, faultAddress: string | undefined) => void,
-    ) {
-        this.timer = setTimeout(() => void this.check(), this.limitMs);
-    }
-
-    stop(): void {
-        this.isStopped = true;
-        clearTimeout(this.timer);
-    }
-
-    private get limitMs(): number {
-        const { route } = this.run.admitted;
-        return this.relay.count === 0
-            ? route.objective_ms * ASK_BEFORE_FIRST_SHARE
-            : (route.pause_objective_ms ?? DEFAULT_PAUSE_MS) * ASK_AFTER_PAUSE_SHARE;
-    }
-
-    private async check(): Promise<void> {
-        const leftMs = this.limitMs - this.relay.silentMs;
-        if (leftMs > 0) {
-            this.wait(leftMs);
-            return;
-        }
-        const { functions, target, run } = this;
-        const said = await functions.askStall(target, run.admitted.call.requestId);
-        if (this.isStopped || this.relay.silentMs < this.limitMs) {
-            this.wait(this.limitMs);
-            return;
-        }
-        this.applyAnswer(said);
-    }
-
-    private applyAnswer(said: StallAnswer): void {
-        const silentMs = Math.round(this.relay.silentMs);
-        this.unreachable = said.kind === "unreachable" ? this.unreachable + 1 : 0;
-        if (said.kind === "stalled") {
-            this.stall(`stalled, silent for ${String(silentMs)} ms`, said.faultAddress);
-            return;
-        }
-        if (this.unreachable >= MOST_UNREACHABLE) {
-            this.stall(`no report, silent for ${String(silentMs)} ms`, undefined);
-            return;
-        }
-        this.wait(said.kind === "unreachable" ? 1 : this.limitMs);
-    }
-
-    private wait(ms: number): void {
-        if (!this.isStopped) {
-            this.timer = setTimeout(() => void this.check(), ms);
-        }
-    }
-}
