--- /dev/null
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -0,0 +1,227 @@
+import { FleetState } from "@crankfork/coordination";
+import type { EngineProfile, FleetCommand, LayerSpan } from "@crankfork/schemas";
+import FakeTimers from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import type { OrderEnd, ReportResult } from "../src/connection/engineControl.js";
+import { EntryRegister } from "../src/process/entryRegister.js";
+import { FleetLink } from "../src/process/fleetLink.js";
+import { type FleetReplicaHost, FleetVoter } from "../src/process/fleetVoter.js";
+import { LayerKeeper } from "../src/process/layerKeeper.js";
+import { SuspectProbe } from "../src/process/suspectProbe.js";
+
+const log = { record: () => undefined };
+const profile: EngineProfile = {
+    layers: 8,
+    layer_mb: 100,
+    token_bytes: 0,
+    capacity_tokens: 1,
+    slots: 4,
+    step_ms: 1,
+    step_ms_a_request: 0,
+    read_tokens_a_second: 1_000,
+    load_ms: 1_000,
+    usual_prompt_tokens: 1,
+    usual_answer_tokens: 1,
+    accelerators: [{ name: "x", memory_mb: 450, step_factor: 1, read_factor: 1 }],
+};
+
+/** A leader whose log applies at once, and engines that do as the case says. */
+class LeaderStand {
+    readonly state = new FleetState();
+    readonly orders: string[] = [];
+    readonly reports = new Map<string, ReportResult>();
+    orderEnd: OrderEnd = { kind: "begun" };
+    isLeading = true;
+    private index = 0;
+
+    readonly host = {
+        state: this.state,
+        self: { id: "self", address: "self" },
+        replica: {
+            hasNewestState: () => this.isLeading,
+            getStatus: () => ({
+                leader: { id: "other", address: "other" },
+                term: 3,
+                replicas: { voters: [], learners: [] },
+            }),
+        },
+        propose: (command: FleetCommand) => {
+            this.index += 1;
+            return Promise.resolve({
+                kind: "applied",
+                index: this.index,
+                result: this.state.apply(command, this.index),
+            });
+        },
+    } as unknown as FleetReplicaHost;
+
+    readonly control = {
+        getReport: (address: string): Promise<ReportResult> =>
+            Promise.resolve(this.reports.get(address) ?? { kind: "report", held: undefined, orders: 0, stalled: [] }),
+        placeLayers: ({ id }: { readonly id: string; }, span: LayerSpan): Promise<OrderEnd> => {
+            this.orders.push(`${id}=${String(span.first)}-${String(span.end)}`);
+            return Promise.resolve(this.orderEnd);
+        },
+    };
+
+    readonly voter = new FleetVoter({ host: this.host, log, getNowMs: () => performance.now(), heartbeatMs: 1_000 });
+
+    readonly keeper = new LayerKeeper({
+        host: this.host,
+        voter: this.voter,
+        control: this.control,
+        log,
+        getNowMs: () => performance.now(),
+        getServices: () => [{ name: "s", most_connections: 1, engine: profile }],
+    });
+
+    async register(id: string, held?: LayerSpan): Promise<void> {
+        const facts = { id, service: "s", address: id, failure_domain: "d", slots: 1, accelerator: "x" };
+        await this.voter.registerUpstream({
+            facts: { ...facts, ...(held === undefined ? {} : { held }) },
+            status: "ready",
+            sequence: performance.now() + 1,
+        });
+    }
+}
+
+describe("a leader brings layers to engines", () => {
+    let clock: ReturnType<typeof FakeTimers.install>;
+    let stand: LeaderStand;
+
+    beforeEach(async () => {
+        clock = FakeTimers.install({
+            toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"],
+        });
+        stand = new LeaderStand();
+        await stand.register("a");
+        await stand.register("b");
+        stand.keeper.start();
+    });
+
+    afterEach(() => {
+        stand.keeper.stop();
+        clock.uninstall();
+    });
+
+    it("orders each once, and follows it by its report", async () => {
+        await clock.tickAsync(400);
+        expect(stand.orders).to.deep.equal(["a=0-4", "b=4-8"]);
+        stand.reports.set("a", { kind: "report", held: { first: 0, end: 4 }, orders: 1, stalled: [] });
+        await clock.tickAsync(600);
+        expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 0, end: 4 });
+        expect(stand.orders).to.have.length(2);
+    });
+
+    it("gives no second order while the first may still be carried out", async () => {
+        stand.orderEnd = { kind: "unclear", reason: "no answer" };
+        await clock.tickAsync(12_000);
+        expect(stand.orders).to.have.length(2);
+        await clock.tickAsync(2_000);
+        expect(stand.orders).to.have.length(4);
+    });
+
+    it("takes what an engine says that it holds over what it was to be ordered", async () => {
+        stand.reports.set("a", { kind: "report", held: { first: 4, end: 8 }, orders: 1, stalled: [] });
+        await clock.tickAsync(400);
+        expect(stand.orders).to.deep.equal(["b=4-8"]);
+        expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 4, end: 8 });
+    });
+
+    it("gives none without its lease", async () => {
+        stand.isLeading = false;
+        await clock.tickAsync(1_000);
+        expect(stand.orders).to.deep.equal([]);
+    });
+
+    it("a lost engine's layers go to an empty one", async () => {
+        await clock.tickAsync(200);
+        await stand.register("a", { first: 0, end: 4 });
+        await stand.register("b", { first: 4, end: 8 });
+        await stand.register("c");
+        const [lost] = stand.state.listUpstreams();
+        if (lost !== undefined) {
+            stand.voter.markLost(lost, "test");
+        }
+        await clock.tickAsync(300);
+        expect(stand.orders.at(-1)).to.equal("c=0-4");
+    });
+
+    it("an engine that entries suspect is lost once it gives no report twice", async () => {
+        const probe = new SuspectProbe({ host: stand.host, voter: stand.voter, control: stand.control });
+        probe.handleSuspects(["a", "b"]);
+        stand.reports.set("a", { kind: "failed", reason: "no answer" });
+        await clock.tickAsync(10);
+        probe.handleSuspects(["a", "b"]);
+        await clock.tickAsync(10);
+        expect(stand.state.listUpstreams().map((one) => `${one.id} ${one.status}`)).to.deep.equal([
+            "a lost",
+            "b ready",
+        ]);
+    });
+
+    it("an upstream that is silent for four heartbeats is lost, and comes back with the next", async () => {
+        await clock.tickAsync(3_900);
+        stand.voter.markSilent();
+        await clock.tickAsync(1);
+        expect(stand.state.getUpstream("a")?.status).to.equal("ready");
+        await clock.tickAsync(200);
+        stand.voter.markSilent();
+        await clock.tickAsync(1);
+        expect(stand.state.getUpstream("a")?.status).to.equal("lost");
+        await stand.register("a");
+        expect(stand.state.getUpstream("a")?.status).to.equal("ready");
+    });
+
+    it("an entry is answered as soon as something changes, and told what others have open", async () => {
+        const entries = new EntryRegister({
+            host: stand.host,
+            getNowMs: () => performance.now(),
+            handleSuspects: () => undefined,
+        });
+        const loads = { a: { open: 3, unstarted: 1 } };
+        void entries.synchronise({ instance: "other", known_index: 0, loads, suspects: [] });
+        const waiting = entries.synchronise({
+            instance: "one",
+            known_index: stand.state.lastChange,
+            loads: {},
+            suspects: [],
+        });
+        await stand.register("c");
+        entries.handleState();
+        const told = await waiting;
+        expect(told.kind === "state" && told.upstreams.map((one) => one.id)).to.deep.equal(["c"]);
+        expect(told.kind === "state" && told.loads_elsewhere).to.deep.equal(loads);
+        expect(told.kind === "state" && told.entries).to.equal(2);
+    });
+
+    it("an entry's lease is counted from the moment its question left", async () => {
+        const entries = new EntryRegister({
+            host: stand.host,
+            getNowMs: () => performance.now(),
+            handleSuspects: () => undefined,
+        });
+        let knownIndex = 0;
+        const link = new FleetLink({
+            peers: {
+                ask: async (_address, _method, parameters) => await entries.synchronise(parameters as never),
+                send: () => undefined,
+            },
+            log,
+            getNowMs: () => performance.now(),
+            getSeeds: () => ["voter"],
+            createParameters: () => ({ instance: "one", known_index: knownIndex, loads: {}, suspects: [] }),
+            handleState: (state) => {
+                knownIndex = state.index;
+            },
+        });
+        link.start();
+        await clock.tickAsync(1_000);
+        expect(knownIndex).to.equal(stand.state.lastChange);
+        expect(link.ageMs).to.be.at.most(400);
+        stand.isLeading = false;
+        await clock.tickAsync(5_000);
+        expect(link.ageMs).to.be.at.least(5_000);
+        link.stop();
+    });
+});
