Paths and layers go around engines that say that they are slow

Nobody asked engines how fast they are. Ruled out: suspecting them by silence (events go on, only slower), leaving them out altogether (a slow path is a path). Change: the leader asks each engine's report about once a second and tells a changed pace to all; paths cost what they cost at that pace; layers of an engine twice too slow are given to an empty one beside it.

--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/fleetVoter.ts
@@ -115,9 +115,11 @@
         if (!host.replica.hasNewestState()) {
             return this.createNotLeader();
         }
-        const { facts, status } = heartbeat;
-        const isNews = this.recordHearing(facts.id, heartbeat.sequence);
-        const present = host.state.getUpstream(facts.id);
+        const { status } = heartbeat;
+        const isNews = this.recordHearing(heartbeat.facts.id, heartbeat.sequence);
+        const present = host.state.getUpstream(heartbeat.facts.id);
+        // Heartbeats do not tell it; reports do.
+        const facts = { ...heartbeat.facts, slowness: present?.slowness };
         if (!isNews || host.state.isRemoved(facts.id) || !isChange(present, facts, status)) {
             return { kind: "done", value: undefined };
         }
@@ -199,6 +201,21 @@
         void this.propose({ kind: "put-upstream", facts: { ...facts, held }, status });
     }
 
+    /**
+     * Notes how slow an engine says that it is.
+     * @param upstream - the engine
+     * @param slowness - how many times slower than it should be
+     */
+    recordSlowness(upstream: RegisteredUpstream, slowness: number): void {
+        const present = this.options.host.state.getUpstream(upstream.id);
+        if (present === undefined) {
+            return;
+        }
+        const { status, ...facts } = present;
+        this.options.log.record("info", "upstream-pace", { peer: upstream.id, slowness, before: present.slowness });
+        void this.propose({ kind: "put-upstream", facts: { ...facts, slowness }, status });
+    }
+
     private async propose(command: FleetCommand): Promise<VoterResult<undefined>> {
         const result = await this.options.host.propose(command);
         switch (result.kind) {
--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -93,6 +93,7 @@
             failureDomain: upstream.failure_domain,
             accelerator: upstream.accelerator ?? "",
             span: order?.span ?? upstream.held,
+            slowness: upstream.slowness ?? 1,
             mayBeOrdered: order === undefined,
         };
     }
--- /dev/null
+++ b/packages/daemon/src/process/paceWatch.ts
@@ -0,0 +1,69 @@
+/**
+ * Asks engines how fast they are, so that paths and layers go around slow ones. Only a leader asks, each engine about
+ * once a second: a slow engine costs its whole path, and a report costs little.
+ */
+import type { RegisteredUpstream } from "@crankfork/schemas";
+import type { EngineControl } from "../connection/engineControl.js";
+import type { FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
+
+/** What the watch needs from the process. */
+export interface PaceWatchOptions {
+    readonly host: FleetReplicaHost;
+    readonly voter: FleetVoter;
+    readonly control: EngineControl;
+}
+
+const TICK_MS = 100;
+/** Ticks in which every engine is asked once. */
+const TICKS_A_ROUND = 12;
+/** A change by less than this factor is not worth an entry of the log. */
+const WORTH_TELLING = 1.4;
+
+/** Watches engines. */
+export class PaceWatch {
+    private timer: NodeJS.Timeout | undefined;
+    private ticks = 0;
+
+    /**
+     * @param options - replica and engines
+     */
+    constructor(private readonly options: PaceWatchOptions) {}
+
+    /** Starts. */
+    start(): void {
+        this.timer = setInterval(() => {
+            this.tick();
+        }, TICK_MS);
+    }
+
+    /** Stops. */
+    stop(): void {
+        clearInterval(this.timer);
+    }
+
+    private tick(): void {
+        const { host } = this.options;
+        this.ticks += 1;
+        if (!host.replica.hasNewestState()) {
+            return;
+        }
+        host.state.listUpstreams()
+            .filter((upstream) => upstream.held !== undefined && upstream.status === "ready")
+            .filter((_upstream, position) => position % TICKS_A_ROUND === this.ticks % TICKS_A_ROUND)
+            .forEach((upstream) => void this.ask(upstream));
+    }
+
+    private async ask(upstream: RegisteredUpstream): Promise<void> {
+        const { control, voter, host } = this.options;
+        const report = await control.getReport(upstream.address);
+        // An engine without a report is looked after by its heartbeats and by those whose requests it holds up.
+        if (report.kind === "failed" || !host.replica.hasNewestState()) {
+            return;
+        }
+        const before = upstream.slowness ?? 1;
+        const slowness = Math.max(1, Math.round(report.slowness * 10) / 10);
+        if (slowness / before >= WORTH_TELLING || before / slowness >= WORTH_TELLING) {
+            voter.recordSlowness(upstream, slowness);
+        }
+    }
+}
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/runVoter.ts
@@ -19,6 +19,7 @@
 import { type FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
 import type { RequestHandler } from "./httpServer.js";
 import { LayerKeeper } from "./layerKeeper.js";
+import { PaceWatch } from "./paceWatch.js";
 import { PeerLink } from "./peerLink.js";
 import { type Founding, ReplicaHost } from "./replicaHost.js";
 import { SuspectProbe } from "./suspectProbe.js";
@@ -133,6 +134,7 @@
     });
     group.start();
     keeper.start();
+    new PaceWatch({ host, voter, control: protocol.control }).start();
     setInterval(() => {
         voter.markSilent();
     }, SILENCE_CHECK_MS);
--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -134,10 +134,10 @@
 }
 
 function createHoldingEngine(upstream: RegisteredUpstream): readonly HoldingEngine[] {
-    const { id, address, failure_domain, accelerator, held } = upstream;
+    const { id, address, failure_domain, accelerator = "", held, slowness = 1 } = upstream;
     return held === undefined
         ? []
-        : [{ id, address, failureDomain: failure_domain, accelerator: accelerator ?? "", span: held }];
+        : [{ id, address, failureDomain: failure_domain, accelerator, span: held, slowness }];
 }
 
 function createRoutingView(table: RoutingTable): RoutingView {
--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -7,6 +7,7 @@
 import { FleetLink } from "../src/process/fleetLink.js";
 import { type FleetReplicaHost, FleetVoter } from "../src/process/fleetVoter.js";
 import { LayerKeeper } from "../src/process/layerKeeper.js";
+import { PaceWatch } from "../src/process/paceWatch.js";
 import { SuspectProbe } from "../src/process/suspectProbe.js";
 
 const log = { record: () => undefined };
@@ -57,7 +58,9 @@
 
     readonly control = {
         getReport: (address: string): Promise<ReportResult> =>
-            Promise.resolve(this.reports.get(address) ?? { kind: "report", held: undefined, orders: 0, stalled: [] }),
+            Promise.resolve(
+                this.reports.get(address) ?? { kind: "report", held: undefined, orders: 0, slowness: 1, stalled: [] },
+            ),
         placeLayers: ({ id }: { readonly id: string; }, span: LayerSpan): Promise<OrderEnd> => {
             this.orders.push(`${id}=${String(span.first)}-${String(span.end)}`);
             return Promise.resolve(this.orderEnd);
@@ -107,7 +110,7 @@
     it("orders each once, and follows it by its report", async () => {
         await clock.tickAsync(400);
         expect(stand.orders).to.deep.equal(["a=0-4", "b=4-8"]);
-        stand.reports.set("a", { kind: "report", held: { first: 0, end: 4 }, orders: 1, stalled: [] });
+        stand.reports.set("a", { kind: "report", held: { first: 0, end: 4 }, orders: 1, slowness: 1, stalled: [] });
         await clock.tickAsync(600);
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 0, end: 4 });
         expect(stand.orders).to.have.length(2);
@@ -122,7 +125,7 @@
     });
 
     it("takes what an engine says that it holds over what it was to be ordered", async () => {
-        stand.reports.set("a", { kind: "report", held: { first: 4, end: 8 }, orders: 1, stalled: [] });
+        stand.reports.set("a", { kind: "report", held: { first: 4, end: 8 }, orders: 1, slowness: 1, stalled: [] });
         await clock.tickAsync(400);
         expect(stand.orders).to.deep.equal(["b=4-8"]);
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 4, end: 8 });
@@ -160,6 +163,18 @@
         ]);
     });
 
+    it("an engine that says that it is slow is told to all, and its next heartbeat does not undo it", async () => {
+        await stand.register("a", { first: 0, end: 4 });
+        stand.reports.set("a", { kind: "report", held: { first: 0, end: 4 }, orders: 1, slowness: 5, stalled: [] });
+        const watch = new PaceWatch({ host: stand.host, voter: stand.voter, control: stand.control });
+        watch.start();
+        await clock.tickAsync(1_300);
+        watch.stop();
+        await stand.register("a", { first: 0, end: 4 });
+        expect(stand.state.getUpstream("a")?.slowness).to.equal(5);
+        expect(stand.state.getUpstream("b")?.slowness).to.equal(undefined);
+    });
+
     it("an upstream that is silent for four heartbeats is lost, and comes back with the next", async () => {
         await clock.tickAsync(3_900);
         stand.voter.markSilent();
--- a/packages/daemon/tests/upstreamHealth.test.ts
+++ b/packages/daemon/tests/upstreamHealth.test.ts
@@ -102,6 +102,7 @@
                     kind: "report",
                     held: undefined,
                     orders: 0,
+                    slowness: 1,
                     stalled: [{ requestId: "one", address: "a:1" }],
                 });
             },
--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -10,6 +10,8 @@
     readonly failureDomain: string;
     readonly accelerator: string;
     readonly span: LayerSpan;
+    /** How many times slower it is than its accelerator should be. */
+    readonly slowness: number;
 }
 
 /** One engine's part of a path. */
@@ -38,6 +40,7 @@
 /** Cost of one more stage, so that of two equal paths the shorter is taken. */
 const STAGE_COST_MS = 0.01;
 const BYTES_A_MB = 1_000_000;
+const MS_A_SECOND = 1_000;
 
 /**
  * Computes paths that share no engine, fastest first in each failure domain.
@@ -125,12 +128,14 @@
 }
 
 function computeStepMs(stage: ChainStage, profile: EngineProfile): number {
-    return computeShare(stage.span, profile) * profile.step_ms * getAccelerator(stage.engine, profile).step_factor;
+    const { step_factor } = getAccelerator(stage.engine, profile);
+    return computeShare(stage.span, profile) * profile.step_ms * step_factor * stage.engine.slowness;
 }
 
 function computeReadMs(stage: ChainStage, profile: EngineProfile): number {
     const { read_factor } = getAccelerator(stage.engine, profile);
-    return computeShare(stage.span, profile) * read_factor * 1_000 / profile.read_tokens_a_second;
+    const msAToken = read_factor * stage.engine.slowness * MS_A_SECOND / profile.read_tokens_a_second;
+    return computeShare(stage.span, profile) * msAToken;
 }
 
 function computeContextTokens(stage: ChainStage, profile: EngineProfile): number {
--- a/packages/decisions/src/version/computeLayerPlan.ts
+++ b/packages/decisions/src/version/computeLayerPlan.ts
@@ -14,6 +14,12 @@
  */
 const CONTEXT_SHARE = 1;
 
+/**
+ * An engine that is so many times slower than it should be is passed over where an empty one can hold its layers: the
+ * slowest cards of the users' fleets are five times slower than the fastest, so a little slowness is no reason.
+ */
+const SLOW = 2;
+
 /** An engine as the plan sees it. */
 export interface PlannedEngine {
     readonly id: string;
@@ -21,6 +27,8 @@
     readonly accelerator: string;
     /** Layers that it holds, or that it was ordered to hold; undefined for an empty engine. */
     readonly span: LayerSpan | undefined;
+    /** How many times slower it is than its accelerator should be. */
+    readonly slowness: number;
     /** Whether an order may be sent to it now. */
     readonly mayBeOrdered: boolean;
 }
@@ -65,7 +73,7 @@
 
 function computeDomainPlan(engines: readonly PlannedEngine[], profile: EngineProfile): readonly LayerOrder[] {
     const coverage = new Array<number>(profile.layers).fill(0);
-    engines.forEach((engine) => {
+    engines.filter((engine) => engine.slowness < SLOW).forEach((engine) => {
         addCoverage(coverage, engine.span);
     });
     const empty = listEmptyEngines(engines, profile);
@@ -86,7 +94,7 @@
     return engines.flatMap((engine) => {
         const accelerator = accelerators.get(engine.accelerator);
         const room = accelerator === undefined ? 0 : computeLayerRoom(accelerator, profile);
-        return accelerator === undefined || engine.span !== undefined || room === 0
+        return accelerator === undefined || engine.span !== undefined || room === 0 || engine.slowness >= SLOW
             ? []
             : [{ engine, room, step: accelerator.step_factor, read: accelerator.read_factor }];
     }).sort((left, right) =>
--- a/packages/decisions/tests/layerPlan.test.ts
+++ b/packages/decisions/tests/layerPlan.test.ts
@@ -37,6 +37,7 @@
     failureDomain,
     accelerator,
     span: held,
+    slowness: 1,
     mayBeOrdered: held === undefined,
 });
 const format = (layers: LayerSpan): string => `${String(layers.first)}-${String(layers.end)}`;
@@ -93,6 +94,21 @@
         engines: [engine("a", "fast", undefined, "d1"), engine("b", "fast", undefined, "d2")],
         plan: "a=0-4 b=0-4",
     },
+    {
+        title: "an engine that is far too slow is covered by empty ones, and takes nothing more",
+        engines: [
+            { ...engine("f1", "fast", span(0, 10)), slowness: 5 },
+            engine("f2", "fast"),
+            engine("f3", "fast"),
+            engine("f4", "fast"),
+        ],
+        plan: "f2=0-4 f3=4-8 f4=8-10",
+    },
+    {
+        title: "one that is a little slow is not",
+        engines: [{ ...engine("f1", "fast", span(0, 10)), slowness: 1.5 }, engine("f2", "fast")],
+        plan: "",
+    },
     { title: "an unknown accelerator takes nothing", engines: [engine("x", "odd")], plan: "" },
 ];
 
@@ -123,6 +139,7 @@
     failureDomain,
     accelerator,
     span: held,
+    slowness: 1,
 });
 const formatChain = (chain: Chain): string =>
     chain.stages.map((stage) => `${stage.engine.id}=${format(stage.span)}`).join(",");
@@ -148,6 +165,11 @@
         engines: [holder("s", span(0, 10), "slow"), holder("a", span(0, 5)), holder("b", span(5, 10))],
         chains: ["a=0-5,b=5-10", "s=0-10"],
     },
+    {
+        title: "around an engine that is slower than it should be",
+        engines: [{ ...holder("a", span(0, 10)), slowness: 20 }, holder("s", span(0, 10), "slow")],
+        chains: ["s=0-10", "a=0-10"],
+    },
     {
         title: "a path inside a failure domain goes before one across, however fast",
         engines: [
--- a/packages/schemas/src/registeredUpstream.ts
+++ b/packages/schemas/src/registeredUpstream.ts
@@ -18,6 +18,8 @@
     accelerator: z.string().optional(),
     /** Layers that it holds; undefined where it holds none. */
     held: layerSpanSchema.optional(),
+    /** How many times slower it is than its accelerator should be, by its own report; 1 where left out. */
+    slowness: z.number().positive().optional(),
 });
 
 /** `lost`: not heard for too long; it may come back under the same id. */
