One way to wait, one to tick; an entry's log lines and budgets in files of their own

Cause: a wait by the clock stood in nine places, a timer that is started and stopped in three, fleetEntry.ts had 335 lines and four jobs. Change: waitMs.ts, startTicking.ts, requestLog.ts, retryBudgets.ts; no behaviour changes.

--- a/packages/daemon/src/process/claimKeeper.ts
+++ b/packages/daemon/src/process/claimKeeper.ts
@@ -10,6 +10,7 @@
 import { ClaimTable } from "./claimTable.js";
 import type { EventLog } from "./eventLog.js";
 import type { Voters } from "./voters.js";
+import { waitMs } from "./waitMs.js";
 
 /** What the keeper needs from the process. */
 export interface ClaimKeeperOptions {
@@ -111,7 +112,7 @@
                 return { kind: "lost" };
             }
             // It may be slow, cut off or dying; membership decides which, and the caller of this asks again.
-            await new Promise((resolve) => setTimeout(resolve, ASK_AGAIN_MS));
+            await waitMs(ASK_AGAIN_MS);
             return { kind: "running" };
         }
     }
--- a/packages/daemon/src/process/daemon.ts
+++ b/packages/daemon/src/process/daemon.ts
@@ -20,6 +20,7 @@
 import { createPeerHandler } from "./peerServer.js";
 import { PlatformList } from "./platformList.js";
 import { Serving } from "./serving.js";
+import { waitMs } from "./waitMs.js";
 
 const GOSSIP_REFRESH_MS = 100;
 const DRAIN_POLL_MS = 20;
@@ -337,7 +338,3 @@
         });
     }
 }
-
-function waitMs(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/daemon/src/process/entryRegister.ts
+++ b/packages/daemon/src/process/entryRegister.ts
@@ -1,7 +1,6 @@
 /**
  * The entries that a leader heard of, and what they have open; and the answers to their questions.
  */
-import type { FleetState } from "@crankfork/coordination";
 import type { SynchronisedState, SynchroniseParameters, SynchroniseResult, UpstreamLoads } from "@crankfork/schemas";
 import type { FleetReplicaHost } from "./fleetVoter.js";
 
@@ -84,7 +83,7 @@
     private createState(parameters: SynchroniseParameters): SynchronisedState {
         const { host } = this.options;
         const { replicas } = host.replica.getStatus();
-        const changes = (host.state satisfies FleetState).getChanges(parameters.known_index);
+        const changes = host.state.getChanges(parameters.known_index);
         const { document } = changes;
         return {
             kind: "state",
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -1,7 +1,6 @@
 /**
  * An entry of a fleet: it takes callers' requests, and knows by its link to the voters where they may go.
  */
-import { SharedRetryBudget } from "@crankfork/decisions";
 import type {
     FleetSettings,
     RoutingTable,
@@ -20,7 +19,6 @@
     computePatienceMs,
     handleRoutedRequest,
     PATIENCE_POLL_MS,
-    type RequestEnd,
     type RoutedRequestFunctions,
     type StallAnswer,
 } from "../request/routedRequest.js";
@@ -28,11 +26,13 @@
 import { FleetView } from "../version/fleetView.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
-import { waitMs } from "./fleetProcess.js";
 import { BodyTooLargeError, readBody } from "./httpServer.js";
+import { type EntryKnowledge, recordRefusal, recordRequest } from "./requestLog.js";
+import { RetryBudgets } from "./retryBudgets.js";
 import { StallReports } from "./stallReports.js";
 import { TargetChooser } from "./targetChooser.js";
 import { UpstreamHealth } from "./upstreamHealth.js";
+import { waitMs } from "./waitMs.js";
 
 /** What an entry is made with. */
 export interface FleetEntryOptions {
@@ -68,7 +68,7 @@
     private readonly health: UpstreamHealth;
     private readonly chooser: TargetChooser;
     private readonly stallReports: StallReports;
-    private readonly budgets = new Map<string, SharedRetryBudget>();
+    private readonly budgets: RetryBudgets;
     private readonly functions: RoutedRequestFunctions;
     private loadsElsewhere: UpstreamLoads = {};
     private open = 0;
@@ -85,6 +85,9 @@
             getLoadElsewhere: (id) => this.loadsElsewhere[id] ?? { open: 0, unstarted: 0 },
             random: options.random,
         });
+        const { contract } = options.settings;
+        const terms = { ratio: contract.retry_ratio, slack: contract.retry_slack, windowMs: contract.retry_window };
+        this.budgets = new RetryBudgets(terms, options.countEntries, options.getNowMs);
         this.functions = this.createFunctions();
     }
 
@@ -96,7 +99,7 @@
     }
 
     /** Requests that are not answered yet. */
-    get countOpen(): number {
+    get openRequests(): number {
         return this.open;
     }
 
@@ -226,60 +229,24 @@
             }
         };
         response.once("close", handleClose);
-        this.getBudget(admitted.service.name).recordRequest();
+        this.budgets.get(admitted.service.name).recordRequest();
         const end = await handleRoutedRequest(run, answer, this.functions);
         run.close();
-        this.recordRequest(run, end);
+        recordRequest(this.options, run, end, this.createKnowledge());
     }
 
     private refuse(call: RoutedCall, answer: RoutedAnswer, id: RefusalId, arrivedMs: number): void {
-        const { log, metrics, getNowMs, getAgeMs } = this.options;
-        answer.sendRefusal(call, refusals[id], (call.deadlineMs ?? 0) - (getNowMs() - arrivedMs));
-        metrics.countRequest("", id);
-        log.record("info", "request", {
-            request: call.requestId,
-            outcome: "refused",
-            refusal: id,
-            status: refusals[id].status,
-            ms: Math.round(getNowMs() - arrivedMs),
-            version: this.view.routing?.table.version,
-            age_ms: Number.isFinite(getAgeMs()) ? Math.round(getAgeMs()) : undefined,
-        });
+        const ageMs = this.options.getNowMs() - arrivedMs;
+        answer.sendRefusal(call, refusals[id], (call.deadlineMs ?? 0) - ageMs);
+        recordRefusal(this.options, call, refusals[id], ageMs, this.createKnowledge());
     }
 
-    private recordRequest(run: RoutedRun, end: RequestEnd): void {
-        const { log, metrics, getAgeMs } = this.options;
-        const { call, route, service } = run.admitted;
-        metrics.countRequest(service.name, end.refusal ?? end.outcome);
-        metrics.recordRequestMs(service.name, run.ageMs);
-        const firstMs = end.firstMs === undefined ? undefined : end.firstMs - run.admitted.arrivedMs;
-        log.record(end.outcome === "answered" && !isLate(run, end, firstMs) ? "debug" : "info", "request", {
-            request: call.requestId,
-            route: route.name,
-            service: service.name,
-            outcome: end.outcome,
-            refusal: end.refusal,
-            status: end.status,
-            ms: Math.round(run.ageMs),
-            first_ms: firstMs === undefined ? undefined : Math.round(firstMs),
-            pause_ms: end.longestPauseMs === undefined ? undefined : Math.round(end.longestPauseMs),
-            tries: run.steps.join(" "),
+    private createKnowledge(): EntryKnowledge {
+        return {
             version: this.view.routing?.table.version,
             index: this.view.knownIndex,
-            age_ms: Math.round(getAgeMs()),
-        });
-    }
-
-    private getBudget(service: string): SharedRetryBudget {
-        const known = this.budgets.get(service);
-        if (known !== undefined) {
-            return known;
-        }
-        const { contract } = this.options.settings;
-        const terms = { ratio: contract.retry_ratio, slack: contract.retry_slack, windowMs: contract.retry_window };
-        const budget = new SharedRetryBudget(terms, this.options.countEntries, this.options.getNowMs);
-        this.budgets.set(service, budget);
-        return budget;
+            ageMs: this.options.getAgeMs(),
+        };
     }
 
     private createFunctions(): RoutedRequestFunctions {
@@ -308,7 +275,7 @@
                 log.record("warn", "upstream-suspected", { peer: id, reason, index: this.view.knownIndex });
             },
             findIdAt: (address) => this.view.findIdAt(address),
-            claimRepeat: (service, isUnderWay) => this.getBudget(service).claimRepeat(isUnderWay),
+            claimRepeat: (service, isUnderWay) => this.budgets.get(service).claimRepeat(isUnderWay),
             askStall: (target, requestId) => this.askStall(target, requestId),
             isAlive: (id) => this.view.getUpstream(id)?.status === "ready" && this.health.isUsable(id),
             record: (event, fields) => {
@@ -326,10 +293,3 @@
 function isPassing(refusal: RefusalId): boolean {
     return refusal === "starting" || refusal === "not-confirmed";
 }
-
-/** Whether an answer missed what the route's contract asks for. */
-function isLate(run: RoutedRun, end: RequestEnd, firstMs: number | undefined): boolean {
-    const { objective_ms, pause_objective_ms } = run.admitted.route;
-    const isPaused = (end.longestPauseMs ?? 0) > (pause_objective_ms ?? Number.POSITIVE_INFINITY);
-    return (firstMs ?? run.ageMs) > objective_ms || isPaused;
-}
--- a/packages/daemon/src/process/fleetLink.ts
+++ b/packages/daemon/src/process/fleetLink.ts
@@ -6,6 +6,7 @@
 import type { SynchronisedState } from "@crankfork/schemas";
 import type { PeerClient } from "../connection/peerClient.js";
 import type { EventLog } from "./eventLog.js";
+import { waitMs } from "./waitMs.js";
 
 /** What the link needs from the process. */
 export interface FleetLinkOptions {
@@ -68,7 +69,7 @@
             const address = this.chooseAddress();
             const isUpToDate = address !== undefined && await this.ask(address);
             if (!isUpToDate) {
-                await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+                await waitMs(RETRY_MS);
             }
         }
     }
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -122,12 +122,3 @@
     const port = String(settings.ports.peers_port);
     return settings.cluster.seeds.map((seed) => `${parseAddress(seed).host}:${port}`);
 }
-
-/**
- * Waits.
- * @param ms - how long
- * @returns resolves after that time
- */
-export function waitMs(ms: number): Promise<void> {
-    return new Promise((resolve) => setTimeout(resolve, ms));
-}
--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -7,6 +7,7 @@
 import type { EngineControl, OrderEnd } from "../connection/engineControl.js";
 import type { EventLog } from "./eventLog.js";
 import { type FleetReplicaHost, type FleetVoter, formatSpan } from "./fleetVoter.js";
+import { startTicking, type StopTicking } from "./startTicking.js";
 
 /** What the keeper needs from the process. */
 export interface LayerKeeperOptions {
@@ -38,7 +39,7 @@
 /** Gives orders and follows them. */
 export class LayerKeeper {
     private readonly orders = new Map<string, OpenOrder>();
-    private timer: NodeJS.Timeout | undefined;
+    private stopTicking: StopTicking | undefined;
 
     /**
      * @param options - replica, engines and log
@@ -47,14 +48,14 @@
 
     /** Starts. */
     start(): void {
-        this.timer = setInterval(() => {
+        this.stopTicking = startTicking(TICK_MS, () => {
             this.tick();
-        }, TICK_MS);
+        });
     }
 
     /** Stops. */
     stop(): void {
-        clearInterval(this.timer);
+        this.stopTicking?.();
     }
 
     private tick(): void {
--- a/packages/daemon/src/process/paceWatch.ts
+++ b/packages/daemon/src/process/paceWatch.ts
@@ -5,6 +5,7 @@
 import type { RegisteredUpstream } from "@crankfork/schemas";
 import type { EngineControl } from "../connection/engineControl.js";
 import type { FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
+import { startTicking, type StopTicking } from "./startTicking.js";
 
 /** What the watch needs from the process. */
 export interface PaceWatchOptions {
@@ -21,7 +22,7 @@
 
 /** Watches engines. */
 export class PaceWatch {
-    private timer: NodeJS.Timeout | undefined;
+    private stopTicking: StopTicking | undefined;
     private ticks = 0;
 
     /**
@@ -31,14 +32,14 @@
 
     /** Starts. */
     start(): void {
-        this.timer = setInterval(() => {
+        this.stopTicking = startTicking(TICK_MS, () => {
             this.tick();
-        }, TICK_MS);
+        });
     }
 
     /** Stops. */
     stop(): void {
-        clearInterval(this.timer);
+        this.stopTicking?.();
     }
 
     private tick(): void {
--- a/packages/daemon/src/process/planRequests.ts
+++ b/packages/daemon/src/process/planRequests.ts
@@ -16,6 +16,7 @@
 import { readBody } from "./httpServer.js";
 import { createNoQuorumFault, OperatorFault } from "./operatorFault.js";
 import type { Voters } from "./voters.js";
+import { waitMs } from "./waitMs.js";
 
 /** What plans need from the process. */
 export interface PlanRequestOptions {
@@ -106,7 +107,7 @@
                 not_in_force: names,
             };
         }
-        await new Promise((resolve) => setTimeout(resolve, IN_FORCE_POLL_MS));
+        await waitMs(IN_FORCE_POLL_MS);
     }
 }
 
--- /dev/null
+++ b/packages/daemon/src/process/requestLog.ts
@@ -0,0 +1,99 @@
+/**
+ * What an entry writes and counts of each request: enough to get from its id to the cause of its end.
+ */
+import type { RoutedCall } from "../request/routedCall.js";
+import type { Refusal } from "../request/routedRefusal.js";
+import type { RequestEnd } from "../request/routedRequest.js";
+import type { RoutedRun } from "../request/routedRun.js";
+import type { EventLog } from "./eventLog.js";
+import type { FleetMetrics } from "./fleetMetrics.js";
+
+/** What the entry knew when the request ended. */
+export interface EntryKnowledge {
+    /** Version of the routing table in force. */
+    readonly version: number | undefined;
+    /** Position of the voters' log. */
+    readonly index: number;
+    /** How long ago a confirmed leader said that both are newest. */
+    readonly ageMs: number;
+}
+
+/** Where it is written. */
+export interface RequestLogOptions {
+    readonly log: EventLog;
+    readonly metrics: FleetMetrics;
+}
+
+/**
+ * Records a request that was let in.
+ * @param options - log and counters
+ * @param run - the request
+ * @param end - how it ended
+ * @param known - what the entry knew
+ */
+export function recordRequest(
+    { log, metrics }: RequestLogOptions,
+    run: RoutedRun,
+    end: RequestEnd,
+    known: EntryKnowledge,
+): void {
+    const { call, route, service, arrivedMs } = run.admitted;
+    const firstMs = end.firstMs === undefined ? undefined : end.firstMs - arrivedMs;
+    metrics.countRequest(service.name, end.refusal ?? end.outcome);
+    metrics.recordRequestMs(service.name, run.ageMs);
+    log.record(end.outcome === "answered" && !isLate(run, end, firstMs) ? "debug" : "info", "request", {
+        request: call.requestId,
+        route: route.name,
+        service: service.name,
+        outcome: end.outcome,
+        refusal: end.refusal,
+        status: end.status,
+        ms: Math.round(run.ageMs),
+        first_ms: roundMs(firstMs),
+        pause_ms: roundMs(end.longestPauseMs),
+        tries: run.steps.join(" "),
+        version: known.version,
+        index: known.index,
+        age_ms: roundMs(known.ageMs),
+    });
+}
+
+/**
+ * Records a request that was not let in.
+ * @param options - log and counters
+ * @param call - the request
+ * @param refusal - what it was told
+ * @param ageMs - time since it arrived
+ * @param known - what the entry knew
+ */
+export function recordRefusal(
+    { log, metrics }: RequestLogOptions,
+    call: RoutedCall,
+    refusal: Refusal,
+    ageMs: number,
+    known: EntryKnowledge,
+): void {
+    metrics.countRequest("", refusal.id);
+    log.record("info", "request", {
+        request: call.requestId,
+        outcome: "refused",
+        refusal: refusal.id,
+        status: refusal.status,
+        ms: Math.round(ageMs),
+        version: known.version,
+        index: known.index,
+        age_ms: roundMs(known.ageMs),
+    });
+}
+
+/** Whether an answer missed what the route's contract asks for. */
+function isLate(run: RoutedRun, end: RequestEnd, firstMs: number | undefined): boolean {
+    const { objective_ms, pause_objective_ms } = run.admitted.route;
+    const isPaused = (end.longestPauseMs ?? 0) > (pause_objective_ms ?? Number.POSITIVE_INFINITY);
+    return (firstMs ?? run.ageMs) > objective_ms || isPaused;
+}
+
+/** A time that there is none of yet is left out of the line. */
+function roundMs(ms: number | undefined): number | undefined {
+    return ms === undefined || !Number.isFinite(ms) ? undefined : Math.round(ms);
+}
--- a/packages/daemon/src/process/runEntry.ts
+++ b/packages/daemon/src/process/runEntry.ts
@@ -8,9 +8,10 @@
 import type { CallCodec } from "../request/routedCall.js";
 import { FleetEntry } from "./fleetEntry.js";
 import { FleetLink } from "./fleetLink.js";
-import { openFleetProcess, type SettingsReader, waitMs } from "./fleetProcess.js";
+import { openFleetProcess, type SettingsReader } from "./fleetProcess.js";
 import { openServer, type RequestHandler } from "./httpServer.js";
 import { startLifecycle } from "./lifecycle.js";
+import { waitMs } from "./waitMs.js";
 
 /** What a protocol adds to an entry. */
 export interface EntryProtocol {
@@ -89,13 +90,13 @@
     async function stopEntry(): Promise<void> {
         const startMs = getNowMs();
         stopMs = startMs;
-        log.record("info", "stopping", { open: entry.countOpen });
+        log.record("info", "stopping", { open: entry.openRequests });
         lifecycle.send("asked-to-stop");
         const endMs = startMs + settings.contract.stop - STOP_MARGIN_MS;
-        while (getNowMs() < endMs && (entry.countOpen > 0 || getNowMs() - startMs < BALANCER_NOTICE_MS)) {
+        while (getNowMs() < endMs && (entry.openRequests > 0 || getNowMs() - startMs < BALANCER_NOTICE_MS)) {
             await waitMs(IDLE_POLL_MS);
         }
-        log.record("info", "stopped", { open: entry.countOpen, ms: Math.round(getNowMs() - startMs) });
+        log.record("info", "stopped", { open: entry.openRequests, ms: Math.round(getNowMs() - startMs) });
         process.exit(0);
     }
 }
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/runVoter.ts
@@ -15,7 +15,7 @@
 import { createHash } from "node:crypto";
 import type { EngineControl } from "../connection/engineControl.js";
 import { EntryRegister } from "./entryRegister.js";
-import { type FleetProcess, listPeerAddresses, openFleetProcess, type SettingsReader, waitMs } from "./fleetProcess.js";
+import { type FleetProcess, listPeerAddresses, openFleetProcess, type SettingsReader } from "./fleetProcess.js";
 import { type FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
 import type { RequestHandler } from "./httpServer.js";
 import { LayerKeeper } from "./layerKeeper.js";
@@ -24,6 +24,7 @@
 import { type Founding, ReplicaHost } from "./replicaHost.js";
 import { SuspectProbe } from "./suspectProbe.js";
 import { VoterGroup } from "./voterGroup.js";
+import { waitMs } from "./waitMs.js";
 
 /** What a protocol adds to a voter. */
 export interface VoterProtocol {
@@ -60,7 +61,8 @@
         receiveMember: () => undefined,
         receiveReplica: (envelope) => host.receive(envelope),
     });
-    let parts: VoterParts | undefined = undefined as VoterParts | undefined;
+    // The replica speaks before the parts that listen to it can be made.
+    const listening: { parts?: VoterParts; } = {};
     const host: FleetReplicaHost = await ReplicaHost.start<FleetState, FleetCommand>({
         instance: settings.instance.id,
         folder: settings.instance.data_folder ?? "",
@@ -83,14 +85,15 @@
             else if (event.kind === "fault") {
                 log.record("error", "replica-fault", { reason: String(event.error) });
             }
-            parts?.voter.handleEvent(event);
+            listening.parts?.voter.handleEvent(event);
         },
         handleState: () => {
-            parts?.entries.handleState();
+            listening.parts?.entries.handleState();
         },
     });
     log.record("info", "replica", { id: host.self.id, cluster: host.cluster, index: host.state.lastChange });
-    parts = startParts(fleet, host, protocol);
+    const parts = startParts(fleet, host, protocol);
+    listening.parts = parts;
     await fleet.openPeers(createRpcServer(host, parts));
     await fleet.openPort(settings.ports.operators, protocol.createOperatorHandler(parts.voter, fleet));
     process.once("SIGTERM", () => {
--- a/packages/daemon/src/process/voterChange.ts
+++ b/packages/daemon/src/process/voterChange.ts
@@ -11,6 +11,7 @@
 } from "@crankfork/schemas";
 import type { PeerClient } from "../connection/peerClient.js";
 import type { ReplicaHost } from "./replicaHost.js";
+import { waitMs } from "./waitMs.js";
 
 /** What a change of voters needs. */
 export interface VoterChangeOptions {
@@ -75,7 +76,7 @@
         if (!mayRetry || performance.now() > deadline) {
             return result;
         }
-        await new Promise((resolve) => setTimeout(resolve, CATCH_UP_POLL_MS));
+        await waitMs(CATCH_UP_POLL_MS);
     }
 }
 
--- a/packages/daemon/src/process/voterGroup.ts
+++ b/packages/daemon/src/process/voterGroup.ts
@@ -6,6 +6,7 @@
 import type { PeerClient } from "../connection/peerClient.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetReplicaHost } from "./fleetVoter.js";
+import { startTicking, type StopTicking } from "./startTicking.js";
 
 /** What the group needs from the process. */
 export interface VoterGroupOptions {
@@ -34,7 +35,7 @@
 /** Lets replicas in and out. */
 export class VoterGroup {
     private readonly joining = new Map<string, Joining>();
-    private timer: NodeJS.Timeout | undefined;
+    private stopTicking: StopTicking | undefined;
     private isChanging = false;
     private leaderMs: number;
     private askedMs = Number.NEGATIVE_INFINITY;
@@ -48,14 +49,14 @@
 
     /** Starts to look after the group. */
     start(): void {
-        this.timer = setInterval(() => {
+        this.stopTicking = startTicking(TICK_MS, () => {
             this.tick();
-        }, TICK_MS);
+        });
     }
 
     /** Stops. */
     stop(): void {
-        clearInterval(this.timer);
+        this.stopTicking?.();
     }
 
     /**
--- a/packages/daemon/src/process/voters.ts
+++ b/packages/daemon/src/process/voters.ts
@@ -14,6 +14,7 @@
 import type { PeerClient } from "../connection/peerClient.js";
 import type { CommandResult } from "../request/claimedRun.js";
 import type { ReplicaHost } from "./replicaHost.js";
+import { waitMs } from "./waitMs.js";
 
 /** What the way to the voters is made with. */
 export interface VotersOptions {
@@ -65,7 +66,7 @@
             if (configuration !== undefined || performance.now() >= deadline) {
                 return configuration;
             }
-            await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+            await waitMs(RETRY_MS);
         }
     }
 
@@ -147,7 +148,7 @@
         const isNew = hint !== undefined && hint.address !== this.leaderAddress;
         this.leaderAddress = hint?.address;
         if (!isNew) {
-            await new Promise((resolve) => setTimeout(resolve, RETRY_MS));
+            await waitMs(RETRY_MS);
         }
     }
 }
--- a/packages/daemon/src/request/pipelineRun.ts
+++ b/packages/daemon/src/request/pipelineRun.ts
@@ -9,6 +9,7 @@
 import { ExchangeError } from "../connection/httpClient.js";
 import type { EventFields } from "../process/eventLog.js";
 import type { UpstreamState } from "../process/upstreamState.js";
+import { waitMs } from "../process/waitMs.js";
 import { createCallerFault } from "./callerFault.js";
 import { createStageFault, StageFailure } from "./stageFailure.js";
 
@@ -232,7 +233,7 @@
     private async waitForRoute(): Promise<void> {
         // What failed a moment ago may be back, or be all there is.
         this.avoided.clear();
-        await new Promise((resolve) => setTimeout(resolve, ROUTE_POLL_MS));
+        await waitMs(ROUTE_POLL_MS);
         if (this.request.signal.aborted) {
             throw createCallerFault("cancelled", { step: "route", peer: "" });
         }
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -5,6 +5,7 @@
 import { chooseNextStep, type TryEnd } from "@crankfork/decisions";
 import type { Agent } from "undici";
 import type { EventFields } from "../process/eventLog.js";
+import { waitMs } from "../process/waitMs.js";
 import { recordTry } from "./recordTry.js";
 import type { RoutedAnswer } from "./routedAnswer.js";
 import type { CallCodec, CallTarget } from "./routedCall.js";
@@ -166,7 +167,7 @@
         if (functions.getNowMs() - startMs >= (choice.kind === "full" ? fullMs : noneMs)) {
             return choice;
         }
-        await new Promise((resolve) => setTimeout(resolve, PATIENCE_POLL_MS));
+        await waitMs(PATIENCE_POLL_MS);
         choice = choose();
     }
     return choice;
