Say that the operator's limits on heads are not enforced

Cause: read as a newcomer, a comment claimed a check of heads against the table in force; there is none.

--- a/packages/daemon/src/process/runEntry.ts
+++ b/packages/daemon/src/process/runEntry.ts
@@ -119,5 +119,5 @@
     };
 }
 
-/** Above what an operator allows; the limit of the table in force is checked by the length of what came. */
+/** Four times what the example of the users' pages allows. The operator's own limit is not enforced; see docs/OPEN.md. */
 const MOST_HEADER_BYTES = 65_536;
