Streams that fall silent together leave their path before any report tells

When an engine goes dark its path's streams stood for 560 to 780 ms where the contract allows 200. The first engine's report lags by some 200 ms, so the answer to the first question (after 250 ms) says that all moves; the second question came 250 ms later.

Ruled out: a slow read of the prompt on the next path (some 110 ms of the pause), the budget of repeats (not spent), the choice of the path (two others were free).

Change: PathPulse follows the streams of each path at this entry. Three or more that are silent together, for longer than 0.45 of the contracted pause and 1.8 times the longest gap of late, leave at once where an attempt, another path and a repeat are left. Reports are then read until one names the engine at fault. Single streams ask again every 60 ms.

--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -13,20 +13,20 @@
 import type { EngineControl } from "../connection/engineControl.js";
 import { admitCall, type CallAdmission, isKeyLeaseValid } from "../request/admitCall.js";
 import { RoutedAnswer } from "../request/routedAnswer.js";
-import type { CallCodec, CallTarget, RoutedCall } from "../request/routedCall.js";
+import type { CallCodec, RoutedCall } from "../request/routedCall.js";
 import { type RefusalId, refusals } from "../request/routedRefusal.js";
 import {
     computePatienceMs,
     handleRoutedRequest,
     PATIENCE_POLL_MS,
     type RoutedRequestFunctions,
-    type StallAnswer,
 } from "../request/routedRequest.js";
 import { type AdmittedCall, RoutedRun } from "../request/routedRun.js";
 import { FleetView } from "../version/fleetView.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
 import { BodyTooLargeError, readBody } from "./httpServer.js";
+import { PathPulse } from "./pathPulse.js";
 import { type EntryKnowledge, recordRefusal, recordRequest } from "./requestLog.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import { StallReports } from "./stallReports.js";
@@ -68,6 +68,7 @@
     private readonly health: UpstreamHealth;
     private readonly chooser: TargetChooser;
     private readonly stallReports: StallReports;
+    private readonly pulse: PathPulse;
     private readonly budgets: RetryBudgets;
     private readonly functions: RoutedRequestFunctions;
     private loadsElsewhere: UpstreamLoads = {};
@@ -79,10 +80,16 @@
     constructor(private readonly options: FleetEntryOptions) {
         this.health = new UpstreamHealth(options.getNowMs);
         this.stallReports = new StallReports(options.control, options.getNowMs);
+        this.pulse = new PathPulse({
+            getNowMs: options.getNowMs,
+            handleStill: (id, streams, silentMs) => void this.handleStill(id, streams, silentMs),
+        });
+        this.pulse.start();
         this.chooser = new TargetChooser({
             view: this.view,
             health: this.health,
             getLoadElsewhere: (id) => this.loadsElsewhere[id] ?? { open: 0, unstarted: 0 },
+            isAvoided: (id) => this.pulse.isAvoided(id),
             random: options.random,
         });
         const { contract } = options.settings;
@@ -250,7 +257,7 @@
     }
 
     private createFunctions(): RoutedRequestFunctions {
-        const { agent, codec, getNowMs, getAgeMs, log, metrics, settings } = this.options;
+        const { agent, codec, getNowMs, getAgeMs, log, settings } = this.options;
         return {
             agent,
             codec,
@@ -270,13 +277,13 @@
                 this.health.recordAnswer(id, durationMs, isFailure);
             },
             suspect: (id, reason) => {
-                this.health.suspect(id);
-                metrics.countSuspicion();
-                log.record("warn", "upstream-suspected", { peer: id, reason, index: this.view.knownIndex });
+                this.suspect(id, reason);
             },
             findIdAt: (address) => this.view.findIdAt(address),
             claimRepeat: (service, isUnderWay) => this.budgets.get(service).claimRepeat(isUnderWay),
-            askStall: (target, requestId) => this.askStall(target, requestId),
+            askStall: (target, requestId) => this.stallReports.ask(target.address, requestId),
+            followPath: (id, pauseMs, leave) => this.pulse.follow(id, pauseMs, leave),
+            claimLeave: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
             isAlive: (id) => this.view.getUpstream(id)?.status === "ready" && this.health.isUsable(id),
             record: (event, fields) => {
                 log.record("info", event, fields);
@@ -284,8 +291,35 @@
         };
     }
 
-    private async askStall(target: CallTarget, requestId: string): Promise<StallAnswer> {
-        return await this.stallReports.ask(target.address, requestId);
+    private suspect(id: string, reason: string): void {
+        this.health.suspect(id);
+        this.options.metrics.countSuspicion();
+        this.options.log.record("warn", "upstream-suspected", { peer: id, reason, index: this.view.knownIndex });
+    }
+
+    /** A stream leaves a path only where it may run once more, has somewhere to go and a repeat is left. */
+    private claimLeave(run: RoutedRun, isUnderWay: boolean): boolean {
+        const { route, service } = run.admitted;
+        return run.runs + 1 < route.most_attempts
+            && this.chooser.hasOtherPath(run)
+            && this.budgets.get(service.name).claimRepeat(isUnderWay);
+    }
+
+    /** The streams leave at once; which engine holds them up is known some hundred milliseconds later. */
+    private async handleStill(id: string, streams: number, silentMs: number): Promise<void> {
+        const address = this.view.getUpstream(id)?.address;
+        const faults = address === undefined ? [] : await this.stallReports.findFaults(address);
+        const ids = faults.flatMap((fault) => this.view.findIdAt(fault) ?? []);
+        this.options.log.record("warn", "path-still", {
+            peer: id,
+            streams,
+            silent_ms: Math.round(silentMs),
+            at_fault: ids.join(","),
+            index: this.view.knownIndex,
+        });
+        ids.forEach((one) => {
+            this.suspect(one, "its path stood still");
+        });
     }
 }
 
--- /dev/null
+++ b/packages/daemon/src/process/pathPulse.ts
@@ -0,0 +1,162 @@
+/**
+ * When the streams of each path moved last, as this entry reads them. A path whose streams are all silent is left at
+ * once by those that can go on elsewhere, and by new requests for a while.
+ */
+import { isPathStill } from "@crankfork/decisions";
+import { startTicking, type StopTicking } from "./startTicking.js";
+
+/** What a pulse needs from the process. */
+export interface PathPulseOptions {
+    readonly getNowMs: () => number;
+    /** Told once of each path that begins to stand still. */
+    readonly handleStill: (id: string, streams: number, silentMs: number) => void;
+}
+
+/** One stream that a path carries. */
+export interface StreamPulse {
+    /** An event came. */
+    readonly recordEvent: () => void;
+    /** The stream is no longer read from this path. */
+    readonly close: () => void;
+}
+
+/** Between two looks; an event comes every 15 to 60 ms. */
+const LOOK_MS = 20;
+/** A look that is so late says that this process did not run: what it has not read yet is no silence. */
+const LATE_LOOK_MS = 60;
+/** How long new requests go around a path that stood still; its engine at fault is known by then. */
+const AVOID_MS = 600;
+/** The longest gap of late counts half after so long. */
+const GAP_HALF_LIFE_MS = 2_000;
+
+interface Path {
+    /** What to call for each stream that may leave the path. */
+    readonly leave: Map<object, () => void>;
+    readonly begun: Set<object>;
+    /** Shortest pause that the contracts of its streams allow. */
+    pauseMs: number;
+    movedMs: number;
+    longestGapMs: number;
+    isStill: boolean;
+    avoidUntilMs: number;
+}
+
+/** Watches the paths. */
+export class PathPulse {
+    private readonly paths = new Map<string, Path>();
+    private stopTicking: StopTicking | undefined;
+    private lookedMs = 0;
+
+    /**
+     * @param options - the monotonic clock, and whom to tell
+     */
+    constructor(private readonly options: PathPulseOptions) {}
+
+    /** Starts to look. */
+    start(): void {
+        this.lookedMs = this.options.getNowMs();
+        this.stopTicking = startTicking(LOOK_MS, () => {
+            this.look();
+        });
+    }
+
+    /** Stops. */
+    stop(): void {
+        this.stopTicking?.();
+    }
+
+    /**
+     * Follows a stream.
+     * @param id - names the path: its first engine
+     * @param pauseMs - longest pause between two events that the contract allows
+     * @param leave - called where the path stands still; the stream then goes on elsewhere if it may
+     * @returns takes what comes
+     */
+    follow(id: string, pauseMs: number, leave: () => void): StreamPulse {
+        const path = this.getPath(id, pauseMs);
+        const stream = {};
+        path.leave.set(stream, leave);
+        return {
+            recordEvent: () => {
+                path.begun.add(stream);
+                this.recordMove(path);
+            },
+            close: () => {
+                path.leave.delete(stream);
+                path.begun.delete(stream);
+            },
+        };
+    }
+
+    /**
+     * Tells whether new requests had better go around a path.
+     * @param id - its first engine
+     * @returns true for a while after it stood still
+     */
+    isAvoided(id: string): boolean {
+        return (this.paths.get(id)?.avoidUntilMs ?? 0) > this.options.getNowMs();
+    }
+
+    private getPath(id: string, pauseMs: number): Path {
+        const known = this.paths.get(id);
+        if (known !== undefined) {
+            known.pauseMs = Math.min(known.pauseMs, pauseMs);
+            return known;
+        }
+        const path: Path = {
+            leave: new Map(),
+            begun: new Set(),
+            pauseMs,
+            movedMs: this.options.getNowMs(),
+            longestGapMs: 0,
+            isStill: false,
+            avoidUntilMs: 0,
+        };
+        this.paths.set(id, path);
+        return path;
+    }
+
+    private recordMove(path: Path): void {
+        const nowMs = this.options.getNowMs();
+        const gapMs = nowMs - path.movedMs;
+        path.movedMs = nowMs;
+        // The end of a standstill says nothing of how long the path usually pauses.
+        if (!path.isStill) {
+            path.longestGapMs = Math.max(gapMs, path.longestGapMs * 0.5 ** (gapMs / GAP_HALF_LIFE_MS));
+        }
+        path.isStill = false;
+    }
+
+    private look(): void {
+        const nowMs = this.options.getNowMs();
+        const isLate = nowMs - this.lookedMs > LATE_LOOK_MS;
+        this.lookedMs = nowMs;
+        for (const [id, path] of this.paths) {
+            if (isLate) {
+                path.movedMs = nowMs;
+            }
+            this.lookAt(id, path, nowMs);
+            if (path.leave.size === 0 && path.avoidUntilMs <= nowMs) {
+                this.paths.delete(id);
+            }
+        }
+    }
+
+    private lookAt(id: string, path: Path, nowMs: number): void {
+        if (path.begun.size === 0) {
+            // What has not begun yet can't be silent.
+            path.movedMs = nowMs;
+        }
+        const silentMs = nowMs - path.movedMs;
+        const movement = { streams: path.begun.size, silentMs, longestGapMs: path.longestGapMs };
+        if (path.isStill || !isPathStill(movement, path.pauseMs)) {
+            return;
+        }
+        path.isStill = true;
+        path.avoidUntilMs = nowMs + AVOID_MS;
+        this.options.handleStill(id, path.begun.size, silentMs);
+        [...path.leave.values()].forEach((leave) => {
+            leave();
+        });
+    }
+}
--- a/packages/daemon/src/process/stallReports.ts
+++ b/packages/daemon/src/process/stallReports.ts
@@ -3,9 +3,13 @@
  */
 import type { EngineControl, ReportResult } from "../connection/engineControl.js";
 import type { StallAnswer } from "../request/routedRequest.js";
+import { waitMs } from "./waitMs.js";
 
 /** How long a report is shared; engines tell the state of some hundred milliseconds ago anyway. */
-const SHARED_MS = 150;
+const SHARED_MS = 50;
+/** Reports asked for until one names the engine at fault; they lag by some hundred milliseconds. */
+const FAULT_ASKS = 5;
+const FAULT_ASK_MS = 80;
 
 interface SharedReport {
     readonly askedMs: number;
@@ -37,6 +41,24 @@
         return stalled === undefined ? { kind: "moving" } : { kind: "stalled", faultAddress: stalled.address };
     }
 
+    /**
+     * Finds the engines that the requests of a path wait for.
+     * @param address - the first engine of the path
+     * @returns addresses; none where no report named one in time
+     */
+    async findFaults(address: string): Promise<readonly string[]> {
+        for (let asked = 0; asked < FAULT_ASKS; asked += 1) {
+            const report = await this.getReport(address);
+            const stalled = report.kind === "failed" ? [] : report.stalled;
+            const faults = new Set(stalled.flatMap((one) => one.address ?? []));
+            if (faults.size > 0) {
+                return [...faults];
+            }
+            await waitMs(FAULT_ASK_MS);
+        }
+        return [];
+    }
+
     private getReport(address: string): Promise<ReportResult> {
         const nowMs = this.getNowMs();
         const known = this.shared.get(address);
--- a/packages/daemon/src/process/targetChooser.ts
+++ b/packages/daemon/src/process/targetChooser.ts
@@ -15,6 +15,8 @@
     readonly health: UpstreamHealth;
     /** What other entries have open at an upstream, as the leader told last. */
     readonly getLoadElsewhere: (id: string) => ChainLoad;
+    /** Whether a path stood still a moment ago. */
+    readonly isAvoided: (id: string) => boolean;
     readonly random: () => number;
 }
 
@@ -90,15 +92,36 @@
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
-    /** Paths that this request has not been on go first; where there are none, any. */
+    /**
+     * Tells whether a stream can go on elsewhere.
+     * @param run - its request
+     * @returns true where a path is there that it has not been on and that moves
+     */
+    hasOtherPath(run: RoutedRun): boolean {
+        return this.listOtherChains(run, this.listUsableChains(run.admitted.service)).length > 0;
+    }
+
+    /** Paths that this request has not been on and that move go first; where there are none, any. */
     private listChains(run: RoutedRun, service: RoutedService): readonly Chain[] {
-        const { view, health } = this.options;
-        const usable = view.getChains(service, (id) => health.isUsable(id), health.formatSuspects());
-        const chains = usable.length > 0 ? usable : view.getChains(service, () => true, "all");
-        const fresh = chains.filter((chain) => !run.tried.has(getFirstId(chain)));
+        const usable = this.listUsableChains(service);
+        const chains = usable.length > 0 ? usable : this.options.view.getChains(service, () => true, "all");
+        const others = this.listOtherChains(run, chains);
+        const fresh = others.length > 0 ? others : chains.filter((chain) => !run.tried.has(getFirstId(chain)));
         return fresh.length > 0 ? fresh : chains;
     }
 
+    private listUsableChains(service: RoutedService): readonly Chain[] {
+        const { view, health } = this.options;
+        return view.getChains(service, (id) => health.isUsable(id), health.formatSuspects());
+    }
+
+    private listOtherChains(run: RoutedRun, chains: readonly Chain[]): readonly Chain[] {
+        return chains.filter((chain) => {
+            const id = getFirstId(chain);
+            return !run.tried.has(id) && !this.options.isAvoided(id);
+        });
+    }
+
     private getLoad(id: string): ChainLoad {
         const here = this.options.health.getLoad(id);
         const elsewhere = this.options.getLoadElsewhere(id);
--- a/packages/daemon/src/request/recordTry.ts
+++ b/packages/daemon/src/request/recordTry.ts
@@ -55,7 +55,7 @@
     else if (result.end === "not-sent" || result.end === "stalled" || (result.end === "declined" && isFault(result))) {
         functions.suspect(upstreamId, result.reason);
     }
-    else {
+    else if (result.end !== "left") {
         functions.recordAnswer(upstreamId, durationMs, true);
     }
     if (result.end !== "not-sent" && result.end !== "declined") {
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -5,6 +5,7 @@
 import { chooseNextStep, type TryEnd } from "@crankfork/decisions";
 import type { Agent } from "undici";
 import type { EventFields } from "../process/eventLog.js";
+import type { StreamPulse } from "../process/pathPulse.js";
 import { waitMs } from "../process/waitMs.js";
 import { recordTry } from "./recordTry.js";
 import type { RoutedAnswer } from "./routedAnswer.js";
@@ -49,6 +50,10 @@
     /** Draws on the budget of repeats; `isUnderWay` tells whether the caller has a part of its answer already. */
     readonly claimRepeat: (service: string, isUnderWay: boolean) => boolean;
     readonly askStall: (target: CallTarget, requestId: string) => Promise<StallAnswer>;
+    /** Follows a stream on its path; `leave` is called where the path stands still. */
+    readonly followPath: (upstreamId: string, pauseMs: number, leave: () => void) => StreamPulse;
+    /** Whether a stream may leave its path for another; draws on the budget of repeats where it may. */
+    readonly claimLeave: (run: RoutedRun, isUnderWay: boolean) => boolean;
     /** Whether an upstream is still believed to be there. */
     readonly isAlive: (id: string) => boolean;
     readonly record: (event: string, fields: EventFields) => void;
@@ -192,9 +197,12 @@
         codec: functions.codec,
         run,
         target,
-        sink: relay?.createSink(recordStarted),
-        handleStart: (stall) => {
-            watch = startWatch(run, target, relay, functions, stall);
+        sink: relay?.createSink(() => {
+            recordStarted();
+            watch?.recordEvent();
+        }),
+        handleStart: (giveUp) => {
+            watch = startWatch(run, target, relay, functions, giveUp);
         },
     });
     watch?.stop();
--- a/packages/daemon/src/request/routedTry.ts
+++ b/packages/daemon/src/request/routedTry.ts
@@ -8,6 +8,13 @@
 import type { CallCodec, CallTarget, HeadVerdict } from "./routedCall.js";
 import type { RoutedRun, RunStop } from "./routedRun.js";
 
+/** Why a try is given up from outside, and the address of the engine at fault where it is known. */
+export interface TryStall {
+    readonly end: Extract<TryEnd, "stalled" | "left">;
+    readonly reason: string;
+    readonly faultAddress?: string | undefined;
+}
+
 /** A whole answer of an upstream. */
 export interface WholeAnswer {
     readonly head: UpstreamHead;
@@ -46,8 +53,8 @@
     readonly target: CallTarget;
     /** Takes a successful answer as a stream; left out for whole answers. */
     readonly sink?: StreamSink | undefined;
-    /** Called with a function that ends the try from outside, as stalled. */
-    readonly handleStart?: (stall: (reason: string, faultAddress: string | undefined) => void) => void;
+    /** Called with a function that gives the try up from outside. */
+    readonly handleStart?: (giveUp: (stall: TryStall) => void) => void;
 }
 
 /** The largest whole answer that is taken; larger ones don't fit the memory of an entry many times. */
@@ -103,8 +110,8 @@
                 this.settle({ kind: "ended", end: wasSent ? "broken" : "not-sent", reason });
             },
         });
-        this.options.handleStart?.((reason, faultAddress) => {
-            this.cancel({ kind: "ended", end: "stalled", reason, faultAddress });
+        this.options.handleStart?.((stall) => {
+            this.cancel({ kind: "ended", ...stall });
         });
     }
 
--- a/packages/daemon/src/request/tryWatch.ts
+++ b/packages/daemon/src/request/tryWatch.ts
@@ -2,9 +2,11 @@
  * Watches a try of a request that may run again: a path that stands still, or an upstream that says nothing, is left
  * in time to be answered elsewhere. Any other request has to wait for its answer.
  */
+import type { StreamPulse } from "../process/pathPulse.js";
 import type { CallTarget } from "./routedCall.js";
 import type { RoutedRequestFunctions, StallAnswer } from "./routedRequest.js";
 import type { RoutedRun } from "./routedRun.js";
+import type { TryStall } from "./routedTry.js";
 import type { StreamRelay } from "./streamRelay.js";
 
 /**
@@ -16,11 +18,15 @@
 const DEFAULT_PAUSE_MS = 200;
 /** Part of the objective after which the engine is asked about a stream that has not begun. */
 const ASK_BEFORE_FIRST_SHARE = 0.6;
+/** Until an engine that knew of no stall is asked again: its report lags, so the next one may tell. */
+const ASK_AGAIN_MS = 60;
 /** Reports without an answer after which the first engine counts as gone. */
 const MOST_UNREACHABLE = 2;
 
 /** A running watch. */
 export interface TryWatch {
+    /** A part of the answer came. */
+    readonly recordEvent: () => void;
     readonly stop: () => void;
 }
 
@@ -30,7 +36,7 @@
  * @param target - where the try went
  * @param relay - the stream, for a request that is answered by one
  * @param functions - reports of engines
- * @param stall - ends the try as stalled
+ * @param giveUp - ends the try
  * @returns the watch, or undefined where the try is not worth watching
  */
 export function startWatch(
@@ -38,30 +44,32 @@
     target: CallTarget,
     relay: StreamRelay | undefined,
     functions: RoutedRequestFunctions,
-    stall: (reason: string, faultAddress: string | undefined) => void,
+    giveUp: (stall: TryStall) => void,
 ): TryWatch | undefined {
     const { route } = run.admitted;
     if (!route.is_repeatable) {
         return undefined;
     }
     if (relay !== undefined) {
-        return target.stages === undefined ? undefined : new SilenceWatch(run, target, relay, functions, stall);
+        return target.stages === undefined ? undefined : new SilenceWatch(run, target, relay, functions, giveUp);
     }
     if (run.runs + 1 >= route.most_attempts || functions.chooseTarget(run, undefined, true).kind !== "target") {
         return undefined;
     }
     const timer = setTimeout(() => {
-        stall(`no answer for ${String(route.objective_ms)} ms`, undefined);
+        giveUp({ end: "stalled", reason: `no answer for ${String(route.objective_ms)} ms` });
     }, route.objective_ms);
     return {
+        recordEvent: () => undefined,
         stop: () => {
             clearTimeout(timer);
         },
     };
 }
 
-/** Watches a stream for silence, and asks its engine whether the path stands still. */
-class SilenceWatch {
+/** Watches a stream for silence: with the others on its path, and by asking its engine whether the path stands still. */
+class SilenceWatch implements TryWatch {
+    private readonly pulse: StreamPulse;
     private timer: NodeJS.Timeout;
     private unreachable = 0;
     private isStopped = false;
@@ -71,21 +79,39 @@
         private readonly target: CallTarget,
         private readonly relay: StreamRelay,
         private readonly functions: RoutedRequestFunctions,
-        private readonly stall: (reason: string, faultAddress: string | undefined) => void,
+        private readonly giveUp: (stall: TryStall) => void,
     ) {
+        this.pulse = functions.followPath(target.upstreamId, this.pauseMs, () => {
+            this.leave();
+        });
         this.timer = setTimeout(() => void this.check(), this.limitMs);
     }
 
+    recordEvent(): void {
+        this.pulse.recordEvent();
+    }
+
     stop(): void {
         this.isStopped = true;
+        this.pulse.close();
         clearTimeout(this.timer);
     }
 
+    private get pauseMs(): number {
+        return this.run.admitted.route.pause_objective_ms ?? DEFAULT_PAUSE_MS;
+    }
+
     private get limitMs(): number {
-        const { route } = this.run.admitted;
         return this.relay.count === 0
-            ? route.objective_ms * ASK_BEFORE_FIRST_SHARE
-            : (route.pause_objective_ms ?? DEFAULT_PAUSE_MS) * ASK_AFTER_PAUSE_SHARE;
+            ? this.run.admitted.route.objective_ms * ASK_BEFORE_FIRST_SHARE
+            : this.pauseMs * ASK_AFTER_PAUSE_SHARE;
+    }
+
+    /** All streams of the path are silent. */
+    private leave(): void {
+        if (!this.isStopped && this.functions.claimLeave(this.run, this.relay.count > 0)) {
+            this.giveUp({ end: "left", reason: `silent for ${String(Math.round(this.relay.silentMs))} ms` });
+        }
     }
 
     private async check(): Promise<void> {
@@ -107,14 +133,15 @@
         const silentMs = Math.round(this.relay.silentMs);
         this.unreachable = said.kind === "unreachable" ? this.unreachable + 1 : 0;
         if (said.kind === "stalled") {
-            this.stall(`stalled, silent for ${String(silentMs)} ms`, said.faultAddress);
+            const reason = `stalled, silent for ${String(silentMs)} ms`;
+            this.giveUp({ end: "stalled", reason, faultAddress: said.faultAddress });
             return;
         }
         if (this.unreachable >= MOST_UNREACHABLE) {
-            this.stall(`no report, silent for ${String(silentMs)} ms`, undefined);
+            this.giveUp({ end: "stalled", reason: `no report, silent for ${String(silentMs)} ms` });
             return;
         }
-        this.wait(said.kind === "unreachable" ? 1 : this.limitMs);
+        this.wait(said.kind === "unreachable" ? 1 : ASK_AGAIN_MS);
     }
 
     private wait(ms: number): void {
--- /dev/null
+++ b/packages/daemon/tests/pathPulse.test.ts
@@ -0,0 +1,96 @@
+import FakeTimers from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import { PathPulse } from "../src/process/pathPulse.js";
+
+const PAUSE_MS = 200;
+
+describe("streams leave a path together once all of them are silent", () => {
+    let clock: ReturnType<typeof FakeTimers.install>;
+    let pulse: PathPulse;
+    let still: string[];
+    let left: number;
+
+    beforeEach(() => {
+        clock = FakeTimers.install();
+        still = [];
+        left = 0;
+        pulse = new PathPulse({ getNowMs: () => performance.now(), handleStill: (id) => still.push(id) });
+        pulse.start();
+    });
+
+    afterEach(() => {
+        pulse.stop();
+        clock.uninstall();
+    });
+
+    function followMany(count: number): ReturnType<PathPulse["follow"]>[] {
+        return Array.from({ length: count }, () =>
+            pulse.follow("p", PAUSE_MS, () => {
+                left += 1;
+            }));
+    }
+
+    /** Every stream has an event in each pass. */
+    function playPasses(
+        streams: readonly { readonly recordEvent: () => void; }[],
+        passes: number,
+        passMs: number,
+    ): void {
+        for (let pass = 0; pass < passes; pass += 1) {
+            clock.tick(passMs);
+            streams.forEach((stream) => {
+                stream.recordEvent();
+            });
+        }
+    }
+
+    const rows = [
+        { title: "as long as they move, none", streams: 4, passMs: 30, silentMs: 20, left: 0 },
+        { title: "silent for half of a contracted pause, all of them", streams: 4, passMs: 30, silentMs: 130, left: 4 },
+        { title: "on a path with long passes, none yet", streams: 4, passMs: 90, silentMs: 130, left: 0 },
+        { title: "two streams may both wait for lost packets", streams: 2, passMs: 30, silentMs: 190, left: 0 },
+    ];
+    for (const row of rows) {
+        it(row.title, () => {
+            playPasses(followMany(row.streams), 20, row.passMs);
+            clock.tick(row.silentMs);
+            expect(left).to.equal(row.left);
+            expect(still).to.deep.equal(row.left === 0 ? [] : ["p"]);
+            expect(pulse.isAvoided("p")).to.equal(row.left > 0);
+        });
+    }
+
+    it("those that have not begun leave with the others", () => {
+        const streams = followMany(4);
+        playPasses(streams.slice(1), 20, 30);
+        clock.tick(130);
+        expect(left).to.equal(4);
+    });
+
+    it("a stream that moves speaks for the whole path", () => {
+        const streams = followMany(4);
+        playPasses(streams, 20, 30);
+        playPasses(streams.slice(1, 2), 20, 30);
+        expect(left).to.equal(0);
+    });
+
+    it("a process that did not run itself blames nobody", () => {
+        playPasses(followMany(4), 20, 30);
+        // The clock jumps over every look in between, as it does for a process that was stopped.
+        clock.jump(3_000);
+        expect(left).to.equal(0);
+    });
+
+    it("what was left takes new requests again after a while, and is told once", () => {
+        const streams = followMany(4);
+        playPasses(streams, 20, 30);
+        clock.tick(400);
+        expect(still).to.deep.equal(["p"]);
+        streams.forEach((stream) => {
+            stream.close();
+        });
+        expect(pulse.isAvoided("p")).to.equal(true);
+        clock.tick(1_000);
+        expect(pulse.isAvoided("p")).to.equal(false);
+    });
+});
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -3,6 +3,7 @@
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 import type { Agent } from "undici";
 import { openUpstreamConnections } from "../src/connection/upstreamExchange.js";
+import { PathPulse } from "../src/process/pathPulse.js";
 import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
 import {
@@ -126,6 +127,7 @@
 export class TestEntry {
     readonly ends: RequestEnd[] = [];
     readonly suspects: string[] = [];
+    private readonly pulse = new PathPulse({ getNowMs: () => performance.now(), handleStill: () => undefined });
 
     private constructor(private readonly server: Server, readonly url: string, private readonly agent: Agent) {}
 
@@ -135,6 +137,7 @@
         await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
         const url = `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
         const entry = new TestEntry(server, url, agent);
+        entry.pulse.start();
         server.on("request", (request, response) => {
             const chunks: Buffer[] = [];
             request.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -163,6 +166,7 @@
     }
 
     async close(): Promise<void> {
+        this.pulse.stop();
         this.server.close();
         this.server.closeAllConnections();
         await this.agent.destroy();
@@ -197,6 +201,8 @@
             findIdAt: (address) => options.upstreams.find((one) => one.address === address)?.name ?? address,
             claimRepeat: () => true,
             askStall: options.askStall ?? (() => Promise.resolve({ kind: "moving" })),
+            followPath: (id, pauseMs, leave) => this.pulse.follow(id, pauseMs, leave),
+            claimLeave: (run) => options.upstreams.some((one) => !run.tried.has(one.name)),
             isAlive: () => true,
             record: () => undefined,
         };
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -281,6 +281,21 @@
         expect(suspects).to.deep.equal(["at-fault"]);
     });
 
+    it("streams that fall silent together go on elsewhere before any report tells, and no engine is blamed", async () => {
+        const silent = await ScriptedUpstream.open("silent", answers["streamSilent"] ?? (() => undefined));
+        const good = await ScriptedUpstream.open("good", answers["stream"] ?? (() => undefined));
+        const route = { kind: "stream", pause_objective_ms: 200 } as const;
+        const entry = await TestEntry.open({ upstreams: [silent, good], route, isPath: true });
+        const seen = await Promise.all([ask(entry.url), ask(entry.url), ask(entry.url)]);
+        await entry.close();
+        silent.close();
+        good.close();
+        seen.forEach((one) => {
+            expect(one).to.include({ body: events(1, 2, 3, 4), isWhole: true });
+        });
+        expect(entry.suspects).to.deep.equal([]);
+    });
+
     it("an upstream that nobody listens at was not sent anything", async () => {
         const closed = createServer();
         await new Promise<void>((resolve) => closed.listen(0, "127.0.0.1", resolve));
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -24,6 +24,7 @@
 export { FairQueue, type QueuedRequest } from "./request/fairQueue.js";
 export * from "./request/findRoute.js";
 export * from "./request/hasChainRoom.js";
+export * from "./request/isPathStill.js";
 export * from "./version/checkRoutingTable.js";
 export * from "./version/chooseVoterChange.js";
 export * from "./version/computeChains.js";
--- a/packages/decisions/src/request/chooseNextStep.ts
+++ b/packages/decisions/src/request/chooseNextStep.ts
@@ -13,7 +13,9 @@
     /** The connection broke, or what came back was no answer to this request: it may have run. */
     | "broken"
     /** No progress, and the engine says that its path stands still. */
-    | "stalled";
+    | "stalled"
+    /** All streams of its path are silent; a repeat was drawn from the budget before it was left. */
+    | "left";
 
 /** What is known when a try has ended. */
 export interface TryView {
@@ -73,11 +75,12 @@
         case "failed":
         case "broken":
         case "stalled":
+        case "left":
             return hasRoom && view.isRepeatable && view.runs < view.mostAttempts;
     }
 }
 
 function isRepeatAllowed(view: TryView): boolean {
-    // A send that did not arrive adds nothing to what upstreams receive.
-    return view.end === "not-sent" || view.claimRepeat();
+    // A send that did not arrive adds nothing to what upstreams receive; a path is left only with a repeat in hand.
+    return view.end === "not-sent" || view.end === "left" || view.claimRepeat();
 }
--- /dev/null
+++ b/packages/decisions/tests/isPathStill.test.ts
@@ -0,0 +1,25 @@
+import { expect } from "chai";
+import { isPathStill } from "../src/index.js";
+
+describe("a path stands still where all its streams are silent for longer than it usually pauses", () => {
+    const pauseMs = 200;
+    const rows = [
+        { title: "it moves", streams: 5, silentMs: 20, longestGapMs: 40, isStill: false },
+        { title: "silent for half of a contracted pause", streams: 5, silentMs: 100, longestGapMs: 40, isStill: true },
+        { title: "no longer than it has paused of late", streams: 5, silentMs: 100, longestGapMs: 80, isStill: false },
+        { title: "much longer than it has paused of late", streams: 5, silentMs: 150, longestGapMs: 80, isStill: true },
+        {
+            title: "so few streams that packets may be lost",
+            streams: 2,
+            silentMs: 190,
+            longestGapMs: 40,
+            isStill: false,
+        },
+        { title: "no streams", streams: 0, silentMs: 5_000, longestGapMs: 0, isStill: false },
+    ];
+    for (const { title, isStill, ...movement } of rows) {
+        it(title, () => {
+            expect(isPathStill(movement, pauseMs)).to.equal(isStill);
+        });
+    }
+});
