A candidate that every voter tells of its restart is elected at once

A restarted voter waits an election time, because it may have answered a leader whose lease still runs.

Ruled out: slow starts (0.2 s), the log's replay (0.06 s), entries that ask too seldom (60 ms).

Change: pre-vote answers tell of a life that has heard no leader; where each voter of one round does, no lease can be held, and a vote that names such a life is granted before its wait is over. A replica in its first wait no longer counts its own vote for an election of the usual kind either (it never did so before, because its timer was longer). The argument stands in newLife.ts. The property test now restarts replicas one by one and all together.

--- a/packages/coordination/src/process/election.ts
+++ b/packages/coordination/src/process/election.ts
@@ -6,7 +6,22 @@
  * that it no longer remembers.
  */
 import type { ReplicaAddress, ReplicaMessageOf } from "@crankfork/schemas";
-import { computeQuorum, getMonotonicMs, isVoter, type ReplicaContext, writeHardState } from "./replicaContext.js";
+import {
+    createNewLife,
+    hasEveryVoterRestarted,
+    isInFirstWait,
+    isVoteForNewLife,
+    recordNewLife,
+    startRound,
+} from "./newLife.js";
+import {
+    computeQuorum,
+    getMonotonicMs,
+    isUpToDate,
+    isVoter,
+    type ReplicaContext,
+    writeHardState,
+} from "./replicaContext.js";
 import { appendAsLeader, sendAppendToAll } from "./replication.js";
 
 /** Parts of the election time after which one that came to nothing is tried again. */
@@ -27,7 +42,9 @@
     resetRetryTimeout(context);
     context.leader = undefined;
     context.grants = new Set([options.self.id]);
-    sendToVoters(context, { kind: "pre-vote", term: context.term + 1, ...getLastPosition(context) });
+    startRound(context);
+    const question = { term: context.term + 1, round_ms: context.roundMs, ...getLastPosition(context) };
+    sendToVoters(context, () => ({ kind: "pre-vote", ...question }));
     startCandidacyIfPreElected(context);
 }
 
@@ -43,10 +60,13 @@
     message: ReplicaMessageOf<"pre-vote">,
 ): void {
     const is_granted = message.term > context.term && !hasFreshLeader(context) && isUpToDate(context, message);
+    const newLife = createNewLife(context, message);
     context.options.functions.send(from, {
         kind: "pre-vote-answer",
         term: is_granted ? message.term : context.term,
         is_granted,
+        round_ms: message.round_ms,
+        ...(newLife === undefined ? {} : { new_life: newLife }),
     });
 }
 
@@ -63,12 +83,15 @@
 ): void {
     if (!message.is_granted) {
         stepDownIfNewer(context, message.term);
+    }
+    if (context.role.get() !== "pre-candidate") {
         return;
     }
-    if (context.role.get() === "pre-candidate" && message.term === context.term + 1) {
+    recordNewLife(context, from, message);
+    if (message.is_granted && message.term === context.term + 1) {
         context.grants.add(from);
-        startCandidacyIfPreElected(context);
     }
+    startCandidacyIfPreElected(context);
 }
 
 /**
@@ -78,7 +101,7 @@
  * @param message - its request
  */
 export function handleVote(context: ReplicaContext, from: ReplicaAddress, message: ReplicaMessageOf<"vote">): void {
-    if (hasFreshLeader(context) && !message.is_transfer) {
+    if (hasFreshLeader(context) && !message.is_transfer && !isVoteForNewLife(context, message)) {
         return;
     }
     stepDownIfNewer(context, message.term);
@@ -122,7 +145,7 @@
     const isFollower = context.role.get() === "follower";
     if (message.term === context.term && isFollower && isVoter(context.log.getReplicas(), context.options.self.id)) {
         context.role.send("asked-to-take-over");
-        startVoting(context, true);
+        startVoting(context, "asked");
     }
 }
 
@@ -167,10 +190,12 @@
 }
 
 /**
- * An election that came to nothing, such as a split vote, is tried again soon. The least election time is for leaders
- * that may still be there; that has passed already, and others grant their votes by their own clocks.
+ * Draws how long to wait until the next election, after one that came to nothing, such as a split vote, and after a
+ * start. The least election time is for leaders that may still be there: it has passed, or every voter has restarted
+ * with this one, or nobody grants anything.
+ * @param context - the replica
  */
-function resetRetryTimeout(context: ReplicaContext): void {
+export function resetRetryTimeout(context: ReplicaContext): void {
     context.electionTimerMs = getMonotonicMs();
     const share = LEAST_RETRY_SHARE + RETRY_SPREAD * context.options.functions.random();
     context.electionTimeoutMs = context.options.timing.electionMs * share;
@@ -180,28 +205,31 @@
     if (context.role.get() === "leader") {
         return true;
     }
+    if (!context.hasHeardLeader) {
+        return isInFirstWait(context);
+    }
     const isSeeking = context.role.get() !== "follower";
     return !isSeeking && getMonotonicMs() - context.heardMs < context.options.timing.electionMs;
 }
 
-function isUpToDate(context: ReplicaContext, message: { last_index: number; last_term: number; }): boolean {
-    const { last } = context.log;
-    return message.last_term > last.term || (message.last_term === last.term && message.last_index >= last.index);
-}
-
 function getLastPosition(context: ReplicaContext): { last_index: number; last_term: number; } {
     const { index, term } = context.log.last;
     return { last_index: index, last_term: term };
 }
 
 function startCandidacyIfPreElected(context: ReplicaContext): void {
-    if (context.grants.size >= computeQuorum(context.log.getReplicas())) {
+    // A replica's own vote counts too, so it waits like the others.
+    const isGranted = !isInFirstWait(context) && context.grants.size >= computeQuorum(context.log.getReplicas());
+    if (isGranted || hasEveryVoterRestarted(context)) {
         context.role.send("pre-elected");
-        startVoting(context, false);
+        startVoting(context, isGranted ? "granted" : "restarted");
     }
 }
 
-function startVoting(context: ReplicaContext, is_transfer: boolean): void {
+/** Why a replica stands for election: a quorum would grant it, every voter has restarted, or the leader asked for it. */
+type CandidacyReason = "granted" | "restarted" | "asked";
+
+function startVoting(context: ReplicaContext, reason: CandidacyReason): void {
     context.term += 1;
     context.votedFor = context.options.self.id;
     context.leader = undefined;
@@ -214,7 +242,11 @@
             return;
         }
         context.grants.add(context.options.self.id);
-        sendToVoters(context, { kind: "vote", term, is_transfer, ...getLastPosition(context) });
+        const request = { term, is_transfer: reason === "asked", ...getLastPosition(context) };
+        sendToVoters(context, ({ id }) => {
+            const life = reason === "restarted" ? context.newLives.get(id)?.life : undefined;
+            return { kind: "vote", ...request, ...(life === undefined ? {} : { life }) };
+        });
         becomeLeaderIfElected(context);
     });
 }
@@ -233,9 +265,12 @@
     sendAppendToAll(context);
 }
 
-function sendToVoters(context: ReplicaContext, message: ReplicaMessageOf<"pre-vote" | "vote">): void {
+function sendToVoters(
+    context: ReplicaContext,
+    createMessage: (voter: ReplicaAddress) => ReplicaMessageOf<"pre-vote" | "vote">,
+): void {
     const { voters } = context.log.getReplicas();
     voters.filter((voter) => voter.id !== context.options.self.id).forEach((voter) => {
-        context.options.functions.send(voter, message);
+        context.options.functions.send(voter, createMessage(voter));
     });
 }
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -11,7 +11,7 @@
     handleTakeOver,
     handleVote,
     handleVoteAnswer,
-    resetElectionTimeout,
+    resetRetryTimeout,
     startElectionIfDue,
     stepDown,
 } from "./election.js";
@@ -111,7 +111,7 @@
             context.appliedIndex = stored.snapshot.index;
         }
         context.log.append(stored.entries);
-        resetElectionTimeout(context);
+        resetRetryTimeout(context);
         const tickMs = options.timing.heartbeatMs / TICKS_A_HEARTBEAT;
         replica.timer = setInterval(() => {
             replica.tick();
@@ -318,12 +318,17 @@
         votedFor: undefined,
         leader: undefined,
         // A replica can't know whether it answered a leader just before it restarted.
+        life: String(functions.random()),
+        startedMs: now,
+        hasHeardLeader: false,
         heardMs: now,
         electionTimerMs: now,
         electionTimeoutMs: options.timing.electionMs,
         commitIndex: 0,
         appliedIndex: 0,
         grants: new Set(),
+        roundMs: now,
+        newLives: new Map(),
         progress: new Map(),
         proposals: new Map(),
         isHandingOver: false,
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -1,7 +1,14 @@
 /**
  * What the parts of a replica share.
  */
-import type { LogEntry, ReplicaAddress, ReplicaMessage, ReplicaSet, Snapshot } from "@crankfork/schemas";
+import type {
+    LogEntry,
+    ReplicaAddress,
+    ReplicaMessage,
+    ReplicaMessageOf,
+    ReplicaSet,
+    Snapshot,
+} from "@crankfork/schemas";
 import type { ReplicaLog } from "../version/replicaLog.js";
 import type { DurableQueue } from "./durableQueue.js";
 import type { LogStorage } from "./logStorage.js";
@@ -70,6 +77,9 @@
     readonly settle: (result: ProposalResult) => void;
 }
 
+/** What a voter told of a life that has heard no leader. */
+export type NewLife = NonNullable<ReplicaMessageOf<"pre-vote-answer">["new_life"]>;
+
 /** The state that the parts of a replica work on. */
 export interface ReplicaContext {
     readonly options: ReplicaOptions;
@@ -79,6 +89,12 @@
     term: number;
     votedFor: string | undefined;
     leader: ReplicaAddress | undefined;
+    /** Names the time from this start to the next. */
+    readonly life: string;
+    /** When this life began, by the monotonic clock. */
+    readonly startedMs: number;
+    /** Whether a leader was heard in this life. */
+    hasHeardLeader: boolean;
     /** When a leader was last heard, by the monotonic clock. */
     heardMs: number;
     /** Since when a leader is waited for, by the monotonic clock. */
@@ -89,6 +105,10 @@
     appliedIndex: number;
     /** Ids that granted the present vote or pre-vote. */
     grants: Set<string>;
+    /** When the present round of pre-votes began, by the monotonic clock; names it. */
+    roundMs: number;
+    /** Voters that told in this round that they have heard no leader since their start. */
+    newLives: Map<string, NewLife>;
     progress: Map<string, Progress>;
     proposals: Map<number, PendingProposal>;
     /** Set while leadership is being handed over: no lease, no proposals. */
@@ -135,6 +155,21 @@
     return Math.floor(replicas.voters.length / 2) + 1;
 }
 
+/**
+ * Tells whether a candidate's log is as new as the one here (Raft, section 5.4.1).
+ * @param context - the replica that is asked
+ * @param position - where the candidate's log ends
+ * @returns true where it is
+ */
+export function isUpToDate(
+    context: ReplicaContext,
+    position: { readonly last_index: number; readonly last_term: number; },
+): boolean {
+    const { last } = context.log;
+    return position.last_term > last.term
+        || (position.last_term === last.term && position.last_index >= last.index);
+}
+
 /**
  * Queues the term and vote for the disk.
  * @param context - the replica
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -218,6 +218,7 @@
         stepDown(context);
     }
     context.leader = leader;
+    context.hasHeardLeader = true;
     context.heardMs = getMonotonicMs();
     resetElectionTimeout(context);
 }
--- a/packages/coordination/tests/property.test.ts
+++ b/packages/coordination/tests/property.test.ts
@@ -15,6 +15,8 @@
     { weight: 10, arbitrary: fc.record({ kind: fc.constant("propose" as const) }) },
     { weight: 2, arbitrary: fc.record({ kind: fc.constant("crash" as const), node }) },
     { weight: 4, arbitrary: fc.record({ kind: fc.constant("start" as const), node }) },
+    { weight: 3, arbitrary: fc.record({ kind: fc.constant("restart" as const), node }) },
+    { weight: 2, arbitrary: fc.record({ kind: fc.constant("restart-all" as const) }) },
     { weight: 1, arbitrary: fc.record({ kind: fc.constant("freeze" as const), node }) },
     { weight: 2, arbitrary: fc.record({ kind: fc.constant("freeze-leader" as const) }) },
     { weight: 2, arbitrary: fc.record({ kind: fc.constant("isolate-leader" as const) }) },
@@ -77,6 +79,12 @@
                 await simulation.startNode(one.node);
             }
             return;
+        case "restart":
+            await restart(simulation, [one.node]);
+            return;
+        case "restart-all":
+            await restart(simulation, simulation.nodes.map((_, number) => number));
+            return;
         case "freeze":
             simulation.freeze(one.node);
             return;
@@ -113,6 +121,15 @@
     }
 }
 
+async function restart(simulation: Simulation, numbers: readonly number[]): Promise<void> {
+    numbers.forEach((number) => {
+        simulation.crash(number);
+    });
+    for (const number of numbers) {
+        await simulation.startNode(number);
+    }
+}
+
 /** Once all is well again every replica holds the same log, with all that was confirmed in it. */
 async function checkEnd(simulation: Simulation, clock: InstalledClock): Promise<void> {
     simulation.heal();
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -48,7 +48,12 @@
     /** Waits past the election time and grants what is asked for. */
     async elect(): Promise<void> {
         await this.clock.tickAsync(timing.electionMs + timing.heartbeatMs);
-        this.replica.receive(left, { kind: "pre-vote-answer", term: this.term + 1, is_granted: true });
+        this.replica.receive(left, {
+            kind: "pre-vote-answer",
+            term: this.term + 1,
+            is_granted: true,
+            round_ms: this.find("pre-vote", left.id)?.round_ms ?? 0,
+        });
         await this.clock.tickAsync(1);
         this.replica.receive(left, { kind: "vote-answer", term: this.term, is_granted: true });
         await this.clock.tickAsync(1);
--- a/packages/schemas/src/replicaMessage.ts
+++ b/packages/schemas/src/replicaMessage.ts
@@ -38,11 +38,39 @@
     last_term: z.int(),
 };
 
+/** What a voter says of itself while it has heard no leader since its start. */
+const newLifeSchema = z.object({
+    /** Names the time from one start to the next. */
+    life: z.string(),
+    /** Time since that start. */
+    age_ms: z.number(),
+    /** Whether the asker's log is as new as its own. */
+    is_up_to_date: z.boolean(),
+});
+
 /** All messages between replicas. */
 export const replicaMessageSchema = z.discriminatedUnion("kind", [
-    z.object({ kind: z.literal("pre-vote"), ...voteRequestShape }),
-    z.object({ kind: z.literal("pre-vote-answer"), term: z.int(), is_granted: z.boolean() }),
-    z.object({ kind: z.literal("vote"), ...voteRequestShape, is_transfer: z.boolean() }),
+    z.object({
+        kind: z.literal("pre-vote"),
+        ...voteRequestShape,
+        /** The asker's monotonic time, echoed in the answer: it names the round. */
+        round_ms: z.number(),
+    }),
+    z.object({
+        kind: z.literal("pre-vote-answer"),
+        term: z.int(),
+        is_granted: z.boolean(),
+        round_ms: z.number(),
+        /** Left out once a leader was heard since the start. */
+        new_life: newLifeSchema.optional(),
+    }),
+    z.object({
+        kind: z.literal("vote"),
+        ...voteRequestShape,
+        is_transfer: z.boolean(),
+        /** The life of the addressee that told the candidate that it has heard no leader. */
+        life: z.string().optional(),
+    }),
     z.object({ kind: z.literal("vote-answer"), term: z.int(), is_granted: z.boolean() }),
     z.object({
         kind: z.literal("append"),
