Settings and fields that nothing read are gone

A setting that is checked and not used tells operators something untrue.

Ruled out: to use them now.

What is passed over in the settings file is passed over as before.

--- a/packages/daemon/src/process/upstreamHealth.ts
+++ b/packages/daemon/src/process/upstreamHealth.ts
@@ -154,15 +154,6 @@
         return (1 + (health?.open ?? 0) + openElsewhere) * answerMs * (1 + FAILURE_WEIGHT * (health?.failures ?? 0));
     }
 
-    /**
-     * Gets the smoothed time of an answer.
-     * @param id - the upstream
-     * @returns milliseconds, or undefined before the first answer
-     */
-    getAnswerMs(id: string): number | undefined {
-        return this.byId.get(id)?.answerMs;
-    }
-
     /**
      * Forgets upstreams that are gone.
      * @param isKnown - whether an upstream is still there
--- a/packages/daemon/tests/admitCall.test.ts
+++ b/packages/daemon/tests/admitCall.test.ts
@@ -23,7 +23,7 @@
 const table: RoutingTable = {
     version: 1,
     routes: [route("/keyed/"), route("/open/", { is_anonymous: true })],
-    services: [{ name: "a", most_connections: 1 }, { name: "b", most_connections: 1 }],
+    services: [{ name: "a" }, { name: "b" }],
     organisations: [{ name: "o", keys: ["k"] }],
     limits: { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 },
 };
--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -75,7 +75,7 @@
         control: this.control,
         log,
         getNowMs: () => performance.now(),
-        getServices: () => [{ name: "s", most_connections: 1, engine: profile }],
+        getServices: () => [{ name: "s", engine: profile }],
     });
 
     async register(id: string, held?: LayerSpan): Promise<void> {
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -146,7 +146,7 @@
                 const run = new RoutedRun({
                     call: testCodec.parseCall(request),
                     route: createTestRoute(options.route),
-                    service: { name: "s", most_connections: 10 },
+                    service: { name: "s" },
                     organisation: undefined,
                     body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
                     arrivedMs: performance.now(),
--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -31,8 +31,6 @@
     readonly readMs: number;
     /** Tokens of context that its tightest stage has room for. */
     readonly contextTokens: number;
-    /** How often the path crosses from one failure domain to another. */
-    readonly crossings: number;
 }
 
 /** Cost of a crossing in the search, in milliseconds of a step: so high that one is taken only where nothing is left. */
@@ -146,13 +144,11 @@
 }
 
 function createChain(stages: readonly ChainStage[], profile: EngineProfile): Chain {
-    const domains = stages.map((stage) => stage.engine.failureDomain);
     return {
         id: stages.map((stage) => stage.engine.id).join("+"),
         stages,
         stepMs: stages.reduce((sum, stage) => sum + computeStepMs(stage, profile), 0),
         readMs: stages.reduce((sum, stage) => sum + computeReadMs(stage, profile), 0),
         contextTokens: Math.min(...stages.map((stage) => computeContextTokens(stage, profile))),
-        crossings: domains.filter((domain, index) => index > 0 && domain !== domains[index - 1]).length,
     };
 }
--- a/packages/decisions/tests/routing.test.ts
+++ b/packages/decisions/tests/routing.test.ts
@@ -51,7 +51,7 @@
     }
 });
 
-const service = (name: string): RoutingTable["services"][number] => ({ name, most_connections: 10 });
+const service = (name: string): RoutingTable["services"][number] => ({ name });
 const limits = { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
 
 const tableRows: readonly {
--- a/packages/schemas/src/fleetSettings.ts
+++ b/packages/schemas/src/fleetSettings.ts
@@ -51,10 +51,6 @@
         /** Repeats allowed besides, over all instances, in one window. */
         retry_slack: z.number().nonnegative(),
         retry_window: durationMsSchema,
-        /** How long an engine stands still when another one on the path is gone. */
-        engine_stall: durationMsSchema,
-        /** Whether engines refuse orders with an older fence. */
-        fences_orders: z.boolean().default(false),
     }),
 });
 
--- a/packages/schemas/src/routing.ts
+++ b/packages/schemas/src/routing.ts
@@ -64,8 +64,6 @@
 /** A service: upstreams that answer the same requests. */
 export const routedServiceSchema = z.object({
     name: z.string(),
-    /** Connections that one upstream takes from all callers. */
-    most_connections: z.int().positive(),
     engine: engineProfileSchema.optional(),
 });
 
