Loads that were told some time ago count as worked on since

The requests unseen in the age of the loads (0.4 s) were laid on the paths, but the prompts that the paths read in that time were not taken off: with room for 15 prompts a path admitted 37 a second where it reads 50.

Ruled out: the unseen count (64 entries of 2.4 requests a second, 0.4 s old), the limit on open requests (not met).

Change: computeLoadNow takes off what a busy path reads in the age of the load (0.6 of its time).

--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -95,6 +95,7 @@
             health: this.health,
             getLoadElsewhere: (id) => this.loadsElsewhere[id] ?? { open: 0, unstarted: 0 },
             countUnseen: (service) => this.countUnseen(service),
+            getLoadAgeMs: () => this.stateAge.getMeanMs(),
             isAvoided: (id) => this.pulse.isAvoided(id),
             random: options.random,
         });
--- a/packages/daemon/src/process/targetChooser.ts
+++ b/packages/daemon/src/process/targetChooser.ts
@@ -1,7 +1,15 @@
 /**
  * Chooses where a try of a routed request goes, by what this entry and the others have open.
  */
-import { type Chain, type ChainLoad, chooseChainLate, hasChainRoom, type RequestSize } from "@crankfork/decisions";
+import {
+    type Chain,
+    type ChainLoad,
+    chooseChainLate,
+    computeLoadNow,
+    hasChainRoom,
+    type LoadedChain,
+    type RequestSize,
+} from "@crankfork/decisions";
 import type { EngineProfile, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
 import type { CallTarget } from "../request/routedCall.js";
 import type { TargetChoice } from "../request/routedRequest.js";
@@ -19,6 +27,8 @@
     readonly isAvoided: (id: string) => boolean;
     /** Requests of a service that others are expected to have sent since their loads were told. */
     readonly countUnseen: (service: string) => number;
+    /** How long ago others told their loads, on average. */
+    readonly getLoadAgeMs: () => number;
     readonly random: () => number;
 }
 
@@ -78,11 +88,14 @@
             return { kind: "none" };
         }
         const { objective_ms } = run.admitted.route;
+        const ageMs = this.options.getLoadAgeMs();
+        const hasRoom = ({ chain, ...load }: LoadedChain): boolean =>
+            hasChainRoom(chain, computeLoadNow(chain, load, engine, ageMs), engine, objective_ms);
         const chosen = chooseChainLate({
             chains: chains.map((chain) => ({ chain, ...this.getLoad(getFirstId(chain)) })),
             size: run.admitted.call.size ?? UNKNOWN_SIZE,
             unseen: this.options.countUnseen(service.name),
-            hasRoom: (loaded) => isUnderWay || hasChainRoom(loaded.chain, loaded, engine, objective_ms),
+            hasRoom: (loaded) => isUnderWay || hasRoom(loaded),
             draw: this.options.random(),
         });
         const first = chosen?.chain.stages[0]?.engine;
--- a/packages/decisions/src/request/hasChainRoom.ts
+++ b/packages/decisions/src/request/hasChainRoom.ts
@@ -19,6 +19,8 @@
 const HELD_ANSWER_SHARE = 0.5;
 /** Requests that a path takes at the least, so that one with odd figures is not shut out. */
 const LEAST_OPEN = 4;
+/** Part of its time that a busy path reads prompts; the rest goes to tokens (grown calm day, docs/design/full-paths.md). */
+const READ_SHARE = 0.6;
 
 /**
  * Tells whether a path has room.
@@ -33,6 +35,20 @@
         && load.unstarted < computeMostUnstarted(chain, profile, objectiveMs);
 }
 
+/**
+ * Computes what has become of a load that was told some time ago: the path has read prompts since.
+ * @param chain - the path
+ * @param load - as it was told, with what was sent since
+ * @param profile - usual sizes
+ * @param ageMs - how long ago it was told
+ * @returns the load as it is expected to be now
+ */
+export function computeLoadNow(chain: Chain, load: ChainLoad, profile: EngineProfile, ageMs: number): ChainLoad {
+    const promptMs = profile.usual_prompt_tokens * chain.readMs;
+    const read = promptMs === 0 ? load.unstarted : Math.floor(ageMs * READ_SHARE / promptMs);
+    return { open: load.open, unstarted: Math.max(0, load.unstarted - read) };
+}
+
 /**
  * Computes how many requests a path holds.
  * @param chain - the path
--- a/packages/decisions/tests/layerPlan.test.ts
+++ b/packages/decisions/tests/layerPlan.test.ts
@@ -8,6 +8,7 @@
     computeExpectedMs,
     computeLayerPlan,
     computeLayerRoom,
+    computeLoadNow,
     hasChainRoom,
     type HoldingEngine,
     type PlannedEngine,
@@ -235,6 +236,23 @@
     }
 });
 
+describe("a load that was told some time ago has been worked on since", () => {
+    const [chain] = computeChains([holder("f", span(0, 8)), holder("g", span(8, 10))], profile) as [Chain];
+    // Ten tokens a prompt: a prompt takes 10 ms, and a busy path reads for 0.6 of its time.
+    const slow = { ...chain, readMs: 1 };
+    const rows = [
+        { title: "told now", ageMs: 0, unstarted: 6 },
+        { title: "some prompts were read", ageMs: 50, unstarted: 3 },
+        { title: "all were read", ageMs: 500, unstarted: 0 },
+    ];
+    for (const { title, ageMs, unstarted } of rows) {
+        it(title, () => {
+            const load = { open: 8, unstarted: 6 };
+            expect(computeLoadNow(slow, load, profile, ageMs)).to.deep.equal({ open: 8, unstarted });
+        });
+    }
+});
+
 describe("a request takes the path on which it is answered soonest", () => {
     const [fast, slow] = computeChains(
         [holder("f", span(0, 10)), holder("s", span(0, 10), "slow", "e")],
