A fault soak over real processes, seeded

Ruled out: faults inside the processes (the promises are the callers', so they are checked from outside); a clock library preloaded into the daemons. Clocks and storage that misbehave are left: a lost disk is played, a stalled or full one and a stepped clock are not (docs/OPEN.md).

Change: packages/scenarios/src/soak draws kills, stops, pauses, lost disks, delayed, reset, one-way and silent links, lost answers, declined calls and changes of configuration, in series that overlap; callers print slips under keys, some twice at other entries, and stream completions. Checked: a slip is printed at most once, exactly once where a caller was told so, never where all were told "not run"; completions are whole or a beginning; no entry goes back in its version; what was confirmed stays.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -14,6 +14,7 @@
 export { readSettings } from "./process/readSettings.js";
 export { type EntryProtocol, runEntry } from "./process/runEntry.js";
 export { runVoter, type VoterProtocol } from "./process/runVoter.js";
+export { waitMs } from "./process/waitMs.js";
 export { type GateRequest, type GateUsage, WorkGate } from "./process/workGate.js";
 export { removeConnectionHeaders } from "./request/routedAnswer.js";
 export type { CallCodec, CallTarget, HeadVerdict, RoutedCall } from "./request/routedCall.js";
--- /dev/null
+++ b/packages/scenarios/src/soak/main.ts
@@ -0,0 +1,44 @@
+/**
+ * `npm run soak -- [--seeds N] [--from SEED] [--seconds N] [--entries N] [--callers N]`.
+ */
+import cac from "cac";
+import { playSoak } from "./soakRun.js";
+
+interface MainOptions {
+    readonly seeds: number;
+    readonly from?: number;
+    readonly seconds: number;
+    readonly entries: number;
+    readonly callers: number;
+}
+
+/** Fresh seeds by default; the seed is printed with each run, so that a failure can be played again. */
+function drawSeed(): number {
+    return Date.now() % 1_000_000;
+}
+
+const cli = cac("soak");
+cli.command("", "play seeds, and say what was broken")
+    .option("--seeds <number>", "how many seeds", { default: 5 })
+    .option("--from <seed>", "the first seed; drawn where it is left out")
+    .option("--seconds <number>", "length of a run", { default: 6 })
+    .option("--entries <number>", "entries, each with a disk", { default: 3 })
+    .option("--callers <number>", "callers at the same time", { default: 8 })
+    .action(async (options: MainOptions) => {
+        const first = options.from ?? drawSeed();
+        let failed = 0;
+        for (let seed = first; seed < first + options.seeds; seed += 1) {
+            const { entries, callers } = options;
+            const result = await playSoak({ seed, durationMs: options.seconds * 1_000, entries, callers });
+            failed += result.broken.length === 0 ? 0 : 1;
+            process.stdout.write(
+                `seed ${String(seed)}: ${String(result.faults.length)} faults, ${String(result.served)} of ${
+                    String(result.asked)
+                } served, ${result.broken.length === 0 ? "no promise broken" : result.broken.join("; ")}\n`,
+            );
+        }
+        process.stdout.write(`${String(options.seeds - failed)} passed, ${String(failed)} failed\n`);
+        process.exit(failed === 0 ? 0 : 1);
+    });
+cli.help();
+cli.parse();
--- /dev/null
+++ b/packages/scenarios/src/soak/soakRun.ts
@@ -0,0 +1,254 @@
+/**
+ * One soak run: real entries, engines and printers as processes, faults from outside, and callers that watch.
+ */
+import { waitMs } from "@crankfork/daemon";
+import { z } from "zod";
+import { type CompletionResult, streamCompletion } from "../harness/caller.js";
+import { MODEL, ORGANISATION, World } from "../harness/world.js";
+import { checkCompletion, checkSlip, checkVersions, type SlipAnswer } from "./checkPromises.js";
+import { FaultPlayer } from "./faultPlayer.js";
+import { createDraw, createFaultSeries, type SoakFault } from "./faultSeries.js";
+import { LoopbackProxy } from "./loopbackProxy.js";
+import { CALL_TIMEOUT_MS, waitWithin } from "./waitWithin.js";
+
+/** What a run is made of. */
+export interface SoakOptions {
+    readonly seed: number;
+    readonly durationMs: number;
+    readonly entries: number;
+    readonly callers: number;
+}
+
+/** What came of a run. */
+export interface SoakResult {
+    readonly seed: number;
+    readonly faults: readonly SoakFault[];
+    /** Slips and completions that ended well. */
+    readonly served: number;
+    readonly asked: number;
+    /** Promises that were broken; none in a good run. */
+    readonly broken: readonly string[];
+}
+
+const PRINTERS = 2;
+const ENGINES = 2;
+const TOKENS = 12;
+const STATUS_EVERY_MS = 100;
+/** Part of the slips that are sent again under the same key, whatever came back. */
+const REPEAT_SHARE = 0.4;
+
+const doneSchema = z.object({ done: z.string() });
+const errorSchema = z.object({ error: z.object({ outcome: z.string() }) });
+const statusSchema = z.object({ state: z.string(), configuration_version: z.int() });
+
+/**
+ * Plays one seed.
+ * @param options - seed, length and sizes
+ * @returns what was served and broken; everything that was started has ended
+ */
+export async function playSoak(options: SoakOptions): Promise<SoakResult> {
+    const run = new SoakRun(options);
+    try {
+        await run.start();
+        return await run.play();
+    }
+    finally {
+        await run.close();
+    }
+}
+
+class SoakRun {
+    private readonly world = new World();
+    private readonly proxies: LoopbackProxy[] = [];
+    private readonly slips = new Map<string, SlipAnswer[]>();
+    private readonly completions: CompletionResult[] = [];
+    private readonly versions = new Map<string, number[]>();
+    private isOver = false;
+
+    constructor(private readonly options: SoakOptions) {}
+
+    async start(): Promise<void> {
+        const { world } = this;
+        for (let number = 1; number <= ENGINES; number += 1) {
+            await world.startEngine(`engine-${String(number)}`);
+        }
+        for (let number = 1; number <= PRINTERS; number += 1) {
+            await this.startPrinter(`printer-${String(number)}`);
+        }
+        for (let number = 1; number <= this.options.entries; number += 1) {
+            await world.cluster.startEntry({ name: `entry-${String(number)}`, hasDisk: true });
+        }
+        await world.cluster.init();
+        await world.serve({ id: "first" });
+    }
+
+    async play(): Promise<SoakResult> {
+        const { seed, durationMs, callers, entries } = this.options;
+        const faults = createFaultSeries({ seed, durationMs, targets: entries });
+        const { world, proxies, entryNames } = this;
+        const player = new FaultPlayer({ world, proxies, entryNames });
+        const work = [
+            ...Array.from({ length: callers }, (_, number) => this.runCaller(number)),
+            this.watchVersions(),
+            this.playFaults(faults, player),
+        ];
+        await Promise.all(work);
+        await this.heal();
+        await Promise.all(entryNames.map((entry) => this.recordVersion(entry)));
+        const broken = [...await this.checkSlips(), ...this.checkOthers(player.confirmedVersion)];
+        const slips = [...this.slips.values()];
+        const completions = this.completions.filter((one) => one.status === 200 && one.errorId === undefined);
+        return {
+            seed,
+            faults,
+            served: completions.length + slips.filter((answers) => answers.some(isSuccess)).length,
+            asked: this.completions.length + slips.length,
+            broken,
+        };
+    }
+
+    async close(): Promise<void> {
+        this.proxies.forEach((proxy) => {
+            proxy.close();
+        });
+        await this.world.close();
+    }
+
+    private async startPrinter(name: string): Promise<void> {
+        const { world } = this;
+        await world.startService(name);
+        const printer = world.services.get(name);
+        if (printer !== undefined) {
+            const proxy = await LoopbackProxy.open(printer.address);
+            this.proxies.push(proxy);
+            // Entries reach the printer through the proxy alone.
+            world.services.set(name, { process: printer.process, address: proxy.address });
+        }
+    }
+
+    private get entryNames(): readonly string[] {
+        return [...this.world.cluster.entries.keys()];
+    }
+
+    private async runCaller(number: number): Promise<void> {
+        const draw = createDraw(this.options.seed * 1_000 + number);
+        for (let turn = 0; !this.isOver; turn += 1) {
+            const entry = this.drawEntry(draw);
+            if (number % 2 === 0) {
+                const slip = `slip ${String(number)}-${String(turn)}`;
+                await this.sendSlip(entry, slip);
+                if (draw() < REPEAT_SHARE) {
+                    await this.sendSlip(this.drawEntry(draw), slip);
+                }
+            }
+            else {
+                await this.streamCompletion(entry, `caller ${String(number)} turn ${String(turn)}`);
+            }
+            await waitMs(20 + draw() * 60);
+        }
+    }
+
+    private drawEntry(draw: () => number): string {
+        return this.entryNames[Math.floor(draw() * this.entryNames.length)] ?? "";
+    }
+
+    private async sendSlip(entry: string, slip: string): Promise<void> {
+        const answers = this.slips.get(slip) ?? [];
+        this.slips.set(slip, answers);
+        try {
+            const answer = await waitWithin(this.world.callService(entry, slip, { "idempotency-key": slip }));
+            const done = doneSchema.safeParse(answer.body);
+            const error = errorSchema.safeParse(answer.body);
+            answers.push({
+                status: answer.status,
+                outcome: error.success ? error.data.error.outcome : undefined,
+                text: done.success ? done.data.done : undefined,
+            });
+        }
+        catch {
+            // The connection ended, or the caller gave up: it knows nothing, which is what the record says.
+            answers.push({ status: undefined, outcome: undefined, text: undefined });
+        }
+    }
+
+    private async streamCompletion(entry: string, prompt: string): Promise<void> {
+        const call = {
+            address: this.world.cluster.get(entry).addresses.callers,
+            organisation: ORGANISATION,
+            priority: "normal",
+            model: MODEL,
+            prompt,
+            maxTokens: TOKENS,
+            signal: AbortSignal.timeout(CALL_TIMEOUT_MS),
+        };
+        // A connection that ends leaves no result to check; what came before it was checked by other callers' answers.
+        const result = await streamCompletion(call).catch(() => undefined);
+        if (result !== undefined) {
+            this.completions.push(result);
+        }
+    }
+
+    private async watchVersions(): Promise<void> {
+        while (!this.isOver) {
+            await Promise.all(this.entryNames.map((entry) => this.recordVersion(entry)));
+            await waitMs(STATUS_EVERY_MS);
+        }
+    }
+
+    private async recordVersion(entry: string): Promise<void> {
+        const answer = await waitWithin(this.world.cluster.askOperators(entry, "GET", "/v1/status")).catch(() =>
+            undefined
+        );
+        const status = statusSchema.safeParse(answer?.body);
+        // While it starts it knows no version yet, says so and serves nobody.
+        if (status.success && status.data.state === "ready") {
+            const versions = this.versions.get(entry) ?? [];
+            versions.push(status.data.configuration_version);
+            this.versions.set(entry, versions);
+        }
+    }
+
+    private async playFaults(faults: readonly SoakFault[], player: FaultPlayer): Promise<void> {
+        const pending: Promise<void>[] = [];
+        const startMs = performance.now();
+        for (const fault of faults) {
+            await waitMs(Math.max(0, fault.atMs - (performance.now() - startMs)));
+            pending.push(player.play(fault));
+        }
+        await waitMs(Math.max(0, this.options.durationMs - (performance.now() - startMs)));
+        await Promise.all(pending);
+        this.isOver = true;
+    }
+
+    /** All faults have ended; printers are asked for their counts on sound links. */
+    private async heal(): Promise<void> {
+        this.proxies.forEach((proxy) => {
+            proxy.setLink({ kind: "sound" });
+        });
+        for (let printer = 1; printer <= PRINTERS; printer += 1) {
+            await this.world.setFaults(`printer-${String(printer)}`, {});
+        }
+        await this.world.cluster.waitReady();
+    }
+
+    private async checkSlips(): Promise<readonly string[]> {
+        const broken: string[] = [];
+        for (const [slip, answers] of this.slips) {
+            broken.push(...checkSlip({ slip, answers, printed: await this.world.countEffects(slip) }));
+        }
+        return broken;
+    }
+
+    private checkOthers(confirmed: number): readonly string[] {
+        const newest = Math.max(0, ...[...this.versions.values()].map((versions) => versions.at(-1) ?? 0));
+        return [
+            ...this.completions.flatMap(checkCompletion),
+            ...[...this.versions].flatMap(([entry, versions]) => checkVersions(entry, versions)),
+            ...(newest < confirmed ? [`version ${String(confirmed)} was confirmed and is lost`] : []),
+        ];
+    }
+}
+
+function isSuccess(answer: SlipAnswer): boolean {
+    return answer.status === 200;
+}
