--- a/packages/scenarios/tests/soak.test.ts
+++ b/packages/scenarios/tests/soak.test.ts
@@ -7,6 +7,7 @@
 /** Seeds that failed once, each with its cause, and one that never did. */
 const seeds: readonly { readonly seed: number; readonly cause: string; }[] = [
     { seed: 1, cause: "never failed; a short run for CI" },
+    { seed: 108, cause: "a change confirmed while entries were paused came after the last look at their versions" },
 ];
 
 describe("no promise is broken while faults come in series and overlap", () => {
