Only upstreams that have ended are taken off a request's runs

Runs on upstreams that have ended don't count against the limit; an engine that this entry suspected was taken for ended, and so was one that is leaving. Since streams leave a silent path sooner, its first engine is often well and only suspected. Besides, an upstream that declined a request, or was never reached, was taken off too once it was gone, though the request never ran there.

Change: a request keeps the set of upstreams that it ran on; those that the voters know as lost or removed are taken off, no others.

Figures: of the three new rows one fails before (1, 1, 1, 1 sent where 1, 1, 1, 0 is right), fleetView's table covers leaving and lost.

--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -299,7 +299,7 @@
             askStall: (target, requestId) => this.stallReports.ask(target.address, requestId),
             followPath: (id, pauseMs, leave) => this.pulse.follow(id, pauseMs, leave),
             claimLeave: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
-            isAlive: (id) => this.view.getUpstream(id)?.status === "ready" && this.health.isUsable(id),
+            hasEnded: (id) => this.view.hasEnded(id),
             record: (event, fields) => {
                 log.record("info", event, fields);
             },
@@ -322,7 +322,7 @@
     /** A stream leaves a path only where it may run once more, has somewhere to go and a repeat is left. */
     private claimLeave(run: RoutedRun, isUnderWay: boolean): boolean {
         const { route, service } = run.admitted;
-        return run.runs + 1 < route.most_attempts
+        return run.ranOn.size + 1 < route.most_attempts
             && this.chooser.hasOtherPath(run)
             && this.budgets.get(service.name).claimRepeat(isUnderWay);
     }
--- a/packages/daemon/src/request/recordTry.ts
+++ b/packages/daemon/src/request/recordTry.ts
@@ -60,7 +60,7 @@
     }
     if (result.end !== "not-sent" && result.end !== "declined") {
         run.mayHaveRun = true;
-        run.runs += 1;
+        run.ranOn.add(upstreamId);
     }
 }
 
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -54,8 +54,8 @@
     readonly followPath: (upstreamId: string, pauseMs: number, leave: LeavePath) => StreamPulse;
     /** Whether a stream may leave its path for another; draws on the budget of repeats where it may. */
     readonly claimLeave: (run: RoutedRun, isUnderWay: boolean) => boolean;
-    /** Whether an upstream is still believed to be there. */
-    readonly isAlive: (id: string) => boolean;
+    /** Whether an upstream has ended, or is cut off: it can't answer any more. */
+    readonly hasEnded: (id: string) => boolean;
     readonly record: (event: string, fields: EventFields) => void;
 }
 
@@ -259,10 +259,12 @@
     }
 }
 
-/** A run on an upstream that has ended meanwhile can't give an answer, and does not count against the route's limit. */
+/**
+ * A run on an upstream that has ended meanwhile can't give an answer, and does not count against the route's limit. One
+ * that is merely suspected still counts.
+ */
 function countLivingRuns(run: RoutedRun, functions: RoutedRequestFunctions): number {
-    const gone = [...run.tried].filter((id) => !functions.isAlive(id)).length;
-    return Math.max(0, run.runs - gone);
+    return [...run.ranOn].filter((id) => !functions.hasEnded(id)).length;
 }
 
 function getNotRunRefusal(end: TryEnd): RefusalId {
--- a/packages/daemon/src/request/routedRun.ts
+++ b/packages/daemon/src/request/routedRun.ts
@@ -22,8 +22,8 @@
     /** Upstreams that it was sent to, first ones of paths. */
     readonly tried = new Set<string>();
     tries = 0;
-    /** Upstreams that it ran on, or may have. */
-    runs = 0;
+    /** Upstreams that it ran on, or may have, first ones of paths. */
+    readonly ranOn = new Set<string>();
     mayHaveRun = false;
     /** What was done, for the log. */
     readonly steps: string[] = [];
--- a/packages/daemon/src/request/tryWatch.ts
+++ b/packages/daemon/src/request/tryWatch.ts
@@ -53,7 +53,7 @@
     if (relay !== undefined) {
         return target.stages === undefined ? undefined : new SilenceWatch(run, target, relay, functions, giveUp);
     }
-    if (run.runs + 1 >= route.most_attempts || functions.chooseTarget(run, undefined, true).kind !== "target") {
+    if (run.ranOn.size + 1 >= route.most_attempts || functions.chooseTarget(run, undefined, true).kind !== "target") {
         return undefined;
     }
     const timer = setTimeout(() => {
--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -81,6 +81,15 @@
         return this.upstreams.get(id);
     }
 
+    /**
+     * Tells whether an upstream has ended or is cut off, as far as the voters know. One that is leaving still works.
+     * @param id - names one start of it
+     * @returns true where it can't answer any more
+     */
+    hasEnded(id: string): boolean {
+        return (this.upstreams.get(id)?.status ?? "lost") === "lost";
+    }
+
     /**
      * Finds the upstream at an address.
      * @param address - host and port
--- /dev/null
+++ b/packages/daemon/tests/fleetView.test.ts
@@ -0,0 +1,28 @@
+import { expect } from "chai";
+import { FleetView } from "../src/version/fleetView.js";
+
+describe("an upstream counts as ended only where the voters say so", () => {
+    const rows = [
+        { title: "ready", status: "ready", hasEnded: false },
+        { title: "leaving, still at work", status: "leaving", hasEnded: false },
+        { title: "lost", status: "lost", hasEnded: true },
+        { title: "not known any more", status: undefined, hasEnded: true },
+    ] as const;
+    for (const { title, status, hasEnded } of rows) {
+        it(title, () => {
+            const view = new FleetView();
+            const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
+            view.applyUpstreams({
+                kind: "state",
+                index: 1,
+                is_whole: true,
+                upstreams: status === undefined ? [] : [{ ...facts, status }],
+                removed: [],
+                entries: 1,
+                loads_elsewhere: {},
+                voters: [],
+            });
+            expect(view.hasEnded("u")).to.equal(hasEnded);
+        });
+    }
+});
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -118,6 +118,8 @@
     readonly upstreams: readonly Pick<ScriptedUpstream, "name" | "address">[];
     readonly route: Partial<Route>;
     readonly isPath?: boolean;
+    /** Names of upstreams that have ended, as the voters know. */
+    readonly ended?: readonly string[];
     /** Whether a stream may leave its path for silence alone; left out for yes. */
     readonly mayLeave?: boolean;
     /** Whether what is there has no room, rather than that nothing is there. */
@@ -205,7 +207,7 @@
             followPath: (id, pauseMs, leave) => this.pulse.follow(id, pauseMs, leave),
             claimLeave: (run) =>
                 options.mayLeave !== false && options.upstreams.some((one) => !run.tried.has(one.name)),
-            isAlive: () => true,
+            hasEnded: (id) => options.ended?.includes(id) === true,
             record: () => undefined,
         };
     }
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -78,7 +78,7 @@
 async function play(
     names: readonly string[],
     route: Partial<Route>,
-    options: Pick<EntryOptions, "isPath" | "mayLeave"> = {},
+    options: Pick<EntryOptions, "isPath" | "mayLeave" | "ended"> = {},
 ): Promise<{
     readonly seen: SeenAnswer;
     readonly requests: readonly string[][];
@@ -287,6 +287,28 @@
         expect(suspects).to.deep.equal(["at-fault"]);
     });
 
+    const limitRows = [
+        { title: "two runs are enough", upstreams: ["reset", "reset", "good"], ended: [], sent: [1, 1, 0] },
+        {
+            title: "one that has ended does not count",
+            upstreams: ["reset", "reset", "good"],
+            ended: ["reset0"],
+            sent: [1, 1, 1],
+        },
+        {
+            title: "one that never ran it takes nothing off, also where it has ended",
+            upstreams: ["declining", "reset", "reset", "good"],
+            ended: ["declining0"],
+            sent: [1, 1, 1, 0],
+        },
+    ];
+    for (const { title, upstreams, ended, sent } of limitRows) {
+        it(`a request of two attempts: ${title}`, async () => {
+            const { requests } = await play(upstreams, {}, { ended });
+            expect(requests.map((one) => one.length)).to.deep.equal(sent);
+        });
+    }
+
     it("streams that fall silent together go on elsewhere before any report tells, and no engine is blamed", async () => {
         const silent = await ScriptedUpstream.open("silent", answers["streamSilent"] ?? (() => undefined));
         const good = await ScriptedUpstream.open("good", answers["stream"] ?? (() => undefined));
