Layers are placed with the whole fleet in view, and left-over engines hold copies of first stages

Cause: engines register one after another within two heartbeats, and the plan gave orders from the first on. Slow engines that came first held layers that fast ones have room for. What was left over stood idle.

Ruled out: too little speed of the fleet: with the fastest engines full, paths take 30 to 49 ms a pass by the engines' figures where they took 46 to 64.

Change: no order before a heartbeat has passed without a new engine, unless some hold layers (isPlacementDue). Paths are filled from the last layer down, so that the first stage is the smallest; engines that are left over hold copies of it, and each begins a path that shares the later stages. A copy is given up for a gap.

--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -2,7 +2,7 @@
  * Brings layers to the engines, as the plan says. Only a leader inside its lease gives orders; an order without an
  * answer may still be carried out later, so its engine gets no other until that time is over or its report is clear.
  */
-import { computeLayerPlan, type LayerOrder, type PlannedEngine } from "@crankfork/decisions";
+import { computeLayerPlan, isPlacementDue, type LayerOrder, type PlannedEngine } from "@crankfork/decisions";
 import type { EngineProfile, LayerSpan, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
 import type { EngineControl, OrderEnd } from "../connection/engineControl.js";
 import type { EventLog } from "./eventLog.js";
@@ -18,6 +18,8 @@
     readonly getNowMs: () => number;
     /** Services of the newest document that run a model. */
     readonly getServices: () => readonly RoutedService[];
+    /** Between two heartbeats of an upstream. */
+    readonly heartbeatMs: number;
 }
 
 const TICK_MS = 100;
@@ -31,6 +33,8 @@
 
 interface OpenOrder {
     readonly span: LayerSpan;
+    /** What the engine held when it was ordered; its reports lag, and may tell it for a while. */
+    readonly before: LayerSpan | undefined;
     readonly limitMs: number;
     state: "asking" | "loading" | "unclear";
     reportedMs: number;
@@ -39,6 +43,8 @@
 /** Gives orders and follows them. */
 export class LayerKeeper {
     private readonly orders = new Map<string, OpenOrder>();
+    private readonly known = new Set<string>();
+    private arrivedMs = 0;
     private stopTicking: StopTicking | undefined;
 
     /**
@@ -78,12 +84,29 @@
     private planService(name: string, profile: EngineProfile): void {
         const engines = this.options.host.state.listUpstreams()
             .filter((upstream) => upstream.service === name && upstream.status === "ready");
+        if (!this.isPlacementDue(engines)) {
+            return;
+        }
         const planned = engines.flatMap((upstream) => this.createPlannedEngine(upstream) ?? []);
         computeLayerPlan(planned, profile).forEach((order) => {
             void this.giveOrder(order, profile);
         });
     }
 
+    private isPlacementDue(engines: readonly RegisteredUpstream[]): boolean {
+        const { getNowMs, heartbeatMs } = this.options;
+        const arrived = engines.filter(({ id }) => !this.known.has(id));
+        if (arrived.length > 0) {
+            this.arrivedMs = getNowMs();
+            arrived.forEach(({ id }) => this.known.add(id));
+        }
+        return isPlacementDue({
+            isBegun: engines.some(({ id, held }) => held !== undefined || this.orders.has(id)),
+            sinceArrivalMs: getNowMs() - this.arrivedMs,
+            heartbeatMs,
+        });
+    }
+
     private createPlannedEngine(upstream: RegisteredUpstream): PlannedEngine | undefined {
         const order = this.orders.get(upstream.id);
         if (order?.state === "unclear" && upstream.held === undefined) {
@@ -108,6 +131,7 @@
         const loadMs = profile.load_ms * (span.end - span.first) / profile.layers;
         const order: OpenOrder = {
             span,
+            before: upstream.held,
             limitMs: getNowMs() + Math.max(LEAST_LOAD_LIMIT_MS, loadMs * SLOW_LOAD_FACTOR),
             state: "asking",
             reportedMs: getNowMs(),
@@ -132,9 +156,9 @@
         if (report.kind === "failed") {
             return { kind: "refused", reason: report.reason };
         }
-        if (report.held !== undefined) {
+        if (!isSameSpan(report.held, upstream.held)) {
             voter.recordHeld(upstream, report.held);
-            return { kind: "refused", reason: "it holds layers already" };
+            return { kind: "refused", reason: "it holds other layers than expected" };
         }
         if (!host.replica.hasNewestState()) {
             return { kind: "refused", reason: "leadership was lost" };
@@ -150,6 +174,7 @@
         switch (end.kind) {
             case "begun":
                 order.state = "loading";
+                this.recordGivenUp(id, order);
                 return;
             case "unclear":
                 order.state = "unclear";
@@ -161,10 +186,18 @@
         }
     }
 
+    /** What an engine gives up takes nothing new; entries have to know before their requests are declined. */
+    private recordGivenUp(id: string, order: OpenOrder): void {
+        const upstream = this.options.host.state.getUpstream(id);
+        if (upstream !== undefined && order.before !== undefined) {
+            this.options.voter.recordHeld(upstream, undefined);
+        }
+    }
+
     private followOrder(id: string, order: OpenOrder): void {
         const { host, getNowMs } = this.options;
         const upstream = host.state.getUpstream(id);
-        if (upstream === undefined || upstream.held !== undefined) {
+        if (upstream === undefined || hasNews(upstream.held, order)) {
             this.orders.delete(id);
             return;
         }
@@ -177,7 +210,7 @@
     private async readReport(upstream: RegisteredUpstream, order: OpenOrder): Promise<void> {
         const { control, voter } = this.options;
         const report = await control.getReport(upstream.address);
-        if (report.kind === "report" && report.held !== undefined && this.orders.get(upstream.id) === order) {
+        if (report.kind === "report" && hasNews(report.held, order) && this.orders.get(upstream.id) === order) {
             voter.recordHeld(upstream, report.held);
         }
     }
@@ -191,3 +224,12 @@
         }
     }
 }
+
+function isSameSpan(one: LayerSpan | undefined, other: LayerSpan | undefined): boolean {
+    return one?.first === other?.first && one?.end === other?.end;
+}
+
+/** Whether an engine holds layers that it did not hold when it was ordered. */
+function hasNews(held: LayerSpan | undefined, order: OpenOrder): boolean {
+    return held !== undefined && !isSameSpan(held, order.before);
+}
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/runVoter.ts
@@ -130,6 +130,7 @@
         log,
         getNowMs,
         getServices: createServiceReader(host, protocol.decodeDocument),
+        heartbeatMs: contract.upstream_heartbeat,
     });
     group.start();
     keeper.start();
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -37,4 +37,6 @@
 } from "./version/computePlacement.js";
 export { computeShare, type ShareView } from "./version/computeShare.js";
 export { createPlan, formatDifferences, type PlanningResult } from "./version/createPlan.js";
+export * from "./version/isPlacementDue.js";
+export * from "./version/layerCoverage.js";
 export { RecentCount } from "./version/recentCount.js";
--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -41,19 +41,46 @@
 const MS_A_SECOND = 1_000;
 
 /**
- * Computes paths that share no engine, fastest first in each failure domain.
+ * Computes paths, fastest first in each failure domain. They share no engine, but for those that begin at copies of a
+ * first stage: these share the later stages.
  * @param engines - engines that work may be sent to
  * @param profile - the model and the accelerators
  * @returns paths inside failure domains; where there is none at all, one path across them if there is any
  */
 export function computeChains(engines: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
     const domains = [...new Set(engines.map((engine) => engine.failureDomain))].sort();
-    const inside = domains.flatMap((domain) =>
-        computeDisjointChains(engines.filter((engine) => engine.failureDomain === domain), profile)
-    );
+    const inside = domains.flatMap((domain) => {
+        const here = engines.filter((engine) => engine.failureDomain === domain);
+        return addSharingChains(computeDisjointChains(here, profile), here, profile);
+    });
     return inside.length > 0 ? inside : computeDisjointChains(engines, profile).slice(0, 1);
 }
 
+/** Adds a path for each engine that is left over and holds a copy of the first stage of one. */
+function addSharingChains(
+    chains: readonly Chain[],
+    engines: readonly HoldingEngine[],
+    profile: EngineProfile,
+): readonly Chain[] {
+    const used = new Set(chains.flatMap((chain) => chain.stages.map((stage) => stage.engine.id)));
+    const groups = chains.map((chain) => [chain]);
+    engines.filter(({ id, span }) => !used.has(id) && span.first === 0).forEach((engine) => {
+        const [group] = groups
+            .filter(([chain]) => chain?.stages[0]?.span.end === engine.span.end)
+            .sort((left, right) => left.length - right.length);
+        const [model] = group ?? [];
+        if (model !== undefined) {
+            group?.push(createChain([{ engine, span: engine.span }, ...model.stages.slice(1)], profile));
+        }
+    });
+    return groups.flatMap((group) => group.map((chain) => shareContext(chain, group.length)));
+}
+
+/** The memory of the later stages is divided evenly among the paths that share them. */
+function shareContext(chain: Chain, paths: number): Chain {
+    return { ...chain, contextTokens: chain.contextTokens / paths };
+}
+
 function computeDisjointChains(engines: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
     const chains: Chain[] = [];
     let free = engines;
--- a/packages/decisions/src/version/computeLayerPlan.ts
+++ b/packages/decisions/src/version/computeLayerPlan.ts
@@ -5,8 +5,14 @@
  * a path is as slow as its stages together: the fastest engines are gathered into few short paths inside each failure
  * domain (figures: docs/design/layer-plan.md). Engines that hold layers keep them; a gap is filled by the fastest
  * empty engine, so that a lost stage costs the fewest loads.
+ *
+ * Paths are filled from the last layer down, so that their first stage is the smallest, on the slowest engine. Engines
+ * that are left over hold copies of it. Each copy begins a path of its own, which shares the later stages: while one
+ * path's pass is in a later stage, another's is in the first (pipelining by small batches, as in GPipe, Huang et al.,
+ * 2019).
  */
 import type { Accelerator, EngineProfile, LayerSpan } from "@crankfork/schemas";
+import { LayerCoverage } from "./layerCoverage.js";
 
 /**
  * Part of the profile's tokens of context for which an engine keeps memory free beside its layers. All of it: with
@@ -33,14 +39,14 @@
     readonly mayBeOrdered: boolean;
 }
 
-/** An engine is to take layers. */
+/** An engine is to take layers; what it held before is given up. */
 export interface LayerOrder {
     readonly id: string;
     readonly span: LayerSpan;
 }
 
 /**
- * Computes what empty engines are to take.
+ * Computes what empty engines, and those that others can do without, are to take.
  * @param engines - engines of one service that are alive
  * @param profile - the model and the accelerators
  * @returns orders; none where every failure domain holds what it can
@@ -65,90 +71,103 @@
 
 const BYTES_A_MB = 1_000_000;
 
-interface EmptyEngine {
+interface FreeEngine {
     readonly id: string;
     readonly room: number;
     readonly mayBeOrdered: boolean;
+    /** What it holds though others hold it as well; undefined for an empty engine. */
+    readonly span: LayerSpan | undefined;
 }
 
 function computeDomainPlan(engines: readonly PlannedEngine[], profile: EngineProfile): readonly LayerOrder[] {
-    const coverage = new Array<number>(profile.layers).fill(0);
-    engines.filter((engine) => engine.slowness < SLOW).forEach((engine) => {
-        addCoverage(coverage, engine.span);
-    });
-    const empty = listEmptyEngines(engines, profile);
+    const sound = engines.filter((engine) => engine.slowness < SLOW);
+    const coverage = new LayerCoverage(profile.layers, sound.flatMap(({ span }) => span ?? []));
+    let free = listFreeEngines(sound, profile);
     const orders: LayerOrder[] = [];
     // Each turn completes one more path; the last that can't be completed is not begun.
     for (let depth = 1;; depth += 1) {
-        const turn = fillUpTo(coverage, depth, empty);
+        const turn = fillUpTo(coverage, depth, free);
         if (turn === undefined) {
-            return orders;
+            break;
         }
-        orders.push(...turn.orders);
-        empty.splice(0, empty.length, ...empty.filter((engine) => !turn.used.has(engine.id)));
+        orders.push(...turn);
+        const used = new Set(turn.map(({ id }) => id));
+        free = free.filter((engine) => !used.has(engine.id));
     }
+    const held = listHeld(sound, orders);
+    const copies = copyFirstStages(held, free.filter(({ span }) => span === undefined));
+    const mayBeOrdered = new Set(engines.filter((engine) => engine.mayBeOrdered).map(({ id }) => id));
+    return [...orders, ...copies].filter(({ id }) => mayBeOrdered.has(id));
 }
 
-function listEmptyEngines(engines: readonly PlannedEngine[], profile: EngineProfile): EmptyEngine[] {
+/** Empty engines, the fastest first, then those that hold layers. */
+function listFreeEngines(engines: readonly PlannedEngine[], profile: EngineProfile): readonly FreeEngine[] {
     const accelerators = new Map(profile.accelerators.map((one) => [one.name, one]));
     return engines.flatMap((engine) => {
         const accelerator = accelerators.get(engine.accelerator);
         const room = accelerator === undefined ? 0 : computeLayerRoom(accelerator, profile);
-        return accelerator === undefined || engine.span !== undefined || room === 0 || engine.slowness >= SLOW
+        return accelerator === undefined || room === 0
             ? []
-            : [{ engine, room, step: accelerator.step_factor, read: accelerator.read_factor }];
+            : [{ engine, room, cost: accelerator.step_factor * accelerator.read_factor }];
     }).sort((left, right) =>
-        left.step * left.read - right.step * right.read || left.engine.id.localeCompare(right.engine.id)
-    ).map(({ engine, room }) => ({ id: engine.id, room, mayBeOrdered: engine.mayBeOrdered }));
+        Number(left.engine.span !== undefined) - Number(right.engine.span !== undefined)
+        || left.cost - right.cost
+        || left.engine.id.localeCompare(right.engine.id)
+    ).map(({ engine, room }) => ({ id: engine.id, room, mayBeOrdered: engine.mayBeOrdered, span: engine.span }));
 }
 
-interface FilledTurn {
-    readonly orders: readonly LayerOrder[];
-    readonly used: ReadonlySet<string>;
-}
-
-/** Fills all layers that fewer than `depth` engines hold; undefined where the empty engines don't reach. */
-function fillUpTo(coverage: number[], depth: number, empty: readonly EmptyEngine[]): FilledTurn | undefined {
-    const trial = [...coverage];
-    const used = new Set<string>();
+/** Fills all layers that fewer than `depth` engines hold; undefined where the free engines don't reach. */
+function fillUpTo(
+    coverage: LayerCoverage,
+    depth: number,
+    free: readonly FreeEngine[],
+): readonly LayerOrder[] | undefined {
+    const trial = coverage.copy();
     const orders: LayerOrder[] = [];
-    for (let gap = findGap(trial, depth); gap !== undefined; gap = findGap(trial, depth)) {
-        const engine = empty.find((one) => !used.has(one.id));
+    const used = new Set<string>();
+    for (let gap = trial.findLastGap(depth); gap !== undefined; gap = trial.findLastGap(depth)) {
+        const engine = free.find((one) => !used.has(one.id) && canBeTaken(one, trial, depth));
         if (engine === undefined) {
+            if (depth > 1 || orders.length === 0) {
+                return undefined;
+            }
             // A first path that has a hole is filled as far as it goes: the next engine may close it.
-            return depth === 1 && used.size > 0 ? applyTurn(coverage, trial, orders, used) : undefined;
+            break;
         }
-        const span = { first: gap.first, end: Math.min(gap.end, gap.first + engine.room) };
-        addCoverage(trial, span);
+        const span = { first: Math.max(gap.first, gap.end - engine.room), end: gap.end };
+        trial.remove(engine.span);
+        trial.add(span);
         used.add(engine.id);
-        if (engine.mayBeOrdered) {
-            orders.push({ id: engine.id, span });
-        }
+        orders.push({ id: engine.id, span });
     }
-    return applyTurn(coverage, trial, orders, used);
+    coverage.replaceBy(trial);
+    return orders;
 }
 
-function applyTurn(
-    coverage: number[],
-    trial: readonly number[],
-    orders: readonly LayerOrder[],
-    used: ReadonlySet<string>,
-): FilledTurn {
-    coverage.splice(0, coverage.length, ...trial);
-    return { orders, used };
+/** An engine that holds layers is taken for a gap only where others hold all of them as well. */
+function canBeTaken(engine: FreeEngine, coverage: LayerCoverage, depth: number): boolean {
+    return engine.span === undefined || (engine.mayBeOrdered && coverage.isCovered(engine.span, depth + 1));
 }
 
-function addCoverage(coverage: number[], span: LayerSpan | undefined): void {
-    for (let layer = span?.first ?? 0; layer < (span?.end ?? 0); layer += 1) {
-        coverage[layer] = (coverage[layer] ?? 0) + 1;
-    }
+function listHeld(engines: readonly PlannedEngine[], orders: readonly LayerOrder[]): readonly LayerSpan[] {
+    const ordered = new Map(orders.map(({ id, span }) => [id, span]));
+    return engines.flatMap(({ id, span }) => ordered.get(id) ?? span ?? []);
 }
 
-function findGap(coverage: readonly number[], depth: number): LayerSpan | undefined {
-    const first = coverage.findIndex((count) => count < depth);
-    if (first === -1) {
-        return undefined;
-    }
-    const length = coverage.slice(first).findIndex((count) => count >= depth);
-    return { first, end: length === -1 ? coverage.length : first + length };
+/** Empty engines hold copies of first stages, those that have the fewest first. */
+function copyFirstStages(held: readonly LayerSpan[], empty: readonly FreeEngine[]): readonly LayerOrder[] {
+    const ends = held.filter(({ first }) => first === 0).map(({ end }) => end);
+    return empty.flatMap(({ id, room }) => {
+        const fitting = [...new Set(ends)].filter((end) => end <= room);
+        const [end] = fitting.sort((left, right) => countEqual(ends, left) - countEqual(ends, right));
+        if (end === undefined) {
+            return [];
+        }
+        ends.push(end);
+        return [{ id, span: { first: 0, end } }];
+    });
+}
+
+function countEqual(values: readonly number[], value: number): number {
+    return values.filter((one) => one === value).length;
 }
--- /dev/null
+++ b/packages/decisions/src/version/isPlacementDue.ts
@@ -0,0 +1,24 @@
+/**
+ * Whether layers are placed now. Engines that start together register one after another, within about a heartbeat. A
+ * plan made for the first few of them puts slow engines where fast ones belong.
+ */
+
+/** The engines of one service, as the leader knows them. */
+export interface EngineArrivals {
+    /** Whether any engine holds layers, or was ordered to. */
+    readonly isBegun: boolean;
+    /** Time since an engine registered for the first time, in milliseconds. */
+    readonly sinceArrivalMs: number;
+    /** Between two heartbeats of an engine. */
+    readonly heartbeatMs: number;
+}
+
+/**
+ * Tells whether layers are placed now. Purpose: with the whole fleet in view the path through the one fast engine of a
+ * failure domain takes 5.9 ms a step instead of 10.1 (28 of 80 layers on it instead of 11; from the engines' figures).
+ * @param arrivals - what is known
+ * @returns false while more engines are expected, unless some hold layers already
+ */
+export function isPlacementDue({ isBegun, sinceArrivalMs, heartbeatMs }: EngineArrivals): boolean {
+    return isBegun || sinceArrivalMs >= heartbeatMs;
+}
