Slow engines are covered only by faster ones, and what has become idle holds a copy again

Layers that stood in for a lost engine were kept when it was no longer needed.

Ruled out: a fixed limit of slowness alone: what matters is whether something faster can take the layers.

Change: listSoundEngines compares a slow engine with the engines that could take its layers; listIdle gives copies of first stages to engines whose layers more engines hold than there are paths.

--- a/packages/decisions/src/version/computeLayerPlan.ts
+++ b/packages/decisions/src/version/computeLayerPlan.ts
@@ -21,8 +21,8 @@
 const CONTEXT_SHARE = 1;
 
 /**
- * An engine that is so many times slower than it should be is passed over where an empty one can hold its layers: the
- * slowest cards of the users' fleets are five times slower than the fastest, so a little slowness is no reason.
+ * An engine that is so many times slower than it should be is covered by others where these are faster than it is now:
+ * the slowest cards of the users' fleets are five times slower than the fastest, so a little slowness is no reason.
  */
 const SLOW = 2;
 
@@ -74,46 +74,93 @@
 interface FreeEngine {
     readonly id: string;
     readonly room: number;
+    /** Time of a step against the fastest accelerator there could be; grows with the engine's slowness. */
+    readonly stepFactor: number;
     readonly mayBeOrdered: boolean;
     /** What it holds though others hold it as well; undefined for an empty engine. */
     readonly span: LayerSpan | undefined;
 }
 
 function computeDomainPlan(engines: readonly PlannedEngine[], profile: EngineProfile): readonly LayerOrder[] {
-    const sound = engines.filter((engine) => engine.slowness < SLOW);
+    const all = listEngines(engines, profile);
+    const sound = listSoundEngines(engines, all);
     const coverage = new LayerCoverage(profile.layers, sound.flatMap(({ span }) => span ?? []));
-    let free = listFreeEngines(sound, profile);
+    let free = all.filter(({ id }) => sound.some((engine) => engine.id === id));
     const orders: LayerOrder[] = [];
+    let paths = 0;
     // Each turn completes one more path; the last that can't be completed is not begun.
-    for (let depth = 1;; depth += 1) {
-        const turn = fillUpTo(coverage, depth, free);
+    for (;;) {
+        const turn = fillUpTo(coverage, paths + 1, free);
         if (turn === undefined) {
             break;
         }
+        paths += 1;
         orders.push(...turn);
         const used = new Set(turn.map(({ id }) => id));
         free = free.filter((engine) => !used.has(engine.id));
     }
     const held = listHeld(sound, orders);
-    const copies = copyFirstStages(held, free.filter(({ span }) => span === undefined));
+    const copies = copyFirstStages(held, listIdle(free, coverage, paths));
     const mayBeOrdered = new Set(engines.filter((engine) => engine.mayBeOrdered).map(({ id }) => id));
     return [...orders, ...copies].filter(({ id }) => mayBeOrdered.has(id));
 }
 
 /** Empty engines, the fastest first, then those that hold layers. */
-function listFreeEngines(engines: readonly PlannedEngine[], profile: EngineProfile): readonly FreeEngine[] {
+function listEngines(engines: readonly PlannedEngine[], profile: EngineProfile): readonly FreeEngine[] {
     const accelerators = new Map(profile.accelerators.map((one) => [one.name, one]));
     return engines.flatMap((engine) => {
         const accelerator = accelerators.get(engine.accelerator);
         const room = accelerator === undefined ? 0 : computeLayerRoom(accelerator, profile);
         return accelerator === undefined || room === 0
             ? []
-            : [{ engine, room, cost: accelerator.step_factor * accelerator.read_factor }];
+            : [{ engine, room, accelerator, cost: accelerator.step_factor * accelerator.read_factor }];
     }).sort((left, right) =>
         Number(left.engine.span !== undefined) - Number(right.engine.span !== undefined)
         || left.cost - right.cost
         || left.engine.id.localeCompare(right.engine.id)
-    ).map(({ engine, room }) => ({ id: engine.id, room, mayBeOrdered: engine.mayBeOrdered, span: engine.span }));
+    ).map(({ engine, room, accelerator }) => ({
+        id: engine.id,
+        room,
+        stepFactor: accelerator.step_factor * engine.slowness,
+        mayBeOrdered: engine.mayBeOrdered,
+        span: engine.span,
+    }));
+}
+
+/** A slow engine counts as long as nothing that could take its layers is faster. */
+function listSoundEngines(engines: readonly PlannedEngine[], all: readonly FreeEngine[]): readonly PlannedEngine[] {
+    const sound = engines.filter(({ slowness }) => slowness < SLOW);
+    const isSound = new Set(sound.map(({ id }) => id));
+    const held = sound.flatMap(({ span }) => span ?? []);
+    const takers = all.filter(({ id, span }) =>
+        isSound.has(id) && (span === undefined || countEqualSpans(held, span) > 1)
+    );
+    const fastest = Math.min(...takers.map(({ stepFactor }) => stepFactor));
+    const slow = engines.filter(({ id, span }) => {
+        const stepFactor = all.find((one) => one.id === id)?.stepFactor ?? Number.POSITIVE_INFINITY;
+        return !isSound.has(id) && span !== undefined && stepFactor <= fastest;
+    });
+    return [...sound, ...slow];
+}
+
+function countEqualSpans(spans: readonly LayerSpan[], span: LayerSpan): number {
+    return spans.filter(({ first, end }) => first === span.first && end === span.end).length;
+}
+
+/**
+ * Empty engines, and those whose layers more engines hold than there are paths: what filled a gap or stood in for a slow
+ * engine is of no use once that is back.
+ */
+function listIdle(free: readonly FreeEngine[], coverage: LayerCoverage, paths: number): readonly FreeEngine[] {
+    const left = coverage.copy();
+    const idle = free.filter(({ span }) => span !== undefined).reverse().filter(({ span, mayBeOrdered }) => {
+        const isIdle = span !== undefined && span.first > 0 && mayBeOrdered && left.isCovered(span, paths + 1);
+        if (isIdle) {
+            left.remove(span);
+        }
+        return isIdle;
+    });
+    return [...free.filter(({ span }) => span === undefined), ...(paths > 0 ? idle : [])];
 }
 
 /** Fills all layers that fewer than `depth` engines hold; undefined where the free engines don't reach. */
@@ -154,10 +201,10 @@
     return engines.flatMap(({ id, span }) => ordered.get(id) ?? span ?? []);
 }
 
-/** Empty engines hold copies of first stages, those that have the fewest first. */
-function copyFirstStages(held: readonly LayerSpan[], empty: readonly FreeEngine[]): readonly LayerOrder[] {
+/** Idle engines hold copies of first stages, those that have the fewest first. */
+function copyFirstStages(held: readonly LayerSpan[], idle: readonly FreeEngine[]): readonly LayerOrder[] {
     const ends = held.filter(({ first }) => first === 0).map(({ end }) => end);
-    return empty.flatMap(({ id, room }) => {
+    return idle.flatMap(({ id, room }) => {
         const fitting = [...new Set(ends)].filter((end) => end <= room);
         const [end] = fitting.sort((left, right) => countEqual(ends, left) - countEqual(ends, right));
         if (end === undefined) {
--- a/packages/decisions/tests/layerPlan.test.ts
+++ b/packages/decisions/tests/layerPlan.test.ts
@@ -111,6 +111,35 @@
         ],
         plan: "f2=6-10 f3=2-6 f4=0-2",
     },
+    {
+        title: "one that is far too slow and still faster than all others keeps its layers",
+        engines: [
+            { ...engine("f1", "fast", span(2, 10)), slowness: 5 },
+            holding("s1", "slow", span(0, 2)),
+            holding("s2", "slow", span(0, 2)),
+            engine("s3", "slow"),
+        ],
+        plan: "s3=0-2",
+    },
+    {
+        title: "what stood in for a slow engine that is well again holds a copy of the first stage",
+        engines: [
+            engine("f1", "fast", span(2, 10)),
+            holding("s1", "slow", span(0, 2)),
+            holding("s2", "slow", span(8, 10)),
+        ],
+        plan: "s2=0-2",
+    },
+    {
+        title: "a second path is no copy",
+        engines: [
+            holding("f1", "fast", span(2, 10)),
+            holding("f2", "fast", span(2, 10)),
+            holding("s1", "slow", span(0, 2)),
+            holding("s2", "slow", span(0, 2)),
+        ],
+        plan: "",
+    },
     {
         title: "one that is a little slow is not",
         engines: [{ ...engine("f1", "fast", span(0, 10)), slowness: 1.5 }, engine("f2", "fast")],
