A fast engine that comes back takes over what slow ones hold

Change: chooseUpgrade lets one engine at a time take, or take in addition, the layers that make its paths faster by the most, from a twentieth on; it goes on with what it holds. What has become idle is given up only for what is loaded.

--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -189,7 +189,7 @@
     /** What an engine gives up takes nothing new; entries have to know before their requests are declined. */
     private recordGivenUp(id: string, order: OpenOrder): void {
         const upstream = this.options.host.state.getUpstream(id);
-        if (upstream !== undefined && order.before !== undefined) {
+        if (upstream !== undefined && order.before !== undefined && !isWithin(order.before, order.span)) {
             this.options.voter.recordHeld(upstream, undefined);
         }
     }
@@ -229,6 +229,10 @@
     return one?.first === other?.first && one?.end === other?.end;
 }
 
+function isWithin(inner: LayerSpan, outer: LayerSpan): boolean {
+    return outer.first <= inner.first && inner.end <= outer.end;
+}
+
 /** Whether an engine holds layers that it did not hold when it was ordered. */
 function hasNews(held: LayerSpan | undefined, order: OpenOrder): boolean {
     return held !== undefined && !isSameSpan(held, order.before);
--- a/packages/decisions/src/version/computeLayerPlan.ts
+++ b/packages/decisions/src/version/computeLayerPlan.ts
@@ -12,6 +12,7 @@
  * 2019).
  */
 import type { Accelerator, EngineProfile, LayerSpan } from "@crankfork/schemas";
+import { chooseUpgrade } from "./chooseUpgrade.js";
 import { LayerCoverage } from "./layerCoverage.js";
 
 /**
@@ -71,8 +72,10 @@
 
 const BYTES_A_MB = 1_000_000;
 
-interface FreeEngine {
+/** An engine that may take layers, or more than it holds. */
+export interface FreeEngine {
     readonly id: string;
+    /** Layers that it holds beside the memory for requests. */
     readonly room: number;
     /** Time of a step against the fastest accelerator there could be; grows with the engine's slowness. */
     readonly stepFactor: number;
@@ -85,12 +88,16 @@
     const all = listEngines(engines, profile);
     const sound = listSoundEngines(engines, all);
     const coverage = new LayerCoverage(profile.layers, sound.flatMap(({ span }) => span ?? []));
+    const loaded = new LayerCoverage(
+        profile.layers,
+        sound.flatMap(({ span, mayBeOrdered }) => mayBeOrdered ? span ?? [] : []),
+    );
     let free = all.filter(({ id }) => sound.some((engine) => engine.id === id));
     const orders: LayerOrder[] = [];
     let paths = 0;
     // Each turn completes one more path; the last that can't be completed is not begun.
     for (;;) {
-        const turn = fillUpTo(coverage, paths + 1, free);
+        const turn = fillUpTo({ coverage, loaded }, paths + 1, free);
         if (turn === undefined) {
             break;
         }
@@ -100,9 +107,14 @@
         free = free.filter((engine) => !used.has(engine.id));
     }
     const held = listHeld(sound, orders);
-    const copies = copyFirstStages(held, listIdle(free, coverage, paths));
+    const copies = copyFirstStages(held, listIdle(free, loaded, paths));
     const mayBeOrdered = new Set(engines.filter((engine) => engine.mayBeOrdered).map(({ id }) => id));
-    return [...orders, ...copies].filter(({ id }) => mayBeOrdered.has(id));
+    // One at a time, and while nothing else is under way: each changes what the next is worth.
+    const upgrade = paths > 0 && orders.length === 0 && all.every((engine) => engine.mayBeOrdered)
+        ? chooseUpgrade(free, profile.layers)
+        : undefined;
+    const others = copies.filter(({ id }) => id !== upgrade?.id);
+    return [...orders, ...(upgrade === undefined ? [] : [upgrade]), ...others].filter(({ id }) => mayBeOrdered.has(id));
 }
 
 /** Empty engines, the fastest first, then those that hold layers. */
@@ -151,8 +163,8 @@
  * Empty engines, and those whose layers more engines hold than there are paths: what filled a gap or stood in for a slow
  * engine is of no use once that is back.
  */
-function listIdle(free: readonly FreeEngine[], coverage: LayerCoverage, paths: number): readonly FreeEngine[] {
-    const left = coverage.copy();
+function listIdle(free: readonly FreeEngine[], loaded: LayerCoverage, paths: number): readonly FreeEngine[] {
+    const left = loaded.copy();
     const idle = free.filter(({ span }) => span !== undefined).reverse().filter(({ span, mayBeOrdered }) => {
         const isIdle = span !== undefined && span.first > 0 && mayBeOrdered && left.isCovered(span, paths + 1);
         if (isIdle) {
@@ -163,17 +175,24 @@
     return [...free.filter(({ span }) => span === undefined), ...(paths > 0 ? idle : [])];
 }
 
+/** What is held or ordered, and what is held and loaded: only the latter can replace what is given up. */
+interface Coverages {
+    readonly coverage: LayerCoverage;
+    readonly loaded: LayerCoverage;
+}
+
 /** Fills all layers that fewer than `depth` engines hold; undefined where the free engines don't reach. */
 function fillUpTo(
-    coverage: LayerCoverage,
+    { coverage, loaded }: Coverages,
     depth: number,
     free: readonly FreeEngine[],
 ): readonly LayerOrder[] | undefined {
     const trial = coverage.copy();
+    const trialLoaded = loaded.copy();
     const orders: LayerOrder[] = [];
     const used = new Set<string>();
     for (let gap = trial.findLastGap(depth); gap !== undefined; gap = trial.findLastGap(depth)) {
-        const engine = free.find((one) => !used.has(one.id) && canBeTaken(one, trial, depth));
+        const engine = free.find((one) => !used.has(one.id) && canBeTaken(one, trialLoaded, depth));
         if (engine === undefined) {
             if (depth > 1 || orders.length === 0) {
                 return undefined;
@@ -183,17 +202,19 @@
         }
         const span = { first: Math.max(gap.first, gap.end - engine.room), end: gap.end };
         trial.remove(engine.span);
+        trialLoaded.remove(engine.span);
         trial.add(span);
         used.add(engine.id);
         orders.push({ id: engine.id, span });
     }
     coverage.replaceBy(trial);
+    loaded.replaceBy(trialLoaded);
     return orders;
 }
 
 /** An engine that holds layers is taken for a gap only where others hold all of them as well. */
-function canBeTaken(engine: FreeEngine, coverage: LayerCoverage, depth: number): boolean {
-    return engine.span === undefined || (engine.mayBeOrdered && coverage.isCovered(engine.span, depth + 1));
+function canBeTaken(engine: FreeEngine, loaded: LayerCoverage, depth: number): boolean {
+    return engine.span === undefined || (engine.mayBeOrdered && loaded.isCovered(engine.span, depth + 1));
 }
 
 function listHeld(engines: readonly PlannedEngine[], orders: readonly LayerOrder[]): readonly LayerSpan[] {
