An engine that declines is passed over for a moment, not suspected

Cause: a stage that is short of memory makes requests end with 503, named as the engine at fault. Entries suspected it: for 0.8 s and longer each time all paths of its failure domain were left out, their load went to the others, these ran out of memory in turn.

Ruled out: dead engines as the cause of these 503: the named engines went on answering reports.

Change: a decline leaves an engine out for 100 ms and asks for its report; without one it is suspected as before.

--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -294,6 +294,7 @@
             suspect: (id, reason) => {
                 this.suspect(id, reason);
             },
+            recordDecline: (id, reason) => void this.handleDecline(id, reason),
             findIdAt: (address) => this.view.findIdAt(address),
             claimRepeat: (service, isUnderWay) => this.budgets.get(service).claimRepeat(isUnderWay),
             askStall: (target, requestId) => this.stallReports.ask(target.address, requestId),
@@ -319,6 +320,17 @@
         this.options.log.record("warn", "upstream-suspected", { peer: id, reason, index: this.view.knownIndex });
     }
 
+    /** An engine that declines and gives no report is gone; any other has no room for a moment. */
+    private async handleDecline(id: string, reason: string): Promise<void> {
+        this.health.recordDecline(id);
+        const address = this.view.getUpstream(id)?.address;
+        const isThere = address !== undefined && await this.stallReports.isThere(address);
+        this.options.log.record("info", "upstream-declined", { peer: id, reason, is_there: isThere });
+        if (!isThere) {
+            this.suspect(id, reason);
+        }
+    }
+
     /** A stream leaves a path only where it may run once more, has somewhere to go and a repeat is left. */
     private claimLeave(run: RoutedRun, isUnderWay: boolean): boolean {
         const { route, service } = run.admitted;
--- a/packages/daemon/src/process/stallReports.ts
+++ b/packages/daemon/src/process/stallReports.ts
@@ -59,6 +59,16 @@
         return [];
     }
 
+    /**
+     * Tells whether an engine is there.
+     * @param address - the engine
+     * @returns false where it gives no report
+     */
+    async isThere(address: string): Promise<boolean> {
+        const report = await this.getReport(address);
+        return report.kind === "report";
+    }
+
     private getReport(address: string): Promise<ReportResult> {
         const nowMs = this.getNowMs();
         const known = this.shared.get(address);
--- a/packages/daemon/src/process/upstreamHealth.ts
+++ b/packages/daemon/src/process/upstreamHealth.ts
@@ -14,6 +14,8 @@
     /** Smoothed share of failures, from 0 to 1. */
     failures: number;
     suspectUntilMs: number;
+    /** Until when it is passed over because it declined. */
+    declinedUntilMs: number;
     suspicions: number;
 }
 
@@ -22,6 +24,8 @@
 /** How long an upstream that failed is left out the first time; doubled with each further failure. */
 const FIRST_SUSPICION_MS = 800;
 const MOST_SUSPICION_MS = 6_000;
+/** How long an upstream that had no room is passed over; with 60 streams of 3 s one ends every 50 ms. */
+const DECLINED_MS = 100;
 /** A failure counts as this many times the usual answer time in the choice among upstreams. */
 const FAILURE_WEIGHT = 8;
 /** Answer time of an upstream that has not answered yet; any figure that is alike for all of them will do. */
@@ -95,13 +99,24 @@
         this.reported.add(id);
     }
 
+    /**
+     * Passes an upstream over for a moment, because it had no room. This is no failure: engines decline while their
+     * memory is full, and leaving out for seconds what half of all paths share moves its load to the others, which then
+     * decline in turn.
+     * @param id - the upstream
+     */
+    recordDecline(id: string): void {
+        this.get(id).declinedUntilMs = this.getNowMs() + DECLINED_MS;
+    }
+
     /**
      * Tells whether work may be sent to an upstream.
      * @param id - the upstream
      * @returns false while it is left out
      */
     isUsable(id: string): boolean {
-        return (this.byId.get(id)?.suspectUntilMs ?? 0) <= this.getNowMs();
+        const health = this.byId.get(id);
+        return health === undefined || !isLeftOut(health, this.getNowMs());
     }
 
     /**
@@ -110,7 +125,7 @@
      */
     formatSuspects(): string {
         const nowMs = this.getNowMs();
-        return [...this.byId].filter(([, health]) => health.suspectUntilMs > nowMs).map(([id]) => id).sort().join(",");
+        return [...this.byId].filter(([, health]) => isLeftOut(health, nowMs)).map(([id]) => id).sort().join(",");
     }
 
     /**
@@ -177,6 +192,7 @@
             answerMs: undefined,
             failures: 0,
             suspectUntilMs: 0,
+            declinedUntilMs: 0,
             suspicions: 0,
         };
         this.byId.set(id, health);
@@ -184,6 +200,10 @@
     }
 }
 
+function isLeftOut(health: Health, nowMs: number): boolean {
+    return Math.max(health.suspectUntilMs, health.declinedUntilMs) > nowMs;
+}
+
 function smooth(present: number, newest: number): number {
     return present + NEWEST_WEIGHT * (newest - present);
 }
--- a/packages/daemon/src/request/recordTry.ts
+++ b/packages/daemon/src/request/recordTry.ts
@@ -49,10 +49,13 @@
 ): void {
     const { upstreamId } = target;
     const faultId = result.faultAddress === undefined ? undefined : functions.findIdAt(result.faultAddress);
-    if (faultId !== undefined && faultId !== upstreamId) {
+    if (result.end === "declined" && isFault(result)) {
+        functions.recordDecline(faultId ?? upstreamId, result.reason);
+    }
+    else if (faultId !== undefined && faultId !== upstreamId) {
         functions.suspect(faultId, result.reason);
     }
-    else if (result.end === "not-sent" || result.end === "stalled" || (result.end === "declined" && isFault(result))) {
+    else if (result.end === "not-sent" || result.end === "stalled") {
         functions.suspect(upstreamId, result.reason);
     }
     else if (result.end !== "left") {
@@ -64,7 +67,7 @@
     }
 }
 
-/** A declined request says that the upstream is full, unless it names itself at fault. */
+/** Whether the answer names the engine that had no room, or that is gone. */
 function isFault(result: Extract<TryResult, { kind: "ended"; }>): boolean {
     return result.faultAddress !== undefined;
 }
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -46,6 +46,8 @@
     readonly recordAnswer: (id: string, durationMs: number, isFailure: boolean) => void;
     /** Leaves an upstream out for a while. */
     readonly suspect: (id: string, reason: string) => void;
+    /** Passes an engine over that declined: it has no room, or it is gone. */
+    readonly recordDecline: (id: string, reason: string) => void;
     readonly findIdAt: (address: string) => string | undefined;
     /** Draws on the budget of repeats; `isUnderWay` tells whether the caller has a part of its answer already. */
     readonly claimRepeat: (service: string, isUnderWay: boolean) => boolean;
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -131,6 +131,7 @@
 export class TestEntry {
     readonly ends: RequestEnd[] = [];
     readonly suspects: string[] = [];
+    readonly declines: string[] = [];
     private readonly pulse = new PathPulse({ getNowMs: () => performance.now(), handleStill: () => undefined });
 
     private constructor(private readonly server: Server, readonly url: string, private readonly agent: Agent) {}
@@ -201,6 +202,7 @@
             recordEnd: () => undefined,
             recordAnswer: () => undefined,
             suspect: (id) => this.suspects.push(id),
+            recordDecline: (id) => this.declines.push(id),
             findIdAt: (address) => options.upstreams.find((one) => one.address === address)?.name ?? address,
             claimRepeat: () => true,
             askStall: options.askStall ?? (() => Promise.resolve({ kind: "moving" })),
