What an engine gives up stays given up, and an order under way is not given again

Cause: an engine that is to give up layers waits for the requests that use them, and its heartbeats tell them meanwhile. These brought the layers back into the view of the entries, which sent new requests there; after 4.2 s the order counted as lost and was given again, which began the wait anew.

Change: the voter passes over heartbeats that tell what was given up; reports say whether an order is under way, and its limit moves on while one is.

--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -9,6 +9,8 @@
     readonly held: LayerSpan | undefined;
     /** Orders that it has taken since its start. */
     readonly orders: number;
+    /** Whether it still works on an order: it loads, or waits for requests that use what it gives up. */
+    readonly isOrderUnderWay: boolean;
     /** How many times slower it is than its accelerator should be. */
     readonly slowness: number;
     /** Requests that stand still, and the address of the engine on their path that they wait for. */
--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/fleetVoter.ts
@@ -5,6 +5,7 @@
 import type { FleetState, ReplicaEvent } from "@crankfork/coordination";
 import type {
     FleetCommand,
+    LayerSpan,
     RegisteredUpstream,
     ReplicaAddress,
     RoutingTable,
@@ -55,6 +56,8 @@
     private readonly heard = new Map<string, Hearing>();
     /** Upstreams whose loss is on its way into the log. */
     private readonly beingMarked = new Set<string>();
+    /** Layers that engines were ordered to give up; their heartbeats tell them until nothing uses them any more. */
+    private readonly givenUp = new Map<string, LayerSpan>();
     private electedMs = 0;
 
     /**
@@ -70,6 +73,7 @@
         if (event.kind === "role" && event.role === "leader") {
             this.electedMs = this.options.getNowMs();
             this.heard.clear();
+            this.givenUp.clear();
         }
     }
 
@@ -119,7 +123,8 @@
         const isNews = this.recordHearing(heartbeat.facts.id, heartbeat.sequence);
         const present = host.state.getUpstream(heartbeat.facts.id);
         // Heartbeats do not tell it; reports do.
-        const facts = { ...heartbeat.facts, slowness: present?.slowness };
+        const held = this.readHeld(heartbeat.facts);
+        const facts = { ...heartbeat.facts, held, slowness: present?.slowness };
         if (!isNews || host.state.isRemoved(facts.id) || !isChange(present, facts, status)) {
             return { kind: "done", value: undefined };
         }
@@ -201,6 +206,18 @@
         void this.propose({ kind: "put-upstream", facts: { ...facts, held }, status });
     }
 
+    /**
+     * Notes that an engine gives up all that it holds. Requests that were sent there would be declined, or keep it from
+     * taking its new layers.
+     * @param upstream - the engine
+     */
+    recordGivenUp(upstream: RegisteredUpstream): void {
+        if (upstream.held !== undefined) {
+            this.givenUp.set(upstream.id, upstream.held);
+            this.recordHeld(upstream, undefined);
+        }
+    }
+
     /**
      * Notes how slow an engine says that it is.
      * @param upstream - the engine
@@ -216,6 +233,17 @@
         void this.propose({ kind: "put-upstream", facts: { ...facts, slowness }, status });
     }
 
+    private readHeld({ id, held }: UpstreamFacts): LayerSpan | undefined {
+        const givenUp = this.givenUp.get(id);
+        if (givenUp !== undefined && isSameSpan(held, givenUp)) {
+            return undefined;
+        }
+        if (held !== undefined) {
+            this.givenUp.delete(id);
+        }
+        return held;
+    }
+
     private async propose(command: FleetCommand): Promise<VoterResult<undefined>> {
         const result = await this.options.host.propose(command);
         switch (result.kind) {
@@ -267,11 +295,20 @@
     return facts.held === undefined ? undefined : `${String(facts.held.first)}-${String(facts.held.end)}`;
 }
 
+/**
+ * Tells whether two engines hold the same layers.
+ * @param one - what one holds
+ * @param other - what the other holds
+ * @returns true also where neither holds any
+ */
+export function isSameSpan(one: LayerSpan | undefined, other: LayerSpan | undefined): boolean {
+    return one?.first === other?.first && one?.end === other?.end;
+}
+
 function isChange(present: RegisteredUpstream | undefined, facts: UpstreamFacts, status: UpstreamStatus): boolean {
     return present === undefined
         || present.status !== status
-        || present.held?.first !== facts.held?.first
-        || present.held?.end !== facts.held?.end
+        || !isSameSpan(present.held, facts.held)
         || present.address !== facts.address
         || present.slots !== facts.slots;
 }
--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -6,7 +6,7 @@
 import type { EngineProfile, LayerSpan, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
 import type { EngineControl, OrderEnd } from "../connection/engineControl.js";
 import type { EventLog } from "./eventLog.js";
-import { type FleetReplicaHost, type FleetVoter, formatSpan } from "./fleetVoter.js";
+import { type FleetReplicaHost, type FleetVoter, formatSpan, isSameSpan } from "./fleetVoter.js";
 import { startTicking, type StopTicking } from "./startTicking.js";
 
 /** What the keeper needs from the process. */
@@ -35,7 +35,7 @@
     readonly span: LayerSpan;
     /** What the engine held when it was ordered; its reports lag, and may tell it for a while. */
     readonly before: LayerSpan | undefined;
-    readonly limitMs: number;
+    limitMs: number;
     state: "asking" | "loading" | "unclear";
     reportedMs: number;
 }
@@ -190,7 +190,7 @@
     private recordGivenUp(id: string, order: OpenOrder): void {
         const upstream = this.options.host.state.getUpstream(id);
         if (upstream !== undefined && order.before !== undefined && !isWithin(order.before, order.span)) {
-            this.options.voter.recordHeld(upstream, undefined);
+            this.options.voter.recordGivenUp(upstream);
         }
     }
 
@@ -208,11 +208,17 @@
     }
 
     private async readReport(upstream: RegisteredUpstream, order: OpenOrder): Promise<void> {
-        const { control, voter } = this.options;
+        const { control, voter, getNowMs } = this.options;
         const report = await control.getReport(upstream.address);
-        if (report.kind === "report" && hasNews(report.held, order) && this.orders.get(upstream.id) === order) {
+        if (report.kind === "failed" || this.orders.get(upstream.id) !== order) {
+            return;
+        }
+        if (hasNews(report.held, order)) {
             voter.recordHeld(upstream, report.held);
         }
+        else if (report.isOrderUnderWay) {
+            order.limitMs = Math.max(order.limitMs, getNowMs() + LEAST_LOAD_LIMIT_MS);
+        }
     }
 
     private forgetOldOrders(): void {
@@ -225,10 +231,6 @@
     }
 }
 
-function isSameSpan(one: LayerSpan | undefined, other: LayerSpan | undefined): boolean {
-    return one?.first === other?.first && one?.end === other?.end;
-}
-
 function isWithin(inner: LayerSpan, outer: LayerSpan): boolean {
     return outer.first <= inner.first && inner.end <= outer.end;
 }
--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -62,7 +62,8 @@
     readonly control = {
         getReport: (address: string): Promise<ReportResult> =>
             Promise.resolve(
-                this.reports.get(address) ?? { kind: "report", held: undefined, orders: 0, slowness: 1, stalled: [] },
+                this.reports.get(address)
+                    ?? { kind: "report", held: undefined, orders: 0, slowness: 1, isOrderUnderWay: false, stalled: [] },
             ),
         placeLayers: ({ id }: { readonly id: string; }, span: LayerSpan): Promise<OrderEnd> => {
             this.orders.push(`${id}=${String(span.first)}-${String(span.end)}`);
@@ -128,7 +129,14 @@
     it("orders each once, and follows it by its report", async () => {
         await clock.tickAsync(HEARTBEAT_MS + 400);
         expect(stand.orders).to.deep.equal(["a=4-8", "b=0-4"]);
-        stand.reports.set("a", { kind: "report", held: { first: 4, end: 8 }, orders: 1, slowness: 1, stalled: [] });
+        stand.reports.set("a", {
+            kind: "report",
+            held: { first: 4, end: 8 },
+            orders: 1,
+            slowness: 1,
+            isOrderUnderWay: false,
+            stalled: [],
+        });
         await clock.tickAsync(600);
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 4, end: 8 });
         expect(stand.orders).to.have.length(2);
@@ -143,7 +151,14 @@
     });
 
     it("takes what an engine says that it holds over what it was to be ordered", async () => {
-        stand.reports.set("a", { kind: "report", held: { first: 0, end: 4 }, orders: 1, slowness: 1, stalled: [] });
+        stand.reports.set("a", {
+            kind: "report",
+            held: { first: 0, end: 4 },
+            orders: 1,
+            slowness: 1,
+            isOrderUnderWay: false,
+            stalled: [],
+        });
         await clock.tickAsync(HEARTBEAT_MS + 400);
         expect(stand.orders).to.deep.equal(["b=0-4"]);
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 0, end: 4 });
@@ -177,6 +192,7 @@
                 held: { first: 0, end: 4 },
                 orders: 1,
                 slowness: 1,
+                isOrderUnderWay: false,
                 stalled: [],
             });
         });
@@ -187,17 +203,58 @@
         await clock.tickAsync(600);
         expect(stand.orders).to.deep.equal(["a=4-8"]);
         expect(stand.state.getUpstream("a")?.held).to.equal(undefined);
-        stand.reports.set("a", { kind: "report", held: { first: 4, end: 8 }, orders: 2, slowness: 1, stalled: [] });
+        stand.reports.set("a", {
+            kind: "report",
+            held: { first: 4, end: 8 },
+            orders: 2,
+            slowness: 1,
+            isOrderUnderWay: false,
+            stalled: [],
+        });
         await clock.tickAsync(600);
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 4, end: 8 });
         expect(stand.orders).to.have.length(1);
     });
 
+    it("layers that are given up don't come back by heartbeats, and an order under way is not given again", async () => {
+        await stand.register("a", { first: 0, end: 4 });
+        await stand.register("c", { first: 0, end: 4 });
+        const lost = stand.state.getUpstream("b");
+        if (lost !== undefined) {
+            stand.voter.markLost(lost, "test");
+        }
+        const waits = { kind: "report", held: { first: 0, end: 4 }, orders: 1, slowness: 1, stalled: [] } as const;
+        stand.reports.set("a", { ...waits, isOrderUnderWay: true });
+        for (let second = 0; second < 9; second += 1) {
+            await clock.tickAsync(1_000);
+            await stand.register("a", { first: 0, end: 4 });
+            await stand.register("c", { first: 0, end: 4 });
+            expect(stand.state.getUpstream("a")?.held).to.equal(undefined);
+        }
+        expect(stand.orders).to.deep.equal(["a=4-8"]);
+        await stand.register("a", { first: 4, end: 8 });
+        expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 4, end: 8 });
+    });
+
     it("an engine that takes more layers goes on with what it holds meanwhile", async () => {
         await stand.register("a", { first: 6, end: 8 });
         await stand.register("b", { first: 4, end: 6 });
-        stand.reports.set("a", { kind: "report", held: { first: 6, end: 8 }, orders: 1, slowness: 1, stalled: [] });
-        stand.reports.set("b", { kind: "report", held: { first: 4, end: 6 }, orders: 1, slowness: 1, stalled: [] });
+        stand.reports.set("a", {
+            kind: "report",
+            held: { first: 6, end: 8 },
+            orders: 1,
+            slowness: 1,
+            isOrderUnderWay: false,
+            stalled: [],
+        });
+        stand.reports.set("b", {
+            kind: "report",
+            held: { first: 4, end: 6 },
+            orders: 1,
+            slowness: 1,
+            isOrderUnderWay: false,
+            stalled: [],
+        });
         await stand.register("c", { first: 0, end: 4 });
         const slow = stand.state.getUpstream("b");
         if (slow !== undefined) {
@@ -251,7 +308,14 @@
 
     it("an engine that says that it is slow is told to all, and its next heartbeat does not undo it", async () => {
         await stand.register("a", { first: 0, end: 4 });
-        stand.reports.set("a", { kind: "report", held: { first: 0, end: 4 }, orders: 1, slowness: 5, stalled: [] });
+        stand.reports.set("a", {
+            kind: "report",
+            held: { first: 0, end: 4 },
+            orders: 1,
+            slowness: 5,
+            isOrderUnderWay: false,
+            stalled: [],
+        });
         const watch = new PaceWatch({ host: stand.host, voter: stand.voter, control: stand.control });
         watch.start();
         await clock.tickAsync(1_300);
