A test of a crash waits for the write that the stopped replica still has under way

Change: DurableQueue, Replica and ReplicaHost tell when nothing is written any more; the test waits for it, and asserts that each version was acknowledged, which it only assumed before. A killed process writes nothing more, so the product has no such case: a replica that restarts itself does so after the write that failed.

--- a/packages/coordination/src/process/durableQueue.ts
+++ b/packages/coordination/src/process/durableQueue.ts
@@ -19,6 +19,7 @@
     private readonly queued: QueuedWrite[] = [];
     private isWriting = false;
     private isClosed = false;
+    private running: Promise<void> = Promise.resolve();
 
     /**
      * @param functions - the storage, and what to do when it fails
@@ -63,6 +64,14 @@
         }
     }
 
+    /**
+     * Waits for the write that is under way; nothing else may read the files before it has ended.
+     * @returns resolves once nothing is written any more
+     */
+    awaitWritten(): Promise<void> {
+        return this.running;
+    }
+
     /** Drops what is queued; no callback runs any more. */
     close(): void {
         this.isClosed = true;
@@ -73,7 +82,7 @@
         if (!this.isWriting && !this.isClosed) {
             this.isWriting = true;
             // Waiting for the end of this turn lets everything that one message causes share a sync.
-            queueMicrotask(() => void this.run());
+            this.running = Promise.resolve().then(() => this.run());
         }
     }
 
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -127,6 +127,14 @@
         stepDown(this.context);
     }
 
+    /**
+     * Waits for the write that a stop came in the middle of.
+     * @returns resolves once the files are left alone
+     */
+    awaitWritten(): Promise<void> {
+        return this.context.queue.awaitWritten();
+    }
+
     /**
      * Takes a message from another replica.
      * @param from - the sender
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -177,6 +177,15 @@
         this.current?.stop();
     }
 
+    /**
+     * Waits for the write that a stop came in the middle of. A process that is killed has none; one that goes on must not
+     * open the folder again before.
+     * @returns resolves once the files are left alone
+     */
+    awaitWritten(): Promise<void> {
+        return this.replica.awaitWritten();
+    }
+
     /** The replica that had this address before has lost its disk; a candidate needs to know that it leads no more. */
     private answerForFormer({ cluster, from, to, message }: ReplicaEnvelope): readonly ReplicaEnvelope[] {
         if (message.kind !== "pre-vote") {
--- a/packages/daemon/tests/fleetVoter.test.ts
+++ b/packages/daemon/tests/fleetVoter.test.ts
@@ -145,10 +145,13 @@
     it("what was acknowledged is there after a crash, also behind a snapshot", async () => {
         const first = await openVoter();
         for (let version = 1; version <= 12; version += 1) {
-            await first.voter.confirmDocument(createTable(version), { version });
+            const { kind } = await first.voter.confirmDocument(createTable(version), { version });
+            expect(kind).to.equal("done");
         }
         await first.voter.registerUpstream(createHeartbeat("u", 1));
         first.host.stop();
+        // A crash ends the process; here it lives on, and a snapshot under way would be read half-written.
+        await first.host.awaitWritten();
         const second = await openVoter(first.folder);
         const newest = second.voter.getNewestDocument();
         const upstreams = second.host.state.listUpstreams().map((one) => one.id);
