A stream under way is not given up for want of room or budget

Ruled out: callers that had left: the entry broke off.

Change: until 1.6 s after its last event a stream is tried again where engines decline, and waits where the budget of repeats is spent. What a request needs of the process has a file of its own, so that routedRequest, recordTry and tryWatch import each other no more; admission has left fleetEntry.

--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -11,18 +11,15 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Agent } from "undici";
 import type { EngineControl } from "../connection/engineControl.js";
-import { admitCall, type CallAdmission, isKeyLeaseValid } from "../request/admitCall.js";
+import { isKeyLeaseValid } from "../request/admitCall.js";
+import type { RoutedRequestFunctions } from "../request/requestFunctions.js";
 import { RoutedAnswer } from "../request/routedAnswer.js";
 import type { CallCodec, RoutedCall } from "../request/routedCall.js";
 import { type RefusalId, refusals } from "../request/routedRefusal.js";
-import {
-    computePatienceMs,
-    handleRoutedRequest,
-    PATIENCE_POLL_MS,
-    type RoutedRequestFunctions,
-} from "../request/routedRequest.js";
+import { handleRoutedRequest } from "../request/routedRequest.js";
 import { type AdmittedCall, RoutedRun } from "../request/routedRun.js";
 import { FleetView } from "../version/fleetView.js";
+import { EntryAdmission } from "./entryAdmission.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
 import { BodyTooLargeError, readBody } from "./httpServer.js";
@@ -35,7 +32,6 @@
 import { TargetChooser } from "./targetChooser.js";
 import { UpstreamFaults } from "./upstreamFaults.js";
 import { UpstreamHealth } from "./upstreamHealth.js";
-import { waitMs } from "./waitMs.js";
 
 /** What an entry is made with. */
 export interface FleetEntryOptions {
@@ -74,6 +70,7 @@
     private readonly health: UpstreamHealth;
     private readonly chooser: TargetChooser;
     private readonly stallReports: StallReports;
+    private readonly admission: EntryAdmission;
     private readonly faults: UpstreamFaults;
     private readonly pulse: PathPulse;
     private readonly budgets: RetryBudgets;
@@ -87,6 +84,7 @@
      */
     constructor(private readonly options: FleetEntryOptions) {
         this.health = new UpstreamHealth(options.getNowMs);
+        this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.stateAge = new StateAge(options.getNowMs);
         this.stallReports = new StallReports(options.control, options.getNowMs);
         this.faults = new UpstreamFaults({
@@ -211,7 +209,7 @@
             this.refuse(call, answer, body === "too-large" ? "body-too-large" : "unreadable", arrivedMs);
             return;
         }
-        const admission = await this.admitPatiently(call, response);
+        const admission = await this.admission.admitPatiently(call, () => response.closed);
         if (admission.kind === "refused") {
             this.refuse(call, answer, admission.refusal, arrivedMs);
             return;
@@ -220,32 +218,6 @@
         await this.run({ call, route, service, organisation, body, arrivedMs }, response, answer);
     }
 
-    /** An entry that is about to learn what it lacks lets a request wait a little rather than send it away. */
-    private async admitPatiently(call: RoutedCall, response: ServerResponse): Promise<CallAdmission> {
-        const { getNowMs } = this.options;
-        const untilMs = getNowMs() + computePatienceMs(call.deadlineMs ?? 0);
-        let admission = this.admit(call);
-        while (admission.kind === "refused" && isPassing(admission.refusal) && !response.closed) {
-            if (getNowMs() >= untilMs || !this.options.takesRequests()) {
-                return admission;
-            }
-            await waitMs(PATIENCE_POLL_MS);
-            admission = this.admit(call);
-        }
-        return admission;
-    }
-
-    private admit(call: RoutedCall): CallAdmission {
-        const { apply, revocation } = this.options.settings.contract;
-        return admitCall(call, {
-            routing: this.view.routing,
-            ageMs: this.options.getAgeMs(),
-            applyMs: apply,
-            revocationMs: revocation,
-            draw: this.options.random(),
-        });
-    }
-
     private async readCallerBody(message: IncomingMessage): Promise<Buffer | undefined | "too-large" | "unreadable"> {
         try {
             const body = await readBody(message, this.view.routing?.table.limits.body_bytes ?? MOST_BODY_BYTES);
@@ -334,8 +306,3 @@
             && this.budgets.get(service.name).claimRepeat(isUnderWay);
     }
 }
-
-/** A refusal that may be over in a moment. */
-function isPassing(refusal: RefusalId): boolean {
-    return refusal === "starting" || refusal === "not-confirmed";
-}
--- a/packages/daemon/src/process/targetChooser.ts
+++ b/packages/daemon/src/process/targetChooser.ts
@@ -13,8 +13,8 @@
     type Standing,
 } from "@crankfork/decisions";
 import type { EngineProfile, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
+import type { TargetChoice } from "../request/requestFunctions.js";
 import type { CallTarget } from "../request/routedCall.js";
-import type { TargetChoice } from "../request/routedRequest.js";
 import type { RoutedRun } from "../request/routedRun.js";
 import type { FleetView } from "../version/fleetView.js";
 import { getPathName, type PathName } from "./pathName.js";
--- a/packages/daemon/src/request/recordTry.ts
+++ b/packages/daemon/src/request/recordTry.ts
@@ -1,8 +1,8 @@
 /**
  * Notes what an ended try says of its upstream, and of the request.
  */
+import type { RoutedRequestFunctions } from "./requestFunctions.js";
 import type { CallTarget } from "./routedCall.js";
-import type { RoutedRequestFunctions } from "./routedRequest.js";
 import type { RoutedRun } from "./routedRun.js";
 import type { TryResult } from "./routedTry.js";
 
--- /dev/null
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -0,0 +1,53 @@
+/**
+ * What a routed request needs from the process around it, as functions.
+ */
+import type { Agent } from "undici";
+import type { EventFields } from "../process/eventLog.js";
+import type { LeavePath, StreamPulse } from "../process/pathPulse.js";
+import type { CallCodec, CallTarget } from "./routedCall.js";
+import type { RoutedRun } from "./routedRun.js";
+
+/** What an engine's report says of a request that makes no progress. */
+export type StallAnswer =
+    | { readonly kind: "moving"; }
+    | { readonly kind: "stalled"; readonly faultAddress: string | undefined; }
+    /** The first engine of the path gave no report. */
+    | { readonly kind: "unreachable"; };
+
+/** Where a try may go. */
+export type TargetChoice =
+    | { readonly kind: "target"; readonly target: CallTarget; }
+    /** Nothing there can take the request. */
+    | { readonly kind: "none"; }
+    /** What is there has no room. */
+    | { readonly kind: "full"; };
+
+/** What a request needs from the process. */
+export interface RoutedRequestFunctions {
+    readonly agent: Agent;
+    readonly codec: CallCodec;
+    readonly getNowMs: () => number;
+    readonly chooseTarget: (run: RoutedRun, lastEventId: string | undefined, isUnderWay: boolean) => TargetChoice;
+    /** Whether the key of the request may still be used. */
+    readonly mayUseKey: () => boolean;
+    readonly recordStart: (id: string) => void;
+    /** The request has its first token, or ended without one. */
+    readonly recordStarted: (id: string) => void;
+    readonly recordEnd: (id: string) => void;
+    readonly recordAnswer: (id: string, durationMs: number, isFailure: boolean) => void;
+    /** Leaves an upstream out for a while. */
+    readonly suspect: (id: string, reason: string) => void;
+    /** Passes an engine over that declined: it has no room, or it is gone. */
+    readonly recordDecline: (id: string, reason: string) => void;
+    readonly findIdAt: (address: string) => string | undefined;
+    /** Draws on the budget of repeats; `isUnderWay` tells whether the caller has a part of its answer already. */
+    readonly claimRepeat: (service: string, isUnderWay: boolean) => boolean;
+    readonly askStall: (target: CallTarget, requestId: string) => Promise<StallAnswer>;
+    /** Follows a stream on its path; `leave` is called where the path stands still. */
+    readonly followPath: (target: CallTarget, pauseMs: number, leave: LeavePath) => StreamPulse;
+    /** Whether a stream may leave its path for another; draws on the budget of repeats where it may. */
+    readonly claimLeave: (run: RoutedRun, isUnderWay: boolean) => boolean;
+    /** Whether an upstream has ended, or is cut off: it can't answer any more. */
+    readonly hasEnded: (id: string) => boolean;
+    readonly record: (event: string, fields: EventFields) => void;
+}
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -2,65 +2,18 @@
  * One routed request from its admission to its answer: tries at upstreams, one after another, until one gives a whole
  * answer or the decision is to stop.
  */
-import { chooseNextStep, type TryEnd } from "@crankfork/decisions";
-import type { Agent } from "undici";
-import type { EventFields } from "../process/eventLog.js";
-import type { LeavePath, StreamPulse } from "../process/pathPulse.js";
+import { chooseNextStep, type NextStep, type TryEnd } from "@crankfork/decisions";
 import { waitMs } from "../process/waitMs.js";
 import { recordTry } from "./recordTry.js";
+import type { RoutedRequestFunctions, TargetChoice } from "./requestFunctions.js";
 import type { RoutedAnswer } from "./routedAnswer.js";
-import type { CallCodec, CallTarget } from "./routedCall.js";
+import type { CallTarget } from "./routedCall.js";
 import { type RefusalId, refusals } from "./routedRefusal.js";
 import type { RoutedRun, RunStop } from "./routedRun.js";
 import { runTry, type TryResult, type WholeAnswer } from "./routedTry.js";
 import { StreamRelay } from "./streamRelay.js";
 import { startWatch, type TryWatch } from "./tryWatch.js";
 
-/** What an engine's report says of a request that makes no progress. */
-export type StallAnswer =
-    | { readonly kind: "moving"; }
-    | { readonly kind: "stalled"; readonly faultAddress: string | undefined; }
-    /** The first engine of the path gave no report. */
-    | { readonly kind: "unreachable"; };
-
-/** Where a try may go. */
-export type TargetChoice =
-    | { readonly kind: "target"; readonly target: CallTarget; }
-    /** Nothing there can take the request. */
-    | { readonly kind: "none"; }
-    /** What is there has no room. */
-    | { readonly kind: "full"; };
-
-/** What a request needs from the process. */
-export interface RoutedRequestFunctions {
-    readonly agent: Agent;
-    readonly codec: CallCodec;
-    readonly getNowMs: () => number;
-    readonly chooseTarget: (run: RoutedRun, lastEventId: string | undefined, isUnderWay: boolean) => TargetChoice;
-    /** Whether the key of the request may still be used. */
-    readonly mayUseKey: () => boolean;
-    readonly recordStart: (id: string) => void;
-    /** The request has its first token, or ended without one. */
-    readonly recordStarted: (id: string) => void;
-    readonly recordEnd: (id: string) => void;
-    readonly recordAnswer: (id: string, durationMs: number, isFailure: boolean) => void;
-    /** Leaves an upstream out for a while. */
-    readonly suspect: (id: string, reason: string) => void;
-    /** Passes an engine over that declined: it has no room, or it is gone. */
-    readonly recordDecline: (id: string, reason: string) => void;
-    readonly findIdAt: (address: string) => string | undefined;
-    /** Draws on the budget of repeats; `isUnderWay` tells whether the caller has a part of its answer already. */
-    readonly claimRepeat: (service: string, isUnderWay: boolean) => boolean;
-    readonly askStall: (target: CallTarget, requestId: string) => Promise<StallAnswer>;
-    /** Follows a stream on its path; `leave` is called where the path stands still. */
-    readonly followPath: (target: CallTarget, pauseMs: number, leave: LeavePath) => StreamPulse;
-    /** Whether a stream may leave its path for another; draws on the budget of repeats where it may. */
-    readonly claimLeave: (run: RoutedRun, isUnderWay: boolean) => boolean;
-    /** Whether an upstream has ended, or is cut off: it can't answer any more. */
-    readonly hasEnded: (id: string) => boolean;
-    readonly record: (event: string, fields: EventFields) => void;
-}
-
 /** How a request ended, for the log and the counters. */
 export interface RequestEnd {
     readonly outcome: "answered" | "handed-on" | "refused" | "failed" | "broken-off" | "caller-left";
@@ -88,6 +41,13 @@
  * objectives: being served late is better for it than not at all. Seven plays: 0.579 to 0.628 of their worth on average.
  */
 const BACK_PATIENCE_SHARE = 2.5;
+/**
+ * How long after its last event a stream is still tried: callers give one up after two seconds, and its prompt has to be
+ * read before. One day broke off 31 streams that engines had declined for a moment.
+ */
+const CALLER_GRACE_MS = 1_600;
+/** Tries that follow each other at once; more would only use up the budget while the engines' memory is full. */
+const TRIES_AT_ONCE = 2;
 /** Between two looks whether something can take a waiting request. */
 export const PATIENCE_POLL_MS = 40;
 
@@ -150,7 +110,7 @@
             case "stopped":
                 return endStopped(run, answer, result.stop);
             case "ended": {
-                const end = applyNextStep(run, answer, result, functions);
+                const end = await applyNextStep(run, answer, relay, result, functions);
                 if (end !== undefined) {
                     return end;
                 }
@@ -229,24 +189,21 @@
     };
 }
 
-function applyNextStep(
+async function applyNextStep(
     run: RoutedRun,
     answer: RoutedAnswer,
+    relay: StreamRelay | undefined,
     result: Extract<TryResult, { kind: "ended"; }>,
     functions: RoutedRequestFunctions,
-): RequestEnd | undefined {
-    const { service, route } = run.admitted;
-    const step = chooseNextStep({
-        end: result.end,
-        isRepeatable: route.is_repeatable,
-        mayHaveRun: run.mayHaveRun,
-        runs: countLivingRuns(run, functions),
-        tries: run.tries,
-        mostAttempts: route.most_attempts,
-        leftMs: run.leftMs,
-        hasAlternative: functions.chooseTarget(run, undefined, true).kind === "target",
-        claimRepeat: () => functions.claimRepeat(service.name, answer.isBegun),
-    });
+): Promise<RequestEnd | undefined> {
+    let step = chooseStep(run, answer, relay, result, functions);
+    while (step.kind === "wait") {
+        await waitMs(PATIENCE_POLL_MS);
+        if (run.stopReason !== undefined) {
+            return endStopped(run, answer, run.stopReason);
+        }
+        step = chooseStep(run, answer, relay, result, functions);
+    }
     switch (step.kind) {
         case "try-again":
             functions.record("try-again", {
@@ -256,6 +213,9 @@
                 tries: run.tries,
                 left_ms: Math.round(run.leftMs),
             });
+            if (result.end === "declined" && run.tries >= TRIES_AT_ONCE) {
+                await waitMs(PATIENCE_POLL_MS);
+            }
             return undefined;
         case "hand-on":
             return handOn(run, answer, result.answer);
@@ -266,6 +226,29 @@
     }
 }
 
+function chooseStep(
+    run: RoutedRun,
+    answer: RoutedAnswer,
+    relay: StreamRelay | undefined,
+    result: Extract<TryResult, { kind: "ended"; }>,
+    functions: RoutedRequestFunctions,
+): NextStep {
+    const { service, route } = run.admitted;
+    const isUnderWay = relay !== undefined && relay.count > 0;
+    return chooseNextStep({
+        end: result.end,
+        isRepeatable: route.is_repeatable,
+        mayHaveRun: run.mayHaveRun,
+        runs: countLivingRuns(run, functions),
+        tries: run.tries,
+        mostAttempts: route.most_attempts,
+        leftMs: run.leftMs,
+        hasAlternative: functions.chooseTarget(run, undefined, true).kind === "target",
+        graceMs: isUnderWay ? CALLER_GRACE_MS - relay.sinceEventMs : 0,
+        claimRepeat: () => functions.claimRepeat(service.name, answer.isBegun),
+    });
+}
+
 /**
  * A run on an upstream that has ended meanwhile can't give an answer, and does not count against the route's limit. One
  * that is merely suspected still counts.
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -49,6 +49,11 @@
         return this.longestPause;
     }
 
+    /** Time since the last event that the caller has; 0 before the first. */
+    get sinceEventMs(): number {
+        return this.events === 0 ? 0 : this.getNowMs() - this.eventMs;
+    }
+
     /** Time since the last event, or since the present try began. */
     get silentMs(): number {
         return this.getNowMs() - this.movedMs;
--- a/packages/daemon/src/request/tryWatch.ts
+++ b/packages/daemon/src/request/tryWatch.ts
@@ -3,8 +3,8 @@
  * in time to be answered elsewhere. Any other request has to wait for its answer.
  */
 import type { StreamPulse } from "../process/pathPulse.js";
+import type { RoutedRequestFunctions, StallAnswer } from "./requestFunctions.js";
 import type { CallTarget } from "./routedCall.js";
-import type { RoutedRequestFunctions, StallAnswer } from "./routedRequest.js";
 import type { RoutedRun } from "./routedRun.js";
 import type { TryStall } from "./routedTry.js";
 import type { StreamRelay } from "./streamRelay.js";
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -4,14 +4,10 @@
 import type { Agent } from "undici";
 import { openUpstreamConnections } from "../src/connection/upstreamExchange.js";
 import { PathPulse } from "../src/process/pathPulse.js";
+import type { RoutedRequestFunctions, StallAnswer } from "../src/request/requestFunctions.js";
 import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
-import {
-    handleRoutedRequest,
-    type RequestEnd,
-    type RoutedRequestFunctions,
-    type StallAnswer,
-} from "../src/request/routedRequest.js";
+import { handleRoutedRequest, type RequestEnd } from "../src/request/routedRequest.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 
 /** Plain names in place of a platform's. */
--- a/packages/decisions/src/request/chooseNextStep.ts
+++ b/packages/decisions/src/request/chooseNextStep.ts
@@ -32,6 +32,11 @@
     readonly leftMs: number;
     /** Whether another upstream can take it. */
     readonly hasAlternative: boolean;
+    /**
+     * How long the caller of a stream that it has a part of still waits for the next event, in milliseconds; 0 for any
+     * other request.
+     */
+    readonly graceMs: number;
     /** Draws on the budget of repeats; called only where all else allows one. */
     readonly claimRepeat: () => boolean;
 }
@@ -39,6 +44,8 @@
 /** What is done next. */
 export type NextStep =
     | { readonly kind: "try-again"; }
+    /** Look again in a moment: a path may take the stream before its caller gives up. */
+    | { readonly kind: "wait"; }
     /** Hand on the failure that the upstream gave. */
     | { readonly kind: "hand-on"; }
     /** Refuse as not run, with a time to come back. */
@@ -57,9 +64,13 @@
  * @returns the next step
  */
 export function chooseNextStep(view: TryView): NextStep {
-    if (mayTryAgain(view) && isRepeatAllowed(view)) {
+    const mayRepeat = mayTryAgain(view);
+    if (mayRepeat && isRepeatAllowed(view)) {
         return { kind: "try-again" };
     }
+    if (mayRepeat && view.graceMs > 0) {
+        return { kind: "wait" };
+    }
     if (view.end === "failed") {
         return { kind: "hand-on" };
     }
@@ -71,7 +82,8 @@
     switch (view.end) {
         case "not-sent":
         case "declined":
-            return hasRoom && (view.isRepeatable || !view.mayHaveRun);
+            // A stream under way is not given up for want of room: engines decline while their memory is full.
+            return (hasRoom || view.graceMs > 0) && (view.isRepeatable || !view.mayHaveRun);
         case "failed":
         case "broken":
         case "stalled":
--- a/packages/decisions/tests/nextStep.test.ts
+++ b/packages/decisions/tests/nextStep.test.ts
@@ -19,6 +19,7 @@
     mostAttempts: 2,
     leftMs: 1_000,
     hasAlternative: true,
+    graceMs: 0,
     claimRepeat: () => true,
 };
 const notRun = { mayHaveRun: false, runs: 0 };
@@ -59,6 +60,26 @@
             change: { ...notRun, end: "declined", isRepeatable: false },
             step: "try-again",
         },
+        {
+            title: "a stream under way that all declined",
+            change: { end: "declined", tries: 6, hasAlternative: false, graceMs: 500 },
+            step: "try-again",
+        },
+        {
+            title: "a stream under way while the budget is spent",
+            change: { graceMs: 500, claimRepeat: () => false },
+            step: "wait",
+        },
+        {
+            title: "a stream under way whose attempts are used up",
+            change: { graceMs: 500, runs: 2 },
+            step: "fail",
+        },
+        {
+            title: "a stream under way that may run only once",
+            change: { end: "declined", graceMs: 500, isRepeatable: false },
+            step: "fail",
+        },
         { title: "declined by all", change: { ...notRun, end: "declined", tries: 4 }, step: "refuse" },
         {
             title: "declined after a try that may have run, and it may run only once",
