--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -19,10 +19,10 @@
 import { handleRoutedRequest } from "../request/routedRequest.js";
 import { type AdmittedCall, RoutedRun } from "../request/routedRun.js";
 import { FleetView } from "../version/fleetView.js";
+import { readCallerBody } from "./callerBody.js";
 import { EntryAdmission } from "./entryAdmission.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
-import { BodyTooLargeError, readBody } from "./httpServer.js";
 import { getPathName } from "./pathName.js";
 import { PathPulse } from "./pathPulse.js";
 import { type EntryKnowledge, recordRefusal, recordRequest } from "./requestLog.js";
@@ -61,8 +61,6 @@
  */
 const READY_LEASE_SHARE = 0.6;
 const MS_A_SECOND = 1_000;
-/** Body that is read before the first table names a limit; as large as the example of the users' pages. */
-const MOST_BODY_BYTES = 4_194_304;
 
 /** Takes requests. */
 export class FleetEntry {
@@ -204,7 +202,7 @@
             this.refuse(call, answer, "stopping", arrivedMs);
             return;
         }
-        const body = await this.readCallerBody(message);
+        const body = await readCallerBody(message, this.view.routing?.table.limits.body_bytes);
         if (body === "too-large" || body === "unreadable") {
             this.refuse(call, answer, body === "too-large" ? "body-too-large" : "unreadable", arrivedMs);
             return;
@@ -218,16 +216,6 @@
         await this.run({ call, route, service, organisation, body, arrivedMs }, response, answer);
     }
 
-    private async readCallerBody(message: IncomingMessage): Promise<Buffer | undefined | "too-large" | "unreadable"> {
-        try {
-            const body = await readBody(message, this.view.routing?.table.limits.body_bytes ?? MOST_BODY_BYTES);
-            return body.length === 0 ? undefined : body;
-        }
-        catch (error) {
-            return error instanceof BodyTooLargeError ? "too-large" : "unreadable";
-        }
-    }
-
     private async run(admitted: AdmittedCall, response: ServerResponse, answer: RoutedAnswer): Promise<void> {
         const run = new RoutedRun(admitted, this.options.getNowMs);
         const handleClose = (): void => {
--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/fleetVoter.ts
@@ -13,6 +13,7 @@
     UpstreamStatus,
 } from "@crankfork/schemas";
 import type { EventLog } from "./eventLog.js";
+import { formatSpan, isSameSpan } from "./layerSpans.js";
 import type { ReplicaHost } from "./replicaHost.js";
 
 /** The replica of a fleet's state. */
@@ -286,25 +287,6 @@
     }
 }
 
-/**
- * Formats layers for a log line.
- * @param facts - what an upstream says of itself
- * @returns such as `0-16`, or undefined where it holds none
- */
-export function formatSpan(facts: { readonly held?: UpstreamFacts["held"]; }): string | undefined {
-    return facts.held === undefined ? undefined : `${String(facts.held.first)}-${String(facts.held.end)}`;
-}
-
-/**
- * Tells whether two engines hold the same layers.
- * @param one - what one holds
- * @param other - what the other holds
- * @returns true also where neither holds any
- */
-export function isSameSpan(one: LayerSpan | undefined, other: LayerSpan | undefined): boolean {
-    return one?.first === other?.first && one?.end === other?.end;
-}
-
 function isChange(present: RegisteredUpstream | undefined, facts: UpstreamFacts, status: UpstreamStatus): boolean {
     return present === undefined
         || present.status !== status
--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -6,7 +6,8 @@
 import type { EngineProfile, LayerSpan, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
 import type { EngineControl, OrderEnd } from "../connection/engineControl.js";
 import type { EventLog } from "./eventLog.js";
-import { type FleetReplicaHost, type FleetVoter, formatSpan, isSameSpan } from "./fleetVoter.js";
+import type { FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
+import { formatSpan, isSameSpan, isWithin } from "./layerSpans.js";
 import { startTicking, type StopTicking } from "./startTicking.js";
 
 /** What the keeper needs from the process. */
@@ -231,10 +232,6 @@
     }
 }
 
-function isWithin(inner: LayerSpan, outer: LayerSpan): boolean {
-    return outer.first <= inner.first && inner.end <= outer.end;
-}
-
 /** Whether an engine holds layers that it did not hold when it was ordered. */
 function hasNews(held: LayerSpan | undefined, order: OpenOrder): boolean {
     return held !== undefined && !isSameSpan(held, order.before);
