Paths of one stage are no siblings, and a fleet that goes on growing is placed after four heartbeats

Cause: found on reading. Paths without later stages all had the same (empty) name of these, so that one path that stood still would have had all of them avoided. A leader that hears of a new engine every second would have placed nothing, ever.

Change: paths without later stages have no siblings; ArrivalWatch follows arrivals for each service, and isPlacementDue ends the wait after four heartbeats.

--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -5,6 +5,7 @@
 import { computeLayerPlan, isPlacementDue, type LayerOrder, type PlannedEngine } from "@crankfork/decisions";
 import type { EngineProfile, LayerSpan, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
 import type { EngineControl, OrderEnd } from "../connection/engineControl.js";
+import { ArrivalWatch } from "./arrivalWatch.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
 import { formatSpan, isSameSpan, isWithin } from "./layerSpans.js";
@@ -44,8 +45,7 @@
 /** Gives orders and follows them. */
 export class LayerKeeper {
     private readonly orders = new Map<string, OpenOrder>();
-    private readonly known = new Set<string>();
-    private arrivedMs = 0;
+    private readonly arrivals = new Map<string, ArrivalWatch>();
     private stopTicking: StopTicking | undefined;
 
     /**
@@ -85,7 +85,7 @@
     private planService(name: string, profile: EngineProfile): void {
         const engines = this.options.host.state.listUpstreams()
             .filter((upstream) => upstream.service === name && upstream.status === "ready");
-        if (!this.isPlacementDue(engines)) {
+        if (!this.isPlacementDue(name, engines)) {
             return;
         }
         const planned = engines.flatMap((upstream) => this.createPlannedEngine(upstream) ?? []);
@@ -94,18 +94,13 @@
         });
     }
 
-    private isPlacementDue(engines: readonly RegisteredUpstream[]): boolean {
+    private isPlacementDue(service: string, engines: readonly RegisteredUpstream[]): boolean {
         const { getNowMs, heartbeatMs } = this.options;
-        const arrived = engines.filter(({ id }) => !this.known.has(id));
-        if (arrived.length > 0) {
-            this.arrivedMs = getNowMs();
-            arrived.forEach(({ id }) => this.known.add(id));
-        }
-        return isPlacementDue({
-            isBegun: engines.some(({ id, held }) => held !== undefined || this.orders.has(id)),
-            sinceArrivalMs: getNowMs() - this.arrivedMs,
-            heartbeatMs,
-        });
+        const arrivals = this.arrivals.get(service) ?? new ArrivalWatch();
+        this.arrivals.set(service, arrivals);
+        const isBegun = engines.some(({ id, held }) => held !== undefined || this.orders.has(id));
+        arrivals.update(engines.map(({ id }) => id), isBegun, getNowMs());
+        return isPlacementDue({ isBegun, heartbeatMs, ...arrivals.computeAges(getNowMs()) });
     }
 
     private createPlannedEngine(upstream: RegisteredUpstream): PlannedEngine | undefined {
--- a/packages/daemon/src/process/pathPulse.ts
+++ b/packages/daemon/src/process/pathPulse.ts
@@ -116,7 +116,11 @@
         return avoided.length > 0 && !siblings.some((path) => path.movedMs > stillSinceMs && path.begun.size > 0);
     }
 
+    /** Paths of one stage share nothing. */
     private listSiblings({ id, laterStages }: PathName): readonly Path[] {
+        if (laterStages === "") {
+            return [];
+        }
         return [...this.paths.values()].filter(({ name }) => name.id !== id && name.laterStages === laterStages);
     }
 
--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -126,6 +126,14 @@
         expect(stand.orders).to.deep.equal(["a=4-8", "b=0-4", "c=0-4"]);
     });
 
+    it("does not wait for ever for a fleet that goes on growing", async () => {
+        for (let more = 0; more < 5; more += 1) {
+            await clock.tickAsync(900);
+            await stand.register(`more${String(more)}`);
+        }
+        expect(stand.orders.slice(0, 2)).to.deep.equal(["a=4-8", "b=0-4"]);
+    });
+
     it("orders each once, and follows it by its report", async () => {
         await clock.tickAsync(HEARTBEAT_MS + 400);
         expect(stand.orders).to.deep.equal(["a=4-8", "b=0-4"]);
--- a/packages/daemon/tests/pathPulse.test.ts
+++ b/packages/daemon/tests/pathPulse.test.ts
@@ -119,4 +119,18 @@
         pulse.follow({ ...SIBLING, id: "third" }, PAUSE_MS, () => undefined).recordEvent();
         expect(pulse.isAvoided({ ...SIBLING, id: "fourth" })).to.equal(false);
     });
+
+    it("paths of one stage share nothing", () => {
+        const alone = ["one", "two"].map((id) => ({ id, laterStages: "" }));
+        const [one, two] = alone.map((name) =>
+            Array.from({ length: 4 }, () =>
+                pulse.follow(name, PAUSE_MS, () => {
+                    left += 1;
+                }))
+        );
+        playPasses([...one ?? [], ...two ?? []], 100, 30);
+        playPasses(two ?? [], 4, 30);
+        expect(left).to.equal(4);
+        expect(alone.map((name) => pulse.isAvoided(name))).to.deep.equal([true, false]);
+    });
 });
--- a/packages/decisions/src/version/isPlacementDue.ts
+++ b/packages/decisions/src/version/isPlacementDue.ts
@@ -9,16 +9,22 @@
     readonly isBegun: boolean;
     /** Time since an engine registered for the first time, in milliseconds. */
     readonly sinceArrivalMs: number;
+    /** Time since the first of them registered, in milliseconds. */
+    readonly sinceFirstMs: number;
     /** Between two heartbeats of an engine. */
     readonly heartbeatMs: number;
 }
 
+/** Heartbeats after the first engine; a fleet that goes on growing for longer is served by what is there. */
+const MOST_HEARTBEATS = 4;
+
 /**
  * Tells whether layers are placed now. Purpose: with the whole fleet in view the path through the one fast engine of a
  * failure domain takes 5.9 ms a step instead of 10.1 (28 of 80 layers on it instead of 11; from the engines' figures).
  * @param arrivals - what is known
  * @returns false while more engines are expected, unless some hold layers already
  */
-export function isPlacementDue({ isBegun, sinceArrivalMs, heartbeatMs }: EngineArrivals): boolean {
-    return isBegun || sinceArrivalMs >= heartbeatMs;
+export function isPlacementDue(arrivals: EngineArrivals): boolean {
+    const { isBegun, sinceArrivalMs, sinceFirstMs, heartbeatMs } = arrivals;
+    return isBegun || sinceArrivalMs >= heartbeatMs || sinceFirstMs >= heartbeatMs * MOST_HEARTBEATS;
 }
--- a/packages/decisions/tests/layerPlan.test.ts
+++ b/packages/decisions/tests/layerPlan.test.ts
@@ -231,9 +231,22 @@
 
 describe("layers are placed with the whole fleet in view", () => {
     const rows = [
-        { title: "engines still arrive", isBegun: false, sinceArrivalMs: 900, isDue: false },
-        { title: "a heartbeat without a new one", isBegun: false, sinceArrivalMs: 1_000, isDue: true },
-        { title: "some hold layers already", isBegun: true, sinceArrivalMs: 0, isDue: true },
+        { title: "engines still arrive", isBegun: false, sinceArrivalMs: 900, sinceFirstMs: 900, isDue: false },
+        {
+            title: "a heartbeat without a new one",
+            isBegun: false,
+            sinceArrivalMs: 1_000,
+            sinceFirstMs: 1_000,
+            isDue: true,
+        },
+        {
+            title: "engines have come for long enough",
+            isBegun: false,
+            sinceArrivalMs: 0,
+            sinceFirstMs: 4_000,
+            isDue: true,
+        },
+        { title: "some hold layers already", isBegun: true, sinceArrivalMs: 0, sinceFirstMs: 0, isDue: true },
     ];
     for (const { title, isDue, ...arrivals } of rows) {
         it(title, () => {
