--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -2,7 +2,7 @@
 import type { EngineProfile, FleetCommand, LayerSpan } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import type { OrderEnd, ReportResult } from "../src/connection/engineControl.js";
+import type { EngineReport, OrderEnd, ReportResult } from "../src/connection/engineControl.js";
 import { EntryRegister } from "../src/process/entryRegister.js";
 import { FleetLink } from "../src/process/fleetLink.js";
 import { type FleetReplicaHost, FleetVoter } from "../src/process/fleetVoter.js";
@@ -28,6 +28,15 @@
 
 const HEARTBEAT_MS = 1_000;
 
+const emptyReport: EngineReport = {
+    kind: "report",
+    held: undefined,
+    orders: 0,
+    isOrderUnderWay: false,
+    slowness: 1,
+    stalled: [],
+};
+
 /** A leader whose log applies at once, and engines that do as the case says. */
 class LeaderStand {
     readonly state = new FleetState();
@@ -62,8 +71,7 @@
     readonly control = {
         getReport: (address: string): Promise<ReportResult> =>
             Promise.resolve(
-                this.reports.get(address)
-                    ?? { kind: "report", held: undefined, orders: 0, slowness: 1, isOrderUnderWay: false, stalled: [] },
+                this.reports.get(address) ?? emptyReport,
             ),
         placeLayers: ({ id }: { readonly id: string; }, span: LayerSpan): Promise<OrderEnd> => {
             this.orders.push(`${id}=${String(span.first)}-${String(span.end)}`);
@@ -88,6 +96,11 @@
         heartbeatMs: HEARTBEAT_MS,
     });
 
+    /** Lets an engine say in its report that it holds layers. */
+    setReport(id: string, held: LayerSpan, more: Partial<EngineReport> = {}): void {
+        this.reports.set(id, { ...emptyReport, held, orders: 1, ...more });
+    }
+
     async register(id: string, held?: LayerSpan): Promise<void> {
         const facts = { id, service: "s", address: id, failure_domain: "d", slots: 1, accelerator: "x" };
         await this.voter.registerUpstream({
@@ -137,14 +150,7 @@
     it("orders each once, and follows it by its report", async () => {
         await clock.tickAsync(HEARTBEAT_MS + 400);
         expect(stand.orders).to.deep.equal(["a=4-8", "b=0-4"]);
-        stand.reports.set("a", {
-            kind: "report",
-            held: { first: 4, end: 8 },
-            orders: 1,
-            slowness: 1,
-            isOrderUnderWay: false,
-            stalled: [],
-        });
+        stand.setReport("a", { first: 4, end: 8 });
         await clock.tickAsync(600);
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 4, end: 8 });
         expect(stand.orders).to.have.length(2);
@@ -159,14 +165,7 @@
     });
 
     it("takes what an engine says that it holds over what it was to be ordered", async () => {
-        stand.reports.set("a", {
-            kind: "report",
-            held: { first: 0, end: 4 },
-            orders: 1,
-            slowness: 1,
-            isOrderUnderWay: false,
-            stalled: [],
-        });
+        stand.setReport("a", { first: 0, end: 4 });
         await clock.tickAsync(HEARTBEAT_MS + 400);
         expect(stand.orders).to.deep.equal(["b=0-4"]);
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 0, end: 4 });
@@ -195,14 +194,7 @@
         await stand.register("a", { first: 0, end: 4 });
         await stand.register("c", { first: 0, end: 4 });
         ["a", "c"].forEach((id) => {
-            stand.reports.set(id, {
-                kind: "report",
-                held: { first: 0, end: 4 },
-                orders: 1,
-                slowness: 1,
-                isOrderUnderWay: false,
-                stalled: [],
-            });
+            stand.setReport(id, { first: 0, end: 4 });
         });
         const lost = stand.state.getUpstream("b");
         if (lost !== undefined) {
@@ -211,14 +203,7 @@
         await clock.tickAsync(600);
         expect(stand.orders).to.deep.equal(["a=4-8"]);
         expect(stand.state.getUpstream("a")?.held).to.equal(undefined);
-        stand.reports.set("a", {
-            kind: "report",
-            held: { first: 4, end: 8 },
-            orders: 2,
-            slowness: 1,
-            isOrderUnderWay: false,
-            stalled: [],
-        });
+        stand.setReport("a", { first: 4, end: 8 });
         await clock.tickAsync(600);
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 4, end: 8 });
         expect(stand.orders).to.have.length(1);
@@ -231,8 +216,7 @@
         if (lost !== undefined) {
             stand.voter.markLost(lost, "test");
         }
-        const waits = { kind: "report", held: { first: 0, end: 4 }, orders: 1, slowness: 1, stalled: [] } as const;
-        stand.reports.set("a", { ...waits, isOrderUnderWay: true });
+        stand.setReport("a", { first: 0, end: 4 }, { isOrderUnderWay: true });
         for (let second = 0; second < 9; second += 1) {
             await clock.tickAsync(1_000);
             await stand.register("a", { first: 0, end: 4 });
@@ -247,22 +231,8 @@
     it("an engine that takes more layers goes on with what it holds meanwhile", async () => {
         await stand.register("a", { first: 6, end: 8 });
         await stand.register("b", { first: 4, end: 6 });
-        stand.reports.set("a", {
-            kind: "report",
-            held: { first: 6, end: 8 },
-            orders: 1,
-            slowness: 1,
-            isOrderUnderWay: false,
-            stalled: [],
-        });
-        stand.reports.set("b", {
-            kind: "report",
-            held: { first: 4, end: 6 },
-            orders: 1,
-            slowness: 1,
-            isOrderUnderWay: false,
-            stalled: [],
-        });
+        stand.setReport("a", { first: 6, end: 8 });
+        stand.setReport("b", { first: 4, end: 6 });
         await stand.register("c", { first: 0, end: 4 });
         const slow = stand.state.getUpstream("b");
         if (slow !== undefined) {
@@ -316,14 +286,7 @@
 
     it("an engine that says that it is slow is told to all, and its next heartbeat does not undo it", async () => {
         await stand.register("a", { first: 0, end: 4 });
-        stand.reports.set("a", {
-            kind: "report",
-            held: { first: 0, end: 4 },
-            orders: 1,
-            slowness: 5,
-            isOrderUnderWay: false,
-            stalled: [],
-        });
+        stand.setReport("a", { first: 0, end: 4 }, { slowness: 5 });
         const watch = new PaceWatch({ host: stand.host, voter: stand.voter, control: stand.control });
         watch.start();
         await clock.tickAsync(1_300);
