--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -38,13 +38,14 @@
 const FULL_PATIENCE_SHARE = 0.15;
 /**
  * The same for a caller that is back after a refusal. It is late already, would not come a third time, and stays for four
- * objectives: being served late is better for it than not at all. Requests refused for good: 2.4 in 100 without, 1.0 with it (mean of
- * seven loaded days with faults).
+ * objectives: being served late is better for it than not at all. Requests refused for good: 2.4 in 100 without, 1.0 with
+ * it (mean of seven loaded days with faults).
  */
 const BACK_PATIENCE_SHARE = 2.5;
 /**
  * How long after its last event a stream is still tried: callers give one up after two seconds, and its prompt has to be
- * read before. Of 79 streams that were broken off in 50 s of load with faults, 31 had been declined by engines for a moment.
+ * read before. Of 79 streams that were broken off in 50 s of load with faults, 31 had been declined by engines for a
+ * moment.
  */
 const CALLER_GRACE_MS = 1_600;
 /** Tries that follow each other at once; more would only use up the budget while the engines' memory is full. */
