Sight: bytes to peers by method, answers made in vain, entries sent again, late timers

What the monitoring shows only as sums is told by our own processes now, so that a full link, a busy processor and a slow log can be told apart: counters and a histogram on the metrics address, and one line peer-traffic for a second in which 2 MB or more were sent, an answer was abandoned by whoever had asked, or entries of the log were sent again. The lines document and in-force say how long the commit took and how long ago the entry was confirmed. No decision changed.

--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -27,6 +27,8 @@
     | { readonly kind: "role"; readonly role: Role; readonly term: number; }
     | { readonly kind: "replicas"; readonly replicas: ReplicaSet; }
     | { readonly kind: "snapshot"; readonly index: number; }
+    /** Entries, or a snapshot, that a replica did not answer in time are sent to it once more. */
+    | { readonly kind: "resent"; readonly to: string; readonly entries: number; }
     | { readonly kind: "fault"; readonly error: unknown; };
 
 /** What a replica needs from the process around it. */
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -173,6 +173,7 @@
     const { log, options } = context;
     const progress = getProgress(context, to.id);
     const now = getMonotonicMs();
+    const isUnanswered = progress.sentMs !== undefined;
     const isWaiting = progress.sentMs !== undefined
         && now - progress.sentMs < options.timing.heartbeatMs * RESEND_AFTER_HEARTBEATS;
     if (isWaiting && when === "when-idle") {
@@ -180,6 +181,7 @@
     }
     if (progress.nextIndex <= log.start.index) {
         if (!isWaiting) {
+            recordResend(context, to, isUnanswered ? 1 : 0);
             sendSnapshot(context, to, progress, now);
         }
         return;
@@ -187,6 +189,7 @@
     const previousIndex = progress.nextIndex - 1;
     const entries = isWaiting ? [] : [...log.getFrom(progress.nextIndex, MOST_ENTRIES_A_MESSAGE)];
     if (entries.length > 0) {
+        recordResend(context, to, isUnanswered ? entries.length : 0);
         progress.sentMs = now;
     }
     options.functions.send(to, {
@@ -200,6 +203,12 @@
     });
 }
 
+function recordResend(context: ReplicaContext, to: ReplicaAddress, entries: number): void {
+    if (entries > 0) {
+        context.options.functions.record({ kind: "resent", to: to.id, entries });
+    }
+}
+
 function sendSnapshot(context: ReplicaContext, to: ReplicaAddress, progress: Progress, now: number): void {
     const { log, options } = context;
     const snapshot: Snapshot = {
--- a/packages/daemon/src/connection/peerClient.ts
+++ b/packages/daemon/src/connection/peerClient.ts
@@ -14,6 +14,8 @@
     readonly agent: Agent;
     readonly secret: string | undefined;
     readonly clock: HybridClock;
+    /** Told of each question that is sent. */
+    readonly recordQuestion?: (method: string, bytes: number) => void;
 }
 
 /** Speaks to other instances. */
@@ -42,13 +44,15 @@
     });
     const ask: PeerClient["ask"] = async (address, method, parameters, timeoutMs) => {
         const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
+            const body = JSON.stringify(payload);
+            options.recordQuestion?.(method, Buffer.byteLength(body));
             const answer = await fetchJson({
                 agent: options.agent,
                 peer: address,
                 url: `http://${address}/rpc`,
                 method: "POST",
                 headers: createHeaders(),
-                body: JSON.stringify(payload),
+                body,
                 handleHeaders: (headers) => {
                     receiveClock(options.clock, headers[CLOCK_HEADER]);
                 },
--- a/packages/daemon/src/process/control.ts
+++ b/packages/daemon/src/process/control.ts
@@ -163,6 +163,9 @@
         case "snapshot":
             log.record("info", "snapshot", { index: event.index });
             return;
+        case "resent":
+            log.record("debug", "entries-resent", { peer: event.to, entries: event.entries });
+            return;
         case "fault":
             log.record("error", "replica-fault", { reason: String(event.error) });
             return;
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -23,6 +23,7 @@
 import { EntryAdmission } from "./entryAdmission.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
+import { formatAgeMs } from "./formatAgeMs.js";
 import { getPathName } from "./pathName.js";
 import { PathPulse } from "./pathPulse.js";
 import { type EntryKnowledge, recordRefusal, recordRequest } from "./requestLog.js";
@@ -188,7 +189,8 @@
             return;
         }
         if (this.view.applyTable(table)) {
-            log.record("info", "in-force", { version: table.version, routes: table.routes.length });
+            const age_ms = formatAgeMs(this.options.getAgeMs());
+            log.record("info", "in-force", { version: table.version, routes: table.routes.length, age_ms });
         }
     }
 
--- a/packages/daemon/src/process/fleetLink.ts
+++ b/packages/daemon/src/process/fleetLink.ts
@@ -6,6 +6,7 @@
 import type { SynchronisedState } from "@crankfork/schemas";
 import type { PeerClient } from "../connection/peerClient.js";
 import type { EventLog } from "./eventLog.js";
+import { formatAgeMs } from "./formatAgeMs.js";
 import { waitMs } from "./waitMs.js";
 
 /** What the link needs from the process. */
@@ -141,7 +142,11 @@
     private applyState(address: string, sentMs: number, state: SynchronisedState): void {
         const { log, handleState, getNowMs } = this.options;
         if (!this.isConnected || this.leader !== address) {
-            log.record("info", "voters-reached", { peer: address, index: state.index, age_ms: formatAge(this.ageMs) });
+            log.record("info", "voters-reached", {
+                peer: address,
+                index: state.index,
+                age_ms: formatAgeMs(this.ageMs),
+            });
         }
         this.isConnected = true;
         this.leader = address;
@@ -155,12 +160,8 @@
     private recordLost(address: string, error: unknown): void {
         if (this.isConnected) {
             const reason = error instanceof Error ? error.message : String(error);
-            this.options.log.record("warn", "voters-lost", { peer: address, age_ms: formatAge(this.ageMs), reason });
+            this.options.log.record("warn", "voters-lost", { peer: address, age_ms: formatAgeMs(this.ageMs), reason });
         }
         this.isConnected = false;
     }
 }
-
-function formatAge(ageMs: number): number | undefined {
-    return Number.isFinite(ageMs) ? Math.round(ageMs) : undefined;
-}
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -10,6 +10,11 @@
     readonly countSuspicion: () => void;
     readonly countHeartbeat: (outcome: string) => void;
     readonly recordRole: (isLeader: boolean) => void;
+    readonly countPeerBytes: (method: string, bytes: number) => void;
+    readonly countPeerAnswer: (method: string, end: string) => void;
+    readonly countResentEntries: (entries: number) => void;
+    readonly recordCommitMs: (durationMs: number) => void;
+    readonly recordLoopDelayMs: (delayMs: number) => void;
     /** The text that a scraper reads. */
     readonly format: () => Promise<string>;
 }
@@ -50,6 +55,34 @@
         labelNames: ["outcome"],
         registers,
     });
+    const peerBytes = new Counter({
+        name: "crankfork_peer_bytes_total",
+        help: "Bytes of questions and answers sent to other instances, by method",
+        labelNames: ["method"],
+        registers,
+    });
+    const peerAnswers = new Counter({
+        name: "crankfork_peer_answers_total",
+        help: "Answers to other instances, by method and whether whoever asked was still there at their end",
+        labelNames: ["method", "end"],
+        registers,
+    });
+    const resentEntries = new Counter({
+        name: "crankfork_log_entries_resent_total",
+        help: "Entries of the log that were sent once more because no answer came",
+        registers,
+    });
+    const commit = new Histogram({
+        name: "crankfork_commit_ms",
+        help: "Time from a proposal to its commit, in milliseconds",
+        buckets: LATENCY_BOUNDS_MS,
+        registers,
+    });
+    const loopDelay = new Gauge({
+        name: "crankfork_loop_delay_ms",
+        help: "Most that a timer of the last second was late, in milliseconds",
+        registers,
+    });
     const leading = new Gauge({ name: "crankfork_leading", help: "1 while this voter leads", registers });
     return {
         countRequest: (service, outcome) => {
@@ -67,6 +100,21 @@
         recordRole: (isLeader) => {
             leading.set(isLeader ? 1 : 0);
         },
+        countPeerBytes: (method, bytes) => {
+            peerBytes.inc({ method }, bytes);
+        },
+        countPeerAnswer: (method, end) => {
+            peerAnswers.inc({ method, end });
+        },
+        countResentEntries: (entries) => {
+            resentEntries.inc(entries);
+        },
+        recordCommitMs: (durationMs) => {
+            commit.observe(durationMs);
+        },
+        recordLoopDelayMs: (delayMs) => {
+            loopDelay.set(delayMs);
+        },
         format: () => registry.metrics(),
     };
 }
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -11,6 +11,7 @@
 import { type FleetMetrics, openFleetMetrics } from "./fleetMetrics.js";
 import { type OpenServer, openServer, type RequestHandler } from "./httpServer.js";
 import { HybridClock } from "./hybridClock.js";
+import { type PeerTraffic, startPeerTraffic } from "./peerTraffic.js";
 import { createRateLimitedLog } from "./rateLimitedLog.js";
 import { createRpcHandler } from "./rpcHandler.js";
 
@@ -24,6 +25,7 @@
     readonly metrics: FleetMetrics;
     readonly agent: Agent;
     readonly peers: PeerClient;
+    readonly traffic: PeerTraffic;
     readonly ownAddress: string;
     readonly getNowMs: () => number;
     /** Peers' addresses of instances that may be voters, by the newest settings. */
@@ -52,6 +54,7 @@
         getNowMs,
     );
     const metrics = openFleetMetrics(first.instance.id);
+    const traffic = startPeerTraffic(log, metrics);
     const agent = openConnections();
     const servers: OpenServer[] = [];
     const { host } = first.instance;
@@ -94,7 +97,8 @@
         log,
         metrics,
         agent,
-        peers: createPeerClient({ agent, secret: undefined, clock }),
+        traffic,
+        peers: createPeerClient({ agent, secret: undefined, clock, recordQuestion: traffic.recordQuestion }),
         ownAddress: `${host}:${String(first.ports.peers_port)}`,
         getNowMs,
         getSeeds: () => listPeerAddresses(settings),
@@ -102,7 +106,7 @@
         openPeers: async (server) => {
             await openPort(
                 `${host}:${String(first.ports.peers_port)}`,
-                createRpcHandler({ secret: undefined, clock, server }),
+                createRpcHandler({ secret: undefined, clock, server, recordAnswer: traffic.recordAnswer }),
             );
         },
         close: () => {
--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/fleetVoter.ts
@@ -42,6 +42,8 @@
     readonly getNowMs: () => number;
     /** Between two heartbeats of an upstream. */
     readonly heartbeatMs: number;
+    /** Told of each proposal that was committed. */
+    readonly recordCommitMs?: (durationMs: number) => void;
 }
 
 /** Heartbeats that may be missing before an upstream counts as lost; they may come seconds late. */
@@ -85,7 +87,7 @@
      * @returns done once a quorum holds it, or a higher one
      */
     async confirmDocument(table: RoutingTable, content: unknown): Promise<VoterResult<undefined>> {
-        const { host, log } = this.options;
+        const { host, log, getNowMs } = this.options;
         if (!host.replica.hasNewestState()) {
             return this.createNotLeader();
         }
@@ -94,8 +96,10 @@
             log.record("info", "document-overtaken", { version: table.version, held });
             return { kind: "done", value: undefined };
         }
+        const startMs = getNowMs();
         const result = await this.propose({ kind: "put-document", version: table.version, document: content });
-        log.record("info", "document", { version: table.version, held, outcome: result.kind });
+        const ms = Math.round(getNowMs() - startMs);
+        log.record("info", "document", { version: table.version, held, outcome: result.kind, ms });
         return result;
     }
 
@@ -246,9 +250,12 @@
     }
 
     private async propose(command: FleetCommand): Promise<VoterResult<undefined>> {
-        const result = await this.options.host.propose(command);
+        const { host, getNowMs, recordCommitMs } = this.options;
+        const startMs = getNowMs();
+        const result = await host.propose(command);
         switch (result.kind) {
             case "applied":
+                recordCommitMs?.(getNowMs() - startMs);
                 return { kind: "done", value: undefined };
             case "not-leader":
                 return this.createNotLeader();
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -109,20 +109,19 @@
  * @param status - HTTP status
  * @param body - what to send
  * @param headers - more headers
+ * @returns the length of the body, in bytes
  */
 export function sendJson(
     response: ServerResponse,
     status: number,
     body: unknown,
     headers: Readonly<Record<string, string>> = {},
-): void {
+): number {
     const text = JSON.stringify(body);
-    response.writeHead(status, {
-        "content-type": "application/json",
-        "content-length": Buffer.byteLength(text),
-        ...headers,
-    });
+    const bytes = Buffer.byteLength(text);
+    response.writeHead(status, { "content-type": "application/json", "content-length": bytes, ...headers });
     response.end(text);
+    return bytes;
 }
 
 function listen(server: Server, host: string, port: number): Promise<void> {
--- /dev/null
+++ b/packages/daemon/src/process/peerTraffic.ts
@@ -0,0 +1,103 @@
+/**
+ * What instances say to each other, by method, so that a full link and answers made in vain can be seen.
+ */
+import type { EventLog } from "./eventLog.js";
+import type { FleetMetrics } from "./fleetMetrics.js";
+import { startTicking } from "./startTicking.js";
+
+/** How an answer to a peer ended. */
+export type AnswerEnd =
+    | "handed-over"
+    /** Whoever asked had closed the connection before all of it was out. */
+    | "abandoned";
+
+/** Notes what is sent to peers. */
+export interface PeerTraffic {
+    readonly recordQuestion: (method: string, bytes: number) => void;
+    readonly recordAnswer: (method: string, bytes: number, end: AnswerEnd) => void;
+    /** Entries of the log that are sent once more, because no answer came. */
+    readonly recordResend: (entries: number) => void;
+}
+
+interface MethodTraffic {
+    questions: number;
+    answers: number;
+    abandoned: number;
+    bytes: number;
+}
+
+const REPORT_MS = 1_000;
+const LOOP_CHECK_MS = 50;
+/** A second with less than this is not worth a line: heartbeats and loads of a small fleet. */
+const LEAST_REPORTED_BYTES = 2_000_000;
+
+/**
+ * Counts for the metrics, and writes a line for a second in which much was sent or answers were made in vain.
+ * @param log - the log
+ * @param metrics - the counters
+ * @returns takes what is sent
+ */
+export function startPeerTraffic(log: EventLog, metrics: FleetMetrics): PeerTraffic {
+    const methods = new Map<string, MethodTraffic>();
+    let resent = 0;
+    const get = (method: string): MethodTraffic => {
+        const known = methods.get(method) ?? { questions: 0, answers: 0, abandoned: 0, bytes: 0 };
+        methods.set(method, known);
+        return known;
+    };
+    const loopDelay = watchLoopDelay();
+    startTicking(REPORT_MS, () => {
+        const loopDelayMs = loopDelay.take();
+        metrics.recordLoopDelayMs(loopDelayMs);
+        const all = [...methods.values()];
+        const isMuch = all.reduce((sum, one) => sum + one.bytes, 0) >= LEAST_REPORTED_BYTES;
+        if (isMuch || resent > 0 || all.some((one) => one.abandoned > 0)) {
+            const lines = [...methods].map(([method, one]) => formatMethod(method, one));
+            log.record("info", "peer-traffic", { sent: lines.join(" "), resent, loop_delay_ms: loopDelayMs });
+        }
+        methods.clear();
+        resent = 0;
+    });
+    return {
+        recordQuestion: (method, bytes) => {
+            const traffic = get(method);
+            traffic.questions += 1;
+            traffic.bytes += bytes;
+            metrics.countPeerBytes(method, bytes);
+        },
+        recordAnswer: (method, bytes, end) => {
+            const traffic = get(method);
+            traffic.answers += 1;
+            traffic.bytes += bytes;
+            traffic.abandoned += end === "abandoned" ? 1 : 0;
+            metrics.countPeerBytes(method, bytes);
+            metrics.countPeerAnswer(method, end);
+        },
+        recordResend: (entries) => {
+            resent += entries;
+            metrics.countResentEntries(entries);
+        },
+    };
+}
+
+function formatMethod(method: string, { questions, answers, abandoned, bytes }: MethodTraffic): string {
+    return `${method}:${String(questions)}+${String(answers)}-${String(abandoned)}:${String(bytes)}B`;
+}
+
+/** Timers that fire late show a busy processor, which a slow link does not. */
+function watchLoopDelay(): { readonly take: () => number; } {
+    let most = 0;
+    let dueMs = performance.now() + LOOP_CHECK_MS;
+    startTicking(LOOP_CHECK_MS, () => {
+        const nowMs = performance.now();
+        most = Math.max(most, Math.round(nowMs - dueMs));
+        dueMs = nowMs + LOOP_CHECK_MS;
+    });
+    return {
+        take: () => {
+            const taken = most;
+            most = 0;
+            return taken;
+        },
+    };
+}
--- a/packages/daemon/src/process/rpcHandler.ts
+++ b/packages/daemon/src/process/rpcHandler.ts
@@ -6,12 +6,15 @@
 import { CLOCK_HEADER, receiveClock } from "../connection/peerClient.js";
 import { hasSecret, readBody, type RequestHandler, sendJson } from "./httpServer.js";
 import { formatHybridTime, type HybridClock } from "./hybridClock.js";
+import type { PeerTraffic } from "./peerTraffic.js";
 
 /** What the handler needs. */
 export interface RpcHandlerOptions {
     readonly secret: string | undefined;
     readonly clock: HybridClock;
     readonly server: JSONRPCServer;
+    /** Told of each answer once it is handed over, or whoever asked has gone. */
+    readonly recordAnswer?: PeerTraffic["recordAnswer"];
 }
 
 /** A snapshot of the whole state has to fit. */
@@ -41,11 +44,23 @@
     }
     receiveClock(options.clock, request.headers[CLOCK_HEADER]);
     const body = await readBody(request, MOST_BODY_BYTES);
-    const answer = await options.server.receiveJSON(body.toString("utf8"));
+    const question = body.toString("utf8");
+    const answer = await options.server.receiveJSON(question);
     const headers = { [CLOCK_HEADER]: formatHybridTime(options.clock.get()) };
     if (answer === null) {
         response.writeHead(204, headers).end();
         return;
     }
-    sendJson(response, 200, answer, headers);
+    const bytes = sendJson(response, 200, answer, headers);
+    response.once("close", () => {
+        options.recordAnswer?.(readMethod(question), bytes, response.writableFinished ? "handed-over" : "abandoned");
+    });
 }
+
+/** The client of this project writes the method near the start; a body of megabytes is not parsed twice for it. */
+function readMethod(question: string): string {
+    return METHOD_PATTERN.exec(question.slice(0, METHOD_WITHIN))?.[1] ?? "unknown";
+}
+
+const METHOD_PATTERN = /"method":"(\w+)"/;
+const METHOD_WITHIN = 200;
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/runVoter.ts
@@ -83,6 +83,9 @@
                 metrics.recordRole(event.role === "leader");
                 log.record("info", "role", { role: event.role, term: event.term });
             }
+            else if (event.kind === "resent") {
+                fleet.traffic.recordResend(event.entries);
+            }
             else if (event.kind === "fault") {
                 log.record("error", "replica-fault", { reason: String(event.error) });
             }
@@ -110,9 +113,15 @@
 }
 
 function startParts(fleet: FleetProcess, host: FleetReplicaHost, protocol: VoterProtocol): VoterParts {
-    const { log, getNowMs, peers } = fleet;
+    const { log, metrics, getNowMs, peers } = fleet;
     const { cluster, contract } = fleet.getSettings();
-    const voter = new FleetVoter({ host, log, getNowMs, heartbeatMs: contract.upstream_heartbeat });
+    const voter = new FleetVoter({
+        host,
+        log,
+        getNowMs,
+        heartbeatMs: contract.upstream_heartbeat,
+        recordCommitMs: metrics.recordCommitMs,
+    });
     const probe = new SuspectProbe({ host, voter, control: protocol.control, getNowMs });
     const entries = new EntryRegister({ host, getNowMs });
     const group = new VoterGroup({
