Tests that fail: a document for many entries over one link, and entries sent again with each heartbeat

Reproduced without any outside program, on a paused clock: voters with a link of 170 Mbit/s each, the real register and the entries' real link. With 75 entries and 1,650 routes no entry ever holds the document (75 of 75 behind, 75 of 75 not ready); with 195 entries and with 5,000 routes the same; nine entries are served. At the log, a follower that answers ten heartbeats while one entry is on its way gets eleven copies; 20 entries of 300 KB went as one message of 5.7 MB.

Sight: entries are counted as sent again by their position, since an answered heartbeat hid them (resent=0 beside 5.4 MB where one change is 1.3 MB).

--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -27,7 +27,7 @@
     | { readonly kind: "role"; readonly role: Role; readonly term: number; }
     | { readonly kind: "replicas"; readonly replicas: ReplicaSet; }
     | { readonly kind: "snapshot"; readonly index: number; }
-    /** Entries, or a snapshot, that a replica did not answer in time are sent to it once more. */
+    /** Entries that were sent to a replica before are sent to it once more. */
     | { readonly kind: "resent"; readonly to: string; readonly entries: number; }
     | { readonly kind: "fault"; readonly error: unknown; };
 
@@ -64,6 +64,8 @@
     heardMs: number;
     /** When entries were sent that are not answered yet; undefined where there are none. */
     sentMs: number | undefined;
+    /** The last entry that was sent, answered or not. */
+    sentIndex: number;
 }
 
 /** How a proposal ended. */
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -164,7 +164,13 @@
         return known;
     }
     const nextIndex = context.log.last.index + 1;
-    const progress: Progress = { nextIndex, matchIndex: 0, heardMs: Number.NEGATIVE_INFINITY, sentMs: undefined };
+    const progress: Progress = {
+        nextIndex,
+        matchIndex: 0,
+        heardMs: Number.NEGATIVE_INFINITY,
+        sentMs: undefined,
+        sentIndex: 0,
+    };
     context.progress.set(id, progress);
     return progress;
 }
@@ -173,7 +179,6 @@
     const { log, options } = context;
     const progress = getProgress(context, to.id);
     const now = getMonotonicMs();
-    const isUnanswered = progress.sentMs !== undefined;
     const isWaiting = progress.sentMs !== undefined
         && now - progress.sentMs < options.timing.heartbeatMs * RESEND_AFTER_HEARTBEATS;
     if (isWaiting && when === "when-idle") {
@@ -181,7 +186,6 @@
     }
     if (progress.nextIndex <= log.start.index) {
         if (!isWaiting) {
-            recordResend(context, to, isUnanswered ? 1 : 0);
             sendSnapshot(context, to, progress, now);
         }
         return;
@@ -189,7 +193,8 @@
     const previousIndex = progress.nextIndex - 1;
     const entries = isWaiting ? [] : [...log.getFrom(progress.nextIndex, MOST_ENTRIES_A_MESSAGE)];
     if (entries.length > 0) {
-        recordResend(context, to, isUnanswered ? entries.length : 0);
+        recordResend(context, to, entries.filter((entry) => entry.index <= progress.sentIndex).length);
+        progress.sentIndex = Math.max(progress.sentIndex, entries.at(-1)?.index ?? 0);
         progress.sentMs = now;
     }
     options.functions.send(to, {
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -134,6 +134,57 @@
         expect(await proposed).to.deep.equal({ kind: "unknown" });
     });
 
+    // Seen on a full link: each follower took in eight times the size of one change, a copy with each heartbeat that it
+    // answered while the entries were still on their way.
+    const resendRows = [
+        { title: "answers heartbeats while they are on their way", isAnswering: false, least: 2, most: 3 },
+        { title: "answers them", isAnswering: true, least: 1, most: 1 },
+    ];
+    for (const { title, isAnswering, least, most } of resendRows) {
+        it(`sends entries again now and then, not with each heartbeat, to a follower that ${title}`, async () => {
+            await peers.start();
+            await peers.elect();
+            peers.answerAppend(left, 2);
+            peers.answerAppend(right, 2);
+            void peers.replica.propose("large");
+            for (let heartbeat = 0; heartbeat < 10; heartbeat += 1) {
+                peers.answerAppend(left, isAnswering ? 3 : 2);
+                await clock.tickAsync(timing.heartbeatMs);
+            }
+            const copies = peers.sent.filter(({ to, message }) =>
+                to === left.id && message.kind === "append" && message.entries.some((entry) => entry.index === 3)
+            );
+            expect(copies.length).to.be.within(least, most);
+        });
+    }
+
+    it("bounds the bytes of a message, not only its entries", async () => {
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 2);
+        peers.answerAppend(right, 2);
+        const proposals = Array.from({ length: 20 }, () => peers.replica.propose("x".repeat(300_000)));
+        await clock.tickAsync(timing.heartbeatMs);
+        for (let heartbeat = 0; heartbeat < 20; heartbeat += 1) {
+            const sent = peers.sent.findLast(({ to, message }) =>
+                to === left.id && message.kind === "append" && message.entries.length > 0
+            )?.message as ReplicaMessageOf<"append">;
+            peers.replica.receive(left, {
+                kind: "append-answer",
+                term: peers.term,
+                is_accepted: true,
+                match_index: sent.previous_index + sent.entries.length,
+                sent_ms: sent.sent_ms,
+            });
+            await clock.tickAsync(timing.heartbeatMs);
+        }
+        const sizes = peers.sent.filter(({ to }) => to === left.id).map(({ message }) =>
+            JSON.stringify(message).length
+        );
+        expect(Math.max(...sizes)).to.be.below(1_500_000);
+        expect((await Promise.all(proposals)).map((one) => one.kind)).to.deep.equal(proposals.map(() => "applied"));
+    });
+
     const newLifeRows = [
         { title: "all voters answered, one of them gone", ages: [200, 200], isUpToDate: [true, false], votes: ["a"] },
         { title: "one has heard a leader", ages: [200, undefined], isUpToDate: [true, true], votes: [] },
--- /dev/null
+++ b/packages/daemon/tests/documentDelivery.test.ts
@@ -0,0 +1,184 @@
+/**
+ * Symptom: a document that was confirmed came into force nowhere, every entry called itself not ready, and the document
+ * could not be read back, with all instances well.
+ * Sequence: 75 entries hold a document of 1,650 routes; the voters restart; one more change is confirmed.
+ * Cause: each entry got the whole document (330 KB) from the leader, 25 MB or 1.2 s of a link of 170 Mbit/s. An entry gave up
+ * after 1.2 s, threw away what had come and asked for all of it again, so the link stayed full for good.
+ * What settled it: `peer-traffic sent="synchronise:0+72-0:24324041B ..." loop_delay_ms=35` at the leader of 64 entries, so
+ * its link was full and its processor was not; `voters-lost ... age_ms=1212 reason="no answer in time"` at all entries within
+ * the same second, with no `voters-reached` after it; 18 to 22 MB/s out of the leader for the next twelve seconds.
+ */
+import { FleetState } from "@crankfork/coordination";
+import type { FleetCommand, SynchroniseParameters } from "@crankfork/schemas";
+import FakeTimers from "@sinonjs/fake-timers";
+import { expect } from "chai";
+import { EntryRegister } from "../src/process/entryRegister.js";
+import type { EventLog } from "../src/process/eventLog.js";
+import { FleetLink } from "../src/process/fleetLink.js";
+import type { FleetReplicaHost } from "../src/process/fleetVoter.js";
+import { SharedLink } from "./sharedLink.js";
+
+const LINK_BYTES_A_SECOND = 170_000_000 / 8;
+/** The contract's time to apply a change, and the age at which an entry takes itself out of the balancer. */
+const APPLY_MS = 2_000;
+const READY_AGE_MS = 3_000;
+const silentLog: EventLog = { record: () => undefined };
+const addresses = ["v1", "v2", "v3", "v4", "v5"].map((name) => ({ id: name, address: name }));
+
+/** Numbers that look drawn, the same in every run. */
+function createDraw(seed: number): () => string {
+    let state = seed;
+    return () => {
+        state = (state * 1_103_515_245 + 12_345) % 2_147_483_648;
+        return state.toString(36);
+    };
+}
+
+function createDocument(version: number, routes: number): unknown {
+    const draw = createDraw(7);
+    const list = Array.from({ length: routes }, () => ({
+        name: `r-${draw()}`,
+        host: `${draw()}.example`,
+        path_prefix: `/${draw()}/`,
+        kind: "streaming",
+        timeout_ms: 20_000,
+        target_latency_ms: 500,
+        traffic_split: [{ service: draw(), weight: 90 }, { service: draw(), weight: 10 }],
+        most_attempts: 2,
+    }));
+    return { version, routes: list };
+}
+
+function createPutDocument(version: number, routes: number): FleetCommand {
+    return { kind: "put-document", version, document: createDocument(version, routes) };
+}
+
+/** A voter of which the test says that it leads or follows; its answers share its link. */
+class TestVoter {
+    readonly link = new SharedLink(LINK_BYTES_A_SECOND);
+    readonly state = new FleetState();
+    readonly register: EntryRegister;
+
+    constructor(readonly self: { readonly id: string; readonly address: string; }, private readonly isLeader: boolean) {
+        const host = {
+            state: this.state,
+            self,
+            replica: {
+                hasNewestState: () => isLeader,
+                getStatus: () => ({ leader: addresses[0], replicas: { voters: addresses, learners: [] } }),
+            },
+        } as unknown as FleetReplicaHost;
+        this.register = new EntryRegister({ host, getNowMs: () => performance.now() });
+    }
+
+    apply(command: FleetCommand, index: number): void {
+        this.state.apply(command, index);
+        if (this.isLeader) {
+            this.register.handleState();
+        }
+    }
+
+    answer(method: string, parameters: object): unknown {
+        switch (method) {
+            case "synchronise":
+                return this.register.synchronise(parameters as SynchroniseParameters);
+            default:
+                throw new Error(`no method ${method}`);
+        }
+    }
+}
+
+/** An entry that holds the highest version it was told. */
+class TestEntry {
+    version = 0;
+    private index = 0;
+    private readonly link: FleetLink;
+
+    constructor(name: string, voters: readonly TestVoter[]) {
+        this.link = new FleetLink({
+            peers: {
+                ask: (address, method, parameters, timeoutMs) => {
+                    const voter = voters.find((one) => one.self.address === address);
+                    return voter === undefined
+                        ? Promise.reject(new Error(`no voter at ${address}`))
+                        : voter.link.exchange(() => voter.answer(method, parameters), timeoutMs);
+                },
+                send: () => undefined,
+            },
+            log: silentLog,
+            getNowMs: () => performance.now(),
+            getSeeds: () => addresses.map((one) => one.address),
+            instance: name,
+            createParameters: () => ({ instance: name, known_index: this.index, loads: {} }),
+            takeSuspects: () => [],
+            handleState: (state) => {
+                this.index = state.index;
+                this.version = Math.max(this.version, state.document?.version ?? 0);
+            },
+        });
+        this.link.start();
+    }
+
+    get ageMs(): number {
+        return this.link.ageMs;
+    }
+
+    stop(): void {
+        this.link.stop();
+    }
+}
+
+describe("a confirmed document is in force at every entry in time, however many there are", () => {
+    const rows = [
+        { title: "a small fleet", entries: 9, routes: 1_650 },
+        { title: "75 entries and 1,650 routes", entries: 75, routes: 1_650 },
+        { title: "195 entries and 1,650 routes", entries: 195, routes: 1_650 },
+        { title: "75 entries and 5,000 routes", entries: 75, routes: 5_000 },
+    ];
+    for (const { title, entries: count, routes } of rows) {
+        it(title, async () => {
+            const clock = FakeTimers.install();
+            try {
+                const voters = addresses.map((self, number) => new TestVoter(self, number === 0));
+                const put = (version: number): void => {
+                    voters.forEach((voter) => {
+                        voter.apply(createPutDocument(version, routes), version);
+                    });
+                };
+                put(1);
+                // The voters have restarted: every entry asks for everything.
+                const entries = Array.from(
+                    { length: count },
+                    (_unused, number) => new TestEntry(`e${String(number)}`, voters),
+                );
+                await clock.tickAsync(APPLY_MS);
+                const first = countBehind(entries, 1);
+                for (const version of [2, 3, 4, 5]) {
+                    put(version);
+                    await clock.tickAsync(APPLY_MS / 4);
+                }
+                await clock.tickAsync(APPLY_MS * 3 / 4);
+                const sentBytes = voters.reduce((sum, voter) => sum + voter.link.sentBytes, 0);
+                const notReady = entries.filter((entry) => entry.ageMs >= READY_AGE_MS).length;
+                entries.forEach((entry) => {
+                    entry.stop();
+                });
+                const changes = 5;
+                const wholeBytes = JSON.stringify(createDocument(1, routes)).length * count * changes;
+                expect({ first, last: countBehind(entries, 5), notReady }).to.deep.equal({
+                    first: 0,
+                    last: 0,
+                    notReady: 0,
+                });
+                expect(sentBytes, "bytes that left the voters").to.be.below(wholeBytes * 2);
+            }
+            finally {
+                clock.uninstall();
+            }
+        });
+    }
+});
+
+function countBehind(entries: readonly TestEntry[], version: number): number {
+    return entries.filter((entry) => entry.version < version).length;
+}
