The log sends entries again by a growing wait, and in messages of bounded bytes

Ruled out: lost answers (the followers' disks and processors were idle). Second, a message bounded by 256 entries could hold 256 documents. Change: entries are taken for answered by the position that an answer confirms; unanswered ones are sent again after 3, 6, 12, 12 heartbeats; a message ends at 1 MB.

--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -64,8 +64,12 @@
     heardMs: number;
     /** When entries were sent that are not answered yet; undefined where there are none. */
     sentMs: number | undefined;
-    /** The last entry that was sent, answered or not. */
+    /** The last entry of the newest message that had any. */
     sentIndex: number;
+    /** The last entry that was ever sent, by which those that are sent again are counted. */
+    mostSentIndex: number;
+    /** How often entries that are not answered yet were sent again. */
+    resends: number;
 }
 
 /** How a proposal ended. */
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -1,7 +1,8 @@
 /**
  * Replication: the leader's entries reach the others, and their answers come back.
  */
-import type { LogPayload, ReplicaAddress, ReplicaMessageOf, Snapshot } from "@crankfork/schemas";
+import type { LogEntry, LogPayload, ReplicaAddress, ReplicaMessageOf, Snapshot } from "@crankfork/schemas";
+import { computeEntryBytes } from "../version/entryBytes.js";
 import { applyCommits, applyUpTo, recordOwnSync } from "./commit.js";
 import { resetElectionTimeout, stepDown, stepDownIfNewer } from "./election.js";
 import {
@@ -14,8 +15,15 @@
 } from "./replicaContext.js";
 
 const MOST_ENTRIES_A_MESSAGE = 256;
-/** Heartbeats after which entries that were not answered are sent again. */
+/**
+ * A message that fills the link holds up the heartbeats behind it: 1 MB takes 47 ms of 170 Mbit/s, a third of the time
+ * between two heartbeats. One entry is sent whatever its size.
+ */
+const MOST_BYTES_A_MESSAGE = 1_000_000;
+/** Heartbeats after which entries that were not answered are sent again the first time; twice as many each time after. */
 const RESEND_AFTER_HEARTBEATS = 3;
+/** The most of them; a replica that is back after a cut waits no longer for its entries. */
+const MOST_RESEND_HEARTBEATS = 12;
 
 /**
  * Appends an entry of the present term; it counts for the leader's own vote once it is on disk.
@@ -135,7 +143,12 @@
     }
     const progress = getProgress(context, from.id);
     progress.heardMs = Math.max(progress.heardMs, message.sent_ms);
-    progress.sentMs = undefined;
+    // A heartbeat is answered while entries that left before it are still on their way. Taken for their answer it sent
+    // them again each time: eleven copies in ten heartbeats on a full link.
+    if (!message.is_accepted || message.match_index >= progress.sentIndex) {
+        progress.sentMs = undefined;
+        progress.resends = 0;
+    }
     if (message.is_accepted) {
         progress.matchIndex = Math.max(progress.matchIndex, message.match_index);
         progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
@@ -170,6 +183,8 @@
         heardMs: Number.NEGATIVE_INFINITY,
         sentMs: undefined,
         sentIndex: 0,
+        mostSentIndex: 0,
+        resends: 0,
     };
     context.progress.set(id, progress);
     return progress;
@@ -180,7 +195,7 @@
     const progress = getProgress(context, to.id);
     const now = getMonotonicMs();
     const isWaiting = progress.sentMs !== undefined
-        && now - progress.sentMs < options.timing.heartbeatMs * RESEND_AFTER_HEARTBEATS;
+        && now - progress.sentMs < computeResendMs(options.timing.heartbeatMs, progress.resends);
     if (isWaiting && when === "when-idle") {
         return;
     }
@@ -191,10 +206,12 @@
         return;
     }
     const previousIndex = progress.nextIndex - 1;
-    const entries = isWaiting ? [] : [...log.getFrom(progress.nextIndex, MOST_ENTRIES_A_MESSAGE)];
+    const entries = isWaiting ? [] : takeWithinBytes(log.getFrom(progress.nextIndex, MOST_ENTRIES_A_MESSAGE));
     if (entries.length > 0) {
-        recordResend(context, to, entries.filter((entry) => entry.index <= progress.sentIndex).length);
-        progress.sentIndex = Math.max(progress.sentIndex, entries.at(-1)?.index ?? 0);
+        progress.resends += progress.sentMs === undefined ? 0 : 1;
+        recordResend(context, to, entries.filter((entry) => entry.index <= progress.mostSentIndex).length);
+        progress.sentIndex = previousIndex + entries.length;
+        progress.mostSentIndex = Math.max(progress.mostSentIndex, progress.sentIndex);
         progress.sentMs = now;
     }
     options.functions.send(to, {
@@ -208,6 +225,19 @@
     });
 }
 
+/** Waits longer each time, so that a link which is slower than expected is not filled with copies (RFC 6298). */
+function computeResendMs(heartbeatMs: number, resends: number): number {
+    return heartbeatMs * Math.min(MOST_RESEND_HEARTBEATS, RESEND_AFTER_HEARTBEATS * 2 ** resends);
+}
+
+function takeWithinBytes(entries: readonly LogEntry[]): LogEntry[] {
+    let bytes = 0;
+    return entries.filter((entry, position) => {
+        bytes += computeEntryBytes(entry);
+        return position === 0 || bytes <= MOST_BYTES_A_MESSAGE;
+    });
+}
+
 function recordResend(context: ReplicaContext, to: ReplicaAddress, entries: number): void {
     if (entries > 0) {
         context.options.functions.record({ kind: "resent", to: to.id, entries });
@@ -222,7 +252,9 @@
         replicas: log.getReplicas(context.appliedIndex),
         state: options.functions.getState(),
     };
+    progress.resends += progress.sentMs === undefined ? 0 : 1;
     progress.sentMs = now;
+    progress.sentIndex = snapshot.index;
     options.functions.send(to, { kind: "snapshot", term: context.term, snapshot, sent_ms: now });
 }
 
