--- a/packages/daemon/src/process/peerTraffic.ts
+++ b/packages/daemon/src/process/peerTraffic.ts
@@ -27,7 +27,8 @@
 }
 
 const REPORT_MS = 1_000;
-const LOOP_CHECK_MS = 50;
+/** Each check wakes the process; ten a second are enough to see a processor that is busy for as long as an election. */
+const LOOP_CHECK_MS = 100;
 /** A second with less than this is not worth a line: heartbeats and loads of a small fleet. */
 const LEAST_REPORTED_BYTES = 2_000_000;
 
