--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -18,12 +18,12 @@
 import { type RefusalId, refusals } from "../request/routedRefusal.js";
 import { handleRoutedRequest } from "../request/routedRequest.js";
 import { type AdmittedCall, RoutedRun } from "../request/routedRun.js";
+import { DocumentInForce } from "../version/documentInForce.js";
 import { FleetView } from "../version/fleetView.js";
 import { readCallerBody } from "./callerBody.js";
 import { EntryAdmission } from "./entryAdmission.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
-import { formatAgeMs } from "./formatAgeMs.js";
 import { getPathName } from "./pathName.js";
 import { PathPulse } from "./pathPulse.js";
 import { type EntryKnowledge, recordRefusal, recordRequest } from "./requestLog.js";
@@ -65,6 +65,8 @@
 
 /** Takes requests. */
 export class FleetEntry {
+    /** What operators want. */
+    readonly document: DocumentInForce;
     private readonly view = new FleetView();
     private readonly health: UpstreamHealth;
     private readonly chooser: TargetChooser;
@@ -82,6 +84,7 @@
      * @param options - settings, codec, link and log
      */
     constructor(private readonly options: FleetEntryOptions) {
+        this.document = new DocumentInForce({ ...options, view: this.view });
         this.health = new UpstreamHealth(options.getNowMs);
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.stateAge = new StateAge(options.getNowMs);
@@ -163,28 +166,6 @@
         this.health.forget((id) => this.view.getUpstream(id) !== undefined);
     }
 
-    /** Version of the routing table in force; undefined before the first. */
-    get heldVersion(): number | undefined {
-        return this.view.routing?.table.version;
-    }
-
-    /**
-     * Puts an operator's document in force, unless a newer one is.
-     * @param content - the document as it came
-     */
-    applyDocument(content: unknown): void {
-        const { log, decodeDocument } = this.options;
-        const table = decodeDocument(content);
-        if (table === undefined) {
-            log.record("error", "document-unreadable", { held: this.heldVersion });
-            return;
-        }
-        if (this.view.applyTable(table)) {
-            const age_ms = formatAgeMs(this.options.getAgeMs());
-            log.record("info", "in-force", { version: table.version, routes: table.routes.length, age_ms });
-        }
-    }
-
     /**
      * Handles a request of a caller.
      * @param message - the request
--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/fleetVoter.ts
@@ -5,7 +5,6 @@
 import type { FleetState, ReplicaEvent } from "@crankfork/coordination";
 import {
     type FleetCommand,
-    type LayerSpan,
     packDocument,
     type RegisteredUpstream,
     type ReplicaAddress,
@@ -15,6 +14,7 @@
     type UpstreamStatus,
 } from "@crankfork/schemas";
 import type { EventLog } from "./eventLog.js";
+import { GivenUpLayers } from "./givenUpLayers.js";
 import { formatSpan, isSameSpan } from "./layerSpans.js";
 import type { ReplicaHost } from "./replicaHost.js";
 
@@ -61,8 +61,7 @@
     private readonly heard = new Map<string, Hearing>();
     /** Upstreams whose loss is on its way into the log. */
     private readonly beingMarked = new Set<string>();
-    /** Layers that engines were ordered to give up; their heartbeats tell them until nothing uses them any more. */
-    private readonly givenUp = new Map<string, LayerSpan>();
+    private readonly givenUp = new GivenUpLayers();
     private electedMs = 0;
 
     /**
@@ -78,7 +77,7 @@
         if (event.kind === "role" && event.role === "leader") {
             this.electedMs = this.options.getNowMs();
             this.heard.clear();
-            this.givenUp.clear();
+            this.givenUp.reset();
         }
     }
 
@@ -135,7 +134,7 @@
         const isNews = this.recordHearing(heartbeat.facts.id, heartbeat.sequence);
         const present = host.state.getUpstream(heartbeat.facts.id);
         // Heartbeats do not tell it; reports do.
-        const held = this.readHeld(heartbeat.facts);
+        const held = this.givenUp.readHeld(heartbeat.facts);
         const facts = { ...heartbeat.facts, held, slowness: present?.slowness };
         if (!isNews || host.state.isRemoved(facts.id) || !isChange(present, facts, status)) {
             return { kind: "done", value: undefined };
@@ -225,7 +224,7 @@
      */
     recordGivenUp(upstream: RegisteredUpstream): void {
         if (upstream.held !== undefined) {
-            this.givenUp.set(upstream.id, upstream.held);
+            this.givenUp.record(upstream.id, upstream.held);
             this.recordHeld(upstream, undefined);
         }
     }
@@ -245,17 +244,6 @@
         void this.propose({ kind: "put-upstream", facts: { ...facts, slowness }, status });
     }
 
-    private readHeld({ id, held }: UpstreamFacts): LayerSpan | undefined {
-        const givenUp = this.givenUp.get(id);
-        if (givenUp !== undefined && isSameSpan(held, givenUp)) {
-            return undefined;
-        }
-        if (held !== undefined) {
-            this.givenUp.delete(id);
-        }
-        return held;
-    }
-
     private async propose(command: FleetCommand): Promise<VoterResult<undefined>> {
         const { host, getNowMs, recordCommitMs } = this.options;
         const startMs = getNowMs();
--- a/packages/daemon/src/process/runEntry.ts
+++ b/packages/daemon/src/process/runEntry.ts
@@ -74,12 +74,12 @@
         createParameters: () => entry.createParameters(),
         takeSuspects: () => entry.takeSuspects(),
         random: Math.random,
-        getHeldVersion: () => entry.heldVersion,
+        getHeldVersion: () => entry.document.version,
         handleState: (state) => {
             entry.applyState(state);
         },
         handleDocument: (content) => {
-            entry.applyDocument(content);
+            entry.document.apply(content);
             if (entry.idleTimeoutMs !== undefined) {
                 callers.setIdleMs(entry.idleTimeoutMs);
                 lifecycle.send("configured");
