A version that is told in the very turn in which loading ends is loaded too

Found by reading: the mark that a load is under way was taken back a turn after the last look at what is wanted; a version told in between waited for the entry's next question, up to 0.6 s.

--- a/packages/daemon/src/process/documentLoader.ts
+++ b/packages/daemon/src/process/documentLoader.ts
@@ -62,10 +62,7 @@
             this.wanted = version;
         }
         if (!this.isLoading && !this.hasWanted()) {
-            this.isLoading = true;
-            void this.load().finally(() => {
-                this.isLoading = false;
-            });
+            void this.load();
         }
     }
 
@@ -75,6 +72,7 @@
     }
 
     private async load(): Promise<void> {
+        this.isLoading = true;
         while (!this.isStopped && !this.hasWanted()) {
             const pauseMs = await this.ask(this.chooseVoter());
             if (pauseMs > 0) {
@@ -82,6 +80,8 @@
                 await waitMs(pauseMs);
             }
         }
+        // In the same turn as the last look at what is wanted, so that a version told in between is not passed over.
+        this.isLoading = false;
     }
 
     /** Entries begin at different voters, so that the links of all are used; each stays with one that serves it. */
