--- a/packages/daemon/tests/documentLoader.test.ts
+++ b/packages/daemon/tests/documentLoader.test.ts
@@ -1,6 +1,7 @@
 import { type DocumentResult, packDocument } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
+import type { PeerClient } from "../src/connection/peerClient.js";
 import { DocumentLoader } from "../src/process/documentLoader.js";
 
 const createResult = (version: number): DocumentResult => ({
@@ -9,6 +10,23 @@
     packed: packDocument({ version }),
 });
 
+/** A loader that always draws the first of the voters it may go on at. */
+function createLoader(
+    ask: PeerClient["ask"],
+    getHeldVersion: () => number | undefined,
+    handleVersion: (version: number) => void,
+): DocumentLoader {
+    return new DocumentLoader({
+        peers: { ask, send: () => undefined },
+        log: { record: () => undefined },
+        random: () => 0,
+        getHeldVersion,
+        handleDocument: (content) => {
+            handleVersion((content as { version: number; }).version);
+        },
+    });
+}
+
 /** What the voters answer, one after another; the last answer is given again and again. */
 type Script = readonly (DocumentResult | "unreachable" | "rubbish")[];
 
@@ -70,24 +88,19 @@
             const clock = FakeTimers.install();
             const found: string[] = [];
             let version: number | undefined;
-            const loader = new DocumentLoader({
-                peers: {
-                    ask: (address) => {
-                        const answer = script[Math.min(found.length, script.length - 1)];
-                        found.push(address);
-                        return answer === "unreachable"
-                            ? Promise.reject(new Error("not reached"))
-                            : Promise.resolve(answer);
-                    },
-                    send: () => undefined,
+            const loader = createLoader(
+                (address) => {
+                    const answer = script[Math.min(found.length, script.length - 1)];
+                    found.push(address);
+                    return answer === "unreachable"
+                        ? Promise.reject(new Error("not reached"))
+                        : Promise.resolve(answer);
                 },
-                log: { record: () => undefined },
-                random: () => 0,
-                getHeldVersion: () => version,
-                handleDocument: (content) => {
-                    version = (content as { version: number; }).version;
+                () => version,
+                (next) => {
+                    version = next;
                 },
-            });
+            );
             wanted.forEach((one) => {
                 loader.want(one, "a", ["a", "b", "c"]);
             });
@@ -105,21 +118,16 @@
     it("at once, where the leader is the only voter that is there", async () => {
         const clock = FakeTimers.install();
         let version: number | undefined;
-        const loader = new DocumentLoader({
-            peers: {
-                ask: (address, _method, _parameters, silenceMs) =>
-                    address === "leader"
-                        ? Promise.resolve(createResult(4))
-                        : new Promise((_resolve, reject) => setTimeout(reject, silenceMs, new Error("silent"))),
-                send: () => undefined,
-            },
-            log: { record: () => undefined },
-            random: () => 0,
-            getHeldVersion: () => version,
-            handleDocument: (content) => {
-                version = (content as { version: number; }).version;
+        const loader = createLoader(
+            (address, _method, _parameters, silenceMs) =>
+                address === "leader"
+                    ? Promise.resolve(createResult(4))
+                    : new Promise((_resolve, reject) => setTimeout(reject, silenceMs, new Error("silent"))),
+            () => version,
+            (next) => {
+                version = next;
             },
-        });
+        );
         loader.want(4, "leader", ["away", "cut-off", "leader"]);
         await clock.tickAsync(10);
         loader.stop();
