Paths across failure domains, refusals at once where engines are too few, and entries that keep to a few paths

Cause, one: placement and paths were planned failure domain by failure domain. Ruled out: too few engines in all (34 with room for 3.6 models). Now domains that don't hold the model are planned as one, those with the most room first; where they don't hold it together either, what others can do without closes one path. Paths across cost what their activations take on the pipe, as many as keep it busy; one whose pipe uses up the objective takes nothing new. The row 'no path crosses from one failure domain to another' held the old design; rows for each case replace it.

Cause, two: where no placement can serve, callers waited 1.8 s and were told to come back after 1.5 s, in vain. Now they are told at once, from the moment on that it has lasted for as long as they would have waited.

Cause, three: entries that see a request a second each find no open connection on 46 paths.

Measured: rows that fail on the code before.

--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -43,7 +43,7 @@
 /** Time for a new connection; the round trip is some milliseconds. undici's timers are exact up to a second only. */
 const CONNECT_TIMEOUT_MS = 700;
 /** Idle connections are closed after this time unless the upstream names a shorter one. */
-const IDLE_MS = 4_000;
+export const UPSTREAM_IDLE_MS = 4_000;
 /** An upstream's own idle time is cut by this, so that a request does not cross its close. */
 const IDLE_MARGIN_MS = 1_000;
 /** Bytes of a head that are taken. */
@@ -56,7 +56,7 @@
 export function openUpstreamConnections(): Agent {
     return new Agent({
         connect: createConnector(),
-        keepAliveTimeout: IDLE_MS,
+        keepAliveTimeout: UPSTREAM_IDLE_MS,
         keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
         headersTimeout: 0,
         bodyTimeout: 0,
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -21,6 +21,7 @@
 import { DocumentInForce } from "../version/documentInForce.js";
 import { FleetView } from "../version/fleetView.js";
 import { readCallerBody } from "./callerBody.js";
+import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
@@ -104,8 +105,11 @@
             handleStill: (id, streams, silentMs) => void this.faults.handleStill(id, streams, silentMs),
         });
         this.chooser = new TargetChooser({
+            instance: options.settings.instance.id,
+            getRequestsASecond: (service) => this.budgets.get(service).requestsASecond,
             view: this.view,
             health: this.health,
+            shortage: new EngineShortage(options.getNowMs),
             getLoadElsewhere: (id) => this.loadsElsewhere[id] ?? { open: 0, unstarted: 0 },
             countUnseen: (service) => this.countUnseen(service),
             getLoadAgeMs: () => this.stateAge.getMeanMs(),
--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -2,7 +2,13 @@
  * Brings layers to the engines, as the plan says. Only a leader inside its lease gives orders; an order without an
  * answer may still be carried out later, so its engine gets no other until that time is over or its report is clear.
  */
-import { computeLayerPlan, isPlacementDue, type LayerOrder, type PlannedEngine } from "@crankfork/decisions";
+import {
+    canHoldModel,
+    computeLayerPlan,
+    isPlacementDue,
+    type LayerOrder,
+    type PlannedEngine,
+} from "@crankfork/decisions";
 import type { EngineProfile, LayerSpan, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
 import type { EngineControl, OrderEnd } from "../connection/engineControl.js";
 import { ArrivalWatch } from "./arrivalWatch.js";
@@ -46,6 +52,8 @@
 export class LayerKeeper {
     private readonly orders = new Map<string, OpenOrder>();
     private readonly arrivals = new Map<string, ArrivalWatch>();
+    /** Services whose engines do not hold the model. */
+    private readonly short = new Set<string>();
     private stopTicking: StopTicking | undefined;
 
     /**
@@ -88,12 +96,32 @@
         if (!this.isPlacementDue(name, engines)) {
             return;
         }
+        this.recordShortage(name, engines, profile);
         const planned = engines.flatMap((upstream) => this.createPlannedEngine(upstream) ?? []);
         computeLayerPlan(planned, profile).forEach((order) => {
             void this.giveOrder(order, profile);
         });
     }
 
+    /** A line where engines become too few for the model, and one where they are enough again. */
+    private recordShortage(service: string, engines: readonly RegisteredUpstream[], profile: EngineProfile): void {
+        const isShort = !canHoldModel(engines.map(({ accelerator = "" }) => accelerator), profile);
+        if (isShort === this.short.has(service)) {
+            return;
+        }
+        if (isShort) {
+            this.short.add(service);
+        }
+        else {
+            this.short.delete(service);
+        }
+        this.options.log.record(isShort ? "warn" : "info", isShort ? "too-few-engines" : "enough-engines", {
+            service,
+            engines: engines.length,
+            layers: profile.layers,
+        });
+    }
+
     private isPlacementDue(service: string, engines: readonly RegisteredUpstream[]): boolean {
         const { getNowMs, heartbeatMs } = this.options;
         const arrivals = this.arrivals.get(service) ?? new ArrivalWatch();
--- a/packages/daemon/src/process/targetChooser.ts
+++ b/packages/daemon/src/process/targetChooser.ts
@@ -2,34 +2,44 @@
  * Chooses where a try of a routed request goes, by what this entry and the others have open.
  */
 import {
+    canHoldModel,
     type Chain,
     type ChainLoad,
     chooseChainLate,
     computeLoadNow,
+    computePreferredCount,
     computePriority,
     hasChainRoom,
+    listPreferredChains,
     type LoadedChain,
     type RequestSize,
     type Standing,
 } from "@crankfork/decisions";
 import type { EngineProfile, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
+import { UPSTREAM_IDLE_MS } from "../connection/upstreamExchange.js";
 import type { TargetChoice } from "../request/requestFunctions.js";
 import type { CallTarget } from "../request/routedCall.js";
 import type { RoutedRun } from "../request/routedRun.js";
 import type { FleetView } from "../version/fleetView.js";
+import type { EngineShortage } from "./engineShortage.js";
 import { getPathName, type PathName } from "./pathName.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
 /** What the choice rests on. */
 export interface TargetChooserOptions {
+    /** Names this entry. */
+    readonly instance: string;
     readonly view: FleetView;
     readonly health: UpstreamHealth;
+    readonly shortage: EngineShortage;
     /** What other entries have open at an upstream, as the leader told last. */
     readonly getLoadElsewhere: (id: string) => ChainLoad;
     /** Whether a path stood still a moment ago. */
     readonly isAvoided: (name: PathName) => boolean;
     /** Requests of a service that others are expected to have sent since their loads were told. */
     readonly countUnseen: (service: string) => number;
+    /** What this entry sends to a service. */
+    readonly getRequestsASecond: (service: string) => number;
     /** How long ago others told their loads, on average. */
     readonly getLoadAgeMs: () => number;
     readonly random: () => number;
@@ -85,19 +95,23 @@
     ): TargetChoice {
         const chains = this.listChains(run, service);
         if (chains.length === 0) {
-            return { kind: "none" };
+            return { kind: this.isShort(service.name, engine) ? "too-few-engines" : "none" };
         }
+        this.options.shortage.recordEnough(service.name);
         const { objective_ms } = run.admitted.route;
         const ageMs = this.options.getLoadAgeMs();
         const hasRoom = ({ chain, ...load }: LoadedChain): boolean =>
             hasChainRoom(chain, computeLoadNow(chain, load, engine, ageMs), engine, objective_ms);
-        const chosen = chooseChainLate({
-            chains: chains.map((chain) => ({ chain, ...this.getLoad(getFirstId(chain)) })),
-            size: run.admitted.call.size ?? UNKNOWN_SIZE,
-            unseen: this.options.countUnseen(service.name),
-            hasRoom: (loaded) => isUnderWay || hasRoom(loaded),
-            draw: this.options.random(),
-        });
+        const chooseAmong = (some: readonly Chain[]): LoadedChain | undefined =>
+            chooseChainLate({
+                chains: some.map((chain) => ({ chain, ...this.getLoad(getFirstId(chain)) })),
+                size: run.admitted.call.size ?? UNKNOWN_SIZE,
+                unseen: this.options.countUnseen(service.name) * some.length / chains.length,
+                hasRoom: (loaded) => isUnderWay || hasRoom(loaded),
+                draw: this.options.random(),
+            });
+        const preferred = this.listPreferred(chains, service.name);
+        const chosen = chooseAmong(preferred) ?? (preferred.length < chains.length ? chooseAmong(chains) : undefined);
         const first = chosen?.chain.stages[0]?.engine;
         if (chosen === undefined || first === undefined) {
             return { kind: "full" };
@@ -106,6 +120,15 @@
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
+    private isShort(service: string, engine: EngineProfile): boolean {
+        const { view, shortage } = this.options;
+        if (canHoldModel(view.listReady(service).map(({ accelerator = "" }) => accelerator), engine)) {
+            shortage.recordEnough(service);
+            return false;
+        }
+        return shortage.recordShort(service);
+    }
+
     /**
      * Tells whether a stream can go on elsewhere.
      * @param run - its request
@@ -115,6 +138,15 @@
         return this.listOtherChains(run, this.listUsableChains(run.admitted.service)).length > 0;
     }
 
+    private listPreferred(chains: readonly Chain[], service: string): readonly Chain[] {
+        const { instance, getRequestsASecond } = this.options;
+        return listPreferredChains(
+            chains,
+            instance,
+            computePreferredCount(getRequestsASecond(service), UPSTREAM_IDLE_MS),
+        );
+    }
+
     /** Paths that this request has not been on and that move go first; where there are none, any. */
     private listChains(run: RoutedRun, service: RoutedService): readonly Chain[] {
         const usable = this.listUsableChains(service);
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -19,6 +19,8 @@
     | { readonly kind: "target"; readonly target: CallTarget; }
     /** Nothing there can take the request. */
     | { readonly kind: "none"; }
+    /** The engines that are there have not held the model together for a while: waiting is in vain. */
+    | { readonly kind: "too-few-engines"; }
     /** What is there has no room. */
     | { readonly kind: "full"; };
 
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -12,6 +12,7 @@
     | "body-too-large"
     | "unreadable"
     | "no-upstream"
+    | "too-few-engines"
     | "full"
     | "declined"
     | "timeout-not-run"
@@ -35,6 +36,8 @@
 const OTHER_INSTANCE_RETRY_MS = 10;
 /** Time to come back where no upstream takes the request now; a lost part of a model is loaded in that time. */
 const NO_UPSTREAM_RETRY_MS = 1_500;
+/** Time to come back where engines have to be added first: they start, register and load their layers. */
+const TOO_FEW_ENGINES_RETRY_MS = 5_000;
 /** Time to come back where all upstreams are full; a request takes about as long. */
 const BUSY_RETRY_MS = 500;
 
@@ -72,6 +75,12 @@
         text: "no upstream can take the request now; it has not run",
         retryAfterMs: NO_UPSTREAM_RETRY_MS,
     },
+    "too-few-engines": {
+        id: "too-few-engines",
+        status: 503,
+        text: "the engines that are there do not hold the model; the request has not run",
+        retryAfterMs: TOO_FEW_ENGINES_RETRY_MS,
+    },
     "full": {
         id: "full",
         status: 503,
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -97,8 +97,7 @@
             return endStopped(run, answer, run.stopReason);
         }
         if (choice.kind !== "target") {
-            const refusal = choice.kind === "full" ? "full" : "no-upstream";
-            return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : refusal);
+            return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : choiceRefusals[choice.kind]);
         }
         const { target } = choice;
         const result = await tryTarget(run, target, relay, functions);
@@ -121,6 +120,13 @@
     }
 }
 
+/** What a caller is told where nothing can take its request. */
+const choiceRefusals: Readonly<Record<Exclude<TargetChoice["kind"], "target">, RefusalId>> = {
+    "none": "no-upstream",
+    "too-few-engines": "too-few-engines",
+    "full": "full",
+};
+
 function endStopped(run: RoutedRun, answer: RoutedAnswer, stop: RunStop): RequestEnd {
     return stop === "caller-left"
         ? { outcome: "caller-left", status: undefined, refusal: undefined }
@@ -138,6 +144,9 @@
     const choose = (): TargetChoice => functions.chooseTarget(run, relay?.lastEventId, (relay?.count ?? 0) > 0);
     let choice = choose();
     while (choice.kind !== "target" && run.stopReason === undefined) {
+        if (choice.kind === "too-few-engines") {
+            return choice;
+        }
         if (functions.getNowMs() - startMs >= (choice.kind === "full" ? fullMs : noneMs)) {
             return choice;
         }
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -118,8 +118,8 @@
     readonly ended?: readonly string[];
     /** Whether a stream may leave its path for silence alone; left out for yes. */
     readonly mayLeave?: boolean;
-    /** Whether what is there has no room, rather than that nothing is there. */
-    readonly isFull?: boolean;
+    /** What is told where no upstream is left; left out for "none". */
+    readonly otherwise?: "none" | "full" | "too-few-engines";
     /** How many times it is full before there is room; left out for never. */
     readonly fullLooks?: number;
     readonly askStall?: (target: CallTarget) => Promise<StallAnswer>;
@@ -186,7 +186,7 @@
                     return { kind: "full" };
                 }
                 const next = options.upstreams.find((one) => !run.tried.has(one.name));
-                return next === undefined ? { kind: options.isFull === true ? "full" : "none" } : {
+                return next === undefined ? { kind: options.otherwise ?? "none" } : {
                     kind: "target",
                     target: {
                         upstreamId: next.name,
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -272,7 +272,7 @@
     });
 
     it("where all paths are full the caller is soon told when to come back", async () => {
-        const entry = await TestEntry.open({ upstreams: [], route: { objective_ms: 100 }, isFull: true });
+        const entry = await TestEntry.open({ upstreams: [], route: { objective_ms: 100 }, otherwise: "full" });
         const seen = await ask(entry.url);
         await entry.close();
         expect(entry.ends.map((end) => end.refusal)).to.deep.equal(["full"]);
@@ -280,6 +280,21 @@
         expect(Number(seen.retryAfter)).to.be.above(1);
     });
 
+    it("where the engines don't hold the model the caller is told at once, and when to come back", async () => {
+        const entry = await TestEntry.open({
+            upstreams: [],
+            route: { timeout_ms: 20_000 },
+            otherwise: "too-few-engines",
+        });
+        const startMs = performance.now();
+        const seen = await ask(entry.url, undefined, { "x-deadline": "20000" });
+        await entry.close();
+        expect(entry.ends).to.deep.include({ outcome: "refused", status: 503, refusal: "too-few-engines" });
+        expect(Number(seen.retryAfter)).to.equal(5);
+        // Its patience for a path that is being loaded would be 1.8 s.
+        expect(performance.now() - startMs).to.be.below(1_800);
+    });
+
     const backRows = [
         { title: "a new caller is told soon to come back", deadlineMs: 10_000, status: 503 },
         { title: "one that is back is let wait for room", deadlineMs: 8_000, status: 200 },
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,10 +27,13 @@
 export * from "./request/findRoute.js";
 export * from "./request/hasChainRoom.js";
 export * from "./request/isPathStill.js";
+export * from "./request/listPreferredChains.js";
+export * from "./version/canHoldModel.js";
 export * from "./version/checkRoutingTable.js";
 export * from "./version/chooseVoterChange.js";
 export * from "./version/computeChains.js";
 export * from "./version/computeLayerPlan.js";
+export * from "./version/computeLayerRoom.js";
 export {
     computePlacement,
     type PlacementFault,
--- a/packages/decisions/src/request/hasChainRoom.ts
+++ b/packages/decisions/src/request/hasChainRoom.ts
@@ -62,7 +62,9 @@
 }
 
 /**
- * Computes how many prompts may wait on a path.
+ * Computes how many prompts may wait on a path. One across failure domains takes none where its pipe alone uses up the
+ * objective: over 470 Mbit/s a prompt of 772 tokens takes 0.43 s and holds up each step of every stream there, and of
+ * 337 requests sent to such paths none was answered in time, while their callers waited.
  * @param chain - the path
  * @param profile - usual sizes
  * @param objectiveMs - time to the first token that the contract asks for
@@ -72,5 +74,5 @@
     const promptMs = profile.usual_prompt_tokens * chain.readMs;
     return promptMs === 0
         ? Number.MAX_SAFE_INTEGER
-        : Math.max(LEAST_OPEN, Math.floor(objectiveMs * QUEUE_SHARE / promptMs));
+        : Math.max(chain.isCrossing ? 0 : LEAST_OPEN, Math.floor(objectiveMs * QUEUE_SHARE / promptMs));
 }
--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -31,6 +31,8 @@
     readonly readMs: number;
     /** Tokens of context that its tightest stage has room for. */
     readonly contextTokens: number;
+    /** Whether its stages are in more than one failure domain. */
+    readonly isCrossing: boolean;
 }
 
 /** Cost of a crossing in the search, in milliseconds of a step: so high that one is taken only where nothing is left. */
@@ -39,34 +41,89 @@
 const STAGE_COST_MS = 0.01;
 const BYTES_A_MB = 1_000_000;
 const MS_A_SECOND = 1_000;
+const BITS_A_BYTE = 8;
+/** Part of its time from which a pipe counts as busy: one more path would wait for it nearly all of its time. */
+const BUSY_PIPE_SHARE = 0.9;
 
 /**
- * Computes paths, fastest first in each failure domain. They share no engine, but for those that begin at copies of a
- * first stage: these share the later stages.
+ * Computes paths: inside each failure domain the fastest first, then across them what is left over. They share no
+ * engine, but for those that begin at copies of a first stage: these share the later stages.
+ *
+ * Purpose of the paths across: where each failure domain is too small for the model there are no others, and where one
+ * has lost a stage the rest of its engines go on beside a stage elsewhere.
  * @param engines - engines that work may be sent to
  * @param profile - the model and the accelerators
- * @returns paths inside failure domains; where there is none at all, one path across them if there is any
+ * @returns paths
  */
 export function computeChains(engines: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
     const domains = [...new Set(engines.map((engine) => engine.failureDomain))].sort();
-    const inside = domains.flatMap((domain) => {
-        const here = engines.filter((engine) => engine.failureDomain === domain);
-        return addSharingChains(computeDisjointChains(here, profile), here, profile);
+    const inside = domains.flatMap((domain) =>
+        computeDisjointChains(engines.filter((engine) => engine.failureDomain === domain), profile)
+    );
+    const shared = addSharingChains(inside, engines, profile);
+    const rest = listUnused(engines, inside);
+    const across = domains.length > 1 ? computeCrossingChains(rest, profile) : [];
+    const used = new Set(across.flatMap((chain) => chain.stages.map(({ engine }) => engine.id)));
+    return [...shared.filter(({ stages }) => !stages.some(({ engine }) => used.has(engine.id))), ...across];
+}
+
+function listUnused(engines: readonly HoldingEngine[], chains: readonly Chain[]): readonly HoldingEngine[] {
+    const used = new Set(chains.flatMap((chain) => chain.stages.map((stage) => stage.engine.id)));
+    return engines.filter(({ id }) => !used.has(id));
+}
+
+/**
+ * Paths across failure domains, as many as keep the pipe between two of these busy. More would not read faster, and each
+ * pass would wait for the activations of the others: where ten pipes of 470 Mbit/s were shared by all paths that the
+ * engines made up, 612,772 prompt tokens were read in 34 s and 32 events written, none in time.
+ */
+function computeCrossingChains(engines: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
+    const crossingMs = computeCrossingMs(profile);
+    const busyShares = new Map<string, number>();
+    const chains = computeDisjointChains(engines, profile).filter(({ stages, readMs }) => {
+        const pipes = listPipes(stages);
+        if (pipes.some((pipe) => (busyShares.get(pipe) ?? 0) >= BUSY_PIPE_SHARE)) {
+            return false;
+        }
+        pipes.forEach((pipe) => busyShares.set(pipe, (busyShares.get(pipe) ?? 0) + crossingMs / readMs));
+        return true;
+    });
+    return chains.map((chain) => sharePipes(chain, chains, crossingMs));
+}
+
+/** What crosses between two failure domains goes in turn, so that a path also waits for what the others hand on there. */
+function sharePipes(chain: Chain, chains: readonly Chain[], crossingMs: number): Chain {
+    const pipes = new Set(listPipes(chain.stages));
+    const others = chains.filter((one) => one !== chain).flatMap(({ stages }) => listPipes(stages));
+    const waitMs = others.filter((pipe) => pipes.has(pipe)).length * crossingMs;
+    return { ...chain, readMs: chain.readMs + waitMs, stepMs: chain.stepMs + waitMs };
+}
+
+/** Names the two failure domains of each crossing. */
+function listPipes(stages: readonly ChainStage[]): readonly string[] {
+    return stages.slice(1).flatMap(({ engine }, index) => {
+        const before = stages[index]?.engine.failureDomain ?? "";
+        return before === engine.failureDomain ? [] : [[before, engine.failureDomain].sort().join(" ")];
     });
-    return inside.length > 0 ? inside : computeDisjointChains(engines, profile).slice(0, 1);
 }
 
-/** Adds a path for each engine that is left over and holds a copy of the first stage of one. */
+/** Time that one token's activations take from one failure domain to another, in milliseconds. */
+function computeCrossingMs({ activation_bytes = 0, crossing_mbps }: EngineProfile): number {
+    return crossing_mbps === undefined
+        ? 0
+        : activation_bytes * BITS_A_BYTE * MS_A_SECOND / (crossing_mbps * BYTES_A_MB);
+}
+
+/** Adds a path for each engine that is left over and holds a copy of the first stage of one in its failure domain. */
 function addSharingChains(
     chains: readonly Chain[],
     engines: readonly HoldingEngine[],
     profile: EngineProfile,
 ): readonly Chain[] {
-    const used = new Set(chains.flatMap((chain) => chain.stages.map((stage) => stage.engine.id)));
     const groups = chains.map((chain) => [chain]);
-    engines.filter(({ id, span }) => !used.has(id) && span.first === 0).forEach((engine) => {
+    listUnused(engines, chains).filter(({ span }) => span.first === 0).forEach((engine) => {
         const [group] = groups
-            .filter(([chain]) => chain?.stages[0]?.span.end === engine.span.end)
+            .filter(([chain]) => isCopyOf(engine, chain?.stages[0]))
             .sort((left, right) => left.length - right.length);
         const [model] = group ?? [];
         if (model !== undefined) {
@@ -76,6 +133,10 @@
     return groups.flatMap((group) => group.map((chain) => shareContext(chain, group.length)));
 }
 
+function isCopyOf(engine: HoldingEngine, first: ChainStage | undefined): boolean {
+    return first?.span.end === engine.span.end && first.engine.failureDomain === engine.failureDomain;
+}
+
 /** The memory of the later stages is divided evenly among the paths that share them. */
 function shareContext(chain: Chain, paths: number): Chain {
     return { ...chain, contextTokens: chain.contextTokens / paths };
@@ -171,11 +232,13 @@
 }
 
 function createChain(stages: readonly ChainStage[], profile: EngineProfile): Chain {
+    const crossedMs = listPipes(stages).length * computeCrossingMs(profile);
     return {
         id: stages.map((stage) => stage.engine.id).join("+"),
         stages,
-        stepMs: stages.reduce((sum, stage) => sum + computeStepMs(stage, profile), 0),
-        readMs: stages.reduce((sum, stage) => sum + computeReadMs(stage, profile), 0),
+        isCrossing: listPipes(stages).length > 0,
+        stepMs: stages.reduce((sum, stage) => sum + computeStepMs(stage, profile), crossedMs),
+        readMs: stages.reduce((sum, stage) => sum + computeReadMs(stage, profile), crossedMs),
         contextTokens: Math.min(...stages.map((stage) => computeContextTokens(stage, profile))),
     };
 }
--- a/packages/decisions/src/version/computeLayerPlan.ts
+++ b/packages/decisions/src/version/computeLayerPlan.ts
@@ -13,25 +13,11 @@
  */
 import type { Accelerator, EngineProfile, LayerSpan } from "@crankfork/schemas";
 import { chooseUpgrade } from "./chooseUpgrade.js";
-import { fillPaths } from "./fillPaths.js";
+import { computeLayerRoom, TIGHT_CONTEXT_SHARE } from "./computeLayerRoom.js";
+import { type FilledPaths, fillPaths } from "./fillPaths.js";
 import type { FreeEngine, LayerOrder } from "./freeEngine.js";
 import type { LayerCoverage } from "./layerCoverage.js";
 
-/**
- * Part of the profile's tokens of context for which an engine keeps memory free beside its layers. More than all of it:
- * after a loss the others take its requests, and the fastest engines, which hold the most layers, run out of memory
- * first. With 1 in place of 1.25 twice as many requests were refused for good (0.7 in 100 for 0.3, mean of seven
- * loaded days with faults).
- */
-const CONTEXT_SHARE = 1.25;
-
-/**
- * The same for an engine that fills a gap which can't be closed otherwise. A path with room for half as many requests is
- * better than none: where the fastest engine of a failure domain was lost, three others reached over 24 of its 28 layers,
- * and no path ran there for 5.4 s.
- */
-const TIGHT_CONTEXT_SHARE = 0.5;
-
 /**
  * An engine that is so many times slower than it should be is covered by others where these are faster than it is now:
  * the slowest cards of the users' fleets are five times slower than the fastest, so a little slowness is no reason.
@@ -55,49 +41,111 @@
  * Computes what empty engines, and those that others can do without, are to take.
  * @param engines - engines of one service that are alive
  * @param profile - the model and the accelerators
- * @returns orders; none where every failure domain holds what it can
+ * @returns orders; none where the fleet holds what it can
  */
 export function computeLayerPlan(engines: readonly PlannedEngine[], profile: EngineProfile): readonly LayerOrder[] {
-    const domains = new Set(engines.map((engine) => engine.failureDomain));
-    return [...domains].sort().flatMap((domain) =>
-        computeDomainPlan(engines.filter((engine) => engine.failureDomain === domain), profile)
+    const domains = [...new Set(engines.map((engine) => engine.failureDomain))].sort();
+    const plans = domains.map((domain) =>
+        fillGroup(engines.filter((engine) => engine.failureDomain === domain), profile)
     );
+    const whole = plans.filter(({ filled }) => filled.isWhole);
+    const short = plans.filter(({ filled }) => !filled.isWhole);
+    const across = computePathsAcross(short, whole, profile);
+    const lent: ReadonlySet<string> = new Set(across.lent);
+    const inside = whole.flatMap((plan) => completeGroup(plan, profile, lent));
+    const mayBeOrdered = new Set(engines.filter((engine) => engine.mayBeOrdered).map(({ id }) => id));
+    return [...inside, ...across.orders].filter(({ id }) => mayBeOrdered.has(id));
 }
 
-/**
- * Computes how many layers an accelerator holds beside the memory for requests.
- * @param accelerator - its memory
- * @param profile - sizes of layers and tokens
- * @param contextShare - part of the profile's tokens that it keeps memory for
- * @returns whole layers; 0 where not one fits
- */
-export function computeLayerRoom(
-    accelerator: Accelerator,
-    profile: EngineProfile,
-    contextShare: number = CONTEXT_SHARE,
-): number {
-    const contextMb = profile.capacity_tokens * contextShare * profile.token_bytes / profile.layers / BYTES_A_MB;
-    return Math.min(profile.layers, Math.floor(accelerator.memory_mb / (profile.layer_mb + contextMb)));
-}
-
-const BYTES_A_MB = 1_000_000;
 /** Nothing is known of it: it keeps what it holds and takes nothing. */
 const UNKNOWN_ACCELERATOR: Omit<Accelerator, "name"> = { memory_mb: 0, step_factor: 1, read_factor: 1 };
 
-function computeDomainPlan(engines: readonly PlannedEngine[], profile: EngineProfile): readonly LayerOrder[] {
+/** Engines that make up paths together, and how their gaps are filled. */
+interface GroupPlan {
+    readonly sound: readonly PlannedEngine[];
+    readonly all: readonly FreeEngine[];
+    readonly free: readonly FreeEngine[];
+    readonly filled: FilledPaths;
+}
+
+function fillGroup(engines: readonly PlannedEngine[], profile: EngineProfile): GroupPlan {
     const all = listEngines(engines, profile);
     const sound = listSoundEngines(engines, all);
     const free = all.filter(({ id }) => sound.some((engine) => engine.id === id));
-    const { orders, rest, loaded, paths } = fillPaths(free, profile.layers);
-    const held = listHeld(sound, orders);
+    return { sound, all, free, filled: fillPaths(free, profile.layers) };
+}
+
+/** Adds an upgrade and copies to what fills the gaps of a failure domain; what is lent to others stays as it is. */
+function completeGroup(plan: GroupPlan, profile: EngineProfile, lent: ReadonlySet<string>): readonly LayerOrder[] {
+    const { sound, all, filled } = plan;
+    const { orders, paths } = filled;
+    const rest = filled.rest.filter(({ id }) => !lent.has(id));
+    const loaded = filled.loaded.copy();
+    filled.rest.filter(({ id }) => lent.has(id)).forEach(({ span }) => {
+        loaded.remove(span);
+    });
+    const held = listHeld(sound.filter(({ id }) => !lent.has(id)), orders);
     const copies = copyFirstStages(held, listIdle(rest, loaded, paths));
-    const mayBeOrdered = new Set(engines.filter((engine) => engine.mayBeOrdered).map(({ id }) => id));
     // One at a time, and while nothing else is under way: each changes what the next is worth.
     const upgrade = paths > 0 && orders.length === 0 && all.every((engine) => engine.mayBeOrdered)
         ? chooseUpgrade(rest, profile.layers)
         : undefined;
     const others = copies.filter(({ id }) => id !== upgrade?.id);
-    return [...orders, ...(upgrade === undefined ? [] : [upgrade]), ...others].filter(({ id }) => mayBeOrdered.has(id));
+    return [...orders, ...(upgrade === undefined ? [] : [upgrade]), ...others];
+}
+
+/** Paths across failure domains. */
+interface PathsAcross {
+    readonly orders: readonly LayerOrder[];
+    /** Engines of failure domains that hold the model by themselves, which are needed elsewhere. */
+    readonly lent: readonly string[];
+}
+
+/**
+ * Plans the failure domains that don't hold the model as one, those with the most room first, so that a path crosses as
+ * seldom as may be. Where they don't hold it together either, one path is closed by what the others can do without: a
+ * whole path more is worth more than a copy of a first stage. Such paths get no copies: the pipes bound them.
+ */
+function computePathsAcross(
+    short: readonly GroupPlan[],
+    whole: readonly GroupPlan[],
+    profile: EngineProfile,
+): PathsAcross {
+    const free = [...short].sort((left, right) => countRoom(right) - countRoom(left)).flatMap((plan) => plan.free);
+    const empty = free.filter(({ span }) => span === undefined);
+    const holding = free.filter(({ span }) => span !== undefined);
+    const own = fillPaths([...empty, ...holding], profile.layers);
+    const idle = whole.flatMap(({ filled }) => listSpare(filled));
+    if (own.isWhole || free.length === 0 || idle.length === 0) {
+        return { orders: own.orders, lent: [] };
+    }
+    const helped = fillPaths([...empty, ...idle, ...holding], profile.layers, 1);
+    return helped.isWhole ? { orders: helped.orders, lent: listLent(idle, helped) } : { orders: own.orders, lent: [] };
+}
+
+function countRoom({ free }: GroupPlan): number {
+    return free.reduce((sum, { room }) => sum + room, 0);
+}
+
+/**
+ * What a failure domain can do without: empty engines, and those whose layers more engines hold than there are paths, the
+ * fastest first.
+ */
+function listSpare({ rest, loaded, paths }: FilledPaths): readonly FreeEngine[] {
+    return [...rest.filter(({ span }) => span === undefined), ...listSurplus(rest, loaded, paths)];
+}
+
+/** Those that got an order, and those whose layers the path can't do without. */
+function listLent(idle: readonly FreeEngine[], { orders, rest, loaded }: FilledPaths): readonly string[] {
+    const held = loaded.copy();
+    orders.forEach(({ span }) => {
+        held.add(span);
+    });
+    const helpers = rest.filter(({ id }) => idle.some((one) => one.id === id));
+    const surplus = listSurplus([...helpers].reverse(), held, 1);
+    const needed = helpers.filter((one) => one.span !== undefined && !surplus.includes(one));
+    const ordered = idle.filter(({ id }) => orders.some((order) => order.id === id));
+    return [...ordered, ...needed].map(({ id }) => id);
 }
 
 /** Empty engines, the fastest first, then those that hold layers; without those that can't hold any. */
@@ -113,6 +161,7 @@
         || left.engine.id.localeCompare(right.engine.id)
     ).map(({ engine, accelerator }) => ({
         id: engine.id,
+        failureDomain: engine.failureDomain,
         room: computeLayerRoom(accelerator, profile),
         tightRoom: computeLayerRoom(accelerator, profile, TIGHT_CONTEXT_SHARE),
         stepFactor: accelerator.step_factor * engine.slowness,
@@ -146,15 +195,23 @@
  * engine is of no use once that is back.
  */
 function listIdle(free: readonly FreeEngine[], loaded: LayerCoverage, paths: number): readonly FreeEngine[] {
+    const later = free.filter(({ span }) => span !== undefined && span.first > 0).reverse();
+    return [
+        ...free.filter(({ span }) => span === undefined),
+        ...(paths > 0 ? listSurplus(later, loaded, paths) : []),
+    ];
+}
+
+/** Engines whose layers more engines hold than there are paths; the first of several goes first. */
+function listSurplus(free: readonly FreeEngine[], loaded: LayerCoverage, paths: number): readonly FreeEngine[] {
     const left = loaded.copy();
-    const idle = free.filter(({ span }) => span !== undefined).reverse().filter(({ span, mayBeOrdered }) => {
-        const isIdle = span !== undefined && span.first > 0 && mayBeOrdered && left.isCovered(span, paths + 1);
-        if (isIdle) {
+    return free.filter(({ span, mayBeOrdered }) => {
+        const isSurplus = span !== undefined && mayBeOrdered && left.isCovered(span, paths + 1);
+        if (isSurplus) {
             left.remove(span);
         }
-        return isIdle;
+        return isSurplus;
     });
-    return [...free.filter(({ span }) => span === undefined), ...(paths > 0 ? idle : [])];
 }
 
 function listHeld(engines: readonly PlannedEngine[], orders: readonly LayerOrder[]): readonly LayerSpan[] {
--- a/packages/decisions/src/version/fillPaths.ts
+++ b/packages/decisions/src/version/fillPaths.ts
@@ -1,6 +1,8 @@
 /**
- * Which engines fill the gaps of a failure domain's paths: empty ones first, then those that hold what others hold too.
+ * Which engines fill the gaps of paths: empty ones first, then those that hold what others hold too. A path that has to
+ * cross failure domains stays in one as long as it can: each crossing costs every token its way over the pipe.
  */
+import type { LayerSpan } from "@crankfork/schemas";
 import type { FreeEngine, LayerOrder } from "./freeEngine.js";
 import { LayerCoverage } from "./layerCoverage.js";
 
@@ -13,6 +15,8 @@
     readonly loaded: LayerCoverage;
     /** Paths that are whole once the orders are carried out; the only one may still have a hole. */
     readonly paths: number;
+    /** Whether each layer is held once the orders are carried out. */
+    readonly isWhole: boolean;
 }
 
 /** What is held or ordered, and what is held and loaded: only the latter can replace what is given up. */
@@ -28,11 +32,16 @@
 
 /**
  * Fills gaps, path by path; the last path that can't be completed is not begun.
- * @param engines - sound engines of one failure domain, in the order in which they are to be used
+ * @param engines - sound engines, in the order in which they are to be used where no neighbour decides
  * @param layers - layers of the model
+ * @param mostPaths - paths that are filled at the most
  * @returns orders and what is left
  */
-export function fillPaths(engines: readonly FreeEngine[], layers: number): FilledPaths {
+export function fillPaths(
+    engines: readonly FreeEngine[],
+    layers: number,
+    mostPaths: number = Number.POSITIVE_INFINITY,
+): FilledPaths {
     let rest = engines;
     let coverages: Coverages = {
         coverage: new LayerCoverage(layers, engines.flatMap(({ span }) => span ?? [])),
@@ -40,9 +49,13 @@
     };
     const orders: LayerOrder[] = [];
     for (let paths = 0;; paths += 1) {
+        const isWhole = coverages.coverage.findLastGap(1) === undefined;
+        if (paths >= mostPaths) {
+            return { orders, rest, loaded: coverages.loaded, paths, isWhole };
+        }
         const fill = paths === 0 ? fillFirstPath(coverages, rest) : fillUpTo(coverages, paths + 1, rest);
         if (!fill.isWhole && (paths > 0 || fill.orders.length === 0)) {
-            return { orders, rest, loaded: coverages.loaded, paths };
+            return { orders, rest, loaded: coverages.loaded, paths, isWhole };
         }
         coverages = fill;
         orders.push(...fill.orders);
@@ -70,8 +83,13 @@
     const loaded = coverages.loaded.copy();
     const orders: LayerOrder[] = [];
     const used = new Set<string>();
+    let last: LayerOrder & { readonly failureDomain: string; } | undefined;
     for (let gap = coverage.findLastGap(depth); gap !== undefined; gap = coverage.findLastGap(depth)) {
-        const engine = engines.find((one) => !used.has(one.id) && canBeTaken(one, loaded, depth));
+        const takers = engines.filter((one) => !used.has(one.id) && canBeTaken(one, loaded, depth));
+        const nearby = last?.span.first === gap.end
+            ? new Set([last.failureDomain])
+            : listNeighbourDomains(gap, engines);
+        const engine = takers.find((one) => one.span === undefined && nearby.has(one.failureDomain)) ?? takers[0];
         if (engine === undefined) {
             return { coverage, loaded, orders, isWhole: false };
         }
@@ -81,10 +99,17 @@
         coverage.add(span);
         used.add(engine.id);
         orders.push({ id: engine.id, span });
+        last = { id: engine.id, span, failureDomain: engine.failureDomain };
     }
     return { coverage, loaded, orders, isWhole: true };
 }
 
+/** Failure domains of the engines that hold the layers next to a gap. */
+function listNeighbourDomains(gap: LayerSpan, engines: readonly FreeEngine[]): ReadonlySet<string> {
+    const neighbours = engines.filter(({ span }) => span?.first === gap.end || span?.end === gap.first);
+    return new Set(neighbours.map(({ failureDomain }) => failureDomain));
+}
+
 /** An engine that holds layers is taken for a gap only where others hold all of them as well. */
 function canBeTaken(engine: FreeEngine, loaded: LayerCoverage, depth: number): boolean {
     if (engine.room === 0) {
--- a/packages/decisions/src/version/freeEngine.ts
+++ b/packages/decisions/src/version/freeEngine.ts
@@ -6,6 +6,7 @@
 /** An engine that may take layers, or more than it holds. */
 export interface FreeEngine {
     readonly id: string;
+    readonly failureDomain: string;
     /** Layers that it holds beside the memory for requests. */
     readonly room: number;
     /** Layers that it holds beside the least memory for requests. */
--- a/packages/decisions/tests/chains.test.ts
+++ b/packages/decisions/tests/chains.test.ts
@@ -55,13 +55,54 @@
         chains: ["s=0-10", "a=0-10"],
     },
     {
-        title: "a path inside a failure domain goes before one across, however fast",
+        title: "what paths inside failure domains leave over makes one more across them",
         engines: [
             holder("a", span(0, 5)),
             holder("b", span(5, 10), "fast", "e"),
             holder("s", span(0, 10), "slow", "f"),
         ],
-        chains: ["s=0-10"],
+        chains: ["s=0-10", "a=0-5,b=5-10"],
+    },
+    {
+        title: "a path inside a failure domain goes before one across, however fast",
+        engines: [
+            holder("a", span(0, 5)),
+            holder("s", span(5, 10), "slow"),
+            holder("b", span(5, 10), "fast", "e"),
+        ],
+        chains: ["a=0-5,s=5-10"],
+    },
+    {
+        title: "several paths cross, with as few crossings as there may be",
+        engines: [
+            holder("a1", span(6, 10), "fast", "d"),
+            holder("a2", span(2, 6), "fast", "d"),
+            holder("b1", span(0, 2), "fast", "e"),
+            holder("b2", span(6, 10), "fast", "e"),
+            holder("c1", span(2, 6), "fast", "f"),
+            holder("c2", span(0, 2), "fast", "f"),
+        ],
+        chains: ["b1=0-2,a2=2-6,a1=6-10", "c2=0-2,c1=2-6,b2=6-10"],
+    },
+    {
+        title: "a copy of a first stage closes a path that lost its own before it shares another",
+        engines: [
+            holder("a", span(0, 4)),
+            holder("b", span(4, 10)),
+            holder("c", span(0, 4), "slow"),
+            holder("e", span(4, 10), "fast", "e"),
+        ],
+        chains: ["a=0-4,b=4-10", "c=0-4,e=4-10"],
+    },
+    {
+        title: "copies don't join a path across failure domains, which the pipes bound",
+        engines: [
+            holder("a", span(0, 5)),
+            holder("b", span(5, 10), "fast", "e"),
+            holder("c", span(0, 5), "slow"),
+            holder("s", span(0, 5), "slow", "f"),
+        ],
+        chains: ["a=0-5,b=5-10"],
     },
     {
         title: "copies of a first stage begin paths that share the later stages",
@@ -104,6 +145,64 @@
     }
 });
 
+describe("a path across failure domains costs what its activations take on the pipes", () => {
+    // A hundred bytes a token over 0.8 Mbit/s are a millisecond.
+    const crossed = { ...profile, activation_bytes: 100, crossing_mbps: 0.8 };
+    const rows = [
+        { title: "none inside a failure domain", domains: ["d", "d", "d"], crossings: 0 },
+        { title: "one crossing", domains: ["d", "d", "e"], crossings: 1 },
+        { title: "two crossings", domains: ["d", "e", "f"], crossings: 2 },
+    ];
+    for (const { title, domains, crossings } of rows) {
+        it(title, () => {
+            const engines = domains.map((domain, index) =>
+                holder(String(index), span(index * 3, index === 2 ? 10 : index * 3 + 3), "fast", domain)
+            );
+            const [free] = computeChains(engines, profile);
+            const [chain] = computeChains(engines, crossed);
+            expect((chain?.readMs ?? 0) - (free?.readMs ?? 0)).to.be.closeTo(crossings, 1e-9);
+            expect((chain?.stepMs ?? 0) - (free?.stepMs ?? 0)).to.be.closeTo(crossings, 1e-9);
+        });
+    }
+
+    // Alone a path takes 0.1 ms a token beside its crossing.
+    const pipeRows = [
+        { title: "a wide pipe bears all paths", crossing_mbps: 1_000, paths: 4 },
+        { title: "one path keeps half of it busy", crossing_mbps: 8, paths: 2 },
+        { title: "one path keeps it busy", crossing_mbps: 0.008, paths: 1 },
+    ];
+    for (const { title, crossing_mbps, paths } of pipeRows) {
+        it(`as many as keep a pipe busy, each with the way of the others: ${title}`, () => {
+            const engines = ["a", "b", "c", "e"].flatMap((id) => [
+                holder(`${id}1`, span(0, 5), "fast", "d"),
+                holder(`${id}2`, span(5, 10), "fast", "e"),
+            ]);
+            const piped = { ...crossed, crossing_mbps };
+            const [alone] = computeChains(engines.slice(0, 2), piped);
+            const chains = computeChains(engines, piped);
+            expect(chains).to.have.length(paths);
+            chains.forEach(({ readMs }) => {
+                expect(readMs - (alone?.readMs ?? 0)).to.be.closeTo((paths - 1) * 0.8 / crossing_mbps, 1e-9);
+            });
+        });
+    }
+});
+
+describe("paths that cross between different failure domains don't share pipes", () => {
+    const engines = ["d", "e", "f", "g"].map((domain, index) =>
+        holder(domain, index % 2 === 0 ? span(0, 5) : span(5, 10), "fast", domain)
+    );
+    const crossed = { ...profile, activation_bytes: 100, crossing_mbps: 8 };
+
+    it("each takes the time of its own crossing", () => {
+        const chains = computeChains(engines, crossed);
+        expect(chains.map(formatChain)).to.deep.equal(["d=0-5,e=5-10", "f=0-5,g=5-10"]);
+        chains.forEach(({ readMs }) => {
+            expect(readMs).to.be.closeTo(0.2, 1e-9);
+        });
+    });
+});
+
 describe("paths that share stages", () => {
     it("divide the memory of these", () => {
         const [alone] = computeChains([holder("a", span(0, 4)), holder("b", span(4, 10))], profile);
@@ -138,6 +237,27 @@
             unstarted: 6,
             hasRoom: false,
         },
+        {
+            title: "a path across failure domains whose pipe uses up the objective takes none",
+            chain: { ...slow, readMs: 100, isCrossing: true },
+            open: 0,
+            unstarted: 0,
+            hasRoom: false,
+        },
+        {
+            title: "one inside a failure domain with the same figures takes a few",
+            chain: { ...slow, readMs: 100 },
+            open: 0,
+            unstarted: 0,
+            hasRoom: true,
+        },
+        {
+            title: "one across whose pipe is wide takes as many as are read in time",
+            chain: { ...slow, readMs: 10, isCrossing: true, contextTokens: 10_000 },
+            open: 5,
+            unstarted: 5,
+            hasRoom: true,
+        },
     ];
     for (const row of rows) {
         it(row.title, () => {
--- a/packages/decisions/tests/layerPlan.test.ts
+++ b/packages/decisions/tests/layerPlan.test.ts
@@ -1,6 +1,6 @@
 import type { LayerSpan } from "@crankfork/schemas";
 import { expect } from "chai";
-import { computeLayerPlan, computeLayerRoom, isPlacementDue, type PlannedEngine } from "../src/index.js";
+import { canHoldModel, computeLayerPlan, computeLayerRoom, isPlacementDue, type PlannedEngine } from "../src/index.js";
 import { format, profile, span } from "./layerProfile.js";
 
 const engine = (id: string, accelerator: string, held?: LayerSpan, failureDomain: string = "d"): PlannedEngine => ({
@@ -11,8 +11,8 @@
     slowness: 1,
     mayBeOrdered: held === undefined,
 });
-const holding = (id: string, accelerator: string, held: LayerSpan): PlannedEngine => ({
-    ...engine(id, accelerator, held),
+const holding = (id: string, accelerator: string, held: LayerSpan, failureDomain?: string): PlannedEngine => ({
+    ...engine(id, accelerator, held, failureDomain),
     mayBeOrdered: true,
 });
 const formatPlan = (engines: readonly PlannedEngine[]): string =>
@@ -69,9 +69,111 @@
         plan: "f2=6-10 f3=4-6",
     },
     {
-        title: "no path crosses from one failure domain to another",
-        engines: [engine("a", "fast", undefined, "d1"), engine("b", "fast", undefined, "d2")],
-        plan: "a=6-10 b=6-10",
+        title: "failure domains that hold the model have paths of their own",
+        engines: [
+            ...["a1", "a2", "a3"].map((id) => engine(id, "fast", undefined, "d1")),
+            ...["b1", "b2", "b3"].map((id) => engine(id, "fast", undefined, "d2")),
+        ],
+        plan: "a1=6-10 a2=2-6 a3=0-2 b1=6-10 b2=2-6 b3=0-2",
+    },
+    {
+        title: "a path crosses where no failure domain holds the model",
+        engines: [
+            engine("a1", "slow", undefined, "d1"),
+            engine("b1", "fast", undefined, "d2"),
+            engine("b2", "slow", undefined, "d2"),
+            engine("c1", "fast", undefined, "d3"),
+        ],
+        plan: "b1=6-10 b2=4-6 c1=0-4",
+    },
+    {
+        title: "several paths cross, and each uses up a failure domain before it goes on in the next",
+        engines: [
+            engine("a1", "fast", undefined, "d1"),
+            engine("a2", "slow", undefined, "d1"),
+            engine("b1", "fast", undefined, "d2"),
+            engine("b2", "slow", undefined, "d2"),
+            engine("c1", "fast", undefined, "d3"),
+            engine("c2", "slow", undefined, "d3"),
+            engine("e1", "slow", undefined, "d4"),
+        ],
+        plan: "a1=6-10 a2=4-6 b1=0-4 b2=8-10 c1=4-8 c2=2-4 e1=0-2",
+    },
+    {
+        title: "one failure domain holds the model, and what two others hold makes one more path",
+        engines: [
+            ...["a1", "a2", "a3"].map((id) => engine(id, "fast", undefined, "d1")),
+            engine("b1", "fast", undefined, "d2"),
+            engine("b2", "slow", undefined, "d2"),
+            engine("c1", "fast", undefined, "d3"),
+        ],
+        plan: "a1=6-10 a2=2-6 a3=0-2 b1=6-10 b2=4-6 c1=0-4",
+    },
+    {
+        title: "a failure domain that has fallen below the model's size gets what another can do without",
+        engines: [
+            holding("a1", "fast", span(6, 10), "d1"),
+            holding("a3", "slow", span(0, 2), "d1"),
+            holding("b1", "fast", span(6, 10), "d2"),
+            holding("b2", "fast", span(2, 6), "d2"),
+            holding("b3", "slow", span(0, 2), "d2"),
+            holding("b4", "fast", span(0, 2), "d2"),
+        ],
+        plan: "b4=2-6",
+    },
+    {
+        title: "what was lent stays where it is needed",
+        engines: [
+            holding("a1", "fast", span(6, 10), "d1"),
+            holding("a3", "slow", span(0, 2), "d1"),
+            holding("b1", "fast", span(6, 10), "d2"),
+            holding("b2", "fast", span(2, 6), "d2"),
+            holding("b3", "slow", span(0, 2), "d2"),
+            holding("b4", "fast", span(2, 6), "d2"),
+        ],
+        plan: "",
+    },
+    {
+        title: "what was lent holds a copy again once the failure domain holds the model again",
+        engines: [
+            holding("a1", "fast", span(6, 10), "d1"),
+            holding("a2", "fast", span(2, 6), "d1"),
+            holding("a3", "slow", span(0, 2), "d1"),
+            holding("b1", "fast", span(6, 10), "d2"),
+            holding("b2", "fast", span(2, 6), "d2"),
+            holding("b3", "slow", span(0, 2), "d2"),
+            holding("b4", "fast", span(2, 6), "d2"),
+        ],
+        plan: "b4=0-2",
+    },
+    {
+        title: "an engine that is back fills its failure domain's gap before anything is lent",
+        engines: [
+            holding("a1", "fast", span(6, 10), "d1"),
+            engine("a2", "fast", undefined, "d1"),
+            holding("a3", "slow", span(0, 2), "d1"),
+            holding("b1", "fast", span(6, 10), "d2"),
+            holding("b2", "fast", span(2, 6), "d2"),
+            holding("b3", "slow", span(0, 2), "d2"),
+            holding("b4", "fast", span(0, 2), "d2"),
+        ],
+        plan: "a2=2-6",
+    },
+    {
+        title: "a gap of a path that crosses is filled next to its neighbours",
+        engines: [
+            holding("a1", "fast", span(6, 10), "d1"),
+            engine("b1", "fast", undefined, "d2"),
+            engine("a2", "slow", undefined, "d1"),
+            holding("c1", "slow", span(0, 2), "d3"),
+            holding("c2", "slow", span(2, 4), "d3"),
+        ],
+        plan: "a2=4-6",
+    },
+    {
+        title: "too few engines for the model anywhere are filled as far as they go",
+        engines: [engine("a", "fast", undefined, "d1"), engine("b", "slow", undefined, "d2")],
+        plan: "a=6-10 b=4-6",
     },
     {
         title: "an engine that is far too slow is covered by empty ones, and takes nothing more",
@@ -213,7 +315,7 @@
     { title: "an unknown accelerator takes nothing", engines: [engine("x", "odd")], plan: "" },
 ];
 
-describe("layers go to few fast engines inside a failure domain", () => {
+describe("layers go to few fast engines, inside a failure domain where it holds the model", () => {
     for (const { title, engines, plan } of planRows) {
         it(title, () => {
             expect(formatPlan(engines)).to.equal(plan);
@@ -229,6 +331,23 @@
     });
 });
 
+describe("whether engines hold the model, wherever they are", () => {
+    // With the least memory for requests a fast engine holds 6 layers of 10, a slow one 3.
+    const rows = [
+        { title: "none", accelerators: [], canHold: false },
+        { title: "one that is too small", accelerators: ["fast"], canHold: false },
+        { title: "a layer is left out", accelerators: ["fast", "slow"], canHold: false },
+        { title: "just", accelerators: ["slow", "slow", "slow", "slow"], canHold: true },
+        { title: "two large ones", accelerators: ["fast", "fast"], canHold: true },
+        { title: "an unknown one holds nothing", accelerators: ["fast", "odd", "slow"], canHold: false },
+    ];
+    for (const { title, accelerators, canHold } of rows) {
+        it(title, () => {
+            expect(canHoldModel(accelerators, profile)).to.equal(canHold);
+        });
+    }
+});
+
 describe("layers are placed with the whole fleet in view", () => {
     const rows = [
         { title: "engines still arrive", isBegun: false, sinceArrivalMs: 900, sinceFirstMs: 900, isDue: false },
--- a/packages/schemas/src/routing.ts
+++ b/packages/schemas/src/routing.ts
@@ -1,7 +1,7 @@
 /**
  * The routing table: which requests go to which service, under which limits. An operator confirms it whole.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** A target of a route, and its share of the traffic. */
 export const routeTargetSchema = z.object({ service: z.string(), weight: z.number().nonnegative() });
@@ -56,6 +56,10 @@
     read_tokens_a_second: z.number().positive(),
     /** Time to load all layers. */
     load_ms: z.number().nonnegative(),
+    /** Bytes that a stage hands on to the next for each token. */
+    activation_bytes: z.number().nonnegative().optional(),
+    /** What all that crosses from one failure domain to another shares, in megabits a second. */
+    crossing_mbps: z.number().positive().optional(),
     usual_prompt_tokens: z.number().nonnegative(),
     usual_answer_tokens: z.number().nonnegative(),
     accelerators: z.array(acceleratorSchema),
