The bundle holds what is used, compiled by the build

Cause: a start compiled 2.2 MB of code, half of it a fetch, cookies, mocks and caches of undici, and zod's texts in all languages; undici's HTTP/2 loads 23 ms of Node's own modules, and logfmt was looked up in node_modules. Change: parts of undici, zod's namespace import so that unused parts fall away, one part of logfmt; the bundle is compiled by the build and started from that.

--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -12,7 +12,7 @@
     upstreamsAnswerSchema,
 } from "@crankfork/schemas";
 import { readFileSync } from "node:fs";
-import { z } from "zod";
+import * as z from "zod";
 import { askInstance, type OperatorClientOptions, OperatorError } from "./operatorClient.js";
 import { formatTable, printAnswer } from "./output.js";
 
--- a/packages/coordination/src/process/logStorage.ts
+++ b/packages/coordination/src/process/logStorage.ts
@@ -6,7 +6,7 @@
  */
 import { type LogEntry, logEntrySchema, type Snapshot, snapshotSchema } from "@crankfork/schemas";
 import crc32 from "crc-32";
-import { z } from "zod";
+import * as z from "zod";
 import type { Folder } from "./folder.js";
 
 const SEGMENT_BYTES = 1_048_576;
--- a/packages/coordination/src/version/claimRegister.ts
+++ b/packages/coordination/src/version/claimRegister.ts
@@ -3,7 +3,7 @@
  * Part of the replicated state, so all decisions here follow from the commands alone.
  */
 import { type ClaimResult, type Command, type KeptAnswer, keptAnswerSchema } from "@crankfork/schemas";
-import { z } from "zod";
+import * as z from "zod";
 
 const claimSchema = z.object({
     organisation: z.string(),
--- a/packages/coordination/src/version/configurationRegister.ts
+++ b/packages/coordination/src/version/configurationRegister.ts
@@ -10,7 +10,7 @@
     type PlanResult,
     planSchema,
 } from "@crankfork/schemas";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Plans kept; the oldest that is not the one in force goes first. */
 const MOST_PLANS = 200;
--- a/packages/coordination/src/version/fleetState.ts
+++ b/packages/coordination/src/version/fleetState.ts
@@ -9,7 +9,7 @@
     type RegisteredUpstream,
     registeredUpstreamSchema,
 } from "@crankfork/schemas";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Removed upstreams that are remembered, so that a late heartbeat can't bring one back. */
 const MOST_REMOVED = 2_000;
--- a/packages/coordination/src/version/replicatedState.ts
+++ b/packages/coordination/src/version/replicatedState.ts
@@ -2,7 +2,7 @@
  * The state that every voter holds: configuration, plans and claims. Commands change it, in the order of the log.
  */
 import { stampedCommandSchema } from "@crankfork/schemas";
-import { z } from "zod";
+import * as z from "zod";
 import { claimListSchema, ClaimRegister } from "./claimRegister.js";
 import { ConfigurationRegister, configurationStateSchema } from "./configurationRegister.js";
 
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -1,7 +1,7 @@
 /**
  * HTTP to upstreams and peers by undici, with faults told apart by whether anything was sent.
  */
-import { Agent, type Dispatcher, errors, request } from "undici";
+import { Agent, type Dispatcher, errors } from "undici";
 
 /** Why an exchange failed. */
 export type ExchangeFailure =
@@ -77,8 +77,10 @@
 export async function sendRequest(options: ExchangeOptions): Promise<Dispatcher.ResponseData> {
     const { agent, url, method, headers, body, signal, peer } = options;
     try {
-        const response = request(url, {
-            dispatcher: agent,
+        const { origin, pathname, search } = new URL(url);
+        const response = agent.request({
+            origin,
+            path: `${pathname}${search}`,
             method,
             headers: { ...headers },
             body: body ?? null,
--- a/packages/daemon/src/process/eventLog.ts
+++ b/packages/daemon/src/process/eventLog.ts
@@ -2,12 +2,10 @@
  * Events of the process: one key=value line each. The names are listed in docs/EVENTS.md.
  */
 import bunyan from "bunyan";
+import { stringify } from "logfmt/lib/stringify.js";
 import { createWriteStream } from "node:fs";
-import { createRequire } from "node:module";
 import { formatHybridTime, type HybridClock } from "./hybridClock.js";
 
-const logfmt = createRequire(import.meta.url)("logfmt") as { stringify: (value: EventFields) => string; };
-
 /** Values of an event. */
 export type EventFields = Readonly<Record<string, string | number | boolean | undefined>>;
 
@@ -65,7 +63,7 @@
 
 function formatEvent(raw: RawRecord, options: EventLogOptions): string {
     const present = Object.entries(raw.fields).filter(([, value]) => value !== undefined && value !== "");
-    return logfmt.stringify({
+    return stringify({
         time: raw.time.toISOString(),
         clock: formatHybridTime(options.clock.get()),
         level: bunyan.nameFromLevel[raw.level] ?? String(raw.level),
--- a/packages/daemon/src/process/platformList.ts
+++ b/packages/daemon/src/process/platformList.ts
@@ -3,7 +3,7 @@
  * says of leaving is used: an instance that it still calls live may be gone.
  */
 import type { Agent } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { fetchJson } from "../connection/httpClient.js";
 
 const listSchema = z.object({
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -23,7 +23,7 @@
     type ReplicaMessage,
 } from "@crankfork/schemas";
 import { ulid } from "ulid";
-import { z } from "zod";
+import * as z from "zod";
 import { AnswerCollector } from "../connection/answerCollector.js";
 
 const IDENTITY_FILE = "identity.json";
--- a/packages/daemon/src/request/completionBody.ts
+++ b/packages/daemon/src/request/completionBody.ts
@@ -1,7 +1,7 @@
 /**
  * The field's usual shape of completion requests and answers.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { createCallerFault } from "./callerFault.js";
 
 const contentPartSchema = z.looseObject({ type: z.string(), text: z.string().optional() });
--- a/packages/scenarios/src/bench/control.ts
+++ b/packages/scenarios/src/bench/control.ts
@@ -6,7 +6,7 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { readFileSync } from "node:fs";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
-import { z } from "zod";
+import * as z from "zod";
 import { Cluster, type Entry } from "../harness/cluster.js";
 import { ManagedProcess } from "../harness/processes.js";
 import { World } from "../harness/world.js";
--- a/packages/scenarios/src/bench/recovery.ts
+++ b/packages/scenarios/src/bench/recovery.ts
@@ -1,7 +1,7 @@
 /**
  * How long service takes to return within its bounds after a failure.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { startStandIn } from "../harness/processes.js";
 import { LAYERS, MODEL, World } from "../harness/world.js";
 import { LoadLoop } from "./loadLoop.js";
--- a/packages/scenarios/src/engine/engineServer.ts
+++ b/packages/scenarios/src/engine/engineServer.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import polka from "polka";
-import { z } from "zod";
+import * as z from "zod";
 import { readJson, sendJson } from "../harness/httpBody.js";
 import { Engine } from "./engine.js";
 import { engineFaultsSchema, type EngineSettings } from "./engineSettings.js";
--- a/packages/scenarios/src/engine/engineSettings.ts
+++ b/packages/scenarios/src/engine/engineSettings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of one stand-in for a model engine.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** What the stand-in is like, and what is wrong with it. */
 export const engineSettingsSchema = z.strictObject({
--- a/packages/scenarios/src/harness/cluster.ts
+++ b/packages/scenarios/src/harness/cluster.ts
@@ -9,7 +9,7 @@
 import { dirname, join } from "node:path";
 import { stringify } from "smol-toml";
 import { request } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import { ManagedProcess } from "./processes.js";
 
 const requireHere = createRequire(import.meta.url);
--- a/packages/scenarios/src/harness/processes.ts
+++ b/packages/scenarios/src/harness/processes.ts
@@ -5,7 +5,7 @@
 import { once } from "node:events";
 import { createInterface } from "node:readline";
 import { fileURLToPath } from "node:url";
-import { z } from "zod";
+import * as z from "zod";
 
 const addressSchema = z.object({ address: z.string() });
 
--- a/packages/scenarios/src/harness/world.ts
+++ b/packages/scenarios/src/harness/world.ts
@@ -1,7 +1,7 @@
 /**
  * The state of one scenario: a cluster, stand-ins, and what callers saw.
  */
-import { z } from "zod";
+import * as z from "zod";
 import type { CompletionResult } from "./caller.js";
 import { askPort, Cluster, createOrganisation, createSecret, type PortAnswer } from "./cluster.js";
 import { type StandIn, startStandIn } from "./processes.js";
--- a/packages/scenarios/src/service/main.ts
+++ b/packages/scenarios/src/service/main.ts
@@ -4,7 +4,7 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { z } from "zod";
+import * as z from "zod";
 import { readText, sendJson } from "../harness/httpBody.js";
 
 const settingsSchema = z.strictObject({
--- a/packages/scenarios/src/soak/soakRun.ts
+++ b/packages/scenarios/src/soak/soakRun.ts
@@ -2,7 +2,7 @@
  * One soak run: real entries, engines and printers as processes, faults from outside, and callers that watch.
  */
 import { waitMs } from "@crankfork/daemon";
-import { z } from "zod";
+import * as z from "zod";
 import { type CompletionResult, streamCompletion } from "../harness/caller.js";
 import { MODEL, ORGANISATION, World } from "../harness/world.js";
 import { checkCompletion, checkSlip, checkVersions, type SlipAnswer } from "./checkPromises.js";
--- a/packages/schemas/src/address.ts
+++ b/packages/schemas/src/address.ts
@@ -1,7 +1,7 @@
 /**
  * Network addresses as they stand in settings and intents.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 const MAX_PORT = 65_535;
 
--- a/packages/schemas/src/command.ts
+++ b/packages/schemas/src/command.ts
@@ -1,7 +1,7 @@
 /**
  * Commands of the replicated state: each is applied in the same order on every voter.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { planSchema } from "./plan.js";
 
 /** The answer of a finished request that may not run again. */
--- a/packages/schemas/src/configuration.ts
+++ b/packages/schemas/src/configuration.ts
@@ -1,7 +1,7 @@
 /**
  * What operators confirm: the configuration that is in force on every instance.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema } from "./address.js";
 import { priorityClasses, priorityClassSchema } from "./priorityClass.js";
 
--- a/packages/schemas/src/engineMessage.ts
+++ b/packages/schemas/src/engineMessage.ts
@@ -1,7 +1,7 @@
 /**
  * What crankfork and a model engine say to each other, free of any transport.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { priorityClassSchema } from "./priorityClass.js";
 
 /** One pass of a run's next positions through a range of layers. */
--- a/packages/schemas/src/fleetCommand.ts
+++ b/packages/schemas/src/fleetCommand.ts
@@ -1,7 +1,7 @@
 /**
  * Commands of a fleet's replicated state.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { upstreamFactsSchema, upstreamStatusSchema } from "./registeredUpstream.js";
 
 /** A command, as the leader puts it into the log. */
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -1,7 +1,7 @@
 /**
  * What entries and voters ask of voters, as parameters and results of JSON-RPC 2.0 methods.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { registeredUpstreamSchema } from "./registeredUpstream.js";
 import { replicaAddressSchema } from "./replicaMessage.js";
 
--- a/packages/schemas/src/fleetSettings.ts
+++ b/packages/schemas/src/fleetSettings.ts
@@ -2,7 +2,7 @@
  * Settings of the two roles that share a fleet: entries, which callers reach, and voters, which keep its state.
  * Unknown keys are passed over, so that a newer file can be read by an older process.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema } from "./address.js";
 
 /** A slow link of today, where the settings name none. */
--- a/packages/schemas/src/member.ts
+++ b/packages/schemas/src/member.ts
@@ -1,7 +1,7 @@
 /**
  * What instances tell each other about instances.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema } from "./address.js";
 
 /** Whether an instance is thought to be there; a leaving one takes no new work. */
--- a/packages/schemas/src/operatorMessage.ts
+++ b/packages/schemas/src/operatorMessage.ts
@@ -1,7 +1,7 @@
 /**
  * What the operators' port answers.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { memberSchema } from "./member.js";
 import { planSchema } from "./plan.js";
 import { replicaAddressSchema, replicaSetSchema } from "./replicaMessage.js";
--- a/packages/schemas/src/outcome.ts
+++ b/packages/schemas/src/outcome.ts
@@ -1,7 +1,7 @@
 /**
  * What is known of the work behind an error answer.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /**
  * `not-run`: nothing that could start work left crankfork, or the upstream said so before running.
--- a/packages/schemas/src/peerMessage.ts
+++ b/packages/schemas/src/peerMessage.ts
@@ -1,7 +1,7 @@
 /**
  * Requests between instances, as parameters of JSON-RPC 2.0 methods.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema } from "./address.js";
 import { commandSchema, keptAnswerSchema } from "./command.js";
 import { configurationSchema } from "./configuration.js";
--- a/packages/schemas/src/plan.ts
+++ b/packages/schemas/src/plan.ts
@@ -1,7 +1,7 @@
 /**
  * The answer to an intent: what would change, before anything does.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { configurationSchema } from "./configuration.js";
 
 /** A plan, kept until it is confirmed or forgotten. */
--- a/packages/schemas/src/priorityClass.ts
+++ b/packages/schemas/src/priorityClass.ts
@@ -1,7 +1,7 @@
 /**
  * Priority classes of requests, the most pressing first.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Classes in the order in which they are served. */
 export const priorityClasses = ["urgent", "interactive", "narrative"] as const;
--- a/packages/schemas/src/readToml.ts
+++ b/packages/schemas/src/readToml.ts
@@ -2,7 +2,7 @@
  * Reads TOML against a schema, with one line for each fault.
  */
 import { parse, TomlError } from "smol-toml";
-import type { z } from "zod";
+import type * as z from "zod";
 
 /** A value, or the lines that say what is wrong with it. */
 export type Checked<Value> =
--- a/packages/schemas/src/registeredUpstream.ts
+++ b/packages/schemas/src/registeredUpstream.ts
@@ -1,7 +1,7 @@
 /**
  * Upstreams that register themselves, as every voter and entry knows them.
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** Layers from `first` up to, but without, `end`. */
 export const layerSpanSchema = z.object({ first: z.int().nonnegative(), end: z.int().nonnegative() });
--- a/packages/schemas/src/replicaMessage.ts
+++ b/packages/schemas/src/replicaMessage.ts
@@ -2,7 +2,7 @@
  * Messages between replicas of the log. Each goes one way; answers are messages too.
  * The names follow Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014).
  */
-import { z } from "zod";
+import * as z from "zod";
 
 /** A replica: an id made with its disk, and where it listens. */
 export const replicaAddressSchema = z.object({ id: z.string(), address: z.string() });
--- a/packages/schemas/src/settings.ts
+++ b/packages/schemas/src/settings.ts
@@ -1,7 +1,7 @@
 /**
  * Settings of one `crankforkd` process, as written in TOML.
  */
-import { z } from "zod";
+import * as z from "zod";
 import { addressSchema, isLoopbackAddress, parseAddress } from "./address.js";
 
 const idSchema = z.string().regex(/^[a-z0-9][a-z0-9-]*$/, "expected lower-case letters, digits and dashes");
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,40 +1,52 @@
 /**
- * Bundles the programs of a deployment into single files under target/, so that a start loads one file.
+ * Bundles the programs of a deployment into single files under target/, so that a start loads one file, and compiles
+ * them ahead of their starts.
  */
 import { build } from "esbuild";
+import { execFileSync } from "node:child_process";
+import { copyFileSync } from "node:fs";
+import { join } from "node:path";
 
+/** The flags of deploy/system.toml: code that was compiled under others is compiled anew at each start. */
+const startFlags = ["--max-old-space-size=200"];
 /** Native helpers that bunyan uses where they are there; it goes on without them. */
 const optionalModules = ["dtrace-provider", "mv", "moment", "safe-json-stringify"];
-const leaveOut = {
-    name: "leave-out",
+/** Upstreams and peers speak HTTP/1.1; undici goes on without HTTP/2, which takes 23 ms of a start to load. */
+const unusedModules = ["node:http2"];
+const takeParts = {
+    name: "take-parts",
     setup(bundle) {
-        bundle.onResolve({ filter: new RegExp(`^(${optionalModules.join("|")})$`) }, (found) => ({
-            path: `left-out-${found.path}`,
-            external: true,
-        }));
+        bundle.onResolve(
+            { filter: new RegExp(`^(${[...optionalModules, ...unusedModules].join("|")})$`) },
+            (found) => ({
+                path: `left-out-${found.path}`,
+                external: true,
+            }),
+        );
+        bundle.onResolve({ filter: /^undici$/ }, () => ({ path: join(import.meta.dirname, "undiciParts.cjs") }));
     },
 };
 
 await build({
-    entryPoints: { crankfork: "platform/src/main.ts" },
+    entryPoints: { program: "platform/src/main.ts" },
     outdir: "target",
-    outExtension: { ".js": ".mjs" },
+    outExtension: { ".js": ".cjs" },
     bundle: true,
     platform: "node",
     target: "node20",
-    format: "esm",
+    format: "cjs",
+    // Names stay, for the traces of errors.
     minifySyntax: true,
+    minifyWhitespace: true,
     sourcemap: false,
     logLevel: "warning",
-    plugins: [leaveOut],
+    plugins: [takeParts],
     alias: Object.fromEntries(
         ["schemas", "coordination", "decisions", "daemon"].map((name) => [
             `@crankfork/${name}`,
             `./packages/${name}/src/index.ts`,
         ]),
     ),
-    // Some libraries are CommonJS and ask for Node's own modules by require.
-    banner: {
-        js: 'import { createRequire as makeRequire } from "node:module"; const require = makeRequire(import.meta.url);',
-    },
 });
+copyFileSync("scripts/startProgram.cjs", "target/crankfork.cjs");
+execFileSync(process.execPath, [...startFlags, "scripts/compileProgram.cjs"], { stdio: "inherit" });
--- /dev/null
+++ b/scripts/undiciParts.cjs
@@ -0,0 +1,14 @@
+/**
+ * The parts of undici that the bundle uses. Its whole index also loads a fetch, cookies, mocks and caches.
+ */
+"use strict";
+const Dispatcher = require("undici/lib/dispatcher/dispatcher.js");
+const api = require("undici/lib/api/index.js");
+
+Object.assign(Dispatcher.prototype, api);
+
+module.exports = {
+    Agent: require("undici/lib/dispatcher/agent.js"),
+    buildConnector: require("undici/lib/core/connect.js"),
+    errors: require("undici/lib/core/errors.js"),
+};
