--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -41,6 +41,8 @@
 class LeaderStand {
     readonly state = new FleetState();
     readonly orders: string[] = [];
+    /** Events of the keeper's log. */
+    readonly events: string[] = [];
     readonly reports = new Map<string, ReportResult>();
     orderEnd: OrderEnd = { kind: "begun" };
     isLeading = true;
@@ -90,7 +92,7 @@
         host: this.host,
         voter: this.voter,
         control: this.control,
-        log,
+        log: { record: (_level, event) => this.events.push(event) },
         getNowMs: () => performance.now(),
         getServices: () => [{ name: "s", engine: profile }],
         heartbeatMs: HEARTBEAT_MS,
@@ -171,6 +173,20 @@
         expect(stand.state.getUpstream("a")?.held).to.deep.equal({ first: 0, end: 4 });
     });
 
+    it("says once that engines are too few for the model, and once that they are enough again", async () => {
+        await clock.tickAsync(HEARTBEAT_MS * 2);
+        const [lost] = stand.state.listUpstreams();
+        if (lost !== undefined) {
+            stand.voter.markLost(lost, "no report");
+        }
+        await clock.tickAsync(HEARTBEAT_MS);
+        const told = (): readonly string[] => stand.events.filter((event) => event.endsWith("-engines"));
+        expect(told()).to.deep.equal(["too-few-engines"]);
+        await stand.register("c");
+        await clock.tickAsync(HEARTBEAT_MS);
+        expect(told()).to.deep.equal(["too-few-engines", "enough-engines"]);
+    });
+
     it("gives none without its lease", async () => {
         stand.isLeading = false;
         await clock.tickAsync(HEARTBEAT_MS + 1_000);
--- /dev/null
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -0,0 +1,178 @@
+import type { ChainLoad } from "@crankfork/decisions";
+import type { EngineProfile, LayerSpan, RegisteredUpstream, Route, RoutedService } from "@crankfork/schemas";
+import { expect } from "chai";
+import { EngineShortage } from "../src/process/engineShortage.js";
+import { TargetChooser } from "../src/process/targetChooser.js";
+import { UpstreamHealth } from "../src/process/upstreamHealth.js";
+import type { RoutedCall } from "../src/request/routedCall.js";
+import { RoutedRun } from "../src/request/routedRun.js";
+import { FleetView } from "../src/version/fleetView.js";
+
+/** Eight layers; an engine holds four beside its requests, and takes sixteen requests. */
+const profile: EngineProfile = {
+    layers: 8,
+    layer_mb: 100,
+    token_bytes: 0,
+    capacity_tokens: 1,
+    slots: 16,
+    step_ms: 1,
+    step_ms_a_request: 0,
+    read_tokens_a_second: 100_000,
+    load_ms: 1_000,
+    usual_prompt_tokens: 1,
+    usual_answer_tokens: 1,
+    accelerators: [
+        { name: "half", memory_mb: 450, step_factor: 1, read_factor: 1 },
+        { name: "whole", memory_mb: 900, step_factor: 1, read_factor: 1 },
+    ],
+};
+const service: RoutedService = { name: "s", engine: profile };
+const route: Route = {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    kind: "stream",
+    is_repeatable: true,
+    timeout_ms: 20_000,
+    objective_ms: 500,
+    priority: 1,
+    most_attempts: 2,
+    is_anonymous: true,
+    targets: [],
+};
+const call: RoutedCall = {
+    requestId: "1",
+    method: "POST",
+    host: "h",
+    target: "/",
+    path: "/",
+    key: undefined,
+    deadlineMs: 20_000,
+    size: undefined,
+    lastEventId: undefined,
+    rawHeaders: [],
+};
+
+const createEngine = (id: string, accelerator: string, held?: LayerSpan): RegisteredUpstream => ({
+    id,
+    service: "s",
+    address: id,
+    failure_domain: "d",
+    slots: 16,
+    accelerator,
+    status: "ready",
+    ...(held === undefined ? {} : { held }),
+});
+
+/** An entry that sees a request a second. */
+class ChooserStand {
+    nowMs = 0;
+    readonly loads = new Map<string, ChainLoad>();
+    private readonly view = new FleetView();
+    private index = 0;
+    private readonly chooser = new TargetChooser({
+        instance: "entry-1",
+        view: this.view,
+        health: new UpstreamHealth(() => this.nowMs),
+        shortage: new EngineShortage(() => this.nowMs),
+        getLoadElsewhere: (id) => this.loads.get(id) ?? { open: 0, unstarted: 0 },
+        isAvoided: () => false,
+        countUnseen: () => 0,
+        getRequestsASecond: () => 1,
+        getLoadAgeMs: () => 0,
+        random: () => 0,
+    });
+
+    setEngines(upstreams: readonly RegisteredUpstream[]): void {
+        this.index += 1;
+        this.view.applyUpstreams({
+            kind: "state",
+            index: this.index,
+            is_whole: true,
+            upstreams: [...upstreams],
+            removed: [],
+            entries: 1,
+            loads_elsewhere: {},
+            voters: [],
+        });
+    }
+
+    /** Chooses for a new request: the engine, or why there is none. */
+    choose(): string {
+        const admitted = { call, route, service, organisation: undefined, body: undefined, arrivedMs: this.nowMs };
+        const run = new RoutedRun(admitted, () => this.nowMs);
+        const choice = this.chooser.choose(run, undefined, false);
+        run.close();
+        return choice.kind === "target" ? choice.target.upstreamId : choice.kind;
+    }
+}
+
+describe("an entry keeps to a few paths as long as they have room", () => {
+    const engines = Array.from(
+        { length: 20 },
+        (_, index) => createEngine(`e${String(index)}`, "whole", { first: 0, end: 8 }),
+    );
+
+    it("requests one after another go to as many", () => {
+        const stand = new ChooserStand();
+        stand.setEngines(engines);
+        const chosen = new Set<string>();
+        for (let request = 0; request < 40; request += 1) {
+            const id = stand.choose();
+            chosen.add(id);
+            stand.loads.set(id, { open: (stand.loads.get(id)?.open ?? 0) + 1, unstarted: 0 });
+        }
+        expect(chosen.size).to.equal(4);
+    });
+
+    it("where these are full it goes to the others, and where all are full to none", () => {
+        const stand = new ChooserStand();
+        stand.setEngines(engines);
+        const chosen = new Set<string>();
+        for (let request = 0; request < engines.length; request += 1) {
+            const id = stand.choose();
+            chosen.add(id);
+            stand.loads.set(id, { open: profile.slots, unstarted: 0 });
+        }
+        expect(chosen.size).to.equal(engines.length);
+        expect(stand.choose()).to.equal("full");
+    });
+});
+
+describe("a service whose engines don't hold its model is told from one whose layers are on their way", () => {
+    const rows: readonly {
+        readonly title: string;
+        readonly engines: readonly RegisteredUpstream[];
+        readonly first: string;
+        readonly later: string;
+    }[] = [
+        { title: "no engine", engines: [], first: "none", later: "too-few-engines" },
+        {
+            title: "one that is too small",
+            engines: [createEngine("a", "half", { first: 4, end: 8 })],
+            first: "none",
+            later: "too-few-engines",
+        },
+        {
+            title: "two that have not loaded yet",
+            engines: [createEngine("a", "half"), createEngine("b", "half")],
+            first: "none",
+            later: "none",
+        },
+        {
+            title: "two that have",
+            engines: [createEngine("a", "half", { first: 0, end: 4 }), createEngine("b", "half", { first: 4, end: 8 })],
+            first: "a",
+            later: "a",
+        },
+    ];
+    for (const { title, engines, first, later } of rows) {
+        it(title, () => {
+            const stand = new ChooserStand();
+            stand.setEngines(engines);
+            expect(stand.choose()).to.equal(first);
+            stand.nowMs = 1_800;
+            expect(stand.choose()).to.equal(later);
+        });
+    }
+});
