--- a/packages/scenarios/src/harness/processes.ts
+++ b/packages/scenarios/src/harness/processes.ts
@@ -32,10 +32,18 @@
      * @param name - for messages
      * @param script - the script
      * @param processArguments - its arguments
+     * @param nodeFlags - flags of Node itself
      * @returns the process; its standard error goes to this one's
      */
-    static start(name: string, script: string, processArguments: readonly string[]): ManagedProcess {
-        const child = spawn(process.execPath, [script, ...processArguments], { stdio: ["ignore", "pipe", "inherit"] });
+    static start(
+        name: string,
+        script: string,
+        processArguments: readonly string[],
+        nodeFlags: readonly string[] = [],
+    ): ManagedProcess {
+        const child = spawn(process.execPath, [...nodeFlags, script, ...processArguments], {
+            stdio: ["ignore", "pipe", "inherit"],
+        });
         running.add(child);
         child.once("exit", () => running.delete(child));
         return new ManagedProcess(name, child);
