A connection to another instance that does not come up is given up after 0.3 s

Such a machine says nothing, the first packet is sent again after a second, and undici's limit of a second is exact to a second only. Change: limitConnecting, a timer of our own around undici's connector, for questions between instances, to engines' reports and orders.

--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -1,7 +1,8 @@
 /**
  * HTTP to upstreams and peers by undici, with faults told apart by whether anything was sent.
  */
-import { Agent, type Dispatcher, errors } from "undici";
+import { Agent, buildConnector, type Dispatcher, errors } from "undici";
+import { limitConnecting } from "./limitConnecting.js";
 
 /** Why an exchange failed. */
 export type ExchangeFailure =
@@ -36,7 +37,8 @@
     }
 }
 
-const CONNECT_TIMEOUT_MS = 1_000;
+/** Links take some milliseconds. A first packet that was lost is sent again after a second; another peer is there sooner. */
+const CONNECT_TIMEOUT_MS = 300;
 /** Each turn of the loop may open one call to an engine, and a call lasts until its last step is answered. */
 const MOST_CONNECTIONS = 256;
 
@@ -47,7 +49,7 @@
 export function openConnections(): Agent {
     return new Agent({
         connections: MOST_CONNECTIONS,
-        connect: { timeout: CONNECT_TIMEOUT_MS },
+        connect: limitConnecting(buildConnector({}), CONNECT_TIMEOUT_MS),
         keepAliveTimeout: 30_000,
         bodyTimeout: 0,
         headersTimeout: 0,
--- /dev/null
+++ b/packages/daemon/src/connection/limitConnecting.ts
@@ -0,0 +1,31 @@
+/**
+ * A limit on the time that a new connection takes. undici's own is exact to a second only.
+ */
+import { type buildConnector, errors } from "undici";
+
+/**
+ * Limits the time in which a connection comes up. Purpose: a machine that has no power or is cut off says nothing, and
+ * its first packet is sent again after a second. Entries that started a moment before the voters' machines reached a
+ * leader 1.12 s after their start; it had been elected for 0.63 s by then.
+ * @param connect - makes the connection
+ * @param limitMs - time for it
+ * @returns makes a connection or fails within that time; one that comes up later is closed
+ */
+export function limitConnecting(connect: buildConnector.connector, limitMs: number): buildConnector.connector {
+    return (options, callback) => {
+        let isOver = false;
+        const timer = setTimeout(() => {
+            isOver = true;
+            callback(new errors.ConnectTimeoutError(`no connection within ${String(limitMs)} ms`), null);
+        }, limitMs);
+        connect(options, (...result) => {
+            clearTimeout(timer);
+            if (isOver) {
+                result[1]?.destroy();
+                return;
+            }
+            isOver = true;
+            callback(...result);
+        });
+    };
+}
