Engines don't take gaps next to what they hold

Conclusion: a try that failed; why a fuller engine makes the whole fleet late (memory, or the load of its weights) is not traced.

--- a/packages/decisions/src/version/fillPaths.ts
+++ b/packages/decisions/src/version/fillPaths.ts
@@ -45,7 +45,7 @@
     const orders: LayerOrder[] = [];
     for (let paths = 0;; paths += 1) {
         const isWhole = coverages.coverage.findLastGap(1) === undefined;
-        const fill = paths === 0 ? fillFirstPath(coverages, rest) : fillUpTo(coverages, paths + 1, rest, false);
+        const fill = paths === 0 ? fillFirstPath(coverages, rest) : fillUpTo(coverages, paths + 1, rest);
         if (!fill.isWhole && (paths > 0 || fill.orders.length === 0)) {
             return { orders, rest, loaded: coverages.loaded, paths, isWhole };
         }
@@ -61,21 +61,16 @@
  * either it is filled as far as it goes: the next engine may close it.
  */
 function fillFirstPath(coverages: Coverages, engines: readonly FreeEngine[]): Fill {
-    const usual = fillUpTo(coverages, 1, engines, true);
+    const usual = fillUpTo(coverages, 1, engines);
     if (usual.isWhole) {
         return usual;
     }
-    const tight = fillUpTo(coverages, 1, engines.map((engine) => ({ ...engine, room: engine.tightRoom })), false);
+    const tight = fillUpTo(coverages, 1, engines.map((engine) => ({ ...engine, room: engine.tightRoom })));
     return tight.isWhole ? tight : usual;
 }
 
 /** Fills layers that fewer than `depth` engines hold, as far as the engines reach. */
-function fillUpTo(
-    coverages: Coverages,
-    depth: number,
-    engines: readonly FreeEngine[],
-    mayExtend: boolean,
-): Fill {
+function fillUpTo(coverages: Coverages, depth: number, engines: readonly FreeEngine[]): Fill {
     const coverage = coverages.coverage.copy();
     const loaded = coverages.loaded.copy();
     const orders: LayerOrder[] = [];
@@ -88,15 +83,7 @@
             : listNeighbourDomains(gap, engines);
         const engine = takers.find((one) => one.span === undefined && nearby.has(one.failureDomain)) ?? takers[0];
         if (engine === undefined) {
-            const extension = mayExtend ? findExtension(gap, engines.filter(({ id }) => !used.has(id))) : undefined;
-            if (extension === undefined) {
-                return { coverage, loaded, orders, isWhole: false };
-            }
-            coverage.remove(extension.held);
-            coverage.add(extension.order.span);
-            used.add(extension.order.id);
-            orders.push(extension.order);
-            continue;
+            return { coverage, loaded, orders, isWhole: false };
         }
         const span = { first: Math.max(gap.first, gap.end - engine.room), end: gap.end };
         coverage.remove(engine.span);
@@ -109,32 +96,6 @@
     return { coverage, loaded, orders, isWhole: true };
 }
 
-interface Extension {
-    readonly order: LayerOrder;
-    readonly held: LayerSpan;
-}
-
-/**
- * An engine that holds the layers next to a gap and has room left takes a part of it, and keeps what it holds. Purpose:
- * where no engine is empty and none holds what others hold too, a lost engine's layers may still fit beside the others'.
- * Only within the usual room, since its requests need their memory, and only for the first path.
- */
-function findExtension(gap: LayerSpan, engines: readonly FreeEngine[]): Extension | undefined {
-    for (const { id, span, room, mayBeOrdered } of engines) {
-        const more = span === undefined || !mayBeOrdered ? 0 : room - (span.end - span.first);
-        if (span !== undefined && more > 0 && span.first === gap.end) {
-            return {
-                order: { id, span: { first: Math.max(gap.first, span.first - more), end: span.end } },
-                held: span,
-            };
-        }
-        if (span !== undefined && more > 0 && span.end === gap.first) {
-            return { order: { id, span: { first: span.first, end: Math.min(gap.end, span.end + more) } }, held: span };
-        }
-    }
-    return undefined;
-}
-
 /** Failure domains of the engines that hold the layers next to a gap. */
 function listNeighbourDomains(gap: LayerSpan, engines: readonly FreeEngine[]): ReadonlySet<string> {
     const neighbours = engines.filter(({ span }) => span?.first === gap.end || span?.end === gap.first);
