One life of an upstream is its name with the time of its start, and goes through all that holds

Cause: an upstream was known by its id alone. The leader dropped heartbeats whose count was not above the last one, 'leaving' and 'removed' were final for an id, and a state that the protocol doesn't name was taken for leaving. Ruled out: a second id beside the first (each map would have to know both); taking a report's later start as the new life (a report does not say whose it is, so an address used again would name a life that never ran). Change: UpstreamLife (name, start) in facts; its text is the id under which voters, entries, orders, reports, loads and health keep what they know, so that nothing of one life is taken for another's. Names, states, services, addresses and counts of heartbeats are checked; reports that can't be read are told apart from none. A heartbeat without a start: not of a name that told one, and not of a new name where most of its service tell theirs. An end without a start ends the latest life that is known.

--- a/packages/coordination/src/version/fleetState.ts
+++ b/packages/coordination/src/version/fleetState.ts
@@ -6,12 +6,17 @@
     type FleetCommand,
     type FleetCommandResult,
     fleetCommandSchema,
+    formatLifeId,
+    getLife,
+    isEarlierLife,
     type RegisteredUpstream,
     registeredUpstreamSchema,
+    type UpstreamLife,
+    upstreamLifeSchema,
 } from "@crankfork/schemas";
 import * as z from "zod";
 
-/** Removed upstreams that are remembered, so that a late heartbeat can't bring one back. */
+/** Lives that are over and remembered, so that a late heartbeat can't bring one back. */
 const MOST_REMOVED = 2_000;
 
 const documentSchema = z.object({ version: z.int(), packed: z.string() });
@@ -19,7 +24,8 @@
 const fleetSnapshotSchema = z.object({
     document: documentSchema.optional(),
     upstreams: z.array(z.object({ upstream: registeredUpstreamSchema, index: z.int() })),
-    removed: z.array(z.object({ id: z.string(), index: z.int() })),
+    /** Snapshots from before lives were told have none. */
+    removed: z.array(z.object({ id: z.string(), index: z.int(), life: upstreamLifeSchema.optional() })),
     /** Removals up to here are forgotten. */
     forgotten_index: z.int(),
     index: z.int(),
@@ -42,11 +48,18 @@
     readonly index: number;
 }
 
+interface RemovedLife {
+    readonly life: UpstreamLife;
+    readonly index: number;
+}
+
 /** Document and upstreams. */
 export class FleetState {
     private document: HeldDocument | undefined;
     private upstreams = new Map<string, HeldUpstream>();
-    private removed = new Map<string, number>();
+    private removed = new Map<string, RemovedLife>();
+    /** The latest life of each name, whether it runs or is over. */
+    private latest = new Map<string, UpstreamLife>();
     private forgottenIndex = 0;
     private index = 0;
 
@@ -75,7 +88,7 @@
 
     /**
      * Gets an upstream.
-     * @param id - names one start of it
+     * @param id - names one life of it
      * @returns what is known, or undefined
      */
     getUpstream(id: string): RegisteredUpstream | undefined {
@@ -91,12 +104,22 @@
     }
 
     /**
-     * Tells whether an upstream is gone for good.
-     * @param id - names one start of it
-     * @returns true where it was removed
+     * Gets the latest life of a name.
+     * @param name - what an upstream registers under
+     * @returns the life, which may be over, or undefined where none is remembered
+     */
+    getLatestLife(name: string): UpstreamLife | undefined {
+        return this.latest.get(name);
+    }
+
+    /**
+     * Tells whether a life is over: it was removed, or a later one of its name was heard.
+     * @param life - the life
+     * @returns true where nothing that it says counts any more
      */
-    isRemoved(id: string): boolean {
-        return this.removed.has(id);
+    isOver(life: UpstreamLife): boolean {
+        const latest = this.latest.get(life.name);
+        return this.removed.has(formatLifeId(life)) || (latest !== undefined && isEarlierLife(life, latest));
     }
 
     /** Position of the last command that changed the state. */
@@ -113,7 +136,7 @@
         const isWhole = after < this.forgottenIndex || after === 0 || after > this.index;
         const from = isWhole ? -1 : after;
         const changed = [...this.upstreams.values()].filter((held) => held.index > from);
-        const removed = isWhole ? [] : [...this.removed].filter(([, index]) => index > from).map(([id]) => id);
+        const removed = isWhole ? [] : [...this.removed].filter(([, one]) => one.index > from).map(([id]) => id);
         return {
             index: this.index,
             isWhole,
@@ -130,7 +153,7 @@
         return {
             document: this.document,
             upstreams: [...this.upstreams.values()],
-            removed: [...this.removed].map(([id, index]) => ({ id, index })),
+            removed: [...this.removed].map(([id, one]) => ({ id, ...one })),
             forgotten_index: this.forgottenIndex,
             index: this.index,
         };
@@ -144,7 +167,14 @@
         const state = fleetSnapshotSchema.parse(raw);
         this.document = state.document;
         this.upstreams = new Map(state.upstreams.map((held) => [held.upstream.id, held]));
-        this.removed = new Map(state.removed.map(({ id, index }) => [id, index]));
+        this.removed = new Map(state.removed.map((one) => [one.id, { life: getLife(one), index: one.index }]));
+        this.latest = new Map();
+        this.removed.forEach(({ life }) => {
+            this.recordLife(life);
+        });
+        this.upstreams.forEach(({ upstream }) => {
+            this.recordLife(getLife(upstream));
+        });
         this.forgottenIndex = state.forgotten_index;
         this.index = state.index;
     }
@@ -158,33 +188,64 @@
                 this.document = { version: command.version, packed: command.packed };
                 return true;
             }
-            case "put-upstream": {
-                const { id } = command.facts;
-                const present = this.upstreams.get(id)?.upstream;
-                // Leaving is final: a heartbeat from before it may come later.
-                const isStale = present?.status === "leaving" && command.status === "ready";
-                if (this.removed.has(id) || isStale) {
-                    return false;
-                }
-                this.upstreams.set(id, { upstream: { ...command.facts, status: command.status }, index });
-                return true;
-            }
+            case "put-upstream":
+                return this.putUpstream({ ...command.facts, status: command.status }, index);
             case "remove-upstream": {
-                this.upstreams.delete(command.id);
-                this.removed.set(command.id, index);
-                this.forgetOldRemovals();
+                const life = command.life ?? getLife(this.getUpstream(command.id) ?? command);
+                this.removeEarlierLife(life, index);
+                this.removeLife(life, index);
                 return true;
             }
         }
     }
 
+    private putUpstream(upstream: RegisteredUpstream, index: number): boolean {
+        const life = getLife(upstream);
+        const present = this.upstreams.get(upstream.id)?.upstream;
+        // Leaving is final for a life: a heartbeat from before it may come later.
+        const isStale = present?.status === "leaving" && upstream.status === "ready";
+        if (isStale || this.isOver(life)) {
+            return false;
+        }
+        this.removeEarlierLife(life, index);
+        this.recordLife(life);
+        this.upstreams.set(upstream.id, { upstream, index });
+        return true;
+    }
+
+    private removeEarlierLife(life: UpstreamLife, index: number): void {
+        const latest = this.latest.get(life.name);
+        if (latest !== undefined && isEarlierLife(latest, life) && this.upstreams.has(formatLifeId(latest))) {
+            this.removeLife(latest, index);
+        }
+    }
+
+    private removeLife(life: UpstreamLife, index: number): void {
+        const id = formatLifeId(life);
+        this.upstreams.delete(id);
+        this.removed.set(id, { life, index });
+        this.recordLife(life);
+        this.forgetOldRemovals();
+    }
+
+    private recordLife(life: UpstreamLife): void {
+        const latest = this.latest.get(life.name);
+        if (latest === undefined || isEarlierLife(latest, life)) {
+            this.latest.set(life.name, life);
+        }
+    }
+
     private forgetOldRemovals(): void {
-        for (const [id, index] of this.removed) {
+        for (const [id, { life, index }] of this.removed) {
             if (this.removed.size <= MOST_REMOVED) {
                 return;
             }
             this.removed.delete(id);
             this.forgottenIndex = Math.max(this.forgottenIndex, index);
+            const latest = this.latest.get(life.name);
+            if (latest !== undefined && formatLifeId(latest) === id) {
+                this.latest.delete(life.name);
+            }
         }
     }
 }
--- a/packages/coordination/tests/fleetState.test.ts
+++ b/packages/coordination/tests/fleetState.test.ts
@@ -1,4 +1,4 @@
-import type { FleetCommand, UpstreamStatus } from "@crankfork/schemas";
+import { type FleetCommand, formatLifeId, type UpstreamLife, type UpstreamStatus } from "@crankfork/schemas";
 import { expect } from "chai";
 import { FleetState } from "../src/index.js";
 
@@ -12,6 +12,24 @@
     facts: { id, service: "s", address: id, failure_domain: "d", slots: 1 },
     status,
 });
+const createLife = (started_at_ms: number): UpstreamLife => ({ name: "u", started_at_ms });
+const putLife = (start: number, status: UpstreamStatus = "ready"): FleetCommand => ({
+    kind: "put-upstream",
+    facts: {
+        id: formatLifeId(createLife(start)),
+        life: createLife(start),
+        service: "s",
+        address: "a",
+        failure_domain: "d",
+        slots: 1,
+    },
+    status,
+});
+const removeLife = (start: number): FleetCommand => ({
+    kind: "remove-upstream",
+    id: formatLifeId(createLife(start)),
+    life: createLife(start),
+});
 const remove = (id: string): FleetCommand => ({ kind: "remove-upstream", id });
 
 function createState(commands: readonly FleetCommand[]): FleetState {
@@ -74,6 +92,89 @@
     }
 });
 
+const lifeRows: readonly {
+    readonly title: string;
+    readonly commands: readonly FleetCommand[];
+    readonly held: readonly string[];
+}[] = [
+    { title: "a later life takes the place of the earlier", commands: [putLife(1), putLife(2)], held: ["u@2 ready"] },
+    { title: "in the other order of arrival, too", commands: [putLife(2), putLife(1)], held: ["u@2 ready"] },
+    {
+        title: "one that comes back after an orderly end",
+        commands: [putLife(1), removeLife(1), putLife(2)],
+        held: ["u@2 ready"],
+    },
+    { title: "after it was leaving", commands: [putLife(1, "leaving"), putLife(2)], held: ["u@2 ready"] },
+    { title: "after it was lost", commands: [putLife(1, "lost"), putLife(2)], held: ["u@2 ready"] },
+    { title: "a life that left stays so", commands: [putLife(2, "leaving"), putLife(2)], held: ["u@2 leaving"] },
+    { title: "an earlier life after the later has ended", commands: [putLife(2), removeLife(2), putLife(1)], held: [] },
+    {
+        title: "an earlier life that was never heard, after the end of the later",
+        commands: [removeLife(2), putLife(1)],
+        held: [],
+    },
+    {
+        title: "the end of a life that was never heard ends the earlier",
+        commands: [putLife(1), removeLife(2)],
+        held: [],
+    },
+    { title: "a late end of the earlier life", commands: [putLife(1), putLife(2), removeLife(1)], held: ["u@2 ready"] },
+    { title: "from one that told no start", commands: [putUpstream("u"), putLife(1)], held: ["u@1 ready"] },
+    { title: "one that tells no start any more", commands: [putLife(1), putUpstream("u")], held: ["u@1 ready"] },
+    { title: "after an end without a start", commands: [remove("u"), putLife(1)], held: ["u@1 ready"] },
+    {
+        title: "a loss that was on its way for the earlier life",
+        commands: [putLife(1), putLife(2), putLife(1, "lost")],
+        held: ["u@2 ready"],
+    },
+];
+
+describe("of the lives of one name the latest counts", () => {
+    const copyBySnapshot = (state: FleetState): FleetState => {
+        const copy = new FleetState();
+        copy.restore(JSON.parse(JSON.stringify(state.getState())));
+        return copy;
+    };
+    const listHeld = (state: FleetState): readonly string[] =>
+        state.listUpstreams().map(({ id, status }) => `${id} ${status}`);
+    for (const { title, commands, held } of lifeRows) {
+        it(title, () => {
+            expect(listHeld(createState(commands))).to.deep.equal(held);
+        });
+
+        it(`${title}, with a snapshot before each command`, () => {
+            const end = commands.reduce((state, command, index) => {
+                const copy = copyBySnapshot(state);
+                copy.apply(command, index + 1);
+                return copy;
+            }, new FleetState());
+            expect(listHeld(end)).to.deep.equal(held);
+        });
+    }
+
+    it("entries are told that the earlier life is gone, with the later one", () => {
+        const changes = createState([putLife(1), putLife(2)]).getChanges(1);
+        expect([changes.upstreams.map(({ id }) => id), changes.removed]).to.deep.equal([["u@2"], ["u@1"]]);
+    });
+
+    it("a snapshot from before lives were told is read", () => {
+        const state = new FleetState();
+        const upstream = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1, status: "ready" };
+        state.restore({
+            upstreams: [{ upstream, index: 3 }],
+            removed: [{ id: "gone", index: 4 }],
+            forgotten_index: 0,
+            index: 4,
+        });
+        expect([state.isOver({ name: "gone" }), state.isOver({ name: "gone", started_at_ms: 1 })]).to.deep.equal([
+            true,
+            false,
+        ]);
+        state.apply(putLife(1), 5);
+        expect(listHeld(state)).to.deep.equal(["u@1 ready"]);
+    });
+});
+
 // The document is asked for by itself, by its version: see the daemon's documentSource.test.ts.
 describe("an entry is told what it lacks of the upstreams, and nothing twice", () => {
     const commands = [putDocument(1), putUpstream("a"), putUpstream("b"), remove("a"), putDocument(2)];
@@ -102,6 +203,6 @@
         const copy = new FleetState();
         copy.restore(JSON.parse(JSON.stringify(state.getState())));
         expect(copy.getChanges(1)).to.deep.equal(state.getChanges(1));
-        expect(copy.isRemoved("a")).to.equal(true);
+        expect(copy.isOver({ name: "a" })).to.equal(true);
     });
 });
--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -6,6 +6,8 @@
 /** What an engine says of itself; it lags by some hundred milliseconds. */
 export interface EngineReport {
     readonly kind: "report";
+    /** Unix time of the engine's start, in milliseconds; undefined where it doesn't tell. */
+    readonly startedAtMs: number | undefined;
     readonly held: LayerSpan | undefined;
     /** Orders that it has taken since its start. */
     readonly orders: number;
@@ -18,7 +20,12 @@
 }
 
 /** A report, or why there is none. */
-export type ReportResult = EngineReport | { readonly kind: "failed"; readonly reason: string; };
+export type ReportResult =
+    | EngineReport
+    /** No answer. */
+    | { readonly kind: "failed"; readonly reason: string; }
+    /** Something answers there, and what it says makes no sense: the engine is neither described by it nor gone. */
+    | { readonly kind: "unreadable"; readonly reason: string; };
 
 /** How an order ended. */
 export type OrderEnd =
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -14,6 +14,8 @@
     | "silent"
     /** The answer makes no sense. */
     | "rubbish"
+    /** A successful answer whose bytes are no JSON. */
+    | "unreadable"
     /** Given up by us. */
     | "cancelled";
 
@@ -153,7 +155,7 @@
         return JSON.parse(text);
     }
     catch {
-        throw new ExchangeError("rubbish", options.peer, `found no JSON: ${text.slice(0, 80)}`);
+        throw new ExchangeError("unreadable", options.peer, `found no JSON: ${text.slice(0, 80)}`);
     }
 }
 
--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -3,7 +3,7 @@
  * connection is never used again after an answer that was cut, late or too long; undici sees to that, and the
  * caller compares the request's id.
  */
-import { Agent, buildConnector, type Dispatcher } from "undici";
+import { buildConnector, type Dispatcher, type Pool } from "undici";
 
 /** What is sent. */
 export interface UpstreamRequest {
@@ -49,22 +49,6 @@
 /** Bytes of a head that are taken. */
 const MOST_HEAD_BYTES = 32_768;
 
-/**
- * Opens connections to upstreams.
- * @returns connections; destroy them at the end of the process
- */
-export function openUpstreamConnections(): Agent {
-    return new Agent({
-        connect: createConnector(),
-        keepAliveTimeout: UPSTREAM_IDLE_MS,
-        keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        maxHeaderSize: MOST_HEAD_BYTES,
-        pipelining: 1,
-    });
-}
-
 /**
  * Makes a reset count as a reset. undici takes an answer without a length as whole when its connection is reset, if
  * the error has the code ECONNRESET; such an answer is cut short.
@@ -84,14 +68,29 @@
 
 const RESET_CODE = "UPSTREAM_RESET";
 
+/** How connections to upstreams are kept. */
+export const upstreamConnectionOptions: Pool.Options = {
+    connect: createConnector(),
+    keepAliveTimeout: UPSTREAM_IDLE_MS,
+    keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    maxHeaderSize: MOST_HEAD_BYTES,
+    pipelining: 1,
+};
+
 /**
  * Starts an exchange.
- * @param agent - connections
+ * @param connections - connections to the upstream
  * @param request - what is sent
  * @param handlers - what to do with the answer
  * @returns functions that steer it
  */
-export function startExchange(agent: Agent, request: UpstreamRequest, handlers: ExchangeHandlers): OpenExchange {
+export function startExchange(
+    connections: Dispatcher,
+    request: UpstreamRequest,
+    handlers: ExchangeHandlers,
+): OpenExchange {
     let wasSent = false;
     let isOver = false;
     let controller: Dispatcher.DispatchController | undefined;
@@ -131,7 +130,7 @@
         },
     };
     try {
-        agent.dispatch({
+        connections.dispatch({
             origin: `http://${request.address}`,
             method: request.method,
             path: request.path,
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -9,8 +9,8 @@
     UpstreamLoads,
 } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Agent } from "undici";
 import type { EngineControl } from "../connection/engineControl.js";
+import type { UpstreamConnections } from "../connection/upstreamConnections.js";
 import { isKeyLeaseValid } from "../request/admitCall.js";
 import type { RoutedRequestFunctions } from "../request/requestFunctions.js";
 import { RoutedAnswer } from "../request/routedAnswer.js";
@@ -38,7 +38,7 @@
 /** What an entry is made with. */
 export interface FleetEntryOptions {
     readonly settings: FleetSettings;
-    readonly agent: Agent;
+    readonly connections: UpstreamConnections;
     readonly codec: CallCodec;
     readonly control: EngineControl;
     /** Reads the operator's document; undefined where it makes no sense. */
@@ -167,7 +167,9 @@
         this.loadsElsewhere = state.loads_elsewhere;
         this.stateAge.recordState();
         this.view.applyUpstreams(state);
-        this.health.forget((id) => this.view.getUpstream(id) !== undefined);
+        const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
+        this.health.forget(isKnown);
+        this.options.connections.closeUnknown(isKnown);
     }
 
     /**
@@ -238,9 +240,9 @@
     }
 
     private createFunctions(): RoutedRequestFunctions {
-        const { agent, codec, getNowMs, getAgeMs, log, settings } = this.options;
+        const { connections, codec, getNowMs, getAgeMs, log, settings } = this.options;
         return {
-            agent,
+            getConnections: (target) => connections.get(target),
             codec,
             getNowMs,
             chooseTarget: (run, lastEventId, isUnderWay) => this.chooser.choose(run, lastEventId, isUnderWay),
--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/fleetVoter.ts
@@ -3,14 +3,19 @@
  * Only a leader inside its lease answers; every other voter names the leader it knows.
  */
 import type { FleetState, ReplicaEvent } from "@crankfork/coordination";
+import { type HeartbeatVerdict, judgeHeartbeat } from "@crankfork/decisions";
 import {
     type FleetCommand,
+    formatLifeId,
+    getLife,
+    isEarlierLife,
     packDocument,
     type RegisteredUpstream,
     type ReplicaAddress,
     type RoutingTable,
     unpackDocument,
     type UpstreamFacts,
+    type UpstreamLife,
     type UpstreamStatus,
 } from "@crankfork/schemas";
 import type { EventLog } from "./eventLog.js";
@@ -27,13 +32,15 @@
     /** Another voter leads, as far as is known here. */
     | { readonly kind: "not-leader"; readonly leader: ReplicaAddress; }
     /** No leader is known, or the change may or may not have been made. */
-    | { readonly kind: "unavailable"; };
+    | { readonly kind: "unavailable"; }
+    /** It is no upstream's word and changes nothing. */
+    | { readonly kind: "foreign"; readonly reason: string; };
 
 /** A heartbeat of an upstream. */
 export interface UpstreamHeartbeat {
     readonly facts: UpstreamFacts;
     readonly status: UpstreamStatus;
-    /** Rises with each heartbeat of one upstream. */
+    /** Rises with each heartbeat of one life. */
     readonly sequence: number;
 }
 
@@ -44,6 +51,8 @@
     readonly getNowMs: () => number;
     /** Between two heartbeats of an upstream. */
     readonly heartbeatMs: number;
+    /** Whether the operator's document names a service; true as long as there is none. */
+    readonly isServiceNamed: (service: string) => boolean;
     /** Told of each proposal that was committed. */
     readonly recordCommitMs?: (durationMs: number) => void;
 }
@@ -131,12 +140,16 @@
             return this.createNotLeader();
         }
         const { status } = heartbeat;
+        const verdict = this.judge(heartbeat.facts);
+        if (verdict.kind !== "taken") {
+            return this.passOver(heartbeat, verdict);
+        }
         const isNews = this.recordHearing(heartbeat.facts.id, heartbeat.sequence);
         const present = host.state.getUpstream(heartbeat.facts.id);
         // Heartbeats do not tell it; reports do.
         const held = this.givenUp.readHeld(heartbeat.facts);
         const facts = { ...heartbeat.facts, held, slowness: present?.slowness };
-        if (!isNews || host.state.isRemoved(facts.id) || !isChange(present, facts, status)) {
+        if (!isNews || !isChange(present, facts, status)) {
             return { kind: "done", value: undefined };
         }
         this.removeFormerAt(facts);
@@ -152,21 +165,89 @@
         return result;
     }
 
+    private judge(facts: UpstreamFacts): HeartbeatVerdict {
+        const { host: { state }, isServiceNamed } = this.options;
+        const life = getLife(facts);
+        const present = state.getUpstream(facts.id);
+        return judgeHeartbeat({
+            life,
+            service: facts.service,
+            latest: state.getLatestLife(life.name),
+            isOver: state.isOver(life),
+            registeredService: present?.service,
+            findHolder: () => present?.address === facts.address ? undefined : this.findHolder(facts),
+            countPeers: () => this.countPeers(facts.service),
+            isServiceNamed: isServiceNamed(facts.service),
+        });
+    }
+
+    private countPeers(service: string): { readonly all: number; readonly tellStart: number; } {
+        const peers = this.options.host.state.listUpstreams().filter((one) => one.service === service);
+        return { all: peers.length, tellStart: peers.filter((one) => getLife(one).started_at_ms !== undefined).length };
+    }
+
+    private passOver(
+        { facts, status, sequence }: UpstreamHeartbeat,
+        verdict: Exclude<HeartbeatVerdict, { kind: "taken"; }>,
+    ): VoterResult<undefined> {
+        const { host, log } = this.options;
+        const { name, started_at_ms } = getLife(facts);
+        const latest = host.state.getLatestLife(name);
+        log.record(verdict.kind === "foreign" ? "warn" : "info", "heartbeat-passed-over", {
+            peer: facts.id,
+            address: facts.address,
+            status,
+            sequence,
+            started_at_ms,
+            latest_started_at_ms: latest?.started_at_ms,
+            reason: verdict.reason,
+        });
+        return verdict.kind === "foreign" ? verdict : { kind: "done", value: undefined };
+    }
+
     /**
-     * Takes an upstream out for good.
-     * @param id - names one start of it
+     * Takes an upstream out: this life of it is over.
+     * @param name - what it registers under
+     * @param startedAtMs - when it started; where it doesn't say so, its latest life is meant
      * @returns done once a quorum holds it
      */
-    async removeUpstream(id: string): Promise<VoterResult<undefined>> {
-        const { host, log } = this.options;
+    async removeUpstream(name: string, startedAtMs?: number): Promise<VoterResult<undefined>> {
+        const { host } = this.options;
         if (!host.replica.hasNewestState()) {
             return this.createNotLeader();
         }
-        if (host.state.isRemoved(id)) {
+        const life: UpstreamLife = startedAtMs === undefined
+            ? host.state.getLatestLife(name) ?? { name }
+            : { name, started_at_ms: startedAtMs };
+        return host.state.isOver(life) ? { kind: "done", value: undefined } : await this.endLife(life, "it said so");
+    }
+
+    /**
+     * Notes which life a report tells of. What was known of an earlier one holds no more; the later one is used once its own
+     * heartbeat names it, since a report does not say who it is of.
+     * @param upstream - the upstream that was asked
+     * @param startedAtMs - the start that its report tells
+     * @returns true where the report is of the life that was meant
+     */
+    recordReportedStart(upstream: RegisteredUpstream, startedAtMs: number | undefined): boolean {
+        const life = getLife(upstream);
+        if (startedAtMs === life.started_at_ms) {
+            return true;
+        }
+        if (startedAtMs !== undefined && isEarlierLife(life, { name: life.name, started_at_ms: startedAtMs })) {
+            void this.endLife(life, `a report from its address tells of a later start, ${String(startedAtMs)}`);
+        }
+        return false;
+    }
+
+    private async endLife(life: UpstreamLife, reason: string): Promise<VoterResult<undefined>> {
+        const { host, log } = this.options;
+        if (host.state.isOver(life)) {
             return { kind: "done", value: undefined };
         }
-        const result = await this.propose({ kind: "remove-upstream", id });
-        log.record("info", "upstream-removed", { peer: id, outcome: result.kind });
+        const id = formatLifeId(life);
+        const result = await this.propose({ kind: "remove-upstream", id, life });
+        log.record("info", "upstream-removed", { peer: id, reason, outcome: result.kind });
         return result;
     }
 
@@ -198,7 +279,7 @@
         this.options.log.record("warn", "upstream-lost", { peer: facts.id, address: facts.address, reason });
         this.beingMarked.add(facts.id);
         const command: FleetCommand = status === "leaving"
-            ? { kind: "remove-upstream", id: facts.id }
+            ? { kind: "remove-upstream", id: facts.id, life: getLife(facts) }
             : { kind: "put-upstream", facts, status: "lost" };
         void this.propose(command).finally(() => this.beingMarked.delete(facts.id));
     }
@@ -279,13 +360,21 @@
 
     /** An address is used again only after its former upstream has ended. */
     private removeFormerAt(facts: UpstreamFacts): void {
-        const { host, log } = this.options;
-        host.state.listUpstreams()
-            .filter((other) => other.address === facts.address && other.id !== facts.id)
-            .forEach((other) => {
-                log.record("info", "upstream-replaced", { peer: other.id, by: facts.id, address: facts.address });
-                void this.propose({ kind: "remove-upstream", id: other.id });
-            });
+        this.listOthersAt(facts).forEach((other) => {
+            void this.endLife(getLife(other), `replaced at its address by ${facts.id}`);
+        });
+    }
+
+    private findHolder(facts: UpstreamFacts): UpstreamLife | undefined {
+        const holder = this.listOthersAt(facts)[0];
+        return holder === undefined ? undefined : getLife(holder);
+    }
+
+    /** Upstreams of other names at the same address; a later life of the same name overtakes the earlier one by itself. */
+    private listOthersAt(facts: UpstreamFacts): readonly RegisteredUpstream[] {
+        const { name } = getLife(facts);
+        return this.options.host.state.listUpstreams()
+            .filter((other) => other.address === facts.address && getLife(other).name !== name);
     }
 }
 
--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -177,9 +177,12 @@
     private async sendOrder(upstream: RegisteredUpstream, span: LayerSpan): Promise<OrderEnd> {
         const { host, control, voter } = this.options;
         const report = await control.getReport(upstream.address);
-        if (report.kind === "failed") {
+        if (report.kind !== "report") {
             return { kind: "refused", reason: report.reason };
         }
+        if (!voter.recordReportedStart(upstream, report.startedAtMs)) {
+            return { kind: "refused", reason: "another life runs there than expected" };
+        }
         if (!isSameSpan(report.held, upstream.held)) {
             voter.recordHeld(upstream, report.held);
             return { kind: "refused", reason: "it holds other layers than expected" };
@@ -234,7 +237,10 @@
     private async readReport(upstream: RegisteredUpstream, order: OpenOrder): Promise<void> {
         const { control, voter, getNowMs } = this.options;
         const report = await control.getReport(upstream.address);
-        if (report.kind === "failed" || this.orders.get(upstream.id) !== order) {
+        if (report.kind !== "report" || this.orders.get(upstream.id) !== order) {
+            return;
+        }
+        if (!voter.recordReportedStart(upstream, report.startedAtMs)) {
             return;
         }
         if (hasNews(report.held, order)) {
--- a/packages/daemon/src/process/paceWatch.ts
+++ b/packages/daemon/src/process/paceWatch.ts
@@ -58,7 +58,10 @@
         const { control, voter, host } = this.options;
         const report = await control.getReport(upstream.address);
         // An engine without a report is looked after by its heartbeats and by those whose requests it holds up.
-        if (report.kind === "failed" || !host.replica.hasNewestState()) {
+        if (report.kind !== "report" || !host.replica.hasNewestState()) {
+            return;
+        }
+        if (!voter.recordReportedStart(upstream, report.startedAtMs)) {
             return;
         }
         const before = upstream.slowness ?? 1;
--- a/packages/daemon/src/process/runEntry.ts
+++ b/packages/daemon/src/process/runEntry.ts
@@ -4,7 +4,7 @@
 import type { FleetSettings, RoutingTable } from "@crankfork/schemas";
 import { createServer } from "node:http";
 import type { EngineControl } from "../connection/engineControl.js";
-import { openUpstreamConnections } from "../connection/upstreamExchange.js";
+import { UpstreamConnections } from "../connection/upstreamConnections.js";
 import type { CallCodec } from "../request/routedCall.js";
 import { FleetEntry } from "./fleetEntry.js";
 import { FleetLink } from "./fleetLink.js";
@@ -48,11 +48,10 @@
     });
     let stopMs = Number.POSITIVE_INFINITY;
     const isStopping = (): boolean => getNowMs() >= stopMs;
-    const agent = openUpstreamConnections();
     const entry: FleetEntry = new FleetEntry({
         ...protocol,
         settings,
-        agent,
+        connections: new UpstreamConnections(),
         log,
         metrics,
         getNowMs,
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/runVoter.ts
@@ -119,11 +119,14 @@
 function startParts(fleet: FleetProcess, host: FleetReplicaHost, protocol: VoterProtocol): VoterParts {
     const { log, metrics, getNowMs, peers } = fleet;
     const { cluster, contract, limits } = fleet.getSettings();
+    const getServices = createServiceReader(host, protocol.decodeDocument);
     const voter = new FleetVoter({
         host,
         log,
         getNowMs,
         heartbeatMs: contract.upstream_heartbeat,
+        isServiceNamed: (service) =>
+            host.state.getDocument() === undefined || getServices().some((one) => one.name === service),
         recordCommitMs: metrics.recordCommitMs,
     });
     const probe = new SuspectProbe({ host, voter, control: protocol.control, getNowMs });
@@ -143,7 +146,7 @@
         control: protocol.control,
         log,
         getNowMs,
-        getServices: createServiceReader(host, protocol.decodeDocument),
+        getServices,
         heartbeatMs: contract.upstream_heartbeat,
     });
     group.start();
--- a/packages/daemon/src/process/stallReports.ts
+++ b/packages/daemon/src/process/stallReports.ts
@@ -34,8 +34,9 @@
      */
     async ask(address: string, requestId: string): Promise<StallAnswer> {
         const report = await this.getReport(address);
-        if (report.kind === "failed") {
-            return { kind: "unreachable" };
+        if (report.kind !== "report") {
+            // What can't be read tells nothing against the engine.
+            return { kind: report.kind === "failed" ? "unreachable" : "moving" };
         }
         const stalled = report.stalled.find((one) => one.requestId === requestId);
         return stalled === undefined ? { kind: "moving" } : { kind: "stalled", faultAddress: stalled.address };
@@ -49,7 +50,7 @@
     async findFaults(address: string): Promise<readonly string[]> {
         for (let asked = 0; asked < FAULT_ASKS; asked += 1) {
             const report = await this.getReport(address);
-            const stalled = report.kind === "failed" ? [] : report.stalled;
+            const stalled = report.kind === "report" ? report.stalled : [];
             const faults = new Set(stalled.flatMap((one) => one.address ?? []));
             if (faults.size > 0) {
                 return [...faults];
@@ -60,16 +61,11 @@
     }
 
     /**
-     * Tells whether an engine is there.
+     * Gets an engine's report.
      * @param address - the engine
-     * @returns false where it gives no report
+     * @returns the report, at most some ten milliseconds old, or why there is none
      */
-    async isThere(address: string): Promise<boolean> {
-        const report = await this.getReport(address);
-        return report.kind === "report";
-    }
-
-    private getReport(address: string): Promise<ReportResult> {
+    getReport(address: string): Promise<ReportResult> {
         const nowMs = this.getNowMs();
         const known = this.shared.get(address);
         if (known !== undefined && nowMs - known.askedMs < SHARED_MS) {
--- a/packages/daemon/src/process/suspectProbe.ts
+++ b/packages/daemon/src/process/suspectProbe.ts
@@ -1,9 +1,10 @@
 /**
  * Looks after engines that entries reported: one that gives no report twice is lost, before its heartbeats tell.
  */
-import type { SuspectParameters } from "@crankfork/schemas";
-import type { EngineControl } from "../connection/engineControl.js";
+import type { RegisteredUpstream, SuspectParameters } from "@crankfork/schemas";
+import type { EngineControl, ReportResult } from "../connection/engineControl.js";
 import type { FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
+import { isSameSpan } from "./layerSpans.js";
 
 /** What the probe needs from the process. */
 export interface SuspectProbeOptions {
@@ -70,7 +71,8 @@
                 return;
             }
             const report = await control.getReport(upstream.address);
-            if (report.kind === "report") {
+            if (report.kind !== "failed") {
+                this.applyReport(upstream, report);
                 return;
             }
             ({ reason } = report);
@@ -80,4 +82,16 @@
             voter.markLost(upstream, `no report: ${reason}`);
         }
     }
+
+    /** The engine answers; what it says may differ from what is known, since it started again or gave layers up. */
+    private applyReport(upstream: RegisteredUpstream, report: Exclude<ReportResult, { kind: "failed"; }>): void {
+        const { host, voter } = this.options;
+        if (report.kind === "unreadable" || !host.replica.hasNewestState()) {
+            return;
+        }
+        const isMeant = voter.recordReportedStart(upstream, report.startedAtMs);
+        if (isMeant && !report.isOrderUnderWay && !isSameSpan(report.held, upstream.held)) {
+            voter.recordHeld(upstream, report.held);
+        }
+    }
 }
--- a/packages/daemon/src/process/targetChooser.ts
+++ b/packages/daemon/src/process/targetChooser.ts
@@ -15,7 +15,7 @@
     type RequestSize,
     type Standing,
 } from "@crankfork/decisions";
-import type { EngineProfile, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
+import { type EngineProfile, getLife, type RegisteredUpstream, type RoutedService } from "@crankfork/schemas";
 import { UPSTREAM_IDLE_MS } from "../connection/upstreamExchange.js";
 import type { TargetChoice } from "../request/requestFunctions.js";
 import type { CallTarget } from "../request/routedCall.js";
@@ -184,6 +184,7 @@
         const { organisation, route } = run.admitted;
         return {
             upstreamId,
+            upstreamName: getLife(this.options.view.getUpstream(upstreamId) ?? { id: upstreamId }).name,
             address,
             stages,
             leftMs: Math.max(1, Math.floor(run.leftMs)),
--- a/packages/daemon/src/process/upstreamFaults.ts
+++ b/packages/daemon/src/process/upstreamFaults.ts
@@ -1,8 +1,11 @@
 /**
  * What an entry makes of the signs that an upstream is at fault: it leaves it out, and tells the leader.
  */
+import { getLife, type RegisteredUpstream } from "@crankfork/schemas";
+import type { ReportResult } from "../connection/engineControl.js";
 import type { FleetView } from "../version/fleetView.js";
 import type { EventLog } from "./eventLog.js";
+import { isSameSpan } from "./layerSpans.js";
 import type { StallReports } from "./stallReports.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
@@ -17,6 +20,26 @@
     readonly tellSuspects: () => void;
 }
 
+/** What a report says against what this entry knows of the engine. */
+type ReportFinding =
+    | "as-known"
+    | "unknown"
+    /** No report came. */
+    | "gone"
+    /** It started again, or gave layers up; the leader is told and looks after it. */
+    | "other-life"
+    | "other-layers";
+
+function compareReport(upstream: RegisteredUpstream, report: ReportResult): ReportFinding {
+    if (report.kind !== "report") {
+        return report.kind === "failed" ? "gone" : "as-known";
+    }
+    if (report.startedAtMs !== getLife(upstream).started_at_ms) {
+        return "other-life";
+    }
+    return isSameSpan(report.held, upstream.held) ? "as-known" : "other-layers";
+}
+
 /** Judges upstreams. */
 export class UpstreamFaults {
     /**
@@ -38,7 +61,8 @@
     }
 
     /**
-     * Passes an engine over that declined. One that gives no report either is gone; any other has no room for a moment.
+     * Passes an engine over that declined. One that gives no report either is gone, and one that reports another life or other
+     * layers does not hold what it was asked for; any other has no room for a moment.
      * @param id - the engine
      * @param reason - how it declined, for the log
      */
@@ -47,11 +71,13 @@
         if (!health.recordDecline(id)) {
             return;
         }
-        const address = view.getUpstream(id)?.address;
-        const isThere = address !== undefined && await stallReports.isThere(address);
-        log.record("info", "upstream-declined", { peer: id, reason, is_there: isThere, index: view.knownIndex });
-        if (!isThere) {
-            this.suspect(id, reason);
+        const upstream = view.getUpstream(id);
+        const found = upstream === undefined
+            ? "unknown"
+            : compareReport(upstream, await stallReports.getReport(upstream.address));
+        log.record("info", "upstream-declined", { peer: id, reason, found, index: view.knownIndex });
+        if (found !== "as-known") {
+            this.suspect(id, `${reason}, ${found}`);
         }
     }
 
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -1,7 +1,7 @@
 /**
  * What a routed request needs from the process around it, as functions.
  */
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import type { EventFields } from "../process/eventLog.js";
 import type { LeavePath, StreamPulse } from "../process/pathPulse.js";
 import type { CallCodec, CallTarget } from "./routedCall.js";
@@ -26,7 +26,7 @@
 
 /** What a request needs from the process. */
 export interface RoutedRequestFunctions {
-    readonly agent: Agent;
+    readonly getConnections: (target: CallTarget) => Dispatcher;
     readonly codec: CallCodec;
     readonly getNowMs: () => number;
     readonly chooseTarget: (run: RoutedRun, lastEventId: string | undefined, isUnderWay: boolean) => TargetChoice;
--- a/packages/daemon/src/request/routedCall.ts
+++ b/packages/daemon/src/request/routedCall.ts
@@ -30,7 +30,10 @@
 
 /** Where a try goes, and what the upstream is told. */
 export interface CallTarget {
+    /** Names one life of the upstream. */
     readonly upstreamId: string;
+    /** What it registers under; any other upstream at its address declines what is meant for it. */
+    readonly upstreamName: string;
     readonly address: string;
     /** Engines that the request passes, for a service that runs a model. */
     readonly stages: readonly ChainStage[] | undefined;
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -171,7 +171,7 @@
     });
     let watch: TryWatch | undefined;
     const result = await runTry({
-        agent: functions.agent,
+        connections: functions.getConnections(target),
         codec: functions.codec,
         run,
         target,
--- a/packages/daemon/src/request/routedTry.ts
+++ b/packages/daemon/src/request/routedTry.ts
@@ -3,7 +3,7 @@
  * streams are handed on event by event.
  */
 import type { TryEnd } from "@crankfork/decisions";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { type OpenExchange, startExchange, type UpstreamHead } from "../connection/upstreamExchange.js";
 import type { CallCodec, CallTarget, HeadVerdict } from "./routedCall.js";
 import type { RoutedRun, RunStop } from "./routedRun.js";
@@ -47,7 +47,8 @@
 
 /** What a try needs. */
 export interface TryOptions {
-    readonly agent: Agent;
+    /** Connections to the target. */
+    readonly connections: Dispatcher;
     readonly codec: CallCodec;
     readonly run: RoutedRun;
     readonly target: CallTarget;
@@ -85,12 +86,12 @@
     constructor(private readonly options: TryOptions, private readonly resolve: (result: TryResult) => void) {}
 
     start(): void {
-        const { agent, codec, run, target } = this.options;
+        const { connections, codec, run, target } = this.options;
         const { call, body } = run.admitted;
         this.forgetStop = run.handleStop((stop) => {
             this.cancel({ kind: "stopped", stop });
         });
-        this.exchange = startExchange(agent, {
+        this.exchange = startExchange(connections, {
             address: target.address,
             method: call.method,
             path: call.target,
--- a/packages/daemon/src/request/stageFailure.ts
+++ b/packages/daemon/src/request/stageFailure.ts
@@ -64,6 +64,7 @@
     "lost": "upstream-lost",
     "silent": "upstream-silent",
     "rubbish": "upstream-rubbish",
+    "unreadable": "upstream-rubbish",
     "cancelled": "cancelled",
 } as const satisfies Record<ExchangeFailure, string>;
 
--- a/packages/daemon/tests/fleetVoter.test.ts
+++ b/packages/daemon/tests/fleetVoter.test.ts
@@ -49,7 +49,13 @@
     while (!host.replica.hasNewestState()) {
         await new Promise((resolve) => setTimeout(resolve, 5));
     }
-    const voter = new FleetVoter({ host, log: silentLog, getNowMs: () => performance.now(), heartbeatMs: 1_000 });
+    const voter = new FleetVoter({
+        host,
+        log: silentLog,
+        getNowMs: () => performance.now(),
+        heartbeatMs: 1_000,
+        isServiceNamed: () => true,
+    });
     return {
         host,
         voter,
--- a/packages/daemon/tests/leaderStand.ts
+++ b/packages/daemon/tests/leaderStand.ts
@@ -2,7 +2,13 @@
  * A leader for the tests of what it does with engines.
  */
 import { FleetState } from "@crankfork/coordination";
-import type { EngineProfile, FleetCommand, LayerSpan } from "@crankfork/schemas";
+import {
+    type EngineProfile,
+    type FleetCommand,
+    formatLifeId,
+    type LayerSpan,
+    type UpstreamLife,
+} from "@crankfork/schemas";
 import type { EngineReport, OrderEnd, ReportResult } from "../src/connection/engineControl.js";
 import { type FleetReplicaHost, FleetVoter } from "../src/process/fleetVoter.js";
 import { LayerKeeper } from "../src/process/layerKeeper.js";
@@ -30,6 +36,7 @@
 /** What an engine reports that holds nothing. */
 export const emptyReport: EngineReport = {
     kind: "report",
+    startedAtMs: undefined,
     held: undefined,
     orders: 0,
     isOrderUnderWay: false,
@@ -86,6 +93,7 @@
         log,
         getNowMs: () => performance.now(),
         heartbeatMs: HEARTBEAT_MS,
+        isServiceNamed: () => true,
     });
 
     readonly keeper = new LayerKeeper({
@@ -99,12 +107,25 @@
     });
 
     /** Lets an engine say in its report that it holds layers. */
-    setReport(id: string, held: LayerSpan, more: Partial<EngineReport> = {}): void {
+    setReport(id: string, held: LayerSpan | undefined, more: Partial<EngineReport> = {}): void {
         this.reports.set(id, { ...emptyReport, held, orders: 1, ...more });
     }
 
     async register(id: string, held?: LayerSpan): Promise<void> {
-        const facts = { id, service: "s", address: id, failure_domain: "d", slots: 1, accelerator: "x" };
+        await this.registerLife({ name: id }, held);
+    }
+
+    /** Registers a life of an engine whose address is its name. */
+    async registerLife(life: UpstreamLife, held?: LayerSpan): Promise<void> {
+        const facts = {
+            id: formatLifeId(life),
+            life,
+            service: "s",
+            address: life.name,
+            failure_domain: "d",
+            slots: 1,
+            accelerator: "x",
+        };
         await this.voter.registerUpstream({
             facts: { ...facts, ...(held === undefined ? {} : { held }) },
             status: "ready",
--- a/packages/daemon/tests/pipelineRun.test.ts
+++ b/packages/daemon/tests/pipelineRun.test.ts
@@ -74,6 +74,7 @@
             case "lost":
             case "silent":
             case "rubbish":
+            case "unreadable":
             case "cancelled":
                 return Promise.reject(new ExchangeError(fault, upstream, fault));
             case undefined:
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -1,8 +1,7 @@
 import type { Route } from "@crankfork/schemas";
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
-import type { Agent } from "undici";
-import { openUpstreamConnections } from "../src/connection/upstreamExchange.js";
+import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
 import { PathPulse } from "../src/process/pathPulse.js";
 import type { RoutedRequestFunctions, StallAnswer } from "../src/request/requestFunctions.js";
 import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
@@ -133,14 +132,18 @@
     private looks = 0;
     private readonly pulse = new PathPulse({ getNowMs: () => performance.now(), handleStill: () => undefined });
 
-    private constructor(private readonly server: Server, readonly url: string, private readonly agent: Agent) {}
+    private constructor(
+        private readonly server: Server,
+        readonly url: string,
+        private readonly connections: UpstreamConnections,
+    ) {}
 
     static async open(options: EntryOptions): Promise<TestEntry> {
-        const agent = openUpstreamConnections();
+        const connections = new UpstreamConnections();
         const server = createServer();
         await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
         const url = `http://127.0.0.1:${String((server.address() as AddressInfo).port)}`;
-        const entry = new TestEntry(server, url, agent);
+        const entry = new TestEntry(server, url, connections);
         server.on("request", (request, response) => {
             const chunks: Buffer[] = [];
             request.on("data", (chunk: Buffer) => chunks.push(chunk));
@@ -172,12 +175,12 @@
         this.pulse.stop();
         this.server.close();
         this.server.closeAllConnections();
-        await this.agent.destroy();
+        await this.connections.destroy();
     }
 
     private createFunctions(options: EntryOptions): RoutedRequestFunctions {
         return {
-            agent: this.agent,
+            getConnections: (target) => this.connections.get(target),
             codec: testCodec,
             getNowMs: () => performance.now(),
             chooseTarget: (run, lastEventId) => {
@@ -190,6 +193,7 @@
                     kind: "target",
                     target: {
                         upstreamId: next.name,
+                        upstreamName: next.name,
                         address: next.address,
                         stages: options.isPath === true ? [] : undefined,
                         leftMs: Math.round(run.leftMs),
--- a/packages/daemon/tests/upstreamHealth.test.ts
+++ b/packages/daemon/tests/upstreamHealth.test.ts
@@ -111,6 +111,7 @@
                 asked += 1;
                 return Promise.resolve({
                     kind: "report",
+                    startedAtMs: undefined,
                     held: undefined,
                     orders: 0,
                     slowness: 1,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -44,5 +44,6 @@
 export { createPlan, formatDifferences, type PlanningResult } from "./version/createPlan.js";
 export type { LayerOrder } from "./version/freeEngine.js";
 export * from "./version/isPlacementDue.js";
+export * from "./version/judgeHeartbeat.js";
 export * from "./version/layerCoverage.js";
 export { RecentCount } from "./version/recentCount.js";
--- a/packages/schemas/src/fleetCommand.ts
+++ b/packages/schemas/src/fleetCommand.ts
@@ -3,6 +3,7 @@
  */
 import * as z from "zod";
 import { upstreamFactsSchema, upstreamStatusSchema } from "./registeredUpstream.js";
+import { upstreamLifeSchema } from "./upstreamLife.js";
 
 /** A command, as the leader puts it into the log. */
 export const fleetCommandSchema = z.discriminatedUnion("kind", [
@@ -10,8 +11,8 @@
     z.object({ kind: z.literal("put-document"), version: z.int(), packed: z.string() }),
     /** New facts of an upstream, or a change of its status. */
     z.object({ kind: z.literal("put-upstream"), facts: upstreamFactsSchema, status: upstreamStatusSchema }),
-    /** The upstream is gone for good; its id never comes back. */
-    z.object({ kind: z.literal("remove-upstream"), id: z.string() }),
+    /** This life of an upstream is over; a later one may come under the same name. */
+    z.object({ kind: z.literal("remove-upstream"), id: z.string(), life: upstreamLifeSchema.optional() }),
 ]);
 
 /** A command. */
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -22,3 +22,4 @@
 export * from "./replicaMessage.js";
 export * from "./routing.js";
 export * from "./settings.js";
+export * from "./upstreamLife.js";
--- a/packages/schemas/src/registeredUpstream.ts
+++ b/packages/schemas/src/registeredUpstream.ts
@@ -2,14 +2,17 @@
  * Upstreams that register themselves, as every voter and entry knows them.
  */
 import * as z from "zod";
+import { upstreamLifeSchema } from "./upstreamLife.js";
 
 /** Layers from `first` up to, but without, `end`. */
 export const layerSpanSchema = z.object({ first: z.int().nonnegative(), end: z.int().nonnegative() });
 
 /** What an upstream says of itself. */
 export const upstreamFactsSchema = z.object({
-    /** Names one start of the upstream; a restart has another. */
+    /** Names one life of the upstream, by `formatLifeId`; a restart has another. */
     id: z.string(),
+    /** The life itself; left out where the id is the whole of it. */
+    life: upstreamLifeSchema.optional(),
     service: z.string(),
     address: z.string(),
     failure_domain: z.string(),
@@ -22,7 +25,7 @@
     slowness: z.number().positive().optional(),
 });
 
-/** `lost`: not heard for too long; it may come back under the same id. */
+/** `lost`: not heard for too long; the same life may be heard again. */
 export const upstreamStatusSchema = z.enum(["ready", "leaving", "lost"]);
 
 /** An upstream as the voters agreed on it. */
--- /dev/null
+++ b/packages/schemas/src/upstreamLife.ts
@@ -0,0 +1,49 @@
+/**
+ * One life of an upstream: the name that it registers under, with the time of its start. A later start may use the name
+ * again; it then holds and knows nothing of before.
+ */
+import * as z from "zod";
+
+/** A life as logs and messages hold it. */
+export const upstreamLifeSchema = z.object({
+    /** What it registers under. */
+    name: z.string(),
+    /** Unix time of its start, in milliseconds; left out where it doesn't tell. */
+    started_at_ms: z.int().nonnegative().optional(),
+});
+
+/** One life of an upstream. */
+export type UpstreamLife = z.infer<typeof upstreamLifeSchema>;
+
+/**
+ * Formats a life as the id under which state is kept, so that nothing of one life is taken for another's.
+ * @param life - the life
+ * @returns the name alone where it doesn't tell its start
+ */
+export function formatLifeId({ name, started_at_ms }: UpstreamLife): string {
+    return started_at_ms === undefined ? name : `${name}@${String(started_at_ms)}`;
+}
+
+/**
+ * Tells whether one life of a name was overtaken by another.
+ * @param life - the one
+ * @param other - the other, of the same name
+ * @returns true where the other started later; one that doesn't tell its start comes before all that do
+ */
+export function isEarlierLife(life: UpstreamLife, other: UpstreamLife): boolean {
+    return (life.started_at_ms ?? UNTOLD) < (other.started_at_ms ?? UNTOLD);
+}
+
+/**
+ * Gets the life of an upstream.
+ * @param upstream - its facts; those written before lives were told have an id alone
+ * @returns the life
+ */
+export function getLife(
+    { id, life }: { readonly id: string; readonly life?: UpstreamLife | undefined; },
+): UpstreamLife {
+    return life ?? { name: id };
+}
+
+/** Before any start that is told. */
+const UNTOLD = -1;
--- /dev/null
+++ b/packages/schemas/tests/upstreamLife.test.ts
@@ -0,0 +1,48 @@
+import { expect } from "chai";
+import { formatLifeId, getLife, isEarlierLife, upstreamFactsSchema, type UpstreamLife } from "../src/index.js";
+
+const untold: UpstreamLife = { name: "u" };
+const first: UpstreamLife = { name: "u", started_at_ms: 10 };
+const second: UpstreamLife = { name: "u", started_at_ms: 20 };
+
+describe("a life is a name with the time of its start", () => {
+    const rows: readonly { readonly title: string; readonly life: UpstreamLife; readonly id: string; }[] = [
+        { title: "a start that is told", life: first, id: "u@10" },
+        { title: "the first millisecond", life: { name: "u", started_at_ms: 0 }, id: "u@0" },
+        { title: "none", life: untold, id: "u" },
+    ];
+    for (const { title, life, id } of rows) {
+        it(`id: ${title}`, () => {
+            expect(formatLifeId(life)).to.equal(id);
+        });
+    }
+
+    const orderRows: readonly {
+        readonly title: string;
+        readonly life: UpstreamLife;
+        readonly other: UpstreamLife;
+        readonly isEarlier: boolean;
+    }[] = [
+        { title: "a later start overtakes", life: first, other: second, isEarlier: true },
+        { title: "an earlier one does not", life: second, other: first, isEarlier: false },
+        { title: "the same does not", life: first, other: first, isEarlier: false },
+        { title: "one that is told overtakes one that isn't", life: untold, other: first, isEarlier: true },
+        { title: "one that isn't told overtakes none", life: first, other: untold, isEarlier: false },
+    ];
+    for (const { title, life, other, isEarlier } of orderRows) {
+        it(`order: ${title}`, () => {
+            expect(isEarlierLife(life, other)).to.equal(isEarlier);
+        });
+    }
+
+    it("facts that were written before lives were told are read, with the id as the whole of the life", () => {
+        const facts = upstreamFactsSchema.parse({
+            id: "old",
+            service: "s",
+            address: "a",
+            failure_domain: "d",
+            slots: 1,
+        });
+        expect(getLife(facts)).to.deep.equal({ name: "old" });
+    });
+});
