A path through an engine that is not there is no path: requests wait for one, and the leader is told with the first sign

An engine that declined was passed over for 100 ms, less than the 350 ms in which a report is missed; where no path was free of passed-over engines, all were taken. Ruled out: a longer pass-over for every decline (engines without room decline for a moment; their report tells them apart within 2 ms); keeping suspects out for their whole time (up to 6 s; the voters know better after one). Change: listOpenChains (pure): paths through engines that count as absent are none. An engine is absent from the first sign (a decline that names it, a missed report) until its report, for a second at most. A request that nothing took waits for a path as one that has just come. The leader is told at the decline, not after the entry's own missed report.

--- a/packages/daemon/src/process/targetChooser.ts
+++ b/packages/daemon/src/process/targetChooser.ts
@@ -10,6 +10,7 @@
     computePreferredCount,
     computePriority,
     hasChainRoom,
+    listOpenChains,
     listPreferredChains,
     type LoadedChain,
     type RequestSize,
@@ -147,13 +148,15 @@
         );
     }
 
-    /** Paths that this request has not been on and that move go first; where there are none, any. */
     private listChains(run: RoutedRun, service: RoutedService): readonly Chain[] {
-        const usable = this.listUsableChains(service);
-        const chains = usable.length > 0 ? usable : this.options.view.getChains(service, () => true, "all");
-        const others = this.listOtherChains(run, chains);
-        const fresh = others.length > 0 ? others : chains.filter((chain) => !run.tried.has(getFirstId(chain)));
-        return fresh.length > 0 ? fresh : chains;
+        const { view, health } = this.options;
+        return listOpenChains({
+            usable: this.listUsableChains(service),
+            listPresent: () =>
+                view.getChains(service, (id) => !health.isAbsent(id), `present ${health.formatAbsent()}`),
+            isTried: (chain) => run.tried.has(getFirstId(chain)),
+            isStill: (chain) => this.options.isAvoided(getPathName(chain.stages)),
+        });
     }
 
     private listUsableChains(service: RoutedService): readonly Chain[] {
--- a/packages/daemon/src/process/upstreamFaults.ts
+++ b/packages/daemon/src/process/upstreamFaults.ts
@@ -62,21 +62,27 @@
 
     /**
      * Passes an engine over that declined. One that gives no report either is gone, and one that reports another life or other
-     * layers does not hold what it was asked for; any other has no room for a moment.
+     * layers does not hold what it was asked for; any other has no room for a moment. Until its report is there it counts as
+     * gone, and the leader is told at once, so that all entries learn it from one of them.
      * @param id - the engine
      * @param reason - how it declined, for the log
      */
     async handleDecline(id: string, reason: string): Promise<void> {
-        const { health, view, stallReports, log } = this.options;
+        const { health, view, stallReports, log, tellSuspects } = this.options;
         if (!health.recordDecline(id)) {
             return;
         }
+        health.markAbsent(id, true);
+        tellSuspects();
         const upstream = view.getUpstream(id);
         const found = upstream === undefined
             ? "unknown"
             : compareReport(upstream, await stallReports.getReport(upstream.address));
         log.record("info", "upstream-declined", { peer: id, reason, found, index: view.knownIndex });
-        if (found !== "as-known") {
+        if (found === "as-known") {
+            health.clearAbsence(id);
+        }
+        else {
             this.suspect(id, `${reason}, ${found}`);
         }
     }
--- a/packages/daemon/src/process/upstreamHealth.ts
+++ b/packages/daemon/src/process/upstreamHealth.ts
@@ -16,6 +16,8 @@
     suspectUntilMs: number;
     /** Until when it is passed over because it declined. */
     declinedUntilMs: number;
+    /** Until when it counts as not there. */
+    absentUntilMs: number;
     suspicions: number;
 }
 
@@ -26,6 +28,11 @@
 const MOST_SUSPICION_MS = 6_000;
 /** How long an upstream that had no room is passed over; with 60 streams of 3 s one ends every 50 ms. */
 const DECLINED_MS = 100;
+/**
+ * How long an upstream counts as not there after a sign of it. Longer than a report takes to come or to be missed (350 ms)
+ * and the leader to look too; by then the voters have told all entries.
+ */
+const ABSENT_MS = 1_000;
 /** A failure counts as this many times the usual answer time in the choice among upstreams. */
 const FAILURE_WEIGHT = 8;
 /** Answer time of an upstream that has not answered yet; any figure that is alike for all of them will do. */
@@ -95,6 +102,7 @@
             health.suspicions += 1;
         }
         health.suspectUntilMs = this.getNowMs() + suspicionMs;
+        health.absentUntilMs = this.getNowMs() + Math.min(suspicionMs, ABSENT_MS);
         health.failures = smooth(health.failures, 1);
         this.reported.add(id);
     }
@@ -113,6 +121,44 @@
         return isNew;
     }
 
+    /**
+     * Counts an upstream as not there until it is known better, and tells the leader: an answer named it as the one that a
+     * request failed for, or other entries suspect it.
+     * @param id - the upstream
+     * @param isReported - whether the leader is to be told
+     */
+    markAbsent(id: string, isReported: boolean): void {
+        this.get(id).absentUntilMs = this.getNowMs() + ABSENT_MS;
+        if (isReported) {
+            this.reported.add(id);
+        }
+    }
+
+    /**
+     * Takes an absence back: the upstream has answered.
+     * @param id - the upstream
+     */
+    clearAbsence(id: string): void {
+        this.get(id).absentUntilMs = 0;
+    }
+
+    /**
+     * Tells whether an upstream counts as not there.
+     * @param id - the upstream
+     * @returns true for a while after a sign of it
+     */
+    isAbsent(id: string): boolean {
+        return (this.byId.get(id)?.absentUntilMs ?? 0) > this.getNowMs();
+    }
+
+    /**
+     * Names the upstreams that count as not there.
+     * @returns a text that is equal as long as they are the same
+     */
+    formatAbsent(): string {
+        return [...this.byId.keys()].filter((id) => this.isAbsent(id)).sort().join(",");
+    }
+
     /**
      * Tells whether work may be sent to an upstream.
      * @param id - the upstream
@@ -197,6 +243,7 @@
             failures: 0,
             suspectUntilMs: 0,
             declinedUntilMs: 0,
+            absentUntilMs: 0,
             suspicions: 0,
         };
         this.byId.set(id, health);
@@ -205,7 +252,7 @@
 }
 
 function isLeftOut(health: Health, nowMs: number): boolean {
-    return Math.max(health.suspectUntilMs, health.declinedUntilMs) > nowMs;
+    return Math.max(health.suspectUntilMs, health.declinedUntilMs, health.absentUntilMs) > nowMs;
 }
 
 function smooth(present: number, newest: number): number {
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -256,6 +256,9 @@
         leftMs: run.leftMs,
         hasAlternative: functions.chooseTarget(run, undefined, true).kind === "target",
         graceMs: isUnderWay ? CALLER_GRACE_MS - relay.sinceEventMs : 0,
+        patienceMs: isUnderWay || service.engine === undefined
+            ? 0
+            : computePatienceMs(run.leftMs + run.ageMs) - run.ageMs,
         claimRepeat: () => functions.claimRepeat(service.name, answer.isBegun),
     });
 }
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -68,12 +68,13 @@
 class ChooserStand {
     nowMs = 0;
     readonly loads = new Map<string, ChainLoad>();
+    readonly health = new UpstreamHealth(() => this.nowMs);
     private readonly view = new FleetView();
     private index = 0;
     private readonly chooser = new TargetChooser({
         instance: "entry-1",
         view: this.view,
-        health: new UpstreamHealth(() => this.nowMs),
+        health: this.health,
         shortage: new EngineShortage(() => this.nowMs),
         getLoadElsewhere: (id) => this.loads.get(id) ?? { open: 0, unstarted: 0 },
         isAvoided: () => false,
@@ -176,3 +177,78 @@
         });
     }
 });
+
+describe("paths that share an engine which is gone are no paths", () => {
+    /** Six copies of the first stage before one engine of the later layers. */
+    const firsts = Array.from(
+        { length: 6 },
+        (_, index) => createEngine(`f${String(index)}`, "half", { first: 0, end: 4 }),
+    );
+    const last = createEngine("last", "half", { first: 4, end: 8 });
+    const rows: readonly {
+        readonly title: string;
+        readonly happens: (health: UpstreamHealth) => void;
+        readonly waitsMs: number;
+        readonly isTaken: boolean;
+    }[] = [
+        { title: "nothing has happened", happens: () => undefined, waitsMs: 0, isTaken: true },
+        {
+            title: "it had no room: another look may find some",
+            happens: (health) => health.recordDecline("last"),
+            waitsMs: 0,
+            isTaken: true,
+        },
+        {
+            title: "it declined, and its report is not there yet",
+            happens: (health) => {
+                health.recordDecline("last");
+                health.markAbsent("last", true);
+            },
+            waitsMs: 30,
+            isTaken: false,
+        },
+        {
+            title: "it declined and has reported since",
+            happens: (health) => {
+                health.recordDecline("last");
+                health.markAbsent("last", true);
+                health.clearAbsence("last");
+            },
+            waitsMs: 1,
+            isTaken: true,
+        },
+        {
+            title: "it gave no report",
+            happens: (health) => {
+                health.suspect("last");
+            },
+            waitsMs: 700,
+            isTaken: false,
+        },
+        {
+            title: "nothing was heard of it for a second, from the voters either",
+            happens: (health) => {
+                health.suspect("last");
+                health.suspect("last");
+            },
+            waitsMs: 1_001,
+            isTaken: true,
+        },
+    ];
+    for (const { title, happens, waitsMs, isTaken } of rows) {
+        it(title, () => {
+            const stand = new ChooserStand();
+            stand.setEngines([...firsts, last]);
+            happens(stand.health);
+            stand.nowMs = waitsMs;
+            expect(stand.choose()).to.be.oneOf(isTaken ? firsts.map(({ id }) => id) : ["none"]);
+        });
+    }
+
+    it("an engine beside it with the same layers is gone to at once", () => {
+        const stand = new ChooserStand();
+        stand.setEngines([...firsts, last, createEngine("other", "half", { first: 4, end: 8 })]);
+        stand.health.markAbsent("last", true);
+        expect(stand.choose()).to.be.oneOf(firsts.map(({ id }) => id));
+    });
+});
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -27,6 +27,7 @@
 export * from "./request/findRoute.js";
 export * from "./request/hasChainRoom.js";
 export * from "./request/isPathStill.js";
+export * from "./request/listOpenChains.js";
 export * from "./request/listPreferredChains.js";
 export * from "./version/canHoldModel.js";
 export * from "./version/checkRoutingTable.js";
--- a/packages/decisions/src/request/chooseNextStep.ts
+++ b/packages/decisions/src/request/chooseNextStep.ts
@@ -37,6 +37,8 @@
      * other request.
      */
     readonly graceMs: number;
+    /** How long a request that has not run may still wait here for a path, in milliseconds. */
+    readonly patienceMs: number;
     /** Draws on the budget of repeats; called only where all else allows one. */
     readonly claimRepeat: () => boolean;
 }
@@ -71,6 +73,9 @@
     if (mayRepeat && view.graceMs > 0) {
         return { kind: "wait" };
     }
+    if (mayWaitForPath(view)) {
+        return { kind: "wait" };
+    }
     if (view.end === "failed") {
         return { kind: "hand-on" };
     }
@@ -92,6 +97,20 @@
     }
 }
 
+/**
+ * A request that nothing took, and that has nowhere else to go, waits for a path like one that has just come: a lost part of
+ * a model is loaded anew within a second or two, and its caller would come back to the same.
+ */
+function mayWaitForPath(view: TryView): boolean {
+    const hasNotRun = view.end === "not-sent" || view.end === "declined";
+    return hasNotRun
+        && !view.hasAlternative
+        && view.patienceMs > 0
+        && view.tries < MOST_TRIES
+        && view.leftMs >= LEAST_LEFT_MS
+        && (view.isRepeatable || !view.mayHaveRun);
+}
+
 function isRepeatAllowed(view: TryView): boolean {
     // A send that did not arrive adds nothing to what upstreams receive; a path is left only with a repeat in hand.
     return view.end === "not-sent" || view.end === "left" || view.claimRepeat();
--- a/packages/decisions/tests/nextStep.test.ts
+++ b/packages/decisions/tests/nextStep.test.ts
@@ -20,6 +20,7 @@
     leftMs: 1_000,
     hasAlternative: true,
     graceMs: 0,
+    patienceMs: 0,
     claimRepeat: () => true,
 };
 const notRun = { mayHaveRun: false, runs: 0 };
@@ -80,6 +81,31 @@
             change: { end: "declined", graceMs: 500, isRepeatable: false },
             step: "fail",
         },
+        {
+            title: "declined, and no path is left that is there",
+            change: { ...notRun, end: "declined", hasAlternative: false, patienceMs: 500 },
+            step: "wait",
+        },
+        {
+            title: "declined, with a path that is free and no repeat left: another entry may have one",
+            change: { ...notRun, end: "declined", patienceMs: 500, claimRepeat: () => false },
+            step: "refuse",
+        },
+        {
+            title: "declined, no path is left, and it may run once and may have",
+            change: { end: "declined", hasAlternative: false, isRepeatable: false, patienceMs: 500 },
+            step: "fail",
+        },
+        {
+            title: "broken, and no path is left",
+            change: { hasAlternative: false, patienceMs: 500 },
+            step: "fail",
+        },
+        {
+            title: "declined, no path is left, and it has waited long enough",
+            change: { ...notRun, end: "declined", hasAlternative: false },
+            step: "refuse",
+        },
         { title: "declined by all", change: { ...notRun, end: "declined", tries: 4 }, step: "refuse" },
         {
             title: "declined after a try that may have run, and it may run only once",
