--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -1,7 +1,7 @@
 /**
  * What an entry serves by: the routing table in force, and the upstreams that registered. Both only go forward.
  */
-import { type Chain, computeChains, createRouteIndex, findRoute, type HoldingEngine } from "@crankfork/decisions";
+import { type Chain, computeChains, createRouteIndex, findRoute } from "@crankfork/decisions";
 import type {
     RegisteredUpstream,
     Route,
@@ -10,6 +10,7 @@
     RoutingTable,
     SynchronisedState,
 } from "@crankfork/schemas";
+import { createHoldingEngine } from "./holdingEngine.js";
 
 /** Look-ups of one version of the routing table; never changed once made. */
 export interface RoutingView {
@@ -144,13 +145,6 @@
     }
 }
 
-function createHoldingEngine(upstream: RegisteredUpstream): readonly HoldingEngine[] {
-    const { id, address, failure_domain, accelerator = "", held, slowness = 1 } = upstream;
-    return held === undefined
-        ? []
-        : [{ id, address, failureDomain: failure_domain, accelerator, span: held, slowness }];
-}
-
 function createRoutingView(table: RoutingTable): RoutingView {
     const index = createRouteIndex(table.routes);
     return {
--- a/packages/daemon/tests/leaderStand.ts
+++ b/packages/daemon/tests/leaderStand.ts
@@ -9,7 +9,7 @@
     type LayerSpan,
     type UpstreamLife,
 } from "@crankfork/schemas";
-import type { EngineReport, OrderEnd, ReportResult } from "../src/connection/engineControl.js";
+import type { EngineReport, OrderEnd, PlacementOrder, ReportResult } from "../src/connection/engineControl.js";
 import { type FleetReplicaHost, FleetVoter } from "../src/process/fleetVoter.js";
 import { LayerKeeper } from "../src/process/layerKeeper.js";
 
@@ -48,6 +48,8 @@
 export class LeaderStand {
     readonly state = new FleetState();
     readonly orders: string[] = [];
+    /** How what was held is given up, by order. */
+    readonly giveUps: string[] = [];
     /** Events of the keeper's log. */
     readonly events: string[] = [];
     readonly reports = new Map<string, ReportResult>();
@@ -82,8 +84,9 @@
             Promise.resolve(
                 this.reports.get(address) ?? emptyReport,
             ),
-        placeLayers: ({ id }: { readonly id: string; }, span: LayerSpan): Promise<OrderEnd> => {
+        placeLayers: ({ id }: { readonly id: string; }, { span, giveUp }: PlacementOrder): Promise<OrderEnd> => {
             this.orders.push(`${id}=${String(span.first)}-${String(span.end)}`);
+            this.giveUps.push(giveUp);
             return Promise.resolve(this.orderEnd);
         },
     };
