--- a/packages/daemon/src/process/entryRegister.ts
+++ b/packages/daemon/src/process/entryRegister.ts
@@ -1,7 +1,13 @@
 /**
  * The entries that a leader heard of, and what they have open; and the answers to their questions.
  */
-import type { SynchronisedState, SynchroniseParameters, SynchroniseResult, UpstreamLoads } from "@crankfork/schemas";
+import type {
+    ServiceSpending,
+    SynchronisedState,
+    SynchroniseParameters,
+    SynchroniseResult,
+    UpstreamLoads,
+} from "@crankfork/schemas";
 import type { FleetReplicaHost } from "./fleetVoter.js";
 import { waitMs } from "./waitMs.js";
 
@@ -34,12 +40,22 @@
     /** When it was last told of a change. */
     toldMs: number;
     loads: UpstreamLoads;
+    spending: ServiceSpending;
+}
+
+/** What an entry had sent when it ended; it counts on until the window of the budget is over. */
+interface EndedSpending {
+    readonly heardMs: number;
+    readonly spending: ServiceSpending;
 }
 
 /** Answers entries. */
 export class EntryRegister {
     private readonly entries = new Map<string, KnownEntry>();
     private waiting: (() => void)[] = [];
+    private ended: EndedSpending[] = [];
+    private term = 0;
+    private leadingSinceMs = 0;
 
     /**
      * @param options - replica and clock
@@ -75,13 +91,28 @@
         return host.replica.hasNewestState() ? this.createState(parameters) : this.createNotLeader();
     }
 
-    private record({ instance, loads }: SynchroniseParameters): KnownEntry {
-        const toldMs = this.entries.get(instance)?.toldMs ?? Number.NEGATIVE_INFINITY;
-        const entry: KnownEntry = { heardMs: this.options.getNowMs(), toldMs, loads };
+    private record({ instance, loads, spending = {}, known_index }: SynchroniseParameters): KnownEntry {
+        this.recordTerm();
+        const known = this.entries.get(instance);
+        // An entry that knows nothing has started anew, and counts from 0.
+        if (known !== undefined && known_index === 0 && Object.keys(known.spending).length > 0) {
+            this.ended.push({ heardMs: known.heardMs, spending: known.spending });
+        }
+        const toldMs = known?.toldMs ?? Number.NEGATIVE_INFINITY;
+        const entry: KnownEntry = { heardMs: this.options.getNowMs(), toldMs, loads, spending };
         this.entries.set(instance, entry);
         return entry;
     }
 
+    /** What entries sent is known only from the moment at which they began to tell this leader. */
+    private recordTerm(): void {
+        const { term } = this.options.host.replica.getStatus();
+        if (term !== this.term) {
+            this.term = term;
+            this.leadingSinceMs = this.options.getNowMs();
+        }
+    }
+
     /** Changes that come before the turn are told together. */
     private async waitForTurn(entry: KnownEntry): Promise<void> {
         const { getNowMs } = this.options;
@@ -118,6 +149,8 @@
             removed: [...changes.removed],
             entries: this.countEntries(),
             loads_elsewhere: this.sumElsewhere(parameters.instance),
+            spending_elsewhere: this.sumSpending(parameters.instance),
+            spending_known_ms: this.options.getNowMs() - this.leadingSinceMs,
             voters: [...replicas.voters, ...replicas.learners].map((replica) => replica.address),
         };
     }
@@ -139,6 +172,24 @@
         return Math.max(1, this.entries.size);
     }
 
+    /** Also of entries that are gone: what they sent counts until the window is over. */
+    private sumSpending(instance: string): ServiceSpending {
+        const sinceMs = this.options.getNowMs() - ENTRY_MEMORY_MS;
+        this.ended = this.ended.filter(({ heardMs }) => heardMs > sinceMs);
+        const others = [...this.entries].filter(([other]) => other !== instance).map(([, entry]) => entry);
+        const sums: ServiceSpending = {};
+        [...others, ...this.ended].forEach(({ spending }) => {
+            Object.entries(spending).forEach(([service, { requests, repeats }]) => {
+                const sum = sums[service];
+                sums[service] = {
+                    requests: (sum?.requests ?? 0) + requests,
+                    repeats: (sum?.repeats ?? 0) + repeats,
+                };
+            });
+        });
+        return sums;
+    }
+
     private sumElsewhere(instance: string): UpstreamLoads {
         const nowMs = this.options.getNowMs();
         const sums: UpstreamLoads = {};
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -148,6 +148,7 @@
             instance: this.options.settings.instance.id,
             known_index: this.view.knownIndex,
             loads: this.health.listLoads(),
+            spending: this.budgets.listSpending(),
         };
     }
 
@@ -166,6 +167,7 @@
     applyState(state: SynchronisedState): void {
         this.loadsElsewhere = state.loads_elsewhere;
         this.stateAge.recordState();
+        this.budgets.recordElsewhere(state.spending_elsewhere ?? {}, state.spending_known_ms ?? 0);
         this.view.applyUpstreams(state);
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
         this.health.forget(isKnown);
--- a/packages/daemon/src/process/retryBudgets.ts
+++ b/packages/daemon/src/process/retryBudgets.ts
@@ -2,6 +2,7 @@
  * The budgets of repeats at one entry: one for each service.
  */
 import { type RetryBudgetTerms, SharedRetryBudget } from "@crankfork/decisions";
+import type { ServiceSpending } from "@crankfork/schemas";
 
 /** Budgets by service. */
 export class RetryBudgets {
@@ -18,6 +19,25 @@
         private readonly getNowMs: () => number,
     ) {}
 
+    /**
+     * Tells what this entry sent.
+     * @returns spending by service
+     */
+    listSpending(): ServiceSpending {
+        return Object.fromEntries([...this.byService].map(([service, budget]) => [service, budget.computeSpending()]));
+    }
+
+    /**
+     * Takes the leader's word of what other entries sent.
+     * @param elsewhere - spending by service
+     * @param knownMs - for how long that leader has heard of it
+     */
+    recordElsewhere(elsewhere: ServiceSpending, knownMs: number): void {
+        Object.entries(elsewhere).forEach(([service, spending]) => {
+            this.get(service).recordElsewhere(spending, knownMs);
+        });
+    }
+
     /**
      * Gets the budget of a service.
      * @param service - its name
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -15,6 +15,12 @@
     }),
 );
 
+/** What was sent to each service in the last window of the budget of repeats. */
+export const retrySpendingSchema = z.record(
+    z.string(),
+    z.object({ requests: z.int().nonnegative(), repeats: z.int().nonnegative() }),
+);
+
 /** Parameters of `synchronise`: what an entry knows, and what it did. */
 export const synchroniseParametersSchema = z.object({
     instance: z.string(),
@@ -22,6 +28,8 @@
     known_index: z.int().nonnegative(),
     /** What the entry has open. */
     loads: upstreamLoadsSchema,
+    /** What the entry sent. */
+    spending: retrySpendingSchema.default({}),
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; told at once, since `synchronise` waits. */
@@ -43,6 +51,10 @@
         entries: z.int().positive(),
         /** What other entries have open. */
         loads_elsewhere: upstreamLoadsSchema,
+        /** What other entries sent. */
+        spending_elsewhere: retrySpendingSchema.default({}),
+        /** For how long this leader has heard of it. */
+        spending_known_ms: z.number().nonnegative().default(0),
         /** Peers' addresses of all replicas. */
         voters: z.array(z.string()),
     }),
@@ -67,10 +79,12 @@
 /** Result of `join`. */
 export const joinResultSchema = z.object({ leader: replicaAddressSchema.optional() });
 
+/** What was sent to each service in the last window of the budget of repeats. */
+export type ServiceSpending = z.infer<typeof retrySpendingSchema>;
 /** Requests by the first upstream of their path. */
 export type UpstreamLoads = z.infer<typeof upstreamLoadsSchema>;
 /** Parameters of `synchronise`. */
-export type SynchroniseParameters = z.infer<typeof synchroniseParametersSchema>;
+export type SynchroniseParameters = z.input<typeof synchroniseParametersSchema>;
 /** Parameters of `suspect`. */
 export type SuspectParameters = z.infer<typeof suspectParametersSchema>;
 /** Parameters of `document`. */
@@ -78,6 +92,6 @@
 /** Result of `document`. */
 export type DocumentResult = z.infer<typeof documentResultSchema>;
 /** Result of `synchronise`. */
-export type SynchroniseResult = z.infer<typeof synchroniseResultSchema>;
+export type SynchroniseResult = z.input<typeof synchroniseResultSchema>;
 /** The part of a result that carries state. */
-export type SynchronisedState = Extract<SynchroniseResult, { kind: "state"; }>;
+export type SynchronisedState = Extract<z.input<typeof synchroniseResultSchema>, { kind: "state"; }>;
