Entries are told what others suspect while its report is awaited

Cause: an engine that goes dark is known everywhere after 0.4 to 0.8 s: one entry's decline, a report that is missed after 350 ms, a commit, an answer. Meanwhile each entry meets the fault with requests of its own. Change: the leader tells with its answers which upstreams two entries suspect while it looks at them; entries count them as absent. One entry's word alone is not told on: its own link may be at fault. Test: leaderUpstreams (told with the second suspicion, no longer once a report came).

--- a/packages/daemon/src/process/entryRegister.ts
+++ b/packages/daemon/src/process/entryRegister.ts
@@ -15,6 +15,8 @@
 export interface EntryRegisterOptions {
     readonly host: FleetReplicaHost;
     readonly getNowMs: () => number;
+    /** Upstreams that several entries suspect. */
+    readonly listSuspects: () => readonly string[];
 }
 
 /** An entry that was not heard for so long counts no more; as long as the longest window of a shared budget. */
@@ -151,6 +153,7 @@
             loads_elsewhere: this.sumElsewhere(parameters.instance),
             spending_elsewhere: this.sumSpending(parameters.instance),
             spending_known_ms: this.options.getNowMs() - this.leadingSinceMs,
+            suspects: [...this.options.listSuspects()],
             voters: [...replicas.voters, ...replicas.learners].map((replica) => replica.address),
         };
     }
--- a/packages/daemon/src/process/fleetEntry.ts
+++ b/packages/daemon/src/process/fleetEntry.ts
@@ -169,6 +169,9 @@
         this.stateAge.recordState();
         this.budgets.recordElsewhere(state.spending_elsewhere ?? {}, state.spending_known_ms ?? 0);
         this.view.applyUpstreams(state);
+        state.suspects?.filter((id) => this.view.getUpstream(id)?.accelerator !== undefined).forEach((id) => {
+            this.health.markAbsent(id, false);
+        });
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
         this.health.forget(isKnown);
         this.options.connections.closeUnknown(isKnown);
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/runVoter.ts
@@ -129,8 +129,16 @@
             host.state.getDocument() === undefined || getServices().some((one) => one.name === service),
         recordCommitMs: metrics.recordCommitMs,
     });
-    const probe = new SuspectProbe({ host, voter, control: protocol.control, getNowMs });
-    const entries = new EntryRegister({ host, getNowMs });
+    const probe: SuspectProbe = new SuspectProbe({
+        host,
+        voter,
+        control: protocol.control,
+        getNowMs,
+        handleAgreement: () => {
+            entries.handleState();
+        },
+    });
+    const entries = new EntryRegister({ host, getNowMs, listSuspects: () => probe.listAgreed() });
     const documents = new DocumentSource({ host, getNowMs, linkMbps: limits.link });
     const group = new VoterGroup({
         host,
--- a/packages/daemon/src/process/suspectProbe.ts
+++ b/packages/daemon/src/process/suspectProbe.ts
@@ -12,6 +12,8 @@
     readonly voter: FleetVoter;
     readonly control: EngineControl;
     readonly getNowMs: () => number;
+    /** Called when a second entry suspects an upstream that is being looked at. */
+    readonly handleAgreement: () => void;
 }
 
 /** Reports asked for before an engine is given up that one entry suspects; its own link may be at fault. */
@@ -37,6 +39,7 @@
      * @param parameters - the upstreams, and the entry that suspects them
      */
     handleSuspects({ instance, suspects }: SuspectParameters): void {
+        const agreedBefore = this.listAgreed().length;
         suspects.forEach((id) => {
             this.recordSuspicion(id, instance);
         });
@@ -47,6 +50,18 @@
                 this.suspicions.delete(id);
             });
         });
+        if (this.listAgreed().length > agreedBefore) {
+            this.options.handleAgreement();
+        }
+    }
+
+    /**
+     * Lists upstreams that several entries suspect and whose report is awaited. Told to all entries, this spares those that
+     * have not met the fault yet their first requests: a report takes 350 ms to be missed.
+     * @returns ids
+     */
+    listAgreed(): readonly string[] {
+        return [...this.probing].filter((id) => this.countSuspecting(id) > 1);
     }
 
     private recordSuspicion(id: string, instance: string): void {
@@ -56,10 +71,14 @@
     }
 
     private countProbes(id: string): number {
+        return this.countSuspecting(id) > 1 ? PROBES_WHERE_AGREED : PROBES;
+    }
+
+    /** Counts the entries whose suspicions agree. */
+    private countSuspecting(id: string): number {
         const suspectedMs = [...this.suspicions.get(id)?.values() ?? []];
         const sinceMs = Math.max(...suspectedMs) - AGREEMENT_MS;
-        const entries = suspectedMs.filter((atMs) => atMs >= sinceMs).length;
-        return entries > 1 ? PROBES_WHERE_AGREED : PROBES;
+        return suspectedMs.filter((atMs) => atMs >= sinceMs).length;
     }
 
     private async probe(id: string): Promise<void> {
--- a/packages/daemon/tests/documentDelivery.test.ts
+++ b/packages/daemon/tests/documentDelivery.test.ts
@@ -76,7 +76,7 @@
                 getStatus: () => ({ leader: addresses[0], replicas: { voters: addresses, learners: [] } }),
             },
         } as unknown as FleetReplicaHost;
-        this.register = new EntryRegister({ host, getNowMs: () => performance.now() });
+        this.register = new EntryRegister({ host, getNowMs: () => performance.now(), listSuspects: () => [] });
         this.documents = new DocumentSource({ host, getNowMs: () => performance.now(), linkMbps: LINK_MBPS });
     }
 
--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -45,7 +45,7 @@
                     getStatus: () => ({ leader: self, replicas: { voters: [self], learners: [] } }),
                 },
             } as unknown as FleetReplicaHost;
-            const register = new EntryRegister({ host, getNowMs: () => performance.now() });
+            const register = new EntryRegister({ host, getNowMs: () => performance.now(), listSuspects: () => [] });
             let index = 0;
             const change = (): void => {
                 index += 1;
--- a/packages/daemon/tests/fleetVoter.test.ts
+++ b/packages/daemon/tests/fleetVoter.test.ts
@@ -175,7 +175,7 @@
             (await voter.removeUpstream("u")).kind,
             voter.getNewestDocument().kind,
         ];
-        const entries = new EntryRegister({ host, getNowMs: () => 0 });
+        const entries = new EntryRegister({ host, getNowMs: () => 0, listSuspects: () => [] });
         const told = await entries.synchronise({ instance: "e", known_index: 0, loads: {} });
         await close();
         expect(results).to.deep.equal(["unavailable", "unavailable", "unavailable", "unavailable"]);
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -4,7 +4,7 @@
 import { FleetLink } from "../src/process/fleetLink.js";
 import { PaceWatch } from "../src/process/paceWatch.js";
 import { SuspectProbe } from "../src/process/suspectProbe.js";
-import { LeaderStand, log } from "./leaderStand.js";
+import { emptyReport, LeaderStand, log } from "./leaderStand.js";
 
 describe("a leader knows which engines are there, and tells the entries", () => {
     let clock: ReturnType<typeof FakeTimers.install>;
@@ -27,7 +27,13 @@
 
     function createProbe(getReport = stand.control.getReport): SuspectProbe {
         const { host, voter, control } = stand;
-        return new SuspectProbe({ host, voter, control: { ...control, getReport }, getNowMs: () => performance.now() });
+        return new SuspectProbe({
+            host,
+            voter,
+            control: { ...control, getReport },
+            getNowMs: () => performance.now(),
+            handleAgreement: () => undefined,
+        });
     }
 
     const probeRows = [
@@ -53,6 +59,47 @@
         });
     }
 
+    it("what two entries suspect is told to all while its report is awaited, and no longer", async () => {
+        const probe: SuspectProbe = new SuspectProbe({
+            host: stand.host,
+            voter: stand.voter,
+            control: {
+                ...stand.control,
+                getReport: async () => {
+                    await new Promise((resolve) => setTimeout(resolve, 350));
+                    return emptyReport;
+                },
+            },
+            getNowMs: () => performance.now(),
+            handleAgreement: () => {
+                entries.handleState();
+            },
+        });
+        const entries = new EntryRegister({
+            host: stand.host,
+            getNowMs: () => performance.now(),
+            listSuspects: () => probe.listAgreed(),
+        });
+        const told: (readonly string[])[] = [];
+        const ask = async (): Promise<void> => {
+            const known_index = stand.state.lastChange;
+            const state = await entries.synchronise({ instance: "e3", known_index, loads: {} });
+            told.push(state.kind === "state" ? state.suspects ?? [] : []);
+        };
+        const waiting = ask();
+        probe.handleSuspects({ instance: "e1", suspects: ["a"] });
+        await clock.tickAsync(10);
+        expect(told).to.deep.equal([]);
+        probe.handleSuspects({ instance: "e2", suspects: ["a"] });
+        await clock.tickAsync(1);
+        await waiting;
+        await clock.tickAsync(400);
+        const later = ask();
+        await clock.tickAsync(1_000);
+        await later;
+        expect(told).to.deep.equal([["a"], []]);
+    });
+
     it("an engine that entries suspect is lost once it gives no report twice", async () => {
         const probe = createProbe();
         probe.handleSuspects({ instance: "e1", suspects: ["a", "b"] });
@@ -92,7 +139,11 @@
     });
 
     it("an entry is answered as soon as something changes, and told what others have open", async () => {
-        const entries = new EntryRegister({ host: stand.host, getNowMs: () => performance.now() });
+        const entries = new EntryRegister({
+            host: stand.host,
+            getNowMs: () => performance.now(),
+            listSuspects: () => [],
+        });
         const loads = { a: { open: 3, unstarted: 1 } };
         void entries.synchronise({ instance: "other", known_index: 0, loads });
         const waiting = entries.synchronise({
@@ -109,7 +160,11 @@
     });
 
     it("an entry's lease is counted from the moment its question left", async () => {
-        const entries = new EntryRegister({ host: stand.host, getNowMs: () => performance.now() });
+        const entries = new EntryRegister({
+            host: stand.host,
+            getNowMs: () => performance.now(),
+            listSuspects: () => [],
+        });
         let knownIndex = 0;
         const told: object[] = [];
         const link = new FleetLink({
--- a/packages/daemon/tests/upstreamLives.test.ts
+++ b/packages/daemon/tests/upstreamLives.test.ts
@@ -165,7 +165,13 @@
     ] as const;
     const askers: Readonly<Record<string, (stand: LeaderStand) => Promise<void>>> = {
         "an entry suspects it": async ({ host, voter, control }) => {
-            const probe = new SuspectProbe({ host, voter, control, getNowMs: () => performance.now() });
+            const probe = new SuspectProbe({
+                host,
+                voter,
+                control,
+                getNowMs: () => performance.now(),
+                handleAgreement: () => undefined,
+            });
             probe.handleSuspects({ instance: "e1", suspects: ["e@10"] });
             await clock.tickAsync(10);
         },
@@ -203,6 +209,7 @@
             voter: stand.voter,
             control: stand.control,
             getNowMs: () => performance.now(),
+            handleAgreement: () => undefined,
         });
         probe.handleSuspects({ instance: "e1", suspects: ["a"] });
         await clock.tickAsync(500);
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -55,6 +55,8 @@
         spending_elsewhere: retrySpendingSchema.default({}),
         /** For how long this leader has heard of it. */
         spending_known_ms: z.number().nonnegative().default(0),
+        /** Upstreams that several entries suspect, and that the leader is looking at. */
+        suspects: z.array(z.string()).default([]),
         /** Peers' addresses of all replicas. */
         voters: z.array(z.string()),
     }),
