The voters' document and their upstreams are kept by two modules

DocumentKeeper and UpstreamRegister share fleetProposal.ts (proposing, and what a voter answers that does not lead).

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,12 +8,13 @@
 export { type OpenExchange, type UpstreamHead } from "./connection/upstreamExchange.js";
 export { Daemon, type DaemonAddresses } from "./process/daemon.js";
 export type { FleetProcess, SettingsReader } from "./process/fleetProcess.js";
-export type { FleetVoter, UpstreamHeartbeat, VoterResult } from "./process/fleetVoter.js";
+export type { VoterResult } from "./process/fleetProposal.js";
 export { readBody, type RequestHandler, sendJson } from "./process/httpServer.js";
 export { formatHybridTime, HybridClock, type HybridTime, parseHybridTime } from "./process/hybridClock.js";
 export { readSettings } from "./process/readSettings.js";
 export { type EntryProtocol, runEntry } from "./process/runEntry.js";
-export { runVoter, type VoterProtocol } from "./process/runVoter.js";
+export { type AgreedState, runVoter, type VoterProtocol } from "./process/runVoter.js";
+export type { UpstreamHeartbeat } from "./process/upstreamRegister.js";
 export { waitMs } from "./process/waitMs.js";
 export { type GateRequest, type GateUsage, WorkGate } from "./process/workGate.js";
 export { removeConnectionHeaders } from "./request/routedAnswer.js";
--- a/packages/daemon/src/process/documentSource.ts
+++ b/packages/daemon/src/process/documentSource.ts
@@ -8,7 +8,7 @@
  */
 import { ByteBudget } from "@crankfork/decisions";
 import type { DocumentParameters, DocumentResult } from "@crankfork/schemas";
-import type { FleetReplicaHost } from "./fleetVoter.js";
+import type { FleetReplicaHost } from "./fleetProposal.js";
 import { waitMs } from "./waitMs.js";
 
 /** What the source needs from the process. */
--- a/packages/daemon/src/process/entryRegister.ts
+++ b/packages/daemon/src/process/entryRegister.ts
@@ -8,7 +8,7 @@
     SynchroniseResult,
     UpstreamLoads,
 } from "@crankfork/schemas";
-import type { FleetReplicaHost } from "./fleetVoter.js";
+import type { FleetReplicaHost } from "./fleetProposal.js";
 import { waitMs } from "./waitMs.js";
 
 /** What the register needs from the process. */
--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layerKeeper.ts
@@ -16,14 +16,15 @@
 import { createHoldingEngine } from "../version/holdingEngine.js";
 import { ArrivalWatch } from "./arrivalWatch.js";
 import type { EventLog } from "./eventLog.js";
-import type { FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
+import type { FleetReplicaHost } from "./fleetProposal.js";
 import { formatSpan, isSameSpan, isWithin } from "./layerSpans.js";
 import { startTicking, type StopTicking } from "./startTicking.js";
+import type { UpstreamRegister } from "./upstreamRegister.js";
 
 /** What the keeper needs from the process. */
 export interface LayerKeeperOptions {
     readonly host: FleetReplicaHost;
-    readonly voter: FleetVoter;
+    readonly upstreams: UpstreamRegister;
     readonly control: EngineControl;
     readonly log: EventLog;
     readonly getNowMs: () => number;
@@ -182,16 +183,16 @@
         span: LayerSpan,
         profile: EngineProfile,
     ): Promise<OrderEnd> {
-        const { host, control, voter } = this.options;
+        const { host, control, upstreams } = this.options;
         const report = await control.getReport(upstream.address);
         if (report.kind !== "report") {
             return { kind: "refused", reason: report.reason };
         }
-        if (!voter.recordReportedStart(upstream, report.startedAtMs)) {
+        if (!upstreams.recordReportedStart(upstream, report.startedAtMs)) {
             return { kind: "refused", reason: "another life runs there than expected" };
         }
         if (!isSameSpan(report.held, upstream.held)) {
-            voter.recordHeld(upstream, report.held);
+            upstreams.recordHeld(upstream, report.held);
             return { kind: "refused", reason: "it holds other layers than expected" };
         }
         if (!host.replica.hasNewestState()) {
@@ -234,7 +235,7 @@
     private recordGivenUp(id: string, order: OpenOrder): void {
         const upstream = this.options.host.state.getUpstream(id);
         if (upstream !== undefined && order.before !== undefined && !isWithin(order.before, order.span)) {
-            this.options.voter.recordGivenUp(upstream);
+            this.options.upstreams.recordGivenUp(upstream);
         }
     }
 
@@ -252,16 +253,16 @@
     }
 
     private async readReport(upstream: RegisteredUpstream, order: OpenOrder): Promise<void> {
-        const { control, voter, getNowMs } = this.options;
+        const { control, upstreams, getNowMs } = this.options;
         const report = await control.getReport(upstream.address);
         if (report.kind !== "report" || this.orders.get(upstream.id) !== order) {
             return;
         }
-        if (!voter.recordReportedStart(upstream, report.startedAtMs)) {
+        if (!upstreams.recordReportedStart(upstream, report.startedAtMs)) {
             return;
         }
         if (hasNews(report.held, order)) {
-            voter.recordHeld(upstream, report.held);
+            upstreams.recordHeld(upstream, report.held);
         }
         else if (report.isOrderUnderWay) {
             order.limitMs = Math.max(order.limitMs, getNowMs() + LEAST_LOAD_LIMIT_MS);
--- a/packages/daemon/src/process/paceWatch.ts
+++ b/packages/daemon/src/process/paceWatch.ts
@@ -4,13 +4,14 @@
  */
 import type { RegisteredUpstream } from "@crankfork/schemas";
 import type { EngineControl } from "../connection/engineControl.js";
-import type { FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
+import type { FleetReplicaHost } from "./fleetProposal.js";
 import { startTicking, type StopTicking } from "./startTicking.js";
+import type { UpstreamRegister } from "./upstreamRegister.js";
 
 /** What the watch needs from the process. */
 export interface PaceWatchOptions {
     readonly host: FleetReplicaHost;
-    readonly voter: FleetVoter;
+    readonly upstreams: UpstreamRegister;
     readonly control: EngineControl;
 }
 
@@ -55,19 +56,19 @@
     }
 
     private async ask(upstream: RegisteredUpstream): Promise<void> {
-        const { control, voter, host } = this.options;
+        const { control, upstreams, host } = this.options;
         const report = await control.getReport(upstream.address);
         // An engine without a report is looked after by its heartbeats and by those whose requests it holds up.
         if (report.kind !== "report" || !host.replica.hasNewestState()) {
             return;
         }
-        if (!voter.recordReportedStart(upstream, report.startedAtMs)) {
+        if (!upstreams.recordReportedStart(upstream, report.startedAtMs)) {
             return;
         }
         const before = upstream.slowness ?? 1;
         const slowness = Math.max(1, Math.round(report.slowness * 10) / 10);
         if (slowness / before >= WORTH_TELLING || before / slowness >= WORTH_TELLING) {
-            voter.recordSlowness(upstream, slowness);
+            upstreams.recordSlowness(upstream, slowness);
         }
     }
 }
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/runVoter.ts
@@ -17,25 +17,33 @@
 import { JSONRPCServer } from "json-rpc-2.0";
 import { createHash } from "node:crypto";
 import type { EngineControl } from "../connection/engineControl.js";
+import { DocumentKeeper } from "./documentKeeper.js";
 import { DocumentSource } from "./documentSource.js";
 import { EntryRegister } from "./entryRegister.js";
 import { type FleetProcess, listPeerAddresses, openFleetProcess, type SettingsReader } from "./fleetProcess.js";
-import { type FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
+import type { FleetReplicaHost } from "./fleetProposal.js";
 import type { RequestHandler } from "./httpServer.js";
 import { LayerKeeper } from "./layerKeeper.js";
 import { PaceWatch } from "./paceWatch.js";
 import { PeerLink } from "./peerLink.js";
 import { type Founding, ReplicaHost } from "./replicaHost.js";
 import { SuspectProbe } from "./suspectProbe.js";
+import { UpstreamRegister } from "./upstreamRegister.js";
 import { VoterGroup } from "./voterGroup.js";
 import { waitMs } from "./waitMs.js";
 
+/** What voters agree on, as operators and upstreams reach it. */
+export interface AgreedState {
+    readonly document: DocumentKeeper;
+    readonly upstreams: UpstreamRegister;
+}
+
 /** What a protocol adds to a voter. */
 export interface VoterProtocol {
     readonly control: EngineControl;
     readonly decodeDocument: (content: unknown) => RoutingTable | undefined;
     /** Creates the port that operators and upstreams call. */
-    readonly createOperatorHandler: (voter: FleetVoter, process: FleetProcess) => RequestHandler;
+    readonly createOperatorHandler: (state: AgreedState, process: FleetProcess) => RequestHandler;
 }
 
 /** Heartbeats and elections: a new leader within a second, and no election for a pause of the process. */
@@ -92,7 +100,7 @@
             else if (event.kind === "fault") {
                 log.record("error", "replica-fault", { reason: String(event.error) });
             }
-            listening.parts?.voter.handleEvent(event);
+            listening.parts?.upstreams.handleEvent(event);
         },
         handleState: () => {
             listening.parts?.entries.handleState();
@@ -102,14 +110,13 @@
     const parts = startParts(fleet, host, protocol);
     listening.parts = parts;
     await fleet.openPeers(createRpcServer(host, parts));
-    await fleet.openPort(settings.ports.operators, protocol.createOperatorHandler(parts.voter, fleet));
+    await fleet.openPort(settings.ports.operators, protocol.createOperatorHandler(parts, fleet));
     process.once("SIGTERM", () => {
         void stopVoter(fleet, host);
     });
 }
 
-interface VoterParts {
-    readonly voter: FleetVoter;
+interface VoterParts extends AgreedState {
     readonly group: VoterGroup;
     readonly entries: EntryRegister;
     readonly documents: DocumentSource;
@@ -120,7 +127,8 @@
     const { log, metrics, getNowMs, peers } = fleet;
     const { cluster, contract, limits } = fleet.getSettings();
     const getServices = createServiceReader(host, protocol.decodeDocument);
-    const voter = new FleetVoter({
+    const document = new DocumentKeeper({ host, log, getNowMs, recordCommitMs: metrics.recordCommitMs });
+    const upstreams = new UpstreamRegister({
         host,
         log,
         getNowMs,
@@ -131,7 +139,7 @@
     });
     const probe: SuspectProbe = new SuspectProbe({
         host,
-        voter,
+        upstreams,
         control: protocol.control,
         getNowMs,
         handleAgreement: () => {
@@ -150,7 +158,7 @@
     });
     const keeper = new LayerKeeper({
         host,
-        voter,
+        upstreams,
         control: protocol.control,
         log,
         getNowMs,
@@ -159,11 +167,11 @@
     });
     group.start();
     keeper.start();
-    new PaceWatch({ host, voter, control: protocol.control }).start();
+    new PaceWatch({ host, upstreams, control: protocol.control }).start();
     setInterval(() => {
-        voter.markSilent();
+        upstreams.markSilent();
     }, SILENCE_CHECK_MS);
-    return { voter, group, entries, documents, probe };
+    return { document, upstreams, group, entries, documents, probe };
 }
 
 /** The document is decoded once a version. */
--- a/packages/daemon/src/process/suspectProbe.ts
+++ b/packages/daemon/src/process/suspectProbe.ts
@@ -3,13 +3,14 @@
  */
 import type { RegisteredUpstream, SuspectParameters } from "@crankfork/schemas";
 import type { EngineControl, ReportResult } from "../connection/engineControl.js";
-import type { FleetReplicaHost, FleetVoter } from "./fleetVoter.js";
+import type { FleetReplicaHost } from "./fleetProposal.js";
 import { isSameSpan } from "./layerSpans.js";
+import type { UpstreamRegister } from "./upstreamRegister.js";
 
 /** What the probe needs from the process. */
 export interface SuspectProbeOptions {
     readonly host: FleetReplicaHost;
-    readonly voter: FleetVoter;
+    readonly upstreams: UpstreamRegister;
     readonly control: EngineControl;
     readonly getNowMs: () => number;
     /** Called when a second entry suspects an upstream that is being looked at. */
@@ -82,7 +83,7 @@
     }
 
     private async probe(id: string): Promise<void> {
-        const { host, voter, control } = this.options;
+        const { host, upstreams, control } = this.options;
         let reason = "";
         for (let probe = 0; probe < this.countProbes(id); probe += 1) {
             const upstream = host.state.getUpstream(id);
@@ -98,19 +99,19 @@
         }
         const upstream = host.state.getUpstream(id);
         if (upstream !== undefined && host.replica.hasNewestState()) {
-            voter.markLost(upstream, `no report: ${reason}`);
+            upstreams.markLost(upstream, `no report: ${reason}`);
         }
     }
 
     /** The engine answers; what it says may differ from what is known, since it started again or gave layers up. */
     private applyReport(upstream: RegisteredUpstream, report: Exclude<ReportResult, { kind: "failed"; }>): void {
-        const { host, voter } = this.options;
+        const { host, upstreams } = this.options;
         if (report.kind === "unreadable" || !host.replica.hasNewestState()) {
             return;
         }
-        const isMeant = voter.recordReportedStart(upstream, report.startedAtMs);
+        const isMeant = upstreams.recordReportedStart(upstream, report.startedAtMs);
         if (isMeant && !report.isOrderUnderWay && !isSameSpan(report.held, upstream.held)) {
-            voter.recordHeld(upstream, report.held);
+            upstreams.recordHeld(upstream, report.held);
         }
     }
 }
--- a/packages/daemon/src/process/fleetVoter.ts
+++ b/packages/daemon/src/process/upstreamRegister.ts
@@ -1,40 +1,23 @@
 /**
- * A voter of a fleet: it keeps the operator's document and the upstreams that register, and tells entries of both.
- * Only a leader inside its lease answers; every other voter names the leader it knows.
+ * The upstreams of a fleet as its voters agree on them: heartbeats, ends, silence, and what reports tell of layers and pace.
+ * Only a leader inside its lease takes what is said.
  */
-import type { FleetState, ReplicaEvent } from "@crankfork/coordination";
+import type { ReplicaEvent } from "@crankfork/coordination";
 import { type HeartbeatVerdict, judgeHeartbeat } from "@crankfork/decisions";
 import {
     type FleetCommand,
     formatLifeId,
     getLife,
     isEarlierLife,
-    packDocument,
     type RegisteredUpstream,
-    type ReplicaAddress,
-    type RoutingTable,
-    unpackDocument,
     type UpstreamFacts,
     type UpstreamLife,
     type UpstreamStatus,
 } from "@crankfork/schemas";
 import type { EventLog } from "./eventLog.js";
+import { createNotLeader, type ProposalOptions, proposeChange, type VoterResult } from "./fleetProposal.js";
 import { GivenUpLayers } from "./givenUpLayers.js";
 import { formatSpan, isSameSpan } from "./layerSpans.js";
-import type { ReplicaHost } from "./replicaHost.js";
-
-/** The replica of a fleet's state. */
-export type FleetReplicaHost = ReplicaHost<FleetState, FleetCommand>;
-
-/** How a change, or a question, ended at this voter. */
-export type VoterResult<Value> =
-    | { readonly kind: "done"; readonly value: Value; }
-    /** Another voter leads, as far as is known here. */
-    | { readonly kind: "not-leader"; readonly leader: ReplicaAddress; }
-    /** No leader is known, or the change may or may not have been made. */
-    | { readonly kind: "unavailable"; }
-    /** It is no upstream's word and changes nothing. */
-    | { readonly kind: "foreign"; readonly reason: string; };
 
 /** A heartbeat of an upstream. */
 export interface UpstreamHeartbeat {
@@ -44,17 +27,13 @@
     readonly sequence: number;
 }
 
-/** What a voter is made with. */
-export interface FleetVoterOptions {
-    readonly host: FleetReplicaHost;
+/** What the register is made with. */
+export interface UpstreamRegisterOptions extends ProposalOptions {
     readonly log: EventLog;
-    readonly getNowMs: () => number;
     /** Between two heartbeats of an upstream. */
     readonly heartbeatMs: number;
     /** Whether the operator's document names a service; true as long as there is none. */
     readonly isServiceNamed: (service: string) => boolean;
-    /** Told of each proposal that was committed. */
-    readonly recordCommitMs?: (durationMs: number) => void;
 }
 
 /** Heartbeats that may be missing before an upstream counts as lost; they may come seconds late. */
@@ -65,8 +44,8 @@
     sequence: number;
 }
 
-/** Keeps document and upstreams. */
-export class FleetVoter {
+/** Keeps the upstreams. */
+export class UpstreamRegister {
     private readonly heard = new Map<string, Hearing>();
     /** Upstreams whose loss is on its way into the log. */
     private readonly beingMarked = new Set<string>();
@@ -76,7 +55,7 @@
     /**
      * @param options - replica, log and clock
      */
-    constructor(private readonly options: FleetVoterOptions) {}
+    constructor(private readonly options: UpstreamRegisterOptions) {}
 
     /**
      * Marks a change of the role: a new leader has heard nobody yet.
@@ -90,45 +69,6 @@
         }
     }
 
-    /**
-     * Confirms the operator's document. The highest version prevails; one that is not higher changes nothing.
-     * @param table - the document as it was understood
-     * @param content - the document as it came
-     * @returns done once a quorum holds it, or a higher one
-     */
-    async confirmDocument(table: RoutingTable, content: unknown): Promise<VoterResult<undefined>> {
-        const { host, log, getNowMs } = this.options;
-        if (!host.replica.hasNewestState()) {
-            return this.createNotLeader();
-        }
-        const held = host.state.getDocument()?.version;
-        if (held !== undefined && held >= table.version) {
-            log.record("info", "document-overtaken", { version: table.version, held });
-            return { kind: "done", value: undefined };
-        }
-        const startMs = getNowMs();
-        // Packed once, here: the log, the disks, snapshots and all entries hold and send 33 KB in place of 330 (1,650 routes).
-        const packed = packDocument(content);
-        const result = await this.propose({ kind: "put-document", version: table.version, packed });
-        const ms = Math.round(getNowMs() - startMs);
-        const bytes = packed.length;
-        log.record("info", "document", { version: table.version, held, outcome: result.kind, ms, bytes });
-        return result;
-    }
-
-    /**
-     * Gets the newest document there is.
-     * @returns the document as it came, or undefined before the first
-     */
-    getNewestDocument(): VoterResult<unknown> {
-        const { host } = this.options;
-        if (!host.replica.hasNewestState()) {
-            return this.createNotLeader();
-        }
-        const document = host.state.getDocument();
-        return { kind: "done", value: document === undefined ? undefined : unpackDocument(document.packed) };
-    }
-
     /**
      * Takes a heartbeat. Changes are acknowledged once a quorum holds them.
      * @param heartbeat - facts, status and sequence
@@ -137,7 +77,7 @@
     async registerUpstream(heartbeat: UpstreamHeartbeat): Promise<VoterResult<undefined>> {
         const { host, log } = this.options;
         if (!host.replica.hasNewestState()) {
-            return this.createNotLeader();
+            return createNotLeader(host);
         }
         const { status } = heartbeat;
         const verdict = this.judge(heartbeat.facts);
@@ -153,7 +93,7 @@
             return { kind: "done", value: undefined };
         }
         this.removeFormerAt(facts);
-        const result = await this.propose({ kind: "put-upstream", facts, status });
+        const result = await proposeChange(this.options, { kind: "put-upstream", facts, status });
         log.record("info", "upstream", {
             peer: facts.id,
             address: facts.address,
@@ -214,7 +154,7 @@
     async removeUpstream(name: string, startedAtMs?: number): Promise<VoterResult<undefined>> {
         const { host } = this.options;
         if (!host.replica.hasNewestState()) {
-            return this.createNotLeader();
+            return createNotLeader(host);
         }
         const life: UpstreamLife = startedAtMs === undefined
             ? host.state.getLatestLife(name) ?? { name }
@@ -246,7 +186,7 @@
             return { kind: "done", value: undefined };
         }
         const id = formatLifeId(life);
-        const result = await this.propose({ kind: "remove-upstream", id, life });
+        const result = await proposeChange(this.options, { kind: "remove-upstream", id, life });
         log.record("info", "upstream-removed", { peer: id, reason, outcome: result.kind });
         return result;
     }
@@ -281,7 +221,7 @@
         const command: FleetCommand = status === "leaving"
             ? { kind: "remove-upstream", id: facts.id, life: getLife(facts) }
             : { kind: "put-upstream", facts, status: "lost" };
-        void this.propose(command).finally(() => this.beingMarked.delete(facts.id));
+        void proposeChange(this.options, command).finally(() => this.beingMarked.delete(facts.id));
     }
 
     /**
@@ -295,7 +235,7 @@
             return;
         }
         const { status, ...facts } = present;
-        void this.propose({ kind: "put-upstream", facts: { ...facts, held }, status });
+        void proposeChange(this.options, { kind: "put-upstream", facts: { ...facts, held }, status });
     }
 
     /**
@@ -322,30 +262,7 @@
         }
         const { status, ...facts } = present;
         this.options.log.record("info", "upstream-pace", { peer: upstream.id, slowness, before: present.slowness });
-        void this.propose({ kind: "put-upstream", facts: { ...facts, slowness }, status });
-    }
-
-    private async propose(command: FleetCommand): Promise<VoterResult<undefined>> {
-        const { host, getNowMs, recordCommitMs } = this.options;
-        const startMs = getNowMs();
-        const result = await host.propose(command);
-        switch (result.kind) {
-            case "applied":
-                recordCommitMs?.(getNowMs() - startMs);
-                return { kind: "done", value: undefined };
-            case "not-leader":
-                return this.createNotLeader();
-            case "unknown":
-                return { kind: "unavailable" };
-        }
-    }
-
-    private createNotLeader(): { kind: "not-leader"; leader: ReplicaAddress; } | { kind: "unavailable"; } {
-        const { host } = this.options;
-        const { leader } = host.replica.getStatus();
-        return leader === undefined || leader.id === host.self.id
-            ? { kind: "unavailable" }
-            : { kind: "not-leader", leader };
+        void proposeChange(this.options, { kind: "put-upstream", facts: { ...facts, slowness }, status });
     }
 
     /** Tells whether a heartbeat is newer than all that were heard here. */
--- a/packages/daemon/src/process/voterGroup.ts
+++ b/packages/daemon/src/process/voterGroup.ts
@@ -5,7 +5,7 @@
 import { joinResultSchema, type ReplicaAddress } from "@crankfork/schemas";
 import type { PeerClient } from "../connection/peerClient.js";
 import type { EventLog } from "./eventLog.js";
-import type { FleetReplicaHost } from "./fleetVoter.js";
+import type { FleetReplicaHost } from "./fleetProposal.js";
 import { startTicking, type StopTicking } from "./startTicking.js";
 
 /** What the group needs from the process. */
--- a/packages/daemon/tests/fleetVoter.test.ts
+++ b/packages/daemon/tests/agreedState.test.ts
@@ -5,11 +5,13 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { DocumentKeeper } from "../src/process/documentKeeper.js";
 import { EntryRegister } from "../src/process/entryRegister.js";
 import type { EventLog } from "../src/process/eventLog.js";
-import { type FleetReplicaHost, FleetVoter, type UpstreamHeartbeat } from "../src/process/fleetVoter.js";
+import type { FleetReplicaHost } from "../src/process/fleetProposal.js";
 import { createRateLimitedLog } from "../src/process/rateLimitedLog.js";
 import { ReplicaHost } from "../src/process/replicaHost.js";
+import { type UpstreamHeartbeat, UpstreamRegister } from "../src/process/upstreamRegister.js";
 
 const silentLog: EventLog = { record: () => undefined };
 const limits = { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
@@ -23,7 +25,8 @@
 
 interface OpenVoter {
     readonly host: FleetReplicaHost;
-    readonly voter: FleetVoter;
+    readonly document: DocumentKeeper;
+    readonly upstreams: UpstreamRegister;
     readonly close: () => Promise<void>;
 }
 
@@ -49,16 +52,19 @@
     while (!host.replica.hasNewestState()) {
         await new Promise((resolve) => setTimeout(resolve, 5));
     }
-    const voter = new FleetVoter({
+    const options = {
         host,
         log: silentLog,
         getNowMs: () => performance.now(),
         heartbeatMs: 1_000,
         isServiceNamed: () => true,
-    });
+    };
+    const document = new DocumentKeeper(options);
+    const upstreams = new UpstreamRegister(options);
     return {
         host,
-        voter,
+        document,
+        upstreams,
         folder: path,
         close: async () => {
             host.stop();
@@ -95,54 +101,54 @@
     const rows: readonly {
         readonly title: string;
         readonly beats: readonly UpstreamHeartbeat[];
-        readonly upstreams: Record<string, string>;
+        readonly held: Record<string, string>;
     }[] = [
-        { title: "a new upstream", beats: [createHeartbeat("u", 1)], upstreams: { u: "ready" } },
+        { title: "a new upstream", beats: [createHeartbeat("u", 1)], held: { u: "ready" } },
         {
             title: "leaving",
             beats: [createHeartbeat("u", 1), createHeartbeat("u", 2, "leaving")],
-            upstreams: { u: "leaving" },
+            held: { u: "leaving" },
         },
         {
             title: "an older heartbeat that comes late",
             beats: [createHeartbeat("u", 5, "leaving"), createHeartbeat("u", 4)],
-            upstreams: { u: "leaving" },
+            held: { u: "leaving" },
         },
         {
             title: "another upstream at the same address",
             beats: [createHeartbeat("old", 1, "ready", "a"), createHeartbeat("new", 1, "ready", "a")],
-            upstreams: { new: "ready" },
+            held: { new: "ready" },
         },
     ];
-    for (const { title, beats, upstreams } of rows) {
+    for (const { title, beats, held } of rows) {
         it(title, async () => {
-            const { voter, host, close } = await openVoter();
+            const { upstreams, host, close } = await openVoter();
             for (const beat of beats) {
-                expect((await voter.registerUpstream(beat)).kind).to.equal("done");
+                expect((await upstreams.registerUpstream(beat)).kind).to.equal("done");
             }
             const found = Object.fromEntries(host.state.listUpstreams().map((one) => [one.id, one.status]));
             await close();
-            expect(found).to.deep.equal(upstreams);
+            expect(found).to.deep.equal(held);
         });
     }
 
     it("an upstream that was removed does not come back with a late heartbeat", async () => {
-        const { voter, host, close } = await openVoter();
-        await voter.registerUpstream(createHeartbeat("u", 1));
-        await voter.removeUpstream("u");
-        await voter.registerUpstream(createHeartbeat("u", 2));
+        const { upstreams, host, close } = await openVoter();
+        await upstreams.registerUpstream(createHeartbeat("u", 1));
+        await upstreams.removeUpstream("u");
+        await upstreams.registerUpstream(createHeartbeat("u", 2));
         const count = host.state.listUpstreams().length;
         await close();
         expect(count).to.equal(0);
     });
 
     it("the highest version prevails, and lower ones are acknowledged", async () => {
-        const { voter, close } = await openVoter();
+        const { document, close } = await openVoter();
         const kinds = [];
         for (const [version, content] of [[3, "three"], [2, "two"], [3, "other"], [9, "nine"]] as const) {
-            kinds.push((await voter.confirmDocument(createTable(version), content)).kind);
+            kinds.push((await document.confirmDocument(createTable(version), content)).kind);
         }
-        const newest = voter.getNewestDocument();
+        const newest = document.getNewestDocument();
         await close();
         expect(kinds).to.deep.equal(["done", "done", "done", "done"]);
         expect(newest).to.deep.equal({ kind: "done", value: "nine" });
@@ -151,15 +157,15 @@
     it("what was acknowledged is there after a crash, also behind a snapshot", async () => {
         const first = await openVoter();
         for (let version = 1; version <= 12; version += 1) {
-            const { kind } = await first.voter.confirmDocument(createTable(version), { version });
+            const { kind } = await first.document.confirmDocument(createTable(version), { version });
             expect(kind).to.equal("done");
         }
-        await first.voter.registerUpstream(createHeartbeat("u", 1));
+        await first.upstreams.registerUpstream(createHeartbeat("u", 1));
         first.host.stop();
         // A crash ends the process; here it lives on, and a snapshot under way would be read half-written.
         await first.host.awaitWritten();
         const second = await openVoter(first.folder);
-        const newest = second.voter.getNewestDocument();
+        const newest = second.document.getNewestDocument();
         const upstreams = second.host.state.listUpstreams().map((one) => one.id);
         await second.close();
         expect(newest).to.deep.equal({ kind: "done", value: { version: 12 } });
@@ -167,13 +173,13 @@
     });
 
     it("a voter without a quorum acknowledges nothing", async () => {
-        const { voter, host, close } = await openVoter();
+        const { document, upstreams, host, close } = await openVoter();
         host.stop();
         const results = [
-            (await voter.confirmDocument(createTable(1), {})).kind,
-            (await voter.registerUpstream(createHeartbeat("u", 1))).kind,
-            (await voter.removeUpstream("u")).kind,
-            voter.getNewestDocument().kind,
+            (await document.confirmDocument(createTable(1), {})).kind,
+            (await upstreams.registerUpstream(createHeartbeat("u", 1))).kind,
+            (await upstreams.removeUpstream("u")).kind,
+            document.getNewestDocument().kind,
         ];
         const entries = new EntryRegister({ host, getNowMs: () => 0, listSuspects: () => [] });
         const told = await entries.synchronise({ instance: "e", known_index: 0, loads: {} });
@@ -185,19 +191,19 @@
 
 describe("a replica whose disk refused a write goes on once it takes writes again", () => {
     it("keeps what it acknowledged, and acknowledges nothing meanwhile", async () => {
-        const { voter, host, folder, close } = await openVoter();
-        await voter.confirmDocument(createTable(1), "one");
+        const { document, host, folder, close } = await openVoter();
+        await document.confirmDocument(createTable(1), "one");
         const storageFolder = (host as unknown as { folder: Folder & { append: Folder["append"]; }; }).folder;
         const append = storageFolder.append.bind(storageFolder);
         (storageFolder as { append: Folder["append"]; }).append = () =>
             Promise.reject(new Error("ENOSPC: no space left"));
-        const refused = await voter.confirmDocument(createTable(2), "two");
+        const refused = await document.confirmDocument(createTable(2), "two");
         (storageFolder as { append: Folder["append"]; }).append = append;
         while (!host.replica.hasNewestState()) {
             await new Promise((resolve) => setTimeout(resolve, 20));
         }
-        const newest = voter.getNewestDocument();
-        const later = await voter.confirmDocument(createTable(3), "three");
+        const newest = document.getNewestDocument();
+        const later = await document.confirmDocument(createTable(3), "three");
         await close();
         expect(folder).to.be.a("string");
         expect(refused.kind).to.equal("unavailable");
--- a/packages/daemon/tests/documentDelivery.test.ts
+++ b/packages/daemon/tests/documentDelivery.test.ts
@@ -21,7 +21,7 @@
 import { EntryRegister } from "../src/process/entryRegister.js";
 import type { EventLog } from "../src/process/eventLog.js";
 import { FleetLink } from "../src/process/fleetLink.js";
-import type { FleetReplicaHost } from "../src/process/fleetVoter.js";
+import type { FleetReplicaHost } from "../src/process/fleetProposal.js";
 import { SharedLink } from "./sharedLink.js";
 
 const LINK_MBPS = 170;
--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -2,7 +2,7 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { EntryRegister } from "../src/process/entryRegister.js";
-import type { FleetReplicaHost } from "../src/process/fleetVoter.js";
+import type { FleetReplicaHost } from "../src/process/fleetProposal.js";
 import { waitMs } from "../src/process/waitMs.js";
 
 const self = { id: "v", address: "v" };
--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -66,7 +66,7 @@
         await clock.tickAsync(HEARTBEAT_MS * 2);
         const [lost] = stand.state.listUpstreams();
         if (lost !== undefined) {
-            stand.voter.markLost(lost, "no report");
+            stand.upstreams.markLost(lost, "no report");
         }
         await clock.tickAsync(HEARTBEAT_MS);
         const told = (): readonly string[] => stand.events.filter((event) => event.endsWith("-engines"));
@@ -89,7 +89,7 @@
         await stand.register("c");
         const [lost] = stand.state.listUpstreams();
         if (lost !== undefined) {
-            stand.voter.markLost(lost, "test");
+            stand.upstreams.markLost(lost, "test");
         }
         await clock.tickAsync(300);
         expect(stand.orders.at(-1)).to.equal("c=0-4");
@@ -103,7 +103,7 @@
         });
         const lost = stand.state.getUpstream("b");
         if (lost !== undefined) {
-            stand.voter.markLost(lost, "test");
+            stand.upstreams.markLost(lost, "test");
         }
         await clock.tickAsync(600);
         expect(stand.orders).to.deep.equal(["a=4-8"]);
@@ -121,7 +121,7 @@
         await stand.register("c", { first: 0, end: 4 });
         const lost = stand.state.getUpstream("b");
         if (lost !== undefined) {
-            stand.voter.markLost(lost, "test");
+            stand.upstreams.markLost(lost, "test");
         }
         stand.setReport("a", { first: 0, end: 4 }, { isOrderUnderWay: true });
         for (let second = 0; second < 9; second += 1) {
@@ -143,7 +143,7 @@
         await stand.register("c", { first: 0, end: 4 });
         const slow = stand.state.getUpstream("b");
         if (slow !== undefined) {
-            stand.voter.recordSlowness(slow, 1.9);
+            stand.upstreams.recordSlowness(slow, 1.9);
         }
         await clock.tickAsync(600);
         expect(stand.orders).to.deep.equal(["a=4-8"]);
--- a/packages/daemon/tests/leaderStand.ts
+++ b/packages/daemon/tests/leaderStand.ts
@@ -10,8 +10,10 @@
     type UpstreamLife,
 } from "@crankfork/schemas";
 import type { EngineReport, OrderEnd, PlacementOrder, ReportResult } from "../src/connection/engineControl.js";
-import { type FleetReplicaHost, FleetVoter } from "../src/process/fleetVoter.js";
+import { DocumentKeeper } from "../src/process/documentKeeper.js";
+import type { FleetReplicaHost } from "../src/process/fleetProposal.js";
 import { LayerKeeper } from "../src/process/layerKeeper.js";
+import { UpstreamRegister } from "../src/process/upstreamRegister.js";
 
 /** A log that nobody reads. */
 export const log = { record: (): undefined => undefined };
@@ -91,7 +93,9 @@
         },
     };
 
-    readonly voter = new FleetVoter({
+    readonly document = new DocumentKeeper({ host: this.host, log, getNowMs: () => performance.now() });
+
+    readonly upstreams = new UpstreamRegister({
         host: this.host,
         log,
         getNowMs: () => performance.now(),
@@ -101,7 +105,7 @@
 
     readonly keeper = new LayerKeeper({
         host: this.host,
-        voter: this.voter,
+        upstreams: this.upstreams,
         control: this.control,
         log: { record: (_level, event) => this.events.push(event) },
         getNowMs: () => performance.now(),
@@ -129,7 +133,7 @@
             slots: 1,
             accelerator: "x",
         };
-        await this.voter.registerUpstream({
+        await this.upstreams.registerUpstream({
             facts: { ...facts, ...(held === undefined ? {} : { held }) },
             status: "ready",
             sequence: this.sequence += 1,
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -26,10 +26,10 @@
     });
 
     function createProbe(getReport = stand.control.getReport): SuspectProbe {
-        const { host, voter, control } = stand;
+        const { host, upstreams, control } = stand;
         return new SuspectProbe({
             host,
-            voter,
+            upstreams,
             control: { ...control, getReport },
             getNowMs: () => performance.now(),
             handleAgreement: () => undefined,
@@ -62,7 +62,7 @@
     it("what two entries suspect is told to all while its report is awaited, and no longer", async () => {
         const probe: SuspectProbe = new SuspectProbe({
             host: stand.host,
-            voter: stand.voter,
+            upstreams: stand.upstreams,
             control: {
                 ...stand.control,
                 getReport: async () => {
@@ -116,7 +116,7 @@
     it("an engine that says that it is slow is told to all, and its next heartbeat does not undo it", async () => {
         await stand.register("a", { first: 0, end: 4 });
         stand.setReport("a", { first: 0, end: 4 }, { slowness: 5 });
-        const watch = new PaceWatch({ host: stand.host, voter: stand.voter, control: stand.control });
+        const watch = new PaceWatch({ host: stand.host, upstreams: stand.upstreams, control: stand.control });
         watch.start();
         await clock.tickAsync(1_300);
         watch.stop();
@@ -127,11 +127,11 @@
 
     it("an upstream that is silent for four heartbeats is lost, and comes back with the next", async () => {
         await clock.tickAsync(3_900);
-        stand.voter.markSilent();
+        stand.upstreams.markSilent();
         await clock.tickAsync(1);
         expect(stand.state.getUpstream("a")?.status).to.equal("ready");
         await clock.tickAsync(200);
-        stand.voter.markSilent();
+        stand.upstreams.markSilent();
         await clock.tickAsync(1);
         expect(stand.state.getUpstream("a")?.status).to.equal("lost");
         await stand.register("a");
--- a/packages/daemon/tests/upstreamLives.test.ts
+++ b/packages/daemon/tests/upstreamLives.test.ts
@@ -3,9 +3,9 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import fc from "fast-check";
-import type { UpstreamHeartbeat } from "../src/process/fleetVoter.js";
 import { PaceWatch } from "../src/process/paceWatch.js";
 import { SuspectProbe } from "../src/process/suspectProbe.js";
+import type { UpstreamHeartbeat } from "../src/process/upstreamRegister.js";
 import { HEARTBEAT_MS, LeaderStand } from "./leaderStand.js";
 
 const elected: ReplicaEvent = { kind: "role", role: "leader", term: 4 };
@@ -32,21 +32,21 @@
 async function play(stand: LeaderStand, steps: readonly Step[], clock: FakeTimers.Clock): Promise<void> {
     for (const step of steps) {
         if (step === "election") {
-            stand.voter.handleEvent(elected);
+            stand.upstreams.handleEvent(elected);
         }
         else if (step === "snapshot") {
             stand.state.restore(JSON.parse(JSON.stringify(stand.state.getState())));
         }
         else if ("ends" in step) {
-            await stand.voter.removeUpstream("u", step.ends);
+            await stand.upstreams.removeUpstream("u", step.ends);
         }
         else if ("waitsMs" in step) {
             await clock.tickAsync(step.waitsMs);
-            stand.voter.markSilent();
+            stand.upstreams.markSilent();
             await clock.tickAsync(1);
         }
         else {
-            await stand.voter.registerUpstream(createHeartbeat(step));
+            await stand.upstreams.registerUpstream(createHeartbeat(step));
         }
     }
 }
@@ -164,10 +164,10 @@
         { title: "the start that is known", startedAtMs: 10, held: ["e@10 ready"] },
     ] as const;
     const askers: Readonly<Record<string, (stand: LeaderStand) => Promise<void>>> = {
-        "an entry suspects it": async ({ host, voter, control }) => {
+        "an entry suspects it": async ({ host, upstreams, control }) => {
             const probe = new SuspectProbe({
                 host,
-                voter,
+                upstreams,
                 control,
                 getNowMs: () => performance.now(),
                 handleAgreement: () => undefined,
@@ -175,8 +175,8 @@
             probe.handleSuspects({ instance: "e1", suspects: ["e@10"] });
             await clock.tickAsync(10);
         },
-        "the leader asks for its pace": async ({ host, voter, control }) => {
-            const watch = new PaceWatch({ host, voter, control });
+        "the leader asks for its pace": async ({ host, upstreams, control }) => {
+            const watch = new PaceWatch({ host, upstreams, control });
             watch.start();
             await clock.tickAsync(1_300);
             watch.stop();
@@ -206,7 +206,7 @@
         expect(stand.orders).to.deep.equal([]);
         const probe = new SuspectProbe({
             host: stand.host,
-            voter: stand.voter,
+            upstreams: stand.upstreams,
             control: stand.control,
             getNowMs: () => performance.now(),
             handleAgreement: () => undefined,
