--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -6,7 +6,7 @@
 import cac from "cac";
 import { readFileSync } from "node:fs";
 import { dirname, resolve } from "node:path";
-import { Daemon } from "./process/daemon.js";
+import { Daemon } from "./process/daemon/daemon.js";
 import { readSettings } from "./process/readSettings.js";
 
 const EXIT_BAD_SETTINGS = 2;
--- a/packages/daemon/src/process/callerServer.ts
+++ b/packages/daemon/src/process/daemon/callerServer.ts
@@ -4,15 +4,15 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import polka from "polka";
 import { ulid } from "ulid";
-import { type AnswerLimits, CallerAnswer } from "../request/callerAnswer.js";
-import { createCallerFault } from "../request/callerFault.js";
-import type { CompletionShape } from "../request/completionBody.js";
-import { handleCompletion, type ModelRequestFunctions } from "../request/modelRequest.js";
-import { RequestScope, type RequestScopeFunctions } from "../request/requestScope.js";
-import { handleServiceCall, type ServiceRequestFunctions } from "../request/serviceRequest.js";
-import type { ConfigurationView } from "../version/configurationInForce.js";
-import { BodyTooLargeError, readBody, sendJson } from "./httpServer.js";
-import type { LifecycleState } from "./lifecycle.js";
+import { type AnswerLimits, CallerAnswer } from "../../request/callerAnswer.js";
+import { createCallerFault } from "../../request/callerFault.js";
+import type { CompletionShape } from "../../request/completionBody.js";
+import { handleCompletion, type ModelRequestFunctions } from "../../request/modelRequest.js";
+import { RequestScope, type RequestScopeFunctions } from "../../request/requestScope.js";
+import { handleServiceCall, type ServiceRequestFunctions } from "../../request/serviceRequest.js";
+import type { ConfigurationView } from "../../version/configurationInForce.js";
+import { BodyTooLargeError, readBody, sendJson } from "../httpServer.js";
+import type { LifecycleState } from "../lifecycle.js";
 
 /** What the port needs from the process. */
 export interface CallerServerOptions {
--- a/packages/daemon/src/process/claimKeeper.ts
+++ b/packages/daemon/src/process/daemon/claimKeeper.ts
@@ -4,13 +4,13 @@
 import type { Membership } from "@crankfork/coordination";
 import { type AwaitAnswerResult, awaitAnswerResultSchema, type Command } from "@crankfork/schemas";
 import { randomInt } from "node:crypto";
-import { ExchangeError } from "../connection/httpClient.js";
-import type { PeerClient } from "../connection/peerClient.js";
-import type { ClaimFunctions } from "../request/claimedRun.js";
+import { ExchangeError } from "../../connection/httpClient.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import type { ClaimFunctions } from "../../request/claimedRun.js";
+import type { EventLog } from "../eventLog.js";
+import { waitMs } from "../waitMs.js";
 import { ClaimTable } from "./claimTable.js";
-import type { EventLog } from "./eventLog.js";
 import type { Voters } from "./voters.js";
-import { waitMs } from "./waitMs.js";
 
 /** What the keeper needs from the process. */
 export interface ClaimKeeperOptions {
--- a/packages/daemon/src/process/configurationPuller.ts
+++ b/packages/daemon/src/process/daemon/configurationPuller.ts
@@ -3,8 +3,8 @@
  */
 import type { Membership } from "@crankfork/coordination";
 import { type Configuration, configurationResultSchema } from "@crankfork/schemas";
-import type { PeerClient } from "../connection/peerClient.js";
-import type { ConfigurationInForce } from "../version/configurationInForce.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import type { ConfigurationInForce } from "../../version/configurationInForce.js";
 import type { Voters } from "./voters.js";
 
 /** What the puller needs from the process. */
--- a/packages/daemon/src/process/control.ts
+++ b/packages/daemon/src/process/daemon/control.ts
@@ -3,13 +3,13 @@
  */
 import { Membership, type ReplicaEvent, ReplicatedState } from "@crankfork/coordination";
 import type { ChangeVotersResult, Command, Member, Settings, StampedCommand, VoterChange } from "@crankfork/schemas";
-import type { PeerClient } from "../connection/peerClient.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import type { EventLog } from "../eventLog.js";
+import type { Metrics } from "../metrics.js";
+import { PeerLink } from "../peerLink.js";
+import { ReplicaHost } from "../replicaHost.js";
+import { changeVoters } from "../voter/voterChange.js";
 import { ClaimKeeper } from "./claimKeeper.js";
-import type { EventLog } from "./eventLog.js";
-import type { Metrics } from "./metrics.js";
-import { PeerLink } from "./peerLink.js";
-import { ReplicaHost } from "./replicaHost.js";
-import { changeVoters } from "./voterChange.js";
 import { Voters } from "./voters.js";
 
 /** What control needs from the process. */
--- a/packages/daemon/src/process/operatorFault.ts
+++ b/packages/daemon/src/process/daemon/operatorFault.ts
@@ -3,7 +3,7 @@
  */
 import type { OperatorRefusal } from "@crankfork/schemas";
 import type { ServerResponse } from "node:http";
-import { BodyTooLargeError, sendJson } from "./httpServer.js";
+import { BodyTooLargeError, sendJson } from "../httpServer.js";
 
 /** A refusal of the operators' port. */
 export class OperatorFault extends Error {
--- a/packages/daemon/src/process/operatorServer.ts
+++ b/packages/daemon/src/process/daemon/operatorServer.ts
@@ -12,11 +12,11 @@
 } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import polka from "polka";
-import type { ConfigurationInForce } from "../version/configurationInForce.js";
-import { hasSecret, readBody, type RequestHandler, sendJson } from "./httpServer.js";
+import type { ConfigurationInForce } from "../../version/configurationInForce.js";
+import { hasSecret, readBody, type RequestHandler, sendJson } from "../httpServer.js";
+import type { ReplicaHost } from "../replicaHost.js";
 import { createNoQuorumFault, OperatorFault, sendFault } from "./operatorFault.js";
 import { confirmPlan, recordPlan } from "./planRequests.js";
-import type { ReplicaHost } from "./replicaHost.js";
 import type { UpstreamState } from "./upstreamState.js";
 import type { UpstreamTable } from "./upstreamTable.js";
 import type { Voters } from "./voters.js";
--- a/packages/daemon/src/process/orderSender.ts
+++ b/packages/daemon/src/process/daemon/orderSender.ts
@@ -5,9 +5,9 @@
  * ones. For the others a new leader first waits until every order of an earlier leader is void.
  */
 import type { Fence, HeldRange, Placement } from "@crankfork/schemas";
-import type { ConfigurationView } from "../version/configurationInForce.js";
-import type { EventFields } from "./eventLog.js";
-import type { ReplicaHost } from "./replicaHost.js";
+import type { ConfigurationView } from "../../version/configurationInForce.js";
+import type { EventFields } from "../eventLog.js";
+import type { ReplicaHost } from "../replicaHost.js";
 import type { UpstreamState } from "./upstreamState.js";
 import type { UpstreamTable } from "./upstreamTable.js";
 
--- a/packages/daemon/src/process/planRequests.ts
+++ b/packages/daemon/src/process/daemon/planRequests.ts
@@ -12,11 +12,11 @@
     type PlanResult,
 } from "@crankfork/schemas";
 import type { IncomingMessage } from "node:http";
-import type { CommandResult } from "../request/claimedRun.js";
-import { readBody } from "./httpServer.js";
+import type { CommandResult } from "../../request/claimedRun.js";
+import { readBody } from "../httpServer.js";
+import { waitMs } from "../waitMs.js";
 import { createNoQuorumFault, OperatorFault } from "./operatorFault.js";
 import type { Voters } from "./voters.js";
-import { waitMs } from "./waitMs.js";
 
 /** What plans need from the process. */
 export interface PlanRequestOptions {
--- a/packages/daemon/src/process/platformList.ts
+++ b/packages/daemon/src/process/daemon/platformList.ts
@@ -4,7 +4,7 @@
  */
 import type { Agent } from "undici";
 import * as z from "zod";
-import { fetchJson } from "../connection/httpClient.js";
+import { fetchJson } from "../../connection/httpClient.js";
 
 const listSchema = z.object({
     instances: z.array(z.object({ address: z.string(), state: z.string() })),
--- a/packages/daemon/src/process/serving.ts
+++ b/packages/daemon/src/process/daemon/serving.ts
@@ -3,17 +3,17 @@
  */
 import type { Model, Settings, Upstream } from "@crankfork/schemas";
 import type { Agent } from "undici";
-import { createEngineClient, type EngineFunctions } from "../connection/engineClient.js";
-import { callService } from "../connection/serviceClient.js";
-import type { ModelRequestFunctions } from "../request/modelRequest.js";
-import type { PipelineFunctions } from "../request/pipelineRun.js";
-import type { ServiceRequestFunctions } from "../request/serviceRequest.js";
-import type { ConfigurationInForce } from "../version/configurationInForce.js";
+import { createEngineClient, type EngineFunctions } from "../../connection/engineClient.js";
+import { callService } from "../../connection/serviceClient.js";
+import type { ModelRequestFunctions } from "../../request/modelRequest.js";
+import type { PipelineFunctions } from "../../request/pipelineRun.js";
+import type { ServiceRequestFunctions } from "../../request/serviceRequest.js";
+import type { ConfigurationInForce } from "../../version/configurationInForce.js";
+import type { EventLog } from "../eventLog.js";
+import type { Metrics } from "../metrics.js";
 import type { Control } from "./control.js";
-import type { EventLog } from "./eventLog.js";
 import { Gates } from "./gates.js";
 import { InFlightGossip } from "./inFlightGossip.js";
-import type { Metrics } from "./metrics.js";
 import { UpstreamTable } from "./upstreamTable.js";
 
 /** What serving needs from the process. */
--- a/packages/daemon/src/process/upstreamState.ts
+++ b/packages/daemon/src/process/daemon/upstreamState.ts
@@ -3,7 +3,7 @@
  */
 import { Circuit } from "@crankfork/decisions";
 import type { EngineStatus, HeldRange, Upstream } from "@crankfork/schemas";
-import type { EngineFunctions } from "../connection/engineClient.js";
+import type { EngineFunctions } from "../../connection/engineClient.js";
 
 /** Whether an upstream answers. */
 export type Reachability = "unknown" | "reachable" | "unreachable";
--- a/packages/daemon/src/process/upstreamTable.ts
+++ b/packages/daemon/src/process/daemon/upstreamTable.ts
@@ -12,9 +12,9 @@
     type RouteStage,
 } from "@crankfork/decisions";
 import type { Model, Upstream } from "@crankfork/schemas";
-import type { EngineFunctions } from "../connection/engineClient.js";
-import { ExchangeError } from "../connection/httpClient.js";
-import type { ConfigurationView } from "../version/configurationInForce.js";
+import type { EngineFunctions } from "../../connection/engineClient.js";
+import { ExchangeError } from "../../connection/httpClient.js";
+import type { ConfigurationView } from "../../version/configurationInForce.js";
 import { UpstreamState } from "./upstreamState.js";
 
 /** What the table needs from the process around it. */
--- a/packages/daemon/src/process/voters.ts
+++ b/packages/daemon/src/process/daemon/voters.ts
@@ -10,11 +10,11 @@
     proposeResultSchema,
     type ReplicaAddress,
 } from "@crankfork/schemas";
-import { ExchangeError } from "../connection/httpClient.js";
-import type { PeerClient } from "../connection/peerClient.js";
-import type { CommandResult } from "../request/claimedRun.js";
-import type { ReplicaHost } from "./replicaHost.js";
-import { waitMs } from "./waitMs.js";
+import { ExchangeError } from "../../connection/httpClient.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import type { CommandResult } from "../../request/claimedRun.js";
+import type { ReplicaHost } from "../replicaHost.js";
+import { waitMs } from "../waitMs.js";
 
 /** What the way to the voters is made with. */
 export interface VotersOptions {
--- a/packages/daemon/src/process/workGate.ts
+++ b/packages/daemon/src/process/daemon/workGate.ts
@@ -13,7 +13,7 @@
 } from "@crankfork/decisions";
 import { type ClassBound, type PriorityClass, priorityClasses } from "@crankfork/schemas";
 import type VError from "verror";
-import { createCallerFault } from "../request/callerFault.js";
+import { createCallerFault } from "../../request/callerFault.js";
 
 /** A request that wants to run. */
 export interface GateRequest extends QueuedRequest {
--- a/packages/daemon/src/process/documentLoader.ts
+++ b/packages/daemon/src/process/entry/documentLoader.ts
@@ -3,9 +3,9 @@
  * what is on its way is not given up for a newer one.
  */
 import { documentResultSchema, unpackDocument } from "@crankfork/schemas";
-import type { PeerClient } from "../connection/peerClient.js";
-import type { EventLog } from "./eventLog.js";
-import { waitMs } from "./waitMs.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import type { EventLog } from "../eventLog.js";
+import { waitMs } from "../waitMs.js";
 
 /** What the loader needs from the process. */
 export interface DocumentLoaderOptions {
--- a/packages/daemon/src/process/entryAdmission.ts
+++ b/packages/daemon/src/process/entry/entryAdmission.ts
@@ -2,12 +2,12 @@
  * Whether an entry lets a call in, by the routing table in force and by how long ago a leader confirmed it.
  */
 import type { FleetSettings } from "@crankfork/schemas";
-import { admitCall, type CallAdmission } from "../request/admitCall.js";
-import type { RoutedCall } from "../request/routedCall.js";
-import type { RefusalId } from "../request/routedRefusal.js";
-import { computePatienceMs, PATIENCE_POLL_MS } from "../request/routedRequest.js";
-import type { FleetView } from "../version/fleetView.js";
-import { waitMs } from "./waitMs.js";
+import { admitCall, type CallAdmission } from "../../request/admitCall.js";
+import type { RoutedCall } from "../../request/routedCall.js";
+import type { RefusalId } from "../../request/routedRefusal.js";
+import { computePatienceMs, PATIENCE_POLL_MS } from "../../request/routedRequest.js";
+import type { FleetView } from "../../version/fleetView.js";
+import { waitMs } from "../waitMs.js";
 
 /** What an admission rests on. */
 export interface EntryAdmissionOptions {
--- a/packages/daemon/src/process/fleetLink.ts
+++ b/packages/daemon/src/process/entry/fleetLink.ts
@@ -4,11 +4,11 @@
  */
 import { type ReplicaAddress, type SynchroniseParameters, synchroniseResultSchema } from "@crankfork/schemas";
 import type { SynchronisedState } from "@crankfork/schemas";
-import type { PeerClient } from "../connection/peerClient.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import type { EventLog } from "../eventLog.js";
+import { formatAgeMs } from "../formatAgeMs.js";
+import { waitMs } from "../waitMs.js";
 import { DocumentLoader } from "./documentLoader.js";
-import type { EventLog } from "./eventLog.js";
-import { formatAgeMs } from "./formatAgeMs.js";
-import { waitMs } from "./waitMs.js";
 
 /** What the link needs from the process. */
 export interface FleetLinkOptions {
--- a/packages/daemon/src/process/pathPulse.ts
+++ b/packages/daemon/src/process/entry/pathPulse.ts
@@ -3,8 +3,8 @@
  * once by those that can go on elsewhere, and by new requests for a while.
  */
 import { isPathStill, isSurePath, type PathMovement } from "@crankfork/decisions";
+import { startTicking, type StopTicking } from "../startTicking.js";
 import type { PathName } from "./pathName.js";
-import { startTicking, type StopTicking } from "./startTicking.js";
 
 /** What a pulse needs from the process. */
 export interface PathPulseOptions {
--- a/packages/daemon/src/process/requestLog.ts
+++ b/packages/daemon/src/process/entry/requestLog.ts
@@ -1,12 +1,12 @@
 /**
  * What an entry writes and counts of each request: enough to get from its id to the cause of its end.
  */
-import type { RoutedCall } from "../request/routedCall.js";
-import type { Refusal } from "../request/routedRefusal.js";
-import type { RequestEnd } from "../request/routedRequest.js";
-import type { RoutedRun } from "../request/routedRun.js";
-import type { EventLog } from "./eventLog.js";
-import type { FleetMetrics } from "./fleetMetrics.js";
+import type { RoutedCall } from "../../request/routedCall.js";
+import type { Refusal } from "../../request/routedRefusal.js";
+import type { RequestEnd } from "../../request/routedRequest.js";
+import type { RoutedRun } from "../../request/routedRun.js";
+import type { EventLog } from "../eventLog.js";
+import type { FleetMetrics } from "../fleetMetrics.js";
 
 /** What the entry knew when the request ended. */
 export interface EntryKnowledge {
--- a/packages/daemon/src/process/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -3,15 +3,15 @@
  */
 import type { FleetSettings, RoutingTable } from "@crankfork/schemas";
 import { createServer } from "node:http";
-import type { EngineControl } from "../connection/engineControl.js";
-import { UpstreamConnections } from "../connection/upstreamConnections.js";
-import type { CallCodec } from "../request/routedCall.js";
+import type { EngineControl } from "../../connection/engineControl.js";
+import { UpstreamConnections } from "../../connection/upstreamConnections.js";
+import type { CallCodec } from "../../request/routedCall.js";
+import { openFleetProcess, type SettingsReader } from "../fleetProcess.js";
+import { openServer, type RequestHandler } from "../httpServer.js";
+import { startLifecycle } from "../lifecycle.js";
+import { waitMs } from "../waitMs.js";
 import { FleetEntry } from "./fleetEntry.js";
 import { FleetLink } from "./fleetLink.js";
-import { openFleetProcess, type SettingsReader } from "./fleetProcess.js";
-import { openServer, type RequestHandler } from "./httpServer.js";
-import { startLifecycle } from "./lifecycle.js";
-import { waitMs } from "./waitMs.js";
 
 /** What a protocol adds to an entry. */
 export interface EntryProtocol {
--- a/packages/daemon/src/process/stallReports.ts
+++ b/packages/daemon/src/process/entry/stallReports.ts
@@ -1,9 +1,9 @@
 /**
  * Reports of engines about requests that stand still. Requests that are silent together share a report.
  */
-import type { EngineControl, ReportResult } from "../connection/engineControl.js";
-import type { StallAnswer } from "../request/requestFunctions.js";
-import { waitMs } from "./waitMs.js";
+import type { EngineControl, ReportResult } from "../../connection/engineControl.js";
+import type { StallAnswer } from "../../request/requestFunctions.js";
+import { waitMs } from "../waitMs.js";
 
 /** How long a report is shared; engines tell the state of some hundred milliseconds ago anyway. */
 const SHARED_MS = 70;
--- a/packages/daemon/src/process/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -17,11 +17,11 @@
     type Standing,
 } from "@crankfork/decisions";
 import { type EngineProfile, getLife, type RegisteredUpstream, type RoutedService } from "@crankfork/schemas";
-import { UPSTREAM_IDLE_MS } from "../connection/upstreamExchange.js";
-import type { TargetChoice } from "../request/requestFunctions.js";
-import type { CallTarget } from "../request/routedCall.js";
-import type { RoutedRun } from "../request/routedRun.js";
-import type { FleetView } from "../version/fleetView.js";
+import { UPSTREAM_IDLE_MS } from "../../connection/upstreamExchange.js";
+import type { TargetChoice } from "../../request/requestFunctions.js";
+import type { CallTarget } from "../../request/routedCall.js";
+import type { RoutedRun } from "../../request/routedRun.js";
+import type { FleetView } from "../../version/fleetView.js";
 import type { EngineShortage } from "./engineShortage.js";
 import { getPathName, type PathName } from "./pathName.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
--- a/packages/daemon/src/process/upstreamFaults.ts
+++ b/packages/daemon/src/process/entry/upstreamFaults.ts
@@ -2,10 +2,10 @@
  * What an entry makes of the signs that an upstream is at fault: it leaves it out, and tells the leader.
  */
 import { getLife, type RegisteredUpstream } from "@crankfork/schemas";
-import type { ReportResult } from "../connection/engineControl.js";
-import type { FleetView } from "../version/fleetView.js";
-import type { EventLog } from "./eventLog.js";
-import { isSameSpan } from "./layerSpans.js";
+import type { ReportResult } from "../../connection/engineControl.js";
+import type { FleetView } from "../../version/fleetView.js";
+import type { EventLog } from "../eventLog.js";
+import { isSameSpan } from "../layers/layerSpans.js";
 import type { StallReports } from "./stallReports.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
--- a/packages/daemon/src/process/layerKeeper.ts
+++ b/packages/daemon/src/process/layers/layerKeeper.ts
@@ -12,14 +12,14 @@
     type PlannedEngine,
 } from "@crankfork/decisions";
 import type { EngineProfile, LayerSpan, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
-import type { EngineControl, OrderEnd } from "../connection/engineControl.js";
-import { createHoldingEngine } from "../version/holdingEngine.js";
+import type { EngineControl, OrderEnd } from "../../connection/engineControl.js";
+import { createHoldingEngine } from "../../version/holdingEngine.js";
+import type { EventLog } from "../eventLog.js";
+import { startTicking, type StopTicking } from "../startTicking.js";
+import type { FleetReplicaHost } from "../voter/fleetProposal.js";
+import type { UpstreamRegister } from "../voter/upstreamRegister.js";
 import { ArrivalWatch } from "./arrivalWatch.js";
-import type { EventLog } from "./eventLog.js";
-import type { FleetReplicaHost } from "./fleetProposal.js";
 import { formatSpan, isSameSpan, isWithin } from "./layerSpans.js";
-import { startTicking, type StopTicking } from "./startTicking.js";
-import type { UpstreamRegister } from "./upstreamRegister.js";
 
 /** What the keeper needs from the process. */
 export interface LayerKeeperOptions {
--- a/packages/daemon/src/process/paceWatch.ts
+++ b/packages/daemon/src/process/layers/paceWatch.ts
@@ -3,10 +3,10 @@
  * once a second: a slow engine costs its whole path, and a report costs little.
  */
 import type { RegisteredUpstream } from "@crankfork/schemas";
-import type { EngineControl } from "../connection/engineControl.js";
-import type { FleetReplicaHost } from "./fleetProposal.js";
-import { startTicking, type StopTicking } from "./startTicking.js";
-import type { UpstreamRegister } from "./upstreamRegister.js";
+import type { EngineControl } from "../../connection/engineControl.js";
+import { startTicking, type StopTicking } from "../startTicking.js";
+import type { FleetReplicaHost } from "../voter/fleetProposal.js";
+import type { UpstreamRegister } from "../voter/upstreamRegister.js";
 
 /** What the watch needs from the process. */
 export interface PaceWatchOptions {
--- a/packages/daemon/src/process/documentKeeper.ts
+++ b/packages/daemon/src/process/voter/documentKeeper.ts
@@ -3,7 +3,7 @@
  * the leader it knows.
  */
 import { packDocument, type RoutingTable, unpackDocument } from "@crankfork/schemas";
-import type { EventLog } from "./eventLog.js";
+import type { EventLog } from "../eventLog.js";
 import { createNotLeader, type ProposalOptions, proposeChange, type VoterResult } from "./fleetProposal.js";
 
 /** What the keeper is made with. */
--- a/packages/daemon/src/process/documentSource.ts
+++ b/packages/daemon/src/process/voter/documentSource.ts
@@ -8,8 +8,8 @@
  */
 import { ByteBudget } from "@crankfork/decisions";
 import type { DocumentParameters, DocumentResult } from "@crankfork/schemas";
+import { waitMs } from "../waitMs.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
-import { waitMs } from "./waitMs.js";
 
 /** What the source needs from the process. */
 export interface DocumentSourceOptions {
--- a/packages/daemon/src/process/entryRegister.ts
+++ b/packages/daemon/src/process/voter/entryRegister.ts
@@ -8,8 +8,8 @@
     SynchroniseResult,
     UpstreamLoads,
 } from "@crankfork/schemas";
+import { waitMs } from "../waitMs.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
-import { waitMs } from "./waitMs.js";
 
 /** What the register needs from the process. */
 export interface EntryRegisterOptions {
--- a/packages/daemon/src/process/fleetProposal.ts
+++ b/packages/daemon/src/process/voter/fleetProposal.ts
@@ -3,7 +3,7 @@
  */
 import type { FleetState } from "@crankfork/coordination";
 import type { FleetCommand, ReplicaAddress } from "@crankfork/schemas";
-import type { ReplicaHost } from "./replicaHost.js";
+import type { ReplicaHost } from "../replicaHost.js";
 
 /** The replica of a fleet's state. */
 export type FleetReplicaHost = ReplicaHost<FleetState, FleetCommand>;
--- a/packages/daemon/src/process/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -16,21 +16,21 @@
 } from "@crankfork/schemas";
 import { JSONRPCServer } from "json-rpc-2.0";
 import { createHash } from "node:crypto";
-import type { EngineControl } from "../connection/engineControl.js";
+import type { EngineControl } from "../../connection/engineControl.js";
+import { type FleetProcess, listPeerAddresses, openFleetProcess, type SettingsReader } from "../fleetProcess.js";
+import type { RequestHandler } from "../httpServer.js";
+import { LayerKeeper } from "../layers/layerKeeper.js";
+import { PaceWatch } from "../layers/paceWatch.js";
+import { PeerLink } from "../peerLink.js";
+import { type Founding, ReplicaHost } from "../replicaHost.js";
+import { waitMs } from "../waitMs.js";
 import { DocumentKeeper } from "./documentKeeper.js";
 import { DocumentSource } from "./documentSource.js";
 import { EntryRegister } from "./entryRegister.js";
-import { type FleetProcess, listPeerAddresses, openFleetProcess, type SettingsReader } from "./fleetProcess.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
-import type { RequestHandler } from "./httpServer.js";
-import { LayerKeeper } from "./layerKeeper.js";
-import { PaceWatch } from "./paceWatch.js";
-import { PeerLink } from "./peerLink.js";
-import { type Founding, ReplicaHost } from "./replicaHost.js";
 import { SuspectProbe } from "./suspectProbe.js";
 import { UpstreamRegister } from "./upstreamRegister.js";
 import { VoterGroup } from "./voterGroup.js";
-import { waitMs } from "./waitMs.js";
 
 /** What voters agree on, as operators and upstreams reach it. */
 export interface AgreedState {
--- a/packages/daemon/src/process/suspectProbe.ts
+++ b/packages/daemon/src/process/voter/suspectProbe.ts
@@ -2,9 +2,9 @@
  * Looks after engines that entries reported: one that gives no report twice is lost, before its heartbeats tell.
  */
 import type { RegisteredUpstream, SuspectParameters } from "@crankfork/schemas";
-import type { EngineControl, ReportResult } from "../connection/engineControl.js";
+import type { EngineControl, ReportResult } from "../../connection/engineControl.js";
+import { isSameSpan } from "../layers/layerSpans.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
-import { isSameSpan } from "./layerSpans.js";
 import type { UpstreamRegister } from "./upstreamRegister.js";
 
 /** What the probe needs from the process. */
--- a/packages/daemon/src/process/upstreamRegister.ts
+++ b/packages/daemon/src/process/voter/upstreamRegister.ts
@@ -14,10 +14,10 @@
     type UpstreamLife,
     type UpstreamStatus,
 } from "@crankfork/schemas";
-import type { EventLog } from "./eventLog.js";
+import type { EventLog } from "../eventLog.js";
+import { GivenUpLayers } from "../layers/givenUpLayers.js";
+import { formatSpan, isSameSpan } from "../layers/layerSpans.js";
 import { createNotLeader, type ProposalOptions, proposeChange, type VoterResult } from "./fleetProposal.js";
-import { GivenUpLayers } from "./givenUpLayers.js";
-import { formatSpan, isSameSpan } from "./layerSpans.js";
 
 /** A heartbeat of an upstream. */
 export interface UpstreamHeartbeat {
--- a/packages/daemon/src/process/voterChange.ts
+++ b/packages/daemon/src/process/voter/voterChange.ts
@@ -9,9 +9,9 @@
     type ReplicaSet,
     type VoterChange,
 } from "@crankfork/schemas";
-import type { PeerClient } from "../connection/peerClient.js";
-import type { ReplicaHost } from "./replicaHost.js";
-import { waitMs } from "./waitMs.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import type { ReplicaHost } from "../replicaHost.js";
+import { waitMs } from "../waitMs.js";
 
 /** What a change of voters needs. */
 export interface VoterChangeOptions {
--- a/packages/daemon/src/process/voterGroup.ts
+++ b/packages/daemon/src/process/voter/voterGroup.ts
@@ -3,10 +3,10 @@
  */
 import { chooseVoterChange } from "@crankfork/decisions";
 import { joinResultSchema, type ReplicaAddress } from "@crankfork/schemas";
-import type { PeerClient } from "../connection/peerClient.js";
-import type { EventLog } from "./eventLog.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import type { EventLog } from "../eventLog.js";
+import { startTicking, type StopTicking } from "../startTicking.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
-import { startTicking, type StopTicking } from "./startTicking.js";
 
 /** What the group needs from the process. */
 export interface VoterGroupOptions {
--- a/packages/daemon/src/request/claimedRun.ts
+++ b/packages/daemon/src/request/claimedRun.ts
@@ -6,7 +6,7 @@
  */
 import type { AwaitAnswerResult, ClaimResult, Command, KeptAnswer } from "@crankfork/schemas";
 import { ulid } from "ulid";
-import type { ClaimEnd } from "../process/claimTable.js";
+import type { ClaimEnd } from "../process/daemon/claimTable.js";
 import { createCallerFault, createFaultAnswer, getFaultOutcome } from "./callerFault.js";
 
 /** How a command to the voters ended. */
--- a/packages/daemon/src/request/modelRequest.ts
+++ b/packages/daemon/src/request/modelRequest.ts
@@ -5,7 +5,7 @@
 import { createHash } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
 import { createPromptTokens } from "../connection/engineClient.js";
-import type { WorkGate } from "../process/workGate.js";
+import type { WorkGate } from "../process/daemon/workGate.js";
 import { type ConfigurationView, getClassBound } from "../version/configurationInForce.js";
 import type { CallerAnswer } from "./callerAnswer.js";
 import { createCallerFault } from "./callerFault.js";
--- a/packages/daemon/src/request/pipelineRun.ts
+++ b/packages/daemon/src/request/pipelineRun.ts
@@ -7,8 +7,8 @@
 import { isExactTiling, type RouteStage } from "@crankfork/decisions";
 import type { Model, PriorityClass, StepAnswer } from "@crankfork/schemas";
 import { ExchangeError } from "../connection/httpClient.js";
+import type { UpstreamState } from "../process/daemon/upstreamState.js";
 import type { EventFields } from "../process/eventLog.js";
-import type { UpstreamState } from "../process/upstreamState.js";
 import { waitMs } from "../process/waitMs.js";
 import { createCallerFault } from "./callerFault.js";
 import { createStageFault, StageFailure } from "./stageFailure.js";
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -2,8 +2,8 @@
  * What a routed request needs from the process around it, as functions.
  */
 import type { Dispatcher } from "undici";
+import type { LeavePath, StreamPulse } from "../process/entry/pathPulse.js";
 import type { EventFields } from "../process/eventLog.js";
-import type { LeavePath, StreamPulse } from "../process/pathPulse.js";
 import type { CallCodec, CallTarget } from "./routedCall.js";
 import type { RoutedRun } from "./routedRun.js";
 
--- a/packages/daemon/src/request/tryWatch.ts
+++ b/packages/daemon/src/request/tryWatch.ts
@@ -2,7 +2,7 @@
  * Watches a try of a request that may run again: a path that stands still, or an upstream that says nothing, is left
  * in time to be answered elsewhere. Any other request has to wait for its answer.
  */
-import type { StreamPulse } from "../process/pathPulse.js";
+import type { StreamPulse } from "../process/entry/pathPulse.js";
 import type { RoutedRequestFunctions, StallAnswer } from "./requestFunctions.js";
 import type { CallTarget } from "./routedCall.js";
 import type { RoutedRun } from "./routedRun.js";
--- a/packages/daemon/tests/agreedState.test.ts
+++ b/packages/daemon/tests/agreedState.test.ts
@@ -5,13 +5,13 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { DocumentKeeper } from "../src/process/documentKeeper.js";
-import { EntryRegister } from "../src/process/entryRegister.js";
 import type { EventLog } from "../src/process/eventLog.js";
-import type { FleetReplicaHost } from "../src/process/fleetProposal.js";
 import { createRateLimitedLog } from "../src/process/rateLimitedLog.js";
 import { ReplicaHost } from "../src/process/replicaHost.js";
-import { type UpstreamHeartbeat, UpstreamRegister } from "../src/process/upstreamRegister.js";
+import { DocumentKeeper } from "../src/process/voter/documentKeeper.js";
+import { EntryRegister } from "../src/process/voter/entryRegister.js";
+import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
+import { type UpstreamHeartbeat, UpstreamRegister } from "../src/process/voter/upstreamRegister.js";
 
 const silentLog: EventLog = { record: () => undefined };
 const limits = { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
--- a/packages/daemon/tests/claimedRun.test.ts
+++ b/packages/daemon/tests/claimedRun.test.ts
@@ -1,7 +1,7 @@
 import { ClaimRegister } from "@crankfork/coordination";
 import type { ClaimResult, Command, KeptAnswer } from "@crankfork/schemas";
 import { expect } from "chai";
-import { ClaimTable } from "../src/process/claimTable.js";
+import { ClaimTable } from "../src/process/daemon/claimTable.js";
 import { createCallerFault, getFaultId } from "../src/request/callerFault.js";
 import { type ClaimFunctions, type CommandResult, runClaimed } from "../src/request/claimedRun.js";
 
--- a/packages/daemon/tests/documentDelivery.test.ts
+++ b/packages/daemon/tests/documentDelivery.test.ts
@@ -17,11 +17,11 @@
 } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { DocumentSource } from "../src/process/documentSource.js";
-import { EntryRegister } from "../src/process/entryRegister.js";
+import { FleetLink } from "../src/process/entry/fleetLink.js";
 import type { EventLog } from "../src/process/eventLog.js";
-import { FleetLink } from "../src/process/fleetLink.js";
-import type { FleetReplicaHost } from "../src/process/fleetProposal.js";
+import { DocumentSource } from "../src/process/voter/documentSource.js";
+import { EntryRegister } from "../src/process/voter/entryRegister.js";
+import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
 import { SharedLink } from "./sharedLink.js";
 
 const LINK_MBPS = 170;
--- a/packages/daemon/tests/documentLoader.test.ts
+++ b/packages/daemon/tests/documentLoader.test.ts
@@ -2,7 +2,7 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import type { PeerClient } from "../src/connection/peerClient.js";
-import { DocumentLoader } from "../src/process/documentLoader.js";
+import { DocumentLoader } from "../src/process/entry/documentLoader.js";
 
 const createResult = (version: number): DocumentResult => ({
     kind: "document",
--- a/packages/daemon/tests/documentSource.test.ts
+++ b/packages/daemon/tests/documentSource.test.ts
@@ -2,7 +2,7 @@
 import type { DocumentResult } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { DocumentSource } from "../src/process/documentSource.js";
+import { DocumentSource } from "../src/process/voter/documentSource.js";
 import type { InstalledClock } from "./installedClock.js";
 
 /** 1 Mbit/s, of which documents get 50,000 bytes a second. */
--- a/packages/daemon/tests/engineShortage.test.ts
+++ b/packages/daemon/tests/engineShortage.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { EngineShortage } from "../src/process/engineShortage.js";
+import { EngineShortage } from "../src/process/entry/engineShortage.js";
 
 /** Looks at a service, by the time in milliseconds; "enough" where its engines hold the model. */
 const rows: readonly {
--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -1,8 +1,8 @@
 import { FleetState } from "@crankfork/coordination";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { EntryRegister } from "../src/process/entryRegister.js";
-import type { FleetReplicaHost } from "../src/process/fleetProposal.js";
+import { EntryRegister } from "../src/process/voter/entryRegister.js";
+import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
 import { waitMs } from "../src/process/waitMs.js";
 
 const self = { id: "v", address: "v" };
--- a/packages/daemon/tests/leaderStand.ts
+++ b/packages/daemon/tests/leaderStand.ts
@@ -10,10 +10,10 @@
     type UpstreamLife,
 } from "@crankfork/schemas";
 import type { EngineReport, OrderEnd, PlacementOrder, ReportResult } from "../src/connection/engineControl.js";
-import { DocumentKeeper } from "../src/process/documentKeeper.js";
-import type { FleetReplicaHost } from "../src/process/fleetProposal.js";
-import { LayerKeeper } from "../src/process/layerKeeper.js";
-import { UpstreamRegister } from "../src/process/upstreamRegister.js";
+import { LayerKeeper } from "../src/process/layers/layerKeeper.js";
+import { DocumentKeeper } from "../src/process/voter/documentKeeper.js";
+import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
+import { UpstreamRegister } from "../src/process/voter/upstreamRegister.js";
 
 /** A log that nobody reads. */
 export const log = { record: (): undefined => undefined };
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -1,9 +1,9 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { EntryRegister } from "../src/process/entryRegister.js";
-import { FleetLink } from "../src/process/fleetLink.js";
-import { PaceWatch } from "../src/process/paceWatch.js";
-import { SuspectProbe } from "../src/process/suspectProbe.js";
+import { FleetLink } from "../src/process/entry/fleetLink.js";
+import { PaceWatch } from "../src/process/layers/paceWatch.js";
+import { EntryRegister } from "../src/process/voter/entryRegister.js";
+import { SuspectProbe } from "../src/process/voter/suspectProbe.js";
 import { emptyReport, LeaderStand, log } from "./leaderStand.js";
 
 describe("a leader knows which engines are there, and tells the entries", () => {
--- a/packages/daemon/tests/orderSender.test.ts
+++ b/packages/daemon/tests/orderSender.test.ts
@@ -2,8 +2,8 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import type { EngineFunctions } from "../src/connection/engineClient.js";
-import { OrderSender, type OrderSenderOptions } from "../src/process/orderSender.js";
-import { UpstreamState } from "../src/process/upstreamState.js";
+import { OrderSender, type OrderSenderOptions } from "../src/process/daemon/orderSender.js";
+import { UpstreamState } from "../src/process/daemon/upstreamState.js";
 import { ConfigurationInForce } from "../src/version/configurationInForce.js";
 
 const LEASE_MS = 700;
--- a/packages/daemon/tests/pathPulse.test.ts
+++ b/packages/daemon/tests/pathPulse.test.ts
@@ -1,6 +1,6 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { PathPulse } from "../src/process/pathPulse.js";
+import { PathPulse } from "../src/process/entry/pathPulse.js";
 
 const PAUSE_MS = 200;
 const PATH = { id: "p", laterStages: "later" };
--- a/packages/daemon/tests/pipelineRun.test.ts
+++ b/packages/daemon/tests/pipelineRun.test.ts
@@ -3,7 +3,7 @@
 import { expect } from "chai";
 import VError from "verror";
 import { ExchangeError, type ExchangeFailure } from "../src/connection/httpClient.js";
-import { UpstreamState } from "../src/process/upstreamState.js";
+import { UpstreamState } from "../src/process/daemon/upstreamState.js";
 import { generateTokens, type PipelineFunctions } from "../src/request/pipelineRun.js";
 
 const [model] = intentSchema.parse({ id: "i", models: [{ name: "m", layers: 4 }] }).models;
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
-import { PathPulse } from "../src/process/pathPulse.js";
+import { PathPulse } from "../src/process/entry/pathPulse.js";
 import type { RoutedRequestFunctions, StallAnswer } from "../src/request/requestFunctions.js";
 import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -1,9 +1,9 @@
 import type { ChainLoad } from "@crankfork/decisions";
 import type { EngineProfile, LayerSpan, RegisteredUpstream, Route, RoutedService } from "@crankfork/schemas";
 import { expect } from "chai";
-import { EngineShortage } from "../src/process/engineShortage.js";
-import { TargetChooser } from "../src/process/targetChooser.js";
-import { UpstreamHealth } from "../src/process/upstreamHealth.js";
+import { EngineShortage } from "../src/process/entry/engineShortage.js";
+import { TargetChooser } from "../src/process/entry/targetChooser.js";
+import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
 import type { RoutedCall } from "../src/request/routedCall.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 import { FleetView } from "../src/version/fleetView.js";
--- a/packages/daemon/tests/upstreamHealth.test.ts
+++ b/packages/daemon/tests/upstreamHealth.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
-import { StallReports } from "../src/process/stallReports.js";
-import { UpstreamHealth } from "../src/process/upstreamHealth.js";
+import { StallReports } from "../src/process/entry/stallReports.js";
+import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
 
 describe("an upstream that failed is left out for a while, longer each time", () => {
     const rows = [
--- a/packages/daemon/tests/upstreamLives.test.ts
+++ b/packages/daemon/tests/upstreamLives.test.ts
@@ -3,9 +3,9 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import fc from "fast-check";
-import { PaceWatch } from "../src/process/paceWatch.js";
-import { SuspectProbe } from "../src/process/suspectProbe.js";
-import type { UpstreamHeartbeat } from "../src/process/upstreamRegister.js";
+import { PaceWatch } from "../src/process/layers/paceWatch.js";
+import { SuspectProbe } from "../src/process/voter/suspectProbe.js";
+import type { UpstreamHeartbeat } from "../src/process/voter/upstreamRegister.js";
 import { HEARTBEAT_MS, LeaderStand } from "./leaderStand.js";
 
 const elected: ReplicaEvent = { kind: "role", role: "leader", term: 4 };
--- a/packages/daemon/tests/upstreamTable.test.ts
+++ b/packages/daemon/tests/upstreamTable.test.ts
@@ -1,6 +1,6 @@
 import { type EngineStatus, upstreamSchema } from "@crankfork/schemas";
 import { expect } from "chai";
-import { UpstreamState } from "../src/process/upstreamState.js";
+import { UpstreamState } from "../src/process/daemon/upstreamState.js";
 
 const load = { running: 0, waiting: 0, kv_used: 0, kv_total: 1, age_ms: 0 };
 const createStatus = (is_leaving: boolean): EngineStatus => ({ holds: [], load, is_leaving });
--- a/packages/daemon/tests/workGate.test.ts
+++ b/packages/daemon/tests/workGate.test.ts
@@ -1,7 +1,7 @@
 import { defaultClassBounds, type PriorityClass } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { type GateRequest, WorkGate } from "../src/process/workGate.js";
+import { type GateRequest, WorkGate } from "../src/process/daemon/workGate.js";
 import { getFaultId } from "../src/request/callerFault.js";
 
 const create = (priority: PriorityClass, more: Partial<GateRequest> = {}): GateRequest => ({
