A report that tells a start does not end an engine whose heartbeats tell none

Found on the last read: the life without a start counts as earlier than any that tells one, so a report with a start would have ended it for good; its heartbeats would have come too late for ever. Test: upstreamLives, upstreamLife rows.

--- a/packages/daemon/src/process/voter/upstreamRegister.ts
+++ b/packages/daemon/src/process/voter/upstreamRegister.ts
@@ -9,6 +9,7 @@
     formatLifeId,
     getLife,
     isEarlierLife,
+    isStartOf,
     type RegisteredUpstream,
     type UpstreamFacts,
     type UpstreamLife,
@@ -171,7 +172,7 @@
      */
     recordReportedStart(upstream: RegisteredUpstream, startedAtMs: number | undefined): boolean {
         const life = getLife(upstream);
-        if (startedAtMs === life.started_at_ms) {
+        if (isStartOf(life, startedAtMs)) {
             return true;
         }
         if (startedAtMs !== undefined && isEarlierLife(life, { name: life.name, started_at_ms: startedAtMs })) {
--- a/packages/daemon/tests/upstreamLives.test.ts
+++ b/packages/daemon/tests/upstreamLives.test.ts
@@ -196,6 +196,16 @@
         }
     }
 
+    it("a report with a start does not end an engine whose heartbeats tell none", async () => {
+        const stand = new LeaderStand();
+        await stand.register("e", { first: 0, end: 4 });
+        stand.setReport("e", { first: 0, end: 4 }, { startedAtMs: 10 });
+        const [upstream] = stand.state.listUpstreams();
+        expect(upstream && stand.upstreams.recordReportedStart(upstream, 10)).to.equal(true);
+        await stand.register("e", { first: 0, end: 4 });
+        expect(listHeld(stand)).to.deep.equal(["e ready"]);
+    });
+
     it("an engine that entries suspect and that holds nothing any more is ordered anew", async () => {
         const stand = new LeaderStand();
         await stand.register("a", { first: 0, end: 4 });
--- a/packages/schemas/src/upstreamLife.ts
+++ b/packages/schemas/src/upstreamLife.ts
@@ -34,6 +34,16 @@
     return (life.started_at_ms ?? UNTOLD) < (other.started_at_ms ?? UNTOLD);
 }
 
+/**
+ * Tells whether a start that something says of itself may be that of a life.
+ * @param life - the life
+ * @param startedAtMs - the start; undefined where none is told
+ * @returns false where the life tells another one
+ */
+export function isStartOf(life: UpstreamLife, startedAtMs: number | undefined): boolean {
+    return life.started_at_ms === undefined || life.started_at_ms === startedAtMs;
+}
+
 /**
  * Gets the life of an upstream.
  * @param upstream - its facts; those written before lives were told have an id alone
--- a/packages/schemas/tests/upstreamLife.test.ts
+++ b/packages/schemas/tests/upstreamLife.test.ts
@@ -1,5 +1,12 @@
 import { expect } from "chai";
-import { formatLifeId, getLife, isEarlierLife, upstreamFactsSchema, type UpstreamLife } from "../src/index.js";
+import {
+    formatLifeId,
+    getLife,
+    isEarlierLife,
+    isStartOf,
+    upstreamFactsSchema,
+    type UpstreamLife,
+} from "../src/index.js";
 
 const untold: UpstreamLife = { name: "u" };
 const first: UpstreamLife = { name: "u", started_at_ms: 10 };
@@ -35,6 +42,24 @@
         });
     }
 
+    const startRows: readonly {
+        readonly title: string;
+        readonly life: UpstreamLife;
+        readonly told: number | undefined;
+        readonly isIts: boolean;
+    }[] = [
+        { title: "its own", life: first, told: 10, isIts: true },
+        { title: "another", life: first, told: 20, isIts: false },
+        { title: "none, of a life that tells one", life: first, told: undefined, isIts: false },
+        { title: "any, of a life that tells none", life: untold, told: 10, isIts: true },
+        { title: "none, of a life that tells none", life: untold, told: undefined, isIts: true },
+    ];
+    for (const { title, life, told, isIts } of startRows) {
+        it(`a start may be that of a life: ${title}`, () => {
+            expect(isStartOf(life, told)).to.equal(isIts);
+        });
+    }
+
     it("facts that were written before lives were told are read, with the id as the whole of the life", () => {
         const facts = upstreamFactsSchema.parse({
             id: "old",
