--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -85,3 +85,58 @@
         });
     }
 });
+
+describe("an entry is told what the others sent", () => {
+    let nowMs: number;
+    let term: number;
+    let register: EntryRegister;
+
+    beforeEach(() => {
+        nowMs = 50_000;
+        term = 3;
+        const state = new FleetState();
+        const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
+        state.apply({ kind: "put-upstream", facts, status: "ready" }, 7);
+        const host = {
+            state,
+            self,
+            replica: {
+                hasNewestState: () => true,
+                getStatus: () => ({ leader: self, term, replicas: { voters: [self], learners: [] } }),
+            },
+        } as unknown as FleetReplicaHost;
+        register = new EntryRegister({ host, getNowMs: () => nowMs, listSuspects: () => [] });
+    });
+
+    /** Asks as an entry that lacks the last change, so that it is answered at once. */
+    async function tell(instance: string, requests: number, repeats: number, known_index: number = 6): Promise<object> {
+        const spending = { s: { requests, repeats } };
+        nowMs += 600;
+        const told = await register.synchronise({ instance, known_index, loads: {}, spending });
+        return told.kind === "state" ? told : {};
+    }
+
+    it("summed, without its own", async () => {
+        await tell("one", 30, 2);
+        await tell("two", 40, 5);
+        expect(await tell("three", 9, 9)).to.deep.include({ spending_elsewhere: { s: { requests: 70, repeats: 7 } } });
+    });
+
+    it("also by those that have started anew since, until the window is over", async () => {
+        await tell("one", 30, 2);
+        await tell("one", 1, 0, 0);
+        expect(await tell("two", 0, 0)).to.deep.include({ spending_elsewhere: { s: { requests: 31, repeats: 2 } } });
+        nowMs += 11_000;
+        await tell("one", 20, 1);
+        expect(await tell("two", 0, 0)).to.deep.include({ spending_elsewhere: { s: { requests: 20, repeats: 1 } } });
+    });
+
+    it("with the time for which this leader has heard of it, which begins with its term", async () => {
+        await tell("one", 1, 0);
+        nowMs += 4_000;
+        expect(await tell("two", 1, 0)).to.deep.include({ spending_known_ms: 4_600 });
+        term += 1;
+        await tell("one", 1, 0);
+        expect(await tell("two", 1, 0)).to.deep.include({ spending_known_ms: 600 });
+    });
+});
