Layers are given up without a cut again: taken back

Engines that announce their end by leaving the list serve on for seconds: they are gone from the voters' state, so that a path through one counted as broken, and its neighbours were ordered to cut what still moved. Ways: cut where only lost engines are missing (a lost one may be cut off from the voters alone, and serve on); wait, as before. The latter is kept.

--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -1,7 +1,6 @@
 /**
  * What a leader asks of an engine beside requests: a report, and layers to take.
  */
-import type { GiveUp } from "@crankfork/decisions";
 import type { LayerSpan, RegisteredUpstream } from "@crankfork/schemas";
 
 /** What an engine says of itself; it lags by some hundred milliseconds. */
@@ -44,16 +43,8 @@
     readonly expectedOrders: number;
 }
 
-/** Layers that an engine is to hold in place of what it holds. */
-export interface PlacementOrder {
-    readonly span: LayerSpan;
-    /** How what it held is given up. */
-    readonly giveUp: GiveUp;
-    readonly guard: OrderGuard;
-}
-
 /** Speaks to engines. The functions never reject. */
 export interface EngineControl {
     readonly getReport: (address: string) => Promise<ReportResult>;
-    readonly placeLayers: (upstream: RegisteredUpstream, order: PlacementOrder) => Promise<OrderEnd>;
+    readonly placeLayers: (upstream: RegisteredUpstream, span: LayerSpan, guard: OrderGuard) => Promise<OrderEnd>;
 }
--- a/packages/daemon/src/process/layers/layerKeeper.ts
+++ b/packages/daemon/src/process/layers/layerKeeper.ts
@@ -4,16 +4,13 @@
  */
 import {
     canHoldModel,
-    chooseGiveUp,
     computeLayerPlan,
-    type GiveUp,
     isPlacementDue,
     type LayerOrder,
     type PlannedEngine,
 } from "@crankfork/decisions";
 import type { EngineProfile, LayerSpan, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
 import type { EngineControl, OrderEnd } from "../../connection/engineControl.js";
-import { createHoldingEngine } from "../../version/holdingEngine.js";
 import type { EventLog } from "../eventLog.js";
 import { startTicking, type StopTicking } from "../startTicking.js";
 import type { FleetReplicaHost } from "../voter/fleetProposal.js";
@@ -165,7 +162,7 @@
             reportedMs: getNowMs(),
         };
         this.orders.set(id, order);
-        const end = await this.sendOrder(upstream, span, profile);
+        const end = await this.sendOrder(upstream, span);
         log.record("info", "order", {
             peer: id,
             address: upstream.address,
@@ -178,11 +175,7 @@
     }
 
     /** Asks for the report first: what the engine holds, and the count of its orders that the next one expects. */
-    private async sendOrder(
-        upstream: RegisteredUpstream,
-        span: LayerSpan,
-        profile: EngineProfile,
-    ): Promise<OrderEnd> {
+    private async sendOrder(upstream: RegisteredUpstream, span: LayerSpan): Promise<OrderEnd> {
         const { host, control, upstreams } = this.options;
         const report = await control.getReport(upstream.address);
         if (report.kind !== "report") {
@@ -199,17 +192,7 @@
             return { kind: "refused", reason: "leadership was lost" };
         }
         const { term } = host.replica.getStatus();
-        const guard = { fence: term, expectedOrders: report.orders };
-        const giveUp = this.chooseGiveUp(upstream, profile);
-        return await control.placeLayers(upstream, { span, giveUp, guard });
-    }
-
-    private chooseGiveUp(upstream: RegisteredUpstream, profile: EngineProfile): GiveUp {
-        const holding = this.options.host.state.listUpstreams()
-            .filter(({ service, status }) => service === upstream.service && status !== "lost")
-            .flatMap(createHoldingEngine);
-        const engine = holding.find(({ id }) => id === upstream.id);
-        return engine === undefined ? "wait" : chooseGiveUp(engine, holding, profile);
+        return await control.placeLayers(upstream, span, { fence: term, expectedOrders: report.orders });
     }
 
     private applyOrderEnd(id: string, order: OpenOrder, end: OrderEnd): void {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,7 +32,6 @@
 export * from "./request/listPreferredChains.js";
 export * from "./version/canHoldModel.js";
 export * from "./version/checkRoutingTable.js";
-export * from "./version/chooseGiveUp.js";
 export * from "./version/chooseVoterChange.js";
 export * from "./version/computeChains.js";
 export * from "./version/computeLayerPlan.js";
