Time asleep is noticed: what was believed before a waking is void

Cause: the monotonic clock stands still while a machine is suspended, so that a leader's lease and an entry's lease on keys and configuration seem to hold for as long as the sleep was. Ruled out: reading the boot clock (not reachable from inside Node; os.uptime() reads a file, to 10 ms, and was seen to tell another machine's time); adding every jump of the time of day to the clock (deadlines would run out at a step). Change: SteadyClock in coordination, read by entries, voters and the log. At each reading the time of day tells whether the machine may have slept; leases then count only questions that left since. Where os.uptime() agrees the time is added. A leader that wakes does not take all upstreams for lost; a round of pre-votes from before the sleep tells no lives.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -29,12 +29,14 @@
 export type { ReplicaChangeRefusal } from "./process/replicaChange.js";
 export type {
     ProposalResult,
+    ReplicaClock,
     ReplicaEvent,
     ReplicaFunctions,
     ReplicaOptions,
     ReplicaTiming,
 } from "./process/replicaContext.js";
 export type { Role } from "./process/roleMachine.js";
+export { type ClockSources, SteadyClock, type Waking } from "./process/steadyClock.js";
 export { ClaimRegister } from "./version/claimRegister.js";
 export { ConfigurationRegister, type HistoryEntry } from "./version/configurationRegister.js";
 export { type CrashChanges, CrashRegister } from "./version/crashRegister.js";
--- a/packages/coordination/src/process/election.ts
+++ b/packages/coordination/src/process/election.ts
@@ -34,7 +34,7 @@
  */
 export function startElectionIfDue(context: ReplicaContext): void {
     const { log, options, role } = context;
-    const isDue = getMonotonicMs() - context.electionTimerMs >= context.electionTimeoutMs;
+    const isDue = getMonotonicMs(context) - context.electionTimerMs >= context.electionTimeoutMs;
     if (!isDue || role.get() === "leader" || !isVoter(log.getReplicas(), options.self.id)) {
         return;
     }
@@ -185,7 +185,7 @@
  * @param context - the replica
  */
 export function resetElectionTimeout(context: ReplicaContext): void {
-    context.electionTimerMs = getMonotonicMs();
+    context.electionTimerMs = getMonotonicMs(context);
     context.electionTimeoutMs = context.options.timing.electionMs * (1 + context.options.functions.random());
 }
 
@@ -196,7 +196,7 @@
  * @param context - the replica
  */
 export function resetRetryTimeout(context: ReplicaContext): void {
-    context.electionTimerMs = getMonotonicMs();
+    context.electionTimerMs = getMonotonicMs(context);
     const share = LEAST_RETRY_SHARE + RETRY_SPREAD * context.options.functions.random();
     context.electionTimeoutMs = context.options.timing.electionMs * share;
 }
@@ -209,7 +209,7 @@
         return isInFirstWait(context);
     }
     const isSeeking = context.role.get() !== "follower";
-    return !isSeeking && getMonotonicMs() - context.heardMs < context.options.timing.electionMs;
+    return !isSeeking && getMonotonicMs(context) - context.heardMs < context.options.timing.electionMs;
 }
 
 function getLastPosition(context: ReplicaContext): { last_index: number; last_term: number; } {
--- a/packages/coordination/src/process/lease.ts
+++ b/packages/coordination/src/process/lease.ts
@@ -6,7 +6,7 @@
  * clocks that run at different speeds (Gray and Cheriton, "Leases", 1989; Ongaro's thesis, section 6.4.1).
  */
 import { stepDown } from "./election.js";
-import { computeQuorum, getMonotonicMs, type ReplicaContext } from "./replicaContext.js";
+import { computeQuorum, getMonotonicMs, getWokeMs, type ReplicaContext } from "./replicaContext.js";
 import { getProgress } from "./replication.js";
 
 /** Part of the election time that a lease lasts. */
@@ -30,7 +30,12 @@
     if (context.role.get() !== "leader" || context.isHandingOver || !hasCommittedInTerm(context)) {
         return 0;
     }
-    return getQuorumHeardMs(context) + context.options.timing.electionMs * LEASE_SHARE - getMonotonicMs();
+    const heardMs = getQuorumHeardMs(context);
+    // A leader that slept may have been followed by another: 3 s asleep, it went on to call its state the newest.
+    if (heardMs < getWokeMs(context)) {
+        return 0;
+    }
+    return heardMs + context.options.timing.electionMs * LEASE_SHARE - getMonotonicMs(context);
 }
 
 /**
@@ -39,8 +44,8 @@
  * @param electedMs - when it was elected, by the monotonic clock
  */
 export function stepDownWithoutQuorum(context: ReplicaContext, electedMs: number): void {
-    const sinceMs = Math.max(getQuorumHeardMs(context), electedMs);
-    if (getMonotonicMs() - sinceMs > context.options.timing.electionMs) {
+    const sinceMs = Math.max(getQuorumHeardMs(context), electedMs, getWokeMs(context));
+    if (getMonotonicMs(context) - sinceMs > context.options.timing.electionMs) {
         stepDown(context);
     }
 }
@@ -57,7 +62,7 @@
 function getQuorumHeardMs(context: ReplicaContext): number {
     const replicas = context.log.getReplicas();
     const heard = replicas.voters.map((voter) =>
-        voter.id === context.options.self.id ? getMonotonicMs() : getProgress(context, voter.id).heardMs
+        voter.id === context.options.self.id ? getMonotonicMs(context) : getProgress(context, voter.id).heardMs
     ).sort((left, right) => right - left);
     return heard[computeQuorum(replicas) - 1] ?? Number.NEGATIVE_INFINITY;
 }
--- a/packages/coordination/src/process/newLife.ts
+++ b/packages/coordination/src/process/newLife.ts
@@ -12,7 +12,14 @@
  * meet, so the candidate isn't elected.
  */
 import type { ReplicaMessageOf } from "@crankfork/schemas";
-import { computeQuorum, getMonotonicMs, isUpToDate, type NewLife, type ReplicaContext } from "./replicaContext.js";
+import {
+    computeQuorum,
+    getMonotonicMs,
+    getWokeMs,
+    isUpToDate,
+    type NewLife,
+    type ReplicaContext,
+} from "./replicaContext.js";
 
 /**
  * Tells whether a replica still has to wait for a lease that it may have supported before its start.
@@ -20,7 +27,7 @@
  * @returns true for an election time after the start, unless a leader was heard
  */
 export function isInFirstWait(context: ReplicaContext): boolean {
-    return !context.hasHeardLeader && getMonotonicMs() - context.startedMs < context.options.timing.electionMs;
+    return !context.hasHeardLeader && getMonotonicMs(context) - context.startedMs < context.options.timing.electionMs;
 }
 
 /**
@@ -33,7 +40,7 @@
     return isNewLife(context)
         ? {
             life: context.life,
-            age_ms: getMonotonicMs() - context.startedMs,
+            age_ms: getMonotonicMs(context) - context.startedMs,
             is_up_to_date: isUpToDate(context, message),
         }
         : undefined;
@@ -44,7 +51,7 @@
  * @param context - the replica that asks
  */
 export function startRound(context: ReplicaContext): void {
-    context.roundMs = getMonotonicMs();
+    context.roundMs = getMonotonicMs(context);
     context.newLives = new Map();
 }
 
@@ -61,7 +68,11 @@
 ): void {
     const { new_life: newLife } = message;
     const isOfThisRound = message.round_ms === context.roundMs;
-    if (newLife !== undefined && isOfThisRound && newLife.age_ms >= getMonotonicMs() - context.roundMs) {
+    const isAwakeSince = context.roundMs >= getWokeMs(context);
+    if (
+        newLife !== undefined && isOfThisRound && isAwakeSince
+        && newLife.age_ms >= getMonotonicMs(context) - context.roundMs
+    ) {
         context.newLives.set(from, newLife);
     }
 }
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -257,7 +257,7 @@
         if (context.role.get() !== "leader") {
             return 0;
         }
-        return getMonotonicMs() - Math.max(getProgress(context, id).heardMs, this.electedMs);
+        return getMonotonicMs(context) - Math.max(getProgress(context, id).heardMs, this.electedMs);
     }
 
     /**
@@ -266,7 +266,7 @@
      */
     handleRole(role: Role): void {
         if (role === "leader") {
-            this.electedMs = getMonotonicMs();
+            this.electedMs = getMonotonicMs(this.context);
         }
         this.context.options.functions.record({ kind: "role", role, term: this.context.term });
     }
@@ -298,7 +298,7 @@
         if (isVoter(context.log.getReplicas(), context.options.self.id)) {
             stepDownWithoutQuorum(context, this.electedMs);
         }
-        const isDue = getMonotonicMs() - context.broadcastMs >= context.options.timing.heartbeatMs;
+        const isDue = getMonotonicMs(context) - context.broadcastMs >= context.options.timing.heartbeatMs;
         if (context.role.get() === "leader" && isDue) {
             applyCommits(context);
             sendAppendToAll(context);
@@ -308,7 +308,7 @@
 
 function createContext(options: ReplicaOptions, getReplica: () => Replica): ReplicaContext {
     const { functions } = options;
-    const now = getMonotonicMs();
+    const now = getMonotonicMs({ options });
     return {
         options,
         log: new ReplicaLog(),
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -44,6 +44,14 @@
     /** Puts a state from a snapshot in the place of the present one. */
     readonly restoreState: (state: unknown) => void;
     readonly record: (event: ReplicaEvent) => void;
+    /** Notices time asleep; the runtime's monotonic clock, which does not, where left out. */
+    readonly clock?: ReplicaClock | undefined;
+}
+
+/** The clock of a replica. */
+export interface ReplicaClock {
+    readonly getNowMs: () => number;
+    readonly getWokeMs: () => number;
 }
 
 /** Everything that a replica is made with. */
@@ -128,10 +136,20 @@
 
 /**
  * Reads the monotonic clock.
- * @returns milliseconds since the process started; never goes back
+ * @param context - the replica
+ * @returns milliseconds; never goes back
+ */
+export function getMonotonicMs({ options }: Pick<ReplicaContext, "options">): number {
+    return options.functions.clock?.getNowMs() ?? performance.now();
+}
+
+/**
+ * Tells when the machine last woke. A time that was taken before says nothing of how long ago it was.
+ * @param context - the replica
+ * @returns milliseconds by the monotonic clock; minus infinity where it never slept
  */
-export function getMonotonicMs(): number {
-    return performance.now();
+export function getWokeMs({ options }: Pick<ReplicaContext, "options">): number {
+    return options.functions.clock?.getWokeMs() ?? Number.NEGATIVE_INFINITY;
 }
 
 /**
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -49,7 +49,7 @@
  * @param context - the leader
  */
 export function sendAppendToAll(context: ReplicaContext): void {
-    context.broadcastMs = getMonotonicMs();
+    context.broadcastMs = getMonotonicMs(context);
     getOthers(context.log.getReplicas(), context.options.self.id).forEach((replica) => {
         sendAppend(context, replica, "always");
     });
@@ -193,7 +193,7 @@
 function sendAppend(context: ReplicaContext, to: ReplicaAddress, when: "always" | "when-idle"): void {
     const { log, options } = context;
     const progress = getProgress(context, to.id);
-    const now = getMonotonicMs();
+    const now = getMonotonicMs(context);
     const isWaiting = progress.sentMs !== undefined
         && now - progress.sentMs < computeResendMs(options.timing.heartbeatMs, progress.resends);
     if (isWaiting && when === "when-idle") {
@@ -265,7 +265,7 @@
     }
     context.leader = leader;
     context.hasHeardLeader = true;
-    context.heardMs = getMonotonicMs();
+    context.heardMs = getMonotonicMs(context);
     resetElectionTimeout(context);
 }
 
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -20,6 +20,8 @@
     readonly sent: { readonly to: string; readonly message: ReplicaMessage; }[] = [];
     readonly applied: unknown[] = [];
     replica!: Replica;
+    /** When this replica's machine woke last. */
+    wokeMs = Number.NEGATIVE_INFINITY;
 
     constructor(private readonly clock: InstalledClock) {}
 
@@ -41,6 +43,7 @@
                 getState: () => [...this.applied],
                 restoreState: () => undefined,
                 record: () => undefined,
+                clock: { getNowMs: () => performance.now(), getWokeMs: () => this.wokeMs },
             },
         });
     }
@@ -110,6 +113,28 @@
         thaw();
     });
 
+    it("has no lease when it wakes after its machine slept, until a quorum answers a question that left since", async () => {
+        await peers.start();
+        await peers.elect();
+        peers.answerAppend(left, 2);
+        const beforeMs = performance.now();
+        await clock.tickAsync(1);
+        // The monotonic clock did not go on meanwhile.
+        peers.wokeMs = performance.now();
+        expect(peers.replica.hasNewestState()).to.equal(false);
+        const { term } = peers;
+        peers.replica.receive(left, {
+            kind: "append-answer",
+            term,
+            is_accepted: true,
+            match_index: 2,
+            sent_ms: beforeMs,
+        });
+        expect(peers.replica.hasNewestState()).to.equal(false);
+        peers.answerAppend(left, 2);
+        expect(peers.replica.hasNewestState()).to.equal(true);
+    });
+
     it("has no lease before it committed in its own term", async () => {
         await peers.start();
         await peers.elect();
--- a/packages/daemon/src/process/entry/fleetLink.ts
+++ b/packages/daemon/src/process/entry/fleetLink.ts
@@ -15,6 +15,8 @@
     readonly peers: PeerClient;
     readonly log: EventLog;
     readonly getNowMs: () => number;
+    /** When the machine last woke; minus infinity where it never slept. */
+    readonly getWokeMs: () => number;
     /** Peers' addresses of instances that may be voters. */
     readonly getSeeds: () => readonly string[];
     /** This entry. */
@@ -118,7 +120,10 @@
 
     /** How long ago a confirmed leader was asked whose newest document is in force here, in milliseconds. */
     get ageMs(): number {
-        return this.options.getNowMs() - this.confirmed;
+        // A question that left before the machine slept was answered for a time that nobody can tell.
+        return this.confirmed < this.options.getWokeMs()
+            ? Number.POSITIVE_INFINITY
+            : this.options.getNowMs() - this.confirmed;
     }
 
     /**
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -69,6 +69,7 @@
         peers: fleet.peers,
         log,
         getNowMs,
+        getWokeMs: () => fleet.steadyClock.getWokeMs(),
         getSeeds: fleet.getSeeds,
         instance: settings.instance.id,
         createParameters: () => entry.createParameters(),
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -1,6 +1,7 @@
 /**
  * What entries and voters of a fleet have in common: settings that may change, log, metrics, signals, peers' port.
  */
+import { SteadyClock } from "@crankfork/coordination";
 import type { FleetSettings } from "@crankfork/schemas";
 import { parseAddress } from "@crankfork/schemas";
 import type { JSONRPCServer } from "json-rpc-2.0";
@@ -28,6 +29,8 @@
     readonly traffic: PeerTraffic;
     readonly ownAddress: string;
     readonly getNowMs: () => number;
+    /** Notices time asleep; `getNowMs` reads it. */
+    readonly steadyClock: SteadyClock;
     /** Peers' addresses of instances that may be voters, by the newest settings. */
     readonly getSeeds: () => readonly string[];
     readonly openPort: (address: string | undefined, handle: RequestHandler) => Promise<OpenServer | undefined>;
@@ -48,8 +51,15 @@
  */
 export function openFleetProcess(first: FleetSettings, role: string, readSettings: SettingsReader): FleetProcess {
     const clock = new HybridClock();
-    const getNowMs = (): number => performance.now();
-    const log = createRateLimitedLog(
+    const steadyClock: SteadyClock = new SteadyClock(({ aheadMs, asleepMs, isConfirmed }) => {
+        log.record("warn", "woke", {
+            ahead_ms: Math.round(aheadMs),
+            asleep_ms: Math.round(asleepMs),
+            is_confirmed: isConfirmed,
+        });
+    });
+    const getNowMs = (): number => steadyClock.getNowMs();
+    const log: EventLog = createRateLimitedLog(
         openEventLog({ instance: first.instance.id, level: "info", file: undefined, clock }),
         getNowMs,
     );
@@ -101,6 +111,7 @@
         peers: createPeerClient({ agent, secret: undefined, clock, recordQuestion: traffic.recordQuestion }),
         ownAddress: `${host}:${String(first.ports.peers_port)}`,
         getNowMs,
+        steadyClock,
         getSeeds: () => listPeerAddresses(settings),
         openPort,
         openPeers: async (server) => {
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -12,6 +12,7 @@
     openDiskFolder,
     type ProposalResult,
     Replica,
+    type ReplicaClock,
     type ReplicaEvent,
     type ReplicatedState,
 } from "@crankfork/coordination";
@@ -69,6 +70,8 @@
     readonly random: () => number;
     readonly send: (to: ReplicaAddress, envelope: ReplicaEnvelope) => void;
     readonly record: (event: ReplicaEvent) => void;
+    /** Notices time asleep; the runtime's monotonic clock where left out. */
+    readonly clock?: ReplicaClock;
     /** Called after a command or a snapshot changed the state. */
     readonly handleState: (state: State) => void;
 }
@@ -223,6 +226,7 @@
                 record: (event) => {
                     this.handleEvent(event);
                 },
+                clock: options.clock,
             },
         });
         this.currentState = state;
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -91,6 +91,7 @@
         stampCommand: (command) => command,
         founding: createFounding(settings),
         random: Math.random,
+        clock: fleet.steadyClock,
         send: (to, envelope) => {
             link.sendReplica(to, envelope);
         },
@@ -137,6 +138,7 @@
         host,
         log,
         getNowMs,
+        getWokeMs: () => fleet.steadyClock.getWokeMs(),
         heartbeatMs: contract.upstream_heartbeat,
         isServiceNamed: (service) =>
             host.state.getDocument() === undefined || getServices().some((one) => one.name === service),
--- a/packages/daemon/src/process/voter/upstreamRegister.ts
+++ b/packages/daemon/src/process/voter/upstreamRegister.ts
@@ -33,6 +33,8 @@
     readonly log: EventLog;
     /** Between two heartbeats of an upstream. */
     readonly heartbeatMs: number;
+    /** When the machine last woke; left out where it is not known to sleep. */
+    readonly getWokeMs?: () => number;
     /** Whether the operator's document names a service; true as long as there is none. */
     readonly isServiceNamed: (service: string) => boolean;
 }
@@ -194,13 +196,16 @@
 
     /** Marks upstreams that were silent for too long; call it now and then. */
     markSilent(): void {
-        const { host, getNowMs, heartbeatMs } = this.options;
+        const { host, getNowMs, heartbeatMs, getWokeMs } = this.options;
         if (!host.replica.hasNewestState()) {
             return;
         }
+        const wokeMs = getWokeMs?.() ?? Number.NEGATIVE_INFINITY;
         const limitMs = heartbeatMs * LOST_AFTER_HEARTBEATS;
         host.state.listUpstreams().filter((upstream) => upstream.status !== "lost").forEach((upstream) => {
-            const silentMs = getNowMs() - (this.heard.get(upstream.id)?.heardMs ?? this.electedMs);
+            // Nothing was heard while the machine slept: all upstreams would be lost at once when it wakes.
+            const heardMs = Math.max(this.heard.get(upstream.id)?.heardMs ?? this.electedMs, wokeMs);
+            const silentMs = getNowMs() - heardMs;
             if (silentMs > limitMs) {
                 this.markLost(upstream, `silent for ${String(Math.round(silentMs))} ms`);
             }
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -166,6 +166,7 @@
             listSuspects: () => [],
         });
         let knownIndex = 0;
+        let wokeMs = Number.NEGATIVE_INFINITY;
         const told: object[] = [];
         const link = new FleetLink({
             peers: {
@@ -179,6 +180,7 @@
                 send: () => undefined,
             },
             log,
+            getWokeMs: () => wokeMs,
             getNowMs: () => performance.now(),
             getSeeds: () => ["voter"],
             instance: "one",
@@ -195,6 +197,11 @@
         await clock.tickAsync(1_000);
         expect(knownIndex).to.equal(stand.state.lastChange);
         expect(link.ageMs).to.be.at.most(400);
+        // After the machine slept, only a question that left since counts.
+        wokeMs = performance.now();
+        expect(link.ageMs).to.equal(Number.POSITIVE_INFINITY);
+        await clock.tickAsync(1_000);
+        expect(link.ageMs).to.be.at.most(400);
         // Told at once, though a question is on its way, and together.
         link.tellSuspects();
         link.tellSuspects();
