--- a/packages/coordination/src/version/crashRegister.ts
+++ b/packages/coordination/src/version/crashRegister.ts
@@ -18,6 +18,8 @@
 
 /** Some 300 bytes each: below half a megabyte in a snapshot, and three times what ends with a rack of ten engines. */
 const MOST_RECORDS = 1_500;
+/** Lives that one record names at most: two more than hold a request, for those that were under way at its last crash. */
+const MOST_LIVES = 7;
 /** A request that ended no upstream for a day is taken for mended. */
 const FORGET_AFTER_MS = 24 * 3_600_000;
 /** Fingerprints that were forgotten and are told to entries that are behind; others are told everything. */
@@ -149,7 +151,8 @@
         index: number,
     ): boolean {
         const known = this.records.get(fingerprint)?.record;
-        if (known?.silent.includes(upstream) === true || known?.midway.includes(upstream) === true) {
+        const lives = [...known?.silent ?? [], ...known?.midway ?? []];
+        if (lives.includes(upstream) || lives.length >= MOST_LIVES) {
             return false;
         }
         const before = known ?? { fingerprint, origin, silent: [], midway: [], trials: 0, changed_at_ms: atMs };
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -3,7 +3,7 @@
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
 import { PathPulse } from "../src/process/entry/pathPulse.js";
-import type { RoutedRequestFunctions, StallAnswer } from "../src/request/requestFunctions.js";
+import type { CrashFunctions, RoutedRequestFunctions, StallAnswer } from "../src/request/requestFunctions.js";
 import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
 import { handleRoutedRequest, type RequestEnd } from "../src/request/routedRequest.js";
@@ -121,6 +121,8 @@
     readonly otherwise?: "none" | "full" | "too-few-engines";
     /** How many times it is full before there is room; left out for never. */
     readonly fullLooks?: number;
+    /** What is known of requests under which upstreams ended; nothing where left out. */
+    readonly crashes?: Partial<CrashFunctions>;
     readonly askStall?: (target: CallTarget) => Promise<StallAnswer>;
 }
 
@@ -224,6 +226,7 @@
                 recordCrash: () => undefined,
                 recordUnanswered: () => undefined,
                 recordRanWell: () => undefined,
+                ...options.crashes,
             },
             record: () => undefined,
         };
