A request whose time ran out while the machine slept is not sent any more

Cause: the timer of a request stands still while its machine sleeps; the first send after a waking carried a time that was over. Change: each round of a request looks at its time first.

--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -84,6 +84,7 @@
     functions: RoutedRequestFunctions,
 ): Promise<RequestEnd> {
     for (;;) {
+        run.stopIfLate();
         if (run.admitted.organisation !== undefined && !functions.mayUseKey()) {
             return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "not-confirmed");
         }
--- a/packages/daemon/src/request/routedRun.ts
+++ b/packages/daemon/src/request/routedRun.ts
@@ -75,6 +75,13 @@
         return this.stopped;
     }
 
+    /** Ends it where its time is over and its timer has not said so: timers stand still while the machine sleeps. */
+    stopIfLate(): void {
+        if (this.leftMs <= 0) {
+            this.stop("timeout");
+        }
+    }
+
     /**
      * Ends the request early.
      * @param stop - why
--- a/packages/daemon/tests/heldRequest.test.ts
+++ b/packages/daemon/tests/heldRequest.test.ts
@@ -90,6 +90,19 @@
     }
 });
 
+it("a request whose time ran out while the machine slept is not sent any more", async () => {
+    const upstream = await ScriptedUpstream.open("u", scripts.good!);
+    const entry = await TestEntry.open({ upstreams: [upstream], route: { timeout_ms: 1_000 }, sleepMs: 3_000 });
+    try {
+        const seen = await ask(entry.url);
+        expect([seen.status, upstream.requests.length]).to.deep.equal([503, 0]);
+    }
+    finally {
+        await entry.close();
+        upstream.close();
+    }
+});
+
 describe("a request that is held is refused at once, as what it is", () => {
     const rows: readonly {
         readonly title: string;
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -4,6 +4,7 @@
 import { PaceWatch } from "../src/process/layers/paceWatch.js";
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import { SuspectProbe } from "../src/process/voter/suspectProbe.js";
+import { UpstreamRegister } from "../src/process/voter/upstreamRegister.js";
 import { emptyReport, LeaderStand, log } from "./leaderStand.js";
 
 describe("a leader knows which engines are there, and tells the entries", () => {
@@ -138,6 +139,32 @@
         expect(stand.state.getUpstream("a")?.status).to.equal("ready");
     });
 
+    it("a leader that wakes does not take the upstreams for lost that it could not hear while it slept", async () => {
+        let wokeMs = Number.NEGATIVE_INFINITY;
+        const upstreams = new UpstreamRegister({
+            host: stand.host,
+            log,
+            getNowMs: () => performance.now(),
+            getWokeMs: () => wokeMs,
+            heartbeatMs: 1_000,
+            isServiceNamed: () => true,
+        });
+        await upstreams.registerUpstream({
+            facts: { id: "u", service: "s", address: "1.1.1.1:1", failure_domain: "d", slots: 1 },
+            status: "ready",
+            sequence: 1,
+        });
+        await clock.tickAsync(9_000);
+        wokeMs = performance.now();
+        upstreams.markSilent();
+        await clock.tickAsync(1);
+        expect(stand.state.getUpstream("u")?.status).to.equal("ready");
+        await clock.tickAsync(5_000);
+        upstreams.markSilent();
+        await clock.tickAsync(1);
+        expect(stand.state.getUpstream("u")?.status).to.equal("lost");
+    });
+
     it("an entry is answered as soon as something changes, and told what others have open", async () => {
         const entries = new EntryRegister({
             host: stand.host,
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -123,6 +123,8 @@
     readonly fullLooks?: number;
     /** What is known of requests under which upstreams ended; nothing where left out. */
     readonly crashes?: Partial<CrashFunctions>;
+    /** For how long the machine sleeps once a request is there; 0 where left out. */
+    readonly sleepMs?: number;
     readonly askStall?: (target: CallTarget) => Promise<StallAnswer>;
 }
 
@@ -150,6 +152,7 @@
             const chunks: Buffer[] = [];
             request.on("data", (chunk: Buffer) => chunks.push(chunk));
             request.on("end", () => {
+                let asleepMs = 0;
                 const run = new RoutedRun({
                     call: testCodec.parseCall(request),
                     route: createTestRoute(options.route),
@@ -157,7 +160,8 @@
                     organisation: undefined,
                     body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
                     arrivedMs: performance.now(),
-                }, () => performance.now());
+                }, () => performance.now() + asleepMs);
+                asleepMs = options.sleepMs ?? 0;
                 response.once("close", () => {
                     if (!response.writableFinished) {
                         run.stop("caller-left");
