The log of the product's own interface notices time asleep, by one function with the fleet's

Cause: its leader's lease rests on the same clock that stands still; the code that writes the line stood in one place only. Change: createSteadyClock, read by both; behaviour of entries and voters is as it was. Figures: none measured; orderSender and clientLibrary pass. Conclusion: what else reads the monotonic clock there is listed as open.

--- a/packages/daemon/src/process/daemon/control.ts
+++ b/packages/daemon/src/process/daemon/control.ts
@@ -4,6 +4,7 @@
 import { Membership, type ReplicaEvent, ReplicatedState } from "@crankfork/coordination";
 import type { ChangeVotersResult, Command, Member, Settings, StampedCommand, VoterChange } from "@crankfork/schemas";
 import type { PeerClient } from "../../connection/peerClient.js";
+import { createSteadyClock } from "../createSteadyClock.js";
 import type { EventLog } from "../eventLog.js";
 import type { Metrics } from "../metrics.js";
 import { PeerLink } from "../peerLink.js";
@@ -138,6 +139,8 @@
             claim_retention_ms: limits.claim_retention,
         }),
         random: Math.random,
+        // A leader that slept has no lease until a quorum answers it again.
+        clock: createSteadyClock(() => options.log),
         send: (to, envelope) => {
             link.sendReplica(to, envelope);
         },
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -1,13 +1,14 @@
 /**
  * What entries and voters of a fleet have in common: settings that may change, log, metrics, signals, peers' port.
  */
-import { SteadyClock } from "@crankfork/coordination";
+import type { SteadyClock } from "@crankfork/coordination";
 import type { FleetSettings } from "@crankfork/schemas";
 import { parseAddress } from "@crankfork/schemas";
 import type { JSONRPCServer } from "json-rpc-2.0";
 import type { Agent } from "undici";
 import { openConnections } from "../connection/httpClient.js";
 import { createPeerClient, type PeerClient } from "../connection/peerClient.js";
+import { createSteadyClock } from "./createSteadyClock.js";
 import { type EventLog, openEventLog } from "./eventLog.js";
 import { type FleetMetrics, openFleetMetrics } from "./fleetMetrics.js";
 import { type OpenServer, openServer, type RequestHandler } from "./httpServer.js";
@@ -51,13 +52,7 @@
  */
 export function openFleetProcess(first: FleetSettings, role: string, readSettings: SettingsReader): FleetProcess {
     const clock = new HybridClock();
-    const steadyClock: SteadyClock = new SteadyClock(({ aheadMs, asleepMs, isConfirmed }) => {
-        log.record("warn", "woke", {
-            ahead_ms: Math.round(aheadMs),
-            asleep_ms: Math.round(asleepMs),
-            is_confirmed: isConfirmed,
-        });
-    });
+    const steadyClock = createSteadyClock(() => log);
     const getNowMs = (): number => steadyClock.getNowMs();
     const log: EventLog = createRateLimitedLog(
         openEventLog({ instance: first.instance.id, level: "info", file: undefined, clock }),
