What a send rests on is looked at right before it: whether the request is held, and whether its key may be used

Cause: both were looked at before a request waited for a path, 1.8 s at most. By reading: a request that waits while others like it end three upstreams was sent to the next path; a key whose lease ran out during the wait was used (0.85 of 5 s and 1.8 s are more than 5 s). Ruled out: the wait itself is too long (elections and loads take that time). Change: both after the choice; a request that is held, or whose key may not be used, stops waiting; a trial is claimed only where a path is there. Bytes that are no answer are no crash. A fingerprint is computed once a request.

--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -28,8 +28,11 @@
     readonly handleHead: (head: UpstreamHead) => void;
     readonly handleData: (chunk: Buffer) => void;
     readonly handleEnd: () => void;
-    /** The exchange broke; `wasSent` tells whether some byte may have reached the upstream. */
-    readonly handleBreak: (reason: string, wasSent: boolean) => void;
+    /**
+     * The exchange broke; `wasSent` tells whether some byte may have reached the upstream, `isUnreadable` whether the upstream
+     * sent bytes that are no answer, in place of ending its connection.
+     */
+    readonly handleBreak: (reason: string, wasSent: boolean, isUnreadable: boolean) => void;
 }
 
 /** A running exchange. */
@@ -67,6 +70,8 @@
 }
 
 const RESET_CODE = "UPSTREAM_RESET";
+/** How undici names the error of an answer that it can't read. */
+const UNREADABLE_ERROR = "HTTPParserError";
 
 /** How connections to upstreams are kept. */
 export const upstreamConnectionOptions: Pool.Options = {
@@ -94,10 +99,11 @@
     let wasSent = false;
     let isOver = false;
     let controller: Dispatcher.DispatchController | undefined;
-    const breakOnce = (reason: string): void => {
+    const breakOnce = (error: unknown): void => {
         if (!isOver) {
             isOver = true;
-            handlers.handleBreak(reason, wasSent);
+            const { message, name } = error instanceof Error ? error : { message: String(error), name: "" };
+            handlers.handleBreak(message, wasSent, name === UNREADABLE_ERROR);
         }
     };
     const handler: Dispatcher.DispatchHandler = {
@@ -126,7 +132,7 @@
             }
         },
         onResponseError: (_started, error) => {
-            breakOnce(error.message);
+            breakOnce(error);
         },
     };
     try {
@@ -139,7 +145,7 @@
         }, handler);
     }
     catch (error) {
-        breakOnce(error instanceof Error ? error.message : String(error));
+        breakOnce(error);
     }
     return {
         cancel: () => {
--- a/packages/daemon/src/request/fingerprintRequest.ts
+++ b/packages/daemon/src/request/fingerprintRequest.ts
@@ -19,7 +19,20 @@
  * @param admitted - the request
  * @returns hexadecimal digits
  */
-export function computeFingerprint({ call, organisation, body }: Fingerprinted): string {
+export function computeFingerprint(admitted: Fingerprinted): string {
+    const known = fingerprints.get(admitted);
+    if (known !== undefined) {
+        return known;
+    }
+    const fingerprint = hashParts(admitted);
+    fingerprints.set(admitted, fingerprint);
+    return fingerprint;
+}
+
+/** A request that is held is asked for its name three times. */
+const fingerprints = new WeakMap<Fingerprinted, string>();
+
+function hashParts({ call, organisation, body }: Fingerprinted): string {
     const hash = createHash("sha256");
     [organisation?.name ?? "", call.method, call.host, call.target].forEach((part) => {
         hash.update(part).update(PART_END);
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -85,16 +85,18 @@
 ): Promise<RequestEnd> {
     for (;;) {
         run.stopIfLate();
-        if (run.admitted.organisation !== undefined && !functions.mayUseKey()) {
-            return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "not-confirmed");
-        }
-        if (await isHeldBack(run, functions)) {
+        const choice = await chooseTargetPatiently(run, relay, functions);
+        // Looked at right before the send: while a request waits for a path, others like it may have ended three upstreams.
+        if (run.stopReason === undefined && await isHeldBack(run, choice, functions)) {
             return sendRefusal(run, answer, run.mayHaveRun ? "held-after-run" : "held");
         }
-        const choice = await chooseTargetPatiently(run, relay, functions);
         if (run.stopReason !== undefined) {
             return endStopped(run, answer, run.stopReason);
         }
+        // Its lease may have run out while the request waited for a path, 1.8 s at most.
+        if (!mayUseKey(run, functions)) {
+            return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "not-confirmed");
+        }
         if (choice.kind !== "target") {
             return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : choiceRefusals[choice.kind]);
         }
@@ -123,16 +125,25 @@
  * A request that ended every upstream that ran it is not sent on: 27 upstreams ended under one within a day, and 30 others lost
  * their run with each (`crashingRequest.test.ts`: 40 sends after the third crash without this, 0 with it).
  */
-async function isHeldBack(run: RoutedRun, { crashes }: RoutedRequestFunctions): Promise<boolean> {
-    const { admitted } = run;
-    if (run.isTrial || !crashes.isHeld(admitted)) {
+async function isHeldBack(run: RoutedRun, choice: TargetChoice, functions: RoutedRequestFunctions): Promise<boolean> {
+    if (!isHeldNow(run, functions)) {
         return false;
     }
     run.hasCrash = true;
-    run.isTrial = !run.mayHaveRun && await crashes.claimTrial(admitted);
+    // A trial is claimed only where it can be sent: there are two.
+    run.isTrial = choice.kind === "target" && !run.mayHaveRun && await functions.crashes.claimTrial(run.admitted);
     return !run.isTrial;
 }
 
+function mayUseKey({ admitted }: RoutedRun, functions: RoutedRequestFunctions): boolean {
+    return admitted.organisation === undefined || functions.mayUseKey();
+}
+
+/** A request that is held does not wait for a path first. */
+function isHeldNow(run: RoutedRun, { crashes }: RoutedRequestFunctions): boolean {
+    return !run.isTrial && crashes.isHeld(run.admitted);
+}
+
 /** What a caller is told where nothing can take its request. */
 const choiceRefusals: Readonly<Record<Exclude<TargetChoice["kind"], "target">, RefusalId>> = {
     "none": "no-upstream",
@@ -157,7 +168,7 @@
     const choose = (): TargetChoice => functions.chooseTarget(run, relay?.lastEventId, (relay?.count ?? 0) > 0);
     let choice = choose();
     while (choice.kind !== "target" && run.stopReason === undefined) {
-        if (choice.kind === "too-few-engines") {
+        if (choice.kind === "too-few-engines" || isHeldNow(run, functions) || !mayUseKey(run, functions)) {
             return choice;
         }
         if (functions.getNowMs() - startMs >= (choice.kind === "full" ? fullMs : noneMs)) {
--- a/packages/daemon/src/request/routedTry.ts
+++ b/packages/daemon/src/request/routedTry.ts
@@ -109,8 +109,9 @@
             handleEnd: () => {
                 this.handleEnd();
             },
-            handleBreak: (reason, wasSent) => {
-                this.settle(wasSent ? createCutOff(reason) : { kind: "ended", end: "not-sent", reason });
+            handleBreak: (reason, wasSent, isUnreadable) => {
+                const hasConnectionEnded = wasSent && !isUnreadable;
+                this.settle({ kind: "ended", end: wasSent ? "broken" : "not-sent", reason, hasConnectionEnded });
             },
         });
         this.options.handleStart?.((stall) => {
--- a/packages/daemon/tests/heldRequest.test.ts
+++ b/packages/daemon/tests/heldRequest.test.ts
@@ -15,6 +15,7 @@
     failing: (socket, id) => socket.write(formatAnswer(500, id, "bad")),
     declining: (socket, id) => socket.write(formatAnswer(503, id, "", "x-not-run: 1\r\n")),
     crossed: (socket) => socket.write(formatAnswer(200, "another", "other")),
+    rubbish: (socket) => socket.write("what?\r\n\r\n"),
     reset: (socket) => socket.resetAndDestroy(),
     closed: (socket) => socket.end(),
     short: (socket, id) => {
@@ -58,6 +59,7 @@
         { script: "declining", seen: [] },
         { script: "crossed", seen: [] },
         { script: "unframed", seen: [] },
+        { script: "rubbish", seen: [] },
         { script: "reset", seen: ["crash at u, silent"] },
         { script: "closed", seen: ["crash at u, silent"] },
         { script: "short", seen: ["crash at u, silent"] },
@@ -103,6 +105,48 @@
     }
 });
 
+it("a request that is held while it waits for a path is not sent when there is one", async () => {
+    let looks = 0;
+    const upstream = await ScriptedUpstream.open("u", scripts.good!);
+    const entry = await TestEntry.open({
+        upstreams: [upstream],
+        route: { objective_ms: 2_000 },
+        fullLooks: 3,
+        crashes: {
+            isHeld: () => {
+                looks += 1;
+                return looks > 2;
+            },
+        },
+    });
+    try {
+        const seen = await ask(entry.url);
+        expect([seen.status, upstream.requests.length]).to.deep.equal([503, 0]);
+    }
+    finally {
+        await entry.close();
+        upstream.close();
+    }
+});
+
+it("a key whose lease runs out while a request waits for a path is not used", async () => {
+    const upstream = await ScriptedUpstream.open("u", scripts.good!);
+    const entry = await TestEntry.open({
+        upstreams: [upstream],
+        route: { objective_ms: 2_000 },
+        fullLooks: 3,
+        keyLooks: 3,
+    });
+    try {
+        const seen = await ask(entry.url);
+        expect([seen.status, upstream.requests.length]).to.deep.equal([503, 0]);
+    }
+    finally {
+        await entry.close();
+        upstream.close();
+    }
+});
+
 describe("a request that is held is refused at once, as what it is", () => {
     const rows: readonly {
         readonly title: string;
@@ -132,6 +176,15 @@
             status: 502,
             error: "held-after-run",
         },
+        {
+            title: "at once where no path is there, and no trial is spent",
+            freeLooks: 0,
+            mayTry: true,
+            script: "none",
+            sends: 0,
+            status: 503,
+            error: "held",
+        },
         {
             title: "unless a trial is due, and that runs well",
             freeLooks: 0,
@@ -164,7 +217,7 @@
         it(title, async () => {
             let looks = 0;
             const upstreams = await Promise.all(
-                ["u", "v", "w"].map((name) => ScriptedUpstream.open(name, scripts[script]!)),
+                (script === "none" ? [] : ["u", "v", "w"]).map((name) => ScriptedUpstream.open(name, scripts[script]!)),
             );
             const entry = await TestEntry.open({
                 upstreams,
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -123,6 +123,8 @@
     readonly fullLooks?: number;
     /** What is known of requests under which upstreams ended; nothing where left out. */
     readonly crashes?: Partial<CrashFunctions>;
+    /** How often the caller's key may be used when that is asked; left out for a route without keys. */
+    readonly keyLooks?: number;
     /** For how long the machine sleeps once a request is there; 0 where left out. */
     readonly sleepMs?: number;
     readonly askStall?: (target: CallTarget) => Promise<StallAnswer>;
@@ -134,6 +136,7 @@
     readonly suspects: string[] = [];
     readonly declines: string[] = [];
     private looks = 0;
+    private keyLooks = 0;
     private readonly pulse = new PathPulse({ getNowMs: () => performance.now(), handleStill: () => undefined });
 
     private constructor(
@@ -157,7 +160,7 @@
                     call: testCodec.parseCall(request),
                     route: createTestRoute(options.route),
                     service: { name: "s" },
-                    organisation: undefined,
+                    organisation: options.keyLooks === undefined ? undefined : { name: "o", keys: ["k"] },
                     body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
                     arrivedMs: performance.now(),
                 }, () => performance.now() + asleepMs);
@@ -209,7 +212,10 @@
                     },
                 };
             },
-            mayUseKey: () => true,
+            mayUseKey: () => {
+                this.keyLooks += 1;
+                return this.keyLooks <= (options.keyLooks ?? 0);
+            },
             recordStart: () => undefined,
             recordStarted: () => undefined,
             recordEnd: () => undefined,
