--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -123,7 +123,7 @@
 
 /**
  * A request that ended every upstream that ran it is not sent on: 27 upstreams ended under one within a day, and 30 others lost
- * their run with each (`crashingRequest.test.ts`: 40 sends after the third crash without this, 0 with it).
+ * their run with each (`crashingRequest.test.ts`: 40 sends later than 3 s after the third crash without this, 3 at most with it).
  */
 async function isHeldBack(run: RoutedRun, choice: TargetChoice, functions: RoutedRequestFunctions): Promise<boolean> {
     if (!isHeldNow(run, functions)) {
