A clock that tells of a waking is read by whoever is told, and no longer tells without end

Cause: the line of a waking goes through the log that counts its lines by the same clock; the jump was still to be noted, so that each reading told of it again until the stack ended. Ruled out: memory, the log's disk; the trace names SteadyClock.wake and record in turn. Change: the jump is noted before anybody is told.

--- a/packages/coordination/src/process/steadyClock.ts
+++ b/packages/coordination/src/process/steadyClock.ts
@@ -91,8 +91,10 @@
         const followedMs = this.unixAheadMs + (nowMs - this.checkedMs) * MOST_SLEW;
         this.checkedMs = nowMs;
         if (aheadMs - followedMs > LEAST_SLEEP_MS && this.isAheadAgain(followedMs)) {
-            this.wake(aheadMs - this.unixAheadMs);
+            const jumpMs = aheadMs - this.unixAheadMs;
+            // Before anybody is told: whoever is told reads this clock again, and ended two processes by telling without end.
             this.unixAheadMs = aheadMs;
+            this.wake(jumpMs);
         }
         else {
             this.unixAheadMs = Math.min(aheadMs, followedMs);
--- a/packages/coordination/tests/steadyClock.test.ts
+++ b/packages/coordination/tests/steadyClock.test.ts
@@ -72,7 +72,11 @@
         it(title, () => {
             const at = { monotonic: 0, unix: 1_700_000_000_000, boot: 50_000 };
             const seen: Waking[] = [];
-            const clock = new SteadyClock((waking) => seen.push(waking), {
+            const clock: SteadyClock = new SteadyClock((waking) => {
+                seen.push(waking);
+                // A log that counts its lines by this clock reads it while it is told.
+                clock.getNowMs();
+            }, {
                 getMonotonicMs: () => at.monotonic,
                 getUnixMs: () => at.unix,
                 getBootMs: () => at.boot,
