--- a/packages/daemon/src/process/entry/crashWatch.ts
+++ b/packages/daemon/src/process/entry/crashWatch.ts
@@ -276,7 +276,7 @@
             const well = this.untoldWell;
             this.untoldCrashes = [];
             this.untoldWell = new Set();
-            if (!await this.isTold(crashes, well)) {
+            if (!await this.tellOnce(crashes, well)) {
                 this.untoldCrashes = [...crashes, ...this.untoldCrashes].slice(-MOST_UNTOLD);
                 well.forEach((one) => this.untoldWell.add(one));
                 await waitMs(TELL_AGAIN_MS);
@@ -285,7 +285,7 @@
         this.isTelling = false;
     }
 
-    private async isTold(crashes: readonly ReportedCrash[], well: ReadonlySet<string>): Promise<boolean> {
+    private async tellOnce(crashes: readonly ReportedCrash[], well: ReadonlySet<string>): Promise<boolean> {
         try {
             const raw = await this.options.askLeader("crashes", { crashes, ran_well: [...well] });
             return crashesResultSchema.parse(raw).is_taken;
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -87,7 +87,7 @@
         run.stopIfLate();
         const choice = await chooseTargetPatiently(run, relay, functions);
         // Looked at right before the send: while a request waits for a path, others like it may have ended three upstreams.
-        if (run.stopReason === undefined && await isHeldBack(run, choice, functions)) {
+        if (run.stopReason === undefined && await holdBack(run, choice, functions)) {
             return sendRefusal(run, answer, run.mayHaveRun ? "held-after-run" : "held");
         }
         if (run.stopReason !== undefined) {
@@ -124,8 +124,9 @@
 /**
  * A request that ended every upstream that ran it is not sent on: 27 upstreams ended under one within a day, and 30 others lost
  * their run with each (`crashingRequest.test.ts`: 40 sends later than 3 s after the third crash without this, 3 at most with it).
+ * Resolves to false where it is free, or goes as a trial.
  */
-async function isHeldBack(run: RoutedRun, choice: TargetChoice, functions: RoutedRequestFunctions): Promise<boolean> {
+async function holdBack(run: RoutedRun, choice: TargetChoice, functions: RoutedRequestFunctions): Promise<boolean> {
     if (!isHeldNow(run, functions)) {
         return false;
     }
