A try's line tells what its upstream said of itself: rest and leaving

No decision changed. Stand-in workers turn away, ask for rest, say that they leave, answer slowly, stream.

--- a/packages/daemon/src/request/routedCall.ts
+++ b/packages/daemon/src/request/routedCall.ts
@@ -2,7 +2,7 @@
  * A request that is routed by host and path, free of the names that its protocol has on the wire. A codec, passed in,
  * reads and writes those.
  */
-import type { ChainStage, RequestSize } from "@crankfork/decisions";
+import type { ChainStage, RequestSize, RestWord } from "@crankfork/decisions";
 import type { IncomingMessage } from "node:http";
 import type { UpstreamHead } from "../connection/upstreamExchange.js";
 
@@ -54,11 +54,20 @@
     readonly faultAddress: string | undefined;
 }
 
+/** What an upstream says of itself in the head of an answer, whatever it was asked. */
+export interface UpstreamWord {
+    /** For how long it wants nothing more from this instance; only a request that it turned away says so. */
+    readonly rest: RestWord;
+    /** `unreadable` where the head says something else than yes or no. */
+    readonly leaving: "said" | "not-said" | "unreadable";
+}
+
 /** Reads and writes what the protocol calls these things. */
 export interface CallCodec {
     readonly parseCall: (message: IncomingMessage) => RoutedCall;
     readonly createUpstreamHeaders: (call: RoutedCall, target: CallTarget) => readonly string[];
     readonly judgeHead: (call: RoutedCall, head: UpstreamHead) => HeadVerdict;
+    readonly readWord: (head: UpstreamHead) => UpstreamWord;
     /** Headers of an answer of our own, names and values in turn. */
     readonly createErrorHeaders: (call: RoutedCall) => readonly string[];
 }
--- a/packages/daemon/src/request/routedTry.ts
+++ b/packages/daemon/src/request/routedTry.ts
@@ -5,7 +5,7 @@
 import type { TryEnd } from "@crankfork/decisions";
 import type { Dispatcher } from "undici";
 import { type OpenExchange, startExchange, type UpstreamHead } from "../connection/upstreamExchange.js";
-import type { CallCodec, CallTarget, HeadVerdict } from "./routedCall.js";
+import type { CallCodec, CallTarget, HeadVerdict, UpstreamWord } from "./routedCall.js";
 import type { RoutedRun, RunStop } from "./routedRun.js";
 
 /** Why a try is given up from outside, and the address of the engine at fault where it is known. */
@@ -163,7 +163,7 @@
         }
         const answer = { head, body: Buffer.concat(this.chunks) };
         const { faultAddress } = verdict;
-        const reason = `status ${String(head.status)}`;
+        const reason = describeHead(head, this.options.codec.readWord(head));
         if (verdict.kind === "declined") {
             this.settle({ kind: "ended", end: "declined", reason, answer, faultAddress });
         }
@@ -189,6 +189,15 @@
     }
 }
 
+/** What the upstream said of itself stands beside the status, so that a request's line tells why it went elsewhere. */
+function describeHead({ status }: UpstreamHead, { rest, leaving }: UpstreamWord): string {
+    return [
+        `status ${String(status)}`,
+        ...(rest.kind === "rest" ? [`rests for ${String(rest.restMs)} ms`] : []),
+        ...(leaving === "said" ? ["leaving"] : []),
+    ].join(", ");
+}
+
 function createCutOff(reason: string): TryResult {
     return { kind: "ended", end: "broken", reason, hasConnectionEnded: true };
 }
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -1,3 +1,4 @@
+import { parseRest } from "@crankfork/decisions";
 import type { Route } from "@crankfork/schemas";
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
@@ -37,6 +38,10 @@
         const faultAddress = typeof fault === "string" ? fault : undefined;
         return { kind: head.headers["x-not-run"] === undefined ? "answer" : "declined", faultAddress };
     },
+    readWord: ({ status, headers }) => ({
+        rest: parseRest(status === 503 ? [headers["retry-after"] ?? []].flat() : []),
+        leaving: headers["x-leaving"] === undefined ? "not-said" : "said",
+    }),
     createErrorHeaders: (call) => ["x-id", call.requestId],
 };
 
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./connection/byteBudget.js";
 export { Circuit, type CircuitOptions, type CircuitState, defaultCircuit } from "./connection/circuit.js";
+export * from "./connection/parseRest.js";
 export { defaultRetryBudget, RetryBudget, type RetryBudgetOptions } from "./connection/retryBudget.js";
 export * from "./connection/sharedRetryBudget.js";
 export { type AdmissionDecision, chooseAdmission, type QueueView } from "./request/chooseAdmission.js";
--- /dev/null
+++ b/packages/decisions/tests/parseRest.test.ts
@@ -0,0 +1,39 @@
+import { expect } from "chai";
+import { parseRest, type RestWord } from "../src/connection/parseRest.js";
+
+const createRest = (restMs: number): RestWord => ({ kind: "rest", restMs });
+const none: RestWord = { kind: "none" };
+
+describe("an upstream's word of rest is kept whole where it can be read, and changes nothing where it can't", () => {
+    const rows: readonly { readonly values: readonly string[]; readonly expected: RestWord; }[] = [
+        { values: [], expected: none },
+        { values: ["3"], expected: createRest(3_000) },
+        { values: [" 3 "], expected: createRest(3_000) },
+        { values: ["0.25"], expected: createRest(250) },
+        { values: [".5"], expected: createRest(500) },
+        { values: ["0"], expected: none },
+        { values: ["0.0"], expected: none },
+        { values: ["3600"], expected: createRest(3_600_000) },
+        { values: ["1000000000"], expected: createRest(1e12) },
+        { values: ["1e9"], expected: createRest(1e12) },
+        { values: ["9".repeat(400)], expected: createRest(Number.POSITIVE_INFINITY) },
+        { values: ["1", "3"], expected: createRest(3_000) },
+        { values: ["soon", "3"], expected: createRest(3_000) },
+        { values: ["-1"], expected: { kind: "unreadable", text: "-1" } },
+        { values: ["soon"], expected: { kind: "unreadable", text: "soon" } },
+        { values: ["NaN"], expected: { kind: "unreadable", text: "NaN" } },
+        { values: ["Infinity"], expected: { kind: "unreadable", text: "Infinity" } },
+        { values: [""], expected: { kind: "unreadable", text: "" } },
+        { values: ["3 seconds"], expected: { kind: "unreadable", text: "3 seconds" } },
+        {
+            values: ["Wed, 21 Oct 2026 07:28:00 GMT"],
+            expected: { kind: "unreadable", text: "Wed, 21 Oct 2026 07:28:00 GMT" },
+        },
+        { values: ["x".repeat(500)], expected: { kind: "unreadable", text: "x".repeat(60) } },
+    ];
+    for (const { values, expected } of rows) {
+        it(`${values.join(" and ").slice(0, 40) || "nothing"}: ${expected.kind}`, () => {
+            expect(parseRest(values)).to.deep.equal(expected);
+        });
+    }
+});
