What an upstream asks for rest is kept: nothing is sent there until its time is over

Callers saw 503 after 2 ms though most upstreams were free, and refusals once the repeats of the service were spent on those that had asked for rest. Cause: nobody read Retry-After of an upstream's 503; its life stayed as good a choice as before, and looked the fastest. Change: rests by life, apart from suspicions; looked at in the choice and right before the first byte; refused at once as what it is where all rest, with the end of the first rest and one time after another; requests come back as they are served; where an upstream asked for rest lately, slots are shared out among entries, so that the others are not filled until they rest, too. Why it holds: one place hears every head of an answer, one place lets every request go; the time counts from the answer by the clock that notices sleep; no limit of ours is below what was asked.

--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -23,8 +23,10 @@
     readonly headers: Readonly<Record<string, string | string[] | undefined>>;
 }
 
-/** What happens in an exchange. Exactly one of `handleEnd` and `handleBreak` is called, once, and last. */
+/** What happens in an exchange. Exactly one of `handleEnd`, `handleBreak` and `handleKeptBack` is called, once, and last. */
 export interface ExchangeHandlers {
+    /** Looked at right before the first byte is written; false where nothing may be sent any more. */
+    readonly mayStart: () => boolean;
     readonly handleHead: (head: UpstreamHead) => void;
     readonly handleData: (chunk: Buffer) => void;
     readonly handleEnd: () => void;
@@ -33,6 +35,8 @@
      * sent bytes that are no answer, in place of ending its connection.
      */
     readonly handleBreak: (reason: string, wasSent: boolean, isUnreadable: boolean) => void;
+    /** Nothing was sent, since `mayStart` said no; `handleBreak` is not called then. */
+    readonly handleKeptBack: () => void;
 }
 
 /** A running exchange. */
@@ -113,6 +117,12 @@
                 started.abort(new Error("cancelled"));
                 return;
             }
+            if (!handlers.mayStart()) {
+                isOver = true;
+                started.abort(new Error("kept back"));
+                handlers.handleKeptBack();
+                return;
+            }
             wasSent = true;
         },
         onResponseStart: (started, status, headers) => {
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -26,6 +26,7 @@
 import { CrashWatch } from "./crashWatch.js";
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
+import { EntryWords } from "./entryWords.js";
 import { getPathName } from "./pathName.js";
 import { PathPulse } from "./pathPulse.js";
 import { type EntryKnowledge, recordRefusal, recordRequest } from "./requestLog.js";
@@ -80,6 +81,7 @@
     private readonly pulse: PathPulse;
     private readonly budgets: RetryBudgets;
     private readonly crashes: CrashWatch;
+    private readonly words: EntryWords;
     private readonly functions: RoutedRequestFunctions;
     private loadsElsewhere: UpstreamLoads = {};
     private readonly stateAge: StateAge;
@@ -108,7 +110,9 @@
             getNowMs: options.getNowMs,
             handleStill: (id, streams, silentMs) => void this.faults.handleStill(id, streams, silentMs),
         });
+        this.words = new EntryWords({ ...options, view: this.view, health: this.health });
         this.chooser = new TargetChooser({
+            rests: this.words.rests,
             instance: options.settings.instance.id,
             getRequestsASecond: (service) => this.budgets.get(service).requestsASecond,
             view: this.view,
@@ -118,6 +122,7 @@
             countUnseen: (service) => this.countUnseen(service),
             getLoadAgeMs: () => this.stateAge.getMeanMs(),
             isAvoided: (name) => this.pulse.isAvoided(name),
+            countEntries: options.countEntries,
             random: options.random,
         });
         const { contract } = options.settings;
@@ -184,6 +189,7 @@
         });
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
         this.health.forget(isKnown);
+        this.words.sweep(isKnown);
         this.options.connections.closeUnknown(isKnown);
     }
 
@@ -244,7 +250,7 @@
 
     private refuse(call: RoutedCall, answer: RoutedAnswer, id: RefusalId, arrivedMs: number): void {
         const ageMs = this.options.getNowMs() - arrivedMs;
-        answer.sendRefusal(call, refusals[id], (call.deadlineMs ?? 0) - ageMs);
+        answer.sendRefusal(call, refusals[id], { leftMs: (call.deadlineMs ?? 0) - ageMs });
         recordRefusal(this.options, call, refusals[id], ageMs, this.createKnowledge());
     }
 
@@ -286,6 +292,7 @@
             followPath: (target, pauseMs, leave) => this.pulse.follow(getPathName(target.stages ?? []), pauseMs, leave),
             claimLeave: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
             hasEnded: (id) => this.view.hasEnded(id),
+            words: this.words.createFunctions(),
             crashes: this.createCrashFunctions(),
             record: (event, fields) => {
                 log.record("info", event, fields);
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -10,6 +10,7 @@
     computePreferredCount,
     computePriority,
     hasChainRoom,
+    hasPlainRoom,
     listOpenChains,
     listPreferredChains,
     type LoadedChain,
@@ -22,6 +23,7 @@
 import type { CallTarget } from "../../request/routedCall.js";
 import type { RoutedRun } from "../../request/routedRun.js";
 import type { FleetView } from "../../version/fleetView.js";
+import type { UpstreamRests } from "../upstreamRests.js";
 import type { EngineShortage } from "./engineShortage.js";
 import { getPathName, type PathName } from "./pathName.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
@@ -33,12 +35,14 @@
     readonly view: FleetView;
     readonly health: UpstreamHealth;
     readonly shortage: EngineShortage;
+    readonly rests: UpstreamRests;
     /** What other entries have open at an upstream, as the leader told last. */
     readonly getLoadElsewhere: (id: string) => ChainLoad;
     /** Whether a path stood still a moment ago. */
     readonly isAvoided: (name: PathName) => boolean;
     /** Requests of a service that others are expected to have sent since their loads were told. */
     readonly countUnseen: (service: string) => number;
+    readonly countEntries: () => number;
     /** What this entry sends to a service. */
     readonly getRequestsASecond: (service: string) => number;
     /** How long ago others told their loads, on average. */
@@ -69,7 +73,9 @@
 
     private choosePlain(run: RoutedRun, service: RoutedService): TargetChoice {
         const { view, health, getLoadElsewhere, random } = this.options;
-        const ready = view.listReady(service.name).filter((one) => !run.tried.has(one.id));
+        const untried = view.listReady(service.name).filter((one) => !run.tried.has(one.id));
+        // Where all are suspected they are used all the same; where all rest nothing is sent.
+        const ready = this.listWithRoom(untried);
         const usable = ready.filter((one) => health.isUsable(one.id));
         const candidates = usable.length > 0 ? usable : ready;
         let best: RegisteredUpstream | undefined;
@@ -83,7 +89,7 @@
             }
         });
         return best === undefined
-            ? { kind: "none" }
+            ? this.createResting(untried) ?? { kind: "none" }
             : { kind: "target", target: this.createTarget(run, best.id, best.address, undefined, undefined) };
     }
 
@@ -96,7 +102,8 @@
     ): TargetChoice {
         const chains = this.listChains(run, service);
         if (chains.length === 0) {
-            return { kind: this.isShort(service.name, engine) ? "too-few-engines" : "none" };
+            return this.findResting(service)
+                ?? { kind: this.isShort(service.name, engine) ? "too-few-engines" : "none" };
         }
         this.options.shortage.recordEnough(service.name);
         const { objective_ms } = run.admitted.route;
@@ -121,6 +128,38 @@
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
+    /** Whether engines that rest are what keeps the layers from being whole. */
+    private findResting(service: RoutedService): TargetChoice | undefined {
+        const { view, rests } = this.options;
+        const ready = view.listReady(service.name);
+        const resting = ready.filter((one) => !rests.hasRoom(one.id));
+        const isWhole = resting.length > 0
+            && view.getChains(service, () => true, "whether they rest or not").length > 0;
+        return isWhole ? this.createResting(resting) : undefined;
+    }
+
+    /** Where one has asked for rest lately, the others must not be filled until they ask for it, too. */
+    private listWithRoom(upstreams: readonly RegisteredUpstream[]): readonly RegisteredUpstream[] {
+        const { rests, health, getLoadElsewhere, countEntries } = this.options;
+        const isLimited = upstreams.some(({ id }) => rests.hasAskedLately(id));
+        const entries = countEntries();
+        return upstreams.filter(({ id, slots }) => {
+            const openHere = health.getLoad(id).open;
+            const openElsewhere = getLoadElsewhere(id).open;
+            const hasRoom = !isLimited || hasPlainRoom({ slots, openHere, openElsewhere, entries });
+            return hasRoom && rests.hasRoom(id);
+        });
+    }
+
+    private createResting(upstreams: readonly RegisteredUpstream[]): TargetChoice | undefined {
+        const { rests } = this.options;
+        if (!upstreams.some(({ id }) => rests.hasAskedLately(id))) {
+            return undefined;
+        }
+        const ids = upstreams.map(({ id }) => id);
+        return { kind: "resting", leftMs: rests.computeLeftMs(ids), upstreams: ids.filter((id) => !rests.hasRoom(id)) };
+    }
+
     private isShort(service: string, engine: EngineProfile): boolean {
         const { view, shortage } = this.options;
         if (canHoldModel(view.listReady(service).map(({ accelerator = "" }) => accelerator), engine)) {
@@ -149,19 +188,27 @@
     }
 
     private listChains(run: RoutedRun, service: RoutedService): readonly Chain[] {
-        const { view, health } = this.options;
+        const { view, health, rests } = this.options;
         return listOpenChains({
             usable: this.listUsableChains(service),
             listPresent: () =>
-                view.getChains(service, (id) => !health.isAbsent(id), `present ${health.formatAbsent()}`),
+                view.getChains(
+                    service,
+                    (id) => !health.isAbsent(id) && rests.hasRoom(id),
+                    `present ${health.formatAbsent()} rests ${rests.format()}`,
+                ),
             isTried: (chain) => run.tried.has(getFirstId(chain)),
             isStill: (chain) => this.options.isAvoided(getPathName(chain.stages)),
         });
     }
 
     private listUsableChains(service: RoutedService): readonly Chain[] {
-        const { view, health } = this.options;
-        return view.getChains(service, (id) => health.isUsable(id), health.formatSuspects());
+        const { view, health, rests } = this.options;
+        return view.getChains(
+            service,
+            (id) => health.isUsable(id) && rests.hasRoom(id),
+            `${health.formatSuspects()} rests ${rests.format()}`,
+        );
     }
 
     private listOtherChains(run: RoutedRun, chains: readonly Chain[]): readonly Chain[] {
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -219,6 +219,16 @@
         return (1 + (health?.open ?? 0) + openElsewhere) * answerMs * (1 + FAILURE_WEIGHT * (health?.failures ?? 0));
     }
 
+    /**
+     * Computes the usual time of an answer.
+     * @param ids - upstreams of one service
+     * @returns the middle one of their times; any figure where none has answered
+     */
+    computeUsualAnswerMs(ids: readonly string[]): number {
+        const known = ids.flatMap((id) => this.byId.get(id)?.answerMs ?? []).sort((one, other) => one - other);
+        return known[Math.floor(known.length / 2)] ?? UNKNOWN_ANSWER_MS;
+    }
+
     /**
      * Forgets upstreams that are gone.
      * @param isKnown - whether an upstream is still there
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -1,6 +1,7 @@
 /**
  * Counters and histograms of entries and voters, read over HTTP in Prometheus' text form.
  */
+import type { RestChange } from "@crankfork/decisions";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 
 /** What is counted. */
@@ -8,6 +9,12 @@
     readonly countRequest: (service: string, outcome: string) => void;
     readonly recordRequestMs: (service: string, durationMs: number) => void;
     readonly countSuspicion: () => void;
+    /** An upstream asked this instance for rest. */
+    readonly countRest: (change: RestChange) => void;
+    /** Something was not sent because its upstream had asked for rest since it was chosen. */
+    readonly countKeptBack: () => void;
+    /** Something was sent although its upstream rests; there should be none. */
+    readonly countSendDuringRest: () => void;
     readonly countHeartbeat: (outcome: string) => void;
     readonly recordRole: (isLeader: boolean) => void;
     readonly countPeerBytes: (method: string, bytes: number) => void;
@@ -49,6 +56,22 @@
         help: "Upstreams left out after a failure",
         registers,
     });
+    const rests = new Counter({
+        name: "crankfork_upstream_rests_total",
+        help: "Answers by which upstreams asked this instance for rest, by what they changed",
+        labelNames: ["change"],
+        registers,
+    });
+    const keptBack = new Counter({
+        name: "crankfork_upstream_sends_kept_back_total",
+        help: "Requests, reports and orders that were not sent because their upstream rests",
+        registers,
+    });
+    const duringRest = new Counter({
+        name: "crankfork_upstream_sends_during_rest_total",
+        help: "Requests, reports and orders that were sent although their upstream rests; there should be none",
+        registers,
+    });
     const heartbeats = new Counter({
         name: "crankfork_heartbeats_total",
         help: "Heartbeats of upstreams by outcome",
@@ -94,6 +117,15 @@
         countSuspicion: () => {
             suspicions.inc();
         },
+        countRest: (change) => {
+            rests.inc({ change });
+        },
+        countKeptBack: () => {
+            keptBack.inc();
+        },
+        countSendDuringRest: () => {
+            duringRest.inc();
+        },
         countHeartbeat: (outcome) => {
             heartbeats.inc({ outcome });
         },
--- a/packages/daemon/src/request/recordTry.ts
+++ b/packages/daemon/src/request/recordTry.ts
@@ -54,7 +54,10 @@
             }
             return;
         case "ended":
-            recordFailedTry(run, target, result, durationMs, functions);
+            // A rest says nothing against an upstream, and what was kept back has met none.
+            if (result.end !== "kept-back") {
+                recordFailedTry(run, target, result, durationMs, functions);
+            }
     }
 }
 
@@ -119,6 +122,7 @@
     const fault = result.faultAddress === undefined ? undefined : findIdAt(result.faultAddress);
     switch (result.end) {
         case "not-sent":
+        case "kept-back":
         case "declined":
             return;
         case "failed":
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -1,11 +1,12 @@
 /**
  * What a routed request needs from the process around it, as functions.
  */
+import type { RoutedService } from "@crankfork/schemas";
 import type { Dispatcher } from "undici";
 import type { UnansweredTry } from "../process/entry/crashWatch.js";
 import type { LeavePath, StreamPulse } from "../process/entry/pathPulse.js";
 import type { EventFields } from "../process/eventLog.js";
-import type { CallCodec, CallTarget } from "./routedCall.js";
+import type { CallCodec, CallTarget, HeadVerdict, UpstreamWord } from "./routedCall.js";
 import type { AdmittedCall, RoutedRun } from "./routedRun.js";
 
 /** What an engine's report says of a request that makes no progress. */
@@ -23,7 +24,35 @@
     /** The engines that are there have not held the model together for a while: waiting is in vain. */
     | { readonly kind: "too-few-engines"; }
     /** What is there has no room. */
-    | { readonly kind: "full"; };
+    | { readonly kind: "full"; }
+    /** Whatever could take it has asked for rest, or has as many as it takes since one asked for rest. */
+    | {
+        readonly kind: "resting";
+        /** Time until the first of them takes requests again; 0 where one does not rest, and takes few. */
+        readonly leftMs: number;
+        /** Those that rest, for the log. */
+        readonly upstreams: readonly string[];
+    };
+
+/** What upstreams say of themselves, and what follows from it. */
+export interface WordFunctions {
+    /** Takes what the head of an answer says of the upstream that gave it. */
+    readonly hear: (target: CallTarget, word: UpstreamWord, answer: HeardAnswer) => void;
+    /** Whether the upstreams of a target want a request; looked at right before it is sent. */
+    readonly maySend: (target: CallTarget) => boolean;
+    readonly recordSend: (target: CallTarget) => void;
+    /** How a request that was sent came out; `isServed` where it is answered, or its stream has begun. */
+    readonly recordOutcome: (target: CallTarget, isServed: boolean) => void;
+    /** When a caller should come back to upstreams that rest for so long, in milliseconds from now. */
+    readonly computeReturnMs: (service: RoutedService, leftMs: number) => number;
+}
+
+/** Which answer a word came with. */
+export interface HeardAnswer {
+    readonly requestId: string;
+    readonly verdict: HeadVerdict;
+    readonly status: number;
+}
 
 /** What is known of requests under which upstreams ended, and what a request adds to it. */
 export interface CrashFunctions {
@@ -64,6 +93,8 @@
     readonly claimLeave: (run: RoutedRun, isUnderWay: boolean) => boolean;
     /** Whether an upstream has ended, or is cut off: it can't answer any more. */
     readonly hasEnded: (id: string) => boolean;
+    /** What upstreams say of themselves. */
+    readonly words: WordFunctions;
     /** Requests under which upstreams ended. */
     readonly crashes: CrashFunctions;
     readonly record: (event: string, fields: EventFields) => void;
--- a/packages/daemon/src/request/routedAnswer.ts
+++ b/packages/daemon/src/request/routedAnswer.ts
@@ -23,6 +23,7 @@
 const MOST_UNREAD_BYTES = 256 * 1_024;
 const MS_A_SECOND = 1_000;
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
+const RETURN_HEADERS: ReadonlySet<string> = new Set([...LENGTH_HEADERS, "retry-after"]);
 /** Part of its time left after which a caller would not come back: a third (the users' pages), less the way. */
 const RETRY_SHARE = 0.3;
 const LEAST_RETRY_MS = 10;
@@ -58,6 +59,29 @@
     return head.headers["content-length"] !== undefined || head.headers["transfer-encoding"] !== undefined;
 }
 
+/** What the time to come back follows from, in milliseconds. */
+export interface RefusalTimes {
+    /** The caller's time until its deadline; it comes back within a part of that, or not at all. */
+    readonly leftMs: number;
+    /** When to come back where that is known: told as it is, since coming sooner is in vain. */
+    readonly returnMs?: number | undefined;
+}
+
+function drawReturnMs(refusal: Refusal, leftMs: number): number | undefined {
+    if (refusal.retryAfterMs === undefined) {
+        return undefined;
+    }
+    const laterMs = refusal.retryAfterMs + (refusal.retrySpreadMs ?? 0) * Math.random();
+    return Math.min(laterMs, leftMs * RETRY_SHARE);
+}
+
+/** A time without an end is not told: coming back won't help. */
+function formatReturn(returnMs: number | undefined): readonly string[] {
+    return returnMs === undefined || !Number.isFinite(returnMs)
+        ? []
+        : ["Retry-After", String(Math.ceil(Math.max(LEAST_RETRY_MS, returnMs)) / MS_A_SECOND)];
+}
+
 /** Writes one answer. */
 export class RoutedAnswer {
     private hasNoFrame = false;
@@ -81,9 +105,11 @@
     /**
      * Sends an upstream's whole answer unchanged.
      * @param answer - head and body
+     * @param returnMs - when the caller should come back, in place of what the upstream said of that; its word where left out
      */
-    sendWhole(answer: WholeAnswer): void {
-        const headers = removeConnectionHeaders(answer.head.rawHeaders, LENGTH_HEADERS);
+    sendWhole(answer: WholeAnswer, returnMs?: number): void {
+        const left = returnMs === undefined ? LENGTH_HEADERS : RETURN_HEADERS;
+        const headers = [...removeConnectionHeaders(answer.head.rawHeaders, left), ...formatReturn(returnMs)];
         if (isFramed(answer.head)) {
             headers.push("Content-Length", String(answer.body.length));
         }
@@ -98,17 +124,13 @@
      * Sends an answer of our own.
      * @param call - the request
      * @param refusal - what is said
-     * @param leftMs - the caller's time until its deadline; it comes back within a part of that, or not at all
+     * @param times - the caller's time until its deadline, and when it should come back
      */
-    sendRefusal(call: RoutedCall, refusal: Refusal, leftMs: number): void {
+    sendRefusal(call: RoutedCall, refusal: Refusal, { leftMs, returnMs }: RefusalTimes): void {
         const final = refusal.isFinal === true ? { final: true } : {};
         const body = Buffer.from(JSON.stringify({ error: refusal.id, message: refusal.text, ...final }));
         const headers = [...this.codec.createErrorHeaders(call), "Content-Type", "application/json"];
-        if (refusal.retryAfterMs !== undefined) {
-            const laterMs = refusal.retryAfterMs + (refusal.retrySpreadMs ?? 0) * Math.random();
-            const retryAfterMs = Math.max(LEAST_RETRY_MS, Math.min(laterMs, leftMs * RETRY_SHARE));
-            headers.push("Retry-After", String(Math.round(retryAfterMs) / MS_A_SECOND));
-        }
+        headers.push(...formatReturn(returnMs ?? drawReturnMs(refusal, leftMs)));
         headers.push("Content-Length", String(body.length));
         this.writeHead(refusal.status, headers);
         this.response.end(body);
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -15,6 +15,7 @@
     | "too-few-engines"
     | "full"
     | "declined"
+    | "resting"
     | "no-repeat-left"
     | "held"
     | "held-after-run"
@@ -105,6 +106,12 @@
         text: "the upstreams declined the request; it has not run",
         retryAfterMs: BUSY_RETRY_MS,
     },
+    // Told when the first rest ends; nothing is drawn.
+    "resting": {
+        id: "resting",
+        status: 503,
+        text: "the upstreams have asked for rest, or take few requests after one; the request has not run",
+    },
     "no-repeat-left": {
         id: "no-repeat-left",
         status: 503,
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -98,7 +98,7 @@
             return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : "not-confirmed");
         }
         if (choice.kind !== "target") {
-            return sendRefusal(run, answer, run.mayHaveRun ? "upstream-failed" : choiceRefusals[choice.kind]);
+            return refuseChoice(run, answer, choice, functions);
         }
         const { target } = choice;
         const result = await tryTarget(run, target, relay, functions);
@@ -150,8 +150,25 @@
     "none": "no-upstream",
     "too-few-engines": "too-few-engines",
     "full": "full",
+    "resting": "resting",
 };
 
+function refuseChoice(
+    run: RoutedRun,
+    answer: RoutedAnswer,
+    choice: Exclude<TargetChoice, { kind: "target"; }>,
+    functions: RoutedRequestFunctions,
+): RequestEnd {
+    if (run.mayHaveRun) {
+        return sendRefusal(run, answer, "upstream-failed");
+    }
+    if (choice.kind !== "resting") {
+        return sendRefusal(run, answer, choiceRefusals[choice.kind]);
+    }
+    run.restingUpstreams = choice.upstreams;
+    return sendRefusal(run, answer, "resting", functions.words.computeReturnMs(run.admitted.service, choice.leftMs));
+}
+
 function endStopped(run: RoutedRun, answer: RoutedAnswer, stop: RunStop): RequestEnd {
     return stop === "caller-left"
         ? { outcome: "caller-left", status: undefined, refusal: undefined }
@@ -172,7 +189,10 @@
         if (choice.kind === "too-few-engines" || isHeldNow(run, functions) || !mayUseKey(run, functions)) {
             return choice;
         }
-        if (functions.getNowMs() - startMs >= (choice.kind === "full" ? fullMs : noneMs)) {
+        const patienceMs = choice.kind === "none" ? noneMs : fullMs;
+        // A rest that outlasts the wait is known at once; its caller is told when to come back.
+        const leastMs = choice.kind === "resting" ? choice.leftMs : 0;
+        if (functions.getNowMs() - startMs + leastMs >= patienceMs) {
             return choice;
         }
         await waitMs(PATIENCE_POLL_MS);
@@ -189,20 +209,26 @@
 ): Promise<TryResult> {
     const startMs = functions.getNowMs();
     const eventsBefore = relay?.count ?? 0;
+    const { words } = functions;
     run.tries += 1;
     run.tried.add(target.upstreamId);
     functions.recordStart(target.upstreamId);
     const recordStarted = createOnce(() => {
         functions.recordStarted(target.upstreamId);
     });
+    const recordOutcome = createOnce((isServed: boolean) => {
+        words.recordOutcome(target, isServed);
+    });
     let watch: TryWatch | undefined;
     const result = await runTry({
         connections: functions.getConnections(target),
         codec: functions.codec,
         run,
         target,
+        words,
         sink: relay?.createSink(() => {
             recordStarted();
+            recordOutcome(true);
             watch?.recordEvent();
         }),
         handleStart: (giveUp) => {
@@ -211,6 +237,9 @@
     });
     watch?.stop();
     recordStarted();
+    if (result.kind !== "ended" || result.end !== "kept-back") {
+        recordOutcome(result.kind === "answered" || result.kind === "streamed");
+    }
     functions.recordEnd(target.upstreamId);
     const durationMs = functions.getNowMs() - startMs;
     const hadProgress = (relay?.count ?? 0) > eventsBefore;
@@ -219,12 +248,14 @@
     return result;
 }
 
-function createOnce(run: () => void): () => void {
+function createOnce<Arguments extends readonly unknown[]>(
+    run: (...some: Arguments) => void,
+): (...some: Arguments) => void {
     let isDone = false;
-    return () => {
+    return (...some) => {
         if (!isDone) {
             isDone = true;
-            run();
+            run(...some);
         }
     };
 }
@@ -258,9 +289,13 @@
             }
             return undefined;
         case "hand-on":
-            return handOn(run, answer, result.answer);
-        case "refuse":
-            return sendRefusal(run, answer, getNotRunRefusal(result.end, step.isPathFree));
+            return handOn(run, answer, result.answer, functions);
+        case "refuse": {
+            const choice = functions.chooseTarget(run, undefined, true);
+            return choice.kind === "resting"
+                ? refuseChoice(run, answer, choice, functions)
+                : sendRefusal(run, answer, getNotRunRefusal(result.end, step.isPathFree));
+        }
         case "fail":
             return sendRefusal(run, answer, "upstream-failed");
     }
@@ -275,6 +310,7 @@
 ): NextStep {
     const { service, route } = run.admitted;
     const isUnderWay = relay !== undefined && relay.count > 0;
+    const next = functions.chooseTarget(run, undefined, true);
     return chooseNextStep({
         end: result.end,
         isRepeatable: route.is_repeatable,
@@ -284,9 +320,10 @@
         mostAttempts: route.most_attempts,
         leftMs: run.leftMs,
         // A trial is one send.
-        hasAlternative: !run.isTrial && functions.chooseTarget(run, undefined, true).kind === "target",
+        hasAlternative: !run.isTrial && next.kind === "target",
         graceMs: isUnderWay && !run.isTrial ? computeGraceMs(route, relay) : 0,
-        patienceMs: isUnderWay || run.isTrial || service.engine === undefined
+        // Where all that is left rests, nothing will take it before the first rest ends; its caller is told when.
+        patienceMs: isUnderWay || run.isTrial || service.engine === undefined || next.kind === "resting"
             ? 0
             : computePatienceMs(run.leftMs + run.ageMs) - run.ageMs,
         claimRepeat: () => functions.claimRepeat(service.name, answer.isBegun),
@@ -313,19 +350,33 @@
     return end === "declined" ? "declined" : "no-upstream";
 }
 
-function handOn(run: RoutedRun, answer: RoutedAnswer, whole: WholeAnswer | undefined): RequestEnd {
+function handOn(
+    run: RoutedRun,
+    answer: RoutedAnswer,
+    whole: WholeAnswer | undefined,
+    functions: RoutedRequestFunctions,
+): RequestEnd {
     if (whole === undefined || answer.isBegun) {
         return sendRefusal(run, answer, "upstream-failed");
     }
-    answer.sendWhole(whole);
+    if (functions.codec.readWord(whole.head).rest.kind === "none") {
+        answer.sendWhole(whole);
+    }
+    else {
+        // The upstream's rest was meant for this instance: others may serve the caller at once.
+        const choice = functions.chooseTarget(run, undefined, true);
+        const leftMs = choice.kind === "resting" ? choice.leftMs : 0;
+        answer.sendWhole(whole, functions.words.computeReturnMs(run.admitted.service, leftMs));
+    }
     return { outcome: "handed-on", status: whole.head.status, refusal: undefined };
 }
 
-function sendRefusal(run: RoutedRun, answer: RoutedAnswer, id: RefusalId): RequestEnd {
+/** `returnMs` tells when to come back where that is known; else the refusal's own time is drawn. */
+function sendRefusal(run: RoutedRun, answer: RoutedAnswer, id: RefusalId, returnMs?: number): RequestEnd {
     if (answer.isBegun) {
         answer.breakOff();
         return { outcome: "broken-off", status: undefined, refusal: id };
     }
-    answer.sendRefusal(run.admitted.call, refusals[id], run.leftMs);
+    answer.sendRefusal(run.admitted.call, refusals[id], { leftMs: run.leftMs, returnMs });
     return { outcome: run.mayHaveRun ? "failed" : "refused", status: refusals[id].status, refusal: id };
 }
--- a/packages/daemon/src/request/routedTry.ts
+++ b/packages/daemon/src/request/routedTry.ts
@@ -5,6 +5,7 @@
 import type { TryEnd } from "@crankfork/decisions";
 import type { Dispatcher } from "undici";
 import { type OpenExchange, startExchange, type UpstreamHead } from "../connection/upstreamExchange.js";
+import type { WordFunctions } from "./requestFunctions.js";
 import type { CallCodec, CallTarget, HeadVerdict, UpstreamWord } from "./routedCall.js";
 import type { RoutedRun, RunStop } from "./routedRun.js";
 
@@ -56,6 +57,7 @@
     readonly target: CallTarget;
     /** Takes a successful answer as a stream; left out for whole answers. */
     readonly sink?: StreamSink | undefined;
+    readonly words: WordFunctions;
     /** Called with a function that gives the try up from outside. */
     readonly handleStart?: (giveUp: (stall: TryStall) => void) => void;
 }
@@ -90,6 +92,7 @@
     start(): void {
         const { connections, codec, run, target } = this.options;
         const { call, body } = run.admitted;
+        const { words } = this.options;
         this.forgetStop = run.handleStop((stop) => {
             this.cancel({ kind: "stopped", stop });
         });
@@ -100,6 +103,16 @@
             headers: codec.createUpstreamHeaders(call, target),
             body,
         }, {
+            mayStart: () => {
+                const isFree = words.maySend(target);
+                if (isFree) {
+                    words.recordSend(target);
+                }
+                return isFree;
+            },
+            handleKeptBack: () => {
+                this.settle({ kind: "ended", end: "kept-back", reason: "its upstream rests" });
+            },
             handleHead: (head) => {
                 this.handleHead(head);
             },
@@ -125,8 +138,15 @@
     }
 
     private handleHead(head: UpstreamHead): void {
+        const { codec, run, target, words } = this.options;
+        const { call } = run.admitted;
         this.head = head;
-        this.verdict = this.options.codec.judgeHead(this.options.run.admitted.call, head);
+        this.verdict = codec.judgeHead(call, head);
+        words.hear(target, codec.readWord(head), {
+            requestId: call.requestId,
+            verdict: this.verdict,
+            status: head.status,
+        });
         if (this.verdict.kind === "stray") {
             this.cancel({ kind: "ended", end: "broken", reason: `stray answer with status ${String(head.status)}` });
         }
--- a/packages/daemon/tests/heldRequest.test.ts
+++ b/packages/daemon/tests/heldRequest.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { request } from "undici";
+import { ask } from "./askEntry.js";
 import {
     formatAnswer,
     formatChunk,
@@ -34,24 +34,6 @@
     },
 };
 
-interface Seen {
-    readonly status: number | undefined;
-    readonly body: string;
-    readonly retryAfter: unknown;
-}
-
-async function ask(url: string): Promise<Seen> {
-    try {
-        const answer = await request(url, { method: "POST", headers: { "x-id": "one" }, body: "b" });
-        const body = await answer.body.text();
-        return { status: answer.statusCode, body, retryAfter: answer.headers["retry-after"] };
-    }
-    catch {
-        // A stream that broke off.
-        return { status: undefined, body: "", retryAfter: undefined };
-    }
-}
-
 describe("the end of a try says whether an upstream ended under the request", () => {
     const rows: readonly { readonly script: string; readonly kind?: "stream"; readonly seen: readonly string[]; }[] = [
         { script: "good", seen: ["ran well"] },
--- /dev/null
+++ b/packages/daemon/tests/newcomer.test.ts
@@ -0,0 +1,38 @@
+/**
+ * A worker that started anew got no request in eight seconds, while four others answered within 12 ms: what has not answered yet
+ * was rated as if it took 50 ms, whatever the others take. Where they take 200 ms everything went to the new one. So a release
+ * moved no load to what it started, or all of it.
+ */
+import { expect } from "chai";
+import { PlainReplay } from "./plainReplay.js";
+
+const STARTS_MS = 2_000;
+const WATCHED_MS = 4_000;
+
+describe("an upstream that has not answered yet gets about what the others get", () => {
+    const rows = [
+        { answerMs: 12, requestsASecond: 100 },
+        { answerMs: 30, requestsASecond: 200 },
+        { answerMs: 200, requestsASecond: 20 },
+        { answerMs: 200, requestsASecond: 100 },
+        { answerMs: 1_000, requestsASecond: 15 },
+    ];
+    for (const { answerMs, requestsASecond } of rows) {
+        it(`where the others take ${String(answerMs)} ms, at ${String(requestsASecond)} requests a second`, () => {
+            const worker = { slots: 8, answerMs, queue: 8, restMs: 1_000 };
+            const { arrivals } = new PlainReplay({
+                entries: 3,
+                workers: [worker, worker, worker, worker, { ...worker, startsMs: STARTS_MS }],
+                requestsASecond,
+                durationMs: STARTS_MS + WATCHED_MS,
+                attempts: 1,
+                seed: 1,
+                objectiveMs: 2 * answerMs,
+            }).play();
+            const since = arrivals.filter(({ atMs }) => atMs > STARTS_MS);
+            const share = since.filter(({ worker: number }) => number === 4).length / since.length;
+            // A fifth would be even.
+            expect(share).to.be.within(0.1, 0.4);
+        });
+    }
+});
--- /dev/null
+++ b/packages/daemon/tests/restReplay.test.ts
@@ -0,0 +1,79 @@
+/**
+ * Loads that fall on a service whose upstreams ask for rest: one of five, four of five, all of them; and a load that is too much
+ * for all. Replayed on the real choice of upstreams.
+ */
+import { expect } from "chai";
+import { PlainReplay, type ReplayOptions, type ReplayResult, type ReplayWorker } from "./plainReplay.js";
+
+const worker: ReplayWorker = { slots: 8, answerMs: 30, queue: 4, restMs: 1_500 };
+/** What a worker takes. */
+const TAKEN_A_SECOND = 8 / 0.03;
+const base: ReplayOptions = {
+    entries: 3,
+    workers: [worker, worker, worker, worker, worker],
+    requestsASecond: 600,
+    durationMs: 6_000,
+    attempts: 3,
+    seed: 1,
+    objectiveMs: 400,
+};
+const SHEDS_FROM_MS = 2_000;
+const SHEDS_UNTIL_MS = 3_000;
+/** Each rest ends so long after the first 503, give or take the time to the first requests. */
+const RETURN_MS = SHEDS_FROM_MS + 1_500;
+const FIRST_MS = 100;
+/** What an entry had sent before it read the word may still arrive. */
+const UNDER_WAY_MS = 500;
+
+function play(change: Partial<ReplayOptions>, sheds: number): ReplayResult {
+    const workers = base.workers.map((one, number) =>
+        number < sheds ? { ...one, shedsFromMs: SHEDS_FROM_MS, shedsUntilMs: SHEDS_UNTIL_MS } : one
+    );
+    return new PlainReplay({ ...base, workers, ...change }).play();
+}
+
+/** Arrivals at those that shed, of entries that such a one had asked for rest half a second before or longer. */
+function countDuringRest({ arrivals }: ReplayResult): number {
+    return arrivals.filter((arrival) =>
+        arrivals.some((one) =>
+            one.isTurnedAway && one.worker === arrival.worker && one.entry === arrival.entry
+            && arrival.atMs > one.atMs + UNDER_WAY_MS && arrival.atMs < one.atMs + worker.restMs
+        )
+    ).length;
+}
+
+function countAtReturn({ arrivals }: ReplayResult, sheds: number): number {
+    return arrivals.filter((one) => one.worker < sheds && one.atMs >= RETURN_MS && one.atMs < RETURN_MS + FIRST_MS)
+        .length;
+}
+
+describe("what upstreams ask for rest costs no more than what they would have served meanwhile", () => {
+    const rows = [
+        { sheds: 1, requestsASecond: 600, leastServed: 0.99 },
+        { sheds: 4, requestsASecond: 200, leastServed: 0.97 },
+        // For a quarter of the time there is nobody to serve them.
+        { sheds: 5, requestsASecond: 600, leastServed: 0.7 },
+    ];
+    for (const { sheds, requestsASecond, leastServed } of rows) {
+        it(`${String(sheds)} of five turn away and rest, at ${String(requestsASecond)} requests a second`, () => {
+            const result = play({ requestsASecond }, sheds);
+            expect(result.served / result.asked).to.be.at.least(leastServed);
+            expect(countDuringRest(result)).to.equal(0);
+            // Half of what they take.
+            expect(countAtReturn(result, sheds)).to.be.at.most(sheds * TAKEN_A_SECOND * FIRST_MS / 1_000 / 2);
+        });
+    }
+});
+
+describe("a load that is too much for upstreams that ask for rest is served as far as they go", () => {
+    for (const requestsASecond of [1_200, 1_600, 2_400]) {
+        for (const sheds of [0, 1]) {
+            it(`${String(requestsASecond)} requests a second, ${String(sheds)} of five turn away and rest`, () => {
+                const result = play({ requestsASecond }, sheds);
+                const most = Math.min(1, 5 * TAKEN_A_SECOND / requestsASecond);
+                expect(result.served / result.asked).to.be.at.least(0.8 * most);
+                expect(countDuringRest(result)).to.equal(0);
+            });
+        }
+    }
+});
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -4,7 +4,12 @@
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
 import { PathPulse } from "../src/process/entry/pathPulse.js";
-import type { CrashFunctions, RoutedRequestFunctions, StallAnswer } from "../src/request/requestFunctions.js";
+import type {
+    CrashFunctions,
+    RoutedRequestFunctions,
+    StallAnswer,
+    WordFunctions,
+} from "../src/request/requestFunctions.js";
 import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
 import { handleRoutedRequest, type RequestEnd } from "../src/request/routedRequest.js";
@@ -124,10 +129,14 @@
     readonly mayLeave?: boolean;
     /** What is told where no upstream is left; left out for "none". */
     readonly otherwise?: "none" | "full" | "too-few-engines";
+    /** Where no upstream is left, those that there are rest for so long. */
+    readonly restLeftMs?: number;
     /** How many times it is full before there is room; left out for never. */
     readonly fullLooks?: number;
     /** What is known of requests under which upstreams ended; nothing where left out. */
     readonly crashes?: Partial<CrashFunctions>;
+    /** What upstreams said of themselves; nothing where left out. */
+    readonly words?: Partial<WordFunctions>;
     /** How often the caller's key may be used when that is asked; left out for a route without keys. */
     readonly keyLooks?: number;
     /** For how long the machine sleeps once a request is there; 0 where left out. */
@@ -203,6 +212,9 @@
                     return { kind: "full" };
                 }
                 const next = options.upstreams.find((one) => !run.tried.has(one.name));
+                if (next === undefined && options.restLeftMs !== undefined) {
+                    return { kind: "resting", leftMs: options.restLeftMs, upstreams: [] };
+                }
                 return next === undefined ? { kind: options.otherwise ?? "none" } : {
                     kind: "target",
                     target: {
@@ -235,6 +247,14 @@
             claimLeave: (run) =>
                 options.mayLeave !== false && options.upstreams.some((one) => !run.tried.has(one.name)),
             hasEnded: (id) => options.ended?.includes(id) === true,
+            words: {
+                hear: () => undefined,
+                maySend: () => true,
+                recordSend: () => undefined,
+                recordOutcome: () => undefined,
+                computeReturnMs: (_service, leftMs) => leftMs,
+                ...options.words,
+            },
             crashes: {
                 isHeld: () => false,
                 claimTrial: () => Promise.resolve(false),
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -4,6 +4,7 @@
 import { EngineShortage } from "../src/process/entry/engineShortage.js";
 import { TargetChooser } from "../src/process/entry/targetChooser.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
+import { UpstreamRests } from "../src/process/upstreamRests.js";
 import type { RoutedCall } from "../src/request/routedCall.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 import { FleetView } from "../src/version/fleetView.js";
@@ -64,11 +65,15 @@
     ...(held === undefined ? {} : { held }),
 });
 
+const noLog = { record: () => undefined };
+const noMetrics = { countRest: () => undefined, countKeptBack: () => undefined, countSendDuringRest: () => undefined };
+
 /** An entry that sees a request a second. */
 class ChooserStand {
     nowMs = 0;
     readonly loads = new Map<string, ChainLoad>();
     readonly health = new UpstreamHealth(() => this.nowMs);
+    readonly rests = new UpstreamRests({ getNowMs: () => this.nowMs, log: noLog, metrics: noMetrics });
     private readonly view = new FleetView();
     private index = 0;
     private readonly chooser = new TargetChooser({
@@ -76,9 +81,11 @@
         view: this.view,
         health: this.health,
         shortage: new EngineShortage(() => this.nowMs),
+        rests: this.rests,
         getLoadElsewhere: (id) => this.loads.get(id) ?? { open: 0, unstarted: 0 },
         isAvoided: () => false,
         countUnseen: () => 0,
+        countEntries: () => 1,
         getRequestsASecond: () => 1,
         getLoadAgeMs: () => 0,
         random: () => 0,
--- a/packages/decisions/src/request/chooseNextStep.ts
+++ b/packages/decisions/src/request/chooseNextStep.ts
@@ -6,6 +6,8 @@
 export type TryEnd =
     /** Nothing was sent. */
     | "not-sent"
+    /** Nothing was sent: the upstream asked for rest after it had been chosen. */
+    | "kept-back"
     /** The upstream said that it did not run the request. */
     | "declined"
     /** The upstream ran it and answered with a failure, whole. */
@@ -86,6 +88,7 @@
     const hasRoom = view.tries < MOST_TRIES && view.leftMs >= LEAST_LEFT_MS && view.hasAlternative;
     switch (view.end) {
         case "not-sent":
+        case "kept-back":
         case "declined":
             // A stream under way is not given up for want of room: engines decline while their memory is full.
             return (hasRoom || view.graceMs > 0) && (view.isRepeatable || !view.mayHaveRun);
@@ -102,7 +105,7 @@
  * a model is loaded anew within a second or two, and its caller would come back to the same.
  */
 function mayWaitForPath(view: TryView): boolean {
-    const hasNotRun = view.end === "not-sent" || view.end === "declined";
+    const hasNotRun = isNotSent(view.end) || view.end === "declined";
     return hasNotRun
         && !view.hasAlternative
         && view.patienceMs > 0
@@ -113,5 +116,9 @@
 
 function isRepeatAllowed(view: TryView): boolean {
     // A send that did not arrive adds nothing to what upstreams receive; a path is left only with a repeat in hand.
-    return view.end === "not-sent" || view.end === "left" || view.claimRepeat();
+    return isNotSent(view.end) || view.end === "left" || view.claimRepeat();
+}
+
+function isNotSent(end: TryEnd): boolean {
+    return end === "not-sent" || end === "kept-back";
 }
--- /dev/null
+++ b/packages/decisions/tests/rest.test.ts
@@ -0,0 +1,77 @@
+import { expect } from "chai";
+import { Rest, type RestChange } from "../src/connection/rest.js";
+
+describe("a rest is kept whole, and the latest end counts", () => {
+    interface Said {
+        readonly atMs: number;
+        readonly restMs: number;
+    }
+    const rows: readonly {
+        readonly title: string;
+        readonly said: readonly Said[];
+        readonly changes: readonly RestChange[];
+        readonly endMs: number;
+    }[] = [
+        { title: "one", said: [{ atMs: 10, restMs: 3_000 }], changes: ["begun"], endMs: 3_010 },
+        { title: "a fraction", said: [{ atMs: 0, restMs: 0.5 }], changes: ["begun"], endMs: 0.5 },
+        {
+            title: "a longer one after a shorter",
+            said: [{ atMs: 0, restMs: 1_000 }, { atMs: 500, restMs: 2_000 }],
+            changes: ["begun", "prolonged"],
+            endMs: 2_500,
+        },
+        {
+            title: "a shorter one after a longer",
+            said: [{ atMs: 0, restMs: 3_000 }, { atMs: 500, restMs: 1_000 }],
+            changes: ["begun", "unchanged"],
+            endMs: 3_000,
+        },
+        {
+            title: "a second one after the end",
+            said: [{ atMs: 0, restMs: 1_000 }, { atMs: 1_000, restMs: 1_000 }],
+            changes: ["begun", "begun"],
+            endMs: 2_000,
+        },
+        { title: "a thousand million seconds", said: [{ atMs: 5, restMs: 1e12 }], changes: ["begun"], endMs: 1e12 + 5 },
+        {
+            title: "longer than any number",
+            said: [{ atMs: 5, restMs: Number.POSITIVE_INFINITY }, { atMs: 6, restMs: 1 }],
+            changes: ["begun", "unchanged"],
+            endMs: Number.POSITIVE_INFINITY,
+        },
+    ];
+    for (const { title, said, changes, endMs } of rows) {
+        it(title, () => {
+            const rest = new Rest();
+            expect(said.map(({ atMs, restMs }) => rest.record(restMs, atMs))).to.deep.equal(changes);
+            const last = said[said.length - 1]!;
+            expect([rest.endsAtMs, rest.isResting(last.atMs), rest.isResting(endMs)]).to.deep.equal([
+                endMs,
+                true,
+                false,
+            ]);
+        });
+    }
+});
+
+describe("after a rest requests come back as they are served", () => {
+    const rows = [
+        { title: "one first", sent: 1, served: 0, lost: 0, hasRoom: false },
+        { title: "two more once it is served", sent: 2, served: 1, lost: 0, hasRoom: true },
+        { title: "not a third", sent: 3, served: 1, lost: 0, hasRoom: false },
+        { title: "another in the place of one that came to nothing", sent: 1, served: 0, lost: 1, hasRoom: true },
+        { title: "all once enough were served", sent: 100, served: 7, lost: 0, hasRoom: true },
+    ];
+    for (const { title, sent, served, lost, hasRoom } of rows) {
+        it(title, () => {
+            const rest = new Rest();
+            rest.record(1_000, 0);
+            expect(rest.hasRoom(999)).to.equal(false);
+            expect(rest.hasRoom(1_000)).to.equal(true);
+            Array.from({ length: sent }, () => rest.recordSend());
+            Array.from({ length: served }, () => rest.recordServed());
+            Array.from({ length: lost }, () => rest.recordLost());
+            expect(rest.hasRoom(1_001)).to.equal(hasRoom);
+        });
+    }
+});
