--- a/packages/daemon/tests/newcomer.test.ts
+++ b/packages/daemon/tests/newcomer.test.ts
@@ -7,24 +7,24 @@
 import { PlainReplay } from "./plainReplay.js";
 
 const STARTS_MS = 2_000;
-const WATCHED_MS = 4_000;
 
 describe("an upstream that has not answered yet gets about what the others get", () => {
     const rows = [
-        { answerMs: 12, requestsASecond: 100 },
-        { answerMs: 30, requestsASecond: 200 },
-        { answerMs: 200, requestsASecond: 20 },
-        { answerMs: 200, requestsASecond: 100 },
-        { answerMs: 1_000, requestsASecond: 15 },
+        { answerMs: 12, requestsASecond: 100, watchedMs: 4_000 },
+        { answerMs: 30, requestsASecond: 200, watchedMs: 2_000 },
+        { answerMs: 200, requestsASecond: 20, watchedMs: 4_000 },
+        // Until its first answers are there.
+        { answerMs: 200, requestsASecond: 200, watchedMs: 200 },
+        { answerMs: 1_000, requestsASecond: 50, watchedMs: 1_000 },
     ];
-    for (const { answerMs, requestsASecond } of rows) {
+    for (const { answerMs, requestsASecond, watchedMs } of rows) {
         it(`where the others take ${String(answerMs)} ms, at ${String(requestsASecond)} requests a second`, () => {
-            const worker = { slots: 8, answerMs, queue: 8, restMs: 1_000 };
+            const worker = { slots: 40, answerMs, queue: 8, restMs: 1_000 };
             const { arrivals } = new PlainReplay({
                 entries: 3,
                 workers: [worker, worker, worker, worker, { ...worker, startsMs: STARTS_MS }],
                 requestsASecond,
-                durationMs: STARTS_MS + WATCHED_MS,
+                durationMs: STARTS_MS + watchedMs,
                 attempts: 1,
                 seed: 1,
                 objectiveMs: 2 * answerMs,
