--- a/packages/daemon/tests/upstreamHealth.test.ts
+++ b/packages/daemon/tests/upstreamHealth.test.ts
@@ -77,6 +77,23 @@
                 health.recordAnswer("bad", 50, true);
             },
         },
+        {
+            // It turned everything away within a millisecond, which counted as its time to answer: 13 against 50.
+            title: "one that fails at once, again and again",
+            spoil: (health) => {
+                Array.from({ length: 20 }, () => {
+                    health.recordAnswer("bad", 1, true);
+                });
+            },
+        },
+        {
+            title: "one that gives up late, again and again",
+            spoil: (health) => {
+                Array.from({ length: 20 }, () => {
+                    health.recordAnswer("bad", 3_000, true);
+                });
+            },
+        },
         {
             title: "one that is slow",
             spoil: (health) => {
