Reports and orders are requests, too: what engines answer to them is heard, and a rest is kept

Callers lost paths whose engines had merely turned two reports away: the leader gave them up and ordered their layers elsewhere. Cause: the answer to a report was read for its body alone, and a 503 counted as none. Change: one function around the control of engines, in entries and voters alike, hears rest and leaving by life and sends nothing while an engine rests; the leader orders nothing of it meanwhile. A report tells its life beside the word of leaving; an order's answer does not, so its word is left to the report that comes before each order. Why it holds: every report and order of both roles goes through it.

--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -2,6 +2,16 @@
  * What a leader asks of an engine beside requests: a report, and layers to take.
  */
 import type { LayerSpan, RegisteredUpstream } from "@crankfork/schemas";
+import type { UpstreamWord } from "../request/routedCall.js";
+
+/** One life of an engine and where it is. */
+export type EnginePlace = Pick<RegisteredUpstream, "id" | "life" | "address">;
+
+/** What came back, with what the engine said of itself beside it. */
+interface HeardAnswer {
+    /** Left out where nothing came back. */
+    readonly word?: UpstreamWord | undefined;
+}
 
 /** What an engine says of itself; it lags by some hundred milliseconds. */
 export interface EngineReport {
@@ -21,19 +31,27 @@
 
 /** A report, or why there is none. */
 export type ReportResult =
-    | EngineReport
-    /** No answer. */
-    | { readonly kind: "failed"; readonly reason: string; }
-    /** Something answers there, and what it says makes no sense: the engine is neither described by it nor gone. */
-    | { readonly kind: "unreadable"; readonly reason: string; };
+    & HeardAnswer
+    & (
+        | EngineReport
+        /** No answer. */
+        | { readonly kind: "failed"; readonly reason: string; }
+        /** It is there and asked for rest, now or before. */
+        | { readonly kind: "turned-away"; readonly reason: string; }
+        /** Something answers there, and what it says makes no sense: the engine is neither described by it nor gone. */
+        | { readonly kind: "unreadable"; readonly reason: string; }
+    );
 
 /** How an order ended. */
 export type OrderEnd =
-    | { readonly kind: "begun"; }
-    /** The engine said no, or nothing was sent. */
-    | { readonly kind: "refused"; readonly reason: string; }
-    /** No answer: it may be carried out now, later or never. */
-    | { readonly kind: "unclear"; readonly reason: string; };
+    & HeardAnswer
+    & (
+        | { readonly kind: "begun"; }
+        /** The engine said no, or nothing was sent. */
+        | { readonly kind: "refused"; readonly reason: string; }
+        /** No answer: it may be carried out now, later or never. */
+        | { readonly kind: "unclear"; readonly reason: string; }
+    );
 
 /** What guards an order against older ones. */
 export interface OrderGuard {
@@ -45,6 +63,6 @@
 
 /** Speaks to engines. The functions never reject. */
 export interface EngineControl {
-    readonly getReport: (address: string) => Promise<ReportResult>;
+    readonly getReport: (engine: EnginePlace) => Promise<ReportResult>;
     readonly placeLayers: (upstream: RegisteredUpstream, span: LayerSpan, guard: OrderGuard) => Promise<OrderEnd>;
 }
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -68,8 +68,8 @@
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: string | Buffer;
     readonly signal?: AbortSignal;
-    /** Called with the headers of the answer. */
-    readonly handleHeaders?: (headers: Dispatcher.ResponseData["headers"]) => void;
+    /** Called with the head of the answer, whatever its status. */
+    readonly handleHeaders?: (headers: Dispatcher.ResponseData["headers"], status: number) => void;
 }
 
 /**
@@ -134,7 +134,7 @@
     const signal = options.signal === undefined ? deadline.signal : AbortSignal.any([options.signal, deadline.signal]);
     try {
         const response = await sendRequest({ ...options, signal });
-        options.handleHeaders?.(response.headers);
+        options.handleHeaders?.(response.headers, response.statusCode);
         const handleBytes = counts === "silence" ? deadline.restart : (): void => undefined;
         return parseAnswer(options, response, await readText(response, options.peer, signal, handleBytes));
     }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -10,6 +10,7 @@
 export { type GateRequest, type GateUsage, WorkGate } from "./process/daemon/workGate.js";
 export { type EntryProtocol, runEntry } from "./process/entry/runEntry.js";
 export type { FleetProcess, SettingsReader } from "./process/fleetProcess.js";
+export { createHeedingControl, type HeedingFunctions } from "./process/heedingControl.js";
 export { readBody, type RequestHandler, sendJson } from "./process/httpServer.js";
 export { formatHybridTime, HybridClock, type HybridTime, parseHybridTime } from "./process/hybridClock.js";
 export { readSettings } from "./process/readSettings.js";
--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryWords.ts
@@ -3,12 +3,14 @@
  */
 import { computeReturnGapMs, ReturnOrder } from "@crankfork/decisions";
 import type { FleetSettings, RoutedService } from "@crankfork/schemas";
+import type { EngineControl } from "../../connection/engineControl.js";
 import type { HeardAnswer, WordFunctions } from "../../request/requestFunctions.js";
 import type { CallTarget, UpstreamWord } from "../../request/routedCall.js";
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
-import { UpstreamRests } from "../upstreamRests.js";
+import { createHeedingControl } from "../heedingControl.js";
+import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
 import { LeavingWords, type LeavingWordsOptions } from "./leavingWords.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
@@ -56,6 +58,21 @@
         this.leaving.forget(isKnown);
     }
 
+    /**
+     * Lets what engines say in their reports count, too.
+     * @param control - speaks to engines
+     * @returns the same, which asks nothing of engines that rest
+     */
+    heed(control: EngineControl): EngineControl {
+        const { rests, leaving } = this;
+        return createHeedingControl(control, {
+            ...createRestFunctions(rests),
+            hearLeaving: (id, asked) => {
+                leaving.hear(id, asked);
+            },
+        });
+    }
+
     /**
      * Creates what a request needs.
      * @returns the functions
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -95,7 +95,8 @@
         this.health = new UpstreamHealth(options.getNowMs);
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.stateAge = new StateAge(options.getNowMs);
-        this.stallReports = new StallReports(options.control, options.getNowMs);
+        this.words = new EntryWords({ ...options, view: this.view, health: this.health });
+        this.stallReports = new StallReports(this.words.heed(options.control), options.getNowMs);
         this.faults = new UpstreamFaults({
             view: this.view,
             health: this.health,
@@ -110,7 +111,6 @@
             getNowMs: options.getNowMs,
             handleStill: (id, streams, silentMs) => void this.faults.handleStill(id, streams, silentMs),
         });
-        this.words = new EntryWords({ ...options, view: this.view, health: this.health });
         this.chooser = new TargetChooser({
             rests: this.words.rests,
             leaving: this.words.leaving,
@@ -289,7 +289,8 @@
             recordDecline: (id, reason) => void this.faults.handleDecline(id, reason),
             findIdAt: (address) => this.view.findIdAt(address),
             claimRepeat: (service, isUnderWay) => this.budgets.get(service).claimRepeat(isUnderWay),
-            askStall: (target, requestId) => this.stallReports.ask(target.address, requestId),
+            askStall: (target, requestId) =>
+                this.stallReports.ask({ id: target.upstreamId, address: target.address }, requestId),
             followPath: (target, pauseMs, leave) => this.pulse.follow(getPathName(target.stages ?? []), pauseMs, leave),
             claimLeave: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
             hasEnded: (id) => this.view.hasEnded(id),
--- a/packages/daemon/src/process/entry/stallReports.ts
+++ b/packages/daemon/src/process/entry/stallReports.ts
@@ -1,7 +1,7 @@
 /**
  * Reports of engines about requests that stand still. Requests that are silent together share a report.
  */
-import type { EngineControl, ReportResult } from "../../connection/engineControl.js";
+import type { EngineControl, EnginePlace, ReportResult } from "../../connection/engineControl.js";
 import type { StallAnswer } from "../../request/requestFunctions.js";
 import { waitMs } from "../waitMs.js";
 
@@ -28,12 +28,12 @@
 
     /**
      * Asks the first engine of a path whether a request stands still.
-     * @param address - the engine
+     * @param engine - its life and address
      * @param requestId - the request
      * @returns what it says
      */
-    async ask(address: string, requestId: string): Promise<StallAnswer> {
-        const report = await this.getReport(address);
+    async ask(engine: EnginePlace, requestId: string): Promise<StallAnswer> {
+        const report = await this.getReport(engine);
         if (report.kind !== "report") {
             // What can't be read tells nothing against the engine.
             return { kind: report.kind === "failed" ? "unreachable" : "moving" };
@@ -44,12 +44,12 @@
 
     /**
      * Finds the engines that the requests of a path wait for.
-     * @param address - the first engine of the path
+     * @param engine - the first engine of the path
      * @returns addresses; none where no report named one in time
      */
-    async findFaults(address: string): Promise<readonly string[]> {
+    async findFaults(engine: EnginePlace): Promise<readonly string[]> {
         for (let asked = 0; asked < FAULT_ASKS; asked += 1) {
-            const report = await this.getReport(address);
+            const report = await this.getReport(engine);
             const stalled = report.kind === "report" ? report.stalled : [];
             const faults = new Set(stalled.flatMap((one) => one.address ?? []));
             if (faults.size > 0) {
@@ -62,17 +62,17 @@
 
     /**
      * Gets an engine's report.
-     * @param address - the engine
+     * @param engine - its life and address
      * @returns the report, at most some ten milliseconds old, or why there is none
      */
-    getReport(address: string): Promise<ReportResult> {
+    getReport(engine: EnginePlace): Promise<ReportResult> {
         const nowMs = this.getNowMs();
-        const known = this.shared.get(address);
+        const known = this.shared.get(engine.id);
         if (known !== undefined && nowMs - known.askedMs < SHARED_MS) {
             return known.result;
         }
-        const result = this.control.getReport(address);
-        this.shared.set(address, { askedMs: nowMs, result });
+        const result = this.control.getReport(engine);
+        this.shared.set(engine.id, { askedMs: nowMs, result });
         return result;
     }
 }
--- a/packages/daemon/src/process/entry/upstreamFaults.ts
+++ b/packages/daemon/src/process/entry/upstreamFaults.ts
@@ -77,7 +77,7 @@
         const upstream = view.getUpstream(id);
         const found = upstream === undefined
             ? "unknown"
-            : compareReport(upstream, await stallReports.getReport(upstream.address));
+            : compareReport(upstream, await stallReports.getReport(upstream));
         log.record("info", "upstream-declined", { peer: id, reason, found, index: view.knownIndex });
         if (found === "as-known") {
             health.clearAbsence(id);
@@ -96,8 +96,8 @@
      */
     async handleStill(id: string, streams: number, silentMs: number): Promise<void> {
         const { view, stallReports, log } = this.options;
-        const address = view.getUpstream(id)?.address;
-        const faults = address === undefined ? [] : await stallReports.findFaults(address);
+        const upstream = view.getUpstream(id);
+        const faults = upstream === undefined ? [] : await stallReports.findFaults(upstream);
         const ids = faults.flatMap((fault) => view.findIdAt(fault) ?? []);
         log.record("warn", "path-still", {
             peer: id,
--- a/packages/daemon/src/process/layers/layerKeeper.ts
+++ b/packages/daemon/src/process/layers/layerKeeper.ts
@@ -29,6 +29,8 @@
     readonly getServices: () => readonly RoutedService[];
     /** Between two heartbeats of an upstream. */
     readonly heartbeatMs: number;
+    /** Whether an engine asked this leader for rest, so that no order reaches it. */
+    readonly isResting: (id: string) => boolean;
 }
 
 const TICK_MS = 100;
@@ -143,7 +145,7 @@
             accelerator: upstream.accelerator ?? "",
             span: order?.span ?? upstream.held,
             slowness: upstream.slowness ?? 1,
-            mayBeOrdered: order === undefined,
+            mayBeOrdered: order === undefined && !this.options.isResting(upstream.id),
         };
     }
 
@@ -177,7 +179,7 @@
     /** Asks for the report first: what the engine holds, and the count of its orders that the next one expects. */
     private async sendOrder(upstream: RegisteredUpstream, span: LayerSpan): Promise<OrderEnd> {
         const { host, control, upstreams } = this.options;
-        const report = await control.getReport(upstream.address);
+        const report = await control.getReport(upstream);
         if (report.kind !== "report") {
             return { kind: "refused", reason: report.reason };
         }
@@ -237,7 +239,7 @@
 
     private async readReport(upstream: RegisteredUpstream, order: OpenOrder): Promise<void> {
         const { control, upstreams, getNowMs } = this.options;
-        const report = await control.getReport(upstream.address);
+        const report = await control.getReport(upstream);
         if (report.kind !== "report" || this.orders.get(upstream.id) !== order) {
             return;
         }
--- a/packages/daemon/src/process/layers/paceWatch.ts
+++ b/packages/daemon/src/process/layers/paceWatch.ts
@@ -57,7 +57,7 @@
 
     private async ask(upstream: RegisteredUpstream): Promise<void> {
         const { control, upstreams, host } = this.options;
-        const report = await control.getReport(upstream.address);
+        const report = await control.getReport(upstream);
         // An engine without a report is looked after by its heartbeats and by those whose requests it holds up.
         if (report.kind !== "report" || !host.replica.hasNewestState()) {
             return;
--- a/packages/daemon/src/process/upstreamRests.ts
+++ b/packages/daemon/src/process/upstreamRests.ts
@@ -7,6 +7,7 @@
 import { Rest, type RestChange, type RestWord } from "@crankfork/decisions";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
+import type { HeedingFunctions } from "./heedingControl.js";
 
 /** What the rests need from the process. */
 export interface UpstreamRestsOptions {
@@ -16,6 +17,20 @@
     readonly metrics: Pick<FleetMetrics, "countRest" | "countKeptBack" | "countSendDuringRest">;
 }
 
+/**
+ * Creates what whoever speaks to engines needs.
+ * @param rests - the rests of this instance
+ * @returns the functions
+ */
+export function createRestFunctions(rests: UpstreamRests): Omit<HeedingFunctions, "hearLeaving"> {
+    return {
+        hearRest: (id, rest, asked) => {
+            rests.hear(id, rest, asked);
+        },
+        maySend: (id) => rests.maySend([id]),
+    };
+}
+
 /** After a rest its upstream is treated with care for so long: a burst of the users' days lasts some ten seconds. */
 const REMEMBERED_MS = 30_000;
 
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -22,11 +22,13 @@
 import { createHash } from "node:crypto";
 import type { EngineControl } from "../../connection/engineControl.js";
 import { type FleetProcess, listPeerAddresses, openFleetProcess, type SettingsReader } from "../fleetProcess.js";
+import { createHeedingControl } from "../heedingControl.js";
 import type { RequestHandler } from "../httpServer.js";
 import { LayerKeeper } from "../layers/layerKeeper.js";
 import { PaceWatch } from "../layers/paceWatch.js";
 import { PeerLink } from "../peerLink.js";
 import { type Founding, ReplicaHost } from "../replicaHost.js";
+import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
 import { waitMs } from "../waitMs.js";
 import { CrashKeeper } from "./crashKeeper.js";
 import { DocumentKeeper } from "./documentKeeper.js";
@@ -134,9 +136,14 @@
 function startParts(fleet: FleetProcess, host: FleetReplicaHost, protocol: VoterProtocol): VoterParts {
     const { log, metrics, getNowMs, peers } = fleet;
     const { cluster, contract, limits } = fleet.getSettings();
+    const rests = new UpstreamRests({ getNowMs, log, metrics });
+    const control = createHeedingControl(protocol.control, {
+        ...createRestFunctions(rests),
+        hearLeaving: (id, asked) => void upstreams.recordLeavingWord(id, asked),
+    });
     const getServices = createServiceReader(host, protocol.decodeDocument);
     const document = new DocumentKeeper({ host, log, getNowMs, recordCommitMs: metrics.recordCommitMs });
-    const upstreams = new UpstreamRegister({
+    const upstreams: UpstreamRegister = new UpstreamRegister({
         host,
         log,
         getNowMs,
@@ -149,7 +156,7 @@
     const probe: SuspectProbe = new SuspectProbe({
         host,
         upstreams,
-        control: protocol.control,
+        control,
         getNowMs,
         handleAgreement: () => {
             entries.handleState();
@@ -169,17 +176,19 @@
     const keeper = new LayerKeeper({
         host,
         upstreams,
-        control: protocol.control,
+        control,
         log,
         getNowMs,
         getServices,
         heartbeatMs: contract.upstream_heartbeat,
+        isResting: (id) => rests.isResting(id),
     });
     group.start();
     keeper.start();
-    new PaceWatch({ host, upstreams, control: protocol.control }).start();
+    new PaceWatch({ host, upstreams, control }).start();
     setInterval(() => {
         upstreams.markSilent();
+        rests.sweep((id) => host.state.getUpstream(id) !== undefined);
     }, SILENCE_CHECK_MS);
     return { document, upstreams, crashes, group, entries, documents, probe };
 }
--- a/packages/daemon/src/process/voter/suspectProbe.ts
+++ b/packages/daemon/src/process/voter/suspectProbe.ts
@@ -90,7 +90,7 @@
             if (upstream?.accelerator === undefined || upstream.status !== "ready") {
                 return;
             }
-            const report = await control.getReport(upstream.address);
+            const report = await control.getReport(upstream);
             if (report.kind !== "failed") {
                 this.applyReport(upstream, report);
                 return;
@@ -106,7 +106,7 @@
     /** The engine answers; what it says may differ from what is known, since it started again or gave layers up. */
     private applyReport(upstream: RegisteredUpstream, report: Exclude<ReportResult, { kind: "failed"; }>): void {
         const { host, upstreams } = this.options;
-        if (report.kind === "unreadable" || !host.replica.hasNewestState()) {
+        if (report.kind !== "report" || !host.replica.hasNewestState()) {
             return;
         }
         const isMeant = upstreams.recordReportedStart(upstream, report.startedAtMs);
--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -47,6 +47,15 @@
         expect(stand.orders).to.have.length(2);
     });
 
+    it("orders nothing of an engine that asked for rest, and does so after it", async () => {
+        stand.resting.add("a");
+        await clock.tickAsync(HEARTBEAT_MS + 2_000);
+        expect(stand.orders.filter((order) => order.startsWith("a="))).to.deep.equal([]);
+        stand.resting.clear();
+        await clock.tickAsync(200);
+        expect(stand.orders.filter((order) => order.startsWith("a="))).to.have.length(1);
+    });
+
     it("gives no second order while the first may still be carried out", async () => {
         stand.orderEnd = { kind: "unclear", reason: "no answer" };
         await clock.tickAsync(HEARTBEAT_MS + 12_000);
--- a/packages/daemon/tests/leaderStand.ts
+++ b/packages/daemon/tests/leaderStand.ts
@@ -9,7 +9,7 @@
     type LayerSpan,
     type UpstreamLife,
 } from "@crankfork/schemas";
-import type { EngineReport, OrderEnd, ReportResult } from "../src/connection/engineControl.js";
+import type { EnginePlace, EngineReport, OrderEnd, ReportResult } from "../src/connection/engineControl.js";
 import { LayerKeeper } from "../src/process/layers/layerKeeper.js";
 import { CrashKeeper } from "../src/process/voter/crashKeeper.js";
 import { DocumentKeeper } from "../src/process/voter/documentKeeper.js";
@@ -54,6 +54,8 @@
     /** Events of the keeper's log. */
     readonly events: string[] = [];
     readonly reports = new Map<string, ReportResult>();
+    /** Engines that asked for rest. */
+    readonly resting = new Set<string>();
     orderEnd: OrderEnd = { kind: "begun" };
     isLeading = true;
     private index = 0;
@@ -81,7 +83,7 @@
     } as unknown as FleetReplicaHost;
 
     readonly control = {
-        getReport: (address: string): Promise<ReportResult> =>
+        getReport: ({ address }: EnginePlace): Promise<ReportResult> =>
             Promise.resolve(
                 this.reports.get(address) ?? emptyReport,
             ),
@@ -115,6 +117,7 @@
         getNowMs: () => performance.now(),
         getServices: () => [{ name: "s", engine: profile }],
         heartbeatMs: HEARTBEAT_MS,
+        isResting: (id) => this.resting.has(id),
     });
 
     /** Lets an engine say in its report that it holds layers. */
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -60,6 +60,14 @@
         });
     }
 
+    it("an engine that turns reports away and asks for rest is there", async () => {
+        const probe = createProbe(() => Promise.resolve({ kind: "turned-away", reason: "status 503" }));
+        probe.handleSuspects({ instance: "e1", suspects: ["a"] });
+        probe.handleSuspects({ instance: "e2", suspects: ["a"] });
+        await clock.tickAsync(6_000);
+        expect(stand.state.getUpstream("a")?.status).to.equal("ready");
+    });
+
     it("what two entries suspect is told to all while its report is awaited, and no longer", async () => {
         const probe: SuspectProbe = new SuspectProbe({
             host: stand.host,
--- a/packages/daemon/tests/upstreamHealth.test.ts
+++ b/packages/daemon/tests/upstreamHealth.test.ts
@@ -138,11 +138,14 @@
             },
             placeLayers: () => Promise.resolve({ kind: "begun" }),
         }, () => nowMs);
-        const both = await Promise.all([reports.ask("e:1", "one"), reports.ask("e:1", "two")]);
+        const both = await Promise.all([
+            reports.ask({ id: "e", address: "e:1" }, "one"),
+            reports.ask({ id: "e", address: "e:1" }, "two"),
+        ]);
         expect(both).to.deep.equal([{ kind: "stalled", faultAddress: "a:1" }, { kind: "moving" }]);
         expect(asked).to.equal(1);
         nowMs += 200;
-        await reports.ask("e:1", "one");
+        await reports.ask({ id: "e", address: "e:1" }, "one");
         expect(asked).to.equal(2);
     });
 });
