A test that fails: a leader of 3,000 engines asks 2,500 of them a second for their pace

Each is asked every 1.2 s over a connection that stays open, beside the one by which it sends its heartbeats: 6,000, where a voter of the users' sheets has 3,896 for sockets.

--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -1,5 +1,6 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
+import type { EnginePlace, ReportResult } from "../src/connection/engineControl.js";
 import { FleetLink } from "../src/process/entry/fleetLink.js";
 import { PaceWatch } from "../src/process/layers/paceWatch.js";
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
@@ -134,6 +135,34 @@
         expect(stand.state.getUpstream("b")?.slowness).to.equal(undefined);
     });
 
+    const paceRows = [
+        { engines: 38, mostASecond: 40, leastInTenSeconds: 38 },
+        { engines: 218, mostASecond: 220, leastInTenSeconds: 218 },
+        { engines: 3_000, mostASecond: 200, leastInTenSeconds: 1_800 },
+    ];
+    for (const { engines, mostASecond, leastInTenSeconds } of paceRows) {
+        it(`of ${String(engines)} engines it asks ${String(mostASecond)} a second at most, each in its turn`, async () => {
+            stand.keeper.stop();
+            for (let engine = 0; engine < engines; engine += 1) {
+                await stand.register(`e${String(engine)}`, { first: 0, end: 4 });
+            }
+            const asked: string[] = [];
+            const control = {
+                ...stand.control,
+                getReport: (engine: EnginePlace): Promise<ReportResult> => {
+                    asked.push(engine.id);
+                    return stand.control.getReport(engine);
+                },
+            };
+            const watch = new PaceWatch({ host: stand.host, upstreams: stand.upstreams, control });
+            watch.start();
+            await clock.tickAsync(10_000);
+            watch.stop();
+            expect(asked.length / 10).to.be.at.most(mostASecond);
+            expect(new Set(asked).size).to.be.at.least(leastInTenSeconds);
+        });
+    }
+
     it("an upstream that is silent for four heartbeats is lost, and comes back with the next", async () => {
         await clock.tickAsync(3_900);
         stand.upstreams.markSilent();
