The product's own interface keeps what its upstreams ask for rest

Callers of plain services got 503 from upstreams that had asked for rest while others were free; engines that turned two questions for their status away were taken for lost and their runs moved. Change: the same piece of code (Rest): kept by upstream, apart from its circuit; looked at in the choice, before each step of a run, each question for the status and each order; where all rest, refused as upstreams-resting with the end of the first rest. What is kept back draws on no retries. Why it holds: every exchange of the interface carries the word in its result or its error, and all of them go through one table.

--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -1,6 +1,7 @@
 /**
  * HTTP to upstreams and peers by undici, with faults told apart by whether anything was sent.
  */
+import { parseRest } from "@crankfork/decisions";
 import { Agent, buildConnector, type Dispatcher, errors } from "undici";
 import { limitConnecting } from "./limitConnecting.js";
 
@@ -28,12 +29,14 @@
      * @param peer - with whom
      * @param message - what was seen
      * @param isRefused - whether nobody listens there: the process that did is gone
+     * @param restMs - for how long the peer wants nothing, where it turned the exchange away and said so
      */
     constructor(
         readonly failure: ExchangeFailure,
         readonly peer: string,
         message: string,
         readonly isRefused: boolean = false,
+        readonly restMs?: number,
     ) {
         super(message);
     }
@@ -153,6 +156,8 @@
             "rubbish",
             options.peer,
             `status ${String(response.statusCode)}: ${text.slice(0, 200)}`,
+            false,
+            readRestMs(response),
         );
     }
     try {
@@ -163,6 +168,20 @@
     }
 }
 
+const TURNED_AWAY = 503;
+
+/**
+ * Reads for how long whoever turned an exchange away wants nothing more.
+ * @param response - the head of its answer
+ * @returns milliseconds; undefined where it does not say so, or makes no sense
+ */
+export function readRestMs(
+    { statusCode, headers }: Pick<Dispatcher.ResponseData, "statusCode" | "headers">,
+): number | undefined {
+    const word = parseRest(statusCode === TURNED_AWAY ? [headers["retry-after"] ?? []].flat() : []);
+    return word.kind === "rest" ? word.restMs : undefined;
+}
+
 /**
  * Tells what kind of failure an error is.
  * @param error - what was thrown
--- a/packages/daemon/src/connection/serviceClient.ts
+++ b/packages/daemon/src/connection/serviceClient.ts
@@ -4,7 +4,7 @@
 import type { KeptAnswer } from "@crankfork/schemas";
 import { isUtf8 } from "node:buffer";
 import type { Agent, Dispatcher } from "undici";
-import { createExchangeError, ExchangeError, sendRequest } from "./httpClient.js";
+import { createExchangeError, ExchangeError, readRestMs, sendRequest } from "./httpClient.js";
 
 /** A call to a plain service. */
 export interface ServiceCall {
@@ -19,11 +19,14 @@
     readonly answerLimit: number;
 }
 
-/** What a service answered. */
+/** What a service answered, and for how long it wants nothing more where it said so. */
 export type ServiceAnswer =
-    | { readonly kind: "answered"; readonly answer: KeptAnswer; }
-    /** The service says itself that it did not run the call. */
-    | { readonly kind: "not-run"; readonly reason: string; };
+    & { readonly restMs?: number | undefined; }
+    & (
+        | { readonly kind: "answered"; readonly answer: KeptAnswer; }
+        /** The service says itself that it did not run the call. */
+        | { readonly kind: "not-run"; readonly reason: string; }
+    );
 
 /** The header by which a service says that it did not run a call. */
 const NOT_RUN_HEADER = "x-not-run";
@@ -56,12 +59,13 @@
         signal,
     });
     const body = await readLimited(response, peer, call.answerLimit, signal);
+    const restMs = readRestMs(response);
     if (response.headers[NOT_RUN_HEADER] === "true") {
-        return { kind: "not-run", reason: `status ${String(response.statusCode)}` };
+        return { kind: "not-run", reason: `status ${String(response.statusCode)}`, restMs };
     }
     const type = response.headers["content-type"];
     const content_type = typeof type === "string" ? type : "application/octet-stream";
-    return { kind: "answered", answer: { status: response.statusCode, content_type, ...encodeBody(body) } };
+    return { kind: "answered", answer: { status: response.statusCode, content_type, ...encodeBody(body) }, restMs };
 }
 
 async function readLimited(
--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -4,7 +4,7 @@
  */
 import { type Step, type StepAnswer, stepAnswerSchema } from "@crankfork/schemas";
 import type { Agent } from "undici";
-import { createExchangeError, ExchangeError, sendRequest } from "./httpClient.js";
+import { createExchangeError, ExchangeError, readRestMs, sendRequest } from "./httpClient.js";
 
 /** What a batcher is made with. */
 export interface StepBatcherOptions {
@@ -111,7 +111,8 @@
             const response = await sendRequest({ agent, peer: name, url, method: "POST", headers, body, signal });
             if (response.statusCode !== 200) {
                 await response.body.dump();
-                throw new ExchangeError("rubbish", name, `status ${String(response.statusCode)}`);
+                const reason = `status ${String(response.statusCode)}`;
+                throw new ExchangeError("rubbish", name, reason, false, readRestMs(response));
             }
             await this.readAnswers(response.body);
             this.rejectUnanswered(
--- a/packages/daemon/src/process/daemon/orderSender.ts
+++ b/packages/daemon/src/process/daemon/orderSender.ts
@@ -5,6 +5,7 @@
  * ones. For the others a new leader first waits until every order of an earlier leader is void.
  */
 import type { Fence, HeldRange, Placement } from "@crankfork/schemas";
+import { ExchangeError } from "../../connection/httpClient.js";
 import type { ConfigurationView } from "../../version/configurationInForce.js";
 import type { EventFields } from "../eventLog.js";
 import type { ReplicaHost } from "../replicaHost.js";
@@ -70,7 +71,8 @@
     }
 
     private isOrderDue(state: UpstreamState, wanted: readonly HeldRange[]): boolean {
-        if (state.engine === undefined || state.lastStatus === undefined || state.isLeaving) {
+        const isResting = state.rest.isResting(performance.now());
+        if (state.engine === undefined || state.lastStatus === undefined || state.isLeaving || isResting) {
             return false;
         }
         const isSafe = state.upstream.checks_fence
@@ -79,7 +81,7 @@
     }
 
     private async send(state: UpstreamState, wanted: readonly HeldRange[], fence: Fence): Promise<void> {
-        const { host, record } = this.options;
+        const { host, record, upstreams } = this.options;
         const peer = state.upstream.name;
         // A process that was frozen wakes between any two lines: the lease is asked right before the sending.
         if (!host.replica.hasNewestState()) {
@@ -98,6 +100,9 @@
             });
         }
         catch (error) {
+            if (error instanceof ExchangeError && error.restMs !== undefined) {
+                upstreams.recordRest(state, error.restMs);
+            }
             record("order-failed", { peer, reason: error instanceof Error ? error.message : String(error) });
         }
         finally {
--- a/packages/daemon/src/process/daemon/serving.ts
+++ b/packages/daemon/src/process/daemon/serving.ts
@@ -95,6 +95,10 @@
             recordFailure: (state, error) => {
                 this.upstreams.recordFailure(state, error);
             },
+            recordRest: (state, restMs) => {
+                this.upstreams.recordRest(state, restMs);
+            },
+            computeRestMs: (names) => this.upstreams.computeRestMs(names),
             getBudget: (service) => this.gates.getBudget(service.name),
             call: (state, call) => callService(agent, state.upstream.name, state.upstream.address, call),
             claims: control.claims.createFunctions(),
@@ -114,6 +118,8 @@
             recordFailure: (state, error) => {
                 this.upstreams.recordFailure(state, error);
             },
+            computeRestMs: () =>
+                this.upstreams.computeRestMs(this.upstreams.getAll().map(({ upstream }) => upstream.name)),
             claimRetry: () => budget.claimRetry(),
             record: (event, fields) => {
                 this.options.log.record("info", event, fields);
--- a/packages/daemon/src/process/daemon/upstreamState.ts
+++ b/packages/daemon/src/process/daemon/upstreamState.ts
@@ -1,7 +1,7 @@
 /**
  * What this instance knows of one upstream.
  */
-import { Circuit } from "@crankfork/decisions";
+import { Circuit, Rest } from "@crankfork/decisions";
 import type { EngineStatus, HeldRange, Upstream } from "@crankfork/schemas";
 import type { EngineFunctions } from "../../connection/engineClient.js";
 
@@ -11,6 +11,8 @@
 /** One upstream. */
 export class UpstreamState {
     readonly circuit = new Circuit();
+    /** What it asked this instance for; says nothing against it, so the circuit does not count it. */
+    readonly rest = new Rest();
     reachability: Reachability = "unknown";
     /** Whether the platform's list, which lags, says that it leaves. */
     isListedLeaving = false;
@@ -76,15 +78,25 @@
         if (!this.running.has(run)) {
             this.running.set(run, nowMs);
             this.circuit.recordStart();
+            this.rest.recordSend();
         }
     }
 
     /**
      * Marks an own request that ended there.
      * @param run - the request
+     * @param isServed - whether it was answered
      */
-    recordEnd(run: string): void {
-        this.running.delete(run);
+    recordEnd(run: string, isServed: boolean): void {
+        if (!this.running.delete(run)) {
+            return;
+        }
+        if (isServed) {
+            this.rest.recordServed();
+        }
+        else {
+            this.rest.recordLost();
+        }
     }
 
     /**
@@ -111,9 +123,10 @@
     /**
      * Tells whether new work may go there.
      * @param nowMs - the monotonic clock
-     * @returns false while it leaves, is lost, or its circuit is open
+     * @returns false while it leaves, rests, is lost, or its circuit is open
      */
     isUsable(nowMs: number): boolean {
-        return !this.isLeaving && this.reachability !== "unreachable" && this.circuit.isUsable(nowMs);
+        return !this.isLeaving && this.rest.hasRoom(nowMs) && this.reachability !== "unreachable"
+            && this.circuit.isUsable(nowMs);
     }
 }
--- a/packages/daemon/src/process/daemon/upstreamTable.ts
+++ b/packages/daemon/src/process/daemon/upstreamTable.ts
@@ -28,7 +28,7 @@
 }
 
 /** What changed about an upstream. */
-export type UpstreamChange = "lost" | "back" | "leaving" | "held-layers";
+export type UpstreamChange = "lost" | "back" | "leaving" | "held-layers" | "rests" | "rests-longer";
 
 /** Status questions without an answer after which an engine is taken for lost. */
 const MOST_SILENT_POLLS = 2;
@@ -160,12 +160,42 @@
         if (error.failure === "cancelled") {
             return;
         }
+        if (error.restMs !== undefined) {
+            this.recordRest(state, error.restMs);
+            return;
+        }
         state.circuit.recordFailure(performance.now());
         if (error.failure === "not-reached" && state.engine !== undefined) {
             this.recordLost(state);
         }
     }
 
+    /**
+     * Keeps what an upstream asked for: nothing is sent there until its time is over.
+     * @param state - the upstream
+     * @param restMs - for how long, from now
+     */
+    recordRest(state: UpstreamState, restMs: number): void {
+        const change = state.rest.record(restMs, performance.now());
+        if (change !== "unchanged") {
+            this.functions.handleChange(state, change === "begun" ? "rests" : "rests-longer");
+        }
+    }
+
+    /**
+     * Computes how long the first of some upstreams rests.
+     * @param names - the upstreams
+     * @returns milliseconds; undefined where none rests
+     */
+    computeRestMs(names: readonly string[]): number | undefined {
+        const nowMs = performance.now();
+        const lefts = names.flatMap((name) => {
+            const rest = this.get(name)?.rest;
+            return rest?.isResting(nowMs) === true ? [rest.endsAtMs - nowMs] : [];
+        });
+        return lefts.length === 0 ? undefined : Math.min(...lefts);
+    }
+
     private createHolderFunctions(avoided: ReadonlySet<string>): {
         readonly score: (holder: Holder) => number;
         readonly isUsable: (holder: Holder) => boolean;
@@ -219,7 +249,9 @@
      */
     async pollAll(): Promise<void> {
         const polls = this.getAll().flatMap((state) =>
-            state.engine === undefined ? [] : [this.poll(state, state.engine)]
+            state.engine === undefined || state.rest.isResting(performance.now())
+                ? []
+                : [this.poll(state, state.engine)]
         );
         await Promise.all(polls);
     }
@@ -239,6 +271,11 @@
             this.handleLeaving(state, wasLeaving);
         }
         catch (error) {
+            if (error instanceof ExchangeError && error.restMs !== undefined) {
+                // It has answered: it is there.
+                this.recordRest(state, error.restMs);
+                return;
+            }
             state.silentPolls += 1;
             const isRefused = error instanceof ExchangeError && error.failure === "not-reached";
             if (isRefused || state.silentPolls >= MOST_SILENT_POLLS) {
--- a/packages/daemon/src/request/pipelineRun.ts
+++ b/packages/daemon/src/request/pipelineRun.ts
@@ -24,6 +24,8 @@
     ) => RouteStage | undefined;
     readonly getUpstream: (name: string) => UpstreamState | undefined;
     readonly recordFailure: (state: UpstreamState, error: ExchangeError) => void;
+    /** How long the first of the engines rests; undefined where none does. */
+    readonly computeRestMs: () => number | undefined;
     /** Takes one retry out of the budget; false where it is spent. */
     readonly claimRetry: () => boolean;
     readonly record: (event: string, fields: EventFields) => void;
@@ -150,7 +152,7 @@
     end(): void {
         for (const state of this.touched) {
             state.engine?.cancelRun(this.request.run);
-            state.recordEnd(this.request.run);
+            state.recordEnd(this.request.run, this.hasRun);
         }
     }
 
@@ -188,6 +190,10 @@
         if (state?.engine === undefined) {
             throw new StageFailure(stage, "not-held");
         }
+        // The route may be older than the engine's word: it is looked at right before each step.
+        if (state.rest.isResting(performance.now())) {
+            throw new StageFailure(stage, "resting");
+        }
         const { run, model, priority, signal } = this.request;
         this.touched.add(state);
         state.recordStart(run, performance.now());
@@ -254,6 +260,15 @@
         if (this.lastFailure?.reason === "full") {
             return createStageFault(this.lastFailure, this.hasRun);
         }
+        const restMs = this.hasRun ? undefined : this.functions.computeRestMs();
+        if (restMs !== undefined && Number.isFinite(restMs)) {
+            return createCallerFault("upstreams-resting", {
+                step: "route",
+                peer: this.lastFailure?.stage.upstream ?? "",
+                values: { reason: `the first engine takes requests again in ${String(Math.ceil(restMs))} ms` },
+                retryAfterMs: restMs,
+            });
+        }
         return createCallerFault("no-route", {
             step: "route",
             peer: this.lastFailure?.stage.upstream ?? "",
@@ -281,7 +296,8 @@
         if (isOver) {
             throw createStageFault(error, this.hasRun);
         }
-        if (!this.functions.claimRetry()) {
+        // What was kept back has reached nobody, so it draws on no retries.
+        if (reason !== "resting" && !this.functions.claimRetry()) {
             throw createCallerFault("retries-spent", {
                 step: error.step,
                 peer: stage.upstream,
--- a/packages/daemon/src/request/serviceRequest.ts
+++ b/packages/daemon/src/request/serviceRequest.ts
@@ -23,6 +23,10 @@
     readonly getGate: (service: Service) => WorkGate;
     readonly chooseUpstream: (names: readonly string[], avoided: ReadonlySet<string>) => UpstreamState | undefined;
     readonly recordFailure: (state: UpstreamState, error: ExchangeError) => void;
+    /** The upstream said in an answer that it wants nothing for so long. */
+    readonly recordRest: (state: UpstreamState, restMs: number) => void;
+    /** How long the first of some upstreams rests; undefined where none does. */
+    readonly computeRestMs: (names: readonly string[]) => number | undefined;
     readonly getBudget: (service: Service) => RetryBudget;
     readonly call: (state: UpstreamState, call: ServiceCall) => Promise<ServiceAnswer>;
     readonly claims: ClaimFunctions;
@@ -130,7 +134,10 @@
     for (;;) {
         const state = functions.chooseUpstream(checked.service.upstreams, avoided);
         if (state === undefined) {
-            throw createNotReachedFault(checked.service, avoided, hasRun);
+            const restMs = functions.computeRestMs(checked.service.upstreams);
+            throw restMs === undefined || hasRun
+                ? createNotReachedFault(checked.service, avoided, hasRun)
+                : createRestingFault(checked.service, restMs);
         }
         const attempt = await callOnce(checked, functions, state, signal);
         if (attempt.kind === "answered") {
@@ -159,6 +166,7 @@
 ): Promise<Attempt> {
     const { incoming } = checked;
     const { requestId } = incoming.scope;
+    let isServed = false;
     state.recordStart(requestId, performance.now());
     try {
         const result = await functions.call(state, {
@@ -171,7 +179,11 @@
             answerLimit: functions.answerLimit,
         });
         state.circuit.recordSuccess();
+        if (result.restMs !== undefined) {
+            functions.recordRest(state, result.restMs);
+        }
         if (result.kind === "answered") {
+            isServed = result.restMs === undefined;
             return result;
         }
         const error = new ExchangeError("not-reached", state.upstream.name, result.reason);
@@ -185,10 +197,20 @@
         return { kind: "failed", error, mayHaveRun: error.failure !== "not-reached" };
     }
     finally {
-        state.recordEnd(requestId);
+        state.recordEnd(requestId, isServed);
     }
 }
 
+function createRestingFault(service: Service, restMs: number): Error {
+    return createCallerFault("upstreams-resting", {
+        step: STEP,
+        peer: service.upstreams.join(","),
+        values: { reason: `the first of ${service.name} takes calls again in ${String(Math.ceil(restMs))} ms` },
+        outcome: "not-run",
+        ...(Number.isFinite(restMs) ? { retryAfterMs: restMs } : {}),
+    });
+}
+
 function createNotReachedFault(service: Service, avoided: ReadonlySet<string>, hasRun: boolean): Error {
     return createCallerFault("upstream-not-reached", {
         step: STEP,
--- a/packages/daemon/src/request/stageFailure.ts
+++ b/packages/daemon/src/request/stageFailure.ts
@@ -15,9 +15,9 @@
 
     /**
      * @param stage - where
-     * @param reason - what the engine said, or what happened to the exchange
+     * @param reason - what the engine said, that nothing was sent since it rests, or what happened to the exchange
      */
-    constructor(readonly stage: RouteStage, readonly reason: StepRefusal | ExchangeError) {
+    constructor(readonly stage: RouteStage, readonly reason: StepRefusal | "resting" | ExchangeError) {
         super(reason instanceof ExchangeError ? `${reason.failure}: ${reason.message}` : `refused: ${reason}`);
     }
 
@@ -33,7 +33,9 @@
 
     /** Whether the engine certainly ran nothing of the step. */
     get isCertainlyNotRun(): boolean {
-        return !(this.reason instanceof ExchangeError) || this.reason.failure === "not-reached";
+        return !(this.reason instanceof ExchangeError)
+            || this.reason.failure === "not-reached"
+            || this.reason.restMs !== undefined;
     }
 
     /** Whether the same engine may serve the next attempt: it forgot the run, but works. */
@@ -53,12 +55,30 @@
     const options = { step: failure.step, peer: failure.stage.upstream, outcome } as const;
     const { reason } = failure;
     if (!(reason instanceof ExchangeError)) {
-        const id = reason === "full" ? "upstream-not-reached" : "upstream-lost";
-        return createCallerFault(id, { ...options, values: { reason: failure.message }, retryAfterMs: FULL_RETRY_MS });
+        return createCallerFault(getRefusalId(reason), {
+            ...options,
+            values: { reason: failure.message },
+            retryAfterMs: FULL_RETRY_MS,
+        });
     }
     return createExchangeFault(reason, options);
 }
 
+function getRefusalId(reason: StepRefusal | "resting"): "upstream-not-reached" | "upstream-lost" | "upstreams-resting" {
+    switch (reason) {
+        case "full":
+            return "upstream-not-reached";
+        case "resting":
+            return "upstreams-resting";
+        case "leaving":
+        case "not-held":
+        case "old-epoch":
+        case "unknown-run":
+        case "wrong-position":
+            return "upstream-lost";
+    }
+}
+
 const faultIds = {
     "not-reached": "upstream-not-reached",
     "lost": "upstream-lost",
--- a/packages/daemon/tests/pipelineRun.test.ts
+++ b/packages/daemon/tests/pipelineRun.test.ts
@@ -18,6 +18,8 @@
     readonly failures: string[] = [];
     readonly states = new Map<string, UpstreamState>();
     retries = 0;
+    /** How long the first engine rests, where all that are left do. */
+    restMs: number | undefined;
 
     constructor(private readonly faults: Readonly<Record<number, Fault>>, private readonly budget = 10) {
         for (const name of ["a1", "a2", "b1", "b2"]) {
@@ -32,6 +34,7 @@
             chooseReplacement: () => undefined,
             getUpstream: (name) => this.states.get(name),
             recordFailure: (state, error) => this.failures.push(`${state.upstream.name} ${error.failure}`),
+            computeRestMs: () => this.restMs,
             claimRetry: () => {
                 this.retries += 1;
                 return this.retries <= this.budget;
@@ -153,6 +156,46 @@
     });
 });
 
+describe("a run whose engine asked for rest", () => {
+    const rest = (engines: Engines, names: readonly string[]): void => {
+        names.forEach((name) => engines.states.get(name)?.rest.record(60_000, performance.now()));
+        engines.restMs = 60_000;
+    };
+
+    it("goes elsewhere, also in the middle, and draws on no retries for what was not sent", async () => {
+        const engines = new Engines({}, 0);
+        const texts: string[] = [];
+        const request = {
+            run: "r1",
+            model: model!,
+            promptTokens: PROMPT,
+            maxTokens: 3,
+            priority: "urgent" as const,
+            isRepeatable: true,
+            routeWaitMs: 0,
+            signal: new AbortController().signal,
+        };
+        for await (const token of generateTokens(request, engines.functions)) {
+            texts.push(token.text);
+            if (texts.length === 1) {
+                rest(engines, ["b1"]);
+            }
+        }
+        expect(texts).to.have.length(3);
+        expect(engines.steps.slice(2).map(({ upstream }) => upstream)).to.deep.equal(["a1", "a1", "b2", "a1", "b2"]);
+        expect(engines.retries).to.equal(0);
+    });
+
+    it("is refused as not run, and told when the first rest ends, where all of them do", async () => {
+        const engines = new Engines({});
+        rest(engines, ["a1", "a2", "b1", "b2"]);
+        const error: unknown = await generate(engines).catch((thrown: unknown) => thrown);
+        const info = VError.info(error as Error) as { id?: string; outcome?: string; retryAfterMs?: number; };
+        expect([info.id, info.outcome, info.retryAfterMs, engines.steps.length])
+            .to.deep.equal(["upstreams-resting", "not-run", 60_000, 0]);
+    });
+});
+
 interface EndRow {
     readonly title: string;
     readonly faults: Readonly<Record<number, Fault>>;
--- a/packages/decisions/src/connection/rest.ts
+++ b/packages/decisions/src/connection/rest.ts
@@ -34,9 +34,9 @@
         return this.endMs;
     }
 
-    /** Whether nothing is kept back any more. */
+    /** Whether nothing is kept back any more; so also before the first rest. */
     get isReturned(): boolean {
-        return this.served >= SERVED_AFTER_RETURN;
+        return this.endMs === Number.NEGATIVE_INFINITY || this.served >= SERVED_AFTER_RETURN;
     }
 
     /**
--- a/packages/decisions/tests/rest.test.ts
+++ b/packages/decisions/tests/rest.test.ts
@@ -54,6 +54,14 @@
     }
 });
 
+it("nothing is kept back before the first rest", () => {
+    const rest = new Rest();
+    Array.from({ length: 100 }, () => {
+        rest.recordSend();
+    });
+    expect([rest.isResting(0), rest.hasRoom(0)]).to.deep.equal([false, true]);
+});
+
 describe("after a rest requests come back as they are served", () => {
     const rows = [
         { title: "one first", sent: 1, served: 0, lost: 0, hasRoom: false },
--- a/packages/schemas/src/callerError.ts
+++ b/packages/schemas/src/callerError.ts
@@ -66,6 +66,11 @@
     },
     "upstream-lost": { status: 502, text: "the upstream was lost: {reason}", outcome: "unknown" },
     "upstream-not-reached": { status: 503, text: "the upstream could not be reached: {reason}", outcome: "not-run" },
+    "upstreams-resting": {
+        status: 503,
+        text: "the upstreams have asked for rest: {reason}",
+        outcome: "not-run",
+    },
     "upstream-rubbish": { status: 502, text: "the upstream's answer makes no sense: {reason}", outcome: "unknown" },
     "upstream-silent": { status: 504, text: "the upstream did not answer in time: {reason}", outcome: "unknown" },
     "retries-spent": { status: 503, text: "the budget for retries is spent: {reason}", outcome: "unknown" },
