--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -19,6 +19,8 @@
     /** When it turns everything away. */
     readonly shedsFromMs?: number;
     readonly shedsUntilMs?: number;
+    /** The only entry whose requests it turns away then; all where left out. */
+    readonly shedsEntry?: number;
     /** When it registers. */
     readonly startsMs?: number;
 }
@@ -33,6 +35,8 @@
     readonly seed: number;
     /** Time in which an answer counts as served in time. */
     readonly objectiveMs: number;
+    /** After this time all other entries hear of a rest that one was asked for; never where left out. */
+    readonly sharedAfterMs?: number;
 }
 
 /** A request that reached a worker. */
@@ -215,6 +219,7 @@
             }, () => {
                 this.at(this.nowMs + WAY_MS, () => {
                     entry.hearRest(target, this.options.workers[worker]!.restMs);
+                    this.share(entry, target, this.options.workers[worker]!.restMs);
                     finish(false);
                     if (run.tries < this.options.attempts) {
                         this.sendOn(entry, run, end);
@@ -227,10 +232,22 @@
         });
     }
 
+    private share(teller: ReplayEntry, target: CallTarget, restMs: number): void {
+        const { sharedAfterMs } = this.options;
+        if (sharedAfterMs !== undefined) {
+            this.at(this.nowMs + sharedAfterMs, () => {
+                this.entries.filter((entry) => entry !== teller).forEach((entry) => {
+                    entry.hearRest(target, Math.max(1, restMs - sharedAfterMs));
+                });
+            });
+        }
+    }
+
     private reach(entry: number, number: number, handleAnswer: () => void, handleTurnedAway: () => void): void {
         const worker = this.options.workers[number]!;
         const { shedsFromMs = Number.POSITIVE_INFINITY, shedsUntilMs = Number.POSITIVE_INFINITY } = worker;
-        const sheds = this.nowMs >= shedsFromMs && this.nowMs < shedsUntilMs;
+        const isMeant = worker.shedsEntry === undefined || worker.shedsEntry === entry;
+        const sheds = isMeant && this.nowMs >= shedsFromMs && this.nowMs < shedsUntilMs;
         const isFull = this.working[number]! >= worker.slots && this.waiting[number]!.length >= worker.queue;
         this.arrivals.push({ entry, worker: number, atMs: this.nowMs, isTurnedAway: sheds || isFull });
         if (sheds || isFull) {
--- a/packages/daemon/tests/restReplay.test.ts
+++ b/packages/daemon/tests/restReplay.test.ts
@@ -83,3 +83,30 @@
         }
     }
 });
+
+describe("a rest is kept by the entry that was asked for it, and not by the others", () => {
+    const shed = { shedsFromMs: SHEDS_FROM_MS, shedsUntilMs: SHEDS_UNTIL_MS };
+    const rows = [
+        { title: "one of five turns everybody away", sheds: 1, shed, requestsASecond: 600 },
+        { title: "four of five turn everybody away", sheds: 4, shed, requestsASecond: 200 },
+        {
+            title: "three of five turn one entry away",
+            sheds: 3,
+            shed: { ...shed, shedsEntry: 0 },
+            requestsASecond: 600,
+        },
+        { title: "too much load for all", sheds: 0, shed, requestsASecond: 1_600 },
+    ];
+    for (const { title, sheds, shed: manner, requestsASecond } of rows) {
+        it(`${title}: telling the others serves no more`, () => {
+            const workers = base.workers.map((one, number) => number < sheds ? { ...one, ...manner } : one);
+            const play = (sharedAfterMs: number | undefined): number => {
+                const change = sharedAfterMs === undefined ? {} : { sharedAfterMs };
+                const { served, asked } = new PlainReplay({ ...base, workers, requestsASecond, ...change }).play();
+                return served / asked;
+            };
+            const [own, shared] = [play(undefined), play(100)];
+            expect(own).to.be.at.least(shared - 0.01);
+        });
+    }
+});
