--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -75,7 +75,8 @@
 
     private choosePlain(run: RoutedRun, service: RoutedService): TargetChoice {
         const { health, getLoadElsewhere, random } = this.options;
-        const untried = this.listTaking(service.name).filter((one) => !run.tried.has(one.id));
+        const taking = this.listTaking(service.name);
+        const untried = taking.filter((one) => !run.tried.has(one.id));
         // Where all are suspected they are used all the same; where all rest nothing is sent.
         const ready = this.listWithRoom(untried);
         const usable = ready.filter((one) => health.isUsable(one.id));
@@ -93,7 +94,7 @@
             }
         });
         return best === undefined
-            ? this.createResting(untried) ?? { kind: "none" }
+            ? this.findRestingPlain(taking, untried) ?? { kind: "none" }
             : { kind: "target", target: this.createTarget(run, best.id, best.address, undefined, undefined) };
     }
 
@@ -132,6 +133,16 @@
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
+    /** Those that are left rest or are full; or the request has been at all of them, and all rest now. */
+    private findRestingPlain(
+        taking: readonly RegisteredUpstream[],
+        untried: readonly RegisteredUpstream[],
+    ): TargetChoice | undefined {
+        const { rests } = this.options;
+        const allRest = taking.every(({ id }) => rests.isResting(id));
+        return untried.length > 0 || allRest ? this.createResting(allRest ? taking : untried) : undefined;
+    }
+
     /** Whether engines that rest are what keeps the layers from being whole. */
     private findResting(service: RoutedService): TargetChoice | undefined {
         const { view, rests, leaving } = this.options;
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -181,18 +181,14 @@
     functions: RoutedRequestFunctions,
 ): Promise<TargetChoice> {
     const startMs = functions.getNowMs();
-    const noneMs = computePatienceMs(run.leftMs);
-    const fullMs = run.admitted.route.objective_ms * (run.isBack ? BACK_PATIENCE_SHARE : FULL_PATIENCE_SHARE);
+    const patience = computePatience(run);
     const choose = (): TargetChoice => functions.chooseTarget(run, relay?.lastEventId, (relay?.count ?? 0) > 0);
     let choice = choose();
     while (choice.kind !== "target" && run.stopReason === undefined) {
         if (choice.kind === "too-few-engines" || isHeldNow(run, functions) || !mayUseKey(run, functions)) {
             return choice;
         }
-        const patienceMs = choice.kind === "none" ? noneMs : fullMs;
-        // A rest that outlasts the wait is known at once; its caller is told when to come back.
-        const leastMs = choice.kind === "resting" ? choice.leftMs : 0;
-        if (functions.getNowMs() - startMs + leastMs >= patienceMs) {
+        if (functions.getNowMs() - startMs >= getPatienceMs(choice, patience)) {
             return choice;
         }
         await waitMs(PATIENCE_POLL_MS);
@@ -201,6 +197,39 @@
     return choice;
 }
 
+/** For how long a request waits, by what keeps it from being sent; in milliseconds. */
+interface Patience {
+    readonly noneMs: number;
+    readonly fullMs: number;
+    readonly restingMs: number;
+}
+
+function computePatience(run: RoutedRun): Patience {
+    const { objective_ms } = run.admitted.route;
+    return {
+        noneMs: computePatienceMs(run.leftMs),
+        fullMs: objective_ms * (run.isBack ? BACK_PATIENCE_SHARE : FULL_PATIENCE_SHARE),
+        // Whoever is back has been told when there is room, so it waits no longer than others.
+        restingMs: objective_ms * FULL_PATIENCE_SHARE,
+    };
+}
+
+function getPatienceMs(
+    choice: Exclude<TargetChoice, { kind: "target"; }>,
+    { noneMs, fullMs, restingMs }: Patience,
+): number {
+    switch (choice.kind) {
+        case "none":
+        case "too-few-engines":
+            return noneMs;
+        case "full":
+            return fullMs;
+        case "resting":
+            // A rest that outlasts the wait is known at once; its caller is told when to come back.
+            return restingMs - choice.leftMs;
+    }
+}
+
 async function tryTarget(
     run: RoutedRun,
     target: CallTarget,
@@ -237,7 +266,11 @@
     });
     watch?.stop();
     recordStarted();
-    if (result.kind !== "ended" || result.end !== "kept-back") {
+    if (result.kind === "ended" && result.end === "kept-back") {
+        // Nothing was sent, so it is no try.
+        run.tries -= 1;
+    }
+    else {
         recordOutcome(result.kind === "answered" || result.kind === "streamed");
     }
     functions.recordEnd(target.upstreamId);
