--- a/packages/daemon/src/process/entry/leavingWords.ts
+++ b/packages/daemon/src/process/entry/leavingWords.ts
@@ -49,10 +49,10 @@
         if (this.heardMs.has(id)) {
             return;
         }
-        const { getNowMs, log, metrics } = this.options;
+        const { getNowMs, log, metrics, drainMs } = this.options;
         this.heardMs.set(id, getNowMs());
         metrics.countLeavingWord();
-        log.record("info", "upstream-leaving-word", { peer: id, asked });
+        log.record("info", "upstream-leaving-word", { peer: id, asked, drain_ms: drainMs });
         this.untold = [...this.untold, id];
         void this.tell();
     }
@@ -127,7 +127,11 @@
     private async tellOnce(upstreams: readonly string[]): Promise<boolean> {
         const { instance, askLeader, log } = this.options;
         try {
-            return leavingResultSchema.parse(await askLeader("leaving", { instance, upstreams })).is_taken;
+            const { is_taken } = leavingResultSchema.parse(await askLeader("leaving", { instance, upstreams }));
+            if (is_taken) {
+                log.record("info", "leaving-told", { upstreams: upstreams.join(",") });
+            }
+            return is_taken;
         }
         catch (error) {
             log.record("info", "leaving-not-told", { upstreams: upstreams.join(","), reason: String(error) });
--- a/packages/daemon/tests/entryWords.test.ts
+++ b/packages/daemon/tests/entryWords.test.ts
@@ -149,7 +149,12 @@
         stand.hear({ leaving: "said" });
         await new Promise((resolve) => setTimeout(resolve, 400));
         expect(stand.told).to.deep.equal([{ instance: "entry", upstreams: ["a"] }]);
-        expect(stand.events.filter((event) => event.startsWith("upstream-leaving-word"))).to.have.length(1);
+        expect(stand.events).to.deep.equal([
+            "upstream-leaving-word a",
+            "leaving-not-told",
+            "leaving-not-told",
+            "leaving-told",
+        ]);
         stand.hear({ leaving: "not-said" });
         expect(stand.words.leaving.isLeaving("a")).to.equal(true);
         stand.words.sweep((id) => id !== "a");
