--- a/packages/daemon/src/process/layers/layerKeeper.ts
+++ b/packages/daemon/src/process/layers/layerKeeper.ts
@@ -4,7 +4,7 @@
  */
 import {
     canHoldModel,
-    computeLayerPlan,
+    type computeLayerPlan,
     isPlacementDue,
     type LayerOrder,
     type PlannedEngine,
@@ -31,6 +31,7 @@
     readonly heartbeatMs: number;
     /** Whether an engine asked this leader for rest, so that no order reaches it. */
     readonly isResting: (id: string) => boolean;
+    readonly computePlan: typeof computeLayerPlan;
 }
 
 const TICK_MS = 100;
@@ -101,7 +102,7 @@
         }
         this.recordShortage(name, engines, profile);
         const planned = engines.flatMap((upstream) => this.createPlannedEngine(upstream) ?? []);
-        computeLayerPlan(planned, profile).forEach((order) => {
+        this.options.computePlan(planned, profile).forEach((order) => {
             void this.giveOrder(order, profile);
         });
     }
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -2,6 +2,7 @@
  * Runs a voter from its start to its planned stop.
  */
 import { FleetState } from "@crankfork/coordination";
+import { computeLayerPlan } from "@crankfork/decisions";
 import {
     crashesParametersSchema,
     documentParametersSchema,
@@ -188,6 +189,7 @@
         getServices,
         heartbeatMs: contract.upstream_heartbeat,
         isResting: (id) => rests.isResting(id),
+        computePlan: computeLayerPlan,
     });
     group.start();
     keeper.start();
--- a/packages/daemon/tests/leaderStand.ts
+++ b/packages/daemon/tests/leaderStand.ts
@@ -2,6 +2,7 @@
  * A leader for the tests of what it does with engines.
  */
 import { FleetState } from "@crankfork/coordination";
+import { computeLayerPlan } from "@crankfork/decisions";
 import {
     type EngineProfile,
     type FleetCommand,
@@ -54,6 +55,8 @@
     /** Events of the keeper's log. */
     readonly events: string[] = [];
     readonly reports = new Map<string, ReportResult>();
+    /** How often layers were planned. */
+    plans = 0;
     /** Engines that asked for rest. */
     readonly resting = new Set<string>();
     orderEnd: OrderEnd = { kind: "begun" };
@@ -118,6 +121,10 @@
         getServices: () => [{ name: "s", engine: profile }],
         heartbeatMs: HEARTBEAT_MS,
         isResting: (id) => this.resting.has(id),
+        computePlan: (engines, engineProfile) => {
+            this.plans += 1;
+            return computeLayerPlan(engines, engineProfile);
+        },
     });
 
     /** Lets an engine say in its report that it holds layers. */
