What a leader does about layers stays within what it can bear, however many engines there are

At 300 instances callers were refused and no document was confirmed. Cause: the leader's loop stood still. It planned the layers of 2,930 engines ten times a second (65 to 109 ms each), gave all orders in one moment, each after a report that an engine has 350 ms for, and followed each engine that loads four times a second. Change: a plan is made only where something that it rests on has changed, and no more often than an eighth of a core allows; 250 orders are under way at a time; 25 engines are asked in a tick, those first that were asked longest ago; an order whose turn to be followed has not come is not forgotten.

--- a/packages/daemon/src/process/layers/layerKeeper.ts
+++ b/packages/daemon/src/process/layers/layerKeeper.ts
@@ -37,11 +37,28 @@
 const TICK_MS = 100;
 /** Between two reports of an engine that loads. */
 const REPORT_MS = 250;
+/** Ticks by which a report may be asked for later than that where nothing else holds it up. */
+const TURN_MARGIN_MS = 2 * TICK_MS;
 /** An order without an answer may be carried out up to 12 s later (the platform's pages); a second more for its way. */
 const UNCLEAR_MS = 13_000;
 /** A load that takes longer than this many times its expected time is looked at anew. */
 const SLOW_LOAD_FACTOR = 6;
 const LEAST_LOAD_LIMIT_MS = 3_000;
+/**
+ * Orders under way at a time, each with its report. 2,930 at once took longer to send than an engine has for its report, which
+ * then counted as none.
+ */
+const MOST_ASKING = 250;
+/**
+ * Engines that load are asked for reports so often in a tick, at the most; heartbeats tell their layers, too. Followed by itself each
+ * four times a second, 2,930 of them would take 12,000 reports.
+ */
+const MOST_REPORTS_A_TICK = 25;
+/**
+ * Between two plans, for each engine: a plan takes some 0.03 ms an engine of a whole core, so that planning has an eighth of it at
+ * the most. Ten a second whatever their number, plans took all that a leader of 2,930 engines has.
+ */
+const PLAN_GAP_MS_AN_ENGINE = 0.25;
 
 interface OpenOrder {
     readonly span: LayerSpan;
@@ -58,6 +75,9 @@
     private readonly arrivals = new Map<string, ArrivalWatch>();
     /** Services whose engines do not hold the model. */
     private readonly short = new Set<string>();
+    /** What the last plan of a service rested on, where it ordered nothing; the same would come of it again. */
+    private readonly settled = new Map<string, string>();
+    private readonly plannedMs = new Map<string, number>();
     private stopTicking: StopTicking | undefined;
 
     /**
@@ -81,6 +101,7 @@
         const { host, getServices } = this.options;
         if (!host.replica.hasNewestState()) {
             this.orders.clear();
+            this.settled.clear();
             return;
         }
         this.forgetOldOrders();
@@ -89,9 +110,7 @@
                 this.planService(service.name, service.engine);
             }
         });
-        this.orders.forEach((order, id) => {
-            this.followOrder(id, order);
-        });
+        this.followOrders();
     }
 
     private planService(name: string, profile: EngineProfile): void {
@@ -101,12 +120,44 @@
             return;
         }
         this.recordShortage(name, engines, profile);
+        const key = this.formatPlanKey(engines, profile);
+        if (this.settled.get(name) === key || !this.isPlanDue(name, engines.length)) {
+            return;
+        }
         const planned = engines.flatMap((upstream) => this.createPlannedEngine(upstream) ?? []);
-        this.options.computePlan(planned, profile).forEach((order) => {
+        const orders = this.options.computePlan(planned, profile);
+        if (orders.length === 0) {
+            this.settled.set(name, key);
+        }
+        orders.slice(0, MOST_ASKING - this.countAsking()).forEach((order) => {
             void this.giveOrder(order, profile);
         });
     }
 
+    /** Everything that a plan rests on: what the voters agreed on, orders under way, engines that rest, and the profile. */
+    private formatPlanKey(engines: readonly RegisteredUpstream[], profile: EngineProfile): string {
+        const { host, isResting } = this.options;
+        const orders = [...this.orders].map(([id, { state, span }]) =>
+            `${id} ${state} ${formatSpan({ held: span }) ?? ""}`
+        );
+        const resting = engines.map(({ id }) => id).filter(isResting);
+        return [host.state.lastChange, orders.join(), resting.join(), JSON.stringify(profile)].join(";");
+    }
+
+    private isPlanDue(service: string, engines: number): boolean {
+        const nowMs = this.options.getNowMs();
+        const sinceMs = nowMs - (this.plannedMs.get(service) ?? Number.NEGATIVE_INFINITY);
+        const isDue = sinceMs >= engines * PLAN_GAP_MS_AN_ENGINE;
+        if (isDue) {
+            this.plannedMs.set(service, nowMs);
+        }
+        return isDue;
+    }
+
+    private countAsking(): number {
+        return [...this.orders.values()].filter(({ state }) => state === "asking").length;
+    }
+
     /** A line where engines become too few for the model, and one where they are enough again. */
     private recordShortage(service: string, engines: readonly RegisteredUpstream[], profile: EngineProfile): void {
         const isShort = !canHoldModel(engines.map(({ accelerator = "" }) => accelerator), profile);
@@ -225,17 +276,26 @@
         }
     }
 
-    private followOrder(id: string, order: OpenOrder): void {
+    /** Those that were asked longest ago come first. */
+    private followOrders(): void {
         const { host, getNowMs } = this.options;
-        const upstream = host.state.getUpstream(id);
-        if (upstream === undefined || hasNews(upstream.held, order)) {
-            this.orders.delete(id);
-            return;
-        }
-        if (order.state !== "asking" && getNowMs() - order.reportedMs >= REPORT_MS) {
-            order.reportedMs = getNowMs();
-            void this.readReport(upstream, order);
-        }
+        this.orders.forEach((order, id) => {
+            const upstream = host.state.getUpstream(id);
+            if (upstream === undefined || hasNews(upstream.held, order)) {
+                this.orders.delete(id);
+            }
+        });
+        const due = [...this.orders].filter(([, { state, reportedMs }]) =>
+            state !== "asking" && getNowMs() - reportedMs >= REPORT_MS
+        );
+        due.sort(([, one], [, other]) => one.reportedMs - other.reportedMs);
+        due.slice(0, MOST_REPORTS_A_TICK).forEach(([id, order]) => {
+            const upstream = host.state.getUpstream(id);
+            if (upstream !== undefined) {
+                order.reportedMs = getNowMs();
+                void this.readReport(upstream, order);
+            }
+        });
     }
 
     private async readReport(upstream: RegisteredUpstream, order: OpenOrder): Promise<void> {
@@ -258,7 +318,9 @@
     private forgetOldOrders(): void {
         const nowMs = this.options.getNowMs();
         for (const [id, order] of this.orders) {
-            if (order.state !== "asking" && nowMs > order.limitMs) {
+            // Where many engines load, the turn of one to be asked may come later than its time.
+            const hadTurn = nowMs - order.reportedMs < REPORT_MS + TURN_MARGIN_MS;
+            if (order.state !== "asking" && nowMs > order.limitMs && hadTurn) {
                 this.orders.delete(id);
             }
         }
