--- a/packages/daemon/src/process/entry/crashWatch.ts
+++ b/packages/daemon/src/process/entry/crashWatch.ts
@@ -18,7 +18,7 @@
 import { computeFingerprint } from "../../request/fingerprintRequest.js";
 import type { AdmittedCall, RoutedRun } from "../../request/routedRun.js";
 import type { EventLog } from "../eventLog.js";
-import { waitMs } from "../waitMs.js";
+import { LeaderTeller } from "./leaderTeller.js";
 
 /** What the watch needs from the process. */
 export interface CrashWatchOptions {
@@ -39,7 +39,6 @@
 
 /** Crashes that are told together; 30 requests break with one engine. */
 const TELL_AFTER_MS = 5;
-const TELL_AGAIN_MS = 100;
 /** Crashes that wait for a leader; the oldest are dropped. */
 const MOST_UNTOLD = 500;
 /** Requests that this entry saw in a crash itself; the oldest are dropped. */
@@ -71,7 +70,11 @@
     private unanswered: Unanswered[] = [];
     private untoldCrashes: ReportedCrash[] = [];
     private untoldWell = new Set<string>();
-    private isTelling = false;
+    private readonly teller = new LeaderTeller({
+        hasUntold: () => this.untoldCrashes.length > 0 || this.untoldWell.size > 0,
+        tell: () => this.tell(),
+        gatherMs: TELL_AFTER_MS,
+    });
 
     /**
      * @param options - clocks, log and the way to the leader
@@ -204,7 +207,7 @@
         this.places.add(formatPlace(origin));
         this.untoldCrashes.push(crash);
         this.untoldCrashes.splice(0, this.untoldCrashes.length - MOST_UNTOLD);
-        void this.tell();
+        void this.teller.run();
     }
 
     /** What the voters added up, with what this entry saw and they may not have heard yet. */
@@ -250,7 +253,7 @@
         this.untoldCrashes = this.untoldCrashes.filter((one) => one.fingerprint !== fingerprint);
         if (this.told.delete(fingerprint)) {
             this.untoldWell.add(fingerprint);
-            void this.tell();
+            void this.teller.run();
         }
         this.indexPlaces();
     }
@@ -260,29 +263,17 @@
         this.places = new Set(records.map(({ origin }) => formatPlace(origin)));
     }
 
-    private get hasUntold(): boolean {
-        return this.untoldCrashes.length > 0 || this.untoldWell.size > 0;
-    }
-
-    /** Tells the leader, and tells it again until a quorum holds it; the next leader may be another. */
-    private async tell(): Promise<void> {
-        if (this.isTelling) {
-            return;
-        }
-        this.isTelling = true;
-        await waitMs(TELL_AFTER_MS);
-        while (this.hasUntold) {
-            const crashes = this.untoldCrashes;
-            const well = this.untoldWell;
-            this.untoldCrashes = [];
-            this.untoldWell = new Set();
-            if (!await this.tellOnce(crashes, well)) {
-                this.untoldCrashes = [...crashes, ...this.untoldCrashes].slice(-MOST_UNTOLD);
-                well.forEach((one) => this.untoldWell.add(one));
-                await waitMs(TELL_AGAIN_MS);
-            }
+    private async tell(): Promise<boolean> {
+        const crashes = this.untoldCrashes;
+        const well = this.untoldWell;
+        this.untoldCrashes = [];
+        this.untoldWell = new Set();
+        const isTaken = await this.tellOnce(crashes, well);
+        if (!isTaken) {
+            this.untoldCrashes = [...crashes, ...this.untoldCrashes].slice(-MOST_UNTOLD);
+            well.forEach((one) => this.untoldWell.add(one));
         }
-        this.isTelling = false;
+        return isTaken;
     }
 
     private async tellOnce(crashes: readonly ReportedCrash[], well: ReadonlySet<string>): Promise<boolean> {
--- a/packages/daemon/src/process/entry/entryAdmission.ts
+++ b/packages/daemon/src/process/entry/entryAdmission.ts
@@ -3,9 +3,9 @@
  */
 import type { FleetSettings } from "@crankfork/schemas";
 import { admitCall, type CallAdmission } from "../../request/admitCall.js";
+import { computePatienceMs, PATIENCE_POLL_MS } from "../../request/requestPatience.js";
 import type { RoutedCall } from "../../request/routedCall.js";
 import type { RefusalId } from "../../request/routedRefusal.js";
-import { computePatienceMs, PATIENCE_POLL_MS } from "../../request/routedRequest.js";
 import type { FleetView } from "../../version/fleetView.js";
 import { waitMs } from "../waitMs.js";
 
--- a/packages/daemon/src/process/entry/leavingWords.ts
+++ b/packages/daemon/src/process/entry/leavingWords.ts
@@ -7,7 +7,7 @@
 import { leavingResultSchema } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
-import { waitMs } from "../waitMs.js";
+import { LeaderTeller } from "./leaderTeller.js";
 
 /** What the words need from the process. */
 export interface LeavingWordsOptions {
@@ -26,14 +26,17 @@
  * for the way and the answer.
  */
 const LAST_SENDS_SHARE = 0.5;
-const TELL_AGAIN_MS = 100;
 
 /** Keeps the words. */
 export class LeavingWords {
     /** When each life said so first, by the monotonic clock. */
     private readonly heardMs = new Map<string, number>();
     private untold: readonly string[] = [];
-    private isTelling = false;
+    private readonly teller = new LeaderTeller({
+        hasUntold: () => this.untold.length > 0,
+        tell: () => this.tell(),
+        gatherMs: 0,
+    });
 
     /**
      * @param options - clock, log and the way to the leader
@@ -54,7 +57,7 @@
         metrics.countLeavingWord();
         log.record("info", "upstream-leaving-word", { peer: id, asked, drain_ms: drainMs });
         this.untold = [...this.untold, id];
-        void this.tell();
+        void this.teller.run();
     }
 
     /**
@@ -106,22 +109,13 @@
         this.untold = this.untold.filter(isKnown);
     }
 
-    /** Tells the leader, and tells it again until a quorum holds it; the next leader may be another. */
-    private async tell(): Promise<void> {
-        if (this.isTelling) {
-            return;
-        }
-        this.isTelling = true;
-        while (this.untold.length > 0) {
-            const told = this.untold;
-            if (await this.tellOnce(told)) {
-                this.untold = this.untold.filter((id) => !told.includes(id));
-            }
-            else {
-                await waitMs(TELL_AGAIN_MS);
-            }
+    private async tell(): Promise<boolean> {
+        const told = this.untold;
+        const isTaken = await this.tellOnce(told);
+        if (isTaken) {
+            this.untold = this.untold.filter((id) => !told.includes(id));
         }
-        this.isTelling = false;
+        return isTaken;
     }
 
     private async tellOnce(upstreams: readonly string[]): Promise<boolean> {
--- a/packages/daemon/src/process/entry/requestLog.ts
+++ b/packages/daemon/src/process/entry/requestLog.ts
@@ -1,9 +1,9 @@
 /**
  * What an entry writes and counts of each request: enough to get from its id to the cause of its end.
  */
+import type { RequestEnd } from "../../request/refuseRequest.js";
 import type { RoutedCall } from "../../request/routedCall.js";
 import type { Refusal } from "../../request/routedRefusal.js";
-import type { RequestEnd } from "../../request/routedRequest.js";
 import type { RoutedRun } from "../../request/routedRun.js";
 import type { EventFields, EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
--- a/packages/daemon/src/process/layers/layerKeeper.ts
+++ b/packages/daemon/src/process/layers/layerKeeper.ts
@@ -17,6 +17,7 @@
 import type { UpstreamRegister } from "../voter/upstreamRegister.js";
 import { ArrivalWatch } from "./arrivalWatch.js";
 import { formatSpan, isSameSpan, isWithin } from "./layerSpans.js";
+import { PlanGate } from "./planGate.js";
 
 /** What the keeper needs from the process. */
 export interface LayerKeeperOptions {
@@ -54,11 +55,6 @@
  * four times a second, 2,930 of them would take 12,000 reports.
  */
 const MOST_REPORTS_A_TICK = 25;
-/**
- * Between two plans, for each engine: a plan takes some 0.03 ms an engine of a whole core, so that planning has an eighth of it at
- * the most. Ten a second whatever their number, plans took all that a leader of 2,930 engines has.
- */
-const PLAN_GAP_MS_AN_ENGINE = 0.25;
 
 interface OpenOrder {
     readonly span: LayerSpan;
@@ -75,9 +71,7 @@
     private readonly arrivals = new Map<string, ArrivalWatch>();
     /** Services whose engines do not hold the model. */
     private readonly short = new Set<string>();
-    /** What the last plan of a service rested on, where it ordered nothing; the same would come of it again. */
-    private readonly settled = new Map<string, string>();
-    private readonly plannedMs = new Map<string, number>();
+    private readonly gate = new PlanGate();
     private stopTicking: StopTicking | undefined;
 
     /**
@@ -101,7 +95,7 @@
         const { host, getServices } = this.options;
         if (!host.replica.hasNewestState()) {
             this.orders.clear();
-            this.settled.clear();
+            this.gate.reset();
             return;
         }
         this.forgetOldOrders();
@@ -121,14 +115,13 @@
         }
         this.recordShortage(name, engines, profile);
         const key = this.formatPlanKey(engines, profile);
-        if (this.settled.get(name) === key || !this.isPlanDue(name, engines.length)) {
+        const nowMs = this.options.getNowMs();
+        if (!this.gate.isDue(name, key, engines.length, nowMs)) {
             return;
         }
         const planned = engines.flatMap((upstream) => this.createPlannedEngine(upstream) ?? []);
         const orders = this.options.computePlan(planned, profile);
-        if (orders.length === 0) {
-            this.settled.set(name, key);
-        }
+        this.gate.recordPlan(name, key, orders.length === 0, nowMs);
         orders.slice(0, MOST_ASKING - this.countAsking()).forEach((order) => {
             void this.giveOrder(order, profile);
         });
@@ -144,16 +137,6 @@
         return [host.state.lastChange, orders.join(), resting.join(), JSON.stringify(profile)].join(";");
     }
 
-    private isPlanDue(service: string, engines: number): boolean {
-        const nowMs = this.options.getNowMs();
-        const sinceMs = nowMs - (this.plannedMs.get(service) ?? Number.NEGATIVE_INFINITY);
-        const isDue = sinceMs >= engines * PLAN_GAP_MS_AN_ENGINE;
-        if (isDue) {
-            this.plannedMs.set(service, nowMs);
-        }
-        return isDue;
-    }
-
     private countAsking(): number {
         return [...this.orders.values()].filter(({ state }) => state === "asking").length;
     }
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -2,61 +2,22 @@
  * One routed request from its admission to its answer: tries at upstreams, one after another, until one gives a whole
  * answer or the decision is to stop.
  */
-import { chooseNextStep, computeStreamPatienceMs, type NextStep, type TryEnd } from "@crankfork/decisions";
+import { chooseNextStep, computeStreamPatienceMs, type NextStep } from "@crankfork/decisions";
 import type { Route } from "@crankfork/schemas";
 import { waitMs } from "../process/waitMs.js";
 import { recordTry } from "./recordTry.js";
+import { endStopped, getNotRunRefusal, handOn, refuseChoice, type RequestEnd, sendRefusal } from "./refuseRequest.js";
 import type { RoutedRequestFunctions, TargetChoice } from "./requestFunctions.js";
+import { chooseTargetPatiently, computePatienceMs, isHeldNow, mayUseKey, PATIENCE_POLL_MS } from "./requestPatience.js";
 import type { RoutedAnswer } from "./routedAnswer.js";
 import type { CallTarget } from "./routedCall.js";
-import { type RefusalId, refusals } from "./routedRefusal.js";
-import type { RoutedRun, RunStop } from "./routedRun.js";
-import { runTry, type TryResult, type WholeAnswer } from "./routedTry.js";
+import type { RoutedRun } from "./routedRun.js";
+import { runTry, type TryResult } from "./routedTry.js";
 import { StreamRelay } from "./streamRelay.js";
 import { startWatch, type TryWatch } from "./tryWatch.js";
 
-/** How a request ended, for the log and the counters. */
-export interface RequestEnd {
-    readonly outcome: "answered" | "handed-on" | "refused" | "failed" | "broken-off" | "caller-left";
-    readonly status: number | undefined;
-    readonly refusal: RefusalId | undefined;
-    /** When the first event of a stream was handed on, by the monotonic clock. */
-    readonly firstMs?: number | undefined;
-    readonly longestPauseMs?: number | undefined;
-}
-
-/**
- * Part of the time left for which a request waits where nothing can take it now: an engine that is lost is replaced,
- * and a leader elected, in that time. A caller with little time is better sent away at once.
- */
-const PATIENCE_SHARE = 0.1;
-/** A second and a half: the usual time to load a lost part anew, and more than an election takes. */
-const MOST_PATIENCE_MS = 1_800;
-/**
- * Part of the objective for which a new request waits where all paths are full: a path ends a request every 50 ms or so,
- * and what is let in then is still answered in time.
- */
-const FULL_PATIENCE_SHARE = 0.15;
-/**
- * The same for a caller that is back after a refusal. It is late already, would not come a third time, and stays for four
- * objectives: being served late is better for it than not at all. Requests refused for good: 2.4 in 100 without, 1.0 with
- * it (mean of seven loaded days with faults).
- */
-const BACK_PATIENCE_SHARE = 2.5;
 /** Tries that follow each other at once; more would only use up the budget while the engines' memory is full. */
 const TRIES_AT_ONCE = 2;
-/** Between two looks whether something can take a waiting request. */
-export const PATIENCE_POLL_MS = 40;
-
-/**
- * Computes how long a request may wait for something that can take it.
- * @param leftMs - its time until the deadline
- * @returns milliseconds
- */
-export function computePatienceMs(leftMs: number): number {
-    return Math.max(0, Math.min(MOST_PATIENCE_MS, leftMs * PATIENCE_SHARE));
-}
-
 /**
  * Runs a request to its end.
  * @param run - the request
@@ -136,100 +97,6 @@
     return !run.isTrial;
 }
 
-function mayUseKey({ admitted }: RoutedRun, functions: RoutedRequestFunctions): boolean {
-    return admitted.organisation === undefined || functions.mayUseKey();
-}
-
-/** A request that is held does not wait for a path first. */
-function isHeldNow(run: RoutedRun, { crashes }: RoutedRequestFunctions): boolean {
-    return !run.isTrial && crashes.isHeld(run.admitted);
-}
-
-/** What a caller is told where nothing can take its request. */
-const choiceRefusals: Readonly<Record<Exclude<TargetChoice["kind"], "target">, RefusalId>> = {
-    "none": "no-upstream",
-    "too-few-engines": "too-few-engines",
-    "full": "full",
-    "resting": "resting",
-};
-
-function refuseChoice(
-    run: RoutedRun,
-    answer: RoutedAnswer,
-    choice: Exclude<TargetChoice, { kind: "target"; }>,
-    functions: RoutedRequestFunctions,
-): RequestEnd {
-    if (run.mayHaveRun) {
-        return sendRefusal(run, answer, "upstream-failed");
-    }
-    if (choice.kind !== "resting") {
-        return sendRefusal(run, answer, choiceRefusals[choice.kind]);
-    }
-    run.restingUpstreams = choice.upstreams;
-    return sendRefusal(run, answer, "resting", functions.words.computeReturnMs(run.admitted.service, choice.leftMs));
-}
-
-function endStopped(run: RoutedRun, answer: RoutedAnswer, stop: RunStop): RequestEnd {
-    return stop === "caller-left"
-        ? { outcome: "caller-left", status: undefined, refusal: undefined }
-        : sendRefusal(run, answer, run.mayHaveRun ? "timeout" : "timeout-not-run");
-}
-
-async function chooseTargetPatiently(
-    run: RoutedRun,
-    relay: StreamRelay | undefined,
-    functions: RoutedRequestFunctions,
-): Promise<TargetChoice> {
-    const startMs = functions.getNowMs();
-    const patience = computePatience(run);
-    const choose = (): TargetChoice => functions.chooseTarget(run, relay?.lastEventId, (relay?.count ?? 0) > 0);
-    let choice = choose();
-    while (choice.kind !== "target" && run.stopReason === undefined) {
-        if (choice.kind === "too-few-engines" || isHeldNow(run, functions) || !mayUseKey(run, functions)) {
-            return choice;
-        }
-        if (functions.getNowMs() - startMs >= getPatienceMs(choice, patience)) {
-            return choice;
-        }
-        await waitMs(PATIENCE_POLL_MS);
-        choice = choose();
-    }
-    return choice;
-}
-
-/** For how long a request waits, by what keeps it from being sent; in milliseconds. */
-interface Patience {
-    readonly noneMs: number;
-    readonly fullMs: number;
-    readonly restingMs: number;
-}
-
-function computePatience(run: RoutedRun): Patience {
-    const { objective_ms } = run.admitted.route;
-    return {
-        noneMs: computePatienceMs(run.leftMs),
-        fullMs: objective_ms * (run.isBack ? BACK_PATIENCE_SHARE : FULL_PATIENCE_SHARE),
-        // Whoever is back has been told when there is room, so it waits no longer than others.
-        restingMs: objective_ms * FULL_PATIENCE_SHARE,
-    };
-}
-
-function getPatienceMs(
-    choice: Exclude<TargetChoice, { kind: "target"; }>,
-    { noneMs, fullMs, restingMs }: Patience,
-): number {
-    switch (choice.kind) {
-        case "none":
-        case "too-few-engines":
-            return noneMs;
-        case "full":
-            return fullMs;
-        case "resting":
-            // A rest that outlasts the wait is known at once; its caller is told when to come back.
-            return restingMs - choice.leftMs;
-    }
-}
-
 async function tryTarget(
     run: RoutedRun,
     target: CallTarget,
@@ -375,41 +242,3 @@
 function countLivingRuns(run: RoutedRun, functions: RoutedRequestFunctions): number {
     return [...run.ranOn].filter((id) => !functions.hasEnded(id)).length;
 }
-
-function getNotRunRefusal(end: TryEnd, isPathFree: boolean): RefusalId {
-    if (isPathFree) {
-        return "no-repeat-left";
-    }
-    return end === "declined" ? "declined" : "no-upstream";
-}
-
-function handOn(
-    run: RoutedRun,
-    answer: RoutedAnswer,
-    whole: WholeAnswer | undefined,
-    functions: RoutedRequestFunctions,
-): RequestEnd {
-    if (whole === undefined || answer.isBegun) {
-        return sendRefusal(run, answer, "upstream-failed");
-    }
-    if (functions.codec.readWord(whole.head).rest.kind === "none") {
-        answer.sendWhole(whole);
-    }
-    else {
-        // The upstream's rest was meant for this instance: others may serve the caller at once.
-        const choice = functions.chooseTarget(run, undefined, true);
-        const leftMs = choice.kind === "resting" ? choice.leftMs : 0;
-        answer.sendWhole(whole, functions.words.computeReturnMs(run.admitted.service, leftMs));
-    }
-    return { outcome: "handed-on", status: whole.head.status, refusal: undefined };
-}
-
-/** `returnMs` tells when to come back where that is known; else the refusal's own time is drawn. */
-function sendRefusal(run: RoutedRun, answer: RoutedAnswer, id: RefusalId, returnMs?: number): RequestEnd {
-    if (answer.isBegun) {
-        answer.breakOff();
-        return { outcome: "broken-off", status: undefined, refusal: id };
-    }
-    answer.sendRefusal(run.admitted.call, refusals[id], { leftMs: run.leftMs, returnMs });
-    return { outcome: run.mayHaveRun ? "failed" : "refused", status: refusals[id].status, refusal: id };
-}
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
 import { PathPulse } from "../src/process/entry/pathPulse.js";
+import type { RequestEnd } from "../src/request/refuseRequest.js";
 import type {
     CrashFunctions,
     RoutedRequestFunctions,
@@ -12,7 +13,7 @@
 } from "../src/request/requestFunctions.js";
 import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
-import { handleRoutedRequest, type RequestEnd } from "../src/request/routedRequest.js";
+import { handleRoutedRequest } from "../src/request/routedRequest.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 
 /** Plain names in place of a platform's. */
