--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -8,7 +8,7 @@
 export type EnginePlace = Pick<RegisteredUpstream, "id" | "life" | "address">;
 
 /** What came back, with what the engine said of itself beside it. */
-interface HeardAnswer {
+interface SpokenResult {
     /** Left out where nothing came back. */
     readonly word?: UpstreamWord | undefined;
 }
@@ -31,7 +31,7 @@
 
 /** A report, or why there is none. */
 export type ReportResult =
-    & HeardAnswer
+    & SpokenResult
     & (
         | EngineReport
         /** No answer. */
@@ -44,7 +44,7 @@
 
 /** How an order ended. */
 export type OrderEnd =
-    & HeardAnswer
+    & SpokenResult
     & (
         | { readonly kind: "begun"; }
         /** The engine said no, or nothing was sent. */
--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryWords.ts
@@ -81,7 +81,7 @@
         const { rests, leaving } = this;
         return {
             hear: (target, word, answer) => {
-                this.listResting(target, answer.verdict.faultAddress).forEach((id) => {
+                this.listAskingForRest(target, answer.verdict.faultAddress).forEach((id) => {
                     rests.hear(id, word.rest, answer.requestId);
                 });
                 this.hearLeaving(target, word, answer);
@@ -124,7 +124,7 @@
      * An answer may name another engine on the path as the one at fault. Whose rest it is then is not said, so both are left
      * alone: whichever it is, nothing is sent that is not wanted.
      */
-    private listResting(target: CallTarget, faultAddress: string | undefined): readonly string[] {
+    private listAskingForRest(target: CallTarget, faultAddress: string | undefined): readonly string[] {
         const named = faultAddress === undefined ? undefined : this.options.view.findIdAt(faultAddress);
         const isNamed = named !== undefined && listPassed(target).includes(named);
         return isNamed && named !== target.upstreamId ? [target.upstreamId, named] : [target.upstreamId];
