--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -1,9 +1,9 @@
 /**
  * HTTP to upstreams and peers by undici, with faults told apart by whether anything was sent.
  */
-import { parseRest } from "@crankfork/decisions";
 import { Agent, buildConnector, type Dispatcher, errors } from "undici";
 import { limitConnecting } from "./limitConnecting.js";
+import { readRest } from "./readRest.js";
 
 /** Why an exchange failed. */
 export type ExchangeFailure =
@@ -168,8 +168,6 @@
     }
 }
 
-const TURNED_AWAY = 503;
-
 /**
  * Reads for how long whoever turned an exchange away wants nothing more.
  * @param response - the head of its answer
@@ -178,7 +176,7 @@
 export function readRestMs(
     { statusCode, headers }: Pick<Dispatcher.ResponseData, "statusCode" | "headers">,
 ): number | undefined {
-    const word = parseRest(statusCode === TURNED_AWAY ? [headers["retry-after"] ?? []].flat() : []);
+    const word = readRest({ status: statusCode, headers });
     return word.kind === "rest" ? word.restMs : undefined;
 }
 
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,6 +5,7 @@
 export { createEngineClient, createPromptTokens, type EngineFunctions } from "./connection/engineClient.js";
 export * from "./connection/engineControl.js";
 export { ExchangeError, fetchJson, openConnections, sendRequest } from "./connection/httpClient.js";
+export { readRest } from "./connection/readRest.js";
 export { type OpenExchange, type UpstreamHead } from "./connection/upstreamExchange.js";
 export { Daemon, type DaemonAddresses } from "./process/daemon/daemon.js";
 export { type GateRequest, type GateUsage, WorkGate } from "./process/daemon/workGate.js";
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -1,7 +1,7 @@
-import { parseRest } from "@crankfork/decisions";
 import type { Route } from "@crankfork/schemas";
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
+import { readRest } from "../src/connection/readRest.js";
 import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
 import { PathPulse } from "../src/process/entry/pathPulse.js";
 import type { RequestEnd } from "../src/request/refuseRequest.js";
@@ -44,9 +44,9 @@
         const faultAddress = typeof fault === "string" ? fault : undefined;
         return { kind: head.headers["x-not-run"] === undefined ? "answer" : "declined", faultAddress };
     },
-    readWord: ({ status, headers }) => ({
-        rest: parseRest(status === 503 ? [headers["retry-after"] ?? []].flat() : []),
-        leaving: headers["x-leaving"] === undefined ? "not-said" : "said",
+    readWord: (head) => ({
+        rest: readRest(head),
+        leaving: head.headers["x-leaving"] === undefined ? "not-said" : "said",
     }),
     createErrorHeaders: (call) => ["x-id", call.requestId],
 };
