Where the next try could go is chosen once for each step

Behaviour is as it was. A step that ended in a refusal or in a failure that is handed on chose a second time in the same turn, on a path of busy entries; the step's own choice is used now.

--- a/packages/daemon/src/request/refuseRequest.ts
+++ b/packages/daemon/src/request/refuseRequest.ts
@@ -80,14 +80,14 @@
  * Hands an upstream's failure on.
  * @param run - the request
  * @param answer - where it goes
- * @param whole - the failure; undefined where there is none
+ * @param handed - the failure, undefined where there is none, and where another try could go
  * @param functions - when to come back, where the upstream asked for rest
  * @returns how the request ended
  */
 export function handOn(
     run: RoutedRun,
     answer: RoutedAnswer,
-    whole: WholeAnswer | undefined,
+    { whole, choice }: { readonly whole: WholeAnswer | undefined; readonly choice: TargetChoice; },
     functions: RoutedRequestFunctions,
 ): RequestEnd {
     if (whole === undefined || answer.isBegun) {
@@ -98,7 +98,6 @@
     }
     else {
         // The upstream's rest was meant for this instance: others may serve the caller at once.
-        const choice = functions.chooseTarget(run, undefined, true);
         const leftMs = choice.kind === "resting" ? choice.leftMs : 0;
         answer.sendWhole(whole, functions.words.computeReturnMs(run.admitted.service, leftMs));
     }
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -160,6 +160,12 @@
     };
 }
 
+/** How a try ended, and where the next one could go. */
+interface EndedTry {
+    readonly result: Extract<TryResult, { kind: "ended"; }>;
+    readonly choice: TargetChoice;
+}
+
 async function applyNextStep(
     run: RoutedRun,
     answer: RoutedAnswer,
@@ -167,13 +173,16 @@
     result: Extract<TryResult, { kind: "ended"; }>,
     functions: RoutedRequestFunctions,
 ): Promise<RequestEnd | undefined> {
-    let step = chooseStep(run, answer, relay, result, functions);
+    const lookAhead = (): TargetChoice => functions.chooseTarget(run, undefined, true);
+    let choice = lookAhead();
+    let step = chooseStep(run, answer, relay, { result, choice }, functions);
     while (step.kind === "wait") {
         await waitMs(PATIENCE_POLL_MS);
         if (run.stopReason !== undefined) {
             return endStopped(run, answer, run.stopReason);
         }
-        step = chooseStep(run, answer, relay, result, functions);
+        choice = lookAhead();
+        step = chooseStep(run, answer, relay, { result, choice }, functions);
     }
     switch (step.kind) {
         case "try-again":
@@ -189,13 +198,11 @@
             }
             return undefined;
         case "hand-on":
-            return handOn(run, answer, result.answer, functions);
-        case "refuse": {
-            const choice = functions.chooseTarget(run, undefined, true);
+            return handOn(run, answer, { whole: result.answer, choice }, functions);
+        case "refuse":
             return choice.kind === "resting"
                 ? refuseChoice(run, answer, choice, functions)
                 : sendRefusal(run, answer, getNotRunRefusal(result.end, step.isPathFree));
-        }
         case "fail":
             return sendRefusal(run, answer, "upstream-failed");
     }
@@ -205,12 +212,11 @@
     run: RoutedRun,
     answer: RoutedAnswer,
     relay: StreamRelay | undefined,
-    result: Extract<TryResult, { kind: "ended"; }>,
+    { result, choice }: EndedTry,
     functions: RoutedRequestFunctions,
 ): NextStep {
     const { service, route } = run.admitted;
     const isUnderWay = relay !== undefined && relay.count > 0;
-    const next = functions.chooseTarget(run, undefined, true);
     return chooseNextStep({
         end: result.end,
         isRepeatable: route.is_repeatable,
@@ -220,10 +226,10 @@
         mostAttempts: route.most_attempts,
         leftMs: run.leftMs,
         // A trial is one send.
-        hasAlternative: !run.isTrial && next.kind === "target",
+        hasAlternative: !run.isTrial && choice.kind === "target",
         graceMs: isUnderWay && !run.isTrial ? computeGraceMs(route, relay) : 0,
         // Where all that is left rests, nothing will take it before the first rest ends; its caller is told when.
-        patienceMs: isUnderWay || run.isTrial || service.engine === undefined || next.kind === "resting"
+        patienceMs: isUnderWay || run.isTrial || service.engine === undefined || choice.kind === "resting"
             ? 0
             : computePatienceMs(run.leftMs + run.ageMs) - run.ageMs,
         claimRepeat: () => functions.claimRepeat(service.name, answer.isBegun),
