Tests: a leader's whole state and what is looked at before a send have one piece each

Assertions as before. The state that a leader tells an entry stood in four test files; three cases of heldRequest.test.ts that differed in their options are a table.

--- a/packages/daemon/tests/entryWords.test.ts
+++ b/packages/daemon/tests/entryWords.test.ts
@@ -1,4 +1,4 @@
-import type { RegisteredUpstream, SynchronisedState } from "@crankfork/schemas";
+import type { RegisteredUpstream } from "@crankfork/schemas";
 import { expect } from "chai";
 import { EntryWords } from "../src/process/entry/entryWords.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
@@ -7,6 +7,7 @@
 import type { CallTarget, UpstreamWord } from "../src/request/routedCall.js";
 import { FleetView } from "../src/version/fleetView.js";
 import { createSettings } from "./entrySettings.js";
+import { createWholeState } from "./wholeState.js";
 
 const DRAIN_MS = 2_000;
 
@@ -45,7 +46,7 @@
             },
         });
         this.functions = this.words.createFunctions();
-        this.view.applyUpstreams(createState(["a", "b", "c"].map(createUpstream)));
+        this.view.applyUpstreams(createWholeState(1, ["a", "b", "c"].map(createUpstream)));
     }
 
     hear(word: Partial<UpstreamWord>, answer: Partial<HeardAnswer> = {}): void {
@@ -66,16 +67,6 @@
     slots: 4,
     status: "ready",
 });
-const createState = (upstreams: readonly RegisteredUpstream[]): SynchronisedState => ({
-    kind: "state",
-    index: 1,
-    is_whole: true,
-    upstreams: [...upstreams],
-    removed: [],
-    entries: 1,
-    loads_elsewhere: {},
-    voters: [],
-});
 const createStage = (id: string, first: number, end: number): NonNullable<CallTarget["stages"]>[number] => ({
     engine: { id, address: `at-${id}` } as NonNullable<CallTarget["stages"]>[number]["engine"],
     span: { first, end },
--- a/packages/daemon/tests/fleetView.test.ts
+++ b/packages/daemon/tests/fleetView.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { FleetView } from "../src/version/fleetView.js";
+import { createWholeState } from "./wholeState.js";
 
 describe("an upstream counts as ended only where the voters say so", () => {
     const rows = [
@@ -12,16 +13,7 @@
         it(title, () => {
             const view = new FleetView();
             const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
-            view.applyUpstreams({
-                kind: "state",
-                index: 1,
-                is_whole: true,
-                upstreams: status === undefined ? [] : [{ ...facts, status }],
-                removed: [],
-                entries: 1,
-                loads_elsewhere: {},
-                voters: [],
-            });
+            view.applyUpstreams(createWholeState(1, status === undefined ? [] : [{ ...facts, status }]));
             expect(view.hasEnded("u")).to.equal(hasEnded);
         });
     }
--- a/packages/daemon/tests/heldRequest.test.ts
+++ b/packages/daemon/tests/heldRequest.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { ask } from "./askEntry.js";
 import {
+    type EntryOptions,
     formatAnswer,
     formatChunk,
     formatEvent,
@@ -74,58 +75,41 @@
     }
 });
 
-it("a request whose time ran out while the machine slept is not sent any more", async () => {
-    const upstream = await ScriptedUpstream.open("u", scripts.good!);
-    const entry = await TestEntry.open({ upstreams: [upstream], route: { timeout_ms: 1_000 }, sleepMs: 3_000 });
-    try {
-        const seen = await ask(entry.url);
-        expect([seen.status, upstream.requests.length]).to.deep.equal([503, 0]);
-    }
-    finally {
-        await entry.close();
-        upstream.close();
-    }
-});
-
-it("a request that is held while it waits for a path is not sent when there is one", async () => {
-    let looks = 0;
-    const upstream = await ScriptedUpstream.open("u", scripts.good!);
-    const entry = await TestEntry.open({
-        upstreams: [upstream],
-        route: { objective_ms: 2_000 },
-        fullLooks: 3,
-        crashes: {
-            isHeld: () => {
-                looks += 1;
-                return looks > 2;
+describe("what a request rests on is looked at right before it is sent", () => {
+    const rows: readonly { readonly title: string; readonly options: () => Omit<EntryOptions, "upstreams">; }[] = [
+        {
+            title: "its time, which ran out while the machine slept",
+            options: () => ({ route: { timeout_ms: 1_000 }, sleepMs: 3_000 }),
+        },
+        {
+            title: "whether it is held, as it came to be while it waited for a path",
+            options: () => {
+                let looks = 0;
+                const isHeld = (): boolean => {
+                    looks += 1;
+                    return looks > 2;
+                };
+                return { route: { objective_ms: 2_000 }, fullLooks: 3, crashes: { isHeld } };
             },
         },
-    });
-    try {
-        const seen = await ask(entry.url);
-        expect([seen.status, upstream.requests.length]).to.deep.equal([503, 0]);
-    }
-    finally {
-        await entry.close();
-        upstream.close();
-    }
-});
-
-it("a key whose lease runs out while a request waits for a path is not used", async () => {
-    const upstream = await ScriptedUpstream.open("u", scripts.good!);
-    const entry = await TestEntry.open({
-        upstreams: [upstream],
-        route: { objective_ms: 2_000 },
-        fullLooks: 3,
-        keyLooks: 3,
-    });
-    try {
-        const seen = await ask(entry.url);
-        expect([seen.status, upstream.requests.length]).to.deep.equal([503, 0]);
-    }
-    finally {
-        await entry.close();
-        upstream.close();
+        {
+            title: "its key, whose lease ran out while it waited for a path",
+            options: () => ({ route: { objective_ms: 2_000 }, fullLooks: 3, keyLooks: 3 }),
+        },
+    ];
+    for (const { title, options } of rows) {
+        it(title, async () => {
+            const upstream = await ScriptedUpstream.open("u", scripts.good!);
+            const entry = await TestEntry.open({ upstreams: [upstream], ...options() });
+            try {
+                const seen = await ask(entry.url);
+                expect([seen.status, upstream.requests.length]).to.deep.equal([503, 0]);
+            }
+            finally {
+                await entry.close();
+                upstream.close();
+            }
+        });
     }
 });
 
--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -8,6 +8,7 @@
 import { RoutedRun } from "../src/request/routedRun.js";
 import { FleetView } from "../src/version/fleetView.js";
 import { createSettings } from "./entrySettings.js";
+import { createWholeState } from "./wholeState.js";
 
 /** A worker of a plain service. */
 export interface ReplayWorker {
@@ -325,16 +326,7 @@
 
     setWorkers(upstreams: readonly RegisteredUpstream[]): void {
         this.index += 1;
-        this.view.applyUpstreams({
-            kind: "state",
-            index: this.index,
-            is_whole: true,
-            upstreams: [...upstreams],
-            removed: [],
-            entries: this.options.entries,
-            loads_elsewhere: {},
-            voters: [],
-        });
+        this.view.applyUpstreams(createWholeState(this.index, upstreams, this.options.entries));
     }
 
     createRun(ageMs: number): RoutedRun {
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -9,6 +9,7 @@
 import type { RoutedCall } from "../src/request/routedCall.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 import { FleetView } from "../src/version/fleetView.js";
+import { createWholeState } from "./wholeState.js";
 
 /** Eight layers; an engine holds four beside its requests, and takes sixteen requests. */
 const profile: EngineProfile = {
@@ -103,16 +104,7 @@
 
     setEngines(upstreams: readonly RegisteredUpstream[]): void {
         this.index += 1;
-        this.view.applyUpstreams({
-            kind: "state",
-            index: this.index,
-            is_whole: true,
-            upstreams: [...upstreams],
-            removed: [],
-            entries: 1,
-            loads_elsewhere: {},
-            voters: [],
-        });
+        this.view.applyUpstreams(createWholeState(this.index, upstreams));
     }
 
     /** Chooses for a new request: the engine, or why there is none. */
--- /dev/null
+++ b/packages/daemon/tests/wholeState.ts
@@ -0,0 +1,19 @@
+import type { RegisteredUpstream, SynchronisedState } from "@crankfork/schemas";
+
+/** Creates what a leader tells an entry that knows nothing: all upstreams there are. */
+export function createWholeState(
+    index: number,
+    upstreams: readonly RegisteredUpstream[],
+    entries: number = 1,
+): SynchronisedState {
+    return {
+        kind: "state",
+        index,
+        is_whole: true,
+        upstreams: [...upstreams],
+        removed: [],
+        entries,
+        loads_elsewhere: {},
+        voters: [],
+    };
+}
