--- a/packages/daemon/tests/layerKeeper.test.ts
+++ b/packages/daemon/tests/layerKeeper.test.ts
@@ -1,15 +1,13 @@
-import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
+import { installClock, type InstalledClock } from "./installedClock.js";
 import { HEARTBEAT_MS, LeaderStand } from "./leaderStand.js";
 
 describe("a leader brings layers to engines", () => {
-    let clock: ReturnType<typeof FakeTimers.install>;
+    let clock: InstalledClock;
     let stand: LeaderStand;
 
     beforeEach(async () => {
-        clock = FakeTimers.install({
-            toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"],
-        });
+        clock = installClock();
         stand = new LeaderStand();
         await stand.register("a");
         await stand.register("b");
--- a/packages/daemon/tests/layerKeeperAtSize.test.ts
+++ b/packages/daemon/tests/layerKeeperAtSize.test.ts
@@ -3,21 +3,19 @@
  * core; gave all orders at once, each after a report; and asked each engine that loads for a report four times a second, 12,000
  * a second in all. Its loop stood still: nothing confirmed a document, and heartbeats went from voter to voter.
  */
-import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import type { EnginePlace, OrderEnd, ReportResult } from "../src/connection/engineControl.js";
+import { installClock, type InstalledClock } from "./installedClock.js";
 import { emptyReport, HEARTBEAT_MS, LeaderStand } from "./leaderStand.js";
 
 const ENGINES = 1_000;
 
 describe("what a leader does about layers stays within what it can bear, however many engines there are", () => {
-    let clock: ReturnType<typeof FakeTimers.install>;
+    let clock: InstalledClock;
     let stand: LeaderStand;
 
     beforeEach(async () => {
-        clock = FakeTimers.install({
-            toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"],
-        });
+        clock = installClock();
         stand = new LeaderStand();
         for (let engine = 0; engine < ENGINES; engine += 1) {
             await stand.register(`e${String(engine)}`);
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -1,4 +1,3 @@
-import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import type { EnginePlace, ReportResult } from "../src/connection/engineControl.js";
 import { FleetLink } from "../src/process/entry/fleetLink.js";
@@ -6,16 +5,15 @@
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import { SuspectProbe } from "../src/process/voter/suspectProbe.js";
 import { UpstreamRegister } from "../src/process/voter/upstreamRegister.js";
+import { installClock, type InstalledClock } from "./installedClock.js";
 import { emptyReport, LeaderStand, log } from "./leaderStand.js";
 
 describe("a leader knows which engines are there, and tells the entries", () => {
-    let clock: ReturnType<typeof FakeTimers.install>;
+    let clock: InstalledClock;
     let stand: LeaderStand;
 
     beforeEach(async () => {
-        clock = FakeTimers.install({
-            toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"],
-        });
+        clock = installClock();
         stand = new LeaderStand();
         await stand.register("a");
         await stand.register("b");
--- a/packages/daemon/tests/pipelineRun.test.ts
+++ b/packages/daemon/tests/pipelineRun.test.ts
@@ -94,7 +94,11 @@
     }
 }
 
-async function generate(engines: Engines, isRepeatable = true): Promise<readonly string[]> {
+async function generate(
+    engines: Engines,
+    isRepeatable = true,
+    handleFirst: () => void = () => undefined,
+): Promise<readonly string[]> {
     const texts: string[] = [];
     const request = {
         run: "r1",
@@ -108,6 +112,9 @@
     };
     for await (const token of generateTokens(request, engines.functions)) {
         texts.push(token.text);
+        if (texts.length === 1) {
+            handleFirst();
+        }
     }
     return texts;
 }
@@ -164,23 +171,9 @@
 
     it("goes elsewhere, also in the middle, and draws on no retries for what was not sent", async () => {
         const engines = new Engines({}, 0);
-        const texts: string[] = [];
-        const request = {
-            run: "r1",
-            model: model!,
-            promptTokens: PROMPT,
-            maxTokens: 3,
-            priority: "urgent" as const,
-            isRepeatable: true,
-            routeWaitMs: 0,
-            signal: new AbortController().signal,
-        };
-        for await (const token of generateTokens(request, engines.functions)) {
-            texts.push(token.text);
-            if (texts.length === 1) {
-                rest(engines, ["b1"]);
-            }
-        }
+        const texts = await generate(engines, true, () => {
+            rest(engines, ["b1"]);
+        });
         expect(texts).to.have.length(3);
         expect(engines.steps.slice(2).map(({ upstream }) => upstream)).to.deep.equal(["a1", "a1", "b2", "a1", "b2"]);
         expect(engines.retries).to.equal(0);
--- a/packages/daemon/tests/upstreamLives.test.ts
+++ b/packages/daemon/tests/upstreamLives.test.ts
@@ -1,11 +1,12 @@
 import type { FleetState, ReplicaEvent } from "@crankfork/coordination";
 import { formatLifeId, type UpstreamLife, type UpstreamStatus } from "@crankfork/schemas";
-import FakeTimers from "@sinonjs/fake-timers";
+import type FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import fc from "fast-check";
 import { PaceWatch } from "../src/process/layers/paceWatch.js";
 import { SuspectProbe } from "../src/process/voter/suspectProbe.js";
 import type { UpstreamHeartbeat } from "../src/process/voter/upstreamRegister.js";
+import { installClock, type InstalledClock } from "./installedClock.js";
 import { HEARTBEAT_MS, LeaderStand } from "./leaderStand.js";
 
 const elected: ReplicaEvent = { kind: "role", role: "leader", term: 4 };
@@ -130,12 +131,10 @@
     ];
 
 describe("the voters hold the latest life of an upstream", () => {
-    let clock: ReturnType<typeof FakeTimers.install>;
+    let clock: InstalledClock;
 
     beforeEach(() => {
-        clock = FakeTimers.install({
-            toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"],
-        });
+        clock = installClock();
     });
 
     afterEach(() => {
