Sight: a line where an upstream's limit begins, changes or ends, and what a try's line says of it

Change: the header is read (a plain decimal number; what can't be read changes nothing and leaves a line), the word is ordered against what is known by when its request left and its head came, and written. Nothing follows from it yet.

--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryWords.ts
@@ -5,11 +5,12 @@
 import type { FleetSettings, RoutedService } from "@crankfork/schemas";
 import type { EngineControl } from "../../connection/engineControl.js";
 import type { HeardAnswer, WordFunctions } from "../../request/requestFunctions.js";
-import type { CallTarget, UpstreamWord } from "../../request/routedCall.js";
+import type { CallTarget, HeadVerdict, UpstreamWord } from "../../request/routedCall.js";
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
 import { createHeedingControl } from "../heedingControl.js";
+import { NamedLimits } from "../namedLimits.js";
 import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
 import { LeavingWords, type LeavingWordsOptions } from "./leavingWords.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
@@ -34,6 +35,7 @@
 export class EntryWords {
     readonly rests: UpstreamRests;
     readonly leaving: LeavingWords;
+    readonly limits: NamedLimits;
     private readonly orders = new Map<string, ReturnOrder>();
 
     /**
@@ -42,6 +44,7 @@
     constructor(private readonly options: EntryWordsOptions) {
         const { settings } = options;
         this.rests = new UpstreamRests(options);
+        this.limits = new NamedLimits({ ...options, handleChange: () => undefined });
         this.leaving = new LeavingWords({
             ...options,
             instance: settings.instance.id,
@@ -56,6 +59,7 @@
     sweep(isKnown: (id: string) => boolean): void {
         this.rests.sweep(isKnown);
         this.leaving.forget(isKnown);
+        this.limits.sweep(isKnown);
     }
 
     /**
@@ -85,6 +89,7 @@
                     rests.hear(id, word.rest, answer.requestId);
                 });
                 this.hearLeaving(target, word, answer);
+                this.hearLimit(target, word, answer);
             },
             maySend: (target) => {
                 const passed = listPassed(target);
@@ -100,10 +105,6 @@
         };
     }
 
-    /**
-     * Only the upstream that was meant can say that it leaves: a stray answer may be of an earlier life or of another request, and
-     * one that was misdirected is another's, who uses the address now.
-     */
     private hearLeaving(
         target: CallTarget,
         { leaving }: UpstreamWord,
@@ -115,11 +116,21 @@
                 asked: requestId,
             });
         }
-        if (leaving === "said" && verdict.kind !== "stray" && status !== MISDIRECTED) {
+        if (leaving === "said" && isOfMeant(verdict, status)) {
             this.leaving.hear(target.upstreamId, requestId);
         }
     }
 
+    private hearLimit(
+        { upstreamId }: CallTarget,
+        { limit }: UpstreamWord,
+        { verdict, status, requestId, sentMs }: HeardAnswer,
+    ): void {
+        if (isOfMeant(verdict, status)) {
+            this.limits.hear(upstreamId, limit, { asked: requestId, askedMs: sentMs });
+        }
+    }
+
     /**
      * An answer may name another engine on the path as the one at fault. Whose rest it is then is not said, so both are left
      * alone: whichever it is, nothing is sent that is not wanted.
@@ -144,6 +155,14 @@
     }
 }
 
+/**
+ * Only the upstream that was meant can say of itself what lasts: a stray answer may be of an earlier life or of another request, and
+ * one that was misdirected is another's, who uses the address now.
+ */
+function isOfMeant(verdict: HeadVerdict, status: number): boolean {
+    return verdict.kind !== "stray" && status !== MISDIRECTED;
+}
+
 /** Lives of all upstreams that a request passes. */
 function listPassed({ upstreamId, stages }: CallTarget): readonly string[] {
     return stages === undefined || stages.length === 0 ? [upstreamId] : stages.map(({ engine }) => engine.id);
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -3,6 +3,7 @@
  */
 import type { RestChange } from "@crankfork/decisions";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { LimitChange } from "./namedLimits.js";
 
 /** What is counted. */
 export interface FleetMetrics {
@@ -17,6 +18,10 @@
     readonly countSendDuringRest: () => void;
     /** An upstream said in an answer that it leaves. */
     readonly countLeavingWord: () => void;
+    /** An upstream named, changed or ended a limit. */
+    readonly countLimit: (change: LimitChange) => void;
+    /** Upstreams that have a limit, as this instance knows. */
+    readonly recordLimits: (count: number) => void;
     readonly countHeartbeat: (outcome: string) => void;
     readonly recordRole: (isLeader: boolean) => void;
     readonly countPeerBytes: (method: string, bytes: number) => void;
@@ -79,6 +84,17 @@
         help: "Lives of upstreams that said in an answer that they leave",
         registers,
     });
+    const limitChanges = new Counter({
+        name: "crankfork_upstream_limit_changes_total",
+        help: "Limits that upstreams named, by what changed",
+        labelNames: ["change"],
+        registers,
+    });
+    const limits = new Gauge({
+        name: "crankfork_upstream_limits",
+        help: "Upstreams that have a limit, as this instance knows",
+        registers,
+    });
     const heartbeats = new Counter({
         name: "crankfork_heartbeats_total",
         help: "Heartbeats of upstreams by outcome",
@@ -136,6 +152,12 @@
         countLeavingWord: () => {
             leavingWords.inc();
         },
+        countLimit: (change) => {
+            limitChanges.inc({ change });
+        },
+        recordLimits: (count) => {
+            limits.set(count);
+        },
         countHeartbeat: (outcome) => {
             heartbeats.inc({ outcome });
         },
--- /dev/null
+++ b/packages/daemon/src/process/namedLimits.ts
@@ -0,0 +1,143 @@
+/**
+ * The rates that upstreams named in their answers, by their lives. A limit is between an upstream and all instances together, so it
+ * comes from answers to this instance and from what others tell.
+ */
+import { chooseNewerLimit, type HeardLimit, type LimitWord } from "@crankfork/decisions";
+import type { EventLog } from "./eventLog.js";
+import type { FleetMetrics } from "./fleetMetrics.js";
+
+/** What the limits need from the process. */
+export interface NamedLimitsOptions {
+    /** The monotonic clock; it counts time asleep. */
+    readonly getNowMs: () => number;
+    readonly log: EventLog;
+    readonly metrics: Pick<FleetMetrics, "countLimit" | "recordLimits">;
+    /** Called when a limit began, changed or ended. */
+    readonly handleChange: (id: string, change: LimitChange) => void;
+}
+
+/** What a word changed. */
+export type LimitChange = "begun" | "raised" | "lowered" | "ended";
+
+/** The answer that a word came with. */
+export interface LimitSource {
+    /** The request or report that was answered, or the instance that told of it; for the log. */
+    readonly asked: string;
+    /** When the request left, on the monotonic clock. */
+    readonly askedMs: number;
+}
+
+/** An end is remembered for so long, so that an older word that comes late does not begin the limit again. */
+const REMEMBERED_MS = 30_000;
+
+/** Keeps limits. */
+export class NamedLimits {
+    private readonly byId = new Map<string, HeardLimit>();
+
+    /**
+     * @param options - clock, log and counters
+     */
+    constructor(private readonly options: NamedLimitsOptions) {}
+
+    /** Whether some upstream has a limit. */
+    get isAnyInForce(): boolean {
+        return [...this.byId.values()].some(({ requestsASecond }) => requestsASecond !== undefined);
+    }
+
+    /**
+     * Takes what an answer said; the head of it has just come.
+     * @param id - the life that answered
+     * @param word - what it said of a limit
+     * @param source - what it answered
+     */
+    hear(id: string, word: LimitWord, { asked, askedMs }: LimitSource): void {
+        if (word.kind === "unreadable") {
+            this.options.log.record("warn", "upstream-limit-unreadable", { peer: id, asked, text: word.text });
+            return;
+        }
+        const requestsASecond = word.kind === "limit" ? word.requestsASecond : undefined;
+        this.apply(id, { requestsASecond, askedMs, heardMs: this.options.getNowMs() }, asked);
+    }
+
+    /**
+     * Takes a limit, or its end, that was heard here or elsewhere.
+     * @param id - the life that said so
+     * @param heard - what it said, and when
+     * @param from - what it answered, or the instance that tells it; for the log
+     */
+    apply(id: string, heard: HeardLimit, from: string): void {
+        const known = this.byId.get(id);
+        if (known === undefined && heard.requestsASecond === undefined) {
+            return;
+        }
+        const newer = chooseNewerLimit(known, heard);
+        this.byId.set(id, newer);
+        const change = compareLimits(known?.requestsASecond, newer.requestsASecond);
+        if (change !== undefined) {
+            this.recordChange(id, change, newer.requestsASecond, from);
+        }
+    }
+
+    /**
+     * Gets the limit of an upstream.
+     * @param id - one life of it
+     * @returns requests a second from all instances together; undefined where it has none
+     */
+    getLimit(id: string): number | undefined {
+        return this.byId.get(id)?.requestsASecond;
+    }
+
+    /**
+     * Gets what was heard last of an upstream's limit.
+     * @param id - one life of it
+     * @returns its limit, or the end of one not long ago; undefined where it named none lately
+     */
+    get(id: string): HeardLimit | undefined {
+        return this.byId.get(id);
+    }
+
+    /**
+     * Lists the upstreams that have a limit, or had one lately.
+     * @returns their lives
+     */
+    listIds(): readonly string[] {
+        return [...this.byId.keys()];
+    }
+
+    /**
+     * Forgets limits of lives that are over, and ends of limits some time ago.
+     * @param isKnown - whether a life still counts
+     */
+    sweep(isKnown: (id: string) => boolean): void {
+        const sinceMs = this.options.getNowMs() - REMEMBERED_MS;
+        for (const [id, { requestsASecond, heardMs }] of this.byId) {
+            if (!isKnown(id) && requestsASecond !== undefined) {
+                this.recordChange(id, "ended", undefined, "its life is over");
+            }
+            if (!isKnown(id) || (requestsASecond === undefined && heardMs < sinceMs)) {
+                this.byId.delete(id);
+            }
+        }
+    }
+
+    private recordChange(id: string, change: LimitChange, limit: number | undefined, asked: string): void {
+        const { log, metrics, handleChange } = this.options;
+        metrics.countLimit(change);
+        metrics.recordLimits([...this.byId.values()].filter((one) => one.requestsASecond !== undefined).length);
+        log.record("info", "upstream-limit", { peer: id, change, requests_a_second: limit, asked });
+        handleChange(id, change);
+    }
+}
+
+function compareLimits(before: number | undefined, after: number | undefined): LimitChange | undefined {
+    if (before === after) {
+        return undefined;
+    }
+    if (before === undefined) {
+        return "begun";
+    }
+    if (after === undefined) {
+        return "ended";
+    }
+    return after > before ? "raised" : "lowered";
+}
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -52,6 +52,8 @@
     readonly requestId: string;
     readonly verdict: HeadVerdict;
     readonly status: number;
+    /** When the request left, on the monotonic clock. */
+    readonly sentMs: number;
 }
 
 /** What is known of requests under which upstreams ended, and what a request adds to it. */
--- a/packages/daemon/src/request/routedCall.ts
+++ b/packages/daemon/src/request/routedCall.ts
@@ -2,7 +2,7 @@
  * A request that is routed by host and path, free of the names that its protocol has on the wire. A codec, passed in,
  * reads and writes those.
  */
-import type { ChainStage, RequestSize, RestWord } from "@crankfork/decisions";
+import type { ChainStage, LimitWord, RequestSize, RestWord } from "@crankfork/decisions";
 import type { IncomingMessage } from "node:http";
 import type { UpstreamHead } from "../connection/upstreamExchange.js";
 
@@ -60,6 +60,8 @@
     readonly rest: RestWord;
     /** `unreadable` where the head says something else than yes or no. */
     readonly leaving: "said" | "not-said" | "unreadable";
+    /** The rate that it takes from all instances together, for as long as its answers say so. */
+    readonly limit: LimitWord;
 }
 
 /** Reads and writes what the protocol calls these things. */
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -122,6 +122,7 @@
         run,
         target,
         words,
+        getNowMs: functions.getNowMs,
         sink: relay?.createSink(() => {
             recordStarted();
             recordOutcome(true);
--- a/packages/daemon/src/request/routedTry.ts
+++ b/packages/daemon/src/request/routedTry.ts
@@ -58,6 +58,8 @@
     /** Takes a successful answer as a stream; left out for whole answers. */
     readonly sink?: StreamSink | undefined;
     readonly words: WordFunctions;
+    /** The monotonic clock. */
+    readonly getNowMs: () => number;
     /** Called with a function that gives the try up from outside. */
     readonly handleStart?: (giveUp: (stall: TryStall) => void) => void;
 }
@@ -81,6 +83,7 @@
 class TryExchange {
     private exchange: OpenExchange | undefined;
     private head: UpstreamHead | undefined;
+    private sentMs = Number.NEGATIVE_INFINITY;
     private verdict: HeadVerdict | undefined;
     private readonly chunks: Buffer[] = [];
     private length = 0;
@@ -106,6 +109,7 @@
             mayStart: () => {
                 const isFree = words.maySend(target);
                 if (isFree) {
+                    this.sentMs = this.options.getNowMs();
                     words.recordSend(target);
                 }
                 return isFree;
@@ -146,6 +150,7 @@
             requestId: call.requestId,
             verdict: this.verdict,
             status: head.status,
+            sentMs: this.sentMs,
         });
         if (this.verdict.kind === "stray") {
             this.cancel({ kind: "ended", end: "broken", reason: `stray answer with status ${String(head.status)}` });
@@ -210,11 +215,12 @@
 }
 
 /** What the upstream said of itself stands beside the status, so that a request's line tells why it went elsewhere. */
-function describeHead({ status }: UpstreamHead, { rest, leaving }: UpstreamWord): string {
+function describeHead({ status }: UpstreamHead, { rest, leaving, limit }: UpstreamWord): string {
     return [
         `status ${String(status)}`,
         ...(rest.kind === "rest" ? [`rests for ${String(rest.restMs)} ms`] : []),
         ...(leaving === "said" ? ["leaving"] : []),
+        ...(limit.kind === "limit" ? [`takes ${String(limit.requestsASecond)} a second`] : []),
     ].join(", ");
 }
 
--- a/packages/daemon/tests/entryWords.test.ts
+++ b/packages/daemon/tests/entryWords.test.ts
@@ -50,10 +50,11 @@
     }
 
     hear(word: Partial<UpstreamWord>, answer: Partial<HeardAnswer> = {}): void {
-        this.functions.hear(target, { rest: { kind: "none" }, leaving: "not-said", ...word }, {
+        this.functions.hear(target, { rest: { kind: "none" }, leaving: "not-said", limit: { kind: "none" }, ...word }, {
             requestId: "1",
             verdict: { kind: "answer", faultAddress: undefined },
             status: 200,
+            sentMs: this.nowMs,
             ...answer,
         });
     }
--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -344,10 +344,11 @@
     }
 
     hearRest(target: CallTarget, restMs: number): void {
-        this.functions.hear(target, { rest: { kind: "rest", restMs }, leaving: "not-said" }, {
+        this.functions.hear(target, { rest: { kind: "rest", restMs }, leaving: "not-said", limit: { kind: "none" } }, {
             requestId: "1",
             verdict: { kind: "declined", faultAddress: undefined },
             status: 503,
+            sentMs: this.getNowMs(),
         });
     }
 }
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -47,6 +47,7 @@
     readWord: (head) => ({
         rest: readRest(head),
         leaving: head.headers["x-leaving"] === undefined ? "not-said" : "said",
+        limit: { kind: "none" },
     }),
     createErrorHeaders: (call) => ["x-id", call.requestId],
 };
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,8 @@
  */
 export * from "./connection/byteBudget.js";
 export { Circuit, type CircuitOptions, type CircuitState, defaultCircuit } from "./connection/circuit.js";
+export * from "./connection/limitOrder.js";
+export * from "./connection/parseLimit.js";
 export * from "./connection/parseRest.js";
 export { Rest, type RestChange } from "./connection/rest.js";
 export { defaultRetryBudget, RetryBudget, type RetryBudgetOptions } from "./connection/retryBudget.js";
