--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryWords.ts
@@ -2,17 +2,19 @@
  * What upstreams say of themselves in their answers, as an entry heeds it.
  */
 import { computeReturnGapMs, ReturnOrder } from "@crankfork/decisions";
-import type { FleetSettings, RoutedService } from "@crankfork/schemas";
+import type { FleetSettings, LimitsKnown, RoutedService, ToldLimits } from "@crankfork/schemas";
 import type { EngineControl } from "../../connection/engineControl.js";
 import type { HeardAnswer, WordFunctions } from "../../request/requestFunctions.js";
 import type { CallTarget, HeadVerdict, UpstreamWord } from "../../request/routedCall.js";
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { parseToldLimit } from "../formatToldLimit.js";
 import { createHeedingControl } from "../heedingControl.js";
 import { NamedLimits } from "../namedLimits.js";
 import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
-import { LeavingWords, type LeavingWordsOptions } from "./leavingWords.js";
+import { LeavingWords } from "./leavingWords.js";
+import { LimitSends } from "./limitSends.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
 /** Status of an answer of another upstream than the one that was meant (RFC 9110, section 15.5.20). */
@@ -28,7 +30,9 @@
     readonly countEntries: () => number;
     readonly settings: FleetSettings;
     /** Asks the leader; rejects where there is none, or where it does not answer. */
-    readonly askLeader: LeavingWordsOptions["askLeader"];
+    readonly askLeader: (method: "leaving" | "sends", parameters: object) => Promise<unknown>;
+    /** From 0 up to 1. */
+    readonly random: () => number;
 }
 
 /** Heeds what upstreams say. */
@@ -36,6 +40,8 @@
     readonly rests: UpstreamRests;
     readonly leaving: LeavingWords;
     readonly limits: NamedLimits;
+    readonly sends: LimitSends;
+    private known: LimitsKnown = { term: 0, change: 0 };
     private readonly orders = new Map<string, ReturnOrder>();
 
     /**
@@ -44,7 +50,13 @@
     constructor(private readonly options: EntryWordsOptions) {
         const { settings } = options;
         this.rests = new UpstreamRests(options);
-        this.limits = new NamedLimits({ ...options, handleChange: () => undefined });
+        this.limits = new NamedLimits({
+            ...options,
+            handleChange: (id, source) => {
+                this.sends.handleChange(id, source === "heard");
+            },
+        });
+        this.sends = new LimitSends({ ...options, instance: settings.instance.id, limits: this.limits });
         this.leaving = new LeavingWords({
             ...options,
             instance: settings.instance.id,
@@ -62,6 +74,30 @@
         this.limits.sweep(isKnown);
     }
 
+    /** Up to where this entry knows the limits that the leader knows. */
+    get limitsKnown(): LimitsKnown {
+        return this.known;
+    }
+
+    /**
+     * Takes what a leader told; it was heard in any case.
+     * @param told - limits that this entry lacked
+     */
+    applyLimits(told: ToldLimits | undefined): void {
+        this.sends.recordLeader();
+        if (told === undefined) {
+            return;
+        }
+        const { term, change, limits } = told;
+        limits.filter(({ id }) => this.options.view.getUpstream(id) !== undefined).forEach((one) => {
+            this.limits.applyTold(one.id, parseToldLimit(one, this.options.getNowMs()), "leader");
+        });
+        if (term !== this.known.term) {
+            this.sends.tellAll();
+        }
+        this.known = { term, change };
+    }
+
     /**
      * Lets what engines say in their reports count, too.
      * @param control - speaks to engines
@@ -74,6 +110,10 @@
             hearLeaving: (id, asked) => {
                 leaving.hear(id, asked);
             },
+            hearLimit: (id, limit, source) => {
+                this.limits.hear(id, limit, source);
+            },
+            getNowMs: this.options.getNowMs,
         });
     }
 
@@ -82,7 +122,7 @@
      * @returns the functions
      */
     createFunctions(): WordFunctions {
-        const { rests, leaving } = this;
+        const { rests, leaving, sends } = this;
         return {
             hear: (target, word, answer) => {
                 this.listAskingForRest(target, answer.verdict.faultAddress).forEach((id) => {
@@ -93,10 +133,12 @@
             },
             maySend: (target) => {
                 const passed = listPassed(target);
-                return rests.maySend(passed) && passed.every((id) => leaving.mayStillTake(id));
+                return rests.maySend(passed) && passed.every((id) => leaving.mayStillTake(id)) && sends.maySend(passed);
             },
             recordSend: (target) => {
-                rests.recordSend(listPassed(target));
+                const passed = listPassed(target);
+                rests.recordSend(passed);
+                sends.recordSend(passed);
             },
             recordOutcome: (target, isServed) => {
                 rests.recordOutcome(listPassed(target), isServed);
@@ -150,6 +192,7 @@
             slots: ready.reduce((sum, one) => sum + one.slots, 0),
             answerMs: health.computeUsualAnswerMs(ready.map(({ id }) => id)),
             entries: countEntries(),
+            limits: ready.map(({ id }) => this.limits.getLimit(id)),
         });
         return order.take(getNowMs() + leftMs, gapMs) - getNowMs();
     }
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -55,7 +55,10 @@
     /** Tells the leader soon of upstreams that are suspected. */
     readonly tellSuspects: () => void;
     /** Asks the leader; rejects where there is none. */
-    readonly askLeader: (method: "crashes" | "trial" | "leaving", parameters: object) => Promise<unknown>;
+    readonly askLeader: (
+        method: "crashes" | "trial" | "leaving" | "sends",
+        parameters: object,
+    ) => Promise<unknown>;
     readonly isStopping: () => boolean;
     /** False once a stop has been under way for so long that a request might not end before the process does. */
     readonly takesRequests: () => boolean;
@@ -114,6 +117,7 @@
         this.chooser = new TargetChooser({
             rests: this.words.rests,
             leaving: this.words.leaving,
+            sends: this.words.sends,
             instance: options.settings.instance.id,
             getRequestsASecond: (service) => this.budgets.get(service).requestsASecond,
             view: this.view,
@@ -164,6 +168,7 @@
             known_index: this.view.knownIndex,
             loads: this.health.listLoads(),
             spending: this.budgets.listSpending(),
+            limits_known: this.words.limitsKnown,
         };
     }
 
@@ -185,6 +190,7 @@
         this.budgets.recordElsewhere(state.spending_elsewhere ?? {}, state.spending_known_ms ?? 0);
         this.view.applyUpstreams(state);
         this.crashes.applyState(state);
+        this.words.applyLimits(state.limits);
         state.suspects?.filter((id) => this.view.getUpstream(id)?.accelerator !== undefined).forEach((id) => {
             this.health.markAbsent(id, false);
         });
@@ -244,6 +250,7 @@
         this.budgets.get(admitted.service.name).recordRequest();
         const end = await handleRoutedRequest(run, answer, this.functions);
         run.close();
+        this.words.sends.withdraw(run);
         recordRequest(this.options, run, end, this.createKnowledge(), ({ admitted: one }) => ({
             ...this.crashes.describe(one),
         }));
--- a/packages/daemon/src/process/entry/requestLog.ts
+++ b/packages/daemon/src/process/entry/requestLog.ts
@@ -54,7 +54,7 @@
         first_ms: roundMs(firstMs),
         pause_ms: roundMs(end.longestPauseMs),
         tries: run.steps.join(" "),
-        resting: run.restingUpstreams.join(","),
+        bound_by: run.boundBy.join(","),
         ...(run.hasCrash ? describeCrashes(run) : {}),
         version: known.version,
         index: known.index,
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -20,12 +20,14 @@
 import { type EngineProfile, getLife, type RegisteredUpstream, type RoutedService } from "@crankfork/schemas";
 import { UPSTREAM_IDLE_MS } from "../../connection/upstreamExchange.js";
 import type { TargetChoice } from "../../request/requestFunctions.js";
+import { computeHeldPatienceMs } from "../../request/requestPatience.js";
 import type { CallTarget } from "../../request/routedCall.js";
 import type { RoutedRun } from "../../request/routedRun.js";
 import type { FleetView } from "../../version/fleetView.js";
 import type { UpstreamRests } from "../upstreamRests.js";
 import type { EngineShortage } from "./engineShortage.js";
 import type { LeavingWords } from "./leavingWords.js";
+import type { LimitSends } from "./limitSends.js";
 import { getPathName, type PathName } from "./pathName.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
@@ -38,6 +40,8 @@
     readonly shortage: EngineShortage;
     readonly rests: UpstreamRests;
     readonly leaving: LeavingWords;
+    /** What may be sent to upstreams that named a limit. */
+    readonly sends: LimitSends;
     /** What other entries have open at an upstream, as the leader told last. */
     readonly getLoadElsewhere: (id: string) => ChainLoad;
     /** Whether a path stood still a moment ago. */
@@ -82,20 +86,33 @@
         const usable = ready.filter((one) => health.isUsable(one.id));
         const candidates = usable.length > 0 ? usable : ready;
         const usualMs = health.computeUsualAnswerMs(candidates.map(({ id }) => id));
-        let best: RegisteredUpstream | undefined;
-        let bestScore = Number.POSITIVE_INFINITY;
-        candidates.forEach((one) => {
-            // Equal scores are drawn, so that entries that know nothing don't all choose the same.
-            const score = health.computeScore(one.id, getLoadElsewhere(one.id).open, usualMs)
-                * (1 + TIE_SPREAD * random());
-            if (score < bestScore) {
-                best = one;
-                bestScore = score;
-            }
+        // Equal scores are drawn, so that entries that know nothing don't all choose the same.
+        const scored = candidates.map((one) => {
+            const score = health.computeScore(one.id, getLoadElsewhere(one.id).open, usualMs);
+            return { one, score: score * (1 + TIE_SPREAD * random()) };
         });
-        return best === undefined
+        scored.sort((left, right) => left.score - right.score);
+        const best = scored.find(({ one }) => this.claimsSend(run, [one.id]))?.one;
+        if (best !== undefined) {
+            return { kind: "target", target: this.createTarget(run, best.id, best.address, undefined, undefined) };
+        }
+        return candidates.length === 0
             ? this.findRestingPlain(taking, untried) ?? { kind: "none" }
-            : { kind: "target", target: this.createTarget(run, best.id, best.address, undefined, undefined) };
+            : this.createLimited(candidates.map(({ id }) => [id]));
+    }
+
+    private claimsSend(run: RoutedRun, ids: readonly string[]): boolean {
+        const { organisation, route } = run.admitted;
+        return this.options.sends.claimsSend(ids, {
+            request: run,
+            priority: organisation?.priority ?? route.priority,
+            patienceMs: computeHeldPatienceMs(run),
+        });
+    }
+
+    private createLimited(paths: readonly (readonly string[])[]): TargetChoice {
+        const { leftMs, isHeld } = this.options.sends.computeLeft(paths);
+        return { kind: "limited", leftMs, isHeld, upstreams: [...new Set(paths.flat())] };
     }
 
     private chooseModel(
@@ -115,7 +132,7 @@
         const ageMs = this.options.getLoadAgeMs();
         const hasRoom = ({ chain, ...load }: LoadedChain): boolean =>
             hasChainRoom(chain, computeLoadNow(chain, load, engine, ageMs), engine, objective_ms);
-        const chooseAmong = (some: readonly Chain[]): LoadedChain | undefined =>
+        const chooseLoaded = (some: readonly Chain[]): LoadedChain | undefined =>
             chooseChainLate({
                 chains: some.map((chain) => ({ chain, ...this.getLoad(getFirstId(chain)) })),
                 size: run.admitted.call.size ?? UNKNOWN_SIZE,
@@ -123,11 +140,22 @@
                 hasRoom: (loaded) => isUnderWay || hasRoom(loaded),
                 draw: this.options.random(),
             });
+        // Paths that get as many requests as they take; what the others can serve goes there at once.
+        const limited: Chain[] = [];
+        const chooseAmong = (some: readonly Chain[]): LoadedChain | undefined => {
+            const open = some.filter((chain) => !limited.includes(chain));
+            const loaded = chooseLoaded(open);
+            if (loaded === undefined || this.claimsSend(run, listIds(loaded.chain))) {
+                return loaded;
+            }
+            limited.push(loaded.chain);
+            return chooseAmong(some);
+        };
         const preferred = this.listPreferred(chains, service.name);
         const chosen = chooseAmong(preferred) ?? (preferred.length < chains.length ? chooseAmong(chains) : undefined);
         const first = chosen?.chain.stages[0]?.engine;
         if (chosen === undefined || first === undefined) {
-            return { kind: "full" };
+            return limited.length > 0 ? this.createLimited(limited.map(listIds)) : { kind: "full" };
         }
         const { stages } = chosen.chain;
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
@@ -278,6 +306,10 @@
     return run.isBack || run.ageMs > run.admitted.route.objective_ms ? "late" : "fresh";
 }
 
+function listIds({ stages }: Chain): readonly string[] {
+    return stages.map(({ engine }) => engine.id);
+}
+
 function getFirstId(chain: Chain): string {
     return chain.stages[0]?.engine.id ?? "";
 }
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -12,7 +12,7 @@
     readonly countSuspicion: () => void;
     /** An upstream asked this instance for rest. */
     readonly countRest: (change: RestChange) => void;
-    /** Something was not sent because its upstream had asked for rest since it was chosen. */
+    /** Something was not sent because its upstream rests, or takes no more now. */
     readonly countKeptBack: () => void;
     /** Something was sent although its upstream rests; there should be none. */
     readonly countSendDuringRest: () => void;
@@ -22,6 +22,10 @@
     readonly countLimit: (change: LimitChange) => void;
     /** Upstreams that have a limit, as this instance knows. */
     readonly recordLimits: (count: number) => void;
+    /** Sends to upstreams with a limit that this instance holds. */
+    readonly recordSendsHeld: (count: number) => void;
+    /** Something was sent beyond the limit of its upstream; there should be none. */
+    readonly countSendBeyond: () => void;
     readonly countHeartbeat: (outcome: string) => void;
     readonly recordRole: (isLeader: boolean) => void;
     readonly countPeerBytes: (method: string, bytes: number) => void;
@@ -71,7 +75,8 @@
     });
     const keptBack = new Counter({
         name: "crankfork_upstream_sends_kept_back_total",
-        help: "Requests, reports and orders that were not sent because their upstream rests",
+        help:
+            "Requests, reports and orders that were not sent because their upstream rests, or has as many as it takes",
         registers,
     });
     const duringRest = new Counter({
@@ -95,6 +100,16 @@
         help: "Upstreams that have a limit, as this instance knows",
         registers,
     });
+    const sendsHeld = new Gauge({
+        name: "crankfork_upstream_sends_held",
+        help: "Sends to upstreams with a limit that this instance holds",
+        registers,
+    });
+    const sendsBeyond = new Counter({
+        name: "crankfork_upstream_sends_beyond_total",
+        help: "Requests that were sent without a send left under their upstream's limit; there should be none",
+        registers,
+    });
     const heartbeats = new Counter({
         name: "crankfork_heartbeats_total",
         help: "Heartbeats of upstreams by outcome",
@@ -158,6 +173,12 @@
         recordLimits: (count) => {
             limits.set(count);
         },
+        recordSendsHeld: (count) => {
+            sendsHeld.set(count);
+        },
+        countSendBeyond: () => {
+            sendsBeyond.inc();
+        },
         countHeartbeat: (outcome) => {
             heartbeats.inc({ outcome });
         },
--- /dev/null
+++ b/packages/daemon/src/process/formatToldLimit.ts
@@ -0,0 +1,39 @@
+/**
+ * Limits between instances: times cross as ages, since each instance has a clock of its own.
+ */
+import type { HeardLimit } from "@crankfork/decisions";
+import type { ToldLimit } from "@crankfork/schemas";
+
+/**
+ * Formats a limit for another instance.
+ * @param id - one life of the upstream
+ * @param heard - its limit, or the end of one
+ * @param nowMs - the monotonic clock of this instance
+ * @returns the message's part
+ */
+export function formatToldLimit(
+    id: string,
+    { requestsASecond, askedMs, heardMs }: HeardLimit,
+    nowMs: number,
+): ToldLimit {
+    return {
+        id,
+        ...(requestsASecond === undefined ? {} : { requests_a_second: requestsASecond }),
+        asked_ms_ago: Math.max(0, Math.round(nowMs - askedMs)),
+        heard_ms_ago: Math.max(0, Math.round(nowMs - heardMs)),
+    };
+}
+
+/**
+ * Reads a limit of another instance.
+ * @param told - as it came
+ * @param nowMs - the monotonic clock of this instance
+ * @returns the limit by this clock; what the message took on its way counts as if it had been heard later
+ */
+export function parseToldLimit(told: ToldLimit, nowMs: number): HeardLimit {
+    return {
+        requestsASecond: told.requests_a_second,
+        askedMs: nowMs - told.asked_ms_ago,
+        heardMs: nowMs - told.heard_ms_ago,
+    };
+}
--- a/packages/daemon/src/process/heedingControl.ts
+++ b/packages/daemon/src/process/heedingControl.ts
@@ -5,6 +5,7 @@
 import { getLife, isStartOf } from "@crankfork/schemas";
 import type { EngineControl, EnginePlace, ReportResult } from "../connection/engineControl.js";
 import type { UpstreamWord } from "../request/routedCall.js";
+import type { LimitSource } from "./namedLimits.js";
 
 /** What is done with the words. */
 export interface HeedingFunctions {
@@ -12,6 +13,9 @@
     /** Asked right before a send; false where nothing may be sent. */
     readonly maySend: (id: string) => boolean;
     readonly hearLeaving: (id: string, asked: string) => void;
+    readonly hearLimit: (id: string, limit: UpstreamWord["limit"], source: LimitSource) => void;
+    /** The monotonic clock. */
+    readonly getNowMs: () => number;
 }
 
 const KEPT_BACK = "not asked: it rests";
@@ -28,10 +32,14 @@
             if (!functions.maySend(engine.id)) {
                 return { kind: "turned-away", reason: KEPT_BACK };
             }
+            const askedMs = functions.getNowMs();
             const result = await control.getReport(engine);
             functions.hearRest(engine.id, result.word?.rest ?? { kind: "none" }, "report");
-            if (isLeaving(engine, result)) {
-                functions.hearLeaving(engine.id, "report");
+            if (isOfMeant(engine, result)) {
+                functions.hearLimit(engine.id, result.word?.limit ?? { kind: "none" }, { asked: "report", askedMs });
+                if (result.word?.leaving === "said") {
+                    functions.hearLeaving(engine.id, "report");
+                }
             }
             return result;
         },
@@ -48,8 +56,6 @@
 }
 
 /** Only a report that tells the start of the life that was asked can say so for it. */
-function isLeaving(engine: EnginePlace, result: ReportResult): boolean {
-    return result.kind === "report"
-        && result.word?.leaving === "said"
-        && isStartOf(getLife(engine), result.startedAtMs);
+function isOfMeant(engine: EnginePlace, result: ReportResult): boolean {
+    return result.kind === "report" && isStartOf(getLife(engine), result.startedAtMs);
 }
--- a/packages/daemon/src/process/namedLimits.ts
+++ b/packages/daemon/src/process/namedLimits.ts
@@ -13,7 +13,7 @@
     readonly log: EventLog;
     readonly metrics: Pick<FleetMetrics, "countLimit" | "recordLimits">;
     /** Called when a limit began, changed or ended. */
-    readonly handleChange: (id: string, change: LimitChange) => void;
+    readonly handleChange: (id: string, source: "heard" | "told") => void;
 }
 
 /** What a word changed. */
@@ -21,7 +21,7 @@
 
 /** The answer that a word came with. */
 export interface LimitSource {
-    /** The request or report that was answered, or the instance that told of it; for the log. */
+    /** The request or report that was answered, for the log. */
     readonly asked: string;
     /** When the request left, on the monotonic clock. */
     readonly askedMs: number;
@@ -56,16 +56,20 @@
             return;
         }
         const requestsASecond = word.kind === "limit" ? word.requestsASecond : undefined;
-        this.apply(id, { requestsASecond, askedMs, heardMs: this.options.getNowMs() }, asked);
+        this.apply(id, { requestsASecond, askedMs, heardMs: this.options.getNowMs() }, asked, "heard");
     }
 
     /**
-     * Takes a limit, or its end, that was heard here or elsewhere.
+     * Takes a limit, or its end, that another instance heard.
      * @param id - the life that said so
      * @param heard - what it said, and when
-     * @param from - what it answered, or the instance that tells it; for the log
+     * @param teller - the instance that tells it, for the log
      */
-    apply(id: string, heard: HeardLimit, from: string): void {
+    applyTold(id: string, heard: HeardLimit, teller: string): void {
+        this.apply(id, heard, teller, "told");
+    }
+
+    private apply(id: string, heard: HeardLimit, from: string, source: "heard" | "told"): void {
         const known = this.byId.get(id);
         if (known === undefined && heard.requestsASecond === undefined) {
             return;
@@ -74,7 +78,7 @@
         this.byId.set(id, newer);
         const change = compareLimits(known?.requestsASecond, newer.requestsASecond);
         if (change !== undefined) {
-            this.recordChange(id, change, newer.requestsASecond, from);
+            this.recordChange(id, change, newer.requestsASecond, from, source);
         }
     }
 
@@ -112,7 +116,7 @@
         const sinceMs = this.options.getNowMs() - REMEMBERED_MS;
         for (const [id, { requestsASecond, heardMs }] of this.byId) {
             if (!isKnown(id) && requestsASecond !== undefined) {
-                this.recordChange(id, "ended", undefined, "its life is over");
+                this.recordChange(id, "ended", undefined, "its life is over", "told");
             }
             if (!isKnown(id) || (requestsASecond === undefined && heardMs < sinceMs)) {
                 this.byId.delete(id);
@@ -120,12 +124,18 @@
         }
     }
 
-    private recordChange(id: string, change: LimitChange, limit: number | undefined, asked: string): void {
+    private recordChange(
+        id: string,
+        change: LimitChange,
+        limit: number | undefined,
+        from: string,
+        source: "heard" | "told",
+    ): void {
         const { log, metrics, handleChange } = this.options;
         metrics.countLimit(change);
         metrics.recordLimits([...this.byId.values()].filter((one) => one.requestsASecond !== undefined).length);
-        log.record("info", "upstream-limit", { peer: id, change, requests_a_second: limit, asked });
-        handleChange(id, change);
+        log.record("info", "upstream-limit", { peer: id, change, requests_a_second: limit, source, from });
+        handleChange(id, source);
     }
 }
 
--- a/packages/daemon/src/process/upstreamRests.ts
+++ b/packages/daemon/src/process/upstreamRests.ts
@@ -22,7 +22,7 @@
  * @param rests - the rests of this instance
  * @returns the functions
  */
-export function createRestFunctions(rests: UpstreamRests): Omit<HeedingFunctions, "hearLeaving"> {
+export function createRestFunctions(rests: UpstreamRests): Pick<HeedingFunctions, "hearRest" | "maySend"> {
     return {
         hearRest: (id, rest, asked) => {
             rests.hear(id, rest, asked);
--- a/packages/daemon/src/process/voter/entryRegister.ts
+++ b/packages/daemon/src/process/voter/entryRegister.ts
@@ -2,6 +2,7 @@
  * The entries that a leader heard of, and what they have open; and the answers to their questions.
  */
 import type {
+    LimitsKnown,
     ServiceSpending,
     SynchronisedState,
     SynchroniseParameters,
@@ -10,6 +11,7 @@
 } from "@crankfork/schemas";
 import { waitMs } from "../waitMs.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
+import type { LimitKeeper } from "./limitKeeper.js";
 
 /** What the register needs from the process. */
 export interface EntryRegisterOptions {
@@ -17,6 +19,8 @@
     readonly getNowMs: () => number;
     /** Upstreams that several entries suspect. */
     readonly listSuspects: () => readonly string[];
+    /** Rates that upstreams named. */
+    readonly limits: Pick<LimitKeeper, "hasNews" | "listNews">;
 }
 
 /** An entry that was not heard for so long counts no more; as long as the longest window of a shared budget. */
@@ -37,6 +41,11 @@
 /** With the longest hold it stays below the silence that an entry bears. */
 const MOST_GAP_MS = 500;
 
+/** What an entry knows that says nothing of limits. */
+const NO_LIMITS: LimitsKnown = { term: 0, change: 0 };
+/** An entry that was not heard for so long may use its even part of what is shared; it asks again within some 1.2 s. */
+const IN_TOUCH_MS = 1_500;
+
 interface KnownEntry {
     heardMs: number;
     /** When it was last told of a change. */
@@ -84,15 +93,20 @@
             return this.createNotLeader();
         }
         const entry = this.record(parameters);
-        if (host.state.lastChange === parameters.known_index) {
+        if (!this.hasNews(parameters)) {
             await this.waitForNews();
         }
-        if (host.state.lastChange !== parameters.known_index) {
+        if (this.hasNews(parameters)) {
             await this.waitForTurn(entry);
         }
         return host.replica.hasNewestState() ? this.createState(parameters) : this.createNotLeader();
     }
 
+    private hasNews({ known_index, limits_known = NO_LIMITS }: SynchroniseParameters): boolean {
+        const { host, limits } = this.options;
+        return host.state.lastChange !== known_index || limits.hasNews(limits_known);
+    }
+
     private record({ instance, loads, spending = {}, known_index }: SynchroniseParameters): KnownEntry {
         this.recordTerm();
         const known = this.entries.get(instance);
@@ -156,6 +170,7 @@
             spending_elsewhere: this.sumSpending(parameters.instance),
             spending_known_ms: this.options.getNowMs() - this.leadingSinceMs,
             suspects: [...this.options.listSuspects()],
+            limits: this.options.limits.listNews(parameters.limits_known ?? NO_LIMITS),
             voters: [...replicas.voters, ...replicas.learners].map((replica) => replica.address),
         };
     }
@@ -167,7 +182,20 @@
             : { kind: "not-leader", leader };
     }
 
-    private countEntries(): number {
+    /**
+     * Counts the entries that are in touch.
+     * @returns those that asked a moment ago
+     */
+    countInTouch(): number {
+        const sinceMs = this.options.getNowMs() - IN_TOUCH_MS;
+        return [...this.entries.values()].filter(({ heardMs }) => heardMs >= sinceMs).length;
+    }
+
+    /**
+     * Counts the entries that share budgets.
+     * @returns those that were heard of lately; at least 1
+     */
+    countEntries(): number {
         const nowMs = this.options.getNowMs();
         for (const [instance, { heardMs }] of this.entries) {
             if (nowMs - heardMs > ENTRY_MEMORY_MS) {
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -14,6 +14,7 @@
     replicaParametersSchema,
     type RoutedService,
     type RoutingTable,
+    sendsParametersSchema,
     suspectParametersSchema,
     synchroniseParametersSchema,
     trialParametersSchema,
@@ -27,6 +28,7 @@
 import type { RequestHandler } from "../httpServer.js";
 import { LayerKeeper } from "../layers/layerKeeper.js";
 import { PaceWatch } from "../layers/paceWatch.js";
+import { NamedLimits } from "../namedLimits.js";
 import { PeerLink } from "../peerLink.js";
 import { type Founding, ReplicaHost } from "../replicaHost.js";
 import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
@@ -36,6 +38,7 @@
 import { DocumentSource } from "./documentSource.js";
 import { EntryRegister } from "./entryRegister.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
+import { LimitKeeper } from "./limitKeeper.js";
 import { SuspectProbe } from "./suspectProbe.js";
 import { UpstreamRegister } from "./upstreamRegister.js";
 import { VoterGroup } from "./voterGroup.js";
@@ -138,15 +141,28 @@
     readonly entries: EntryRegister;
     readonly documents: DocumentSource;
     readonly probe: SuspectProbe;
+    readonly limits: LimitKeeper;
 }
 
 function startParts(fleet: FleetProcess, host: FleetReplicaHost, protocol: VoterProtocol): VoterParts {
     const { log, metrics, getNowMs, peers } = fleet;
-    const { cluster, contract, limits } = fleet.getSettings();
+    const { cluster, contract, limits: machine } = fleet.getSettings();
     const rests = new UpstreamRests({ getNowMs, log, metrics });
+    const limits = new NamedLimits({
+        getNowMs,
+        log,
+        metrics,
+        handleChange: (id) => {
+            keeperOfLimits.handleChange(id);
+        },
+    });
     const control = createHeedingControl(protocol.control, {
         ...createRestFunctions(rests),
         hearLeaving: (id, asked) => void upstreams.recordLeavingWord(id, asked),
+        hearLimit: (id, limit, source) => {
+            limits.hear(id, limit, source);
+        },
+        getNowMs,
     });
     const getServices = createServiceReader(host, protocol.decodeDocument);
     const document = new DocumentKeeper({ host, log, getNowMs, recordCommitMs: metrics.recordCommitMs });
@@ -169,9 +185,24 @@
             entries.handleState();
         },
     });
-    const entries = new EntryRegister({ host, getNowMs, listSuspects: () => probe.listAgreed() });
+    const keeperOfLimits: LimitKeeper = new LimitKeeper({
+        host,
+        limits,
+        getNowMs,
+        countEntries: () => entries.countEntries(),
+        countInTouch: () => entries.countInTouch(),
+        handleNews: () => {
+            entries.handleState();
+        },
+    });
+    const entries: EntryRegister = new EntryRegister({
+        host,
+        getNowMs,
+        listSuspects: () => probe.listAgreed(),
+        limits: keeperOfLimits,
+    });
     const crashes = new CrashKeeper({ host, log, getNowMs, getUnixMs: Date.now });
-    const documents = new DocumentSource({ host, getNowMs, linkMbps: limits.link });
+    const documents = new DocumentSource({ host, getNowMs, linkMbps: machine.link });
     const group = new VoterGroup({
         host,
         peers,
@@ -196,9 +227,12 @@
     new PaceWatch({ host, upstreams, control }).start();
     setInterval(() => {
         upstreams.markSilent();
-        rests.sweep((id) => host.state.getUpstream(id) !== undefined);
+        const isKnown = (id: string): boolean => host.state.getUpstream(id) !== undefined;
+        rests.sweep(isKnown);
+        limits.sweep(isKnown);
+        keeperOfLimits.sweep();
     }, SILENCE_CHECK_MS);
-    return { document, upstreams, crashes, group, entries, documents, probe };
+    return { document, upstreams, crashes, group, entries, documents, probe, limits: keeperOfLimits };
 }
 
 /** The document is decoded once a version. */
@@ -220,7 +254,7 @@
 
 function createRpcServer(
     host: FleetReplicaHost,
-    { group, entries, documents, probe, crashes, upstreams }: VoterParts,
+    { group, entries, documents, probe, crashes, upstreams, limits }: VoterParts,
 ): JSONRPCServer {
     const server = new JSONRPCServer({ errorListener: () => undefined });
     server.addMethod("replica", async (raw) => ({ answers: await host.receive(replicaParametersSchema.parse(raw)) }));
@@ -239,6 +273,7 @@
         const taken = await Promise.all(ids.map((id) => upstreams.recordLeavingWord(id, instance)));
         return { is_taken: taken.every((isTaken) => isTaken) };
     });
+    server.addMethod("sends", (raw) => limits.answer(sendsParametersSchema.parse(raw)));
     server.addMethod("document", (raw) => documents.answer(documentParametersSchema.parse(raw)));
     server.addMethod("synchronise", (raw) => entries.synchronise(synchroniseParametersSchema.parse(raw)));
     return server;
--- a/packages/daemon/src/request/refuseRequest.ts
+++ b/packages/daemon/src/request/refuseRequest.ts
@@ -24,6 +24,7 @@
     "too-few-engines": "too-few-engines",
     "full": "full",
     "resting": "resting",
+    "limited": "limited",
 };
 
 /**
@@ -31,7 +32,7 @@
  * @param run - the request
  * @param answer - nothing written yet, or a stream under way
  * @param choice - why there is none
- * @param functions - when to come back to upstreams that rest
+ * @param functions - when to come back to upstreams that rest or take few
  * @returns how it ended
  */
 export function refuseChoice(
@@ -43,11 +44,12 @@
     if (run.mayHaveRun) {
         return sendRefusal(run, answer, "upstream-failed");
     }
-    if (choice.kind !== "resting") {
+    if (choice.kind !== "resting" && choice.kind !== "limited") {
         return sendRefusal(run, answer, choiceRefusals[choice.kind]);
     }
-    run.restingUpstreams = choice.upstreams;
-    return sendRefusal(run, answer, "resting", functions.words.computeReturnMs(run.admitted.service, choice.leftMs));
+    run.boundBy = choice.upstreams;
+    const returnMs = functions.words.computeReturnMs(run.admitted.service, choice.leftMs);
+    return sendRefusal(run, answer, choiceRefusals[choice.kind], returnMs);
 }
 
 /**
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -32,6 +32,16 @@
         readonly leftMs: number;
         /** Those that rest, for the log. */
         readonly upstreams: readonly string[];
+    }
+    /** Whatever could take it has named a rate, and gets as many. */
+    | {
+        readonly kind: "limited";
+        /** Time until the next may be sent. */
+        readonly leftMs: number;
+        /** Whether that one is this entry's; else others may be sooner. */
+        readonly isHeld: boolean;
+        /** Those with a limit, for the log. */
+        readonly upstreams: readonly string[];
     };
 
 /** What upstreams say of themselves, and what follows from it. */
--- a/packages/daemon/src/request/requestPatience.ts
+++ b/packages/daemon/src/request/requestPatience.ts
@@ -24,6 +24,8 @@
  * it (mean of seven loaded days with faults).
  */
 const BACK_PATIENCE_SHARE = 2.5;
+/** Part of the objective for which a request waits for a send that is held here; the rest of it is for the answer. */
+const HELD_PATIENCE_SHARE = 0.3;
 /** Between two looks whether something can take a waiting request. */
 export const PATIENCE_POLL_MS = 40;
 
@@ -36,6 +38,15 @@
     return Math.max(0, Math.min(MOST_PATIENCE_MS, leftMs * PATIENCE_SHARE));
 }
 
+/**
+ * Computes how long a request may wait for a send that is held for it.
+ * @param run - the request
+ * @returns milliseconds
+ */
+export function computeHeldPatienceMs({ admitted, leftMs }: RoutedRun): number {
+    return Math.min(admitted.route.objective_ms * HELD_PATIENCE_SHARE, computePatienceMs(leftMs));
+}
+
 /**
  * Tells whether the key of a request may still be used.
  * @param run - the request
@@ -90,6 +101,8 @@
     readonly noneMs: number;
     readonly fullMs: number;
     readonly restingMs: number;
+    /** For a send that is held here for later. */
+    readonly heldMs: number;
 }
 
 function computePatience(run: RoutedRun): Patience {
@@ -99,12 +112,13 @@
         fullMs: objective_ms * (run.isBack ? BACK_PATIENCE_SHARE : FULL_PATIENCE_SHARE),
         // Whoever is back has been told when there is room, so it waits no longer than others.
         restingMs: objective_ms * FULL_PATIENCE_SHARE,
+        heldMs: computeHeldPatienceMs(run),
     };
 }
 
 function getPatienceMs(
     choice: Exclude<TargetChoice, { kind: "target"; }>,
-    { noneMs, fullMs, restingMs }: Patience,
+    { noneMs, fullMs, restingMs, heldMs }: Patience,
 ): number {
     switch (choice.kind) {
         case "none":
@@ -115,5 +129,8 @@
         case "resting":
             // A rest that outlasts the wait is known at once; its caller is told when to come back.
             return restingMs - choice.leftMs;
+        case "limited":
+            // A send that is held here for later is worth waiting for, as long as the answer is still in time.
+            return (choice.isHeld ? heldMs : restingMs) - choice.leftMs;
     }
 }
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -16,6 +16,7 @@
     | "full"
     | "declined"
     | "resting"
+    | "limited"
     | "no-repeat-left"
     | "held"
     | "held-after-run"
@@ -112,6 +113,12 @@
         status: 503,
         text: "the upstreams have asked for rest, or take few requests after one; the request has not run",
     },
+    // Told when the next may be sent; nothing is drawn.
+    "limited": {
+        id: "limited",
+        status: 503,
+        text: "the upstreams get as many requests a second as they take; the request has not run",
+    },
     "no-repeat-left": {
         id: "no-repeat-left",
         status: 503,
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -201,7 +201,7 @@
         case "hand-on":
             return handOn(run, answer, { whole: result.answer, choice }, functions);
         case "refuse":
-            return choice.kind === "resting"
+            return isBound(choice)
                 ? refuseChoice(run, answer, choice, functions)
                 : sendRefusal(run, answer, getNotRunRefusal(result.end, step.isPathFree));
         case "fail":
@@ -229,14 +229,19 @@
         // A trial is one send.
         hasAlternative: !run.isTrial && choice.kind === "target",
         graceMs: isUnderWay && !run.isTrial ? computeGraceMs(route, relay) : 0,
-        // Where all that is left rests, nothing will take it before the first rest ends; its caller is told when.
-        patienceMs: isUnderWay || run.isTrial || service.engine === undefined || choice.kind === "resting"
+        // Where all that is left rests or takes no more, nothing will take it sooner than its caller is told.
+        patienceMs: isUnderWay || run.isTrial || service.engine === undefined || isBound(choice)
             ? 0
             : computePatienceMs(run.leftMs + run.ageMs) - run.ageMs,
         claimRepeat: () => functions.claimRepeat(service.name, answer.isBegun),
     });
 }
 
+/** Whether upstreams' own words keep a request from being sent. */
+function isBound(choice: TargetChoice): choice is Extract<TargetChoice, { kind: "resting" | "limited"; }> {
+    return choice.kind === "resting" || choice.kind === "limited";
+}
+
 function computeGraceMs(route: Route, relay: StreamRelay): number {
     const contract = { objectiveMs: route.objective_ms, pauseMs: route.pause_objective_ms };
     return computeStreamPatienceMs(contract) - relay.sinceEventMs;
--- a/packages/daemon/src/request/routedRun.ts
+++ b/packages/daemon/src/request/routedRun.ts
@@ -35,8 +35,8 @@
     isTrial = false;
     /** Whether an upstream ended under it, so that its line in the log has to tell which request it is. */
     hasCrash = false;
-    /** Upstreams whose rest kept it from being sent, for the log. */
-    restingUpstreams: readonly string[] = [];
+    /** Upstreams whose rest or limit kept it from being sent, for the log. */
+    boundBy: readonly string[] = [];
     /** What was done, for the log. */
     readonly steps: string[] = [];
     private stopped: RunStop | undefined;
--- a/packages/daemon/tests/agreedState.test.ts
+++ b/packages/daemon/tests/agreedState.test.ts
@@ -12,6 +12,7 @@
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
 import { type UpstreamHeartbeat, UpstreamRegister } from "../src/process/voter/upstreamRegister.js";
+import { noLimits } from "./noLimits.js";
 
 const silentLog: EventLog = { record: () => undefined };
 const limits = { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
@@ -181,7 +182,7 @@
             (await upstreams.removeUpstream("u")).kind,
             document.getNewestDocument().kind,
         ];
-        const entries = new EntryRegister({ host, getNowMs: () => 0, listSuspects: () => [] });
+        const entries = new EntryRegister({ host, getNowMs: () => 0, listSuspects: () => [], limits: noLimits });
         const told = await entries.synchronise({ instance: "e", known_index: 0, loads: {} });
         await close();
         expect(results).to.deep.equal(["unavailable", "unavailable", "unavailable", "unavailable"]);
--- a/packages/daemon/tests/documentDelivery.test.ts
+++ b/packages/daemon/tests/documentDelivery.test.ts
@@ -22,6 +22,7 @@
 import { DocumentSource } from "../src/process/voter/documentSource.js";
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
+import { noLimits } from "./noLimits.js";
 import { SharedLink } from "./sharedLink.js";
 
 const LINK_MBPS = 170;
@@ -76,7 +77,12 @@
                 getStatus: () => ({ leader: addresses[0], replicas: { voters: addresses, learners: [] } }),
             },
         } as unknown as FleetReplicaHost;
-        this.register = new EntryRegister({ host, getNowMs: () => performance.now(), listSuspects: () => [] });
+        this.register = new EntryRegister({
+            host,
+            getNowMs: () => performance.now(),
+            listSuspects: () => [],
+            limits: noLimits,
+        });
         this.documents = new DocumentSource({ host, getNowMs: () => performance.now(), linkMbps: LINK_MBPS });
     }
 
--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -4,6 +4,7 @@
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
 import { waitMs } from "../src/process/waitMs.js";
+import { noLimits } from "./noLimits.js";
 
 const self = { id: "v", address: "v" };
 const LATENCY_MS = 1;
@@ -45,7 +46,12 @@
                     getStatus: () => ({ leader: self, replicas: { voters: [self], learners: [] } }),
                 },
             } as unknown as FleetReplicaHost;
-            const register = new EntryRegister({ host, getNowMs: () => performance.now(), listSuspects: () => [] });
+            const register = new EntryRegister({
+                host,
+                getNowMs: () => performance.now(),
+                listSuspects: () => [],
+                limits: noLimits,
+            });
             let index = 0;
             const change = (): void => {
                 index += 1;
@@ -105,7 +111,7 @@
                 getStatus: () => ({ leader: self, term, replicas: { voters: [self], learners: [] } }),
             },
         } as unknown as FleetReplicaHost;
-        register = new EntryRegister({ host, getNowMs: () => nowMs, listSuspects: () => [] });
+        register = new EntryRegister({ host, getNowMs: () => nowMs, listSuspects: () => [], limits: noLimits });
     });
 
     /** Asks as an entry that lacks the last change, so that it is answered at once. */
--- a/packages/daemon/tests/entryWords.test.ts
+++ b/packages/daemon/tests/entryWords.test.ts
@@ -35,6 +35,7 @@
             },
             metrics: { countRest: count, countKeptBack: count, countLeavingWord: count } as unknown as FleetMetrics,
             countEntries: () => 1,
+            random: () => 0,
             settings: createSettings({ drain: DRAIN_MS }),
             askLeader: (_method, parameters) => {
                 this.leaderless -= 1;
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -7,6 +7,7 @@
 import { UpstreamRegister } from "../src/process/voter/upstreamRegister.js";
 import { installClock, type InstalledClock } from "./installedClock.js";
 import { emptyReport, LeaderStand, log } from "./leaderStand.js";
+import { noLimits } from "./noLimits.js";
 
 describe("a leader knows which engines are there, and tells the entries", () => {
     let clock: InstalledClock;
@@ -87,6 +88,7 @@
             host: stand.host,
             getNowMs: () => performance.now(),
             listSuspects: () => probe.listAgreed(),
+            limits: noLimits,
         });
         const told: (readonly string[])[] = [];
         const ask = async (): Promise<void> => {
@@ -205,6 +207,7 @@
             host: stand.host,
             getNowMs: () => performance.now(),
             listSuspects: () => [],
+            limits: noLimits,
         });
         const loads = { a: { open: 3, unstarted: 1 } };
         void entries.synchronise({ instance: "other", known_index: 0, loads });
@@ -226,6 +229,7 @@
             host: stand.host,
             getNowMs: () => performance.now(),
             listSuspects: () => [],
+            limits: noLimits,
         });
         let knownIndex = 0;
         let wokeMs = Number.NEGATIVE_INFINITY;
--- /dev/null
+++ b/packages/daemon/tests/namedLimits.test.ts
@@ -0,0 +1,92 @@
+import { expect } from "chai";
+import type { FleetMetrics } from "../src/process/fleetMetrics.js";
+import { NamedLimits } from "../src/process/namedLimits.js";
+
+const count = (): undefined => undefined;
+const metrics = { countLimit: count, recordLimits: count } as unknown as FleetMetrics;
+
+class LimitStand {
+    nowMs = 1_000;
+    readonly events: string[] = [];
+    readonly limits = new NamedLimits({
+        getNowMs: () => this.nowMs,
+        log: {
+            record: (_level, event, { peer, change, requests_a_second, source } = {}) => {
+                this.events.push(
+                    [event, peer, change, requests_a_second, source].filter((one) => one !== undefined).join(" "),
+                );
+            },
+        },
+        metrics,
+        handleChange: count,
+    });
+
+    hear(requestsASecond: number | undefined, askedMs: number): void {
+        this.limits.hear(
+            "u",
+            requestsASecond === undefined ? { kind: "none" } : { kind: "limit", requestsASecond },
+            { asked: "1", askedMs },
+        );
+    }
+}
+
+describe("a line where a limit begins, changes and ends, and none where nothing changes", () => {
+    it("by answers to this instance", () => {
+        const stand = new LimitStand();
+        stand.hear(undefined, 990);
+        stand.hear(2, 990);
+        stand.hear(2, 991);
+        stand.nowMs = 1_010;
+        stand.hear(40, 1_000);
+        stand.nowMs = 1_020;
+        stand.hear(3, 1_015);
+        stand.nowMs = 1_030;
+        stand.hear(undefined, 1_021);
+        expect(stand.events).to.deep.equal([
+            "upstream-limit u begun 2 heard",
+            "upstream-limit u raised 40 heard",
+            "upstream-limit u lowered 3 heard",
+            "upstream-limit u ended heard",
+        ]);
+    });
+
+    it("what can't be read changes nothing", () => {
+        const stand = new LimitStand();
+        stand.hear(2, 990);
+        stand.limits.hear("u", { kind: "unreadable", text: "-1" }, { asked: "1", askedMs: 1_000 });
+        expect([stand.limits.getLimit("u"), stand.events.at(-1)]).to.deep.equal([2, "upstream-limit-unreadable u"]);
+    });
+
+    it("an older word that another instance tells late does not begin it again", () => {
+        const stand = new LimitStand();
+        stand.hear(2, 990);
+        stand.nowMs = 1_100;
+        stand.hear(undefined, 1_050);
+        stand.nowMs = 1_200;
+        stand.limits.applyTold("u", { requestsASecond: 2, askedMs: 980, heardMs: 995 }, "e");
+        expect(stand.limits.getLimit("u")).to.equal(undefined);
+    });
+
+    it("a later life has none", () => {
+        const stand = new LimitStand();
+        stand.hear(2, 990);
+        stand.limits.sweep(() => false);
+        expect([stand.limits.isAnyInForce, stand.limits.listIds(), stand.events.at(-1)]).to.deep.equal([
+            false,
+            [],
+            "upstream-limit u ended told",
+        ]);
+    });
+
+    it("an end is forgotten after a while", () => {
+        const stand = new LimitStand();
+        stand.hear(2, 990);
+        stand.nowMs = 1_100;
+        stand.hear(undefined, 1_050);
+        stand.limits.sweep(() => true);
+        expect(stand.limits.listIds()).to.deep.equal(["u"]);
+        stand.nowMs = 40_000;
+        stand.limits.sweep(() => true);
+        expect(stand.limits.listIds()).to.deep.equal([]);
+    });
+});
--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -303,6 +303,7 @@
             log: { record: () => undefined },
             metrics: noMetrics,
             countEntries: () => options.entries,
+            random,
             settings: createSettings(),
             askLeader: () => Promise.resolve({ is_taken: true }),
         });
@@ -313,6 +314,7 @@
             health: this.health,
             rests: words.rests,
             leaving: words.leaving,
+            sends: words.sends,
             shortage: new EngineShortage(getNowMs),
             getLoadElsewhere: (id) => ({ open: this.loadsElsewhere.get(id) ?? 0, unstarted: 0 }),
             isAvoided: () => false,
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -9,6 +9,7 @@
 import type { RoutedCall } from "../src/request/routedCall.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 import { FleetView } from "../src/version/fleetView.js";
+import { createSends } from "./noLimits.js";
 import { createWholeState } from "./wholeState.js";
 
 /** Eight layers; an engine holds four beside its requests, and takes sixteen requests. */
@@ -93,6 +94,7 @@
         shortage: new EngineShortage(() => this.nowMs),
         rests: this.rests,
         leaving: this.leaving,
+        sends: createSends(() => this.nowMs),
         getLoadElsewhere: (id) => this.loads.get(id) ?? { open: 0, unstarted: 0 },
         isAvoided: () => false,
         countUnseen: () => 0,
--- /dev/null
+++ b/packages/decisions/src/connection/sendSchedule.ts
@@ -0,0 +1,179 @@
+/**
+ * Who may send next to upstreams that named a limit: one schedule for the whole fleet, kept by the leader.
+ *
+ * Load pattern: an upstream names 2.1 requests a second before 59 entries. Each entry's even part is one request in 28 s, which a
+ * caller can't wait for and an entry without callers leaves unused; saved up, it is 59 requests at once.
+ *
+ * So what is handed out are single sends, each with its time, one after another at the upstream's rate, to whoever asks: none is
+ * promised twice, whatever becomes of the entry that has it, and nothing has to be taken back when an entry or the leader is
+ * lost. A path through several such upstreams takes one time that suits them all.
+ */
+
+/** An upstream and its limit. */
+export interface LimitedUpstream {
+    readonly id: string;
+    /** Requests a second from all instances together. */
+    readonly requestsASecond: number;
+}
+
+/** What an entry asks for. */
+export interface SendQuestion {
+    readonly instance: string;
+    /** All upstreams with a limit that such a request passes. */
+    readonly upstreams: readonly LimitedUpstream[];
+    /** Sends that it could use now. */
+    readonly count: number;
+    /** Part of each limit that is handed out; entries out of reach may use what is left. */
+    readonly share: number;
+    readonly nowMs: number;
+    /** How far ahead a send is still of use. */
+    readonly withinMs: number;
+}
+
+/** What it gets. */
+export interface SendAnswer {
+    /** The times from which on each may be made, on the leader's clock. */
+    readonly sendsMs: readonly number[];
+    /** When the next one is free for somebody. */
+    readonly nextMs: number;
+}
+
+/**
+ * Longest time between two sends: an upstream that takes none, or so few that no answer comes for minutes, is asked once in this
+ * time by one request of the whole fleet, since nobody would learn otherwise that its limit is over.
+ */
+export const MOST_GAP_MS = 10_000;
+/** What was free for so long may still be handed out; anything older is lost, since saved up it would be sent at once. */
+const BACKLOG_MS = 50;
+/** An entry that has not asked for so long does not wait any more. */
+const WAITING_MS = 500;
+const MS_A_SECOND = 1_000;
+
+interface Asker {
+    askedMs: number;
+    grantedMs: number;
+    isWaiting: boolean;
+    /** Sends that it holds, by their times. */
+    sendsMs: number[];
+}
+
+/** Hands out sends. */
+export class SendSchedule {
+    private readonly nextMs = new Map<string, number>();
+    private readonly askers = new Map<string, Map<string, Asker>>();
+
+    /**
+     * Begins anew for an upstream: it named a limit, or another one.
+     * @param upstream - the upstream
+     * @param nowMs - the monotonic clock
+     */
+    restart(upstream: LimitedUpstream, nowMs: number): void {
+        this.nextMs.set(upstream.id, nowMs + computeGapMs(upstream, 1));
+    }
+
+    /**
+     * Forgets an upstream whose limit has ended.
+     * @param id - the upstream
+     */
+    forget(id: string): void {
+        this.nextMs.delete(id);
+        this.askers.delete(id);
+    }
+
+    /**
+     * Answers an entry.
+     * @param question - what it asks for
+     * @returns the sends that it gets
+     */
+    ask(question: SendQuestion): SendAnswer {
+        const { upstreams, instance, count, nowMs, withinMs } = question;
+        const askers = upstreams.map(({ id }) => this.getAsker(id, instance));
+        askers.forEach((asker) => {
+            asker.askedMs = nowMs;
+            asker.sendsMs = asker.sendsMs.filter((sendMs) => sendMs > nowMs);
+        });
+        const sendsMs: number[] = [];
+        const most = this.computeMostHeld(question);
+        let sendMs = this.computeNextMs(question);
+        while (
+            sendsMs.length < count
+            && sendMs <= nowMs + withinMs
+            && askers.every((asker) => asker.sendsMs.length < most)
+            && (sendMs <= nowMs || this.isLongestWaiting(question))
+        ) {
+            sendsMs.push(sendMs);
+            this.take(question, askers, sendMs);
+            sendMs = this.computeNextMs(question);
+        }
+        askers.forEach((asker) => {
+            asker.isWaiting = sendsMs.length < count;
+        });
+        return { sendsMs, nextMs: sendMs };
+    }
+
+    private take({ upstreams, share, nowMs }: SendQuestion, askers: readonly Asker[], sendMs: number): void {
+        upstreams.forEach((upstream) => {
+            this.nextMs.set(upstream.id, sendMs + computeGapMs(upstream, share));
+        });
+        askers.forEach((asker) => {
+            asker.grantedMs = Math.max(nowMs, sendMs);
+            asker.sendsMs.push(sendMs);
+        });
+    }
+
+    /** The first time that suits all upstreams of the question. */
+    private computeNextMs({ upstreams, nowMs }: SendQuestion): number {
+        return Math.max(...upstreams.map((upstream) => {
+            const nextMs = this.nextMs.get(upstream.id);
+            if (nextMs === undefined) {
+                this.restart(upstream, nowMs);
+            }
+            return Math.max(this.nextMs.get(upstream.id) ?? nowMs, nowMs - BACKLOG_MS);
+        }));
+    }
+
+    /** An even part of what is handed out ahead, so that whoever asks first does not take all. */
+    private computeMostHeld(question: SendQuestion): number {
+        const { upstreams, share, withinMs } = question;
+        const parts = upstreams.map((upstream) => {
+            const ahead = Math.ceil(withinMs / computeGapMs(upstream, share));
+            return Math.ceil(ahead / Math.max(1, this.listWaiting(upstream.id, question).length));
+        });
+        return Math.max(1, Math.min(...parts));
+    }
+
+    /** Whoever waits longest comes first; others get what is due and not taken. */
+    private isLongestWaiting(question: SendQuestion): boolean {
+        return question.upstreams.every(({ id }) => {
+            const ownMs = this.getAsker(id, question.instance).grantedMs;
+            return this.listWaiting(id, question).every(({ grantedMs }) => grantedMs >= ownMs);
+        });
+    }
+
+    private listWaiting(id: string, { nowMs }: SendQuestion): readonly Asker[] {
+        const known = this.askers.get(id);
+        if (known === undefined) {
+            return [];
+        }
+        for (const [instance, { askedMs }] of known) {
+            if (nowMs - askedMs > WAITING_MS) {
+                known.delete(instance);
+            }
+        }
+        return [...known.values()].filter(({ isWaiting }) => isWaiting);
+    }
+
+    private getAsker(id: string, instance: string): Asker {
+        const byInstance = this.askers.get(id) ?? new Map<string, Asker>();
+        this.askers.set(id, byInstance);
+        const asker = byInstance.get(instance)
+            ?? { askedMs: 0, grantedMs: Number.NEGATIVE_INFINITY, isWaiting: false, sendsMs: [] };
+        byInstance.set(instance, asker);
+        return asker;
+    }
+}
+
+function computeGapMs({ requestsASecond }: LimitedUpstream, share: number): number {
+    const rate = requestsASecond * share;
+    return rate <= 0 ? MOST_GAP_MS : Math.min(MOST_GAP_MS, MS_A_SECOND / rate);
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,11 +4,13 @@
  */
 export * from "./connection/byteBudget.js";
 export { Circuit, type CircuitOptions, type CircuitState, defaultCircuit } from "./connection/circuit.js";
+export * from "./connection/evenPace.js";
 export * from "./connection/limitOrder.js";
 export * from "./connection/parseLimit.js";
 export * from "./connection/parseRest.js";
 export { Rest, type RestChange } from "./connection/rest.js";
 export { defaultRetryBudget, RetryBudget, type RetryBudgetOptions } from "./connection/retryBudget.js";
+export * from "./connection/sendSchedule.js";
 export * from "./connection/sharedRetryBudget.js";
 export { type AdmissionDecision, chooseAdmission, type QueueView } from "./request/chooseAdmission.js";
 export { chooseCandidate } from "./request/chooseCandidate.js";
--- a/packages/decisions/src/request/returnOrder.ts
+++ b/packages/decisions/src/request/returnOrder.ts
@@ -35,16 +35,26 @@
     readonly answerMs: number;
     /** Entries that send to it. */
     readonly entries: number;
+    /** Requests a second that each upstream takes; undefined for one that named no limit. */
+    readonly limits: readonly (number | undefined)[];
 }
 
 /** Upstreams that return are not filled to the brim at once. */
 const RETURN_SHARE = 0.5;
+const MS_A_SECOND = 1_000;
 
 /**
  * Computes the time between two requests from one entry that a service takes.
  * @param pace - slots and the usual time of an answer
  * @returns milliseconds
  */
-export function computeReturnGapMs({ slots, answerMs, entries }: ReturnPace): number {
-    return answerMs * entries / (Math.max(1, slots) * RETURN_SHARE);
+export function computeReturnGapMs({ slots, answerMs, entries, limits }: ReturnPace): number {
+    const gapMs = answerMs * entries / (Math.max(1, slots) * RETURN_SHARE);
+    return Math.max(gapMs, computeLimitGapMs(entries, limits));
+}
+
+/** One upstream without a limit takes more than the others. */
+function computeLimitGapMs(entries: number, limits: readonly (number | undefined)[]): number {
+    const requestsASecond = limits.reduce<number>((sum, limit) => sum + (limit ?? Number.POSITIVE_INFINITY), 0);
+    return limits.length === 0 ? 0 : Math.min(MOST_SPREAD_MS, MS_A_SECOND * entries / requestsASecond);
 }
--- a/packages/decisions/tests/returnOrder.test.ts
+++ b/packages/decisions/tests/returnOrder.test.ts
@@ -36,13 +36,22 @@
     }
 
     const gaps = [
-        { slots: 40, answerMs: 30, entries: 1, gapMs: 1.5 },
-        { slots: 40, answerMs: 30, entries: 3, gapMs: 4.5 },
-        { slots: 0, answerMs: 30, entries: 1, gapMs: 60 },
+        { slots: 40, answerMs: 30, entries: 1, limits: [], gapMs: 1.5 },
+        { slots: 40, answerMs: 30, entries: 3, limits: [undefined], gapMs: 4.5 },
+        { slots: 0, answerMs: 30, entries: 1, limits: [], gapMs: 60 },
+        { slots: 40, answerMs: 30, entries: 3, limits: [4, 2], gapMs: 500 },
+        { slots: 40, answerMs: 30, entries: 3, limits: [4, undefined], gapMs: 4.5 },
+        { slots: 40, answerMs: 30, entries: 59, limits: [2], gapMs: 2_000 },
+        { slots: 40, answerMs: 30, entries: 3, limits: [0], gapMs: 2_000 },
     ];
     for (const { gapMs, ...pace } of gaps) {
-        it(`${String(pace.slots)} slots of ${String(pace.answerMs)} ms for ${String(pace.entries)} entries: ${String(gapMs)} ms`, () => {
-            expect(computeReturnGapMs(pace)).to.equal(gapMs);
-        });
+        it(
+            `${String(pace.slots)} slots of ${String(pace.answerMs)} ms for ${String(pace.entries)} entries, ${
+                String(pace.limits)
+            } a second: ${String(gapMs)} ms`,
+            () => {
+                expect(computeReturnGapMs(pace)).to.equal(gapMs);
+            },
+        );
     }
 });
--- /dev/null
+++ b/packages/decisions/tests/sendSchedule.test.ts
@@ -0,0 +1,76 @@
+import { expect } from "chai";
+import { MOST_GAP_MS, SendSchedule } from "../src/connection/sendSchedule.js";
+
+const four = { id: "u", requestsASecond: 4 };
+const two = { id: "v", requestsASecond: 2 };
+
+describe("sends are handed out one after another at the upstream's rate, to whoever waits longest", () => {
+    const createQuestion = (instance: string, nowMs: number, count = 1): Parameters<SendSchedule["ask"]>[0] => ({
+        instance,
+        upstreams: [four],
+        count,
+        share: 1,
+        nowMs,
+        withinMs: 300,
+    });
+
+    it("the first one after the time of one, however many ask at once", () => {
+        const schedule = new SendSchedule();
+        const answers = ["a", "b", "c"].map((instance) => schedule.ask(createQuestion(instance, 0)).sendsMs);
+        expect(answers).to.deep.equal([[250], [], []]);
+    });
+
+    it("what was not asked for is lost", () => {
+        const schedule = new SendSchedule();
+        schedule.ask(createQuestion("a", 0));
+        expect(schedule.ask(createQuestion("a", 4_000, 10)).sendsMs).to.deep.equal([3_950, 4_200]);
+    });
+
+    it("one that has one comes after those that wait", () => {
+        const schedule = new SendSchedule();
+        schedule.ask(createQuestion("a", 0));
+        schedule.ask(createQuestion("b", 1));
+        expect(schedule.ask(createQuestion("a", 300)).sendsMs).to.deep.equal([]);
+        expect(schedule.ask(createQuestion("b", 310)).sendsMs).to.deep.equal([500]);
+    });
+
+    it("one that waits no more keeps nobody back", () => {
+        const schedule = new SendSchedule();
+        schedule.ask(createQuestion("a", 0));
+        schedule.ask(createQuestion("b", 1));
+        expect(schedule.ask(createQuestion("a", 900)).sendsMs).to.deep.equal([850]);
+    });
+
+    it("a part of the limit where entries are out of reach", () => {
+        const schedule = new SendSchedule();
+        schedule.ask({ ...createQuestion("a", 0), share: 0.5 });
+        expect(schedule.ask({ ...createQuestion("a", 300), share: 0.5 }).nextMs).to.equal(750);
+    });
+
+    it("a path through two takes one time that suits both", () => {
+        const schedule = new SendSchedule();
+        const path = { ...createQuestion("a", 0), upstreams: [four, two], withinMs: 600 };
+        expect(schedule.ask(path).sendsMs).to.deep.equal([500]);
+        expect(schedule.ask(createQuestion("b", 400)).nextMs).to.equal(750);
+    });
+
+    const limits = [
+        { title: "none at all", requestsASecond: 0, nextMs: MOST_GAP_MS },
+        { title: "one in a hundred seconds", requestsASecond: 0.01, nextMs: MOST_GAP_MS },
+        { title: "half of one a second", requestsASecond: 0.5, nextMs: 2_000 },
+    ];
+    for (const { title, requestsASecond, nextMs } of limits) {
+        it(`${title}: the next after ${String(nextMs)} ms`, () => {
+            const schedule = new SendSchedule();
+            const upstreams = [{ id: "u", requestsASecond }];
+            expect(schedule.ask({ ...createQuestion("a", 0), upstreams }).nextMs).to.equal(nextMs);
+        });
+    }
+
+    it("another limit begins anew", () => {
+        const schedule = new SendSchedule();
+        schedule.ask({ ...createQuestion("a", 0), upstreams: [{ id: "u", requestsASecond: 0 }] });
+        schedule.restart(four, 1_000);
+        expect(schedule.ask(createQuestion("a", 1_000)).sendsMs).to.deep.equal([1_250]);
+    });
+});
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -2,6 +2,7 @@
  * What entries and voters ask of voters, as parameters and results of JSON-RPC 2.0 methods.
  */
 import * as z from "zod";
+import { limitsKnownSchema, toldLimitsSchema } from "./limitMessage.js";
 import { registeredUpstreamSchema } from "./registeredUpstream.js";
 import { replicaAddressSchema } from "./replicaMessage.js";
 import { crashRecordSchema, reportedCrashSchema } from "./requestCrash.js";
@@ -31,6 +32,8 @@
     loads: upstreamLoadsSchema,
     /** What the entry sent. */
     spending: retrySpendingSchema.default({}),
+    /** Up to where the entry knows the rates that upstreams named. */
+    limits_known: limitsKnownSchema.default({ term: 0, change: 0 }),
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; told at once, since `synchronise` waits. */
@@ -62,6 +65,8 @@
         spending_known_ms: z.number().nonnegative().default(0),
         /** Upstreams that several entries suspect, and that the leader is looking at. */
         suspects: z.array(z.string()).default([]),
+        /** Rates that upstreams named, and that the entry lacks. */
+        limits: toldLimitsSchema.optional(),
         /** Peers' addresses of all replicas. */
         voters: z.array(z.string()),
     }),
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -10,6 +10,7 @@
 export * from "./fleetCommand.js";
 export * from "./fleetMessage.js";
 export * from "./fleetSettings.js";
+export * from "./limitMessage.js";
 export * from "./member.js";
 export * from "./operatorMessage.js";
 export * from "./outcome.js";
