A test that fails: an upstream that was in trouble for a second gets nothing ten seconds later where callers are few

Symptom: one of five workers turns requests away for one second, or is slow for one, and is well again. At 30 and 60 requests a second of all callers it gets 0.0018 of them from ten seconds later on, in place of some 0.2; at 240 it is back.

--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -14,7 +14,7 @@
 export interface ReplayWorker {
     readonly slots: number;
     readonly answerMs: number;
-    /** Requests that it lets wait; more are turned away, and their entry is asked for rest. */
+    /** Requests that it lets wait; more are turned away, and their entry is asked for rest, unless that is 0. */
     readonly queue: number;
     readonly restMs: number;
     /** When it turns everything away. */
@@ -22,6 +22,10 @@
     readonly shedsUntilMs?: number;
     /** The only entry whose requests it turns away then; all where left out. */
     readonly shedsEntry?: number;
+    /** When it takes `slowMs` to answer in place of `answerMs`. */
+    readonly slowFromMs?: number;
+    readonly slowUntilMs?: number;
+    readonly slowMs?: number;
     /** When it registers. */
     readonly startsMs?: number;
 }
@@ -219,8 +223,11 @@
                 });
             }, () => {
                 this.at(this.nowMs + WAY_MS, () => {
-                    entry.hearRest(target, this.options.workers[worker]!.restMs);
-                    this.share(entry, target, this.options.workers[worker]!.restMs);
+                    const { restMs } = this.options.workers[worker]!;
+                    if (restMs > 0) {
+                        entry.hearRest(target, restMs);
+                        this.share(entry, target, restMs);
+                    }
                     finish(false);
                     if (run.tries < this.options.attempts) {
                         this.sendOn(entry, run, end);
@@ -266,8 +273,10 @@
     }
 
     private work(number: number, handleAnswer: () => void): void {
+        const { answerMs, slowMs = answerMs, slowFromMs = 0, slowUntilMs = 0 } = this.options.workers[number]!;
+        const isSlow = this.nowMs >= slowFromMs && this.nowMs < slowUntilMs;
         this.working[number]! += 1;
-        this.at(this.nowMs + this.options.workers[number]!.answerMs, () => {
+        this.at(this.nowMs + (isSlow ? slowMs : answerMs), () => {
             this.working[number]! -= 1;
             this.waiting[number]!.shift()?.();
             handleAnswer();
