What an upstream that never served took to fail is no time in which it answers

Cause: a failure counts as a time to answer only where it took longer than what is known; where nothing was known, two milliseconds counted as long. So it was rated 5 against the 30 of one that serves in 30 ms. Ruled out: the weight of failures (18 against 30 after it had grown to its most). Mend: where nothing is known, a failure says nothing of time; such an upstream is rated as its service's usual one, times its failures. It holds because no time of a failure below that of an answer is taken any more. Two of three rows of the new table failed before.

--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -84,9 +84,9 @@
      */
     recordAnswer(id: string, durationMs: number, isFailure: boolean): void {
         const health = this.get(id);
-        // How soon an upstream fails is no time in which it answers: one that turned all away within a millisecond was rated 13
-        // against the 50 of one that served in 50 ms (upstreamHealth.test.ts), and got what the others could have taken.
-        if (!isFailure || durationMs > (health.answerMs ?? 0)) {
+        // How soon an upstream fails is no time in which it answers: one that turned all away within a millisecond would look the best,
+        // also where it never served anything, and get what the others could have taken.
+        if (!isFailure || durationMs > (health.answerMs ?? Number.POSITIVE_INFINITY)) {
             health.answerMs = smooth(health.answerMs ?? durationMs, durationMs);
         }
         health.failures = smooth(health.failures, isFailure ? 1 : 0);
--- a/packages/daemon/tests/upstreamHealth.test.ts
+++ b/packages/daemon/tests/upstreamHealth.test.ts
@@ -119,6 +119,28 @@
     }
 });
 
+/**
+ * One that turned everything away from its first request on got a quarter of all requests, 593 of 1,851 in half a minute: the two
+ * milliseconds of its first refusal counted as its time to answer, since none was known.
+ */
+describe("what an upstream that never served took to fail is no time to answer", () => {
+    const rows = [
+        { title: "at once", failuresMs: [2] },
+        { title: "at once, again and again", failuresMs: [2, 2, 2, 2, 2, 2] },
+        { title: "late", failuresMs: [3_000] },
+    ];
+    for (const { title, failuresMs } of rows) {
+        it(title, () => {
+            const health = new UpstreamHealth(() => 0);
+            health.recordAnswer("good", 30, false);
+            failuresMs.forEach((durationMs) => {
+                health.recordAnswer("bad", durationMs, true);
+            });
+            expect(health.computeScore("bad", 0, 30)).to.be.above(health.computeScore("good", 0, 30));
+        });
+    }
+});
+
 describe("requests that are silent together share a report", () => {
     it("asks once in a while, and tells each what concerns it", async () => {
         let nowMs = 0;
