A limit is of the requests that are sent to an engine, not of what other engines pass on to it

Callers saw: a third of all requests refused. Cause: a path took the least of all its engines' limits. Many paths share a later engine, and one of these with two requests a second closes all of them: the whole service gets two a second. The limits of later engines come from their reports to the leader. A limit is of requests from all entries together; what a later engine gets, it gets from the engine before it, and its limit names none of that. Mend: only the engine that a request is sent to counts, in the choice and right before the first byte; sends are held by engine, so that the times that suit several of them are gone (shorter by some 60 lines).

--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryWords.ts
@@ -133,12 +133,13 @@
             },
             maySend: (target) => {
                 const passed = listPassed(target);
-                return rests.maySend(passed) && passed.every((id) => leaving.mayStillTake(id)) && sends.maySend(passed);
+                return rests.maySend(passed) && passed.every((id) => leaving.mayStillTake(id))
+                    && sends.maySend(target.upstreamId);
             },
             recordSend: (target) => {
-                const passed = listPassed(target);
-                rests.recordSend(passed);
-                sends.recordSend(passed);
+                rests.recordSend(listPassed(target));
+                // The later engines of a path get it from the one before them, and not from us.
+                sends.recordSend(target.upstreamId);
             },
             recordOutcome: (target, isServed) => {
                 rests.recordOutcome(listPassed(target), isServed);
--- a/packages/daemon/src/process/entry/limitSends.ts
+++ b/packages/daemon/src/process/entry/limitSends.ts
@@ -48,9 +48,8 @@
     readonly seenMs: number;
 }
 
-/** What is wanted of some upstreams, and what there is. */
+/** What is wanted of an upstream, and what there is. */
 interface Demand {
-    readonly upstreams: readonly string[];
     /** Requests that have no send, and look for one again and again. */
     readonly waiting: Map<object, WaitingRequest>;
     /** When the leader was asked last. */
@@ -80,7 +79,7 @@
 /** A waiting request looks again within this time. */
 const LOOK_MS = 60;
 
-/** Keeps sends by the upstreams with a limit that a request passes. */
+/** Keeps sends by the lives of upstreams. */
 export class LimitSends {
     private readonly demands = new Map<string, Demand>();
     private readonly paces = new Map<string, EvenPace>();
@@ -114,11 +113,7 @@
      */
     handleChange(id: string, isHeardHere: boolean): void {
         // What was handed out by the limit before would go beyond a lower one.
-        for (const [key, { upstreams }] of this.demands) {
-            if (upstreams.includes(id)) {
-                this.demands.delete(key);
-            }
-        }
+        this.demands.delete(id);
         this.paces.delete(id);
         if (isHeardHere) {
             this.telling.add(id);
@@ -128,16 +123,18 @@
 
     /**
      * Tells whether a request may be sent now; where not, its wish is told to the leader.
-     * @param ids - lives of all upstreams that it passes
+     * @param id - the life of the upstream that it is sent to
      * @param wish - the request
-     * @returns false where one of them has a limit, and no send is left or a more urgent request waits for it
+     * @returns false where it has a limit, and no send is left or a more urgent request waits for it
      */
-    claimsSend(ids: readonly string[], wish: SendWish): boolean {
-        const limited = this.listLimited(ids);
-        if (limited.length === 0 || !this.isLed) {
-            return limited.every((id) => this.isPaceDue(id));
+    claimsSend(id: string, wish: SendWish): boolean {
+        if (!this.isLimited(id)) {
+            return true;
         }
-        const demand = this.getDemand(limited);
+        if (!this.isLed) {
+            return this.isPaceDue(id);
+        }
+        const demand = this.getDemand(id);
         const nowMs = this.options.getNowMs();
         if (findUsable(demand, nowMs) !== undefined && !isBehind(demand, wish, nowMs)) {
             demand.waiting.delete(wish.request);
@@ -161,12 +158,11 @@
 
     /**
      * Looked at right before a send, which may be long after its choice.
-     * @param ids - lives of all upstreams that it passes
-     * @returns false where one of them has a limit and no send is left; it is counted as kept back
+     * @param id - the life of the upstream that it is sent to
+     * @returns false where it has a limit and no send is left; it is counted as kept back
      */
-    maySend(ids: readonly string[]): boolean {
-        const limited = this.listLimited(ids);
-        const isFree = limited.length === 0 || this.hasSend(limited);
+    maySend(id: string): boolean {
+        const isFree = !this.isLimited(id) || this.hasSend(id);
         if (!isFree) {
             this.options.metrics.countKeptBack();
         }
@@ -175,43 +171,39 @@
 
     /**
      * Marks that a request was sent.
-     * @param ids - lives of all upstreams that it passes
+     * @param id - the life of the upstream that it is sent to
      */
-    recordSend(ids: readonly string[]): void {
-        const limited = this.listLimited(ids);
-        if (limited.length === 0) {
+    recordSend(id: string): void {
+        if (!this.isLimited(id)) {
             return;
         }
-        if (!this.hasSend(limited)) {
+        if (!this.hasSend(id)) {
             this.options.metrics.countSendBeyond();
         }
         if (this.isLed) {
-            this.useHeld(this.getDemand(limited));
+            this.useHeld(this.getDemand(id));
         }
         else {
-            limited.forEach((id) => {
-                this.getPace(id).recordSend(this.createTerms(id), this.options.getNowMs());
-            });
+            this.getPace(id).recordSend(this.createTerms(id), this.options.getNowMs());
         }
     }
 
     /**
-     * Computes how long it takes until one of some paths takes a request.
-     * @param paths - lives of all upstreams of each
+     * Computes how long it takes until one of some upstreams takes a request.
+     * @param ids - lives of upstreams that have a limit
      * @returns milliseconds, and whether a send is held here for that time
      */
-    computeLeft(paths: readonly (readonly string[])[]): { readonly leftMs: number; readonly isHeld: boolean; } {
+    computeLeft(ids: readonly string[]): { readonly leftMs: number; readonly isHeld: boolean; } {
         const nowMs = this.options.getNowMs();
-        const lefts = paths.map((ids) => this.computeLeftOf(this.listLimited(ids), nowMs));
+        const lefts = ids.map((id) => this.computeLeftOf(id, nowMs));
         return lefts.reduce((best, one) => one.leftMs < best.leftMs ? one : best, { leftMs: Infinity, isHeld: false });
     }
 
-    private computeLeftOf(limited: readonly string[], nowMs: number): { leftMs: number; isHeld: boolean; } {
+    private computeLeftOf(id: string, nowMs: number): { leftMs: number; isHeld: boolean; } {
         if (!this.isLed) {
-            const lefts = limited.map((id) => this.getPace(id).computeLeftMs(nowMs));
-            return { leftMs: Math.max(0, ...lefts), isHeld: true };
+            return { leftMs: this.getPace(id).computeLeftMs(nowMs), isHeld: true };
         }
-        const { held, nextMs, waiting, askedMs, isAsked } = this.getDemand(limited);
+        const { held, nextMs, waiting, askedMs, isAsked } = this.getDemand(id);
         const next = held.find(({ untilMs }) => untilMs > nowMs);
         if (next !== undefined) {
             return { leftMs: Math.max(0, next.fromMs - nowMs), isHeld: true };
@@ -221,20 +213,18 @@
         return { leftMs: isUnknown ? 0 : Math.max(0, nextMs - nowMs), isHeld: false };
     }
 
-    /** Without a limit anywhere this is all that a request costs. */
-    private listLimited(ids: readonly string[]): readonly string[] {
-        const { limits } = this.options;
-        return limits.isAnyInForce ? ids.filter((id) => limits.getLimit(id) !== undefined) : [];
+    private isLimited(id: string): boolean {
+        return this.options.limits.getLimit(id) !== undefined;
     }
 
     private get isLed(): boolean {
         return this.options.getNowMs() - this.heardMs < LED_MS;
     }
 
-    private hasSend(limited: readonly string[]): boolean {
+    private hasSend(id: string): boolean {
         return this.isLed
-            ? findUsable(this.getDemand(limited), this.options.getNowMs()) !== undefined
-            : limited.every((id) => this.isPaceDue(id));
+            ? findUsable(this.getDemand(id), this.options.getNowMs()) !== undefined
+            : this.isPaceDue(id);
     }
 
     private useHeld(demand: Demand): void {
@@ -243,15 +233,12 @@
         demand.made += 1;
     }
 
-    private getDemand(limited: readonly string[]): Demand {
-        const upstreams = [...limited].sort();
-        const key = upstreams.join(",");
-        const known = this.demands.get(key);
+    private getDemand(id: string): Demand {
+        const known = this.demands.get(id);
         if (known !== undefined) {
             return known;
         }
         const demand: Demand = {
-            upstreams,
             waiting: new Map(),
             askedMs: Number.NEGATIVE_INFINITY,
             isAsked: false,
@@ -259,7 +246,7 @@
             held: [],
             nextMs: 0,
         };
-        this.demands.set(key, demand);
+        this.demands.set(id, demand);
         return demand;
     }
 
@@ -298,7 +285,7 @@
 
     private takeQuestion(): SendsParameters | undefined {
         const nowMs = this.options.getNowMs();
-        const wanted = [...this.demands].flatMap(([key, demand]) => {
+        const wanted = [...this.demands].flatMap(([id, demand]) => {
             demand.held = demand.held.filter(({ untilMs }) => untilMs > nowMs);
             // Whoever sends all the time will need as many again; what one that sends now and then gets ahead is lost.
             const waiting = listWaiting(demand, nowMs);
@@ -311,15 +298,15 @@
             );
             const within_ms = isSteady ? computeHorizonMs(this.options.countEntries()) : patienceMs;
             if (waiting.length + demand.made + demand.held.length === 0) {
-                this.demands.delete(key);
+                this.demands.delete(id);
             }
             demand.made = 0;
             demand.isAsked = count > 0;
             demand.askedMs = nowMs;
-            return count > 0 ? [{ upstreams: [...demand.upstreams], count, within_ms }] : [];
+            return count > 0 ? [{ upstream: id, count, within_ms }] : [];
         });
         // A leader that is new knows nothing of the limits that it is to hand out.
-        const heard = this.telling.list(wanted.flatMap(({ upstreams }) => upstreams));
+        const heard = this.telling.list(wanted.map(({ upstream }) => upstream));
         const { instance, countEntries } = this.options;
         return wanted.length === 0 && heard.length === 0
             ? undefined
@@ -346,8 +333,8 @@
     private applyGranted({ granted }: Extract<SendsResult, { kind: "sends"; }>): void {
         this.recordLeader();
         const nowMs = this.options.getNowMs();
-        granted.filter(({ upstreams }) => this.listLimited(upstreams).length === upstreams.length).forEach((one) => {
-            const demand = this.getDemand(one.upstreams);
+        granted.filter(({ upstream }) => this.isLimited(upstream)).forEach((one) => {
+            const demand = this.getDemand(one.upstream);
             const sends = one.in_ms.map((inMs) => {
                 const fromMs = nowMs + Math.max(0, inMs);
                 return { fromMs, untilMs: fromMs + KEPT_MS };
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -92,27 +92,26 @@
             return { one, score: score * (1 + TIE_SPREAD * random()) };
         });
         scored.sort((left, right) => left.score - right.score);
-        const best = scored.find(({ one }) => this.claimsSend(run, [one.id]))?.one;
+        const best = scored.find(({ one }) => this.claimsSend(run, one.id))?.one;
         if (best !== undefined) {
             return { kind: "target", target: this.createTarget(run, best.id, best.address, undefined, undefined) };
         }
         return candidates.length === 0
             ? this.findRestingPlain(taking, untried) ?? { kind: "none" }
-            : this.createLimited(candidates.map(({ id }) => [id]));
+            : this.createLimited(candidates.map(({ id }) => id));
     }
 
-    private claimsSend(run: RoutedRun, ids: readonly string[]): boolean {
+    private claimsSend(run: RoutedRun, id: string): boolean {
         const { organisation, route } = run.admitted;
-        return this.options.sends.claimsSend(ids, {
+        return this.options.sends.claimsSend(id, {
             request: run,
             priority: organisation?.priority ?? route.priority,
             patienceMs: computeHeldPatienceMs(run),
         });
     }
 
-    private createLimited(paths: readonly (readonly string[])[]): TargetChoice {
-        const { leftMs, isHeld } = this.options.sends.computeLeft(paths);
-        return { kind: "limited", leftMs, isHeld, upstreams: [...new Set(paths.flat())] };
+    private createLimited(ids: readonly string[]): TargetChoice {
+        return { kind: "limited", ...this.options.sends.computeLeft(ids), upstreams: ids };
     }
 
     private chooseModel(
@@ -140,22 +139,21 @@
                 hasRoom: (loaded) => isUnderWay || hasRoom(loaded),
                 draw: this.options.random(),
             });
-        // Paths that get as many requests as they take; what the others can serve goes there at once.
-        const limited: Chain[] = [];
+        // First engines that get as many requests as they take; what the others can serve goes there at once.
+        const limited = new Set<string>();
         const chooseAmong = (some: readonly Chain[]): LoadedChain | undefined => {
-            const open = some.filter((chain) => !limited.includes(chain));
-            const loaded = chooseLoaded(open);
-            if (loaded === undefined || this.claimsSend(run, listIds(loaded.chain))) {
+            const loaded = chooseLoaded(some.filter((chain) => !limited.has(getFirstId(chain))));
+            if (loaded === undefined || this.claimsSend(run, getFirstId(loaded.chain))) {
                 return loaded;
             }
-            limited.push(loaded.chain);
+            limited.add(getFirstId(loaded.chain));
             return chooseAmong(some);
         };
         const preferred = this.listPreferred(chains, service.name);
         const chosen = chooseAmong(preferred) ?? (preferred.length < chains.length ? chooseAmong(chains) : undefined);
         const first = chosen?.chain.stages[0]?.engine;
         if (chosen === undefined || first === undefined) {
-            return limited.length > 0 ? this.createLimited(limited.map(listIds)) : { kind: "full" };
+            return limited.size > 0 ? this.createLimited([...limited]) : { kind: "full" };
         }
         const { stages } = chosen.chain;
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
@@ -306,10 +304,6 @@
     return run.isBack || run.ageMs > run.admitted.route.objective_ms ? "late" : "fresh";
 }
 
-function listIds({ stages }: Chain): readonly string[] {
-    return stages.map(({ engine }) => engine.id);
-}
-
 function getFirstId(chain: Chain): string {
     return chain.stages[0]?.engine.id ?? "";
 }
--- a/packages/daemon/src/process/namedLimits.ts
+++ b/packages/daemon/src/process/namedLimits.ts
@@ -39,11 +39,6 @@
      */
     constructor(private readonly options: NamedLimitsOptions) {}
 
-    /** Whether some upstream has a limit. */
-    get isAnyInForce(): boolean {
-        return [...this.byId.values()].some(({ requestsASecond }) => requestsASecond !== undefined);
-    }
-
     /**
      * Takes what an answer said; the head of it has just come.
      * @param id - the life that answered
--- a/packages/daemon/src/process/voter/limitKeeper.ts
+++ b/packages/daemon/src/process/voter/limitKeeper.ts
@@ -77,24 +77,21 @@
         });
         const known = this.countKnown(parameters.entries, nowMs);
         const share = Math.min(1, this.options.countInTouch() / known);
-        const granted = parameters.wanted.map(({ upstreams, count, within_ms: withinMs }) => {
-            const limited = upstreams.flatMap((id) => {
-                const requestsASecond = limits.getLimit(id);
-                return requestsASecond === undefined ? [] : [{ id, requestsASecond }];
-            });
-            // Where none has a limit any more, whoever still believes in one finds out by sending.
-            const { sendsMs, nextMs } = limited.length === 0
+        const granted = parameters.wanted.map(({ upstream, count, within_ms: withinMs }) => {
+            const requestsASecond = limits.getLimit(upstream);
+            // Where it has no limit any more, whoever still believes in one finds out by sending.
+            const { sendsMs, nextMs } = requestsASecond === undefined
                 ? { sendsMs: new Array<number>(count).fill(nowMs), nextMs: nowMs }
                 : this.schedule.ask({
                     instance: parameters.instance,
-                    upstreams: limited,
+                    upstream: { id: upstream, requestsASecond },
                     count,
                     share,
                     nowMs,
                     withinMs,
                 });
             return {
-                upstreams,
+                upstream,
                 in_ms: sendsMs.map((sendMs) => Math.round(sendMs - nowMs)),
                 next_in_ms: Math.max(0, Math.round(nextMs - nowMs)),
             };
--- a/packages/decisions/src/connection/sendSchedule.ts
+++ b/packages/decisions/src/connection/sendSchedule.ts
@@ -6,7 +6,7 @@
  *
  * So what is handed out are single sends, each with its time, one after another at the upstream's rate, to whoever asks: none is
  * promised twice, whatever becomes of the entry that has it, and nothing has to be taken back when an entry or the leader is
- * lost. A path through several such upstreams takes one time that suits them all.
+ * lost.
  */
 
 /** An upstream and its limit. */
@@ -19,8 +19,7 @@
 /** What an entry asks for. */
 export interface SendQuestion {
     readonly instance: string;
-    /** All upstreams with a limit that such a request passes. */
-    readonly upstreams: readonly LimitedUpstream[];
+    readonly upstream: LimitedUpstream;
     /** Sends that it could use now. */
     readonly count: number;
     /** Part of each limit that is handed out; entries out of reach may use what is left. */
@@ -86,72 +85,55 @@
      * @returns the sends that it gets
      */
     ask(question: SendQuestion): SendAnswer {
-        const { upstreams, instance, count, nowMs, withinMs } = question;
-        const askers = upstreams.map(({ id }) => this.getAsker(id, instance));
-        askers.forEach((asker) => {
-            asker.askedMs = nowMs;
-            asker.sendsMs = asker.sendsMs.filter((sendMs) => sendMs > nowMs);
-        });
+        const { upstream, instance, count, nowMs, withinMs } = question;
+        const asker = this.getAsker(upstream.id, instance);
+        asker.askedMs = nowMs;
+        asker.sendsMs = asker.sendsMs.filter((sendMs) => sendMs > nowMs);
         const sendsMs: number[] = [];
         const most = this.computeMostHeld(question);
         let sendMs = this.computeNextMs(question);
         while (
             sendsMs.length < count
             && sendMs <= nowMs + withinMs
-            && askers.every((asker) => asker.sendsMs.length < most)
+            && asker.sendsMs.length < most
             && (sendMs <= nowMs || this.isLongestWaiting(question))
         ) {
             sendsMs.push(sendMs);
-            this.take(question, askers, sendMs);
+            this.take(question, asker, sendMs);
             sendMs = this.computeNextMs(question);
         }
-        askers.forEach((asker) => {
-            asker.isWaiting = sendsMs.length < count;
-        });
+        asker.isWaiting = sendsMs.length < count;
         return { sendsMs, nextMs: sendMs };
     }
 
-    private take({ upstreams, share, nowMs }: SendQuestion, askers: readonly Asker[], sendMs: number): void {
-        upstreams.forEach((upstream) => {
-            this.nextMs.set(upstream.id, sendMs + computeGapMs(upstream, share));
-        });
-        askers.forEach((asker) => {
-            asker.grantedMs = Math.max(nowMs, sendMs);
-            asker.sendsMs.push(sendMs);
-        });
+    private take({ upstream, share, nowMs }: SendQuestion, asker: Asker, sendMs: number): void {
+        this.nextMs.set(upstream.id, sendMs + computeGapMs(upstream, share));
+        asker.grantedMs = Math.max(nowMs, sendMs);
+        asker.sendsMs.push(sendMs);
     }
 
-    /** The first time that suits all upstreams of the question. */
-    private computeNextMs({ upstreams, nowMs }: SendQuestion): number {
-        return Math.max(...upstreams.map((upstream) => {
-            const nextMs = this.nextMs.get(upstream.id);
-            if (nextMs === undefined) {
-                this.restart(upstream, nowMs);
-            }
-            return Math.max(this.nextMs.get(upstream.id) ?? nowMs, nowMs - BACKLOG_MS);
-        }));
+    private computeNextMs({ upstream, nowMs }: SendQuestion): number {
+        if (!this.nextMs.has(upstream.id)) {
+            this.restart(upstream, nowMs);
+        }
+        return Math.max(this.nextMs.get(upstream.id) ?? nowMs, nowMs - BACKLOG_MS);
     }
 
     /** An even part of what is handed out ahead, so that whoever asks first does not take all. */
     private computeMostHeld(question: SendQuestion): number {
-        const { upstreams, share, withinMs } = question;
-        const parts = upstreams.map((upstream) => {
-            const ahead = Math.ceil(withinMs / computeGapMs(upstream, share));
-            return Math.ceil(ahead / Math.max(1, this.listWaiting(upstream.id, question).length));
-        });
-        return Math.max(1, Math.min(...parts));
+        const { upstream, share, withinMs } = question;
+        const ahead = Math.ceil(withinMs / computeGapMs(upstream, share));
+        return Math.max(1, Math.ceil(ahead / Math.max(1, this.listWaiting(question).length)));
     }
 
     /** Whoever waits longest comes first; others get what is due and not taken. */
     private isLongestWaiting(question: SendQuestion): boolean {
-        return question.upstreams.every(({ id }) => {
-            const ownMs = this.getAsker(id, question.instance).grantedMs;
-            return this.listWaiting(id, question).every(({ grantedMs }) => grantedMs >= ownMs);
-        });
+        const ownMs = this.getAsker(question.upstream.id, question.instance).grantedMs;
+        return this.listWaiting(question).every(({ grantedMs }) => grantedMs >= ownMs);
     }
 
-    private listWaiting(id: string, { nowMs }: SendQuestion): readonly Asker[] {
-        const known = this.askers.get(id);
+    private listWaiting({ upstream, nowMs }: SendQuestion): readonly Asker[] {
+        const known = this.askers.get(upstream.id);
         if (known === undefined) {
             return [];
         }
--- a/packages/schemas/src/limitMessage.ts
+++ b/packages/schemas/src/limitMessage.ts
@@ -28,7 +28,7 @@
     entries: z.int().positive(),
     heard: z.array(toldLimitSchema),
     wanted: z.array(z.object({
-        upstreams: z.array(z.string()).min(1),
+        upstream: z.string(),
         count: z.int().positive(),
         /** How far ahead a send is still of use. */
         within_ms: z.number().nonnegative(),
@@ -40,7 +40,7 @@
     z.object({
         kind: z.literal("sends"),
         granted: z.array(z.object({
-            upstreams: z.array(z.string()),
+            upstream: z.string(),
             /** From when on each send may be made, in milliseconds from the answer on. */
             in_ms: z.array(z.number()),
             /** When the next one is free for somebody. */
