A report without a limit ends one only where that engine's reports name limits

Cause, found by reading: reports are answers, too, and one without the word ended a limit that answers to requests name; where an engine's reports never carry it, the leader would end its limit some once a second and all entries would send freely until the next answer. Test: two rows, the first failed before.

--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryWords.ts
@@ -170,7 +170,7 @@
         { verdict, status, requestId, sentMs }: HeardAnswer,
     ): void {
         if (isOfMeant(verdict, status)) {
-            this.limits.hear(upstreamId, limit, { asked: requestId, askedMs: sentMs });
+            this.limits.hear(upstreamId, limit, { asked: requestId, askedMs: sentMs, isReport: false });
         }
     }
 
--- a/packages/daemon/src/process/heedingControl.ts
+++ b/packages/daemon/src/process/heedingControl.ts
@@ -36,7 +36,11 @@
             const result = await control.getReport(engine);
             functions.hearRest(engine.id, result.word?.rest ?? { kind: "none" }, "report");
             if (isOfMeant(engine, result)) {
-                functions.hearLimit(engine.id, result.word?.limit ?? { kind: "none" }, { asked: "report", askedMs });
+                functions.hearLimit(engine.id, result.word?.limit ?? { kind: "none" }, {
+                    asked: "report",
+                    askedMs,
+                    isReport: true,
+                });
                 if (result.word?.leaving === "said") {
                     functions.hearLeaving(engine.id, "report");
                 }
--- a/packages/daemon/src/process/namedLimits.ts
+++ b/packages/daemon/src/process/namedLimits.ts
@@ -21,8 +21,10 @@
 
 /** The answer that a word came with. */
 export interface LimitSource {
-    /** The request or report that was answered, for the log. */
+    /** The request that was answered, or "report"; for the log. */
     readonly asked: string;
+    /** Whether it was no request of a caller. */
+    readonly isReport: boolean;
     /** When the request left, on the monotonic clock. */
     readonly askedMs: number;
 }
@@ -33,6 +35,8 @@
 /** Keeps limits. */
 export class NamedLimits {
     private readonly byId = new Map<string, HeardLimit>();
+    /** Lives whose reports name their limits; of others only answers to requests tell that one is over. */
+    private readonly namedInReports = new Set<string>();
 
     /**
      * @param options - clock, log and counters
@@ -45,11 +49,18 @@
      * @param word - what it said of a limit
      * @param source - what it answered
      */
-    hear(id: string, word: LimitWord, { asked, askedMs }: LimitSource): void {
+    hear(id: string, word: LimitWord, { asked, askedMs, isReport }: LimitSource): void {
         if (word.kind === "unreadable") {
             this.options.log.record("warn", "upstream-limit-unreadable", { peer: id, asked, text: word.text });
             return;
         }
+        if (isReport && word.kind === "limit") {
+            this.namedInReports.add(id);
+        }
+        // A report may say nothing of limits at all; ending one by that would let everything through until the next answer.
+        if (isReport && !this.namedInReports.has(id)) {
+            return;
+        }
         const requestsASecond = word.kind === "limit" ? word.requestsASecond : undefined;
         this.apply(id, { requestsASecond, askedMs, heardMs: this.options.getNowMs() }, asked, "heard");
     }
@@ -117,6 +128,9 @@
                 this.byId.delete(id);
             }
         }
+        [...this.namedInReports].filter((id) => !isKnown(id)).forEach((id) => {
+            this.namedInReports.delete(id);
+        });
     }
 
     private recordChange(
--- a/packages/daemon/tests/limitReplay.ts
+++ b/packages/daemon/tests/limitReplay.ts
@@ -127,7 +127,7 @@
         const { way, entries, limit } = this.options;
         const getNowMs = (): number => performance.now();
         const limits = new NamedLimits({ getNowMs, log, metrics, handleChange: count });
-        limits.hear(UPSTREAM, { kind: "limit", requestsASecond: limit }, { asked: "1", askedMs: 0 });
+        limits.hear(UPSTREAM, { kind: "limit", requestsASecond: limit }, { asked: "1", askedMs: 0, isReport: false });
         const sends = new LimitSends({
             instance: `e${String(entry)}`,
             limits,
--- a/packages/daemon/tests/limitSends.test.ts
+++ b/packages/daemon/tests/limitSends.test.ts
@@ -55,7 +55,7 @@
         const word = requestsASecond === undefined
             ? { kind: "none" } as const
             : { kind: "limit", requestsASecond } as const;
-        this.limits.hear(id, word, { asked: "1", askedMs: performance.now() });
+        this.limits.hear(id, word, { asked: "1", askedMs: performance.now(), isReport: false });
     }
 
     claims(id: string, wish: Partial<SendWish> = {}): boolean {
--- a/packages/daemon/tests/namedLimits.test.ts
+++ b/packages/daemon/tests/namedLimits.test.ts
@@ -25,7 +25,7 @@
         this.limits.hear(
             "u",
             requestsASecond === undefined ? { kind: "none" } : { kind: "limit", requestsASecond },
-            { asked: "1", askedMs },
+            { asked: "1", askedMs, isReport: false },
         );
     }
 }
@@ -53,10 +53,26 @@
     it("what can't be read changes nothing", () => {
         const stand = new LimitStand();
         stand.hear(2, 990);
-        stand.limits.hear("u", { kind: "unreadable", text: "-1" }, { asked: "1", askedMs: 1_000 });
+        stand.limits.hear("u", { kind: "unreadable", text: "-1" }, { asked: "1", askedMs: 1_000, isReport: false });
         expect([stand.limits.getLimit("u"), stand.events.at(-1)]).to.deep.equal([2, "upstream-limit-unreadable u"]);
     });
 
+    const reports = [
+        { title: "reports that say nothing of limits", inReport: { kind: "none" } as const, left: 2 },
+        { title: "reports that name them", inReport: { kind: "limit", requestsASecond: 2 } as const, left: undefined },
+    ];
+    for (const { title, inReport, left } of reports) {
+        it(`a report without one ends it only after ${title}`, () => {
+            const stand = new LimitStand();
+            stand.hear(2, 990);
+            stand.nowMs = 1_100;
+            stand.limits.hear("u", inReport, { asked: "report", askedMs: 1_050, isReport: true });
+            stand.nowMs = 1_200;
+            stand.limits.hear("u", { kind: "none" }, { asked: "report", askedMs: 1_150, isReport: true });
+            expect(stand.limits.getLimit("u")).to.equal(left);
+        });
+    }
+
     it("an older word that another instance tells late does not begin it again", () => {
         const stand = new LimitStand();
         stand.hear(2, 990);
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -283,7 +283,11 @@
             stand.setEngines(engines);
             stand.named.sends.recordLeader();
             limited.forEach((id) => {
-                stand.named.limits.hear(id, { kind: "limit", requestsASecond: 2 }, { asked: "1", askedMs: 0 });
+                stand.named.limits.hear(id, { kind: "limit", requestsASecond: 2 }, {
+                    asked: "1",
+                    askedMs: 0,
+                    isReport: false,
+                });
             });
             const seen = ["first-1", "first-2"].map((busy) => {
                 stand.loads.clear();
