What speaks against an upstream is forgotten while nothing is heard of it

Callers saw: little; one worker of five that was in trouble for a second got no request in the 25 s after it where callers were few, and the others had its load. Cause: failures and the time of an answer change with answers alone; rated down by nine an upstream gets none until the others have eight requests open each. Ruled out: suspicions (they end by their time, 6 s at most) and rests. Elsewhere: engines' speed comes from reports once in 1.2 s, the product's own interface has circuits with a trial after a time; nothing else is learned from traffic alone. Change: half of what speaks against an upstream is forgotten in a second without an answer; the next answer then counts the more the less is still known. One that turns out to be no better is tried four times later, up to 16 s. Why it holds: a try needs no traffic to become due, only time, and costs at most one request of an entry in the time that its last failure has set.

--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -13,6 +13,12 @@
     answerMs: number | undefined;
     /** Smoothed share of failures, from 0 to 1. */
     failures: number;
+    /** When it answered or failed last. */
+    heardMs: number;
+    /** Time in which half of what speaks against it is forgotten. */
+    forgetMs: number;
+    /** What its service usually took when it was rated last. */
+    usualMs: number;
     suspectUntilMs: number;
     /** Until when it is passed over because it declined. */
     declinedUntilMs: number;
@@ -37,6 +43,16 @@
 const FAILURE_WEIGHT = 8;
 /** Answer time where no upstream of a service has answered yet; any figure that is alike for all of them will do. */
 const UNKNOWN_ANSWER_MS = 50;
+/**
+ * Half of what speaks against an upstream is forgotten in this time without an answer; whoever is rated down gets no requests while
+ * callers are few, and no answer that could tell that it is well again.
+ */
+const FIRST_FORGET_MS = 1_000;
+/** One that turns out to be no better is tried again this many times later, so that one in trouble for good costs few tries. */
+const FORGET_BACKOFF = 4;
+const MOST_FORGET_MS = 16_000;
+/** An answer that takes this many times the usual speaks against its upstream. */
+const SLOW_FACTOR = 2;
 
 /** Keeps the health of upstreams by id. */
 export class UpstreamHealth {
@@ -86,13 +102,16 @@
         const health = this.get(id);
         // How soon an upstream fails is no time in which it answers: one that turned all away within a millisecond would look the best,
         // also where it never served anything, and get what the others could have taken.
+        const known = this.computeKnownPart(health);
         if (!isFailure || durationMs > (health.answerMs ?? Number.POSITIVE_INFINITY)) {
-            health.answerMs = smooth(health.answerMs ?? durationMs, durationMs);
+            health.answerMs = smooth(health.answerMs ?? durationMs, durationMs, known);
         }
-        health.failures = smooth(health.failures, isFailure ? 1 : 0);
+        health.failures = smooth(health.failures * known, isFailure ? 1 : 0, known);
         if (!isFailure) {
             health.suspicions = 0;
         }
+        health.forgetMs = computeForgetMs(health, known, isFailure || durationMs > SLOW_FACTOR * health.usualMs);
+        health.heardMs = this.getNowMs();
     }
 
     /**
@@ -107,7 +126,9 @@
         }
         health.suspectUntilMs = this.getNowMs() + suspicionMs;
         health.absentUntilMs = this.getNowMs() + Math.min(suspicionMs, ABSENT_MS);
-        health.failures = smooth(health.failures, 1);
+        const known = this.computeKnownPart(health);
+        health.failures = smooth(health.failures * known, 1, known);
+        health.heardMs = this.getNowMs();
         this.reported.add(id);
     }
 
@@ -221,8 +242,19 @@
      */
     computeScore(id: string, openElsewhere: number, usualMs: number): number {
         const health = this.byId.get(id);
-        const answerMs = health?.answerMs ?? usualMs;
-        return (1 + (health?.open ?? 0) + openElsewhere) * answerMs * (1 + FAILURE_WEIGHT * (health?.failures ?? 0));
+        if (health === undefined) {
+            return (1 + openElsewhere) * usualMs;
+        }
+        health.usualMs = usualMs;
+        const known = this.computeKnownPart(health);
+        const { open, answerMs = usualMs, failures } = health;
+        const ratedMs = answerMs > usualMs ? usualMs + (answerMs - usualMs) * known : answerMs;
+        return (1 + open + openElsewhere) * ratedMs * (1 + FAILURE_WEIGHT * failures * known);
+    }
+
+    /** How much of what speaks against an upstream still counts: 1 right after an answer, towards 0 without one. */
+    private computeKnownPart({ heardMs, forgetMs }: Health): number {
+        return 0.5 ** ((this.getNowMs() - heardMs) / forgetMs);
     }
 
     /**
@@ -257,6 +289,9 @@
             unstarted: 0,
             answerMs: undefined,
             failures: 0,
+            heardMs: this.getNowMs(),
+            forgetMs: FIRST_FORGET_MS,
+            usualMs: Number.POSITIVE_INFINITY,
             suspectUntilMs: 0,
             declinedUntilMs: 0,
             absentUntilMs: 0,
@@ -271,6 +306,15 @@
     return Math.max(health.suspectUntilMs, health.declinedUntilMs, health.absentUntilMs) > nowMs;
 }
 
-function smooth(present: number, newest: number): number {
-    return present + NEWEST_WEIGHT * (newest - present);
+/** The newest observation counts the more the less is still known. */
+function smooth(present: number, newest: number, known: number): number {
+    return newest + (1 - NEWEST_WEIGHT) * known * (present - newest);
+}
+
+/** A try after half of it was forgotten tells whether that was right. */
+function computeForgetMs({ forgetMs }: Health, known: number, isBad: boolean): number {
+    if (!isBad) {
+        return Math.max(FIRST_FORGET_MS, forgetMs / 2);
+    }
+    return known < 0.5 ? Math.min(MOST_FORGET_MS, forgetMs * FORGET_BACKOFF) : forgetMs;
 }
--- a/packages/daemon/tests/agedBelief.test.ts
+++ b/packages/daemon/tests/agedBelief.test.ts
@@ -1,6 +1,8 @@
 /**
  * One worker of five turned requests away for a second and served again; with thirty callers it was back after 60 ms, with twelve
- * and with three it got nothing in 25 s, while each of the others got 106 to 363 requests in five.
+ * and with three it got nothing in 25 s, while each of the others got 106 to 363 requests in five. What an entry believes of an
+ * upstream changed with its answers alone: rated down by a factor of nine, it got none as long as no other had eight requests
+ * open, and so nothing could tell that it was well. One that was slow for a second stayed out the same way.
  */
 import { expect } from "chai";
 import { PlainReplay, type ReplayWorker } from "./plainReplay.js";
@@ -69,4 +71,11 @@
             });
         });
     }
+
+    it("it turns a part away: it gets less than half of an even part", () => {
+        const worker = { ...WELL, shedsFromMs: TROUBLE_MS, shedsUntilMs: Number.POSITIVE_INFINITY, shedsPart: 0.4 };
+        [1, 2, 3].forEach((seed) => {
+            expect(countPart(worker, 60, 3, seed)).to.be.at.most(LEAST_PART);
+        });
+    });
 });
--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -20,6 +20,8 @@
     /** When it turns everything away. */
     readonly shedsFromMs?: number;
     readonly shedsUntilMs?: number;
+    /** Part of the requests that it turns away then; all where left out. */
+    readonly shedsPart?: number;
     /** The only entry whose requests it turns away then; all where left out. */
     readonly shedsEntry?: number;
     /** When it takes `slowMs` to answer in place of `answerMs`. */
@@ -255,7 +257,8 @@
         const worker = this.options.workers[number]!;
         const { shedsFromMs = Number.POSITIVE_INFINITY, shedsUntilMs = Number.POSITIVE_INFINITY } = worker;
         const isMeant = worker.shedsEntry === undefined || worker.shedsEntry === entry;
-        const sheds = isMeant && this.nowMs >= shedsFromMs && this.nowMs < shedsUntilMs;
+        const isTime = isMeant && this.nowMs >= shedsFromMs && this.nowMs < shedsUntilMs;
+        const sheds = isTime && (worker.shedsPart === undefined || this.draw() < worker.shedsPart);
         const isFull = this.working[number]! >= worker.slots && this.waiting[number]!.length >= worker.queue;
         this.arrivals.push({ entry, worker: number, atMs: this.nowMs, isTurnedAway: sheds || isFull });
         if (sheds || isFull) {
