An engine is told again that a run is over once its steps have come

Callers saw: nothing; an engine kept a slot for a run whose caller had left, seen once in a run of all tests beside load (engine-2 had a run for good). Cause: the word that a run is over was sent once, beside a step of it that may still be on its way over another connection; coming first, it ends nothing, and the step begins the run anew. A word that was turned away or not answered in time was swallowed. Ruled out: that the entry does not notice its caller leave (the scenario's other engine was told in the same loop). Mend: the word is sent at once, and again once the calls with steps of that run have ended, or the time of a step is over; up to four times where it is not taken, then a line is written. It holds since the last word leaves after every step has come. That the failure that was seen had this cause rests on reading; it could not be brought about by the scenario itself.

--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -15,13 +15,14 @@
 import crc32 from "crc-32";
 import type { Agent } from "undici";
 import { fetchJson } from "./httpClient.js";
+import { RunEnds } from "./runEnds.js";
 import { StepBatcher } from "./stepBatcher.js";
 
 /** What an engine can do for crankfork, free of any transport. */
 export interface EngineFunctions {
     /** Runs one step; rejects with ExchangeError where no answer that fits comes. */
     readonly runStep: (step: Step, signal: AbortSignal) => Promise<StepAnswer>;
-    /** Ends a run and frees its slot; failures don't matter, since engines forget idle runs. */
+    /** Ends a run and frees its slot. */
     readonly cancelRun: (run: string) => void;
     readonly getStatus: () => Promise<EngineStatus>;
     readonly sendOrder: (order: Order) => Promise<OrderAnswer>;
@@ -41,6 +42,8 @@
     readonly statusTimeoutMs: number;
     /** Called for each answer that fits no step that waits: late, doubled or crossed. */
     readonly handleStrayAnswer: () => void;
+    /** Called where the engine could not be told that a run is over. */
+    readonly handleUntoldEnd: (run: string, reason: string) => void;
 }
 
 const jsonHeaders = { "content-type": "application/json" };
@@ -59,10 +62,15 @@
             { agent, peer, url: `${base}/${path}`, method: "POST", headers: jsonHeaders, body: JSON.stringify(body) },
             limitMs,
         );
+    const ends = new RunEnds({
+        send: (run) => post("cancel", { run }),
+        waitForSteps: (run) => batcher.waitForSteps(run),
+        handleUntold: options.handleUntoldEnd,
+    });
     return {
         runStep: (step, signal) => batcher.run(step, signal),
         cancelRun: (run) => {
-            void post("cancel", { run }).catch(() => undefined);
+            void ends.tell(run);
         },
         getStatus: async () => {
             const raw = await fetchJson({ agent, peer, url: `${base}/status`, method: "GET" }, statusTimeoutMs);
--- /dev/null
+++ b/packages/daemon/src/connection/runEnds.ts
@@ -0,0 +1,54 @@
+/**
+ * Tells an engine that a run is over, so that it frees what the run holds there.
+ */
+import { waitMs } from "../process/waitMs.js";
+
+/** What is needed to tell one engine. */
+export interface RunEndsOptions {
+    /** Sends the word; rejects where it may not have come or was turned away. */
+    readonly send: (run: string) => Promise<unknown>;
+    /** Resolves once no step of a run is on its way to the engine; undefined where none is. */
+    readonly waitForSteps: (run: string) => Promise<void> | undefined;
+    /** Called where the engine could not be told; it forgets idle runs by itself after a while. */
+    readonly handleUntold: (run: string, reason: string) => void;
+}
+
+const MOST_TRIES = 4;
+const AGAIN_MS = 250;
+
+/** Tells one engine. */
+export class RunEnds {
+    /**
+     * @param options - the way to the engine
+     */
+    constructor(private readonly options: RunEndsOptions) {}
+
+    /**
+     * Tells that a run is over. A step that was given up may still be on its way over another connection and would begin the run
+     * anew after the word, so the engine is told again once it has come.
+     * @param run - the run
+     */
+    async tell(run: string): Promise<void> {
+        const steps = this.options.waitForSteps(run);
+        await this.tellOnce(run);
+        if (steps !== undefined) {
+            await steps;
+            await this.tellOnce(run);
+        }
+    }
+
+    private async tellOnce(run: string): Promise<void> {
+        let reason = "";
+        for (let count = 1; count <= MOST_TRIES; count += 1) {
+            try {
+                await this.options.send(run);
+                return;
+            }
+            catch (error) {
+                reason = error instanceof Error ? error.message : String(error);
+            }
+            await waitMs(AGAIN_MS);
+        }
+        this.options.handleUntold(run, reason);
+    }
+}
--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -4,6 +4,7 @@
  */
 import { type Step, type StepAnswer, stepAnswerSchema } from "@crankfork/schemas";
 import type { Agent } from "undici";
+import { waitMs } from "../process/waitMs.js";
 import { createExchangeError, ExchangeError, readRestMs, sendRequest } from "./httpClient.js";
 
 /** What a batcher is made with. */
@@ -26,6 +27,8 @@
 /** Steps to one engine. */
 export class StepBatcher {
     private queued: WaitingStep[] = [];
+    /** Calls that are on their way, with the runs of their steps. */
+    private readonly open = new Set<{ readonly runs: ReadonlySet<string>; readonly end: Promise<void>; }>();
     private readonly waiting = new Map<string, WaitingStep>();
     private calls = new AbortController();
 
@@ -76,6 +79,18 @@
         });
     }
 
+    /**
+     * Waits for the steps of a run that are on their way, also for those that were given up.
+     * @param run - the run
+     * @returns resolves once their calls have ended, or the time of a step is over; undefined where there are none
+     */
+    waitForSteps(run: string): Promise<void> | undefined {
+        const ends = [...this.open].filter(({ runs }) => runs.has(run)).map(({ end }) => end);
+        return ends.length === 0
+            ? undefined
+            : Promise.race([Promise.all(ends).then(() => undefined), waitMs(this.options.timeoutMs)]);
+    }
+
     /** Gives up all steps that wait. */
     rejectAll(): void {
         this.calls.abort();
@@ -98,10 +113,18 @@
         const steps = this.queued.filter((one) => this.waiting.get(formatStepName(one.step)) === one);
         this.queued = [];
         for (let from = 0; from < steps.length; from += MOST_STEPS_A_CALL) {
-            void this.call(steps.slice(from, from + MOST_STEPS_A_CALL));
+            this.openCall(steps.slice(from, from + MOST_STEPS_A_CALL));
         }
     }
 
+    private openCall(steps: readonly WaitingStep[]): void {
+        const call = { runs: new Set(steps.map(({ step }) => step.run)), end: this.call(steps) };
+        this.open.add(call);
+        void call.end.finally(() => {
+            this.open.delete(call);
+        });
+    }
+
     private async call(steps: readonly WaitingStep[]): Promise<void> {
         const { agent, name, url } = this.options;
         const { signal } = this.calls;
--- a/packages/daemon/src/process/daemon/serving.ts
+++ b/packages/daemon/src/process/daemon/serving.ts
@@ -143,6 +143,9 @@
     private createEngine(upstream: Upstream): EngineFunctions {
         const { settings, agent, log, metrics } = this.options;
         return createEngineClient({
+            handleUntoldEnd: (run, reason) => {
+                this.options.log.record("warn", "run-end-not-told", { request: run, peer: upstream.name, reason });
+            },
             agent,
             name: upstream.name,
             address: upstream.address,
--- a/packages/daemon/tests/cancelledRun.test.ts
+++ b/packages/daemon/tests/cancelledRun.test.ts
@@ -1,6 +1,7 @@
 /**
  * A caller left in mid-stream, and engine-2 kept its run: "waited in vain for engine-2 to have no run". Whoever gives a run up tells
- * each engine once, while a step of it may still be on its way there over another connection.
+ * each engine once, while a step of it may still be on its way there over another connection: the step came after the word, which
+ * was answered, and began the run anew. A word that was turned away, or not answered in time, was lost without a line.
  */
 import { type Step } from "@crankfork/schemas";
 import { expect } from "chai";
@@ -66,7 +67,8 @@
         await waitMs(this.stepsTakeMs);
         this.runs.add(RUN);
         if (this.answers) {
-            const { inputs: _inputs, priority: _priority, model: _model, version: _version, ...echo } = step;
+            const { run, epoch, position, first_layer, end_layer } = step;
+            const echo = { run, epoch, position, first_layer, end_layer };
             response.writeHead(200).end(
                 `${JSON.stringify({ ...echo, result: { kind: "activations", outputs: [1] } })}\n`,
             );
@@ -92,6 +94,7 @@
                 timeoutMs: 300,
                 statusTimeoutMs: 300,
                 handleStrayAnswer: () => undefined,
+                handleUntoldEnd: () => undefined,
             });
             done();
         });
--- a/packages/scenarios/src/bench/path.ts
+++ b/packages/scenarios/src/bench/path.ts
@@ -34,6 +34,7 @@
         await world.serve({ id: "bench", slots: engineSettings.slots });
         const engines = [...world.engines].map(([name, { address }]) =>
             createEngineClient({
+                handleUntoldEnd: () => undefined,
                 agent,
                 name,
                 address,
--- a/packages/scenarios/src/bench/steps.ts
+++ b/packages/scenarios/src/bench/steps.ts
@@ -27,6 +27,7 @@
         await askPort(standIn.address, "POST", "/v1/orders", JSON.stringify(order));
         await new Promise((resolve) => setTimeout(resolve, 200));
         const engine = createEngineClient({
+            handleUntoldEnd: () => undefined,
             agent,
             name: "engine",
             address: standIn.address,
