What other entries have open is not believed for ever without a leader

Callers saw: nothing; after all voters were killed one of five workers got no request in 4.5 s under thirty callers, and the other four had its load. Cause: what others have open comes from the leader alone and was kept as it was told last, so that a worker at which others were busy at that moment looked busy until there was a leader again. The same class as what is believed of an upstream without any answer of it. Mend: told loads count for 1.5 s; after that each other entry is taken to have as much open as this one, as the balancer spreads callers evenly. It holds without any message.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -1,13 +1,7 @@
 /**
  * An entry of a fleet: it takes callers' requests, and knows by its link to the voters where they may go.
  */
-import type {
-    FleetSettings,
-    RoutingTable,
-    SynchronisedState,
-    SynchroniseParameters,
-    UpstreamLoads,
-} from "@crankfork/schemas";
+import type { FleetSettings, RoutingTable, SynchronisedState, SynchroniseParameters } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
 import type { UpstreamConnections } from "../../connection/upstreamConnections.js";
@@ -27,6 +21,7 @@
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
 import { EntryWords } from "./entryWords.js";
+import { LoadsElsewhere } from "./loadsElsewhere.js";
 import { getPathName } from "./pathName.js";
 import { PathPulse } from "./pathPulse.js";
 import { type EntryKnowledge, recordRefusal, recordRequest } from "./requestLog.js";
@@ -86,7 +81,7 @@
     private readonly crashes: CrashWatch;
     private readonly words: EntryWords;
     private readonly functions: RoutedRequestFunctions;
-    private loadsElsewhere: UpstreamLoads = {};
+    private readonly loadsElsewhere: LoadsElsewhere;
     private readonly stateAge: StateAge;
     private open = 0;
 
@@ -98,6 +93,7 @@
         this.health = new UpstreamHealth(options.getNowMs);
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.stateAge = new StateAge(options.getNowMs);
+        this.loadsElsewhere = new LoadsElsewhere({ ...options, getLoadHere: (id) => this.health.getLoad(id) });
         this.words = new EntryWords({ ...options, view: this.view, health: this.health });
         this.stallReports = new StallReports(this.words.heed(options.control), options.getNowMs);
         this.faults = new UpstreamFaults({
@@ -123,7 +119,7 @@
             view: this.view,
             health: this.health,
             shortage: new EngineShortage(options.getNowMs),
-            getLoadElsewhere: (id) => this.loadsElsewhere[id] ?? { open: 0, unstarted: 0 },
+            getLoadElsewhere: (id) => this.loadsElsewhere.get(id),
             countUnseen: (service) => this.countUnseen(service),
             getLoadAgeMs: () => this.stateAge.getMeanMs(),
             isAvoided: (name) => this.pulse.isAvoided(name),
@@ -185,7 +181,7 @@
      * @param state - what this entry lacked
      */
     applyState(state: SynchronisedState): void {
-        this.loadsElsewhere = state.loads_elsewhere;
+        this.loadsElsewhere.record(state.loads_elsewhere);
         this.stateAge.recordState();
         this.budgets.recordElsewhere(state.spending_elsewhere ?? {}, state.spending_known_ms ?? 0);
         this.view.applyUpstreams(state);
--- a/packages/daemon/tests/limitReplay.ts
+++ b/packages/daemon/tests/limitReplay.ts
@@ -17,11 +17,13 @@
     /** A few entries, the same ones for all, share it evenly. */
     | "owners";
 
-/** Callers of one upstream with a limit. */
+/** Callers of upstreams with a limit. */
 export interface LimitReplayOptions {
     readonly way: LimitWay;
     readonly entries: number;
-    /** Requests a second that the upstream takes. */
+    /** Upstreams that all name the limit; one where left out. */
+    readonly upstreams?: number;
+    /** Requests a second that an upstream takes. */
     readonly limit: number;
     /** Requests a second of all callers. */
     readonly wanted: number;
@@ -42,9 +44,10 @@
     readonly mostInFour: number;
     /** What reached it, as a part of what it takes. */
     readonly used: number;
-    /** Questions to the leader in a second, and their bytes with the answers. */
+    /** Questions to the leader in a second, and the bytes of questions and of answers. */
     readonly questions: number;
-    readonly bytes: number;
+    readonly askedBytes: number;
+    readonly answeredBytes: number;
 }
 
 const LATENCY_MS = 1;
@@ -57,7 +60,6 @@
 const SETTLED_MS = 3_000;
 const ELECTION_MS = 1_000;
 const OWNERS = 2;
-const UPSTREAM = "u";
 
 const log = { record: () => undefined };
 const count = (): undefined => undefined;
@@ -84,15 +86,18 @@
     private readonly keepers: LimitKeeper[] = [];
     private readonly sends: LimitSends[];
     private readonly arrivalsMs: number[] = [];
+    private readonly upstreams: readonly string[];
     private state: number;
     private term = 1;
     private isLeaderless = false;
     private questions = 0;
-    private bytes = 0;
+    private askedBytes = 0;
+    private answeredBytes = 0;
     private startMs = 0;
 
     constructor(private readonly options: LimitReplayOptions, private readonly clock: FakeTimers.Clock) {
         this.state = options.seed;
+        this.upstreams = Array.from({ length: options.upstreams ?? 1 }, (_unused, number) => `i-${String(number)}`);
         this.sends = Array.from({ length: options.entries }, (_unused, entry) => this.createEntry(entry));
         this.keepers.push(this.createKeeper());
     }
@@ -117,9 +122,10 @@
         return {
             mostInSecond: countMostWithin(times, 1_000),
             mostInFour: countMostWithin(times, 4_000),
-            used: times.length / ((endMs - settledMs) / 1_000 * this.options.limit),
+            used: times.length / ((endMs - settledMs) / 1_000 * this.options.limit * this.upstreams.length),
             questions: this.questions / PLAYED_MS * 1_000,
-            bytes: this.bytes / PLAYED_MS * 1_000,
+            askedBytes: this.askedBytes / PLAYED_MS * 1_000,
+            answeredBytes: this.answeredBytes / PLAYED_MS * 1_000,
         };
     }
 
@@ -127,7 +133,9 @@
         const { way, entries, limit } = this.options;
         const getNowMs = (): number => performance.now();
         const limits = new NamedLimits({ getNowMs, log, metrics, handleChange: count });
-        limits.hear(UPSTREAM, { kind: "limit", requestsASecond: limit }, { asked: "1", askedMs: 0, isReport: false });
+        this.upstreams.forEach((id) => {
+            limits.hear(id, { kind: "limit", requestsASecond: limit }, { asked: "1", askedMs: 0, isReport: false });
+        });
         const sends = new LimitSends({
             instance: `e${String(entry)}`,
             limits,
@@ -138,7 +146,9 @@
             log,
             metrics,
         });
-        sends.handleChange(UPSTREAM, true);
+        this.upstreams.forEach((id) => {
+            sends.handleChange(id, true);
+        });
         return sends;
     }
 
@@ -146,11 +156,10 @@
         const { entries } = this.options;
         const getNowMs = (): number => performance.now();
         const state = new FleetState();
-        state.apply({
-            kind: "put-upstream",
-            facts: { id: UPSTREAM, service: "s", address: "a", failure_domain: "d", slots: 1 },
-            status: "ready",
-        }, 1);
+        this.upstreams.forEach((id, index) => {
+            const facts = { id, service: "s", address: id, failure_domain: "d", slots: 1 };
+            state.apply({ kind: "put-upstream", facts, status: "ready" }, index + 1);
+        });
         const limits = new NamedLimits({
             getNowMs,
             log,
@@ -182,7 +191,8 @@
             throw new Error("no leader");
         }
         const answer = keeper.answer(sendsParametersSchema.parse(parameters));
-        this.bytes += JSON.stringify(parameters).length + JSON.stringify(answer).length;
+        this.askedBytes += JSON.stringify(parameters).length;
+        this.answeredBytes += JSON.stringify(answer).length;
         await waitMs(LATENCY_MS);
         return answer;
     }
@@ -223,16 +233,17 @@
 
     private async runRequest(entry: number): Promise<void> {
         const sends = this.sends[entry]!;
+        const upstream = this.upstreams[Math.floor(this.draw() * this.upstreams.length)]!;
         const isOwner = this.options.way !== "owners" || entry < OWNERS;
         const request = {};
         const startMs = performance.now();
         while (isOwner) {
-            if (sends.claimsSend(UPSTREAM, { request, priority: 1, patienceMs: HELD_PATIENCE_MS })) {
-                sends.recordSend(UPSTREAM);
+            if (sends.claimsSend(upstream, { request, priority: 1, patienceMs: HELD_PATIENCE_MS })) {
+                sends.recordSend(upstream);
                 this.arrivalsMs.push(performance.now());
                 return;
             }
-            const { leftMs, isHeld } = sends.computeLeft([UPSTREAM]);
+            const { leftMs, isHeld } = sends.computeLeft([upstream]);
             if (performance.now() - startMs >= (isHeld ? HELD_PATIENCE_MS : PATIENCE_MS) - leftMs) {
                 sends.withdraw(request);
                 return;
