The product's own interface keeps to rates that upstreams name, by even parts

The same cause: nobody read them there. Services name a rate in any answer, engines in that of a status question; what an entry sends is paced by the piece of code that routed requests use without a leader, looked at in the choice and right before each step. A run that is at an engine already goes on. Tests: a table of paces and heads; they did not compile before.

--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -1,6 +1,7 @@
 /**
  * The one place that knows how a model engine is spoken to. The rest of crankfork sees `EngineFunctions`.
  */
+import type { LimitWord } from "@crankfork/decisions";
 import {
     type EngineStatus,
     engineStatusSchema,
@@ -15,8 +16,10 @@
 import crc32 from "crc-32";
 import type { Agent } from "undici";
 import { fetchJson } from "./httpClient.js";
+import { readLimit } from "./readLimit.js";
 import { RunEnds } from "./runEnds.js";
 import { StepBatcher } from "./stepBatcher.js";
+import type { UpstreamHead } from "./upstreamExchange.js";
 
 /** What an engine can do for crankfork, free of any transport. */
 export interface EngineFunctions {
@@ -42,6 +45,8 @@
     readonly statusTimeoutMs: number;
     /** Called for each answer that fits no step that waits: late, doubled or crossed. */
     readonly handleStrayAnswer: () => void;
+    /** Takes what the head of a status says of the rate that the engine takes; `askedMs` is when it was asked. */
+    readonly hearLimit: (word: LimitWord, askedMs: number) => void;
     /** Called where the engine could not be told that a run is over. */
     readonly handleUntoldEnd: (run: string, reason: string) => void;
 }
@@ -73,7 +78,12 @@
             void ends.tell(run);
         },
         getStatus: async () => {
-            const raw = await fetchJson({ agent, peer, url: `${base}/status`, method: "GET" }, statusTimeoutMs);
+            const askedMs = performance.now();
+            const handleHeaders = (headers: UpstreamHead["headers"]): void => {
+                options.hearLimit(readLimit({ headers }), askedMs);
+            };
+            const url = `${base}/status`;
+            const raw = await fetchJson({ agent, peer, url, method: "GET", handleHeaders }, statusTimeoutMs);
             return engineStatusSchema.parse(raw);
         },
         sendOrder: async (order) => orderAnswerSchema.parse(await post("orders", order)),
--- /dev/null
+++ b/packages/daemon/src/connection/readLimit.ts
@@ -0,0 +1,16 @@
+/**
+ * The one place that knows by which header an upstream of the product's own interface names the rate that it takes.
+ */
+import { type LimitWord, parseLimit } from "@crankfork/decisions";
+import type { UpstreamHead } from "./upstreamExchange.js";
+
+const LIMIT_HEADER = "x-requests-a-second";
+
+/**
+ * Reads the head of an answer.
+ * @param head - its headers
+ * @returns what it says of a limit
+ */
+export function readLimit({ headers }: Pick<UpstreamHead, "headers">): LimitWord {
+    return parseLimit([headers[LIMIT_HEADER] ?? []].flat());
+}
--- a/packages/daemon/src/connection/serviceClient.ts
+++ b/packages/daemon/src/connection/serviceClient.ts
@@ -1,10 +1,12 @@
 /**
  * The one place that knows how a plain service is spoken to.
  */
+import type { LimitWord } from "@crankfork/decisions";
 import type { KeptAnswer } from "@crankfork/schemas";
 import { isUtf8 } from "node:buffer";
 import type { Agent, Dispatcher } from "undici";
 import { createExchangeError, ExchangeError, readRestMs, sendRequest } from "./httpClient.js";
+import { readLimit } from "./readLimit.js";
 
 /** A call to a plain service. */
 export interface ServiceCall {
@@ -19,9 +21,9 @@
     readonly answerLimit: number;
 }
 
-/** What a service answered, and for how long it wants nothing more where it said so. */
+/** What a service answered, and what it said of rest and of the rate that it takes. */
 export type ServiceAnswer =
-    & { readonly restMs?: number | undefined; }
+    & { readonly restMs?: number | undefined; readonly limit: LimitWord; }
     & (
         | { readonly kind: "answered"; readonly answer: KeptAnswer; }
         /** The service says itself that it did not run the call. */
@@ -60,12 +62,18 @@
     });
     const body = await readLimited(response, peer, call.answerLimit, signal);
     const restMs = readRestMs(response);
+    const limit = readLimit(response);
     if (response.headers[NOT_RUN_HEADER] === "true") {
-        return { kind: "not-run", reason: `status ${String(response.statusCode)}`, restMs };
+        return { kind: "not-run", reason: `status ${String(response.statusCode)}`, restMs, limit };
     }
     const type = response.headers["content-type"];
     const content_type = typeof type === "string" ? type : "application/octet-stream";
-    return { kind: "answered", answer: { status: response.statusCode, content_type, ...encodeBody(body) }, restMs };
+    return {
+        kind: "answered",
+        answer: { status: response.statusCode, content_type, ...encodeBody(body) },
+        restMs,
+        limit,
+    };
 }
 
 async function readLimited(
--- a/packages/daemon/src/process/daemon/serving.ts
+++ b/packages/daemon/src/process/daemon/serving.ts
@@ -95,6 +95,9 @@
             recordFailure: (state, error) => {
                 this.upstreams.recordFailure(state, error);
             },
+            hearLimit: (state, word, askedMs) => {
+                this.upstreams.hearLimit(state, word, askedMs);
+            },
             recordRest: (state, restMs) => {
                 this.upstreams.recordRest(state, restMs);
             },
@@ -133,6 +136,7 @@
             createEngine: (upstream) => this.createEngine(upstream),
             countOthersInFlight: (upstream) => this.gossip.count(upstream),
             random: Math.random,
+            countEntries: () => Math.max(1, this.options.control.membership.getLiveMembers().length),
             handleChange: (state, change) => {
                 metrics.count("upstream.change", { upstream: state.upstream.name, change });
                 log.record("info", "upstream", { peer: state.upstream.name, change });
@@ -152,6 +156,12 @@
             timeoutMs: settings.timing.upstream_timeout,
             // Two questions without an answer and the engine is taken for lost; see upstreamTable.ts.
             statusTimeoutMs: settings.timing.upstream_poll * 2,
+            hearLimit: (word, askedMs) => {
+                const state = this.upstreams.get(upstream.name);
+                if (state !== undefined) {
+                    this.upstreams.hearLimit(state, word, askedMs);
+                }
+            },
             handleStrayAnswer: () => {
                 metrics.count("step.stray", { upstream: upstream.name });
                 log.record("info", "step-stray", { peer: upstream.name });
--- a/packages/daemon/src/process/daemon/upstreamState.ts
+++ b/packages/daemon/src/process/daemon/upstreamState.ts
@@ -4,6 +4,7 @@
 import { Circuit, Rest } from "@crankfork/decisions";
 import type { EngineStatus, HeldRange, Upstream } from "@crankfork/schemas";
 import type { EngineFunctions } from "../../connection/engineClient.js";
+import { UpstreamPace } from "./upstreamPace.js";
 
 /** Whether an upstream answers. */
 export type Reachability = "unknown" | "reachable" | "unreachable";
@@ -13,6 +14,8 @@
     readonly circuit = new Circuit();
     /** What it asked this instance for; says nothing against it, so the circuit does not count it. */
     readonly rest = new Rest();
+    /** The rate that it named. */
+    readonly pace = new UpstreamPace();
     reachability: Reachability = "unknown";
     /** Whether the platform's list, which lags, says that it leaves. */
     isListedLeaving = false;
@@ -79,6 +82,7 @@
             this.running.set(run, nowMs);
             this.circuit.recordStart();
             this.rest.recordSend();
+            this.pace.recordSend(nowMs);
         }
     }
 
@@ -99,6 +103,16 @@
         }
     }
 
+    /**
+     * Tells whether it wants a request now; looked at right before each send.
+     * @param run - the request; one that runs there already is no new one
+     * @param nowMs - the monotonic clock
+     * @returns false while it rests, or where this entry has sent its part
+     */
+    maySend(run: string, nowMs: number): boolean {
+        return !this.rest.isResting(nowMs) && (this.running.has(run) || this.pace.isDue(nowMs));
+    }
+
     /**
      * Counts own requests that its last report can't include.
      * @returns requests that started after the report was sampled
@@ -123,10 +137,10 @@
     /**
      * Tells whether new work may go there.
      * @param nowMs - the monotonic clock
-     * @returns false while it leaves, rests, is lost, or its circuit is open
+     * @returns false while it leaves, rests, is lost, gets as much as it takes, or its circuit is open
      */
     isUsable(nowMs: number): boolean {
         return !this.isLeaving && this.rest.hasRoom(nowMs) && this.reachability !== "unreachable"
-            && this.circuit.isUsable(nowMs);
+            && this.circuit.isUsable(nowMs) && this.pace.isDue(nowMs);
     }
 }
--- a/packages/daemon/src/process/daemon/upstreamTable.ts
+++ b/packages/daemon/src/process/daemon/upstreamTable.ts
@@ -9,6 +9,7 @@
     createHolderIndex,
     type Holder,
     type HolderIndex,
+    type LimitWord,
     type RouteStage,
 } from "@crankfork/decisions";
 import type { Model, Upstream } from "@crankfork/schemas";
@@ -23,12 +24,14 @@
     /** Requests in flight at an upstream from other live entries. */
     readonly countOthersInFlight: (upstream: string) => number;
     readonly random: () => number;
+    /** Entries that share what an upstream takes. */
+    readonly countEntries: () => number;
     /** Called when an upstream was lost, came back or began to leave. */
     readonly handleChange: (state: UpstreamState, change: UpstreamChange) => void;
 }
 
 /** What changed about an upstream. */
-export type UpstreamChange = "lost" | "back" | "leaving" | "held-layers" | "rests" | "rests-longer";
+export type UpstreamChange = "lost" | "back" | "leaving" | "held-layers" | "rests" | "rests-longer" | "limit";
 
 /** Status questions without an answer after which an engine is taken for lost. */
 const MOST_SILENT_POLLS = 2;
@@ -183,15 +186,32 @@
     }
 
     /**
-     * Computes how long the first of some upstreams rests.
+     * Takes what an upstream says of the rate that it takes.
+     * @param state - the upstream
+     * @param word - what its answer said
+     * @param askedMs - when the request left that it answered
+     */
+    hearLimit(state: UpstreamState, word: LimitWord, askedMs: number): void {
+        const { countEntries, random, handleChange } = this.functions;
+        const view = { askedMs, nowMs: performance.now(), entries: countEntries(), draw: random() };
+        if (state.pace.hear(word, view)) {
+            handleChange(state, "limit");
+        }
+    }
+
+    /**
+     * Computes how long it takes until the first of some upstreams that rest or get as much as they take wants a request.
      * @param names - the upstreams
-     * @returns milliseconds; undefined where none rests
+     * @returns milliseconds; undefined where there is none of those
      */
     computeRestMs(names: readonly string[]): number | undefined {
         const nowMs = performance.now();
         const lefts = names.flatMap((name) => {
-            const rest = this.get(name)?.rest;
-            return rest?.isResting(nowMs) === true ? [rest.endsAtMs - nowMs] : [];
+            const state = this.get(name);
+            if (state === undefined || (!state.rest.isResting(nowMs) && state.pace.isDue(nowMs))) {
+                return [];
+            }
+            return [Math.max(state.rest.endsAtMs - nowMs, state.pace.computeLeftMs(nowMs))];
         });
         return lefts.length === 0 ? undefined : Math.min(...lefts);
     }
--- a/packages/daemon/src/request/pipelineRun.ts
+++ b/packages/daemon/src/request/pipelineRun.ts
@@ -191,7 +191,7 @@
             throw new StageFailure(stage, "not-held");
         }
         // The route may be older than the engine's word: it is looked at right before each step.
-        if (state.rest.isResting(performance.now())) {
+        if (!state.maySend(this.request.run, performance.now())) {
             throw new StageFailure(stage, "resting");
         }
         const { run, model, priority, signal } = this.request;
--- a/packages/daemon/src/request/serviceRequest.ts
+++ b/packages/daemon/src/request/serviceRequest.ts
@@ -1,7 +1,7 @@
 /**
  * A call to a plain service, at most once where its configuration says so.
  */
-import type { RetryBudget } from "@crankfork/decisions";
+import type { LimitWord, RetryBudget } from "@crankfork/decisions";
 import type { KeptAnswer, Service } from "@crankfork/schemas";
 import { createHash } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
@@ -25,6 +25,8 @@
     readonly recordFailure: (state: UpstreamState, error: ExchangeError) => void;
     /** The upstream said in an answer that it wants nothing for so long. */
     readonly recordRest: (state: UpstreamState, restMs: number) => void;
+    /** Takes what an answer says of the rate that its upstream takes. */
+    readonly hearLimit: (state: UpstreamState, word: LimitWord, askedMs: number) => void;
     /** How long the first of some upstreams rests; undefined where none does. */
     readonly computeRestMs: (names: readonly string[]) => number | undefined;
     readonly getBudget: (service: Service) => RetryBudget;
@@ -167,7 +169,8 @@
     const { incoming } = checked;
     const { requestId } = incoming.scope;
     let isServed = false;
-    state.recordStart(requestId, performance.now());
+    const askedMs = performance.now();
+    state.recordStart(requestId, askedMs);
     try {
         const result = await functions.call(state, {
             method: incoming.method,
@@ -179,6 +182,7 @@
             answerLimit: functions.answerLimit,
         });
         state.circuit.recordSuccess();
+        functions.hearLimit(state, result.limit, askedMs);
         if (result.restMs !== undefined) {
             functions.recordRest(state, result.restMs);
         }
--- /dev/null
+++ b/packages/daemon/tests/ownLimits.test.ts
@@ -0,0 +1,97 @@
+/**
+ * Upstreams of the product's own interface named a rate, and nobody read it, as at routed requests: three callers at each of two
+ * entries went on at their own pace.
+ */
+import type { LimitWord } from "@crankfork/decisions";
+import { upstreamSchema } from "@crankfork/schemas";
+import { expect } from "chai";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { openConnections } from "../src/connection/httpClient.js";
+import { callService } from "../src/connection/serviceClient.js";
+import { UpstreamPace } from "../src/process/daemon/upstreamPace.js";
+import { UpstreamState } from "../src/process/daemon/upstreamState.js";
+
+const limit = (requestsASecond: number): LimitWord => ({ kind: "limit", requestsASecond });
+
+describe("an entry of the product's own interface keeps to its even part of a limit", () => {
+    const rows: readonly {
+        readonly title: string;
+        readonly words: readonly LimitWord[];
+        readonly sentMs: readonly number[];
+        readonly dueMs: number;
+    }[] = [
+        { title: "none was named", words: [{ kind: "none" }], sentMs: [100], dueMs: 100 },
+        { title: "4 a second for two entries", words: [limit(4)], sentMs: [1_000], dueMs: 1_400 },
+        { title: "it was lowered to 2", words: [limit(4), limit(2)], sentMs: [1_000], dueMs: 1_900 },
+        { title: "it ended", words: [limit(4), { kind: "none" }], sentMs: [1_000], dueMs: 1_000 },
+        {
+            title: "one that can't be read",
+            words: [limit(4), { kind: "unreadable", text: "-1" }],
+            sentMs: [1_000],
+            dueMs: 1_400,
+        },
+        { title: "none are taken: one in ten seconds", words: [limit(0)], sentMs: [1_000], dueMs: 20_900 },
+    ];
+    for (const { title, words, sentMs, dueMs } of rows) {
+        it(title, () => {
+            const pace = new UpstreamPace();
+            words.forEach((word, number) => {
+                pace.hear(word, { askedMs: number, nowMs: number, entries: 2, draw: 0 });
+            });
+            sentMs.forEach((nowMs) => {
+                pace.recordSend(nowMs);
+            });
+            expect([pace.isDue(dueMs - 1) && dueMs > 1_000, pace.isDue(dueMs)]).to.deep.equal([false, true]);
+        });
+    }
+
+    it("a run that is there already goes on, a new one waits", () => {
+        const upstream = upstreamSchema.parse({ name: "e", kind: "engine", address: "127.0.0.1:1" });
+        const state = new UpstreamState(upstream, undefined);
+        state.pace.hear(limit(4), { askedMs: 0, nowMs: 0, entries: 2, draw: 0 });
+        expect(state.maySend("one", 1_000)).to.equal(true);
+        state.recordStart("one", 1_000);
+        expect([state.maySend("one", 1_001), state.maySend("two", 1_001)]).to.deep.equal([true, false]);
+    });
+});
+
+describe("the head of a plain service's answer tells its limit", () => {
+    let server: Server;
+    let headers: Record<string, string> = {};
+
+    before((done) => {
+        server = createServer((message, response) => {
+            message.resume();
+            response.writeHead(200, headers).end("done");
+        }).listen(0, "127.0.0.1", done);
+    });
+
+    after(() => {
+        server.close();
+    });
+
+    const rows: readonly { readonly said: Record<string, string>; readonly expected: LimitWord; }[] = [
+        { said: {}, expected: { kind: "none" } },
+        { said: { "x-requests-a-second": "2.5" }, expected: limit(2.5) },
+        { said: { "x-requests-a-second": "soon" }, expected: { kind: "unreadable", text: "soon" } },
+    ];
+    for (const { said, expected } of rows) {
+        it(JSON.stringify(said), async () => {
+            headers = said;
+            const agent = openConnections();
+            const address = `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+            const result = await callService(agent, "printer", address, {
+                method: "GET",
+                path: "/",
+                contentType: undefined,
+                body: Buffer.alloc(0),
+                signal: new AbortController().signal,
+                timeoutMs: 5_000,
+                answerLimit: 64,
+            });
+            await agent.destroy();
+            expect(result.limit).to.deep.equal(expected);
+        });
+    }
+});
--- a/packages/daemon/tests/upstreamTable.test.ts
+++ b/packages/daemon/tests/upstreamTable.test.ts
@@ -47,6 +47,7 @@
     it("its circuit stays closed, and it is used again after its time, one call first", () => {
         const changes: string[] = [];
         const table = new UpstreamTable(1_000, {
+            countEntries: () => 2,
             createEngine: () => {
                 throw new Error("there are no engines");
             },
--- a/packages/scenarios/src/bench/path.ts
+++ b/packages/scenarios/src/bench/path.ts
@@ -35,6 +35,7 @@
         const engines = [...world.engines].map(([name, { address }]) =>
             createEngineClient({
                 handleUntoldEnd: () => undefined,
+                hearLimit: () => undefined,
                 agent,
                 name,
                 address,
--- a/packages/schemas/src/callerError.ts
+++ b/packages/schemas/src/callerError.ts
@@ -68,7 +68,7 @@
     "upstream-not-reached": { status: 503, text: "the upstream could not be reached: {reason}", outcome: "not-run" },
     "upstreams-resting": {
         status: 503,
-        text: "the upstreams have asked for rest: {reason}",
+        text: "the upstreams have asked for rest, or get as much as they take: {reason}",
         outcome: "not-run",
     },
     "upstream-rubbish": { status: 502, text: "the upstream's answer makes no sense: {reason}", outcome: "unknown" },
