--- a/packages/daemon/src/connection/limitConnecting.ts
+++ b/packages/daemon/src/connection/limitConnecting.ts
@@ -5,8 +5,8 @@
 
 /**
  * Limits the time in which a connection comes up. Purpose: a machine that has no power or is cut off says nothing, and
- * its first packet is sent again after a second. Entries that started a moment before the voters' machines reached a
- * leader 1.12 s after their start; it had been elected for 0.63 s by then.
+ * its first packet is sent again after a second. Entries that start a moment before the voters' machines would reach a leader
+ * that late.
  * @param connect - makes the connection
  * @param limitMs - time for it
  * @returns makes a connection or fails within that time; one that comes up later is closed
--- a/packages/daemon/src/process/entry/leavingWords.ts
+++ b/packages/daemon/src/process/entry/leavingWords.ts
@@ -1,8 +1,7 @@
 /**
  * Upstreams that said in an answer that they leave. It is final for that life, whatever its heartbeats say: they may come late,
- * or from behind a cut, and what goes there later is lost with it: 178 requests that came after its time to drain within 4.5 s
- * of a stand of three entries under thirty callers, none with this (leavingWord.test.ts). The leader is told, so that other entries know before they are told by the upstream,
- * and layers move early.
+ * or from behind a cut, and what goes there later is lost with it. The leader is told, so that other entries know before they are
+ * told by the upstream, and layers move early.
  */
 import { leavingResultSchema } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -236,8 +236,8 @@
      * Computes how well an upstream is suited for one more request; less is better.
      * @param id - the upstream
      * @param openElsewhere - requests that other entries have open there
-     * @param usualMs - time of an answer of its service, for an upstream that has not answered yet: rated by a figure of its own,
-     * it got no request where others take 12 ms, and 0.73 to 0.90 of all where they take 0.2 to 1 s (newcomer.test.ts)
+     * @param usualMs - time of an answer of its service, for an upstream that has not answered yet: rated by a figure of its own
+     * it would get no request where others are faster, and nearly all where they are slower
      * @returns expected time, with failures counted as time
      */
     computeScore(id: string, openElsewhere: number, usualMs: number): number {
--- a/packages/daemon/src/process/layers/layerKeeper.ts
+++ b/packages/daemon/src/process/layers/layerKeeper.ts
@@ -46,13 +46,13 @@
 const SLOW_LOAD_FACTOR = 6;
 const LEAST_LOAD_LIMIT_MS = 3_000;
 /**
- * Orders under way at a time, each with its report. 2,930 at once took longer to send than an engine has for its report, which
- * then counted as none.
+ * Orders under way at a time, each with its report. Thousands at once take longer to send than an engine has for its report, which
+ * then counts as none.
  */
 const MOST_ASKING = 250;
 /**
- * Engines that load are asked for reports so often in a tick, at the most; heartbeats tell their layers, too. Followed by itself each
- * four times a second, 2,930 of them would take 12,000 reports.
+ * Engines that load are asked for reports so often in a tick, at the most, so that the leader's work does not grow with them;
+ * heartbeats tell their layers, too.
  */
 const MOST_REPORTS_A_TICK = 25;
 
--- a/packages/daemon/src/process/layers/paceWatch.ts
+++ b/packages/daemon/src/process/layers/paceWatch.ts
@@ -1,7 +1,7 @@
 /**
  * Asks engines how fast they are, so that paths and layers go around slow ones. Only a leader asks, each engine about
  * once a second: a slow engine costs its whole path, and a report costs little. Where there are more engines than that allows,
- * each waits longer for its turn: 2,500 reports a second of 3,000 engines took a connection for each, which a voter has not got.
+ * each waits longer for its turn: reports from thousands of engines a second take more connections than a voter has.
  */
 import type { RegisteredUpstream } from "@crankfork/schemas";
 import type { EngineControl } from "../../connection/engineControl.js";
--- a/packages/daemon/src/process/layers/planGate.ts
+++ b/packages/daemon/src/process/layers/planGate.ts
@@ -1,8 +1,8 @@
 /**
  * When the layers of a service are planned again.
  *
- * Load pattern: thousands of engines, and plans that take 0.03 ms an engine of a whole core. Made ten times a second, whether
- * anything had changed or not, they took all that a leader of 2,930 engines has, and it confirmed nothing any more.
+ * Load pattern: thousands of engines, and plans whose time grows with them. Made at every tick, whether anything has changed or
+ * not, they take all that a leader has, and it confirms nothing any more.
  */
 
 /** Between two plans, for each engine: planning has an eighth of a core at the most. */
--- a/packages/daemon/src/process/upstreamRests.ts
+++ b/packages/daemon/src/process/upstreamRests.ts
@@ -1,8 +1,7 @@
 /**
  * Upstreams that asked this instance for rest, by their lives. A rest says nothing against an upstream, so it is kept apart from
  * suspicions: where all upstreams of a service are suspected they are used all the same, where all rest nothing is sent.
- * Without it three entries under thirty callers sent 4,060 requests within one rest of three seconds; with it none
- * (restingWorker.test.ts, one worker of five at rest).
+ * Without it whoever turns requests away looks idle, and gets the most.
  */
 import { Rest, type RestChange, type RestWord } from "@crankfork/decisions";
 import type { EventLog } from "./eventLog.js";
--- a/packages/daemon/src/process/voter/documentKeeper.ts
+++ b/packages/daemon/src/process/voter/documentKeeper.ts
@@ -35,7 +35,7 @@
             return { kind: "done", value: undefined };
         }
         const startMs = getNowMs();
-        // Packed once, here: the log, the disks, snapshots and all entries hold and send 33 KB in place of 330 (1,650 routes).
+        // Packed once, here: the log, the disks, snapshots and all entries hold and send a tenth of its bytes.
         const packed = packDocument(content);
         const result = await proposeChange(this.options, { kind: "put-document", version: table.version, packed });
         const ms = Math.round(getNowMs() - startMs);
--- a/packages/daemon/src/process/voter/documentSource.ts
+++ b/packages/daemon/src/process/voter/documentSource.ts
@@ -2,9 +2,8 @@
  * Hands the operator's document to entries. Every voter does, also one that follows: what it holds is committed, and the
  * entry has heard from a leader which version is the least that will do.
  *
- * Taken whole by 75 entries from the leader alone, inside the answers that renew their leases, 330 KB filled its link of 170
- * Mbit/s for longer than an entry waits; all gave up, began anew, and none ever got it. In turns, packed and from five
- * voters all have it after 260 ms, and 195 entries after 420 ms (documentDelivery.test.ts, a paused clock).
+ * Taken whole by all entries from the leader alone, inside the answers that renew their leases, a document fills its link for
+ * longer than an entry waits; all give up, begin anew, and none ever gets it. So it is packed, and goes out in turns.
  */
 import { ByteBudget } from "@crankfork/decisions";
 import type { DocumentParameters, DocumentResult } from "@crankfork/schemas";
--- a/packages/daemon/src/process/voter/entryRegister.ts
+++ b/packages/daemon/src/process/voter/entryRegister.ts
@@ -32,9 +32,8 @@
 const HOLD_MS_AN_ENTRY = 8;
 const MOST_HOLD_MS = 600;
 /**
- * Least time between two answers that tell one entry of changes. An entry asks again as soon as it is answered, so that
- * each change went to each entry by itself: 195 entries took 9,487 answers in a second in which engines registered (whole
- * processes), or 19,500 at 100 changes a second (entryRegister.test.ts). Now some 1,000 a second, whatever their number; the
+ * Least time between two answers that tell one entry of changes. An entry asks again as soon as it is answered, so that each change
+ * would go to each entry by itself. With this the leader gives some 1,000 answers a second, whatever the number of entries; the
  * first change after a quiet time is told at once.
  */
 const GAP_MS_AN_ENTRY = 1;
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -66,8 +66,8 @@
 const SNAPSHOT_EVERY = 150;
 const SILENCE_CHECK_MS = 250;
 /**
- * Heartbeats that an upstream may miss before its connection is closed. Kept for 30 s, connections of upstreams that have gone on
- * to another voter, or are over, pile up: a leader of 998 upstreams had 3,171.
+ * Heartbeats that an upstream may miss before its connection is closed. Kept longer, connections of upstreams that have gone on
+ * to another voter, or are over, pile up to several for each.
  */
 const IDLE_HEARTBEATS = 3.5;
 /** Time for the next leader to be elected before this one is gone. */
--- a/packages/daemon/src/request/fingerprintRequest.ts
+++ b/packages/daemon/src/request/fingerprintRequest.ts
@@ -1,8 +1,7 @@
 /**
  * Names a request alike for all of its attempts: who sends it, where to, and what.
  *
- * It costs 0.004 ms for a body of 2 KB and 2.3 ms for one of 4 MB (median of 400 in one process), so it is computed only for
- * requests of which a try broke, for those that share organisation, host and target with a request on record, and for short
+ * A large body takes milliseconds, so it is computed only for requests of which a try broke, for those that share organisation, host and target with a request on record, and for short
  * ones that ran to an end. Bodies that come in pieces are one buffer by then.
  */
 import { createHash } from "node:crypto";
--- a/packages/daemon/src/request/requestPatience.ts
+++ b/packages/daemon/src/request/requestPatience.ts
@@ -20,8 +20,7 @@
 const FULL_PATIENCE_SHARE = 0.15;
 /**
  * The same for a caller that is back after a refusal. It is late already, would not come a third time, and stays for four
- * objectives: being served late is better for it than not at all. Requests refused for good: 2.4 in 100 without, 1.0 with
- * it (mean of seven loaded days with faults).
+ * objectives: being served late is better for it than not at all.
  */
 const BACK_PATIENCE_SHARE = 2.5;
 /** Part of the objective for which a request waits for a send that is held here; the rest of it is for the answer. */
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -83,8 +83,8 @@
 }
 
 /**
- * A request that ended every upstream that ran it is not sent on: 27 upstreams ended under one within a day, and 30 others lost
- * their run with each (`crashingRequest.test.ts`: 40 sends later than 3 s after the third crash without this, 3 at most with it).
+ * A request that ended every upstream that ran it is not sent on: it would end one after another, and all others that run there
+ * would lose their runs with each.
  * Resolves to false where it is free, or goes as a trial.
  */
 async function holdBack(run: RoutedRun, choice: TargetChoice, functions: RoutedRequestFunctions): Promise<boolean> {
--- a/packages/decisions/src/connection/rest.ts
+++ b/packages/decisions/src/connection/rest.ts
@@ -2,8 +2,7 @@
  * The rest that one upstream asked this instance for, and its return.
  *
  * Load pattern: an upstream with too much to do turns requests away within a millisecond or two and asks for seconds of rest.
- * It has the fewest open requests of all then, so whatever is sent where least is open goes there: 932 requests from one entry
- * within one rest of three seconds.
+ * It has the fewest open requests of all then, so whatever is sent where least is open goes there.
  *
  * The rest is kept whole, however long: a limit of ours below it would send what was asked not to come. After it, requests come
  * back as they are served: one, then two more for each that was. Whoever found the upstream resting would meet there at once
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -1,9 +1,9 @@
 /**
  * One entry's part of a budget of repeats that all entries share.
  *
- * Load pattern: 60 entries of three requests a second each, and engines that go missing: a second of declines needs some 60
- * repeats, ten at one entry and none at the next. Even parts of the budget allow five in ten seconds at each, so that 1,041
- * of 2,170 repeats could be had at all and callers were refused beside free paths.
+ * Load pattern: dozens of entries of a few requests a second each, and engines that go missing: a second of declines needs ten
+ * repeats at one entry and none at the next. Even parts of the budget allow a few in its window at each, so that half of the
+ * repeats can't be had and callers are refused beside free paths.
  *
  * So an entry draws on what the fleet has left, as the leader told last: its bucket holds at most an even part of that, and
  * fills anew within some seconds. Without such word it keeps to an even part of the whole, which needs no message between
--- a/packages/decisions/src/request/chooseChain.ts
+++ b/packages/decisions/src/request/chooseChain.ts
@@ -16,8 +16,7 @@
 }
 
 /**
- * Part of a path's step time that each open request adds. From the trials on the grown calm day in
- * docs/design/layer-plan.md: a path that is shared by six requests is taken as twice as slow.
+ * Part of a path's step time that each open request adds: a path that is shared by six requests is taken as twice as slow.
  */
 const OPEN_SHARE = 1 / 6;
 
--- a/packages/decisions/src/request/hasChainRoom.ts
+++ b/packages/decisions/src/request/hasChainRoom.ts
@@ -19,7 +19,7 @@
 const HELD_ANSWER_SHARE = 0.5;
 /** Requests that a path takes at the least, so that one with odd figures is not shut out. */
 const LEAST_OPEN = 4;
-/** Part of its time that a busy path reads prompts; the rest goes to tokens (grown calm day, docs/design/full-paths.md). */
+/** Part of its time that a busy path reads prompts; the rest goes to tokens. */
 const READ_SHARE = 0.6;
 
 /**
@@ -63,8 +63,7 @@
 
 /**
  * Computes how many prompts may wait on a path. One across failure domains takes none where its pipe alone uses up the
- * objective: over 470 Mbit/s a prompt of 772 tokens takes 0.43 s and holds up each step of every stream there, and of
- * 337 requests sent to such paths none was answered in time, while their callers waited.
+ * objective: what is sent there is not answered in time, and holds up each step of every stream on that pipe.
  * @param chain - the path
  * @param profile - usual sizes
  * @param objectiveMs - time to the first token that the contract asks for
--- a/packages/decisions/src/request/hasPlainRoom.ts
+++ b/packages/decisions/src/request/hasPlainRoom.ts
@@ -2,13 +2,10 @@
  * Whether an instance of a plain service takes one more request from this entry.
  *
  * Load pattern: upstreams that turn away what is too much for them and ask for rest then. One that rests sends its requests to
- * the others, which are too full in turn, one by one until all rest, and come back all together to the same. At nine tenths of
- * what five upstreams take 0.25 of the requests were served so, at nearly twice as much 0.05 (restReplay.test.ts, 3 entries,
- * rests of 1.5 s); with this limit 0.92 and 0.49.
+ * the others, which are too full in turn, one by one until all rest, and come back all together to the same.
  *
  * So where upstreams have asked for rest lately, their slots, and once more what of them seems spare, are shared out among the
- * entries; what goes beyond is refused at once. With none, a quarter or half of the spare ones shared out on top it was as good
- * under too much load and worse below it (0.983 to 0.985 in place of 0.990 with four of five at rest).
+ * entries; what goes beyond is refused at once.
  */
 
 /** What is known of one upstream. */
--- a/packages/decisions/src/request/listPreferredChains.ts
+++ b/packages/decisions/src/request/listPreferredChains.ts
@@ -12,9 +12,7 @@
 
 /**
  * Computes to how many paths an entry keeps: as many as it sends requests in the time for which a connection is kept,
- * so that each is used again. In a replay of 195 entries that see 1.2 requests a second before 46 paths, 0.51
- * connections were opened for a request in place of 0.90, and 14.0 requests in place of 13.3 were open on the path that
- * one took.
+ * so that each is used again, and an entry with few requests does not open a connection for each of them.
  * @param requestsASecond - what the entry sends to the service
  * @param idleMs - how long a connection is kept that nothing uses
  * @returns paths
--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -74,8 +74,7 @@
 
 /**
  * Paths across failure domains, as many as keep the pipe between two of these busy. More would not read faster, and each
- * pass would wait for the activations of the others: where ten pipes of 470 Mbit/s were shared by all paths that the
- * engines made up, 612,772 prompt tokens were read in 34 s and 32 events written, none in time.
+ * pass would wait for the activations of the others, so that prompts are read and hardly a token is written in time.
  */
 function computeCrossingChains(engines: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
     const crossingMs = computeCrossingMs(profile);
--- a/packages/decisions/src/version/computeLayerRoom.ts
+++ b/packages/decisions/src/version/computeLayerRoom.ts
@@ -6,15 +6,13 @@
 /**
  * Part of the profile's tokens of context for which an engine keeps memory free beside its layers. More than all of it:
  * after a loss the others take its requests, and the fastest engines, which hold the most layers, run out of memory
- * first. With 1 in place of 1.25 twice as many requests were refused for good (0.7 in 100 for 0.3, mean of seven
- * loaded days with faults).
+ * first.
  */
 const CONTEXT_SHARE = 1.25;
 
 /**
  * The same for an engine that fills a gap which can't be closed otherwise. A path with room for half as many requests is
- * better than none: where the fastest engine of a failure domain was lost, three others reached over 24 of its 28 layers,
- * and no path ran there for 5.4 s.
+ * better than none where the fastest engine of a failure domain is lost and the others can't reach over all of its layers.
  */
 export const TIGHT_CONTEXT_SHARE = 0.5;
 
--- a/packages/decisions/src/version/isPlacementDue.ts
+++ b/packages/decisions/src/version/isPlacementDue.ts
@@ -19,9 +19,8 @@
 const MOST_HEARTBEATS = 4;
 
 /**
- * Tells whether layers are placed now. Purpose: with the whole fleet in view the path through the one fast engine of a
- * failure domain takes 7.4 ms a step instead of 10.3 (28 of 80 layers on it instead of 15; reckoned from the engines'
- * figures).
+ * Tells whether layers are placed now. Purpose: only with the whole fleet in view the fastest engines of a failure domain get the
+ * most layers.
  * @param arrivals - what is known
  * @returns false while more engines are expected, unless some hold layers already
  */
