--- a/packages/daemon/src/process/entry/limitSends.ts
+++ b/packages/daemon/src/process/entry/limitSends.ts
@@ -11,6 +11,7 @@
 import { computeAskGapMs, computeHorizonMs } from "../sendIntervals.js";
 import { waitMs } from "../waitMs.js";
 import { LimitTelling } from "./limitTelling.js";
+import { SendDemand, type SendsLeft, type SendWish } from "./sendDemand.js";
 
 /** What the sends need from the process. */
 export interface LimitSendsOptions {
@@ -26,62 +27,14 @@
     readonly metrics: Pick<FleetMetrics, "countKeptBack" | "countSendBeyond" | "recordSendsHeld">;
 }
 
-/** A request that wants a send. */
-export interface SendWish {
-    /** Tells requests apart. */
-    readonly request: object;
-    /** 0 is the most urgent. */
-    readonly priority: number;
-    /** For how long it may wait for a send. */
-    readonly patienceMs: number;
-}
-
-/** When a send may be made. */
-interface HeldSend {
-    readonly fromMs: number;
-    readonly untilMs: number;
-}
-
-interface WaitingRequest {
-    readonly wish: SendWish;
-    readonly sinceMs: number;
-    readonly seenMs: number;
-}
-
-/** What is wanted of an upstream, and what there is. */
-interface Demand {
-    /** Requests that have no send, and look for one again and again. */
-    readonly waiting: Map<object, WaitingRequest>;
-    /** When the leader was asked last. */
-    askedMs: number;
-    /** Whether its answer is still to come. */
-    isAsked: boolean;
-    /** Sends made since the leader was asked. */
-    made: number;
-    held: HeldSend[];
-    /** When the leader has the next one for somebody. */
-    nextMs: number;
-}
-
-/**
- * A send that was not made so long after its time is lost. Shorter, and a request that polls for one, or has a connection to open,
- * misses it; longer, and entries that have few callers save sends up and make them together.
- */
-const KEPT_MS = 250;
 /** A leader that was not heard for so long may be none; by then a new one is elected. */
 const LED_MS = 1_500;
-/** Sends made between two questions from which on as many are wanted ahead. */
-const LEAST_MADE = 3;
-/** Requests that wait at a time from which on others will when these are gone. */
-const LEAST_WAITING = 2;
-/** A question and its answer are on their way for so long, so that a send comes that much later than was asked. */
-const WAY_MS = 20;
-/** A waiting request looks again within this time. */
-const LOOK_MS = 60;
+/** Where there is no upstream. */
+const NO_SENDS: SendsLeft = { leftMs: Number.POSITIVE_INFINITY, isHeld: false };
 
 /** Keeps sends by the lives of upstreams. */
 export class LimitSends {
-    private readonly demands = new Map<string, Demand>();
+    private readonly demands = new Map<string, SendDemand>();
     private readonly paces = new Map<string, EvenPace>();
     private readonly telling: LimitTelling;
     private heardMs = Number.NEGATIVE_INFINITY;
@@ -134,16 +87,11 @@
         if (!this.isLed) {
             return this.isPaceDue(id);
         }
-        const demand = this.getDemand(id);
-        const nowMs = this.options.getNowMs();
-        if (findUsable(demand, nowMs) !== undefined && !isBehind(demand, wish, nowMs)) {
-            demand.waiting.delete(wish.request);
-            return true;
+        const isFree = this.getDemand(id).claim(wish, this.options.getNowMs());
+        if (!isFree) {
+            void this.ask();
         }
-        const sinceMs = demand.waiting.get(wish.request)?.sinceMs ?? nowMs;
-        demand.waiting.set(wish.request, { wish, sinceMs, seenMs: nowMs });
-        void this.ask();
-        return false;
+        return isFree;
     }
 
     /**
@@ -151,8 +99,8 @@
      * @param request - the request
      */
     withdraw(request: object): void {
-        this.demands.forEach(({ waiting }) => {
-            waiting.delete(request);
+        this.demands.forEach((demand) => {
+            demand.withdraw(request);
         });
     }
 
@@ -181,7 +129,7 @@
             this.options.metrics.countSendBeyond();
         }
         if (this.isLed) {
-            this.useHeld(this.getDemand(id));
+            this.getDemand(id).recordSend(this.options.getNowMs());
         }
         else {
             this.getPace(id).recordSend(this.createTerms(id), this.options.getNowMs());
@@ -193,24 +141,14 @@
      * @param ids - lives of upstreams that have a limit
      * @returns milliseconds, and whether a send is held here for that time
      */
-    computeLeft(ids: readonly string[]): { readonly leftMs: number; readonly isHeld: boolean; } {
+    computeLeft(ids: readonly string[]): SendsLeft {
         const nowMs = this.options.getNowMs();
-        const lefts = ids.map((id) => this.computeLeftOf(id, nowMs));
-        return lefts.reduce((best, one) => one.leftMs < best.leftMs ? one : best, { leftMs: Infinity, isHeld: false });
-    }
-
-    private computeLeftOf(id: string, nowMs: number): { leftMs: number; isHeld: boolean; } {
-        if (!this.isLed) {
-            return { leftMs: this.getPace(id).computeLeftMs(nowMs), isHeld: true };
-        }
-        const { held, nextMs, waiting, askedMs, isAsked } = this.getDemand(id);
-        const next = held.find(({ untilMs }) => untilMs > nowMs);
-        if (next !== undefined) {
-            return { leftMs: Math.max(0, next.fromMs - nowMs), isHeld: true };
-        }
-        // What the leader says to those that have just asked is not known yet.
-        const isUnknown = isAsked || [...waiting.values()].some(({ sinceMs }) => sinceMs > askedMs);
-        return { leftMs: isUnknown ? 0 : Math.max(0, nextMs - nowMs), isHeld: false };
+        const lefts = ids.map((id): SendsLeft =>
+            this.isLed
+                ? this.getDemand(id).computeLeft(nowMs)
+                : { leftMs: this.getPace(id).computeLeftMs(nowMs), isHeld: true }
+        );
+        return lefts.reduce((best, one) => one.leftMs < best.leftMs ? one : best, NO_SENDS);
     }
 
     private isLimited(id: string): boolean {
@@ -222,30 +160,11 @@
     }
 
     private hasSend(id: string): boolean {
-        return this.isLed
-            ? findUsable(this.getDemand(id), this.options.getNowMs()) !== undefined
-            : this.isPaceDue(id);
-    }
-
-    private useHeld(demand: Demand): void {
-        const usable = findUsable(demand, this.options.getNowMs());
-        demand.held = demand.held.filter((one) => one !== usable);
-        demand.made += 1;
+        return this.isLed ? this.getDemand(id).hasSend(this.options.getNowMs()) : this.isPaceDue(id);
     }
 
-    private getDemand(id: string): Demand {
-        const known = this.demands.get(id);
-        if (known !== undefined) {
-            return known;
-        }
-        const demand: Demand = {
-            waiting: new Map(),
-            askedMs: Number.NEGATIVE_INFINITY,
-            isAsked: false,
-            made: 0,
-            held: [],
-            nextMs: 0,
-        };
+    private getDemand(id: string): SendDemand {
+        const demand = this.demands.get(id) ?? new SendDemand();
         this.demands.set(id, demand);
         return demand;
     }
@@ -284,35 +203,27 @@
     }
 
     private takeQuestion(): SendsParameters | undefined {
-        const nowMs = this.options.getNowMs();
-        const wanted = [...this.demands].flatMap(([id, demand]) => {
-            demand.held = demand.held.filter(({ untilMs }) => untilMs > nowMs);
-            // Whoever sends all the time will need as many again; what one that sends now and then gets ahead is lost.
-            const waiting = listWaiting(demand, nowMs);
-            const next = demand.made >= LEAST_MADE ? demand.made : 0;
-            const isSteady = next > 0 || waiting.length >= LEAST_WAITING;
-            const count = waiting.length + next - demand.held.length;
-            const patienceMs = Math.max(
-                0,
-                ...waiting.map(({ wish, sinceMs }) => sinceMs + wish.patienceMs - WAY_MS - nowMs),
-            );
-            const within_ms = isSteady ? computeHorizonMs(this.options.countEntries()) : patienceMs;
-            if (waiting.length + demand.made + demand.held.length === 0) {
-                this.demands.delete(id);
-            }
-            demand.made = 0;
-            demand.isAsked = count > 0;
-            demand.askedMs = nowMs;
-            return count > 0 ? [{ upstream: id, count, within_ms }] : [];
-        });
+        const { instance, countEntries } = this.options;
+        const wanted = this.takeWanted();
         // A leader that is new knows nothing of the limits that it is to hand out.
         const heard = this.telling.list(wanted.map(({ upstream }) => upstream));
-        const { instance, countEntries } = this.options;
         return wanted.length === 0 && heard.length === 0
             ? undefined
             : { instance, entries: countEntries(), heard: [...heard], wanted };
     }
 
+    private takeWanted(): SendsParameters["wanted"] {
+        const nowMs = this.options.getNowMs();
+        const horizonMs = computeHorizonMs(this.options.countEntries());
+        return [...this.demands].flatMap(([id, demand]) => {
+            if (demand.isIdle(nowMs)) {
+                this.demands.delete(id);
+            }
+            const wanted = demand.takeWanted(nowMs, horizonMs);
+            return wanted === undefined ? [] : [{ upstream: id, count: wanted.count, within_ms: wanted.withinMs }];
+        });
+    }
+
     private async askOnce(question: SendsParameters): Promise<void> {
         try {
             const result = sendsResultSchema.parse(await this.options.askLeader("sends", question));
@@ -326,7 +237,7 @@
             this.options.log.record("info", "sends-not-asked", { reason: String(error) });
         }
         this.demands.forEach((demand) => {
-            demand.isAsked = false;
+            demand.recordAnswer();
         });
     }
 
@@ -334,34 +245,9 @@
         this.recordLeader();
         const nowMs = this.options.getNowMs();
         granted.filter(({ upstream }) => this.isLimited(upstream)).forEach((one) => {
-            const demand = this.getDemand(one.upstream);
-            const sends = one.in_ms.map((inMs) => {
-                const fromMs = nowMs + Math.max(0, inMs);
-                return { fromMs, untilMs: fromMs + KEPT_MS };
-            });
-            demand.held = [...demand.held, ...sends].sort((left, right) => left.fromMs - right.fromMs);
-            demand.nextMs = nowMs + one.next_in_ms;
+            this.getDemand(one.upstream).applyGranted(one.in_ms, one.next_in_ms, nowMs);
         });
-        const held = [...this.demands.values()].reduce((sum, demand) => sum + demand.held.length, 0);
+        const held = [...this.demands.values()].reduce((sum, demand) => sum + demand.heldCount, 0);
         this.options.metrics.recordSendsHeld(held);
     }
 }
-
-function findUsable({ held }: Demand, nowMs: number): HeldSend | undefined {
-    return held.find(({ fromMs, untilMs }) => fromMs <= nowMs && nowMs < untilMs);
-}
-
-/** Whether a more urgent request waits for the same. */
-function isBehind(demand: Demand, { request, priority }: SendWish, nowMs: number): boolean {
-    return listWaiting(demand, nowMs).some(({ wish }) => wish.request !== request && wish.priority < priority);
-}
-
-/** Those that have not looked again are served elsewhere, refused or gone. */
-function listWaiting({ waiting }: Demand, nowMs: number): readonly WaitingRequest[] {
-    for (const [request, { seenMs }] of waiting) {
-        if (nowMs - seenMs > LOOK_MS) {
-            waiting.delete(request);
-        }
-    }
-    return [...waiting.values()];
-}
--- a/packages/daemon/tests/limitSends.test.ts
+++ b/packages/daemon/tests/limitSends.test.ts
@@ -1,7 +1,8 @@
 import type { SendsParameters, SendsResult } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { LimitSends, type SendWish } from "../src/process/entry/limitSends.js";
+import { LimitSends } from "../src/process/entry/limitSends.js";
+import type { SendWish } from "../src/process/entry/sendDemand.js";
 import type { FleetMetrics } from "../src/process/fleetMetrics.js";
 import { NamedLimits } from "../src/process/namedLimits.js";
 
