A limit that changes often keeps nothing back: the schedule goes on from the last send

Cause, found by reading: each new word began the schedule anew, with the first send after the time of one; words that change faster than sends are due left an upstream with none. An entry dropped what it held under a higher limit, too. Mend: the schedule keeps when the last send was, and the time to the next follows from the limit and the part of it that holds when it is asked; an entry drops what it holds only where the limit was lowered or has ended. It holds since a word moves no time that was handed out. Test: words that change every 100 ms, 7 to 9 sends of 2 a second in 4 s; before, one at most.

--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryWords.ts
@@ -52,8 +52,8 @@
         this.rests = new UpstreamRests(options);
         this.limits = new NamedLimits({
             ...options,
-            handleChange: (id, source) => {
-                this.sends.handleChange(id, source === "heard");
+            handleChange: (id, change, source) => {
+                this.sends.handleChange(id, change, source === "heard");
             },
         });
         this.sends = new LimitSends({ ...options, instance: settings.instance.id, limits: this.limits });
--- a/packages/daemon/src/process/entry/limitSends.ts
+++ b/packages/daemon/src/process/entry/limitSends.ts
@@ -7,7 +7,7 @@
 import { type SendsParameters, type SendsResult, sendsResultSchema } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
-import type { NamedLimits } from "../namedLimits.js";
+import type { LimitChange, NamedLimits } from "../namedLimits.js";
 import { computeAskGapMs, computeHorizonMs } from "../sendIntervals.js";
 import { waitMs } from "../waitMs.js";
 import { LimitTelling } from "./limitTelling.js";
@@ -62,11 +62,14 @@
     /**
      * Takes a change of a limit.
      * @param id - the upstream
+     * @param change - what changed
      * @param isHeardHere - whether an answer to this entry told it, so that the leader has to be told
      */
-    handleChange(id: string, isHeardHere: boolean): void {
+    handleChange(id: string, change: LimitChange, isHeardHere: boolean): void {
         // What was handed out by the limit before would go beyond a lower one.
-        this.demands.delete(id);
+        if (change !== "raised") {
+            this.demands.delete(id);
+        }
         this.paces.delete(id);
         if (isHeardHere) {
             this.telling.add(id);
--- a/packages/daemon/src/process/namedLimits.ts
+++ b/packages/daemon/src/process/namedLimits.ts
@@ -13,7 +13,7 @@
     readonly log: EventLog;
     readonly metrics: Pick<FleetMetrics, "countLimit" | "recordLimits">;
     /** Called when a limit began, changed or ended. */
-    readonly handleChange: (id: string, source: "heard" | "told") => void;
+    readonly handleChange: (id: string, change: LimitChange, source: "heard" | "told") => void;
 }
 
 /** What a word changed. */
@@ -144,7 +144,7 @@
         metrics.countLimit(change);
         metrics.recordLimits([...this.byId.values()].filter((one) => one.requestsASecond !== undefined).length);
         log.record("info", "upstream-limit", { peer: id, change, requests_a_second: limit, source, from });
-        handleChange(id, source);
+        handleChange(id, change, source);
     }
 }
 
--- a/packages/daemon/src/process/voter/limitKeeper.ts
+++ b/packages/daemon/src/process/voter/limitKeeper.ts
@@ -48,12 +48,11 @@
     handleChange(id: string): void {
         this.followTerm();
         const { limits, getNowMs, handleNews } = this.options;
-        const requestsASecond = limits.getLimit(id);
-        if (requestsASecond === undefined) {
+        if (limits.getLimit(id) === undefined) {
             this.schedule.forget(id);
         }
         else {
-            this.schedule.restart({ id, requestsASecond }, getNowMs());
+            this.schedule.begin(id, getNowMs());
         }
         this.change += 1;
         this.changes.set(id, this.change);
--- a/packages/decisions/src/connection/sendSchedule.ts
+++ b/packages/decisions/src/connection/sendSchedule.ts
@@ -58,16 +58,18 @@
 
 /** Hands out sends. */
 export class SendSchedule {
-    private readonly nextMs = new Map<string, number>();
+    /** When the last send was, or is to be; before the first one, when the limit was named. */
+    private readonly lastMs = new Map<string, number>();
     private readonly askers = new Map<string, Map<string, Asker>>();
 
     /**
-     * Begins anew for an upstream: it named a limit, or another one.
-     * @param upstream - the upstream
+     * Begins with an upstream that named a limit. One that names another is followed from its last send on: begun anew with each
+     * word, it would get nothing where words change faster than sends are due.
+     * @param id - the upstream
      * @param nowMs - the monotonic clock
      */
-    restart(upstream: LimitedUpstream, nowMs: number): void {
-        this.nextMs.set(upstream.id, nowMs + computeGapMs(upstream, 1));
+    begin(id: string, nowMs: number): void {
+        this.lastMs.set(id, this.lastMs.get(id) ?? nowMs);
     }
 
     /**
@@ -75,7 +77,7 @@
      * @param id - the upstream
      */
     forget(id: string): void {
-        this.nextMs.delete(id);
+        this.lastMs.delete(id);
         this.askers.delete(id);
     }
 
@@ -106,17 +108,16 @@
         return { sendsMs, nextMs: sendMs };
     }
 
-    private take({ upstream, share, nowMs }: SendQuestion, asker: Asker, sendMs: number): void {
-        this.nextMs.set(upstream.id, sendMs + computeGapMs(upstream, share));
+    private take({ upstream, nowMs }: SendQuestion, asker: Asker, sendMs: number): void {
+        this.lastMs.set(upstream.id, sendMs);
         asker.grantedMs = Math.max(nowMs, sendMs);
         asker.sendsMs.push(sendMs);
     }
 
-    private computeNextMs({ upstream, nowMs }: SendQuestion): number {
-        if (!this.nextMs.has(upstream.id)) {
-            this.restart(upstream, nowMs);
-        }
-        return Math.max(this.nextMs.get(upstream.id) ?? nowMs, nowMs - BACKLOG_MS);
+    private computeNextMs({ upstream, share, nowMs }: SendQuestion): number {
+        this.begin(upstream.id, nowMs);
+        const nextMs = (this.lastMs.get(upstream.id) ?? nowMs) + computeGapMs(upstream, share);
+        return Math.max(nextMs, nowMs - BACKLOG_MS);
     }
 
     /** An even part of what is handed out ahead, so that whoever asks first does not take all. */
