--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -133,6 +133,8 @@
     readonly otherwise?: "none" | "full" | "too-few-engines";
     /** Where no upstream is left, those that there are rest for so long. */
     readonly restLeftMs?: number;
+    /** How many looks find that upstreams get as much as they take, and what these are told. */
+    readonly limited?: { readonly looks: number; readonly leftMs: number; readonly isHeld: boolean; };
     /** How many times it is full before there is room; left out for never. */
     readonly fullLooks?: number;
     /** What is known of requests under which upstreams ended; nothing where left out. */
@@ -151,7 +153,8 @@
     readonly ends: RequestEnd[] = [];
     readonly suspects: string[] = [];
     readonly declines: string[] = [];
-    private looks = 0;
+    /** How often a target was looked for. */
+    looks = 0;
     private keyLooks = 0;
     private readonly pulse = new PathPulse({ getNowMs: () => performance.now(), handleStill: () => undefined });
 
@@ -213,6 +216,9 @@
                 if (this.looks <= (options.fullLooks ?? 0)) {
                     return { kind: "full" };
                 }
+                if (options.limited !== undefined && this.looks <= options.limited.looks) {
+                    return { kind: "limited", ...options.limited, upstreams: ["u0"] };
+                }
                 const next = options.upstreams.find((one) => !run.tried.has(one.name));
                 if (next === undefined && options.restLeftMs !== undefined) {
                     return { kind: "resting", leftMs: options.restLeftMs, upstreams: [] };
