--- a/packages/daemon/src/process/entry/limitSends.ts
+++ b/packages/daemon/src/process/entry/limitSends.ts
@@ -83,7 +83,7 @@
      * @param wish - the request
      * @returns false where it has a limit, and no send is left or a more urgent request waits for it
      */
-    claimsSend(id: string, wish: SendWish): boolean {
+    claimSend(id: string, wish: SendWish): boolean {
         if (!this.isLimited(id)) {
             return true;
         }
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -92,7 +92,7 @@
             return { one, score: score * (1 + TIE_SPREAD * random()) };
         });
         scored.sort((left, right) => left.score - right.score);
-        const best = scored.find(({ one }) => this.claimsSend(run, one.id))?.one;
+        const best = scored.find(({ one }) => this.claimSend(run, one.id))?.one;
         if (best !== undefined) {
             return { kind: "target", target: this.createTarget(run, best.id, best.address, undefined, undefined) };
         }
@@ -101,9 +101,9 @@
             : this.createLimited(candidates.map(({ id }) => id));
     }
 
-    private claimsSend(run: RoutedRun, id: string): boolean {
+    private claimSend(run: RoutedRun, id: string): boolean {
         const { organisation, route } = run.admitted;
-        return this.options.sends.claimsSend(id, {
+        return this.options.sends.claimSend(id, {
             request: run,
             priority: organisation?.priority ?? route.priority,
             patienceMs: computeHeldPatienceMs(run),
@@ -143,7 +143,7 @@
         const limited = new Set<string>();
         const chooseAmong = (some: readonly Chain[]): LoadedChain | undefined => {
             const loaded = chooseLoaded(some.filter((chain) => !limited.has(getFirstId(chain))));
-            if (loaded === undefined || this.claimsSend(run, getFirstId(loaded.chain))) {
+            if (loaded === undefined || this.claimSend(run, getFirstId(loaded.chain))) {
                 return loaded;
             }
             limited.add(getFirstId(loaded.chain));
--- a/packages/daemon/tests/limitReplay.ts
+++ b/packages/daemon/tests/limitReplay.ts
@@ -238,7 +238,7 @@
         const request = {};
         const startMs = performance.now();
         while (isOwner) {
-            if (sends.claimsSend(upstream, { request, priority: 1, patienceMs: HELD_PATIENCE_MS })) {
+            if (sends.claimSend(upstream, { request, priority: 1, patienceMs: HELD_PATIENCE_MS })) {
                 sends.recordSend(upstream);
                 this.arrivalsMs.push(performance.now());
                 return;
--- a/packages/daemon/tests/limitSends.test.ts
+++ b/packages/daemon/tests/limitSends.test.ts
@@ -60,7 +60,7 @@
     }
 
     claims(id: string, wish: Partial<SendWish> = {}): boolean {
-        return this.sends.claimsSend(id, { request: {}, priority: 1, patienceMs: 150, ...wish });
+        return this.sends.claimSend(id, { request: {}, priority: 1, patienceMs: 150, ...wish });
     }
 
     private answer({ ...question }: SendsParameters): Promise<SendsResult> {
