--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -139,16 +139,9 @@
                 hasRoom: (loaded) => isUnderWay || hasRoom(loaded),
                 draw: this.options.random(),
             });
-        // First engines that get as many requests as they take; what the others can serve goes there at once.
         const limited = new Set<string>();
-        const chooseAmong = (some: readonly Chain[]): LoadedChain | undefined => {
-            const loaded = chooseLoaded(some.filter((chain) => !limited.has(getFirstId(chain))));
-            if (loaded === undefined || this.claimSend(run, getFirstId(loaded.chain))) {
-                return loaded;
-            }
-            limited.add(getFirstId(loaded.chain));
-            return chooseAmong(some);
-        };
+        const chooseAmong = (some: readonly Chain[]): LoadedChain | undefined =>
+            this.chooseWithSend(run, some, limited, chooseLoaded);
         const preferred = this.listPreferred(chains, service.name);
         const chosen = chooseAmong(preferred) ?? (preferred.length < chains.length ? chooseAmong(chains) : undefined);
         const first = chosen?.chain.stages[0]?.engine;
@@ -159,6 +152,22 @@
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
+    /** Passes over first engines that get as many requests as they take, and notes them: what others can serve goes there at once. */
+    private chooseWithSend(
+        run: RoutedRun,
+        some: readonly Chain[],
+        limited: Set<string>,
+        choose: (chains: readonly Chain[]) => LoadedChain | undefined,
+    ): LoadedChain | undefined {
+        for (;;) {
+            const loaded = choose(some.filter((chain) => !limited.has(getFirstId(chain))));
+            if (loaded === undefined || this.claimSend(run, getFirstId(loaded.chain))) {
+                return loaded;
+            }
+            limited.add(getFirstId(loaded.chain));
+        }
+    }
+
     /** Those that are left rest or are full; or the request has been at all of them, and all rest now. */
     private findRestingPlain(
         taking: readonly RegisteredUpstream[],
