--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -1,4 +1,5 @@
 import { FleetState } from "@crankfork/coordination";
+import type { LimitsKnown, ToldLimits } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
@@ -146,3 +147,44 @@
         expect(await tell("two", 1, 0)).to.deep.include({ spending_known_ms: 600 });
     });
 });
+
+describe("an entry that lacks a limit is answered at once", () => {
+    const rows = [
+        { title: "it lacks one", known: { term: 0, change: 0 }, isAtOnce: true },
+        { title: "it knows all", known: { term: 3, change: 7 }, isAtOnce: false },
+    ];
+    for (const { title, known, isAtOnce } of rows) {
+        it(title, async () => {
+            const clock = FakeTimers.install();
+            const state = new FleetState();
+            const host = {
+                state,
+                self,
+                replica: {
+                    hasNewestState: () => true,
+                    getStatus: () => ({ leader: self, term: 3, replicas: { voters: [self], learners: [] } }),
+                },
+            } as unknown as FleetReplicaHost;
+            const limits = {
+                hasNews: ({ change }: LimitsKnown): boolean => change < 7,
+                listNews: (): ToldLimits => ({ term: 3, change: 7, limits: [] }),
+            };
+            const register = new EntryRegister({
+                host,
+                getNowMs: () => performance.now(),
+                listSuspects: () => [],
+                limits,
+            });
+            let isAnswered = false;
+            void register.synchronise({ instance: "e", known_index: state.lastChange, loads: {}, limits_known: known })
+                .then(() => {
+                    isAnswered = true;
+                });
+            await clock.tickAsync(LATENCY_MS);
+            expect(isAnswered).to.equal(isAtOnce);
+            await clock.tickAsync(1_000);
+            clock.uninstall();
+            expect(isAnswered).to.equal(true);
+        });
+    }
+});
