--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -12,6 +12,18 @@
 const CHANGE_MS = 10;
 const STORM_MS = 1_000;
 
+/** A leader that holds its lease. */
+function createHost(state: FleetState, getTerm: () => number = () => 1): FleetReplicaHost {
+    return {
+        state,
+        self,
+        replica: {
+            hasNewestState: () => true,
+            getStatus: () => ({ leader: self, term: getTerm(), replicas: { voters: [self], learners: [] } }),
+        },
+    } as unknown as FleetReplicaHost;
+}
+
 /** An entry that asks again as soon as it was answered. */
 async function runEntry(
     register: EntryRegister,
@@ -39,14 +51,7 @@
         it(title, async () => {
             const clock = FakeTimers.install();
             const state = new FleetState();
-            const host = {
-                state,
-                self,
-                replica: {
-                    hasNewestState: () => true,
-                    getStatus: () => ({ leader: self, replicas: { voters: [self], learners: [] } }),
-                },
-            } as unknown as FleetReplicaHost;
+            const host = createHost(state);
             const register = new EntryRegister({
                 host,
                 getNowMs: () => performance.now(),
@@ -104,14 +109,7 @@
         const state = new FleetState();
         const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
         state.apply({ kind: "put-upstream", facts, status: "ready" }, 7);
-        const host = {
-            state,
-            self,
-            replica: {
-                hasNewestState: () => true,
-                getStatus: () => ({ leader: self, term, replicas: { voters: [self], learners: [] } }),
-            },
-        } as unknown as FleetReplicaHost;
+        const host = createHost(state, () => term);
         register = new EntryRegister({ host, getNowMs: () => nowMs, listSuspects: () => [], limits: noLimits });
     });
 
@@ -157,14 +155,7 @@
         it(title, async () => {
             const clock = FakeTimers.install();
             const state = new FleetState();
-            const host = {
-                state,
-                self,
-                replica: {
-                    hasNewestState: () => true,
-                    getStatus: () => ({ leader: self, term: 3, replicas: { voters: [self], learners: [] } }),
-                },
-            } as unknown as FleetReplicaHost;
+            const host = createHost(state, () => 3);
             const limits = {
                 hasNews: ({ change }: LimitsKnown): boolean => change < 7,
                 listNews: (): ToldLimits => ({ term: 3, change: 7, limits: [] }),
