feat(entry,voter): logs and metrics that tell which version admitted a request and how far a version has come

The line of a request had the version in force at its end, not the one that admitted it, and nothing told which leader had confirmed it. A document that a voter puts off wrote no line at all.

A request's line has the version and the confirmation's age at its admission, and the leader's address, term and commit index. config-applied tells how long after the commit a version came into force, and from which voter; the leader writes config-rolled-out or config-overdue from what entries report. Histograms for both times, and a counter of requests admitted beyond the time to apply.

--- a/packages/cli/src/timelineHtml.ts
+++ b/packages/cli/src/timelineHtml.ts
@@ -27,7 +27,7 @@
 const instances = [...new Set(events.map((event) => event.instance))].sort();
 const first = Math.min(...events.map((event) => event.ms)), last = Math.max(...events.map((event) => event.ms), first + 1);
 let from = first, to = last;
-const bad = /lost|failed|refused|fault|fenced|stray|not-settled/, good = /finished|accepted|in-force/;
+const bad = /lost|overdue|failed|refused|fault|fenced|stray|not-settled/, good = /finished|accepted|in-force|config-applied|config-rolled-out/;
 const control = /role|replicas|member|state|snapshot|listening/;
 const kindOf = (name) => bad.test(name) ? "bad" : good.test(name) ? "good" : control.test(name) ? "control" : "info";
 const add = (parent, name, attributes, text) => {
--- a/packages/daemon/src/process/entry/documentLoader.ts
+++ b/packages/daemon/src/process/entry/documentLoader.ts
@@ -15,8 +15,8 @@
     readonly random: () => number;
     /** Version in force here; undefined before the first. */
     readonly getHeldVersion: () => number | undefined;
-    /** Takes a document that came. */
-    readonly handleDocument: (content: unknown) => void;
+    /** Takes a document that came from a voter. */
+    readonly handleDocument: (content: unknown, peer: string) => void;
 }
 
 /**
@@ -107,12 +107,23 @@
             switch (result.kind) {
                 case "document": {
                     const before = getHeldVersion();
-                    handleDocument(unpackDocument(result.packed));
+                    handleDocument(unpackDocument(result.packed), address);
                     return getHeldVersion() === before ? RETRY_MS : 0;
                 }
                 case "not-held":
+                    log.record("info", "document-deferred", {
+                        peer: address,
+                        version: this.wanted,
+                        reason: result.kind,
+                    });
                     return NOT_HELD_MS;
                 case "busy":
+                    log.record("info", "document-deferred", {
+                        peer: address,
+                        version: this.wanted,
+                        reason: result.kind,
+                        retry_ms: Math.round(result.retry_ms),
+                    });
                     return result.retry_ms * (1 + random());
             }
         }
--- a/packages/daemon/src/process/entry/entryAdmission.ts
+++ b/packages/daemon/src/process/entry/entryAdmission.ts
@@ -7,6 +7,7 @@
 import type { RoutedCall } from "../../request/routedCall.js";
 import type { RefusalId } from "../../request/routedRefusal.js";
 import type { FleetView } from "../../version/fleetView.js";
+import type { FleetMetrics } from "../fleetMetrics.js";
 import { waitMs } from "../waitMs.js";
 
 /** What an admission rests on. */
@@ -17,6 +18,7 @@
     readonly random: () => number;
     /** How long ago a leader confirmed what this entry knows. */
     readonly getAgeMs: () => number;
+    readonly metrics: Pick<FleetMetrics, "recordAdmissionAgeMs">;
     /** False once a stop has been under way for so long that a request might not end before the process does. */
     readonly takesRequests: () => boolean;
 }
@@ -45,9 +47,17 @@
             await waitMs(PATIENCE_POLL_MS);
             admission = this.admit(call);
         }
+        this.recordAge(admission);
         return admission;
     }
 
+    private recordAge(admission: CallAdmission): void {
+        if (admission.kind === "admitted") {
+            const { metrics, contract } = this.options;
+            metrics.recordAdmissionAgeMs(admission.basis.ageMs, admission.basis.ageMs >= contract.apply);
+        }
+    }
+
     private admit(call: RoutedCall): CallAdmission {
         const { view, contract, getAgeMs, random } = this.options;
         return admitCall(call, {
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -21,6 +21,7 @@
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
 import { EntryWords } from "./entryWords.js";
+import type { Confirmation } from "./fleetLink.js";
 import { LoadsElsewhere } from "./loadsElsewhere.js";
 import { getPathName } from "./pathName.js";
 import { PathPulse } from "./pathPulse.js";
@@ -46,6 +47,8 @@
     readonly random: () => number;
     /** How long ago a leader confirmed what this entry knows. */
     readonly getAgeMs: () => number;
+    /** The leader's answer that confirmed it. */
+    readonly getConfirmation: () => Confirmation | undefined;
     readonly countEntries: () => number;
     /** Tells the leader soon of upstreams that are suspected. */
     readonly tellSuspects: () => void;
@@ -159,7 +162,9 @@
      * @returns the parameters of a question to the leader
      */
     createParameters(): SynchroniseParameters {
+        const { version } = this.document;
         return {
+            ...(version === undefined ? {} : { applied_version: version }),
             instance: this.options.settings.instance.id,
             known_index: this.view.knownIndex,
             loads: this.health.listLoads(),
@@ -231,8 +236,8 @@
             this.refuse(call, answer, admission.refusal, arrivedMs);
             return;
         }
-        const { route, service, organisation } = admission;
-        await this.run({ call, route, service, organisation, body, arrivedMs }, response, answer);
+        const { route, service, organisation, basis } = admission;
+        await this.run({ call, route, service, organisation, basis, body, arrivedMs }, response, answer);
     }
 
     private async run(admitted: AdmittedCall, response: ServerResponse, answer: RoutedAnswer): Promise<void> {
@@ -263,6 +268,7 @@
             version: this.view.routing?.table.version,
             index: this.view.knownIndex,
             ageMs: this.options.getAgeMs(),
+            confirmation: this.options.getConfirmation(),
         };
     }
 
--- a/packages/daemon/src/process/entry/fleetLink.ts
+++ b/packages/daemon/src/process/entry/fleetLink.ts
@@ -5,6 +5,7 @@
 import { type ReplicaAddress, type SynchroniseParameters, synchroniseResultSchema } from "@crankfork/schemas";
 import type { SynchronisedState } from "@crankfork/schemas";
 import type { PeerClient } from "../../connection/peerClient.js";
+import type { DocumentOrigin } from "../../version/documentInForce.js";
 import type { EventLog } from "../eventLog.js";
 import { formatAgeMs } from "../formatAgeMs.js";
 import { waitMs } from "../waitMs.js";
@@ -28,7 +29,7 @@
     /** Version of the document in force here; undefined before the first. */
     readonly getHeldVersion: () => number | undefined;
     /** Takes a document that is newer than the one in force. */
-    readonly handleDocument: (content: unknown) => void;
+    readonly handleDocument: (content: unknown, origin: DocumentOrigin) => void;
     /** A number from 0 up to 1. */
     readonly random: () => number;
 }
@@ -42,6 +43,13 @@
 /** The number of entries is taken as the highest of this time, so that a new leader's count is no lower. */
 const ENTRIES_MEMORY_MS = 15_000;
 
+/** The leader that confirmed what is in force at an entry. */
+export interface Confirmation {
+    readonly peer: string;
+    readonly term?: number;
+    readonly commit_index?: number;
+}
+
 /** Keeps an entry up to date. */
 export class FleetLink {
     private voters: readonly string[] = [];
@@ -53,6 +61,10 @@
     /** When the question left to which a leader answered with the newest version that was wanted. */
     private answeredMs = Number.NEGATIVE_INFINITY;
     private readonly documents: DocumentLoader;
+    private answered: Confirmation | undefined;
+    private lastConfirmation: Confirmation | undefined;
+    /** When the leader applied the newest document, by the clock here: not after its answer came. */
+    private appliedAtLeaderMs: number | undefined;
     private tellTimer: NodeJS.Timeout | undefined;
     private counts: { readonly atMs: number; readonly entries: number; }[] = [];
 
@@ -62,13 +74,23 @@
     constructor(private readonly options: FleetLinkOptions) {
         this.documents = new DocumentLoader({
             ...options,
-            handleDocument: (content) => {
-                options.handleDocument(content);
+            handleDocument: (content, peer) => {
+                options.handleDocument(content, { peer, committedMs: this.committedMs });
                 this.confirmIfNewest();
             },
         });
     }
 
+    /** The leader's answer that confirmed last what is in force here; undefined before the first. */
+    get confirmation(): Confirmation | undefined {
+        return this.lastConfirmation;
+    }
+
+    /** Time since a leader applied the newest document it told of, in milliseconds. */
+    private get committedMs(): number | undefined {
+        return this.appliedAtLeaderMs === undefined ? undefined : this.options.getNowMs() - this.appliedAtLeaderMs;
+    }
+
     /** Starts to ask. */
     start(): void {
         void this.run();
@@ -193,6 +215,10 @@
         this.counts.push({ atMs: getNowMs(), entries: state.entries });
         handleState(state);
         this.answeredMs = Math.max(this.answeredMs, sentMs);
+        this.answered = { peer: address, ...state.confirmed_by };
+        if (state.document_age_ms !== undefined) {
+            this.appliedAtLeaderMs = getNowMs() - state.document_age_ms;
+        }
         this.documents.want(state.document_version, address, state.voters);
         this.confirmIfNewest();
     }
@@ -204,6 +230,7 @@
     private confirmIfNewest(): void {
         if (this.documents.hasWanted()) {
             this.confirmed = Math.max(this.confirmed, this.answeredMs);
+            this.lastConfirmation = this.answered;
         }
     }
 
--- a/packages/daemon/src/process/entry/requestLog.ts
+++ b/packages/daemon/src/process/entry/requestLog.ts
@@ -7,6 +7,7 @@
 import type { RoutedRun } from "../../request/routedRun.js";
 import type { EventFields, EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import type { Confirmation } from "./fleetLink.js";
 
 /** What the entry knew when the request ended. */
 export interface EntryKnowledge {
@@ -16,6 +17,8 @@
     readonly index: number;
     /** How long ago a confirmed leader said that both are newest. */
     readonly ageMs: number;
+    /** The leader's answer that said so. */
+    readonly confirmation: Confirmation | undefined;
 }
 
 /** Where it is written. */
@@ -39,7 +42,7 @@
     known: EntryKnowledge,
     describeCrashes: (run: RoutedRun) => EventFields,
 ): void {
-    const { call, route, service, arrivedMs } = run.admitted;
+    const { call, route, service, arrivedMs, basis } = run.admitted;
     const firstMs = end.firstMs === undefined ? undefined : end.firstMs - arrivedMs;
     metrics.countRequest(service.name, end.refusal ?? end.outcome);
     metrics.recordRequestMs(service.name, run.ageMs);
@@ -56,9 +59,9 @@
         tries: run.steps.join(" "),
         bound_by: run.boundBy.join(","),
         ...(run.hasCrash ? describeCrashes(run) : {}),
-        version: known.version,
-        index: known.index,
-        age_ms: roundMs(known.ageMs),
+        admitted_by: basis.version,
+        admitted_age_ms: roundMs(basis.ageMs),
+        ...describeKnowledge(known),
     });
 }
 
@@ -84,12 +87,21 @@
         refusal: refusal.id,
         status: refusal.status,
         ms: Math.round(ageMs),
-        version: known.version,
-        index: known.index,
-        age_ms: roundMs(known.ageMs),
+        ...describeKnowledge(known),
     });
 }
 
+function describeKnowledge({ version, index, ageMs, confirmation }: EntryKnowledge): EventFields {
+    return {
+        version,
+        index,
+        age_ms: roundMs(ageMs),
+        confirmed_by: confirmation?.peer,
+        term: confirmation?.term,
+        commit_index: confirmation?.commit_index,
+    };
+}
+
 /** Whether an answer missed what the route's contract asks for. */
 function isLate(run: RoutedRun, end: RequestEnd, firstMs: number | undefined): boolean {
     const { objective_ms, pause_objective_ms } = run.admitted.route;
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -57,6 +57,7 @@
         getNowMs,
         random: Math.random,
         getAgeMs: () => link.ageMs,
+        getConfirmation: () => link.confirmation,
         countEntries: () => link.countEntries(),
         tellSuspects: () => {
             link.tellSuspects();
@@ -79,8 +80,8 @@
         handleState: (state) => {
             entry.applyState(state);
         },
-        handleDocument: (content) => {
-            entry.document.apply(content);
+        handleDocument: (content, origin) => {
+            entry.document.apply(content, origin);
             if (entry.idleTimeoutMs !== undefined) {
                 callers.setIdleMs(entry.idleTimeoutMs);
                 lifecycle.send("configured");
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -32,6 +32,10 @@
     readonly countPeerAnswer: (method: string, end: string) => void;
     readonly countResentEntries: (entries: number) => void;
     readonly recordCommitMs: (durationMs: number) => void;
+    /** A version of the operator's document came into force here, so long after its leader applied it. */
+    readonly recordApplyMs: (durationMs: number) => void;
+    /** A request was admitted under a version that a leader confirmed so long ago. */
+    readonly recordAdmissionAgeMs: (ageMs: number, isOverdue: boolean) => void;
     readonly recordLoopDelayMs: (delayMs: number) => void;
     /** The text that a scraper reads. */
     readonly format: () => Promise<string>;
@@ -139,6 +143,23 @@
         buckets: LATENCY_BOUNDS_MS,
         registers,
     });
+    const apply = new Histogram({
+        name: "crankfork_config_apply_ms",
+        help: "Time from the commit of the operator's document to its coming into force here, in milliseconds",
+        buckets: LATENCY_BOUNDS_MS,
+        registers,
+    });
+    const admissionAge = new Histogram({
+        name: "crankfork_admission_age_ms",
+        help: "Age of the leader's confirmation under which a request was admitted, in milliseconds",
+        buckets: LATENCY_BOUNDS_MS,
+        registers,
+    });
+    const overdueAdmissions = new Counter({
+        name: "crankfork_admissions_overdue_total",
+        help: "Requests admitted under a confirmation older than the time in which a version has to be in force",
+        registers,
+    });
     const loopDelay = new Gauge({
         name: "crankfork_loop_delay_ms",
         help: "Most that a timer of the last second was late, in milliseconds",
@@ -197,6 +218,15 @@
         recordCommitMs: (durationMs) => {
             commit.observe(durationMs);
         },
+        recordApplyMs: (durationMs) => {
+            apply.observe(durationMs);
+        },
+        recordAdmissionAgeMs: (ageMs, isOverdue) => {
+            admissionAge.observe(ageMs);
+            if (isOverdue) {
+                overdueAdmissions.inc();
+            }
+        },
         recordLoopDelayMs: (delayMs) => {
             loopDelay.set(delayMs);
         },
--- a/packages/daemon/src/process/voter/documentKeeper.ts
+++ b/packages/daemon/src/process/voter/documentKeeper.ts
@@ -40,7 +40,9 @@
         const result = await proposeChange(this.options, { kind: "put-document", version: table.version, packed });
         const ms = Math.round(getNowMs() - startMs);
         const bytes = packed.length;
-        log.record("info", "document", { version: table.version, held, outcome: result.kind, ms, bytes });
+        const { term, commitIndex } = host.replica.getStatus();
+        const position = { term, commit_index: commitIndex };
+        log.record("info", "document", { version: table.version, held, outcome: result.kind, ms, bytes, ...position });
         return result;
     }
 
--- a/packages/daemon/src/process/voter/entryRegister.ts
+++ b/packages/daemon/src/process/voter/entryRegister.ts
@@ -10,6 +10,7 @@
     UpstreamLoads,
 } from "@crankfork/schemas";
 import { waitMs } from "../waitMs.js";
+import type { DocumentRollout } from "./documentRollout.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 import type { LimitKeeper } from "./limitKeeper.js";
 
@@ -21,6 +22,8 @@
     readonly listSuspects: () => readonly string[];
     /** Rates that upstreams named. */
     readonly limits: Pick<LimitKeeper, "hasNews" | "listNews">;
+    /** How far the newest document has come. */
+    readonly rollout: Pick<DocumentRollout, "ageMs" | "recordApplied">;
 }
 
 /** An entry that was not heard for so long counts no more; as long as the longest window of a shared budget. */
@@ -106,7 +109,9 @@
         return host.state.lastChange !== known_index || limits.hasNews(limits_known);
     }
 
-    private record({ instance, loads, spending = {}, known_index }: SynchroniseParameters): KnownEntry {
+    private record(
+        { instance, loads, spending = {}, known_index, applied_version }: SynchroniseParameters,
+    ): KnownEntry {
         this.recordTerm();
         const known = this.entries.get(instance);
         // An entry that knows nothing has started anew, and counts from 0.
@@ -116,6 +121,7 @@
         const toldMs = known?.toldMs ?? Number.NEGATIVE_INFINITY;
         const entry: KnownEntry = { heardMs: this.options.getNowMs(), toldMs, loads, spending };
         this.entries.set(instance, entry);
+        this.options.rollout.recordApplied(instance, applied_version);
         return entry;
     }
 
@@ -152,13 +158,16 @@
 
     private createState(parameters: SynchroniseParameters): SynchronisedState {
         const { host } = this.options;
-        const { replicas } = host.replica.getStatus();
+        const { replicas, term, commitIndex } = host.replica.getStatus();
+        const { ageMs } = this.options.rollout;
         const changes = host.state.getChanges(parameters.known_index);
         const document = host.state.getDocument();
         return {
             kind: "state",
             index: changes.index,
             ...(document === undefined ? {} : { document_version: document.version }),
+            ...(ageMs === undefined ? {} : { document_age_ms: ageMs }),
+            confirmed_by: { term, commit_index: commitIndex },
             is_whole: changes.isWhole,
             upstreams: [...changes.upstreams],
             removed: [...changes.removed],
@@ -182,12 +191,12 @@
     }
 
     /**
-     * Counts the entries that are in touch.
+     * Lists the entries that are in touch.
      * @returns those that asked a moment ago
      */
-    countInTouch(): number {
+    listInTouch(): readonly string[] {
         const sinceMs = this.options.getNowMs() - IN_TOUCH_MS;
-        return [...this.entries.values()].filter(({ heardMs }) => heardMs >= sinceMs).length;
+        return [...this.entries].filter(([, { heardMs }]) => heardMs >= sinceMs).map(([instance]) => instance);
     }
 
     /**
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -35,6 +35,7 @@
 import { waitMs } from "../waitMs.js";
 import { CrashKeeper } from "./crashKeeper.js";
 import { DocumentKeeper } from "./documentKeeper.js";
+import { DocumentRollout } from "./documentRollout.js";
 import { DocumentSource } from "./documentSource.js";
 import { EntryRegister } from "./entryRegister.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
@@ -122,6 +123,7 @@
             listening.parts?.upstreams.handleEvent(event);
         },
         handleState: () => {
+            listening.parts?.rollout.handleState();
             listening.parts?.entries.handleState();
         },
     });
@@ -142,6 +144,7 @@
     readonly documents: DocumentSource;
     readonly probe: SuspectProbe;
     readonly limits: LimitKeeper;
+    readonly rollout: DocumentRollout;
 }
 
 function startParts(fleet: FleetProcess, host: FleetReplicaHost, protocol: VoterProtocol): VoterParts {
@@ -190,16 +193,24 @@
         limits,
         getNowMs,
         countEntries: () => entries.countEntries(),
-        countInTouch: () => entries.countInTouch(),
+        countInTouch: () => entries.listInTouch().length,
         handleNews: () => {
             entries.handleState();
         },
     });
+    const rollout = new DocumentRollout({
+        getVersion: () => host.state.getDocument()?.version,
+        getNowMs,
+        log,
+        applyMs: contract.apply,
+        listInTouch: () => host.replica.hasNewestState() ? entries.listInTouch() : [],
+    });
     const entries: EntryRegister = new EntryRegister({
         host,
         getNowMs,
         listSuspects: () => probe.listAgreed(),
         limits: keeperOfLimits,
+        rollout,
     });
     const crashes = new CrashKeeper({ host, log, getNowMs, getUnixMs: Date.now });
     const documents = new DocumentSource({ host, getNowMs, linkMbps: machine.link });
@@ -231,8 +242,9 @@
         rests.sweep(isKnown);
         limits.sweep(isKnown);
         keeperOfLimits.sweep();
+        rollout.checkOverdue();
     }, SILENCE_CHECK_MS);
-    return { document, upstreams, crashes, group, entries, documents, probe, limits: keeperOfLimits };
+    return { rollout, document, upstreams, crashes, group, entries, documents, probe, limits: keeperOfLimits };
 }
 
 /** The document is decoded once a version. */
--- a/packages/daemon/src/request/admitCall.ts
+++ b/packages/daemon/src/request/admitCall.ts
@@ -19,6 +19,14 @@
     readonly draw: number;
 }
 
+/** What a request was admitted by. */
+export interface AdmissionBasis {
+    /** Version of the routing table. */
+    readonly version: number;
+    /** How long ago a leader had confirmed it, in milliseconds. */
+    readonly ageMs: number;
+}
+
 /** The outcome. */
 export type CallAdmission =
     | {
@@ -26,6 +34,7 @@
         readonly route: Route;
         readonly service: RoutedService;
         readonly organisation: RoutedOrganisation | undefined;
+        readonly basis: AdmissionBasis;
     }
     | { readonly kind: "refused"; readonly refusal: RefusalId; };
 
@@ -61,7 +70,13 @@
     const service = routing.services.get(drawService(route, view.draw));
     return service === undefined
         ? refuseIfConfirmed("unknown-route", view)
-        : { kind: "admitted", route, service, organisation: needsKey ? organisation : undefined };
+        : {
+            kind: "admitted",
+            route,
+            service,
+            organisation: needsKey ? organisation : undefined,
+            basis: { version: routing.table.version, ageMs: view.ageMs },
+        };
 }
 
 /**
--- a/packages/daemon/src/request/routedRun.ts
+++ b/packages/daemon/src/request/routedRun.ts
@@ -2,6 +2,7 @@
  * What is known of one routed request while it lives: its limits, its tries, and whether it may have run.
  */
 import type { Route, RoutedOrganisation, RoutedService } from "@crankfork/schemas";
+import type { AdmissionBasis } from "./admitCall.js";
 import type { RoutedCall } from "./routedCall.js";
 
 /** Why a request ended before its answer. */
@@ -13,6 +14,7 @@
     readonly route: Route;
     readonly service: RoutedService;
     readonly organisation: RoutedOrganisation | undefined;
+    readonly basis: AdmissionBasis;
     readonly body: Buffer | undefined;
     readonly arrivedMs: number;
 }
--- a/packages/daemon/tests/agreedState.test.ts
+++ b/packages/daemon/tests/agreedState.test.ts
@@ -12,6 +12,7 @@
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
 import { type UpstreamHeartbeat, UpstreamRegister } from "../src/process/voter/upstreamRegister.js";
+import { noRollout } from "./configurationFakes.js";
 import { noLimits } from "./noLimits.js";
 
 const silentLog: EventLog = { record: () => undefined };
@@ -182,7 +183,13 @@
             (await upstreams.removeUpstream("u")).kind,
             document.getNewestDocument().kind,
         ];
-        const entries = new EntryRegister({ host, getNowMs: () => 0, listSuspects: () => [], limits: noLimits });
+        const entries = new EntryRegister({
+            host,
+            getNowMs: () => 0,
+            rollout: noRollout,
+            listSuspects: () => [],
+            limits: noLimits,
+        });
         const told = await entries.synchronise({ instance: "e", known_index: 0, loads: {} });
         await close();
         expect(results).to.deep.equal(["unavailable", "unavailable", "unavailable", "unavailable"]);
--- a/packages/daemon/tests/crashWatch.test.ts
+++ b/packages/daemon/tests/crashWatch.test.ts
@@ -4,6 +4,7 @@
 import { expect } from "chai";
 import { CrashWatch } from "../src/process/entry/crashWatch.js";
 import { type AdmittedCall, RoutedRun } from "../src/request/routedRun.js";
+import { confirmedBasis } from "./configurationFakes.js";
 
 const fakeTimers = ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"] as const;
 
@@ -45,6 +46,7 @@
         service: { name: "s" },
         organisation: { name: organisation ?? "one", keys: ["k"] },
         body: Buffer.from(body ?? "crashing"),
+        basis: confirmedBasis,
         arrivedMs: 0,
     };
 }
--- a/packages/daemon/tests/documentDelivery.test.ts
+++ b/packages/daemon/tests/documentDelivery.test.ts
@@ -22,6 +22,7 @@
 import { DocumentSource } from "../src/process/voter/documentSource.js";
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
+import { noRollout } from "./configurationFakes.js";
 import { noLimits } from "./noLimits.js";
 import { SharedLink } from "./sharedLink.js";
 
@@ -74,12 +75,18 @@
             self,
             replica: {
                 hasNewestState: () => isLeader,
-                getStatus: () => ({ leader: addresses[0], replicas: { voters: addresses, learners: [] } }),
+                getStatus: () => ({
+                    leader: addresses[0],
+                    term: 1,
+                    commitIndex: 1,
+                    replicas: { voters: addresses, learners: [] },
+                }),
             },
         } as unknown as FleetReplicaHost;
         this.register = new EntryRegister({
             host,
             getNowMs: () => performance.now(),
+            rollout: noRollout,
             listSuspects: () => [],
             limits: noLimits,
         });
--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -5,6 +5,7 @@
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
 import { waitMs } from "../src/process/waitMs.js";
+import { noRollout } from "./configurationFakes.js";
 import { noLimits } from "./noLimits.js";
 
 const self = { id: "v", address: "v" };
@@ -19,7 +20,12 @@
         self,
         replica: {
             hasNewestState: () => true,
-            getStatus: () => ({ leader: self, term: getTerm(), replicas: { voters: [self], learners: [] } }),
+            getStatus: () => ({
+                leader: self,
+                term: getTerm(),
+                commitIndex: 1,
+                replicas: { voters: [self], learners: [] },
+            }),
         },
     } as unknown as FleetReplicaHost;
 }
@@ -55,6 +61,7 @@
             const register = new EntryRegister({
                 host,
                 getNowMs: () => performance.now(),
+                rollout: noRollout,
                 listSuspects: () => [],
                 limits: noLimits,
             });
@@ -110,7 +117,13 @@
         const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
         state.apply({ kind: "put-upstream", facts, status: "ready" }, 7);
         const host = createHost(state, () => term);
-        register = new EntryRegister({ host, getNowMs: () => nowMs, listSuspects: () => [], limits: noLimits });
+        register = new EntryRegister({
+            host,
+            getNowMs: () => nowMs,
+            rollout: noRollout,
+            listSuspects: () => [],
+            limits: noLimits,
+        });
     });
 
     /** Asks as an entry that lacks the last change, so that it is answered at once. */
@@ -163,6 +176,7 @@
             const register = new EntryRegister({
                 host,
                 getNowMs: () => performance.now(),
+                rollout: noRollout,
                 listSuspects: () => [],
                 limits,
             });
--- a/packages/daemon/tests/leaderStand.ts
+++ b/packages/daemon/tests/leaderStand.ts
@@ -72,6 +72,7 @@
             getStatus: () => ({
                 leader: { id: "other", address: "other" },
                 term: 3,
+                commitIndex: 1,
                 replicas: { voters: [], learners: [] },
             }),
         },
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -5,6 +5,7 @@
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
 import { SuspectProbe } from "../src/process/voter/suspectProbe.js";
 import { UpstreamRegister } from "../src/process/voter/upstreamRegister.js";
+import { noRollout } from "./configurationFakes.js";
 import { installClock, type InstalledClock } from "./installedClock.js";
 import { emptyReport, LeaderStand, log } from "./leaderStand.js";
 import { noLimits } from "./noLimits.js";
@@ -87,6 +88,7 @@
         const entries = new EntryRegister({
             host: stand.host,
             getNowMs: () => performance.now(),
+            rollout: noRollout,
             listSuspects: () => probe.listAgreed(),
             limits: noLimits,
         });
@@ -206,6 +208,7 @@
         const entries = new EntryRegister({
             host: stand.host,
             getNowMs: () => performance.now(),
+            rollout: noRollout,
             listSuspects: () => [],
             limits: noLimits,
         });
@@ -228,6 +231,7 @@
         const entries = new EntryRegister({
             host: stand.host,
             getNowMs: () => performance.now(),
+            rollout: noRollout,
             listSuspects: () => [],
             limits: noLimits,
         });
--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -7,6 +7,7 @@
 import type { CallTarget, RoutedCall } from "../src/request/routedCall.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 import { FleetView } from "../src/version/fleetView.js";
+import { confirmedBasis } from "./configurationFakes.js";
 import { createSettings } from "./entrySettings.js";
 import { createWholeState } from "./wholeState.js";
 
@@ -350,6 +351,7 @@
             service: SERVICE,
             organisation: undefined,
             body: undefined,
+            basis: confirmedBasis,
             arrivedMs: this.getNowMs(),
         }, this.getNowMs);
         // Its timer runs by the real clock; nothing here lasts as long.
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -15,6 +15,7 @@
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
 import { handleRoutedRequest } from "../src/request/routedRequest.js";
 import { RoutedRun } from "../src/request/routedRun.js";
+import { confirmedBasis } from "./configurationFakes.js";
 
 /** Plain names in place of a platform's. */
 export const testCodec: CallCodec = {
@@ -181,6 +182,7 @@
                     service: { name: "s" },
                     organisation: options.keyLooks === undefined ? undefined : { name: "o", keys: ["k"] },
                     body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
+                    basis: confirmedBasis,
                     arrivedMs: performance.now(),
                 }, () => performance.now() + asleepMs);
                 asleepMs = options.sleepMs ?? 0;
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -9,6 +9,7 @@
 import type { RoutedCall } from "../src/request/routedCall.js";
 import { RoutedRun } from "../src/request/routedRun.js";
 import { FleetView } from "../src/version/fleetView.js";
+import { confirmedBasis } from "./configurationFakes.js";
 import { createSends } from "./noLimits.js";
 import { createWholeState } from "./wholeState.js";
 
@@ -112,7 +113,15 @@
 
     /** Chooses for a new request: the engine, or why there is none. */
     choose(): string {
-        const admitted = { call, route, service, organisation: undefined, body: undefined, arrivedMs: this.nowMs };
+        const admitted = {
+            call,
+            route,
+            service,
+            organisation: undefined,
+            body: undefined,
+            basis: confirmedBasis,
+            arrivedMs: this.nowMs,
+        };
         const run = new RoutedRun(admitted, () => this.nowMs);
         const choice = this.chooser.choose(run, undefined, false);
         run.close();
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -34,6 +34,8 @@
     spending: retrySpendingSchema.default({}),
     /** Up to where the entry knows the rates that upstreams named. */
     limits_known: limitsKnownSchema.default({ term: 0, change: 0 }),
+    /** Version of the operator's document in force at the entry; left out before the first. */
+    applied_version: z.int().optional(),
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; told at once, since `synchronise` waits. */
@@ -47,6 +49,10 @@
         index: z.int().nonnegative(),
         /** Version of the operator's newest document; the document itself is asked for by `document`. */
         document_version: z.int().optional(),
+        /** Time since this leader applied that version, in milliseconds. */
+        document_age_ms: z.number().nonnegative().optional(),
+        /** Term and commit index of the leader at the moment of the answer. */
+        confirmed_by: z.object({ term: z.int().nonnegative(), commit_index: z.int().nonnegative() }).optional(),
         /** Whether `upstreams` holds all there are; else only those that changed. */
         is_whole: z.boolean(),
         upstreams: z.array(registeredUpstreamSchema),
