test(soak): a fault proxy for links and a check of the configuration, which fails on the code as it stands

What callers saw: requests ran at a service that only an older version allowed, up to 6,802 ms after a newer one was acknowledged.

The proxy of the product's soak is replaced by one that both soaks use: for each ordered pair of processes it passes, delays, throttles, holds or drops bytes, resets connections or leaves them open and silent. soak:fleet configuration plays it between entries and voters, with processes that are frozen, killed and stopped, while versions move routes, splits and streams, and replace routes and keys. The check judges each request by what callers, workers and the operator saw.

--- a/packages/daemon/tests/wholeState.ts
+++ b/packages/daemon/tests/wholeState.ts
@@ -5,6 +5,7 @@
     index: number,
     upstreams: readonly RegisteredUpstream[],
     entries: number = 1,
+    voters: readonly string[] = [],
 ): SynchronisedState {
     return {
         kind: "state",
@@ -14,6 +15,6 @@
         removed: [],
         entries,
         loads_elsewhere: {},
-        voters: [],
+        voters: [...voters],
     };
 }
--- a/packages/scenarios/src/soak/faultPlayer.ts
+++ b/packages/scenarios/src/soak/faultPlayer.ts
@@ -5,14 +5,14 @@
 import { rmSync } from "node:fs";
 import type { World } from "../harness/world.js";
 import type { SoakFault } from "./faultSeries.js";
-import type { LoopbackProxy } from "./loopbackProxy.js";
+import type { SoakLink } from "./soakLink.js";
 import { waitWithin } from "./waitWithin.js";
 
 /** What faults are played on. */
 export interface FaultPlayerOptions {
     readonly world: World;
     /** One before each printer. */
-    readonly proxies: readonly LoopbackProxy[];
+    readonly proxies: readonly SoakLink[];
     readonly entryNames: readonly string[];
 }
 
@@ -131,7 +131,7 @@
 
     private async changeLink(
         printer: number,
-        link: Parameters<LoopbackProxy["setLink"]>[0],
+        link: Parameters<SoakLink["setLink"]>[0],
         forMs: number,
     ): Promise<void> {
         const proxy = this.options.proxies[printer];
--- a/packages/scenarios/src/soak/soakRun.ts
+++ b/packages/scenarios/src/soak/soakRun.ts
@@ -8,7 +8,7 @@
 import { checkCompletion, checkSlip, checkVersions, type SlipAnswer } from "./checkPromises.js";
 import { FaultPlayer } from "./faultPlayer.js";
 import { createDraw, createFaultSeries, type SoakFault } from "./faultSeries.js";
-import { LoopbackProxy } from "./loopbackProxy.js";
+import { SoakLink } from "./soakLink.js";
 import { CALL_TIMEOUT_MS, waitWithin } from "./waitWithin.js";
 
 /** What a run is made of. */
@@ -59,7 +59,7 @@
 
 class SoakRun {
     private readonly world = new World();
-    private readonly proxies: LoopbackProxy[] = [];
+    private readonly proxies: SoakLink[] = [];
     private readonly slips = new Map<string, SlipAnswer[]>();
     private readonly completions: CompletionResult[] = [];
     private readonly versions = new Map<string, number[]>();
@@ -119,7 +119,7 @@
         await world.startService(name);
         const printer = world.services.get(name);
         if (printer !== undefined) {
-            const proxy = await LoopbackProxy.open(printer.address);
+            const proxy = await SoakLink.open(printer.address);
             this.proxies.push(proxy);
             // Entries reach the printer through the proxy alone.
             world.services.set(name, { process: printer.process, address: proxy.address });
--- /dev/null
+++ b/packages/scenarios/tests/linkProxy.test.ts
@@ -0,0 +1,121 @@
+import { expect } from "chai";
+import { once } from "node:events";
+import { type AddressInfo, connect, createServer, type Socket } from "node:net";
+import { Link, LinkProxy, type LinkState } from "../src/soak/linkProxy.js";
+
+const sound: LinkState = { kind: "sound" };
+/** Longer than anything takes on loopback. */
+const WAIT_MS = 80;
+
+/** A target that answers each byte with the same byte, and a caller before it. */
+async function openPair(links: { toTarget: Link; fromTarget: Link; }): Promise<{
+    readonly proxy: LinkProxy;
+    readonly open: () => Promise<Echo>;
+    readonly close: () => void;
+}> {
+    const sockets: Socket[] = [];
+    const server = createServer((socket) => {
+        sockets.push(socket.on("error", () => undefined));
+        socket.pipe(socket);
+    });
+    await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+    const target = `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+    const proxy = await LinkProxy.open({ target, getLinks: () => links });
+    return {
+        proxy,
+        open: async () => {
+            const echo = new Echo(proxy.address);
+            await once(echo.socket, "connect");
+            return echo;
+        },
+        close: () => {
+            proxy.close();
+            server.close();
+            sockets.forEach((socket) => socket.destroy());
+        },
+    };
+}
+
+class Echo {
+    readonly socket: Socket;
+    received = "";
+    isClosed = false;
+
+    constructor(address: string) {
+        const [host = "", port = ""] = address.split(":");
+        this.socket = connect(Number(port), host);
+        this.socket.on("data", (bytes) => {
+            this.received += bytes.toString();
+        });
+        this.socket.on("error", () => undefined);
+        this.socket.on("close", () => {
+            this.isClosed = true;
+        });
+    }
+
+    async send(text: string): Promise<void> {
+        this.socket.write(text);
+        await new Promise((resolve) => setTimeout(resolve, WAIT_MS));
+    }
+}
+
+describe("a link passes bytes as its state says, each direction by itself", () => {
+    const rows: readonly {
+        readonly title: string;
+        readonly toTarget?: LinkState;
+        readonly fromTarget?: LinkState;
+        readonly during: string;
+        /** What has come a moment after the link is sound again and one more byte was sent. */
+        readonly after: string;
+    }[] = [
+        { title: "sound", during: "a", after: "ab" },
+        { title: "held towards the target", toTarget: { kind: "held" }, during: "", after: "ab" },
+        { title: "held on the way back", fromTarget: { kind: "held" }, during: "", after: "ab" },
+        { title: "lost towards the target", toTarget: { kind: "dropped" }, during: "", after: "" },
+        { title: "lost on the way back", fromTarget: { kind: "dropped" }, during: "", after: "" },
+        { title: "delayed beyond the wait", toTarget: { kind: "delayed", delayMs: 120 }, during: "", after: "ab" },
+        { title: "throttled", toTarget: { kind: "throttled", bytesASecond: 1_000 }, during: "a", after: "ab" },
+    ];
+    for (const { title, toTarget = sound, fromTarget = sound, during, after } of rows) {
+        it(title, async () => {
+            const links = { toTarget: new Link(), fromTarget: new Link() };
+            const { open, close } = await openPair(links);
+            try {
+                const echo = await open();
+                links.toTarget.setState(toTarget);
+                links.fromTarget.setState(fromTarget);
+                await echo.send("a");
+                const seenDuring = echo.received;
+                links.toTarget.setState(sound);
+                links.fromTarget.setState(sound);
+                await echo.send("b");
+                const other = await open();
+                await other.send("c");
+                expect({ during: seenDuring, after: echo.received, isClosed: echo.isClosed, other: other.received })
+                    .to.deep.equal({ during, after, isClosed: false, other: "c" });
+            }
+            finally {
+                close();
+            }
+        });
+    }
+
+    it("open connections may go silent while new ones work, or be reset", async () => {
+        const { proxy, open, close } = await openPair({ toTarget: new Link(), fromTarget: new Link() });
+        try {
+            const echo = await open();
+            proxy.silence();
+            await echo.send("a");
+            const other = await open();
+            await other.send("b");
+            const seen = { silent: echo.received, isClosed: echo.isClosed, other: other.received };
+            proxy.reset();
+            await new Promise((resolve) => setTimeout(resolve, WAIT_MS));
+            expect({ ...seen, isReset: echo.isClosed && other.isClosed })
+                .to.deep.equal({ silent: "", isClosed: false, other: "b", isReset: true });
+        }
+        finally {
+            close();
+        }
+    });
+});
