fix(peers): give up idle connections to a peer that fell silent

What callers saw: requests ran by an older version for seconds after a newer one was acknowledged, at entries that could reach every voter. Open connections had gone silent without an end; each idle one cost a question 0.5 to 1.2 s, one after another, and they were kept for 28 s (the server's hint went before our own limit).

A question without an answer retires all connections to that origin, for every exchange of JSON: peers, engines, services. Idle connections between instances are kept for 1 s, below the time of a lost question. This holds whatever made them silent, since an idle connection is never taken as evidence that its peer can be reached.

--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -14,7 +14,7 @@
     type StepAnswer,
 } from "@crankfork/schemas";
 import crc32 from "crc-32";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { fetchJson } from "./httpClient.js";
 import { readLimit } from "./readLimit.js";
 import { RunEnds } from "./runEnds.js";
@@ -37,7 +37,7 @@
 
 /** What a client is made with. */
 export interface EngineClientOptions {
-    readonly agent: Agent;
+    readonly agent: Dispatcher;
     readonly name: string;
     readonly address: string;
     readonly timeoutMs: number;
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -1,7 +1,8 @@
 /**
  * HTTP to upstreams and peers by undici, with faults told apart by whether anything was sent.
  */
-import { Agent, buildConnector, type Dispatcher, errors } from "undici";
+import { buildConnector, type Dispatcher, errors } from "undici";
+import { KeptConnections } from "./keptConnections.js";
 import { limitConnecting } from "./limitConnecting.js";
 import { readRest } from "./readRest.js";
 
@@ -47,7 +48,7 @@
 /** Each turn of the loop may open one call to an engine, and a call lasts until its last step is answered. */
 const MOST_CONNECTIONS = 256;
 
-/** Connections to peers are used again and again. */
+/** Connections to upstreams are used again and again. */
 const IDLE_MS = 30_000;
 
 /**
@@ -55,20 +56,14 @@
  * @param idleMs - how long one is kept that nothing uses
  * @returns the connections; close them at the end of the process
  */
-export function openConnections(idleMs: number = IDLE_MS): Agent {
-    return new Agent({
-        connections: MOST_CONNECTIONS,
-        connect: limitConnecting(buildConnector({}), CONNECT_TIMEOUT_MS),
-        keepAliveTimeout: idleMs,
-        bodyTimeout: 0,
-        headersTimeout: 0,
-        pipelining: 1,
-    });
+export function openConnections(idleMs: number = IDLE_MS): KeptConnections {
+    const connect = limitConnecting(buildConnector({}), CONNECT_TIMEOUT_MS);
+    return new KeptConnections({ connect, idleMs, most: MOST_CONNECTIONS });
 }
 
 /** What is sent. */
 export interface ExchangeOptions {
-    readonly agent: Agent;
+    readonly agent: Dispatcher;
     readonly peer: string;
     readonly url: string;
     readonly method: Dispatcher.HttpMethod;
@@ -145,6 +140,12 @@
         const handleBytes = counts === "silence" ? deadline.restart : (): void => undefined;
         return parseAnswer(options, response, await readText(response, options.peer, signal, handleBytes));
     }
+    catch (error) {
+        if (deadline.signal.aborted && options.agent instanceof KeptConnections) {
+            options.agent.retire(new URL(options.url).origin);
+        }
+        throw error;
+    }
     finally {
         deadline.stop();
     }
--- a/packages/daemon/src/connection/peerClient.ts
+++ b/packages/daemon/src/connection/peerClient.ts
@@ -2,7 +2,7 @@
  * JSON-RPC 2.0 to other instances, over HTTP that is kept alive.
  */
 import { JSONRPCClient, type JSONRPCResponse } from "json-rpc-2.0";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { formatHybridTime, type HybridClock, parseHybridTime } from "../process/hybridClock.js";
 import { fetchJson } from "./httpClient.js";
 
@@ -11,7 +11,7 @@
 
 /** What the client is made with. */
 export interface PeerClientOptions {
-    readonly agent: Agent;
+    readonly agent: Dispatcher;
     readonly secret: string | undefined;
     readonly clock: HybridClock;
     /** Told of each question that is sent. */
@@ -33,6 +33,8 @@
 }
 
 const SEND_TIMEOUT_MS = 2_000;
+/** Below the time of a question that gets no answer: by then no idle connection is left that went silent with it. */
+export const PEER_IDLE_MS = 1_000;
 
 /**
  * Creates the client.
--- a/packages/daemon/src/connection/serviceClient.ts
+++ b/packages/daemon/src/connection/serviceClient.ts
@@ -4,7 +4,7 @@
 import type { LimitWord } from "@crankfork/decisions";
 import type { KeptAnswer } from "@crankfork/schemas";
 import { isUtf8 } from "node:buffer";
-import type { Agent, Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import { createExchangeError, ExchangeError, readRestMs, sendRequest } from "./httpClient.js";
 import { readLimit } from "./readLimit.js";
 
@@ -43,7 +43,7 @@
  * @throws ExchangeError
  */
 export async function callService(
-    agent: Agent,
+    agent: Dispatcher,
     peer: string,
     address: string,
     call: ServiceCall,
--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -3,13 +3,13 @@
  * The answers come as lines, each as soon as it is there, and are matched to steps by what they echo.
  */
 import { type Step, type StepAnswer, stepAnswerSchema } from "@crankfork/schemas";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { waitMs } from "../process/waitMs.js";
 import { createExchangeError, ExchangeError, readRestMs, sendRequest } from "./httpClient.js";
 
 /** What a batcher is made with. */
 export interface StepBatcherOptions {
-    readonly agent: Agent;
+    readonly agent: Dispatcher;
     readonly name: string;
     readonly url: string;
     readonly timeoutMs: number;
--- a/packages/daemon/src/process/daemon/daemon.ts
+++ b/packages/daemon/src/process/daemon/daemon.ts
@@ -3,9 +3,9 @@
  */
 import { createPlan } from "@crankfork/decisions";
 import type { Configuration, Intent, Settings } from "@crankfork/schemas";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { openConnections } from "../../connection/httpClient.js";
-import { createPeerClient } from "../../connection/peerClient.js";
+import { createPeerClient, PEER_IDLE_MS } from "../../connection/peerClient.js";
 import { ConfigurationInForce } from "../../version/configurationInForce.js";
 import { type EventLog, openEventLog } from "../eventLog.js";
 import { type OpenServer, openServer, type RequestHandler, sendJson } from "../httpServer.js";
@@ -48,7 +48,8 @@
     private readonly clock = new HybridClock();
     private readonly log: EventLog;
     private readonly metrics: Metrics;
-    private readonly agent: Agent = openConnections();
+    private readonly agent: Dispatcher = openConnections();
+    private readonly peerConnections: Dispatcher = openConnections(PEER_IDLE_MS);
     private readonly inForce = new ConfigurationInForce();
     private readonly lifecycle: Lifecycle;
     private readonly servers: OpenServer[] = [];
@@ -149,6 +150,7 @@
         this.servers.forEach((server) => void server.close());
         this.metrics.close();
         void this.agent.destroy();
+        void this.peerConnections.destroy();
     }
 
     private get parts(): DaemonParts {
@@ -196,11 +198,11 @@
     }
 
     private async startControl(address: string): Promise<Control> {
-        const { settings, log, metrics, agent, clock } = this;
+        const { settings, log, metrics, peerConnections, clock } = this;
         return await Control.start({
             settings,
             address,
-            peers: createPeerClient({ agent, secret: settings.secrets.peers, clock }),
+            peers: createPeerClient({ agent: peerConnections, secret: settings.secrets.peers, clock }),
             log,
             metrics,
             handleStatus: () => this.startedParts?.serving.startWaiting(),
--- a/packages/daemon/src/process/daemon/platformList.ts
+++ b/packages/daemon/src/process/daemon/platformList.ts
@@ -2,7 +2,7 @@
  * The platform's list of live and leaving instances; the one place that knows its shape. It lags, so only what it
  * says of leaving is used: an instance that it still calls live may be gone.
  */
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import * as z from "zod";
 import { fetchJson } from "../../connection/httpClient.js";
 
@@ -23,7 +23,7 @@
      * @param handleLeaving - called with the addresses of instances that leave
      */
     constructor(
-        private readonly agent: Agent,
+        private readonly agent: Dispatcher,
         private readonly url: string,
         private readonly pollMs: number,
         private readonly handleLeaving: (addresses: readonly string[]) => void,
--- a/packages/daemon/src/process/daemon/serving.ts
+++ b/packages/daemon/src/process/daemon/serving.ts
@@ -2,7 +2,7 @@
  * What one instance does for callers: upstreams, gates, and the functions that requests run with.
  */
 import type { Model, Settings, Upstream } from "@crankfork/schemas";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { createEngineClient, type EngineFunctions } from "../../connection/engineClient.js";
 import { callService } from "../../connection/serviceClient.js";
 import type { ModelRequestFunctions } from "../../request/modelRequest.js";
@@ -19,7 +19,7 @@
 /** What serving needs from the process. */
 export interface ServingOptions {
     readonly settings: Settings;
-    readonly agent: Agent;
+    readonly agent: Dispatcher;
     readonly log: EventLog;
     readonly metrics: Metrics;
     readonly control: Control;
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -6,9 +6,9 @@
 import { parseAddress } from "@crankfork/schemas";
 import type { JSONRPCServer } from "json-rpc-2.0";
 import { createServer } from "node:http";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { openConnections } from "../connection/httpClient.js";
-import { createPeerClient, type PeerClient } from "../connection/peerClient.js";
+import { createPeerClient, PEER_IDLE_MS, type PeerClient } from "../connection/peerClient.js";
 import { createSteadyClock } from "./createSteadyClock.js";
 import { type EventLog, openEventLog } from "./eventLog.js";
 import { type FleetMetrics, openFleetMetrics } from "./fleetMetrics.js";
@@ -26,7 +26,7 @@
     readonly getSettings: () => FleetSettings;
     readonly log: EventLog;
     readonly metrics: FleetMetrics;
-    readonly agent: Agent;
+    readonly agent: Dispatcher;
     readonly peers: PeerClient;
     readonly traffic: PeerTraffic;
     readonly ownAddress: string;
@@ -67,6 +67,7 @@
     const metrics = openFleetMetrics(first.instance.id);
     const traffic = startPeerTraffic(log, metrics);
     const agent = openConnections();
+    const peerConnections = openConnections(PEER_IDLE_MS);
     const servers: OpenServer[] = [];
     const { host } = first.instance;
     let settings = first;
@@ -109,7 +110,12 @@
         metrics,
         agent,
         traffic,
-        peers: createPeerClient({ agent, secret: undefined, clock, recordQuestion: traffic.recordQuestion }),
+        peers: createPeerClient({
+            agent: peerConnections,
+            secret: undefined,
+            clock,
+            recordQuestion: traffic.recordQuestion,
+        }),
         ownAddress: `${host}:${String(first.ports.peers_port)}`,
         getNowMs,
         steadyClock,
@@ -125,6 +131,7 @@
             clearInterval(timer);
             servers.forEach((server) => void server.close());
             void agent.destroy();
+            void peerConnections.destroy();
         },
     };
 }
--- a/packages/daemon/tests/cancelledRun.test.ts
+++ b/packages/daemon/tests/cancelledRun.test.ts
@@ -7,7 +7,7 @@
 import { expect } from "chai";
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { createEngineClient, type EngineFunctions } from "../src/connection/engineClient.js";
 import { openConnections } from "../src/connection/httpClient.js";
 import { waitMs } from "../src/process/waitMs.js";
@@ -81,7 +81,7 @@
 
 describe("an engine does not keep a run whose caller has left", () => {
     let engine: RunEngine;
-    let agent: Agent;
+    let agent: Dispatcher;
     let client: EngineFunctions;
 
     beforeEach((done) => {
--- a/packages/daemon/tests/ownRests.test.ts
+++ b/packages/daemon/tests/ownRests.test.ts
@@ -6,13 +6,13 @@
 import { expect } from "chai";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { fetchJson, openConnections } from "../src/connection/httpClient.js";
 import { callService } from "../src/connection/serviceClient.js";
 
 describe("the product's own interface reads what its upstreams say of rest", () => {
     let server: Server;
-    let agent: Agent;
+    let agent: Dispatcher;
     let headers: Readonly<Record<string, string>> = {};
 
     const getAddress = (): string => `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
--- a/packages/daemon/tests/serviceClient.test.ts
+++ b/packages/daemon/tests/serviceClient.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import type { Agent } from "undici";
+import type { Dispatcher } from "undici";
 import { ExchangeError, openConnections } from "../src/connection/httpClient.js";
 import { callService, type ServiceAnswer } from "../src/connection/serviceClient.js";
 
@@ -17,7 +17,7 @@
 
 describe("an answer of a plain service comes back byte for byte, within its limit", () => {
     let server: Server;
-    let agent: Agent;
+    let agent: Dispatcher;
 
     const call = (path: string): Promise<ServiceAnswer> =>
         callService(agent, "printer", `127.0.0.1:${String((server.address() as AddressInfo).port)}`, {
--- a/scripts/undiciParts.cjs
+++ b/scripts/undiciParts.cjs
@@ -8,7 +8,7 @@
 Object.assign(Dispatcher.prototype, api);
 
 module.exports = {
-    Agent: require("undici/lib/dispatcher/agent.js"),
+    Dispatcher,
     Pool: require("undici/lib/dispatcher/pool.js"),
     buildConnector: require("undici/lib/core/connect.js"),
     errors: require("undici/lib/core/errors.js"),
