fix(entry): admit nothing by a version that is known to be overtaken for longer than the time to apply

What callers saw: requests ran by an older version although the entry had been told of a newer one; keyed ones until the key lease ended (4.25 s), anonymous ones for ever. Nothing tied an admission to the time in which a version has to be in force.

The leader tells an entry for how long a version above the one it reports has been committed. An entry that can't load the newer one in that time answers 503 (not run, come back) instead; a request waits for it first, as after a start.

An entry that is cut off from all voters goes on as before, and may use an overtaken version that it does not know of.

--- a/packages/daemon/src/process/entry/entryAdmission.ts
+++ b/packages/daemon/src/process/entry/entryAdmission.ts
@@ -18,6 +18,8 @@
     readonly random: () => number;
     /** How long ago a leader confirmed what this entry knows. */
     readonly getAgeMs: () => number;
+    /** Since when a newer version is committed; undefined where none is known here. */
+    readonly getNewerMs: () => number | undefined;
     readonly metrics: Pick<FleetMetrics, "recordAdmissionAgeMs">;
     /** False once a stop has been under way for so long that a request might not end before the process does. */
     readonly takesRequests: () => boolean;
@@ -59,10 +61,11 @@
     }
 
     private admit(call: RoutedCall): CallAdmission {
-        const { view, contract, getAgeMs, random } = this.options;
+        const { view, contract, getAgeMs, getNewerMs, random } = this.options;
         return admitCall(call, {
             routing: view.routing,
             ageMs: getAgeMs(),
+            newerMs: getNewerMs(),
             applyMs: contract.apply,
             revocationMs: contract.revocation,
             draw: random(),
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -47,6 +47,8 @@
     readonly random: () => number;
     /** How long ago a leader confirmed what this entry knows. */
     readonly getAgeMs: () => number;
+    /** Since when a newer version is committed; undefined where none is known here. */
+    readonly getNewerMs: () => number | undefined;
     /** The leader's answer that confirmed it. */
     readonly getConfirmation: () => Confirmation | undefined;
     readonly countEntries: () => number;
--- a/packages/daemon/src/process/entry/fleetLink.ts
+++ b/packages/daemon/src/process/entry/fleetLink.ts
@@ -49,6 +49,12 @@
 /** The number of entries is taken as the highest of this time, so that a new leader's count is no lower. */
 const ENTRIES_MEMORY_MS = 15_000;
 
+/** What an answer is counted from. */
+interface AskedQuestion {
+    readonly sentMs: number;
+    readonly heldVersion: number | undefined;
+}
+
 /** The leader that confirmed what is in force at an entry. */
 export interface Confirmation {
     readonly peer: string;
@@ -71,6 +77,8 @@
     private readonly documents: DocumentLoader;
     private answered: Confirmation | undefined;
     private lastConfirmation: Confirmation | undefined;
+    /** Since when a version that is newer than the one in force here has been committed, as far as is known. */
+    private newerSinceMs: number | undefined;
     /** When the leader applied the newest document, by the clock here: not after its answer came. */
     private appliedAtLeaderMs: number | undefined;
     private tellTimer: NodeJS.Timeout | undefined;
@@ -84,6 +92,7 @@
             ...options,
             handleDocument: (content, peer) => {
                 options.handleDocument(content, { peer, committedMs: this.committedMs });
+                this.newerSinceMs = this.appliedAtLeaderMs;
                 this.confirmIfNewest();
             },
         });
@@ -94,6 +103,11 @@
         return this.lastConfirmation;
     }
 
+    /** Time since a leader committed the first version that is newer than the one in force here; undefined where none is known. */
+    get newerMs(): number | undefined {
+        return this.newerSinceMs === undefined ? undefined : this.options.getNowMs() - this.newerSinceMs;
+    }
+
     /** Time since a leader applied the newest document it told of, in milliseconds. */
     private get committedMs(): number | undefined {
         return this.appliedAtLeaderMs === undefined ? undefined : this.options.getNowMs() - this.appliedAtLeaderMs;
@@ -175,14 +189,14 @@
 
     /** Asks the leader, which may wait with its answer. */
     private async askKnown(address: string): Promise<boolean> {
-        const sentMs = this.options.getNowMs();
+        const asked = this.createQuestion();
         try {
             const result = await this.ask(address, true);
             if (result.kind === "not-leader") {
                 this.leader = getOtherAddress(result.leader, address);
                 return false;
             }
-            this.applyState(address, sentMs, result);
+            this.applyState(address, asked, result);
             return true;
         }
         catch (error) {
@@ -201,13 +215,13 @@
 
     /** Resolves where the voter leads, or names who does; the first one to answer counts. */
     private async askForLeader(address: string): Promise<void> {
-        const sentMs = this.options.getNowMs();
+        const asked = this.createQuestion();
         const result = await this.ask(address, false);
         if (this.leader !== undefined) {
             return;
         }
         if (result.kind === "state") {
-            this.applyState(address, sentMs, result);
+            this.applyState(address, asked, result);
             return;
         }
         this.leader = getOtherAddress(result.leader, address);
@@ -230,8 +244,12 @@
         return synchroniseResultSchema.parse(raw);
     }
 
-    private applyState(address: string, sentMs: number, state: SynchronisedState): void {
-        const { log, handleState, getNowMs } = this.options;
+    private createQuestion(): AskedQuestion {
+        return { sentMs: this.options.getNowMs(), heldVersion: this.options.getHeldVersion() };
+    }
+
+    private applyState(address: string, { sentMs, heldVersion }: AskedQuestion, state: SynchronisedState): void {
+        const { log, handleState, getNowMs, getHeldVersion } = this.options;
         if (!this.isConnected || this.leader !== address) {
             log.record("info", "voters-reached", {
                 peer: address,
@@ -250,6 +268,12 @@
         if (state.document_age_ms !== undefined) {
             this.appliedAtLeaderMs = getNowMs() - state.document_age_ms;
         }
+        // A document that came meanwhile leaves only what is newer than that one to wait for.
+        const behindMs = heldVersion === getHeldVersion() ? state.behind_ms : state.document_age_ms;
+        if (behindMs !== undefined) {
+            // Counted from the question, which is not later than the answer was made.
+            this.newerSinceMs = Math.min(this.newerSinceMs ?? Number.POSITIVE_INFINITY, sentMs - behindMs);
+        }
         this.documents.want(state.document_version, address, state.voters);
         this.confirmIfNewest();
     }
@@ -262,6 +286,7 @@
         if (this.documents.hasWanted()) {
             this.confirmed = Math.max(this.confirmed, this.answeredMs);
             this.lastConfirmation = this.answered;
+            this.newerSinceMs = undefined;
         }
     }
 
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -57,6 +57,7 @@
         getNowMs,
         random: Math.random,
         getAgeMs: () => link.ageMs,
+        getNewerMs: () => link.newerMs,
         getConfirmation: () => link.confirmation,
         countEntries: () => link.countEntries(),
         tellSuspects: () => {
--- a/packages/daemon/src/process/voter/documentRollout.ts
+++ b/packages/daemon/src/process/voter/documentRollout.ts
@@ -16,11 +16,15 @@
 
 /** Names in one line; more are only counted. */
 const MOST_NAMES = 10;
+/** Versions whose times are kept; an entry that is further behind counts from the first of them. */
+const MOST_VERSIONS = 100;
 
 /** Follows the newest document from this leader to the entries. */
 export class DocumentRollout {
     private version: number | undefined;
     private appliedMs = Number.NEGATIVE_INFINITY;
+    /** Versions in the order in which they were applied here. */
+    private readonly history: { readonly version: number; readonly appliedMs: number; }[] = [];
     private readonly applied = new Map<string, number>();
     private isReported = true;
 
@@ -34,6 +38,16 @@
         return this.version === undefined ? undefined : this.options.getNowMs() - this.appliedMs;
     }
 
+    /**
+     * Gets for how long an entry has been behind.
+     * @param version - in force there; undefined before the first
+     * @returns time since the first newer version was applied here, in milliseconds; undefined where there is none
+     */
+    getBehindMs(version: number | undefined): number | undefined {
+        const newer = this.history.find((one) => one.version > (version ?? Number.NEGATIVE_INFINITY));
+        return newer === undefined ? undefined : this.options.getNowMs() - newer.appliedMs;
+    }
+
     /** Notices a new document; called after each change of the state. */
     handleState(): void {
         const version = this.options.getVersion();
@@ -41,6 +55,10 @@
             this.version = version;
             this.appliedMs = this.options.getNowMs();
             this.isReported = false;
+            if (version !== undefined) {
+                this.history.push({ version, appliedMs: this.appliedMs });
+                this.history.splice(0, this.history.length - MOST_VERSIONS);
+            }
         }
     }
 
--- a/packages/daemon/src/process/voter/entryRegister.ts
+++ b/packages/daemon/src/process/voter/entryRegister.ts
@@ -23,7 +23,7 @@
     /** Rates that upstreams named. */
     readonly limits: Pick<LimitKeeper, "hasNews" | "listNews">;
     /** How far the newest document has come. */
-    readonly rollout: Pick<DocumentRollout, "ageMs" | "recordApplied">;
+    readonly rollout: Pick<DocumentRollout, "ageMs" | "getBehindMs" | "recordApplied">;
 }
 
 /** An entry that was not heard for so long counts no more; as long as the longest window of a shared budget. */
@@ -160,6 +160,7 @@
         const { host } = this.options;
         const { replicas, term, commitIndex } = host.replica.getStatus();
         const { ageMs } = this.options.rollout;
+        const behindMs = this.options.rollout.getBehindMs(parameters.applied_version);
         const changes = host.state.getChanges(parameters.known_index);
         const document = host.state.getDocument();
         return {
@@ -167,6 +168,7 @@
             index: changes.index,
             ...(document === undefined ? {} : { document_version: document.version }),
             ...(ageMs === undefined ? {} : { document_age_ms: ageMs }),
+            ...(behindMs === undefined ? {} : { behind_ms: behindMs }),
             confirmed_by: { term, commit_index: commitIndex },
             is_whole: changes.isWhole,
             upstreams: [...changes.upstreams],
--- a/packages/daemon/src/request/admitCall.ts
+++ b/packages/daemon/src/request/admitCall.ts
@@ -1,6 +1,7 @@
 /**
  * Whether a routed request is let in: its route, its key, and how sure this entry is of both.
  */
+import { mayAdmitUnlessOvertaken } from "@crankfork/decisions";
 import type { Route, RoutedOrganisation, RoutedService } from "@crankfork/schemas";
 import type { RoutingView } from "../version/fleetView.js";
 import type { RoutedCall } from "./routedCall.js";
@@ -11,6 +12,8 @@
     readonly routing: RoutingView | undefined;
     /** How long ago a leader confirmed what this entry knows, in milliseconds. */
     readonly ageMs: number;
+    /** Since when a newer version is committed; undefined where none is known here. */
+    readonly newerMs: number | undefined;
     /** How soon a configuration is in force everywhere. */
     readonly applyMs: number;
     /** How soon a key that was taken away stops to work. */
@@ -55,6 +58,10 @@
     if (routing === undefined) {
         return { kind: "refused", refusal: "starting" };
     }
+    // A version that is known to be overtaken decides nothing any more, neither a run nor a final refusal.
+    if (!mayAdmitUnlessOvertaken(view)) {
+        return { kind: "refused", refusal: "not-confirmed" };
+    }
     const route = routing.findRoute(call.host, call.path);
     if (route === undefined) {
         return refuseIfConfirmed("unknown-route", view);
--- a/packages/daemon/tests/admitCall.test.ts
+++ b/packages/daemon/tests/admitCall.test.ts
@@ -29,7 +29,14 @@
 };
 const fleet = new FleetView();
 fleet.applyTable(table);
-const view: AdmissionView = { routing: fleet.routing, ageMs: 10, applyMs: 2_000, revocationMs: 5_000, draw: 0.5 };
+const view: AdmissionView = {
+    routing: fleet.routing,
+    ageMs: 10,
+    newerMs: undefined,
+    applyMs: 2_000,
+    revocationMs: 5_000,
+    draw: 0.5,
+};
 const createCall = (path: string, key: string | undefined): RoutedCall => ({
     requestId: "r",
     method: "GET",
@@ -83,6 +90,19 @@
         outcome: "b",
     },
     { title: "and no longer", path: "/keyed/x", key: "k", change: { ageMs: 4_300 }, outcome: "not-confirmed" },
+    {
+        title: "a newer version that is not in force here yet, in time",
+        path: "/open/x",
+        change: { newerMs: 1_900 },
+        outcome: "b",
+    },
+    { title: "and later", path: "/open/x", change: { newerMs: 2_000 }, outcome: "not-confirmed" },
+    {
+        title: "what only a newer version may have is not denied",
+        path: "/none/",
+        change: { newerMs: 2_000 },
+        outcome: "not-confirmed",
+    },
     { title: "a route without a key is served on", path: "/open/x", change: { ageMs: 60_000 }, outcome: "b" },
 ];
 
--- a/packages/daemon/tests/configurationFakes.ts
+++ b/packages/daemon/tests/configurationFakes.ts
@@ -2,7 +2,11 @@
 import type { AdmissionBasis } from "../src/request/admitCall.js";
 
 /** A leader that follows no document. */
-export const noRollout: EntryRegisterOptions["rollout"] = { ageMs: undefined, recordApplied: () => undefined };
+export const noRollout: EntryRegisterOptions["rollout"] = {
+    ageMs: undefined,
+    getBehindMs: () => undefined,
+    recordApplied: () => undefined,
+};
 
 /** A configuration that has just been confirmed. */
 export const confirmedBasis: AdmissionBasis = { version: 1, ageMs: 0 };
--- a/packages/daemon/tests/fleetLink.test.ts
+++ b/packages/daemon/tests/fleetLink.test.ts
@@ -3,6 +3,7 @@
  * nothing took 1,200 ms, so that with two of five away it found the next leader up to 3.7 s later, after the time in which a version has
  * to be in force. Measured here before: 1,670 ms where the old leader refuses connections and two others are silent.
  */
+import { packDocument } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { FleetLink } from "../src/process/entry/fleetLink.js";
@@ -106,3 +107,132 @@
         });
     }
 });
+
+/** What a leader tells, and whether a voter hands the document out, at a time after the start. */
+interface LeaderPhase {
+    readonly fromMs: number;
+    readonly version: number;
+    readonly isHandedOut: boolean;
+}
+
+describe("an entry knows since when a version has been committed that is newer than the one in force", () => {
+    const rows: readonly {
+        readonly title: string;
+        readonly phases: readonly LeaderPhase[];
+        readonly atMs: number;
+        readonly least: number | undefined;
+        readonly most: number | undefined;
+    }[] = [
+        {
+            title: "none where the newest is in force",
+            phases: [{ fromMs: 0, version: 1, isHandedOut: true }, { fromMs: 2_000, version: 2, isHandedOut: true }],
+            atMs: 3_000,
+            least: undefined,
+            most: undefined,
+        },
+        {
+            title: "one that does not come",
+            phases: [{ fromMs: 0, version: 1, isHandedOut: true }, { fromMs: 2_000, version: 2, isHandedOut: false }],
+            atMs: 5_000,
+            least: 3_000,
+            most: 3_300,
+        },
+        {
+            title: "the first of two that do not come",
+            phases: [
+                { fromMs: 0, version: 1, isHandedOut: true },
+                { fromMs: 2_000, version: 2, isHandedOut: false },
+                { fromMs: 4_000, version: 3, isHandedOut: false },
+            ],
+            atMs: 5_000,
+            least: 3_000,
+            most: 3_300,
+        },
+        {
+            title: "the second, once the first has come",
+            phases: [
+                { fromMs: 0, version: 1, isHandedOut: true },
+                { fromMs: 2_000, version: 2, isHandedOut: true },
+                { fromMs: 4_000, version: 3, isHandedOut: false },
+            ],
+            atMs: 5_000,
+            least: 1_000,
+            most: 1_300,
+        },
+    ];
+    for (const { title, phases, atMs, least, most } of rows) {
+        it(title, async () => {
+            const clock = FakeTimers.install();
+            const startMs = performance.now();
+            const getPhase = (): LeaderPhase => {
+                const phase = phases.filter(({ fromMs }) => performance.now() - startMs >= fromMs).at(-1);
+                return phase ?? { fromMs: 0, version: 1, isHandedOut: true };
+            };
+            const getBehindMs = (applied: number | undefined): number | undefined => {
+                const first = phases.find(({ fromMs, version }) =>
+                    version > (applied ?? 0) && performance.now() - startMs >= fromMs
+                );
+                return first === undefined ? undefined : performance.now() - startMs - first.fromMs;
+            };
+            let held: number | undefined;
+            const link = new FleetLink({
+                peers: {
+                    ask: async (_address, method, parameters) => {
+                        await waitMs(LATENCY_MS);
+                        if (method === "document") {
+                            const { version, isHandedOut } = getPhase();
+                            return isHandedOut
+                                ? { kind: "document", version, packed: packDocument({ version }) }
+                                : { kind: "busy", retry_ms: 100 };
+                        }
+                        const { applied_version: applied } = parameters as { applied_version?: number; };
+                        if (getPhase().version === applied) {
+                            await waitMs(HOLD_MS);
+                        }
+                        const behind_ms = getBehindMs(applied);
+                        return {
+                            ...createWholeState(1, [], 1, VOTERS),
+                            document_version: getPhase().version,
+                            document_age_ms: performance.now() - startMs - getPhase().fromMs,
+                            ...(behind_ms === undefined ? {} : { behind_ms }),
+                        };
+                    },
+                    send: () => undefined,
+                },
+                log: { record: () => undefined },
+                getNowMs: () => performance.now(),
+                getWokeMs: () => Number.NEGATIVE_INFINITY,
+                getSeeds: () => VOTERS,
+                instance: "e",
+                createParameters: () => ({
+                    instance: "e",
+                    known_index: 1,
+                    loads: {},
+                    ...(held === undefined ? {} : { applied_version: held }),
+                }),
+                takeSuspects: () => [],
+                handleState: () => undefined,
+                getHeldVersion: () => held,
+                handleDocument: (content) => {
+                    held = (content as { version: number; }).version;
+                },
+                random: () => 0,
+            });
+            try {
+                link.start();
+                await clock.tickAsync(atMs);
+                const { newerMs } = link;
+                link.stop();
+                if (least === undefined) {
+                    expect(newerMs).to.equal(undefined);
+                }
+                else {
+                    expect(newerMs).to.be.within(least, most ?? least);
+                }
+            }
+            finally {
+                clock.uninstall();
+            }
+        });
+    }
+});
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -51,9 +51,11 @@
     splitLayers,
 } from "./version/computePlacement.js";
 export { computeShare, type ShareView } from "./version/computeShare.js";
+export type { ConfigurationView } from "./version/configurationView.js";
 export { createPlan, formatDifferences, type PlanningResult } from "./version/createPlan.js";
 export type { LayerOrder } from "./version/freeEngine.js";
 export * from "./version/isPlacementDue.js";
 export * from "./version/judgeHeartbeat.js";
 export * from "./version/layerCoverage.js";
+export { mayAdmitUnlessOvertaken } from "./version/mayAdmitUnlessOvertaken.js";
 export { RecentCount } from "./version/recentCount.js";
--- /dev/null
+++ b/packages/decisions/src/version/mayAdmitUnconfirmed.ts
@@ -0,0 +1,7 @@
+/**
+ * Whether an entry admits requests by the version in force here, without a confirmation. Keys have a lease of their own.
+ * @returns true however old the confirmation is
+ */
+export function mayAdmitUnconfirmed(): boolean {
+    return true;
+}
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -53,6 +53,8 @@
         document_version: z.int().optional(),
         /** Time since this leader applied that version, in milliseconds. */
         document_age_ms: z.number().nonnegative().optional(),
+        /** Time since this leader applied the first version above the one in force at the entry, in milliseconds. */
+        behind_ms: z.number().nonnegative().optional(),
         /** Term and commit index of the leader at the moment of the answer. */
         confirmed_by: z.object({ term: z.int().nonnegative(), commit_index: z.int().nonnegative() }).optional(),
         /** Whether `upstreams` holds all there are; else only those that changed. */
