fix(entry): a voter gets one question at a time, and connections between instances have 1.2 s to come up

A voter that has not answered is not asked again, rounds come each 150 ms (0.75 ms an entry), and the limit for a connection between instances is that of the longest question.

fleetLink.test.ts, documentDelivery.test.ts, silentPeers.test.ts: 16 passed.

--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -43,8 +43,15 @@
     }
 }
 
-/** Links take some milliseconds. A first packet that was lost is sent again after a second; another peer is there sooner. */
+/** Links take some milliseconds. A first packet that was lost is sent again after a second; another upstream is there sooner. */
 const CONNECT_TIMEOUT_MS = 300;
+/**
+ * Between instances: a first packet that was lost, or a busy machine, has a second chance. Whoever asks has a limit of its own, and
+ * does not wait for one peer alone; a shorter one would let no connection come up where all machines are busy.
+ */
+const PEER_CONNECT_TIMEOUT_MS = 1_200;
+/** Below the time of a question that gets no answer: by then no idle connection is left that went silent with it. */
+const PEER_IDLE_MS = 1_000;
 /** Each turn of the loop may open one call to an engine, and a call lasts until its last step is answered. */
 const MOST_CONNECTIONS = 256;
 
@@ -52,7 +59,7 @@
 const IDLE_MS = 30_000;
 
 /**
- * Opens connections that are kept alive and shared by all exchanges of one kind.
+ * Opens connections to upstreams that are kept alive and shared by all exchanges.
  * @param idleMs - how long one is kept that nothing uses
  * @returns the connections; close them at the end of the process
  */
@@ -61,6 +68,15 @@
     return new KeptConnections({ connect, idleMs, most: MOST_CONNECTIONS });
 }
 
+/**
+ * Opens connections to other instances.
+ * @returns the connections; close them at the end of the process
+ */
+export function openPeerConnections(): KeptConnections {
+    const connect = limitConnecting(buildConnector({}), PEER_CONNECT_TIMEOUT_MS);
+    return new KeptConnections({ connect, idleMs: PEER_IDLE_MS, most: MOST_CONNECTIONS });
+}
+
 /** What is sent. */
 export interface ExchangeOptions {
     readonly agent: Dispatcher;
--- a/packages/daemon/src/connection/peerClient.ts
+++ b/packages/daemon/src/connection/peerClient.ts
@@ -33,8 +33,6 @@
 }
 
 const SEND_TIMEOUT_MS = 2_000;
-/** Below the time of a question that gets no answer: by then no idle connection is left that went silent with it. */
-export const PEER_IDLE_MS = 1_000;
 
 /**
  * Creates the client.
--- a/packages/daemon/src/process/daemon/daemon.ts
+++ b/packages/daemon/src/process/daemon/daemon.ts
@@ -4,8 +4,8 @@
 import { createPlan } from "@crankfork/decisions";
 import type { Configuration, Intent, Settings } from "@crankfork/schemas";
 import type { Dispatcher } from "undici";
-import { openConnections } from "../../connection/httpClient.js";
-import { createPeerClient, PEER_IDLE_MS } from "../../connection/peerClient.js";
+import { openConnections, openPeerConnections } from "../../connection/httpClient.js";
+import { createPeerClient } from "../../connection/peerClient.js";
 import { ConfigurationInForce } from "../../version/configurationInForce.js";
 import { type EventLog, openEventLog } from "../eventLog.js";
 import { type OpenServer, openServer, type RequestHandler, sendJson } from "../httpServer.js";
@@ -49,7 +49,7 @@
     private readonly log: EventLog;
     private readonly metrics: Metrics;
     private readonly agent: Dispatcher = openConnections();
-    private readonly peerConnections: Dispatcher = openConnections(PEER_IDLE_MS);
+    private readonly peerConnections: Dispatcher = openPeerConnections();
     private readonly inForce = new ConfigurationInForce();
     private readonly lifecycle: Lifecycle;
     private readonly servers: OpenServer[] = [];
--- a/packages/daemon/src/process/entry/fleetLink.ts
+++ b/packages/daemon/src/process/entry/fleetLink.ts
@@ -37,13 +37,16 @@
 
 /** Longer than a leader holds a question, and short enough to ask another within the time to apply a change. */
 const ASK_TIMEOUT_MS = 1_200;
-/** Before the next voters are asked; with many entries more, so that what voters get while none leads does not grow with them. */
-const LEAST_RETRY_MS = 60;
-const RETRY_MS_AN_ENTRY = 0.5;
+/** Before a leader that was named is asked, or another is looked for. */
+const RETRY_MS = 60;
 /** Voters that are asked at once for a leader: of five, two may be away, so that one answers. */
 const ASKED_AT_ONCE = 3;
-/** After so long the next ones are asked, whether or not all have answered; late answers count as well. */
-const ROUND_MS = 150;
+/**
+ * Between two rounds of such questions, whether or not all have been answered; with many entries more, so that what voters get while
+ * none leads does not grow with them.
+ */
+const LEAST_ROUND_MS = 150;
+const ROUND_MS_AN_ENTRY = 0.75;
 /** Requests that fail together are told together. */
 const TELL_MS = 20;
 /** The number of entries is taken as the highest of this time, so that a new leader's count is no lower. */
@@ -69,6 +72,8 @@
     private voters: readonly string[] = [];
     private leader: string | undefined;
     private turn = 0;
+    /** Voters whose answer to a question is awaited. */
+    private readonly asked = new Set<string>();
     private isStopped = false;
     private isConnected = false;
     private confirmed = Number.NEGATIVE_INFINITY;
@@ -180,9 +185,11 @@
 
     private async run(): Promise<void> {
         while (!this.isStopped) {
-            const isUpToDate = this.leader === undefined ? await this.seekLeader() : await this.askKnown(this.leader);
-            if (!isUpToDate) {
-                await waitMs(Math.max(LEAST_RETRY_MS, this.countEntries() * RETRY_MS_AN_ENTRY));
+            if (this.leader === undefined) {
+                await this.seekLeader();
+            }
+            else if (!await this.askKnown(this.leader)) {
+                await waitMs(RETRY_MS);
             }
         }
     }
@@ -207,10 +214,10 @@
     }
 
     /** Asks several voters at once: one after another, those that say nothing would take their time-outs from the time to apply. */
-    private async seekLeader(): Promise<boolean> {
+    private async seekLeader(): Promise<void> {
         const asked = this.chooseAddresses().map((address) => this.askForLeader(address));
-        const isFound = Promise.any(asked).then(() => true, () => false);
-        return await Promise.race([isFound, waitMs(ROUND_MS).then(() => this.leader !== undefined)]);
+        const roundOver = waitMs(Math.max(LEAST_ROUND_MS, this.countEntries() * ROUND_MS_AN_ENTRY));
+        await Promise.race([Promise.any(asked).catch(() => roundOver), roundOver]);
     }
 
     /** Resolves where the voter leads, or names who does; the first one to answer counts. */
@@ -230,8 +237,10 @@
         }
     }
 
+    /** Voters in turn, without those that have not answered yet: another question would only wait behind the first. */
     private chooseAddresses(): readonly string[] {
-        const addresses = [...new Set([...this.voters, ...this.options.getSeeds()])];
+        const known = [...new Set([...this.voters, ...this.options.getSeeds()])];
+        const addresses = known.filter((address) => !this.asked.has(address));
         const count = Math.min(ASKED_AT_ONCE, addresses.length);
         const first = this.turn;
         this.turn += count;
@@ -240,8 +249,14 @@
 
     private async ask(address: string, may_wait: boolean): Promise<SynchroniseAnswer> {
         const { peers, createParameters } = this.options;
-        const raw = await peers.ask(address, "synchronise", { ...createParameters(), may_wait }, ASK_TIMEOUT_MS);
-        return synchroniseResultSchema.parse(raw);
+        this.asked.add(address);
+        try {
+            const raw = await peers.ask(address, "synchronise", { ...createParameters(), may_wait }, ASK_TIMEOUT_MS);
+            return synchroniseResultSchema.parse(raw);
+        }
+        finally {
+            this.asked.delete(address);
+        }
     }
 
     private createQuestion(): AskedQuestion {
