--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -332,6 +332,7 @@
         heardMs: now,
         electionTimerMs: now,
         electionTimeoutMs: options.timing.electionMs,
+        attempts: 0,
         commitIndex: 0,
         appliedIndex: 0,
         grants: new Set(),
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -266,6 +266,7 @@
     context.leader = leader;
     context.hasHeardLeader = true;
     context.heardMs = getMonotonicMs(context);
+    context.attempts = 0;
     resetElectionTimeout(context);
 }
 
