--- a/packages/coordination/src/process/election.ts
+++ b/packages/coordination/src/process/election.ts
@@ -27,8 +27,6 @@
 /** Parts of the election time after which one that came to nothing is tried again. */
 const LEAST_RETRY_SHARE = 0.25;
 const RETRY_SPREAD = 0.5;
-/** The wait is at most four times the first one: once enough voters are back, a leader is there soon. */
-const MOST_DOUBLINGS = 2;
 
 /**
  * Starts an election where no leader was heard for long enough.
@@ -41,7 +39,6 @@
         return;
     }
     role.send("timed-out");
-    context.attempts += 1;
     resetRetryTimeout(context);
     context.leader = undefined;
     context.grants = new Set([options.self.id]);
@@ -195,15 +192,13 @@
 /**
  * Draws how long to wait until the next election, after one that came to nothing, such as a split vote, and after a
  * start. The least election time is for leaders that may still be there: it has passed, or every voter has restarted
- * with this one, or nobody grants anything. The wait doubles with each attempt, since votes that take longer than it would never
- * be counted: where all machines are busy, each new term makes the votes of the one before void.
+ * with this one, or nobody grants anything.
  * @param context - the replica
  */
 export function resetRetryTimeout(context: ReplicaContext): void {
     context.electionTimerMs = getMonotonicMs(context);
     const share = LEAST_RETRY_SHARE + RETRY_SPREAD * context.options.functions.random();
-    const factor = 2 ** Math.min(MOST_DOUBLINGS, Math.max(0, context.attempts - 1));
-    context.electionTimeoutMs = context.options.timing.electionMs * share * factor;
+    context.electionTimeoutMs = context.options.timing.electionMs * share;
 }
 
 function hasFreshLeader(context: ReplicaContext): boolean {
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -332,7 +332,6 @@
         heardMs: now,
         electionTimerMs: now,
         electionTimeoutMs: options.timing.electionMs,
-        attempts: 0,
         commitIndex: 0,
         appliedIndex: 0,
         grants: new Set(),
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -115,8 +115,6 @@
     heardMs: number;
     /** Since when a leader is waited for, by the monotonic clock. */
     electionTimerMs: number;
-    /** Elections begun since a leader was last heard. */
-    attempts: number;
     /** How long to wait for a leader from then. */
     electionTimeoutMs: number;
     commitIndex: number;
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -266,7 +266,6 @@
     context.leader = leader;
     context.hasHeardLeader = true;
     context.heardMs = getMonotonicMs(context);
-    context.attempts = 0;
     resetElectionTimeout(context);
 }
 
