--- a/packages/daemon/src/process/entry/upstreamFaults.ts
+++ b/packages/daemon/src/process/entry/upstreamFaults.ts
@@ -99,7 +99,7 @@
         const upstream = view.getUpstream(id);
         const faults = upstream === undefined ? [] : await stallReports.findFaults(upstream);
         const ids = faults.flatMap((fault) => view.findIdAt(fault) ?? []);
-        log.record("warn", "path-still", {
+        log.record("warn", "path-stalled", {
             peer: id,
             streams,
             silent_ms: Math.round(silentMs),
--- a/packages/daemon/src/process/voter/crashKeeper.ts
+++ b/packages/daemon/src/process/voter/crashKeeper.ts
@@ -62,7 +62,7 @@
         }
         const result = await host.propose({ kind: "claim-trial", fingerprint, at_ms: getUnixMs() });
         const isTaken = result.kind === "applied" && isTakenResult(result.result);
-        log.record("info", "trial", { fingerprint, outcome: isTaken ? "granted" : "not-granted" });
+        log.record("info", "trial", { fingerprint, outcome: isTaken ? "granted" : "permit-denied" });
         return { is_taken: isTaken };
     }
 
@@ -133,7 +133,7 @@
             });
         });
         ranWell.filter((fingerprint) => heldBefore.has(fingerprint)).forEach((fingerprint) => {
-            log.record("info", "request-released", { fingerprint, cause: "ran-well", index: host.state.lastChange });
+            log.record("info", "request-released", { fingerprint, cause: "upstream-recovered", index: host.state.lastChange });
         });
     }
 }
