--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -46,7 +46,7 @@
     /** Called for each answer that fits no step that waits: late, doubled or crossed. */
     readonly handleStrayAnswer: () => void;
     /** Takes what the head of a status says of the rate that the engine takes; `askedMs` is when it was asked. */
-    readonly hearLimit: (word: LimitWord, askedMs: number) => void;
+    readonly receiveLimit: (word: LimitWord, askedMs: number) => void;
     /** Called where the engine could not be told that a run is over. */
     readonly handleUntoldEnd: (run: string, reason: string) => void;
 }
@@ -80,7 +80,7 @@
         getStatus: async () => {
             const askedMs = performance.now();
             const handleHeaders = (headers: UpstreamHead["headers"]): void => {
-                options.hearLimit(readLimit({ headers }), askedMs);
+                options.receiveLimit(readLimit({ headers }), askedMs);
             };
             const url = `${base}/status`;
             const raw = await fetchJson({ agent, peer, url, method: "GET", handleHeaders }, statusTimeoutMs);
--- a/packages/daemon/src/process/daemon/serving.ts
+++ b/packages/daemon/src/process/daemon/serving.ts
@@ -95,8 +95,8 @@
             recordFailure: (state, error) => {
                 this.upstreams.recordFailure(state, error);
             },
-            hearLimit: (state, word, askedMs) => {
-                this.upstreams.hearLimit(state, word, askedMs);
+            receiveLimit: (state, word, askedMs) => {
+                this.upstreams.receiveLimit(state, word, askedMs);
             },
             recordRest: (state, restMs) => {
                 this.upstreams.recordRest(state, restMs);
@@ -156,10 +156,10 @@
             timeoutMs: settings.timing.upstream_timeout,
             // Two questions without an answer and the engine is taken for lost; see upstreamTable.ts.
             statusTimeoutMs: settings.timing.upstream_poll * 2,
-            hearLimit: (word, askedMs) => {
+            receiveLimit: (word, askedMs) => {
                 const state = this.upstreams.get(upstream.name);
                 if (state !== undefined) {
-                    this.upstreams.hearLimit(state, word, askedMs);
+                    this.upstreams.receiveLimit(state, word, askedMs);
                 }
             },
             handleStrayAnswer: () => {
--- a/packages/daemon/src/process/daemon/upstreamPace.ts
+++ b/packages/daemon/src/process/daemon/upstreamPace.ts
@@ -29,7 +29,7 @@
      * @param view - when it was asked, and who shares the limit
      * @returns whether the limit is another one now
      */
-    hear(word: LimitWord, { askedMs, nowMs, entries, draw }: PaceView): boolean {
+    receive(word: LimitWord, { askedMs, nowMs, entries, draw }: PaceView): boolean {
         this.entries = entries;
         if (word.kind === "unreadable") {
             return false;
--- a/packages/daemon/src/process/daemon/upstreamTable.ts
+++ b/packages/daemon/src/process/daemon/upstreamTable.ts
@@ -191,10 +191,10 @@
      * @param word - what its answer said
      * @param askedMs - when the request left that it answered
      */
-    hearLimit(state: UpstreamState, word: LimitWord, askedMs: number): void {
+    receiveLimit(state: UpstreamState, word: LimitWord, askedMs: number): void {
         const { countEntries, random, handleChange } = this.functions;
         const view = { askedMs, nowMs: performance.now(), entries: countEntries(), draw: random() };
-        if (state.pace.hear(word, view)) {
+        if (state.pace.receive(word, view)) {
             handleChange(state, "limit");
         }
     }
--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryWords.ts
@@ -4,14 +4,14 @@
 import { computeReturnGapMs, ReturnOrder } from "@crankfork/decisions";
 import type { FleetSettings, LimitsKnown, RoutedService, ToldLimits } from "@crankfork/schemas";
 import type { EngineControl } from "../../connection/engineControl.js";
-import type { HeardAnswer, WordFunctions } from "../../request/requestFunctions.js";
+import type { ReceivedAnswer, WordFunctions } from "../../request/requestFunctions.js";
 import type { CallTarget, HeadVerdict, UpstreamWord } from "../../request/routedCall.js";
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
 import { parseToldLimit } from "../formatToldLimit.js";
-import { createHeedingControl } from "../heedingControl.js";
 import { NamedLimits } from "../namedLimits.js";
+import { createObservedControl } from "../observedControl.js";
 import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
 import { LeavingWords } from "./leavingWords.js";
 import { LimitSends } from "./limitSends.js";
@@ -103,15 +103,15 @@
      * @param control - speaks to engines
      * @returns the same, which asks nothing of engines that rest
      */
-    heed(control: EngineControl): EngineControl {
+    observe(control: EngineControl): EngineControl {
         const { rests, leaving } = this;
-        return createHeedingControl(control, {
+        return createObservedControl(control, {
             ...createRestFunctions(rests),
-            hearLeaving: (id, asked) => {
-                leaving.hear(id, asked);
+            receiveLeaving: (id, asked) => {
+                leaving.receive(id, asked);
             },
-            hearLimit: (id, limit, source) => {
-                this.limits.hear(id, limit, source);
+            receiveLimit: (id, limit, source) => {
+                this.limits.receive(id, limit, source);
             },
             getNowMs: this.options.getNowMs,
         });
@@ -124,12 +124,12 @@
     createFunctions(): WordFunctions {
         const { rests, leaving, sends } = this;
         return {
-            hear: (target, word, answer) => {
+            receive: (target, word, answer) => {
                 this.listAskingForRest(target, answer.verdict.faultAddress).forEach((id) => {
-                    rests.hear(id, word.rest, answer.requestId);
+                    rests.receive(id, word.rest, answer.requestId);
                 });
-                this.hearLeaving(target, word, answer);
-                this.hearLimit(target, word, answer);
+                this.receiveLeaving(target, word, answer);
+                this.receiveLimit(target, word, answer);
             },
             maySend: (target) => {
                 const passed = listPassed(target);
@@ -148,10 +148,10 @@
         };
     }
 
-    private hearLeaving(
+    private receiveLeaving(
         target: CallTarget,
         { leaving }: UpstreamWord,
-        { verdict, status, requestId }: HeardAnswer,
+        { verdict, status, requestId }: ReceivedAnswer,
     ): void {
         if (leaving === "unreadable") {
             this.options.log.record("warn", "upstream-leaving-unreadable", {
@@ -160,17 +160,17 @@
             });
         }
         if (leaving === "said" && isOfMeant(verdict, status)) {
-            this.leaving.hear(target.upstreamId, requestId);
+            this.leaving.receive(target.upstreamId, requestId);
         }
     }
 
-    private hearLimit(
+    private receiveLimit(
         { upstreamId }: CallTarget,
         { limit }: UpstreamWord,
-        { verdict, status, requestId, sentMs }: HeardAnswer,
+        { verdict, status, requestId, sentMs }: ReceivedAnswer,
     ): void {
         if (isOfMeant(verdict, status)) {
-            this.limits.hear(upstreamId, limit, { asked: requestId, askedMs: sentMs, isReport: false });
+            this.limits.receive(upstreamId, limit, { asked: requestId, askedMs: sentMs, isReport: false });
         }
     }
 
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -100,7 +100,7 @@
         this.stateAge = new StateAge(options.getNowMs);
         this.loadsElsewhere = new LoadsElsewhere({ ...options, getLoadHere: (id) => this.health.getLoad(id) });
         this.words = new EntryWords({ ...options, view: this.view, health: this.health });
-        this.stallReports = new StallReports(this.words.heed(options.control), options.getNowMs);
+        this.stallReports = new StallReports(this.words.observe(options.control), options.getNowMs);
         this.faults = new UpstreamFaults({
             view: this.view,
             health: this.health,
--- a/packages/daemon/src/process/entry/leavingWords.ts
+++ b/packages/daemon/src/process/entry/leavingWords.ts
@@ -47,7 +47,7 @@
      * @param id - the life that answered
      * @param asked - the request that it answered, for the log
      */
-    hear(id: string, asked: string): void {
+    receive(id: string, asked: string): void {
         if (this.heardMs.has(id)) {
             return;
         }
--- a/packages/daemon/src/process/namedLimits.ts
+++ b/packages/daemon/src/process/namedLimits.ts
@@ -49,7 +49,7 @@
      * @param word - what it said of a limit
      * @param source - what it answered
      */
-    hear(id: string, word: LimitWord, { asked, askedMs, isReport }: LimitSource): void {
+    receive(id: string, word: LimitWord, { asked, askedMs, isReport }: LimitSource): void {
         if (word.kind === "unreadable") {
             this.options.log.record("warn", "upstream-limit-unreadable", { peer: id, asked, text: word.text });
             return;
--- a/packages/daemon/src/process/heedingControl.ts
+++ b/packages/daemon/src/process/observedControl.ts
@@ -9,11 +9,11 @@
 
 /** What is done with the words. */
 export interface HeedingFunctions {
-    readonly hearRest: (id: string, rest: UpstreamWord["rest"], asked: string) => void;
+    readonly receiveRest: (id: string, rest: UpstreamWord["rest"], asked: string) => void;
     /** Asked right before a send; false where nothing may be sent. */
     readonly maySend: (id: string) => boolean;
-    readonly hearLeaving: (id: string, asked: string) => void;
-    readonly hearLimit: (id: string, limit: UpstreamWord["limit"], source: LimitSource) => void;
+    readonly receiveLeaving: (id: string, asked: string) => void;
+    readonly receiveLimit: (id: string, limit: UpstreamWord["limit"], source: LimitSource) => void;
     /** The monotonic clock. */
     readonly getNowMs: () => number;
 }
@@ -26,7 +26,7 @@
  * @param functions - rests and words of leaving by lives
  * @returns functions that send nothing to an engine that rests
  */
-export function createHeedingControl(control: EngineControl, functions: HeedingFunctions): EngineControl {
+export function createObservedControl(control: EngineControl, functions: HeedingFunctions): EngineControl {
     return {
         getReport: async (engine) => {
             if (!functions.maySend(engine.id)) {
@@ -34,15 +34,15 @@
             }
             const askedMs = functions.getNowMs();
             const result = await control.getReport(engine);
-            functions.hearRest(engine.id, result.word?.rest ?? { kind: "none" }, "report");
+            functions.receiveRest(engine.id, result.word?.rest ?? { kind: "none" }, "report");
             if (isOfMeant(engine, result)) {
-                functions.hearLimit(engine.id, result.word?.limit ?? { kind: "none" }, {
+                functions.receiveLimit(engine.id, result.word?.limit ?? { kind: "none" }, {
                     asked: "report",
                     askedMs,
                     isReport: true,
                 });
                 if (result.word?.leaving === "said") {
-                    functions.hearLeaving(engine.id, "report");
+                    functions.receiveLeaving(engine.id, "report");
                 }
             }
             return result;
@@ -53,7 +53,7 @@
             }
             // Whether it leaves is told, with its life, by the report that comes before each order.
             const end = await control.placeLayers(upstream, span, guard);
-            functions.hearRest(upstream.id, end.word?.rest ?? { kind: "none" }, "order");
+            functions.receiveRest(upstream.id, end.word?.rest ?? { kind: "none" }, "order");
             return end;
         },
     };
--- a/packages/daemon/src/process/upstreamRests.ts
+++ b/packages/daemon/src/process/upstreamRests.ts
@@ -6,7 +6,7 @@
 import { Rest, type RestChange, type RestWord } from "@crankfork/decisions";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
-import type { HeedingFunctions } from "./heedingControl.js";
+import type { HeedingFunctions } from "./observedControl.js";
 
 /** What the rests need from the process. */
 export interface UpstreamRestsOptions {
@@ -21,10 +21,10 @@
  * @param rests - the rests of this instance
  * @returns the functions
  */
-export function createRestFunctions(rests: UpstreamRests): Pick<HeedingFunctions, "hearRest" | "maySend"> {
+export function createRestFunctions(rests: UpstreamRests): Pick<HeedingFunctions, "receiveRest" | "maySend"> {
     return {
-        hearRest: (id, rest, asked) => {
-            rests.hear(id, rest, asked);
+        receiveRest: (id, rest, asked) => {
+            rests.receive(id, rest, asked);
         },
         maySend: (id) => rests.maySend([id]),
     };
@@ -50,7 +50,7 @@
      * @param word - what it said of rest
      * @param asked - the request, report or order that it answered, for the log
      */
-    hear(id: string, word: RestWord, asked: string): void {
+    receive(id: string, word: RestWord, asked: string): void {
         const { getNowMs, log, metrics } = this.options;
         if (word.kind === "none") {
             return;
--- a/packages/daemon/src/process/voter/crashKeeper.ts
+++ b/packages/daemon/src/process/voter/crashKeeper.ts
@@ -133,7 +133,11 @@
             });
         });
         ranWell.filter((fingerprint) => heldBefore.has(fingerprint)).forEach((fingerprint) => {
-            log.record("info", "request-released", { fingerprint, cause: "upstream-recovered", index: host.state.lastChange });
+            log.record("info", "request-released", {
+                fingerprint,
+                cause: "upstream-recovered",
+                index: host.state.lastChange,
+            });
         });
     }
 }
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -24,11 +24,11 @@
 import { createHash } from "node:crypto";
 import type { EngineControl } from "../../connection/engineControl.js";
 import { type FleetProcess, listPeerAddresses, openFleetProcess, type SettingsReader } from "../fleetProcess.js";
-import { createHeedingControl } from "../heedingControl.js";
 import type { RequestHandler } from "../httpServer.js";
 import { LayerKeeper } from "../layers/layerKeeper.js";
 import { PaceWatch } from "../layers/paceWatch.js";
 import { NamedLimits } from "../namedLimits.js";
+import { createObservedControl } from "../observedControl.js";
 import { PeerLink } from "../peerLink.js";
 import { type Founding, ReplicaHost } from "../replicaHost.js";
 import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
@@ -159,11 +159,11 @@
             keeperOfLimits.handleChange(id);
         },
     });
-    const control = createHeedingControl(protocol.control, {
+    const control = createObservedControl(protocol.control, {
         ...createRestFunctions(rests),
-        hearLeaving: (id, asked) => void upstreams.recordLeavingWord(id, asked),
-        hearLimit: (id, limit, source) => {
-            limits.hear(id, limit, source);
+        receiveLeaving: (id, asked) => void upstreams.recordLeavingWord(id, asked),
+        receiveLimit: (id, limit, source) => {
+            limits.receive(id, limit, source);
         },
         getNowMs,
     });
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -47,7 +47,7 @@
 /** What upstreams say of themselves, and what follows from it. */
 export interface WordFunctions {
     /** Takes what the head of an answer says of the upstream that gave it. */
-    readonly hear: (target: CallTarget, word: UpstreamWord, answer: HeardAnswer) => void;
+    readonly receive: (target: CallTarget, word: UpstreamWord, answer: ReceivedAnswer) => void;
     /** Whether the upstreams of a target want a request; looked at right before it is sent. */
     readonly maySend: (target: CallTarget) => boolean;
     readonly recordSend: (target: CallTarget) => void;
@@ -58,7 +58,7 @@
 }
 
 /** Which answer a word came with. */
-export interface HeardAnswer {
+export interface ReceivedAnswer {
     readonly requestId: string;
     readonly verdict: HeadVerdict;
     readonly status: number;
--- a/packages/daemon/src/request/routedTry.ts
+++ b/packages/daemon/src/request/routedTry.ts
@@ -146,7 +146,7 @@
         const { call } = run.admitted;
         this.head = head;
         this.verdict = codec.judgeHead(call, head);
-        words.hear(target, codec.readWord(head), {
+        words.receive(target, codec.readWord(head), {
             requestId: call.requestId,
             verdict: this.verdict,
             status: head.status,
--- a/packages/daemon/src/request/serviceRequest.ts
+++ b/packages/daemon/src/request/serviceRequest.ts
@@ -26,7 +26,7 @@
     /** The upstream said in an answer that it wants nothing for so long. */
     readonly recordRest: (state: UpstreamState, restMs: number) => void;
     /** Takes what an answer says of the rate that its upstream takes. */
-    readonly hearLimit: (state: UpstreamState, word: LimitWord, askedMs: number) => void;
+    readonly receiveLimit: (state: UpstreamState, word: LimitWord, askedMs: number) => void;
     /** How long the first of some upstreams rests; undefined where none does. */
     readonly computeRestMs: (names: readonly string[]) => number | undefined;
     readonly getBudget: (service: Service) => RetryBudget;
@@ -182,7 +182,7 @@
             answerLimit: functions.answerLimit,
         });
         state.circuit.recordSuccess();
-        functions.hearLimit(state, result.limit, askedMs);
+        functions.receiveLimit(state, result.limit, askedMs);
         if (result.restMs !== undefined) {
             functions.recordRest(state, result.restMs);
         }
--- a/packages/daemon/tests/cancelledRun.test.ts
+++ b/packages/daemon/tests/cancelledRun.test.ts
@@ -95,7 +95,7 @@
                 statusTimeoutMs: 300,
                 handleStrayAnswer: () => undefined,
                 handleUntoldEnd: () => undefined,
-                hearLimit: () => undefined,
+                receiveLimit: () => undefined,
             });
             done();
         });
--- a/packages/daemon/tests/entryWords.test.ts
+++ b/packages/daemon/tests/entryWords.test.ts
@@ -3,7 +3,7 @@
 import { EntryWords } from "../src/process/entry/entryWords.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
 import type { FleetMetrics } from "../src/process/fleetMetrics.js";
-import type { HeardAnswer } from "../src/request/requestFunctions.js";
+import type { ReceivedAnswer } from "../src/request/requestFunctions.js";
 import type { CallTarget, UpstreamWord } from "../src/request/routedCall.js";
 import { FleetView } from "../src/version/fleetView.js";
 import { createSettings } from "./entrySettings.js";
@@ -50,8 +50,13 @@
         this.view.applyUpstreams(createWholeState(1, ["a", "b", "c"].map(createUpstream)));
     }
 
-    hear(word: Partial<UpstreamWord>, answer: Partial<HeardAnswer> = {}): void {
-        this.functions.hear(target, { rest: { kind: "none" }, leaving: "not-said", limit: { kind: "none" }, ...word }, {
+    receive(word: Partial<UpstreamWord>, answer: Partial<ReceivedAnswer> = {}): void {
+        this.functions.receive(target, {
+            rest: { kind: "none" },
+            leaving: "not-said",
+            limit: { kind: "none" },
+            ...word,
+        }, {
             requestId: "1",
             verdict: { kind: "answer", faultAddress: undefined },
             status: 200,
@@ -89,7 +94,7 @@
     const rows: readonly {
         readonly title: string;
         readonly leaving?: UpstreamWord["leaving"];
-        readonly answer?: Partial<HeardAnswer>;
+        readonly answer?: Partial<ReceivedAnswer>;
         readonly isLeaving: boolean;
         readonly events: readonly string[];
     }[] = [
@@ -129,7 +134,7 @@
     for (const { title, leaving = "said", answer, isLeaving, events } of rows) {
         it(`${title}: ${isLeaving ? "it leaves" : "nothing changes"}`, () => {
             const stand = new WordStand();
-            stand.hear({ leaving }, answer);
+            stand.receive({ leaving }, answer);
             expect(["a", "b"].map((id) => stand.words.leaving.isLeaving(id))).to.deep.equal([isLeaving, false]);
             expect(stand.events).to.deep.equal(events);
         });
@@ -138,8 +143,8 @@
     it("is written once, told to the leader until it takes it, and forgotten with the life", async () => {
         const stand = new WordStand();
         stand.leaderless = 2;
-        stand.hear({ leaving: "said" });
-        stand.hear({ leaving: "said" });
+        stand.receive({ leaving: "said" });
+        stand.receive({ leaving: "said" });
         await new Promise((resolve) => setTimeout(resolve, 400));
         expect(stand.told).to.deep.equal([{ instance: "entry", upstreams: ["a"] }]);
         expect(stand.events).to.deep.equal([
@@ -148,7 +153,7 @@
             "leaving-not-told",
             "leaving-told",
         ]);
-        stand.hear({ leaving: "not-said" });
+        stand.receive({ leaving: "not-said" });
         expect(stand.words.leaving.isLeaving("a")).to.equal(true);
         stand.words.sweep((id) => id !== "a");
         expect(stand.words.leaving.isLeaving("a")).to.equal(false);
@@ -156,7 +161,7 @@
 
     it("one that leaves may take requests early in its time to drain, and none later", () => {
         const stand = new WordStand();
-        stand.hear({ leaving: "said" });
+        stand.receive({ leaving: "said" });
         const seen = [0, DRAIN_MS / 2 - 1, DRAIN_MS / 2, DRAIN_MS].map((nowMs) => {
             stand.nowMs = nowMs;
             return stand.functions.maySend(target);
@@ -170,7 +175,7 @@
     const rows: readonly {
         readonly title: string;
         readonly rest?: UpstreamWord["rest"];
-        readonly answer?: Partial<HeardAnswer>;
+        readonly answer?: Partial<ReceivedAnswer>;
         readonly resting: readonly string[];
     }[] = [
         { title: "the one that answered", resting: ["a"] },
@@ -199,7 +204,7 @@
     for (const { title, rest: said = rest, answer, resting } of rows) {
         it(title, () => {
             const stand = new WordStand();
-            stand.hear({ rest: said }, { status: 503, ...answer });
+            stand.receive({ rest: said }, { status: 503, ...answer });
             const { rests } = stand.words;
             expect(["a", "b", "c"].filter((id) => rests.isResting(id))).to.deep.equal(resting);
             expect(stand.functions.maySend(target)).to.equal(resting.length === 0);
@@ -209,14 +214,14 @@
 
     it("ends with its time or its life, with a line each", () => {
         const stand = new WordStand();
-        stand.hear({ rest }, { status: 503 });
+        stand.receive({ rest }, { status: 503 });
         stand.nowMs = 2_999;
         stand.words.sweep(() => true);
         expect(stand.functions.maySend(target)).to.equal(false);
         stand.nowMs = 3_000;
         stand.words.sweep(() => true);
         expect(stand.functions.maySend(target)).to.equal(true);
-        stand.hear({ rest: { kind: "rest", restMs: Number.POSITIVE_INFINITY } }, { status: 503 });
+        stand.receive({ rest: { kind: "rest", restMs: Number.POSITIVE_INFINITY } }, { status: 503 });
         stand.nowMs = 1e15;
         expect(stand.functions.maySend(target)).to.equal(false);
         stand.words.sweep((id) => id !== "a");
--- a/packages/daemon/tests/limitReplay.ts
+++ b/packages/daemon/tests/limitReplay.ts
@@ -134,7 +134,7 @@
         const getNowMs = (): number => performance.now();
         const limits = new NamedLimits({ getNowMs, log, metrics, handleChange: count });
         this.upstreams.forEach((id) => {
-            limits.hear(id, { kind: "limit", requestsASecond: limit }, { asked: "1", askedMs: 0, isReport: false });
+            limits.receive(id, { kind: "limit", requestsASecond: limit }, { asked: "1", askedMs: 0, isReport: false });
         });
         const sends = new LimitSends({
             instance: `e${String(entry)}`,
--- a/packages/daemon/tests/limitSends.test.ts
+++ b/packages/daemon/tests/limitSends.test.ts
@@ -52,11 +52,11 @@
         });
     }
 
-    hear(id: string, requestsASecond: number | undefined): void {
+    receive(id: string, requestsASecond: number | undefined): void {
         const word = requestsASecond === undefined
             ? { kind: "none" } as const
             : { kind: "limit", requestsASecond } as const;
-        this.limits.hear(id, word, { asked: "1", askedMs: performance.now(), isReport: false });
+        this.limits.receive(id, word, { asked: "1", askedMs: performance.now(), isReport: false });
     }
 
     claims(id: string, wish: Partial<SendWish> = {}): boolean {
@@ -97,14 +97,14 @@
     });
 
     it("the leader is told of a limit at once", async () => {
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         await clock.tickAsync(1);
         const told = { id: "u", requests_a_second: 2, asked_ms_ago: 0, heard_ms_ago: 0 };
         expect(stand.questions).to.deep.equal([{ instance: "e", entries: 2, heard: [told], wanted: [] }]);
     });
 
     it("a send that is granted is used once, and not made where its connection fails", async () => {
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         expect(stand.claims("u")).to.equal(false);
         await clock.tickAsync(101);
         expect(stand.questions.at(-1)?.wanted).to.deep.equal([]);
@@ -117,7 +117,7 @@
     });
 
     it("one that is not used in time is lost", async () => {
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         await clock.tickAsync(101);
         stand.claims("u");
         await clock.tickAsync(240);
@@ -128,7 +128,7 @@
 
     it("one that is for later is waited for", async () => {
         stand.grantInMs = [120];
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         await clock.tickAsync(101);
         const request = {};
         stand.claims("u", { request });
@@ -140,7 +140,7 @@
 
     it("a more urgent request that waits goes first", async () => {
         stand.grantInMs = [60];
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         await clock.tickAsync(101);
         const urgent = { request: {}, priority: 0 };
         stand.claims("u", urgent);
@@ -151,26 +151,26 @@
 
     it("what was handed out by a limit is not used under the next one", async () => {
         stand.grantInMs = [0, 0, 0];
-        stand.hear("u", 40);
+        stand.receive("u", 40);
         await clock.tickAsync(101);
         stand.claims("u");
         await clock.tickAsync(1);
         expect(stand.claims("u")).to.equal(true);
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         expect(stand.claims("u")).to.equal(false);
     });
 
     it("and is under a higher one", async () => {
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         await clock.tickAsync(201);
         stand.claims("u");
         await clock.tickAsync(1);
-        stand.hear("u", 40);
+        stand.receive("u", 40);
         expect(stand.claims("u")).to.equal(true);
     });
 
     it("a request that has ended wants nothing more", async () => {
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         const request = {};
         stand.claims("u", { request });
         stand.sends.withdraw(request);
@@ -180,7 +180,7 @@
 
     it("without a leader it keeps to its even part", async () => {
         stand.grantInMs = undefined;
-        stand.hear("u", 4);
+        stand.receive("u", 4);
         await clock.tickAsync(1_600);
         // Half of a part of 500 ms is drawn for the first one.
         expect(stand.claims("u")).to.equal(false);
@@ -194,7 +194,7 @@
     });
 
     it("a new leader is told all that was heard here", async () => {
-        stand.hear("u", 2);
+        stand.receive("u", 2);
         await clock.tickAsync(101);
         stand.sends.tellAll();
         await clock.tickAsync(101);
--- a/packages/daemon/tests/namedLimits.test.ts
+++ b/packages/daemon/tests/namedLimits.test.ts
@@ -21,8 +21,8 @@
         handleChange: count,
     });
 
-    hear(requestsASecond: number | undefined, askedMs: number): void {
-        this.limits.hear(
+    receive(requestsASecond: number | undefined, askedMs: number): void {
+        this.limits.receive(
             "u",
             requestsASecond === undefined ? { kind: "none" } : { kind: "limit", requestsASecond },
             { asked: "1", askedMs, isReport: false },
@@ -33,15 +33,15 @@
 describe("a line where a limit begins, changes and ends, and none where nothing changes", () => {
     it("by answers to this instance", () => {
         const stand = new LimitStand();
-        stand.hear(undefined, 990);
-        stand.hear(2, 990);
-        stand.hear(2, 991);
+        stand.receive(undefined, 990);
+        stand.receive(2, 990);
+        stand.receive(2, 991);
         stand.nowMs = 1_010;
-        stand.hear(40, 1_000);
+        stand.receive(40, 1_000);
         stand.nowMs = 1_020;
-        stand.hear(3, 1_015);
+        stand.receive(3, 1_015);
         stand.nowMs = 1_030;
-        stand.hear(undefined, 1_021);
+        stand.receive(undefined, 1_021);
         expect(stand.events).to.deep.equal([
             "upstream-limit u begun 2 heard",
             "upstream-limit u raised 40 heard",
@@ -52,8 +52,8 @@
 
     it("what can't be read changes nothing", () => {
         const stand = new LimitStand();
-        stand.hear(2, 990);
-        stand.limits.hear("u", { kind: "unreadable", text: "-1" }, { asked: "1", askedMs: 1_000, isReport: false });
+        stand.receive(2, 990);
+        stand.limits.receive("u", { kind: "unreadable", text: "-1" }, { asked: "1", askedMs: 1_000, isReport: false });
         expect([stand.limits.getLimit("u"), stand.events.at(-1)]).to.deep.equal([2, "upstream-limit-unreadable u"]);
     });
 
@@ -64,20 +64,20 @@
     for (const { title, inReport, left } of reports) {
         it(`a report without one ends it only after ${title}`, () => {
             const stand = new LimitStand();
-            stand.hear(2, 990);
+            stand.receive(2, 990);
             stand.nowMs = 1_100;
-            stand.limits.hear("u", inReport, { asked: "report", askedMs: 1_050, isReport: true });
+            stand.limits.receive("u", inReport, { asked: "report", askedMs: 1_050, isReport: true });
             stand.nowMs = 1_200;
-            stand.limits.hear("u", { kind: "none" }, { asked: "report", askedMs: 1_150, isReport: true });
+            stand.limits.receive("u", { kind: "none" }, { asked: "report", askedMs: 1_150, isReport: true });
             expect(stand.limits.getLimit("u")).to.equal(left);
         });
     }
 
     it("an older word that another instance tells late does not begin it again", () => {
         const stand = new LimitStand();
-        stand.hear(2, 990);
+        stand.receive(2, 990);
         stand.nowMs = 1_100;
-        stand.hear(undefined, 1_050);
+        stand.receive(undefined, 1_050);
         stand.nowMs = 1_200;
         stand.limits.applyTold("u", { requestsASecond: 2, askedMs: 980, heardMs: 995 }, "e");
         expect(stand.limits.getLimit("u")).to.equal(undefined);
@@ -85,7 +85,7 @@
 
     it("a later life has none", () => {
         const stand = new LimitStand();
-        stand.hear(2, 990);
+        stand.receive(2, 990);
         stand.limits.sweep(() => false);
         expect([stand.limits.listIds(), stand.events.at(-1)]).to.deep.equal([
             [],
@@ -95,9 +95,9 @@
 
     it("an end is forgotten after a while", () => {
         const stand = new LimitStand();
-        stand.hear(2, 990);
+        stand.receive(2, 990);
         stand.nowMs = 1_100;
-        stand.hear(undefined, 1_050);
+        stand.receive(undefined, 1_050);
         stand.limits.sweep(() => true);
         expect(stand.limits.listIds()).to.deep.equal(["u"]);
         stand.nowMs = 40_000;
--- a/packages/daemon/tests/ownLimits.test.ts
+++ b/packages/daemon/tests/ownLimits.test.ts
@@ -37,7 +37,7 @@
         it(title, () => {
             const pace = new UpstreamPace();
             words.forEach((word, number) => {
-                pace.hear(word, { askedMs: number, nowMs: number, entries: 2, draw: 0 });
+                pace.receive(word, { askedMs: number, nowMs: number, entries: 2, draw: 0 });
             });
             sentMs.forEach((nowMs) => {
                 pace.recordSend(nowMs);
@@ -49,7 +49,7 @@
     it("a run that is there already goes on, a new one waits", () => {
         const upstream = upstreamSchema.parse({ name: "e", kind: "engine", address: "127.0.0.1:1" });
         const state = new UpstreamState(upstream, undefined);
-        state.pace.hear(limit(4), { askedMs: 0, nowMs: 0, entries: 2, draw: 0 });
+        state.pace.receive(limit(4), { askedMs: 0, nowMs: 0, entries: 2, draw: 0 });
         expect(state.maySend("one", 1_000)).to.equal(true);
         state.recordStart("one", 1_000);
         expect([state.maySend("one", 1_001), state.maySend("two", 1_001)]).to.deep.equal([true, false]);
--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -228,7 +228,7 @@
                 this.at(this.nowMs + WAY_MS, () => {
                     const { restMs } = this.options.workers[worker]!;
                     if (restMs > 0) {
-                        entry.hearRest(target, restMs);
+                        entry.receiveRest(target, restMs);
                         this.share(entry, target, restMs);
                     }
                     finish(false);
@@ -248,7 +248,7 @@
         if (sharedAfterMs !== undefined) {
             this.at(this.nowMs + sharedAfterMs, () => {
                 this.entries.filter((entry) => entry !== teller).forEach((entry) => {
-                    entry.hearRest(target, Math.max(1, restMs - sharedAfterMs));
+                    entry.receiveRest(target, Math.max(1, restMs - sharedAfterMs));
                 });
             });
         }
@@ -359,13 +359,17 @@
         return run;
     }
 
-    hearRest(target: CallTarget, restMs: number): void {
-        this.functions.hear(target, { rest: { kind: "rest", restMs }, leaving: "not-said", limit: { kind: "none" } }, {
-            requestId: "1",
-            verdict: { kind: "declined", faultAddress: undefined },
-            status: 503,
-            sentMs: this.getNowMs(),
-        });
+    receiveRest(target: CallTarget, restMs: number): void {
+        this.functions.receive(
+            target,
+            { rest: { kind: "rest", restMs }, leaving: "not-said", limit: { kind: "none" } },
+            {
+                requestId: "1",
+                verdict: { kind: "declined", faultAddress: undefined },
+                status: 503,
+                sentMs: this.getNowMs(),
+            },
+        );
     }
 }
 
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -258,7 +258,7 @@
                 options.mayLeave !== false && options.upstreams.some((one) => !run.tried.has(one.name)),
             hasEnded: (id) => options.ended?.includes(id) === true,
             words: {
-                hear: () => undefined,
+                receive: () => undefined,
                 maySend: () => true,
                 recordSend: () => undefined,
                 recordOutcome: () => undefined,
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -292,7 +292,7 @@
             stand.setEngines(engines);
             stand.named.sends.recordLeader();
             limited.forEach((id) => {
-                stand.named.limits.hear(id, { kind: "limit", requestsASecond: 2 }, {
+                stand.named.limits.receive(id, { kind: "limit", requestsASecond: 2 }, {
                     asked: "1",
                     askedMs: 0,
                     isReport: false,
--- a/packages/decisions/tests/limitOrder.test.ts
+++ b/packages/decisions/tests/limitOrder.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { chooseNewerLimit, type HeardLimit } from "../src/connection/limitOrder.js";
 
-const hear = (requestsASecond: number | undefined, askedMs: number, heardMs: number): HeardLimit => ({
+const receive = (requestsASecond: number | undefined, askedMs: number, heardMs: number): HeardLimit => ({
     requestsASecond,
     askedMs,
     heardMs,
@@ -14,32 +14,32 @@
         readonly heard: HeardLimit;
         readonly expected: number | undefined;
     }[] = [
-        { title: "the first word", known: undefined, heard: hear(2, 0, 10), expected: 2 },
-        { title: "a later one that is higher", known: hear(2, 0, 10), heard: hear(40, 10, 12), expected: 40 },
+        { title: "the first word", known: undefined, heard: receive(2, 0, 10), expected: 2 },
+        { title: "a later one that is higher", known: receive(2, 0, 10), heard: receive(40, 10, 12), expected: 40 },
         {
             title: "a later one that names none",
-            known: hear(2, 0, 10),
-            heard: hear(undefined, 10, 12),
+            known: receive(2, 0, 10),
+            heard: receive(undefined, 10, 12),
             expected: undefined,
         },
         {
             title: "a stream's head that names none, asked before",
-            known: hear(2, 5, 10),
-            heard: hear(undefined, 4, 90),
+            known: receive(2, 5, 10),
+            heard: receive(undefined, 4, 90),
             expected: 2,
         },
-        { title: "one that is higher, asked before", known: hear(2, 5, 10), heard: hear(40, 9, 12), expected: 2 },
-        { title: "one that is lower, asked before", known: hear(40, 5, 10), heard: hear(2, 9, 12), expected: 2 },
+        { title: "one that is higher, asked before", known: receive(2, 5, 10), heard: receive(40, 9, 12), expected: 2 },
+        { title: "one that is lower, asked before", known: receive(40, 5, 10), heard: receive(2, 9, 12), expected: 2 },
         {
             title: "a limit that overlaps with its end",
-            known: hear(undefined, 5, 10),
-            heard: hear(2, 6, 12),
+            known: receive(undefined, 5, 10),
+            heard: receive(2, 6, 12),
             expected: 2,
         },
         {
             title: "one that was over before the other was asked",
-            known: hear(40, 20, 30),
-            heard: hear(2, 5, 10),
+            known: receive(40, 20, 30),
+            heard: receive(2, 5, 10),
             expected: 40,
         },
     ];
@@ -50,8 +50,8 @@
     }
 
     it("ends with the first answer to what was sent after the last word, however often the word was repeated", () => {
-        const repeated = [hear(2, 0, 10), hear(2, 5, 15), hear(2, 12, 20)].reduce(chooseNewerLimit);
-        expect(chooseNewerLimit(repeated, hear(undefined, 18, 25)).requestsASecond).to.equal(2);
-        expect(chooseNewerLimit(repeated, hear(undefined, 20, 25)).requestsASecond).to.equal(undefined);
+        const repeated = [receive(2, 0, 10), receive(2, 5, 15), receive(2, 12, 20)].reduce(chooseNewerLimit);
+        expect(chooseNewerLimit(repeated, receive(undefined, 18, 25)).requestsASecond).to.equal(2);
+        expect(chooseNewerLimit(repeated, receive(undefined, 20, 25)).requestsASecond).to.equal(undefined);
     });
 });
--- a/packages/scenarios/src/bench/path.ts
+++ b/packages/scenarios/src/bench/path.ts
@@ -35,7 +35,7 @@
         const engines = [...world.engines].map(([name, { address }]) =>
             createEngineClient({
                 handleUntoldEnd: () => undefined,
-                hearLimit: () => undefined,
+                receiveLimit: () => undefined,
                 agent,
                 name,
                 address,
--- a/packages/scenarios/src/bench/steps.ts
+++ b/packages/scenarios/src/bench/steps.ts
@@ -28,7 +28,7 @@
         await new Promise((resolve) => setTimeout(resolve, 200));
         const engine = createEngineClient({
             handleUntoldEnd: () => undefined,
-            hearLimit: () => undefined,
+            receiveLimit: () => undefined,
             agent,
             name: "engine",
             address: standIn.address,
