--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -1,7 +1,7 @@
 /**
  * The one place that knows how a model engine is spoken to. The rest of crankfork sees `EngineFunctions`.
  */
-import type { LimitWord } from "@crankfork/decisions";
+import type { LimitNotice } from "@crankfork/decisions";
 import {
     type EngineStatus,
     engineStatusSchema,
@@ -46,7 +46,7 @@
     /** Called for each answer that fits no step that waits: late, doubled or crossed. */
     readonly handleStrayAnswer: () => void;
     /** Takes what the head of a status says of the rate that the engine takes; `askedMs` is when it was asked. */
-    readonly receiveLimit: (word: LimitWord, askedMs: number) => void;
+    readonly receiveLimit: (notice: LimitNotice, askedMs: number) => void;
     /** Called where the engine could not be told that a run is over. */
     readonly handleUntoldEnd: (run: string, reason: string) => void;
 }
@@ -98,11 +98,11 @@
 }
 
 /**
- * Splits a prompt into token ids, as the engines' tokenizer does: one a word.
+ * Splits a prompt into token ids, as the engines' tokenizer does: one a notice.
  * @param prompt - the text
  * @returns token ids; at least one
  */
 export function createPromptTokens(prompt: string): readonly number[] {
-    const words = prompt.split(/\s+/).filter((word) => word !== "");
-    return (words.length === 0 ? [""] : words).map((word) => crc32.str(word) >>> 0);
+    const notices = prompt.split(/\s+/).filter((notice) => notice !== "");
+    return (notices.length === 0 ? [""] : notices).map((notice) => crc32.str(notice) >>> 0);
 }
--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -2,7 +2,7 @@
  * What a leader asks of an engine beside requests: a report, and layers to take.
  */
 import type { LayerSpan, RegisteredUpstream } from "@crankfork/schemas";
-import type { UpstreamWord } from "../request/routedCall.js";
+import type { UpstreamNotice } from "../request/routedCall.js";
 
 /** One life of an engine and where it is. */
 export type EnginePlace = Pick<RegisteredUpstream, "id" | "life" | "address">;
@@ -10,7 +10,7 @@
 /** What came back, with what the engine said of itself beside it. */
 interface SpokenResult {
     /** Left out where nothing came back. */
-    readonly word?: UpstreamWord | undefined;
+    readonly notice?: UpstreamNotice | undefined;
 }
 
 /** What an engine says of itself; it lags by some hundred milliseconds. */
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -193,8 +193,8 @@
 export function readRestMs(
     { statusCode, headers }: Pick<Dispatcher.ResponseData, "statusCode" | "headers">,
 ): number | undefined {
-    const word = readRest({ status: statusCode, headers });
-    return word.kind === "rest" ? word.restMs : undefined;
+    const notice = readRest({ status: statusCode, headers });
+    return notice.kind === "rest" ? notice.restMs : undefined;
 }
 
 /**
--- a/packages/daemon/src/connection/readLimit.ts
+++ b/packages/daemon/src/connection/readLimit.ts
@@ -1,7 +1,7 @@
 /**
  * The one place that knows by which header an upstream of the product's own interface names the rate that it takes.
  */
-import { type LimitWord, parseLimit } from "@crankfork/decisions";
+import { type LimitNotice, parseLimit } from "@crankfork/decisions";
 import type { UpstreamHead } from "./upstreamExchange.js";
 
 const LIMIT_HEADER = "x-requests-a-second";
@@ -11,6 +11,6 @@
  * @param head - its headers
  * @returns what it says of a limit
  */
-export function readLimit({ headers }: Pick<UpstreamHead, "headers">): LimitWord {
+export function readLimit({ headers }: Pick<UpstreamHead, "headers">): LimitNotice {
     return parseLimit([headers[LIMIT_HEADER] ?? []].flat());
 }
--- a/packages/daemon/src/connection/runEnds.ts
+++ b/packages/daemon/src/connection/runEnds.ts
@@ -5,7 +5,7 @@
 
 /** What is needed to tell one engine. */
 export interface RunEndsOptions {
-    /** Sends the word; rejects where it may not have come or was turned away. */
+    /** Sends the notice; rejects where it may not have come or was turned away. */
     readonly send: (run: string) => Promise<unknown>;
     /** Resolves once no step of a run is on its way to the engine; undefined where none is. */
     readonly waitForSteps: (run: string) => Promise<void> | undefined;
@@ -25,7 +25,7 @@
 
     /**
      * Tells that a run is over. A step that was given up may still be on its way over another connection and would begin the run
-     * anew after the word, so the engine is told again once it has come.
+     * anew after the notice, so the engine is told again once it has come.
      * @param run - the run
      */
     async tell(run: string): Promise<void> {
--- a/packages/daemon/src/connection/serviceClient.ts
+++ b/packages/daemon/src/connection/serviceClient.ts
@@ -1,7 +1,7 @@
 /**
  * The one place that knows how a plain service is spoken to.
  */
-import type { LimitWord } from "@crankfork/decisions";
+import type { LimitNotice } from "@crankfork/decisions";
 import type { KeptAnswer } from "@crankfork/schemas";
 import { isUtf8 } from "node:buffer";
 import type { Dispatcher } from "undici";
@@ -23,7 +23,7 @@
 
 /** What a service answered, and what it said of rest and of the rate that it takes. */
 export type ServiceAnswer =
-    & { readonly restMs?: number | undefined; readonly limit: LimitWord; }
+    & { readonly restMs?: number | undefined; readonly limit: LimitNotice; }
     & (
         | { readonly kind: "answered"; readonly answer: KeptAnswer; }
         /** The service says itself that it did not run the call. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -20,4 +20,4 @@
 export type { UpstreamHeartbeat } from "./process/voter/upstreamRegister.js";
 export { waitMs } from "./process/waitMs.js";
 export { removeConnectionHeaders } from "./request/routedAnswer.js";
-export type { CallCodec, CallTarget, HeadVerdict, RoutedCall, UpstreamWord } from "./request/routedCall.js";
+export type { CallCodec, CallTarget, HeadVerdict, RoutedCall, UpstreamNotice } from "./request/routedCall.js";
--- a/packages/daemon/src/process/daemon/platformList.ts
+++ b/packages/daemon/src/process/daemon/platformList.ts
@@ -51,7 +51,7 @@
             this.handleLeaving(leaving.map((one) => one.address));
         }
         catch {
-            // The list is one input among several; without it probes and the engines' own word remain.
+            // The list is one input among several; without it probes and the engines' own notice remain.
         }
     }
 }
--- a/packages/daemon/src/process/daemon/serving.ts
+++ b/packages/daemon/src/process/daemon/serving.ts
@@ -95,8 +95,8 @@
             recordFailure: (state, error) => {
                 this.upstreams.recordFailure(state, error);
             },
-            receiveLimit: (state, word, askedMs) => {
-                this.upstreams.receiveLimit(state, word, askedMs);
+            receiveLimit: (state, notice, askedMs) => {
+                this.upstreams.receiveLimit(state, notice, askedMs);
             },
             recordRest: (state, restMs) => {
                 this.upstreams.recordRest(state, restMs);
@@ -156,10 +156,10 @@
             timeoutMs: settings.timing.upstream_timeout,
             // Two questions without an answer and the engine is taken for lost; see upstreamTable.ts.
             statusTimeoutMs: settings.timing.upstream_poll * 2,
-            receiveLimit: (word, askedMs) => {
+            receiveLimit: (notice, askedMs) => {
                 const state = this.upstreams.get(upstream.name);
                 if (state !== undefined) {
-                    this.upstreams.receiveLimit(state, word, askedMs);
+                    this.upstreams.receiveLimit(state, notice, askedMs);
                 }
             },
             handleStrayAnswer: () => {
--- a/packages/daemon/src/process/daemon/upstreamPace.ts
+++ b/packages/daemon/src/process/daemon/upstreamPace.ts
@@ -2,9 +2,9 @@
  * The rate that one upstream of the product's own interface named, and this entry's even part of it. There is no leader to ask for
  * sends here, so that entries share a limit evenly.
  */
-import { chooseNewerLimit, EvenPace, type HeardLimit, type LimitWord, MOST_GAP_MS } from "@crankfork/decisions";
+import { chooseNewerLimit, EvenPace, type HeardLimit, type LimitNotice, MOST_GAP_MS } from "@crankfork/decisions";
 
-/** What is known around a word. */
+/** What is known around a notice. */
 export interface PaceView {
     /** When the request left that was answered, on the monotonic clock. */
     readonly askedMs: number;
@@ -25,17 +25,17 @@
 
     /**
      * Takes what an answer said of a limit.
-     * @param word - the word; one that can't be read changes nothing
+     * @param notice - the notice; one that can't be read changes nothing
      * @param view - when it was asked, and who shares the limit
      * @returns whether the limit is another one now
      */
-    receive(word: LimitWord, { askedMs, nowMs, entries, draw }: PaceView): boolean {
+    receive(notice: LimitNotice, { askedMs, nowMs, entries, draw }: PaceView): boolean {
         this.entries = entries;
-        if (word.kind === "unreadable") {
+        if (notice.kind === "unreadable") {
             return false;
         }
         const before = this.heard?.requestsASecond;
-        const requestsASecond = word.kind === "limit" ? word.requestsASecond : undefined;
+        const requestsASecond = notice.kind === "limit" ? notice.requestsASecond : undefined;
         this.heard = chooseNewerLimit(this.heard, { requestsASecond, askedMs, heardMs: nowMs });
         const after = this.heard.requestsASecond;
         if (after === before) {
--- a/packages/daemon/src/process/daemon/upstreamState.ts
+++ b/packages/daemon/src/process/daemon/upstreamState.ts
@@ -32,7 +32,7 @@
      */
     constructor(public upstream: Upstream, readonly engine: EngineFunctions | undefined) {}
 
-    /** Whether it leaves, by its own word or the list's; one that came back after a restart leaves no more. */
+    /** Whether it leaves, by its own notice or the list's; one that came back after a restart leaves no more. */
     get isLeaving(): boolean {
         return this.isListedLeaving || this.status?.is_leaving === true;
     }
--- a/packages/daemon/src/process/daemon/upstreamTable.ts
+++ b/packages/daemon/src/process/daemon/upstreamTable.ts
@@ -9,7 +9,7 @@
     createHolderIndex,
     type Holder,
     type HolderIndex,
-    type LimitWord,
+    type LimitNotice,
     type RouteStage,
 } from "@crankfork/decisions";
 import type { Model, Upstream } from "@crankfork/schemas";
@@ -188,13 +188,13 @@
     /**
      * Takes what an upstream says of the rate that it takes.
      * @param state - the upstream
-     * @param word - what its answer said
+     * @param notice - what its answer said
      * @param askedMs - when the request left that it answered
      */
-    receiveLimit(state: UpstreamState, word: LimitWord, askedMs: number): void {
+    receiveLimit(state: UpstreamState, notice: LimitNotice, askedMs: number): void {
         const { countEntries, random, handleChange } = this.functions;
         const view = { askedMs, nowMs: performance.now(), entries: countEntries(), draw: random() };
-        if (state.pace.receive(word, view)) {
+        if (state.pace.receive(notice, view)) {
             handleChange(state, "limit");
         }
     }
--- a/packages/daemon/src/process/entry/entryWords.ts
+++ b/packages/daemon/src/process/entry/entryNotices.ts
@@ -4,8 +4,8 @@
 import { computeReturnGapMs, ReturnOrder } from "@crankfork/decisions";
 import type { FleetSettings, LimitsKnown, RoutedService, ToldLimits } from "@crankfork/schemas";
 import type { EngineControl } from "../../connection/engineControl.js";
-import type { ReceivedAnswer, WordFunctions } from "../../request/requestFunctions.js";
-import type { CallTarget, HeadVerdict, UpstreamWord } from "../../request/routedCall.js";
+import type { NoticeFunctions, ReceivedAnswer } from "../../request/requestFunctions.js";
+import type { CallTarget, HeadVerdict, UpstreamNotice } from "../../request/routedCall.js";
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
@@ -13,15 +13,15 @@
 import { NamedLimits } from "../namedLimits.js";
 import { createObservedControl } from "../observedControl.js";
 import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
-import { LeavingWords } from "./leavingWords.js";
+import { LeavingNotices } from "./leavingNotices.js";
 import { LimitSends } from "./limitSends.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 
 /** Status of an answer of another upstream than the one that was meant (RFC 9110, section 15.5.20). */
 const MISDIRECTED = 421;
 
-/** What the words need from the process. */
-export interface EntryWordsOptions {
+/** What the notices need from the process. */
+export interface EntryNoticesOptions {
     readonly view: FleetView;
     readonly health: UpstreamHealth;
     readonly getNowMs: () => number;
@@ -36,9 +36,9 @@
 }
 
 /** Heeds what upstreams say. */
-export class EntryWords {
+export class EntryNotices {
     readonly rests: UpstreamRests;
-    readonly leaving: LeavingWords;
+    readonly leaving: LeavingNotices;
     readonly limits: NamedLimits;
     readonly sends: LimitSends;
     private known: LimitsKnown = { term: 0, change: 0 };
@@ -47,7 +47,7 @@
     /**
      * @param options - upstreams, log and counters
      */
-    constructor(private readonly options: EntryWordsOptions) {
+    constructor(private readonly options: EntryNoticesOptions) {
         const { settings } = options;
         this.rests = new UpstreamRests(options);
         this.limits = new NamedLimits({
@@ -57,7 +57,7 @@
             },
         });
         this.sends = new LimitSends({ ...options, instance: settings.instance.id, limits: this.limits });
-        this.leaving = new LeavingWords({
+        this.leaving = new LeavingNotices({
             ...options,
             instance: settings.instance.id,
             drainMs: settings.contract.drain,
@@ -121,15 +121,15 @@
      * Creates what a request needs.
      * @returns the functions
      */
-    createFunctions(): WordFunctions {
+    createFunctions(): NoticeFunctions {
         const { rests, leaving, sends } = this;
         return {
-            receive: (target, word, answer) => {
+            receive: (target, notice, answer) => {
                 this.listAskingForRest(target, answer.verdict.faultAddress).forEach((id) => {
-                    rests.receive(id, word.rest, answer.requestId);
+                    rests.receive(id, notice.rest, answer.requestId);
                 });
-                this.receiveLeaving(target, word, answer);
-                this.receiveLimit(target, word, answer);
+                this.receiveLeaving(target, notice, answer);
+                this.receiveLimit(target, notice, answer);
             },
             maySend: (target) => {
                 const passed = listPassed(target);
@@ -150,7 +150,7 @@
 
     private receiveLeaving(
         target: CallTarget,
-        { leaving }: UpstreamWord,
+        { leaving }: UpstreamNotice,
         { verdict, status, requestId }: ReceivedAnswer,
     ): void {
         if (leaving === "unreadable") {
@@ -166,7 +166,7 @@
 
     private receiveLimit(
         { upstreamId }: CallTarget,
-        { limit }: UpstreamWord,
+        { limit }: UpstreamNotice,
         { verdict, status, requestId, sentMs }: ReceivedAnswer,
     ): void {
         if (isOfMeant(verdict, status)) {
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -20,7 +20,7 @@
 import { CrashWatch } from "./crashWatch.js";
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
-import { EntryWords } from "./entryWords.js";
+import { EntryNotices } from "./entryNotices.js";
 import type { Confirmation } from "./fleetLink.js";
 import { LoadsElsewhere } from "./loadsElsewhere.js";
 import { getPathName } from "./pathName.js";
@@ -84,7 +84,7 @@
     private readonly pulse: PathPulse;
     private readonly budgets: RetryBudgets;
     private readonly crashes: CrashWatch;
-    private readonly words: EntryWords;
+    private readonly notices: EntryNotices;
     private readonly functions: RoutedRequestFunctions;
     private readonly loadsElsewhere: LoadsElsewhere;
     private readonly stateAge: StateAge;
@@ -99,8 +99,8 @@
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.stateAge = new StateAge(options.getNowMs);
         this.loadsElsewhere = new LoadsElsewhere({ ...options, getLoadHere: (id) => this.health.getLoad(id) });
-        this.words = new EntryWords({ ...options, view: this.view, health: this.health });
-        this.stallReports = new StallReports(this.words.observe(options.control), options.getNowMs);
+        this.notices = new EntryNotices({ ...options, view: this.view, health: this.health });
+        this.stallReports = new StallReports(this.notices.observe(options.control), options.getNowMs);
         this.faults = new UpstreamFaults({
             view: this.view,
             health: this.health,
@@ -116,9 +116,9 @@
             handleStill: (id, streams, silentMs) => void this.faults.handleStill(id, streams, silentMs),
         });
         this.chooser = new TargetChooser({
-            rests: this.words.rests,
-            leaving: this.words.leaving,
-            sends: this.words.sends,
+            rests: this.notices.rests,
+            leaving: this.notices.leaving,
+            sends: this.notices.sends,
             instance: options.settings.instance.id,
             getRequestsASecond: (service) => this.budgets.get(service).requestsASecond,
             view: this.view,
@@ -171,7 +171,7 @@
             known_index: this.view.knownIndex,
             loads: this.health.listLoads(),
             spending: this.budgets.listSpending(),
-            limits_known: this.words.limitsKnown,
+            limits_known: this.notices.limitsKnown,
         };
     }
 
@@ -193,13 +193,13 @@
         this.budgets.recordElsewhere(state.spending_elsewhere ?? {}, state.spending_known_ms ?? 0);
         this.view.applyUpstreams(state);
         this.crashes.applyState(state);
-        this.words.applyLimits(state.limits);
+        this.notices.applyLimits(state.limits);
         state.suspects?.filter((id) => this.view.getUpstream(id)?.accelerator !== undefined).forEach((id) => {
             this.health.markAbsent(id, false);
         });
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
         this.health.forget(isKnown);
-        this.words.sweep(isKnown);
+        this.notices.sweep(isKnown);
         this.options.connections.closeUnknown(isKnown);
     }
 
@@ -253,7 +253,7 @@
         this.budgets.get(admitted.service.name).recordRequest();
         const end = await handleRoutedRequest(run, answer, this.functions);
         run.close();
-        this.words.sends.withdraw(run);
+        this.notices.sends.withdraw(run);
         recordRequest(this.options, run, end, this.createKnowledge(), ({ admitted: one }) => ({
             ...this.crashes.describe(one),
         }));
@@ -305,7 +305,7 @@
             followPath: (target, pauseMs, leave) => this.pulse.follow(getPathName(target.stages ?? []), pauseMs, leave),
             claimLeave: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
             hasEnded: (id) => this.view.hasEnded(id),
-            words: this.words.createFunctions(),
+            notices: this.notices.createFunctions(),
             crashes: this.createCrashFunctions(),
             record: (event, fields) => {
                 log.record("info", event, fields);
--- a/packages/daemon/src/process/entry/leavingWords.ts
+++ b/packages/daemon/src/process/entry/leavingNotices.ts
@@ -8,12 +8,12 @@
 import type { FleetMetrics } from "../fleetMetrics.js";
 import { LeaderTeller } from "./leaderTeller.js";
 
-/** What the words need from the process. */
-export interface LeavingWordsOptions {
+/** What the notices need from the process. */
+export interface LeavingNoticesOptions {
     readonly instance: string;
     readonly getNowMs: () => number;
     readonly log: EventLog;
-    readonly metrics: Pick<FleetMetrics, "countLeavingWord">;
+    readonly metrics: Pick<FleetMetrics, "countLeavingNotice">;
     /** For how long an upstream serves on after it said that it leaves, in milliseconds. */
     readonly drainMs: number;
     /** Asks the leader; rejects where there is none, or where it does not answer. */
@@ -26,8 +26,8 @@
  */
 const LAST_SENDS_SHARE = 0.5;
 
-/** Keeps the words. */
-export class LeavingWords {
+/** Keeps the notices. */
+export class LeavingNotices {
     /** When each life said so first, by the monotonic clock. */
     private readonly heardMs = new Map<string, number>();
     private untold: readonly string[] = [];
@@ -40,10 +40,10 @@
     /**
      * @param options - clock, log and the way to the leader
      */
-    constructor(private readonly options: LeavingWordsOptions) {}
+    constructor(private readonly options: LeavingNoticesOptions) {}
 
     /**
-     * Takes an upstream's word.
+     * Takes an upstream's notice.
      * @param id - the life that answered
      * @param asked - the request that it answered, for the log
      */
@@ -53,8 +53,8 @@
         }
         const { getNowMs, log, metrics, drainMs } = this.options;
         this.heardMs.set(id, getNowMs());
-        metrics.countLeavingWord();
-        log.record("info", "upstream-leaving-word", { peer: id, asked, drain_ms: drainMs });
+        metrics.countLeavingNotice();
+        log.record("info", "upstream-leaving-notice", { peer: id, asked, drain_ms: drainMs });
         this.untold = [...this.untold, id];
         void this.teller.run();
     }
--- a/packages/daemon/src/process/entry/limitSends.ts
+++ b/packages/daemon/src/process/entry/limitSends.ts
@@ -1,6 +1,6 @@
 /**
  * What this entry may send to upstreams that named a limit: single sends that the leader hands out, and an even part of the limit
- * where no leader can be asked. The limit is the upstream's word to all entries together, so none can keep it by what it
+ * where no leader can be asked. The limit is the upstream's notice to all entries together, so none can keep it by what it
  * sends itself.
  */
 import { EvenPace } from "@crankfork/decisions";
--- a/packages/daemon/src/process/entry/retryBudgets.ts
+++ b/packages/daemon/src/process/entry/retryBudgets.ts
@@ -28,7 +28,7 @@
     }
 
     /**
-     * Takes the leader's word of what other entries sent.
+     * Takes the leader's notice of what other entries sent.
      * @param elsewhere - spending by service
      * @param knownMs - for how long that leader has heard of it
      */
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -26,7 +26,7 @@
 import type { FleetView } from "../../version/fleetView.js";
 import type { UpstreamRests } from "../upstreamRests.js";
 import type { EngineShortage } from "./engineShortage.js";
-import type { LeavingWords } from "./leavingWords.js";
+import type { LeavingNotices } from "./leavingNotices.js";
 import type { LimitSends } from "./limitSends.js";
 import { getPathName, type PathName } from "./pathName.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
@@ -39,7 +39,7 @@
     readonly health: UpstreamHealth;
     readonly shortage: EngineShortage;
     readonly rests: UpstreamRests;
-    readonly leaving: LeavingWords;
+    readonly leaving: LeavingNotices;
     /** What may be sent to upstreams that named a limit. */
     readonly sends: LimitSends;
     /** What other entries have open at an upstream, as the leader told last. */
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -17,7 +17,7 @@
     /** Something was sent although its upstream rests; there should be none. */
     readonly countSendDuringRest: () => void;
     /** An upstream said in an answer that it leaves. */
-    readonly countLeavingWord: () => void;
+    readonly countLeavingNotice: () => void;
     /** An upstream named, changed or ended a limit. */
     readonly countLimit: (change: LimitChange) => void;
     /** Upstreams that have a limit, as this instance knows. */
@@ -88,8 +88,8 @@
         help: "Requests, reports and orders that were sent although their upstream rests; there should be none",
         registers,
     });
-    const leavingWords = new Counter({
-        name: "crankfork_upstream_leaving_words_total",
+    const leavingNotices = new Counter({
+        name: "crankfork_upstream_leaving_notices_total",
         help: "Lives of upstreams that said in an answer that they leave",
         registers,
     });
@@ -185,8 +185,8 @@
         countSendDuringRest: () => {
             duringRest.inc();
         },
-        countLeavingWord: () => {
-            leavingWords.inc();
+        countLeavingNotice: () => {
+            leavingNotices.inc();
         },
         countLimit: (change) => {
             limitChanges.inc({ change });
--- a/packages/daemon/src/process/namedLimits.ts
+++ b/packages/daemon/src/process/namedLimits.ts
@@ -2,7 +2,7 @@
  * The rates that upstreams named in their answers, by their lives. A limit is between an upstream and all instances together, so it
  * comes from answers to this instance and from what others tell.
  */
-import { chooseNewerLimit, type HeardLimit, type LimitWord } from "@crankfork/decisions";
+import { chooseNewerLimit, type HeardLimit, type LimitNotice } from "@crankfork/decisions";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
 
@@ -16,10 +16,10 @@
     readonly handleChange: (id: string, change: LimitChange, source: "heard" | "told") => void;
 }
 
-/** What a word changed. */
+/** What a notice changed. */
 export type LimitChange = "begun" | "raised" | "lowered" | "ended";
 
-/** The answer that a word came with. */
+/** The answer that a notice came with. */
 export interface LimitSource {
     /** The request that was answered, or "report"; for the log. */
     readonly asked: string;
@@ -29,7 +29,7 @@
     readonly askedMs: number;
 }
 
-/** An end is remembered for so long, so that an older word that comes late does not begin the limit again. */
+/** An end is remembered for so long, so that an older notice that comes late does not begin the limit again. */
 const REMEMBERED_MS = 30_000;
 
 /** Keeps limits. */
@@ -46,22 +46,22 @@
     /**
      * Takes what an answer said; the head of it has just come.
      * @param id - the life that answered
-     * @param word - what it said of a limit
+     * @param notice - what it said of a limit
      * @param source - what it answered
      */
-    receive(id: string, word: LimitWord, { asked, askedMs, isReport }: LimitSource): void {
-        if (word.kind === "unreadable") {
-            this.options.log.record("warn", "upstream-limit-unreadable", { peer: id, asked, text: word.text });
+    receive(id: string, notice: LimitNotice, { asked, askedMs, isReport }: LimitSource): void {
+        if (notice.kind === "unreadable") {
+            this.options.log.record("warn", "upstream-limit-unreadable", { peer: id, asked, text: notice.text });
             return;
         }
-        if (isReport && word.kind === "limit") {
+        if (isReport && notice.kind === "limit") {
             this.namedInReports.add(id);
         }
         // A report may say nothing of limits at all; ending one by that would let everything through until the next answer.
         if (isReport && !this.namedInReports.has(id)) {
             return;
         }
-        const requestsASecond = word.kind === "limit" ? word.requestsASecond : undefined;
+        const requestsASecond = notice.kind === "limit" ? notice.requestsASecond : undefined;
         this.apply(id, { requestsASecond, askedMs, heardMs: this.options.getNowMs() }, asked, "heard");
     }
 
--- a/packages/daemon/src/process/observedControl.ts
+++ b/packages/daemon/src/process/observedControl.ts
@@ -4,16 +4,16 @@
  */
 import { getLife, isStartOf } from "@crankfork/schemas";
 import type { EngineControl, EnginePlace, ReportResult } from "../connection/engineControl.js";
-import type { UpstreamWord } from "../request/routedCall.js";
+import type { UpstreamNotice } from "../request/routedCall.js";
 import type { LimitSource } from "./namedLimits.js";
 
-/** What is done with the words. */
+/** What is done with the notices. */
 export interface HeedingFunctions {
-    readonly receiveRest: (id: string, rest: UpstreamWord["rest"], asked: string) => void;
+    readonly receiveRest: (id: string, rest: UpstreamNotice["rest"], asked: string) => void;
     /** Asked right before a send; false where nothing may be sent. */
     readonly maySend: (id: string) => boolean;
     readonly receiveLeaving: (id: string, asked: string) => void;
-    readonly receiveLimit: (id: string, limit: UpstreamWord["limit"], source: LimitSource) => void;
+    readonly receiveLimit: (id: string, limit: UpstreamNotice["limit"], source: LimitSource) => void;
     /** The monotonic clock. */
     readonly getNowMs: () => number;
 }
@@ -21,9 +21,9 @@
 const KEPT_BACK = "not asked: it rests";
 
 /**
- * Creates a control that heeds words.
+ * Creates a control that heeds notices.
  * @param control - speaks to engines
- * @param functions - rests and words of leaving by lives
+ * @param functions - rests and notices of leaving by lives
  * @returns functions that send nothing to an engine that rests
  */
 export function createObservedControl(control: EngineControl, functions: HeedingFunctions): EngineControl {
@@ -34,14 +34,14 @@
             }
             const askedMs = functions.getNowMs();
             const result = await control.getReport(engine);
-            functions.receiveRest(engine.id, result.word?.rest ?? { kind: "none" }, "report");
+            functions.receiveRest(engine.id, result.notice?.rest ?? { kind: "none" }, "report");
             if (isOfMeant(engine, result)) {
-                functions.receiveLimit(engine.id, result.word?.limit ?? { kind: "none" }, {
+                functions.receiveLimit(engine.id, result.notice?.limit ?? { kind: "none" }, {
                     asked: "report",
                     askedMs,
                     isReport: true,
                 });
-                if (result.word?.leaving === "said") {
+                if (result.notice?.leaving === "said") {
                     functions.receiveLeaving(engine.id, "report");
                 }
             }
@@ -53,7 +53,7 @@
             }
             // Whether it leaves is told, with its life, by the report that comes before each order.
             const end = await control.placeLayers(upstream, span, guard);
-            functions.receiveRest(upstream.id, end.word?.rest ?? { kind: "none" }, "order");
+            functions.receiveRest(upstream.id, end.notice?.rest ?? { kind: "none" }, "order");
             return end;
         },
     };
--- a/packages/daemon/src/process/upstreamRests.ts
+++ b/packages/daemon/src/process/upstreamRests.ts
@@ -3,7 +3,7 @@
  * suspicions: where all upstreams of a service are suspected they are used all the same, where all rest nothing is sent.
  * Without it whoever turns requests away looks idle, and gets the most.
  */
-import { Rest, type RestChange, type RestWord } from "@crankfork/decisions";
+import { Rest, type RestChange, type RestNotice } from "@crankfork/decisions";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
 import type { HeedingFunctions } from "./observedControl.js";
@@ -47,23 +47,23 @@
     /**
      * Takes what an answer said.
      * @param id - the life that answered
-     * @param word - what it said of rest
+     * @param notice - what it said of rest
      * @param asked - the request, report or order that it answered, for the log
      */
-    receive(id: string, word: RestWord, asked: string): void {
+    receive(id: string, notice: RestNotice, asked: string): void {
         const { getNowMs, log, metrics } = this.options;
-        if (word.kind === "none") {
+        if (notice.kind === "none") {
             return;
         }
-        if (word.kind === "unreadable") {
-            log.record("warn", "upstream-rest-unreadable", { peer: id, asked, text: word.text });
+        if (notice.kind === "unreadable") {
+            log.record("warn", "upstream-rest-unreadable", { peer: id, asked, text: notice.text });
             return;
         }
         const rest = this.byId.get(id) ?? new Rest();
         this.byId.set(id, rest);
-        const change = rest.record(word.restMs, getNowMs());
+        const change = rest.record(notice.restMs, getNowMs());
         metrics.countRest(change);
-        this.recordChange(id, change, word.restMs, asked);
+        this.recordChange(id, change, notice.restMs, asked);
     }
 
     /**
--- a/packages/daemon/src/process/voter/crashKeeper.ts
+++ b/packages/daemon/src/process/voter/crashKeeper.ts
@@ -78,7 +78,7 @@
     }
 
     /**
-     * Lets a request go at an operator's word.
+     * Lets a request go at an operator's notice.
      * @param fingerprint - the request
      * @returns done once a quorum holds it
      */
--- a/packages/daemon/src/process/voter/fleetProposal.ts
+++ b/packages/daemon/src/process/voter/fleetProposal.ts
@@ -15,7 +15,7 @@
     | { readonly kind: "not-leader"; readonly leader: ReplicaAddress; }
     /** No leader is known, or the change may or may not have been made. */
     | { readonly kind: "unavailable"; }
-    /** It is no upstream's word and changes nothing. */
+    /** It is no upstream's notice and changes nothing. */
     | { readonly kind: "foreign"; readonly reason: string; };
 
 /** What a proposal needs. */
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -161,7 +161,7 @@
     });
     const control = createObservedControl(protocol.control, {
         ...createRestFunctions(rests),
-        receiveLeaving: (id, asked) => void upstreams.recordLeavingWord(id, asked),
+        receiveLeaving: (id, asked) => void upstreams.recordLeavingNotice(id, asked),
         receiveLimit: (id, limit, source) => {
             limits.receive(id, limit, source);
         },
@@ -282,7 +282,7 @@
     server.addMethod("trial", (raw) => crashes.claimTrial(trialParametersSchema.parse(raw)));
     server.addMethod("leaving", async (raw): Promise<LeavingResult> => {
         const { instance, upstreams: ids } = leavingParametersSchema.parse(raw);
-        const taken = await Promise.all(ids.map((id) => upstreams.recordLeavingWord(id, instance)));
+        const taken = await Promise.all(ids.map((id) => upstreams.recordLeavingNotice(id, instance)));
         return { is_taken: taken.every((isTaken) => isTaken) };
     });
     server.addMethod("sends", (raw) => limits.answer(sendsParametersSchema.parse(raw)));
--- a/packages/daemon/src/process/voter/upstreamRegister.ts
+++ b/packages/daemon/src/process/voter/upstreamRegister.ts
@@ -186,12 +186,12 @@
     }
 
     /**
-     * Takes an upstream's word that it leaves, which it said in an answer and not, or not yet, in a heartbeat.
+     * Takes an upstream's notice that it leaves, which it said in an answer and not, or not yet, in a heartbeat.
      * @param id - the life that said so
      * @param heardBy - the entry that it answered, for the log
      * @returns whether a quorum holds it, or has no use for it: the life is over
      */
-    async recordLeavingWord(id: string, heardBy: string): Promise<boolean> {
+    async recordLeavingNotice(id: string, heardBy: string): Promise<boolean> {
         const { host, log } = this.options;
         if (!host.replica.hasNewestState()) {
             return false;
--- a/packages/daemon/src/request/pipelineRun.ts
+++ b/packages/daemon/src/request/pipelineRun.ts
@@ -190,7 +190,7 @@
         if (state?.engine === undefined) {
             throw new StageFailure(stage, "not-held");
         }
-        // The route may be older than the engine's word: it is looked at right before each step.
+        // The route may be older than the engine's notice: it is looked at right before each step.
         if (!state.maySend(this.request.run, performance.now())) {
             throw new StageFailure(stage, "resting");
         }
--- a/packages/daemon/src/request/refuseRequest.ts
+++ b/packages/daemon/src/request/refuseRequest.ts
@@ -48,7 +48,7 @@
         return sendRefusal(run, answer, choiceRefusals[choice.kind]);
     }
     run.boundBy = choice.upstreams;
-    const returnMs = functions.words.computeReturnMs(run.admitted.service, choice.leftMs);
+    const returnMs = functions.notices.computeReturnMs(run.admitted.service, choice.leftMs);
     return sendRefusal(run, answer, choiceRefusals[choice.kind], returnMs);
 }
 
@@ -95,13 +95,13 @@
     if (whole === undefined || answer.isBegun) {
         return sendRefusal(run, answer, "upstream-failed");
     }
-    if (functions.codec.readWord(whole.head).rest.kind === "none") {
+    if (functions.codec.readNotice(whole.head).rest.kind === "none") {
         answer.sendWhole(whole);
     }
     else {
         // The upstream's rest was meant for this instance: others may serve the caller at once.
         const leftMs = choice.kind === "resting" ? choice.leftMs : 0;
-        answer.sendWhole(whole, functions.words.computeReturnMs(run.admitted.service, leftMs));
+        answer.sendWhole(whole, functions.notices.computeReturnMs(run.admitted.service, leftMs));
     }
     return { outcome: "handed-on", status: whole.head.status, refusal: undefined };
 }
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -6,7 +6,7 @@
 import type { UnansweredTry } from "../process/entry/crashWatch.js";
 import type { LeavePath, StreamPulse } from "../process/entry/pathPulse.js";
 import type { EventFields } from "../process/eventLog.js";
-import type { CallCodec, CallTarget, HeadVerdict, UpstreamWord } from "./routedCall.js";
+import type { CallCodec, CallTarget, HeadVerdict, UpstreamNotice } from "./routedCall.js";
 import type { AdmittedCall, RoutedRun } from "./routedRun.js";
 
 /** What an engine's report says of a request that makes no progress. */
@@ -45,9 +45,9 @@
     };
 
 /** What upstreams say of themselves, and what follows from it. */
-export interface WordFunctions {
+export interface NoticeFunctions {
     /** Takes what the head of an answer says of the upstream that gave it. */
-    readonly receive: (target: CallTarget, word: UpstreamWord, answer: ReceivedAnswer) => void;
+    readonly receive: (target: CallTarget, notice: UpstreamNotice, answer: ReceivedAnswer) => void;
     /** Whether the upstreams of a target want a request; looked at right before it is sent. */
     readonly maySend: (target: CallTarget) => boolean;
     readonly recordSend: (target: CallTarget) => void;
@@ -57,7 +57,7 @@
     readonly computeReturnMs: (service: RoutedService, leftMs: number) => number;
 }
 
-/** Which answer a word came with. */
+/** Which answer a notice came with. */
 export interface ReceivedAnswer {
     readonly requestId: string;
     readonly verdict: HeadVerdict;
@@ -106,7 +106,7 @@
     /** Whether an upstream has ended, or is cut off: it can't answer any more. */
     readonly hasEnded: (id: string) => boolean;
     /** What upstreams say of themselves. */
-    readonly words: WordFunctions;
+    readonly notices: NoticeFunctions;
     /** Requests under which upstreams ended. */
     readonly crashes: CrashFunctions;
     readonly record: (event: string, fields: EventFields) => void;
--- a/packages/daemon/src/request/routedAnswer.ts
+++ b/packages/daemon/src/request/routedAnswer.ts
@@ -105,7 +105,7 @@
     /**
      * Sends an upstream's whole answer unchanged.
      * @param answer - head and body
-     * @param returnMs - when the caller should come back, in place of what the upstream said of that; its word where left out
+     * @param returnMs - when the caller should come back, in place of what the upstream said of that; its notice where left out
      */
     sendWhole(answer: WholeAnswer, returnMs?: number): void {
         const left = returnMs === undefined ? LENGTH_HEADERS : RETURN_HEADERS;
--- a/packages/daemon/src/request/routedCall.ts
+++ b/packages/daemon/src/request/routedCall.ts
@@ -2,7 +2,7 @@
  * A request that is routed by host and path, free of the names that its protocol has on the wire. A codec, passed in,
  * reads and writes those.
  */
-import type { ChainStage, LimitWord, RequestSize, RestWord } from "@crankfork/decisions";
+import type { ChainStage, LimitNotice, RequestSize, RestNotice } from "@crankfork/decisions";
 import type { IncomingMessage } from "node:http";
 import type { UpstreamHead } from "../connection/upstreamExchange.js";
 
@@ -55,13 +55,13 @@
 }
 
 /** What an upstream says of itself in the head of an answer, whatever it was asked. */
-export interface UpstreamWord {
+export interface UpstreamNotice {
     /** For how long it wants nothing more from this instance; only a request that it turned away says so. */
-    readonly rest: RestWord;
+    readonly rest: RestNotice;
     /** `unreadable` where the head says something else than yes or no. */
     readonly leaving: "said" | "not-said" | "unreadable";
     /** The rate that it takes from all instances together, for as long as its answers say so. */
-    readonly limit: LimitWord;
+    readonly limit: LimitNotice;
 }
 
 /** Reads and writes what the protocol calls these things. */
@@ -69,7 +69,7 @@
     readonly parseCall: (message: IncomingMessage) => RoutedCall;
     readonly createUpstreamHeaders: (call: RoutedCall, target: CallTarget) => readonly string[];
     readonly judgeHead: (call: RoutedCall, head: UpstreamHead) => HeadVerdict;
-    readonly readWord: (head: UpstreamHead) => UpstreamWord;
+    readonly readNotice: (head: UpstreamHead) => UpstreamNotice;
     /** Headers of an answer of our own, names and values in turn. */
     readonly createErrorHeaders: (call: RoutedCall) => readonly string[];
 }
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -105,7 +105,7 @@
 ): Promise<TryResult> {
     const startMs = functions.getNowMs();
     const eventsBefore = relay?.count ?? 0;
-    const { words } = functions;
+    const { notices } = functions;
     run.tries += 1;
     run.tried.add(target.upstreamId);
     functions.recordStart(target.upstreamId);
@@ -113,7 +113,7 @@
         functions.recordStarted(target.upstreamId);
     });
     const recordOutcome = createOnce((isServed: boolean) => {
-        words.recordOutcome(target, isServed);
+        notices.recordOutcome(target, isServed);
     });
     let watch: TryWatch | undefined;
     const result = await runTry({
@@ -121,7 +121,7 @@
         codec: functions.codec,
         run,
         target,
-        words,
+        notices,
         getNowMs: functions.getNowMs,
         sink: relay?.createSink(() => {
             recordStarted();
@@ -237,7 +237,7 @@
     });
 }
 
-/** Whether upstreams' own words keep a request from being sent. */
+/** Whether upstreams' own notices keep a request from being sent. */
 function isBound(choice: TargetChoice): choice is Extract<TargetChoice, { kind: "resting" | "limited"; }> {
     return choice.kind === "resting" || choice.kind === "limited";
 }
--- a/packages/daemon/src/request/routedTry.ts
+++ b/packages/daemon/src/request/routedTry.ts
@@ -5,8 +5,8 @@
 import type { TryEnd } from "@crankfork/decisions";
 import type { Dispatcher } from "undici";
 import { type OpenExchange, startExchange, type UpstreamHead } from "../connection/upstreamExchange.js";
-import type { WordFunctions } from "./requestFunctions.js";
-import type { CallCodec, CallTarget, HeadVerdict, UpstreamWord } from "./routedCall.js";
+import type { NoticeFunctions } from "./requestFunctions.js";
+import type { CallCodec, CallTarget, HeadVerdict, UpstreamNotice } from "./routedCall.js";
 import type { RoutedRun, RunStop } from "./routedRun.js";
 
 /** Why a try is given up from outside, and the address of the engine at fault where it is known. */
@@ -57,7 +57,7 @@
     readonly target: CallTarget;
     /** Takes a successful answer as a stream; left out for whole answers. */
     readonly sink?: StreamSink | undefined;
-    readonly words: WordFunctions;
+    readonly notices: NoticeFunctions;
     /** The monotonic clock. */
     readonly getNowMs: () => number;
     /** Called with a function that gives the try up from outside. */
@@ -95,7 +95,7 @@
     start(): void {
         const { connections, codec, run, target } = this.options;
         const { call, body } = run.admitted;
-        const { words } = this.options;
+        const { notices } = this.options;
         this.forgetStop = run.handleStop((stop) => {
             this.cancel({ kind: "stopped", stop });
         });
@@ -107,10 +107,10 @@
             body,
         }, {
             mayStart: () => {
-                const isFree = words.maySend(target);
+                const isFree = notices.maySend(target);
                 if (isFree) {
                     this.sentMs = this.options.getNowMs();
-                    words.recordSend(target);
+                    notices.recordSend(target);
                 }
                 return isFree;
             },
@@ -142,11 +142,11 @@
     }
 
     private handleHead(head: UpstreamHead): void {
-        const { codec, run, target, words } = this.options;
+        const { codec, run, target, notices } = this.options;
         const { call } = run.admitted;
         this.head = head;
         this.verdict = codec.judgeHead(call, head);
-        words.receive(target, codec.readWord(head), {
+        notices.receive(target, codec.readNotice(head), {
             requestId: call.requestId,
             verdict: this.verdict,
             status: head.status,
@@ -188,7 +188,7 @@
         }
         const answer = { head, body: Buffer.concat(this.chunks) };
         const { faultAddress } = verdict;
-        const reason = describeHead(head, this.options.codec.readWord(head));
+        const reason = describeHead(head, this.options.codec.readNotice(head));
         if (verdict.kind === "declined") {
             this.settle({ kind: "ended", end: "declined", reason, answer, faultAddress });
         }
@@ -215,7 +215,7 @@
 }
 
 /** What the upstream said of itself stands beside the status, so that a request's line tells why it went elsewhere. */
-function describeHead({ status }: UpstreamHead, { rest, leaving, limit }: UpstreamWord): string {
+function describeHead({ status }: UpstreamHead, { rest, leaving, limit }: UpstreamNotice): string {
     return [
         `status ${String(status)}`,
         ...(rest.kind === "rest" ? [`rests for ${String(rest.restMs)} ms`] : []),
--- a/packages/daemon/src/request/serviceRequest.ts
+++ b/packages/daemon/src/request/serviceRequest.ts
@@ -1,7 +1,7 @@
 /**
  * A call to a plain service, at most once where its configuration says so.
  */
-import type { LimitWord, RetryBudget } from "@crankfork/decisions";
+import type { LimitNotice, RetryBudget } from "@crankfork/decisions";
 import type { KeptAnswer, Service } from "@crankfork/schemas";
 import { createHash } from "node:crypto";
 import type { IncomingHttpHeaders } from "node:http";
@@ -26,7 +26,7 @@
     /** The upstream said in an answer that it wants nothing for so long. */
     readonly recordRest: (state: UpstreamState, restMs: number) => void;
     /** Takes what an answer says of the rate that its upstream takes. */
-    readonly receiveLimit: (state: UpstreamState, word: LimitWord, askedMs: number) => void;
+    readonly receiveLimit: (state: UpstreamState, notice: LimitNotice, askedMs: number) => void;
     /** How long the first of some upstreams rests; undefined where none does. */
     readonly computeRestMs: (names: readonly string[]) => number | undefined;
     readonly getBudget: (service: Service) => RetryBudget;
--- a/packages/daemon/tests/cancelledRun.test.ts
+++ b/packages/daemon/tests/cancelledRun.test.ts
@@ -1,7 +1,7 @@
 /**
  * A caller left in mid-stream, and engine-2 kept its run: "waited in vain for engine-2 to have no run". Whoever gives a run up tells
- * each engine once, while a step of it may still be on its way there over another connection: the step came after the word, which
- * was answered, and began the run anew. A word that was turned away, or not answered in time, was lost without a line.
+ * each engine once, while a step of it may still be on its way there over another connection: the step came after the notice, which
+ * was answered, and began the run anew. A notice that was turned away, or not answered in time, was lost without a line.
  */
 import { type Step } from "@crankfork/schemas";
 import { expect } from "chai";
@@ -31,7 +31,7 @@
     cancels = 0;
     /** For so long a call with steps is on its way. */
     stepsTakeMs = 0;
-    /** So many words of an end are turned away. */
+    /** So many notices of an end are turned away. */
     refusals = 0;
     /** Whether steps are ever answered. */
     answers = true;
@@ -112,7 +112,7 @@
     }[] = [
         { title: "its step was answered", prepare: () => undefined },
         {
-            title: "its step is overtaken by the word",
+            title: "its step is overtaken by the notice",
             prepare: (one) => {
                 one.stepsTakeMs = 100;
             },
@@ -125,7 +125,7 @@
             },
         },
         {
-            title: "the word is turned away once",
+            title: "the notice is turned away once",
             prepare: (one) => {
                 one.refusals = 1;
             },
--- a/packages/daemon/tests/claimedRun.test.ts
+++ b/packages/daemon/tests/claimedRun.test.ts
@@ -164,7 +164,7 @@
     });
 
     for (const [kind, id] of [["no-quorum", "no-quorum"], ["unknown", "claim-unknown"]] as const) {
-        it(`without the voters' word nothing runs: ${kind}`, async () => {
+        it(`without an answer of the voters nothing runs: ${kind}`, async () => {
             entries.votersAnswer = () => ({ kind });
             expect([await getFailure(entries.send("left")), entries.runs]).to.deep.equal([id, 0]);
         });
--- a/packages/daemon/tests/entryWords.test.ts
+++ b/packages/daemon/tests/entryNotices.test.ts
@@ -1,10 +1,10 @@
 import type { RegisteredUpstream } from "@crankfork/schemas";
 import { expect } from "chai";
-import { EntryWords } from "../src/process/entry/entryWords.js";
+import { EntryNotices } from "../src/process/entry/entryNotices.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
 import type { FleetMetrics } from "../src/process/fleetMetrics.js";
 import type { ReceivedAnswer } from "../src/request/requestFunctions.js";
-import type { CallTarget, UpstreamWord } from "../src/request/routedCall.js";
+import type { CallTarget, UpstreamNotice } from "../src/request/routedCall.js";
 import { FleetView } from "../src/version/fleetView.js";
 import { createSettings } from "./entrySettings.js";
 import { createWholeState } from "./wholeState.js";
@@ -12,20 +12,20 @@
 const DRAIN_MS = 2_000;
 
 /** An entry that knows three engines, and a path through two of them. */
-class WordStand {
+class NoticeStand {
     nowMs = 0;
     readonly events: string[] = [];
     readonly told: unknown[] = [];
     /** How many times there is no leader. */
     leaderless = 0;
-    readonly words: EntryWords;
-    readonly functions: ReturnType<EntryWords["createFunctions"]>;
+    readonly notices: EntryNotices;
+    readonly functions: ReturnType<EntryNotices["createFunctions"]>;
     private readonly view = new FleetView();
 
     constructor() {
         const getNowMs = (): number => this.nowMs;
         const count = (): undefined => undefined;
-        this.words = new EntryWords({
+        this.notices = new EntryNotices({
             view: this.view,
             health: new UpstreamHealth(getNowMs),
             getNowMs,
@@ -33,7 +33,7 @@
                 record: (_level, event, { peer, change } = {}) =>
                     this.events.push([event, peer, change].join(" ").trim()),
             },
-            metrics: { countRest: count, countKeptBack: count, countLeavingWord: count } as unknown as FleetMetrics,
+            metrics: { countRest: count, countKeptBack: count, countLeavingNotice: count } as unknown as FleetMetrics,
             countEntries: () => 1,
             random: () => 0,
             settings: createSettings({ drain: DRAIN_MS }),
@@ -46,16 +46,16 @@
                 return Promise.resolve({ is_taken: true });
             },
         });
-        this.functions = this.words.createFunctions();
+        this.functions = this.notices.createFunctions();
         this.view.applyUpstreams(createWholeState(1, ["a", "b", "c"].map(createUpstream)));
     }
 
-    receive(word: Partial<UpstreamWord>, answer: Partial<ReceivedAnswer> = {}): void {
+    receive(notice: Partial<UpstreamNotice>, answer: Partial<ReceivedAnswer> = {}): void {
         this.functions.receive(target, {
             rest: { kind: "none" },
             leaving: "not-said",
             limit: { kind: "none" },
-            ...word,
+            ...notice,
         }, {
             requestId: "1",
             verdict: { kind: "answer", faultAddress: undefined },
@@ -90,26 +90,26 @@
     lastEventId: undefined,
 };
 
-describe("a word of leaving counts for the life that was asked, and for good", () => {
+describe("a notice of leaving counts for the life that was asked, and for good", () => {
     const rows: readonly {
         readonly title: string;
-        readonly leaving?: UpstreamWord["leaving"];
+        readonly leaving?: UpstreamNotice["leaving"];
         readonly answer?: Partial<ReceivedAnswer>;
         readonly isLeaving: boolean;
         readonly events: readonly string[];
     }[] = [
-        { title: "an answer", isLeaving: true, events: ["upstream-leaving-word a"] },
+        { title: "an answer", isLeaving: true, events: ["upstream-leaving-notice a"] },
         {
             title: "a request that was turned away",
             answer: { verdict: { kind: "declined", faultAddress: undefined }, status: 503 },
             isLeaving: true,
-            events: ["upstream-leaving-word a"],
+            events: ["upstream-leaving-notice a"],
         },
         {
             title: "another's fault on the path",
             answer: { verdict: { kind: "declined", faultAddress: "at-b" }, status: 503 },
             isLeaving: true,
-            events: ["upstream-leaving-word a"],
+            events: ["upstream-leaving-notice a"],
         },
         {
             title: "a stray answer",
@@ -123,9 +123,9 @@
             isLeaving: false,
             events: [],
         },
-        { title: "no word", leaving: "not-said", isLeaving: false, events: [] },
+        { title: "no notice", leaving: "not-said", isLeaving: false, events: [] },
         {
-            title: "a word that makes no sense",
+            title: "a notice that makes no sense",
             leaving: "unreadable",
             isLeaving: false,
             events: ["upstream-leaving-unreadable a"],
@@ -133,34 +133,34 @@
     ];
     for (const { title, leaving = "said", answer, isLeaving, events } of rows) {
         it(`${title}: ${isLeaving ? "it leaves" : "nothing changes"}`, () => {
-            const stand = new WordStand();
+            const stand = new NoticeStand();
             stand.receive({ leaving }, answer);
-            expect(["a", "b"].map((id) => stand.words.leaving.isLeaving(id))).to.deep.equal([isLeaving, false]);
+            expect(["a", "b"].map((id) => stand.notices.leaving.isLeaving(id))).to.deep.equal([isLeaving, false]);
             expect(stand.events).to.deep.equal(events);
         });
     }
 
     it("is written once, told to the leader until it takes it, and forgotten with the life", async () => {
-        const stand = new WordStand();
+        const stand = new NoticeStand();
         stand.leaderless = 2;
         stand.receive({ leaving: "said" });
         stand.receive({ leaving: "said" });
         await new Promise((resolve) => setTimeout(resolve, 400));
         expect(stand.told).to.deep.equal([{ instance: "entry", upstreams: ["a"] }]);
         expect(stand.events).to.deep.equal([
-            "upstream-leaving-word a",
+            "upstream-leaving-notice a",
             "leaving-not-told",
             "leaving-not-told",
             "leaving-told",
         ]);
         stand.receive({ leaving: "not-said" });
-        expect(stand.words.leaving.isLeaving("a")).to.equal(true);
-        stand.words.sweep((id) => id !== "a");
-        expect(stand.words.leaving.isLeaving("a")).to.equal(false);
+        expect(stand.notices.leaving.isLeaving("a")).to.equal(true);
+        stand.notices.sweep((id) => id !== "a");
+        expect(stand.notices.leaving.isLeaving("a")).to.equal(false);
     });
 
     it("one that leaves may take requests early in its time to drain, and none later", () => {
-        const stand = new WordStand();
+        const stand = new NoticeStand();
         stand.receive({ leaving: "said" });
         const seen = [0, DRAIN_MS / 2 - 1, DRAIN_MS / 2, DRAIN_MS].map((nowMs) => {
             stand.nowMs = nowMs;
@@ -171,10 +171,10 @@
 });
 
 describe("a rest counts for whoever it may be of", () => {
-    const rest: UpstreamWord["rest"] = { kind: "rest", restMs: 3_000 };
+    const rest: UpstreamNotice["rest"] = { kind: "rest", restMs: 3_000 };
     const rows: readonly {
         readonly title: string;
-        readonly rest?: UpstreamWord["rest"];
+        readonly rest?: UpstreamNotice["rest"];
         readonly answer?: Partial<ReceivedAnswer>;
         readonly resting: readonly string[];
     }[] = [
@@ -203,9 +203,9 @@
     ];
     for (const { title, rest: said = rest, answer, resting } of rows) {
         it(title, () => {
-            const stand = new WordStand();
+            const stand = new NoticeStand();
             stand.receive({ rest: said }, { status: 503, ...answer });
-            const { rests } = stand.words;
+            const { rests } = stand.notices;
             expect(["a", "b", "c"].filter((id) => rests.isResting(id))).to.deep.equal(resting);
             expect(stand.functions.maySend(target)).to.equal(resting.length === 0);
             expect(stand.events.length).to.equal(Math.max(1, resting.length));
@@ -213,18 +213,18 @@
     }
 
     it("ends with its time or its life, with a line each", () => {
-        const stand = new WordStand();
+        const stand = new NoticeStand();
         stand.receive({ rest }, { status: 503 });
         stand.nowMs = 2_999;
-        stand.words.sweep(() => true);
+        stand.notices.sweep(() => true);
         expect(stand.functions.maySend(target)).to.equal(false);
         stand.nowMs = 3_000;
-        stand.words.sweep(() => true);
+        stand.notices.sweep(() => true);
         expect(stand.functions.maySend(target)).to.equal(true);
         stand.receive({ rest: { kind: "rest", restMs: Number.POSITIVE_INFINITY } }, { status: 503 });
         stand.nowMs = 1e15;
         expect(stand.functions.maySend(target)).to.equal(false);
-        stand.words.sweep((id) => id !== "a");
+        stand.notices.sweep((id) => id !== "a");
         expect(stand.functions.maySend(target)).to.equal(true);
         expect(stand.events).to.deep.equal([
             "upstream-rest a begun",
@@ -235,7 +235,7 @@
     });
 
     it("callers are told one time after another, none before the end", () => {
-        const stand = new WordStand();
+        const stand = new NoticeStand();
         const times = Array.from({ length: 200 }, () => stand.functions.computeReturnMs({ name: "s" }, 3_000));
         expect(Math.min(...times)).to.equal(3_000);
         expect(Math.max(...times)).to.be.at.most(5_000);
--- a/packages/daemon/tests/leavingUpstream.test.ts
+++ b/packages/daemon/tests/leavingUpstream.test.ts
@@ -4,27 +4,27 @@
 const LIFE = { name: "a", started_at_ms: 5 };
 const ID = "a@5";
 
-describe("a leader takes an upstream's word of leaving from whoever heard it", () => {
+describe("a leader takes an upstream's notice of leaving from whoever heard it", () => {
     const getStatus = (stand: LeaderStand, id = ID): string | undefined => stand.state.getUpstream(id)?.status;
 
     it("it is final for that life, and later heartbeats cost no entry of the log", async () => {
         const stand = new LeaderStand();
         await stand.registerLife(LIFE);
-        expect(await stand.upstreams.recordLeavingWord(ID, "entry-1")).to.equal(true);
+        expect(await stand.upstreams.recordLeavingNotice(ID, "entry-1")).to.equal(true);
         const index = stand.state.lastChange;
         await stand.registerLife(LIFE);
         await stand.registerLife(LIFE);
         expect([getStatus(stand), stand.state.lastChange]).to.deep.equal(["leaving", index]);
-        expect(await stand.upstreams.recordLeavingWord(ID, "entry-2")).to.equal(true);
+        expect(await stand.upstreams.recordLeavingNotice(ID, "entry-2")).to.equal(true);
         expect(stand.state.lastChange).to.equal(index);
     });
 
-    it("its next life is used, and a word of the former one changes nothing", async () => {
+    it("its next life is used, and a notice of the former one changes nothing", async () => {
         const stand = new LeaderStand();
         await stand.registerLife(LIFE);
-        await stand.upstreams.recordLeavingWord(ID, "entry-1");
+        await stand.upstreams.recordLeavingNotice(ID, "entry-1");
         await stand.registerLife({ ...LIFE, started_at_ms: 6 });
-        expect(await stand.upstreams.recordLeavingWord(ID, "entry-2")).to.equal(true);
+        expect(await stand.upstreams.recordLeavingNotice(ID, "entry-2")).to.equal(true);
         expect([getStatus(stand), getStatus(stand, "a@6")]).to.deep.equal([undefined, "ready"]);
     });
 
@@ -32,7 +32,7 @@
         const stand = new LeaderStand();
         await stand.registerLife(LIFE);
         stand.isLeading = false;
-        expect(await stand.upstreams.recordLeavingWord(ID, "entry-1")).to.equal(false);
+        expect(await stand.upstreams.recordLeavingNotice(ID, "entry-1")).to.equal(false);
         expect(getStatus(stand)).to.equal("ready");
     });
 
@@ -40,7 +40,7 @@
         const stand = new LeaderStand();
         await stand.registerLife(LIFE);
         stand.upstreams.markLost(stand.state.getUpstream(ID)!, "silent");
-        await stand.upstreams.recordLeavingWord(ID, "entry-1");
+        await stand.upstreams.recordLeavingNotice(ID, "entry-1");
         expect(getStatus(stand)).to.equal("leaving");
     });
 });
--- a/packages/daemon/tests/limitKeeper.test.ts
+++ b/packages/daemon/tests/limitKeeper.test.ts
@@ -105,7 +105,7 @@
 });
 
 describe("the leader hands out sends", () => {
-    it("by the word that comes with the question", () => {
+    it("by the notice that comes with the question", () => {
         const stand = new KeeperStand();
         expect(stand.ask({ heard: [told("u", 4)], wanted: wantU })).to.deep.equal({
             kind: "sends",
--- a/packages/daemon/tests/limitSends.test.ts
+++ b/packages/daemon/tests/limitSends.test.ts
@@ -53,10 +53,10 @@
     }
 
     receive(id: string, requestsASecond: number | undefined): void {
-        const word = requestsASecond === undefined
+        const notice = requestsASecond === undefined
             ? { kind: "none" } as const
             : { kind: "limit", requestsASecond } as const;
-        this.limits.receive(id, word, { asked: "1", askedMs: performance.now(), isReport: false });
+        this.limits.receive(id, notice, { asked: "1", askedMs: performance.now(), isReport: false });
     }
 
     claims(id: string, wish: Partial<SendWish> = {}): boolean {
--- a/packages/daemon/tests/loadsElsewhere.test.ts
+++ b/packages/daemon/tests/loadsElsewhere.test.ts
@@ -26,7 +26,7 @@
         });
     }
 
-    it("nothing elsewhere before the first word, where nothing is open here", () => {
+    it("nothing elsewhere before the first notice, where nothing is open here", () => {
         const loads = new LoadsElsewhere({
             getNowMs: () => 0,
             getLoadHere: () => ({ open: 0, unstarted: 0 }),
--- a/packages/daemon/tests/namedLimits.test.ts
+++ b/packages/daemon/tests/namedLimits.test.ts
@@ -73,7 +73,7 @@
         });
     }
 
-    it("an older word that another instance tells late does not begin it again", () => {
+    it("an older notice that another instance tells late does not begin it again", () => {
         const stand = new LimitStand();
         stand.receive(2, 990);
         stand.nowMs = 1_100;
--- a/packages/daemon/tests/ownLimits.test.ts
+++ b/packages/daemon/tests/ownLimits.test.ts
@@ -2,7 +2,7 @@
  * Upstreams of the product's own interface named a rate, and nobody read it, as at routed requests: three callers at each of two
  * entries went on at their own pace.
  */
-import type { LimitWord } from "@crankfork/decisions";
+import type { LimitNotice } from "@crankfork/decisions";
 import { upstreamSchema } from "@crankfork/schemas";
 import { expect } from "chai";
 import { createServer, type Server } from "node:http";
@@ -12,32 +12,32 @@
 import { UpstreamPace } from "../src/process/daemon/upstreamPace.js";
 import { UpstreamState } from "../src/process/daemon/upstreamState.js";
 
-const limit = (requestsASecond: number): LimitWord => ({ kind: "limit", requestsASecond });
+const limit = (requestsASecond: number): LimitNotice => ({ kind: "limit", requestsASecond });
 
 describe("an entry of the product's own interface keeps to its even part of a limit", () => {
     const rows: readonly {
         readonly title: string;
-        readonly words: readonly LimitWord[];
+        readonly notices: readonly LimitNotice[];
         readonly sentMs: readonly number[];
         readonly dueMs: number;
     }[] = [
-        { title: "none was named", words: [{ kind: "none" }], sentMs: [100], dueMs: 100 },
-        { title: "4 a second for two entries", words: [limit(4)], sentMs: [1_000], dueMs: 1_400 },
-        { title: "it was lowered to 2", words: [limit(4), limit(2)], sentMs: [1_000], dueMs: 1_900 },
-        { title: "it ended", words: [limit(4), { kind: "none" }], sentMs: [1_000], dueMs: 1_000 },
+        { title: "none was named", notices: [{ kind: "none" }], sentMs: [100], dueMs: 100 },
+        { title: "4 a second for two entries", notices: [limit(4)], sentMs: [1_000], dueMs: 1_400 },
+        { title: "it was lowered to 2", notices: [limit(4), limit(2)], sentMs: [1_000], dueMs: 1_900 },
+        { title: "it ended", notices: [limit(4), { kind: "none" }], sentMs: [1_000], dueMs: 1_000 },
         {
             title: "one that can't be read",
-            words: [limit(4), { kind: "unreadable", text: "-1" }],
+            notices: [limit(4), { kind: "unreadable", text: "-1" }],
             sentMs: [1_000],
             dueMs: 1_400,
         },
-        { title: "none are taken: one in ten seconds", words: [limit(0)], sentMs: [1_000], dueMs: 20_900 },
+        { title: "none are taken: one in ten seconds", notices: [limit(0)], sentMs: [1_000], dueMs: 20_900 },
     ];
-    for (const { title, words, sentMs, dueMs } of rows) {
+    for (const { title, notices, sentMs, dueMs } of rows) {
         it(title, () => {
             const pace = new UpstreamPace();
-            words.forEach((word, number) => {
-                pace.receive(word, { askedMs: number, nowMs: number, entries: 2, draw: 0 });
+            notices.forEach((notice, number) => {
+                pace.receive(notice, { askedMs: number, nowMs: number, entries: 2, draw: 0 });
             });
             sentMs.forEach((nowMs) => {
                 pace.recordSend(nowMs);
@@ -71,7 +71,7 @@
         server.close();
     });
 
-    const rows: readonly { readonly said: Record<string, string>; readonly expected: LimitWord; }[] = [
+    const rows: readonly { readonly said: Record<string, string>; readonly expected: LimitNotice; }[] = [
         { said: {}, expected: { kind: "none" } },
         { said: { "x-requests-a-second": "2.5" }, expected: limit(2.5) },
         { said: { "x-requests-a-second": "soon" }, expected: { kind: "unreadable", text: "soon" } },
--- a/packages/daemon/tests/ownRests.test.ts
+++ b/packages/daemon/tests/ownRests.test.ts
@@ -33,8 +33,8 @@
     const rows = [
         { title: "turned away", said: { "retry-after": "3", "x-not-run": "true" }, kind: "not-run", restMs: 3_000 },
         { title: "a failure", said: { "retry-after": "0.5" }, kind: "answered", restMs: 500 },
-        { title: "turned away without a word", said: { "x-not-run": "true" }, kind: "not-run", restMs: undefined },
-        { title: "a word that makes no sense", said: { "retry-after": "soon" }, kind: "answered", restMs: undefined },
+        { title: "turned away without a notice", said: { "x-not-run": "true" }, kind: "not-run", restMs: undefined },
+        { title: "a notice that makes no sense", said: { "retry-after": "soon" }, kind: "answered", restMs: undefined },
     ];
     for (const { title, said, kind, restMs } of rows) {
         it(`a plain service: ${title}`, async () => {
--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -1,6 +1,6 @@
 import type { RegisteredUpstream, Route, RoutedService } from "@crankfork/schemas";
 import { EngineShortage } from "../src/process/entry/engineShortage.js";
-import { EntryWords } from "../src/process/entry/entryWords.js";
+import { EntryNotices } from "../src/process/entry/entryNotices.js";
 import { TargetChooser } from "../src/process/entry/targetChooser.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
 import type { FleetMetrics } from "../src/process/fleetMetrics.js";
@@ -297,7 +297,7 @@
 class ReplayEntry {
     readonly health: UpstreamHealth;
     readonly chooser: TargetChooser;
-    readonly functions: ReturnType<EntryWords["createFunctions"]>;
+    readonly functions: ReturnType<EntryNotices["createFunctions"]>;
     loadsElsewhere: ReadonlyMap<string, number> = new Map();
     private readonly view = new FleetView();
     private index = 0;
@@ -309,7 +309,7 @@
     ) {
         const { view } = this;
         this.health = new UpstreamHealth(getNowMs);
-        const words = new EntryWords({
+        const notices = new EntryNotices({
             view,
             health: this.health,
             getNowMs,
@@ -320,14 +320,14 @@
             settings: createSettings(),
             askLeader: () => Promise.resolve({ is_taken: true }),
         });
-        this.functions = words.createFunctions();
+        this.functions = notices.createFunctions();
         this.chooser = new TargetChooser({
             instance: "entry",
             view,
             health: this.health,
-            rests: words.rests,
-            leaving: words.leaving,
-            sends: words.sends,
+            rests: notices.rests,
+            leaving: notices.leaving,
+            sends: notices.sends,
             shortage: new EngineShortage(getNowMs),
             getLoadElsewhere: (id) => ({ open: this.loadsElsewhere.get(id) ?? 0, unstarted: 0 }),
             isAvoided: () => false,
--- a/packages/daemon/tests/restReplay.test.ts
+++ b/packages/daemon/tests/restReplay.test.ts
@@ -22,7 +22,7 @@
 /** Each rest ends so long after the first 503, give or take the time to the first requests. */
 const RETURN_MS = SHEDS_FROM_MS + 1_500;
 const FIRST_MS = 100;
-/** What an entry had sent before it read the word may still arrive. */
+/** What an entry had sent before it read the notice may still arrive. */
 const UNDER_WAY_MS = 500;
 
 function play(change: Partial<ReplayOptions>, sheds: number): ReplayResult {
--- a/packages/daemon/tests/restingRequest.test.ts
+++ b/packages/daemon/tests/restingRequest.test.ts
@@ -3,7 +3,7 @@
  * the answer to the request itself.
  */
 import { expect } from "chai";
-import type { WordFunctions } from "../src/request/requestFunctions.js";
+import type { NoticeFunctions } from "../src/request/requestFunctions.js";
 import { ask } from "./askEntry.js";
 import { formatAnswer, ScriptedUpstream, TestEntry, type UpstreamScript } from "./routedHarness.js";
 
@@ -15,7 +15,7 @@
 interface Case {
     readonly title: string;
     readonly scripts: readonly UpstreamScript[];
-    readonly words?: Partial<WordFunctions>;
+    readonly notices?: Partial<NoticeFunctions>;
     readonly leftMs?: number;
     readonly status: number;
     readonly retryAfter?: string;
@@ -53,14 +53,14 @@
         {
             title: "the rest begins while a connection is made: nothing is sent there",
             scripts: [answer, answer],
-            words: { maySend: ({ upstreamId }) => upstreamId !== "u0" },
+            notices: { maySend: ({ upstreamId }) => upstreamId !== "u0" },
             status: 200,
             reached: [0, 1],
         },
         {
             title: "the same, for a request that may run once",
             scripts: [answer, answer],
-            words: { maySend: ({ upstreamId }) => upstreamId !== "u0" },
+            notices: { maySend: ({ upstreamId }) => upstreamId !== "u0" },
             status: 200,
             reached: [0, 1],
             isRepeatable: false,
@@ -68,7 +68,7 @@
         {
             title: "the same, and no other is there",
             scripts: [answer],
-            words: { maySend: () => false },
+            notices: { maySend: () => false },
             leftMs: 500,
             status: 503,
             retryAfter: "0.5",
@@ -83,7 +83,7 @@
             reached: [1],
         },
     ];
-    for (const { title, scripts, words, leftMs, status, retryAfter, reached, isRepeatable = true } of rows) {
+    for (const { title, scripts, notices, leftMs, status, retryAfter, reached, isRepeatable = true } of rows) {
         it(title, async () => {
             const upstreams = await Promise.all(
                 scripts.map((script, number) => ScriptedUpstream.open(`u${String(number)}`, script)),
@@ -91,7 +91,7 @@
             const entry = await TestEntry.open({
                 upstreams,
                 route: { is_repeatable: isRepeatable, most_attempts: 3 },
-                ...(words === undefined ? {} : { words }),
+                ...(notices === undefined ? {} : { notices }),
                 ...(leftMs === undefined ? {} : { restLeftMs: leftMs }),
             });
             try {
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -7,9 +7,9 @@
 import type { RequestEnd } from "../src/request/refuseRequest.js";
 import type {
     CrashFunctions,
+    NoticeFunctions,
     RoutedRequestFunctions,
     StallAnswer,
-    WordFunctions,
 } from "../src/request/requestFunctions.js";
 import { removeConnectionHeaders, RoutedAnswer } from "../src/request/routedAnswer.js";
 import type { CallCodec, CallTarget } from "../src/request/routedCall.js";
@@ -45,7 +45,7 @@
         const faultAddress = typeof fault === "string" ? fault : undefined;
         return { kind: head.headers["x-not-run"] === undefined ? "answer" : "declined", faultAddress };
     },
-    readWord: (head) => ({
+    readNotice: (head) => ({
         rest: readRest(head),
         leaving: head.headers["x-leaving"] === undefined ? "not-said" : "said",
         limit: { kind: "none" },
@@ -141,7 +141,7 @@
     /** What is known of requests under which upstreams ended; nothing where left out. */
     readonly crashes?: Partial<CrashFunctions>;
     /** What upstreams said of themselves; nothing where left out. */
-    readonly words?: Partial<WordFunctions>;
+    readonly notices?: Partial<NoticeFunctions>;
     /** How often the caller's key may be used when that is asked; left out for a route without keys. */
     readonly keyLooks?: number;
     /** For how long the machine sleeps once a request is there; 0 where left out. */
@@ -257,13 +257,13 @@
             claimLeave: (run) =>
                 options.mayLeave !== false && options.upstreams.some((one) => !run.tried.has(one.name)),
             hasEnded: (id) => options.ended?.includes(id) === true,
-            words: {
+            notices: {
                 receive: () => undefined,
                 maySend: () => true,
                 recordSend: () => undefined,
                 recordOutcome: () => undefined,
                 computeReturnMs: (_service, leftMs) => leftMs,
-                ...options.words,
+                ...options.notices,
             },
             crashes: {
                 isHeld: () => false,
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -2,7 +2,7 @@
 import type { EngineProfile, LayerSpan, RegisteredUpstream, Route, RoutedService } from "@crankfork/schemas";
 import { expect } from "chai";
 import { EngineShortage } from "../src/process/entry/engineShortage.js";
-import { LeavingWords } from "../src/process/entry/leavingWords.js";
+import { LeavingNotices } from "../src/process/entry/leavingNotices.js";
 import { TargetChooser } from "../src/process/entry/targetChooser.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
 import { UpstreamRests } from "../src/process/upstreamRests.js";
@@ -78,11 +78,11 @@
     readonly loads = new Map<string, ChainLoad>();
     readonly health = new UpstreamHealth(() => this.nowMs);
     readonly rests = new UpstreamRests({ getNowMs: () => this.nowMs, log: noLog, metrics: noMetrics });
-    readonly leaving = new LeavingWords({
+    readonly leaving = new LeavingNotices({
         instance: "entry-1",
         getNowMs: () => this.nowMs,
         log: noLog,
-        metrics: { countLeavingWord: () => undefined },
+        metrics: { countLeavingNotice: () => undefined },
         drainMs: 2_000,
         askLeader: () => Promise.resolve({ is_taken: true }),
     });
--- a/packages/decisions/src/connection/parseLimit.ts
+++ b/packages/decisions/src/connection/parseLimit.ts
@@ -3,7 +3,7 @@
  */
 
 /** What an answer says of a limit. */
-export type LimitWord =
+export type LimitNotice =
     /** No limit, so one that was named before is over. */
     | { readonly kind: "none"; }
     /** From all instances together. */
@@ -21,7 +21,7 @@
  * @param values - each time that the header was there; none where it was left out
  * @returns the lowest limit that can be read; a text where none can be
  */
-export function parseLimit(values: readonly string[]): LimitWord {
+export function parseLimit(values: readonly string[]): LimitNotice {
     const texts = values.flatMap((value) => value.split(",")).map((text) => text.trim());
     const rates = texts.filter((text) => RATE_PATTERN.test(text)).map(Number).filter(Number.isFinite);
     if (rates.length > 0) {
--- a/packages/decisions/src/connection/sendSchedule.ts
+++ b/packages/decisions/src/connection/sendSchedule.ts
@@ -64,7 +64,7 @@
 
     /**
      * Begins with an upstream that named a limit. One that names another is followed from its last send on: begun anew with each
-     * word, it would get nothing where words change faster than sends are due.
+     * notice, it would get nothing where notices change faster than sends are due.
      * @param id - the upstream
      * @param nowMs - the monotonic clock
      */
--- a/packages/decisions/src/version/judgeHeartbeat.ts
+++ b/packages/decisions/src/version/judgeHeartbeat.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a heartbeat is the word of an upstream that runs now. Heartbeats come late, from lives that are over, and from
+ * Whether a heartbeat is the notice of an upstream that runs now. Heartbeats come late, from lives that are over, and from
  * writers that are no upstreams of this fleet; each of these would send requests to where nothing runs them.
  */
 import { isEarlierLife, type UpstreamLife } from "@crankfork/schemas";
@@ -28,7 +28,7 @@
     | { readonly kind: "taken"; }
     /** It came late; nothing changes, and its sender need not send it again. */
     | { readonly kind: "overtaken"; readonly reason: "life-over" | "address-taken-over"; }
-    /** It is no upstream's word. */
+    /** It is no upstream's notice. */
     | { readonly kind: "foreign"; readonly reason: "no-start" | "other-service" | "unknown-service"; };
 
 /**
--- a/packages/decisions/tests/fleetRetryBudget.test.ts
+++ b/packages/decisions/tests/fleetRetryBudget.test.ts
@@ -5,7 +5,7 @@
 const REQUESTS_A_SECOND = 3;
 const STEP_MS = 50;
 const TELL_MS = 400;
-/** From an entry's word to its being known everywhere. */
+/** From an entry's notice to its being known everywhere. */
 const LAG_MS = 800;
 const terms = { ratio: 0.2, slack: 304, windowMs: 10_000 };
 
@@ -119,7 +119,7 @@
         expect(known).to.be.above(150);
     });
 
-    it("a word of a leader that has not heard a whole window is not taken for one", () => {
+    it("a notice of a leader that has not heard a whole window is not taken for one", () => {
         const budget = new SharedRetryBudget(terms, () => ENTRIES, () => 100_000);
         budget.recordElsewhere({ requests: 5_000, repeats: 0 }, 9_000);
         let claimed = 0;
--- a/packages/decisions/tests/judgeHeartbeat.test.ts
+++ b/packages/decisions/tests/judgeHeartbeat.test.ts
@@ -86,7 +86,7 @@
     },
 ];
 
-describe("a heartbeat counts where it is the word of the latest life of an upstream", () => {
+describe("a heartbeat counts where it is the notice of the latest life of an upstream", () => {
     for (const { title, change, verdict } of rows) {
         it(`${verdict.kind}: ${title}`, () => {
             expect(judgeHeartbeat({ ...newcomer, ...change })).to.deep.equal(verdict);
--- a/packages/decisions/tests/limitOrder.test.ts
+++ b/packages/decisions/tests/limitOrder.test.ts
@@ -7,14 +7,14 @@
     heardMs,
 });
 
-describe("an answer to a request that was sent after a word takes its place, and of two without an order the lower holds", () => {
+describe("an answer to a request that was sent after a notice takes its place, and of two without an order the lower holds", () => {
     const rows: readonly {
         readonly title: string;
         readonly known: HeardLimit | undefined;
         readonly heard: HeardLimit;
         readonly expected: number | undefined;
     }[] = [
-        { title: "the first word", known: undefined, heard: receive(2, 0, 10), expected: 2 },
+        { title: "the first notice", known: undefined, heard: receive(2, 0, 10), expected: 2 },
         { title: "a later one that is higher", known: receive(2, 0, 10), heard: receive(40, 10, 12), expected: 40 },
         {
             title: "a later one that names none",
@@ -49,7 +49,7 @@
         });
     }
 
-    it("ends with the first answer to what was sent after the last word, however often the word was repeated", () => {
+    it("ends with the first answer to what was sent after the last notice, however often the notice was repeated", () => {
         const repeated = [receive(2, 0, 10), receive(2, 5, 15), receive(2, 12, 20)].reduce(chooseNewerLimit);
         expect(chooseNewerLimit(repeated, receive(undefined, 18, 25)).requestsASecond).to.equal(2);
         expect(chooseNewerLimit(repeated, receive(undefined, 20, 25)).requestsASecond).to.equal(undefined);
--- a/packages/decisions/tests/parseLimit.test.ts
+++ b/packages/decisions/tests/parseLimit.test.ts
@@ -1,11 +1,11 @@
 import { expect } from "chai";
-import { type LimitWord, parseLimit } from "../src/connection/parseLimit.js";
+import { type LimitNotice, parseLimit } from "../src/connection/parseLimit.js";
 
-const limit = (requestsASecond: number): LimitWord => ({ kind: "limit", requestsASecond });
-const unreadable = (text: string): LimitWord => ({ kind: "unreadable", text });
+const limit = (requestsASecond: number): LimitNotice => ({ kind: "limit", requestsASecond });
+const unreadable = (text: string): LimitNotice => ({ kind: "unreadable", text });
 
 describe("a limit is a plain decimal number; what can't be read is told from what isn't there", () => {
-    const rows: readonly { readonly values: readonly string[]; readonly expected: LimitWord; }[] = [
+    const rows: readonly { readonly values: readonly string[]; readonly expected: LimitNotice; }[] = [
         { values: [], expected: { kind: "none" } },
         { values: ["2.1"], expected: limit(2.1) },
         { values: [" 40 "], expected: limit(40) },
--- a/packages/decisions/tests/parseRest.test.ts
+++ b/packages/decisions/tests/parseRest.test.ts
@@ -1,11 +1,11 @@
 import { expect } from "chai";
-import { parseRest, type RestWord } from "../src/connection/parseRest.js";
+import { parseRest, type RestNotice } from "../src/connection/parseRest.js";
 
-const createRest = (restMs: number): RestWord => ({ kind: "rest", restMs });
-const none: RestWord = { kind: "none" };
+const createRest = (restMs: number): RestNotice => ({ kind: "rest", restMs });
+const none: RestNotice = { kind: "none" };
 
-describe("an upstream's word of rest is kept whole where it can be read, and changes nothing where it can't", () => {
-    const rows: readonly { readonly values: readonly string[]; readonly expected: RestWord; }[] = [
+describe("an upstream's notice of rest is kept whole where it can be read, and changes nothing where it can't", () => {
+    const rows: readonly { readonly values: readonly string[]; readonly expected: RestNotice; }[] = [
         { values: [], expected: none },
         { values: ["3"], expected: createRest(3_000) },
         { values: [" 3 "], expected: createRest(3_000) },
--- a/packages/decisions/tests/sendSchedule.test.ts
+++ b/packages/decisions/tests/sendSchedule.test.ts
@@ -74,7 +74,7 @@
         });
     }
 
-    it("words that change faster than sends are due keep nothing back", () => {
+    it("notices that change faster than sends are due keep nothing back", () => {
         const schedule = new SendSchedule();
         let sends = 0;
         for (let nowMs = 0; nowMs <= 4_000; nowMs += 100) {
