refactor: report and notify in place of tell

Identifiers, files and the events crashes-not-reported, leaving-reported, leaving-not-reported, suspects-not-reported, run-end-not-reported, upstream-leaving-reported. Messages between instances are unchanged, behaviour as before.

--- a/packages/coordination/src/process/commit.ts
+++ b/packages/coordination/src/process/commit.ts
@@ -22,13 +22,13 @@
     // Only an entry of the present term may be counted (Raft, section 5.4.2); it commits those before it.
     if (index > context.commitIndex && context.log.getTerm(index) === context.term) {
         applyUpTo(context, index);
-        tellCommitIfIdle(context);
+        sendCommitIfIdle(context);
         stepDownIfRemoved(context);
     }
 }
 
 /** Followers apply what they know is committed; with no entry on its way to tell them, the next heartbeat would. */
-function tellCommitIfIdle(context: ReplicaContext): void {
+function sendCommitIfIdle(context: ReplicaContext): void {
     if (context.commitIndex === context.log.last.index) {
         sendAppendToAll(context);
     }
--- a/packages/daemon/src/connection/runEnds.ts
+++ b/packages/daemon/src/connection/runEnds.ts
@@ -30,14 +30,14 @@
      */
     async tell(run: string): Promise<void> {
         const steps = this.options.waitForSteps(run);
-        await this.tellOnce(run);
+        await this.notifyOnce(run);
         if (steps !== undefined) {
             await steps;
-            await this.tellOnce(run);
+            await this.notifyOnce(run);
         }
     }
 
-    private async tellOnce(run: string): Promise<void> {
+    private async notifyOnce(run: string): Promise<void> {
         let reason = "";
         for (let count = 1; count <= MOST_TRIES; count += 1) {
             try {
--- a/packages/daemon/src/process/daemon/serving.ts
+++ b/packages/daemon/src/process/daemon/serving.ts
@@ -148,7 +148,7 @@
         const { settings, agent, log, metrics } = this.options;
         return createEngineClient({
             handleUntoldEnd: (run, reason) => {
-                this.options.log.record("warn", "run-end-not-told", { request: run, peer: upstream.name, reason });
+                this.options.log.record("warn", "run-end-not-reported", { request: run, peer: upstream.name, reason });
             },
             agent,
             name: upstream.name,
--- a/packages/daemon/src/process/entry/crashWatch.ts
+++ b/packages/daemon/src/process/entry/crashWatch.ts
@@ -18,7 +18,7 @@
 import { computeFingerprint } from "../../request/fingerprintRequest.js";
 import type { AdmittedCall, RoutedRun } from "../../request/routedRun.js";
 import type { EventLog } from "../eventLog.js";
-import { LeaderTeller } from "./leaderTeller.js";
+import { LeaderNotifier } from "./leaderNotifier.js";
 
 /** What the watch needs from the process. */
 export interface CrashWatchOptions {
@@ -70,7 +70,7 @@
     private unanswered: Unanswered[] = [];
     private untoldCrashes: ReportedCrash[] = [];
     private untoldWell = new Set<string>();
-    private readonly teller = new LeaderTeller({
+    private readonly teller = new LeaderNotifier({
         hasUntold: () => this.untoldCrashes.length > 0 || this.untoldWell.size > 0,
         tell: () => this.tell(),
         gatherMs: TELL_AFTER_MS,
@@ -268,7 +268,7 @@
         const well = this.untoldWell;
         this.untoldCrashes = [];
         this.untoldWell = new Set();
-        const isTaken = await this.tellOnce(crashes, well);
+        const isTaken = await this.notifyOnce(crashes, well);
         if (!isTaken) {
             this.untoldCrashes = [...crashes, ...this.untoldCrashes].slice(-MOST_UNTOLD);
             well.forEach((one) => this.untoldWell.add(one));
@@ -276,13 +276,13 @@
         return isTaken;
     }
 
-    private async tellOnce(crashes: readonly ReportedCrash[], well: ReadonlySet<string>): Promise<boolean> {
+    private async notifyOnce(crashes: readonly ReportedCrash[], well: ReadonlySet<string>): Promise<boolean> {
         try {
             const raw = await this.options.askLeader("crashes", { crashes, ran_well: [...well] });
             return crashesResultSchema.parse(raw).is_taken;
         }
         catch (error) {
-            this.options.log.record("info", "crashes-not-told", { crashes: crashes.length, reason: String(error) });
+            this.options.log.record("info", "crashes-not-reported", { crashes: crashes.length, reason: String(error) });
             return false;
         }
     }
--- a/packages/daemon/src/process/entry/entryNotices.ts
+++ b/packages/daemon/src/process/entry/entryNotices.ts
@@ -2,14 +2,14 @@
  * What upstreams say of themselves in their answers, as an entry heeds it.
  */
 import { computeReturnGapMs, ReturnOrder } from "@crankfork/decisions";
-import type { FleetSettings, LimitsKnown, RoutedService, ToldLimits } from "@crankfork/schemas";
+import type { FleetSettings, LimitsKnown, ReportedLimits, RoutedService } from "@crankfork/schemas";
 import type { EngineControl } from "../../connection/engineControl.js";
 import type { NoticeFunctions, ReceivedAnswer } from "../../request/requestFunctions.js";
 import type { CallTarget, HeadVerdict, UpstreamNotice } from "../../request/routedCall.js";
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
-import { parseToldLimit } from "../formatToldLimit.js";
+import { parseReportedLimit } from "../formatReportedLimit.js";
 import { NamedLimits } from "../namedLimits.js";
 import { createObservedControl } from "../observedControl.js";
 import { createRestFunctions, UpstreamRests } from "../upstreamRests.js";
@@ -83,17 +83,17 @@
      * Takes what a leader told; it was heard in any case.
      * @param told - limits that this entry lacked
      */
-    applyLimits(told: ToldLimits | undefined): void {
+    applyLimits(told: ReportedLimits | undefined): void {
         this.sends.recordLeader();
         if (told === undefined) {
             return;
         }
         const { term, change, limits } = told;
         limits.filter(({ id }) => this.options.view.getUpstream(id) !== undefined).forEach((one) => {
-            this.limits.applyTold(one.id, parseToldLimit(one, this.options.getNowMs()), "leader");
+            this.limits.applyReported(one.id, parseReportedLimit(one, this.options.getNowMs()), "leader");
         });
         if (term !== this.known.term) {
-            this.sends.tellAll();
+            this.sends.notifyAll();
         }
         this.known = { term, change };
     }
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -53,7 +53,7 @@
     readonly getConfirmation: () => Confirmation | undefined;
     readonly countEntries: () => number;
     /** Tells the leader soon of upstreams that are suspected. */
-    readonly tellSuspects: () => void;
+    readonly reportSuspects: () => void;
     /** Asks the leader; rejects where there is none. */
     readonly askLeader: (
         method: "crashes" | "trial" | "leaving" | "sends",
@@ -109,7 +109,7 @@
             countSuspicion: () => {
                 options.metrics.countSuspicion();
             },
-            tellSuspects: options.tellSuspects,
+            reportSuspects: options.reportSuspects,
         });
         this.pulse = new PathPulse({
             getNowMs: options.getNowMs,
--- a/packages/daemon/src/process/entry/fleetLink.ts
+++ b/packages/daemon/src/process/entry/fleetLink.ts
@@ -86,7 +86,7 @@
     private newerSinceMs: number | undefined;
     /** When the leader applied the newest document, by the clock here: not after its answer came. */
     private appliedAtLeaderMs: number | undefined;
-    private tellTimer: NodeJS.Timeout | undefined;
+    private reportTimer: NodeJS.Timeout | undefined;
     private counts: { readonly atMs: number; readonly entries: number; }[] = [];
 
     /**
@@ -127,13 +127,13 @@
     stop(): void {
         this.isStopped = true;
         this.documents.stop();
-        clearTimeout(this.tellTimer);
+        clearTimeout(this.reportTimer);
     }
 
     /** Tells the leader soon of upstreams that failed; without a leader they are told by a later call. */
-    tellSuspects(): void {
-        this.tellTimer ??= setTimeout(() => {
-            this.tellTimer = undefined;
+    reportSuspects(): void {
+        this.reportTimer ??= setTimeout(() => {
+            this.reportTimer = undefined;
             void this.sendSuspects();
         }, TELL_MS);
     }
@@ -149,7 +149,7 @@
         }
         catch (error) {
             const reason = error instanceof Error ? error.message : String(error);
-            log.record("warn", "suspects-not-told", { peer: this.leader, suspects: suspects.join(","), reason });
+            log.record("warn", "suspects-not-reported", { peer: this.leader, suspects: suspects.join(","), reason });
         }
     }
 
--- a/packages/daemon/src/process/entry/leaderTeller.ts
+++ b/packages/daemon/src/process/entry/leaderNotifier.ts
@@ -4,7 +4,7 @@
 import { waitMs } from "../waitMs.js";
 
 /** What is told, and how. */
-export interface LeaderTellerOptions {
+export interface LeaderNotifierOptions {
     readonly hasUntold: () => boolean;
     /** Tells all there is; false where it was not taken. */
     readonly tell: () => Promise<boolean>;
@@ -15,26 +15,26 @@
 const TELL_AGAIN_MS = 100;
 
 /** Tells one kind of finding. */
-export class LeaderTeller {
-    private isTelling = false;
+export class LeaderNotifier {
+    private isReporting = false;
 
     /**
      * @param options - what is told
      */
-    constructor(private readonly options: LeaderTellerOptions) {}
+    constructor(private readonly options: LeaderNotifierOptions) {}
 
     /** Tells all there is, unless that is under way. */
     async run(): Promise<void> {
-        if (this.isTelling) {
+        if (this.isReporting) {
             return;
         }
-        this.isTelling = true;
+        this.isReporting = true;
         await waitMs(this.options.gatherMs);
         while (this.options.hasUntold()) {
             if (!await this.options.tell()) {
                 await waitMs(TELL_AGAIN_MS);
             }
         }
-        this.isTelling = false;
+        this.isReporting = false;
     }
 }
--- a/packages/daemon/src/process/entry/leavingNotices.ts
+++ b/packages/daemon/src/process/entry/leavingNotices.ts
@@ -6,7 +6,7 @@
 import { leavingResultSchema } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
-import { LeaderTeller } from "./leaderTeller.js";
+import { LeaderNotifier } from "./leaderNotifier.js";
 
 /** What the notices need from the process. */
 export interface LeavingNoticesOptions {
@@ -31,7 +31,7 @@
     /** When each life said so first, by the monotonic clock. */
     private readonly heardMs = new Map<string, number>();
     private untold: readonly string[] = [];
-    private readonly teller = new LeaderTeller({
+    private readonly teller = new LeaderNotifier({
         hasUntold: () => this.untold.length > 0,
         tell: () => this.tell(),
         gatherMs: 0,
@@ -110,24 +110,24 @@
 
     private async tell(): Promise<boolean> {
         const told = this.untold;
-        const isTaken = await this.tellOnce(told);
+        const isTaken = await this.notifyOnce(told);
         if (isTaken) {
             this.untold = this.untold.filter((id) => !told.includes(id));
         }
         return isTaken;
     }
 
-    private async tellOnce(upstreams: readonly string[]): Promise<boolean> {
+    private async notifyOnce(upstreams: readonly string[]): Promise<boolean> {
         const { instance, askLeader, log } = this.options;
         try {
             const { is_taken } = leavingResultSchema.parse(await askLeader("leaving", { instance, upstreams }));
             if (is_taken) {
-                log.record("info", "leaving-told", { upstreams: upstreams.join(",") });
+                log.record("info", "leaving-reported", { upstreams: upstreams.join(",") });
             }
             return is_taken;
         }
         catch (error) {
-            log.record("info", "leaving-not-told", { upstreams: upstreams.join(","), reason: String(error) });
+            log.record("info", "leaving-not-reported", { upstreams: upstreams.join(","), reason: String(error) });
             return false;
         }
     }
--- a/packages/daemon/src/process/entry/limitTelling.ts
+++ b/packages/daemon/src/process/entry/limitReport.ts
@@ -1,15 +1,15 @@
 /**
  * Which limits an entry heard from upstreams and has not told the leader yet.
  */
-import type { ToldLimit } from "@crankfork/schemas";
-import { formatToldLimit } from "../formatToldLimit.js";
+import type { ReportedLimit } from "@crankfork/schemas";
+import { formatReportedLimit } from "../formatReportedLimit.js";
 import type { NamedLimits } from "../namedLimits.js";
 
 /** Limits told in one message, at the most: a message stays below 10 KB. */
 const MOST_TOLD = 100;
 
 /** Keeps what is to be told. */
-export class LimitTelling {
+export class LimitReport {
     private untold = new Set<string>();
     /** Upstreams that told this entry of a limit. */
     private readonly heardHere = new Set<string>();
@@ -30,7 +30,7 @@
     }
 
     /** Has everything told again that was heard here and still holds. */
-    tellAll(): void {
+    notifyAll(): void {
         this.heardHere.forEach((id) => {
             if (this.limits.get(id) === undefined) {
                 this.heardHere.delete(id);
@@ -44,7 +44,7 @@
      * @param wanted - upstreams that are told in any case
      * @returns limits and ends of limits
      */
-    list(wanted: readonly string[]): readonly ToldLimit[] {
+    list(wanted: readonly string[]): readonly ReportedLimit[] {
         const ids = new Set([...wanted, ...[...this.untold].slice(0, MOST_TOLD)]);
         return [...ids].flatMap((id) => {
             const heard = this.limits.get(id);
@@ -52,7 +52,7 @@
                 this.untold.delete(id);
                 return [];
             }
-            return [formatToldLimit(id, heard, this.getNowMs())];
+            return [formatReportedLimit(id, heard, this.getNowMs())];
         });
     }
 
@@ -60,7 +60,7 @@
      * Takes off what a leader was told, unless it has changed since.
      * @param told - as it was told
      */
-    recordTold(told: readonly ToldLimit[]): void {
+    recordReported(told: readonly ReportedLimit[]): void {
         told.filter(({ id, requests_a_second }) => this.limits.getLimit(id) === requests_a_second).forEach(({ id }) => {
             this.untold.delete(id);
         });
--- a/packages/daemon/src/process/entry/limitSends.ts
+++ b/packages/daemon/src/process/entry/limitSends.ts
@@ -10,7 +10,7 @@
 import type { LimitChange, NamedLimits } from "../namedLimits.js";
 import { computeAskGapMs, computeHorizonMs } from "../sendIntervals.js";
 import { waitMs } from "../waitMs.js";
-import { LimitTelling } from "./limitTelling.js";
+import { LimitReport } from "./limitReport.js";
 import { SendDemand, type SendsLeft, type SendWish } from "./sendDemand.js";
 
 /** What the sends need from the process. */
@@ -36,7 +36,7 @@
 export class LimitSends {
     private readonly demands = new Map<string, SendDemand>();
     private readonly paces = new Map<string, EvenPace>();
-    private readonly telling: LimitTelling;
+    private readonly telling: LimitReport;
     private heardMs = Number.NEGATIVE_INFINITY;
     private isAsking = false;
 
@@ -44,7 +44,7 @@
      * @param options - limits, clock and the way to the leader
      */
     constructor(private readonly options: LimitSendsOptions) {
-        this.telling = new LimitTelling(options.limits, options.getNowMs);
+        this.telling = new LimitReport(options.limits, options.getNowMs);
     }
 
     /** Marks that a leader was heard. */
@@ -54,8 +54,8 @@
     }
 
     /** Tells a new leader all that was heard here: it counts for itself. */
-    tellAll(): void {
-        this.telling.tellAll();
+    notifyAll(): void {
+        this.telling.notifyAll();
         void this.ask();
     }
 
@@ -231,7 +231,7 @@
         try {
             const result = sendsResultSchema.parse(await this.options.askLeader("sends", question));
             if (result.kind === "sends") {
-                this.telling.recordTold(question.heard);
+                this.telling.recordReported(question.heard);
                 this.applyGranted(result);
             }
         }
--- a/packages/daemon/src/process/entry/loadsElsewhere.ts
+++ b/packages/daemon/src/process/entry/loadsElsewhere.ts
@@ -19,7 +19,7 @@
 /** Keeps what was told. */
 export class LoadsElsewhere {
     private loads: UpstreamLoads = {};
-    private toldMs = Number.NEGATIVE_INFINITY;
+    private reportedMs = Number.NEGATIVE_INFINITY;
 
     /**
      * @param options - clock, own loads and the number of entries
@@ -32,7 +32,7 @@
      */
     record(loads: UpstreamLoads): void {
         this.loads = loads;
-        this.toldMs = this.options.getNowMs();
+        this.reportedMs = this.options.getNowMs();
     }
 
     /**
@@ -42,7 +42,7 @@
      */
     get(id: string): ChainLoad {
         const { getNowMs, getLoadHere, countEntries } = this.options;
-        if (getNowMs() - this.toldMs <= BELIEVED_MS) {
+        if (getNowMs() - this.reportedMs <= BELIEVED_MS) {
             return this.loads[id] ?? { open: 0, unstarted: 0 };
         }
         const others = countEntries() - 1;
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -60,8 +60,8 @@
         getNewerMs: () => link.newerMs,
         getConfirmation: () => link.confirmation,
         countEntries: () => link.countEntries(),
-        tellSuspects: () => {
-            link.tellSuspects();
+        reportSuspects: () => {
+            link.reportSuspects();
         },
         askLeader: (method, parameters) => link.askLeader(method, parameters),
         isStopping,
--- a/packages/daemon/src/process/entry/stateAge.ts
+++ b/packages/daemon/src/process/entry/stateAge.ts
@@ -9,21 +9,21 @@
 
 /** Follows when the state was told. */
 export class StateAge {
-    private toldMs: number;
+    private reportedMs: number;
     private intervalMs = 0;
 
     /**
      * @param getNowMs - the monotonic clock
      */
     constructor(private readonly getNowMs: () => number) {
-        this.toldMs = getNowMs();
+        this.reportedMs = getNowMs();
     }
 
     /** Marks that the leader told the loads of the others. */
     recordState(): void {
         const nowMs = this.getNowMs();
-        this.intervalMs += NEWEST_WEIGHT * (nowMs - this.toldMs - this.intervalMs);
-        this.toldMs = nowMs;
+        this.intervalMs += NEWEST_WEIGHT * (nowMs - this.reportedMs - this.intervalMs);
+        this.reportedMs = nowMs;
     }
 
     /**
@@ -32,6 +32,6 @@
      * @returns milliseconds
      */
     getMeanMs(): number {
-        return Math.min(MOST_AGE_MS, this.getNowMs() - this.toldMs + this.intervalMs / 2);
+        return Math.min(MOST_AGE_MS, this.getNowMs() - this.reportedMs + this.intervalMs / 2);
     }
 }
--- a/packages/daemon/src/process/entry/upstreamFaults.ts
+++ b/packages/daemon/src/process/entry/upstreamFaults.ts
@@ -17,7 +17,7 @@
     readonly log: EventLog;
     readonly countSuspicion: () => void;
     /** Tells the leader soon of upstreams that are suspected. */
-    readonly tellSuspects: () => void;
+    readonly reportSuspects: () => void;
 }
 
 /** What a report says against what this entry knows of the engine. */
@@ -53,9 +53,9 @@
      * @param reason - what was seen, for the log
      */
     suspect(id: string, reason: string): void {
-        const { health, tellSuspects, countSuspicion, log, view } = this.options;
+        const { health, reportSuspects, countSuspicion, log, view } = this.options;
         health.suspect(id);
-        tellSuspects();
+        reportSuspects();
         countSuspicion();
         log.record("warn", "upstream-suspected", { peer: id, reason, index: view.knownIndex });
     }
@@ -68,12 +68,12 @@
      * @param reason - how it declined, for the log
      */
     async handleDecline(id: string, reason: string): Promise<void> {
-        const { health, view, stallReports, log, tellSuspects } = this.options;
+        const { health, view, stallReports, log, reportSuspects } = this.options;
         if (!health.recordDecline(id)) {
             return;
         }
         health.markAbsent(id, true);
-        tellSuspects();
+        reportSuspects();
         const upstream = view.getUpstream(id);
         const found = upstream === undefined
             ? "unknown"
--- a/packages/daemon/src/process/namedLimits.ts
+++ b/packages/daemon/src/process/namedLimits.ts
@@ -71,7 +71,7 @@
      * @param heard - what it said, and when
      * @param teller - the instance that tells it, for the log
      */
-    applyTold(id: string, heard: HeardLimit, teller: string): void {
+    applyReported(id: string, heard: HeardLimit, teller: string): void {
         this.apply(id, heard, teller, "told");
     }
 
--- a/packages/daemon/src/process/voter/entryRegister.ts
+++ b/packages/daemon/src/process/voter/entryRegister.ts
@@ -51,7 +51,7 @@
 interface KnownEntry {
     heardMs: number;
     /** When it was last told of a change. */
-    toldMs: number;
+    reportedMs: number;
     loads: UpstreamLoads;
     spending: ServiceSpending;
 }
@@ -118,8 +118,8 @@
         if (known !== undefined && known_index === 0 && Object.keys(known.spending).length > 0) {
             this.ended.push({ heardMs: known.heardMs, spending: known.spending });
         }
-        const toldMs = known?.toldMs ?? Number.NEGATIVE_INFINITY;
-        const entry: KnownEntry = { heardMs: this.options.getNowMs(), toldMs, loads, spending };
+        const reportedMs = known?.reportedMs ?? Number.NEGATIVE_INFINITY;
+        const entry: KnownEntry = { heardMs: this.options.getNowMs(), reportedMs, loads, spending };
         this.entries.set(instance, entry);
         this.options.rollout.recordApplied(instance, applied_version);
         return entry;
@@ -138,11 +138,11 @@
     private async waitForTurn(entry: KnownEntry): Promise<void> {
         const { getNowMs } = this.options;
         const gapMs = Math.min(MOST_GAP_MS, this.entries.size * GAP_MS_AN_ENTRY);
-        const leftMs = entry.toldMs + gapMs - getNowMs();
+        const leftMs = entry.reportedMs + gapMs - getNowMs();
         if (leftMs > 0) {
             await waitMs(leftMs);
         }
-        entry.toldMs = getNowMs();
+        entry.reportedMs = getNowMs();
     }
 
     private waitForNews(): Promise<void> {
--- a/packages/daemon/src/process/voter/limitKeeper.ts
+++ b/packages/daemon/src/process/voter/limitKeeper.ts
@@ -3,8 +3,8 @@
  * sends.
  */
 import { SendSchedule } from "@crankfork/decisions";
-import type { LimitsKnown, SendsParameters, SendsResult, ToldLimits } from "@crankfork/schemas";
-import { formatToldLimit, parseToldLimit } from "../formatToldLimit.js";
+import type { LimitsKnown, ReportedLimits, SendsParameters, SendsResult } from "@crankfork/schemas";
+import { formatReportedLimit, parseReportedLimit } from "../formatReportedLimit.js";
 import type { NamedLimits } from "../namedLimits.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 
@@ -72,7 +72,7 @@
         this.followTerm();
         const nowMs = getNowMs();
         parameters.heard.filter(({ id }) => host.state.getUpstream(id) !== undefined).forEach((told) => {
-            limits.applyTold(told.id, parseToldLimit(told, nowMs), parameters.instance);
+            limits.applyReported(told.id, parseReportedLimit(told, nowMs), parameters.instance);
         });
         const known = this.countKnown(parameters.entries, nowMs);
         const share = Math.min(1, this.options.countInTouch() / known);
@@ -113,7 +113,7 @@
      * @param known - up to where it knows them
      * @returns limits and ends of limits, the oldest change first
      */
-    listNews(known: LimitsKnown): ToldLimits {
+    listNews(known: LimitsKnown): ReportedLimits {
         this.followTerm();
         const since = known.term === this.term ? known.change : 0;
         const lacked = [...this.changes].filter(([, change]) => change > since)
@@ -125,7 +125,7 @@
             change: told.length < lacked.length ? told.at(-1)?.[1] ?? since : this.change,
             limits: told.flatMap(([id]) => {
                 const heard = this.options.limits.get(id);
-                return heard === undefined ? [] : [formatToldLimit(id, heard, nowMs)];
+                return heard === undefined ? [] : [formatReportedLimit(id, heard, nowMs)];
             }),
         };
     }
--- a/packages/daemon/src/process/voter/upstreamRegister.ts
+++ b/packages/daemon/src/process/voter/upstreamRegister.ts
@@ -202,7 +202,7 @@
         }
         const { status: before, ...facts } = present;
         const result = await proposeChange(this.options, { kind: "put-upstream", facts, status: "leaving" });
-        log.record("info", "upstream-leaving-told", { peer: id, heard_by: heardBy, before, outcome: result.kind });
+        log.record("info", "upstream-leaving-reported", { peer: id, heard_by: heardBy, before, outcome: result.kind });
         return result.kind === "done";
     }
 
--- a/packages/daemon/tests/entryNotices.test.ts
+++ b/packages/daemon/tests/entryNotices.test.ts
@@ -149,9 +149,9 @@
         expect(stand.told).to.deep.equal([{ instance: "entry", upstreams: ["a"] }]);
         expect(stand.events).to.deep.equal([
             "upstream-leaving-notice a",
-            "leaving-not-told",
-            "leaving-not-told",
-            "leaving-told",
+            "leaving-not-reported",
+            "leaving-not-reported",
+            "leaving-reported",
         ]);
         stand.receive({ leaving: "not-said" });
         expect(stand.notices.leaving.isLeaving("a")).to.equal(true);
--- a/packages/daemon/tests/entryRegister.test.ts
+++ b/packages/daemon/tests/entryRegister.test.ts
@@ -1,5 +1,5 @@
 import { FleetState } from "@crankfork/coordination";
-import type { LimitsKnown, ToldLimits } from "@crankfork/schemas";
+import type { LimitsKnown, ReportedLimits } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { EntryRegister } from "../src/process/voter/entryRegister.js";
@@ -171,7 +171,7 @@
             const host = createHost(state, () => 3);
             const limits = {
                 hasNews: ({ change }: LimitsKnown): boolean => change < 7,
-                listNews: (): ToldLimits => ({ term: 3, change: 7, limits: [] }),
+                listNews: (): ReportedLimits => ({ term: 3, change: 7, limits: [] }),
             };
             const register = new EntryRegister({
                 host,
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -273,8 +273,8 @@
         await clock.tickAsync(1_000);
         expect(link.ageMs).to.be.at.most(400);
         // Told at once, though a question is on its way, and together.
-        link.tellSuspects();
-        link.tellSuspects();
+        link.reportSuspects();
+        link.reportSuspects();
         await clock.tickAsync(30);
         expect(told).to.deep.equal([{ instance: "one", suspects: ["a"] }]);
         stand.isLeading = false;
--- a/packages/daemon/tests/limitKeeper.test.ts
+++ b/packages/daemon/tests/limitKeeper.test.ts
@@ -1,5 +1,5 @@
 import { FleetState } from "@crankfork/coordination";
-import type { SendsParameters, SendsResult, ToldLimit } from "@crankfork/schemas";
+import type { ReportedLimit, SendsParameters, SendsResult } from "@crankfork/schemas";
 import { expect } from "chai";
 import type { FleetMetrics } from "../src/process/fleetMetrics.js";
 import { NamedLimits } from "../src/process/namedLimits.js";
@@ -56,7 +56,7 @@
     }
 }
 
-const told = (id: string, requests_a_second?: number): ToldLimit => ({
+const told = (id: string, requests_a_second?: number): ReportedLimit => ({
     id,
     ...(requests_a_second === undefined ? {} : { requests_a_second }),
     asked_ms_ago: 10,
@@ -96,7 +96,7 @@
     it("a hundred at a time", () => {
         const stand = new KeeperStand();
         for (let number = 0; number < 150; number += 1) {
-            stand.limits.applyTold(`x${String(number)}`, { requestsASecond: 1, askedMs: 1, heardMs: 2 }, "e");
+            stand.limits.applyReported(`x${String(number)}`, { requestsASecond: 1, askedMs: 1, heardMs: 2 }, "e");
         }
         const first = stand.keeper.listNews({ term: 0, change: 0 });
         const second = stand.keeper.listNews(first);
--- a/packages/daemon/tests/limitReplay.ts
+++ b/packages/daemon/tests/limitReplay.ts
@@ -218,7 +218,7 @@
         this.keepers.push(this.createKeeper());
         this.isLeaderless = false;
         this.sends.forEach((one) => {
-            one.tellAll();
+            one.notifyAll();
         });
     }
 
--- a/packages/daemon/tests/limitSends.test.ts
+++ b/packages/daemon/tests/limitSends.test.ts
@@ -196,7 +196,7 @@
     it("a new leader is told all that was heard here", async () => {
         stand.receive("u", 2);
         await clock.tickAsync(101);
-        stand.sends.tellAll();
+        stand.sends.notifyAll();
         await clock.tickAsync(101);
         expect(stand.questions.map(({ heard }) => heard.map(({ id }) => id))).to.deep.equal([["u"], ["u"]]);
     });
--- a/packages/daemon/tests/plainReplay.ts
+++ b/packages/daemon/tests/plainReplay.ts
@@ -130,7 +130,7 @@
         });
         for (let atMs = 0; atMs < durationMs; atMs += LOADS_EVERY_MS) {
             this.at(atMs, () => {
-                this.tellLoads();
+                this.reportLoads();
             });
         }
         for (let atMs = 1; atMs < durationMs; atMs -= Math.log(1 - this.draw()) * 1_000 / requestsASecond) {
@@ -170,7 +170,7 @@
         });
     }
 
-    private tellLoads(): void {
+    private reportLoads(): void {
         this.entries.forEach((entry) => {
             entry.loadsElsewhere = new Map(this.options.workers.map((_worker, number) => [
                 String(number),
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -64,7 +64,7 @@
 export class SharedRetryBudget {
     private readonly slots: Slot[] = [];
     private elsewhere: RetrySpending = { requests: 0, repeats: 0 };
-    private toldMs = Number.NEGATIVE_INFINITY;
+    private reportedMs = Number.NEGATIVE_INFINITY;
     private bucket = 0;
     private filledMs = 0;
     private readonly startedMs: number;
@@ -97,10 +97,10 @@
             return;
         }
         const nowMs = this.getNowMs();
-        const isFirst = nowMs - this.toldMs >= this.terms.windowMs;
+        const isFirst = nowMs - this.reportedMs >= this.terms.windowMs;
         this.fillBucket();
         this.elsewhere = spending;
-        this.toldMs = nowMs;
+        this.reportedMs = nowMs;
         if (isFirst) {
             this.bucket = this.computeMost();
             this.filledMs = nowMs;
@@ -114,7 +114,7 @@
      * @returns false where it is spent
      */
     claimRepeat(isUnderWay: boolean): boolean {
-        const isKnown = this.getNowMs() - this.toldMs < this.terms.windowMs;
+        const isKnown = this.getNowMs() - this.reportedMs < this.terms.windowMs;
         if (!(isKnown ? this.takeFromBucket(isUnderWay) : this.isWithinEvenPart(isUnderWay))) {
             return false;
         }
@@ -163,7 +163,7 @@
     }
 
     private fillBucket(): void {
-        const untilMs = Math.min(this.getNowMs(), this.toldMs + STALE_MS);
+        const untilMs = Math.min(this.getNowMs(), this.reportedMs + STALE_MS);
         const sinceMs = Math.max(0, untilMs - this.filledMs);
         const most = this.computeMost();
         this.filledMs = Math.max(this.filledMs, untilMs);
--- a/packages/decisions/tests/fleetRetryBudget.test.ts
+++ b/packages/decisions/tests/fleetRetryBudget.test.ts
@@ -23,7 +23,7 @@
     private readonly told: { readonly atMs: number; readonly spending: readonly RetrySpending[]; }[] = [];
     private readonly sends: { readonly atMs: number; readonly requests: number; readonly repeats: number; }[] = [];
 
-    constructor(private readonly isTold: boolean, private readonly isUnderWay: boolean) {}
+    constructor(private readonly isReported: boolean, private readonly isUnderWay: boolean) {}
 
     run(seconds: number, need: Need): void {
         const untilMs = this.nowMs + seconds * 1_000;
@@ -51,7 +51,7 @@
         const known = this.told.findLast((one) => one.atMs <= this.nowMs - LAG_MS);
         let repeats = 0;
         this.budgets.forEach((budget, entry) => {
-            if (isTurn && this.isTold && known !== undefined) {
+            if (isTurn && this.isReported && known !== undefined) {
                 budget.recordElsewhere(sumOthers(known.spending, entry), this.nowMs);
             }
             const isArrival = (this.nowMs / STEP_MS + entry) % (1_000 / REQUESTS_A_SECOND / STEP_MS | 0) === 0;
@@ -109,8 +109,8 @@
         nowMs % 10_000 < 1_000 && nowMs % 100 === 0 ? (entry % 6 === 0 ? 1.2 : 0.1) : 0;
 
     it("an uneven second of declines is met by more repeats than even parts give", () => {
-        const [known, even] = [true, false].map((isTold) => {
-            const replay = new FleetReplay(isTold, false);
+        const [known, even] = [true, false].map((isReported) => {
+            const replay = new FleetReplay(isReported, false);
             replay.run(12, calm);
             replay.run(20, (entry, nowMs) => Math.ceil(uneven(entry, nowMs) - 0.2));
             return sum(replay.claimed);
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -2,7 +2,7 @@
  * What entries and voters ask of voters, as parameters and results of JSON-RPC 2.0 methods.
  */
 import * as z from "zod";
-import { limitsKnownSchema, toldLimitsSchema } from "./limitMessage.js";
+import { limitsKnownSchema, reportedLimitsSchema } from "./limitMessage.js";
 import { registeredUpstreamSchema } from "./registeredUpstream.js";
 import { replicaAddressSchema } from "./replicaMessage.js";
 import { crashRecordSchema, reportedCrashSchema } from "./requestCrash.js";
@@ -76,7 +76,7 @@
         /** Upstreams that several entries suspect, and that the leader is looking at. */
         suspects: z.array(z.string()).default([]),
         /** Rates that upstreams named, and that the entry lacks. */
-        limits: toldLimitsSchema.optional(),
+        limits: reportedLimitsSchema.optional(),
         /** Peers' addresses of all replicas. */
         voters: z.array(z.string()),
     }),
--- a/packages/schemas/src/limitMessage.ts
+++ b/packages/schemas/src/limitMessage.ts
@@ -4,7 +4,7 @@
 import * as z from "zod";
 
 /** A limit of an upstream, or its end, as an answer told it. Times are told as ages, since each instance has a clock of its own. */
-export const toldLimitSchema = z.object({
+export const reportedLimitSchema = z.object({
     /** One life of the upstream. */
     id: z.string(),
     /** Left out where the limit has ended. */
@@ -19,14 +19,14 @@
 export const limitsKnownSchema = z.object({ term: z.int().nonnegative(), change: z.int().nonnegative() });
 
 /** Limits that an entry lacks. */
-export const toldLimitsSchema = limitsKnownSchema.extend({ limits: z.array(toldLimitSchema) });
+export const reportedLimitsSchema = limitsKnownSchema.extend({ limits: z.array(reportedLimitSchema) });
 
 /** Parameters of `sends`: what an entry heard of limits, and the sends that it could use. */
 export const sendsParametersSchema = z.object({
     instance: z.string(),
     /** Entries that share the limits, as far as the entry knows. */
     entries: z.int().positive(),
-    heard: z.array(toldLimitSchema),
+    heard: z.array(reportedLimitSchema),
     wanted: z.array(z.object({
         upstream: z.string(),
         count: z.int().positive(),
@@ -51,11 +51,11 @@
 ]);
 
 /** A limit of an upstream, or its end. */
-export type ToldLimit = z.infer<typeof toldLimitSchema>;
+export type ReportedLimit = z.infer<typeof reportedLimitSchema>;
 /** Up to where limits are known. */
 export type LimitsKnown = z.infer<typeof limitsKnownSchema>;
 /** Limits that an entry lacks. */
-export type ToldLimits = z.infer<typeof toldLimitsSchema>;
+export type ReportedLimits = z.infer<typeof reportedLimitsSchema>;
 /** Parameters of `sends`. */
 export type SendsParameters = z.infer<typeof sendsParametersSchema>;
 /** Result of `sends`. */
--- a/packages/schemas/src/requestCrash.ts
+++ b/packages/schemas/src/requestCrash.ts
@@ -83,6 +83,6 @@
  * @param record - lives that ended under it
  * @returns true from the second crash on
  */
-export function isWorthTelling({ silent, midway }: Pick<CrashRecord, "silent" | "midway">): boolean {
+export function isWorthReporting({ silent, midway }: Pick<CrashRecord, "silent" | "midway">): boolean {
     return silent.length + midway.length >= 2;
 }
