--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -43,13 +43,8 @@
     }
 }
 
-/** Links take some milliseconds. A first packet that was lost is sent again after a second; another upstream is there sooner. */
+/** Links take some milliseconds. A first packet that was lost is sent again after a second; another attempt is there sooner. */
 const CONNECT_TIMEOUT_MS = 300;
-/**
- * Between instances: a first packet that was lost, or a busy machine, has a second chance. Whoever asks has a limit of its own, and
- * does not wait for one peer alone; a shorter one would let no connection come up where all machines are busy.
- */
-const PEER_CONNECT_TIMEOUT_MS = 1_200;
 /** Below the time of a question that gets no answer: by then no idle connection is left that went silent with it. */
 const PEER_IDLE_MS = 1_000;
 /** Each turn of the loop may open one call to an engine, and a call lasts until its last step is answered. */
@@ -73,7 +68,7 @@
  * @returns the connections; close them at the end of the process
  */
 export function openPeerConnections(): KeptConnections {
-    const connect = limitConnecting(buildConnector({}), PEER_CONNECT_TIMEOUT_MS);
+    const connect = limitConnecting(buildConnector({}), CONNECT_TIMEOUT_MS);
     return new KeptConnections({ connect, idleMs: PEER_IDLE_MS, most: MOST_CONNECTIONS });
 }
 
