--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -98,11 +98,11 @@
 }
 
 /**
- * Splits a prompt into token ids, as the engines' tokenizer does: one a notice.
+ * Splits a prompt into token ids, as the engines' tokenizer does: one a word.
  * @param prompt - the text
  * @returns token ids; at least one
  */
 export function createPromptTokens(prompt: string): readonly number[] {
-    const notices = prompt.split(/\s+/).filter((notice) => notice !== "");
-    return (notices.length === 0 ? [""] : notices).map((notice) => crc32.str(notice) >>> 0);
+    const words = prompt.split(/\s+/).filter((word) => word !== "");
+    return (words.length === 0 ? [""] : words).map((word) => crc32.str(word) >>> 0);
 }
