--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -68,8 +68,7 @@
  * @returns the connections; close them at the end of the process
  */
 export function openPeerConnections(): KeptConnections {
-    const connect = limitConnecting(buildConnector({}), CONNECT_TIMEOUT_MS);
-    return new KeptConnections({ connect, idleMs: PEER_IDLE_MS, most: MOST_CONNECTIONS });
+    return openConnections(PEER_IDLE_MS);
 }
 
 /** What is sent. */
