refactor(daemon): move the room check of paths out of the target chooser

The checks for classes, sizes and links that follow change when a path has room and in which order paths are considered; both have their own place now.

--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -6,10 +6,8 @@
     type Chain,
     type ChainLoad,
     chooseChainByStaleLoad,
-    computeCurrentLoad,
     computePreferredCount,
     computePriority,
-    hasChainCapacity,
     hasUpstreamCapacity,
     listCandidateChains,
     listPreferredChains,
@@ -28,6 +26,7 @@
 import type { EngineShortage } from "./engineShortage.js";
 import type { LeavingNotices } from "./leavingNotices.js";
 import { getPathKey, type PathKey } from "./pathKey.js";
+import { PathRoom } from "./pathRoom.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import type { UpstreamRateLimiter } from "./upstreamRateLimiter.js";
 
@@ -58,10 +57,14 @@
 
 /** Selects targets. */
 export class TargetChooser {
+    private readonly room: PathRoom;
+
     /**
      * @param options - upstreams and their load
      */
-    constructor(private readonly options: TargetChooserOptions) {}
+    constructor(private readonly options: TargetChooserOptions) {
+        this.room = new PathRoom(options);
+    }
 
     /**
      * Selects the target of the next attempt.
@@ -128,23 +131,19 @@
                 ?? { kind: this.hasShortage(service.name, engine) ? "too-few-engines" : "none" };
         }
         this.options.shortage.recordSufficient(service.name);
-        const { objective_ms } = run.admitted.route;
-        const ageMs = this.options.getLoadAgeMs();
-        const hasRoom = ({ chain, ...load }: LoadedChain): boolean =>
-            hasChainCapacity(chain, computeCurrentLoad(chain, load, engine, ageMs), engine, objective_ms);
         const chooseLoaded = (subset: readonly Chain[]): LoadedChain | undefined =>
             chooseChainByStaleLoad({
                 chains: subset.map((chain) => ({ chain, ...this.getLoad(getFirstEngineId(chain)) })),
                 size: run.admitted.call.size ?? DEFAULT_REQUEST_SIZE,
                 unreportedRequests: this.options.estimateUnreported(service.name) * subset.length / chains.length,
-                hasCapacity: (loaded) => isUnderWay || hasRoom(loaded),
+                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine),
                 draw: this.options.random(),
             });
         const limited = new Set<string>();
-        const chooseAmong = (subset: readonly Chain[]): LoadedChain | undefined =>
-            this.chooseWithPermit(run, subset, limited, chooseLoaded);
-        const preferred = this.listPreferred(chains, service.name);
-        const chosen = chooseAmong(preferred) ?? (preferred.length < chains.length ? chooseAmong(chains) : undefined);
+        let chosen: LoadedChain | undefined;
+        for (const tier of this.listTiers(chains, service.name)) {
+            chosen ??= this.chooseWithPermit(run, tier, limited, chooseLoaded);
+        }
         const first = chosen?.chain.stages[0]?.engine;
         if (chosen === undefined || first === undefined) {
             return limited.size > 0 ? this.createLimitedChoice([...limited]) : { kind: "full" };
@@ -254,13 +253,15 @@
         return this.listOtherChains(run, this.listUsableChains(run.admitted.service)).length > 0;
     }
 
-    private listPreferred(chains: readonly Chain[], service: string): readonly Chain[] {
+    /** Lists the sets of paths among which a request chooses, in order: a later set only where no earlier one has room. */
+    private listTiers(chains: readonly Chain[], service: string): readonly (readonly Chain[])[] {
         const { instance, getRequestsPerSecond } = this.options;
-        return listPreferredChains(
+        const preferred = listPreferredChains(
             chains,
             instance,
             computePreferredCount(getRequestsPerSecond(service), UPSTREAM_KEEP_ALIVE_MS),
         );
+        return preferred.length < chains.length ? [preferred, chains] : [chains];
     }
 
     private listChains(run: RequestContext, service: RoutedService): readonly Chain[] {
