feat(decisions): use a new leader's report for the retry budget

Cause: a report of a leader that had led for less than the budget's window was ignored, so that for ten seconds after each change of leader no bucket refilled; and the window in which an entry counts as just started began with the first request for a service, not with the process.

Change: the report counts if at most a quarter of the entries are missing in it. Entries that are missing, and entries in their first window, are charged with the most that one can have spent; half of the budget is given out instead of three quarters until the leader has observed a whole window.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -194,7 +194,10 @@
     applyState(state: SynchronisedState): void {
         this.remoteLoads.record(state.loads_elsewhere);
         this.loadReportAge.recordReport();
-        this.budgets.recordRemoteSpending(state.spending_elsewhere ?? {}, state.spending_known_ms ?? 0);
+        this.budgets.recordRemoteSpending(state.spending_elsewhere ?? {}, {
+            knownMs: state.spending_known_ms ?? 0,
+            reporters: state.entries,
+        });
         this.view.applyUpstreams(state);
         this.crashes.applyState(state);
         this.notices.applyLimits(state.limits);
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -8,6 +8,11 @@
  * So an entry draws on the fleet's remaining budget, as last reported by the leader: its token bucket holds at most an
  * equal share of the remainder and refills within a few seconds. Without a recent report it keeps to an equal share of
  * the whole budget, which needs no messages between entries and adds up to no more than the whole.
+ *
+ * A new leader knows the last window of each entry that reports to it, but nothing of entries that are gone and of what
+ * restarted ones had sent. Both are charged with the most that one entry can have spent, and less of the budget is given
+ * out until the leader has observed a whole window itself. Without this, no bucket would refill in the ten seconds after
+ * a change of leader, and engines often fail at the same time as a voter.
  */
 
 /** The whole fleet's budget for one service. */
@@ -25,6 +30,14 @@
     readonly repeats: number;
 }
 
+/** What a leader's report of the fleet's spending is based on. */
+export interface SpendingCoverage {
+    /** How long the leader has received reports, in milliseconds. */
+    readonly knownMs: number;
+    /** Entries whose reports it has, including the one that receives the sum. */
+    readonly reporters: number;
+}
+
 /**
  * Share of the budget that is given out in equal shares. The rest covers what an entry can't see: entries that have
  * just restarted and lost their counts, and windows that begin between its own slots.
@@ -39,6 +52,15 @@
 const REPORTED_SHARE = 0.75;
 /** The same for requests that have no part of an answer yet. */
 const REPORTED_UNANSWERED_SHARE = 0.6;
+/**
+ * The same while the leader is new. Entries that report to no leader keep to equal shares; where they are as many as
+ * accepted below, both add up to less than the whole.
+ */
+const NEW_LEADER_SHARE = 0.5;
+/** The same for requests that have no part of an answer yet. */
+const NEW_LEADER_UNANSWERED_SHARE = 0.4;
+/** Share of the entries that may be missing in the report of a new leader. */
+const MAX_MISSING_SHARE = 0.25;
 /**
  * Equal shares of an entry that has just started and has no report yet. Where all entries have restarted, earlier
  * spending is unknown; this share and the one above add up to the whole budget.
@@ -64,23 +86,23 @@
 export class SharedRetryBudget {
     private readonly slots: Slot[] = [];
     private remoteSpending: RetrySpending = { requests: 0, repeats: 0 };
+    private isLeaderNew = false;
     private reportedMs = Number.NEGATIVE_INFINITY;
     private bucketTokens = 0;
     private filledMs = 0;
-    private readonly startedMs: number;
 
     /**
      * @param options - the whole fleet's budget
      * @param getEntries - number of entries that share it
      * @param getNowMs - the monotonic clock
+     * @param startedMs - start of this process on that clock; earlier spending of the instance is unknown
      */
     constructor(
         private readonly options: SharedRetryBudgetOptions,
         private readonly getEntries: () => number,
         private readonly getNowMs: () => number,
-    ) {
-        this.startedMs = getNowMs();
-    }
+        private readonly startedMs: number = getNowMs(),
+    ) {}
 
     /** Counts a caller's request. */
     recordRequest(): void {
@@ -88,18 +110,24 @@
     }
 
     /**
-     * Records the leader's report of what other entries sent.
+     * Records the leader's report of what other entries sent. A report that covers less than a window is ignored where
+     * too many entries are missing in it, or where this entry does not know what it sent in the window itself.
      * @param spending - in the last window
-     * @param knownMs - how long the leader has received reports; a report that covers less than a window is ignored
+     * @param coverage - what the report is based on
      */
-    recordRemoteSpending(spending: RetrySpending, knownMs: number): void {
-        if (knownMs < this.options.windowMs) {
+    recordRemoteSpending(spending: RetrySpending, { knownMs, reporters }: SpendingCoverage): void {
+        const { windowMs } = this.options;
+        const isLeaderNew = knownMs < windowMs;
+        const missing = Math.max(0, this.getEntries() - reporters);
+        if (isLeaderNew && (this.isStarting || missing > this.getEntries() * MAX_MISSING_SHARE)) {
             return;
         }
         const nowMs = this.getNowMs();
-        const isFirst = nowMs - this.reportedMs >= this.options.windowMs;
+        const isFirst = nowMs - this.reportedMs >= windowMs;
         this.refillBucket();
-        this.remoteSpending = spending;
+        const unknown = isLeaderNew ? missing * this.computeMaxUnknown() : 0;
+        this.remoteSpending = { requests: spending.requests, repeats: spending.repeats + unknown };
+        this.isLeaderNew = isLeaderNew;
         this.reportedMs = nowMs;
         if (isFirst) {
             this.bucketTokens = this.computeBucketSize();
@@ -134,6 +162,16 @@
         };
     }
 
+    /**
+     * Computes what this entry reports to the leader. In its first window it adds the most that the instance may have
+     * sent before a restart, since a new leader does not know that either.
+     * @returns requests and retries in the last window
+     */
+    computeReport(): RetrySpending {
+        const { requests, repeats } = this.computeSpending();
+        return { requests, repeats: repeats + (this.isStarting ? Math.ceil(this.computeMaxUnknown()) : 0) };
+    }
+
     /**
      * Computes the rate of callers' requests.
      * @returns requests a second over the window
@@ -145,16 +183,15 @@
     private isWithinEqualShare(hasPartialAnswer: boolean): boolean {
         const { requests, repeats } = this.computeSpending();
         const { ratio, slack } = this.options;
-        const isNew = this.getNowMs() - this.startedMs < this.options.windowMs;
         const steady = hasPartialAnswer ? STATIC_SHARE : STATIC_SHARE * STATIC_UNANSWERED_SHARE;
         const startup = hasPartialAnswer ? STARTUP_SHARE : STARTUP_UNANSWERED_SHARE;
-        const share = isNew ? startup : steady;
+        const share = this.isStarting ? startup : steady;
         return repeats + 1 <= share * (requests * ratio + slack / this.getEntries());
     }
 
     private takeFromBucket(hasPartialAnswer: boolean): boolean {
         this.refillBucket();
-        const remaining = this.computeRemaining(hasPartialAnswer ? REPORTED_SHARE : REPORTED_UNANSWERED_SHARE);
+        const remaining = this.computeRemaining(hasPartialAnswer ? this.reportedShare : this.unansweredShare);
         if (this.bucketTokens < 1 || remaining < 1) {
             return false;
         }
@@ -172,7 +209,26 @@
 
     /** Capacity of the bucket: an equal share of the fleet's remaining budget. */
     private computeBucketSize(): number {
-        return Math.max(0, this.computeRemaining(REPORTED_SHARE)) / this.getEntries();
+        return Math.max(0, this.computeRemaining(this.reportedShare)) / this.getEntries();
+    }
+
+    /** Whether this entry has been running for less than a window. */
+    private get isStarting(): boolean {
+        return this.getNowMs() - this.startedMs < this.options.windowMs;
+    }
+
+    private get reportedShare(): number {
+        return this.isLeaderNew ? NEW_LEADER_SHARE : REPORTED_SHARE;
+    }
+
+    private get unansweredShare(): number {
+        return this.isLeaderNew ? NEW_LEADER_UNANSWERED_SHARE : REPORTED_UNANSWERED_SHARE;
+    }
+
+    /** The most retries that one entry can have sent within a window: a full bucket and what flowed into it since. */
+    private computeMaxUnknown(): number {
+        const { slack, windowMs } = this.options;
+        return REPORTED_SHARE * slack / this.getEntries() * (1 + windowMs / REFILL_MS);
     }
 
     private computeRemaining(share: number): number {
