--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
     defaultCircuitBreakerOptions,
 } from "./connection/circuitBreaker.js";
 export * from "./connection/equalSharePacer.js";
+export * from "./connection/linkLoss.js";
 export * from "./connection/parseLimit.js";
 export * from "./connection/parseRetryAfter.js";
 export { RetryAfterBackoff, type RetryAfterChange } from "./connection/retryAfterBackoff.js";
