feat(daemon): sum the entries' reports on links at the leader

Cause: an entry of one request a second sees fewer than one late event a second over a lossy link, too few to tell a loss from chance.

Change: synchronise carries domain and links; LinkRegistry sums them by pair of domains and answers the pairs that lose packets. Invalid links are dropped and the rest of the message counts. Gauge crankfork_lossy_links, log event link-loss with its inputs.

--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -37,6 +37,8 @@
     /** A request was admitted; `ageMs` is the time since a leader confirmed the document version. */
     readonly recordAdmissionAgeMs: (ageMs: number, isOverdue: boolean) => void;
     readonly recordLoopDelayMs: (delayMs: number) => void;
+    /** Number of pairs of failure domains whose links lose packets. */
+    readonly recordLossyLinks: (count: number) => void;
     /** Formats all metrics in the text format that a scraper reads. */
     readonly format: () => Promise<string>;
 }
@@ -165,6 +167,11 @@
         help: "Most that a timer of the last second was late, in milliseconds",
         registers,
     });
+    const lossyLinks = new Gauge({
+        name: "crankfork_lossy_links",
+        help: "Pairs of failure domains whose links lose packets now, as this leader sees",
+        registers,
+    });
     const leading = new Gauge({ name: "crankfork_leading", help: "1 while this voter leads", registers });
     return {
         countRequest: (service, outcome) => {
@@ -230,6 +237,9 @@
         recordLoopDelayMs: (delayMs) => {
             loopDelay.set(delayMs);
         },
+        recordLossyLinks: (count) => {
+            lossyLinks.set(count);
+        },
         format: () => registry.metrics(),
     };
 }
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -12,6 +12,7 @@
 import { waitMs } from "../waitMs.js";
 import type { DocumentRollout } from "./documentRollout.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
+import type { LinkRegistry } from "./linkRegistry.js";
 import type { RateLimitCoordinator } from "./rateLimitCoordinator.js";
 
 /** Dependencies of {@link EntryRegistry}. */
@@ -24,6 +25,8 @@
     readonly limits: Pick<RateLimitCoordinator, "hasUpdates" | "listUpdates">;
     /** Rollout state of the newest document. */
     readonly rollout: Pick<DocumentRollout, "ageMs" | "getBehindMs" | "recordApplied">;
+    /** Links between failure domains that lose packets. */
+    readonly links?: Pick<LinkRegistry, "record" | "list" | "reset">;
 }
 
 /** Time without contact after which an entry is no longer counted; matches the longest window of a shared budget. */
@@ -113,9 +116,12 @@
     }
 
     private recordEntry(
-        { instance, loads, spending = {}, known_index, applied_version }: SynchroniseParameters,
+        { instance, loads, spending = {}, known_index, applied_version, domain, links }: SynchroniseParameters,
     ): KnownEntry {
         this.trackTerm();
+        if (domain !== undefined) {
+            this.options.links?.record(instance, domain, links ?? {});
+        }
         const known = this.entries.get(instance);
         // An entry that knows nothing has restarted, and its counters begin at 0.
         if (known !== undefined && known_index === 0 && Object.keys(known.spending).length > 0) {
@@ -134,6 +140,7 @@
         if (term !== this.term) {
             this.term = term;
             this.leadingSinceMs = this.options.getNowMs();
+            this.options.links?.reset();
         }
     }
 
@@ -166,6 +173,7 @@
         const behindMs = this.options.rollout.getBehindMs(parameters.applied_version);
         const changes = host.state.getChanges(parameters.known_index);
         const document = host.state.getDocument();
+        const links = parameters.domain === undefined ? undefined : this.options.links?.list(parameters.domain);
         return {
             kind: "state",
             index: changes.index,
@@ -184,6 +192,7 @@
             spending_known_ms: this.options.getNowMs() - this.leadingSinceMs,
             suspects: [...this.options.listSuspects()],
             limits: this.options.limits.listUpdates(parameters.limits_known ?? NO_LIMITS),
+            ...(links === undefined ? {} : { links }),
             voters: [...replicas.voters, ...replicas.learners].map((replica) => replica.address),
         };
     }
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -39,6 +39,7 @@
 import { DocumentStore } from "./documentStore.js";
 import { EntryRegistry } from "./entryRegistry.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
+import { LinkRegistry } from "./linkRegistry.js";
 import { RateLimitCoordinator } from "./rateLimitCoordinator.js";
 import { SuspectProbe } from "./suspectProbe.js";
 import { UpstreamRegistry } from "./upstreamRegistry.js";
@@ -205,12 +206,14 @@
         applyMs: contract.apply,
         listActiveEntries: () => host.replica.hasLeaderLease() ? entries.listActiveEntries() : [],
     });
+    const links = new LinkRegistry({ getNowMs, log, metrics });
     const entries: EntryRegistry = new EntryRegistry({
         host,
         getNowMs,
         listSuspects: () => probe.listCorroborated(),
         limits: rateLimitCoordinator,
         rollout,
+        links,
     });
     const crashes = new CrashRegistry({ host, log, getNowMs, getUnixMs: Date.now });
     const documents = new DocumentSource({ host, getNowMs, linkMbps: resourceLimits.link });
@@ -243,6 +246,12 @@
         limits.prune(isKnown);
         rateLimitCoordinator.prune();
         rollout.checkOverdue();
+        if (host.replica.hasLeaderLease()) {
+            links.update();
+        }
+        else {
+            links.reset();
+        }
     }, SILENCE_CHECK_INTERVAL_MS);
     return { rollout, document, upstreams, crashes, group, entries, documents, probe, limits: rateLimitCoordinator };
 }
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -24,6 +24,27 @@
     z.object({ requests: z.int().nonnegative(), repeats: z.int().nonnegative() }),
 );
 
+/** Domains in a report on links; a report with more is dropped. */
+const MAX_LINK_DOMAINS = 32;
+
+/** Events of an entry's streams by the failure domain of the path's first engine, and those that came late. */
+export const linkReportSchema = z.record(
+    z.string(),
+    z.object({ events_per_s: z.number().nonnegative(), gaps_per_s: z.number().nonnegative() }),
+).refine((report) => Object.keys(report).length <= MAX_LINK_DOMAINS);
+
+/** A pair of failure domains whose links lose packets. */
+export const lossyLinkSchema = z.object({
+    /** Domain of the entries. */
+    from: z.string(),
+    /** Domain of the engines. */
+    to: z.string(),
+    /** Share of the events that come late, from 0 to 1. */
+    late_share: z.number().nonnegative(),
+    /** Time since the loss was detected, in milliseconds. */
+    age_ms: z.number().nonnegative(),
+});
+
 /** Parameters of `synchronise`: how much of the state an entry has, and its own activity. */
 export const synchroniseParametersSchema = z.object({
     instance: z.string(),
@@ -39,6 +60,10 @@
     may_wait: z.boolean().default(true),
     /** Version of the operator's document that the entry has applied; absent before the first one. */
     applied_version: z.int().optional(),
+    /** Failure domain of the entry. */
+    domain: z.string().optional().catch(undefined),
+    /** What the entry's streams show of its links; dropped where it is invalid. */
+    links: linkReportSchema.optional().catch(undefined),
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; sent immediately, since `synchronise` is a long poll. */
@@ -78,6 +103,8 @@
         suspects: z.array(z.string()).default([]),
         /** Rate limits that changed since the entry's cursor. */
         limits: rateLimitUpdatesSchema.optional(),
+        /** Links that lose packets now; absent where the entry sent no `domain`, and just after a change of leader. */
+        links: z.array(lossyLinkSchema).optional().catch(undefined),
         /** Peer addresses of all replicas. */
         voters: z.array(z.string()),
     }),
@@ -124,6 +151,10 @@
 export type RetryBudgetUsage = z.infer<typeof retryBudgetUsageSchema>;
 /** Request counts by the first upstream of the request's path. */
 export type UpstreamLoads = z.infer<typeof upstreamLoadsSchema>;
+/** What an entry's streams show of its links, by failure domain. */
+export type LinkReport = z.infer<typeof linkReportSchema>;
+/** A pair of failure domains whose links lose packets. */
+export type LossyLink = z.infer<typeof lossyLinkSchema>;
 /** Parameters of `synchronise`. */
 export type SynchroniseParameters = z.input<typeof synchroniseParametersSchema>;
 /** Parameters of `suspect`. */
