feat(daemon): avoid paths over links that lose packets

Change: LinkMonitor counts events and late events by the domain of the path's first engine, in the sink's callback of attemptTarget. Paths over links that lose packets come after all others that have room; one new request in 50 tries them first. Without a leader for 1.5 s an entry updates the last answer by its own counts.

Without a loss the choice is the old one.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -22,6 +22,7 @@
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
 import type { Confirmation } from "./leaderSync.js";
+import { LinkMonitor } from "./linkMonitor.js";
 import { LoadReportAge } from "./loadReportAge.js";
 import { getPathKey } from "./pathKey.js";
 import { PathStallDetector } from "./pathStallDetector.js";
@@ -82,6 +83,7 @@
     private readonly admission: EntryAdmission;
     private readonly faultHandler: UpstreamFaultHandler;
     private readonly stallDetector: PathStallDetector;
+    private readonly links: LinkMonitor;
     private readonly budgets: RetryBudgets;
     private readonly crashes: CrashTracker;
     private readonly notices: UpstreamNoticeHandler;
@@ -111,8 +113,13 @@
             },
             reportSuspects: options.reportSuspects,
         });
+        const { failure_domain: domain } = options.settings.instance;
+        this.links = new LinkMonitor({ domain, getNowMs: options.getNowMs });
         this.stallDetector = new PathStallDetector({
             getNowMs: options.getNowMs,
+            handleProcessPause: (durationMs) => {
+                this.links.recordProcessPause(durationMs);
+            },
             handleStall: (id, streams, silentMs) => void this.faultHandler.handlePathStall(id, streams, silentMs),
         });
         this.chooser = new TargetChooser({
@@ -128,6 +135,7 @@
             estimateUnreported: (service) => this.estimateUnreported(service),
             getLoadAgeMs: () => this.loadReportAge.getMeanAgeMs(),
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
+            isLinkLossy: (to) => this.links.isLossy(to),
             countEntries: options.countEntries,
             random: options.random,
         });
@@ -176,6 +184,8 @@
             loads: this.health.listLoads(),
             spending: this.budgets.listSpending(),
             limits_known: this.notices.limitsKnown,
+            domain: this.options.settings.instance.failure_domain,
+            links: this.links.createReport(),
         };
     }
 
@@ -194,6 +204,7 @@
     applyState(state: SynchronisedState): void {
         this.remoteLoads.record(state.loads_elsewhere);
         this.loadReportAge.recordReport();
+        this.links.recordAnswer(state.links);
         this.budgets.recordRemoteSpending(state.spending_elsewhere ?? {}, state.spending_known_ms ?? 0);
         this.view.applyUpstreams(state);
         this.crashes.applyState(state);
@@ -308,6 +319,10 @@
                 this.engineReports.checkStall({ id: target.upstreamId, address: target.address }, requestId),
             watchPath: (target, pauseMs, leave) =>
                 this.stallDetector.follow(getPathKey(target.stages ?? []), pauseMs, leave),
+            followLink: ({ upstreamId, stages }) => {
+                const domain = stages?.[0]?.engine.failureDomain;
+                return domain === undefined ? undefined : this.links.follow(upstreamId, domain);
+            },
             claimPathSwitch: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
             hasEnded: (id) => this.view.hasEnded(id),
             notices: this.notices.createFunctions(),
--- a/packages/daemon/src/process/entry/pathStallDetector.ts
+++ b/packages/daemon/src/process/entry/pathStallDetector.ts
@@ -11,6 +11,8 @@
     readonly getNowMs: () => number;
     /** Called once for each path that stalls. */
     readonly handleStall: (id: string, streams: number, silentMs: number) => void;
+    /** Called when this process did not run for a while. */
+    readonly handleProcessPause?: (durationMs: number) => void;
 }
 
 /** Called when a path stalls; `isCertain` is false where few streams show it, since lost packets could be the cause. */
@@ -158,6 +160,9 @@
     private checkPaths(): void {
         const nowMs = this.options.getNowMs();
         const isLate = nowMs - this.lastCheckMs > LATE_CHECK_MS;
+        if (isLate) {
+            this.options.handleProcessPause?.(nowMs - this.lastCheckMs);
+        }
         this.lastCheckMs = nowMs;
         for (const [key, path] of this.paths) {
             if (isLate) {
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -45,6 +45,8 @@
     readonly getRemoteLoad: (id: string) => ChainLoad;
     /** Whether new requests avoid a path because it stalled recently. */
     readonly isPathAvoided: (path: PathKey) => boolean;
+    /** Whether the links of this entry to a failure domain lose packets now. */
+    readonly isLinkLossy?: (domain: string) => boolean;
     /** Estimates the requests to a service that other entries have sent since their last load reports. */
     readonly estimateUnreported: (service: string) => number;
     readonly countEntries: () => number;
@@ -141,7 +143,7 @@
             });
         const limited = new Set<string>();
         let chosen: LoadedChain | undefined;
-        for (const tier of this.listTiers(chains, service.name)) {
+        for (const tier of this.listTiers(chains, service.name, !isUnderWay && run.attempts === 0)) {
             chosen ??= this.chooseWithPermit(run, tier, limited, chooseLoaded);
         }
         const first = chosen?.chain.stages[0]?.engine;
@@ -254,7 +256,21 @@
     }
 
     /** Lists the sets of paths among which a request chooses, in order: a later set only where no earlier one has room. */
-    private listTiers(chains: readonly Chain[], service: string): readonly (readonly Chain[])[] {
+    private listTiers(
+        chains: readonly Chain[],
+        service: string,
+        mayTryLossy: boolean,
+    ): readonly (readonly Chain[])[] {
+        const { isLinkLossy, random } = this.options;
+        const lossy = isLinkLossy === undefined ? [] : chains.filter((chain) => isLinkLossy(getFirstDomain(chain)));
+        if (lossy.length === 0 || lossy.length === chains.length) {
+            return this.listPreferredTiers(chains, service);
+        }
+        const others = this.listPreferredTiers(chains.filter((chain) => !lossy.includes(chain)), service);
+        return mayTryLossy && random() < LINK_TRIAL_SHARE ? [lossy, ...others] : [...others, lossy];
+    }
+
+    private listPreferredTiers(chains: readonly Chain[], service: string): readonly (readonly Chain[])[] {
         const { instance, getRequestsPerSecond } = this.options;
         const preferred = listPreferredChains(
             chains,
@@ -337,6 +353,15 @@
     return chain.stages[0]?.engine.id ?? "";
 }
 
+function getFirstDomain(chain: Chain): string {
+    return chain.stages[0]?.engine.failureDomain ?? "";
+}
+
+/**
+ * Share of requests that are sent over a link that loses packets while others have room, so that its recovery is seen.
+ * With fewer, some ten entries of one request a second would see no stream there for seconds.
+ */
+const LINK_TRIAL_SHARE = 1 / 50;
 /** Relative jitter that breaks ties between scores. */
 const TIE_JITTER = 0.05;
 /** Size of a request that does not state one; only its being equal on all paths matters. */
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -105,6 +105,8 @@
     readonly queryStall: (target: CallTarget, requestId: string) => Promise<StallReport>;
     /** Monitors a stream on its path; `leave` is called if the path stalls. */
     readonly watchPath: (target: CallTarget, pauseMs: number, leave: PathStallHandler) => StreamTracker;
+    /** Observes how the events of a stream come over the link to its path; undefined for targets without a path. */
+    readonly followLink?: (target: CallTarget) => StreamTracker | undefined;
     /** Whether a stream may switch to another path; if so, takes a retry from the retry budget. */
     readonly claimPathSwitch: (context: RequestContext, hasStarted: boolean) => boolean;
     /** Whether an upstream has terminated or is cut off, so that it cannot respond any more. */
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -130,6 +130,7 @@
         notices.recordOutcome(target, isServed);
     });
     let watch: StallWatch | undefined;
+    const link = relay === undefined ? undefined : functions.followLink?.(target);
     const result = await runAttempt({
         connections: functions.getConnections(target),
         codec: functions.codec,
@@ -141,12 +142,14 @@
             recordFirstOutput();
             recordOutcome(true);
             watch?.recordEvent();
+            link?.recordEvent();
         }),
         handleStart: (abort) => {
             watch = startStallWatch(context, target, relay, functions, abort);
         },
     });
     watch?.stop();
+    link?.close();
     recordFirstOutput();
     if (result.kind === "ended" && result.end === "kept-back") {
         // Nothing was sent, so it does not count as an attempt.
