--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -147,6 +147,8 @@
     /** How long the machine sleeps after the request has arrived; 0 by default. */
     readonly sleepMs?: number;
     readonly queryStall?: (target: CallTarget) => Promise<StallReport>;
+    /** Observes the links of streams; none by default. */
+    readonly followLink?: NonNullable<RoutedRequestFunctions["followLink"]>;
 }
 
 /** A test entry with one route that attempts the upstreams in their order. */
@@ -257,6 +259,7 @@
             queryStall: options.queryStall ?? (() => Promise.resolve({ kind: "moving" })),
             watchPath: (target, pauseMs, leave) =>
                 this.stallDetector.follow({ id: target.upstreamId, laterStages: "" }, pauseMs, leave),
+            ...(options.followLink === undefined ? {} : { followLink: options.followLink }),
             claimPathSwitch: (context) =>
                 options.maySwitchPath !== false
                 && options.upstreams.some((one) => !context.attemptedUpstreams.has(one.name)),
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -83,7 +83,7 @@
 async function runScenario(
     names: readonly string[],
     route: Partial<Route>,
-    options: Pick<EntryOptions, "isPath" | "maySwitchPath" | "ended"> = {},
+    options: Pick<EntryOptions, "isPath" | "maySwitchPath" | "ended" | "followLink"> = {},
 ): Promise<{
     readonly seen: ReceivedResponse;
     readonly requests: readonly string[][];
@@ -340,6 +340,21 @@
         expect(seen).to.include({ status: 200, body: events(1, 2), isComplete: false });
     });
 
+    for (const isRepeatable of [true, false]) {
+        it(`links see the events of each attempt and its end, repeatable: ${String(isRepeatable)}`, async () => {
+            const seenLinks: string[] = [];
+            const followLink: EntryOptions["followLink"] = ({ upstreamName }) => ({
+                recordEvent: () => seenLinks.push(upstreamName),
+                close: () => seenLinks.push("end"),
+            });
+            const route = { kind: "stream", is_repeatable: isRepeatable } as const;
+            await runScenario(["streamReset", "stream"], route, { followLink });
+            const attempts = isRepeatable ? ["streamReset0", "end", "stream1", "end"] : ["streamReset0", "end"];
+            const changes = seenLinks.filter((one, index) => one !== seenLinks[index - 1]);
+            expect(changes).to.deep.equal(attempts);
+        });
+    }
+
     it("a stream whose path stalls continues elsewhere, and the failed engine is excluded", async () => {
         const options = { isPath: true, maySwitchPath: false };
         const { seen, suspects } = await runScenario(["streamSilent", "stream"], { kind: "stream" }, options);
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -80,6 +80,9 @@
 class ChooserHarness {
     nowMs = 0;
     readonly loads = new Map<string, ChainLoad>();
+    /** Failure domains over links that lose packets. */
+    readonly lossy = new Set<string>();
+    draw = 0;
     readonly health = new UpstreamHealth(() => this.nowMs);
     readonly backoffs = new UpstreamBackoffs({ getNowMs: () => this.nowMs, log: nullLog, metrics: nullMetrics });
     readonly leaving = new LeavingNotices({
@@ -103,11 +106,12 @@
         rateLimiter: this.named.rateLimiter,
         getRemoteLoad: (id) => this.loads.get(id) ?? { open: 0, unstarted: 0 },
         isPathAvoided: () => false,
+        isLinkLossy: (domain) => this.lossy.has(domain),
         estimateUnreported: () => 0,
         countEntries: () => 1,
         getRequestsPerSecond: () => 1,
         getLoadAgeMs: () => 0,
-        random: () => 0,
+        random: () => this.draw,
     });
 
     setEngines(upstreams: readonly RegisteredUpstream[]): void {
@@ -311,3 +315,51 @@
         });
     }
 });
+
+describe("paths over links that lose packets are used only where no other path has room", () => {
+    const engines = ["own", "near", "far"].flatMap((domain) =>
+        ["1", "2"].map((number) => ({
+            ...createEngine(`${domain}-${number}`, "whole", { first: 0, end: 8 }),
+            failure_domain: domain,
+        }))
+    );
+    /** Beyond the share of requests that try such links. */
+    const USUAL_DRAW = 0.5;
+    const rows: readonly {
+        readonly title: string;
+        readonly lossy: readonly string[];
+        readonly full?: readonly string[];
+        readonly down?: readonly string[];
+        readonly draw?: number;
+        readonly domains: readonly string[];
+    }[] = [
+        { title: "no link loses packets: the least loaded path", lossy: [], domains: ["far"] },
+        { title: "one does: the least loaded of the others", lossy: ["far"], domains: ["near"] },
+        { title: "all others do: the own domain", lossy: ["near", "far"], domains: ["own"] },
+        { title: "all do: as if none did", lossy: ["own", "near", "far"], domains: ["far"] },
+        { title: "the own domain is full", lossy: ["near", "far"], full: ["own"], domains: ["far"] },
+        { title: "the own domain is gone", lossy: ["near", "far"], down: ["own"], domains: ["far"] },
+        { title: "the others are full", lossy: ["far"], full: ["own", "near"], domains: ["far"] },
+        { title: "all are full", lossy: ["far"], full: ["own", "near", "far"], domains: ["full"] },
+        { title: "one request in 50 tries them", lossy: ["far"], draw: 0.0199, domains: ["far"] },
+        { title: "no more than that", lossy: ["far"], draw: 0.02, domains: ["near"] },
+        { title: "a trial where they are full", lossy: ["far"], full: ["far"], draw: 0, domains: ["near"] },
+    ];
+    for (const { title, lossy, full = [], down = [], draw = USUAL_DRAW, domains } of rows) {
+        it(title, () => {
+            const harness = new ChooserHarness();
+            harness.setEngines(engines);
+            const openByDomain: Readonly<Record<string, number>> = { own: 8, near: 4, far: 1 };
+            engines.forEach(({ id, failure_domain: domain }) => {
+                const open = full.includes(domain) ? profile.slots : openByDomain[domain] ?? 0;
+                harness.loads.set(id, { open, unstarted: 0 });
+                if (down.includes(domain)) {
+                    harness.health.markDown(id, true);
+                }
+            });
+            lossy.forEach((domain) => harness.lossy.add(domain));
+            harness.draw = draw;
+            expect(harness.choose().split("-")[0]).to.be.oneOf(domains);
+        });
+    }
+});
