--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -2,6 +2,7 @@
  * Parameters and results of the JSON-RPC 2.0 methods that entries and voters call on voters.
  */
 import * as z from "zod";
+import { demandReportSchema, demandSummarySchema } from "./demandMessage.js";
 import { rateLimitCursorSchema, rateLimitUpdatesSchema } from "./rateLimitMessage.js";
 import { registeredUpstreamSchema } from "./registeredUpstream.js";
 import { replicaAddressSchema } from "./replicaMessage.js";
@@ -39,6 +40,8 @@
     may_wait: z.boolean().default(true),
     /** Version of the operator's document that the entry has applied; absent before the first one. */
     applied_version: z.int().optional(),
+    /** Demand at the entry. An invalid value is dropped: the rest of the message counts. */
+    demand: demandReportSchema.optional().catch(undefined),
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; sent immediately, since `synchronise` is a long poll. */
@@ -78,6 +81,8 @@
         suspects: z.array(z.string()).default([]),
         /** Rate limits that changed since the entry's cursor. */
         limits: rateLimitUpdatesSchema.optional(),
+        /** Demand over all entries; only for an entry that reports its own. */
+        demand: demandSummarySchema.optional().catch(undefined),
         /** Peer addresses of all replicas. */
         voters: z.array(z.string()),
     }),
--- a/packages/schemas/src/fleetSettings.ts
+++ b/packages/schemas/src/fleetSettings.ts
@@ -44,6 +44,10 @@
         /** Link rate of this instance, in Mbit/s. */
         link: z.number().positive().default(DEFAULT_LINK_MBPS),
     }).default({ link: DEFAULT_LINK_MBPS }),
+    admission: z.object({
+        /** Whether demand is also reported for services whose routes all have the same priority. */
+        report_demand: z.boolean().default(false),
+    }).default({ report_demand: false }),
     contract: z.object({
         /** Interval between heartbeats of an upstream. */
         upstream_heartbeat: durationMsSchema,
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./callerError.js";
 export * from "./command.js";
 export * from "./configuration.js";
+export * from "./demandMessage.js";
 export * from "./engineMessage.js";
 export * from "./fleetCommand.js";
 export * from "./fleetMessage.js";
