feat: entries report demand and the leader answers with the sum

Cause: the demand was measured by nobody and sent nowhere.

Change: EntryDemand records each admitted request in FleetEntry and adds the demand to synchronise; EntryRegistry records it in DemandRegistry and answers with the sum over reports of the last 1.5 s, only to entries that sent one.

--- a/packages/daemon/src/process/entry/fleetDemand.ts
+++ b/packages/daemon/src/process/entry/fleetDemand.ts
@@ -77,10 +77,11 @@
      * Records the sum in an answer of the leader.
      * @param summary - the sum; undefined where the leader is of an older build
      * @param knownMs - time for which this leader has received reports
+     * @returns whether the sum is used
      */
-    record(summary: DemandSummary | undefined, knownMs: number = Number.POSITIVE_INFINITY): void {
+    record(summary: DemandSummary | undefined, knownMs: number = Number.POSITIVE_INFINITY): boolean {
         if (summary === undefined || knownMs < COMPLETE_AFTER_MS) {
-            return;
+            return false;
         }
         if (this.receivedMs === Number.NEGATIVE_INFINITY) {
             // Averages of estimates after a start begin near 0, and would take 10 s to reach the fleet's demand.
@@ -103,6 +104,7 @@
         reported.forEach((service) => {
             this.updateSlowAverages(service, this.services.get(service) ?? []);
         });
+        return true;
     }
 
     /**
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -21,6 +21,7 @@
 import { EngineReportCache } from "./engineReportCache.js";
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
+import { EntryDemand } from "./entryDemand.js";
 import type { Confirmation } from "./leaderSync.js";
 import { LoadReportAge } from "./loadReportAge.js";
 import { getPathKey } from "./pathKey.js";
@@ -75,6 +76,8 @@
 export class FleetEntry {
     /** The operator's document in force. */
     readonly document: ActiveDocument;
+    /** Demand at this entry and over all. */
+    readonly demand: EntryDemand;
     private readonly view = new FleetView();
     private readonly health: UpstreamHealth;
     private readonly chooser: TargetChooser;
@@ -95,6 +98,7 @@
      */
     constructor(private readonly options: FleetEntryOptions) {
         this.document = new ActiveDocument({ ...options, view: this.view });
+        this.demand = new EntryDemand({ ...options, getRouting: () => this.view.routing });
         this.health = new UpstreamHealth(options.getNowMs);
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.loadReportAge = new LoadReportAge(options.getNowMs);
@@ -169,8 +173,10 @@
      */
     createParameters(): SynchroniseParameters {
         const { version } = this.document;
+        const demand = this.demand.createReport();
         return {
             ...(version === undefined ? {} : { applied_version: version }),
+            ...(demand === undefined ? {} : { demand }),
             instance: this.options.settings.instance.id,
             known_index: this.view.knownIndex,
             loads: this.health.listLoads(),
@@ -194,6 +200,7 @@
     applyState(state: SynchronisedState): void {
         this.remoteLoads.record(state.loads_elsewhere);
         this.loadReportAge.recordReport();
+        this.demand.recordSummary(state.demand, state.spending_known_ms);
         this.budgets.recordRemoteSpending(state.spending_elsewhere ?? {}, state.spending_known_ms ?? 0);
         this.view.applyUpstreams(state);
         this.crashes.applyState(state);
@@ -255,7 +262,9 @@
         };
         response.once("close", handleClose);
         this.budgets.get(admitted.service.name).recordRequest();
+        this.demand.recordArrival(run);
         const end = await handleRoutedRequest(run, answer, this.functions);
+        this.demand.recordEnd(run, end);
         run.close();
         this.notices.rateLimiter.withdraw(run);
         recordRequest(this.options, run, end, this.createEntryState(), ({ admitted: one }) => ({
@@ -284,7 +293,11 @@
             getConnections: (target) => connections.get(target),
             codec,
             getNowMs,
-            chooseTarget: (run, lastEventId, isUnderWay) => this.chooser.choose(run, lastEventId, isUnderWay),
+            chooseTarget: (run, lastEventId, isUnderWay) => {
+                const choice = this.chooser.choose(run, lastEventId, isUnderWay);
+                this.demand.recordChoice(run, choice);
+                return choice;
+            },
             isKeyUsable: () => isKeyLeaseValid({ ageMs: getAgeMs(), revocationMs: settings.contract.revocation }),
             recordStart: (id) => {
                 this.health.recordRequestStart(id);
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -10,6 +10,7 @@
     UpstreamLoads,
 } from "@crankfork/schemas";
 import { waitMs } from "../waitMs.js";
+import { DemandRegistry } from "./demandRegistry.js";
 import type { DocumentRollout } from "./documentRollout.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 import type { RateLimitCoordinator } from "./rateLimitCoordinator.js";
@@ -67,6 +68,8 @@
 
 /** Tracks entries and answers their synchronisation requests. */
 export class EntryRegistry {
+    /** Demand that the entries report. */
+    readonly demand: DemandRegistry;
     private readonly entries = new Map<string, KnownEntry>();
     private pendingPolls: (() => void)[] = [];
     private formerSpending: FormerSpending[] = [];
@@ -76,7 +79,9 @@
     /**
      * @param options - replica and clock
      */
-    constructor(private readonly options: EntryRegistryOptions) {}
+    constructor(private readonly options: EntryRegistryOptions) {
+        this.demand = new DemandRegistry(options.getNowMs);
+    }
 
     /** Answers all pending long polls, because the state changed. */
     handleStateChange(): void {
@@ -113,9 +118,12 @@
     }
 
     private recordEntry(
-        { instance, loads, spending = {}, known_index, applied_version }: SynchroniseParameters,
+        { instance, loads, spending = {}, known_index, applied_version, demand }: SynchroniseParameters,
     ): KnownEntry {
         this.trackTerm();
+        if (demand !== undefined) {
+            this.demand.record(instance, demand);
+        }
         const known = this.entries.get(instance);
         // An entry that knows nothing has restarted, and its counters begin at 0.
         if (known !== undefined && known_index === 0 && Object.keys(known.spending).length > 0) {
@@ -184,6 +192,8 @@
             spending_known_ms: this.options.getNowMs() - this.leadingSinceMs,
             suspects: [...this.options.listSuspects()],
             limits: this.options.limits.listUpdates(parameters.limits_known ?? NO_LIMITS),
+            // An entry of an older build would only discard it.
+            ...(parameters.demand === undefined ? {} : { demand: this.demand.summarise() }),
             voters: [...replicas.voters, ...replicas.learners].map((replica) => replica.address),
         };
     }
--- a/packages/decisions/src/request/encodeClassDemand.ts
+++ b/packages/decisions/src/request/encodeClassDemand.ts
@@ -15,28 +15,37 @@
  * Rounds the demand of a class to one decimal place and leaves out what is 0. Keeps the largest organisations; the
  * others are summed under the empty name.
  * @param demand - the demand as measured or summed
- * @returns the members to send; undefined where all are 0
+ * @returns the members to send; undefined where there are neither requests nor callers who are due
  */
 export function encodeClassDemand(demand: ClassDemand): SentClassDemand | undefined {
     const { organisations, ...quantities } = demand;
-    const sent = Object.entries(quantities).map(([name, value]) => [name, round(value)] as const)
-        .filter(([, value]) => value !== 0);
-    if (sent.length === 0) {
+    const { arrivals_per_s, admitted_per_s, refused_per_s, waiting, returns } = demand;
+    if ([arrivals_per_s, admitted_per_s, refused_per_s, waiting, returns].every((value) => round(value) === 0)) {
+        // Token rates decay for some seconds longer, and would take most of the report of an entry with few requests.
         return undefined;
     }
+    const sent = keepPositive(Object.entries(quantities));
     const names = encodeOrganisations(organisations ?? {});
     return { ...Object.fromEntries(sent), ...(names.length === 0 ? {} : { organisations: Object.fromEntries(names) }) };
 }
 
-function encodeOrganisations(organisations: Readonly<Record<string, number>>): readonly (readonly [string, number])[] {
+type Amount = readonly [name: string, value: number];
+
+function encodeOrganisations(organisations: Readonly<Record<string, number>>): readonly Amount[] {
+    const total = sumAmounts(Object.entries(organisations));
     const named = Object.entries(organisations)
         .filter(([name]) => name !== "" && name.length <= MAX_DEMAND_NAME_LENGTH)
         .sort(([, left], [, right]) => right - left)
         .slice(0, MAX_DEMAND_ORGANISATIONS);
-    const sum = (values: readonly number[]): number => values.reduce((total, one) => total + one, 0);
-    const others = sum(Object.values(organisations)) - sum(named.map(([, value]) => value));
-    return [...named, ["", others] as const].map(([name, value]) => [name, round(value)] as const)
-        .filter(([, value]) => value !== 0);
+    return keepPositive([...named, ["", total - sumAmounts(named)]]);
+}
+
+function sumAmounts(amounts: readonly Amount[]): number {
+    return amounts.reduce((sum, [, value]) => sum + value, 0);
+}
+
+function keepPositive(amounts: readonly Amount[]): readonly Amount[] {
+    return amounts.map(([name, value]) => [name, round(value)] as const).filter(([, value]) => value > 0);
 }
 
 function round(value: number): number {
