--- /dev/null
+++ b/packages/daemon/tests/demandRegistry.test.ts
@@ -0,0 +1,164 @@
+/** Guards against one faulty or outdated report that changes what all entries see, and against messages between builds. */
+import {
+    type DemandReport,
+    MAX_DEMAND_CLASSES,
+    synchroniseParametersSchema,
+    synchroniseResultSchema,
+} from "@crankfork/schemas";
+import { expect } from "chai";
+import { DemandRegistry } from "../src/process/voter/demandRegistry.js";
+import { TestLeader } from "./demandFleet.js";
+import { createFullState } from "./fullState.js";
+
+const report: DemandReport = { services: { s: { classes: { 2: { arrivals_per_s: 3, organisations: { a: 5 } } } } } };
+let nowMs: number;
+let registry: DemandRegistry;
+
+beforeEach(() => {
+    nowMs = 1_000;
+    registry = new DemandRegistry(() => nowMs);
+});
+
+describe("the sum contains the newest report of each entry, for 1.5 s", () => {
+    const rows = [
+        { title: "two entries", reports: [["a", 0], ["b", 0]], expected: { arrivals: 6, reporters: 2 } },
+        { title: "one entry, repeated", reports: [["a", 0], ["a", 300]], expected: { arrivals: 3, reporters: 1 } },
+        { title: "a report of 1.5 s", reports: [["a", 0], ["b", 1_500]], expected: { arrivals: 6, reporters: 2 } },
+        { title: "an older one", reports: [["a", 0], ["b", 1_501]], expected: { arrivals: 3, reporters: 1 } },
+        { title: "one of 3 s", reports: [["a", 0], ["b", 3_000]], expected: { arrivals: 3, reporters: 1 } },
+    ] as const;
+    for (const { title, reports, expected } of rows) {
+        it(title, () => {
+            reports.forEach(([instance, atMs]) => {
+                nowMs = 1_000 + atMs;
+                registry.record(instance, report);
+            });
+            const { services, reporters } = registry.summarise();
+            expect({ arrivals: services.s?.classes[2]?.arrivals_per_s, reporters }).to.deep.equal(expected);
+        });
+    }
+
+    it("and is computed once in 100 ms", () => {
+        registry.record("a", report);
+        const first = registry.summarise();
+        registry.record("b", report);
+        nowMs += 99;
+        expect(registry.summarise()).to.equal(first);
+        nowMs += 1;
+        expect(registry.summarise().reporters).to.equal(2);
+    });
+});
+
+describe("nonsense from one entry is bounded", () => {
+    const rows = [
+        {
+            title: "huge",
+            value: 1e300,
+            expected: { arrivals_per_s: 10_000, waiting: 10_000, prompt_tokens_per_s: 1_000_000 },
+        },
+        {
+            title: "infinite",
+            value: Infinity,
+            expected: { arrivals_per_s: 10_000, waiting: 10_000, prompt_tokens_per_s: 1_000_000 },
+        },
+        { title: "negative", value: -5, expected: undefined },
+        { title: "minus infinity", value: -Infinity, expected: undefined },
+        { title: "no number", value: NaN, expected: undefined },
+    ];
+    for (const { title, value, expected } of rows) {
+        it(title, () => {
+            const demand = { arrivals_per_s: value, waiting: value, prompt_tokens_per_s: value };
+            registry.record("e", { services: { s: { classes: { 0: demand } } } });
+            expect(registry.summarise().services.s?.classes[0]).to.deep.equal(expected);
+        });
+    }
+
+    it("services that few entries name give way where there are too many", () => {
+        const names = Array.from({ length: MAX_DEMAND_CLASSES }, (_unused, index) => `nonsense-${String(index)}`);
+        registry.record("faulty", {
+            services: Object.fromEntries(names.map((name) => [name, { classes: { 0: { arrivals_per_s: 10_000 } } }])),
+        });
+        registry.record("a", report);
+        registry.record("b", report);
+        const { services } = registry.summarise();
+        expect(services.s?.classes[2]?.arrivals_per_s).to.equal(6);
+        expect(Object.keys(services)).to.have.length(MAX_DEMAND_CLASSES);
+    });
+});
+
+describe("a demand that does not parse is dropped, and the rest of the message counts", () => {
+    const many = (count: number): object =>
+        Object.fromEntries(Array.from({ length: count }, (_unused, index) => [index, 1]));
+    const rows: readonly { readonly title: string; readonly demand: unknown; readonly isKept: boolean; }[] = [
+        { title: "no services", demand: { services: {} }, isKept: true },
+        { title: "members that this build does not know", demand: { ...report, later: 1 }, isKept: true },
+        { title: "of another type", demand: 7, isKept: false },
+        { title: "null", demand: null, isKept: false },
+        {
+            title: "a rate that is a text",
+            demand: { services: { s: { classes: { 0: { waiting: "9" } } } } },
+            isKept: false,
+        },
+        {
+            title: "a number that JSON reads as infinite",
+            demand: JSON.parse('{"services":{"s":{"classes":{"0":{"waiting":1e999}}}}}'),
+            isKept: false,
+        },
+        { title: "a rank that is no index", demand: { services: { s: { classes: { "-1": {} } } } }, isKept: false },
+        {
+            title: "too many classes",
+            demand: {
+                services: { s: { classes: Object.fromEntries(Object.keys(many(33)).map((rank) => [rank, {}])) } },
+            },
+            isKept: false,
+        },
+        {
+            title: "too many organisations",
+            demand: { services: { s: { classes: { 0: { organisations: many(10) } } } } },
+            isKept: false,
+        },
+    ];
+    for (const { title, demand, isKept } of rows) {
+        it(title, () => {
+            const parsed = synchroniseParametersSchema.parse({ instance: "e", known_index: 4, loads: {}, demand });
+            expect(parsed).to.deep.include({ instance: "e", known_index: 4 });
+            expect(parsed.demand !== undefined).to.equal(isKept);
+            const state = { ...createFullState(3, []), demand };
+            expect(synchroniseResultSchema.parse(state)).to.deep.include({ index: 3 });
+        });
+    }
+});
+
+describe("messages of the previous build stay valid", () => {
+    const rows = [
+        { title: "an entry without demand gets no sum", demand: undefined, expected: undefined },
+        {
+            title: "an entry with nothing to report gets the sum",
+            demand: { services: {} },
+            expected: {
+                services: { s: { classes: { 2: { arrivals_per_s: 3, organisations: { a: 5 } } } } },
+                reporters: 2,
+            },
+        },
+    ];
+    for (const { title, demand, expected } of rows) {
+        it(title, async () => {
+            const leader = new TestLeader(1);
+            leader.registry.demand.record("other", report);
+            const result = await leader.registry.synchronise(
+                synchroniseParametersSchema.parse({
+                    instance: "e",
+                    known_index: 0,
+                    loads: {},
+                    may_wait: false,
+                    demand,
+                }),
+            );
+            expect("demand" in result ? result.demand : undefined).to.deep.equal(expected);
+        });
+    }
+
+    it("an answer without a sum", () => {
+        expect(synchroniseResultSchema.parse(createFullState(3, []))).not.to.have.property("demand");
+    });
+});
