--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -20,6 +20,7 @@
     printVoters,
     replaceVoter,
 } from "./commands.js";
+import { printFleetStatus } from "./fleetStatus.js";
 import { OperatorError } from "./operatorClient.js";
 import { formatTimeline, readTimeline, type TimelineFilter } from "./timeline.js";
 import { formatTimelineHtml } from "./timelineHtml.js";
@@ -44,7 +45,14 @@
         runAction(() => initCluster(createCommandOptions(options), splitNames(options.voters)))
     );
 cli.command("status", "show instances, versions and the replica of the instance")
-    .action((options: SharedOptions) => runAction(() => printStatus(createCommandOptions(options))));
+    .option("--fleet <address>", "show demand, room and refusals at this peers' port of an entry or voter instead")
+    .action((options: SharedOptions & { fleet?: string; }) =>
+        runAction(() =>
+            options.fleet === undefined
+                ? printStatus(createCommandOptions(options))
+                : printFleetStatus(options.fleet, options.json === true)
+        )
+    );
 cli.command("plan <file>", "create a plan for an intent, without changing anything")
     .action((file: string, options: SharedOptions) => runAction(() => printPlan(createCommandOptions(options), file)));
 cli.command("confirm <plan>", "confirm a plan and wait until it is in force")
--- a/packages/daemon/src/process/entry/entryDemand.ts
+++ b/packages/daemon/src/process/entry/entryDemand.ts
@@ -108,6 +108,23 @@
         return key;
     }
 
+    /**
+     * Tells whether the demand of a service is reported, which holds for all ranked services.
+     * @param service - its name
+     * @returns false also before the first routing table
+     */
+    isReported(service: string): boolean {
+        return this.getReportedServices().has(service);
+    }
+
+    /**
+     * Lists the services that are reported, or have requests here.
+     * @returns their names
+     */
+    listServices(): readonly string[] {
+        return [...new Set([...this.getReportedServices(), ...this.meter.listServices()])];
+    }
+
     /**
      * Records a request that was admitted by key and route.
      * @param run - the request
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -1,11 +1,18 @@
 /**
  * An entry of a fleet: accepts callers' requests and routes them by the state that it synchronises from the voters.
  */
-import type { FleetSettings, RoutingTable, SynchronisedState, SynchroniseParameters } from "@crankfork/schemas";
+import type {
+    FleetSettings,
+    FleetStatus,
+    RoutingTable,
+    SynchronisedState,
+    SynchroniseParameters,
+} from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
 import type { UpstreamConnections } from "../../connection/upstreamConnections.js";
 import { isKeyLeaseValid } from "../../request/admitCall.js";
+import type { RequestEnd } from "../../request/refuseRequest.js";
 import { type AdmittedCall, RequestContext } from "../../request/requestContext.js";
 import type { RoutedRequestFunctions } from "../../request/requestFunctions.js";
 import type { CallCodec, RoutedCall } from "../../request/routedCall.js";
@@ -17,7 +24,9 @@
 import { readCallerBody } from "../callerBody.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { AdmissionLevels } from "./admissionLevels.js";
 import { CrashTracker } from "./crashTracker.js";
+import { createEntryStatus } from "./createEntryStatus.js";
 import { EngineReportCache } from "./engineReportCache.js";
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
@@ -26,8 +35,9 @@
 import { LoadReportAge } from "./loadReportAge.js";
 import { getPathKey } from "./pathKey.js";
 import { PathStallDetector } from "./pathStallDetector.js";
+import { RefusalWindow } from "./refusalWindow.js";
 import { RemoteLoads } from "./remoteLoads.js";
-import { type EntryState, recordRefusal, recordRequest } from "./requestLog.js";
+import { type EntryState, recordRefusal, recordRequest, type RequestClass } from "./requestLog.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import { TargetChooser } from "./targetChooser.js";
 import { UpstreamFaultHandler } from "./upstreamFaultHandler.js";
@@ -78,6 +88,9 @@
     readonly document: ActiveDocument;
     /** Demand at this entry and over all. */
     readonly demand: EntryDemand;
+    /** Room that classes may take. */
+    readonly levels: AdmissionLevels;
+    private readonly refusals: RefusalWindow;
     private readonly view = new FleetView();
     private readonly health: UpstreamHealth;
     private readonly chooser: TargetChooser;
@@ -98,6 +111,8 @@
      */
     constructor(private readonly options: FleetEntryOptions) {
         this.document = new ActiveDocument({ ...options, view: this.view });
+        this.levels = new AdmissionLevels(options);
+        this.refusals = new RefusalWindow(options.getNowMs);
         this.demand = new EntryDemand({ ...options, getRouting: () => this.view.routing });
         this.health = new UpstreamHealth(options.getNowMs);
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
@@ -214,6 +229,21 @@
         this.options.connections.closeStale(isKnown);
     }
 
+    /**
+     * Creates the status for operators.
+     * @returns demand, room and refusals by class
+     */
+    createStatus(): FleetStatus {
+        const { countEntries, settings } = this.options;
+        return createEntryStatus({
+            instance: settings.instance.id,
+            countEntries,
+            demand: this.demand,
+            refusals: this.refusals,
+            getClassRoom: (service, rank) => this.levels.get(service, rank),
+        });
+    }
+
     /**
      * Handles a request of a caller.
      * @param message - the request
@@ -267,9 +297,18 @@
         this.demand.recordEnd(run, end);
         run.close();
         this.notices.rateLimiter.withdraw(run);
-        recordRequest(this.options, run, end, this.createEntryState(), ({ admitted: one }) => ({
-            ...this.crashes.describe(one),
-        }));
+        recordRequest(this.options, run, end, this.createEntryState(), {
+            refusedClass: end.outcome === "refused" ? this.recordRefusedClass(run, end) : undefined,
+            describeCrashes: () => ({ ...this.crashes.describe(admitted) }),
+        });
+    }
+
+    private recordRefusedClass(run: RequestContext, end: RequestEnd): RequestClass | undefined {
+        const { service, rank, organisation } = this.demand.getKey(run);
+        this.refusals.record({ service, rank, reason: end.refusal ?? end.outcome });
+        return this.demand.isReported(service)
+            ? { rank, organisation, room: this.levels.get(service, rank)?.share }
+            : undefined;
     }
 
     private refuse(call: RoutedCall, answer: RoutedResponse, id: RefusalId, arrivedMs: number): void {
--- a/packages/daemon/src/process/entry/requestLog.ts
+++ b/packages/daemon/src/process/entry/requestLog.ts
@@ -21,31 +21,48 @@
     readonly confirmation: Confirmation | undefined;
 }
 
+/** Class of a request of a service whose demand is reported, and who took its room. */
+export interface RequestClass {
+    readonly rank: number;
+    readonly organisation: string | undefined;
+    /** Share of the room that its class could take. */
+    readonly room?: number | undefined;
+    /** Open requests by rank on the path that came nearest, as `rank:count`. */
+    readonly taken_by?: string | undefined;
+}
+
 /** Where requests are recorded. */
 export interface RequestLogOptions {
     readonly log: EventLog;
     readonly metrics: FleetMetrics;
 }
 
+/** Details of a request that only some lines contain. */
+export interface RequestDetails {
+    /** Class of a refused request; undefined if its service's demand is not reported. */
+    readonly refusedClass: RequestClass | undefined;
+    /** Fingerprint of the request and the upstreams that crashed under it; called only where one did. */
+    readonly describeCrashes: () => EventFields;
+}
+
 /**
  * Records a request that was admitted.
  * @param options - log and metrics
  * @param run - the request
  * @param end - how it ended
  * @param state - state of the entry
- * @param describeCrashes - returns the fingerprint of the request and the upstreams that crashed under it; called only
- * where one did
+ * @param details - class and crashes of the request
  */
 export function recordRequest(
     { log, metrics }: RequestLogOptions,
     run: RequestContext,
     end: RequestEnd,
     state: EntryState,
-    describeCrashes: (run: RequestContext) => EventFields,
+    { refusedClass, describeCrashes }: RequestDetails,
 ): void {
     const { call, route, service, arrivedMs, basis } = run.admitted;
     const firstMs = end.firstMs === undefined ? undefined : end.firstMs - arrivedMs;
-    metrics.countRequest(service.name, end.refusal ?? end.outcome);
+    metrics.countRequest(service.name, end.refusal ?? end.outcome, refusedClass?.rank);
     metrics.recordRequestMs(service.name, run.ageMs);
     log.record(end.outcome === "answered" && !isLate(run, end, firstMs) ? "debug" : "info", "request", {
         request: call.requestId,
@@ -59,7 +76,8 @@
         pause_ms: roundMs(end.longestPauseMs),
         tries: run.attemptLog.join(" "),
         bound_by: run.throttledBy.join(","),
-        ...(run.hasCrash ? describeCrashes(run) : {}),
+        ...refusedClass,
+        ...(run.hasCrash ? describeCrashes() : {}),
         admitted_by: basis.version,
         admitted_age_ms: roundMs(basis.ageMs),
         ...formatEntryState(state),
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -2,11 +2,12 @@
  * Runs an entry from start to graceful shutdown.
  */
 import type { FleetSettings, RoutingTable } from "@crankfork/schemas";
+import { JSONRPCServer } from "json-rpc-2.0";
 import { createServer } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
 import { UpstreamConnections } from "../../connection/upstreamConnections.js";
 import type { CallCodec } from "../../request/routedCall.js";
-import { openFleetProcess, type SettingsReader } from "../fleetProcess.js";
+import { type FleetProcess, openFleetProcess, type SettingsReader } from "../fleetProcess.js";
 import { openServer, type RequestHandler } from "../httpServer.js";
 import { startLifecycle } from "../lifecycle.js";
 import { waitMs } from "../waitMs.js";
@@ -95,6 +96,7 @@
     await fleet.openPort(settings.ports.readiness, (_request, response) => {
         response.writeHead(entry.isReady ? 200 : 503, { "content-length": 0 }).end();
     });
+    await openStatusPort(fleet, entry);
     leaderSync.start();
     process.once("SIGTERM", () => {
         void stopEntry();
@@ -114,6 +116,18 @@
     }
 }
 
+/** An entry serves callers also where its port for operators is in use. */
+async function openStatusPort(fleet: FleetProcess, entry: FleetEntry): Promise<void> {
+    const server = new JSONRPCServer({ errorListener: () => undefined });
+    server.addMethod("status", () => entry.createStatus());
+    try {
+        await fleet.openPeers(server);
+    }
+    catch (error) {
+        fleet.log.record("warn", "status-not-served", { reason: String(error) });
+    }
+}
+
 interface CallerServer {
     readonly setIdleTimeoutMs: (ms: number) => void;
 }
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -7,7 +7,10 @@
 
 /** Functions that record metrics. */
 export interface FleetMetrics {
-    readonly countRequest: (service: string, outcome: string) => void;
+    /** `rank` is given for refusals of services whose demand is reported. */
+    readonly countRequest: (service: string, outcome: string, rank?: number) => void;
+    /** Share of the room of a service that a class may take. */
+    readonly recordClassRoom: (service: string, rank: number, share: number) => void;
     readonly recordRequestMs: (service: string, durationMs: number) => void;
     readonly countSuspicion: () => void;
     /** An upstream asked this instance to back off. */
@@ -55,8 +58,14 @@
     const registers = [registry];
     const requests = new Counter({
         name: "crankfork_requests_total",
-        help: "Requests by service and outcome",
-        labelNames: ["service", "outcome"],
+        help: "Requests by service and outcome, refusals of ranked services also by rank",
+        labelNames: ["service", "outcome", "rank"],
+        registers,
+    });
+    const classRoom = new Gauge({
+        name: "crankfork_class_room",
+        help: "Share of the room of a service that a class may take, from 0 to 1",
+        labelNames: ["service", "rank"],
         registers,
     });
     const latency = new Histogram({
@@ -167,8 +176,11 @@
     });
     const leading = new Gauge({ name: "crankfork_leading", help: "1 while this voter leads", registers });
     return {
-        countRequest: (service, outcome) => {
-            requests.inc({ service, outcome });
+        countRequest: (service, outcome, rank) => {
+            requests.inc({ service, outcome, ...(rank === undefined ? {} : { rank: String(rank) }) });
+        },
+        recordClassRoom: (service, rank, share) => {
+            classRoom.set({ service, rank: String(rank) }, share);
         },
         recordRequestMs: (service, durationMs) => {
             latency.observe({ service }, durationMs);
--- a/packages/daemon/src/process/voter/demandRegistry.ts
+++ b/packages/daemon/src/process/voter/demandRegistry.ts
@@ -34,6 +34,7 @@
     "waiting",
     "returns",
 ] as const;
+const noDemand = classDemandSchema.parse({});
 const tokenRates: ReadonlySet<string> = new Set(["prompt_tokens_per_s", "answer_tokens_per_s"]);
 
 interface StoredReport {
@@ -83,6 +84,11 @@
         return this.summary.value;
     }
 
+    /** Age of the last sum, in milliseconds; infinite before the first. */
+    get summaryAgeMs(): number {
+        return this.getNowMs() - (this.summary?.atMs ?? Number.NEGATIVE_INFINITY);
+    }
+
     private computeSummary(nowMs: number): DemandSummary {
         this.reports.forEach(({ atMs }, instance) => {
             if (nowMs - atMs > REPORT_EXPIRY_MS) {
@@ -107,7 +113,7 @@
             for (const [service, classes] of report.services) {
                 for (const [rank, demand] of classes) {
                     const key = `${rank} ${service}`;
-                    const sum = sums.get(key) ?? { service, rank, reporters: 0, demand: classDemandSchema.parse({}) };
+                    const sum = sums.get(key) ?? { service, rank, reporters: 0, demand: { ...noDemand } };
                     sums.set(key, sum);
                     sum.reporters += 1;
                     addDemand(sum.demand, demand);
@@ -119,7 +125,7 @@
 }
 
 function clampClass(sent: SentClassDemand): ClassDemand {
-    const demand = classDemandSchema.parse({});
+    const demand: ClassDemand = { ...noDemand };
     quantities.forEach((name) => {
         demand[name] = clamp(sent[name], tokenRates.has(name) ? MAX_TOKENS_PER_S : MAX_REQUESTS);
     });
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -8,6 +8,7 @@
     documentParametersSchema,
     type FleetCommand,
     type FleetSettings,
+    type FleetStatus,
     joinParametersSchema,
     leavingParametersSchema,
     type LeavingResult,
@@ -34,6 +35,7 @@
 import { UpstreamRateLimits } from "../upstreamRateLimits.js";
 import { waitMs } from "../waitMs.js";
 import { CrashRegistry } from "./crashRegistry.js";
+import { createVoterStatus } from "./createVoterStatus.js";
 import { DocumentRollout } from "./documentRollout.js";
 import { DocumentSource } from "./documentSource.js";
 import { DocumentStore } from "./documentStore.js";
@@ -130,7 +132,7 @@
     log.record("info", "replica", { id: host.self.id, cluster: host.cluster, index: host.state.lastChangeIndex });
     const components = startComponents(fleet, host, protocol);
     started.components = components;
-    await fleet.openPeers(createRpcServer(host, components));
+    await fleet.openPeers(createRpcServer(settings.instance.id, host, components));
     const idleMs = settings.contract.upstream_heartbeat * IDLE_HEARTBEATS;
     await fleet.openPort(settings.ports.operators, protocol.createOperatorHandler(components, fleet), idleMs);
     process.once("SIGTERM", () => {
@@ -265,6 +267,7 @@
 }
 
 function createRpcServer(
+    instance: string,
     host: FleetReplicaHost,
     { group, entries, documents, probe, crashes, upstreams, limits }: VoterComponents,
 ): JSONRPCServer {
@@ -287,6 +290,7 @@
     });
     server.addMethod("sends", (raw) => limits.grantPermits(sendsParametersSchema.parse(raw)));
     server.addMethod("document", (raw) => documents.handleRequest(documentParametersSchema.parse(raw)));
+    server.addMethod("status", (): FleetStatus => createVoterStatus(instance, host, entries));
     server.addMethod("synchronise", (raw) => entries.synchronise(synchroniseParametersSchema.parse(raw)));
     return server;
 }
--- a/packages/daemon/tests/demandFleet.ts
+++ b/packages/daemon/tests/demandFleet.ts
@@ -38,12 +38,13 @@
 /** A leader that answers entries of one term. */
 export class TestLeader {
     readonly registry: EntryRegistry;
+    readonly host: FleetReplicaHost;
     private readonly state = new FleetState();
     private index = 0;
 
     constructor(term: number) {
         const self = { id: "v", address: "v" };
-        const host = {
+        this.host = {
             state: this.state,
             self,
             replica: {
@@ -52,7 +53,7 @@
             },
         } as unknown as FleetReplicaHost;
         this.registry = new EntryRegistry({
-            host,
+            host: this.host,
             getNowMs,
             rollout: noRollout,
             listSuspects: () => [],
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -11,6 +11,7 @@
 export * from "./fleetCommand.js";
 export * from "./fleetMessage.js";
 export * from "./fleetSettings.js";
+export * from "./fleetStatus.js";
 export * from "./member.js";
 export * from "./operatorMessage.js";
 export * from "./outcome.js";
