fix: bound what a caller states as its size, count refusals before routing

Cause: callers state the tokens of a request; a number that is none would stay in an entry's rates forever, and a huge one hides all others for many seconds. The status left out requests that were refused before their route was known.

Change: 100,000 tokens a request at most in the meter, no number counts as 0; such refusals are shown under the empty service. Tables of the tests made shorter, with the same cases and one more.

--- a/packages/cli/src/fleetStatus.ts
+++ b/packages/cli/src/fleetStatus.ts
@@ -53,7 +53,7 @@
             "TOKENS/S",
         ];
         return [
-            `${service}: ${source}, ${age}`,
+            service === "" ? "(refused before a route was known)" : `${service}: ${source}, ${age}`,
             formatTable({ head, rows: classes.map((one) => createClassRow(one)) }),
         ].join("\n");
     });
--- a/packages/daemon/src/process/entry/demandMeter.ts
+++ b/packages/daemon/src/process/entry/demandMeter.ts
@@ -22,6 +22,8 @@
 
 /** Organisations held for each service; the demand of the smallest is moved to the empty name beyond that. */
 const MAX_ORGANISATIONS = 64;
+/** Bound of the tokens of one request: callers state them, and engines here hold far fewer. */
+const MAX_REQUEST_TOKENS = 100_000;
 /** Name under which organisations that are not held by themselves are summed. */
 const OTHERS = "";
 /** Width of the intervals in which due times of returning callers are counted. */
@@ -57,7 +59,8 @@
      */
     recordArrival(key: DemandKey, size: RequestSize | undefined): void {
         const nowMs = this.options.getNowMs();
-        const { promptTokens, answerTokens } = size ?? { promptTokens: 0, answerTokens: 0 };
+        const promptTokens = clamp(size?.promptTokens, MAX_REQUEST_TOKENS);
+        const answerTokens = clamp(size?.answerTokens, MAX_REQUEST_TOKENS);
         const metered = this.getClass(key);
         metered.arrivals.add(1, nowMs);
         metered.promptTokens.add(promptTokens, nowMs);
@@ -97,7 +100,7 @@
      * @param dueMs - time until then, in milliseconds from now
      */
     recordReturn(key: DemandKey, dueMs: number): void {
-        const atMs = this.options.getNowMs() + Math.min(MAX_RETURN_MS, Math.max(0, dueMs));
+        const atMs = this.options.getNowMs() + clamp(dueMs, MAX_RETURN_MS);
         const { returns } = this.getClass(key);
         const interval = Math.floor(atMs / RETURN_INTERVAL_MS);
         returns.set(interval, (returns.get(interval) ?? 0) + 1);
@@ -208,6 +211,11 @@
     }
 }
 
+/** A value that is no number counts as 0: it would never decay. */
+function clamp(value: number | undefined, max: number): number {
+    return value !== undefined && value > 0 ? Math.min(max, value) : 0;
+}
+
 function createMeteredClass(): MeteredClass {
     return {
         arrivals: new DecayingRate(),
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -314,6 +314,7 @@
     private refuse(call: RoutedCall, answer: RoutedResponse, id: RefusalId, arrivedMs: number): void {
         const ageMs = this.options.getNowMs() - arrivedMs;
         answer.sendRefusal(call, refusals[id], { remainingMs: (call.deadlineMs ?? 0) - ageMs });
+        this.refusals.record({ service: "", rank: 0, reason: id });
         recordRefusal(this.options, call, refusals[id], ageMs, this.createEntryState());
     }
 
--- a/packages/daemon/src/process/voter/demandRegistry.ts
+++ b/packages/daemon/src/process/voter/demandRegistry.ts
@@ -137,7 +137,7 @@
 
 /** A value that is no number counts as 0. */
 function clamp(value: number | undefined, max: number): number {
-    return value === undefined || Number.isNaN(value) ? 0 : Math.min(max, Math.max(0, value));
+    return value !== undefined && value > 0 ? Math.min(max, value) : 0;
 }
 
 function addDemand(sum: ClassDemand, demand: ClassDemand): void {
--- a/packages/daemon/tests/demandMeter.test.ts
+++ b/packages/daemon/tests/demandMeter.test.ts
@@ -18,92 +18,55 @@
 }
 
 describe("a report contains rates, and the counts of the moment", () => {
-    const rows: readonly {
-        readonly title: string;
-        readonly record: () => void;
-        readonly afterMs: number;
-        readonly expected: SentClassDemand | undefined;
-    }[] = [
-        {
-            title: "an arrival",
-            record: () => {
-                meter.recordArrival(key, size);
-            },
-            afterMs: 0,
-            expected: {
-                arrivals_per_s: 1,
-                prompt_tokens_per_s: 800,
-                answer_tokens_per_s: 200,
-                organisations: { a: 1_000 },
-            },
-        },
-        {
-            title: "an arrival a second ago, without a size and a key",
-            record: () => {
-                meter.recordArrival({ ...key, organisation: undefined }, undefined);
-            },
-            afterMs: 1_000,
-            expected: { arrivals_per_s: 0.4 },
-        },
-        {
-            title: "admitted and refused",
-            record: () => {
+    const arrive = (change: object = {}, of: typeof size | undefined = size) => (): void => {
+        meter.recordArrival({ ...key, ...change }, of);
+    };
+    const wait = (...changes: readonly (1 | -1)[]) => (): void => {
+        changes.forEach((change) => {
+            meter.recordWaiting(key, change);
+        });
+    };
+    const comeBack = (...dueMs: readonly number[]) => (): void => {
+        dueMs.forEach((due) => {
+            meter.recordReturn(key, due);
+        });
+    };
+    const tokens = { prompt_tokens_per_s: 800, answer_tokens_per_s: 200, organisations: { a: 1_000 } };
+    const nonsense = { promptTokens: NaN, answerTokens: Infinity };
+    const bounded = { answer_tokens_per_s: 100_000, organisations: { a: 100_000 } };
+    type Row = readonly [title: string, record: () => void, afterMs: number, expected: SentClassDemand | undefined];
+    const rows: readonly Row[] = [
+        ["an arrival", arrive(), 0, { arrivals_per_s: 1, ...tokens }],
+        [
+            "one of a second ago, without size and key",
+            arrive({ organisation: undefined }, { promptTokens: 0, answerTokens: 0 }),
+            1_000,
+            { arrivals_per_s: 0.4 },
+        ],
+        ["one that states a size that is none", arrive({}, nonsense), 0, { arrivals_per_s: 1, ...bounded }],
+        ["what is over", arrive(), 12_000, undefined],
+        [
+            "an admission",
+            () => {
                 meter.recordAdmitted(key);
-                meter.recordRefused(key);
-                meter.recordRefused(key);
-            },
-            afterMs: 0,
-            expected: { admitted_per_s: 1, refused_per_s: 2 },
-        },
-        {
-            title: "waiting",
-            record: () => {
-                meter.recordWaiting(key, 1);
-                meter.recordWaiting(key, 1);
-                meter.recordWaiting(key, -1);
-            },
-            afterMs: 60_000,
-            expected: { waiting: 1 },
-        },
-        {
-            title: "no longer waiting, also after one end too many",
-            record: () => {
-                meter.recordWaiting(key, -1);
-                meter.recordWaiting(key, 1);
-                meter.recordWaiting(key, -1);
             },
-            afterMs: 0,
-            expected: undefined,
-        },
-        {
-            title: "callers that are due later",
-            record: () => {
-                meter.recordReturn(key, 1_000);
-                meter.recordReturn(key, 3_000);
-            },
-            afterMs: 2_000,
-            expected: { returns: 1 },
-        },
-        {
-            title: "callers that were due, or with a time that is none",
-            record: () => {
-                meter.recordReturn(key, 500);
-                meter.recordReturn(key, -5);
-                meter.recordReturn(key, Number.POSITIVE_INFINITY);
-            },
-            afterMs: 60_200,
-            expected: undefined,
-        },
-        {
-            title: "what is over",
-            record: () => {
-                meter.recordArrival(key, size);
+            0,
+            { admitted_per_s: 1 },
+        ],
+        [
+            "a refusal",
+            () => {
+                meter.recordRefused(key);
             },
-            afterMs: 12_000,
-            expected: undefined,
-        },
+            0,
+            { refused_per_s: 1 },
+        ],
+        ["waiting", wait(1, 1, -1), 60_000, { waiting: 1 }],
+        ["no longer waiting, also after one end too many", wait(-1, 1, -1), 0, undefined],
+        ["callers that are due later", comeBack(1_000, 3_000), 2_000, { returns: 1 }],
+        ["callers that were due, or with a time that is none", comeBack(500, -5, NaN, Infinity), 60_200, undefined],
     ];
-    for (const { title, record, afterMs, expected } of rows) {
+    for (const [title, record, afterMs, expected] of rows) {
         it(title, () => {
             record();
             nowMs += afterMs;
--- a/packages/daemon/tests/demandRegistry.test.ts
+++ b/packages/daemon/tests/demandRegistry.test.ts
@@ -50,17 +50,10 @@
 });
 
 describe("nonsense from one entry is bounded", () => {
+    const most = { arrivals_per_s: 10_000, waiting: 10_000, prompt_tokens_per_s: 1_000_000 };
     const rows = [
-        {
-            title: "huge",
-            value: 1e300,
-            expected: { arrivals_per_s: 10_000, waiting: 10_000, prompt_tokens_per_s: 1_000_000 },
-        },
-        {
-            title: "infinite",
-            value: Infinity,
-            expected: { arrivals_per_s: 10_000, waiting: 10_000, prompt_tokens_per_s: 1_000_000 },
-        },
+        { title: "huge", value: 1e300, expected: most },
+        { title: "infinite", value: Infinity, expected: most },
         { title: "negative", value: -5, expected: undefined },
         { title: "minus infinity", value: -Infinity, expected: undefined },
         { title: "no number", value: NaN, expected: undefined },
@@ -87,44 +80,26 @@
 });
 
 describe("a demand that does not parse is dropped, and the rest of the message counts", () => {
-    const many = (count: number): object =>
-        Object.fromEntries(Array.from({ length: count }, (_unused, index) => [index, 1]));
-    const rows: readonly { readonly title: string; readonly demand: unknown; readonly isKept: boolean; }[] = [
-        { title: "no services", demand: { services: {} }, isKept: true },
-        { title: "members that this build does not know", demand: { ...report, later: 1 }, isKept: true },
-        { title: "of another type", demand: 7, isKept: false },
-        { title: "null", demand: null, isKept: false },
-        {
-            title: "a rate that is a text",
-            demand: { services: { s: { classes: { 0: { waiting: "9" } } } } },
-            isKept: false,
-        },
-        {
-            title: "a number that JSON reads as infinite",
-            demand: JSON.parse('{"services":{"s":{"classes":{"0":{"waiting":1e999}}}}}'),
-            isKept: false,
-        },
-        { title: "a rank that is no index", demand: { services: { s: { classes: { "-1": {} } } } }, isKept: false },
-        {
-            title: "too many classes",
-            demand: {
-                services: { s: { classes: Object.fromEntries(Object.keys(many(33)).map((rank) => [rank, {}])) } },
-            },
-            isKept: false,
-        },
-        {
-            title: "too many organisations",
-            demand: { services: { s: { classes: { 0: { organisations: many(10) } } } } },
-            isKept: false,
-        },
+    const create = (classes: object): object => ({ services: { s: { classes } } });
+    const many = (count: number, value: unknown): object => Object.fromEntries(Array(count).fill(value).entries());
+    type Row = readonly [title: string, demand: unknown, isKept: boolean];
+    const rows: readonly Row[] = [
+        ["no services", { services: {} }, true],
+        ["members that this build does not know", { ...report, later: 1 }, true],
+        ["of another type", 7, false],
+        ["null", null, false],
+        ["a rate that is a text", create({ 0: { waiting: "9" } }), false],
+        ["an infinite number, as JSON may contain", create({ 0: { waiting: JSON.parse("1e999") as number } }), false],
+        ["a rank that is no index", create({ "-1": {} }), false],
+        ["too many classes", create(many(33, {})), false],
+        ["too many organisations", create({ 0: { organisations: many(10, 1) } }), false],
     ];
-    for (const { title, demand, isKept } of rows) {
+    for (const [title, demand, isKept] of rows) {
         it(title, () => {
             const parsed = synchroniseParametersSchema.parse({ instance: "e", known_index: 4, loads: {}, demand });
             expect(parsed).to.deep.include({ instance: "e", known_index: 4 });
             expect(parsed.demand !== undefined).to.equal(isKept);
-            const state = { ...createFullState(3, []), demand };
-            expect(synchroniseResultSchema.parse(state)).to.deep.include({ index: 3 });
+            expect(synchroniseResultSchema.parse({ ...createFullState(3, []), demand })).to.deep.include({ index: 3 });
         });
     }
 });
--- a/packages/daemon/tests/fleetDemand.test.ts
+++ b/packages/daemon/tests/fleetDemand.test.ts
@@ -116,47 +116,31 @@
 describe("without a recent sum, an entry takes its own demand for that of each entry", () => {
     const own = createDemand({ arrivals_per_s: 2, refused_per_s: 1, waiting: 3, returns: 1, organisations: { a: 5 } });
     const sum = { services: { s: { classes: { 1: { arrivals_per_s: 70, waiting: 9 } } } }, reporters: 40 };
-    const estimate = { isEstimated: true, arrivals: 80, waiting: 120, returns: 40 };
+    const incomplete = { services: {}, reporters: 1 };
+    const estimated = { isEstimated: true, arrivals: 80, waiting: 120, returns: 40 };
+    // Before the first sum, waiting work is the entry's own.
+    const first = { ...estimated, waiting: 3, returns: 1 };
+    const summed = { isEstimated: false, arrivals: 70, waiting: 9, returns: 0 };
     const rows = [
+        { title: "just started", sums: [], afterMs: 0, expected: first },
+        { title: "no sum yet after a second", sums: [], afterMs: 1_001, expected: first },
+        { title: "answers of a voter of the previous build", sums: [undefined], afterMs: 0, expected: first },
+        { title: "a sum of 1.5 s", sums: [sum], afterMs: 1_500, expected: summed },
+        { title: "a sum older than 1.5 s", sums: [sum], afterMs: 1_501, expected: estimated },
+        { title: "a sum of 3 s", sums: [sum], afterMs: 3_000, expected: estimated },
         {
-            title: "just started: waiting work is its own",
-            sums: [],
-            afterMs: 0,
-            expected: { ...estimate, waiting: 3, returns: 1 },
-        },
-        {
-            title: "no sum yet after a second",
-            sums: [],
-            afterMs: 1_001,
-            expected: { ...estimate, waiting: 3, returns: 1 },
-        },
-        {
-            title: "a voter of the previous build answers without a sum",
-            sums: [undefined],
-            afterMs: 0,
-            expected: { ...estimate, waiting: 3, returns: 1 },
-        },
-        {
-            title: "a sum of 1.5 s",
-            sums: [sum],
-            afterMs: 1_500,
-            expected: { isEstimated: false, arrivals: 70, waiting: 9, returns: 0 },
-        },
-        { title: "a sum older than 1.5 s", sums: [sum], afterMs: 1_501, expected: estimate },
-        { title: "a sum of 3 s, followed by answers without one", sums: [sum], afterMs: 3_000, expected: estimate },
-        {
-            title: "the sum of a leader that has collected reports for less than one round",
-            sums: [sum, { services: {}, reporters: 1 }],
+            title: "the sum of a new leader's first round",
+            sums: [sum, incomplete],
             knownMs: 599,
             afterMs: 0,
-            expected: { isEstimated: false, arrivals: 70, waiting: 9, returns: 0 },
+            expected: summed,
         },
         {
             title: "a service that entries do not report",
             sums: [sum],
             afterMs: 0,
             reported: ["other"],
-            expected: estimate,
+            expected: estimated,
         },
     ];
     for (const { title, sums, afterMs, knownMs, reported, expected } of rows) {
@@ -167,8 +151,8 @@
             });
             clock.tick(afterMs);
             const { classes, isEstimated } = demand.get("s");
-            const [first, second] = classes;
-            expect(first?.arrivalsPerS, "a rank without demand").to.equal(0);
+            const [none, second] = classes;
+            expect(none?.arrivalsPerS, "a rank without demand").to.equal(0);
             expect({
                 isEstimated,
                 arrivals: second?.arrivalsPerS,
--- a/packages/schemas/src/fleetStatus.ts
+++ b/packages/schemas/src/fleetStatus.ts
@@ -26,6 +26,7 @@
     /** Number of entries in the last sum of the demand. */
     reporters: z.int().nonnegative(),
     services: z.array(z.object({
+        /** Empty for requests that were refused before their route was known. */
         service: z.string(),
         /** Whether the demand is this entry's own, times the number of entries. */
         is_estimated: z.boolean(),
