--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -1,11 +1,18 @@
 /**
  * An entry of a fleet: accepts callers' requests and routes them by the state that it synchronises from the voters.
  */
-import type { FleetSettings, RoutingTable, SynchronisedState, SynchroniseParameters } from "@crankfork/schemas";
+import type {
+    FleetSettings,
+    FleetStatus,
+    RoutingTable,
+    SynchronisedState,
+    SynchroniseParameters,
+} from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
 import type { UpstreamConnections } from "../../connection/upstreamConnections.js";
 import { isKeyLeaseValid } from "../../request/admitCall.js";
+import type { RequestEnd } from "../../request/refuseRequest.js";
 import { type AdmittedCall, RequestContext } from "../../request/requestContext.js";
 import type { RoutedRequestFunctions } from "../../request/requestFunctions.js";
 import type { CallCodec, RoutedCall } from "../../request/routedCall.js";
@@ -17,17 +24,21 @@
 import { readCallerBody } from "../callerBody.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { AdmissionLevels } from "./admissionLevels.js";
 import { CrashTracker } from "./crashTracker.js";
+import { createEntryStatus } from "./createEntryStatus.js";
 import { EngineReportCache } from "./engineReportCache.js";
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
+import { EntryDemand } from "./entryDemand.js";
 import type { Confirmation } from "./leaderSync.js";
 import { LinkMonitor } from "./linkMonitor.js";
 import { LoadReportAge } from "./loadReportAge.js";
 import { getPathKey } from "./pathKey.js";
 import { PathStallDetector } from "./pathStallDetector.js";
+import { RefusalWindow } from "./refusalWindow.js";
 import { RemoteLoads } from "./remoteLoads.js";
-import { type EntryState, recordRefusal, recordRequest } from "./requestLog.js";
+import { type EntryState, recordRefusal, recordRequest, type RequestClass } from "./requestLog.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import { TargetChooser } from "./targetChooser.js";
 import { UpstreamFaultHandler } from "./upstreamFaultHandler.js";
@@ -76,6 +87,11 @@
 export class FleetEntry {
     /** The operator's document in force. */
     readonly document: ActiveDocument;
+    /** Demand at this entry and over all. */
+    readonly demand: EntryDemand;
+    /** Room that classes may take. */
+    readonly levels: AdmissionLevels;
+    private readonly refusals: RefusalWindow;
     private readonly view = new FleetView();
     private readonly health: UpstreamHealth;
     private readonly chooser: TargetChooser;
@@ -97,6 +113,9 @@
      */
     constructor(private readonly options: FleetEntryOptions) {
         this.document = new ActiveDocument({ ...options, view: this.view });
+        this.levels = new AdmissionLevels(options);
+        this.refusals = new RefusalWindow(options.getNowMs);
+        this.demand = new EntryDemand({ ...options, getRouting: () => this.view.routing });
         this.health = new UpstreamHealth(options.getNowMs);
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.loadReportAge = new LoadReportAge(options.getNowMs);
@@ -177,8 +196,10 @@
      */
     createParameters(): SynchroniseParameters {
         const { version } = this.document;
+        const demand = this.demand.createReport();
         return {
             ...(version === undefined ? {} : { applied_version: version }),
+            ...(demand === undefined ? {} : { demand }),
             instance: this.options.settings.instance.id,
             known_index: this.view.knownIndex,
             loads: this.health.listLoads(),
@@ -204,6 +225,7 @@
     applyState(state: SynchronisedState): void {
         this.remoteLoads.record(state.loads_elsewhere);
         this.loadReportAge.recordReport();
+        this.demand.recordSummary(state.demand, state.spending_known_ms);
         this.links.recordAnswer(state.links);
         this.budgets.recordRemoteSpending(state.spending_elsewhere ?? {}, {
             knownMs: state.spending_known_ms ?? 0,
@@ -221,6 +243,21 @@
         this.options.connections.closeStale(isKnown);
     }
 
+    /**
+     * Creates the status for operators.
+     * @returns demand, room and refusals by class
+     */
+    createStatus(): FleetStatus {
+        const { countEntries, settings } = this.options;
+        return createEntryStatus({
+            instance: settings.instance.id,
+            countEntries,
+            demand: this.demand,
+            refusals: this.refusals,
+            getClassRoom: (service, rank) => this.levels.get(service, rank),
+        });
+    }
+
     /**
      * Handles a request of a caller.
      * @param message - the request
@@ -269,17 +306,29 @@
         };
         response.once("close", handleClose);
         this.budgets.get(admitted.service.name).recordRequest();
+        this.demand.recordArrival(run);
         const end = await handleRoutedRequest(run, answer, this.functions);
+        this.demand.recordEnd(run, end);
         run.close();
         this.notices.rateLimiter.withdraw(run);
-        recordRequest(this.options, run, end, this.createEntryState(), ({ admitted: one }) => ({
-            ...this.crashes.describe(one),
-        }));
+        recordRequest(this.options, run, end, this.createEntryState(), {
+            refusedClass: end.outcome === "refused" ? this.recordRefusedClass(run, end) : undefined,
+            describeCrashes: () => ({ ...this.crashes.describe(admitted) }),
+        });
+    }
+
+    private recordRefusedClass(run: RequestContext, end: RequestEnd): RequestClass | undefined {
+        const { service, rank, organisation } = this.demand.getKey(run);
+        this.refusals.record({ service, rank, reason: end.refusal ?? end.outcome });
+        return this.demand.isReported(service)
+            ? { rank, organisation, room: this.levels.get(service, rank)?.share }
+            : undefined;
     }
 
     private refuse(call: RoutedCall, answer: RoutedResponse, id: RefusalId, arrivedMs: number): void {
         const ageMs = this.options.getNowMs() - arrivedMs;
         answer.sendRefusal(call, refusals[id], { remainingMs: (call.deadlineMs ?? 0) - ageMs });
+        this.refusals.record({ service: "", rank: 0, reason: id });
         recordRefusal(this.options, call, refusals[id], ageMs, this.createEntryState());
     }
 
@@ -298,7 +347,11 @@
             getConnections: (target) => connections.get(target),
             codec,
             getNowMs,
-            chooseTarget: (run, lastEventId, isUnderWay) => this.chooser.choose(run, lastEventId, isUnderWay),
+            chooseTarget: (run, lastEventId, isUnderWay) => {
+                const choice = this.chooser.choose(run, lastEventId, isUnderWay);
+                this.demand.recordChoice(run, choice);
+                return choice;
+            },
             isKeyUsable: () => isKeyLeaseValid({ ageMs: getAgeMs(), revocationMs: settings.contract.revocation }),
             recordStart: (id) => {
                 this.health.recordRequestStart(id);
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -2,6 +2,7 @@
  * Parameters and results of the JSON-RPC 2.0 methods that entries and voters call on voters.
  */
 import * as z from "zod";
+import { demandReportSchema, demandSummarySchema } from "./demandMessage.js";
 import { rateLimitCursorSchema, rateLimitUpdatesSchema } from "./rateLimitMessage.js";
 import { registeredUpstreamSchema } from "./registeredUpstream.js";
 import { replicaAddressSchema } from "./replicaMessage.js";
@@ -64,6 +65,8 @@
     domain: z.string().optional().catch(undefined),
     /** What the entry's streams show of its links; dropped where it is invalid. */
     links: linkReportSchema.optional().catch(undefined),
+    /** Demand at the entry. An invalid value is dropped: the rest of the message counts. */
+    demand: demandReportSchema.optional().catch(undefined),
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; sent immediately, since `synchronise` is a long poll. */
@@ -105,6 +108,8 @@
         limits: rateLimitUpdatesSchema.optional(),
         /** Links that lose packets now; absent where the entry sent no `domain`, and just after a change of leader. */
         links: z.array(lossyLinkSchema).optional().catch(undefined),
+        /** Demand over all entries; only for an entry that reports its own. */
+        demand: demandSummarySchema.optional().catch(undefined),
         /** Peer addresses of all replicas. */
         voters: z.array(z.string()),
     }),
