feat(decisions): ranks of a service by organisation and route priority

Cause: an organisation's priority replaces that of the route, so routes of a service compete as equals. Change: rankClasses orders the pairs (effective, route's) of a service; the routing view holds them by service. Nothing uses them yet.

--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -1,7 +1,14 @@
 /**
  * An entry's view of the fleet: the active routing table and the registered upstreams. Neither goes back to an earlier version.
  */
-import { type Chain, computeChains, createRouteIndex, findRoute } from "@crankfork/decisions";
+import {
+    type Chain,
+    computeChains,
+    createRouteIndex,
+    findRoute,
+    rankClasses,
+    type ServiceRanks,
+} from "@crankfork/decisions";
 import type {
     RegisteredUpstream,
     Route,
@@ -21,6 +28,8 @@
     readonly findRoute: (host: string, path: string) => Route | undefined;
     /** The largest priority number of any route or organisation; 0 is the most urgent. */
     readonly lowestPriority: number;
+    /** Ranks of the requests to each service. */
+    readonly ranks: ReadonlyMap<string, ServiceRanks>;
 }
 
 /** The routing table and the upstreams that this entry knows. */
@@ -155,9 +164,14 @@
             : new Map(table.organisations.flatMap((one) => one.keys.map((key) => [key, one] as const))),
         findRoute: (host, path) => findRoute(index, host, path),
         lowestPriority: computeLowestPriority(table),
+        ranks: new Map(table.services.map(({ name }) => [name, rankService(name, table)])),
     };
 }
 
+function rankService(name: string, { routes, organisations }: RoutingTable): ServiceRanks {
+    return rankClasses(routes.filter(({ targets }) => targets.some(({ service }) => service === name)), organisations);
+}
+
 function computeLowestPriority({ routes, organisations = [] }: RoutingTable): number {
     const priorities = [...routes.map((one) => one.priority), ...organisations.map((one) => one.priority ?? 0)];
     return priorities.reduce((most, one) => Math.max(most, one), 0);
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -64,3 +64,4 @@
 export * from "./version/isPlacementDue.js";
 export * from "./version/layerCoverage.js";
 export { mayAdmitUnlessSuperseded } from "./version/mayAdmitUnlessSuperseded.js";
+export * from "./version/rankClasses.js";
