feat(entry): room of paths by rank, organisation and size for ranked services

Cause: less urgent prompts filled the prompt queue and the memory that more urgent requests needed. Change: computeClassRoom counts prompts of the own and more urgent ranks only, protects the memory that more urgent ranks are expected to need, counts large requests for up to two places, and treats what an organisation asks for beyond its max-min share as one rank less urgent. Loads carry unstarted_by_rank and open_by_rank for ranked services; engines get one level for each rank. Services that are not ranked keep hasChainCapacity and computePriority.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -286,14 +286,14 @@
             getNowMs,
             chooseTarget: (run, lastEventId, isUnderWay) => this.chooser.choose(run, lastEventId, isUnderWay),
             isKeyUsable: () => isKeyLeaseValid({ ageMs: getAgeMs(), revocationMs: settings.contract.revocation }),
-            recordStart: (id) => {
-                this.health.recordRequestStart(id);
+            recordStart: (id, rank) => {
+                this.health.recordRequestStart(id, rank);
             },
-            recordFirstOutput: (id) => {
-                this.health.recordFirstToken(id);
+            recordFirstOutput: (id, rank) => {
+                this.health.recordFirstToken(id, rank);
             },
-            recordEnd: (id) => {
-                this.health.recordEnd(id);
+            recordEnd: (id, rank) => {
+                this.health.recordEnd(id, rank);
             },
             recordAnswer: (id, durationMs, isFailure) => {
                 this.health.recordAnswer(id, durationMs, isFailure);
--- a/packages/daemon/src/process/entry/remoteLoads.ts
+++ b/packages/daemon/src/process/entry/remoteLoads.ts
@@ -3,14 +3,14 @@
  * an upstream that was busy with requests of others when the leader was lost would get no requests until there is a new
  * one.
  */
-import type { ChainLoad } from "@crankfork/decisions";
 import type { UpstreamLoads } from "@crankfork/schemas";
+import { multiplyLoad, type UpstreamLoad } from "../sumLoads.js";
 
 /** Dependencies of the remote loads. */
 export interface RemoteLoadsOptions {
     readonly getNowMs: () => number;
     /** Load of this entry at an upstream. */
-    readonly getLocalLoad: (id: string) => ChainLoad;
+    readonly getLocalLoad: (id: string) => UpstreamLoad;
     readonly countEntries: () => number;
 }
 
@@ -42,13 +42,11 @@
      * @returns the reported load; once that is outdated, each other entry is assumed to have the same load there as
      * this one, since callers are spread over all
      */
-    get(id: string): ChainLoad {
+    get(id: string): UpstreamLoad {
         const { getNowMs, getLocalLoad, countEntries } = this.options;
         if (getNowMs() - this.lastReportMs <= REPORT_VALIDITY_MS) {
             return this.loads[id] ?? { open: 0, unstarted: 0 };
         }
-        const others = countEntries() - 1;
-        const { open, unstarted } = getLocalLoad(id);
-        return { open: open * others, unstarted: unstarted * others };
+        return multiplyLoad(getLocalLoad(id), countEntries() - 1);
     }
 }
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -4,15 +4,16 @@
 import {
     canHoldModel,
     type Chain,
-    type ChainLoad,
     chooseChainByStaleLoad,
     computePreferredCount,
     computePriority,
+    computeRankPriority,
     hasUpstreamCapacity,
     listCandidateChains,
     listPreferredChains,
     type LoadedChain,
     type RequestSize,
+    type ServiceDemand,
     type Urgency,
 } from "@crankfork/decisions";
 import { type EngineProfile, getIncarnation, type RegisteredUpstream, type RoutedService } from "@crankfork/schemas";
@@ -22,6 +23,7 @@
 import type { CallTarget } from "../../request/routedCall.js";
 import { computeReservedWaitMs } from "../../request/waitForTarget.js";
 import type { FleetView } from "../../version/fleetView.js";
+import { sumLoads, type UpstreamLoad } from "../sumLoads.js";
 import type { UpstreamBackoffs } from "../upstreamBackoffs.js";
 import type { EngineShortage } from "./engineShortage.js";
 import type { LeavingNotices } from "./leavingNotices.js";
@@ -42,7 +44,7 @@
     /** Limits the rate of requests to upstreams that have reported a rate limit. */
     readonly rateLimiter: UpstreamRateLimiter;
     /** In-flight load of other entries at an upstream, by the last report of the leader. */
-    readonly getRemoteLoad: (id: string) => ChainLoad;
+    readonly getRemoteLoad: (id: string) => UpstreamLoad;
     /** Whether new requests avoid a path because it stalled recently. */
     readonly isPathAvoided: (path: PathKey) => boolean;
     /** Estimates the requests to a service that other entries have sent since their last load reports. */
@@ -52,6 +54,8 @@
     readonly getRequestsPerSecond: (service: string) => number;
     /** Mean age of the load reports of other entries. */
     readonly getLoadAgeMs: () => number;
+    /** Demand for a ranked service, over all entries; undefined where it is not known. */
+    readonly getDemand?: (service: string) => ServiceDemand | undefined;
     readonly random: () => number;
 }
 
@@ -125,18 +129,21 @@
         lastEventId: string | undefined,
         isUnderWay: boolean,
     ): TargetChoice {
+        const { view } = this.options;
         const chains = this.listChains(run, service);
         if (chains.length === 0) {
             return this.findResting(service)
                 ?? { kind: this.hasShortage(service.name, engine) ? "too-few-engines" : "none" };
         }
         this.options.shortage.recordSufficient(service.name);
+        const competition = this.room.createCompetition(run, view.routing?.ranks.get(service.name), chains, engine);
+        const unreported = this.options.estimateUnreported(service.name) * (competition?.shareAhead ?? 1);
         const chooseLoaded = (subset: readonly Chain[]): LoadedChain | undefined =>
             chooseChainByStaleLoad({
                 chains: subset.map((chain) => ({ chain, ...this.getLoad(getFirstEngineId(chain)) })),
                 size: run.admitted.call.size ?? DEFAULT_REQUEST_SIZE,
-                unreportedRequests: this.options.estimateUnreported(service.name) * subset.length / chains.length,
-                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine),
+                unreportedRequests: unreported * subset.length / chains.length,
+                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine, competition),
                 draw: this.options.random(),
             });
         const limited = new Set<string>();
@@ -295,10 +302,8 @@
         });
     }
 
-    private getLoad(id: string): ChainLoad {
-        const local = this.options.health.getLoad(id);
-        const remote = this.options.getRemoteLoad(id);
-        return { open: local.open + remote.open, unstarted: local.unstarted + remote.unstarted };
+    private getLoad(id: string): UpstreamLoad {
+        return sumLoads(this.options.health.getLoad(id), this.options.getRemoteLoad(id));
     }
 
     private createTarget(
@@ -308,19 +313,26 @@
         stages: CallTarget["stages"],
         lastEventId: string | undefined,
     ): CallTarget {
-        const { organisation, route } = run.admitted;
+        const { organisation, route, service } = run.admitted;
+        const { view } = this.options;
+        const urgency = getUrgency(run, lastEventId !== undefined);
+        const ranks = view.routing?.ranks.get(service.name);
+        const rank = ranks?.isRanked === true ? ranks.getRank(route, organisation) : undefined;
         return {
             upstreamId,
-            upstreamName: getIncarnation(this.options.view.getUpstream(upstreamId) ?? { id: upstreamId }).name,
+            upstreamName: getIncarnation(view.getUpstream(upstreamId) ?? { id: upstreamId }).name,
             address,
             stages,
             remainingMs: Math.max(1, Math.floor(run.remainingMs)),
             organisation: organisation?.name,
-            priority: computePriority(
-                organisation?.priority ?? route.priority,
-                this.options.view.routing?.lowestPriority ?? 0,
-                getUrgency(run, lastEventId !== undefined),
-            ),
+            priority: rank === undefined
+                ? computePriority(
+                    organisation?.priority ?? route.priority,
+                    view.routing?.lowestPriority ?? 0,
+                    urgency,
+                )
+                : computeRankPriority(rank, ranks?.ranks.length ?? 1, urgency),
+            ...(rank === undefined ? {} : { rank }),
             lastEventId,
         };
     }
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -1,14 +1,17 @@
 /**
  * Passive health checks: what this entry's own traffic shows of upstreams, such as load, latency and recent failures.
  */
-import type { ChainLoad } from "@crankfork/decisions";
-import type { UpstreamLoads } from "@crankfork/schemas";
+import { MAX_REPORTED_RANKS, type UpstreamLoads } from "@crankfork/schemas";
+import type { UpstreamLoad } from "../sumLoads.js";
 
 /** Health of one upstream. */
 interface Health {
     open: number;
     /** Open requests without a first token. */
     unstarted: number;
+    /** The same by rank; empty before the first request of a ranked service. */
+    readonly openByRank: number[];
+    readonly unstartedByRank: number[];
     /** Moving average of the response time; undefined before the first response. */
     answerMs: number | undefined;
     /** Moving average of the failure rate, from 0 to 1. */
@@ -72,29 +75,36 @@
     /**
      * Records that a request is sent to an upstream.
      * @param id - the upstream
+     * @param rank - rank of the request; undefined for a service that is not ranked
      */
-    recordRequestStart(id: string): void {
+    recordRequestStart(id: string, rank?: number): void {
         const health = this.get(id);
         health.open += 1;
         health.unstarted += 1;
+        addToRank(health.openByRank, rank, 1);
+        addToRank(health.unstartedByRank, rank, 1);
     }
 
     /**
      * Records that a request received its first token, or ended without one.
      * @param id - the upstream
+     * @param rank - its rank, as at its start
      */
-    recordFirstToken(id: string): void {
+    recordFirstToken(id: string, rank?: number): void {
         const health = this.get(id);
         health.unstarted = Math.max(0, health.unstarted - 1);
+        addToRank(health.unstartedByRank, rank, -1);
     }
 
     /**
      * Records that a request to an upstream ended.
      * @param id - the upstream
+     * @param rank - its rank, as at its start
      */
-    recordEnd(id: string): void {
+    recordEnd(id: string, rank?: number): void {
         const health = this.get(id);
         health.open = Math.max(0, health.open - 1);
+        addToRank(health.openByRank, rank, -1);
     }
 
     /**
@@ -223,9 +233,9 @@
      * @param id - the upstream
      * @returns open requests
      */
-    getLoad(id: string): ChainLoad {
-        const { open = 0, unstarted = 0 } = this.byId.get(id) ?? {};
-        return { open, unstarted };
+    getLoad(id: string): UpstreamLoad {
+        const health = this.byId.get(id);
+        return health === undefined ? { open: 0, unstarted: 0 } : createLoad(health);
     }
 
     /**
@@ -234,7 +244,7 @@
      */
     listLoads(): UpstreamLoads {
         const busy = [...this.byId].filter(([, { open }]) => open > 0);
-        return Object.fromEntries(busy.map(([id, { open, unstarted }]) => [id, { open, unstarted }]));
+        return Object.fromEntries(busy.map(([id, health]) => [id, createLoad(health)]));
     }
 
     /**
@@ -292,6 +302,8 @@
         const health: Health = {
             open: 0,
             unstarted: 0,
+            openByRank: [],
+            unstartedByRank: [],
             answerMs: undefined,
             failures: 0,
             lastOutcomeMs: this.getNowMs(),
@@ -307,6 +319,23 @@
     }
 }
 
+function createLoad({ open, unstarted, openByRank, unstartedByRank }: Health): UpstreamLoad {
+    return openByRank.length === 0
+        ? { open, unstarted }
+        : { open, unstarted, unstarted_by_rank: [...unstartedByRank], open_by_rank: [...openByRank] };
+}
+
+function addToRank(counts: number[], rank: number | undefined, change: number): void {
+    if (rank === undefined) {
+        return;
+    }
+    const index = Math.min(rank, MAX_REPORTED_RANKS - 1);
+    while (counts.length <= index) {
+        counts.push(0);
+    }
+    counts[index] = Math.max(0, (counts[index] ?? 0) + change);
+}
+
 function isExcluded(health: Health, nowMs: number): boolean {
     return Math.max(health.suspectUntilMs, health.declinedUntilMs, health.downUntilMs) > nowMs;
 }
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -9,6 +9,7 @@
     SynchroniseResult,
     UpstreamLoads,
 } from "@crankfork/schemas";
+import { sumLoads } from "../sumLoads.js";
 import { waitMs } from "../waitMs.js";
 import type { DocumentRollout } from "./documentRollout.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
@@ -241,9 +242,8 @@
         const sums: UpstreamLoads = {};
         for (const [other, { lastSeenMs, loads }] of this.entries) {
             if (other !== instance && nowMs - lastSeenMs <= LOAD_EXPIRY_MS) {
-                Object.entries(loads).forEach(([upstream, { open, unstarted }]) => {
-                    const sum = sums[upstream];
-                    sums[upstream] = { open: (sum?.open ?? 0) + open, unstarted: (sum?.unstarted ?? 0) + unstarted };
+                Object.entries(loads).forEach(([upstream, load]) => {
+                    sums[upstream] = sumLoads(sums[upstream], load);
                 });
             }
         }
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -90,10 +90,10 @@
     ) => TargetChoice;
     /** Whether the API key of the request is still valid. */
     readonly isKeyUsable: () => boolean;
-    readonly recordStart: (id: string) => void;
+    readonly recordStart: (id: string, rank?: number) => void;
     /** The request has produced its first output, or ended without any. */
-    readonly recordFirstOutput: (id: string) => void;
-    readonly recordEnd: (id: string) => void;
+    readonly recordFirstOutput: (id: string, rank?: number) => void;
+    readonly recordEnd: (id: string, rank?: number) => void;
     readonly recordAnswer: (id: string, durationMs: number, isFailure: boolean) => void;
     /** Excludes an upstream for a while. */
     readonly suspect: (id: string, reason: string) => void;
--- a/packages/daemon/src/request/routedCall.ts
+++ b/packages/daemon/src/request/routedCall.ts
@@ -40,6 +40,8 @@
     readonly remainingMs: number;
     readonly organisation: string | undefined;
     readonly priority: number;
+    /** Rank of the request; absent where its service is not ranked. */
+    readonly rank?: number;
     readonly lastEventId: string | undefined;
 }
 
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -122,9 +122,9 @@
     const { notices } = functions;
     context.attempts += 1;
     context.attemptedUpstreams.add(target.upstreamId);
-    functions.recordStart(target.upstreamId);
+    functions.recordStart(target.upstreamId, target.rank);
     const recordFirstOutput = once(() => {
-        functions.recordFirstOutput(target.upstreamId);
+        functions.recordFirstOutput(target.upstreamId, target.rank);
     });
     const recordOutcome = once((isServed: boolean) => {
         notices.recordOutcome(target, isServed);
@@ -155,7 +155,7 @@
     else {
         recordOutcome(result.kind === "answered" || result.kind === "streamed");
     }
-    functions.recordEnd(target.upstreamId);
+    functions.recordEnd(target.upstreamId, target.rank);
     const durationMs = functions.getNowMs() - startMs;
     const hadProgress = (relay?.eventCount ?? 0) > eventsBefore;
     const silentMs = hadProgress && relay !== undefined ? relay.sinceEventMs : durationMs;
--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -164,12 +164,15 @@
             : new Map(table.organisations.flatMap((one) => one.keys.map((key) => [key, one] as const))),
         findRoute: (host, path) => findRoute(index, host, path),
         lowestPriority: computeLowestPriority(table),
-        ranks: new Map(table.services.map(({ name }) => [name, rankService(name, table)])),
+        ranks: new Map(table.services.map((service) => [service.name, rankService(service, table)])),
     };
 }
 
-function rankService(name: string, { routes, organisations }: RoutingTable): ServiceRanks {
-    return rankClasses(routes.filter(({ targets }) => targets.some(({ service }) => service === name)), organisations);
+/** Plain services queue by themselves and have no memory to protect, so their routes' priorities stay as they are. */
+function rankService({ name, engine }: RoutedService, { routes, organisations }: RoutingTable): ServiceRanks {
+    const own = routes.filter(({ targets }) => targets.some(({ service }) => service === name));
+    const ranks = rankClasses(own, organisations);
+    return { ...ranks, isRanked: ranks.isRanked && engine !== undefined };
 }
 
 function computeLowestPriority({ routes, organisations = [] }: RoutingTable): number {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,7 +31,9 @@
     type RouteStage,
 } from "./request/chooseRoute.js";
 export { ClassSlots } from "./request/classSlots.js";
+export * from "./request/computeClassRoom.js";
 export { computeLoadScore, type LoadView } from "./request/computeLoadScore.js";
+export * from "./request/computeMaxMinShares.js";
 export * from "./request/computePriority.js";
 export * from "./request/computeStreamResumeWindow.js";
 export { DrainMeter } from "./request/drainMeter.js";
--- a/packages/decisions/src/request/computePriority.ts
+++ b/packages/decisions/src/request/computePriority.ts
@@ -26,3 +26,21 @@
     const priority = hasSubPriorities ? classPriority * urgencies.length + urgencies.indexOf(urgency) : classPriority;
     return Math.min(LOWEST_PRIORITY, Math.max(0, priority));
 }
+
+/**
+ * Computes the priority of an attempt of a ranked service. Each rank has one level. Levels that are left over separate
+ * moved streams from new requests, then late requests from new ones, of the most urgent ranks first.
+ * @param rank - the rank; 0 is the most urgent
+ * @param ranks - number of ranks
+ * @param urgency - urgency within the rank
+ * @returns from 0 to 9; the last ranks share 9 where there are more than ten
+ */
+export function computeRankPriority(rank: number, ranks: number, urgency: Urgency): number {
+    const spare = Math.max(0, LOWEST_PRIORITY + 1 - ranks);
+    const withUnderWay = Math.min(ranks, spare);
+    const withLate = Math.min(ranks, spare - withUnderWay);
+    const first = rank + Math.min(rank, withUnderWay) + Math.min(rank, withLate);
+    const fresh = first + (rank < withUnderWay ? 1 : 0);
+    const late = fresh + (rank < withLate ? 1 : 0);
+    return Math.min(LOWEST_PRIORITY, { "under-way": first, fresh, late }[urgency]);
+}
--- a/packages/decisions/src/request/hasChainCapacity.ts
+++ b/packages/decisions/src/request/hasChainCapacity.ts
@@ -5,6 +5,7 @@
  */
 import type { EngineProfile } from "@crankfork/schemas";
 import type { Chain } from "../version/computeChains.js";
+import type { RequestSize } from "./chooseChain.js";
 
 /** Load of a chain, from all entries as far as known. */
 export interface ChainLoad {
@@ -60,11 +61,23 @@
  * @returns requests that fit its memory and slots
  */
 export function computeMaxOpen(chain: Chain, profile: EngineProfile): number {
-    const heldTokens = profile.usual_prompt_tokens + profile.usual_answer_tokens * HELD_ANSWER_SHARE;
+    const heldTokens = computeHeldTokens({
+        promptTokens: profile.usual_prompt_tokens,
+        answerTokens: profile.usual_answer_tokens,
+    });
     const byMemory = heldTokens === 0 ? profile.slots : Math.floor(chain.contextTokens / heldTokens);
     return Math.max(MIN_OPEN, Math.min(profile.slots, byMemory));
 }
 
+/**
+ * Computes the memory that an open request takes on average.
+ * @param size - the request
+ * @returns tokens
+ */
+export function computeHeldTokens({ promptTokens, answerTokens }: RequestSize): number {
+    return promptTokens + answerTokens * HELD_ANSWER_SHARE;
+}
+
 /**
  * Computes how many prompts may wait on a chain. A chain across failure domains takes none where its link alone uses up
  * the objective: a request sent there would not be answered in time, and would delay each step of every stream on that
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -7,6 +7,12 @@
 import { replicaAddressSchema } from "./replicaMessage.js";
 import { crashRecordSchema, reportedCrashSchema } from "./requestCrash.js";
 
+/** Most ranks that are reported apart; less urgent ones count as the last. */
+export const MAX_REPORTED_RANKS = 64;
+
+/** Request counts by rank; counts that don't parse are dropped, so that the rest of the message counts. */
+const rankCountsSchema = z.array(z.int().nonnegative()).max(MAX_REPORTED_RANKS).optional().catch(undefined);
+
 /** Request counts by the first upstream of the request's path. */
 export const upstreamLoadsSchema = z.record(
     z.string(),
@@ -15,6 +21,10 @@
         open: z.int().nonnegative(),
         /** Open requests without a first token. */
         unstarted: z.int().nonnegative(),
+        /** The unstarted requests by rank; absent for services that are not ranked. */
+        unstarted_by_rank: rankCountsSchema,
+        /** The open requests by rank; absent for services that are not ranked. */
+        open_by_rank: rankCountsSchema,
     }),
 );
 
