--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -97,6 +97,7 @@
             && this.getDraw(run) < computeExcessShare(demand, rank, organisation.name);
         const allPlaces = chains.reduce((sum, chain) => sum + computeMaxOpen(chain, engine), 0);
         const computeShare = (chain: Chain): number => computeMaxOpen(chain, engine) / Math.max(1, allPlaces);
+        const expected = new Map<Chain, readonly number[]>();
         const estimated = demand === undefined ? this.estimateOpen(chains) : [];
         return {
             request: {
@@ -105,10 +106,13 @@
                 size: call.size,
                 objectiveMs: route.objective_ms,
             },
-            computeExpected: (chain, load) =>
-                demand === undefined
+            computeExpected: (chain, load) => {
+                const known = expected.get(chain) ?? (demand === undefined
                     ? estimated.map((open) => open * computeShare(chain))
-                    : computeExpectedOpen(chain, load, engine, demand, computeShare(chain)),
+                    : computeExpectedOpen(chain, load, engine, demand, computeShare(chain)));
+                expected.set(chain, known);
+                return known;
+            },
             shareAhead: demand === undefined ? 1 : computeShareAhead(demand, rank),
         };
     }
