trial(entry): places up to a quarter of a rank's expected requests are not protected

Change: nothing is kept from a rank that has less than a quarter of its expected requests open; paths are compared by how full they are for the request's rank.

--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -2,8 +2,9 @@
  * Whether a path has room for one more request, by the load that this entry and the others have reported.
  */
 import {
+    addUnreported,
     type Chain,
-    type ChainLoad,
+    type ClassRoom,
     computeClassRoom,
     computeCurrentLoad,
     computeExcessShare,
@@ -31,14 +32,8 @@
     readonly random: () => number;
 }
 
-/** What a request of a ranked service competes with, on all paths. */
-export interface Competition {
-    readonly request: RankedRequest;
-    /** Requests of each rank that are expected to be open on a path. */
-    readonly computeExpected: (chain: Chain, load: ChainLoad) => readonly number[];
-    /** Part of the requests to the service that are of its rank or a more urgent one. */
-    readonly shareAhead: number;
-}
+/** What a request of a ranked service may take of a path. */
+export type GetClassRoom = (loaded: LoadedChain) => ClassRoom;
 
 /** Checks the room of paths. */
 export class PathRoom {
@@ -55,65 +50,81 @@
      * @param run - the request
      * @param loaded - the path and its load
      * @param engine - usual sizes and the slots of its first engine
-     * @param competition - for a ranked service, what the request competes with
+     * @param getClassRoom - for a ranked service, what the request may take
      * @returns false where the request would cost others more than it gains
      */
     hasRoom(
         run: RequestContext,
-        { chain, ...load }: LoadedChain,
+        loaded: LoadedChain,
         engine: EngineProfile,
-        competition: Competition | undefined,
+        getClassRoom: GetClassRoom | undefined,
     ): boolean {
-        const ageMs = this.options.getLoadAgeMs();
-        if (competition !== undefined) {
-            const { request, computeExpected } = competition;
-            return hasClassRoom(computeClassRoom(chain, load, engine, request, computeExpected(chain, load), ageMs));
+        if (getClassRoom !== undefined) {
+            return hasClassRoom(getClassRoom(loaded));
         }
-        const current = computeCurrentLoad(chain, load, engine, ageMs);
+        const { chain, ...load } = loaded;
+        const current = computeCurrentLoad(chain, load, engine, this.options.getLoadAgeMs());
         return hasChainCapacity(chain, current, engine, run.admitted.route.objective_ms);
     }
 
     /**
-     * Computes what a request competes with, once for all paths.
+     * Creates the function that computes what a request may take of a path. What does not depend on unreported requests
+     * is computed once for each path, as a choice checks each of them many times.
      * @param run - the request
      * @param ranks - ranks of its service
      * @param chains - the paths that it may take
      * @param engine - usual sizes and slots
      * @returns undefined where the service is not ranked
      */
-    createCompetition(
+    createClassRoom(
         run: RequestContext,
         ranks: ServiceRanks | undefined,
         chains: readonly Chain[],
         engine: EngineProfile,
-    ): Competition | undefined {
+    ): GetClassRoom | undefined {
         if (ranks?.isRanked !== true) {
             return undefined;
         }
-        const { service, route, organisation, call } = run.admitted;
-        const rank = ranks.getRank(route, organisation);
+        const { service } = run.admitted;
         const demand = this.options.getDemand?.(service.name);
+        const request = this.createRankedRequest(run, ranks, demand);
+        const shareAhead = demand === undefined ? 1 : computeShareAhead(demand, request.rank);
+        const estimated = demand === undefined ? this.estimateOpen(chains) : [];
+        const allPlaces = chains.reduce((sum, chain) => sum + computeMaxOpen(chain, engine), 0);
+        const ageMs = this.options.getLoadAgeMs();
+        const rooms = new Map<Chain, ClassRoom>();
+        return ({ chain, reported, ...load }) => {
+            const known = reported ?? load;
+            const share = computeMaxOpen(chain, engine) / Math.max(1, allPlaces);
+            const room = rooms.get(chain) ?? computeClassRoom(
+                chain,
+                known,
+                engine,
+                request,
+                demand === undefined
+                    ? estimated.map((open) => open * share)
+                    : computeExpectedOpen(chain, known, engine, demand, share),
+                ageMs,
+            );
+            rooms.set(chain, room);
+            return addUnreported(room, load.open - known.open, shareAhead);
+        };
+    }
+
+    private createRankedRequest(
+        run: RequestContext,
+        ranks: ServiceRanks,
+        demand: ServiceDemand | undefined,
+    ): RankedRequest {
+        const { route, organisation, call } = run.admitted;
+        const rank = ranks.getRank(route, organisation);
         const isExcess = demand !== undefined && organisation !== undefined
             && this.getDraw(run) < computeExcessShare(demand, rank, organisation.name);
-        const allPlaces = chains.reduce((sum, chain) => sum + computeMaxOpen(chain, engine), 0);
-        const computeShare = (chain: Chain): number => computeMaxOpen(chain, engine) / Math.max(1, allPlaces);
-        const expected = new Map<Chain, readonly number[]>();
-        const estimated = demand === undefined ? this.estimateOpen(chains) : [];
         return {
-            request: {
-                rank,
-                memoryRank: isExcess ? rank + 1 : rank,
-                size: call.size,
-                objectiveMs: route.objective_ms,
-            },
-            computeExpected: (chain, load) => {
-                const known = expected.get(chain) ?? (demand === undefined
-                    ? estimated.map((open) => open * computeShare(chain))
-                    : computeExpectedOpen(chain, load, engine, demand, computeShare(chain)));
-                expected.set(chain, known);
-                return known;
-            },
-            shareAhead: demand === undefined ? 1 : computeShareAhead(demand, rank),
+            rank,
+            memoryRank: isExcess ? rank + 1 : rank,
+            size: call.size,
+            objectiveMs: route.objective_ms,
         };
     }
 
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -5,6 +5,7 @@
     canHoldModel,
     type Chain,
     chooseChainByStaleLoad,
+    computeFill,
     computePreferredCount,
     computePriority,
     computeRankPriority,
@@ -136,14 +137,17 @@
                 ?? { kind: this.hasShortage(service.name, engine) ? "too-few-engines" : "none" };
         }
         this.options.shortage.recordSufficient(service.name);
-        const competition = this.room.createCompetition(run, view.routing?.ranks.get(service.name), chains, engine);
-        const unreported = this.options.estimateUnreported(service.name) * (competition?.shareAhead ?? 1);
+        const getClassRoom = this.room.createClassRoom(run, view.routing?.ranks.get(service.name), chains, engine);
         const chooseLoaded = (subset: readonly Chain[]): LoadedChain | undefined =>
             chooseChainByStaleLoad({
-                chains: subset.map((chain) => ({ chain, ...this.getLoad(getFirstEngineId(chain)) })),
+                chains: subset.map((chain) => {
+                    const reported = this.getLoad(getFirstEngineId(chain));
+                    return { chain, ...reported, reported };
+                }),
                 size: run.admitted.call.size ?? DEFAULT_REQUEST_SIZE,
-                unreportedRequests: unreported * subset.length / chains.length,
-                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine, competition),
+                unreportedRequests: this.options.estimateUnreported(service.name) * subset.length / chains.length,
+                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine, getClassRoom),
+                computeCost: getClassRoom === undefined ? undefined : (loaded) => computeFill(getClassRoom(loaded)),
                 draw: this.options.random(),
             });
         const limited = new Set<string>();
--- a/packages/decisions/src/request/chooseChain.ts
+++ b/packages/decisions/src/request/chooseChain.ts
@@ -7,6 +7,8 @@
 /** A chain and its load. */
 export interface LoadedChain extends ChainLoad {
     readonly chain: Chain;
+    /** The load without the requests that others are expected to have sent since they reported theirs. */
+    readonly reported?: ChainLoad;
 }
 
 /** Size of a request. */
@@ -28,13 +30,20 @@
  * @returns the chain with the shortest expected time, or undefined where there is none
  */
 export function chooseChain(chains: readonly LoadedChain[], size: RequestSize): LoadedChain | undefined {
+    return chooseCheapest(chains, (loaded) => computeExpectedMs(loaded, size));
+}
+
+function chooseCheapest(
+    chains: readonly LoadedChain[],
+    computeCost: (loaded: LoadedChain) => number,
+): LoadedChain | undefined {
     let best: LoadedChain | undefined;
-    let bestMs = Number.POSITIVE_INFINITY;
+    let bestCost = Number.POSITIVE_INFINITY;
     for (const loaded of chains) {
-        const expectedMs = computeExpectedMs(loaded, size);
-        if (expectedMs < bestMs) {
+        const cost = computeCost(loaded);
+        if (cost < bestCost) {
             best = loaded;
-            bestMs = expectedMs;
+            bestCost = cost;
         }
     }
     return best;
@@ -59,6 +68,8 @@
     /** Requests that other entries are expected to have sent since the last load report. */
     readonly unreportedRequests: number;
     readonly hasCapacity: (loaded: LoadedChain) => boolean;
+    /** Cost of a request on a chain; the expected time where it is absent. */
+    readonly computeCost?: ((loaded: LoadedChain) => number) | undefined;
     /** From 0 up to 1; position of this request among the unreported ones. */
     readonly draw: number;
 }
@@ -73,8 +84,9 @@
  */
 export function chooseChainByStaleLoad(view: StaleLoadView): LoadedChain | undefined {
     const chains = [...view.chains];
+    const computeCost = view.computeCost ?? ((loaded: LoadedChain) => computeExpectedMs(loaded, view.size));
     for (let ahead = Math.floor(view.draw * (view.unreportedRequests + 1));; ahead -= 1) {
-        const best = chooseChain(chains.filter(view.hasCapacity), view.size);
+        const best = chooseCheapest(chains.filter(view.hasCapacity), computeCost);
         if (best === undefined || ahead <= 0) {
             return best;
         }
--- a/packages/decisions/src/request/computeClassRoom.ts
+++ b/packages/decisions/src/request/computeClassRoom.ts
@@ -9,10 +9,10 @@
 import { computeMaxMinShares } from "./computeMaxMinShares.js";
 import {
     type ChainLoad,
-    computeCurrentLoad,
     computeHeldTokens,
     computeMaxOpen,
     computeMaxUnstarted,
+    countPrefilled,
 } from "./hasChainCapacity.js";
 
 /** Load of a chain by rank. Requests that are in no list were reported without their ranks. */
@@ -54,12 +54,17 @@
     readonly placesNeeded: number;
     /** Prompts that may wait. */
     readonly prompts: number;
-    /** Prompts ahead of its own. */
+    /** Prompts ahead of its own; negative where more could have been read since the report than were waiting. */
     readonly promptsAhead: number;
 }
 
 /** Largest part of a chain's places that is kept free for more urgent ranks, so that each class can always run. */
 const MAX_PROTECTED_SHARE = 0.75;
+/**
+ * Part of a rank's expected requests up to which nothing is kept from it for more urgent ones. No class may be served at
+ * less than a quarter of the rate of all; free places alone don't ensure that, as more urgent ranks may fill them.
+ */
+const MIN_CLASS_SHARE = 0.25;
 /**
  * Most places that one request counts for. A large request needs that many free at once, while those that end free one
  * at a time; at its full size it would find room only on an idle chain.
@@ -98,12 +103,15 @@
     // Requests without a reported rank are taken to be distributed like the demand.
     const unranked = countUnranked(load.open, load.open_by_rank) * (expectedAll === 0 ? 0 : expected / expectedAll);
     const openAhead = Math.min(load.open, countUpTo(load.open_by_rank, memoryRank - 1) + unranked);
-    const kept = Math.min(maxOpen * MAX_PROTECTED_SHARE, Math.max(0, expected - openAhead));
+    const isStarved = memoryRank === request.rank
+        && load.open_by_rank !== undefined
+        && clampCount(load.open_by_rank[request.rank]) < clampCount(expectedOpen[request.rank]) * MIN_CLASS_SHARE;
+    const kept = isStarved ? 0 : Math.min(maxOpen * MAX_PROTECTED_SHARE, Math.max(0, expected - openAhead));
     return {
         places: maxOpen - kept,
         placesNeeded: load.open + computeSizeFactor(request.size, profile),
         prompts: computeMaxUnstarted(chain, profile, request.objectiveMs),
-        promptsAhead: computeCurrentLoad(chain, { open: load.open, unstarted }, profile, ageMs).unstarted,
+        promptsAhead: unstarted - countPrefilled(chain, load, profile, ageMs),
     };
 }
 
@@ -113,7 +121,32 @@
  * @returns false where it would cost more urgent ones more than it gains
  */
 export function hasClassRoom({ places, placesNeeded, prompts, promptsAhead }: ClassRoom): boolean {
-    return placesNeeded <= places && promptsAhead < prompts;
+    return placesNeeded <= places && Math.max(0, promptsAhead) < prompts;
+}
+
+/**
+ * Adds requests that others are expected to have sent since they reported their load.
+ * @param room - by the reported load
+ * @param count - how many
+ * @param shareAhead - part of the demand that is of the request's rank or a more urgent one
+ * @returns the room that is left
+ */
+export function addUnreported(room: ClassRoom, count: number, shareAhead: number): ClassRoom {
+    return {
+        ...room,
+        placesNeeded: room.placesNeeded + count,
+        promptsAhead: room.promptsAhead + count * shareAhead,
+    };
+}
+
+/**
+ * Computes how full a chain is for a request. Chains are compared by this, since the time to the first token depends on
+ * the prompts ahead, and whether the next request finds room on the places.
+ * @param room - what the request may take, and what is taken
+ * @returns sum of the filled shares of prompts and places
+ */
+export function computeFill({ places, placesNeeded, prompts, promptsAhead }: ClassRoom): number {
+    return Math.max(0, promptsAhead) / Math.max(1, prompts) + placesNeeded / Math.max(1, places);
 }
 
 /**
--- a/packages/decisions/src/request/hasChainCapacity.ts
+++ b/packages/decisions/src/request/hasChainCapacity.ts
@@ -49,9 +49,20 @@
  * @returns the load expected now
  */
 export function computeCurrentLoad(chain: Chain, load: ChainLoad, profile: EngineProfile, ageMs: number): ChainLoad {
+    return { open: load.open, unstarted: Math.max(0, load.unstarted - countPrefilled(chain, load, profile, ageMs)) };
+}
+
+/**
+ * Estimates how many prompts a busy chain has read since a report.
+ * @param chain - the chain
+ * @param load - the reported load
+ * @param profile - usual sizes
+ * @param ageMs - age of the report
+ * @returns prompts
+ */
+export function countPrefilled(chain: Chain, load: ChainLoad, profile: EngineProfile, ageMs: number): number {
     const promptMs = profile.usual_prompt_tokens * chain.prefillMs;
-    const prefilled = promptMs === 0 ? load.unstarted : Math.floor(ageMs * PREFILL_SHARE / promptMs);
-    return { open: load.open, unstarted: Math.max(0, load.unstarted - prefilled) };
+    return promptMs === 0 ? load.unstarted : Math.floor(ageMs * PREFILL_SHARE / promptMs);
 }
 
 /**
