feat(entry): a quarter of each rank's requests is exempt from protection while the rank has too little

Change: only a quarter of the requests, at random, may use the exemption, so that entries with the same old count don't exceed it together.

--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -118,13 +118,15 @@
     ): RankedRequest {
         const { route, organisation, call } = run.admitted;
         const rank = ranks.getRank(route, organisation);
+        const draw = this.getDraw(run);
         const isExcess = demand !== undefined && organisation !== undefined
-            && this.getDraw(run) < computeExcessShare(demand, rank, organisation.name);
+            && draw < computeExcessShare(demand, rank, organisation.name);
         return {
             rank,
             memoryRank: isExcess ? rank + 1 : rank,
             size: call.size,
             objectiveMs: route.objective_ms,
+            draw,
         };
     }
 
--- a/packages/decisions/src/request/computeClassRoom.ts
+++ b/packages/decisions/src/request/computeClassRoom.ts
@@ -44,6 +44,8 @@
     readonly memoryRank: number;
     readonly size: RequestSize | undefined;
     readonly objectiveMs: number;
+    /** Its position among the requests of its rank, at random from 0 up to 1. */
+    readonly draw: number;
 }
 
 /** What a request may take of a chain, and what is taken. */
@@ -63,6 +65,7 @@
 /**
  * Part of a rank's expected requests up to which nothing is kept from it for more urgent ones. No class may be served at
  * less than a quarter of the rate of all; free places alone don't ensure that, as more urgent ranks may fill them.
+ * Only that part of the requests may use this: all entries see the same reported count and would exceed it together.
  */
 const MIN_CLASS_SHARE = 0.25;
 /**
@@ -103,7 +106,8 @@
     // Requests without a reported rank are taken to be distributed like the demand.
     const unranked = countUnranked(load.open, load.open_by_rank) * (expectedAll === 0 ? 0 : expected / expectedAll);
     const openAhead = Math.min(load.open, countUpTo(load.open_by_rank, memoryRank - 1) + unranked);
-    const isStarved = memoryRank === request.rank
+    const isStarved = request.draw >= 1 - MIN_CLASS_SHARE
+        && memoryRank === request.rank
         && load.open_by_rank !== undefined
         && clampCount(load.open_by_rank[request.rank]) < clampCount(expectedOpen[request.rank]) * MIN_CLASS_SHARE;
     const kept = isStarved ? 0 : Math.min(maxOpen * MAX_PROTECTED_SHARE, Math.max(0, expected - openAhead));
