--- a/packages/daemon/tests/classReplay.ts
+++ b/packages/daemon/tests/classReplay.ts
@@ -132,7 +132,13 @@
         targets: [{ service: "s", weight: 1 }],
     }));
     const limits = { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
-    return { version: 1, routes, services: [{ name: "s", engine: profile }], organisations: [...organisations], limits };
+    return {
+        version: 1,
+        routes,
+        services: [{ name: "s", engine: profile }],
+        organisations: [...organisations],
+        limits,
+    };
 }
 
 type Rates = Record<"arrivals_per_s" | "refused_per_s" | "prompt_tokens_per_s" | "answer_tokens_per_s", number> & {
@@ -360,7 +366,8 @@
         const { loadFactor = 1, greedyFactor = 0 } = this.options;
         LOADS.forEach(({ perS, prompt }, priority) => {
             const bursts = [...(priority === 2 ? [NIGHT_BURST] : []), ...(priority === 0 ? [RESTOCK_BURST] : [])];
-            const factor = bursts.find(({ fromMs, untilMs }) => this.nowMs >= fromMs && this.nowMs < untilMs)?.factor ?? 1;
+            const factor = bursts.find(({ fromMs, untilMs }) => this.nowMs >= fromMs && this.nowMs < untilMs)?.factor
+                ?? 1;
             const mean = perS * factor * loadFactor * TICK_MS / 1_000;
             const count = Math.floor(mean) + (this.draw() < mean % 1 ? 1 : 0);
             for (let at = 0; at < count; at += 1) {
@@ -551,7 +558,9 @@
         entry.loads = entry.isOld
             ? Object.fromEntries(Object.entries(own).map(([id, { open, unstarted }]) => [id, { open, unstarted }]))
             : own;
-        entry.report = entry.isOld ? new Map() : entry.meter.report(this.nowMs, (rank) => entry.countWaiting(rank));
+        entry.report = entry.isOld
+            ? new Map<number, Rates & { waiting: number; }>()
+            : entry.meter.report(this.nowMs, (rank) => entry.countWaiting(rank));
         if (this.nowMs - this.summedMs >= SUM_INTERVAL_MS) {
             this.summedMs = this.nowMs;
             this.sumReports();
