--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -9,7 +9,7 @@
     open: number;
     /** Open requests without a first token. */
     unstarted: number;
-    /** The same by rank; empty before the first request of a ranked service. */
+    /** Open requests by rank; empty before the first request of a ranked service. */
     readonly openByRank: number[];
     readonly unstartedByRank: number[];
     /** Moving average of the response time; undefined before the first response. */
@@ -319,10 +319,20 @@
     }
 }
 
+/** Ranks without requests at the end are left out of the report, and with them all where there are none. */
 function createLoad({ open, unstarted, openByRank, unstartedByRank }: Health): UpstreamLoad {
-    return openByRank.length === 0
-        ? { open, unstarted }
-        : { open, unstarted, unstarted_by_rank: [...unstartedByRank], open_by_rank: [...openByRank] };
+    const unstarted_by_rank = trimZeros(unstartedByRank);
+    const open_by_rank = trimZeros(openByRank);
+    return {
+        open,
+        unstarted,
+        ...(unstarted_by_rank.length === 0 ? {} : { unstarted_by_rank }),
+        ...(open_by_rank.length === 0 ? {} : { open_by_rank }),
+    };
+}
+
+function trimZeros(counts: readonly number[]): number[] {
+    return counts.slice(0, counts.findLastIndex((count) => count > 0) + 1);
 }
 
 function addToRank(counts: number[], rank: number | undefined, change: number): void {
--- a/packages/daemon/tests/fleetView.test.ts
+++ b/packages/daemon/tests/fleetView.test.ts
@@ -1,3 +1,4 @@
+import type { RoutingTable } from "@crankfork/schemas";
 import { expect } from "chai";
 import { FleetView } from "../src/version/fleetView.js";
 import { createFullState } from "./fullState.js";
@@ -18,3 +19,32 @@
         });
     }
 });
+
+/**
+ * Plain services have had routes of different priorities before; their requests must be decided as before.
+ */
+describe("services that run a model are ranked where their routes differ in priority", () => {
+    const rows = [
+        { title: "routes differ", priorities: [0, 2], isModel: true, isRanked: true },
+        { title: "routes are alike", priorities: [2, 2], isModel: true, isRanked: false },
+        { title: "a plain service", priorities: [0, 2], isModel: false, isRanked: false },
+    ];
+    for (const { title, priorities, isModel, isRanked } of rows) {
+        it(title, () => {
+            const view = new FleetView();
+            const services = [{ name: "s", ...(isModel ? { engine: {} } : {}) }, { name: "other" }];
+            const routes = [...priorities.map((priority) => ({ priority, service: "s" })), {
+                priority: 7,
+                service: "other",
+            }];
+            view.applyTable({
+                version: 1,
+                services,
+                routes: routes.map(({ priority, service }) => ({ priority, targets: [{ service, weight: 1 }] })),
+            } as unknown as RoutingTable);
+            const ranks = view.routing?.ranks.get("s");
+            expect(ranks?.isRanked).to.equal(isRanked);
+            expect(ranks?.ranks).to.have.length(new Set(priorities).size);
+        });
+    }
+});
--- a/packages/daemon/tests/rankedLoads.test.ts
+++ b/packages/daemon/tests/rankedLoads.test.ts
@@ -23,6 +23,16 @@
         expect(ranked?.unstarted_by_rank?.[63]).to.equal(1);
     });
 
+    it("ranks without requests at the end are left out", () => {
+        const health = new UpstreamHealth(() => 0);
+        [0, 3].forEach((rank) => {
+            health.recordRequestStart("u", rank);
+            health.recordFirstToken("u", rank);
+        });
+        health.recordEnd("u", 3);
+        expect(health.getLoad("u")).to.deep.equal({ open: 1, unstarted: 0, open_by_rank: [1] });
+    });
+
     const ranked = { open: 5, unstarted: 3, unstarted_by_rank: [1, 2], open_by_rank: [4, 1] };
     const rows = [
         { title: "a build without ranks", one: { open: 2, unstarted: 1 }, sum: { ...ranked, open: 7, unstarted: 4 } },
--- a/packages/decisions/src/request/computeClassRoom.ts
+++ b/packages/decisions/src/request/computeClassRoom.ts
@@ -110,9 +110,9 @@
         && memoryRank === request.rank
         && load.open_by_rank !== undefined
         && clampCount(load.open_by_rank[request.rank]) < clampCount(expectedOpen[request.rank]) * MIN_CLASS_SHARE;
-    const kept = isStarved ? 0 : Math.min(maxOpen * MAX_PROTECTED_SHARE, Math.max(0, expected - openAhead));
+    const protectedPlaces = isStarved ? 0 : Math.min(maxOpen * MAX_PROTECTED_SHARE, Math.max(0, expected - openAhead));
     return {
-        places: maxOpen - kept,
+        places: maxOpen - protectedPlaces,
         placesNeeded: load.open + computeSizeFactor(request.size, profile),
         prompts: computeMaxUnstarted(chain, profile, request.objectiveMs),
         promptsAhead: unstarted - countPrefilled(chain, load, profile, ageMs),
