--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -1,20 +1,47 @@
 /**
  * Whether a path has room for one more request, by the load that this entry and the others have reported.
  */
-import { computeCurrentLoad, hasChainCapacity, type LoadedChain } from "@crankfork/decisions";
+import {
+    addUnreported,
+    type Chain,
+    type ClassRoom,
+    computeClassRoom,
+    computeCurrentLoad,
+    computeExcessShare,
+    computeExpectedOpen,
+    computeMaxOpen,
+    hasChainCapacity,
+    hasClassRoom,
+    type LoadedChain,
+    type RankedRequest,
+    type ServiceDemand,
+    type ServiceRanks,
+} from "@crankfork/decisions";
 import type { EngineProfile } from "@crankfork/schemas";
 import type { RequestContext } from "../../request/requestContext.js";
+import type { UpstreamLoad } from "../sumLoads.js";
 
 /** Dependencies of the check. */
 export interface PathRoomOptions {
     /** Mean age of the load reports of other entries, in milliseconds. */
     readonly getLoadAgeMs: () => number;
+    /** Demand for a ranked service, over all entries; undefined where it is not known. */
+    readonly getDemand?: (service: string) => ServiceDemand | undefined;
+    readonly health: { readonly getLoad: (id: string) => UpstreamLoad; };
+    readonly countEntries: () => number;
+    readonly random: () => number;
 }
 
+/** What a request of a ranked service may take of a path. */
+export type GetClassRoom = (loaded: LoadedChain) => ClassRoom;
+
 /** Checks the room of paths. */
 export class PathRoom {
+    /** Position of each request among those of its organisation, so that a repeated check of it has the same result. */
+    private readonly draws = new WeakMap<RequestContext, number>();
+
     /**
-     * @param options - age of the load reports
+     * @param options - age of the load reports, demand, and load of this entry
      */
     constructor(private readonly options: PathRoomOptions) {}
 
@@ -23,10 +50,108 @@
      * @param run - the request
      * @param loaded - the path and its load
      * @param engine - usual sizes and the slots of its first engine
+     * @param getClassRoom - for a ranked service, what the request may take
      * @returns false where the request would cost others more than it gains
      */
-    hasRoom(run: RequestContext, { chain, ...load }: LoadedChain, engine: EngineProfile): boolean {
+    hasRoom(
+        run: RequestContext,
+        loaded: LoadedChain,
+        engine: EngineProfile,
+        getClassRoom: GetClassRoom | undefined,
+    ): boolean {
+        if (getClassRoom !== undefined) {
+            return hasClassRoom(getClassRoom(loaded));
+        }
+        const { chain, ...load } = loaded;
         const current = computeCurrentLoad(chain, load, engine, this.options.getLoadAgeMs());
         return hasChainCapacity(chain, current, engine, run.admitted.route.objective_ms);
     }
+
+    /**
+     * Creates the function that computes what a request may take of a path. What does not depend on unreported requests
+     * is computed once for each path, as a choice checks each of them many times.
+     * @param run - the request
+     * @param ranks - ranks of its service
+     * @param chains - the paths that it may take
+     * @param engine - usual sizes and slots
+     * @returns undefined where the service is not ranked
+     */
+    createClassRoom(
+        run: RequestContext,
+        ranks: ServiceRanks | undefined,
+        chains: readonly Chain[],
+        engine: EngineProfile,
+    ): GetClassRoom | undefined {
+        if (ranks?.isRanked !== true) {
+            return undefined;
+        }
+        const { service } = run.admitted;
+        const demand = this.options.getDemand?.(service.name);
+        const request = this.createRankedRequest(run, ranks, demand);
+        const shareAhead = demand === undefined ? 1 : computeShareAhead(demand, request.rank);
+        const estimated = demand === undefined ? this.estimateOpen(chains) : [];
+        const allPlaces = chains.reduce((sum, chain) => sum + computeMaxOpen(chain, engine), 0);
+        const ageMs = this.options.getLoadAgeMs();
+        const rooms = new Map<Chain, ClassRoom>();
+        return ({ chain, reported, ...load }) => {
+            const known = reported ?? load;
+            const share = computeMaxOpen(chain, engine) / Math.max(1, allPlaces);
+            const room = rooms.get(chain) ?? computeClassRoom(
+                chain,
+                known,
+                engine,
+                request,
+                demand === undefined
+                    ? estimated.map((open) => open * share)
+                    : computeExpectedOpen(chain, known, engine, demand, share),
+                ageMs,
+            );
+            rooms.set(chain, room);
+            return addUnreported(room, load.open - known.open, shareAhead);
+        };
+    }
+
+    private createRankedRequest(
+        run: RequestContext,
+        ranks: ServiceRanks,
+        demand: ServiceDemand | undefined,
+    ): RankedRequest {
+        const { route, organisation, call } = run.admitted;
+        const rank = ranks.getRank(route, organisation);
+        const draw = this.getDraw(run);
+        const isExcess = demand !== undefined && organisation !== undefined
+            && draw < computeExcessShare(demand, rank, organisation.name);
+        return {
+            rank,
+            memoryRank: isExcess ? rank + 1 : rank,
+            size: call.size,
+            objectiveMs: route.objective_ms,
+            draw,
+        };
+    }
+
+    /** Without any report of demand, each entry is assumed to have the same requests open as this one. */
+    private estimateOpen(chains: readonly Chain[]): readonly number[] {
+        const { health, countEntries } = this.options;
+        const sums: number[] = [];
+        for (const { stages } of chains) {
+            health.getLoad(stages[0]?.engine.id ?? "").open_by_rank?.forEach((open, rank) => {
+                sums[rank] = (sums[rank] ?? 0) + open * countEntries();
+            });
+        }
+        return Array.from(sums, (open: number | undefined) => open ?? 0);
+    }
+
+    private getDraw(run: RequestContext): number {
+        const draw = this.draws.get(run) ?? this.options.random();
+        this.draws.set(run, draw);
+        return draw;
+    }
+}
+
+function computeShareAhead(demand: ServiceDemand, rank: number): number {
+    const sum = (last: number): number =>
+        [...demand].reduce((all, [one, { arrivals_per_s }]) => one <= last ? all + arrivals_per_s : all, 0);
+    const all = sum(Number.POSITIVE_INFINITY);
+    return all > 0 ? sum(rank) / all : 1;
 }
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -4,15 +4,17 @@
 import {
     canHoldModel,
     type Chain,
-    type ChainLoad,
     chooseChainByStaleLoad,
+    computeFill,
     computePreferredCount,
     computePriority,
+    computeRankPriority,
     hasUpstreamCapacity,
     listCandidateChains,
     listPreferredChains,
     type LoadedChain,
     type RequestSize,
+    type ServiceDemand,
     type Urgency,
 } from "@crankfork/decisions";
 import { type EngineProfile, getIncarnation, type RegisteredUpstream, type RoutedService } from "@crankfork/schemas";
@@ -22,6 +24,7 @@
 import type { CallTarget } from "../../request/routedCall.js";
 import { computeReservedWaitMs } from "../../request/waitForTarget.js";
 import type { FleetView } from "../../version/fleetView.js";
+import { sumLoads, type UpstreamLoad } from "../sumLoads.js";
 import type { UpstreamBackoffs } from "../upstreamBackoffs.js";
 import type { EngineShortage } from "./engineShortage.js";
 import type { LeavingNotices } from "./leavingNotices.js";
@@ -42,7 +45,7 @@
     /** Limits the rate of requests to upstreams that have reported a rate limit. */
     readonly rateLimiter: UpstreamRateLimiter;
     /** In-flight load of other entries at an upstream, by the last report of the leader. */
-    readonly getRemoteLoad: (id: string) => ChainLoad;
+    readonly getRemoteLoad: (id: string) => UpstreamLoad;
     /** Whether new requests avoid a path because it stalled recently. */
     readonly isPathAvoided: (path: PathKey) => boolean;
     /** Whether the links of this entry to a failure domain lose packets now. */
@@ -54,6 +57,8 @@
     readonly getRequestsPerSecond: (service: string) => number;
     /** Mean age of the load reports of other entries. */
     readonly getLoadAgeMs: () => number;
+    /** Demand for a ranked service, over all entries; undefined where it is not known. */
+    readonly getDemand?: (service: string) => ServiceDemand | undefined;
     readonly random: () => number;
 }
 
@@ -127,18 +132,24 @@
         lastEventId: string | undefined,
         isUnderWay: boolean,
     ): TargetChoice {
+        const { view } = this.options;
         const chains = this.listChains(run, service);
         if (chains.length === 0) {
             return this.findResting(service)
                 ?? { kind: this.hasShortage(service.name, engine) ? "too-few-engines" : "none" };
         }
         this.options.shortage.recordSufficient(service.name);
+        const getClassRoom = this.room.createClassRoom(run, view.routing?.ranks.get(service.name), chains, engine);
         const chooseLoaded = (subset: readonly Chain[]): LoadedChain | undefined =>
             chooseChainByStaleLoad({
-                chains: subset.map((chain) => ({ chain, ...this.getLoad(getFirstEngineId(chain)) })),
+                chains: subset.map((chain) => {
+                    const reported = this.getLoad(getFirstEngineId(chain));
+                    return { chain, ...reported, reported };
+                }),
                 size: run.admitted.call.size ?? DEFAULT_REQUEST_SIZE,
                 unreportedRequests: this.options.estimateUnreported(service.name) * subset.length / chains.length,
-                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine),
+                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine, getClassRoom),
+                computeCost: getClassRoom === undefined ? undefined : (loaded) => computeFill(getClassRoom(loaded)),
                 draw: this.options.random(),
             });
         const limited = new Set<string>();
@@ -311,10 +322,8 @@
         });
     }
 
-    private getLoad(id: string): ChainLoad {
-        const local = this.options.health.getLoad(id);
-        const remote = this.options.getRemoteLoad(id);
-        return { open: local.open + remote.open, unstarted: local.unstarted + remote.unstarted };
+    private getLoad(id: string): UpstreamLoad {
+        return sumLoads(this.options.health.getLoad(id), this.options.getRemoteLoad(id));
     }
 
     private createTarget(
@@ -324,19 +333,26 @@
         stages: CallTarget["stages"],
         lastEventId: string | undefined,
     ): CallTarget {
-        const { organisation, route } = run.admitted;
+        const { organisation, route, service } = run.admitted;
+        const { view } = this.options;
+        const urgency = getUrgency(run, lastEventId !== undefined);
+        const ranks = view.routing?.ranks.get(service.name);
+        const rank = ranks?.isRanked === true ? ranks.getRank(route, organisation) : undefined;
         return {
             upstreamId,
-            upstreamName: getIncarnation(this.options.view.getUpstream(upstreamId) ?? { id: upstreamId }).name,
+            upstreamName: getIncarnation(view.getUpstream(upstreamId) ?? { id: upstreamId }).name,
             address,
             stages,
             remainingMs: Math.max(1, Math.floor(run.remainingMs)),
             organisation: organisation?.name,
-            priority: computePriority(
-                organisation?.priority ?? route.priority,
-                this.options.view.routing?.lowestPriority ?? 0,
-                getUrgency(run, lastEventId !== undefined),
-            ),
+            priority: rank === undefined
+                ? computePriority(
+                    organisation?.priority ?? route.priority,
+                    view.routing?.lowestPriority ?? 0,
+                    urgency,
+                )
+                : computeRankPriority(rank, ranks?.ranks.length ?? 1, urgency),
+            ...(rank === undefined ? {} : { rank }),
             lastEventId,
         };
     }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -32,7 +32,9 @@
     type RouteStage,
 } from "./request/chooseRoute.js";
 export { ClassSlots } from "./request/classSlots.js";
+export * from "./request/computeClassRoom.js";
 export { computeLoadScore, type LoadView } from "./request/computeLoadScore.js";
+export * from "./request/computeMaxMinShares.js";
 export * from "./request/computePriority.js";
 export * from "./request/computeStreamResumeWindow.js";
 export { DecayingRate } from "./request/decayingRate.js";
@@ -67,3 +69,4 @@
 export * from "./version/isPlacementDue.js";
 export * from "./version/layerCoverage.js";
 export { mayAdmitUnlessSuperseded } from "./version/mayAdmitUnlessSuperseded.js";
+export * from "./version/rankClasses.js";
