feat(entry): connect demand, ranks and room

Demand is reported by the ranks of the routing table, for the services that are ranked, and the room of a class is computed from the fleet's demand. Until now both parts used stand-ins.

--- /dev/null
+++ b/packages/daemon/src/process/entry/createServiceDemand.ts
@@ -0,0 +1,25 @@
+/**
+ * The fleet's demand in the form in which the room of a class is computed from it.
+ */
+import type { RankDemand, ServiceDemand } from "@crankfork/decisions";
+import type { FleetClassDemand, FleetDemandView } from "./fleetDemand.js";
+
+/**
+ * Converts the demand of a service.
+ * @param view - its classes by rank
+ * @returns demand by rank; undefined where nothing is known yet
+ */
+export function createServiceDemand({ classes }: FleetDemandView): ServiceDemand | undefined {
+    return classes.length === 0 ? undefined : new Map(classes.map((one, rank) => [rank, createRankDemand(one)]));
+}
+
+function createRankDemand(demand: FleetClassDemand): RankDemand {
+    return {
+        arrivals_per_s: demand.arrivalsPerS,
+        refused_per_s: demand.refusedPerS,
+        prompt_tokens_per_s: demand.promptTokensPerS,
+        answer_tokens_per_s: demand.answerTokensPerS,
+        waiting: demand.waiting,
+        organisations: Object.fromEntries(demand.organisations),
+    };
+}
--- a/packages/daemon/src/process/entry/entryDemand.ts
+++ b/packages/daemon/src/process/entry/entryDemand.ts
@@ -22,8 +22,12 @@
     readonly getNowMs: () => number;
     readonly countEntries: () => number;
     readonly getRouting: () => RoutingView | undefined;
-    /** Rank of a request in its service; its effective priority by default. */
-    readonly getRank?: (route: Route, organisation: RoutedOrganisation | undefined) => number;
+    /** Rank of a request; by default that of its service's ranks. */
+    readonly getRank?: (
+        route: Route,
+        organisation: RoutedOrganisation | undefined,
+        service: string,
+    ) => number;
 }
 
 /**
@@ -101,8 +105,8 @@
             return known;
         }
         const { service, route, organisation } = run.admitted;
-        const { getRank = getEffectivePriority } = this.options;
-        const rank = Math.min(MAX_RANK, Math.max(0, getRank(route, organisation)));
+        const { getRank = this.getRank } = this.options;
+        const rank = Math.min(MAX_RANK, Math.max(0, getRank(route, organisation, service.name)));
         const key = { service: service.name, rank, organisation: organisation?.name };
         this.keys.set(run, key);
         return key;
@@ -156,29 +160,27 @@
         }
     }
 
+    /** Ranks of a service that is not ranked order its effective priorities. */
+    private readonly getRank = (route: Route, organisation: RoutedOrganisation | undefined, service: string): number =>
+        this.options.getRouting()?.ranks.get(service)?.getRank(route, organisation)
+            ?? organisation?.priority ?? route.priority;
+
     private getReportedServices(): ReadonlySet<string> {
-        const table = this.options.getRouting()?.table;
-        if (table === undefined) {
+        const routing = this.options.getRouting();
+        if (routing === undefined) {
             return NO_SERVICES;
         }
-        if (this.reported?.table !== table) {
-            this.reported = { table, services: new Set(this.listReportedServices(table)) };
+        if (this.reported?.table !== routing.table) {
+            this.reported = { table: routing.table, services: new Set(this.listReportedServices(routing)) };
         }
         return this.reported.services;
     }
 
-    /** A service is ranked where its routes differ in priority. */
-    private listReportedServices({ services, routes }: RoutingTable): readonly string[] {
-        return services.map(({ name }) => name).filter((name) => {
-            const own = routes.filter(({ targets }) => targets.some(({ service }) => service === name));
-            return this.options.settings.admission.report_demand
-                || new Set(own.map(({ priority }) => priority)).size > 1;
-        });
+    private listReportedServices({ table, ranks }: RoutingView): readonly string[] {
+        return table.services.map(({ name }) => name).filter((name) =>
+            this.options.settings.admission.report_demand || ranks.get(name)?.isRanked === true
+        );
     }
 }
 
 const NO_SERVICES: ReadonlySet<string> = new Set();
-
-function getEffectivePriority(route: Route, organisation: RoutedOrganisation | undefined): number {
-    return organisation?.priority ?? route.priority;
-}
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -27,6 +27,7 @@
 import { AdmissionLevels } from "./admissionLevels.js";
 import { CrashTracker } from "./crashTracker.js";
 import { createEntryStatus } from "./createEntryStatus.js";
+import { createServiceDemand } from "./createServiceDemand.js";
 import { EngineReportCache } from "./engineReportCache.js";
 import { EngineShortage } from "./engineShortage.js";
 import { EntryAdmission } from "./entryAdmission.js";
@@ -155,6 +156,7 @@
             getLoadAgeMs: () => this.loadReportAge.getMeanAgeMs(),
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
             isLinkLossy: (to) => this.links.isLossy(to),
+            getDemand: (service) => createServiceDemand(this.demand.fleet.get(service)),
             countEntries: options.countEntries,
             random: options.random,
         });
--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -164,10 +164,19 @@
             : new Map(table.organisations.flatMap((one) => one.keys.map((key) => [key, one] as const))),
         findRoute: (host, path) => findRoute(index, host, path),
         lowestPriority: computeLowestPriority(table),
-        ranks: new Map(table.services.map((service) => [service.name, rankService(service, table)])),
+        ranks: rankServices(table),
     };
 }
 
+/**
+ * Ranks the requests to each service.
+ * @param table - routes, services and organisations
+ * @returns ranks by the service's name
+ */
+export function rankServices(table: RoutingTable): ReadonlyMap<string, ServiceRanks> {
+    return new Map(table.services.map((service) => [service.name, rankService(service, table)]));
+}
+
 /** Plain services queue by themselves and have no memory to protect, so their routes' priorities stay as they are. */
 function rankService({ name, engine }: RoutedService, { routes, organisations }: RoutingTable): ServiceRanks {
     const own = routes.filter(({ targets }) => targets.some(({ service }) => service === name));
