refactor(decisions): fair queue and drain meter over any set of classes

Cause: the entries' queue needs the same order and the same measurement over ranks that the product's own interface has over its three classes. FairQueue and DrainMeter keep their interfaces.

--- a/packages/daemon/src/process/daemon/admissionController.ts
+++ b/packages/daemon/src/process/daemon/admissionController.ts
@@ -5,9 +5,9 @@
 import {
     type AdmissionDecision,
     chooseAdmission,
+    ClassDrainMeters,
     ClassSlots,
     DecayingCounter,
-    DrainMeter,
     FairQueue,
     type QueuedRequest,
 } from "@crankfork/decisions";
@@ -43,7 +43,7 @@
 export class AdmissionController {
     private readonly queue = new FairQueue<WaitingRequest>();
     private readonly running = new ClassSlots();
-    private readonly drainMeters = new Map(priorityClasses.map((name) => [name, new DrainMeter()]));
+    private readonly drainMeters = new ClassDrainMeters(priorityClasses);
     private readonly recentRefusals = new DecayingCounter();
     private meanFirstTokenMs = 0;
 
@@ -130,7 +130,7 @@
         for (let next = this.queue.pop(mayStart); next !== undefined; next = this.queue.pop(mayStart)) {
             this.running.recordStart(next.priority);
             const isEmpty = this.queue.countWaiting(next.priority) === 0;
-            this.getDrainMeter(next.priority).recordDeparture(next.tokens, isEmpty, performance.now());
+            this.drainMeters.get(next.priority).recordDeparture(next.tokens, isEmpty, performance.now());
             next.start();
         }
     }
@@ -140,7 +140,7 @@
         return chooseAdmission({
             tokensAhead: this.queue.countTokensAhead(request),
             ownTokens: request.tokens,
-            msPerToken: this.getDrainMeter(request.priority).getMsPerToken(performance.now()),
+            msPerToken: this.drainMeters.get(request.priority).getMsPerToken(performance.now()),
             startMs: this.meanFirstTokenMs,
             freeSlots: this.running.countFree(request.priority, slots),
             waitingRequests: this.queue.length,
@@ -149,14 +149,6 @@
         }, request.bound);
     }
 
-    private getDrainMeter(priority: PriorityClass): DrainMeter {
-        const meter = this.drainMeters.get(priority);
-        if (meter === undefined) {
-            throw new Error(`no drain meter for priority class ${priority}`);
-        }
-        return meter;
-    }
-
     /** Queues a request until a slot is free. Past the limit its answer could no longer be in time, so it is refused. */
     private waitForSlot(request: AdmissionRequest, limitMs: number): Promise<void> {
         return new Promise((resolve, reject) => {
@@ -174,7 +166,7 @@
                     finish();
                     this.queue.remove(waiting);
                     if (this.queue.countWaiting(request.priority) === 0) {
-                        this.getDrainMeter(request.priority).recordEmpty();
+                        this.drainMeters.get(request.priority).recordEmpty();
                     }
                     reject(error);
                 },
@@ -194,7 +186,7 @@
             }, limitMs);
             request.signal.addEventListener("abort", cancel, { once: true });
             this.queue.push(waiting);
-            this.getDrainMeter(request.priority).recordArrival(performance.now());
+            this.drainMeters.get(request.priority).recordArrival(performance.now());
         });
     }
 }
--- a/packages/decisions/src/request/fairQueue.ts
+++ b/packages/decisions/src/request/fairQueue.ts
@@ -9,10 +9,10 @@
 import { Heap } from "heap-js";
 
 /** A waiting request. */
-export interface QueuedRequest {
+export interface QueuedRequest<Class = PriorityClass> {
     readonly organisation: string;
     readonly weight: number;
-    readonly priority: PriorityClass;
+    readonly priority: Class;
     /** Tokens that it is expected to cost. */
     readonly tokens: number;
 }
@@ -30,7 +30,7 @@
 /** One in this many dispatches goes to the lowest waiting class, so that it is not starved. */
 const LOWEST_CLASS_INTERVAL = 20;
 
-class ClassQueue<Request extends QueuedRequest> {
+class ClassQueue<Request extends QueuedRequest<unknown>> {
     private readonly byOrganisation = new Map<string, OrganisationQueue<Request>>();
     private readonly heap = new Heap<OrganisationQueue<Request>>((left, right) => left.startTag - right.startTag);
     /** Virtual times from which organisations without waiting requests continue; cleared once the queue is empty. */
@@ -66,6 +66,35 @@
         return request;
     }
 
+    /** Removes the first request in the order of service that is accepted; the others keep their places. */
+    popAccepted(accepts: (request: Request) => boolean): Request | undefined {
+        const queues = [...this.byOrganisation.values()].sort((left, right) => left.startTag - right.startTag);
+        for (const queue of queues) {
+            const at = queue.requests.findIndex(accepts);
+            const request = queue.requests[at];
+            if (request !== undefined) {
+                queue.requests.splice(at, 1);
+                // Organisations that were passed over have lower tags; virtual time does not go back to them.
+                this.virtualTime = Math.max(this.virtualTime, queue.startTag);
+                queue.startTag += request.tokens / queue.weight;
+                this.recordRemoval(request);
+                this.heap.remove(queue, (left, right) => left === right);
+                if (queue.requests.length > 0) {
+                    this.heap.push(queue);
+                }
+                else {
+                    this.removeQueue(queue);
+                }
+                return request;
+            }
+        }
+        return undefined;
+    }
+
+    list(): readonly Request[] {
+        return [...this.byOrganisation.values()].flatMap((queue) => queue.requests);
+    }
+
     remove(request: Request): boolean {
         const queue = this.byOrganisation.get(request.organisation);
         const at = queue?.requests.indexOf(request) ?? -1;
@@ -83,7 +112,7 @@
     }
 
     /** Until its turn, every waiting organisation is served up to the tag of this request's organisation. */
-    countTokensAhead(request: QueuedRequest): number {
+    countTokensAhead(request: QueuedRequest<unknown>): number {
         const queue = this.byOrganisation.get(request.organisation);
         const tag = queue?.finishTag ?? this.getIdleTag(request.organisation);
         const weight = this.weight + (queue === undefined ? request.weight : 0);
@@ -122,14 +151,21 @@
     }
 }
 
-/** All waiting requests of one service at one entry. */
-export class FairQueue<Request extends QueuedRequest> {
-    private readonly classes = new Map(priorityClasses.map((name) => [name, new ClassQueue<Request>()]));
+/** Waiting requests of any set of classes. */
+export class MultiClassQueue<Request extends QueuedRequest<Class>, Class> {
+    private readonly queues: ReadonlyMap<Class, ClassQueue<Request>>;
     private dispatches = 0;
 
+    /**
+     * @param classes - all classes, the most urgent first
+     */
+    constructor(private readonly classes: readonly Class[]) {
+        this.queues = new Map(classes.map((name) => [name, new ClassQueue<Request>()]));
+    }
+
     /** Number of waiting requests. */
     get length(): number {
-        return priorityClasses.reduce((sum, name) => sum + this.getClass(name).length, 0);
+        return this.classes.reduce((sum, name) => sum + this.getClass(name).length, 0);
     }
 
     /**
@@ -145,10 +181,9 @@
      * @param mayStart - whether a class has capacity now; by default all have
      * @returns the request, or undefined where none may start
      */
-    pop(mayStart: (priority: PriorityClass) => boolean = () => true): Request | undefined {
-        const waiting = priorityClasses.filter((name) => this.getClass(name).length > 0 && mayStart(name));
-        const isLowestClassTurn = waiting.length > 1 && (this.dispatches + 1) % LOWEST_CLASS_INTERVAL === 0;
-        const name = isLowestClassTurn ? waiting.at(-1) : waiting[0];
+    pop(mayStart: (priority: Class) => boolean = () => true): Request | undefined {
+        const waiting = this.classes.filter((name) => this.getClass(name).length > 0 && mayStart(name));
+        const name = this.isLowestClassTurn(waiting) ? waiting.at(-1) : waiting[0];
         if (name === undefined) {
             return undefined;
         }
@@ -156,6 +191,32 @@
         return this.getClass(name).pop();
     }
 
+    /**
+     * Removes and returns the first request in the order of service that can start; the others keep their places.
+     * @param accepts - whether a request can start; asked in the order of service until one can
+     * @returns the request, or undefined where none can start
+     */
+    popAccepted(accepts: (request: Request) => boolean): Request | undefined {
+        const waiting = this.classes.filter((name) => this.getClass(name).length > 0);
+        const lowest = this.isLowestClassTurn(waiting) ? waiting.slice(-1) : [];
+        for (const name of [...lowest, ...waiting.slice(0, waiting.length - lowest.length)]) {
+            const request = this.getClass(name).popAccepted(accepts);
+            if (request !== undefined) {
+                this.dispatches += 1;
+                return request;
+            }
+        }
+        return undefined;
+    }
+
+    /**
+     * Lists the waiting requests by class; inside a class in no particular order.
+     * @returns all waiting requests
+     */
+    list(): readonly Request[] {
+        return this.classes.flatMap((name) => this.getClass(name).list());
+    }
+
     /**
      * Removes a request that no longer waits for its turn.
      * @param request - the request
@@ -170,24 +231,45 @@
      * @param priority - the class
      * @returns waiting requests
      */
-    countWaiting(priority: PriorityClass): number {
+    countWaiting(priority: Class): number {
         return this.getClass(priority).length;
     }
 
+    /**
+     * Counts the tokens of the waiting requests of a class.
+     * @param priority - the class
+     * @returns tokens
+     */
+    countTokens(priority: Class): number {
+        return this.getClass(priority).tokens;
+    }
+
     /**
      * Counts the tokens of its class that would be served before a new request.
      * @param request - the request, not added yet
      * @returns tokens that go before it under fair queuing
      */
-    countTokensAhead(request: QueuedRequest): number {
+    countTokensAhead(request: QueuedRequest<Class>): number {
         return this.getClass(request.priority).countTokensAhead(request);
     }
 
-    private getClass(name: PriorityClass): ClassQueue<Request> {
-        const found = this.classes.get(name);
+    private isLowestClassTurn(waiting: readonly Class[]): boolean {
+        return waiting.length > 1 && (this.dispatches + 1) % LOWEST_CLASS_INTERVAL === 0;
+    }
+
+    private getClass(name: Class): ClassQueue<Request> {
+        const found = this.queues.get(name);
         if (found === undefined) {
-            throw new Error(`no queue for the class ${name}`);
+            throw new Error(`no queue for the class ${String(name)}`);
         }
         return found;
     }
 }
+
+/** All waiting requests of one service at one entry, by the priority classes of the product's own interface. */
+export class FairQueue<Request extends QueuedRequest> extends MultiClassQueue<Request, PriorityClass> {
+    /** Creates an empty queue. */
+    constructor() {
+        super(priorityClasses);
+    }
+}
