feat(decisions): wait limits, standing and return times of ranked services

Cause: refused callers of all classes draw their time of return from the same 3.5 s, whatever the work ahead. Nothing uses them yet.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -30,9 +30,12 @@
     isExactTiling,
     type RouteStage,
 } from "./request/chooseRoute.js";
+export * from "./request/classifyReturn.js";
 export { ClassSlots } from "./request/classSlots.js";
 export { computeLoadScore, type LoadView } from "./request/computeLoadScore.js";
 export * from "./request/computePriority.js";
+export * from "./request/computeQueueWait.js";
+export * from "./request/computeReturnTime.js";
 export * from "./request/computeStreamResumeWindow.js";
 export { ClassDrainMeters, DrainMeter, type DrainMeterOptions } from "./request/drainMeter.js";
 export { FairQueue, MultiClassQueue, type QueuedRequest } from "./request/fairQueue.js";
@@ -42,7 +45,12 @@
 export * from "./request/isChainStalled.js";
 export * from "./request/listCandidateChains.js";
 export * from "./request/listPreferredChains.js";
-export { computeRetryIntervalMs, type RecoveryCapacity, RetryAfterSpreader } from "./request/retryAfterSpreader.js";
+export {
+    computeRetryIntervalMs,
+    type RecoveryCapacity,
+    RetryAfterSpreader,
+    type ReturnWindow,
+} from "./request/retryAfterSpreader.js";
 export type { LayerOrder } from "./version/assignableEngine.js";
 export * from "./version/canHoldModel.js";
 export * from "./version/checkRoutingTable.js";
