feat(daemon): one queue for each service at the entry

Cause: each waiting request polled every 40 ms by itself, so a new request took the room for which others waited. Change: RequestQueue tries the waiting requests in order, when a request ends or starts its response here, when loads arrive, and every 40 ms by one timer; RequestQueues holds the queues, the measured time to the first event and the places of refused callers. Ranks and the fleet's demand are functions with stand-ins (no service ranked) until they are connected. Result: 169 daemon tests that route requests pass unchanged (routedRequest, limitedRequest, limitSimulation, backoffSimulation and others).

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -27,6 +27,7 @@
 import { PathStallDetector } from "./pathStallDetector.js";
 import { RemoteLoads } from "./remoteLoads.js";
 import { type EntryState, recordRefusal, recordRequest } from "./requestLog.js";
+import { RequestQueues } from "./requestQueues.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import { TargetChooser } from "./targetChooser.js";
 import { UpstreamFaultHandler } from "./upstreamFaultHandler.js";
@@ -88,6 +89,7 @@
     private readonly functions: RoutedRequestFunctions;
     private readonly remoteLoads: RemoteLoads;
     private readonly loadReportAge: LoadReportAge;
+    private readonly queues: RequestQueues;
     private openCount = 0;
 
     /**
@@ -143,6 +145,14 @@
             getUnixMs: Date.now,
             hasEnded: (id) => this.view.hasEnded(id),
         });
+        this.queues = new RequestQueues({
+            getNowMs: options.getNowMs,
+            random: options.random,
+            countEntries: options.countEntries,
+            // Until routes are ranked and the fleet's demand is known, all requests of a service are alike.
+            getRank: () => ({ rank: 0, rankCount: 1, isRanked: false }),
+            getDemand: () => undefined,
+        });
         this.functions = this.createFunctions();
     }
 
@@ -205,6 +215,8 @@
         this.health.prune(isKnown);
         this.notices.prune(isKnown);
         this.options.connections.closeStale(isKnown);
+        this.queues.prune((service) => this.view.routing?.services.has(service) === true);
+        this.queues.wakeAll();
     }
 
     /**
@@ -291,9 +303,11 @@
             },
             recordFirstOutput: (id) => {
                 this.health.recordFirstToken(id);
+                this.queues.wake(this.view.getUpstream(id)?.service);
             },
             recordEnd: (id) => {
                 this.health.recordEnd(id);
+                this.queues.wake(this.view.getUpstream(id)?.service);
             },
             recordAnswer: (id, durationMs, isFailure) => {
                 this.health.recordAnswer(id, durationMs, isFailure);
@@ -312,6 +326,7 @@
             hasEnded: (id) => this.view.hasEnded(id),
             notices: this.notices.createFunctions(),
             crashes: this.createCrashFunctions(),
+            waiting: this.queues.createFunctions(),
             record: (event, fields) => {
                 log.record("info", event, fields);
             },
--- /dev/null
+++ b/packages/daemon/src/process/entry/requestQueues.ts
@@ -0,0 +1,162 @@
+/**
+ * What an entry keeps for the waiting requests of its services: the queues, how long first events take, and the places
+ * of refused callers.
+ */
+import {
+    type ClassLoad,
+    computeReturnTimeMs,
+    computeReturnWindow,
+    RetryAfterSpreader,
+    ShortThroughput,
+} from "@crankfork/decisions";
+import type { AdmittedCall, RequestContext } from "../../request/requestContext.js";
+import type { RequestRank, WaitingFunctions } from "../../request/requestFunctions.js";
+import { getStanding } from "../../request/waitForTarget.js";
+import { RequestQueue } from "./requestQueue.js";
+
+/** Dependencies of the queues. */
+export interface RequestQueuesOptions {
+    readonly getNowMs: () => number;
+    readonly random: () => number;
+    readonly countEntries: () => number;
+    readonly getRank: (admitted: AdmittedCall) => RequestRank;
+    /** Demand for a service over all entries, by rank; undefined where it is not known. */
+    readonly getDemand: (service: string) => readonly ClassLoad[] | undefined;
+    readonly recordWaiting?: (context: RequestContext, change: 1 | -1) => void;
+    /** Records that a caller was told to come back at a time on the monotonic clock. */
+    readonly recordReturn?: (context: RequestContext, dueMs: number) => void;
+}
+
+interface ServiceState {
+    readonly queue: RequestQueue;
+    /** By rank, as are the spreaders. */
+    readonly firstEventMs: Map<number, number>;
+    readonly spreaders: Map<number, RetryAfterSpreader>;
+    readonly throughput: ShortThroughput;
+}
+
+/** Weight of the newest sample in the moving average. */
+const MOVING_AVERAGE_WEIGHT = 0.1;
+/** What a rate with a time constant of one second shows one second after a single refusal. */
+const ONE_REFUSAL_PER_S = Math.exp(-1);
+
+/** Queues of all services of an entry. */
+export class RequestQueues {
+    private readonly services = new Map<string, ServiceState>();
+
+    /**
+     * @param options - clock, ranks and demand
+     */
+    constructor(private readonly options: RequestQueuesOptions) {}
+
+    /**
+     * Tries the waiting requests of a service, since a request ended or started its response.
+     * @param service - its name; undefined where the upstream is no longer known
+     */
+    wake(service: string | undefined): void {
+        if (service !== undefined) {
+            this.services.get(service)?.queue.wake();
+        }
+    }
+
+    /** Tries all waiting requests, since the loads of other entries are known anew. */
+    wakeAll(): void {
+        this.services.forEach(({ queue }) => {
+            queue.wake();
+        });
+    }
+
+    /**
+     * Forgets services that are no longer configured, once nothing waits for them.
+     * @param isKnown - whether a service is configured
+     */
+    prune(isKnown: (service: string) => boolean): void {
+        this.services.forEach(({ queue }, name) => {
+            if (queue.length === 0 && !isKnown(name)) {
+                this.services.delete(name);
+            }
+        });
+    }
+
+    /**
+     * Creates the functions that routed requests use.
+     * @returns the functions
+     */
+    createFunctions(): WaitingFunctions {
+        const { getRank, getDemand } = this.options;
+        return {
+            getQueue: (service) => this.getState(service).queue,
+            getRank,
+            isMoreUrgentShort: (service, rank) =>
+                getDemand(service)?.slice(0, rank).some(({ waiting, refusedPerS }) =>
+                    waiting > 0 || refusedPerS >= ONE_REFUSAL_PER_S
+                ) === true,
+            getFirstEventMs: (admitted) =>
+                this.getState(admitted.service.name).firstEventMs.get(getRank(admitted).rank),
+            recordFirstEvent: (admitted, durationMs) => {
+                this.recordFirstEvent(admitted, durationMs);
+            },
+            assignReturnMs: (context) => this.assignReturnMs(context),
+        };
+    }
+
+    private recordFirstEvent(admitted: AdmittedCall, durationMs: number): void {
+        const { rank, isRanked } = this.options.getRank(admitted);
+        if (isRanked) {
+            const { firstEventMs } = this.getState(admitted.service.name);
+            const mean = firstEventMs.get(rank) ?? durationMs;
+            firstEventMs.set(rank, mean + MOVING_AVERAGE_WEIGHT * (durationMs - mean));
+        }
+    }
+
+    private assignReturnMs(context: RequestContext): number | undefined {
+        const { getRank, getDemand, getNowMs, countEntries, recordReturn } = this.options;
+        const { admitted, remainingMs } = context;
+        const { rank, isRanked } = getRank(admitted);
+        const classes = isRanked ? getDemand(admitted.service.name) : undefined;
+        if (classes === undefined) {
+            return undefined;
+        }
+        const nowMs = getNowMs();
+        const state = this.getState(admitted.service.name);
+        const admittedPerS = classes.reduce((sum, one) => sum + one.admittedPerS, 0);
+        const view = {
+            classes,
+            rank,
+            throughputPerS: state.throughput.record(admittedPerS, nowMs),
+            entries: countEntries(),
+            leftMs: remainingMs,
+        };
+        const spreader = this.getSpreader(state, rank);
+        if (getStanding(context) !== "first") {
+            // Callers come back once, so one that was back already gets no place.
+            const none = { roomMs: Number.POSITIVE_INFINITY, intervalMs: Number.POSITIVE_INFINITY };
+            return spreader.assignPlace({ ...computeReturnWindow(view), ...none }, nowMs);
+        }
+        const returnMs = computeReturnTimeMs(view, spreader, nowMs);
+        recordReturn?.(context, nowMs + returnMs);
+        return returnMs;
+    }
+
+    private getSpreader({ spreaders }: ServiceState, rank: number): RetryAfterSpreader {
+        const spreader = spreaders.get(rank) ?? new RetryAfterSpreader(this.options.random());
+        spreaders.set(rank, spreader);
+        return spreader;
+    }
+
+    private getState(service: string): ServiceState {
+        const known = this.services.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const { getNowMs, recordWaiting } = this.options;
+        const state = {
+            queue: new RequestQueue({ getNowMs, recordWaiting }),
+            firstEventMs: new Map<number, number>(),
+            spreaders: new Map<number, RetryAfterSpreader>(),
+            throughput: new ShortThroughput(),
+        };
+        this.services.set(service, state);
+        return state;
+    }
+}
--- a/packages/daemon/src/request/refuseRequest.ts
+++ b/packages/daemon/src/request/refuseRequest.ts
@@ -32,7 +32,7 @@
  * @param context - the request
  * @param response - the response; a stream may have started
  * @param choice - the reason
- * @param functions - computes Retry-After for upstreams in backoff or with a rate limit
+ * @param functions - computes Retry-After for upstreams in backoff, with a rate limit or without room
  * @returns the outcome
  */
 export function refuseWithoutTarget(
@@ -45,7 +45,8 @@
         return sendRefusal(context, response, "upstream-failed");
     }
     if (choice.kind !== "resting" && choice.kind !== "limited") {
-        return sendRefusal(context, response, choiceRefusals[choice.kind]);
+        const returnMs = choice.kind === "full" ? functions.waiting?.assignReturnMs(context) : undefined;
+        return sendRefusal(context, response, choiceRefusals[choice.kind], returnMs);
     }
     context.throttledBy = choice.upstreams;
     const retryAfterMs = functions.notices.computeRetryAfterMs(context.admitted.service, choice.remainingMs);
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from "undici";
 import type { UnansweredAttempt } from "../process/entry/crashTracker.js";
 import type { PathStallHandler, StreamTracker } from "../process/entry/pathStallDetector.js";
+import type { RequestQueue } from "../process/entry/requestQueue.js";
 import type { EventFields } from "../process/eventLog.js";
 import type { AdmittedCall, RequestContext } from "./requestContext.js";
 import type { CallCodec, CallTarget, ResponseVerdict, UpstreamNotice } from "./routedCall.js";
@@ -78,6 +79,29 @@
     readonly recordSuccess: (admitted: AdmittedCall) => void;
 }
 
+/** Rank of a request in its service. */
+export interface RequestRank {
+    /** 0 is the most urgent. */
+    readonly rank: number;
+    /** Number of ranks of the service. */
+    readonly rankCount: number;
+    /** Whether the routes of the service differ in priority. */
+    readonly isRanked: boolean;
+}
+
+/** Waiting for room, and when refused callers come back. */
+export interface WaitingFunctions {
+    readonly getQueue: (service: string) => RequestQueue;
+    readonly getRank: (admitted: AdmittedCall) => RequestRank;
+    /** Whether requests of more urgent ranks wait, or were refused in the last second, at any entry. */
+    readonly isMoreUrgentShort: (service: string, rank: number) => boolean;
+    /** Mean time from a send to the first event for requests of the same rank; undefined before the first one. */
+    readonly getFirstEventMs: (admitted: AdmittedCall) => number | undefined;
+    readonly recordFirstEvent: (admitted: AdmittedCall, durationMs: number) => void;
+    /** Assigns the time until a caller that is refused for want of room comes back; undefined if not ranked. */
+    readonly assignReturnMs: (context: RequestContext) => number | undefined;
+}
+
 /** Dependencies of a routed request. */
 export interface RoutedRequestFunctions {
     readonly getConnections: (target: CallTarget) => Dispatcher;
@@ -113,5 +137,7 @@
     readonly notices: NoticeFunctions;
     /** Requests during which upstreams crashed. */
     readonly crashes: CrashFunctions;
+    /** Queues of the services; without them each request waits in a queue of its own. */
+    readonly waiting?: WaitingFunctions;
     readonly record: (event: string, fields: EventFields) => void;
 }
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -54,7 +54,10 @@
  */
 const NO_RETRY_BUDGET_RETRY_MS = 50;
 const NO_RETRY_BUDGET_RETRY_JITTER_MS = 100;
-/** Retry-After if all paths are at capacity: a stream takes about three seconds, and so does a burst. */
+/**
+ * Retry-After if all paths are at capacity: a stream takes about three seconds, and so does a burst. Ranked services
+ * assign a time by the work ahead instead.
+ */
 const FULL_RETRY_MS = 1_500;
 const FULL_RETRY_JITTER_MS = 3_500;
 
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -129,6 +129,9 @@
     const recordOutcome = once((isServed: boolean) => {
         notices.recordOutcome(target, isServed);
     });
+    const recordFirstEvent = once(() => {
+        functions.waiting?.recordFirstEvent(context.admitted, functions.getNowMs() - startMs);
+    });
     let watch: StallWatch | undefined;
     const result = await runAttempt({
         connections: functions.getConnections(target),
@@ -139,6 +142,7 @@
         getNowMs: functions.getNowMs,
         sink: relay?.createSink(() => {
             recordFirstOutput();
+            recordFirstEvent();
             recordOutcome(true);
             watch?.recordEvent();
         }),
@@ -147,6 +151,9 @@
         },
     });
     watch?.stop();
+    if (result.kind === "answered") {
+        recordFirstEvent();
+    }
     recordFirstOutput();
     if (result.kind === "ended" && result.end === "kept-back") {
         // Nothing was sent, so it does not count as an attempt.
--- a/packages/daemon/src/request/waitForTarget.ts
+++ b/packages/daemon/src/request/waitForTarget.ts
@@ -1,9 +1,10 @@
 /**
  * Waits for an upstream that can take a routed request, within limits that depend on why none can now.
  */
-import { waitMs } from "../process/waitMs.js";
+import { classifyReturn, computeQueueWaitMs, type ReturnStanding } from "@crankfork/decisions";
+import { RequestQueue, type UnsentChoice } from "../process/entry/requestQueue.js";
 import type { RequestContext } from "./requestContext.js";
-import type { RoutedRequestFunctions, TargetChoice } from "./requestFunctions.js";
+import type { RequestRank, RoutedRequestFunctions, TargetChoice } from "./requestFunctions.js";
 import type { StreamRelay } from "./streamRelay.js";
 
 /**
@@ -31,8 +32,8 @@
  * the response.
  */
 const RESERVED_WAIT_FACTOR = 0.3;
-/** Interval at which a waiting request checks for a target. */
-export const TARGET_POLL_MS = 40;
+
+export { TARGET_POLL_MS } from "../process/entry/requestQueue.js";
 
 /**
  * Computes how long a request may wait for a target.
@@ -85,24 +86,62 @@
     relay: StreamRelay | undefined,
     functions: RoutedRequestFunctions,
 ): Promise<TargetChoice> {
-    const startMs = functions.getNowMs();
-    const waitLimits = computeWaitLimits(context);
-    const choose = (): TargetChoice =>
-        functions.chooseTarget(context, relay?.lastEventId, (relay?.eventCount ?? 0) > 0);
-    let choice = choose();
-    while (choice.kind !== "target" && context.stopReason === undefined) {
-        if (
-            choice.kind === "too-few-engines" || isQuarantined(context, functions) || !isKeyUsable(context, functions)
-        ) {
-            return choice;
-        }
-        if (functions.getNowMs() - startMs >= getWaitLimitMs(choice, waitLimits)) {
-            return choice;
-        }
-        await waitMs(TARGET_POLL_MS);
-        choice = choose();
-    }
-    return choice;
+    const { admitted } = context;
+    const hasStarted = (relay?.eventCount ?? 0) > 0;
+    const choose = (): TargetChoice => functions.chooseTarget(context, relay?.lastEventId, hasStarted);
+    const { waiting } = functions;
+    const queue = waiting?.getQueue(admitted.service.name) ?? new RequestQueue(functions);
+    const requestRank = waiting?.getRank(admitted) ?? UNRANKED;
+    const standing = getStanding(context);
+    const limits = computeWaitLimits(context);
+    const computeRankedMs = createRankedLimit(context, requestRank, standing, queue, functions);
+    return await queue.wait(context, choose, {
+        rank: requestRank.rank,
+        isRanked: requestRank.isRanked,
+        hasReturned: requestRank.isRanked && standing === "returned",
+        hasStarted,
+        getLimitMs: (reason) => {
+            if (
+                reason.kind === "too-few-engines" || isQuarantined(context, functions)
+                || !isKeyUsable(context, functions)
+            ) {
+                return 0;
+            }
+            return requestRank.isRanked && reason.kind === "full" ? computeRankedMs() : getWaitLimitMs(reason, limits);
+        },
+    });
+}
+
+/** Without ranks all requests of a service are alike. */
+const UNRANKED: RequestRank = { rank: 0, rankCount: 1, isRanked: false };
+
+/**
+ * Classifies the caller of a request by the deadline that it states.
+ * @param context - the request
+ * @returns whether it came back, and as told
+ */
+export function getStanding({ admitted: { call, route }, isLikelyRetry }: RequestContext): ReturnStanding {
+    return classifyReturn({ isLikelyRetry, timeoutMs: route.timeout_ms, deadlineMs: call.deadlineMs });
+}
+
+/** The limit changes while the request waits, since the least urgent rank gives way to others. */
+function createRankedLimit(
+    context: RequestContext,
+    { rank, rankCount }: RequestRank,
+    standing: ReturnStanding,
+    queue: RequestQueue,
+    { waiting }: RoutedRequestFunctions,
+): () => number {
+    const { admitted, ageMs } = context;
+    return () =>
+        computeQueueWaitMs({
+            objectiveMs: admitted.route.objective_ms,
+            firstEventMs: waiting?.getFirstEventMs(admitted),
+            standing,
+            isLeastUrgent: rankCount > 1 && rank === rankCount - 1,
+            isMoreUrgentShort: queue.hasMoreUrgent(rank)
+                || waiting?.isMoreUrgentShort(admitted.service.name, rank) === true,
+        }) - ageMs;
 }
 
 /** Wait limits by the reason why a request cannot be sent, in milliseconds. */
@@ -126,7 +165,7 @@
 }
 
 function getWaitLimitMs(
-    choice: Exclude<TargetChoice, { kind: "target"; }>,
+    choice: UnsentChoice,
     { noneMs, fullMs, restingMs, reservedMs }: WaitLimits,
 ): number {
     switch (choice.kind) {
--- a/packages/decisions/src/request/fairQueue.ts
+++ b/packages/decisions/src/request/fairQueue.ts
@@ -235,15 +235,6 @@
         return this.getClass(priority).length;
     }
 
-    /**
-     * Counts the tokens of the waiting requests of a class.
-     * @param priority - the class
-     * @returns tokens
-     */
-    countTokens(priority: Class): number {
-        return this.getClass(priority).tokens;
-    }
-
     /**
      * Counts the tokens of its class that would be served before a new request.
      * @param request - the request, not added yet
