--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -216,7 +216,7 @@
         this.notices.prune(isKnown);
         this.options.connections.closeStale(isKnown);
         this.queues.prune((service) => this.view.routing?.services.has(service) === true);
-        this.queues.wakeAll();
+        this.queues.recordReport();
     }
 
     /**
--- a/packages/daemon/src/process/entry/requestQueues.ts
+++ b/packages/daemon/src/process/entry/requestQueues.ts
@@ -6,6 +6,7 @@
     type ClassLoad,
     computeReturnTimeMs,
     computeReturnWindow,
+    ONE_REFUSAL_PER_S,
     RetryAfterSpreader,
     ShortThroughput,
 } from "@crankfork/decisions";
@@ -37,8 +38,6 @@
 
 /** Weight of the newest sample in the moving average. */
 const MOVING_AVERAGE_WEIGHT = 0.1;
-/** What a rate with a time constant of one second shows one second after a single refusal. */
-const ONE_REFUSAL_PER_S = Math.exp(-1);
 
 /** Queues of all services of an entry. */
 export class RequestQueues {
@@ -59,9 +58,14 @@
         }
     }
 
-    /** Tries all waiting requests, since the loads of other entries are known anew. */
-    wakeAll(): void {
-        this.services.forEach(({ queue }) => {
+    /** Receives a report of the fleet: tries all waiting requests, and measures what services take while short. */
+    recordReport(): void {
+        const nowMs = this.options.getNowMs();
+        this.services.forEach(({ queue, throughput }, name) => {
+            const classes = this.options.getDemand(name);
+            if (classes !== undefined) {
+                throughput.record(sumRates(classes, "admittedPerS"), sumRates(classes, "refusedPerS"), nowMs);
+            }
             queue.wake();
         });
     }
@@ -119,11 +123,10 @@
         }
         const nowMs = getNowMs();
         const state = this.getState(admitted.service.name);
-        const admittedPerS = classes.reduce((sum, one) => sum + one.admittedPerS, 0);
         const view = {
             classes,
             rank,
-            throughputPerS: state.throughput.record(admittedPerS, nowMs),
+            throughputPerS: state.throughput.perS,
             entries: countEntries(),
             leftMs: remainingMs,
         };
@@ -160,3 +163,7 @@
         return state;
     }
 }
+
+function sumRates(classes: readonly ClassLoad[], key: "admittedPerS" | "refusedPerS"): number {
+    return classes.reduce((sum, one) => sum + one[key], 0);
+}
--- a/packages/decisions/src/request/computeReturnTime.ts
+++ b/packages/decisions/src/request/computeReturnTime.ts
@@ -25,8 +25,8 @@
     /** Classes by rank, the most urgent first. */
     readonly classes: readonly ClassLoad[];
     readonly rank: number;
-    /** Requests a second that the service takes while it is short of room. */
-    readonly throughputPerS: number;
+    /** Requests a second that the service takes while it is short of room; undefined where that is not known. */
+    readonly throughputPerS: number | undefined;
     readonly entries: number;
     /** Time until the caller's deadline, in milliseconds. */
     readonly leftMs: number;
@@ -35,10 +35,18 @@
 /** Share of the time left after which a caller comes back at the latest; it honours up to a third. */
 const LATEST_SHARE = 0.3;
 const MS_PER_SECOND = 1_000;
-/** Time constant of the throughput, twice that of the rates from which it is taken. */
-const THROUGHPUT_AVERAGE_MS = 2_000;
-/** Most time for which one sample counts. Nothing is sampled while no path exists, and the first rates after are low. */
-const MAX_SAMPLE_MS = 1_000;
+/** What a rate with a time constant of one second shows one second after a single refusal. */
+export const ONE_REFUSAL_PER_S = Math.exp(-1);
+/** Time after which the burst into free memory that begins a shortage is out of the rates, which average over 1 s. */
+const SETTLE_MS = 1_500;
+/** Time constant with which the estimate rises, twice that of the rates from which it is taken. */
+const RISE_MS = 2_000;
+/**
+ * Last share of the allowed time over which callers are spread for whom there is no place in it. Some of them find room
+ * there, since others leave or do not come back. Where the throughput is not known, more time spreads them better.
+ */
+const OVERFLOW_SHARE = 1 / 3;
+const UNKNOWN_SHARE = 2 / 3;
 
 /**
  * Computes when a refused caller may come back. Work of less urgent ranks does not count, since it gives way.
@@ -48,7 +56,7 @@
 export function computeReturnWindow({ classes, rank, throughputPerS, entries, leftMs }: ReturnTimeView): ReturnWindow {
     const ahead = classes.slice(0, rank + 1);
     const work = ahead.reduce((sum, { waiting, returns }) => sum + waiting + returns, 0);
-    const sparePerS = throughputPerS - ahead.reduce((sum, { slowArrivalsPerS }) => sum + slowArrivalsPerS, 0);
+    const sparePerS = (throughputPerS ?? 0) - ahead.reduce((sum, { slowArrivalsPerS }) => sum + slowArrivalsPerS, 0);
     const latestMs = Math.max(SHORTEST_RETURN_MS, leftMs * LATEST_SHARE);
     const perSpareMs = sparePerS > 0 ? MS_PER_SECOND / sparePerS : Number.POSITIVE_INFINITY;
     return {
@@ -56,6 +64,7 @@
         intervalMs: entries * perSpareMs,
         earliestMs: SHORTEST_RETURN_MS,
         latestMs,
+        overflowMs: latestMs * (throughputPerS === undefined ? UNKNOWN_SHARE : OVERFLOW_SHARE),
     };
 }
 
@@ -71,24 +80,34 @@
 }
 
 /**
- * Requests a second that a service takes while it is short of room. The average is slow in both directions: a burst
- * into free memory is taken faster than what follows, and a pause of a second is no loss of all room.
+ * Requests a second that a service takes while it is short of room. It falls at once and rises slowly: a caller that is
+ * told a time too late is served as well as one that is told the right one, and one that comes too early is lost.
  */
 export class ShortThroughput {
-    private perS: number | undefined;
-    private knownMs = 0;
+    private known: number | undefined;
+    private shortSinceMs: number | undefined;
+    private recordedMs = 0;
+
+    /** The estimate; undefined before the first shortage that lasted. */
+    get perS(): number | undefined {
+        return this.known;
+    }
 
     /**
-     * Records what is admitted while requests are refused.
-     * @param admittedPerS - requests a second, all classes
+     * Records rates over all classes; called for each report of the fleet's demand.
+     * @param admittedPerS - requests a second that were sent
+     * @param refusedPerS - requests a second that were refused
      * @param nowMs - the monotonic clock
-     * @returns the estimate
      */
-    record(admittedPerS: number, nowMs: number): number {
-        const ageMs = Math.min(nowMs - this.knownMs, MAX_SAMPLE_MS);
-        this.knownMs = nowMs;
-        const before = this.perS ?? admittedPerS;
-        this.perS = before + (admittedPerS - before) * (1 - Math.exp(-ageMs / THROUGHPUT_AVERAGE_MS));
-        return this.perS;
+    record(admittedPerS: number, refusedPerS: number, nowMs: number): void {
+        const elapsedMs = nowMs - this.recordedMs;
+        this.recordedMs = nowMs;
+        this.shortSinceMs = refusedPerS < ONE_REFUSAL_PER_S ? undefined : this.shortSinceMs ?? nowMs;
+        if (this.shortSinceMs === undefined || nowMs - this.shortSinceMs < SETTLE_MS) {
+            return;
+        }
+        const before = this.known ?? admittedPerS;
+        const rise = Math.max(0, admittedPerS - before) * (1 - Math.exp(-elapsedMs / RISE_MS));
+        this.known = Math.min(admittedPerS, before + rise);
     }
 }
--- a/packages/decisions/src/request/retryAfterSpreader.ts
+++ b/packages/decisions/src/request/retryAfterSpreader.ts
@@ -10,11 +10,6 @@
 /** Longest time after the end of a backoff that is assigned; later callers start from the end again. */
 const MAX_SPREAD_MS = 2_000;
 
-/**
- * Last share of the allowed time over which callers are spread that have no place in it. Some of them find room there,
- * since others leave or do not come back.
- */
-const OVERFLOW_SHARE = 1 / 3;
 /** Time after which a report of this entry is in the leader's sum: a long poll there and one back. */
 const UNREPORTED_MS = 1_200;
 /** Successive multiples of this fraction, modulo 1, are spread evenly whatever their number. */
@@ -56,7 +51,7 @@
      * @returns time until it may retry, in milliseconds, between the window's earliest and latest
      */
     assignPlace(window: ReturnWindow, nowMs: number): number {
-        const { intervalMs, latestMs, earliestMs } = window;
+        const { intervalMs, latestMs, earliestMs, overflowMs } = window;
         const placeMs = this.findPlace(window, nowMs);
         if (placeMs <= nowMs + latestMs) {
             this.nextPlaceMs = placeMs + intervalMs;
@@ -64,7 +59,7 @@
             return placeMs - nowMs;
         }
         this.overflow = (this.overflow + GOLDEN_FRACTION) % 1;
-        return Math.max(earliestMs, latestMs * (1 - OVERFLOW_SHARE * this.overflow));
+        return Math.max(earliestMs, latestMs - overflowMs * this.overflow);
     }
 
     private findPlace({ roomMs, intervalMs, earliestMs }: ReturnWindow, nowMs: number): number {
@@ -89,6 +84,8 @@
     readonly intervalMs: number;
     readonly earliestMs: number;
     readonly latestMs: number;
+    /** Time before the latest over which callers are spread for whom there is no place. */
+    readonly overflowMs: number;
 }
 
 /** Capacity of a service after a backoff. */
--- a/packages/decisions/tests/computeReturnTime.test.ts
+++ b/packages/decisions/tests/computeReturnTime.test.ts
@@ -5,6 +5,7 @@
     computeQueueWaitMs,
     computeReturnTimeMs,
     RetryAfterSpreader,
+    type ReturnTimeView,
     ShortThroughput,
 } from "../src/index.js";
 
@@ -65,7 +66,7 @@
     const rows: readonly {
         readonly title: string;
         readonly classes: readonly ClassLoad[];
-        readonly view?: Partial<typeof usual>;
+        readonly view?: Partial<ReturnTimeView>;
         readonly times: readonly number[];
     }[] = [
         {
@@ -99,6 +100,12 @@
             classes: [{ ...ahead, slowArrivalsPerS: 40 }, ahead],
             times: [4_763.932, 5_527.864],
         },
+        {
+            title: "throughput not known: spread over the last two thirds",
+            classes: [ahead, ahead],
+            view: { throughputPerS: undefined },
+            times: [3_527.864, 5_055.728],
+        },
         {
             title: "little time left: never less than the shortest time",
             classes: [ahead, { ...ahead, waiting: 200 }],
@@ -114,18 +121,37 @@
         });
     }
 
+    it("all entries that refuse callers at one moment tell no half second more callers than fit in it", () => {
+        const entries = 20;
+        const view = { classes: [ahead], rank: 0, throughputPerS: 60, entries, leftMs: 20_000 };
+        const spreaders = Array.from({ length: entries }, (_, index) => new RetryAfterSpreader(index / entries));
+        const times = spreaders.flatMap((spreader) =>
+            Array.from({ length: 7 }, () => computeReturnTimeMs(view, spreader, 0))
+        );
+        const counts = times.map((from) => times.filter((ms) => ms >= from && ms < from + 500).length);
+        expect(Math.max(...counts)).to.equal(20);
+    });
+
     it("does not count places twice once they are in the reports", () => {
         const spreader = new RetryAfterSpreader();
-        const window = { roomMs: 500, intervalMs: 1_000, earliestMs: 500, latestMs: 6_000 };
+        const window = { roomMs: 500, intervalMs: 1_000, earliestMs: 500, latestMs: 6_000, overflowMs: 2_000 };
         Array.from({ length: 4 }, () => spreader.assignPlace(window, 0));
         expect(spreader.assignPlace(window, 100)).to.equal(4_400);
         expect(spreader.assignPlace(window, 2_000)).to.equal(500);
     });
 
-    it("measures throughput neither by the first burst nor by a pause alone", () => {
+    it("measures throughput once a shortage lasts, falling at once and rising slowly", () => {
         const throughput = new ShortThroughput();
-        expect(throughput.record(100, 0)).to.equal(100);
-        expect(throughput.record(0, 10_000)).to.be.within(60, 61);
-        expect(throughput.record(100, 10_100)).to.be.within(62, 63);
+        const record = (admittedPerS: number, refusedPerS: number, nowMs: number): number | undefined => {
+            throughput.record(admittedPerS, refusedPerS, nowMs);
+            return throughput.perS;
+        };
+        expect(record(300, 50, 0)).to.equal(undefined);
+        expect(record(200, 50, 1_400)).to.equal(undefined);
+        expect(record(100, 50, 1_500)).to.equal(100);
+        expect(record(80, 50, 1_600)).to.equal(80);
+        expect(record(100, 50, 1_800)).to.be.within(81, 82);
+        expect(record(10, 0.3, 5_000)).to.be.within(81, 82);
+        expect(record(10, 5, 6_000)).to.be.within(81, 82);
     });
 });
