--- a/packages/daemon/src/request/waitForTarget.ts
+++ b/packages/daemon/src/request/waitForTarget.ts
@@ -133,15 +133,17 @@
     { waiting }: RoutedRequestFunctions,
 ): () => number {
     const { admitted, ageMs } = context;
-    return () =>
-        computeQueueWaitMs({
-            objectiveMs: admitted.route.objective_ms,
-            firstEventMs: waiting?.getFirstEventMs(admitted),
-            standing,
-            isLeastUrgent: rankCount > 1 && rank === rankCount - 1,
-            isMoreUrgentShort: queue.hasMoreUrgent(rank)
-                || waiting?.isMoreUrgentShort(admitted.service.name, rank) === true,
-        }) - ageMs;
+    const { objective_ms: objectiveMs } = admitted.route;
+    const isLeastUrgent = rankCount > 1 && rank === rankCount - 1;
+    // Only the least urgent gives way, so the others don't look at the fleet's demand at each try.
+    const isMoreUrgentShort = (): boolean =>
+        isLeastUrgent && (queue.hasMoreUrgent(rank)
+            || waiting?.isMoreUrgentShort(admitted.service.name, rank) === true);
+    return () => {
+        const firstEventMs = waiting?.getFirstEventMs(admitted);
+        const view = { objectiveMs, firstEventMs, standing, isLeastUrgent, isMoreUrgentShort: isMoreUrgentShort() };
+        return computeQueueWaitMs(view) - ageMs;
+    };
 }
 
 /** Wait limits by the reason why a request cannot be sent, in milliseconds. */
