--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -14,7 +14,7 @@
 import { isKeyLeaseValid } from "../../request/admitCall.js";
 import type { RequestEnd } from "../../request/refuseRequest.js";
 import { type AdmittedCall, RequestContext } from "../../request/requestContext.js";
-import type { RoutedRequestFunctions } from "../../request/requestFunctions.js";
+import type { RequestRank, RoutedRequestFunctions } from "../../request/requestFunctions.js";
 import type { CallCodec, RoutedCall } from "../../request/routedCall.js";
 import { type RefusalId, refusals } from "../../request/routedRefusal.js";
 import { handleRoutedRequest } from "../../request/routedRequest.js";
@@ -40,6 +40,7 @@
 import { RefusalWindow } from "./refusalWindow.js";
 import { RemoteLoads } from "./remoteLoads.js";
 import { type EntryState, recordRefusal, recordRequest, type RequestClass } from "./requestLog.js";
+import { RequestQueues } from "./requestQueues.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import { TargetChooser } from "./targetChooser.js";
 import { UpstreamFaultHandler } from "./upstreamFaultHandler.js";
@@ -107,6 +108,7 @@
     private readonly functions: RoutedRequestFunctions;
     private readonly remoteLoads: RemoteLoads;
     private readonly loadReportAge: LoadReportAge;
+    private readonly queues: RequestQueues;
     private openCount = 0;
 
     /**
@@ -172,6 +174,20 @@
             getUnixMs: Date.now,
             hasEnded: (id) => this.view.hasEnded(id),
         });
+        this.queues = new RequestQueues({
+            getNowMs: options.getNowMs,
+            random: options.random,
+            countEntries: options.countEntries,
+            getRank: (admitted) => this.getRank(admitted),
+            getDemand: (service) =>
+                this.demand.isReported(service) ? this.demand.fleet.get(service).classes : undefined,
+            recordWaiting: (run, change) => {
+                this.demand.meter.recordWaiting(this.demand.getKey(run), change);
+            },
+            recordReturn: (run, dueMs) => {
+                this.demand.meter.recordReturn(this.demand.getKey(run), dueMs);
+            },
+        });
         this.functions = this.createFunctions();
     }
 
@@ -243,6 +259,8 @@
         this.health.prune(isKnown);
         this.notices.prune(isKnown);
         this.options.connections.closeStale(isKnown);
+        this.queues.prune((service) => this.view.routing?.services.has(service) === true);
+        this.queues.recordReport();
     }
 
     /**
@@ -360,9 +378,11 @@
             },
             recordFirstOutput: (id, rank) => {
                 this.health.recordFirstToken(id, rank);
+                this.queues.wake(this.view.getUpstream(id)?.service);
             },
             recordEnd: (id, rank) => {
                 this.health.recordEnd(id, rank);
+                this.queues.wake(this.view.getUpstream(id)?.service);
             },
             recordAnswer: (id, durationMs, isFailure) => {
                 this.health.recordAnswer(id, durationMs, isFailure);
@@ -385,12 +405,21 @@
             hasEnded: (id) => this.view.hasEnded(id),
             notices: this.notices.createFunctions(),
             crashes: this.createCrashFunctions(),
+            waiting: this.queues.createFunctions(),
             record: (event, fields) => {
                 log.record("info", event, fields);
             },
         };
     }
 
+    /** All requests of a service that is not ranked are alike. */
+    private getRank({ service, route, organisation }: AdmittedCall): RequestRank {
+        const ranks = this.view.routing?.ranks.get(service.name);
+        return ranks?.isRanked === true
+            ? { rank: ranks.getRank(route, organisation), rankCount: ranks.ranks.length, isRanked: true }
+            : { rank: 0, rankCount: 1, isRanked: false };
+    }
+
     private createCrashFunctions(): RoutedRequestFunctions["crashes"] {
         const { crashes } = this;
         return {
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -129,6 +129,9 @@
     const recordOutcome = once((isServed: boolean) => {
         notices.recordOutcome(target, isServed);
     });
+    const recordFirstEvent = once(() => {
+        functions.waiting?.recordFirstEvent(context.admitted, functions.getNowMs() - startMs);
+    });
     let watch: StallWatch | undefined;
     const link = relay === undefined ? undefined : functions.followLink?.(target);
     const result = await runAttempt({
@@ -140,6 +143,7 @@
         getNowMs: functions.getNowMs,
         sink: relay?.createSink(() => {
             recordFirstOutput();
+            recordFirstEvent();
             recordOutcome(true);
             watch?.recordEvent();
             link?.recordEvent();
@@ -150,6 +154,9 @@
     });
     watch?.stop();
     link?.close();
+    if (result.kind === "answered") {
+        recordFirstEvent();
+    }
     recordFirstOutput();
     if (result.kind === "ended" && result.end === "kept-back") {
         // Nothing was sent, so it does not count as an attempt.
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -31,23 +31,31 @@
     isExactTiling,
     type RouteStage,
 } from "./request/chooseRoute.js";
+export * from "./request/classifyReturn.js";
 export { ClassSlots } from "./request/classSlots.js";
 export * from "./request/computeClassRoom.js";
 export { computeLoadScore, type LoadView } from "./request/computeLoadScore.js";
 export * from "./request/computeMaxMinShares.js";
 export * from "./request/computePriority.js";
+export * from "./request/computeQueueWait.js";
+export * from "./request/computeReturnTime.js";
 export * from "./request/computeStreamResumeWindow.js";
 export { DecayingRate } from "./request/decayingRate.js";
-export { DrainMeter } from "./request/drainMeter.js";
+export { ClassDrainMeters, DrainMeter, type DrainMeterOptions } from "./request/drainMeter.js";
 export { encodeClassDemand } from "./request/encodeClassDemand.js";
-export { FairQueue, type QueuedRequest } from "./request/fairQueue.js";
+export { FairQueue, MultiClassQueue, type QueuedRequest } from "./request/fairQueue.js";
 export * from "./request/findRoute.js";
 export * from "./request/hasChainCapacity.js";
 export * from "./request/hasUpstreamCapacity.js";
 export * from "./request/isChainStalled.js";
 export * from "./request/listCandidateChains.js";
 export * from "./request/listPreferredChains.js";
-export { computeRetryIntervalMs, type RecoveryCapacity, RetryAfterSpreader } from "./request/retryAfterSpreader.js";
+export {
+    computeRetryIntervalMs,
+    type RecoveryCapacity,
+    RetryAfterSpreader,
+    type ReturnWindow,
+} from "./request/retryAfterSpreader.js";
 export type { LayerOrder } from "./version/assignableEngine.js";
 export * from "./version/canHoldModel.js";
 export * from "./version/checkRoutingTable.js";
