feat(entry): record the room of classes, and who holds the places of a refused request

The gauge crankfork_class_room, the log event admission-level, the room in the status and in the line of a refused request had no source: nothing called AdmissionLevels.record. The chooser records the part of the places that a class may take with each new request of a ranked service, and a refusal for lack of room carries the open requests by rank on the nearest path (taken_by).

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -159,6 +159,9 @@
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
             isLinkLossy: (to) => this.links.isLossy(to),
             getDemand: (service) => createServiceDemand(this.demand.fleet.get(service)),
+            recordClassRoom: (service, rank, share, inputs) => {
+                this.levels.record(service, rank, share, inputs);
+            },
             countEntries: options.countEntries,
             random: options.random,
         });
@@ -341,7 +344,7 @@
         const { service, rank, organisation } = this.demand.getKey(run);
         this.refusals.record({ service, rank, reason: end.refusal ?? end.outcome });
         return this.demand.isReported(service)
-            ? { rank, organisation, room: this.levels.get(service, rank)?.share }
+            ? { rank, organisation, room: this.levels.get(service, rank)?.share, taken_by: run.takenBy }
             : undefined;
     }
 
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -6,6 +6,7 @@
     type Chain,
     chooseChainByStaleLoad,
     computeFill,
+    computeMaxOpen,
     computePreferredCount,
     computePriority,
     computeRankPriority,
@@ -26,10 +27,11 @@
 import type { FleetView } from "../../version/fleetView.js";
 import { sumLoads, type UpstreamLoad } from "../sumLoads.js";
 import type { UpstreamBackoffs } from "../upstreamBackoffs.js";
+import type { AdmissionLevels } from "./admissionLevels.js";
 import type { EngineShortage } from "./engineShortage.js";
 import type { LeavingNotices } from "./leavingNotices.js";
 import { getPathKey, type PathKey } from "./pathKey.js";
-import { PathRoom } from "./pathRoom.js";
+import { type GetClassRoom, PathRoom } from "./pathRoom.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
 import type { UpstreamRateLimiter } from "./upstreamRateLimiter.js";
 
@@ -59,6 +61,8 @@
     readonly getLoadAgeMs: () => number;
     /** Demand for a ranked service, over all entries; undefined where it is not known. */
     readonly getDemand?: (service: string) => ServiceDemand | undefined;
+    /** Records the part of a service's places that a class may take, and what it was computed from. */
+    readonly recordClassRoom?: AdmissionLevels["record"];
     readonly random: () => number;
 }
 
@@ -142,10 +146,7 @@
         const getClassRoom = this.room.createClassRoom(run, view.routing?.ranks.get(service.name), chains, engine);
         const chooseLoaded = (subset: readonly Chain[]): LoadedChain | undefined =>
             chooseChainByStaleLoad({
-                chains: subset.map((chain) => {
-                    const reported = this.getLoad(getFirstEngineId(chain));
-                    return { chain, ...reported, reported };
-                }),
+                chains: subset.map((chain) => this.getLoadedChain(chain)),
                 size: run.admitted.call.size ?? DEFAULT_REQUEST_SIZE,
                 unreportedRequests: this.options.estimateUnreported(service.name) * subset.length / chains.length,
                 hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine, getClassRoom),
@@ -157,14 +158,63 @@
         for (const tier of this.listTiers(chains, service.name, !isUnderWay && run.attempts === 0)) {
             chosen ??= this.chooseWithPermit(run, tier, limited, chooseLoaded);
         }
+        if (getClassRoom !== undefined && !isUnderWay) {
+            this.recordClassRoom(run, chains, getClassRoom, engine);
+        }
         const first = chosen?.chain.stages[0]?.engine;
         if (chosen === undefined || first === undefined) {
-            return limited.size > 0 ? this.createLimitedChoice([...limited]) : { kind: "full" };
+            return limited.size > 0
+                ? this.createLimitedChoice([...limited])
+                : { kind: "full", ...this.describeNearest(chains, getClassRoom) };
         }
         const { stages } = chosen.chain;
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
+    /** Records which part of the places of all paths the class of a request may take now. */
+    private recordClassRoom(
+        run: RequestContext,
+        chains: readonly Chain[],
+        getClassRoom: GetClassRoom,
+        engine: EngineProfile,
+    ): void {
+        const { view, recordClassRoom } = this.options;
+        const { service, route, organisation } = run.admitted;
+        const rooms = chains.map((chain) => getClassRoom(this.getLoadedChain(chain)));
+        const allPlaces = chains.reduce((sum, chain) => sum + computeMaxOpen(chain, engine), 0);
+        const places = rooms.reduce((sum, room) => sum + room.places, 0);
+        const rank = view.routing?.ranks.get(service.name)?.getRank(route, organisation) ?? 0;
+        recordClassRoom?.(service.name, rank, places / Math.max(1, allPlaces), {
+            paths: chains.length,
+            places: Math.round(allPlaces),
+            open: chains.reduce((sum, chain) => sum + this.getLoad(getFirstEngineId(chain)).open, 0),
+        });
+    }
+
+    /** Describes who holds the places of the path that comes nearest to taking a request. */
+    private describeNearest(
+        chains: readonly Chain[],
+        getClassRoom: GetClassRoom | undefined,
+    ): { readonly takenBy?: string; } {
+        if (getClassRoom === undefined) {
+            return {};
+        }
+        const [nearest] = chains.map((chain) => this.getLoadedChain(chain))
+            .map((loaded) => ({ loaded, fill: computeFill(getClassRoom(loaded)) }))
+            .sort((one, other) => one.fill - other.fill);
+        const open = nearest === undefined
+            ? []
+            : this.getLoad(getFirstEngineId(nearest.loaded.chain)).open_by_rank ?? [];
+        return {
+            takenBy: open.flatMap((count, rank) => count > 0 ? [`${String(rank)}:${String(count)}`] : []).join(","),
+        };
+    }
+
+    private getLoadedChain(chain: Chain): LoadedChain {
+        const reported = this.getLoad(getFirstEngineId(chain));
+        return { chain, ...reported, reported };
+    }
+
     /**
      * Skips chains whose first engine has no permit left and collects these engines, so that a request that another
      * chain can serve goes there at once.
--- a/packages/daemon/src/request/refuseRequest.ts
+++ b/packages/daemon/src/request/refuseRequest.ts
@@ -45,6 +45,7 @@
         return sendRefusal(context, response, "upstream-failed");
     }
     if (choice.kind !== "resting" && choice.kind !== "limited") {
+        context.takenBy = choice.kind === "full" ? choice.takenBy : undefined;
         const returnMs = choice.kind === "full" ? functions.waiting?.assignReturnMs(context) : undefined;
         return sendRefusal(context, response, choiceRefusals[choice.kind], returnMs);
     }
--- a/packages/daemon/src/request/requestContext.ts
+++ b/packages/daemon/src/request/requestContext.ts
@@ -39,6 +39,8 @@
     hasCrash = false;
     /** Upstreams whose backoff or rate limit kept it from being sent, for the log. */
     throttledBy: readonly string[] = [];
+    /** Open requests by rank that held the room it lacked, for the log. */
+    takenBy: string | undefined;
     /** Results of its attempts, for the log. */
     readonly attemptLog: string[] = [];
     private stopped: StopReason | undefined;
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -25,7 +25,11 @@
     /** The registered engines have not held all layers of the model for a while, so waiting is useless. */
     | { readonly kind: "too-few-engines"; }
     /** All upstreams are at capacity. */
-    | { readonly kind: "full"; }
+    | {
+        readonly kind: "full";
+        /** Open requests by rank on the path that came nearest, as `rank:count`; for a ranked service. */
+        readonly takenBy?: string;
+    }
     /** All candidates are in backoff, or at the reduced concurrency that follows a backoff. */
     | {
         readonly kind: "resting";
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -1,12 +1,13 @@
-import type { ChainLoad } from "@crankfork/decisions";
 import type { EngineProfile, LayerSpan, RegisteredUpstream, Route, RoutedService } from "@crankfork/schemas";
 import { expect } from "chai";
 import { EngineShortage } from "../src/process/entry/engineShortage.js";
 import { LeavingNotices } from "../src/process/entry/leavingNotices.js";
 import { TargetChooser } from "../src/process/entry/targetChooser.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
+import type { UpstreamLoad } from "../src/process/sumLoads.js";
 import { UpstreamBackoffs } from "../src/process/upstreamBackoffs.js";
 import { RequestContext } from "../src/request/requestContext.js";
+import type { TargetChoice } from "../src/request/requestFunctions.js";
 import type { RoutedCall } from "../src/request/routedCall.js";
 import { FleetView } from "../src/version/fleetView.js";
 import { confirmedBasis } from "./configurationFakes.js";
@@ -79,7 +80,7 @@
 /** Target chooser of an entry with one request per second. */
 class ChooserHarness {
     nowMs = 0;
-    readonly loads = new Map<string, ChainLoad>();
+    readonly loads = new Map<string, UpstreamLoad>();
     /** Failure domains over links that lose packets. */
     readonly lossy = new Set<string>();
     draw = 0;
@@ -112,7 +113,24 @@
         getRequestsPerSecond: () => 1,
         getLoadAgeMs: () => 0,
         random: () => this.draw,
+        recordClassRoom: (...values) => {
+            this.rooms.push(values);
+        },
     });
+    /** Recorded room of classes. */
+    readonly rooms: unknown[] = [];
+
+    /** Makes the service ranked. */
+    rankRoutes(): void {
+        const routes = [0, 1].map((priority) => ({
+            ...route,
+            prefix: `/${String(priority)}/`,
+            priority,
+            targets: [{ service: "s", weight: 1 }],
+        }));
+        const limits = { header_bytes: 1, body_bytes: 1, header_timeout_ms: 1, idle_timeout_ms: 1 };
+        this.view.applyTable({ version: 1, routes, services: [service], limits });
+    }
 
     setEngines(upstreams: readonly RegisteredUpstream[]): void {
         this.index += 1;
@@ -121,6 +139,11 @@
 
     /** Chooses for a new request; returns the engine's id, or why there is none. */
     choose(): string {
+        const choice = this.chooseTarget();
+        return choice.kind === "target" ? choice.target.upstreamId : choice.kind;
+    }
+
+    chooseTarget(): TargetChoice {
         const admitted = {
             call,
             route,
@@ -133,10 +156,30 @@
         const run = new RequestContext(admitted, () => this.nowMs);
         const choice = this.chooser.choose(run, undefined, false);
         run.close();
-        return choice.kind === "target" ? choice.target.upstreamId : choice.kind;
+        return choice;
     }
 }
 
+describe("an operator can see what a class may take and who holds the rest", () => {
+    it("the room of the class is recorded, and a refusal names the open requests of the nearest path", () => {
+        const harness = new ChooserHarness();
+        harness.setEngines(["e1", "e2"].map((id) => createEngine(id, "whole", { first: 0, end: 8 })));
+        harness.rankRoutes();
+        harness.loads.set("e1", { open: 40, unstarted: 0, open_by_rank: [30, 10] });
+        harness.loads.set("e2", { open: 16, unstarted: 0, open_by_rank: [4, 12] });
+        expect(harness.chooseTarget()).to.deep.equal({ kind: "full", takenBy: "0:4,1:12" });
+        expect(harness.rooms).to.deep.equal([["s", 1, 1, { paths: 2, places: 32, open: 56 }]]);
+    });
+
+    it("nothing is recorded for a service that is not ranked", () => {
+        const harness = new ChooserHarness();
+        harness.setEngines([createEngine("e1", "whole", { first: 0, end: 8 })]);
+        harness.loads.set("e1", { open: 40, unstarted: 0 });
+        expect(harness.chooseTarget()).to.deep.equal({ kind: "full" });
+        expect(harness.rooms).to.deep.equal([]);
+    });
+});
+
 describe("an entry uses few paths as long as they have capacity", () => {
     const engines = Array.from(
         { length: 20 },
