fix(daemon): keep a live engine that declines requests in use

Cause: an engine that many paths share declines requests of many entries while it is short of memory. Entries reported each as a suspicion, and the leader told all entries as soon as two did so; these avoided the engine, and with it all paths of its domain, for 1 s, although it answered the leader's probe some milliseconds later. Change: entries report declines apart from failures ('declined' in 'suspect'). The leader probes both and names an engine that only declined once its probe is unanswered for 100 ms or failed. It names an engine until the commit of what the probe found, answers entries at once when the list changes, and an entry drops the mark of an engine that an answer does not name.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -187,6 +187,14 @@
         return this.health.takeSuspects();
     }
 
+    /**
+     * Removes and returns the engines that declined requests since the last call.
+     * @returns their ids
+     */
+    takeDeclined(): readonly string[] {
+        return this.health.takeDeclined();
+    }
+
     /**
      * Applies a state update from the leader.
      * @param state - the changes that this entry has not seen
@@ -198,9 +206,9 @@
         this.view.applyUpstreams(state);
         this.crashes.applyState(state);
         this.notices.applyLimits(state.limits);
-        state.suspects?.filter((id) => this.view.getUpstream(id)?.accelerator !== undefined).forEach((id) => {
-            this.health.markDown(id, false);
-        });
+        this.health.applyNamed(
+            (state.suspects ?? []).filter((id) => this.view.getUpstream(id)?.accelerator !== undefined),
+        );
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
         this.health.prune(isKnown);
         this.notices.prune(isKnown);
--- a/packages/daemon/src/process/entry/leaderSync.ts
+++ b/packages/daemon/src/process/entry/leaderSync.ts
@@ -2,7 +2,12 @@
  * Synchronises an entry with the voters: it long-polls the leader for state changes. Each answer renews a lease on the
  * configuration, counted from the time at which the request was sent (Gray and Cheriton, "Leases", 1989).
  */
-import { type ReplicaAddress, type SynchroniseParameters, synchroniseResultSchema } from "@crankfork/schemas";
+import {
+    type ReplicaAddress,
+    type SuspectParameters,
+    type SynchroniseParameters,
+    synchroniseResultSchema,
+} from "@crankfork/schemas";
 import type { SynchronisedState } from "@crankfork/schemas";
 import type * as z from "zod";
 import type { PeerClient } from "../../connection/peerClient.js";
@@ -26,6 +31,8 @@
     readonly createParameters: () => SynchroniseParameters;
     /** Removes and returns the upstreams that failed since the last call. */
     readonly takeSuspects: () => readonly string[];
+    /** Removes and returns the upstreams that declined requests since the last call. */
+    readonly takeDeclined?: () => readonly string[];
     readonly handleState: (state: SynchronisedState) => void;
     /** Version of the document in force here; undefined before the first. */
     readonly getAppliedVersion: () => number | undefined;
@@ -145,17 +152,27 @@
     }
 
     private async sendSuspects(): Promise<void> {
-        const { peers, instance, takeSuspects, log } = this.options;
+        const { peers, instance, takeSuspects, takeDeclined, log } = this.options;
         if (this.leader === undefined) {
             return;
         }
         const suspects = takeSuspects();
+        const declined = takeDeclined?.() ?? [];
+        const parameters: SuspectParameters = {
+            instance,
+            suspects: [...suspects],
+            ...(declined.length > 0 ? { declined: [...declined] } : {}),
+        };
         try {
-            await peers.call(this.leader, "suspect", { instance, suspects }, REQUEST_TIMEOUT_MS);
+            await peers.call(this.leader, "suspect", parameters, REQUEST_TIMEOUT_MS);
         }
         catch (error) {
             const reason = error instanceof Error ? error.message : String(error);
-            log.record("warn", "suspects-not-reported", { peer: this.leader, suspects: suspects.join(","), reason });
+            log.record("warn", "suspects-not-reported", {
+                peer: this.leader,
+                suspects: [...suspects, ...declined].join(","),
+                reason,
+            });
         }
     }
 
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -76,6 +76,7 @@
         instance: settings.instance.id,
         createParameters: () => entry.createParameters(),
         takeSuspects: () => entry.takeSuspects(),
+        takeDeclined: () => entry.takeDeclined(),
         random: Math.random,
         getAppliedVersion: () => entry.document.version,
         handleState: (state) => {
--- a/packages/daemon/src/process/entry/upstreamFaultHandler.ts
+++ b/packages/daemon/src/process/entry/upstreamFaultHandler.ts
@@ -63,8 +63,8 @@
     /**
      * Handles an engine that declined a request. If it gives no report either, it is gone; if it reports another
      * incarnation or other layers, it does not hold what was requested; otherwise it is only out of capacity for a
-     * moment. Until its report arrives it is considered down, and the leader is informed at once, so that all entries
-     * learn of it from the first one that notices.
+     * moment. Until its report arrives it is considered down here. The leader is told at once that it declined; it
+     * probes the engine and tells the other entries only where that does not answer either.
      * @param id - the engine
      * @param reason - how it declined, for the log
      */
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -22,8 +22,10 @@
     suspectUntilMs: number;
     /** End of the backoff after a declined request. */
     declinedUntilMs: number;
-    /** Time until which the upstream is considered down. */
+    /** Time until which the upstream is considered down by what this entry saw. */
     downUntilMs: number;
+    /** Time until which the upstream is considered down because the leader named it. */
+    namedUntilMs: number;
     suspicionCount: number;
 }
 
@@ -63,6 +65,9 @@
 export class UpstreamHealth {
     private readonly byId = new Map<string, Health>();
     private readonly unreportedSuspects = new Set<string>();
+    private readonly unreportedDeclines = new Set<string>();
+    /** Upstreams that the leader's last answer named. */
+    private named: readonly string[] = [];
 
     /**
      * @param getNowMs - the monotonic clock
@@ -135,6 +140,7 @@
         health.failures = updateAverage(health.failures * weight, 1, weight);
         health.lastOutcomeMs = this.getNowMs();
         this.unreportedSuspects.add(id);
+        this.unreportedDeclines.delete(id);
     }
 
     /**
@@ -155,21 +161,42 @@
      * Considers an upstream down until there is newer information: a response named it as the cause of a failure, or
      * other entries suspect it.
      * @param id - the upstream
-     * @param isReported - whether to report it to the leader
+     * @param isOwn - whether it declined a request of this entry, which is reported to the leader
      */
-    markDown(id: string, isReported: boolean): void {
-        this.get(id).downUntilMs = this.getNowMs() + DOWN_MS;
-        if (isReported) {
-            this.unreportedSuspects.add(id);
+    markDown(id: string, isOwn: boolean): void {
+        const untilMs = this.getNowMs() + DOWN_MS;
+        if (isOwn) {
+            this.get(id).downUntilMs = untilMs;
+            this.unreportedDeclines.add(id);
+        }
+        else {
+            this.get(id).namedUntilMs = untilMs;
         }
     }
 
+    /**
+     * Applies the list of upstreams that the leader considers down. One that is no longer listed has answered the
+     * leader, or its loss is part of the leader's state.
+     * @param ids - the upstreams
+     */
+    applyNamed(ids: readonly string[]): void {
+        this.named.filter((id) => !ids.includes(id)).forEach((id) => {
+            this.get(id).namedUntilMs = 0;
+        });
+        ids.forEach((id) => {
+            this.markDown(id, false);
+        });
+        this.named = ids;
+    }
+
     /**
      * Considers an upstream up again, after it responded.
      * @param id - the upstream
      */
     clearDown(id: string): void {
-        this.get(id).downUntilMs = 0;
+        const health = this.get(id);
+        health.downUntilMs = 0;
+        health.namedUntilMs = 0;
     }
 
     /**
@@ -178,7 +205,8 @@
      * @returns true for a limited time after evidence of it
      */
     isDown(id: string): boolean {
-        return (this.byId.get(id)?.downUntilMs ?? 0) > this.getNowMs();
+        const health = this.byId.get(id);
+        return health !== undefined && getDownUntilMs(health) > this.getNowMs();
     }
 
     /**
@@ -218,6 +246,16 @@
         return ids;
     }
 
+    /**
+     * Removes and returns the upstreams that declined requests since the last call, for the report to the leader.
+     * @returns their ids, without those that are reported as failed
+     */
+    takeDeclined(): readonly string[] {
+        const ids = [...this.unreportedDeclines];
+        this.unreportedDeclines.clear();
+        return ids;
+    }
+
     /**
      * Gets the load of this entry at an upstream.
      * @param id - the upstream
@@ -300,6 +338,7 @@
             suspectUntilMs: 0,
             declinedUntilMs: 0,
             downUntilMs: 0,
+            namedUntilMs: 0,
             suspicionCount: 0,
         };
         this.byId.set(id, health);
@@ -307,8 +346,12 @@
     }
 }
 
+function getDownUntilMs({ downUntilMs, namedUntilMs }: Health): number {
+    return Math.max(downUntilMs, namedUntilMs);
+}
+
 function isExcluded(health: Health, nowMs: number): boolean {
-    return Math.max(health.suspectUntilMs, health.declinedUntilMs, health.downUntilMs) > nowMs;
+    return Math.max(health.suspectUntilMs, health.declinedUntilMs, getDownUntilMs(health)) > nowMs;
 }
 
 /** Exponential moving average in which the newest sample weighs more the further the evidence has decayed. */
--- a/packages/daemon/src/process/voter/suspectProbe.ts
+++ b/packages/daemon/src/process/voter/suspectProbe.ts
@@ -1,6 +1,6 @@
 /**
- * Probes engines that entries suspect: an engine that fails two consecutive reports is marked lost, sooner than by its
- * heartbeats.
+ * Probes engines that entries suspect or that declined their requests: an engine that fails two consecutive reports is
+ * marked lost, sooner than by its heartbeats.
  */
 import type { RegisteredUpstream, SuspectParameters } from "@crankfork/schemas";
 import type { EngineControl, ReportResult } from "../../connection/engineControl.js";
@@ -14,7 +14,7 @@
     readonly upstreams: UpstreamRegistry;
     readonly control: EngineControl;
     readonly getNowMs: () => number;
-    /** Called when a second entry suspects an upstream that is being probed. */
+    /** Called when the list of upstreams that entries are told to avoid changes. */
     readonly handleCorroboration: () => void;
 }
 
@@ -24,12 +24,30 @@
 const FAILED_REPORTS_IF_CORROBORATED = 1;
 /** Window within which suspicions of several entries corroborate each other; entries see one fault within a few hundred milliseconds. */
 const CORROBORATION_WINDOW_MS = 1_500;
+/**
+ * Time without an answer after which an engine that declined counts as down. A live engine answers within some
+ * milliseconds, and one that is short of memory declines requests of many entries at once: told of it at once, all
+ * entries would leave all paths through it and overload the others.
+ */
+const DECLINED_ANSWER_MS = 100;
+
+/** A pending probe. */
+interface PendingProbe {
+    readonly startedMs: number;
+    readonly timer: NodeJS.Timeout;
+    hasAnswered: boolean;
+    hasFailed: boolean;
+}
 
 /** Probes suspected engines. */
 export class SuspectProbe {
-    private readonly probing = new Set<string>();
+    private readonly probing = new Map<string, PendingProbe>();
     /** Time of each entry's last suspicion, by upstream. */
     private readonly suspicions = new Map<string, Map<string, number>>();
+    /** Time of each entry's last suspicion or declined request, by upstream. */
+    private readonly reports = new Map<string, Map<string, number>>();
+    /** The list last given to `handleCorroboration`. */
+    private namedKey = "";
 
     /**
      * @param options - replica and engines
@@ -37,53 +55,82 @@
     constructor(private readonly options: SuspectProbeOptions) {}
 
     /**
-     * Starts probes of upstreams that failed an entry's requests; an upstream that is already being probed is not probed twice.
-     * @param parameters - the upstreams, and the entry that suspects them
+     * Starts probes of upstreams that failed or declined an entry's requests; an upstream that is already being probed is not
+     * probed twice.
+     * @param parameters - the upstreams, and the entry that reports them
      */
-    handleSuspects({ instance, suspects }: SuspectParameters): void {
-        const corroboratedBefore = this.listCorroborated().length;
+    handleSuspects({ instance, suspects, declined = [] }: SuspectParameters): void {
+        const ids = new Set([...suspects, ...declined]);
         suspects.forEach((id) => {
-            this.recordSuspicion(id, instance);
+            this.recordReport(this.suspicions, id, instance);
         });
-        suspects.filter((id) => !this.probing.has(id)).forEach((id) => {
-            this.probing.add(id);
-            void this.probe(id).finally(() => {
-                this.probing.delete(id);
-                this.suspicions.delete(id);
-            });
+        ids.forEach((id) => {
+            this.recordReport(this.reports, id, instance);
         });
-        if (this.listCorroborated().length > corroboratedBefore) {
-            this.options.handleCorroboration();
-        }
+        [...ids].filter((id) => !this.probing.has(id)).forEach((id) => {
+            this.startProbe(id);
+        });
+        this.notifyChange();
     }
 
     /**
      * Lists upstreams that several entries suspect and whose probe is pending. All entries are notified, since a missing report
-     * takes 350 ms to detect and entries that have not met the fault yet would otherwise send their requests into it.
+     * takes 350 ms to detect and entries that have not met the fault yet would otherwise send their requests into it. Requests
+     * that an engine declined count only while it does not answer the probe.
      * @returns upstream ids
      */
     listCorroborated(): readonly string[] {
-        return [...this.probing].filter((id) => this.countCorroborating(id) > 1);
+        return [...this.probing].filter(([id, probe]) =>
+            countCorroborating(this.suspicions.get(id)) > 1
+            || (this.isUnanswered(probe) && countCorroborating(this.reports.get(id)) > 1)
+        ).map(([id]) => id);
     }
 
-    private recordSuspicion(id: string, instance: string): void {
-        const byEntry = this.suspicions.get(id) ?? new Map<string, number>();
-        byEntry.set(instance, this.options.getNowMs());
-        this.suspicions.set(id, byEntry);
+    private startProbe(id: string): void {
+        const pending: PendingProbe = {
+            startedMs: this.options.getNowMs(),
+            timer: setTimeout(() => {
+                this.notifyChange();
+            }, DECLINED_ANSWER_MS),
+            hasAnswered: false,
+            hasFailed: false,
+        };
+        this.probing.set(id, pending);
+        void this.probe(id, pending).finally(() => {
+            clearTimeout(pending.timer);
+            this.probing.delete(id);
+            this.suspicions.delete(id);
+            this.reports.delete(id);
+            this.notifyChange();
+        });
     }
 
-    private getFailureLimit(id: string): number {
-        return this.countCorroborating(id) > 1 ? FAILED_REPORTS_IF_CORROBORATED : FAILED_REPORTS_UNTIL_LOST;
+    private isUnanswered({ startedMs, hasAnswered, hasFailed }: PendingProbe): boolean {
+        return hasFailed || (!hasAnswered && this.options.getNowMs() - startedMs >= DECLINED_ANSWER_MS);
     }
 
-    /** Counts the entries whose suspicions corroborate each other. */
-    private countCorroborating(id: string): number {
-        const suspectedMs = [...this.suspicions.get(id)?.values() ?? []];
-        const sinceMs = Math.max(...suspectedMs) - CORROBORATION_WINDOW_MS;
-        return suspectedMs.filter((atMs) => atMs >= sinceMs).length;
+    /** Notifies of additions, and of removals so that entries use a live engine again at once. */
+    private notifyChange(): void {
+        const key = [...this.listCorroborated()].sort().join(",");
+        if (key !== this.namedKey) {
+            this.namedKey = key;
+            this.options.handleCorroboration();
+        }
+    }
+
+    private recordReport(reports: Map<string, Map<string, number>>, id: string, instance: string): void {
+        const byEntry = reports.get(id) ?? new Map<string, number>();
+        byEntry.set(instance, this.options.getNowMs());
+        reports.set(id, byEntry);
     }
 
-    private async probe(id: string): Promise<void> {
+    private getFailureLimit(id: string): number {
+        return countCorroborating(this.reports.get(id)) > 1
+            ? FAILED_REPORTS_IF_CORROBORATED
+            : FAILED_REPORTS_UNTIL_LOST;
+    }
+
+    private async probe(id: string, pending: PendingProbe): Promise<void> {
         const { host, upstreams, control } = this.options;
         let reason = "";
         for (let probe = 0; probe < this.getFailureLimit(id); probe += 1) {
@@ -93,14 +140,20 @@
             }
             const report = await control.getReport(upstream);
             if (report.kind !== "failed") {
+                pending.hasAnswered = true;
+                pending.hasFailed = false;
                 this.applyReport(upstream, report);
+                await upstreams.awaitChange(id);
                 return;
             }
+            pending.hasFailed = true;
+            this.notifyChange();
             ({ reason } = report);
         }
         const upstream = host.state.getUpstream(id);
         if (upstream !== undefined && host.replica.hasLeaderLease()) {
             upstreams.markLost(upstream, `no report: ${reason}`);
+            await upstreams.awaitChange(id);
         }
     }
 
@@ -116,3 +169,10 @@
         }
     }
 }
+
+/** Counts the entries whose reports corroborate each other, by the time of each entry's last one. */
+function countCorroborating(byEntry: ReadonlyMap<string, number> = new Map<string, number>()): number {
+    const reportedMs = [...byEntry.values()];
+    const sinceMs = Math.max(...reportedMs) - CORROBORATION_WINDOW_MS;
+    return reportedMs.filter((atMs) => atMs >= sinceMs).length;
+}
--- a/packages/daemon/src/process/voter/upstreamRegistry.ts
+++ b/packages/daemon/src/process/voter/upstreamRegistry.ts
@@ -52,6 +52,8 @@
     private readonly lastHeartbeats = new Map<string, ReceivedHeartbeat>();
     /** Upstreams whose loss has been proposed and not yet committed. */
     private readonly pendingLosses = new Set<string>();
+    /** Changes of upstreams, found by reports or silence, whose commit is pending. */
+    private readonly pendingChanges = new Map<string, Promise<unknown>>();
     private readonly releasedLayers = new ReleasedLayers();
     private electedMs = 0;
 
@@ -224,7 +226,7 @@
             return { kind: "done", value: undefined };
         }
         const id = formatIncarnationId(incarnation);
-        const result = await proposeChange(this.options, { kind: "remove-upstream", id, life: incarnation });
+        const result = await this.proposeUpstreamChange(id, { kind: "remove-upstream", id, life: incarnation });
         log.record("info", "upstream-removed", { peer: id, reason, outcome: result.kind });
         return result;
     }
@@ -258,11 +260,29 @@
             return;
         }
         this.options.log.record("warn", "upstream-lost", { peer: facts.id, address: facts.address, reason });
-        this.pendingLosses.add(facts.id);
         const command: FleetCommand = status === "leaving"
             ? { kind: "remove-upstream", id: facts.id, life: getIncarnation(facts) }
             : { kind: "put-upstream", facts, status: "lost" };
-        void proposeChange(this.options, command).finally(() => this.pendingLosses.delete(facts.id));
+        this.pendingLosses.add(facts.id);
+        void this.proposeUpstreamChange(facts.id, command).finally(() => this.pendingLosses.delete(facts.id));
+    }
+
+    /**
+     * Waits until a change that a report or silence showed is committed, so that entries learn of it from the state.
+     * @param id - the upstream
+     */
+    async awaitChange(id: string): Promise<void> {
+        await this.pendingChanges.get(id);
+    }
+
+    private async proposeUpstreamChange(id: string, command: FleetCommand): Promise<VoterResult<undefined>> {
+        const change = proposeChange(this.options, command);
+        this.pendingChanges.set(id, change);
+        return await change.finally(() => {
+            if (this.pendingChanges.get(id) === change) {
+                this.pendingChanges.delete(id);
+            }
+        });
     }
 
     /**
@@ -276,7 +296,7 @@
             return;
         }
         const { status, ...facts } = present;
-        void proposeChange(this.options, { kind: "put-upstream", facts: { ...facts, held }, status });
+        void this.proposeUpstreamChange(facts.id, { kind: "put-upstream", facts: { ...facts, held }, status });
     }
 
     /**
--- /dev/null
+++ b/packages/daemon/tests/memorySimulation.ts
@@ -0,0 +1,431 @@
+/**
+ * Entries, a leader and engines whose memory is bounded, on a paused clock and without a network.
+ */
+import type { EngineProfile, RegisteredUpstream, Route, RoutedService } from "@crankfork/schemas";
+import {
+    suspectParametersSchema,
+    synchroniseParametersSchema,
+    type SynchroniseResult,
+    upstreamLoadsSchema,
+} from "@crankfork/schemas";
+import type { EngineEndpoint, ReportResult } from "../src/connection/engineControl.js";
+import { EngineReportCache } from "../src/process/entry/engineReportCache.js";
+import { EngineShortage } from "../src/process/entry/engineShortage.js";
+import { LeaderSync } from "../src/process/entry/leaderSync.js";
+import { LeavingNotices } from "../src/process/entry/leavingNotices.js";
+import { RemoteLoads } from "../src/process/entry/remoteLoads.js";
+import { TargetChooser } from "../src/process/entry/targetChooser.js";
+import { UpstreamFaultHandler } from "../src/process/entry/upstreamFaultHandler.js";
+import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
+import { UpstreamBackoffs } from "../src/process/upstreamBackoffs.js";
+import { EntryRegistry } from "../src/process/voter/entryRegistry.js";
+import { SuspectProbe } from "../src/process/voter/suspectProbe.js";
+import { RequestContext } from "../src/request/requestContext.js";
+import { FleetView } from "../src/version/fleetView.js";
+import { confirmedBasis, noRollout } from "./configurationFakes.js";
+import type { InstalledClock } from "./installedClock.js";
+import { emptyReport, LeaderHarness, log } from "./leaderHarness.js";
+import { createSends, noLimits } from "./limitFakes.js";
+
+/** Eight layers; each engine holds half of them and has memory for 100,000 tokens. */
+export const profile: EngineProfile = {
+    layers: 8,
+    layer_mb: 100,
+    token_bytes: 1_000,
+    capacity_tokens: 100_000,
+    slots: 256,
+    step_ms: 40,
+    step_ms_a_request: 0,
+    read_tokens_a_second: 100_000,
+    load_ms: 1_000,
+    usual_prompt_tokens: 800,
+    usual_answer_tokens: 180,
+    accelerators: [{ name: "half", memory_mb: 450, step_factor: 1, read_factor: 1 }],
+};
+/** Memory of an engine for tokens, by its profile. */
+export const ENGINE_TOKENS = 100_000;
+const service: RoutedService = { name: "s", engine: profile };
+const route: Route = {
+    name: "r",
+    host: "h",
+    prefix: "/",
+    kind: "stream",
+    is_repeatable: true,
+    timeout_ms: 20_000,
+    objective_ms: 500,
+    priority: 1,
+    most_attempts: 2,
+    is_anonymous: true,
+    targets: [],
+};
+/** One-way latency between two instances. */
+const LATENCY_MS = 1;
+const MS_PER_ANSWER_TOKEN = 15;
+/** Mean age of the load reports of other entries. */
+const REPORT_AGE_MS = 120;
+
+/** Whether an instance runs the build before declines were reported apart from failures. */
+export type Build = "this" | "previous";
+
+/** A simulated request, and how it ended. */
+export interface SimulatedRequest {
+    readonly atMs: number;
+    readonly tokens: number;
+    readonly domain: string | undefined;
+    readonly end: "served" | "declined" | "full";
+}
+
+/** A domain's engines: two copies of the first stage before one engine of the later layers. */
+export function createDomain(domain: string): readonly RegisteredUpstream[] {
+    return ["first-1", "first-2", "last"].map((name) => ({
+        id: `${name}-${domain}`,
+        service: "s",
+        address: `${name}-${domain}`,
+        failure_domain: domain,
+        slots: profile.slots,
+        accelerator: "half",
+        status: "ready",
+        held: name === "last" ? { first: 4, end: 8 } : { first: 0, end: 4 },
+    }));
+}
+
+/** A fleet whose engines decline requests that their memory cannot hold. */
+export class MemorySimulation {
+    readonly requests: SimulatedRequest[] = [];
+    /** Attempts that an engine declined. */
+    readonly declines: { readonly atMs: number; readonly engine: string; }[] = [];
+    /** Memory of an engine that other work holds. */
+    readonly otherTokens = new Map<string, number>();
+    readonly gone = new Set<string>();
+    /** Whether reports of engines that are gone fail at once, as on a refused connection, or after 350 ms. */
+    isRefusing = false;
+    isLeaderReachable = true;
+    /** Rate of the requests that are being sent. */
+    requestsPerSecond = 0;
+    leaderBuild: Build = "this";
+    readonly entries: SimulatedEntry[];
+    readonly harness = new LeaderHarness();
+    private readonly used = new Map<string, number>();
+    private probe!: SuspectProbe;
+    private registry!: EntryRegistry;
+    private state: number;
+
+    constructor(
+        private readonly clock: InstalledClock,
+        readonly engines: readonly RegisteredUpstream[],
+        entries: number,
+        seed: number,
+    ) {
+        this.state = seed;
+        this.restartLeader();
+        const { host } = this.harness;
+        const propose = host.propose.bind(host);
+        host.propose = async (command) => {
+            const result = await propose(command);
+            this.registry.handleStateChange();
+            return result;
+        };
+        this.entries = Array.from(
+            { length: entries },
+            (_, index) => new SimulatedEntry(this, `entry-${String(index)}`),
+        );
+    }
+
+    get nowMs(): number {
+        return performance.now();
+    }
+
+    /** Replaces the leader's soft state, as an election does. */
+    restartLeader(): void {
+        const { host, upstreams, control } = this.harness;
+        const getNowMs = (): number => this.nowMs;
+        this.probe = new SuspectProbe({
+            host,
+            upstreams,
+            control: { ...control, getReport: (engine) => this.getReport(engine) },
+            getNowMs,
+            handleCorroboration: () => {
+                this.registry.handleStateChange();
+            },
+        });
+        const { probe } = this;
+        this.registry = new EntryRegistry({
+            host,
+            getNowMs,
+            rollout: noRollout,
+            listSuspects: () => probe.listCorroborated(),
+            limits: noLimits,
+        });
+    }
+
+    async start(): Promise<void> {
+        let sequence = 0;
+        for (const { status, ...facts } of this.engines) {
+            await this.harness.upstreams.registerUpstream({ facts, status, sequence: sequence += 1 });
+        }
+        this.entries.forEach((entry) => {
+            entry.sync.start();
+        });
+        await this.clock.tickAsync(500);
+    }
+
+    stop(): void {
+        this.entries.forEach((entry) => {
+            entry.sync.stop();
+        });
+    }
+
+    /** Sends requests at random times for a while. */
+    async send(
+        perSecond: number,
+        durationMs: number,
+        drawSize: (draw: number) => RequestTokens = drawUsualSize,
+    ): Promise<void> {
+        const endMs = this.nowMs + durationMs;
+        this.requestsPerSecond = perSecond;
+        for (;;) {
+            const gapMs = -Math.log(1 - this.draw()) * 1_000 / perSecond;
+            if (this.nowMs + gapMs >= endMs) {
+                await this.clock.tickAsync(endMs - this.nowMs);
+                return;
+            }
+            await this.clock.tickAsync(gapMs);
+            const entry = this.entries[Math.floor(this.draw() * this.entries.length)];
+            void entry?.serve(drawSize(this.draw()));
+        }
+    }
+
+    /** Returns a number from 0 up to 1, by a linear congruential generator. */
+    draw(): number {
+        this.state = (this.state * 1_664_525 + 1_013_904_223) % 2 ** 32;
+        return this.state / 2 ** 32;
+    }
+
+    async call(method: string, parameters: object): Promise<unknown> {
+        await this.delay(LATENCY_MS);
+        if (!this.isLeaderReachable) {
+            throw new Error("unreachable");
+        }
+        const raw: unknown = JSON.parse(JSON.stringify(parameters));
+        if (method === "suspect") {
+            const { declined = [], ...suspects } = suspectParametersSchema.parse(raw);
+            this.probe.handleSuspects(this.leaderBuild === "this" ? { ...suspects, declined } : suspects);
+            return {};
+        }
+        const result: SynchroniseResult = await this.registry.synchronise(synchroniseParametersSchema.parse(raw));
+        await this.delay(LATENCY_MS);
+        return JSON.parse(JSON.stringify(result)) as unknown;
+    }
+
+    async getReport({ id }: EngineEndpoint): Promise<ReportResult> {
+        if (this.gone.has(id)) {
+            await this.delay(this.isRefusing ? LATENCY_MS : 350);
+            return { kind: "failed", reason: "no answer" };
+        }
+        await this.delay(2 * LATENCY_MS);
+        return { ...emptyReport, held: this.engines.find((one) => one.id === id)?.held };
+    }
+
+    /** Runs a request on a path; resolves to the engine that declined it, if one did. */
+    async run(path: readonly string[], size: RequestTokens, handleFirst: () => void): Promise<string | undefined> {
+        await this.delay(2 * LATENCY_MS);
+        const fault = path.find((id) => this.gone.has(id)) ?? path.find((id) => !this.hasMemory(id, size.prompt));
+        if (fault !== undefined) {
+            this.declines.push({ atMs: this.nowMs, engine: fault });
+            return fault;
+        }
+        this.addTokens(path, size.prompt);
+        await this.delay(size.prompt / 8);
+        handleFirst();
+        this.addTokens(path, size.answer / 2);
+        await this.delay(size.answer * MS_PER_ANSWER_TOKEN);
+        this.addTokens(path, -size.prompt - size.answer / 2);
+        return undefined;
+    }
+
+    delay(ms: number): Promise<void> {
+        return new Promise((resolve) => setTimeout(resolve, ms));
+    }
+
+    private hasMemory(id: string, tokens: number): boolean {
+        return (this.used.get(id) ?? 0) + tokens <= ENGINE_TOKENS - (this.otherTokens.get(id) ?? 0);
+    }
+
+    private addTokens(path: readonly string[], tokens: number): void {
+        path.forEach((id) => this.used.set(id, (this.used.get(id) ?? 0) + tokens));
+    }
+}
+
+/** Size of a request in tokens. */
+export interface RequestTokens {
+    readonly prompt: number;
+    readonly answer: number;
+}
+
+const drawUsualSize = (): RequestTokens => ({
+    prompt: profile.usual_prompt_tokens,
+    answer: profile.usual_answer_tokens,
+});
+
+/** The parts of an entry that choose paths and track faults. */
+class SimulatedEntry {
+    build: Build = "this";
+    readonly health: UpstreamHealth;
+    readonly sync: LeaderSync;
+    /** Time of the last declined attempt, by engine. */
+    readonly declinedMs = new Map<string, number>();
+    private readonly view = new FleetView();
+    private readonly faults: UpstreamFaultHandler;
+    private readonly remoteLoads: RemoteLoads;
+    private readonly chooser: TargetChooser;
+
+    constructor(private readonly fleet: MemorySimulation, instance: string) {
+        const { view } = this;
+        const getNowMs = (): number => fleet.nowMs;
+        this.health = new UpstreamHealth(getNowMs);
+        this.sync = new LeaderSync({
+            peers: { call: (_address, method, parameters) => fleet.call(method, parameters), send: () => undefined },
+            log,
+            getNowMs,
+            getLastResumeMs: () => Number.NEGATIVE_INFINITY,
+            getSeeds: () => ["voter"],
+            instance,
+            createParameters: () => ({ instance, known_index: view.knownIndex, loads: this.health.listLoads() }),
+            takeSuspects: () =>
+                this.build === "this"
+                    ? this.health.takeSuspects()
+                    : [...this.health.takeSuspects(), ...this.health.takeDeclined()],
+            takeDeclined: () => this.build === "this" ? this.health.takeDeclined() : [],
+            handleState: (state) => {
+                this.remoteLoads.record(upstreamLoadsSchema.parse(state.loads_elsewhere));
+                view.applyUpstreams(state);
+                const named = state.suspects ?? [];
+                if (this.build === "this") {
+                    this.health.applyNamed(named);
+                }
+                else {
+                    named.forEach((id) => {
+                        this.health.markDown(id, false);
+                    });
+                }
+            },
+            getAppliedVersion: () => undefined,
+            handleDocument: () => undefined,
+            random: () => fleet.draw(),
+        });
+        this.remoteLoads = new RemoteLoads({
+            getNowMs,
+            getLocalLoad: (id) => this.health.getLoad(id),
+            countEntries: () => this.sync.countEntries(),
+        });
+        this.faults = new UpstreamFaultHandler({
+            view,
+            health: this.health,
+            engineReports: new EngineReportCache({
+                getReport: (engine) => fleet.getReport(engine),
+                placeLayers: () => Promise.resolve({ kind: "begun" }),
+            }, getNowMs),
+            log,
+            countSuspicion: () => undefined,
+            reportSuspects: () => {
+                this.sync.reportSuspects();
+            },
+        });
+        const countNone = (): undefined => undefined;
+        this.chooser = new TargetChooser({
+            instance,
+            view,
+            health: this.health,
+            shortage: new EngineShortage(getNowMs),
+            backoffs: new UpstreamBackoffs({
+                getNowMs,
+                log,
+                metrics: {
+                    countBackoff: countNone,
+                    countSuppressedSend: countNone,
+                    countSendDuringBackoff: countNone,
+                },
+            }),
+            leaving: new LeavingNotices({
+                instance,
+                getNowMs,
+                log,
+                metrics: { countLeavingNotice: countNone },
+                drainMs: 2_000,
+                askLeader: () => Promise.resolve({ is_taken: true }),
+            }),
+            rateLimiter: createSends(getNowMs).rateLimiter,
+            getRemoteLoad: (id) => this.remoteLoads.get(id),
+            isPathAvoided: () => false,
+            estimateUnreported: () => fleet.requestsPerSecond * REPORT_AGE_MS / 1_000,
+            countEntries: () => this.sync.countEntries(),
+            getRequestsPerSecond: () => 1,
+            getLoadAgeMs: () => REPORT_AGE_MS,
+            random: () => fleet.draw(),
+        });
+    }
+
+    /** Serves a request: two attempts at most, with a wait for a path with room as in `waitForTarget`. */
+    async serve(size: RequestTokens): Promise<void> {
+        const atMs = this.fleet.nowMs;
+        const run = this.createRun(size);
+        let domain: string | undefined;
+        let end: SimulatedRequest["end"] = "full";
+        while (run.attempts < route.most_attempts && this.fleet.nowMs - atMs <= route.objective_ms * 0.15) {
+            const choice = this.chooser.choose(run, undefined, false);
+            if (choice.kind !== "target") {
+                await this.fleet.delay(40);
+                continue;
+            }
+            const { upstreamId: id, stages = [] } = choice.target;
+            domain = stages[0]?.engine.failureDomain;
+            run.attempts += 1;
+            run.attemptedUpstreams.add(id);
+            this.health.recordRequestStart(id);
+            const recordFirst = (): void => {
+                this.health.recordFirstToken(id);
+            };
+            const fault = await this.fleet.run(stages.map(({ engine }) => engine.id), size, recordFirst);
+            this.health.recordEnd(id);
+            if (fault === undefined) {
+                end = "served";
+                break;
+            }
+            recordFirst();
+            end = "declined";
+            this.declinedMs.set(fault, this.fleet.nowMs);
+            void this.faults.handleDecline(fault, "declined");
+        }
+        this.fleet.requests.push({ atMs, tokens: size.prompt + size.answer, domain, end });
+    }
+
+    /** Whether a new request may take a path through an engine. */
+    isUsing(id: string): boolean {
+        return !this.health.isDown(id) && !this.view.hasEnded(id);
+    }
+
+    private createRun(size: RequestTokens): RequestContext {
+        const run = new RequestContext({
+            call: {
+                requestId: "1",
+                method: "POST",
+                host: "h",
+                target: "/",
+                path: "/",
+                key: undefined,
+                deadlineMs: route.timeout_ms,
+                size: { promptTokens: size.prompt, answerTokens: size.answer },
+                lastEventId: undefined,
+                rawHeaders: [],
+            },
+            route,
+            service,
+            organisation: undefined,
+            body: undefined,
+            basis: confirmedBasis,
+            arrivedMs: this.fleet.nowMs,
+        }, () => this.fleet.nowMs);
+        run.close();
+        return run;
+    }
+}
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -42,7 +42,12 @@
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; sent immediately, since `synchronise` is a long poll. */
-export const suspectParametersSchema = z.object({ instance: z.string(), suspects: z.array(z.string()) });
+export const suspectParametersSchema = z.object({
+    instance: z.string(),
+    suspects: z.array(z.string()),
+    /** Engines that declined a request, which they also do while they are short of memory. */
+    declined: z.array(z.string()).optional(),
+});
 
 /** Result of `synchronise`. */
 export const synchroniseResultSchema = z.discriminatedUnion("kind", [
@@ -74,7 +79,7 @@
         spending_elsewhere: retryBudgetUsageSchema.default({}),
         /** Time for which this leader has collected `spending_elsewhere`, in milliseconds. */
         spending_known_ms: z.number().nonnegative().default(0),
-        /** Upstreams that several entries suspect and that the leader is probing. */
+        /** Upstreams that several entries suspect, or that declined and do not answer, while the leader probes them. */
         suspects: z.array(z.string()).default([]),
         /** Rate limits that changed since the entry's cursor. */
         limits: rateLimitUpdatesSchema.optional(),
