feat(entry): check the memory of each engine in tokens

Cause: the memory of shared stages was divided equally between the paths that share them and counted in requests of the usual size. With prompts of 150 to 2,320 tokens the real sum exceeds the memory about half of the time at the limit.

Change: entries report the tokens that their open requests hold on average (`tokens` of `loads`). An entry sums them by engine over all paths and entries and takes a path only where the prompt and whole answer fit in each of its engines beside a margin. Streams that move take a path with room first. A request that was declined for lack of memory waits and is refused as one that finds all paths full.

Result: existing tests of schemas, decisions and daemon pass (947); the effect on declines isn't measured yet.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -1,6 +1,7 @@
 /**
  * An entry of a fleet: accepts callers' requests and routes them by the state that it synchronises from the voters.
  */
+import { LearnedRoom } from "@crankfork/decisions";
 import type { FleetSettings, RoutingTable, SynchronisedState, SynchroniseParameters } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
@@ -101,6 +102,7 @@
         this.remoteLoads = new RemoteLoads({ ...options, getLocalLoad: (id) => this.health.getLoad(id) });
         this.notices = new UpstreamNoticeHandler({ ...options, view: this.view, health: this.health });
         this.engineReports = new EngineReportCache(this.notices.observeControl(options.control), options.getNowMs);
+        const learnedRoom = new LearnedRoom(options.getNowMs);
         this.faultHandler = new UpstreamFaultHandler({
             view: this.view,
             health: this.health,
@@ -110,6 +112,10 @@
                 options.metrics.countSuspicion();
             },
             reportSuspects: options.reportSuspects,
+            getUsedTokens: (id) => this.chooser.getUsedTokens(id),
+            handleShortage: (id, usedTokens) => {
+                learnedRoom.recordDecline(id, usedTokens);
+            },
         });
         this.stallDetector = new PathStallDetector({
             getNowMs: options.getNowMs,
@@ -129,6 +135,7 @@
             getLoadAgeMs: () => this.loadReportAge.getMeanAgeMs(),
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
             countEntries: options.countEntries,
+            getLimitTokens: (id, contextTokens) => learnedRoom.getLimitTokens(id, contextTokens),
             random: options.random,
         });
         const { contract } = options.settings;
@@ -297,14 +304,14 @@
             getNowMs,
             chooseTarget: (run, lastEventId, isUnderWay) => this.chooser.choose(run, lastEventId, isUnderWay),
             isKeyUsable: () => isKeyLeaseValid({ ageMs: getAgeMs(), revocationMs: settings.contract.revocation }),
-            recordStart: (id) => {
-                this.health.recordRequestStart(id);
+            recordStart: (id, tokens) => {
+                this.health.recordRequestStart(id, tokens);
             },
             recordFirstOutput: (id) => {
                 this.health.recordFirstToken(id);
             },
-            recordEnd: (id) => {
-                this.health.recordEnd(id);
+            recordEnd: (id, tokens) => {
+                this.health.recordEnd(id, tokens);
             },
             recordAnswer: (id, durationMs, isFailure) => {
                 this.health.recordAnswer(id, durationMs, isFailure);
--- /dev/null
+++ b/packages/daemon/src/process/entry/memoryUse.ts
@@ -0,0 +1,204 @@
+/**
+ * Tokens in use in the memory of each engine, summed over all paths through it and all entries. The sums are computed
+ * once for each choice of a target, from the loads by path.
+ */
+import {
+    type Chain,
+    type ChainLoad,
+    computeHeldTokens,
+    computeLoadTokens,
+    getUsualSize,
+    groupSharedMemories,
+    hasTokenRoom,
+    isNearlyIdle,
+    type RequestSize,
+    type SharedMemory,
+} from "@crankfork/decisions";
+import type { EngineProfile, RoutedService } from "@crankfork/schemas";
+import type { FleetView } from "../../version/fleetView.js";
+
+/** Dependencies of the memory use. */
+export interface MemoryUseOptions {
+    readonly view: FleetView;
+    readonly getLocalLoad: (id: string) => ChainLoad;
+    /** In-flight load of other entries at an upstream, by the last report of the leader. */
+    readonly getRemoteLoad: (id: string) => ChainLoad;
+    /** Memory of an engine as learned from declines; without it, the memory by its profile. */
+    readonly getLimitTokens?: (id: string, contextTokens: number) => number;
+}
+
+/** The paths among which one request chooses. */
+export interface PathSelection {
+    /** Paths that may get requests, whatever this request has tried. */
+    readonly usable: readonly Chain[];
+    /** Paths that this request may take. */
+    readonly candidates: readonly Chain[];
+    /** Requests that other entries are expected to have sent since their last reports. */
+    readonly unreported: number;
+}
+
+/** Load and limit of engines that the same paths pass, during one choice. */
+interface SharedLoad {
+    open: number;
+    tokens: number;
+    unreported: number;
+    /** Paths that the request may take, and those of them in the set that is being tried. */
+    candidates: number;
+    tried: number;
+    /** Requests and tokens before any were assigned. */
+    readonly known: { readonly open: number; readonly tokens: number; };
+    readonly limitTokens: number;
+    /** Whether the limit comes from a decline. */
+    readonly isLearned: boolean;
+}
+
+interface KnownPaths {
+    readonly usable: readonly Chain[];
+    readonly registered: readonly Chain[];
+    readonly profile: EngineProfile;
+    readonly groups: ReadonlyMap<string, readonly SharedMemory[]>;
+}
+
+/** Sums the tokens in use by engine. */
+export class MemoryUse {
+    private readonly known = new Map<string, KnownPaths>();
+
+    /**
+     * @param options - paths and their loads
+     */
+    constructor(private readonly options: MemoryUseOptions) {}
+
+    /**
+     * Starts the check of one request's paths.
+     * @param service - the request's service
+     * @param profile - its profile
+     * @param paths - the paths
+     * @returns the check, which counts what is assigned to paths during the choice
+     */
+    startCheck(service: RoutedService, profile: EngineProfile, paths: PathSelection): MemoryCheck {
+        const { usable, candidates } = paths;
+        const known = this.getKnownPaths(service, profile, usable);
+        // Paths through engines that are passed over at the moment are not among the known ones.
+        const groups = candidates.every(({ id }) => known.groups.has(id))
+            ? known.groups
+            : groupSharedMemories([...candidates, ...known.registered], profile);
+        const loads = new Map<SharedMemory, SharedLoad>();
+        const loadsByChain = new Map(candidates.map((chain) => {
+            const shared = (groups.get(chain.id) ?? []).map((memory) => {
+                const load = loads.get(memory) ?? this.sumLoad(memory, profile);
+                loads.set(memory, load);
+                load.unreported += paths.unreported / candidates.length;
+                load.candidates += 1;
+                return load;
+            });
+            return [chain.id, shared];
+        }));
+        return new MemoryCheck(loadsByChain, profile);
+    }
+
+    /**
+     * Computes the tokens in use in an engine.
+     * @param id - the engine
+     * @returns tokens, or undefined where no path is known that passes it
+     */
+    getUsedTokens(id: string): number | undefined {
+        for (const { groups, profile } of this.known.values()) {
+            const memory = [...groups.values()].flat().find(({ engines }) => engines.some((one) => one.id === id));
+            if (memory !== undefined) {
+                return this.sumLoad(memory, profile).tokens;
+            }
+        }
+        return undefined;
+    }
+
+    /** Streams under way hold memory also on paths whose first engine gets no new requests at the moment. */
+    private getKnownPaths(service: RoutedService, profile: EngineProfile, usable: readonly Chain[]): KnownPaths {
+        const registered = this.options.view.getChains(service, () => true, "registered");
+        const known = this.known.get(service.name);
+        if (known?.usable === usable && known.registered === registered && known.profile === profile) {
+            return known;
+        }
+        const groups = groupSharedMemories([...usable, ...registered], profile);
+        const next = { usable, registered, profile, groups };
+        this.known.set(service.name, next);
+        return next;
+    }
+
+    private sumLoad({ firstIds, engines }: SharedMemory, profile: EngineProfile): SharedLoad {
+        const { getLocalLoad, getRemoteLoad, getLimitTokens } = this.options;
+        const loads = firstIds.flatMap((id) => [getLocalLoad(id), getRemoteLoad(id)]);
+        const limits = engines.map(({ id, contextTokens }) => getLimitTokens?.(id, contextTokens) ?? contextTokens);
+        const known = {
+            open: loads.reduce((sum, { open }) => sum + open, 0),
+            tokens: loads.reduce((sum, load) => sum + computeLoadTokens(load, profile), 0),
+        };
+        return {
+            ...known,
+            known,
+            unreported: 0,
+            candidates: 0,
+            tried: 0,
+            limitTokens: Math.min(...limits),
+            isLearned: engines.some(({ contextTokens }, index) => (limits[index] ?? 0) < contextTokens),
+        };
+    }
+}
+
+/** Checks the memory of paths for one request. */
+export class MemoryCheck {
+    private readonly usualTokens: number;
+
+    /**
+     * @param loads - loads of the engines of each path, by its id
+     * @param profile - usual sizes
+     */
+    constructor(
+        private readonly loads: ReadonlyMap<string, readonly SharedLoad[]>,
+        private readonly profile: EngineProfile,
+    ) {
+        this.usualTokens = computeHeldTokens(getUsualSize(profile));
+    }
+
+    /**
+     * Checks whether all engines of a path have memory for a request.
+     * @param chain - the path
+     * @param size - the request; the usual size where it states none
+     * @returns false where an engine might have to decline it or evict another one
+     */
+    hasRoom({ id }: Chain, size: RequestSize = getUsualSize(this.profile)): boolean {
+        return (this.loads.get(id) ?? []).every((load) =>
+            (!load.isLearned && isNearlyIdle(load.open)) || hasTokenRoom(load, load.limitTokens, size, this.profile)
+        );
+    }
+
+    /**
+     * Begins to assign the requests that other entries are expected to have sent to the paths of a set.
+     * @param chains - the set
+     */
+    startAssigning(chains: readonly Chain[]): void {
+        const loads = new Set([...this.loads.values()].flat());
+        loads.forEach((load) => {
+            load.open = load.known.open;
+            load.tokens = load.known.tokens;
+            load.tried = 0;
+        });
+        chains.forEach(({ id }) => {
+            this.loads.get(id)?.forEach((load) => {
+                load.tried += 1;
+            });
+        });
+    }
+
+    /**
+     * Assigns such a request. It stands for as many as there are paths through the same engines for each of the set, since
+     * other entries send to the other paths, too.
+     * @param chain - its path
+     */
+    recordAssigned({ id }: Chain): void {
+        this.loads.get(id)?.forEach((load) => {
+            const requests = load.candidates / Math.max(1, load.tried);
+            load.open += requests;
+            load.tokens += requests * this.usualTokens;
+        });
+    }
+}
--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -1,7 +1,7 @@
 /**
  * Whether a path has room for one more request, by the load that this entry and the others have reported.
  */
-import { computeCurrentLoad, hasChainCapacity, type LoadedChain } from "@crankfork/decisions";
+import { computeCurrentLoad, hasSlotCapacity, type LoadedChain } from "@crankfork/decisions";
 import type { EngineProfile } from "@crankfork/schemas";
 import type { RequestContext } from "../../request/requestContext.js";
 
@@ -11,7 +11,7 @@
     readonly getLoadAgeMs: () => number;
 }
 
-/** Checks the room of paths. */
+/** Checks the slots and prompts of paths; `MemoryUse` checks the memory of their engines. */
 export class PathRoom {
     /**
      * @param options - age of the load reports
@@ -27,6 +27,6 @@
      */
     hasRoom(run: RequestContext, { chain, ...load }: LoadedChain, engine: EngineProfile): boolean {
         const current = computeCurrentLoad(chain, load, engine, this.options.getLoadAgeMs());
-        return hasChainCapacity(chain, current, engine, run.admitted.route.objective_ms);
+        return hasSlotCapacity(chain, current, engine, run.admitted.route.objective_ms);
     }
 }
--- a/packages/daemon/src/process/entry/remoteLoads.ts
+++ b/packages/daemon/src/process/entry/remoteLoads.ts
@@ -45,10 +45,12 @@
     get(id: string): ChainLoad {
         const { getNowMs, getLocalLoad, countEntries } = this.options;
         if (getNowMs() - this.lastReportMs <= REPORT_VALIDITY_MS) {
-            return this.loads[id] ?? { open: 0, unstarted: 0 };
+            const { sized_open: sizedOpen, ...load } = this.loads[id] ?? { open: 0, unstarted: 0 };
+            return sizedOpen === undefined ? load : { ...load, sizedOpen };
         }
         const others = countEntries() - 1;
-        const { open, unstarted } = getLocalLoad(id);
-        return { open: open * others, unstarted: unstarted * others };
+        const { open, unstarted, tokens } = getLocalLoad(id);
+        const sized = tokens === undefined ? {} : { tokens: tokens * others };
+        return { open: open * others, unstarted: unstarted * others, ...sized };
     }
 }
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -25,6 +25,7 @@
 import type { UpstreamBackoffs } from "../upstreamBackoffs.js";
 import type { EngineShortage } from "./engineShortage.js";
 import type { LeavingNotices } from "./leavingNotices.js";
+import { MemoryUse } from "./memoryUse.js";
 import { getPathKey, type PathKey } from "./pathKey.js";
 import { PathRoom } from "./pathRoom.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
@@ -52,18 +53,31 @@
     readonly getRequestsPerSecond: (service: string) => number;
     /** Mean age of the load reports of other entries. */
     readonly getLoadAgeMs: () => number;
+    /** Memory of an engine as learned from declines; without it, the memory by its profile. */
+    readonly getLimitTokens?: (engine: string, contextTokens: number) => number;
     readonly random: () => number;
 }
 
 /** Selects targets. */
 export class TargetChooser {
     private readonly room: PathRoom;
+    private readonly memory: MemoryUse;
 
     /**
      * @param options - upstreams and their load
      */
     constructor(private readonly options: TargetChooserOptions) {
         this.room = new PathRoom(options);
+        this.memory = new MemoryUse({ ...options, getLocalLoad: (id) => options.health.getLoad(id) });
+    }
+
+    /**
+     * Computes the tokens that all entries' requests hold in an engine.
+     * @param id - the engine
+     * @returns tokens, or undefined where no path is known that passes it
+     */
+    getUsedTokens(id: string): number | undefined {
+        return this.memory.getUsedTokens(id);
     }
 
     /**
@@ -71,7 +85,7 @@
      * @param run - the request
      * @param lastEventId - event after which a stream is resumed
      * @param isUnderWay - whether the caller has received part of the answer, so that the request may go to a full
-     * target
+     * target where none has room
      * @returns the target, or why there is none
      */
     choose(run: RequestContext, lastEventId: string | undefined, isUnderWay: boolean): TargetChoice {
@@ -131,18 +145,30 @@
                 ?? { kind: this.hasShortage(service.name, engine) ? "too-few-engines" : "none" };
         }
         this.options.shortage.recordSufficient(service.name);
-        const chooseLoaded = (subset: readonly Chain[]): LoadedChain | undefined =>
-            chooseChainByStaleLoad({
+        const unreported = this.options.estimateUnreported(service.name);
+        const usable = this.listUsableChains(service);
+        const memory = this.memory.startCheck(service, engine, { usable, candidates: chains, unreported });
+        const { size } = run.admitted.call;
+        const createChoice = (isRoomNeeded: boolean) => (subset: readonly Chain[]): LoadedChain | undefined => {
+            memory.startAssigning(subset);
+            return chooseChainByStaleLoad({
                 chains: subset.map((chain) => ({ chain, ...this.getLoad(getFirstEngineId(chain)) })),
-                size: run.admitted.call.size ?? DEFAULT_REQUEST_SIZE,
-                unreportedRequests: this.options.estimateUnreported(service.name) * subset.length / chains.length,
-                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine),
+                size: size ?? DEFAULT_REQUEST_SIZE,
+                unreportedRequests: unreported * subset.length / chains.length,
+                hasCapacity: (loaded) =>
+                    !isRoomNeeded || (memory.hasRoom(loaded.chain, size) && this.room.hasRoom(run, loaded, engine)),
+                recordAssigned: (chain) => {
+                    memory.recordAssigned(chain);
+                },
                 draw: this.options.random(),
             });
+        };
         const limited = new Set<string>();
         let chosen: LoadedChain | undefined;
-        for (const tier of this.listTiers(chains, service.name)) {
-            chosen ??= this.chooseWithPermit(run, tier, limited, chooseLoaded);
+        for (const isRoomNeeded of isUnderWay ? [true, false] : [true]) {
+            for (const tier of this.listTiers(chains, service.name)) {
+                chosen ??= this.chooseWithPermit(run, tier, limited, createChoice(isRoomNeeded));
+            }
         }
         const first = chosen?.chain.stages[0]?.engine;
         if (chosen === undefined || first === undefined) {
--- a/packages/daemon/src/process/entry/upstreamFaultHandler.ts
+++ b/packages/daemon/src/process/entry/upstreamFaultHandler.ts
@@ -16,6 +16,10 @@
     readonly engineReports: EngineReportCache;
     readonly log: EventLog;
     readonly countSuspicion: () => void;
+    /** Tokens in use in an engine; undefined where not known. */
+    readonly getUsedTokens?: (id: string) => number | undefined;
+    /** Called for an engine that declined for lack of memory, with the tokens that were in use there. */
+    readonly handleShortage?: (id: string, usedTokens: number) => void;
     /** Schedules a report of suspected upstreams to the leader. */
     readonly reportSuspects: () => void;
 }
@@ -73,6 +77,7 @@
         if (!health.recordDecline(id)) {
             return;
         }
+        const usedTokens = this.options.getUsedTokens?.(id);
         health.markDown(id, true);
         reportSuspects();
         const upstream = view.getUpstream(id);
@@ -82,6 +87,9 @@
         log.record("info", "upstream-declined", { peer: id, reason, found, index: view.knownIndex });
         if (found === "as-known") {
             health.clearDown(id);
+            if (usedTokens !== undefined) {
+                this.options.handleShortage?.(id, usedTokens);
+            }
         }
         else {
             this.suspect(id, `${reason}, ${found}`);
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -9,6 +9,8 @@
     open: number;
     /** Open requests without a first token. */
     unstarted: number;
+    /** Tokens that open requests to an engine hold on average. */
+    tokens: number;
     /** Moving average of the response time; undefined before the first response. */
     answerMs: number | undefined;
     /** Moving average of the failure rate, from 0 to 1. */
@@ -77,9 +79,11 @@
     /**
      * Records that a request is sent to an upstream.
      * @param id - the upstream
+     * @param tokens - for an engine, tokens that the request holds on average
      */
-    recordRequestStart(id: string): void {
+    recordRequestStart(id: string, tokens = 0): void {
         const health = this.get(id);
+        health.tokens += tokens;
         health.open += 1;
         health.unstarted += 1;
     }
@@ -96,9 +100,11 @@
     /**
      * Records that a request to an upstream ended.
      * @param id - the upstream
+     * @param tokens - as at its start
      */
-    recordEnd(id: string): void {
+    recordEnd(id: string, tokens = 0): void {
         const health = this.get(id);
+        health.tokens = Math.max(0, health.tokens - tokens);
         health.open = Math.max(0, health.open - 1);
     }
 
@@ -262,8 +268,8 @@
      * @returns open requests
      */
     getLoad(id: string): ChainLoad {
-        const { open = 0, unstarted = 0 } = this.byId.get(id) ?? {};
-        return { open, unstarted };
+        const { open = 0, unstarted = 0, tokens = 0 } = this.byId.get(id) ?? {};
+        return { open, unstarted, ...(tokens === 0 ? {} : { tokens }) };
     }
 
     /**
@@ -272,7 +278,7 @@
      */
     listLoads(): UpstreamLoads {
         const busy = [...this.byId].filter(([, { open }]) => open > 0);
-        return Object.fromEntries(busy.map(([id, { open, unstarted }]) => [id, { open, unstarted }]));
+        return Object.fromEntries(busy.map(([id]) => [id, this.getLoad(id)]));
     }
 
     /**
@@ -330,6 +336,7 @@
         const health: Health = {
             open: 0,
             unstarted: 0,
+            tokens: 0,
             answerMs: undefined,
             failures: 0,
             lastOutcomeMs: this.getNowMs(),
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -241,12 +241,28 @@
         const sums: UpstreamLoads = {};
         for (const [other, { lastSeenMs, loads }] of this.entries) {
             if (other !== instance && nowMs - lastSeenMs <= LOAD_EXPIRY_MS) {
-                Object.entries(loads).forEach(([upstream, { open, unstarted }]) => {
-                    const sum = sums[upstream];
-                    sums[upstream] = { open: (sum?.open ?? 0) + open, unstarted: (sum?.unstarted ?? 0) + unstarted };
+                Object.entries(loads).forEach(([upstream, load]) => {
+                    sums[upstream] = addLoad(sums[upstream], load);
                 });
             }
         }
         return sums;
     }
 }
+
+/** Counts how many open requests the tokens cover where an entry of an earlier build reports none. */
+function addLoad(sum: UpstreamLoads[string] | undefined, load: UpstreamLoads[string]): UpstreamLoads[string] {
+    const open = (sum?.open ?? 0) + load.open;
+    const tokens = (sum?.tokens ?? 0) + (load.tokens ?? 0);
+    const sizedOpen = countSized(sum) + countSized(load);
+    return {
+        open,
+        unstarted: (sum?.unstarted ?? 0) + load.unstarted,
+        ...(sizedOpen === 0 ? {} : { tokens }),
+        ...(sizedOpen === 0 || sizedOpen === open ? {} : { sized_open: sizedOpen }),
+    };
+}
+
+function countSized(load: UpstreamLoads[string] | undefined): number {
+    return load?.tokens === undefined ? 0 : load.sized_open ?? load.open;
+}
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -90,10 +90,11 @@
     ) => TargetChoice;
     /** Whether the API key of the request is still valid. */
     readonly isKeyUsable: () => boolean;
-    readonly recordStart: (id: string) => void;
+    /** Records that a request is sent; for an engine with the tokens that it holds there on average. */
+    readonly recordStart: (id: string, tokens: number | undefined) => void;
     /** The request has produced its first output, or ended without any. */
     readonly recordFirstOutput: (id: string) => void;
-    readonly recordEnd: (id: string) => void;
+    readonly recordEnd: (id: string, tokens: number | undefined) => void;
     readonly recordAnswer: (id: string, durationMs: number, isFailure: boolean) => void;
     /** Excludes an upstream for a while. */
     readonly suspect: (id: string, reason: string) => void;
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -2,7 +2,13 @@
  * Handles a routed request after its admission: attempts it at one upstream after another until one returns a complete
  * response or no further attempt is allowed.
  */
-import { chooseNextStep, computeStreamResumeWindowMs, type NextStep } from "@crankfork/decisions";
+import {
+    chooseNextStep,
+    computeHeldTokens,
+    computeStreamResumeWindowMs,
+    getUsualSize,
+    type NextStep,
+} from "@crankfork/decisions";
 import type { Route } from "@crankfork/schemas";
 import { waitMs } from "../process/waitMs.js";
 import { recordAttempt } from "./recordAttempt.js";
@@ -21,7 +27,14 @@
 import { type StallWatch, startStallWatch } from "./stallWatch.js";
 import { StreamRelay } from "./streamRelay.js";
 import { type AttemptResult, runAttempt } from "./upstreamAttempt.js";
-import { computeMaxWaitMs, isKeyUsable, isQuarantined, TARGET_POLL_MS, waitForTarget } from "./waitForTarget.js";
+import {
+    computeFullWaitMs,
+    computeMaxWaitMs,
+    isKeyUsable,
+    isQuarantined,
+    TARGET_POLL_MS,
+    waitForTarget,
+} from "./waitForTarget.js";
 
 /** Attempts made without a delay; more would only drain the retry budget while the engines' memory is full. */
 const IMMEDIATE_ATTEMPTS = 2;
@@ -122,7 +135,8 @@
     const { notices } = functions;
     context.attempts += 1;
     context.attemptedUpstreams.add(target.upstreamId);
-    functions.recordStart(target.upstreamId);
+    const heldTokens = computeRequestTokens(context);
+    functions.recordStart(target.upstreamId, heldTokens);
     const recordFirstOutput = once(() => {
         functions.recordFirstOutput(target.upstreamId);
     });
@@ -155,7 +169,7 @@
     else {
         recordOutcome(result.kind === "answered" || result.kind === "streamed");
     }
-    functions.recordEnd(target.upstreamId);
+    functions.recordEnd(target.upstreamId, heldTokens);
     const durationMs = functions.getNowMs() - startMs;
     const hadProgress = (relay?.eventCount ?? 0) > eventsBefore;
     const silentMs = hadProgress && relay !== undefined ? relay.sinceEventMs : durationMs;
@@ -163,6 +177,11 @@
     return result;
 }
 
+/** Tokens that a request holds in engines on average; undefined where its service runs no model. */
+function computeRequestTokens({ admitted: { call, service } }: RequestContext): number | undefined {
+    return service.engine === undefined ? undefined : computeHeldTokens(call.size ?? getUsualSize(service.engine));
+}
+
 function once<Arguments extends readonly unknown[]>(
     run: (...values: Arguments) => void,
 ): (...values: Arguments) => void {
@@ -188,7 +207,9 @@
     result: Extract<AttemptResult, { kind: "ended"; }>,
     functions: RoutedRequestFunctions,
 ): Promise<RequestEnd | undefined> {
-    const findAlternative = (): TargetChoice => functions.chooseTarget(context, undefined, true);
+    // Where the attempt was declined for lack of memory, a path without room would decline it again, and use up a retry.
+    const isMemoryFull = result.end === "declined" && result.faultAddress !== undefined && !response.hasStarted;
+    const findAlternative = (): TargetChoice => functions.chooseTarget(context, undefined, !isMemoryFull);
     let choice = findAlternative();
     let step = chooseStep(context, response, relay, { result, choice }, functions);
     while (step.kind === "wait") {
@@ -215,7 +236,7 @@
         case "hand-on":
             return forwardFailure(context, response, { failure: result.response, choice }, functions);
         case "refuse":
-            return isThrottled(choice)
+            return isThrottled(choice) || choice.kind === "full"
                 ? refuseWithoutTarget(context, response, choice, functions)
                 : sendRefusal(context, response, getNotRunRefusal(result.end, step.hasFreeUpstream));
         case "fail":
@@ -247,11 +268,18 @@
         // Retry-After.
         maxQueueMs: hasStarted || context.isTrial || service.engine === undefined || isThrottled(choice)
             ? 0
-            : computeMaxWaitMs(context.remainingMs + context.ageMs) - context.ageMs,
+            : computeQueueLimitMs(context, choice) - context.ageMs,
         claimRetry: () => functions.claimRetry(service.name, response.hasStarted),
     });
 }
 
+/** A request that finds all paths full waits no longer than a new one, so that it is refused while others may serve it. */
+function computeQueueLimitMs(context: RequestContext, choice: TargetChoice): number {
+    return choice.kind === "full"
+        ? computeFullWaitMs(context)
+        : computeMaxWaitMs(context.remainingMs + context.ageMs);
+}
+
 /** Whether only backoffs or rate limits keep a request from being sent. */
 function isThrottled(choice: TargetChoice): choice is Extract<TargetChoice, { kind: "resting" | "limited"; }> {
     return choice.kind === "resting" || choice.kind === "limited";
--- a/packages/daemon/src/request/waitForTarget.ts
+++ b/packages/daemon/src/request/waitForTarget.ts
@@ -43,6 +43,15 @@
     return Math.max(0, Math.min(MAX_WAIT_MS, remainingMs * WAIT_FACTOR));
 }
 
+/**
+ * Computes how long a request may wait if all paths are at capacity.
+ * @param context - the request
+ * @returns milliseconds
+ */
+export function computeFullWaitMs({ admitted, isLikelyRetry }: RequestContext): number {
+    return admitted.route.objective_ms * (isLikelyRetry ? RETRY_WAIT_FACTOR : FULL_WAIT_FACTOR);
+}
+
 /**
  * Computes how long a request may wait for a send reserved for it.
  * @param context - the request
@@ -118,7 +127,7 @@
     const { objective_ms } = context.admitted.route;
     return {
         noneMs: computeMaxWaitMs(context.remainingMs),
-        fullMs: objective_ms * (context.isLikelyRetry ? RETRY_WAIT_FACTOR : FULL_WAIT_FACTOR),
+        fullMs: computeFullWaitMs(context),
         // A retrying caller was told when capacity is available, so it waits no longer than others.
         restingMs: objective_ms * FULL_WAIT_FACTOR,
         reservedMs: computeReservedWaitMs(context),
--- a/packages/decisions/src/request/chooseChain.ts
+++ b/packages/decisions/src/request/chooseChain.ts
@@ -59,6 +59,8 @@
     /** Requests that other entries are expected to have sent since the last load report. */
     readonly unreportedRequests: number;
     readonly hasCapacity: (loaded: LoadedChain) => boolean;
+    /** Records that an unreported request is assigned to a chain, for what chains share. */
+    readonly recordAssigned?: (chain: Chain) => void;
     /** From 0 up to 1; position of this request among the unreported ones. */
     readonly draw: number;
 }
@@ -78,6 +80,7 @@
         if (best === undefined || ahead <= 0) {
             return best;
         }
+        view.recordAssigned?.(best.chain);
         chains[chains.indexOf(best)] = { ...best, open: best.open + 1, unstarted: best.unstarted + 1 };
     }
 }
--- a/packages/decisions/src/request/hasChainCapacity.ts
+++ b/packages/decisions/src/request/hasChainCapacity.ts
@@ -12,6 +12,10 @@
     readonly open: number;
     /** Those of them without a first token. */
     readonly unstarted: number;
+    /** Tokens that the open requests hold on average; absent where their sizes are not known. */
+    readonly tokens?: number;
+    /** Open requests that `tokens` covers; absent where it covers all. */
+    readonly sizedOpen?: number;
 }
 
 /**
@@ -20,9 +24,9 @@
  */
 const PROMPT_QUEUE_SHARE = 0.6;
 /** An open request holds its prompt and on average half of its answer. */
-const HELD_ANSWER_SHARE = 0.5;
+export const HELD_ANSWER_SHARE = 0.5;
 /** Requests that a chain always takes, so that implausible figures don't exclude it. */
-const MIN_OPEN = 4;
+export const MIN_OPEN = 4;
 /** Share of a busy chain's time that goes to prefill; the rest goes to decoding. */
 const PREFILL_SHARE = 0.6;
 
@@ -39,6 +43,19 @@
         && load.unstarted < computeMaxUnstarted(chain, profile, objectiveMs);
 }
 
+/**
+ * Tells whether a chain has slots and prompt time left; its memory is checked by engine (`hasTokenRoom`).
+ * @param chain - the chain
+ * @param load - its load
+ * @param profile - usual sizes and the slots of its first engine
+ * @param objectiveMs - contracted time to the first token
+ * @returns false where one more request would wait too long for its first token
+ */
+export function hasSlotCapacity(chain: Chain, load: ChainLoad, profile: EngineProfile, objectiveMs: number): boolean {
+    return load.open < Math.max(MIN_OPEN, profile.slots)
+        && load.unstarted < computeMaxUnstarted(chain, profile, objectiveMs);
+}
+
 /**
  * Estimates the present load from an older report: the chain has done prefill since.
  * @param chain - the chain
--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -227,7 +227,13 @@
     return computeLayerShare(stage.span, profile) * msPerToken;
 }
 
-function computeContextTokens(stage: ChainStage, profile: EngineProfile): number {
+/**
+ * Computes the memory of a stage's engine.
+ * @param stage - the engine and the layers that a chain uses
+ * @param profile - the model and the accelerators
+ * @returns tokens of context that fit beside the layers that it holds
+ */
+export function computeContextTokens(stage: ChainStage, profile: EngineProfile): number {
     const { span } = stage.engine;
     const freeMb = getAccelerator(stage.engine, profile).memory_mb - (span.end - span.first) * profile.layer_mb;
     const bytesPerToken = (stage.span.end - stage.span.first) * profile.token_bytes / profile.layers;
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -7,6 +7,9 @@
 import { replicaAddressSchema } from "./replicaMessage.js";
 import { crashRecordSchema, reportedCrashSchema } from "./requestCrash.js";
 
+/** Upper bound of the tokens at one upstream that are credible: more than any engine has memory for. */
+const MAX_LOAD_TOKENS = 100_000_000;
+
 /** Request counts by the first upstream of the request's path. */
 export const upstreamLoadsSchema = z.record(
     z.string(),
@@ -15,6 +18,10 @@
         open: z.int().nonnegative(),
         /** Open requests without a first token. */
         unstarted: z.int().nonnegative(),
+        /** Tokens that the open requests hold on average: the prompt and half of the answer expected of each. */
+        tokens: z.int().nonnegative().max(MAX_LOAD_TOKENS).optional().catch(undefined),
+        /** Open requests that `tokens` covers, in a sum that includes entries which report none; absent: all. */
+        sized_open: z.int().nonnegative().optional().catch(undefined),
     }),
 );
 
