--- a/packages/daemon/tests/memorySimulation.ts
+++ b/packages/daemon/tests/memorySimulation.ts
@@ -1,6 +1,7 @@
 /**
  * Entries, a leader and engines whose memory is bounded, on a paused clock and without a network.
  */
+import { computeContextTokens, computeHeldTokens, LearnedRoom } from "@crankfork/decisions";
 import type { EngineProfile, RegisteredUpstream, Route, RoutedService } from "@crankfork/schemas";
 import {
     suspectParametersSchema,
@@ -13,7 +14,9 @@
 import { EngineShortage } from "../src/process/entry/engineShortage.js";
 import { LeaderSync } from "../src/process/entry/leaderSync.js";
 import { LeavingNotices } from "../src/process/entry/leavingNotices.js";
+import { LoadReportAge } from "../src/process/entry/loadReportAge.js";
 import { RemoteLoads } from "../src/process/entry/remoteLoads.js";
+import { RetryBudgets } from "../src/process/entry/retryBudgets.js";
 import { TargetChooser } from "../src/process/entry/targetChooser.js";
 import { UpstreamFaultHandler } from "../src/process/entry/upstreamFaultHandler.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
@@ -22,6 +25,7 @@
 import { SuspectProbe } from "../src/process/voter/suspectProbe.js";
 import { RequestContext } from "../src/request/requestContext.js";
 import { FleetView } from "../src/version/fleetView.js";
+import { createHoldingEngine } from "../src/version/holdingEngine.js";
 import { confirmedBasis, noRollout } from "./configurationFakes.js";
 import type { InstalledClock } from "./installedClock.js";
 import { emptyReport, LeaderHarness, log } from "./leaderHarness.js";
@@ -42,9 +46,6 @@
     usual_answer_tokens: 180,
     accelerators: [{ name: "half", memory_mb: 450, step_factor: 1, read_factor: 1 }],
 };
-/** Memory of an engine for tokens, by its profile. */
-export const ENGINE_TOKENS = 100_000;
-const service: RoutedService = { name: "s", engine: profile };
 const route: Route = {
     name: "r",
     host: "h",
@@ -58,11 +59,12 @@
     is_anonymous: true,
     targets: [],
 };
+const retryTerms = { ratio: 0.1, slack: 10, windowMs: 10_000 };
 /** One-way latency between two instances. */
 const LATENCY_MS = 1;
 const MS_PER_ANSWER_TOKEN = 15;
-/** Mean age of the load reports of other entries. */
-const REPORT_AGE_MS = 120;
+/** Steps in which an answer takes memory. */
+const GROWTH_STEPS = 8;
 
 /** Whether an instance runs the build before declines were reported apart from failures. */
 export type Build = "this" | "previous";
@@ -97,14 +99,16 @@
     /** Memory of an engine that other work holds. */
     readonly otherTokens = new Map<string, number>();
     readonly gone = new Set<string>();
+    /** Times at which an engine paused a stream since its memory was full. */
+    readonly preemptions: number[] = [];
+    readonly service: RoutedService;
     /** Whether reports of engines that are gone fail at once, as on a refused connection, or after 350 ms. */
     isRefusing = false;
     isLeaderReachable = true;
-    /** Rate of the requests that are being sent. */
-    requestsPerSecond = 0;
     leaderBuild: Build = "this";
     readonly entries: SimulatedEntry[];
     readonly harness = new LeaderHarness();
+    private readonly memory = new Map<string, number>();
     private readonly used = new Map<string, number>();
     private probe!: SuspectProbe;
     private registry!: EntryRegistry;
@@ -115,8 +119,13 @@
         readonly engines: readonly RegisteredUpstream[],
         entries: number,
         seed: number,
+        engine: EngineProfile = profile,
     ) {
         this.state = seed;
+        this.service = { name: "s", engine };
+        engines.flatMap(createHoldingEngine).forEach((one) => {
+            this.memory.set(one.id, computeContextTokens({ engine: one, span: one.span }, engine));
+        });
         this.restartLeader();
         const { host } = this.harness;
         const propose = host.propose.bind(host);
@@ -182,7 +191,6 @@
         drawSize: (draw: number) => RequestTokens = drawUsualSize,
     ): Promise<void> {
         const endMs = this.nowMs + durationMs;
-        this.requestsPerSecond = perSecond;
         for (;;) {
             const gapMs = -Math.log(1 - this.draw()) * 1_000 / perSecond;
             if (this.nowMs + gapMs >= endMs) {
@@ -237,18 +245,36 @@
         this.addTokens(path, size.prompt);
         await this.delay(size.prompt / 8);
         handleFirst();
-        this.addTokens(path, size.answer / 2);
-        await this.delay(size.answer * MS_PER_ANSWER_TOKEN);
-        this.addTokens(path, -size.prompt - size.answer / 2);
+        let held = size.prompt;
+        for (let step = 0; step < GROWTH_STEPS; step += 1) {
+            const grown = size.answer / GROWTH_STEPS;
+            if (!path.every((id) => this.hasMemory(id, grown))) {
+                this.preemptions.push(this.nowMs);
+                this.addTokens(path, -held);
+                while (!path.every((id) => this.hasMemory(id, held + grown))) {
+                    await this.delay(50);
+                }
+                this.addTokens(path, held);
+            }
+            this.addTokens(path, grown);
+            held += grown;
+            await this.delay(grown * MS_PER_ANSWER_TOKEN);
+        }
+        this.addTokens(path, -held);
         return undefined;
     }
 
+    /** Tokens in an engine's memory now. */
+    getUsedTokens(id: string): number {
+        return this.used.get(id) ?? 0;
+    }
+
     delay(ms: number): Promise<void> {
         return new Promise((resolve) => setTimeout(resolve, ms));
     }
 
     private hasMemory(id: string, tokens: number): boolean {
-        return (this.used.get(id) ?? 0) + tokens <= ENGINE_TOKENS - (this.otherTokens.get(id) ?? 0);
+        return this.getUsedTokens(id) + tokens <= (this.memory.get(id) ?? 0) - (this.otherTokens.get(id) ?? 0);
     }
 
     private addTokens(path: readonly string[], tokens: number): void {
@@ -277,12 +303,18 @@
     private readonly view = new FleetView();
     private readonly faults: UpstreamFaultHandler;
     private readonly remoteLoads: RemoteLoads;
+    private readonly loadAge: LoadReportAge;
+    private readonly budgets: RetryBudgets;
+    private readonly learned: LearnedRoom;
     private readonly chooser: TargetChooser;
 
     constructor(private readonly fleet: MemorySimulation, instance: string) {
         const { view } = this;
         const getNowMs = (): number => fleet.nowMs;
         this.health = new UpstreamHealth(getNowMs);
+        this.learned = new LearnedRoom(getNowMs);
+        this.loadAge = new LoadReportAge(getNowMs);
+        this.budgets = new RetryBudgets(retryTerms, () => this.sync.countEntries(), getNowMs);
         this.sync = new LeaderSync({
             peers: { call: (_address, method, parameters) => fleet.call(method, parameters), send: () => undefined },
             log,
@@ -297,6 +329,7 @@
                     : [...this.health.takeSuspects(), ...this.health.takeDeclined()],
             takeDeclined: () => this.build === "this" ? this.health.takeDeclined() : [],
             handleState: (state) => {
+                this.loadAge.recordReport();
                 this.remoteLoads.record(upstreamLoadsSchema.parse(state.loads_elsewhere));
                 view.applyUpstreams(state);
                 const named = state.suspects ?? [];
@@ -330,6 +363,10 @@
             reportSuspects: () => {
                 this.sync.reportSuspects();
             },
+            getUsedTokens: (id) => this.chooser.getUsedTokens(id),
+            handleShortage: (id, tokens) => {
+                this.learned.recordDecline(id, tokens);
+            },
         });
         const countNone = (): undefined => undefined;
         this.chooser = new TargetChooser({
@@ -357,10 +394,12 @@
             rateLimiter: createSends(getNowMs).rateLimiter,
             getRemoteLoad: (id) => this.remoteLoads.get(id),
             isPathAvoided: () => false,
-            estimateUnreported: () => fleet.requestsPerSecond * REPORT_AGE_MS / 1_000,
+            estimateUnreported: () =>
+                (this.sync.countEntries() - 1) * this.requestsPerSecond * this.loadAge.getMeanAgeMs() / 1_000,
             countEntries: () => this.sync.countEntries(),
-            getRequestsPerSecond: () => 1,
-            getLoadAgeMs: () => REPORT_AGE_MS,
+            getRequestsPerSecond: () => this.requestsPerSecond,
+            getLoadAgeMs: () => this.loadAge.getMeanAgeMs(),
+            getLimitTokens: (id, tokens) => this.learned.getLimitTokens(id, tokens),
             random: () => fleet.draw(),
         });
     }
@@ -369,6 +408,8 @@
     async serve(size: RequestTokens): Promise<void> {
         const atMs = this.fleet.nowMs;
         const run = this.createRun(size);
+        const heldTokens = computeHeldTokens({ promptTokens: size.prompt, answerTokens: size.answer });
+        this.budgets.get("s").recordRequest();
         let domain: string | undefined;
         let end: SimulatedRequest["end"] = "full";
         while (run.attempts < route.most_attempts && this.fleet.nowMs - atMs <= route.objective_ms * 0.15) {
@@ -381,12 +422,12 @@
             domain = stages[0]?.engine.failureDomain;
             run.attempts += 1;
             run.attemptedUpstreams.add(id);
-            this.health.recordRequestStart(id);
+            this.health.recordRequestStart(id, heldTokens);
             const recordFirst = (): void => {
                 this.health.recordFirstToken(id);
             };
             const fault = await this.fleet.run(stages.map(({ engine }) => engine.id), size, recordFirst);
-            this.health.recordEnd(id);
+            this.health.recordEnd(id, heldTokens);
             if (fault === undefined) {
                 end = "served";
                 break;
@@ -399,6 +440,10 @@
         this.fleet.requests.push({ atMs, tokens: size.prompt + size.answer, domain, end });
     }
 
+    private get requestsPerSecond(): number {
+        return this.budgets.get("s").requestsPerSecond;
+    }
+
     /** Whether a new request may take a path through an engine. */
     isUsing(id: string): boolean {
         return !this.health.isDown(id) && !this.view.hasEnded(id);
@@ -419,7 +464,7 @@
                 rawHeaders: [],
             },
             route,
-            service,
+            service: this.fleet.service,
             organisation: undefined,
             body: undefined,
             basis: confirmedBasis,
