--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -1,6 +1,7 @@
 /**
  * An entry of a fleet: accepts callers' requests and routes them by the state that it synchronises from the voters.
  */
+import { LearnedRoom } from "@crankfork/decisions";
 import type {
     FleetSettings,
     FleetStatus,
@@ -125,6 +126,7 @@
         this.remoteLoads = new RemoteLoads({ ...options, getLocalLoad: (id) => this.health.getLoad(id) });
         this.notices = new UpstreamNoticeHandler({ ...options, view: this.view, health: this.health });
         this.engineReports = new EngineReportCache(this.notices.observeControl(options.control), options.getNowMs);
+        const learnedRoom = new LearnedRoom(options.getNowMs);
         this.faultHandler = new UpstreamFaultHandler({
             view: this.view,
             health: this.health,
@@ -134,6 +136,10 @@
                 options.metrics.countSuspicion();
             },
             reportSuspects: options.reportSuspects,
+            getUsedTokens: (id) => this.chooser.getUsedTokens(id),
+            handleShortage: (id, usedTokens) => {
+                learnedRoom.recordDecline(id, usedTokens);
+            },
         });
         const { failure_domain: domain } = options.settings.instance;
         this.links = new LinkMonitor({ domain, getNowMs: options.getNowMs });
@@ -154,12 +160,14 @@
             health: this.health,
             shortage: new EngineShortage(options.getNowMs),
             getRemoteLoad: (id) => this.remoteLoads.get(id),
+            getSteadyShare: (id) => this.remoteLoads.getSteadyShare(id),
             estimateUnreported: (service) => this.estimateUnreported(service),
             getLoadAgeMs: () => this.loadReportAge.getMeanAgeMs(),
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
             isLinkLossy: (to) => this.links.isLossy(to),
             getDemand: (service) => createServiceDemand(this.demand.fleet.get(service)),
             countEntries: options.countEntries,
+            getLimitTokens: (id, contextTokens) => learnedRoom.getLimitTokens(id, contextTokens),
             random: options.random,
         });
         const { contract } = options.settings;
@@ -236,6 +244,14 @@
         return this.health.takeSuspects();
     }
 
+    /**
+     * Removes and returns the engines that declined requests since the last call.
+     * @returns their ids
+     */
+    takeDeclined(): readonly string[] {
+        return this.health.takeDeclined();
+    }
+
     /**
      * Applies a state update from the leader.
      * @param state - the changes that this entry has not seen
@@ -252,9 +268,9 @@
         this.view.applyUpstreams(state);
         this.crashes.applyState(state);
         this.notices.applyLimits(state.limits);
-        state.suspects?.filter((id) => this.view.getUpstream(id)?.accelerator !== undefined).forEach((id) => {
-            this.health.markDown(id, false);
-        });
+        this.health.applyNamed(
+            (state.suspects ?? []).filter((id) => this.view.getUpstream(id)?.accelerator !== undefined),
+        );
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
         this.health.prune(isKnown);
         this.notices.prune(isKnown);
@@ -373,15 +389,15 @@
                 return choice;
             },
             isKeyUsable: () => isKeyLeaseValid({ ageMs: getAgeMs(), revocationMs: settings.contract.revocation }),
-            recordStart: (id, rank) => {
-                this.health.recordRequestStart(id, rank);
+            recordStart: (id, rank, tokens) => {
+                this.health.recordRequestStart(id, rank, tokens);
             },
             recordFirstOutput: (id, rank) => {
                 this.health.recordFirstToken(id, rank);
                 this.queues.wake(this.view.getUpstream(id)?.service);
             },
-            recordEnd: (id, rank) => {
-                this.health.recordEnd(id, rank);
+            recordEnd: (id, rank, tokens) => {
+                this.health.recordEnd(id, rank, tokens);
                 this.queues.wake(this.view.getUpstream(id)?.service);
             },
             recordAnswer: (id, durationMs, isFailure) => {
--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -10,8 +10,8 @@
     computeExcessShare,
     computeExpectedOpen,
     computeMaxOpen,
-    hasChainCapacity,
     hasClassRoom,
+    hasSlotCapacity,
     type LoadedChain,
     type RankedRequest,
     type ServiceDemand,
@@ -35,7 +35,7 @@
 /** What a request of a ranked service may take of a path. */
 export type GetClassRoom = (loaded: LoadedChain) => ClassRoom;
 
-/** Checks the room of paths. */
+/** Checks the slots and prompts of paths; `MemoryUse` checks the memory of their engines. */
 export class PathRoom {
     /** Position of each request among those of its organisation, so that a repeated check of it has the same result. */
     private readonly draws = new WeakMap<RequestContext, number>();
@@ -64,7 +64,7 @@
         }
         const { chain, ...load } = loaded;
         const current = computeCurrentLoad(chain, load, engine, this.options.getLoadAgeMs());
-        return hasChainCapacity(chain, current, engine, run.admitted.route.objective_ms);
+        return hasSlotCapacity(chain, current, engine, run.admitted.route.objective_ms);
     }
 
     /**
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -28,6 +28,7 @@
 import type { UpstreamBackoffs } from "../upstreamBackoffs.js";
 import type { EngineShortage } from "./engineShortage.js";
 import type { LeavingNotices } from "./leavingNotices.js";
+import { MemoryUse } from "./memoryUse.js";
 import { getPathKey, type PathKey } from "./pathKey.js";
 import { PathRoom } from "./pathRoom.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
@@ -59,18 +60,38 @@
     readonly getLoadAgeMs: () => number;
     /** Demand for a ranked service, over all entries; undefined where it is not known. */
     readonly getDemand?: (service: string) => ServiceDemand | undefined;
+    /** Share of other entries' requests at an upstream that are as likely to end soon as others; none where not given. */
+    readonly getSteadyShare?: (id: string) => number;
+    /** Memory of an engine as learned from declines; without it, the memory by its profile. */
+    readonly getLimitTokens?: (engine: string, contextTokens: number) => number;
     readonly random: () => number;
 }
 
 /** Selects targets. */
 export class TargetChooser {
     private readonly room: PathRoom;
+    private readonly memory: MemoryUse;
+    private readonly draws = new WeakMap<RequestContext, number>();
 
     /**
      * @param options - upstreams and their load
      */
     constructor(private readonly options: TargetChooserOptions) {
         this.room = new PathRoom(options);
+        this.memory = new MemoryUse({
+            ...options,
+            getLocalLoad: (id) => options.health.getLoad(id),
+            getHoldMs: (ids) => options.health.computeMeanAnswerMs(ids),
+        });
+    }
+
+    /**
+     * Computes the tokens that all entries' requests hold in an engine.
+     * @param id - the engine
+     * @returns tokens, or undefined where no path is known that passes it
+     */
+    getUsedTokens(id: string): number | undefined {
+        return this.memory.getUsedTokens(id);
     }
 
     /**
@@ -78,7 +99,7 @@
      * @param run - the request
      * @param lastEventId - event after which a stream is resumed
      * @param isUnderWay - whether the caller has received part of the answer, so that the request may go to a full
-     * target
+     * target where none has room
      * @returns the target, or why there is none
      */
     choose(run: RequestContext, lastEventId: string | undefined, isUnderWay: boolean): TargetChoice {
@@ -140,22 +161,38 @@
         }
         this.options.shortage.recordSufficient(service.name);
         const getClassRoom = this.room.createClassRoom(run, view.routing?.ranks.get(service.name), chains, engine);
-        const chooseLoaded = (subset: readonly Chain[]): LoadedChain | undefined =>
-            chooseChainByStaleLoad({
+        const unreported = this.options.estimateUnreported(service.name);
+        const usable = this.listUsableChains(service);
+        const memory = this.memory.startCheck(service, engine, { usable, candidates: chains, unreported });
+        const { size } = run.admitted.call;
+        const draw = this.getDraw(run);
+        const createChoice = (isRoomNeeded: boolean) => (subset: readonly Chain[]): LoadedChain | undefined => {
+            memory.startAssigning(subset);
+            return chooseChainByStaleLoad({
                 chains: subset.map((chain) => {
                     const reported = this.getLoad(getFirstEngineId(chain));
                     return { chain, ...reported, reported };
                 }),
-                size: run.admitted.call.size ?? DEFAULT_REQUEST_SIZE,
-                unreportedRequests: this.options.estimateUnreported(service.name) * subset.length / chains.length,
-                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine, getClassRoom),
+                size: size ?? DEFAULT_REQUEST_SIZE,
+                unreportedRequests: unreported * subset.length / chains.length,
+                hasCapacity: (loaded) =>
+                    !isRoomNeeded || (
+                        memory.hasRoom(loaded.chain, size) && this.room.hasRoom(run, loaded, engine, getClassRoom)
+                    ),
+                recordAssigned: (chain) => {
+                    memory.recordAssigned(chain);
+                },
                 computeCost: getClassRoom === undefined ? undefined : (loaded) => computeFill(getClassRoom(loaded)),
-                draw: this.options.random(),
+                draw,
             });
+        };
         const limited = new Set<string>();
         let chosen: LoadedChain | undefined;
-        for (const tier of this.listTiers(chains, service.name, !isUnderWay && run.attempts === 0)) {
-            chosen ??= this.chooseWithPermit(run, tier, limited, chooseLoaded);
+        const tiers = this.listTiers(chains, service.name, !isUnderWay && run.attempts === 0);
+        for (const isRoomNeeded of isUnderWay ? [true, false] : [true]) {
+            for (const tier of tiers) {
+                chosen ??= this.chooseWithPermit(run, tier, limited, createChoice(isRoomNeeded));
+            }
         }
         const first = chosen?.chain.stages[0]?.engine;
         if (chosen === undefined || first === undefined) {
@@ -165,6 +202,13 @@
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
+    /** One draw for each request: one that drew anew whenever it looks for room again would take more than its share. */
+    getDraw(run: RequestContext): number {
+        const draw = this.draws.get(run) ?? this.options.random();
+        this.draws.set(run, draw);
+        return draw;
+    }
+
     /**
      * Skips chains whose first engine has no permit left and collects these engines, so that a request that another
      * chain can serve goes there at once.
--- a/packages/daemon/src/process/sumLoads.ts
+++ b/packages/daemon/src/process/sumLoads.ts
@@ -6,6 +6,9 @@
 /** Load of one upstream. */
 export type UpstreamLoad = UpstreamLoads[string];
 
+/** Tokens of requests, and how many requests they cover. */
+type LoadTokens = Pick<UpstreamLoad, "tokens" | "sized_open">;
+
 /**
  * Adds two loads of one upstream.
  * @param one - a load; undefined for none
@@ -16,6 +19,7 @@
     return {
         open: (one?.open ?? 0) + other.open,
         unstarted: (one?.unstarted ?? 0) + other.unstarted,
+        ...sumTokens(one, other),
         ...sumMember("unstarted_by_rank", one, other),
         ...sumMember("open_by_rank", one, other),
     };
@@ -28,16 +32,32 @@
  * @returns the product
  */
 export function multiplyLoad(load: UpstreamLoad, factor: number): UpstreamLoad {
-    const { unstarted_by_rank, open_by_rank } = load;
+    const { unstarted_by_rank, open_by_rank, tokens, sized_open } = load;
     const multiply = (counts: readonly number[]): number[] => counts.map((count) => count * factor);
     return {
         open: load.open * factor,
         unstarted: load.unstarted * factor,
+        ...(tokens === undefined ? {} : { tokens: tokens * factor }),
+        ...(sized_open === undefined ? {} : { sized_open: sized_open * factor }),
         ...(unstarted_by_rank === undefined ? {} : { unstarted_by_rank: multiply(unstarted_by_rank) }),
         ...(open_by_rank === undefined ? {} : { open_by_rank: multiply(open_by_rank) }),
     };
 }
 
+/** Counts how many open requests the tokens cover, where an entry of an earlier build reports none. */
+function sumTokens(one: UpstreamLoad | undefined, other: UpstreamLoad): LoadTokens {
+    const sized_open = countSized(one) + countSized(other);
+    if (sized_open === 0) {
+        return {};
+    }
+    const tokens = (one?.tokens ?? 0) + (other.tokens ?? 0);
+    return sized_open === (one?.open ?? 0) + other.open ? { tokens } : { tokens, sized_open };
+}
+
+function countSized(load: UpstreamLoad | undefined): number {
+    return load?.tokens === undefined ? 0 : load.sized_open ?? load.open;
+}
+
 function sumMember(
     name: "open_by_rank" | "unstarted_by_rank",
     one: UpstreamLoad | undefined,
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -46,8 +46,10 @@
 export { FairQueue, MultiClassQueue, type QueuedRequest } from "./request/fairQueue.js";
 export * from "./request/findRoute.js";
 export * from "./request/hasChainCapacity.js";
+export * from "./request/hasTokenRoom.js";
 export * from "./request/hasUpstreamCapacity.js";
 export * from "./request/isChainStalled.js";
+export { LearnedRoom } from "./request/learnedRoom.js";
 export * from "./request/listCandidateChains.js";
 export * from "./request/listPreferredChains.js";
 export {
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -13,6 +13,8 @@
 
 /** Request counts by rank; counts that don't parse are dropped, so that the rest of the message counts. */
 const rankCountsSchema = z.array(z.int().nonnegative()).max(MAX_REPORTED_RANKS).optional().catch(undefined);
+/** Upper bound of the tokens at one upstream that are credible: more than any engine has memory for. */
+const MAX_LOAD_TOKENS = 100_000_000;
 
 /** Request counts by the first upstream of the request's path. */
 export const upstreamLoadsSchema = z.record(
@@ -26,6 +28,10 @@
         unstarted_by_rank: rankCountsSchema,
         /** The open requests by rank; absent for services that are not ranked. */
         open_by_rank: rankCountsSchema,
+        /** Tokens that the open requests hold on average: the prompt and half of the answer expected of each. */
+        tokens: z.int().nonnegative().max(MAX_LOAD_TOKENS).optional().catch(undefined),
+        /** Open requests that `tokens` covers, in a sum that includes entries which report none; absent: all. */
+        sized_open: z.int().nonnegative().optional().catch(undefined),
     }),
 );
 
@@ -80,7 +86,12 @@
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; sent immediately, since `synchronise` is a long poll. */
-export const suspectParametersSchema = z.object({ instance: z.string(), suspects: z.array(z.string()) });
+export const suspectParametersSchema = z.object({
+    instance: z.string(),
+    suspects: z.array(z.string()),
+    /** Engines that declined a request, which they also do while they are short of memory. */
+    declined: z.array(z.string()).optional(),
+});
 
 /** Result of `synchronise`. */
 export const synchroniseResultSchema = z.discriminatedUnion("kind", [
@@ -112,7 +123,7 @@
         spending_elsewhere: retryBudgetUsageSchema.default({}),
         /** Time for which this leader has collected `spending_elsewhere`, in milliseconds. */
         spending_known_ms: z.number().nonnegative().default(0),
-        /** Upstreams that several entries suspect and that the leader is probing. */
+        /** Upstreams that several entries suspect, or that declined and do not answer, while the leader probes them. */
         suspects: z.array(z.string()).default([]),
         /** Rate limits that changed since the entry's cursor. */
         limits: rateLimitUpdatesSchema.optional(),
