--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -30,6 +30,7 @@
 import type { AdmissionLevels } from "./admissionLevels.js";
 import type { EngineShortage } from "./engineShortage.js";
 import type { LeavingNotices } from "./leavingNotices.js";
+import { MemoryUse } from "./memoryUse.js";
 import { getPathKey, type PathKey } from "./pathKey.js";
 import { type GetClassRoom, PathRoom } from "./pathRoom.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
@@ -63,18 +64,38 @@
     readonly getDemand?: (service: string) => ServiceDemand | undefined;
     /** Records the part of a service's places that a class may take, and what it was computed from. */
     readonly recordClassRoom?: AdmissionLevels["record"];
+    /** Share of other entries' requests at an upstream that are as likely to end soon as others; none where not given. */
+    readonly getSteadyShare?: (id: string) => number;
+    /** Memory of an engine as learned from declines; without it, the memory by its profile. */
+    readonly getLimitTokens?: (engine: string, contextTokens: number) => number;
     readonly random: () => number;
 }
 
 /** Selects targets. */
 export class TargetChooser {
     private readonly room: PathRoom;
+    private readonly memory: MemoryUse;
+    private readonly draws = new WeakMap<RequestContext, number>();
 
     /**
      * @param options - upstreams and their load
      */
     constructor(private readonly options: TargetChooserOptions) {
         this.room = new PathRoom(options);
+        this.memory = new MemoryUse({
+            ...options,
+            getLocalLoad: (id) => options.health.getLoad(id),
+            getHoldMs: (ids) => options.health.computeMeanAnswerMs(ids),
+        });
+    }
+
+    /**
+     * Computes the tokens that all entries' requests hold in an engine.
+     * @param id - the engine
+     * @returns tokens, or undefined where no path is known that passes it
+     */
+    getUsedTokens(id: string): number | undefined {
+        return this.memory.getUsedTokens(id);
     }
 
     /**
@@ -82,7 +103,7 @@
      * @param run - the request
      * @param lastEventId - event after which a stream is resumed
      * @param isUnderWay - whether the caller has received part of the answer, so that the request may go to a full
-     * target
+     * target where none has room
      * @returns the target, or why there is none
      */
     choose(run: RequestContext, lastEventId: string | undefined, isUnderWay: boolean): TargetChoice {
@@ -144,19 +165,35 @@
         }
         this.options.shortage.recordSufficient(service.name);
         const getClassRoom = this.room.createClassRoom(run, view.routing?.ranks.get(service.name), chains, engine);
-        const chooseLoaded = (subset: readonly Chain[]): LoadedChain | undefined =>
-            chooseChainByStaleLoad({
+        const unreported = this.options.estimateUnreported(service.name);
+        const usable = this.listUsableChains(service);
+        const memory = this.memory.startCheck(service, engine, { usable, candidates: chains, unreported });
+        const { size } = run.admitted.call;
+        const draw = this.getDraw(run);
+        const createChoice = (isRoomNeeded: boolean) => (subset: readonly Chain[]): LoadedChain | undefined => {
+            memory.startAssigning(subset);
+            return chooseChainByStaleLoad({
                 chains: subset.map((chain) => this.getLoadedChain(chain)),
-                size: run.admitted.call.size ?? DEFAULT_REQUEST_SIZE,
-                unreportedRequests: this.options.estimateUnreported(service.name) * subset.length / chains.length,
-                hasCapacity: (loaded) => isUnderWay || this.room.hasRoom(run, loaded, engine, getClassRoom),
+                size: size ?? DEFAULT_REQUEST_SIZE,
+                unreportedRequests: unreported * subset.length / chains.length,
+                hasCapacity: (loaded) =>
+                    !isRoomNeeded || (
+                        memory.hasRoom(loaded.chain, size) && this.room.hasRoom(run, loaded, engine, getClassRoom)
+                    ),
+                recordAssigned: (chain) => {
+                    memory.recordAssigned(chain);
+                },
                 computeCost: getClassRoom === undefined ? undefined : (loaded) => computeFill(getClassRoom(loaded)),
-                draw: this.options.random(),
+                draw,
             });
+        };
         const limited = new Set<string>();
         let chosen: LoadedChain | undefined;
-        for (const tier of this.listTiers(chains, service.name, !isUnderWay && run.attempts === 0)) {
-            chosen ??= this.chooseWithPermit(run, tier, limited, chooseLoaded);
+        const tiers = this.listTiers(chains, service.name, !isUnderWay && run.attempts === 0);
+        for (const isRoomNeeded of isUnderWay ? [true, false] : [true]) {
+            for (const tier of tiers) {
+                chosen ??= this.chooseWithPermit(run, tier, limited, createChoice(isRoomNeeded));
+            }
         }
         if (getClassRoom !== undefined && !isUnderWay) {
             this.recordClassRoom(run, chains, getClassRoom, engine);
@@ -213,6 +250,11 @@
     private getLoadedChain(chain: Chain): LoadedChain {
         const reported = this.getLoad(getFirstEngineId(chain));
         return { chain, ...reported, reported };
+    /** One draw for each request: one that drew anew whenever it looks for room again would take more than its share. */
+    getDraw(run: RequestContext): number {
+        const draw = this.draws.get(run) ?? this.options.random();
+        this.draws.set(run, draw);
+        return draw;
     }
 
     /**
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -12,6 +12,8 @@
     /** Open requests by rank; empty before the first request of a ranked service. */
     readonly openByRank: number[];
     readonly unstartedByRank: number[];
+    /** Tokens that open requests to an engine hold on average. */
+    tokens: number;
     /** Moving average of the response time; undefined before the first response. */
     answerMs: number | undefined;
     /** Moving average of the failure rate, from 0 to 1. */
@@ -25,8 +27,10 @@
     suspectUntilMs: number;
     /** End of the backoff after a declined request. */
     declinedUntilMs: number;
-    /** Time until which the upstream is considered down. */
+    /** Time until which the upstream is considered down by what this entry saw. */
     downUntilMs: number;
+    /** Time until which the upstream is considered down because the leader named it. */
+    namedUntilMs: number;
     suspicionCount: number;
 }
 
@@ -66,6 +70,9 @@
 export class UpstreamHealth {
     private readonly byId = new Map<string, Health>();
     private readonly unreportedSuspects = new Set<string>();
+    private readonly unreportedDeclines = new Set<string>();
+    /** Upstreams that the leader's last answer named. */
+    private named: readonly string[] = [];
 
     /**
      * @param getNowMs - the monotonic clock
@@ -76,9 +83,11 @@
      * Records that a request is sent to an upstream.
      * @param id - the upstream
      * @param rank - rank of the request; undefined for a service that is not ranked
+     * @param tokens - for an engine, tokens that the request holds on average
      */
-    recordRequestStart(id: string, rank?: number): void {
+    recordRequestStart(id: string, rank?: number, tokens = 0): void {
         const health = this.get(id);
+        health.tokens += tokens;
         health.open += 1;
         health.unstarted += 1;
         addToRank(health.openByRank, rank, 1);
@@ -100,9 +109,11 @@
      * Records that a request to an upstream ended.
      * @param id - the upstream
      * @param rank - its rank, as at its start
+     * @param tokens - as at its start
      */
-    recordEnd(id: string, rank?: number): void {
+    recordEnd(id: string, rank?: number, tokens = 0): void {
         const health = this.get(id);
+        health.tokens = Math.max(0, health.tokens - tokens);
         health.open = Math.max(0, health.open - 1);
         addToRank(health.openByRank, rank, -1);
     }
@@ -145,6 +156,7 @@
         health.failures = updateAverage(health.failures * weight, 1, weight);
         health.lastOutcomeMs = this.getNowMs();
         this.unreportedSuspects.add(id);
+        this.unreportedDeclines.delete(id);
     }
 
     /**
@@ -165,13 +177,32 @@
      * Considers an upstream down until there is newer information: a response named it as the cause of a failure, or
      * other entries suspect it.
      * @param id - the upstream
-     * @param isReported - whether to report it to the leader
+     * @param isOwn - whether it declined a request of this entry, which is reported to the leader
      */
-    markDown(id: string, isReported: boolean): void {
-        this.get(id).downUntilMs = this.getNowMs() + DOWN_MS;
-        if (isReported) {
-            this.unreportedSuspects.add(id);
+    markDown(id: string, isOwn: boolean): void {
+        const untilMs = this.getNowMs() + DOWN_MS;
+        if (isOwn) {
+            this.get(id).downUntilMs = untilMs;
+            this.unreportedDeclines.add(id);
         }
+        else {
+            this.get(id).namedUntilMs = untilMs;
+        }
+    }
+
+    /**
+     * Applies the list of upstreams that the leader considers down. One that is no longer listed has answered the
+     * leader, or its loss is part of the leader's state.
+     * @param ids - the upstreams
+     */
+    applyNamed(ids: readonly string[]): void {
+        this.named.filter((id) => !ids.includes(id)).forEach((id) => {
+            this.get(id).namedUntilMs = 0;
+        });
+        ids.forEach((id) => {
+            this.markDown(id, false);
+        });
+        this.named = ids;
     }
 
     /**
@@ -179,7 +210,9 @@
      * @param id - the upstream
      */
     clearDown(id: string): void {
-        this.get(id).downUntilMs = 0;
+        const health = this.get(id);
+        health.downUntilMs = 0;
+        health.namedUntilMs = 0;
     }
 
     /**
@@ -188,7 +221,8 @@
      * @returns true for a limited time after evidence of it
      */
     isDown(id: string): boolean {
-        return (this.byId.get(id)?.downUntilMs ?? 0) > this.getNowMs();
+        const health = this.byId.get(id);
+        return health !== undefined && getDownUntilMs(health) > this.getNowMs();
     }
 
     /**
@@ -228,6 +262,16 @@
         return ids;
     }
 
+    /**
+     * Removes and returns the upstreams that declined requests since the last call, for the report to the leader.
+     * @returns their ids, without those that are reported as failed
+     */
+    takeDeclined(): readonly string[] {
+        const ids = [...this.unreportedDeclines];
+        this.unreportedDeclines.clear();
+        return ids;
+    }
+
     /**
      * Gets the load of this entry at an upstream.
      * @param id - the upstream
@@ -282,6 +326,16 @@
         return averages[Math.floor(averages.length / 2)] ?? DEFAULT_ANSWER_MS;
     }
 
+    /**
+     * Computes the mean time of requests at upstreams.
+     * @param ids - the upstreams
+     * @returns milliseconds, or undefined where none has answered
+     */
+    computeMeanAnswerMs(ids: readonly string[]): number | undefined {
+        const averages = ids.flatMap((id) => this.byId.get(id)?.answerMs ?? []);
+        return averages.length === 0 ? undefined : averages.reduce((sum, one) => sum + one, 0) / averages.length;
+    }
+
     /**
      * Removes upstreams that are no longer registered.
      * @param isKnown - whether an upstream is registered
@@ -304,6 +358,7 @@
             unstarted: 0,
             openByRank: [],
             unstartedByRank: [],
+            tokens: 0,
             answerMs: undefined,
             failures: 0,
             lastOutcomeMs: this.getNowMs(),
@@ -312,6 +367,7 @@
             suspectUntilMs: 0,
             declinedUntilMs: 0,
             downUntilMs: 0,
+            namedUntilMs: 0,
             suspicionCount: 0,
         };
         this.byId.set(id, health);
@@ -320,12 +376,13 @@
 }
 
 /** Ranks without requests at the end are left out of the report, and with them all where there are none. */
-function createLoad({ open, unstarted, openByRank, unstartedByRank }: Health): UpstreamLoad {
+function createLoad({ open, unstarted, openByRank, unstartedByRank, tokens }: Health): UpstreamLoad {
     const unstarted_by_rank = trimZeros(unstartedByRank);
     const open_by_rank = trimZeros(openByRank);
     return {
         open,
         unstarted,
+        ...(tokens === 0 ? {} : { tokens }),
         ...(unstarted_by_rank.length === 0 ? {} : { unstarted_by_rank }),
         ...(open_by_rank.length === 0 ? {} : { open_by_rank }),
     };
@@ -346,8 +403,12 @@
     counts[index] = Math.max(0, (counts[index] ?? 0) + change);
 }
 
+function getDownUntilMs({ downUntilMs, namedUntilMs }: Health): number {
+    return Math.max(downUntilMs, namedUntilMs);
+}
+
 function isExcluded(health: Health, nowMs: number): boolean {
-    return Math.max(health.suspectUntilMs, health.declinedUntilMs, health.downUntilMs) > nowMs;
+    return Math.max(health.suspectUntilMs, health.declinedUntilMs, getDownUntilMs(health)) > nowMs;
 }
 
 /** Exponential moving average in which the newest sample weighs more the further the evidence has decayed. */
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -118,10 +118,14 @@
     ) => TargetChoice;
     /** Whether the API key of the request is still valid. */
     readonly isKeyUsable: () => boolean;
-    readonly recordStart: (id: string, rank?: number) => void;
+    /**
+     * Records that a request is sent, with its rank in a ranked service and, for an engine, the tokens that it holds there
+     * on average.
+     */
+    readonly recordStart: (id: string, rank?: number, tokens?: number) => void;
     /** The request has produced its first output, or ended without any. */
     readonly recordFirstOutput: (id: string, rank?: number) => void;
-    readonly recordEnd: (id: string, rank?: number) => void;
+    readonly recordEnd: (id: string, rank?: number, tokens?: number) => void;
     readonly recordAnswer: (id: string, durationMs: number, isFailure: boolean) => void;
     /** Excludes an upstream for a while. */
     readonly suspect: (id: string, reason: string) => void;
--- a/packages/decisions/src/request/chooseChain.ts
+++ b/packages/decisions/src/request/chooseChain.ts
@@ -70,6 +70,8 @@
     readonly hasCapacity: (loaded: LoadedChain) => boolean;
     /** Cost of a request on a chain; the expected time where it is absent. */
     readonly computeCost?: ((loaded: LoadedChain) => number) | undefined;
+    /** Records that an unreported request is assigned to a chain, for what chains share. */
+    readonly recordAssigned?: (chain: Chain) => void;
     /** From 0 up to 1; position of this request among the unreported ones. */
     readonly draw: number;
 }
@@ -90,6 +92,7 @@
         if (best === undefined || ahead <= 0) {
             return best;
         }
+        view.recordAssigned?.(best.chain);
         chains[chains.indexOf(best)] = { ...best, open: best.open + 1, unstarted: best.unstarted + 1 };
     }
 }
