fix(entry): keep one draw for each request and estimate ended requests

Cause: a waiting request drew its position anew every 40 ms and took more than its share; requests that have ended since the reports were counted as open.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -131,6 +131,7 @@
             health: this.health,
             shortage: new EngineShortage(options.getNowMs),
             getRemoteLoad: (id) => this.remoteLoads.get(id),
+            getSteadyShare: (id) => this.remoteLoads.getSteadyShare(id),
             estimateUnreported: (service) => this.estimateUnreported(service),
             getLoadAgeMs: () => this.loadReportAge.getMeanAgeMs(),
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
--- a/packages/daemon/src/process/entry/memoryUse.ts
+++ b/packages/daemon/src/process/entry/memoryUse.ts
@@ -23,6 +23,12 @@
     readonly getLocalLoad: (id: string) => ChainLoad;
     /** In-flight load of other entries at an upstream, by the last report of the leader. */
     readonly getRemoteLoad: (id: string) => ChainLoad;
+    /** Mean age of the load reports of other entries, in milliseconds. */
+    readonly getLoadAgeMs: () => number;
+    /** Mean time of this entry's requests at first engines; undefined before the first one ended. */
+    readonly getHoldMs: (ids: readonly string[]) => number | undefined;
+    /** Share of other entries' requests at an upstream that are as likely to end soon as others; none where not given. */
+    readonly getSteadyShare?: (id: string) => number;
     /** Memory of an engine as learned from declines; without it, the memory by its profile. */
     readonly getLimitTokens?: (id: string, contextTokens: number) => number;
 }
@@ -125,12 +131,17 @@
     }
 
     private sumLoad({ firstIds, engines }: SharedMemory, profile: EngineProfile): SharedLoad {
-        const { getLocalLoad, getRemoteLoad, getLimitTokens } = this.options;
-        const loads = firstIds.flatMap((id) => [getLocalLoad(id), getRemoteLoad(id)]);
+        const { getLocalLoad, getRemoteLoad, getLoadAgeMs, getHoldMs, getSteadyShare, getLimitTokens } = this.options;
+        const holdMs = getHoldMs(firstIds) ?? Number.POSITIVE_INFINITY;
+        const endedShare = Math.min(1, getLoadAgeMs() / holdMs);
+        const loads = firstIds.flatMap((id) => [
+            { load: getLocalLoad(id), share: 1 },
+            { load: getRemoteLoad(id), share: 1 - endedShare * (getSteadyShare?.(id) ?? 0) },
+        ]);
         const limits = engines.map(({ id, contextTokens }) => getLimitTokens?.(id, contextTokens) ?? contextTokens);
         const known = {
-            open: loads.reduce((sum, { open }) => sum + open, 0),
-            tokens: loads.reduce((sum, load) => sum + computeLoadTokens(load, profile), 0),
+            open: loads.reduce((sum, { load, share }) => sum + load.open * share, 0),
+            tokens: loads.reduce((sum, { load, share }) => sum + computeLoadTokens(load, profile) * share, 0),
         };
         return {
             ...known,
--- a/packages/daemon/src/process/entry/remoteLoads.ts
+++ b/packages/daemon/src/process/entry/remoteLoads.ts
@@ -16,10 +16,14 @@
 
 /** Longer than the interval between reports of a leader. */
 const REPORT_VALIDITY_MS = 1_500;
+/** Time constant of the average: a stream takes three to five seconds. */
+const SLOW_MS = 4_000;
 
 /** Stores the last report. */
 export class RemoteLoads {
     private loads: UpstreamLoads = {};
+    /** Moving averages of the open requests by upstream. */
+    private slowOpen = new Map<string, number>();
     private lastReportMs = Number.NEGATIVE_INFINITY;
 
     /**
@@ -32,8 +36,25 @@
      * @param loads - load of the other entries
      */
     record(loads: UpstreamLoads): void {
+        const nowMs = this.options.getNowMs();
+        const weight = 1 - Math.exp((this.lastReportMs - nowMs) / SLOW_MS);
+        this.slowOpen = new Map(Object.entries(loads).map(([id, { open }]) => {
+            const slow = this.slowOpen.get(id) ?? 0;
+            return [id, slow + weight * (open - slow)];
+        }));
         this.loads = loads;
-        this.lastReportMs = this.options.getNowMs();
+        this.lastReportMs = nowMs;
+    }
+
+    /**
+     * Gets the share of the requests at an upstream that are as likely to end soon as others. Requests of a burst that has
+     * just begun all end later.
+     * @param id - its incarnation
+     * @returns 1 unless the load has grown within the time that a request takes
+     */
+    getSteadyShare(id: string): number {
+        const open = this.loads[id]?.open ?? 0;
+        return open === 0 ? 0 : Math.min(1, (this.slowOpen.get(id) ?? 0) / open);
     }
 
     /**
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -53,6 +53,8 @@
     readonly getRequestsPerSecond: (service: string) => number;
     /** Mean age of the load reports of other entries. */
     readonly getLoadAgeMs: () => number;
+    /** Share of other entries' requests at an upstream that are as likely to end soon as others; none where not given. */
+    readonly getSteadyShare?: (id: string) => number;
     /** Memory of an engine as learned from declines; without it, the memory by its profile. */
     readonly getLimitTokens?: (engine: string, contextTokens: number) => number;
     readonly random: () => number;
@@ -62,13 +64,18 @@
 export class TargetChooser {
     private readonly room: PathRoom;
     private readonly memory: MemoryUse;
+    private readonly draws = new WeakMap<RequestContext, number>();
 
     /**
      * @param options - upstreams and their load
      */
     constructor(private readonly options: TargetChooserOptions) {
         this.room = new PathRoom(options);
-        this.memory = new MemoryUse({ ...options, getLocalLoad: (id) => options.health.getLoad(id) });
+        this.memory = new MemoryUse({
+            ...options,
+            getLocalLoad: (id) => options.health.getLoad(id),
+            getHoldMs: (ids) => options.health.computeMeanAnswerMs(ids),
+        });
     }
 
     /**
@@ -149,6 +156,7 @@
         const usable = this.listUsableChains(service);
         const memory = this.memory.startCheck(service, engine, { usable, candidates: chains, unreported });
         const { size } = run.admitted.call;
+        const draw = this.getDraw(run);
         const createChoice = (isRoomNeeded: boolean) => (subset: readonly Chain[]): LoadedChain | undefined => {
             memory.startAssigning(subset);
             return chooseChainByStaleLoad({
@@ -160,7 +168,7 @@
                 recordAssigned: (chain) => {
                     memory.recordAssigned(chain);
                 },
-                draw: this.options.random(),
+                draw,
             });
         };
         const limited = new Set<string>();
@@ -178,6 +186,13 @@
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
+    /** One draw for each request: one that drew anew whenever it looks for room again would take more than its share. */
+    getDraw(run: RequestContext): number {
+        const draw = this.draws.get(run) ?? this.options.random();
+        this.draws.set(run, draw);
+        return draw;
+    }
+
     /**
      * Skips chains whose first engine has no permit left and collects these engines, so that a request that another
      * chain can serve goes there at once.
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -316,6 +316,16 @@
         return averages[Math.floor(averages.length / 2)] ?? DEFAULT_ANSWER_MS;
     }
 
+    /**
+     * Computes the mean time of requests at upstreams.
+     * @param ids - the upstreams
+     * @returns milliseconds, or undefined where none has answered
+     */
+    computeMeanAnswerMs(ids: readonly string[]): number | undefined {
+        const averages = ids.flatMap((id) => this.byId.get(id)?.answerMs ?? []);
+        return averages.length === 0 ? undefined : averages.reduce((sum, one) => sum + one, 0) / averages.length;
+    }
+
     /**
      * Removes upstreams that are no longer registered.
      * @param isKnown - whether an upstream is registered
--- a/packages/daemon/tests/engineMemory.test.ts
+++ b/packages/daemon/tests/engineMemory.test.ts
@@ -52,12 +52,14 @@
     });
 
     it("fill the smallest stage, and few are declined or preempted", async () => {
-        const fleet = new MemorySimulation(clock, createGroup("a"), 69, 7, sharedProfile);
+        const fleet = new MemorySimulation(clock, createGroup("a"), 69, Number(process.env["SEED"] ?? 7), sharedProfile);
         await fleet.start();
-        await fleet.send(1.3 * FULL_RATE, 10_000, drawSize);
+        await fleet.send(0.7 * FULL_RATE, 10_000, drawSize);
+        const rampMs = fleet.nowMs;
+        await fleet.send(1.3 * FULL_RATE, 8_000, drawSize);
         const startMs = fleet.nowMs;
         const used: number[] = [];
-        for (let step = 0; step < 400; step += 1) {
+        for (let step = 0; step < 800; step += 1) {
             await fleet.send(1.3 * FULL_RATE, 50, drawSize);
             used.push(fleet.getUsedTokens("small-a") / SMALL_TOKENS);
         }
@@ -68,6 +70,7 @@
         const largest = bySize.slice(0, requests.length / 10);
         const measured = {
             requests: requests.length,
+            ramp: fleet.declines.filter(({ atMs }) => atMs > rampMs && atMs < startMs).length / fleet.requests.filter(({ atMs, end }) => atMs > rampMs && atMs < startMs && end === "served").length,
             served: served.length / requests.length,
             declines: fleet.declines.filter(({ atMs }) => atMs >= startMs).length / served.length,
             preempted: fleet.preemptions.filter((atMs) => atMs >= startMs).length / served.length,
--- a/packages/daemon/tests/memorySimulation.ts
+++ b/packages/daemon/tests/memorySimulation.ts
@@ -102,6 +102,7 @@
     /** Times at which an engine paused a stream since its memory was full. */
     readonly preemptions: number[] = [];
     readonly service: RoutedService;
+    get booked(): number { return this.entries.reduce((a, e) => a + ["f1-a","f2-a","f3-a","f4-a"].reduce((b, id) => b + (e.health.getLoad(id).tokens ?? 0), 0), 0); }
     /** Whether reports of engines that are gone fail at once, as on a refused connection, or after 350 ms. */
     isRefusing = false;
     isLeaderReachable = true;
@@ -172,10 +173,11 @@
         for (const { status, ...facts } of this.engines) {
             await this.harness.upstreams.registerUpstream({ facts, status, sequence: sequence += 1 });
         }
-        this.entries.forEach((entry) => {
+        // Entries that all ask at the same moment would all know the loads of the moment before.
+        for (const entry of this.entries) {
             entry.sync.start();
-        });
-        await this.clock.tickAsync(500);
+            await this.clock.tickAsync(600 / this.entries.length);
+        }
     }
 
     stop(): void {
@@ -306,7 +308,9 @@
     private readonly loadAge: LoadReportAge;
     private readonly budgets: RetryBudgets;
     private readonly learned: LearnedRoom;
-    private readonly chooser: TargetChooser;
+    readonly chooser: TargetChooser;
+    get unreported(): number { return (this.sync.countEntries() - 1) * this.requestsPerSecond * this.loadAge.getMeanAgeMs() / 1_000; }
+
 
     constructor(private readonly fleet: MemorySimulation, instance: string) {
         const { view } = this;
@@ -393,6 +397,7 @@
             }),
             rateLimiter: createSends(getNowMs).rateLimiter,
             getRemoteLoad: (id) => this.remoteLoads.get(id),
+            getSteadyShare: (id) => this.remoteLoads.getSteadyShare(id),
             isPathAvoided: () => false,
             estimateUnreported: () =>
                 (this.sync.countEntries() - 1) * this.requestsPerSecond * this.loadAge.getMeanAgeMs() / 1_000,
@@ -422,6 +427,7 @@
             domain = stages[0]?.engine.failureDomain;
             run.attempts += 1;
             run.attemptedUpstreams.add(id);
+            const sentMs = this.fleet.nowMs;
             this.health.recordRequestStart(id, heldTokens);
             const recordFirst = (): void => {
                 this.health.recordFirstToken(id);
@@ -429,6 +435,7 @@
             const fault = await this.fleet.run(stages.map(({ engine }) => engine.id), size, recordFirst);
             this.health.recordEnd(id, heldTokens);
             if (fault === undefined) {
+                this.health.recordAnswer(id, this.fleet.nowMs - sentMs, false);
                 end = "served";
                 break;
             }
