--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -135,7 +135,6 @@
             estimateUnreported: (service) => this.estimateUnreported(service),
             getLoadAgeMs: () => this.loadReportAge.getMeanAgeMs(),
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
-            estimateUnreportedByFleet: (service) => this.estimateUnreportedByFleet(service),
             countEntries: options.countEntries,
             getLimitTokens: (id, contextTokens) => learnedRoom.getLimitTokens(id, contextTokens),
             random: options.random,
@@ -364,11 +363,6 @@
         return others * this.budgets.get(service).requestsPerSecond * this.loadReportAge.getMeanAgeMs() / MS_PER_SECOND;
     }
 
-    private estimateUnreportedByFleet(service: string): number | undefined {
-        const rate = this.budgets.get(service).remoteRequestsPerSecond;
-        return rate === undefined ? undefined : rate * this.loadReportAge.getMeanAgeMs() / MS_PER_SECOND;
-    }
-
     /** A stream may move to another path only where an attempt, another path and retry budget are left. */
     private claimLeave(run: RequestContext, isUnderWay: boolean): boolean {
         const { route, service } = run.admitted;
--- a/packages/daemon/src/process/entry/memoryUse.ts
+++ b/packages/daemon/src/process/entry/memoryUse.ts
@@ -41,8 +41,6 @@
     readonly candidates: readonly Chain[];
     /** Requests that other entries are expected to have sent since their last reports. */
     readonly unreported: number;
-    /** How many of these each stands for that is assigned to a path. */
-    readonly assignedWeight: number;
 }
 
 /** Load and limit of engines that the same paths pass, during one choice. */
@@ -101,7 +99,7 @@
             });
             return [chain.id, shared];
         }));
-        return new MemoryCheck(loadsByChain, profile, paths.assignedWeight);
+        return new MemoryCheck(loadsByChain, profile);
     }
 
     /**
@@ -164,12 +162,10 @@
     /**
      * @param loads - loads of the engines of each path, by its id
      * @param profile - usual sizes
-     * @param assignedWeight - requests for which each assigned one stands
      */
     constructor(
         private readonly loads: ReadonlyMap<string, readonly SharedLoad[]>,
         private readonly profile: EngineProfile,
-        private readonly assignedWeight: number,
     ) {
         this.usualTokens = computeHeldTokens(getUsualSize(profile));
     }
@@ -211,7 +207,7 @@
      */
     recordAssigned({ id }: Chain): void {
         this.loads.get(id)?.forEach((load) => {
-            const requests = this.assignedWeight * load.candidates / Math.max(1, load.tried);
+            const requests = load.candidates / Math.max(1, load.tried);
             load.open += requests;
             load.tokens += requests * this.usualTokens;
         });
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -48,8 +48,6 @@
     readonly isPathAvoided: (path: PathKey) => boolean;
     /** Estimates the requests to a service that other entries have sent since their last load reports. */
     readonly estimateUnreported: (service: string) => number;
-    /** The same from the rate that these entries reported, undefined without one: own requests may be too few to tell. */
-    readonly estimateUnreportedByFleet?: (service: string) => number | undefined;
     readonly countEntries: () => number;
     /** Rate at which this entry sends requests to a service. */
     readonly getRequestsPerSecond: (service: string) => number;
@@ -156,13 +154,7 @@
         this.options.shortage.recordSufficient(service.name);
         const unreported = this.options.estimateUnreported(service.name);
         const usable = this.listUsableChains(service);
-        const unreportedByFleet = this.options.estimateUnreportedByFleet?.(service.name) ?? unreported;
-        const memory = this.memory.startCheck(service, engine, {
-            usable,
-            candidates: chains,
-            unreported: unreportedByFleet,
-            assignedWeight: unreported === 0 ? 1 : unreportedByFleet / unreported,
-        });
+        const memory = this.memory.startCheck(service, engine, { usable, candidates: chains, unreported });
         const { size } = run.admitted.call;
         const draw = this.getDraw(run);
         const createChoice = (isRoomNeeded: boolean) => (subset: readonly Chain[]): LoadedChain | undefined => {
--- a/packages/daemon/tests/memorySimulation.ts
+++ b/packages/daemon/tests/memorySimulation.ts
@@ -326,7 +326,7 @@
             getLastResumeMs: () => Number.NEGATIVE_INFINITY,
             getSeeds: () => ["voter"],
             instance,
-            createParameters: () => ({ instance, known_index: view.knownIndex, loads: this.health.listLoads(), spending: this.budgets.listSpending() }),
+            createParameters: () => ({ instance, known_index: view.knownIndex, loads: this.health.listLoads() }),
             takeSuspects: () =>
                 this.build === "this"
                     ? this.health.takeSuspects()
@@ -334,10 +334,6 @@
             takeDeclined: () => this.build === "this" ? this.health.takeDeclined() : [],
             handleState: (state) => {
                 this.loadAge.recordReport();
-                this.budgets.recordRemoteSpending(state.spending_elsewhere ?? {}, {
-                    knownMs: state.spending_known_ms ?? 0,
-                    reporters: state.entries,
-                });
                 this.remoteLoads.record(upstreamLoadsSchema.parse(state.loads_elsewhere));
                 view.applyUpstreams(state);
                 const named = state.suspects ?? [];
@@ -406,10 +402,6 @@
             estimateUnreported: () =>
                 (this.sync.countEntries() - 1) * this.requestsPerSecond * this.loadAge.getMeanAgeMs() / 1_000,
             countEntries: () => this.sync.countEntries(),
-            estimateUnreportedByFleet: () => {
-                const rate = this.budgets.get("s").remoteRequestsPerSecond;
-                return rate === undefined ? undefined : rate * this.loadAge.getMeanAgeMs() / 1_000;
-            },
             getRequestsPerSecond: () => this.requestsPerSecond,
             getLoadAgeMs: () => this.loadAge.getMeanAgeMs(),
             getLimitTokens: (id, tokens) => this.learned.getLimitTokens(id, tokens),
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -180,13 +180,6 @@
         return this.computeSpending().requests * MS_PER_SECOND / this.options.windowMs;
     }
 
-    /** Rate at which the other entries send requests; undefined without a recent report. */
-    get remoteRequestsPerSecond(): number | undefined {
-        const { windowMs } = this.options;
-        const isRecent = this.getNowMs() - this.reportedMs < windowMs && !this.isLeaderNew;
-        return isRecent ? this.remoteSpending.requests * MS_PER_SECOND / windowMs : undefined;
-    }
-
     private isWithinEqualShare(hasPartialAnswer: boolean): boolean {
         const { requests, repeats } = this.computeSpending();
         const { ratio, slack } = this.options;
