test(entry): replay builds, faults and learned room

Adds replays with a leader and entries of the previous build, nonsense in tokens, a lost leader, restarted entries, an engine that holds other work, and streams that move.

--- a/packages/daemon/src/process/entry/remoteLoads.ts
+++ b/packages/daemon/src/process/entry/remoteLoads.ts
@@ -38,10 +38,12 @@
     record(loads: UpstreamLoads): void {
         const nowMs = this.options.getNowMs();
         const weight = 1 - Math.exp((this.lastReportMs - nowMs) / SLOW_MS);
-        this.slowOpen = new Map(Object.entries(loads).map(([id, { open }]) => {
-            const slow = this.slowOpen.get(id) ?? 0;
-            return [id, slow + weight * (open - slow)];
-        }));
+        this.slowOpen = new Map(
+            Object.entries(loads).map(([id, { open }]) => {
+                const slow = this.slowOpen.get(id) ?? 0;
+                return [id, slow + weight * (open - slow)];
+            }),
+        );
         this.loads = loads;
         this.lastReportMs = nowMs;
     }
--- a/packages/daemon/tests/memorySimulation.ts
+++ b/packages/daemon/tests/memorySimulation.ts
@@ -7,6 +7,7 @@
     suspectParametersSchema,
     synchroniseParametersSchema,
     type SynchroniseResult,
+    type UpstreamLoads,
     upstreamLoadsSchema,
 } from "@crankfork/schemas";
 import type { EngineEndpoint, ReportResult } from "../src/connection/engineControl.js";
@@ -102,7 +103,12 @@
     /** Times at which an engine paused a stream since its memory was full. */
     readonly preemptions: number[] = [];
     readonly service: RoutedService;
-    get booked(): number { return this.entries.reduce((a, e) => a + ["f1-a","f2-a","f3-a","f4-a"].reduce((b, id) => b + (e.health.getLoad(id).tokens ?? 0), 0), 0); }
+    get booked(): number {
+        return this.entries.reduce(
+            (a, e) => a + ["f1-a", "f2-a", "f3-a", "f4-a"].reduce((b, id) => b + (e.health.getLoad(id).tokens ?? 0), 0),
+            0,
+        );
+    }
     /** Whether reports of engines that are gone fail at once, as on a refused connection, or after 350 ms. */
     isRefusing = false;
     isLeaderReachable = true;
@@ -180,6 +186,16 @@
         }
     }
 
+    /** Replaces entries, as a restart does; their requests go on. */
+    restartEntries(count: number): void {
+        for (let index = 0; index < count; index += 1) {
+            this.entries[index]?.sync.stop();
+            const entry = new SimulatedEntry(this, `entry-${String(index)}`);
+            this.entries[index] = entry;
+            entry.sync.start();
+        }
+    }
+
     stop(): void {
         this.entries.forEach((entry) => {
             entry.sync.stop();
@@ -216,7 +232,9 @@
         if (!this.isLeaderReachable) {
             throw new Error("unreachable");
         }
-        const raw: unknown = JSON.parse(JSON.stringify(parameters));
+        const raw: unknown = JSON.parse(
+            JSON.stringify(parameters, this.leaderBuild === "this" ? undefined : dropTokens),
+        );
         if (method === "suspect") {
             const { declined = [], ...suspects } = suspectParametersSchema.parse(raw);
             this.probe.handleSuspects(this.leaderBuild === "this" ? { ...suspects, declined } : suspects);
@@ -290,6 +308,11 @@
     readonly answer: number;
 }
 
+/** Leaves out what the build before tokens were counted did not know. */
+function dropTokens(key: string, value: unknown): unknown {
+    return key === "tokens" || key === "sized_open" ? undefined : value;
+}
+
 const drawUsualSize = (): RequestTokens => ({
     prompt: profile.usual_prompt_tokens,
     answer: profile.usual_answer_tokens,
@@ -300,6 +323,8 @@
     build: Build = "this";
     readonly health: UpstreamHealth;
     readonly sync: LeaderSync;
+    /** What it reports as the tokens of its requests, if not what they are. */
+    reportedTokens: unknown;
     /** Time of the last declined attempt, by engine. */
     readonly declinedMs = new Map<string, number>();
     private readonly view = new FleetView();
@@ -309,8 +334,9 @@
     private readonly budgets: RetryBudgets;
     private readonly learned: LearnedRoom;
     readonly chooser: TargetChooser;
-    get unreported(): number { return (this.sync.countEntries() - 1) * this.requestsPerSecond * this.loadAge.getMeanAgeMs() / 1_000; }
-
+    get unreported(): number {
+        return (this.sync.countEntries() - 1) * this.requestsPerSecond * this.loadAge.getMeanAgeMs() / 1_000;
+    }
 
     constructor(private readonly fleet: MemorySimulation, instance: string) {
         const { view } = this;
@@ -326,7 +352,7 @@
             getLastResumeMs: () => Number.NEGATIVE_INFINITY,
             getSeeds: () => ["voter"],
             instance,
-            createParameters: () => ({ instance, known_index: view.knownIndex, loads: this.health.listLoads() }),
+            createParameters: () => ({ instance, known_index: view.knownIndex, loads: this.listLoads() }),
             takeSuspects: () =>
                 this.build === "this"
                     ? this.health.takeSuspects()
@@ -447,6 +473,21 @@
         this.fleet.requests.push({ atMs, tokens: size.prompt + size.answer, domain, end });
     }
 
+    private listLoads(): UpstreamLoads {
+        const loads = this.health.listLoads();
+        const { reportedTokens } = this;
+        const replace = (key: string, value: unknown): unknown =>
+            key !== "tokens" || reportedTokens === undefined ? value : reportedTokens;
+        const drop = this.build === "this" ? replace : dropTokens;
+        return JSON.parse(JSON.stringify(loads, drop)) as UpstreamLoads;
+    }
+
+    /** Chooses a path; returns its failure domain, or why there is none. */
+    choose(size: RequestTokens, isUnderWay: boolean): string {
+        const choice = this.chooser.choose(this.createRun(size), undefined, isUnderWay);
+        return choice.kind === "target" ? choice.target.stages?.[0]?.engine.failureDomain ?? "" : choice.kind;
+    }
+
     private get requestsPerSecond(): number {
         return this.budgets.get("s").requestsPerSecond;
     }
--- a/packages/decisions/src/request/hasTokenRoom.ts
+++ b/packages/decisions/src/request/hasTokenRoom.ts
@@ -28,7 +28,7 @@
  * Standard deviations of the tokens in use that are kept free. At two, one decision in 44 meets less memory than
  * expected, which is at the limit of two declines in 100 requests while the engines are full.
  */
-const MARGIN_DEVIATIONS = Number(process.env["Z"] ?? 2);
+const MARGIN_DEVIATIONS = 2;
 /** Variance of a number that is spread evenly from 0 to 1, such as the part of an answer that exists already. */
 const EVEN_VARIANCE = 1 / 12;
 
