feat(entry): refuse declined requests as full where no path has room

Cause: they were refused as declined or no-repeat-left and came back after 50 to 500 ms into the same shortage.

Paths of first engines that are passed over are remembered, not computed anew.

--- a/packages/daemon/src/process/entry/memoryUse.ts
+++ b/packages/daemon/src/process/entry/memoryUse.ts
@@ -60,7 +60,8 @@
 
 interface KnownPaths {
     readonly usable: readonly Chain[];
-    readonly registered: readonly Chain[];
+    /** The usable ones and the last ones known of other first engines. */
+    readonly paths: readonly Chain[];
     readonly profile: EngineProfile;
     readonly groups: ReadonlyMap<string, readonly SharedMemory[]>;
 }
@@ -87,7 +88,7 @@
         // Paths through engines that are passed over at the moment are not among the known ones.
         const groups = candidates.every(({ id }) => known.groups.has(id))
             ? known.groups
-            : groupSharedMemories([...candidates, ...known.registered], profile);
+            : groupSharedMemories([...candidates, ...known.paths], profile);
         const loads = new Map<SharedMemory, SharedLoad>();
         const loadsByChain = new Map(candidates.map((chain) => {
             const shared = (groups.get(chain.id) ?? []).map((memory) => {
@@ -117,15 +118,21 @@
         return undefined;
     }
 
-    /** Streams under way hold memory also on paths whose first engine gets no new requests at the moment. */
+    /**
+     * Streams under way hold memory also on paths whose first engine gets no new requests at the moment: the last path known
+     * of it counts until it is gone. To compute the paths of all registered engines for this would cost as much again with
+     * each engine that changes.
+     */
     private getKnownPaths(service: RoutedService, profile: EngineProfile, usable: readonly Chain[]): KnownPaths {
-        const registered = this.options.view.getChains(service, () => true, "registered");
         const known = this.known.get(service.name);
-        if (known?.usable === usable && known.registered === registered && known.profile === profile) {
+        if (known?.usable === usable && known.profile === profile) {
             return known;
         }
-        const groups = groupSharedMemories([...usable, ...registered], profile);
-        const next = { usable, registered, profile, groups };
+        const { view } = this.options;
+        const firsts = new Set(usable.map(getFirstId));
+        const others = known?.paths.filter((one) => !firsts.has(getFirstId(one)) && !view.hasEnded(getFirstId(one)));
+        const paths = [...usable, ...(others ?? [])];
+        const next = { usable, paths, profile, groups: groupSharedMemories(paths, profile) };
         this.known.set(service.name, next);
         return next;
     }
@@ -213,3 +220,7 @@
         });
     }
 }
+
+function getFirstId({ stages }: Chain): string {
+    return stages[0]?.engine.id ?? "";
+}
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -236,7 +236,7 @@
         case "hand-on":
             return forwardFailure(context, response, { failure: result.response, choice }, functions);
         case "refuse":
-            return isThrottled(choice) || choice.kind === "full"
+            return isThrottled(choice) || (isMemoryFull && choice.kind === "full")
                 ? refuseWithoutTarget(context, response, choice, functions)
                 : sendRefusal(context, response, getNotRunRefusal(result.end, step.hasFreeUpstream));
         case "fail":
