--- a/packages/daemon/src/process/entry/memoryUse.ts
+++ b/packages/daemon/src/process/entry/memoryUse.ts
@@ -5,6 +5,7 @@
 import {
     type Chain,
     type ChainLoad,
+    computeFreeTokens,
     computeHeldTokens,
     computeLoadTokens,
     getUsualSize,
@@ -48,6 +49,7 @@
     open: number;
     tokens: number;
     unreported: number;
+    freeTokens: number;
     /** Paths that the request may take, and those of them in the set that is being tried. */
     candidates: number;
     tried: number;
@@ -98,7 +100,7 @@
                 load.candidates += 1;
                 return load;
             });
-            return [chain.id, shared];
+            return [chain, shared];
         }));
         return new MemoryCheck(loadsByChain, profile);
     }
@@ -154,6 +156,7 @@
             ...known,
             known,
             unreported: 0,
+            freeTokens: 0,
             candidates: 0,
             tried: 0,
             limitTokens: Math.min(...limits),
@@ -167,11 +170,11 @@
     private readonly usualTokens: number;
 
     /**
-     * @param loads - loads of the engines of each path, by its id
+     * @param loads - loads of the engines of each path
      * @param profile - usual sizes
      */
     constructor(
-        private readonly loads: ReadonlyMap<string, readonly SharedLoad[]>,
+        private readonly loads: ReadonlyMap<Chain, readonly SharedLoad[]>,
         private readonly profile: EngineProfile,
     ) {
         this.usualTokens = computeHeldTokens(getUsualSize(profile));
@@ -183,9 +186,9 @@
      * @param size - the request; the usual size where it states none
      * @returns false where an engine might have to decline it or evict another one
      */
-    hasRoom({ id }: Chain, size: RequestSize = getUsualSize(this.profile)): boolean {
-        return (this.loads.get(id) ?? []).every((load) =>
-            (!load.isLearned && isNearlyIdle(load.open)) || hasTokenRoom(load, load.limitTokens, size, this.profile)
+    hasRoom(chain: Chain, size: RequestSize = getUsualSize(this.profile)): boolean {
+        return (this.loads.get(chain) ?? []).every((load) =>
+            hasTokenRoom(load.freeTokens, size) || (!load.isLearned && isNearlyIdle(load.open))
         );
     }
 
@@ -199,9 +202,10 @@
             load.open = load.known.open;
             load.tokens = load.known.tokens;
             load.tried = 0;
+            load.freeTokens = computeFreeTokens(load, load.limitTokens, this.profile);
         });
-        chains.forEach(({ id }) => {
-            this.loads.get(id)?.forEach((load) => {
+        chains.forEach((chain) => {
+            this.loads.get(chain)?.forEach((load) => {
                 load.tried += 1;
             });
         });
@@ -212,11 +216,12 @@
      * other entries send to the other paths, too.
      * @param chain - its path
      */
-    recordAssigned({ id }: Chain): void {
-        this.loads.get(id)?.forEach((load) => {
+    recordAssigned(chain: Chain): void {
+        this.loads.get(chain)?.forEach((load) => {
             const requests = load.candidates / Math.max(1, load.tried);
             load.open += requests;
             load.tokens += requests * this.usualTokens;
+            load.freeTokens = computeFreeTokens(load, load.limitTokens, this.profile);
         });
     }
 }
--- a/packages/daemon/tests/declinedRequest.test.ts
+++ b/packages/daemon/tests/declinedRequest.test.ts
@@ -8,7 +8,7 @@
             title: "is refused as full where no path has room",
             headers: "x-fault: 1.1.1.1:1\r\n",
             refusal: "full",
-            s: 1.5,
+            s: 1.4,
         },
         { title: "but not where no engine is named", headers: "", refusal: "declined", s: 0.5 },
     ];
--- a/packages/decisions/src/request/hasTokenRoom.ts
+++ b/packages/decisions/src/request/hasTokenRoom.ts
@@ -103,23 +103,28 @@
 }
 
 /**
- * Checks whether a request fits into an engine's memory. Its prompt and whole answer must fit beside what the others hold
- * on average and twice the standard deviation of that, which follows from their number: of those that are known, any
- * part of the answer exists; those that are not reported yet may be more than expected. The sum of whole answers would
- * leave an eighth of the memory unused at all times.
+ * Computes the tokens that an engine has left for one more request: beside what the others hold on average and twice the
+ * standard deviation of that, which follows from their number. Of those that are known, any part of the answer exists;
+ * those that are not reported yet may be more than expected. To count whole answers of all would leave a seventh of the
+ * memory unused at all times.
  * @param load - requests in the engine
  * @param limitTokens - its memory
- * @param size - the request
  * @param profile - usual sizes
+ * @returns tokens, negative where the others may need more than there is
+ */
+export function computeFreeTokens(load: MemoryLoad, limitTokens: number, profile: EngineProfile): number {
+    return limitTokens - load.tokens - computeMarginTokens(load, profile);
+}
+
+/**
+ * Checks whether a request fits into an engine's memory: a stream under way is not preempted for it where its prompt and
+ * its whole answer do.
+ * @param freeTokens - what the engine has left
+ * @param size - the request
  * @returns whether it fits
  */
-export function hasTokenRoom(
-    load: MemoryLoad,
-    limitTokens: number,
-    size: RequestSize,
-    profile: EngineProfile,
-): boolean {
-    return load.tokens + size.promptTokens + size.answerTokens + computeMarginTokens(load, profile) <= limitTokens;
+export function hasTokenRoom(freeTokens: number, size: RequestSize): boolean {
+    return size.promptTokens + size.answerTokens <= freeTokens;
 }
 
 /**
--- a/packages/decisions/tests/tokenRoom.test.ts
+++ b/packages/decisions/tests/tokenRoom.test.ts
@@ -1,6 +1,6 @@
 import type { EngineProfile } from "@crankfork/schemas";
 import { expect } from "chai";
-import { computeLoadTokens, hasTokenRoom, LearnedRoom } from "../src/index.js";
+import { computeFreeTokens, computeLoadTokens, hasTokenRoom, LearnedRoom } from "../src/index.js";
 
 const profile = { usual_prompt_tokens: 800, usual_answer_tokens: 200 } as EngineProfile;
 
@@ -23,7 +23,7 @@
     for (const { title, load, size, hasRoom } of rows) {
         it(title, () => {
             const request = { promptTokens: size, answerTokens: 200 };
-            expect(hasTokenRoom(load, 10_000, request, profile)).to.equal(hasRoom);
+            expect(hasTokenRoom(computeFreeTokens(load, 10_000, profile), request)).to.equal(hasRoom);
         });
     }
 });
