perf(entry): create the loads of engines without a spread

Cause: a choice among 50 paths of 16 engines with 30 unreported requests took 1.2 to 1.5 ms, of which 12 us for each of 55 groups were the spread in a literal.

--- a/packages/daemon/src/process/entry/memoryUse.ts
+++ b/packages/daemon/src/process/entry/memoryUse.ts
@@ -141,26 +141,34 @@
 
     private sumLoad({ firstIds, engines }: SharedMemory, profile: EngineProfile): SharedLoad {
         const { getLocalLoad, getRemoteLoad, getLoadAgeMs, getHoldMs, getSteadyShare, getLimitTokens } = this.options;
-        const holdMs = getHoldMs(firstIds) ?? Number.POSITIVE_INFINITY;
-        const endedShare = Math.min(1, getLoadAgeMs() / holdMs);
-        const loads = firstIds.flatMap((id) => [
-            { load: getLocalLoad(id), share: 1 },
-            { load: getRemoteLoad(id), share: 1 - endedShare * (getSteadyShare?.(id) ?? 0) },
-        ]);
-        const limits = engines.map(({ id, contextTokens }) => getLimitTokens?.(id, contextTokens) ?? contextTokens);
-        const known = {
-            open: loads.reduce((sum, { load, share }) => sum + load.open * share, 0),
-            tokens: loads.reduce((sum, { load, share }) => sum + computeLoadTokens(load, profile) * share, 0),
-        };
+        const endedShare = Math.min(1, getLoadAgeMs() / (getHoldMs(firstIds) ?? Number.POSITIVE_INFINITY));
+        let open = 0;
+        let tokens = 0;
+        for (const id of firstIds) {
+            const local = getLocalLoad(id);
+            const remote = getRemoteLoad(id);
+            // Requests that have ended since the other entries reported them.
+            const leftShare = 1 - endedShare * (getSteadyShare?.(id) ?? 0);
+            open += local.open + remote.open * leftShare;
+            tokens += computeLoadTokens(local, profile) + computeLoadTokens(remote, profile) * leftShare;
+        }
+        let limitTokens = Number.POSITIVE_INFINITY;
+        let isLearned = false;
+        for (const { id, contextTokens } of engines) {
+            const limit = getLimitTokens?.(id, contextTokens) ?? contextTokens;
+            limitTokens = Math.min(limitTokens, limit);
+            isLearned ||= limit < contextTokens;
+        }
         return {
-            ...known,
-            known,
+            open,
+            tokens,
+            known: { open, tokens },
             unreported: 0,
             freeTokens: 0,
             candidates: 0,
             tried: 0,
-            limitTokens: Math.min(...limits),
-            isLearned: engines.some(({ contextTokens }, index) => (limits[index] ?? 0) < contextTokens),
+            limitTokens,
+            isLearned,
         };
     }
 }
