--- a/packages/daemon/src/process/entry/memoryUse.ts
+++ b/packages/daemon/src/process/entry/memoryUse.ts
@@ -5,6 +5,7 @@
 import {
     type Chain,
     type ChainLoad,
+    computeFreeTokens,
     computeHeldTokens,
     computeLoadTokens,
     getUsualSize,
@@ -48,6 +49,7 @@
     open: number;
     tokens: number;
     unreported: number;
+    freeTokens: number;
     /** Paths that the request may take, and those of them in the set that is being tried. */
     candidates: number;
     tried: number;
@@ -98,7 +100,7 @@
                 load.candidates += 1;
                 return load;
             });
-            return [chain.id, shared];
+            return [chain, shared];
         }));
         return new MemoryCheck(loadsByChain, profile);
     }
@@ -139,25 +141,34 @@
 
     private sumLoad({ firstIds, engines }: SharedMemory, profile: EngineProfile): SharedLoad {
         const { getLocalLoad, getRemoteLoad, getLoadAgeMs, getHoldMs, getSteadyShare, getLimitTokens } = this.options;
-        const holdMs = getHoldMs(firstIds) ?? Number.POSITIVE_INFINITY;
-        const endedShare = Math.min(1, getLoadAgeMs() / holdMs);
-        const loads = firstIds.flatMap((id) => [
-            { load: getLocalLoad(id), share: 1 },
-            { load: getRemoteLoad(id), share: 1 - endedShare * (getSteadyShare?.(id) ?? 0) },
-        ]);
-        const limits = engines.map(({ id, contextTokens }) => getLimitTokens?.(id, contextTokens) ?? contextTokens);
-        const known = {
-            open: loads.reduce((sum, { load, share }) => sum + load.open * share, 0),
-            tokens: loads.reduce((sum, { load, share }) => sum + computeLoadTokens(load, profile) * share, 0),
-        };
+        const endedShare = Math.min(1, getLoadAgeMs() / (getHoldMs(firstIds) ?? Number.POSITIVE_INFINITY));
+        let open = 0;
+        let tokens = 0;
+        for (const id of firstIds) {
+            const local = getLocalLoad(id);
+            const remote = getRemoteLoad(id);
+            // Requests that have ended since the other entries reported them.
+            const leftShare = 1 - endedShare * (getSteadyShare?.(id) ?? 0);
+            open += local.open + remote.open * leftShare;
+            tokens += computeLoadTokens(local, profile) + computeLoadTokens(remote, profile) * leftShare;
+        }
+        let limitTokens = Number.POSITIVE_INFINITY;
+        let isLearned = false;
+        for (const { id, contextTokens } of engines) {
+            const limit = getLimitTokens?.(id, contextTokens) ?? contextTokens;
+            limitTokens = Math.min(limitTokens, limit);
+            isLearned ||= limit < contextTokens;
+        }
         return {
-            ...known,
-            known,
+            open,
+            tokens,
+            known: { open, tokens },
             unreported: 0,
+            freeTokens: 0,
             candidates: 0,
             tried: 0,
-            limitTokens: Math.min(...limits),
-            isLearned: engines.some(({ contextTokens }, index) => (limits[index] ?? 0) < contextTokens),
+            limitTokens,
+            isLearned,
         };
     }
 }
@@ -167,11 +178,11 @@
     private readonly usualTokens: number;
 
     /**
-     * @param loads - loads of the engines of each path, by its id
+     * @param loads - loads of the engines of each path
      * @param profile - usual sizes
      */
     constructor(
-        private readonly loads: ReadonlyMap<string, readonly SharedLoad[]>,
+        private readonly loads: ReadonlyMap<Chain, readonly SharedLoad[]>,
         private readonly profile: EngineProfile,
     ) {
         this.usualTokens = computeHeldTokens(getUsualSize(profile));
@@ -183,9 +194,9 @@
      * @param size - the request; the usual size where it states none
      * @returns false where an engine might have to decline it or evict another one
      */
-    hasRoom({ id }: Chain, size: RequestSize = getUsualSize(this.profile)): boolean {
-        return (this.loads.get(id) ?? []).every((load) =>
-            (!load.isLearned && isNearlyIdle(load.open)) || hasTokenRoom(load, load.limitTokens, size, this.profile)
+    hasRoom(chain: Chain, size: RequestSize = getUsualSize(this.profile)): boolean {
+        return (this.loads.get(chain) ?? []).every((load) =>
+            hasTokenRoom(load.freeTokens, size) || (!load.isLearned && isNearlyIdle(load.open))
         );
     }
 
@@ -199,9 +210,10 @@
             load.open = load.known.open;
             load.tokens = load.known.tokens;
             load.tried = 0;
+            load.freeTokens = computeFreeTokens(load, load.limitTokens, this.profile);
         });
-        chains.forEach(({ id }) => {
-            this.loads.get(id)?.forEach((load) => {
+        chains.forEach((chain) => {
+            this.loads.get(chain)?.forEach((load) => {
                 load.tried += 1;
             });
         });
@@ -212,11 +224,12 @@
      * other entries send to the other paths, too.
      * @param chain - its path
      */
-    recordAssigned({ id }: Chain): void {
-        this.loads.get(id)?.forEach((load) => {
+    recordAssigned(chain: Chain): void {
+        this.loads.get(chain)?.forEach((load) => {
             const requests = load.candidates / Math.max(1, load.tried);
             load.open += requests;
             load.tokens += requests * this.usualTokens;
+            load.freeTokens = computeFreeTokens(load, load.limitTokens, this.profile);
         });
     }
 }
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -250,6 +250,8 @@
     private getLoadedChain(chain: Chain): LoadedChain {
         const reported = this.getLoad(getFirstEngineId(chain));
         return { chain, ...reported, reported };
+    }
+
     /** One draw for each request: one that drew anew whenever it looks for room again would take more than its share. */
     getDraw(run: RequestContext): number {
         const draw = this.draws.get(run) ?? this.options.random();
