fix(voter): sum demand under names that objects inherit

Cause: the sum looked services and organisations up in plain objects. A report with a service called 'constructor' or 'toString' passes the schema, and the sum then threw: no entry got an answer of the leader for the 1.5 s for which the report counts. Under such a name of an organisation the sum became a text and was left out, together with the sum of the unnamed. Change: services are collected in a map; organisations are looked up as own members only.

--- a/packages/daemon/src/process/voter/demandRegistry.ts
+++ b/packages/daemon/src/process/voter/demandRegistry.ts
@@ -95,16 +95,19 @@
                 this.reports.delete(instance);
             }
         });
-        const services: Record<string, { classes: Record<string, SentClassDemand>; }> = {};
+        // Entries choose the names, and an object would find members of its prototype under some of them.
+        const services = new Map<string, { readonly classes: Record<string, SentClassDemand>; }>();
         // Where there are too many classes, those that few entries report are more likely to be wrong.
         const sums = [...this.sumByClass().values()].sort((left, right) => right.reporters - left.reporters);
         sums.slice(0, MAX_DEMAND_CLASSES).forEach(({ service, rank, demand }) => {
             const sent = encodeClassDemand(demand);
             if (sent !== undefined) {
-                (services[service] ??= { classes: {} }).classes[rank] = sent;
+                const { classes } = services.get(service) ?? { classes: {} };
+                classes[rank] = sent;
+                services.set(service, { classes });
             }
         });
-        return { services, reporters: this.reports.size };
+        return { services: Object.fromEntries(services), reporters: this.reports.size };
     }
 
     private sumByClass(): ReadonlyMap<string, ClassSum> {
@@ -146,6 +149,7 @@
     });
     const organisations = sum.organisations ??= {};
     Object.entries(demand.organisations ?? {}).forEach(([name, tokens]) => {
-        organisations[name] = (organisations[name] ?? 0) + tokens;
+        const known = Object.hasOwn(organisations, name) ? organisations[name] : undefined;
+        organisations[name] = (known ?? 0) + tokens;
     });
 }
--- a/packages/daemon/tests/demandRegistry.test.ts
+++ b/packages/daemon/tests/demandRegistry.test.ts
@@ -66,6 +66,18 @@
         });
     }
 
+    // Names are read from JSON; an object as a dictionary finds members of its prototype under some of them.
+    for (const name of ["constructor", "toString", "hasOwnProperty"]) {
+        it(`a service, or an organisation, that is called ${name}`, () => {
+            registry.record("faulty", { services: { [name]: { classes: { 0: { arrivals_per_s: 1 } } } } });
+            const organisations = { [name]: 5, other: 2 };
+            registry.record("a", { services: { s: { classes: { 2: { arrivals_per_s: 3, organisations } } } } });
+            const { services } = registry.summarise();
+            expect(services.s?.classes[2]).to.deep.equal({ arrivals_per_s: 3, organisations });
+            expect(Object.keys(services)).to.have.members(["s", name]);
+        });
+    }
+
     it("services that few entries name give way where there are too many", () => {
         const names = Array.from({ length: MAX_DEMAND_CLASSES }, (_unused, index) => `nonsense-${String(index)}`);
         registry.record("faulty", {
