fix(voter): sum loads by rank in place

Cause: the leader sums the loads of all other entries for each answer. With counts by rank each addition made new objects and lists: with 68 entries of 9 engines each and 3 ranks an answer took 1.5 to 1.7 ms of processor time, 0.23 to 0.25 ms without ranks. Change: the sum is changed in place; the reports are not.

--- a/packages/daemon/src/process/sumLoads.ts
+++ b/packages/daemon/src/process/sumLoads.ts
@@ -13,12 +13,27 @@
  * @returns their sum; counts by rank are present where one of them has them
  */
 export function sumLoads(one: UpstreamLoad | undefined, other: UpstreamLoad): UpstreamLoad {
-    return {
-        open: (one?.open ?? 0) + other.open,
-        unstarted: (one?.unstarted ?? 0) + other.unstarted,
-        ...sumMember("unstarted_by_rank", one, other),
-        ...sumMember("open_by_rank", one, other),
-    };
+    const sum = copyLoad(one ?? { open: 0, unstarted: 0 });
+    addLoad(sum, other);
+    return sum;
+}
+
+/**
+ * Adds the loads of an entry to sums by upstream. The sums are changed in place: the leader sums the loads of all other
+ * entries for each answer, up to 1,000 times a second, and new lists for each addition take several times as long.
+ * @param sums - the sums
+ * @param loads - loads to add; they are not changed
+ */
+export function addLoads(sums: Map<string, UpstreamLoad>, loads: UpstreamLoads): void {
+    for (const [id, load] of Object.entries(loads)) {
+        const sum = sums.get(id);
+        if (sum === undefined) {
+            sums.set(id, copyLoad(load));
+        }
+        else {
+            addLoad(sum, load);
+        }
+    }
 }
 
 /**
@@ -38,16 +53,28 @@
     };
 }
 
-function sumMember(
-    name: "open_by_rank" | "unstarted_by_rank",
-    one: UpstreamLoad | undefined,
-    other: UpstreamLoad,
-): Partial<UpstreamLoad> {
-    const [left, right] = [one?.[name], other[name]];
-    if (left === undefined || right === undefined) {
-        const known = left ?? right;
-        return known === undefined ? {} : { [name]: known };
+function copyLoad({ open, unstarted, unstarted_by_rank, open_by_rank }: UpstreamLoad): UpstreamLoad {
+    return {
+        open,
+        unstarted,
+        ...(unstarted_by_rank === undefined ? {} : { unstarted_by_rank: [...unstarted_by_rank] }),
+        ...(open_by_rank === undefined ? {} : { open_by_rank: [...open_by_rank] }),
+    };
+}
+
+function addLoad(sum: UpstreamLoad, { open, unstarted, unstarted_by_rank, open_by_rank }: UpstreamLoad): void {
+    sum.open += open;
+    sum.unstarted += unstarted;
+    if (unstarted_by_rank !== undefined) {
+        addCounts(sum.unstarted_by_rank ??= [], unstarted_by_rank);
+    }
+    if (open_by_rank !== undefined) {
+        addCounts(sum.open_by_rank ??= [], open_by_rank);
+    }
+}
+
+function addCounts(sum: number[], counts: readonly number[]): void {
+    for (let rank = 0; rank < counts.length; rank += 1) {
+        sum[rank] = (sum[rank] ?? 0) + (counts[rank] ?? 0);
     }
-    const length = Math.max(left.length, right.length);
-    return { [name]: Array.from({ length }, (_, rank) => (left[rank] ?? 0) + (right[rank] ?? 0)) };
 }
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -9,7 +9,7 @@
     SynchroniseResult,
     UpstreamLoads,
 } from "@crankfork/schemas";
-import { sumLoads } from "../sumLoads.js";
+import { addLoads, type UpstreamLoad } from "../sumLoads.js";
 import { waitMs } from "../waitMs.js";
 import { DemandRegistry } from "./demandRegistry.js";
 import type { DocumentRollout } from "./documentRollout.js";
@@ -258,14 +258,12 @@
 
     private sumLoadsElsewhere(instance: string): UpstreamLoads {
         const nowMs = this.options.getNowMs();
-        const sums: UpstreamLoads = {};
+        const sums = new Map<string, UpstreamLoad>();
         for (const [other, { lastSeenMs, loads }] of this.entries) {
             if (other !== instance && nowMs - lastSeenMs <= LOAD_EXPIRY_MS) {
-                Object.entries(loads).forEach(([upstream, load]) => {
-                    sums[upstream] = sumLoads(sums[upstream], load);
-                });
+                addLoads(sums, loads);
             }
         }
-        return sums;
+        return Object.fromEntries(sums);
     }
 }
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -1,5 +1,5 @@
 import { FleetState } from "@crankfork/coordination";
-import type { RateLimitCursor, RateLimitUpdates } from "@crankfork/schemas";
+import type { RateLimitCursor, RateLimitUpdates, UpstreamLoads } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { EntryRegistry } from "../src/process/voter/entryRegistry.js";
@@ -209,3 +209,54 @@
         });
     }
 });
+
+describe("the loads of the other entries are summed for each answer", () => {
+    const ENTRIES = 69;
+    const ENGINES = 9;
+    const createRegistry = async (load: UpstreamLoads[string]): Promise<EntryRegistry> => {
+        const registry = new EntryRegistry({
+            host: createHost(new FleetState()),
+            getNowMs: () => 0,
+            rollout: noRollout,
+            listSuspects: () => [],
+            limits: noLimits,
+        });
+        for (let entry = 0; entry < ENTRIES; entry += 1) {
+            const loads = Object.fromEntries(Array.from({ length: ENGINES }, (_, engine) => [`e${engine}`, load]));
+            await registry.synchronise({ instance: `i${entry}`, known_index: 0, loads, may_wait: false });
+        }
+        return registry;
+    };
+    const ask = async (registry: EntryRegistry): Promise<UpstreamLoads> => {
+        const result = await registry.synchronise({ instance: "i0", known_index: 0, loads: {}, may_wait: false });
+        return result.kind === "state" ? result.loads_elsewhere : {};
+    };
+    const unranked = { open: 2, unstarted: 1 };
+    const ranked = { ...unranked, unstarted_by_rank: [0, 0, 1], open_by_rank: [1, 0, 1] };
+
+    it("and the sum doesn't change the reports", async () => {
+        const registry = await createRegistry(ranked);
+        const sum = { open: 136, unstarted: 68, unstarted_by_rank: [0, 0, 68], open_by_rank: [68, 0, 68] };
+        expect((await ask(registry)).e0).to.deep.equal(sum);
+        expect((await ask(registry)).e0).to.deep.equal(sum);
+    });
+
+    // At 1,000 answers a second a leader has 1 ms for each. New lists for each addition took six times the time of loads
+    // without ranks, 1.6 ms.
+    it("and counts by rank take less than three times the time of loads without", async () => {
+        const registries = [await createRegistry(unranked), await createRegistry(ranked)];
+        const shortest = [Number.POSITIVE_INFINITY, Number.POSITIVE_INFINITY];
+        for (let round = 0; round < 20; round += 1) {
+            for (const [index, registry] of registries.entries()) {
+                // Other test files in the same process may pause the monotonic clock.
+                const before = process.cpuUsage();
+                for (let answer = 0; answer < 10; answer += 1) {
+                    await ask(registry);
+                }
+                const { user, system } = process.cpuUsage(before);
+                shortest[index] = Math.min(shortest[index] ?? 0, user + system);
+            }
+        }
+        expect((shortest[1] ?? 0) / (shortest[0] ?? 1)).to.be.below(3);
+    });
+});
