fix(decisions): max-min shares beside an organisation that asks for almost nothing

Cause: the unnamed count as organisations of the smallest named size. Beside a rate that has decayed towards 0 they were so many that the subtraction of their number lost the others: shares became negative or NaN. Change: the unnamed count as a million organisations at most, those that ask for nothing don't set their size, and claimants are counted instead of subtracted. Result: three rows in rankedAdmission.test.ts failed before and pass.

--- a/packages/decisions/src/request/computeMaxMinShares.ts
+++ b/packages/decisions/src/request/computeMaxMinShares.ts
@@ -3,6 +3,9 @@
  * more than the others of its class: those that ask for little get all of it, and only the largest are cut.
  */
 
+/** Most organisations for which the unnamed count: a rate that decays towards 0 would make them infinitely many. */
+const MAX_UNNAMED = 1_000_000;
+
 /**
  * Computes the shares.
  * @param offered - what each organisation asks for; the name is empty for the sum of those that are too small to be
@@ -21,18 +24,20 @@
     }));
     const unnamed = clampAmount(offered[""] ?? 0);
     // Each of the unnamed asks for at most as much as the smallest that is named.
-    const smallest = named.reduce((least, { amount }) => Math.min(least, amount), Number.POSITIVE_INFINITY);
-    const count = Math.max(1, Math.ceil(unnamed / Math.max(smallest, Number.MIN_VALUE)));
+    const smallest = named.reduce(
+        (least, { amount }) => amount > 0 ? Math.min(least, amount) : least,
+        Number.POSITIVE_INFINITY,
+    );
+    const count = Math.min(MAX_UNNAMED, Math.max(1, Math.ceil(unnamed / smallest)));
     const all = [...named, ...(unnamed > 0 ? [{ name: "", amount: unnamed / count, count }] : [])]
         .sort((one, other) => one.amount - other.amount);
     const shares = new Map<string, number>();
     let remaining = clampAmount(capacity);
-    let claimants = all.reduce((sum, one) => sum + one.count, 0);
-    for (const one of all) {
-        const share = Math.min(one.amount, remaining / claimants);
-        shares.set(one.name, share * one.count);
-        remaining -= share * one.count;
-        claimants -= one.count;
+    for (const [index, one] of all.entries()) {
+        const claimants = all.slice(index).reduce((sum, other) => sum + other.count, 0);
+        const share = Math.min(one.amount, remaining / claimants) * one.count;
+        shares.set(one.name, share);
+        remaining = Math.max(0, remaining - share);
     }
     return shares;
 }
--- a/packages/decisions/tests/rankedAdmission.test.ts
+++ b/packages/decisions/tests/rankedAdmission.test.ts
@@ -278,6 +278,13 @@
             capacity: 9,
             expected: { a: 3, b: 2, "": 4 },
         },
+        // Rates of an entry's own, which it uses without a leader, decay towards 0 and reach it after 745 s.
+        ...[1e-20, 5e-324, 0].map((idle) => ({
+            title: `the unnamed, beside one that asks for ${String(idle)}`,
+            offered: { a: 8, b: 1, idle, "": 2 },
+            capacity: 6,
+            expected: { a: 3, b: 1, idle, "": 2 },
+        })),
         { title: "nothing", offered: { a: 8 }, capacity: 0, expected: { a: 0 } },
         {
             title: "invalid values",
