fix(entry): try a smaller request behind a large one of its organisation

Cause: waiting requests of one rank, route and organisation share the answer that there is no room. In a ranked service a request needs one to two places by its tokens, so a large one held up smaller ones, which were refused with places free. Change: in a ranked service the answer is shared only with requests that are at least as large as the smallest that was tried. Result: the new case in requestQueue.test.ts failed before and passes; the others pass.

--- a/packages/daemon/src/process/entry/requestQueue.ts
+++ b/packages/daemon/src/process/entry/requestQueue.ts
@@ -60,6 +60,12 @@
  */
 const DRAIN_OPTIONS = { smoothing: 0.3, keepMs: 10_000 };
 
+/** Answer to the smallest request of its kind that was tried. */
+interface FullAnswer {
+    readonly tokens: number;
+    readonly choice: UnsentChoice;
+}
+
 /** Waiting requests of one service. */
 export class RequestQueue {
     private readonly queue = new MultiClassQueue<WaitingCall, number>(classes);
@@ -183,7 +189,7 @@
     }
 
     private tryWaiting(): void {
-        const full = new Map<string, UnsentChoice>();
+        const full = new Map<string, FullAnswer>();
         const faults = new Map<WaitingCall, unknown>();
         let choice: TargetChoice | undefined;
         const next = this.queue.popAccepted((waiting) => {
@@ -218,17 +224,22 @@
         this.stopIfEmpty();
     }
 
-    /** Requests that are alike get the same answer; a choice for each of them would only cost time. */
-    private tryOne(waiting: WaitingCall, full: Map<string, UnsentChoice>): TargetChoice {
+    /**
+     * Requests that are alike get the same answer; a choice for each of them would only cost time. In a ranked service a
+     * smaller request may find room where a larger one does not.
+     */
+    private tryOne(waiting: WaitingCall, full: Map<string, FullAnswer>): TargetChoice {
         const { context, terms, priority } = waiting;
         const isUntried = context.attempts === 0 && !terms.hasStarted;
         const { route, organisation } = context.admitted;
         const key = `${String(priority)} ${route.name} ${organisation?.name ?? ""}`;
-        const choice = (isUntried ? full.get(key) : undefined) ?? waiting.choose();
+        const known = isUntried ? full.get(key) : undefined;
+        const tokens = terms.isRanked ? waiting.tokens : 0;
+        const choice = known !== undefined && known.tokens <= tokens ? known.choice : waiting.choose();
         if (choice.kind !== "target") {
             waiting.reason = choice;
-            if (isUntried && choice.kind === "full") {
-                full.set(key, choice);
+            if (isUntried && choice.kind === "full" && choice !== known?.choice) {
+                full.set(key, { tokens, choice });
             }
         }
         return choice;
