fix(entry): share the answer of a full queue only where the draw leaves no more room

Cause: the room of a request of a ranked service also depends on its draw: a quarter of a starved rank's requests is exempt from protection, and only the part of an organisation that exceeds its share is less urgent. Waiting requests shared one answer regardless of it, so an exempt request behind another of its route and organisation was refused with its place free. Change: the draw is kept in the request; the answer is shared with requests that are at least as large and whose draw is no greater. Result: the new case in requestQueue.test.ts failed before and passes; the others pass.

--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -37,9 +37,6 @@
 
 /** Checks the room of paths. */
 export class PathRoom {
-    /** Position of each request among those of its organisation, so that a repeated check of it has the same result. */
-    private readonly draws = new WeakMap<RequestContext, number>();
-
     /**
      * @param options - age of the load reports, demand, and load of this entry
      */
@@ -118,7 +115,7 @@
     ): RankedRequest {
         const { route, organisation, call } = run.admitted;
         const rank = ranks.getRank(route, organisation);
-        const draw = this.getDraw(run);
+        const draw = run.draw ??= this.options.random();
         const isExcess = demand !== undefined && organisation !== undefined
             && draw < computeExcessShare(demand, rank, organisation.name);
         return {
@@ -141,12 +138,6 @@
         }
         return Array.from(sums, (open: number | undefined) => open ?? 0);
     }
-
-    private getDraw(run: RequestContext): number {
-        const draw = this.draws.get(run) ?? this.options.random();
-        this.draws.set(run, draw);
-        return draw;
-    }
 }
 
 function computeShareAhead(demand: ServiceDemand, rank: number): number {
--- a/packages/daemon/src/process/entry/requestQueue.ts
+++ b/packages/daemon/src/process/entry/requestQueue.ts
@@ -60,9 +60,10 @@
  */
 const DRAIN_OPTIONS = { smoothing: 0.3, keepMs: 10_000 };
 
-/** Answer to the smallest request of its kind that was tried. */
+/** Answer to a request that was tried, and what its room depended on. */
 interface FullAnswer {
     readonly tokens: number;
+    readonly draw: number;
     readonly choice: UnsentChoice;
 }
 
@@ -189,7 +190,7 @@
     }
 
     private tryWaiting(): void {
-        const full = new Map<string, FullAnswer>();
+        const full = new Map<string, FullAnswer[]>();
         const faults = new Map<WaitingCall, unknown>();
         let choice: TargetChoice | undefined;
         const next = this.queue.popAccepted((waiting) => {
@@ -226,20 +227,24 @@
 
     /**
      * Requests that are alike get the same answer; a choice for each of them would only cost time. In a ranked service a
-     * smaller request may find room where a larger one does not.
+     * request that is smaller or has a greater draw may find room where another does not.
      */
-    private tryOne(waiting: WaitingCall, full: Map<string, FullAnswer>): TargetChoice {
+    private tryOne(waiting: WaitingCall, full: Map<string, FullAnswer[]>): TargetChoice {
         const { context, terms, priority } = waiting;
         const isUntried = context.attempts === 0 && !terms.hasStarted;
         const { route, organisation } = context.admitted;
         const key = `${String(priority)} ${route.name} ${organisation?.name ?? ""}`;
-        const known = isUntried ? full.get(key) : undefined;
+        const answers = full.get(key) ?? [];
+        const getDraw = (unchecked: number): number => terms.isRanked ? context.draw ?? unchecked : 0;
         const tokens = terms.isRanked ? waiting.tokens : 0;
-        const choice = known !== undefined && known.tokens <= tokens ? known.choice : waiting.choose();
+        const known = isUntried
+            ? answers.find((one) => one.tokens <= tokens && one.draw >= getDraw(Number.POSITIVE_INFINITY))
+            : undefined;
+        const choice = known?.choice ?? waiting.choose();
         if (choice.kind !== "target") {
             waiting.reason = choice;
-            if (isUntried && choice.kind === "full" && choice !== known?.choice) {
-                full.set(key, { tokens, choice });
+            if (isUntried && choice.kind === "full" && known === undefined) {
+                full.set(key, [...answers, { tokens, draw: getDraw(0), choice }]);
             }
         }
         return choice;
--- a/packages/daemon/src/request/requestContext.ts
+++ b/packages/daemon/src/request/requestContext.ts
@@ -30,6 +30,11 @@
     /** Upstreams it was sent to; for paths, their first engines. */
     readonly attemptedUpstreams = new Set<string>();
     attempts = 0;
+    /**
+     * Position among the requests of its organisation, at random from 0 up to 1, so that a repeated check of its room has
+     * the same result; undefined before the first check. The greater it is, the more room the request may take.
+     */
+    draw: number | undefined;
     /** Upstreams that ran it or may have; for paths, their first engines. */
     readonly mayHaveRunOn = new Set<string>();
     mayHaveRun = false;
--- a/packages/daemon/tests/requestQueue.test.ts
+++ b/packages/daemon/tests/requestQueue.test.ts
@@ -16,6 +16,8 @@
     readonly limitMs?: number | ((queue: RequestQueue) => number);
     readonly noneMs?: number;
     readonly attempts?: number;
+    /** Position at random, which the choice of a ranked service sets. */
+    readonly draw?: number;
 }
 
 /** A path with places, for which requests wait. */
@@ -29,6 +31,8 @@
     /** Places that are free; requests larger than `largest` don't fit. */
     places = 0;
     largest = Number.POSITIVE_INFINITY;
+    /** Requests with a smaller draw don't fit. */
+    leastDraw = 0;
     hasPath = true;
     choices = 0;
     waiting = 0;
@@ -42,10 +46,13 @@
         this.contexts.set(name, context);
         const choose = (): TargetChoice => {
             this.choices += 1;
+            context.draw = caller.draw ?? 0;
             if (!this.hasPath) {
                 return { kind: "none" };
             }
-            return this.places > 0 && (tokens ?? 0) <= this.largest ? target : { kind: "full" };
+            return this.places > 0 && (tokens ?? 0) <= this.largest && (caller.draw ?? 0) >= this.leastDraw
+                ? target
+                : { kind: "full" };
         };
         void this.queue.wait(context, choose, {
             rank: caller.rank ?? 0,
@@ -250,6 +257,21 @@
         expect(replay.choices, "one for each size, and one for those that are left").to.equal(3);
     });
 
+    // A quarter of the requests of a rank that gets too little, by their draw, may take places that are kept from the rest.
+    it("nor by one whose draw leaves it less room", async () => {
+        const replay = new Replay(true);
+        [0.2, 0.9, 0.1].forEach((draw) => {
+            replay.add({ name: String(draw), draw });
+        });
+        await settle();
+        replay.leastDraw = 0.75;
+        replay.choices = 0;
+        replay.release();
+        await settle();
+        expect(replay.log).to.deep.equal(["0.9"]);
+        expect(replay.choices, "0.2 and 0.9, then 0.2 for those that are left").to.equal(3);
+    });
+
     it("gives one place to one request, however many wake-ups come before it is taken", async () => {
         const replay = new Replay(false);
         ["a", "b", "c"].forEach((name) => {
