--- a/packages/daemon/src/process/entry/requestQueue.ts
+++ b/packages/daemon/src/process/entry/requestQueue.ts
@@ -60,6 +60,13 @@
  */
 const DRAIN_OPTIONS = { smoothing: 0.3, keepMs: 10_000 };
 
+/** Answer to a request that was tried, and what its room depended on. */
+interface FullAnswer {
+    readonly tokens: number;
+    readonly draw: number;
+    readonly choice: UnsentChoice;
+}
+
 /** Waiting requests of one service. */
 export class RequestQueue {
     private readonly queue = new MultiClassQueue<WaitingCall, number>(classes);
@@ -183,7 +190,7 @@
     }
 
     private tryWaiting(): void {
-        const full = new Map<string, UnsentChoice>();
+        const full = new Map<string, FullAnswer[]>();
         const faults = new Map<WaitingCall, unknown>();
         let choice: TargetChoice | undefined;
         const next = this.queue.popAccepted((waiting) => {
@@ -218,17 +225,26 @@
         this.stopIfEmpty();
     }
 
-    /** Requests that are alike get the same answer; a choice for each of them would only cost time. */
-    private tryOne(waiting: WaitingCall, full: Map<string, UnsentChoice>): TargetChoice {
+    /**
+     * Requests that are alike get the same answer; a choice for each of them would only cost time. In a ranked service a
+     * request that is smaller or has a greater draw may find room where another does not.
+     */
+    private tryOne(waiting: WaitingCall, full: Map<string, FullAnswer[]>): TargetChoice {
         const { context, terms, priority } = waiting;
         const isUntried = context.attempts === 0 && !terms.hasStarted;
         const { route, organisation } = context.admitted;
         const key = `${String(priority)} ${route.name} ${organisation?.name ?? ""}`;
-        const choice = (isUntried ? full.get(key) : undefined) ?? waiting.choose();
+        const answers = full.get(key) ?? [];
+        const getDraw = (unchecked: number): number => terms.isRanked ? context.draw ?? unchecked : 0;
+        const tokens = terms.isRanked ? waiting.tokens : 0;
+        const known = isUntried
+            ? answers.find((one) => one.tokens <= tokens && one.draw >= getDraw(Number.POSITIVE_INFINITY))
+            : undefined;
+        const choice = known?.choice ?? waiting.choose();
         if (choice.kind !== "target") {
             waiting.reason = choice;
-            if (isUntried && choice.kind === "full") {
-                full.set(key, choice);
+            if (isUntried && choice.kind === "full" && known === undefined) {
+                full.set(key, [...answers, { tokens, draw: getDraw(0), choice }]);
             }
         }
         return choice;
--- a/packages/daemon/src/process/sumLoads.ts
+++ b/packages/daemon/src/process/sumLoads.ts
@@ -6,9 +6,6 @@
 /** Load of one upstream. */
 export type UpstreamLoad = UpstreamLoads[string];
 
-/** Tokens of requests, and how many requests they cover. */
-type LoadTokens = Pick<UpstreamLoad, "tokens" | "sized_open">;
-
 /**
  * Adds two loads of one upstream.
  * @param one - a load; undefined for none
@@ -16,13 +13,27 @@
  * @returns their sum; counts by rank are present where one of them has them
  */
 export function sumLoads(one: UpstreamLoad | undefined, other: UpstreamLoad): UpstreamLoad {
-    return {
-        open: (one?.open ?? 0) + other.open,
-        unstarted: (one?.unstarted ?? 0) + other.unstarted,
-        ...sumTokens(one, other),
-        ...sumMember("unstarted_by_rank", one, other),
-        ...sumMember("open_by_rank", one, other),
-    };
+    const sum = copyLoad(one ?? { open: 0, unstarted: 0 });
+    addLoad(sum, other);
+    return sum;
+}
+
+/**
+ * Adds the loads of an entry to sums by upstream. The sums are changed in place: the leader sums the loads of all other
+ * entries for each answer, up to 1,000 times a second, and new lists for each addition take several times as long.
+ * @param sums - the sums
+ * @param loads - loads to add; they are not changed
+ */
+export function addLoads(sums: Map<string, UpstreamLoad>, loads: UpstreamLoads): void {
+    for (const [id, load] of Object.entries(loads)) {
+        const sum = sums.get(id);
+        if (sum === undefined) {
+            sums.set(id, copyLoad(load));
+        }
+        else {
+            addLoad(sum, load);
+        }
+    }
 }
 
 /**
@@ -44,30 +55,52 @@
     };
 }
 
-/** Counts how many open requests the tokens cover, where an entry of an earlier build reports none. */
-function sumTokens(one: UpstreamLoad | undefined, other: UpstreamLoad): LoadTokens {
-    const sized_open = countSized(one) + countSized(other);
-    if (sized_open === 0) {
-        return {};
+/** Adds the tokens, and counts how many open requests they cover where an entry of an earlier build reports none. */
+function addTokens(sum: UpstreamLoad, other: UpstreamLoad): void {
+    const sizedOpen = countSized(sum) + countSized(other);
+    if (sizedOpen === 0) {
+        return;
+    }
+    sum.tokens = (sum.tokens ?? 0) + (other.tokens ?? 0);
+    if (sizedOpen === sum.open + other.open) {
+        delete sum.sized_open;
     }
-    const tokens = (one?.tokens ?? 0) + (other.tokens ?? 0);
-    return sized_open === (one?.open ?? 0) + other.open ? { tokens } : { tokens, sized_open };
+    else {
+        sum.sized_open = sizedOpen;
+    }
+}
+
+function countSized(load: UpstreamLoad): number {
+    return load.tokens === undefined ? 0 : load.sized_open ?? load.open;
 }
 
-function countSized(load: UpstreamLoad | undefined): number {
-    return load?.tokens === undefined ? 0 : load.sized_open ?? load.open;
+function copyLoad(load: UpstreamLoad): UpstreamLoad {
+    const { open, unstarted, unstarted_by_rank, open_by_rank, tokens, sized_open } = load;
+    return {
+        open,
+        unstarted,
+        ...(tokens === undefined ? {} : { tokens }),
+        ...(sized_open === undefined ? {} : { sized_open }),
+        ...(unstarted_by_rank === undefined ? {} : { unstarted_by_rank: [...unstarted_by_rank] }),
+        ...(open_by_rank === undefined ? {} : { open_by_rank: [...open_by_rank] }),
+    };
+}
+
+function addLoad(sum: UpstreamLoad, load: UpstreamLoad): void {
+    const { open, unstarted, unstarted_by_rank, open_by_rank } = load;
+    addTokens(sum, load);
+    sum.open += open;
+    sum.unstarted += unstarted;
+    if (unstarted_by_rank !== undefined) {
+        addCounts(sum.unstarted_by_rank ??= [], unstarted_by_rank);
+    }
+    if (open_by_rank !== undefined) {
+        addCounts(sum.open_by_rank ??= [], open_by_rank);
+    }
 }
 
-function sumMember(
-    name: "open_by_rank" | "unstarted_by_rank",
-    one: UpstreamLoad | undefined,
-    other: UpstreamLoad,
-): Partial<UpstreamLoad> {
-    const [left, right] = [one?.[name], other[name]];
-    if (left === undefined || right === undefined) {
-        const known = left ?? right;
-        return known === undefined ? {} : { [name]: known };
+function addCounts(sum: number[], counts: readonly number[]): void {
+    for (let rank = 0; rank < counts.length; rank += 1) {
+        sum[rank] = (sum[rank] ?? 0) + (counts[rank] ?? 0);
     }
-    const length = Math.max(left.length, right.length);
-    return { [name]: Array.from({ length }, (_, rank) => (left[rank] ?? 0) + (right[rank] ?? 0)) };
 }
