fix(entry): requests don't wait behind one that an upstream kept back

Cause: a request that is chosen but not sent, because its upstream came to its limit in between, counts no attempt but does not go to that upstream again. The queue took it for one that was not tried yet: its answer "full" stood for all requests that are alike, and new ones queued behind it, although the upstream that it can't use had room for them. It also lost its place to requests that arrived later.

Change: the queue tells tried requests by the upstreams that they were meant for, not only by the number of attempts.

--- a/packages/daemon/src/process/entry/requestQueue.ts
+++ b/packages/daemon/src/process/entry/requestQueue.ts
@@ -158,12 +158,12 @@
      * Those that were tried have fewer paths left than others.
      */
     private isBehindOthers(context: RequestContext, terms: WaitTerms): boolean {
-        if (this.queue.length === 0 || terms.hasStarted || context.attempts > 0) {
+        if (this.queue.length === 0 || terms.hasStarted || wasTried(context)) {
             return false;
         }
         const own = getClass(context, terms);
         return this.queue.list().some((other) =>
-            other.priority <= own && other.reason.kind === "full" && other.context.attempts === 0
+            other.priority <= own && other.reason.kind === "full" && !wasTried(other.context)
         );
     }
 
@@ -221,7 +221,7 @@
     /** Requests that are alike get the same answer; a choice for each of them would only cost time. */
     private tryOne(waiting: WaitingCall, full: Map<string, UnsentChoice>): TargetChoice {
         const { context, terms, priority } = waiting;
-        const isUntried = context.attempts === 0 && !terms.hasStarted;
+        const isUntried = !wasTried(context) && !terms.hasStarted;
         const { route, organisation } = context.admitted;
         const key = `${String(priority)} ${route.name} ${organisation?.name ?? ""}`;
         const choice = (isUntried ? full.get(key) : undefined) ?? waiting.choose();
@@ -274,8 +274,13 @@
     if (hasStarted) {
         return STARTED_CLASS;
     }
-    // A request that was declined by an upstream has waited already.
-    return getRankClass(rank) + (hasReturned || context.attempts > 0 ? 0 : 1);
+    // A request that was declined or kept back by an upstream has waited already.
+    return getRankClass(rank) + (hasReturned || wasTried(context) ? 0 : 1);
+}
+
+/** Also true where nothing was sent since the upstream was at its limit, which does not count as an attempt. */
+function wasTried({ attemptedUpstreams, attempts }: RequestContext): boolean {
+    return attempts > 0 || attemptedUpstreams.size > 0;
 }
 
 function getRankClass(rank: number): number {
--- a/packages/daemon/tests/requestQueue.test.ts
+++ b/packages/daemon/tests/requestQueue.test.ts
@@ -16,6 +16,8 @@
     readonly limitMs?: number | ((queue: RequestQueue) => number);
     readonly noneMs?: number;
     readonly attempts?: number;
+    /** Was kept back by the only upstream with room: chosen, but not sent, which is no attempt. */
+    readonly wasKeptBack?: boolean;
 }
 
 /** A path with places, for which requests wait. */
@@ -39,13 +41,17 @@
         const { name, organisation, tokens, limitMs = 75, noneMs = 1_800 } = caller;
         const context = createContext(caller);
         context.attempts = caller.attempts ?? 0;
+        if (caller.wasKeptBack === true) {
+            context.attemptedUpstreams.add("e");
+        }
         this.contexts.set(name, context);
         const choose = (): TargetChoice => {
             this.choices += 1;
             if (!this.hasPath) {
                 return { kind: "none" };
             }
-            return this.places > 0 && (tokens ?? 0) <= this.largest ? target : { kind: "full" };
+            const hasRoom = this.places > 0 && (tokens ?? 0) <= this.largest && !context.attemptedUpstreams.has("e");
+            return hasRoom ? target : { kind: "full" };
         };
         void this.queue.wait(context, choose, {
             rank: caller.rank ?? 0,
@@ -235,6 +241,20 @@
         expect(replay.log).to.deep.equal(["small"]);
     });
 
+    it("is not held up by a request that was kept back by the upstream that has room now", async () => {
+        const replay = new Replay(false);
+        replay.add({ name: "kept back", wasKeptBack: true });
+        replay.add({ name: "waiting" });
+        await settle();
+        replay.release();
+        await settle();
+        expect(replay.log).to.deep.equal(["waiting"]);
+        replay.places = 1;
+        replay.add({ name: "new" });
+        await settle();
+        expect(replay.log).to.deep.equal(["waiting", "new"]);
+    });
+
     it("gives one place to one request, however many wake-ups come before it is taken", async () => {
         const replay = new Replay(false);
         ["a", "b", "c"].forEach((name) => {
