fix(voter): a leader that led before doesn't answer counts from before another one led

Cause: a voter that is elected again within twelve seconds still held what entries had reported in its earlier term, and counted them as reporters. Their sums lacked what was sent under the leader in between, and no entry was missing in them, so that entries drew on a retry budget that was spent already.

Change: at the start of a term a voter forgets entries that it has not heard within the last 1.5 s, the time for which open requests count.

Result: such entries count as missing until they report, which entries charge for.

--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -143,12 +143,16 @@
         return entry;
     }
 
-    /** The requests that entries sent are known only from the moment at which they began to report to this leader. */
+    /**
+     * The requests that entries sent are known only from the moment at which they began to report to this leader. Where
+     * another voter has led since this one last did, older counts lack what entries sent in the meantime.
+     */
     private trackTerm(): void {
         const { term } = this.options.host.replica.getStatus();
         if (term !== this.term) {
             this.term = term;
             this.leadingSinceMs = this.options.getNowMs();
+            this.forgetEntries(LOAD_EXPIRY_MS);
             this.options.links?.reset();
         }
     }
@@ -229,13 +233,17 @@
      * @returns the number of entries that have not expired; at least 1
      */
     countEntries(): number {
+        this.forgetEntries(ENTRY_EXPIRY_MS);
+        return Math.max(1, this.entries.size);
+    }
+
+    private forgetEntries(expiryMs: number): void {
         const nowMs = this.options.getNowMs();
         for (const [instance, { lastSeenMs }] of this.entries) {
-            if (nowMs - lastSeenMs > ENTRY_EXPIRY_MS) {
+            if (nowMs - lastSeenMs > expiryMs) {
                 this.entries.delete(instance);
             }
         }
-        return Math.max(1, this.entries.size);
     }
 
     /** Includes entries that are gone or restarted: what they had sent counts until the budget window has passed. */
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -168,6 +168,28 @@
         await syncEntry("one", 1, 0);
         expect(await syncEntry("two", 1, 0)).to.deep.include({ spending_known_ms: 600 });
     });
+
+    it("without counts from before another voter led, so that entries can tell how many are missing", async () => {
+        await syncEntry("one", 30, 2);
+        await syncEntry("two", 40, 5);
+        nowMs += 5_000;
+        term += 2;
+        expect(await syncEntry("three", 9, 9)).to.deep.include({ entries: 1, spending_elsewhere: {} });
+        await syncEntry("one", 80, 40);
+        expect(await syncEntry("three", 9, 9)).to.deep.include({
+            entries: 2,
+            spending_elsewhere: { s: { requests: 80, repeats: 40 } },
+        });
+    });
+
+    it("with the counts from just before its own re-election", async () => {
+        await syncEntry("one", 30, 2);
+        term += 1;
+        expect(await syncEntry("two", 0, 0)).to.deep.include({
+            entries: 2,
+            spending_elsewhere: { s: { requests: 30, repeats: 2 } },
+        });
+    });
 });
 
 describe("an entry that lacks a rate limit is answered immediately", () => {
