test(entry): the row on order of arrival names what it checks

Cause: its title named ranks and returning callers, but no caller of it has either; an entry gives all requests of such a service rank 0 and no standing, which returnReplay.test.ts checks. Change: the title only.

--- a/packages/daemon/tests/requestQueue.test.ts
+++ b/packages/daemon/tests/requestQueue.test.ts
@@ -155,7 +155,7 @@
         readonly order: string;
     }[] = [
         {
-            title: "a service that is not ranked serves by arrival, whatever rank, organisation or return",
+            title: "a service that is not ranked serves by arrival, whatever the organisation",
             isRanked: false,
             callers: [
                 { name: "a", organisation: "x" },
