fix(scenarios): a proxy's reset closes connections that are shutting down

Cause: the link proxy resets connections whose shutdown may be under way. libuv refuses such a reset (EINVAL of uv_tcp_close_reset), Node.js takes the handle for closed all the same, and at the end of the process its cleanup waits for it in a busy loop. So mocha did not exit after the configuration soak: its stack was in Environment::CleanupHandles, with sockets still open.

Change: such a reset waits for the end of the shutdown, which takes a turn of the event loop.

--- a/packages/scenarios/src/soak/linkProxy.ts
+++ b/packages/scenarios/src/soak/linkProxy.ts
@@ -119,7 +119,7 @@
      */
     reset(matches: (callerHost: string) => boolean = () => true): void {
         this.filterConnections(matches).flatMap(({ directions }) => directions).forEach(({ from }) => {
-            from.resetAndDestroy();
+            resetSocket(from);
         });
     }
 
@@ -163,6 +163,21 @@
     }
 }
 
+/**
+ * Resets a connection. A reset fails while a shutdown is under way, and Node.js then neither closes the socket nor lets
+ * the process exit (EINVAL of `uv_tcp_close_reset`).
+ * @param socket - the connection
+ */
+export function resetSocket(socket: Socket): void {
+    const isShuttingDown = socket.writableEnded && !socket.writableFinished && socket.writableLength === 0;
+    if (isShuttingDown && !socket.destroyed) {
+        socket.once("finish", () => socket.resetAndDestroy());
+    }
+    else {
+        socket.resetAndDestroy();
+    }
+}
+
 /** Forwards bytes until the sender closes; a discarding direction does not pass the close on to the receiver. */
 async function forwardAll(direction: ForwardingDirection): Promise<void> {
     const { from, to } = direction;
@@ -172,7 +187,7 @@
             return;
         }
         if (hasFailed) {
-            to.resetAndDestroy();
+            resetSocket(to);
         }
         else {
             to.destroySoon();
--- a/packages/scenarios/tests/linkProxy.test.ts
+++ b/packages/scenarios/tests/linkProxy.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { once } from "node:events";
 import { type AddressInfo, connect, createServer, type Socket } from "node:net";
-import { Link, LinkProxy, type LinkState } from "../src/soak/linkProxy.js";
+import { Link, LinkProxy, type LinkState, resetSocket } from "../src/soak/linkProxy.js";
 
 const sound: LinkState = { kind: "sound" };
 /** Longer than any transfer takes on loopback. */
@@ -124,3 +124,41 @@
         }
     });
 });
+
+describe("a reset closes a connection, so that the process can exit", () => {
+    const rows: readonly { readonly title: string; readonly prepare: (socket: Socket) => void; }[] = [
+        { title: "open", prepare: () => undefined },
+        { title: "with bytes to send", prepare: (socket) => socket.write("a") },
+        { title: "whose shutdown is under way", prepare: (socket) => socket.end() },
+        { title: "whose shutdown follows its last bytes", prepare: (socket) => socket.end("a") },
+        {
+            title: "that is closing",
+            prepare: (socket) => {
+                socket.destroySoon();
+            },
+        },
+        { title: "that is closed", prepare: (socket) => socket.destroy() },
+    ];
+    for (const { title, prepare } of rows) {
+        it(title, async () => {
+            const server = createServer((socket) => socket.on("error", () => undefined).resume());
+            await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+            const { port } = server.address() as AddressInfo;
+            const socket = connect({ port, host: "127.0.0.1", allowHalfOpen: true });
+            await Promise.all([once(socket, "connect"), once(server, "connection")]);
+            const errors: Error[] = [];
+            socket.on("error", (error) => errors.push(error));
+            const closed = once(socket, "close");
+            prepare(socket);
+            // The shutdown is requested in the next tick.
+            await new Promise<void>((resolve) => {
+                process.nextTick(resolve);
+            });
+            resetSocket(socket);
+            await closed;
+            // Resolves only once the server has seen the end of the connection.
+            await new Promise((resolve) => server.close(resolve));
+            expect(errors).to.deep.equal([]);
+        });
+    }
+});
