perf(entry): look at the fleet's demand once for all waiting requests

Cause: each waiting request of the least urgent rank asked at each try whether a more urgent rank is short anywhere.

Change: the most urgent rank that is short is kept for 40 ms, the interval at which waiting requests are tried, or until the next report. More urgent requests that wait at this entry are still seen at once.

Result: one look for any number of waiting requests (the new test saw 5).

--- a/packages/daemon/src/process/entry/requestQueues.ts
+++ b/packages/daemon/src/process/entry/requestQueues.ts
@@ -13,7 +13,7 @@
 import type { AdmittedCall, RequestContext } from "../../request/requestContext.js";
 import type { RequestRank, WaitingFunctions } from "../../request/requestFunctions.js";
 import { getStanding } from "../../request/waitForTarget.js";
-import { RequestQueue } from "./requestQueue.js";
+import { RequestQueue, TARGET_POLL_MS } from "./requestQueue.js";
 
 /** Dependencies of the queues. */
 export interface RequestQueuesOptions {
@@ -34,6 +34,9 @@
     readonly firstEventMs: Map<number, number>;
     readonly spreaders: Map<number, RetryAfterSpreader>;
     readonly throughput: ShortThroughput;
+    /** Most urgent rank that is short of room at any entry, and when that was computed. */
+    shortRank: number;
+    shortRankMs: number;
 }
 
 /** Weight of the newest sample in the moving average. */
@@ -61,7 +64,9 @@
     /** Receives a report of the fleet: tries all waiting requests, and measures what services take while short. */
     recordReport(): void {
         const nowMs = this.options.getNowMs();
-        this.services.forEach(({ queue, throughput }, name) => {
+        this.services.forEach((state, name) => {
+            const { queue, throughput } = state;
+            state.shortRankMs = Number.NEGATIVE_INFINITY;
             const classes = this.options.getDemand(name);
             if (classes !== undefined) {
                 throughput.record(sumRates(classes, "admittedPerS"), sumRates(classes, "refusedPerS"), nowMs);
@@ -87,14 +92,11 @@
      * @returns the functions
      */
     createFunctions(): WaitingFunctions {
-        const { getRank, getDemand } = this.options;
+        const { getRank } = this.options;
         return {
             getQueue: (service) => this.getState(service).queue,
             getRank,
-            isMoreUrgentShort: (service, rank) =>
-                getDemand(service)?.slice(0, rank).some(({ waiting, refusedPerS }) =>
-                    waiting > 0 || refusedPerS >= ONE_REFUSAL_PER_S
-                ) === true,
+            isMoreUrgentShort: (service, rank) => this.findShortRank(service) < rank,
             getFirstEventMs: (admitted) =>
                 this.getState(admitted.service.name).firstEventMs.get(getRank(admitted).rank),
             recordFirstEvent: (admitted, durationMs) => {
@@ -104,6 +106,21 @@
         };
     }
 
+    /** Each waiting request asks at each try, and without a leader the demand is estimated anew at each look. */
+    private findShortRank(service: string): number {
+        const nowMs = this.options.getNowMs();
+        const state = this.getState(service);
+        if (nowMs - state.shortRankMs >= TARGET_POLL_MS) {
+            const classes = this.options.getDemand(service) ?? [];
+            const rank = classes.findIndex(({ waiting, refusedPerS }) =>
+                waiting > 0 || refusedPerS >= ONE_REFUSAL_PER_S
+            );
+            state.shortRank = rank === -1 ? Number.POSITIVE_INFINITY : rank;
+            state.shortRankMs = nowMs;
+        }
+        return state.shortRank;
+    }
+
     private recordFirstEvent(admitted: AdmittedCall, durationMs: number): void {
         const { rank, isRanked } = this.options.getRank(admitted);
         if (isRanked) {
@@ -158,6 +175,8 @@
             firstEventMs: new Map<number, number>(),
             spreaders: new Map<number, RetryAfterSpreader>(),
             throughput: new ShortThroughput(),
+            shortRank: Number.POSITIVE_INFINITY,
+            shortRankMs: Number.NEGATIVE_INFINITY,
         };
         this.services.set(service, state);
         return state;
--- a/packages/daemon/tests/returnReplay.test.ts
+++ b/packages/daemon/tests/returnReplay.test.ts
@@ -162,6 +162,33 @@
         ]);
     });
 
+    it("looks at the fleet's demand once for all that wait, not at each try of each", () => {
+        let looks = 0;
+        let waiting = 0;
+        const queues = new RequestQueues({
+            getNowMs: () => performance.now(),
+            random: () => 0,
+            countEntries: () => 3,
+            getRank: ({ route }) => ({ rank: route.priority, rankCount: 3, isRanked: true }),
+            getDemand: () => {
+                looks += 1;
+                return [{ ...load, refusedPerS: 0, waiting: 0 }, { ...load, refusedPerS: 0, waiting }];
+            },
+        });
+        const { isMoreUrgentShort } = queues.createFunctions();
+        const ask = (): readonly boolean[] => [0, 1, 2, 2, 2].map((rank) => isMoreUrgentShort("s", rank));
+        expect([ask().includes(true), looks]).to.deep.equal([false, 1]);
+        waiting = 1;
+        clock.tick(39);
+        expect([ask().includes(true), looks]).to.deep.equal([false, 1]);
+        clock.tick(1);
+        expect([ask(), looks]).to.deep.equal([[false, false, true, true, true], 2]);
+        waiting = 0;
+        queues.recordReport();
+        looks = 0;
+        expect([ask().includes(true), looks]).to.deep.equal([false, 1]);
+    });
+
     it("forgets a service that is no longer configured", () => {
         const queues = createQueues(true);
         const { getQueue } = queues.createFunctions();
