fix(decisions): a restarted entry adds no unknown retries once the leader knows its window

Cause: in its first window an entry adds to its report the most retries that the instance can have sent before a restart (2.6 times its share of the slack). A leader that has observed a whole window counts the last report before the restart itself, so these retries were charged twice. Where all entries restart under a leader that goes on leading, the additions exceed the whole budget and no entry gets a retry for ten seconds (0 of 45 in the new test).

Change: nothing is added once the leader has answered that it has observed a whole window. The replay counts the last reports of restarted entries as the leader does.

Result: 45 of 45.

--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -87,6 +87,8 @@
     private readonly slots: Slot[] = [];
     private remoteSpending: RetrySpending = { requests: 0, repeats: 0 };
     private isLeaderNew = false;
+    /** Whether the leader had observed a whole window when it last answered. */
+    private isWindowObserved = false;
     private reportedMs = Number.NEGATIVE_INFINITY;
     private bucketTokens = 0;
     private filledMs = 0;
@@ -118,6 +120,7 @@
     recordRemoteSpending(spending: RetrySpending, { knownMs, reporters }: SpendingCoverage): void {
         const { windowMs } = this.options;
         const isLeaderNew = knownMs < windowMs;
+        this.isWindowObserved = !isLeaderNew;
         const missing = Math.max(0, this.getEntries() - reporters);
         if (isLeaderNew && (this.isStarting || missing > this.getEntries() * MAX_MISSING_SHARE)) {
             return;
@@ -164,12 +167,14 @@
 
     /**
      * Computes what this entry reports to the leader. In its first window it adds the most that the instance may have
-     * sent before a restart, since a new leader does not know that either.
+     * sent before a restart, since a new leader does not know that either. A leader that has observed a whole window
+     * counts the last report before the restart itself.
      * @returns requests and retries in the last window
      */
     computeReport(): RetrySpending {
         const { requests, repeats } = this.computeSpending();
-        return { requests, repeats: repeats + (this.isStarting ? Math.ceil(this.computeMaxUnknown()) : 0) };
+        const isUnknown = this.isStarting && !this.isWindowObserved;
+        return { requests, repeats: repeats + (isUnknown ? Math.ceil(this.computeMaxUnknown()) : 0) };
     }
 
     /**
--- a/packages/decisions/tests/sharedRetryBudget.test.ts
+++ b/packages/decisions/tests/sharedRetryBudget.test.ts
@@ -19,6 +19,8 @@
     private leadingSinceMs = 0;
     /** Entries that no longer report; what they sent before still counts. */
     private readonly missing = new Set<number>();
+    /** What restarted entries had reported last; a leader counts it for a window. */
+    private former: readonly { readonly atMs: number; readonly spending: RetrySpending; }[] = [];
     private readonly budgets = Array.from({ length: ENTRIES }, () => this.createBudget());
     private readonly reports: { readonly atMs: number; readonly spending: readonly RetrySpending[]; }[] = [];
     private readonly sends: { readonly atMs: number; readonly requests: number; readonly repeats: number; }[] = [];
@@ -33,11 +35,17 @@
     changeLeader(): void {
         this.leadingSinceMs = this.nowMs;
         this.reports.length = 0;
+        this.former = [];
     }
 
     restart(entries: readonly number[]): void {
+        const reported = this.reports.at(-1)?.spending ?? [];
         entries.forEach((entry) => {
             this.budgets[entry] = this.createBudget();
+            const spending = reported[entry];
+            if (spending !== undefined) {
+                this.former = [...this.former, { atMs: this.nowMs, spending }];
+            }
         });
     }
 
@@ -72,9 +80,14 @@
         if (isTurn) {
             this.reports.push({
                 atMs: this.nowMs,
-                spending: this.budgets.map((budget, entry) =>
-                    this.missing.has(entry) ? { requests: 0, repeats: 0 } : budget.computeReport()
-                ),
+                spending: [
+                    ...this.budgets.map((budget, entry) =>
+                        this.missing.has(entry) ? { requests: 0, repeats: 0 } : budget.computeReport()
+                    ),
+                    ...this.former.filter(({ atMs }) => atMs > this.nowMs - options.windowMs).map(({ spending }) =>
+                        spending
+                    ),
+                ],
             });
         }
         const known = this.reports.findLast((one) => one.atMs <= this.nowMs - LAG_MS);
@@ -198,6 +211,40 @@
         expect(known).to.equal(needed);
     });
 
+    it("entries that restart under a leader that goes on leading take no retries from the others", () => {
+        const [restarting, steady] = [first(ENTRIES), []].map((restarted) => {
+            const replay = new FleetReplay(true, true);
+            replay.run(12, none);
+            replay.restart(restarted);
+            replay.run(2.5, none);
+            replay.run(7.4, (entry, nowMs) => entry < 3 && nowMs % 500 === 0 ? 1 : 0);
+            return sum(replay.claimed);
+        });
+        expect(steady).to.equal(3 * 15);
+        expect(restarting).to.equal(steady);
+    });
+
+    const restarts: readonly { readonly title: string; readonly count: number; readonly leaderAfterS?: number; }[] = [
+        { title: "half of the entries", count: ENTRIES / 2 },
+        { title: "all entries", count: ENTRIES },
+        { title: "half of the entries, three seconds before a change of leader", count: ENTRIES / 2, leaderAfterS: 3 },
+        { title: "all entries, three seconds before a change of leader", count: ENTRIES, leaderAfterS: 3 },
+    ];
+    for (const { title, count, leaderAfterS } of restarts) {
+        it(`within, through a restart under a leader that goes on leading: ${title}`, () => {
+            const replay = new FleetReplay(true, true);
+            replay.run(12, none);
+            replay.run(5, everywhere);
+            replay.restart(first(count));
+            if (leaderAfterS !== undefined) {
+                replay.run(leaderAfterS, everywhere);
+                replay.changeLeader();
+            }
+            replay.run(25, everywhere);
+            expect(replay.computeExcess()).to.be.at.most(0);
+        });
+    }
+
     const incomplete = [
         { title: "too many entries are missing", coverage: { knownMs: 9_000, reporters: ENTRIES / 2 }, startedMs: 0 },
         {
