feat(entry): bound the unread bytes of all responses

Cause: each response was bounded at 256 KiB, their sum was not. An upstream that cut an unread stream counted as failed and crashed, and the stream was sent again. A paused stream counted as silence of its path.

A stream cut after a pause of 1 s ends as `caller-left` without a retry. Pauses are left out of stall detection and of the links' late events.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -43,6 +43,7 @@
 import { RequestQueues } from "./requestQueues.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import { TargetChooser } from "./targetChooser.js";
+import { computeBudgetBytes, UnreadBudget } from "./unreadBudget.js";
 import { UpstreamFaultHandler } from "./upstreamFaultHandler.js";
 import { UpstreamHealth } from "./upstreamHealth.js";
 import { UpstreamNoticeHandler } from "./upstreamNoticeHandler.js";
@@ -109,6 +110,7 @@
     private readonly remoteLoads: RemoteLoads;
     private readonly loadReportAge: LoadReportAge;
     private readonly queues: RequestQueues;
+    private readonly unread: UnreadBudget;
     private openCount = 0;
 
     /**
@@ -116,6 +118,14 @@
      */
     constructor(private readonly options: FleetEntryOptions) {
         this.document = new ActiveDocument({ ...options, view: this.view });
+        this.unread = new UnreadBudget({
+            ...options,
+            budgetBytes: computeBudgetBytes(options.settings.limits.memory),
+            countPause: () => {
+                options.metrics.countReaderPause();
+            },
+        });
+        options.metrics.observeUnreadBytes(() => this.unread.unreadBytes);
         this.levels = new AdmissionLevels(options);
         this.refusals = new RefusalWindow(options.getNowMs);
         this.demand = new EntryDemand({ ...options, getRouting: () => this.view.routing });
@@ -406,6 +416,7 @@
             notices: this.notices.createFunctions(),
             crashes: this.createCrashFunctions(),
             waiting: this.queues.createFunctions(),
+            unread: this.unread,
             record: (event, fields) => {
                 log.record("info", event, fields);
             },
--- a/packages/daemon/src/process/entry/pathStallDetector.ts
+++ b/packages/daemon/src/process/entry/pathStallDetector.ts
@@ -26,6 +26,12 @@
     readonly close: () => void;
 }
 
+/** One stream whose caller may stop reading. */
+export interface PausableTracker extends StreamTracker {
+    /** Leaves the stream out until its next event, since its caller does not read. */
+    readonly recordPause: () => void;
+}
+
 /** Interval between checks; events arrive every 15 to 60 ms. */
 const CHECK_INTERVAL_MS = 20;
 /** A check later than this means that this process was not scheduled: unread data must not count as silence. */
@@ -82,7 +88,7 @@
      * @param handleStall - called when the path stalls; the stream then moves to another path if it may
      * @returns receives the events of the stream
      */
-    follow(key: PathKey, maxPauseMs: number, handleStall: PathStallHandler): StreamTracker {
+    follow(key: PathKey, maxPauseMs: number, handleStall: PathStallHandler): PausableTracker {
         const path = this.getPath(key, maxPauseMs);
         const stream = {};
         path.stallHandlers.set(stream, handleStall);
@@ -94,6 +100,9 @@
                 path.startedStreams.add(stream);
                 this.recordProgress(path);
             },
+            recordPause: () => {
+                path.startedStreams.delete(stream);
+            },
             close: () => {
                 path.stallHandlers.delete(stream);
                 path.startedStreams.delete(stream);
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -42,6 +42,10 @@
     readonly recordLoopDelayMs: (delayMs: number) => void;
     /** Number of pairs of failure domains whose links lose packets. */
     readonly recordLossyLinks: (count: number) => void;
+    /** Sets how the unread bytes of all responses are read; they are read whenever metrics are formatted. */
+    readonly observeUnreadBytes: (read: () => number) => void;
+    /** An upstream was paused because its caller does not read. */
+    readonly countReaderPause: () => void;
     /** Formats all metrics in the text format that a scraper reads. */
     readonly format: () => Promise<string>;
 }
@@ -181,6 +185,20 @@
         help: "Pairs of failure domains whose links lose packets now, as this leader sees",
         registers,
     });
+    const readerPauses = new Counter({
+        name: "crankfork_readers_paused_total",
+        help: "Upstreams that were paused because their callers did not read",
+        registers,
+    });
+    let readUnreadBytes = (): number => 0;
+    const unreadBytes = new Gauge({
+        name: "crankfork_unread_bytes",
+        help: "Bytes of answers that callers have not read yet",
+        registers,
+        collect: () => {
+            unreadBytes.set(readUnreadBytes());
+        },
+    });
     const leading = new Gauge({ name: "crankfork_leading", help: "1 while this voter leads", registers });
     return {
         countRequest: (service, outcome, rank) => {
@@ -252,6 +270,12 @@
         recordLossyLinks: (count) => {
             lossyLinks.set(count);
         },
+        observeUnreadBytes: (read) => {
+            readUnreadBytes = read;
+        },
+        countReaderPause: () => {
+            readerPauses.inc();
+        },
         format: () => registry.metrics(),
     };
 }
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -4,8 +4,9 @@
 import type { RoutedService } from "@crankfork/schemas";
 import type { Dispatcher } from "undici";
 import type { UnansweredAttempt } from "../process/entry/crashTracker.js";
-import type { PathStallHandler, StreamTracker } from "../process/entry/pathStallDetector.js";
+import type { PathStallHandler, PausableTracker, StreamTracker } from "../process/entry/pathStallDetector.js";
 import type { RequestQueue } from "../process/entry/requestQueue.js";
+import type { UnreadBudget } from "../process/entry/unreadBudget.js";
 import type { EventFields } from "../process/eventLog.js";
 import type { AdmittedCall, RequestContext } from "./requestContext.js";
 import type { CallCodec, CallTarget, ResponseVerdict, UpstreamNotice } from "./routedCall.js";
@@ -128,7 +129,7 @@
     readonly claimRetry: (service: string, hasStarted: boolean) => boolean;
     readonly queryStall: (target: CallTarget, requestId: string) => Promise<StallReport>;
     /** Monitors a stream on its path; `leave` is called if the path stalls. */
-    readonly watchPath: (target: CallTarget, pauseMs: number, leave: PathStallHandler) => StreamTracker;
+    readonly watchPath: (target: CallTarget, pauseMs: number, leave: PathStallHandler) => PausableTracker;
     /** Observes how the events of a stream come over the link to its path; undefined for targets without a path. */
     readonly followLink?: (target: CallTarget) => StreamTracker | undefined;
     /** Whether a stream may switch to another path; if so, takes a retry from the retry budget. */
@@ -141,5 +142,7 @@
     readonly crashes: CrashFunctions;
     /** Queues of the services; without them each request waits in a queue of its own. */
     readonly waiting?: WaitingFunctions;
+    /** Bytes that callers have not read; not limited if absent. */
+    readonly unread?: UnreadBudget;
     readonly record: (event: string, fields: EventFields) => void;
 }
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -17,6 +17,7 @@
     | "declined"
     | "resting"
     | "limited"
+    | "slow-readers"
     | "no-repeat-left"
     | "held"
     | "held-after-run"
@@ -47,6 +48,8 @@
 const TOO_FEW_ENGINES_RETRY_MS = 5_000;
 /** Retry-After if all upstreams declined; about the duration of a request. */
 const BUSY_RETRY_MS = 500;
+/** Retry-After for an organisation whose callers do not read; upstreams cut such answers within seconds. */
+const SLOW_READERS_RETRY_MS = 2_000;
 
 /**
  * Retry-After if a path is available but this entry has no retry budget left: an immediate retry at another entry may
@@ -122,6 +125,12 @@
         status: 503,
         text: "the upstreams get as many requests a second as they take; the request has not run",
     },
+    "slow-readers": {
+        id: "slow-readers",
+        status: 503,
+        text: "callers of this organisation do not read their answers; the request has not run",
+        retryAfterMs: SLOW_READERS_RETRY_MS,
+    },
     "no-repeat-left": {
         id: "no-repeat-left",
         status: 503,
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -23,6 +23,11 @@
 import { type AttemptResult, runAttempt } from "./upstreamAttempt.js";
 import { computeMaxWaitMs, isKeyUsable, isQuarantined, TARGET_POLL_MS, waitForTarget } from "./waitForTarget.js";
 
+/**
+ * Pause of an upstream after which the end of its connection is put down to the caller that did not read: upstreams cut
+ * an answer that stays unread for some seconds.
+ */
+const UNREAD_CUT_MS = 1_000;
 /** Attempts made without a delay; more would only drain the retry budget while the engines' memory is full. */
 const IMMEDIATE_ATTEMPTS = 2;
 
@@ -38,7 +43,15 @@
     response: RoutedResponse,
     functions: RoutedRequestFunctions,
 ): Promise<RequestEnd> {
-    const { call, route } = context.admitted;
+    const { call, route, organisation } = context.admitted;
+    const { unread } = functions;
+    if (unread !== undefined) {
+        const name = organisation?.name ?? "";
+        response.limitUnread(unread, name);
+        if (unread.isRefused(name)) {
+            return sendRefusal(context, response, "slow-readers");
+        }
+    }
     const relay = route.kind === "stream"
         ? new StreamRelay(response, call.lastEventId, functions.getNowMs)
         : undefined;
@@ -133,8 +146,8 @@
         functions.waiting?.recordFirstEvent(context.admitted, functions.getNowMs() - startMs);
     });
     let watch: StallWatch | undefined;
-    const link = relay === undefined ? undefined : functions.followLink?.(target);
-    const result = await runAttempt({
+    let link = relay === undefined ? undefined : functions.followLink?.(target);
+    const raw = await runAttempt({
         connections: functions.getConnections(target),
         codec: functions.codec,
         context,
@@ -147,11 +160,17 @@
             recordOutcome(true);
             watch?.recordEvent();
             link?.recordEvent();
+        }, () => {
+            // The gap of a pause says nothing about the path or the link.
+            watch?.recordPause();
+            link?.close();
+            link = functions.followLink?.(target);
         }),
         handleStart: (abort) => {
             watch = startStallWatch(context, target, relay, functions, abort);
         },
     });
+    const result = endUnread(raw, relay);
     watch?.stop();
     link?.close();
     if (result.kind === "answered") {
@@ -173,6 +192,20 @@
     return result;
 }
 
+/**
+ * Ends a stream that the upstream cut because its caller did not read: it is no failure of the upstream, and would stay
+ * unread at another one, too.
+ */
+function endUnread(result: AttemptResult, relay: StreamRelay | undefined): AttemptResult {
+    const isCut = result.kind === "ended" && result.end === "broken" && result.hasConnectionEnded === true
+        && relay !== undefined && relay.longestPausedMs >= UNREAD_CUT_MS;
+    if (!isCut) {
+        return result;
+    }
+    relay.abort();
+    return { kind: "stopped", stop: "caller-left" };
+}
+
 function once<Arguments extends readonly unknown[]>(
     run: (...values: Arguments) => void,
 ): (...values: Arguments) => void {
--- a/packages/daemon/src/request/routedResponse.ts
+++ b/packages/daemon/src/request/routedResponse.ts
@@ -3,6 +3,7 @@
  */
 import type { ServerResponse } from "node:http";
 import type { OpenExchange, ResponseHead } from "../connection/upstreamExchange.js";
+import type { UnreadBudget, UnreadResponse } from "../process/entry/unreadBudget.js";
 import type { CallCodec, RoutedCall } from "./routedCall.js";
 import type { Refusal } from "./routedRefusal.js";
 import type { BufferedResponse } from "./upstreamAttempt.js";
@@ -19,8 +20,6 @@
     "upgrade",
 ]);
 
-/** Unread bytes of the caller above which reading from the upstream pauses. */
-const MAX_UNREAD_BYTES = 256 * 1_024;
 const MS_PER_SECOND = 1_000;
 const LENGTH_HEADERS: ReadonlySet<string> = new Set(["content-length"]);
 const LENGTH_AND_RETRY_HEADERS: ReadonlySet<string> = new Set([...LENGTH_HEADERS, "retry-after"]);
@@ -88,6 +87,7 @@
 /** Writes one response. */
 export class RoutedResponse {
     private closeDelimited = false;
+    private unread: UnreadResponse | undefined;
 
     /**
      * @param response - the server response; nothing has been written yet
@@ -100,6 +100,35 @@
         private readonly isStopping: () => boolean,
     ) {}
 
+    /**
+     * Counts what the caller has not read into a budget.
+     * @param budget - the budget of all responses
+     * @param organisation - name of the caller's organisation, empty for anonymous callers
+     */
+    limitUnread(budget: UnreadBudget, organisation: string): void {
+        this.unread = budget.open(this.response, organisation);
+    }
+
+    /** Longest time for which the upstream was paused because the caller did not read, in milliseconds. */
+    get longestPausedMs(): number {
+        return this.unread?.longestPausedMs ?? 0;
+    }
+
+    /** Whether the upstream is paused because the caller does not read. */
+    get isPaused(): boolean {
+        return this.unread?.isPaused === true;
+    }
+
+    /**
+     * Sets the handler of pauses.
+     * @param handle - called when the upstream pauses (true) and resumes (false)
+     */
+    watchPauses(handle: (isPaused: boolean) => void): void {
+        if (this.unread !== undefined) {
+            this.unread.handlePause = handle;
+        }
+    }
+
     /** Whether the headers have been sent. */
     get hasStarted(): boolean {
         return this.response.headersSent;
@@ -124,6 +153,7 @@
         }
         this.writeHead(buffered.head.status, headers);
         this.response.end(buffered.body);
+        this.unread?.recordWrite(undefined);
     }
 
     /**
@@ -168,17 +198,13 @@
      */
     sendEvent(bytes: Buffer, exchange: OpenExchange): void {
         this.response.write(bytes);
-        if (this.response.writableLength > MAX_UNREAD_BYTES) {
-            exchange.pause();
-            this.response.once("drain", () => {
-                exchange.resume();
-            });
-        }
+        this.unread?.recordWrite(exchange);
     }
 
     /** Completes a stream. */
     endStream(): void {
         this.response.end();
+        this.unread?.recordWrite(undefined);
     }
 
     /** Aborts the connection so that the caller notices that the response is incomplete. */
--- a/packages/daemon/src/request/stallWatch.ts
+++ b/packages/daemon/src/request/stallWatch.ts
@@ -2,7 +2,7 @@
  * Watches an attempt of a repeatable request: if its path stalls or its upstream stays silent, the attempt is aborted
  * early enough to get a response elsewhere. A request that is not repeatable has to wait.
  */
-import type { StreamTracker } from "../process/entry/pathStallDetector.js";
+import type { PausableTracker } from "../process/entry/pathStallDetector.js";
 import type { RequestContext } from "./requestContext.js";
 import type { RoutedRequestFunctions, StallReport } from "./requestFunctions.js";
 import type { CallTarget } from "./routedCall.js";
@@ -27,6 +27,8 @@
 export interface StallWatch {
     /** Records that a part of the response was received. */
     readonly recordEvent: () => void;
+    /** Records that the upstream is paused because the caller does not read. */
+    readonly recordPause: () => void;
     readonly stop: () => void;
 }
 
@@ -64,6 +66,7 @@
     }, route.objective_ms);
     return {
         recordEvent: () => undefined,
+        recordPause: () => undefined,
         stop: () => {
             clearTimeout(timer);
         },
@@ -72,7 +75,7 @@
 
 /** Watches a stream for silence: together with the other streams on its path, and by querying its engine for a stall. */
 class StreamStallWatch implements StallWatch {
-    private readonly tracker: StreamTracker;
+    private readonly tracker: PausableTracker;
     private timer: NodeJS.Timeout;
     private missedReports = 0;
     private isStopped = false;
@@ -94,6 +97,10 @@
         this.tracker.recordEvent();
     }
 
+    recordPause(): void {
+        this.tracker.recordPause();
+    }
+
     stop(): void {
         this.isStopped = true;
         this.tracker.close();
@@ -114,7 +121,7 @@
     private switchPath(isSure: boolean): void {
         // A switch that may be unnecessary only uses what other retries leave of the budget.
         const hasStarted = isSure && this.relay.eventCount > 0;
-        if (!this.isStopped && this.functions.claimPathSwitch(this.context, hasStarted)) {
+        if (!this.isStopped && !this.relay.isPaused && this.functions.claimPathSwitch(this.context, hasStarted)) {
             this.abort({ end: "left", reason: `silent for ${String(Math.round(this.relay.silentMs))} ms` });
         }
     }
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -54,20 +54,43 @@
         return this.eventTotal === 0 ? 0 : this.getNowMs() - this.lastEventMs;
     }
 
-    /** Time since the last event or the start of the current attempt, in milliseconds. */
+    /** Time since the last event or the start of the current attempt, in milliseconds; 0 while its caller does not read. */
     get silentMs(): number {
-        return this.getNowMs() - this.lastProgressMs;
+        return this.response.isPaused ? 0 : this.getNowMs() - this.lastProgressMs;
+    }
+
+    /** Whether the upstream is paused because the caller does not read. */
+    get isPaused(): boolean {
+        return this.response.isPaused;
+    }
+
+    /** Longest time for which the upstream was paused because the caller did not read, in milliseconds. */
+    get longestPausedMs(): number {
+        return this.response.longestPausedMs;
+    }
+
+    /** Aborts the response. */
+    abort(): void {
+        this.response.abort();
     }
 
     /**
      * Starts an attempt.
      * @param handleEvent - called when bytes are received
+     * @param handlePause - called when the upstream is paused because the caller does not read
      * @returns the sink for the upstream's response
      */
-    createSink(handleEvent: () => void): StreamSink {
+    createSink(handleEvent: () => void, handlePause: () => void): StreamSink {
         const splitter = new EventSplitter();
         let head: ResponseHead | undefined;
         this.lastProgressMs = this.getNowMs();
+        this.response.watchPauses((isPaused) => {
+            // The pause is the caller's, so the upstream's silence is counted from its end.
+            this.lastProgressMs = this.getNowMs();
+            if (isPaused) {
+                handlePause();
+            }
+        });
         return {
             handleHead: (started) => {
                 head = started;
--- a/packages/daemon/tests/pathStallDetector.test.ts
+++ b/packages/daemon/tests/pathStallDetector.test.ts
@@ -49,6 +49,19 @@
         }
     }
 
+    // Guards against an engine that is suspected because callers do not read.
+    for (const { paused, stalled } of [{ paused: 4, stalled: [] }, { paused: 0, stalled: ["p"] }]) {
+        it(`${String(paused)} of 4 streams are silent because their callers do not read`, () => {
+            const streams = followMany(4);
+            runPasses(streams, 20, 30);
+            streams.slice(0, paused).forEach((stream) => {
+                stream.recordPause();
+            });
+            clock.tick(1_000);
+            expect(stalledPaths).to.deep.equal(stalled);
+        });
+    }
+
     const rows = [
         { title: "none while there are events", streams: 4, passMs: 30, silentMs: 20, leftStreams: 0 },
         {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from "./connection/bandwidthLimiter.js";
 export * from "./connection/chooseNewerLimit.js";
+export * from "./connection/chooseReadersToPause.js";
 export {
     CircuitBreaker,
     type CircuitBreakerOptions,
--- a/packages/schemas/src/fleetSettings.ts
+++ b/packages/schemas/src/fleetSettings.ts
@@ -43,6 +43,8 @@
     limits: z.object({
         /** Link rate of this instance, in Mbit/s. */
         link: z.number().positive().default(DEFAULT_LINK_MBPS),
+        /** Memory of this instance, in MB. */
+        memory: z.number().positive().optional(),
     }).default({ link: DEFAULT_LINK_MBPS }),
     admission: z.object({
         /** Whether demand is also reported for services whose routes all have the same priority. */
