--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -132,7 +132,9 @@
     /** Whether a stream may switch its path because of silence alone; yes by default. */
     readonly maySwitchPath?: boolean;
     /** The choice if no upstream is left; "none" by default. */
-    readonly fallback?: "none" | "full" | "too-few-engines";
+    readonly fallback?: "none" | "full" | "too-few-engines" | "limited";
+    /** Number of checks after which no upstream is left. */
+    readonly lostAfterChecks?: number;
     /** If set, upstreams are in backoff for this long once none is left. */
     readonly backoffMs?: number;
     /** For how many checks the upstreams' rate limits are used up, and what these checks return. */
@@ -232,11 +234,20 @@
                 if (options.limited !== undefined && this.targetChecks <= options.limited.checks) {
                     return { kind: "limited", ...options.limited, upstreams: ["u0"] };
                 }
-                const next = options.upstreams.find((one) => !context.attemptedUpstreams.has(one.name));
+                const isLost = this.targetChecks > (options.lostAfterChecks ?? Number.POSITIVE_INFINITY);
+                const next = isLost
+                    ? undefined
+                    : options.upstreams.find((one) => !context.attemptedUpstreams.has(one.name));
                 if (next === undefined && options.backoffMs !== undefined) {
                     return { kind: "resting", remainingMs: options.backoffMs, upstreams: [] };
                 }
-                return next === undefined ? { kind: options.fallback ?? "none" } : {
+                const { fallback = "none" } = options;
+                if (next === undefined) {
+                    return fallback === "limited"
+                        ? { kind: fallback, remainingMs: 50, isHeld: false, upstreams: [] }
+                        : { kind: fallback };
+                }
+                return {
                     kind: "target",
                     target: {
                         upstreamId: next.name,
