--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -4,6 +4,7 @@
 import { readRetryAfter } from "../src/connection/readRetryAfter.js";
 import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
 import { PathStallDetector } from "../src/process/entry/pathStallDetector.js";
+import type { UnreadBudget } from "../src/process/entry/unreadBudget.js";
 import type { RequestEnd } from "../src/request/refuseRequest.js";
 import { RequestContext } from "../src/request/requestContext.js";
 import type {
@@ -131,7 +132,9 @@
     /** Whether a stream may switch its path because of silence alone; yes by default. */
     readonly maySwitchPath?: boolean;
     /** The choice if no upstream is left; "none" by default. */
-    readonly fallback?: "none" | "full" | "too-few-engines";
+    readonly fallback?: "none" | "full" | "too-few-engines" | "limited";
+    /** Number of checks after which no upstream is left. */
+    readonly lostAfterChecks?: number;
     /** If set, upstreams are in backoff for this long once none is left. */
     readonly backoffMs?: number;
     /** For how many checks the upstreams' rate limits are used up, and what these checks return. */
@@ -146,6 +149,8 @@
     readonly validKeyChecks?: number;
     /** How long the machine sleeps after the request has arrived; 0 by default. */
     readonly sleepMs?: number;
+    /** Budget of the unread bytes; none by default. */
+    readonly unread?: UnreadBudget;
     readonly queryStall?: (target: CallTarget) => Promise<StallReport>;
     /** Observes the links of streams; none by default. */
     readonly followLink?: NonNullable<RoutedRequestFunctions["followLink"]>;
@@ -185,7 +190,10 @@
                     call: testCodec.parseCall(request),
                     route: createTestRoute(options.route),
                     service: { name: "s" },
-                    organisation: options.validKeyChecks === undefined ? undefined : { name: "o", keys: ["k"] },
+                    organisation: options.validKeyChecks === undefined ? undefined : {
+                        name: String(request.headers["x-organisation"] ?? "o"),
+                        keys: ["k"],
+                    },
                     body: chunks.length === 0 ? undefined : Buffer.concat(chunks),
                     basis: confirmedBasis,
                     arrivedMs: performance.now(),
@@ -226,11 +234,20 @@
                 if (options.limited !== undefined && this.targetChecks <= options.limited.checks) {
                     return { kind: "limited", ...options.limited, upstreams: ["u0"] };
                 }
-                const next = options.upstreams.find((one) => !context.attemptedUpstreams.has(one.name));
+                const isLost = this.targetChecks > (options.lostAfterChecks ?? Number.POSITIVE_INFINITY);
+                const next = isLost
+                    ? undefined
+                    : options.upstreams.find((one) => !context.attemptedUpstreams.has(one.name));
                 if (next === undefined && options.backoffMs !== undefined) {
                     return { kind: "resting", remainingMs: options.backoffMs, upstreams: [] };
                 }
-                return next === undefined ? { kind: options.fallback ?? "none" } : {
+                const { fallback = "none" } = options;
+                if (next === undefined) {
+                    return fallback === "limited"
+                        ? { kind: fallback, remainingMs: 50, isHeld: false, upstreams: [] }
+                        : { kind: fallback };
+                }
+                return {
                     kind: "target",
                     target: {
                         upstreamId: next.name,
@@ -280,6 +297,7 @@
                 recordSuccess: () => undefined,
                 ...options.crashes,
             },
+            ...(options.unread === undefined ? {} : { unread: options.unread }),
             record: () => undefined,
         };
     }
