perf(entry): record the room of a class once a second, and convert each sum of demand once

The recorded room was that of one request, with its exemption and its organisation's excess, so that it changed from request to request; it is now what a request of the usual size without either gets.

--- a/packages/daemon/src/process/entry/admissionLevels.ts
+++ b/packages/daemon/src/process/entry/admissionLevels.ts
@@ -40,6 +40,17 @@
      */
     constructor(private readonly options: AdmissionLevelsOptions) {}
 
+    /**
+     * Tells whether the share of a class is to be computed again.
+     * @param service - the service
+     * @param rank - the class
+     * @returns false within a second of the last record
+     */
+    isDue(service: string, rank: number): boolean {
+        const known = this.levels.get(createKey(service, rank));
+        return known === undefined || this.options.getNowMs() - known.recordedMs >= LOG_INTERVAL_MS;
+    }
+
     /**
      * Records the share that a class may take. A change within a second of the last line is logged with the next record.
      * @param service - the service
--- a/packages/daemon/src/process/entry/createServiceDemand.ts
+++ b/packages/daemon/src/process/entry/createServiceDemand.ts
@@ -4,13 +4,21 @@
 import type { RankDemand, ServiceDemand } from "@crankfork/decisions";
 import type { FleetClassDemand, FleetDemandView } from "./fleetDemand.js";
 
+/** Conversions of sums, which are the same for many choices. */
+const converted = new WeakMap<FleetDemandView["classes"], ServiceDemand>();
+
 /**
  * Converts the demand of a service.
  * @param view - its classes by rank
  * @returns demand by rank; undefined where nothing is known yet
  */
 export function createServiceDemand({ classes }: FleetDemandView): ServiceDemand | undefined {
-    return classes.length === 0 ? undefined : new Map(classes.map((one, rank) => [rank, createRankDemand(one)]));
+    if (classes.length === 0) {
+        return undefined;
+    }
+    const demand = converted.get(classes) ?? new Map(classes.map((one, rank) => [rank, createRankDemand(one)]));
+    converted.set(classes, demand);
+    return demand;
 }
 
 function createRankDemand(demand: FleetClassDemand): RankDemand {
--- a/packages/daemon/src/process/entry/fleetDemand.ts
+++ b/packages/daemon/src/process/entry/fleetDemand.ts
@@ -59,6 +59,7 @@
 /** Stores the last sum and the slow averages. */
 export class FleetDemand {
     private services = new Map<string, readonly ClassDemand[]>();
+    private readonly sums = new Map<string, readonly FleetClassDemand[]>();
     private receivedMs = Number.NEGATIVE_INFINITY;
     private reporters = 0;
     private readonly slowAverages = new Map<string, SlowAverages>();
@@ -104,6 +105,7 @@
         reported.forEach((service) => {
             this.updateSlowAverages(service, this.services.get(service) ?? []);
         });
+        this.sums.clear();
         return true;
     }
 
@@ -115,11 +117,24 @@
     get(service: string): FleetDemandView {
         const ageMs = this.options.getNowMs() - this.receivedMs;
         const isEstimated = ageMs > SUMMARY_VALIDITY_MS || !this.options.getReportedServices().has(service);
-        const classes = isEstimated ? this.estimate(service) : this.services.get(service) ?? [];
-        const { byRank } = isEstimated
-            ? this.updateSlowAverages(service, classes)
-            : this.slowAverages.get(service) ?? { byRank: [] };
-        return { classes: classes.map((demand, rank) => createView(demand, byRank[rank] ?? 0)), ageMs, isEstimated };
+        if (!isEstimated) {
+            return { classes: this.getSum(service), ageMs, isEstimated };
+        }
+        const estimate = this.estimate(service);
+        const { byRank } = this.updateSlowAverages(service, estimate);
+        return { classes: estimate.map((demand, rank) => createView(demand, byRank[rank] ?? 0)), ageMs, isEstimated };
+    }
+
+    /** Created once for each sum, since each choice of a target reads it. */
+    private getSum(service: string): readonly FleetClassDemand[] {
+        const known = this.sums.get(service);
+        if (known !== undefined) {
+            return known;
+        }
+        const byRank = this.slowAverages.get(service)?.byRank ?? [];
+        const sum = (this.services.get(service) ?? []).map((demand, rank) => createView(demand, byRank[rank] ?? 0));
+        this.sums.set(service, sum);
+        return sum;
     }
 
     private estimate(service: string): readonly ClassDemand[] {
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -176,9 +176,7 @@
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
             isLinkLossy: (to) => this.links.isLossy(to),
             getDemand: (service) => createServiceDemand(this.demand.fleet.get(service)),
-            recordClassRoom: (service, rank, share, inputs) => {
-                this.levels.record(service, rank, share, inputs);
-            },
+            levels: this.levels,
             countEntries: options.countEntries,
             getLimitTokens: (id, contextTokens) => learnedRoom.getLimitTokens(id, contextTokens),
             random: options.random,
--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -82,9 +82,33 @@
         if (ranks?.isRanked !== true) {
             return undefined;
         }
-        const { service } = run.admitted;
-        const demand = this.options.getDemand?.(service.name);
-        const request = this.createRankedRequest(run, ranks, demand);
+        const demand = this.options.getDemand?.(run.admitted.service.name);
+        return this.createRoom(this.createRankedRequest(run, ranks, demand), demand, chains, engine);
+    }
+
+    /**
+     * Computes which part of the places of all paths a class may take: what a request of the usual size gets that is within
+     * its organisation's share and not exempt from protection.
+     * @param service - name of a ranked service
+     * @param rank - the class
+     * @param loaded - its paths
+     * @param engine - usual sizes and slots
+     * @returns from 0 to 1
+     */
+    computeClassShare(service: string, rank: number, loaded: readonly LoadedChain[], engine: EngineProfile): number {
+        const chains = loaded.map(({ chain }) => chain);
+        const request = { rank, memoryRank: rank, size: undefined, objectiveMs: 0, draw: 1 };
+        const getRoom = this.createRoom(request, this.options.getDemand?.(service), chains, engine);
+        const allPlaces = chains.reduce((sum, chain) => sum + computeMaxOpen(chain, engine), 0);
+        return loaded.reduce((sum, one) => sum + getRoom(one).places, 0) / Math.max(1, allPlaces);
+    }
+
+    private createRoom(
+        request: RankedRequest,
+        demand: ServiceDemand | undefined,
+        chains: readonly Chain[],
+        engine: EngineProfile,
+    ): GetClassRoom {
         const shareAhead = demand === undefined ? 1 : computeShareAhead(demand, request.rank);
         const estimated = demand === undefined ? this.estimateOpen(chains) : [];
         const allPlaces = chains.reduce((sum, chain) => sum + computeMaxOpen(chain, engine), 0);
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -6,7 +6,6 @@
     type Chain,
     chooseChainByStaleLoad,
     computeFill,
-    computeMaxOpen,
     computePreferredCount,
     computePriority,
     computeRankPriority,
@@ -62,8 +61,8 @@
     readonly getLoadAgeMs: () => number;
     /** Demand for a ranked service, over all entries; undefined where it is not known. */
     readonly getDemand?: (service: string) => ServiceDemand | undefined;
-    /** Records the part of a service's places that a class may take, and what it was computed from. */
-    readonly recordClassRoom?: AdmissionLevels["record"];
+    /** Records the part of a service's places that each class may take. */
+    readonly levels?: Pick<AdmissionLevels, "isDue" | "record">;
     /** Share of other entries' requests at an upstream that are as likely to end soon as others; none where not given. */
     readonly getSteadyShare?: (id: string) => number;
     /** Memory of an engine as learned from declines; without it, the memory by its profile. */
@@ -196,7 +195,7 @@
             }
         }
         if (getClassRoom !== undefined && !isUnderWay) {
-            this.recordClassRoom(run, chains, getClassRoom, engine);
+            this.recordClassRoom(run, chains, engine);
         }
         const first = chosen?.chain.stages[0]?.engine;
         if (chosen === undefined || first === undefined) {
@@ -208,24 +207,18 @@
         return { kind: "target", target: this.createTarget(run, first.id, first.address, stages, lastEventId) };
     }
 
-    /** Records which part of the places of all paths the class of a request may take now. */
-    private recordClassRoom(
-        run: RequestContext,
-        chains: readonly Chain[],
-        getClassRoom: GetClassRoom,
-        engine: EngineProfile,
-    ): void {
-        const { view, recordClassRoom } = this.options;
+    /** Records the room of a request's class; at most once a second, as it is computed for all paths. */
+    private recordClassRoom(run: RequestContext, chains: readonly Chain[], engine: EngineProfile): void {
+        const { view, levels } = this.options;
         const { service, route, organisation } = run.admitted;
-        const rooms = chains.map((chain) => getClassRoom(this.getLoadedChain(chain)));
-        const allPlaces = chains.reduce((sum, chain) => sum + computeMaxOpen(chain, engine), 0);
-        const places = rooms.reduce((sum, room) => sum + room.places, 0);
         const rank = view.routing?.ranks.get(service.name)?.getRank(route, organisation) ?? 0;
-        recordClassRoom?.(service.name, rank, places / Math.max(1, allPlaces), {
-            paths: chains.length,
-            places: Math.round(allPlaces),
-            open: chains.reduce((sum, chain) => sum + this.getLoad(getFirstEngineId(chain)).open, 0),
-        });
+        if (levels?.isDue(service.name, rank) === true) {
+            const loaded = chains.map((chain) => this.getLoadedChain(chain));
+            levels.record(service.name, rank, this.room.computeClassShare(service.name, rank, loaded, engine), {
+                paths: chains.length,
+                open: loaded.reduce((sum, { open }) => sum + open, 0),
+            });
+        }
     }
 
     /** Describes who holds the places of the path that comes nearest to taking a request. */
