--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -6,57 +6,37 @@
     type Chain,
     chooseChainByStaleLoad,
     computeFill,
-    computePreferredCount,
     computePriority,
     computeRankPriority,
     hasUpstreamCapacity,
-    listCandidateChains,
-    listPreferredChains,
     type LoadedChain,
     type RequestSize,
     type ServiceDemand,
     type Urgency,
 } from "@crankfork/decisions";
 import { type EngineProfile, getIncarnation, type RegisteredUpstream, type RoutedService } from "@crankfork/schemas";
-import { UPSTREAM_KEEP_ALIVE_MS } from "../../connection/upstreamExchange.js";
 import type { RequestContext } from "../../request/requestContext.js";
 import type { TargetChoice } from "../../request/requestFunctions.js";
 import type { CallTarget } from "../../request/routedCall.js";
 import { computeReservedWaitMs } from "../../request/waitForTarget.js";
-import type { FleetView } from "../../version/fleetView.js";
 import { sumLoads, type UpstreamLoad } from "../sumLoads.js";
-import type { UpstreamBackoffs } from "../upstreamBackoffs.js";
 import type { AdmissionLevels } from "./admissionLevels.js";
 import type { EngineShortage } from "./engineShortage.js";
-import type { LeavingNotices } from "./leavingNotices.js";
 import { MemoryUse } from "./memoryUse.js";
-import { getPathKey, type PathKey } from "./pathKey.js";
+import { PathCandidates, type PathCandidatesOptions } from "./pathCandidates.js";
 import { type GetClassRoom, PathRoom } from "./pathRoom.js";
-import type { UpstreamHealth } from "./upstreamHealth.js";
 import type { UpstreamRateLimiter } from "./upstreamRateLimiter.js";
 
 /** Dependencies of the selection. */
-export interface TargetChooserOptions {
-    /** Id of this entry. */
-    readonly instance: string;
-    readonly view: FleetView;
-    readonly health: UpstreamHealth;
+export interface TargetChooserOptions extends PathCandidatesOptions {
     readonly shortage: EngineShortage;
-    readonly backoffs: UpstreamBackoffs;
-    readonly leaving: LeavingNotices;
     /** Limits the rate of requests to upstreams that have reported a rate limit. */
     readonly rateLimiter: UpstreamRateLimiter;
     /** In-flight load of other entries at an upstream, by the last report of the leader. */
     readonly getRemoteLoad: (id: string) => UpstreamLoad;
-    /** Whether new requests avoid a path because it stalled recently. */
-    readonly isPathAvoided: (path: PathKey) => boolean;
-    /** Whether the links of this entry to a failure domain lose packets now. */
-    readonly isLinkLossy?: (domain: string) => boolean;
     /** Estimates the requests to a service that other entries have sent since their last load reports. */
     readonly estimateUnreported: (service: string) => number;
     readonly countEntries: () => number;
-    /** Rate at which this entry sends requests to a service. */
-    readonly getRequestsPerSecond: (service: string) => number;
     /** Mean age of the load reports of other entries. */
     readonly getLoadAgeMs: () => number;
     /** Demand for a ranked service, over all entries; undefined where it is not known. */
@@ -67,11 +47,11 @@
     readonly getSteadyShare?: (id: string) => number;
     /** Memory of an engine as learned from declines; without it, the memory by its profile. */
     readonly getLimitTokens?: (engine: string, contextTokens: number) => number;
-    readonly random: () => number;
 }
 
 /** Selects targets. */
 export class TargetChooser {
+    private readonly candidates: PathCandidates;
     private readonly room: PathRoom;
     private readonly memory: MemoryUse;
     private readonly draws = new WeakMap<RequestContext, number>();
@@ -80,6 +60,7 @@
      * @param options - upstreams and their load
      */
     constructor(private readonly options: TargetChooserOptions) {
+        this.candidates = new PathCandidates(options);
         this.room = new PathRoom(options);
         this.memory = new MemoryUse({
             ...options,
@@ -157,7 +138,7 @@
         isUnderWay: boolean,
     ): TargetChoice {
         const { view } = this.options;
-        const chains = this.listChains(run, service);
+        const chains = this.candidates.list(run, service);
         if (chains.length === 0) {
             return this.findResting(service)
                 ?? { kind: this.hasShortage(service.name, engine) ? "too-few-engines" : "none" };
@@ -165,7 +146,7 @@
         this.options.shortage.recordSufficient(service.name);
         const getClassRoom = this.room.createClassRoom(run, view.routing?.ranks.get(service.name), chains, engine);
         const unreported = this.options.estimateUnreported(service.name);
-        const usable = this.listUsableChains(service);
+        const usable = this.candidates.listUsable(service);
         const memory = this.memory.startCheck(service, engine, { usable, candidates: chains, unreported });
         const { size } = run.admitted.call;
         const draw = this.getDraw(run);
@@ -188,7 +169,7 @@
         };
         const limited = new Set<string>();
         let chosen: LoadedChain | undefined;
-        const tiers = this.listTiers(chains, service.name, !isUnderWay && run.attempts === 0);
+        const tiers = this.candidates.listTiers(chains, service.name, !isUnderWay && run.attempts === 0);
         for (const isRoomNeeded of isUnderWay ? [true, false] : [true]) {
             for (const tier of tiers) {
                 chosen ??= this.chooseWithPermit(run, tier, limited, createChoice(isRoomNeeded));
@@ -350,63 +331,7 @@
      * @returns true where there is a path that was not tried yet and is not stalled
      */
     hasOtherPath(run: RequestContext): boolean {
-        return this.listOtherChains(run, this.listUsableChains(run.admitted.service)).length > 0;
-    }
-
-    /** Lists the sets of paths among which a request chooses, in order: a later set only where no earlier one has room. */
-    private listTiers(
-        chains: readonly Chain[],
-        service: string,
-        mayTryLossy: boolean,
-    ): readonly (readonly Chain[])[] {
-        const { isLinkLossy, random } = this.options;
-        const lossy = isLinkLossy === undefined ? [] : chains.filter((chain) => isLinkLossy(getFirstDomain(chain)));
-        if (lossy.length === 0 || lossy.length === chains.length) {
-            return this.listPreferredTiers(chains, service);
-        }
-        const others = this.listPreferredTiers(chains.filter((chain) => !lossy.includes(chain)), service);
-        return mayTryLossy && random() < LINK_TRIAL_SHARE ? [lossy, ...others] : [...others, lossy];
-    }
-
-    private listPreferredTiers(chains: readonly Chain[], service: string): readonly (readonly Chain[])[] {
-        const { instance, getRequestsPerSecond } = this.options;
-        const preferred = listPreferredChains(
-            chains,
-            instance,
-            computePreferredCount(getRequestsPerSecond(service), UPSTREAM_KEEP_ALIVE_MS),
-        );
-        return preferred.length < chains.length ? [preferred, chains] : [chains];
-    }
-
-    private listChains(run: RequestContext, service: RoutedService): readonly Chain[] {
-        const { view, health, backoffs, leaving } = this.options;
-        return listCandidateChains({
-            usable: this.listUsableChains(service),
-            listReachable: () =>
-                view.getChains(
-                    service,
-                    (id) => !health.isDown(id) && backoffs.hasCapacity(id) && leaving.canStillAccept(id),
-                    `down ${health.formatDown()} resting ${backoffs.formatKey()} accepting ${leaving.formatAccepting()}`,
-                ),
-            isTried: (chain) => run.attemptedUpstreams.has(getFirstEngineId(chain)),
-            isStalled: (chain) => this.options.isPathAvoided(getPathKey(chain.stages)),
-        });
-    }
-
-    private listUsableChains(service: RoutedService): readonly Chain[] {
-        const { view, health, backoffs, leaving } = this.options;
-        return view.getChains(
-            service,
-            (id) => health.isUsable(id) && backoffs.hasCapacity(id) && !leaving.isLeaving(id),
-            `excluded ${health.formatExcluded()} resting ${backoffs.formatKey()} leaving ${leaving.format()}`,
-        );
-    }
-
-    private listOtherChains(run: RequestContext, chains: readonly Chain[]): readonly Chain[] {
-        return chains.filter((chain) => {
-            const isTried = run.attemptedUpstreams.has(getFirstEngineId(chain));
-            return !isTried && !this.options.isPathAvoided(getPathKey(chain.stages));
-        });
+        return this.candidates.hasOther(run);
     }
 
     private getLoad(id: string): UpstreamLoad {
@@ -456,15 +381,6 @@
     return chain.stages[0]?.engine.id ?? "";
 }
 
-function getFirstDomain(chain: Chain): string {
-    return chain.stages[0]?.engine.failureDomain ?? "";
-}
-
-/**
- * Share of requests that are sent over a link that loses packets while others have room, so that its recovery is seen.
- * With fewer, some ten entries of one request a second would see no stream there for seconds.
- */
-const LINK_TRIAL_SHARE = 1 / 50;
 /** Relative jitter that breaks ties between scores. */
 const TIE_JITTER = 0.05;
 /** Size of a request that does not state one; only its being equal on all paths matters. */
