fix(entry): a smaller request does not share the answer of a larger one that finds no room

Cause: room depends on a request's tokens in every model service since the memory of engines is checked in tokens, but waiting requests of a service that is not ranked shared the answer of the first of their route and organisation. Change: the answer is shared with requests that are at least as large, in all services. Result: the new row of requestQueue.test.ts fails on the code before; 69 tests of the queue, routed requests and returns pass.

--- a/packages/daemon/src/process/entry/requestQueue.ts
+++ b/packages/daemon/src/process/entry/requestQueue.ts
@@ -2,7 +2,7 @@
  * Requests of one service that wait at this entry for an upstream. They are tried in order, so that a new request does
  * not take the room for which others wait.
  */
-import { ClassDrainMeters, MultiClassQueue, type QueuedRequest } from "@crankfork/decisions";
+import { ClassDrainMeters, computeHeldTokens, MultiClassQueue, type QueuedRequest } from "@crankfork/decisions";
 import type { RequestContext } from "../../request/requestContext.js";
 import type { TargetChoice } from "../../request/requestFunctions.js";
 
@@ -52,8 +52,6 @@
 /** Class of streams that have started, before all ranks. */
 const STARTED_CLASS = 0;
 const classes: readonly number[] = Array.from({ length: 1 + 2 * MAX_RANKS }, (_, index) => index);
-/** An open request holds its prompt and on average half of its answer. */
-const HELD_ANSWER_SHARE = 0.5;
 /**
  * An entry sees few departures in a burst of some seconds, so each counts for much, and a rate from an earlier burst
  * says nothing about the present one.
@@ -103,7 +101,7 @@
             organisation: terms.isRanked ? context.admitted.organisation?.name ?? "" : "",
             weight: 1,
             priority: getClass(context, terms),
-            tokens: size === undefined ? 1 : Math.max(1, size.promptTokens + size.answerTokens * HELD_ANSWER_SHARE),
+            tokens: size === undefined ? 1 : Math.max(1, computeHeldTokens(size)),
         };
         if (terms.isRanked && reason.kind === "full" && this.estimateWaitMs(request) > terms.getLimitMs(reason)) {
             return reason;
@@ -226,8 +224,8 @@
     }
 
     /**
-     * Requests that are alike get the same answer; a choice for each of them would only cost time. In a ranked service a
-     * request that is smaller or has a greater draw may find room where another does not.
+     * Requests that are alike get the same answer; a choice for each of them would only cost time. A smaller request, and in
+     * a ranked service one with a greater draw, may find room where another does not.
      */
     private tryOne(waiting: WaitingCall, full: Map<string, FullAnswer[]>): TargetChoice {
         const { context, terms, priority } = waiting;
@@ -236,7 +234,7 @@
         const key = `${String(priority)} ${route.name} ${organisation?.name ?? ""}`;
         const answers = full.get(key) ?? [];
         const getDraw = (unchecked: number): number => terms.isRanked ? context.draw ?? unchecked : 0;
-        const tokens = terms.isRanked ? waiting.tokens : 0;
+        const { tokens } = waiting;
         const known = isUntried
             ? answers.find((one) => one.tokens <= tokens && one.draw >= getDraw(Number.POSITIVE_INFINITY))
             : undefined;
--- a/packages/daemon/tests/requestQueue.test.ts
+++ b/packages/daemon/tests/requestQueue.test.ts
@@ -247,20 +247,22 @@
         expect(replay.log).to.deep.equal(["small"]);
     });
 
-    it("nor by one of its own organisation and route: a smaller one goes", async () => {
-        const replay = new Replay(true);
-        ["large", "as large"].forEach((name) => {
-            replay.add({ name, organisation: "a", tokens: 2_000 });
+    for (const isRanked of [true, false]) {
+        it(`nor by one of its own organisation and route: a smaller one goes${isRanked ? "" : ", also unranked"}`, async () => {
+            const replay = new Replay(isRanked);
+            ["large", "as large"].forEach((name) => {
+                replay.add({ name, organisation: "a", tokens: 2_000 });
+            });
+            replay.add({ name: "small", organisation: "a", tokens: 500 });
+            await settle();
+            replay.largest = 1_000;
+            replay.choices = 0;
+            replay.release();
+            await settle();
+            expect(replay.log).to.deep.equal(["small"]);
+            expect(replay.choices, "one for each size, and one for those that are left").to.equal(3);
         });
-        replay.add({ name: "small", organisation: "a", tokens: 500 });
-        await settle();
-        replay.largest = 1_000;
-        replay.choices = 0;
-        replay.release();
-        await settle();
-        expect(replay.log).to.deep.equal(["small"]);
-        expect(replay.choices, "one for each size, and one for those that are left").to.equal(3);
-    });
+    }
 
     // A quarter of the requests of a rank that gets too little, by their draw, may take places that are kept from the rest.
     it("nor by one whose draw leaves it less room", async () => {
