test(daemon): pause the clock only for the tests of its own file

Hooks at the root of fleetDemand.test.ts paused the clock for every file of the same mocha process, so that 22 and 62 tests failed in runs of all files in one process (npm run test:tables); each passed alone.

--- a/packages/daemon/tests/demandFleet.ts
+++ b/packages/daemon/tests/demandFleet.ts
@@ -18,8 +18,8 @@
 import type { InstalledClock } from "./installedClock.js";
 import { noLimits } from "./limitFakes.js";
 
-/** Requests a second of the three classes of Caju. */
-export const CAJU_RATES = [100, 55.6, 34.3];
+/** Requests a second of the three classes of the vending fleet. */
+export const CLASS_RATES = [100, 55.6, 34.3];
 const PROMPT_TOKENS = 800;
 const ANSWER_TOKENS = 172;
 const ORGANISATIONS = 24;
@@ -30,7 +30,7 @@
 /** A ranked service. */
 const table = {
     services: [{ name: "s", engine: {} }],
-    routes: CAJU_RATES.map((_rate, priority) => ({ priority, targets: [{ service: "s", weight: 1 }] })),
+    routes: CLASS_RATES.map((_rate, priority) => ({ priority, targets: [{ service: "s", weight: 1 }] })),
 } as unknown as RoutingTable;
 const routing = { table, ranks: rankServices(table) } as unknown as RoutingView;
 const getNowMs = (): number => performance.now();
@@ -145,7 +145,7 @@
     private seed = 7;
     private started = 0;
 
-    constructor(private readonly clock: InstalledClock, entries: number, public rates = CAJU_RATES) {
+    constructor(private readonly clock: InstalledClock, entries: number, public rates = CLASS_RATES) {
         this.entries = Array.from({ length: entries }, () => this.startEntry());
         this.due = rates.map(() => 0);
     }
--- a/packages/daemon/tests/demandTraffic.test.ts
+++ b/packages/daemon/tests/demandTraffic.test.ts
@@ -1,14 +1,14 @@
 /**
  * Guards the budgets of control traffic: 5 KB a second for an entry at 320 entries, of which the loads take about half, and
- * 170 Mbit/s for the leader. Three ranks and 24 organisations at the rates of Caju, with its burst of the least urgent
+ * 170 Mbit/s for the leader. Three ranks and 24 organisations at the rates of the vending fleet, with its burst of the least urgent
  * class; the rate at each entry stays the same where `perEntry` is set. docs/design/demand.md has the table.
  */
 import { expect } from "chai";
-import { CAJU_RATES, TestFleet, type Traffic } from "./demandFleet.js";
+import { CLASS_RATES, TestFleet, type Traffic } from "./demandFleet.js";
 import { installClock } from "./installedClock.js";
 
 const MEASURED_S = 4;
-const CAJU_ENTRIES = 69;
+const REFERENCE_ENTRIES = 69;
 const VOTERS = 5;
 
 describe("reports and sums of demand stay within the budgets of entries and leader", () => {
@@ -27,8 +27,8 @@
         it(`${String(instances)} instances, ${load}${changes}`, async () => {
             const clock = installClock();
             const entries = instances - VOTERS;
-            const scale = perEntry ? entries / CAJU_ENTRIES : 1;
-            const rates = CAJU_RATES.map((rate, rank) => rate * scale * (rank === 2 ? 2.4 : 1));
+            const scale = perEntry ? entries / REFERENCE_ENTRIES : 1;
+            const rates = CLASS_RATES.map((rate, rank) => rate * scale * (rank === 2 ? 2.4 : 1));
             const fleet = new TestFleet(clock, entries, rates);
             await fleet.run(3_000);
             const list = (): readonly Traffic[] => fleet.entries.flatMap(({ sent, received }) => [sent, received]);
--- a/packages/daemon/tests/fleetDemand.test.ts
+++ b/packages/daemon/tests/fleetDemand.test.ts
@@ -7,21 +7,24 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { FleetDemand } from "../src/process/entry/fleetDemand.js";
-import { CAJU_RATES, TestFleet, TestLeader } from "./demandFleet.js";
+import { CLASS_RATES, TestFleet, TestLeader } from "./demandFleet.js";
 import { installClock, type InstalledClock } from "./installedClock.js";
 
 let clock: InstalledClock;
 let fleet: TestFleet;
 let startMs: number;
 
-beforeEach(() => {
-    clock = installClock();
-    startMs = performance.now();
-});
+/** Pauses the clock for the tests of one block; at the root it would be paused for other files of the process, too. */
+function usePausedClock(): void {
+    beforeEach(() => {
+        clock = installClock();
+        startMs = performance.now();
+    });
 
-afterEach(() => {
-    clock.uninstall();
-});
+    afterEach(() => {
+        clock.uninstall();
+    });
+}
 
 /** Ratios of the arrivals that entries see to those of the callers, over all classes. */
 function listRatios(isEstimated?: boolean): readonly number[] {
@@ -32,6 +35,8 @@
 }
 
 describe("every entry sees the demand of the fleet", () => {
+    usePausedClock();
+
     for (const entries of [1, 2, 69, 300]) {
         it(`${String(entries)} entries`, async () => {
             fleet = new TestFleet(clock, entries);
@@ -43,7 +48,7 @@
                 expect(ageMs).to.be.below(1_200);
                 expect(demand.fleet.reporterCount).to.equal(entries);
                 classes.forEach((one, rank) => {
-                    expect(one.arrivalsPerS / (CAJU_RATES[rank] ?? 0)).to.be.within(0.85, 1.15);
+                    expect(one.arrivalsPerS / (CLASS_RATES[rank] ?? 0)).to.be.within(0.85, 1.15);
                     expect(one.admittedPerS).to.equal(one.arrivalsPerS);
                     const offered = [...one.organisations.values()].reduce((sum, tokens) => sum + tokens, 0);
                     expect(offered / (one.promptTokensPerS + one.answerTokensPerS)).to.be.within(0.99, 1.01);
@@ -55,6 +60,8 @@
 });
 
 describe("a burst is seen through failures", () => {
+    usePausedClock();
+
     it("the leader is lost and replaced during it", async () => {
         fleet = new TestFleet(clock, 69);
         await fleet.run(4_000);
@@ -114,6 +121,8 @@
 }
 
 describe("without a recent sum, an entry takes its own demand for that of each entry", () => {
+    usePausedClock();
+
     const own = createDemand({ arrivals_per_s: 2, refused_per_s: 1, waiting: 3, returns: 1, organisations: { a: 5 } });
     const sum = { services: { s: { classes: { 1: { arrivals_per_s: 70, waiting: 9 } } } }, reporters: 40 };
     const incomplete = { services: {}, reporters: 1 };
@@ -170,6 +179,8 @@
 });
 
 describe("the slow average outlasts a burst", () => {
+    usePausedClock();
+
     it("follows within 10 s, and begins anew with the first sum after a start", () => {
         const demand = createView(createDemand({}), 1);
         const record = (arrivals_per_s: number): number => {
@@ -188,6 +199,8 @@
 });
 
 describe("only the monotonic clock is read", () => {
+    usePausedClock();
+
     it("a step of the time of day changes nothing", () => {
         const demand = createView(createDemand({ arrivals_per_s: 1 }), 2);
         demand.record({ services: {}, reporters: 2 });
