feat(entry): check memory in tokens, and keep engines that decline, in ranked services only

Cause: the check acted on every model service.

Change: a service that is not ranked is decided by usual sizes, its engines that decline are reported as suspicions, and a mark of the leader lasts as long as before.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -146,6 +146,7 @@
                 options.metrics.countSuspicion();
             },
             reportSuspects: options.reportSuspects,
+            isMemoryChecked: (service) => this.isMemoryChecked(service),
             getUsedTokens: (id) => this.chooser.getUsedTokens(id),
             handleShortage: (id, usedTokens) => {
                 learnedRoom.recordDecline(id, usedTokens);
@@ -178,6 +179,7 @@
             getDemand: (service) => createServiceDemand(this.demand.fleet.get(service)),
             levels: this.levels,
             countEntries: options.countEntries,
+            isMemoryChecked: (service) => this.isMemoryChecked(service),
             getLimitTokens: (id, contextTokens) => learnedRoom.getLimitTokens(id, contextTokens),
             random: options.random,
         });
@@ -281,6 +283,7 @@
         this.notices.applyLimits(state.limits);
         this.health.applyNamed(
             (state.suspects ?? []).filter((id) => this.view.getUpstream(id)?.accelerator !== undefined),
+            (id) => this.isMemoryChecked(this.view.getUpstream(id)?.service ?? ""),
         );
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
         this.health.prune(isKnown);
@@ -399,6 +402,7 @@
                 this.demand.recordChoice(run, choice);
                 return choice;
             },
+            isMemoryChecked: (service) => this.isMemoryChecked(service),
             isKeyUsable: () => isKeyLeaseValid({ ageMs: getAgeMs(), revocationMs: settings.contract.revocation }),
             recordStart: (id, rank, tokens) => {
                 this.health.recordRequestStart(id, rank, tokens);
@@ -440,6 +444,11 @@
         };
     }
 
+    /** Services that are not ranked are served as before: by usual sizes, and engines that decline are avoided. */
+    private isMemoryChecked(service: string): boolean {
+        return this.view.routing?.ranks.get(service)?.isRanked === true;
+    }
+
     /** All requests of a service that is not ranked are alike. */
     private getRank({ service, route, organisation }: AdmittedCall): RequestRank {
         const ranks = this.view.routing?.ranks.get(service.name);
--- a/packages/daemon/src/process/entry/pathRoom.ts
+++ b/packages/daemon/src/process/entry/pathRoom.ts
@@ -10,6 +10,7 @@
     computeExcessShare,
     computeExpectedOpen,
     computeMaxOpen,
+    hasChainCapacity,
     hasClassRoom,
     hasSlotCapacity,
     type LoadedChain,
@@ -35,7 +36,15 @@
 /** What a request of a ranked service may take of a path. */
 export type GetClassRoom = (loaded: LoadedChain) => ClassRoom;
 
-/** Checks the slots and prompts of paths; `MemoryUse` checks the memory of their engines. */
+/** What is checked of a service. */
+export interface RoomCheck {
+    /** For a ranked service, what the request may take. */
+    readonly getClassRoom: GetClassRoom | undefined;
+    /** Whether `MemoryUse` checks the memory of engines; without it, usual sizes are counted. */
+    readonly isMemoryChecked: boolean;
+}
+
+/** Checks the room of paths. */
 export class PathRoom {
     /**
      * @param options - age of the load reports, demand, and load of this entry
@@ -47,21 +56,22 @@
      * @param run - the request
      * @param loaded - the path and its load
      * @param engine - usual sizes and the slots of its first engine
-     * @param getClassRoom - for a ranked service, what the request may take
+     * @param check - what is checked of the service
      * @returns false where the request would cost others more than it gains
      */
     hasRoom(
         run: RequestContext,
         loaded: LoadedChain,
         engine: EngineProfile,
-        getClassRoom: GetClassRoom | undefined,
+        { getClassRoom, isMemoryChecked }: RoomCheck,
     ): boolean {
         if (getClassRoom !== undefined) {
             return hasClassRoom(getClassRoom(loaded));
         }
         const { chain, ...load } = loaded;
         const current = computeCurrentLoad(chain, load, engine, this.options.getLoadAgeMs());
-        return hasSlotCapacity(chain, current, engine, run.admitted.route.objective_ms);
+        const hasCapacity = isMemoryChecked ? hasSlotCapacity : hasChainCapacity;
+        return hasCapacity(chain, current, engine, run.admitted.route.objective_ms);
     }
 
     /**
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -45,6 +45,8 @@
     readonly levels?: Pick<AdmissionLevels, "isDue" | "record">;
     /** Share of other entries' requests at an upstream that are as likely to end soon as others; none where not given. */
     readonly getSteadyShare?: (id: string) => number;
+    /** Whether the memory of a service's engines is checked in tokens, beside the usual sizes; by default it is. */
+    readonly isMemoryChecked?: (service: string) => boolean;
     /** Memory of an engine as learned from declines; without it, the memory by its profile. */
     readonly getLimitTokens?: (engine: string, contextTokens: number) => number;
 }
@@ -147,20 +149,24 @@
         const getClassRoom = this.room.createClassRoom(run, view.routing?.ranks.get(service.name), chains, engine);
         const unreported = this.options.estimateUnreported(service.name);
         const usable = this.candidates.listUsable(service);
-        const memory = this.memory.startCheck(service, engine, { usable, candidates: chains, unreported });
+        const isMemoryChecked = this.options.isMemoryChecked?.(service.name) !== false;
+        const memory = isMemoryChecked
+            ? this.memory.startCheck(service, engine, { usable, candidates: chains, unreported })
+            : undefined;
         const { size } = run.admitted.call;
-        const draw = this.getDraw(run);
+        const draw = isMemoryChecked ? this.getDraw(run) : this.options.random();
         const createChoice = (isRoomNeeded: boolean) => (subset: readonly Chain[]): LoadedChain | undefined => {
-            memory.startAssigning(subset);
+            memory?.startAssigning(subset);
             return chooseChainByStaleLoad({
                 chains: subset.map((chain) => this.getLoadedChain(chain)),
                 size: size ?? DEFAULT_REQUEST_SIZE,
                 unreportedRequests: unreported * subset.length / chains.length,
                 hasCapacity: (loaded) =>
                     !isRoomNeeded || (
-                        memory.hasRoom(loaded.chain, size) && this.room.hasRoom(run, loaded, engine, getClassRoom)
+                        memory?.hasRoom(loaded.chain, size) !== false
+                        && this.room.hasRoom(run, loaded, engine, { getClassRoom, isMemoryChecked })
                     ),
-                recordAssigned: (chain) => {
+                recordAssigned: memory === undefined ? undefined : (chain) => {
                     memory.recordAssigned(chain);
                 },
                 computeCost: getClassRoom === undefined ? undefined : (loaded) => computeFill(getClassRoom(loaded)),
@@ -170,7 +176,7 @@
         const limited = new Set<string>();
         let chosen: LoadedChain | undefined;
         const tiers = this.candidates.listTiers(chains, service.name, !isUnderWay && run.attempts === 0);
-        for (const isRoomNeeded of isUnderWay ? [true, false] : [true]) {
+        for (const isRoomNeeded of isUnderWay ? (isMemoryChecked ? [true, false] : [false]) : [true]) {
             for (const tier of tiers) {
                 chosen ??= this.chooseWithPermit(run, tier, limited, createChoice(isRoomNeeded));
             }
--- a/packages/daemon/src/process/entry/upstreamFaultHandler.ts
+++ b/packages/daemon/src/process/entry/upstreamFaultHandler.ts
@@ -16,6 +16,8 @@
     readonly engineReports: EngineReportCache;
     readonly log: EventLog;
     readonly countSuspicion: () => void;
+    /** Whether the memory of a service's engines is checked in tokens; by default it is. */
+    readonly isMemoryChecked?: (service: string) => boolean;
     /** Tokens in use in an engine; undefined where not known. */
     readonly getUsedTokens?: (id: string) => number | undefined;
     /** Called for an engine that declined for lack of memory, with the tokens that were in use there. */
@@ -78,9 +80,11 @@
             return;
         }
         const usedTokens = this.options.getUsedTokens?.(id);
-        health.markDown(id, true);
-        reportSuspects();
         const upstream = view.getUpstream(id);
+        const isMemoryChecked = this.options.isMemoryChecked?.(upstream?.service ?? "") !== false;
+        // Without a check of its memory an engine that is short keeps getting requests unless all entries avoid it.
+        health.markDown(id, true, !isMemoryChecked);
+        reportSuspects();
         const found = upstream === undefined
             ? "unknown"
             : compareReport(upstream, await engineReports.getReport(upstream));
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -178,12 +178,13 @@
      * other entries suspect it.
      * @param id - the upstream
      * @param isOwn - whether it declined a request of this entry, which is reported to the leader
+     * @param isSuspected - whether that is reported as a suspicion
      */
-    markDown(id: string, isOwn: boolean): void {
+    markDown(id: string, isOwn: boolean, isSuspected: boolean = false): void {
         const untilMs = this.getNowMs() + DOWN_MS;
         if (isOwn) {
             this.get(id).downUntilMs = untilMs;
-            this.unreportedDeclines.add(id);
+            (isSuspected ? this.unreportedSuspects : this.unreportedDeclines).add(id);
         }
         else {
             this.get(id).namedUntilMs = untilMs;
@@ -194,9 +195,10 @@
      * Applies the list of upstreams that the leader considers down. One that is no longer listed has answered the
      * leader, or its loss is part of the leader's state.
      * @param ids - the upstreams
+     * @param mayClear - whether the mark of one that is no longer listed is dropped before it expires; by default it is
      */
-    applyNamed(ids: readonly string[]): void {
-        this.named.filter((id) => !ids.includes(id)).forEach((id) => {
+    applyNamed(ids: readonly string[], mayClear: (id: string) => boolean = () => true): void {
+        this.named.filter((id) => !ids.includes(id) && mayClear(id)).forEach((id) => {
             this.get(id).namedUntilMs = 0;
         });
         ids.forEach((id) => {
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -117,6 +117,8 @@
         lastEventId: string | undefined,
         hasStarted: boolean,
     ) => TargetChoice;
+    /** Whether the memory of a service's engines is checked in tokens; by default it is. */
+    readonly isMemoryChecked?: (service: string) => boolean;
     /** Whether the API key of the request is still valid. */
     readonly isKeyUsable: () => boolean;
     /**
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -253,7 +253,8 @@
     functions: RoutedRequestFunctions,
 ): Promise<RequestEnd | undefined> {
     // Where the attempt was declined for lack of memory, a path without room would decline it again, and use up a retry.
-    const isMemoryFull = result.end === "declined" && result.faultAddress !== undefined && !response.hasStarted;
+    const isMemoryFull = result.end === "declined" && result.faultAddress !== undefined && !response.hasStarted
+        && functions.isMemoryChecked?.(context.admitted.service.name) !== false;
     const findAlternative = (): TargetChoice => functions.chooseTarget(context, undefined, !isMemoryFull);
     let choice = findAlternative();
     let step = chooseStep(context, response, relay, { result, choice }, functions);
--- a/packages/daemon/tests/targetChooser.test.ts
+++ b/packages/daemon/tests/targetChooser.test.ts
@@ -113,6 +113,7 @@
         getRequestsPerSecond: () => 1,
         getLoadAgeMs: () => 0,
         random: () => this.draw,
+        isMemoryChecked: () => this.isMemoryChecked,
         levels: {
             isDue: () => this.rooms.length === 0,
             record: (...values) => {
@@ -120,6 +121,7 @@
             },
         },
     });
+    isMemoryChecked = true;
     /** Recorded room of classes. */
     readonly rooms: unknown[] = [];
 
@@ -163,6 +165,30 @@
     }
 }
 
+describe("without a check of its engines' memory a service is served by usual sizes, as before there was one", () => {
+    const rows = [
+        {
+            title: "engines that hold more tokens than they have memory for",
+            tokens: Number.MAX_SAFE_INTEGER,
+            checked: "full",
+            unchecked: "e1",
+        },
+        { title: "engines with memory", tokens: 0, checked: "e1", unchecked: "e1" },
+    ];
+    for (const { title, tokens, checked, unchecked } of rows) {
+        it(title, () => {
+            const results = [true, false].map((isMemoryChecked) => {
+                const harness = new ChooserHarness();
+                harness.isMemoryChecked = isMemoryChecked;
+                harness.setEngines([createEngine("e1", "whole", { first: 0, end: 8 })]);
+                harness.loads.set("e1", { open: 10, unstarted: 0, tokens });
+                return harness.choose();
+            });
+            expect(results).to.deep.equal([checked, unchecked]);
+        });
+    }
+});
+
 describe("an operator can see what a class may take and who holds the rest", () => {
     it("the room of the class is recorded, and a refusal names the open requests of the nearest path", () => {
         const harness = new ChooserHarness();
