--- a/packages/daemon/src/process/entry/entryDemand.ts
+++ b/packages/daemon/src/process/entry/entryDemand.ts
@@ -18,7 +18,7 @@
 
 /** Dependencies of {@link EntryDemand}. */
 export interface EntryDemandOptions {
-    readonly settings: Pick<FleetSettings, "admission">;
+    readonly settings: { readonly admission: Pick<FleetSettings["admission"], "report_demand">; };
     readonly getNowMs: () => number;
     readonly countEntries: () => number;
     readonly getRouting: () => RoutingView | undefined;
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -444,9 +444,10 @@
         };
     }
 
-    /** Services that are not ranked are served as before: by usual sizes, and engines that decline are avoided. */
+    /** Without the check a service is served by usual sizes, and engines that decline are avoided. */
     private isMemoryChecked(service: string): boolean {
-        return this.view.routing?.ranks.get(service)?.isRanked === true;
+        const { check_memory } = this.options.settings.admission;
+        return check_memory && this.view.routing?.ranks.get(service)?.isRanked === true;
     }
 
     /** All requests of a service that is not ranked are alike. */
--- a/packages/schemas/src/fleetSettings.ts
+++ b/packages/schemas/src/fleetSettings.ts
@@ -49,7 +49,9 @@
     admission: z.object({
         /** Whether demand is also reported for services whose routes all have the same priority. */
         report_demand: z.boolean().default(false),
-    }).default({ report_demand: false }),
+        /** Whether the memory of engines is checked in tokens for ranked services; see docs/design/declines.md. */
+        check_memory: z.boolean().default(false),
+    }).default({ report_demand: false, check_memory: false }),
     contract: z.object({
         /** Interval between heartbeats of an upstream. */
         upstream_heartbeat: durationMsSchema,
