fix(entry): count a refused caller as due until its Retry-After has passed

Cause: the queues recorded the due time on the monotonic clock, while the meter adds the time that it gets to the clock and limits it to 60 s. Once a process ran for a minute, each refused caller stayed in the sum of its class for a minute instead of at most a third of its deadline, and later callers got later return times by it.

Change: both take the Retry-After in milliseconds from now.

Result: the test with a real meter fails before (2 callers still due 6.5 s after a Retry-After of 500 ms) and passes now.

--- a/packages/daemon/src/process/entry/demandMeter.ts
+++ b/packages/daemon/src/process/entry/demandMeter.ts
@@ -26,9 +26,9 @@
 const MAX_REQUEST_TOKENS = 100_000;
 /** Name under which organisations that are not held by themselves are summed. */
 const OTHERS = "";
-/** Width of the intervals in which due times of returning callers are counted. */
+/** Width of the intervals by which callers are counted that are due to retry. */
 const RETURN_INTERVAL_MS = 100;
-/** Latest due time that is counted; callers are told 6.6 s at most. */
+/** Longest `Retry-After` that is counted, so that a wrong value does not stay in the sum for good. */
 const MAX_RETURN_MS = 60_000;
 
 interface MeteredClass {
@@ -39,7 +39,7 @@
     readonly answerTokens: DecayingRate;
     readonly organisations: Map<string, DecayingRate>;
     waiting: number;
-    /** Number of callers by the interval in which they are due. */
+    /** Callers that are due to retry, by interval. */
     readonly returns: Map<number, number>;
 }
 
@@ -95,12 +95,12 @@
     }
 
     /**
-     * Records that a caller was told to come back.
+     * Records that a refused caller got a `Retry-After`.
      * @param key - what it counts under
-     * @param dueMs - time until then, in milliseconds from now
+     * @param retryAfterMs - time from now until it is due, in milliseconds
      */
-    recordReturn(key: DemandKey, dueMs: number): void {
-        const atMs = this.options.getNowMs() + clamp(dueMs, MAX_RETURN_MS);
+    recordReturn(key: DemandKey, retryAfterMs: number): void {
+        const atMs = this.options.getNowMs() + clamp(retryAfterMs, MAX_RETURN_MS);
         const { returns } = this.getClass(key);
         const interval = Math.floor(atMs / RETURN_INTERVAL_MS);
         returns.set(interval, (returns.get(interval) ?? 0) + 1);
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -205,8 +205,8 @@
             recordWaiting: (run, change) => {
                 this.demand.meter.recordWaiting(this.demand.getKey(run), change);
             },
-            recordReturn: (run, dueMs) => {
-                this.demand.meter.recordReturn(this.demand.getKey(run), dueMs);
+            recordReturn: (run, retryAfterMs) => {
+                this.demand.meter.recordReturn(this.demand.getKey(run), retryAfterMs);
             },
         });
         this.functions = this.createFunctions();
--- a/packages/daemon/src/process/entry/requestQueues.ts
+++ b/packages/daemon/src/process/entry/requestQueues.ts
@@ -24,8 +24,8 @@
     /** Demand for a service over all entries, by rank; undefined where it is not known. */
     readonly getDemand: (service: string) => readonly ClassLoad[] | undefined;
     readonly recordWaiting?: (context: RequestContext, change: 1 | -1) => void;
-    /** Records that a caller was told to come back at a time on the monotonic clock. */
-    readonly recordReturn?: (context: RequestContext, dueMs: number) => void;
+    /** Records the `Retry-After` that a refused caller got, in milliseconds from now. */
+    readonly recordReturn?: (context: RequestContext, retryAfterMs: number) => void;
 }
 
 interface ServiceState {
@@ -154,7 +154,7 @@
             return spreader.assignPlace({ ...computeReturnWindow(view), ...none }, nowMs);
         }
         const returnMs = computeReturnTimeMs(view, spreader, nowMs);
-        recordReturn?.(context, nowMs + returnMs);
+        recordReturn?.(context, returnMs);
         return returnMs;
     }
 
--- a/packages/daemon/tests/returnReplay.test.ts
+++ b/packages/daemon/tests/returnReplay.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { DemandMeter } from "../src/process/entry/demandMeter.js";
 import { RequestQueues } from "../src/process/entry/requestQueues.js";
 import { refuseWithoutTarget } from "../src/request/refuseRequest.js";
 import type { RoutedRequestFunctions, TargetChoice } from "../src/request/requestFunctions.js";
@@ -79,14 +80,15 @@
         clock.uninstall();
     });
     const load = { admittedPerS: 50, refusedPerS: 5, slowArrivalsPerS: 20, waiting: 5, returns: 10 };
-    const createQueues = (isRanked: boolean, dues: number[] = []): RequestQueues =>
+    const key = { service: "s", rank: 0, organisation: undefined };
+    const createQueues = (isRanked: boolean, meter?: DemandMeter): RequestQueues =>
         new RequestQueues({
             getNowMs: () => performance.now(),
             random: () => 0,
             countEntries: () => 3,
             getRank: ({ route }) => ({ rank: route.priority, rankCount: 3, isRanked }),
             getDemand: () => [load],
-            recordReturn: (_context, dueMs) => dues.push(dueMs),
+            recordReturn: (_context, retryAfterMs) => meter?.recordReturn(key, retryAfterMs),
         });
 
     for (
@@ -121,18 +123,24 @@
     }
 
     it("a refused caller gets a place and is counted as due, one that was back already is not counted", () => {
-        const dues: number[] = [];
-        const queues = createQueues(true, dues);
+        // Times since the start of the process and from now are equal only at its start.
+        clock.tick(30_000);
+        const meter = new DemandMeter({ getNowMs: () => performance.now(), getReportedServices: () => new Set(["s"]) });
+        const countDue = (): number | undefined => meter.measure("s").get(0)?.returns;
+        const queues = createQueues(true, meter);
         const { assignReturnMs } = queues.createFunctions();
-        assignReturnMs(createContext(0, 20_000, 0));
+        assignReturnMs(createContext(0, 20_000, 30_000));
         queues.recordReport();
         clock.tick(1_500);
         queues.recordReport();
         // 15 requests ahead at 50 - 20 a second.
-        expect(assignReturnMs(createContext(0, 20_000, 1_500))).to.equal(500);
-        expect(dues.map(Math.round)).to.have.length(2);
-        expect(assignReturnMs(createContext(0, 15_000, 1_500))).to.be.within(3_000, 4_500);
-        expect(dues).to.have.length(2);
+        expect(assignReturnMs(createContext(0, 20_000, 31_500))).to.equal(500);
+        expect(countDue()).to.equal(2);
+        expect(assignReturnMs(createContext(0, 15_000, 31_500))).to.be.within(3_000, 4_500);
+        expect(countDue()).to.equal(2);
+        // A caller that stays in the sum after its time adds to the wait of those that are refused later.
+        clock.tick(6_500);
+        expect(countDue()).to.equal(0);
     });
 
     it("a service that is not ranked assigns no time, so that it is drawn as before", () => {
--- a/packages/daemon/tests/returnReplay.ts
+++ b/packages/daemon/tests/returnReplay.ts
@@ -112,7 +112,8 @@
                     meter.waiting += change;
                 }
             },
-            recordReturn: ({ admitted }, dueMs) => meters[getRank(admitted)]?.due.push(dueMs),
+            recordReturn: ({ admitted }, retryAfterMs) =>
+                meters[getRank(admitted)]?.due.push(performance.now() + retryAfterMs),
         }));
     const functions = entries.map((queues) => ({
         getNowMs: () => performance.now(),
