docs(comments): use the terms of the field in comments on retries, links and classes

Cause: some doc comments of the work since said "told", "knows" or "tells whether" where the field has Retry-After, hold and check. Change: comments only. Result: none in behaviour.

--- a/packages/daemon/src/process/entry/entryDemand.ts
+++ b/packages/daemon/src/process/entry/entryDemand.ts
@@ -113,7 +113,7 @@
     }
 
     /**
-     * Tells whether the demand of a service is reported, which holds for all ranked services.
+     * Checks whether the demand of a service is reported; that of ranked services always is.
      * @param service - its name
      * @returns false also before the first routing table
      */
--- a/packages/daemon/src/process/entry/fleetDemand.ts
+++ b/packages/daemon/src/process/entry/fleetDemand.ts
@@ -14,7 +14,7 @@
     readonly promptTokensPerS: number;
     readonly answerTokensPerS: number;
     readonly waiting: number;
-    /** Callers that were told to come back and are still due. */
+    /** Refused callers whose `Retry-After` has not passed yet. */
     readonly returns: number;
     /** Offered tokens a second of the largest organisations; the others are summed under the empty name. */
     readonly organisations: ReadonlyMap<string, number>;
--- a/packages/daemon/src/process/entry/linkMonitor.ts
+++ b/packages/daemon/src/process/entry/linkMonitor.ts
@@ -1,7 +1,7 @@
 /**
  * Counts the events of the streams that this entry reads, by the failure domain of the path's first engine, and those
- * that came late as after a lost packet. Knows the domains to which this entry's links lose packets: as the leader says
- * and, while no leader does, from there on by its own counts.
+ * that came late as after a lost packet. Holds the domains to which this entry's links lose packets: as last reported by
+ * the leader and, without a recent report, as updated by its own counts.
  */
 import {
     computeInsideShare,
@@ -33,7 +33,7 @@
 /** A path with fewer usual gaps than this for each late one is slow by itself, too; a lossy link has some 20. */
 const USUAL_GAPS_PER_LATE = 3;
 const KEPT_GAPS = 64;
-/** Half-life of a path's longest gap. */
+/** Half-life of the estimate of a path's longest gap. */
 const GAP_HALF_LIFE_MS = 2_000;
 /** Late events of one path that come together have one cause: a silent engine stops all its streams at once. */
 const SAME_CAUSE_MS = 50;
@@ -256,7 +256,7 @@
 
 function recordLongGap(path: LinkPath, rates: DomainRates, gapMs: number, nowMs: number): void {
     if (gapMs < LATE_MS) {
-        // From then on the longest gap, which halves every two seconds, is below the limit.
+        // From then on the estimate of the longest gap is below the limit.
         path.slowUntilMs = Math.max(path.slowUntilMs, nowMs + GAP_HALF_LIFE_MS * Math.log2(gapMs / SLOW_GAP_MS));
     }
     else if (gapMs <= MAX_LATE_MS) {
--- a/packages/daemon/src/process/entry/requestQueue.ts
+++ b/packages/daemon/src/process/entry/requestQueue.ts
@@ -15,7 +15,7 @@
     readonly rank: number;
     /** Whether the service is ranked: fair between organisations, and refused at once where the wait is too long. */
     readonly isRanked: boolean;
-    /** Whether the caller came back as told, so that it goes before new ones of its rank. */
+    /** Whether the caller honoured `Retry-After`, so that it goes before new ones of its rank. */
     readonly hasReturned: boolean;
     /** Whether the stream has started: it does not queue, and waits only while no upstream exists. */
     readonly hasStarted: boolean;
@@ -47,7 +47,7 @@
     reason: UnsentChoice;
 }
 
-/** Ranks that are told apart; engines know no more priorities either. */
+/** Ranks with a queue of their own; engines distinguish no more priorities either. */
 const MAX_RANKS = 10;
 /** Class of streams that have started, before all ranks. */
 const STARTED_CLASS = 0;
@@ -142,7 +142,7 @@
     }
 
     /**
-     * Tells whether a request of a more urgent rank waits for room.
+     * Checks whether a request of a more urgent rank waits for room.
      * @param rank - the rank
      * @returns true where one of a rank before it waits
      */
--- a/packages/daemon/src/process/entry/unreadBudget.ts
+++ b/packages/daemon/src/process/entry/unreadBudget.ts
@@ -72,7 +72,7 @@
     }
 
     /**
-     * Tells whether requests of an organisation are refused.
+     * Checks whether requests of an organisation are refused.
      * @param organisation - its name
      * @returns true while the budget is exceeded and the organisation holds more than half of the unread bytes
      */
@@ -163,7 +163,7 @@
         return Math.max(this.maxPausedMs, this.pausedSinceMs === undefined ? 0 : getNowMs() - this.pausedSinceMs);
     }
 
-    /** Whether the caller does not keep up, so that Node will tell when it has read (`drain`), and the upstream still sends. */
+    /** Whether the caller does not keep up, so that Node emits `drain` once it has read, and the upstream still sends. */
     get isPausable(): boolean {
         return !this.isPaused && this.exchange !== undefined && this.response.writableNeedDrain;
     }
--- a/packages/daemon/src/process/voter/linkRegistry.ts
+++ b/packages/daemon/src/process/voter/linkRegistry.ts
@@ -93,7 +93,7 @@
     /**
      * Lists the pairs of domains whose links lose packets.
      * @param domain - the domain of the entry that asks; its own pairs come first
-     * @returns at most 32 pairs; undefined until each entry can have reported, so that entries go on by what they know
+     * @returns at most 32 pairs; undefined until each entry can have reported, so that entries keep their own view
      */
     list(domain: string): LossyLink[] | undefined {
         this.update();
--- a/packages/daemon/src/process/voter/suspectProbe.ts
+++ b/packages/daemon/src/process/voter/suspectProbe.ts
@@ -14,7 +14,7 @@
     readonly upstreams: UpstreamRegistry;
     readonly control: EngineControl;
     readonly getNowMs: () => number;
-    /** Called when the list of upstreams that entries are told to avoid changes. */
+    /** Called when the list of upstreams that entries have to avoid changes. */
     readonly handleCorroboration: () => void;
 }
 
@@ -26,7 +26,7 @@
 const CORROBORATION_WINDOW_MS = 1_500;
 /**
  * Time without an answer after which an engine that declined counts as down. A live engine answers within some
- * milliseconds, and one that is short of memory declines requests of many entries at once: told of it at once, all
+ * milliseconds, and one that is short of memory declines requests of many entries at once: notified at once, all
  * entries would leave all paths through it and overload the others.
  */
 const DECLINED_ANSWER_MS = 100;
--- a/packages/daemon/src/request/waitForTarget.ts
+++ b/packages/daemon/src/request/waitForTarget.ts
@@ -127,7 +127,7 @@
 /**
  * Classifies the caller of a request by the deadline that it states.
  * @param context - the request
- * @returns whether it came back, and as told
+ * @returns whether it came back, and whether it honoured `Retry-After`
  */
 export function getStanding({ admitted: { call, route }, isLikelyRetry }: RequestContext): ReturnStanding {
     return classifyReturn({ isLikelyRetry, timeoutMs: route.timeout_ms, deadlineMs: call.deadlineMs });
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -9,7 +9,7 @@
  * equal share of the remainder and refills within a few seconds. Without a recent report it keeps to an equal share of
  * the whole budget, which needs no messages between entries and adds up to no more than the whole.
  *
- * A new leader knows the last window of each entry that reports to it, but nothing of entries that are gone and of what
+ * A new leader has the last window of each entry that reports to it, but nothing of entries that are gone and of what
  * restarted ones had sent. Both are charged with the most that one entry can have spent, and less of the budget is given
  * out until the leader has observed a whole window itself. Without this, no bucket would refill in the ten seconds after
  * a change of leader, and engines often fail at the same time as a voter.
--- a/packages/decisions/src/request/classifyReturn.ts
+++ b/packages/decisions/src/request/classifyReturn.ts
@@ -2,7 +2,7 @@
  * Classifies a caller that comes back after a refusal.
  *
  * Load pattern: some refused callers come back at once, whatever `Retry-After` says. If they went before new requests,
- * coming back early would pay, and the callers that wait as told would lose their places to them.
+ * coming back early would pay, and the callers that honour it would lose their places to them.
  */
 
 /** Shortest `Retry-After` that a refusal of a ranked service gives, in milliseconds. */
--- a/packages/decisions/src/request/computeReturnTime.ts
+++ b/packages/decisions/src/request/computeReturnTime.ts
@@ -16,7 +16,7 @@
     readonly slowArrivalsPerS: number;
     /** Requests waiting now. */
     readonly waiting: number;
-    /** Callers that were told to come back and are still due. */
+    /** Refused callers whose `Retry-After` has not passed yet. */
     readonly returns: number;
 }
 
@@ -81,7 +81,7 @@
 
 /**
  * Requests a second that a service takes while it is short of room. It falls at once and rises slowly: a caller that is
- * told a time too late is served as well as one that is told the right one, and one that comes too early is lost.
+ * given a time too late is served as well as one that is given the right one, and one that comes too early is lost.
  */
 export class ShortThroughput {
     private known: number | undefined;
--- a/packages/decisions/src/request/hasChainCapacity.ts
+++ b/packages/decisions/src/request/hasChainCapacity.ts
@@ -45,7 +45,7 @@
 }
 
 /**
- * Tells whether a chain has slots and prompt time left; its memory is checked by engine (`hasTokenRoom`).
+ * Checks whether a chain has slots and prompt time left; its memory is checked by engine (`hasTokenRoom`).
  * @param chain - the chain
  * @param load - its load
  * @param profile - usual sizes and the slots of its first engine
--- a/packages/schemas/src/demandMessage.ts
+++ b/packages/schemas/src/demandMessage.ts
@@ -32,7 +32,7 @@
     answer_tokens_per_s: quantitySchema,
     /** Requests that wait at the moment of the report. */
     waiting: quantitySchema,
-    /** Callers that were told to come back and whose time has not come yet. */
+    /** Refused callers whose `Retry-After` has not passed yet. */
     returns: quantitySchema,
     /** Offered tokens a second of the largest organisations; the others are summed under the empty name. */
     organisations: z.record(nameSchema, z.number())
