fix(entry): send and compute tokens only where the memory of engines is checked

Cause: admission.check_memory is off by default, but entries sent the tokens of open requests for every model service, and each choice of a path listed the usable paths for the check.

Change: tokens are computed where the check is on; the check is off unless a function turns it on, and the tests of the check turn it on. The levels and gauges of services that are no longer configured are removed. The limit of one refusal a second is defined once. getRequestRank is no longer named like the rank of demand.

New rows: a decline without the check, no tokens without it, removed gauges.

--- a/packages/daemon/src/process/entry/admissionLevels.ts
+++ b/packages/daemon/src/process/entry/admissionLevels.ts
@@ -8,7 +8,7 @@
 export interface AdmissionLevelsOptions {
     readonly getNowMs: () => number;
     readonly log: EventLog;
-    readonly metrics: Pick<FleetMetrics, "recordClassRoom">;
+    readonly metrics: Pick<FleetMetrics, "recordClassRoom" | "removeClassRoom">;
 }
 
 /** Room of a class. */
@@ -25,6 +25,8 @@
 const LOG_INTERVAL_MS = 1_000;
 
 interface KnownLevel {
+    readonly service: string;
+    readonly rank: number;
     share: number;
     recordedMs: number;
     loggedLevel: number;
@@ -41,7 +43,7 @@
     constructor(private readonly options: AdmissionLevelsOptions) {}
 
     /**
-     * Tells whether the share of a class is to be computed again.
+     * Checks whether the share of a class is due to be computed again.
      * @param service - the service
      * @param rank - the class
      * @returns false within a second of the last record
@@ -64,7 +66,7 @@
         const key = createKey(service, rank);
         // A class is not limited before the first record.
         const known = this.levels.get(key)
-            ?? { share, recordedMs: nowMs, loggedLevel: LEVELS, loggedMs: Number.NEGATIVE_INFINITY };
+            ?? { service, rank, share, recordedMs: nowMs, loggedLevel: LEVELS, loggedMs: Number.NEGATIVE_INFINITY };
         this.levels.set(key, known);
         known.share = share;
         known.recordedMs = nowMs;
@@ -83,6 +85,19 @@
         }
     }
 
+    /**
+     * Removes the classes of services that are no longer configured.
+     * @param isKnown - whether a service is configured
+     */
+    prune(isKnown: (service: string) => boolean): void {
+        this.levels.forEach(({ service, rank }, key) => {
+            if (!isKnown(service)) {
+                this.levels.delete(key);
+                this.options.metrics.removeClassRoom(service, rank);
+            }
+        });
+    }
+
     /**
      * Gets the share that a class may take.
      * @param service - the service
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -199,7 +199,7 @@
             getNowMs: options.getNowMs,
             random: options.random,
             countEntries: options.countEntries,
-            getRank: (admitted) => this.getRank(admitted),
+            getRank: (admitted) => this.getRequestRank(admitted),
             getDemand: (service) =>
                 this.demand.isReported(service) ? this.demand.fleet.get(service).classes : undefined,
             recordWaiting: (run, change) => {
@@ -289,7 +289,9 @@
         this.health.prune(isKnown);
         this.notices.prune(isKnown);
         this.options.connections.closeStale(isKnown);
-        this.queues.prune((service) => this.view.routing?.services.has(service) === true);
+        const isConfigured = (service: string): boolean => this.view.routing?.services.has(service) === true;
+        this.queues.prune(isConfigured);
+        this.levels.prune(isConfigured);
         this.queues.recordReport();
     }
 
@@ -451,7 +453,7 @@
     }
 
     /** All requests of a service that is not ranked are alike. */
-    private getRank({ service, route, organisation }: AdmittedCall): RequestRank {
+    private getRequestRank({ service, route, organisation }: AdmittedCall): RequestRank {
         const ranks = this.view.routing?.ranks.get(service.name);
         return ranks?.isRanked === true
             ? { rank: ranks.getRank(route, organisation), rankCount: ranks.ranks.length, isRanked: true }
--- a/packages/daemon/src/process/entry/targetChooser.ts
+++ b/packages/daemon/src/process/entry/targetChooser.ts
@@ -45,7 +45,7 @@
     readonly levels?: Pick<AdmissionLevels, "isDue" | "record">;
     /** Share of other entries' requests at an upstream that are as likely to end soon as others; none where not given. */
     readonly getSteadyShare?: (id: string) => number;
-    /** Whether the memory of a service's engines is checked in tokens, beside the usual sizes; by default it is. */
+    /** Whether the memory of a service's engines is checked in tokens, instead of by usual sizes; by default it is not. */
     readonly isMemoryChecked?: (service: string) => boolean;
     /** Memory of an engine as learned from declines; without it, the memory by its profile. */
     readonly getLimitTokens?: (engine: string, contextTokens: number) => number;
@@ -148,10 +148,13 @@
         this.options.shortage.recordSufficient(service.name);
         const getClassRoom = this.room.createClassRoom(run, view.routing?.ranks.get(service.name), chains, engine);
         const unreported = this.options.estimateUnreported(service.name);
-        const usable = this.candidates.listUsable(service);
-        const isMemoryChecked = this.options.isMemoryChecked?.(service.name) !== false;
+        const isMemoryChecked = this.options.isMemoryChecked?.(service.name) === true;
         const memory = isMemoryChecked
-            ? this.memory.startCheck(service, engine, { usable, candidates: chains, unreported })
+            ? this.memory.startCheck(service, engine, {
+                usable: this.candidates.listUsable(service),
+                candidates: chains,
+                unreported,
+            })
             : undefined;
         const { size } = run.admitted.call;
         const draw = isMemoryChecked ? this.getDraw(run) : this.options.random();
@@ -232,8 +235,11 @@
         return { chain, ...reported, reported };
     }
 
-    /** One draw for each request: one that drew anew whenever it looks for room again would take more than its share. */
-    getDraw(run: RequestContext): number {
+    /**
+     * One draw for each request: one that drew anew whenever it looks for room again would take more than its share. It is
+     * independent of the draw in the request's context, which decides how much room its class gives it.
+     */
+    private getDraw(run: RequestContext): number {
         const draw = this.draws.get(run) ?? this.options.random();
         this.draws.set(run, draw);
         return draw;
--- a/packages/daemon/src/process/entry/upstreamFaultHandler.ts
+++ b/packages/daemon/src/process/entry/upstreamFaultHandler.ts
@@ -16,7 +16,7 @@
     readonly engineReports: EngineReportCache;
     readonly log: EventLog;
     readonly countSuspicion: () => void;
-    /** Whether the memory of a service's engines is checked in tokens; by default it is. */
+    /** Whether the memory of a service's engines is checked in tokens; by default it is not. */
     readonly isMemoryChecked?: (service: string) => boolean;
     /** Tokens in use in an engine; undefined where not known. */
     readonly getUsedTokens?: (id: string) => number | undefined;
@@ -69,8 +69,9 @@
     /**
      * Handles an engine that declined a request. If it gives no report either, it is gone; if it reports another
      * incarnation or other layers, it does not hold what was requested; otherwise it is only out of capacity for a
-     * moment. Until its report arrives it is considered down here. The leader is told at once that it declined; it
-     * probes the engine and tells the other entries only where that does not answer either.
+     * moment. Until its report arrives it is considered down here. It is reported to the leader at once: where its memory
+     * is checked as declined, so that other entries avoid it only if it does not answer the leader's probe either,
+     * otherwise as suspected.
      * @param id - the engine
      * @param reason - how it declined, for the log
      */
@@ -81,8 +82,8 @@
         }
         const usedTokens = this.options.getUsedTokens?.(id);
         const upstream = view.getUpstream(id);
-        const isMemoryChecked = this.options.isMemoryChecked?.(upstream?.service ?? "") !== false;
-        // Without a check of its memory an engine that is short keeps getting requests unless all entries avoid it.
+        const isMemoryChecked = this.options.isMemoryChecked?.(upstream?.service ?? "") === true;
+        // Where its memory is not checked, an engine that is short keeps getting requests unless all entries avoid it.
         health.markDown(id, true, !isMemoryChecked);
         reportSuspects();
         const found = upstream === undefined
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -11,6 +11,8 @@
     readonly countRequest: (service: string, outcome: string, rank?: number) => void;
     /** Share of the room of a service that a class may take. */
     readonly recordClassRoom: (service: string, rank: number, share: number) => void;
+    /** The service is no longer configured. */
+    readonly removeClassRoom: (service: string, rank: number) => void;
     readonly recordRequestMs: (service: string, durationMs: number) => void;
     readonly countSuspicion: () => void;
     /** An upstream asked this instance to back off. */
@@ -207,6 +209,9 @@
         recordClassRoom: (service, rank, share) => {
             classRoom.set({ service, rank: String(rank) }, share);
         },
+        removeClassRoom: (service, rank) => {
+            classRoom.remove({ service, rank: String(rank) });
+        },
         recordRequestMs: (service, durationMs) => {
             latency.observe({ service }, durationMs);
         },
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -117,13 +117,13 @@
         lastEventId: string | undefined,
         hasStarted: boolean,
     ) => TargetChoice;
-    /** Whether the memory of a service's engines is checked in tokens; by default it is. */
+    /** Whether the memory of a service's engines is checked in tokens; by default it is not. */
     readonly isMemoryChecked?: (service: string) => boolean;
     /** Whether the API key of the request is still valid. */
     readonly isKeyUsable: () => boolean;
     /**
-     * Records that a request is sent, with its rank in a ranked service and, for an engine, the tokens that it holds there
-     * on average.
+     * Records that a request is sent, with its rank in a ranked service and, where the memory of engines is checked, the
+     * tokens that it holds there on average.
      */
     readonly recordStart: (id: string, rank?: number, tokens?: number) => void;
     /** The request has produced its first output, or ended without any. */
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -148,7 +148,7 @@
     const { notices } = functions;
     context.attempts += 1;
     context.attemptedUpstreams.add(target.upstreamId);
-    const heldTokens = computeRequestTokens(context);
+    const heldTokens = computeRequestTokens(context, functions);
     functions.recordStart(target.upstreamId, target.rank, heldTokens);
     const recordFirstOutput = once(() => {
         functions.recordFirstOutput(target.upstreamId, target.rank);
@@ -206,13 +206,20 @@
     return result;
 }
 
-/** Tokens that a request holds in engines on average; undefined where its service runs no model. */
-function computeRequestTokens({ admitted: { call, service } }: RequestContext): number | undefined {
-    return service.engine === undefined
+/** Tokens that a request holds in engines on average; undefined where their memory is not checked. */
+function computeRequestTokens(
+    { admitted: { call, service } }: RequestContext,
+    functions: RoutedRequestFunctions,
+): number | undefined {
+    return service.engine === undefined || !isMemoryChecked(service.name, functions)
         ? undefined
         : Math.round(computeHeldTokens(call.size ?? getUsualSize(service.engine)));
 }
 
+function isMemoryChecked(service: string, functions: RoutedRequestFunctions): boolean {
+    return functions.isMemoryChecked?.(service) === true;
+}
+
 /**
  * Ends a stream that the upstream cut because its caller did not read: it is no failure of the upstream, and would stay
  * unread at another one, too.
@@ -254,7 +261,7 @@
 ): Promise<RequestEnd | undefined> {
     // Where the attempt was declined for lack of memory, a path without room would decline it again, and use up a retry.
     const isMemoryFull = result.end === "declined" && result.faultAddress !== undefined && !response.hasStarted
-        && functions.isMemoryChecked?.(context.admitted.service.name) !== false;
+        && isMemoryChecked(context.admitted.service.name, functions);
     const findAlternative = (): TargetChoice => functions.chooseTarget(context, undefined, !isMemoryFull);
     let choice = findAlternative();
     let step = chooseStep(context, response, relay, { result, choice }, functions);
--- a/packages/daemon/tests/fleetStatus.test.ts
+++ b/packages/daemon/tests/fleetStatus.test.ts
@@ -13,10 +13,14 @@
 let nowMs = 10_000;
 const getNowMs = (): number => nowMs;
 const lines: EventFields[] = [];
+const removedGauges: unknown[] = [];
 const options = {
     getNowMs,
     log: { record: (_level: unknown, event: string, fields: EventFields = {}) => lines.push({ event, ...fields }) },
-    metrics: { recordClassRoom: () => undefined },
+    metrics: {
+        recordClassRoom: () => undefined,
+        removeClassRoom: (...labels: readonly unknown[]) => removedGauges.push(labels),
+    },
 };
 
 describe("the refusals of the last 10 s are counted by service, rank and reason", () => {
@@ -54,6 +58,10 @@
         nowMs += 40;
         expect(levels.get("s", 2)).to.deep.equal({ share: 0.21, ageMs: 40 });
         expect(levels.get("s", 1)).to.equal(undefined);
+        // Levels and gauges of services that operators have removed would stay for good.
+        levels.prune((service) => service !== "s");
+        expect(levels.get("s", 2)).to.equal(undefined);
+        expect(removedGauges).to.deep.equal([["s", 2]]);
     });
 });
 
--- a/packages/daemon/tests/memorySimulation.ts
+++ b/packages/daemon/tests/memorySimulation.ts
@@ -393,6 +393,7 @@
             reportSuspects: () => {
                 this.sync.reportSuspects();
             },
+            isMemoryChecked: () => true,
             getUsedTokens: (id) => this.chooser.getUsedTokens(id),
             handleShortage: (id, tokens) => {
                 this.learned.recordDecline(id, tokens);
@@ -423,6 +424,7 @@
             }),
             rateLimiter: createSends(getNowMs).rateLimiter,
             getRemoteLoad: (id) => this.remoteLoads.get(id),
+            isMemoryChecked: () => true,
             getSteadyShare: (id) => this.remoteLoads.getSteadyShare(id),
             isPathAvoided: () => false,
             estimateUnreported: () =>
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -1,4 +1,4 @@
-import type { Route } from "@crankfork/schemas";
+import type { EngineProfile, Route } from "@crankfork/schemas";
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
 import { readRetryAfter } from "../src/connection/readRetryAfter.js";
@@ -149,6 +149,10 @@
     readonly validKeyChecks?: number;
     /** How long the machine sleeps after the request has arrived; 0 by default. */
     readonly sleepMs?: number;
+    /** Whether the memory of engines is checked; not by default. */
+    readonly isMemoryChecked?: boolean;
+    /** Profile of the service's engines; by default it runs no model. */
+    readonly engine?: EngineProfile;
     /** Budget of the unread bytes; none by default. */
     readonly unread?: UnreadBudget;
     readonly queryStall?: (target: CallTarget) => Promise<StallReport>;
@@ -161,6 +165,8 @@
     readonly ends: RequestEnd[] = [];
     readonly suspects: string[] = [];
     readonly declines: string[] = [];
+    /** Tokens recorded at the start of each attempt. */
+    readonly startedTokens: (number | undefined)[] = [];
     /** Number of checks for a target. */
     targetChecks = 0;
     private keyChecks = 0;
@@ -189,7 +195,7 @@
                 const context = new RequestContext({
                     call: testCodec.parseCall(request),
                     route: createTestRoute(options.route),
-                    service: { name: "s" },
+                    service: { name: "s", ...(options.engine === undefined ? {} : { engine: options.engine }) },
                     organisation: options.validKeyChecks === undefined ? undefined : {
                         name: String(request.headers["x-organisation"] ?? "o"),
                         keys: ["k"],
@@ -265,7 +271,8 @@
                 this.keyChecks += 1;
                 return this.keyChecks <= (options.validKeyChecks ?? 0);
             },
-            recordStart: () => undefined,
+            isMemoryChecked: () => options.isMemoryChecked === true,
+            recordStart: (_id, _rank, tokens) => this.startedTokens.push(tokens),
             recordFirstOutput: () => undefined,
             recordEnd: () => undefined,
             recordAnswer: () => undefined,
--- a/packages/decisions/src/request/computeClassRoom.ts
+++ b/packages/decisions/src/request/computeClassRoom.ts
@@ -7,6 +7,7 @@
 import type { Chain } from "../version/computeChains.js";
 import type { RequestSize } from "./chooseChain.js";
 import { computeMaxMinShares } from "./computeMaxMinShares.js";
+import { ONE_REFUSAL_PER_S } from "./computeReturnTime.js";
 import {
     type ChainLoad,
     computeHeldTokens,
@@ -73,8 +74,6 @@
  * at a time; at its full size it would find room only on an idle chain.
  */
 const MAX_SIZE_FACTOR = 2;
-/** A rate averaged over 1 s is above this for one second after a single event. */
-const SHORT_RATE_PER_S = Math.exp(-1);
 const MS_PER_SECOND = 1_000;
 
 /**
@@ -120,7 +119,7 @@
 }
 
 /**
- * Tells whether a request has room.
+ * Checks whether a request has room.
  * @param room - what it may take, and what is taken
  * @returns false where it would cost more urgent ones more than it gains
  */
@@ -201,7 +200,7 @@
 /** A rank is short while requests of it, or of a more urgent one, wait or were refused in the last second. */
 function isRankShort(demand: ServiceDemand, rank: number): boolean {
     return [...demand].some(([one, { waiting, refused_per_s }]) =>
-        one <= rank && (clampCount(waiting) >= 1 || clampCount(refused_per_s) >= SHORT_RATE_PER_S)
+        one <= rank && (clampCount(waiting) >= 1 || clampCount(refused_per_s) >= ONE_REFUSAL_PER_S)
     );
 }
 
