fix(decisions): keep the retry budget through restarts and changes of leader

Callers saw: after half or all entries restarted, alone or with the leader, a service got 26 to 116 retries more than its budget of 664 in some ten seconds (sharedRetryBudget.test.ts, five rows, each time), which keeps an overloaded service overloaded.

Cause, by drawn faults (retryBudgetFaults.test.ts, 5 to 132 entries): buckets spend up to 1.3 times their share before reports show it; what a restarted entry sent since its last report is nowhere (all restart 11 ms after the need begins: 1.68 of the slack above); and the leader counted the requests of predecessors in full beside those of their successors, which doubled the budget that entries computed.

Change: an entry takes 1.1 equal parts of the remainder less what it has sent since the others reported, in place of a bucket. What the leader does not know yet is bounded, and charged by a restarted entry (member lost of the reports). Requests of entries that are gone leave the sums with their window. Before its first answer an entry waits 1.5 s; it serves nobody without one. Leaders and entries of the previous build get lost retries as sent ones.

Result: the five rows pass unchanged, the rows above 1,000 and above 150 too. Drawn faults, 40 each of eleven kinds: 102 of 440 beyond the budget before, up to 1.68 of the slack; now 0, and 0.76 of the budget in the fullest window (0.85 before, with the overshoot).

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -189,7 +189,7 @@
             slack: contract.retry_slack,
             windowMs: contract.retry_window,
         };
-        this.budgets = new RetryBudgets(budgetTerms, options.countEntries, options.getNowMs);
+        this.budgets = new RetryBudgets(budgetTerms, options.countEntries, options.getNowMs, options.random);
         this.crashes = new CrashTracker({
             ...options,
             getUnixMs: Date.now,
--- a/packages/daemon/src/process/entry/retryBudgets.ts
+++ b/packages/daemon/src/process/entry/retryBudgets.ts
@@ -4,6 +4,9 @@
 import { SharedRetryBudget, type SharedRetryBudgetOptions, type SpendingCoverage } from "@crankfork/decisions";
 import type { RetryBudgetUsage } from "@crankfork/schemas";
 
+/** A leader that is reached answers within this time, and an entry without one serves nobody. */
+const FIRST_REPORT_MS = 1_500;
+
 /** Retry budgets by service. */
 export class RetryBudgets {
     private readonly byService = new Map<string, SharedRetryBudget>();
@@ -14,11 +17,13 @@
      * @param terms - budget of the whole fleet for a service
      * @param countEntries - returns the number of entries that share it
      * @param getNowMs - the monotonic clock
+     * @param random - returns a number from 0 up to, but excluding, 1
      */
     constructor(
         private readonly terms: SharedRetryBudgetOptions,
         private readonly countEntries: () => number,
         private readonly getNowMs: () => number,
+        private readonly random: () => number,
     ) {
         this.startedMs = getNowMs();
     }
@@ -52,7 +57,9 @@
         if (existing !== undefined) {
             return existing;
         }
-        const budget = new SharedRetryBudget(this.terms, this.countEntries, this.getNowMs, this.startedMs);
+        const { terms, countEntries, getNowMs, startedMs, random } = this;
+        const process = { random, firstReportMs: FIRST_REPORT_MS };
+        const budget = new SharedRetryBudget(terms, countEntries, getNowMs, startedMs, process);
         this.byService.set(service, budget);
         return budget;
     }
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -1,6 +1,7 @@
 /**
  * The entries known to a leader and their open requests; answers their state synchronisation requests.
  */
+import { decaySpending } from "@crankfork/decisions";
 import type {
     RateLimitCursor,
     RetryBudgetUsage,
@@ -25,6 +26,8 @@
     readonly listSuspects: () => readonly string[];
     /** Rate limits announced by upstreams. */
     readonly limits: Pick<RateLimitCoordinator, "hasUpdates" | "listUpdates">;
+    /** Window of the retry budget, in milliseconds; requests of entries that are gone count until they expire if absent. */
+    readonly budgetWindowMs?: number;
     /** Rollout state of the newest document. */
     readonly rollout: Pick<DocumentRollout, "ageMs" | "getBehindMs" | "recordApplied">;
     /** Links between failure domains that lose packets. */
@@ -209,7 +212,7 @@
             crashes_forgotten: [...changes.crashes.forgotten],
             entries: this.countEntries(),
             loads_elsewhere: this.sumLoadsElsewhere(parameters.instance),
-            spending_elsewhere: this.sumSpendingElsewhere(parameters.instance),
+            spending_elsewhere: this.sumSpendingElsewhere(parameters.instance, parameters.spending ?? {}),
             spending_known_ms: this.options.getNowMs() - this.leadingSinceMs,
             suspects: [...this.options.listSuspects()],
             limits: this.options.limits.listUpdates(parameters.limits_known ?? NO_LIMITS),
@@ -269,17 +272,26 @@
     }
 
     /** Includes entries that are gone or restarted: what they had sent counts until the budget window has passed. */
-    private sumSpendingElsewhere(instance: string): RetryBudgetUsage {
+    private sumSpendingElsewhere(instance: string, own: RetryBudgetUsage): RetryBudgetUsage {
         const sinceMs = this.options.getNowMs() - ENTRY_EXPIRY_MS;
         this.formerSpending = this.formerSpending.filter(({ lastSeenMs }) => lastSeenMs > sinceMs);
         const others = [...this.entries].filter(([other]) => other !== instance).map(([, entry]) => entry);
+        const { getNowMs, budgetWindowMs = Number.POSITIVE_INFINITY } = this.options;
+        // To an entry of an older build lost retries count as sent.
+        const isLostKnown = Object.values(own).some(({ lost }) => lost !== undefined);
         const sums: RetryBudgetUsage = {};
-        [...others, ...this.formerSpending].forEach(({ spending }) => {
-            Object.entries(spending).forEach(([service, { requests, repeats }]) => {
+        [...others, ...this.formerSpending].forEach(({ spending, lastSeenMs }) => {
+            Object.entries(spending).forEach(([service, reported]) => {
+                const { requests, repeats, lost = 0 } = decaySpending(
+                    reported,
+                    getNowMs() - lastSeenMs,
+                    budgetWindowMs,
+                );
                 const sum = sums[service];
                 sums[service] = {
                     requests: (sum?.requests ?? 0) + requests,
-                    repeats: (sum?.repeats ?? 0) + repeats,
+                    repeats: (sum?.repeats ?? 0) + repeats + (isLostKnown ? 0 : lost),
+                    ...(isLostKnown ? { lost: (sum?.lost ?? 0) + lost } : {}),
                 };
             });
         });
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -215,6 +215,7 @@
         getNowMs,
         listSuspects: () => probe.listCorroborated(),
         limits: rateLimitCoordinator,
+        budgetWindowMs: contract.retry_window,
         rollout,
         links,
     });
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -160,6 +160,27 @@
         });
     });
 
+    const lostRows: readonly { readonly title: string; readonly own: object; readonly seen: object; }[] = [
+        {
+            title: "with the retries that restarted entries may have lost, by themselves",
+            own: { s: { requests: 1, repeats: 0, lost: 0 } },
+            seen: { s: { requests: 30, repeats: 2, lost: 4 } },
+        },
+        {
+            title: "with lost retries as sent ones, to an entry of an older build",
+            own: { s: { requests: 1, repeats: 0 } },
+            seen: { s: { requests: 30, repeats: 6 } },
+        },
+    ];
+    for (const { title, own, seen } of lostRows) {
+        it(title, async () => {
+            const spending = { s: { requests: 30, repeats: 2, lost: 4 } };
+            await register.synchronise({ instance: "one", known_index: 6, loads: {}, spending });
+            const asked = { instance: "two", known_index: 6, loads: {}, spending: own as typeof spending };
+            expect(await register.synchronise(asked)).to.deep.include({ spending_elsewhere: seen });
+        });
+    }
+
     it("with the time since this leader began to collect them in its term", async () => {
         await syncEntry("one", 1, 0);
         nowMs += 4_000;
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -5,14 +5,16 @@
  * needs ten retries at one entry and none at the next. With equal shares an entry may make only a few retries per
  * window, so that half of the needed retries are denied and callers are refused although upstreams are free.
  *
- * So an entry draws on the fleet's remaining budget, as last reported by the leader: its token bucket holds at most an
- * equal share of the remainder and refills within a few seconds. Without a recent report it keeps to an equal share of
- * the whole budget, which needs no messages between entries and adds up to no more than the whole.
+ * So an entry draws on the fleet's remaining budget, as last reported by the leader. Of the remainder it takes an equal
+ * part, from which it subtracts what it has sent since the others reported. All entries that need retries at once then
+ * send no more than the remainder, and what others do not need is available with the next report. Without a recent
+ * report an entry keeps to an equal share of the whole budget, which needs no messages between entries and adds up to no
+ * more than the whole.
  *
- * A new leader has the last window of each entry that reports to it, but nothing of entries that are gone and of what
- * restarted ones had sent. Both are charged with the most that one entry can have spent, and less of the budget is given
- * out until the leader has observed a whole window itself. Without this, no bucket would refill in the ten seconds after
- * a change of leader, and engines often fail at the same time as a voter.
+ * Counts that are lost with a process are charged with the most that they can be. A restarted entry counts as its own
+ * what it may have sent since its last report; for this purpose the retries that the leader does not know yet are bounded.
+ * A new leader knows nothing of entries that are gone, and of what restarted ones had sent before; for this purpose the
+ * retries of one entry in a window are bounded.
  */
 
 /** The whole fleet's budget for one service. */
@@ -24,10 +26,23 @@
     readonly windowMs: number;
 }
 
+/** What a budget needs of the process that holds it. */
+export interface BudgetProcess {
+    /** Returns a number from 0 up to, but excluding, 1; parts of a retry are rounded down where it is always 0. */
+    readonly random: () => number;
+    /**
+     * Time from the start within which a leader's report is expected, in milliseconds. No retry is taken before the first
+     * report in this time: of entries that restart again and again each would add its startup share.
+     */
+    readonly firstReportMs: number;
+}
+
 /** What was sent to a service in the last window; `repeats` counts retries. */
 export interface RetrySpending {
     readonly requests: number;
     readonly repeats: number;
+    /** The most retries that restarted entries may have sent besides; absent in sums of leaders that do not report it. */
+    readonly lost?: number;
 }
 
 /** What a leader's report of the fleet's spending is based on. */
@@ -40,40 +55,37 @@
 
 /**
  * Share of the budget that is given out in equal shares. The rest covers what an entry can't see: entries that have
- * just restarted and lost their counts, and windows that begin between its own slots.
+ * just restarted and lost their counts.
  */
 const STATIC_SHARE = 0.8;
 /** Share of it for requests that have no part of an answer yet. */
 const STATIC_UNANSWERED_SHARE = 0.6;
-/**
- * Share of the budget that is used while the fleet's spending is known. Buckets that were full refill by a third before
- * the leader's report shows what they spent, so the total stays below 1.3 times this share.
- */
+/** Share of the budget that is used while the fleet's spending is known. */
 const REPORTED_SHARE = 0.75;
 /** The same for requests that have no part of an answer yet. */
 const REPORTED_UNANSWERED_SHARE = 0.6;
+/** What an entry takes of the remainder, as a multiple of its equal part, since hardly ever all entries need retries at once. */
+const REMAINDER_PARTS = 1.1;
 /**
- * The same while the leader is new. Entries that report to no leader keep to equal shares; where they are as many as
- * accepted below, both add up to less than the whole.
+ * Bound of the retries that the leader does not know yet, as a part of the equal share. A restarted entry is charged with
+ * them, so the bound is a trade-off between bursts at one entry and what an entry may send after a restart.
  */
-const NEW_LEADER_SHARE = 0.5;
-/** The same for requests that have no part of an answer yet. */
-const NEW_LEADER_UNANSWERED_SHARE = 0.4;
+const UNREPORTED_SHARE = 0.4;
+/** Bound of the retries of one entry in a window, as a multiple of the equal share. */
+const MAX_ENTRY_SHARES = 2;
 /** Share of the entries that may be missing in the report of a new leader. */
 const MAX_MISSING_SHARE = 0.25;
 /**
- * Equal shares of an entry that has just started and has no report yet. Where all entries have restarted, earlier
- * spending is unknown; this share and the one above add up to the whole budget.
+ * Equal shares of an entry that has just started and can't use the report of a new leader. Where all entries have
+ * restarted, earlier spending is unknown; this share and what they may have sent before add up to the whole budget.
  */
-const STARTUP_SHARE = 0.4;
+const STARTUP_SHARE = 0.25;
 /** The same for requests that have no part of an answer yet. */
-const STARTUP_UNANSWERED_SHARE = 0.3;
-/** Time in which a bucket fills: over three times the 1.2 s after which an entry's spending is known to all others. */
-const REFILL_MS = 4_000;
-/** Age of a report from which it no longer refills the bucket, since it does not show what others have spent since. */
-const STALE_REPORT_MS = 1_500;
+const STARTUP_UNANSWERED_SHARE = 0.2;
+/** Time after which an entry's spending is known to all others. */
+const REPORT_LAG_MS = 1_200;
 /** Slots of the window in which requests and retries are counted. */
-const WINDOW_SLOTS = 10;
+const WINDOW_SLOTS = 50;
 const MS_PER_SECOND = 1_000;
 
 interface Slot {
@@ -86,24 +98,38 @@
 export class SharedRetryBudget {
     private readonly slots: Slot[] = [];
     private remoteSpending: RetrySpending = { requests: 0, repeats: 0 };
-    private isLeaderNew = false;
+    /** Whether a leader has reported since the start. */
+    private hasReport = false;
+    /** Whether the leader sums lost retries by themselves; they are reported as sent where it does not. */
+    private isLostSummed = true;
+    /** The most that entries may have sent whose reports a new leader lacks. */
+    private missingRepeats = 0;
     /** Whether the leader had observed a whole window when it last answered. */
     private isWindowObserved = false;
     private reportedMs = Number.NEGATIVE_INFINITY;
-    private bucketTokens = 0;
-    private filledMs = 0;
+    /**
+     * Added to what this entry may take of the remainder before it is rounded down. Drawn with each report: where less
+     * than one retry is left for each entry, some take one, and all together as many as are left.
+     */
+    private rounding = 0;
+    /** Retries since the start: all, those in the last report to the leader, and those in the last one that it answered. */
+    private repeats = 0;
+    private sentRepeats = 0;
+    private knownRepeats = 0;
 
     /**
      * @param options - the whole fleet's budget
      * @param getEntries - number of entries that share it
      * @param getNowMs - the monotonic clock
      * @param startedMs - start of this process on that clock; earlier spending of the instance is unknown
+     * @param process - what depends on the process that holds the budget
      */
     constructor(
         private readonly options: SharedRetryBudgetOptions,
         private readonly getEntries: () => number,
         private readonly getNowMs: () => number,
         private readonly startedMs: number = getNowMs(),
+        private readonly process: BudgetProcess = { random: () => 0, firstReportMs: 0 },
     ) {}
 
     /** Counts a caller's request. */
@@ -118,24 +144,20 @@
      * @param coverage - what the report is based on
      */
     recordRemoteSpending(spending: RetrySpending, { knownMs, reporters }: SpendingCoverage): void {
-        const { windowMs } = this.options;
-        const isLeaderNew = knownMs < windowMs;
+        const isLeaderNew = knownMs < this.options.windowMs;
+        this.hasReport = true;
         this.isWindowObserved = !isLeaderNew;
+        this.knownRepeats = this.sentRepeats;
+        this.isLostSummed = spending.lost !== undefined;
         const missing = Math.max(0, this.getEntries() - reporters);
-        if (isLeaderNew && (this.isStarting || missing > this.getEntries() * MAX_MISSING_SHARE)) {
+        const isOwnWindowKnown = this.isLostSummed || !this.isStarting;
+        if (isLeaderNew && (!isOwnWindowKnown || missing > this.getEntries() * MAX_MISSING_SHARE)) {
             return;
         }
-        const nowMs = this.getNowMs();
-        const isFirst = nowMs - this.reportedMs >= windowMs;
-        this.refillBucket();
-        const unknown = isLeaderNew ? missing * this.computeMaxUnknown() : 0;
-        this.remoteSpending = { requests: spending.requests, repeats: spending.repeats + unknown };
-        this.isLeaderNew = isLeaderNew;
-        this.reportedMs = nowMs;
-        if (isFirst) {
-            this.bucketTokens = this.computeBucketSize();
-            this.filledMs = nowMs;
-        }
+        this.remoteSpending = spending;
+        this.missingRepeats = isLeaderNew ? missing * MAX_ENTRY_SHARES * this.computeEqualShare() : 0;
+        this.reportedMs = this.getNowMs();
+        this.rounding = this.process.random();
     }
 
     /**
@@ -146,9 +168,10 @@
      */
     claimRetry(hasPartialAnswer: boolean): boolean {
         const isReported = this.getNowMs() - this.reportedMs < this.options.windowMs;
-        if (!(isReported ? this.takeFromBucket(hasPartialAnswer) : this.isWithinEqualShare(hasPartialAnswer))) {
+        if (!(isReported ? this.isWithinRemainder(hasPartialAnswer) : this.isWithinEqualShare(hasPartialAnswer))) {
             return false;
         }
+        this.repeats += 1;
         this.getSlot().repeats += 1;
         return true;
     }
@@ -166,15 +189,14 @@
     }
 
     /**
-     * Computes what this entry reports to the leader. In its first window it adds the most that the instance may have
-     * sent before a restart, since a new leader does not know that either. A leader that has observed a whole window
-     * counts the last report before the restart itself.
-     * @returns requests and retries in the last window
+     * Computes what this entry reports to the leader.
+     * @returns requests and retries in the last window, and what may have been lost with a restart
      */
     computeReport(): RetrySpending {
         const { requests, repeats } = this.computeSpending();
-        const isUnknown = this.isStarting && !this.isWindowObserved;
-        return { requests, repeats: repeats + (isUnknown ? Math.ceil(this.computeMaxUnknown()) : 0) };
+        this.sentRepeats = this.repeats;
+        const lost = Math.ceil(this.maxLost);
+        return this.isLostSummed ? { requests, repeats, lost } : { requests, repeats: repeats + lost, lost: 0 };
     }
 
     /**
@@ -186,6 +208,9 @@
     }
 
     private isWithinEqualShare(hasPartialAnswer: boolean): boolean {
+        if (!this.hasReport && this.ageMs < this.process.firstReportMs) {
+            return false;
+        }
         const { requests, repeats } = this.computeSpending();
         const { ratio, slack } = this.options;
         const steady = hasPartialAnswer ? STATIC_SHARE : STATIC_SHARE * STATIC_UNANSWERED_SHARE;
@@ -194,57 +219,74 @@
         return repeats + 1 <= share * (requests * ratio + slack / this.getEntries());
     }
 
-    private takeFromBucket(hasPartialAnswer: boolean): boolean {
-        this.refillBucket();
-        const remaining = this.computeRemaining(hasPartialAnswer ? this.reportedShare : this.unansweredShare);
-        if (this.bucketTokens < 1 || remaining < 1) {
-            return false;
-        }
-        this.bucketTokens -= 1;
-        return true;
+    private isWithinRemainder(hasPartialAnswer: boolean): boolean {
+        const allowed = this.computeAllowed();
+        const limit = Math.min(REPORTED_SHARE * allowed, (allowed - this.computeUnknown(allowed)) / REMAINDER_PARTS);
+        const sinceMs = this.reportedMs - REPORT_LAG_MS;
+        const { repeats } = this.computeSpending();
+        const recent = this.countRepeatsSince(sinceMs);
+        const known = this.remoteSpending.repeats + repeats - recent;
+        // Other entries do not know yet what this one may have lost.
+        const unreported = this.isWindowObserved && this.startedMs >= sinceMs ? this.maxLost : 0;
+        const unansweredLimit = limit * REPORTED_UNANSWERED_SHARE / REPORTED_SHARE;
+        return (hasPartialAnswer || known + recent + 1 <= unansweredLimit)
+            && recent + unreported + 1 <= REMAINDER_PARTS * (limit - known) / this.getEntries() + this.rounding
+            && this.repeats - this.knownRepeats + 1 <= this.maxUnreported
+            && repeats + 1 <= MAX_ENTRY_SHARES * this.computeEqualShare();
     }
 
-    private refillBucket(): void {
-        const untilMs = Math.min(this.getNowMs(), this.reportedMs + STALE_REPORT_MS);
-        const sinceMs = Math.max(0, untilMs - this.filledMs);
-        const bucketSize = this.computeBucketSize();
-        this.filledMs = Math.max(this.filledMs, untilMs);
-        this.bucketTokens = Math.min(bucketSize, this.bucketTokens + bucketSize * sinceMs / REFILL_MS);
+    /** The most retries that may have been sent and are in no report; never more than the fleet gives out. */
+    private computeUnknown(allowed: number): number {
+        const unknown = (this.remoteSpending.lost ?? 0) + this.maxLost + this.missingRepeats;
+        return Math.min(unknown, REMAINDER_PARTS * REPORTED_SHARE * allowed);
     }
 
-    /** Capacity of the bucket: an equal share of the fleet's remaining budget. */
-    private computeBucketSize(): number {
-        return Math.max(0, this.computeRemaining(this.reportedShare)) / this.getEntries();
+    /**
+     * The most that the instance may have sent before a restart and the leader does not know: since its last report, or
+     * in a whole window where the leader is new.
+     */
+    private get maxLost(): number {
+        if (!this.isStarting) {
+            return 0;
+        }
+        return this.isWindowObserved ? this.maxUnreported : MAX_ENTRY_SHARES * this.computeEqualShare();
     }
 
     /** Whether this entry has been running for less than a window. */
     private get isStarting(): boolean {
-        return this.getNowMs() - this.startedMs < this.options.windowMs;
+        return this.ageMs < this.options.windowMs;
     }
 
-    private get reportedShare(): number {
-        return this.isLeaderNew ? NEW_LEADER_SHARE : REPORTED_SHARE;
+    private get ageMs(): number {
+        return this.getNowMs() - this.startedMs;
     }
 
-    private get unansweredShare(): number {
-        return this.isLeaderNew ? NEW_LEADER_UNANSWERED_SHARE : REPORTED_UNANSWERED_SHARE;
+    /** The most retries that the leader may not know yet; at least one, so that a small budget is not denied altogether. */
+    private get maxUnreported(): number {
+        return Math.max(1, UNREPORTED_SHARE * this.computeEqualShare());
     }
 
-    /** The most retries that one entry can have sent within a window: a full bucket and what flowed into it since. */
-    private computeMaxUnknown(): number {
-        const { slack, windowMs } = this.options;
-        return REPORTED_SHARE * slack / this.getEntries() * (1 + windowMs / REFILL_MS);
+    /** Retries that all entries together may send in a window. */
+    private computeAllowed(): number {
+        const { ratio, slack } = this.options;
+        return (this.computeSpending().requests + this.remoteSpending.requests) * ratio + slack;
     }
 
-    private computeRemaining(share: number): number {
-        const own = this.computeSpending();
-        const { ratio, slack } = this.options;
-        const allowed = (own.requests + this.remoteSpending.requests) * ratio + slack;
-        return share * allowed - own.repeats - this.remoteSpending.repeats;
+    private computeEqualShare(): number {
+        return this.computeAllowed() / this.getEntries();
+    }
+
+    private countRepeatsSince(sinceMs: number): number {
+        const first = Math.floor(sinceMs / this.slotMs);
+        return this.slots.reduce((sum, { number, repeats }) => sum + (number >= first ? repeats : 0), 0);
+    }
+
+    private get slotMs(): number {
+        return this.options.windowMs / WINDOW_SLOTS;
     }
 
     private getSlot(): Slot {
-        const number = Math.floor(this.getNowMs() / (this.options.windowMs / WINDOW_SLOTS));
+        const number = Math.floor(this.getNowMs() / this.slotMs);
         while (this.slots[0] !== undefined && this.slots[0].number <= number - WINDOW_SLOTS) {
             this.slots.shift();
         }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -11,6 +11,7 @@
     type CircuitState,
     defaultCircuitBreakerOptions,
 } from "./connection/circuitBreaker.js";
+export * from "./connection/decaySpending.js";
 export * from "./connection/equalSharePacer.js";
 export * from "./connection/linkLoss.js";
 export * from "./connection/parseLimit.js";
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -38,7 +38,12 @@
 /** Requests and retries sent to each service in the latest window of the retry budget. */
 export const retryBudgetUsageSchema = z.record(
     z.string(),
-    z.object({ requests: z.int().nonnegative(), repeats: z.int().nonnegative() }),
+    z.object({
+        requests: z.int().nonnegative(),
+        repeats: z.int().nonnegative(),
+        /** Retries that a restarted entry may have sent besides; builds that report them in `repeats` omit it. */
+        lost: z.int().nonnegative().optional(),
+    }),
 );
 
 /** Domains in a report on links; a report with more is dropped. */
