--- a/packages/daemon/tests/crashReplay.ts
+++ b/packages/daemon/tests/crashReplay.ts
@@ -14,7 +14,7 @@
 import { checkSend, waitUntilCrashesStored } from "../src/request/checkSend.js";
 import { type AdmittedCall, RequestContext } from "../src/request/requestContext.js";
 import type { RoutedRequestFunctions, TargetChoice } from "../src/request/requestFunctions.js";
-import { confirmedBasis } from "./configurationFakes.js";
+import { createAdmitted } from "./createAdmitted.js";
 
 /** Load, times and faults of a replay. */
 export interface CrashReplayOptions {
@@ -289,36 +289,6 @@
 }
 
 function createCall(): AdmittedCall {
-    return {
-        call: {
-            requestId: "one",
-            method: "POST",
-            host: "h",
-            target: "/t",
-            path: "/t",
-            key: "k",
-            deadlineMs: undefined,
-            size: undefined,
-            lastEventId: undefined,
-            rawHeaders: [],
-        },
-        route: {
-            name: "r",
-            host: "h",
-            prefix: "/",
-            kind: "call",
-            is_repeatable: true,
-            timeout_ms: 3_000,
-            objective_ms: 500,
-            priority: 1,
-            most_attempts: 1,
-            is_anonymous: false,
-            targets: [{ service: "s", weight: 1 }],
-        },
-        service: { name: "s" },
-        organisation: { name: "one", keys: ["k"] },
-        body: Buffer.from("crashing"),
-        basis: confirmedBasis,
-        arrivedMs: performance.now(),
-    };
+    const admitted = createAdmitted();
+    return { ...admitted, route: { ...admitted.route, timeout_ms: 3_000 }, arrivedMs: performance.now() };
 }
--- a/packages/daemon/tests/crashTracker.test.ts
+++ b/packages/daemon/tests/crashTracker.test.ts
@@ -3,54 +3,11 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { CrashTracker } from "../src/process/entry/crashTracker.js";
-import { type AdmittedCall, RequestContext } from "../src/request/requestContext.js";
-import { confirmedBasis } from "./configurationFakes.js";
+import { RequestContext } from "../src/request/requestContext.js";
+import { createAdmitted, type RequestParts } from "./createAdmitted.js";
 
 const fakeTimers = ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"] as const;
 
-interface RequestParts {
-    readonly organisation?: string;
-    readonly method?: string;
-    readonly target?: string;
-    readonly body?: string;
-    readonly requestId?: string;
-}
-
-function createAdmitted({ organisation, method, target, body, requestId }: RequestParts = {}): AdmittedCall {
-    return {
-        call: {
-            requestId: requestId ?? "one",
-            method: method ?? "POST",
-            host: "h",
-            target: target ?? "/t",
-            path: target ?? "/t",
-            key: "k",
-            deadlineMs: undefined,
-            size: undefined,
-            lastEventId: undefined,
-            rawHeaders: [],
-        },
-        route: {
-            name: "r",
-            host: "h",
-            prefix: "/",
-            kind: "call",
-            is_repeatable: true,
-            timeout_ms: 1_000,
-            objective_ms: 100,
-            priority: 1,
-            most_attempts: 2,
-            is_anonymous: false,
-            targets: [{ service: "s", weight: 1 }],
-        },
-        service: { name: "s" },
-        organisation: { name: organisation ?? "one", keys: ["k"] },
-        body: Buffer.from(body ?? "crashing"),
-        basis: confirmedBasis,
-        arrivedMs: 0,
-    };
-}
-
 /** Entries, and a leader that aggregates their reports. */
 class CrashHarness {
     readonly register = new CrashRegister();
