--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -181,6 +181,30 @@
         });
     }
 
+    const appliedRows: readonly {
+        readonly title: string;
+        /** Log index that the second entry has, and how long ago it asked. */
+        readonly known: number;
+        readonly silentMs: number;
+        readonly leadingMs: number;
+        readonly haveApplied: boolean;
+    }[] = [
+        { title: "all have it", known: 6, silentMs: 0, leadingMs: 2_000, haveApplied: true },
+        { title: "one has an earlier one", known: 5, silentMs: 0, leadingMs: 2_000, haveApplied: false },
+        { title: "the one that has not is gone", known: 5, silentMs: 1_600, leadingMs: 2_000, haveApplied: true },
+        { title: "the leader is new", known: 6, silentMs: 0, leadingMs: 0, haveApplied: false },
+    ];
+    for (const { title, known, silentMs, leadingMs, haveApplied } of appliedRows) {
+        it(`whether entries have applied an index: ${title}`, async () => {
+            await syncEntry("one", 0, 0);
+            nowMs += leadingMs;
+            await syncEntry("two", 0, 0, known);
+            nowMs += silentMs;
+            await syncEntry("one", 0, 0);
+            expect(register.haveApplied(6)).to.equal(haveApplied);
+        });
+    }
+
     it("with the time since this leader began to collect them in its term", async () => {
         await syncEntry("one", 1, 0);
         nowMs += 4_000;
