fix(entry): an entry whose leader has answered takes retries of a service that nobody has used yet

Cause: an entry waited for the first report on each service, and a leader reports nothing on a service for which no other entry has spent anything. Change: the wait ends with the first answer of a leader, whatever it holds.

--- a/packages/daemon/src/process/entry/retryBudgets.ts
+++ b/packages/daemon/src/process/entry/retryBudgets.ts
@@ -12,6 +12,8 @@
     private readonly byService = new Map<string, SharedRetryBudget>();
     /** Budgets are created at the first request for a service, long after the start of the process. */
     private readonly startedMs: number;
+    /** Whether a leader has answered since the start. */
+    private hasAnswer = false;
 
     /**
      * @param terms - budget of the whole fleet for a service
@@ -42,6 +44,7 @@
      * @param coverage - what the report is based on
      */
     recordRemoteSpending(spendingByService: RetryBudgetUsage, coverage: SpendingCoverage): void {
+        this.hasAnswer = true;
         Object.entries(spendingByService).forEach(([service, spending]) => {
             this.get(service).recordRemoteSpending(spending, coverage);
         });
@@ -58,7 +61,8 @@
             return existing;
         }
         const { terms, countEntries, getNowMs, startedMs, random } = this;
-        const process = { random, firstReportMs: FIRST_REPORT_MS };
+        // A leader that has answered has no spending of a service that nobody has used.
+        const process = { random, firstReportMs: this.hasAnswer ? 0 : FIRST_REPORT_MS };
         const budget = new SharedRetryBudget(terms, countEntries, getNowMs, startedMs, process);
         this.byService.set(service, budget);
         return budget;
