feat(entry): record from which upstreams an entry receives bytes

The record of the incident did not show whether an entry cut off got any answer from any upstream; this had to be put together from the tries of some hundred requests. Once a second an entry now counts the upstreams that sent bytes and those that it sent requests to in vain (crankfork_upstreams_in_contact), and writes upstream-contact when none is left, and when one answers again. No logic uses it yet.

--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -4,6 +4,7 @@
  * the request id.
  */
 import { buildConnector, type Dispatcher, type Pool } from "undici";
+import type { RequestDispatcher } from "./observeDispatch.js";
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -99,7 +100,7 @@
  * @returns functions that control the exchange
  */
 export function startExchange(
-    connections: Dispatcher,
+    connections: RequestDispatcher,
     request: UpstreamRequest,
     handlers: ExchangeHandlers,
 ): OpenExchange {
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -11,12 +11,13 @@
 } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
+import { observeHandler, type RequestDispatcher } from "../../connection/observeDispatch.js";
 import type { UpstreamConnections } from "../../connection/upstreamConnections.js";
 import { isKeyLeaseValid } from "../../request/admitCall.js";
 import type { RequestEnd } from "../../request/refuseRequest.js";
 import { type AdmittedCall, RequestContext } from "../../request/requestContext.js";
 import type { RequestRank, RoutedRequestFunctions } from "../../request/requestFunctions.js";
-import type { CallCodec, RoutedCall } from "../../request/routedCall.js";
+import type { CallCodec, CallTarget, RoutedCall } from "../../request/routedCall.js";
 import { type RefusalId, refusals } from "../../request/routedRefusal.js";
 import { handleRoutedRequest } from "../../request/routedRequest.js";
 import { RoutedResponse } from "../../request/routedResponse.js";
@@ -45,6 +46,7 @@
 import { RetryBudgets } from "./retryBudgets.js";
 import { TargetChooser } from "./targetChooser.js";
 import { computeBudgetBytes, UnreadBudget } from "./unreadBudget.js";
+import { UpstreamContact } from "./upstreamContact.js";
 import { UpstreamFaultHandler } from "./upstreamFaultHandler.js";
 import { UpstreamHealth } from "./upstreamHealth.js";
 import { UpstreamNoticeHandler } from "./upstreamNoticeHandler.js";
@@ -98,6 +100,7 @@
     private readonly refusals: RefusalWindow;
     private readonly view = new FleetView();
     private readonly health: UpstreamHealth;
+    private readonly contact: UpstreamContact;
     private readonly chooser: TargetChooser;
     private readonly engineReports: EngineReportCache;
     private readonly admission: EntryAdmission;
@@ -131,6 +134,8 @@
         this.refusals = new RefusalWindow(options.getNowMs);
         this.demand = new EntryDemand({ ...options, getRouting: () => this.view.routing });
         this.health = new UpstreamHealth(options.getNowMs);
+        this.contact = new UpstreamContact(options);
+        this.contact.start();
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.loadReportAge = new LoadReportAge(options.getNowMs);
         this.remoteLoads = new RemoteLoads({ ...options, getLocalLoad: (id) => this.health.getLoad(id) });
@@ -394,9 +399,9 @@
     }
 
     private createFunctions(): RoutedRequestFunctions {
-        const { connections, codec, getNowMs, getAgeMs, log, settings } = this.options;
+        const { codec, getNowMs, getAgeMs, log, settings } = this.options;
         return {
-            getConnections: (target) => connections.get(target),
+            getConnections: (target) => this.getConnections(target),
             codec,
             getNowMs,
             chooseTarget: (run, lastEventId, isUnderWay) => {
@@ -446,6 +451,25 @@
         };
     }
 
+    private getConnections(target: CallTarget): RequestDispatcher {
+        const connections = this.options.connections.get(target);
+        return {
+            dispatch: (options, handler) => {
+                const exchange = this.contact.trackExchange(target.upstreamId);
+                return connections.dispatch(
+                    options,
+                    observeHandler(handler, {
+                        handleStart: () => undefined,
+                        handleBytes: exchange.recordBytes,
+                        handleEnd: (error) => {
+                            exchange.end(error !== undefined);
+                        },
+                    }),
+                );
+            },
+        };
+    }
+
     /** Without the check a service is served by usual sizes, and engines that decline are avoided. */
     private isMemoryChecked(service: string): boolean {
         const { check_memory } = this.options.settings.admission;
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -48,6 +48,8 @@
     readonly observeUnreadBytes: (read: () => number) => void;
     /** An upstream was paused because its caller does not read. */
     readonly countReaderPause: () => void;
+    /** Upstreams that sent bytes to this entry in the last second, and others that it sent requests to. */
+    readonly recordUpstreamContact: (counts: { readonly answering: number; readonly unanswered: number; }) => void;
     /** Formats all metrics in the text format that a scraper reads. */
     readonly format: () => Promise<string>;
 }
@@ -201,8 +203,18 @@
             unreadBytes.set(readUnreadBytes());
         },
     });
+    const contact = new Gauge({
+        name: "crankfork_upstreams_in_contact",
+        help: "Upstreams with open or failed requests of this entry in the last second, by whether they sent any bytes",
+        labelNames: ["state"],
+        registers,
+    });
     const leading = new Gauge({ name: "crankfork_leading", help: "1 while this voter leads", registers });
     return {
+        recordUpstreamContact: ({ answering, unanswered }) => {
+            contact.set({ state: "answering" }, answering);
+            contact.set({ state: "unanswered" }, unanswered);
+        },
         countRequest: (service, outcome, rank) => {
             requests.inc({ service, outcome, ...(rank === undefined ? {} : { rank: String(rank) }) });
         },
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -2,7 +2,7 @@
  * Dependencies of a routed request, as functions.
  */
 import type { RoutedService } from "@crankfork/schemas";
-import type { Dispatcher } from "undici";
+import type { RequestDispatcher } from "../connection/observeDispatch.js";
 import type { UnansweredAttempt } from "../process/entry/crashTracker.js";
 import type { PathStallHandler, PausableTracker, StreamTracker } from "../process/entry/pathStallDetector.js";
 import type { RequestQueue } from "../process/entry/requestQueue.js";
@@ -116,7 +116,7 @@
 
 /** Dependencies of a routed request. */
 export interface RoutedRequestFunctions {
-    readonly getConnections: (target: CallTarget) => Dispatcher;
+    readonly getConnections: (target: CallTarget) => RequestDispatcher;
     readonly codec: CallCodec;
     readonly getNowMs: () => number;
     readonly chooseTarget: (
--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -3,7 +3,7 @@
  * forwarded; streams are forwarded event by event.
  */
 import type { AttemptOutcome } from "@crankfork/decisions";
-import type { Dispatcher } from "undici";
+import type { RequestDispatcher } from "../connection/observeDispatch.js";
 import { type OpenExchange, type ResponseHead, startExchange } from "../connection/upstreamExchange.js";
 import type { RequestContext, StopReason } from "./requestContext.js";
 import type { NoticeFunctions } from "./requestFunctions.js";
@@ -51,7 +51,7 @@
 /** Options of an attempt. */
 export interface AttemptOptions {
     /** Connections to the target. */
-    readonly connections: Dispatcher;
+    readonly connections: RequestDispatcher;
     readonly codec: CallCodec;
     readonly context: RequestContext;
     readonly target: CallTarget;
