fix(connection): give up a connection to an upstream that is not established within 300 ms

Connections to peers had a limit of 300 ms with a timer of their own (withConnectTimeout); those to upstreams have it now. A connection takes a few milliseconds, and a lost SYN is sent again only after a second, so that another attempt comes first.

--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -5,6 +5,7 @@
  */
 import { buildConnector, type Dispatcher, type Pool } from "undici";
 import type { RequestDispatcher } from "./observeDispatch.js";
+import { withConnectTimeout } from "./withConnectTimeout.js";
 
 /** A request to an upstream. */
 export interface UpstreamRequest {
@@ -51,8 +52,8 @@
     readonly resume: () => void;
 }
 
-/** Connect time-out; round trips take a few milliseconds. undici's timers have a resolution of about one second. */
-const CONNECT_TIMEOUT_MS = 700;
+/** Round trips take a few milliseconds. A lost SYN is retransmitted only after 1 s, so another attempt is faster. */
+const CONNECT_TIMEOUT_MS = 300;
 /** Keep-alive time of idle connections, unless the upstream states a shorter one. */
 export const UPSTREAM_KEEP_ALIVE_MS = 4_000;
 /** Subtracted from the keep-alive time that an upstream states, so that a request does not race with its close. */
@@ -65,7 +66,7 @@
  * without a length as complete although it is truncated; a different code prevents that.
  */
 function createConnector(): buildConnector.connector {
-    const connect = buildConnector({ timeout: CONNECT_TIMEOUT_MS });
+    const connect = withConnectTimeout(buildConnector({}), CONNECT_TIMEOUT_MS);
     return (options, callback) => {
         connect(options, (...result) => {
             const [, socket] = result;
