fix(entry): send requests through other entries while cut off from all upstreams

Cause: an entry took each upstream that it could not reach for failed, one after the other, and went on sending into the cut. Evidence: 344 suspicions at the six entries cut off and none elsewhere, none of them confirmed by the leader; no order, no decline, and the others at 8 to 11 % of a processor. The class of fault: "I cannot reach it" taken for "it has failed", with no other way to it.

Change: an entry that gets no bytes from any upstream, or whose exchange failed, connects to up to four of them, and asks other entries whether they can. If it reaches none and another entry does, it is cut off: requests go to the upstream through that entry's own connections, decided and counted where the caller arrived; upstreams are not suspected; without a relay the request is refused at once as not run. The leader tells entries which others relay. A connection that cannot be established leads to a relay as well.

Why it works: the detection rests on what others reach, so that failed upstreams do not look like a cut; nothing that was written to a dead connection is relayed as if it had not been sent.

--- a/packages/daemon/src/connection/observeDispatch.ts
+++ b/packages/daemon/src/connection/observeDispatch.ts
@@ -8,8 +8,6 @@
 
 /** Callbacks of one exchange. */
 export interface ExchangeObserver {
-    /** Called when a connection is there, right before the request is written. */
-    readonly handleStart: () => void;
     readonly handleBytes: () => void;
     /** The exchange is over, also if it never started; `error` is undefined after a complete response. */
     readonly handleEnd: (error: Error | undefined) => void;
@@ -27,7 +25,6 @@
 ): Dispatcher.DispatchHandler {
     return {
         onRequestStart: (controller, context) => {
-            observer.handleStart();
             handler.onRequestStart?.(controller, context);
         },
         onResponseStart: (controller, status, headers, text) => {
--- /dev/null
+++ b/packages/daemon/src/connection/probeConnection.ts
@@ -0,0 +1,32 @@
+/**
+ * Probes whether a connection to an address can be established.
+ */
+import { parseAddress } from "@crankfork/schemas";
+import { connect } from "node:net";
+
+/**
+ * Opens a connection and closes it at once.
+ * @param address - host and port
+ * @param timeoutMs - the time-out, in milliseconds
+ * @returns whether it was established in time
+ */
+export function probeConnection(address: string, timeoutMs: number): Promise<boolean> {
+    const { host, port } = parseAddress(address);
+    return new Promise((resolve) => {
+        const socket = connect({ host, port });
+        const settle = (isReached: boolean): void => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(isReached);
+        };
+        const timer = setTimeout(() => {
+            settle(false);
+        }, timeoutMs);
+        socket.once("connect", () => {
+            settle(true);
+        });
+        socket.on("error", () => {
+            settle(false);
+        });
+    });
+}
--- a/packages/daemon/src/connection/upstreamConnections.ts
+++ b/packages/daemon/src/connection/upstreamConnections.ts
@@ -45,6 +45,13 @@
         }
     }
 
+    /** Closes all pools: idle connections at once, others after their exchange. Later requests open new ones. */
+    retireAll(): void {
+        const pools = [...this.pools.values()];
+        this.pools.clear();
+        pools.forEach(({ pool }) => void pool.close());
+    }
+
     /** Closes all connections and aborts what runs on them. */
     async destroy(): Promise<void> {
         const pools = [...this.pools.values()];
--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -4,6 +4,7 @@
  * the request id.
  */
 import { buildConnector, type Dispatcher, type Pool } from "undici";
+import { describeFailure, type ExchangeFailure } from "./exchangeFailure.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
@@ -35,12 +36,8 @@
     readonly handleHead: (head: ResponseHead) => void;
     readonly handleData: (chunk: Buffer) => void;
     readonly handleEnd: () => void;
-    /**
-     * The exchange failed. `wasSent` tells whether any byte may have reached the upstream; `isMalformed` tells whether
-     * the upstream sent bytes that are not an HTTP response, as opposed to closing its connection.
-     */
-    readonly handleError: (reason: string, wasSent: boolean, isMalformed: boolean) => void;
-    /** Nothing was sent because `shouldSend` returned false. */
+    readonly handleError: (failure: ExchangeFailure) => void;
+    /** Nothing was sent because `shouldSend` returned false, or because the upstream asked a relay to back off. */
     readonly handleWithheld: () => void;
 }
 
@@ -79,8 +76,6 @@
 }
 
 const RESET_CODE = "UPSTREAM_RESET";
-/** Name of undici's error for a response that it cannot parse. */
-const PARSER_ERROR_NAME = "HTTPParserError";
 
 /** Options of the connection pools to upstreams. */
 export const upstreamConnectionOptions: Pool.Options = {
@@ -111,8 +106,13 @@
     const failOnce = (error: unknown): void => {
         if (!isSettled) {
             isSettled = true;
-            const { message, name } = error instanceof Error ? error : { message: String(error), name: "" };
-            handlers.handleError(message, wasSent, name === PARSER_ERROR_NAME);
+            const failure = describeFailure(error, wasSent);
+            if (failure === undefined) {
+                handlers.handleWithheld();
+            }
+            else {
+                handlers.handleError(failure);
+            }
         }
     };
     const handler: Dispatcher.DispatchHandler = {
@@ -172,7 +172,13 @@
     };
 }
 
-function formatRawHeaders(
+/**
+ * Formats the headers of a response.
+ * @param raw - alternating names and values as undici gives them, if it does
+ * @param headers - the same headers by name
+ * @returns alternating names and values
+ */
+export function formatRawHeaders(
     raw: unknown,
     headers: Readonly<Record<string, string | string[] | undefined>>,
 ): readonly string[] {
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -11,12 +11,14 @@
 } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
-import { observeHandler, type RequestDispatcher } from "../../connection/observeDispatch.js";
+import type { RequestDispatcher } from "../../connection/observeDispatch.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import { probeConnection } from "../../connection/probeConnection.js";
 import type { UpstreamConnections } from "../../connection/upstreamConnections.js";
 import { isKeyLeaseValid } from "../../request/admitCall.js";
 import type { RequestEnd } from "../../request/refuseRequest.js";
 import { type AdmittedCall, RequestContext } from "../../request/requestContext.js";
-import type { RequestRank, RoutedRequestFunctions } from "../../request/requestFunctions.js";
+import type { RequestRank, RoutedRequestFunctions, StallReport } from "../../request/requestFunctions.js";
 import type { CallCodec, CallTarget, RoutedCall } from "../../request/routedCall.js";
 import { type RefusalId, refusals } from "../../request/routedRefusal.js";
 import { handleRoutedRequest } from "../../request/routedRequest.js";
@@ -40,21 +42,27 @@
 import { getPathKey } from "./pathKey.js";
 import { PathStallDetector } from "./pathStallDetector.js";
 import { RefusalWindow } from "./refusalWindow.js";
+import { RelayServer } from "./relayServer.js";
 import { RemoteLoads } from "./remoteLoads.js";
 import { type EntryState, recordRefusal, recordRequest, type RequestClass } from "./requestLog.js";
 import { RequestQueues } from "./requestQueues.js";
 import { RetryBudgets } from "./retryBudgets.js";
 import { TargetChooser } from "./targetChooser.js";
 import { computeBudgetBytes, UnreadBudget } from "./unreadBudget.js";
-import { UpstreamContact } from "./upstreamContact.js";
 import { UpstreamFaultHandler } from "./upstreamFaultHandler.js";
 import { UpstreamHealth } from "./upstreamHealth.js";
+import { UpstreamLinks } from "./upstreamLinks.js";
 import { UpstreamNoticeHandler } from "./upstreamNoticeHandler.js";
 
 /** Dependencies of an entry. */
 export interface FleetEntryOptions {
     readonly settings: FleetSettings;
     readonly connections: UpstreamConnections;
+    readonly peers: Pick<PeerClient, "call">;
+    /** Connections to the peers' ports of other entries. */
+    readonly relayConnections: RequestDispatcher;
+    /** Peer address of this entry. */
+    readonly ownAddress: string;
     readonly codec: CallCodec;
     readonly control: EngineControl;
     /** Parses the operator's document; returns undefined where it is invalid. */
@@ -97,16 +105,18 @@
     readonly demand: EntryDemand;
     /** Room that classes may take. */
     readonly levels: AdmissionLevels;
+    /** Relays requests of other entries. */
+    readonly relayServer: RelayServer;
     private readonly refusals: RefusalWindow;
     private readonly view = new FleetView();
     private readonly health: UpstreamHealth;
-    private readonly contact: UpstreamContact;
     private readonly chooser: TargetChooser;
     private readonly engineReports: EngineReportCache;
     private readonly admission: EntryAdmission;
     private readonly faultHandler: UpstreamFaultHandler;
     private readonly stallDetector: PathStallDetector;
-    private readonly links: LinkMonitor;
+    private readonly linkMonitor: LinkMonitor;
+    private readonly links: UpstreamLinks;
     private readonly budgets: RetryBudgets;
     private readonly crashes: CrashTracker;
     private readonly notices: UpstreamNoticeHandler;
@@ -134,12 +144,35 @@
         this.refusals = new RefusalWindow(options.getNowMs);
         this.demand = new EntryDemand({ ...options, getRouting: () => this.view.routing });
         this.health = new UpstreamHealth(options.getNowMs);
-        this.contact = new UpstreamContact(options);
-        this.contact.start();
         this.admission = new EntryAdmission({ ...options, view: this.view, contract: options.settings.contract });
         this.loadReportAge = new LoadReportAge(options.getNowMs);
         this.remoteLoads = new RemoteLoads({ ...options, getLocalLoad: (id) => this.health.getLoad(id) });
         this.notices = new UpstreamNoticeHandler({ ...options, view: this.view, health: this.health });
+        const { backoffs } = this.notices;
+        this.links = new UpstreamLinks({
+            ...options,
+            view: this.view,
+            handleBackoff: (id, backoffMs) => {
+                backoffs.applyNotice(id, { kind: "rest", backoffMs }, "relay");
+            },
+            handleCutOff: () => {
+                this.health.clearFailures();
+                this.stallDetector.clearStalls();
+            },
+        });
+        this.links.start();
+        this.relayServer = new RelayServer({
+            ...options,
+            view: this.view,
+            getConnections: (endpoint) => this.links.getOwnConnections(endpoint),
+            probe: probeConnection,
+            getBackoffMs: (id) => backoffs.isBackingOff(id) ? backoffs.computeRemainingMs([id]) : 0,
+            handleHead: (id, head) => {
+                backoffs.applyNotice(id, options.codec.readNotice(head).backoff, "relayed request");
+            },
+            checkAfterClose: () => this.links.checkAfterClose(),
+            memoryMb: options.settings.limits.memory,
+        });
         this.engineReports = new EngineReportCache(this.notices.observeControl(options.control), options.getNowMs);
         const learnedRoom = new LearnedRoom(options.getNowMs);
         this.faultHandler = new UpstreamFaultHandler({
@@ -150,6 +183,7 @@
             countSuspicion: () => {
                 options.metrics.countSuspicion();
             },
+            isCutOff: () => this.links.isCutOff,
             reportSuspects: options.reportSuspects,
             isMemoryChecked: (service) => this.isMemoryChecked(service),
             getUsedTokens: (id) => this.chooser.getUsedTokens(id),
@@ -158,11 +192,11 @@
             },
         });
         const { failure_domain: domain } = options.settings.instance;
-        this.links = new LinkMonitor({ domain, getNowMs: options.getNowMs });
+        this.linkMonitor = new LinkMonitor({ domain, getNowMs: options.getNowMs });
         this.stallDetector = new PathStallDetector({
             getNowMs: options.getNowMs,
             handleProcessPause: (durationMs) => {
-                this.links.recordProcessPause(durationMs);
+                this.linkMonitor.recordProcessPause(durationMs);
             },
             handleStall: (id, streams, silentMs) => void this.faultHandler.handlePathStall(id, streams, silentMs),
         });
@@ -180,7 +214,7 @@
             estimateUnreported: (service) => this.estimateUnreported(service),
             getLoadAgeMs: () => this.loadReportAge.getMeanAgeMs(),
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
-            isLinkLossy: (to) => this.links.isLossy(to),
+            isLinkLossy: (to) => this.linkMonitor.isLossy(to),
             getDemand: (service) => createServiceDemand(this.demand.fleet.get(service)),
             levels: this.levels,
             countEntries: options.countEntries,
@@ -221,12 +255,12 @@
     get isReady(): boolean {
         const { getAgeMs, settings, isStopping } = this.options;
         const isConfirmed = getAgeMs() < settings.contract.revocation * READY_LEASE_SHARE;
-        return this.view.routing !== undefined && isConfirmed && !isStopping();
+        return this.view.routing !== undefined && isConfirmed && !isStopping() && this.links.canSend;
     }
 
     /** Number of requests in flight. */
     get openRequests(): number {
-        return this.openCount;
+        return this.openCount + this.relayServer.openRequests;
     }
 
     /** Keep-alive time of idle caller connections, in milliseconds; undefined before the first routing table. */
@@ -250,7 +284,8 @@
             spending: this.budgets.listSpending(),
             limits_known: this.notices.limitsKnown,
             domain: this.options.settings.instance.failure_domain,
-            links: this.links.createReport(),
+            relay: this.links.relayOffer,
+            links: this.linkMonitor.createReport(),
         };
     }
 
@@ -277,8 +312,9 @@
     applyState(state: SynchronisedState): void {
         this.remoteLoads.record(state.loads_elsewhere);
         this.loadReportAge.recordReport();
+        this.links.relays.applyRelays(state.relays);
         this.demand.recordSummary(state.demand, state.spending_known_ms);
-        this.links.recordAnswer(state.links);
+        this.linkMonitor.recordAnswer(state.links);
         this.budgets.recordRemoteSpending(state.spending_elsewhere ?? {}, {
             knownMs: state.spending_known_ms ?? 0,
             reporters: state.entries,
@@ -401,7 +437,8 @@
     private createFunctions(): RoutedRequestFunctions {
         const { codec, getNowMs, getAgeMs, log, settings } = this.options;
         return {
-            getConnections: (target) => this.getConnections(target),
+            getConnections: (target) => this.links.getConnections(target),
+            getRelay: (target) => this.links.getRelay(target),
             codec,
             getNowMs,
             chooseTarget: (run, lastEventId, isUnderWay) => {
@@ -427,17 +464,19 @@
             },
             suspect: (id, reason) => {
                 this.faultHandler.suspect(id, reason);
+                void this.links.checkAfterFailure();
             },
             recordDecline: (id, reason) => void this.faultHandler.handleDecline(id, reason),
             findIdAt: (address) => this.view.findIdByAddress(address),
             claimRetry: (service, isUnderWay) => this.budgets.get(service).claimRetry(isUnderWay),
-            queryStall: (target, requestId) =>
-                this.engineReports.checkStall({ id: target.upstreamId, address: target.address }, requestId),
+            queryStall: (target, requestId) => this.queryStall(target, requestId),
             watchPath: (target, pauseMs, leave) =>
                 this.stallDetector.follow(getPathKey(target.stages ?? []), pauseMs, leave),
             followLink: ({ upstreamId, stages }) => {
                 const domain = stages?.[0]?.engine.failureDomain;
-                return domain === undefined ? undefined : this.links.follow(upstreamId, domain);
+                return domain === undefined || this.links.isCutOff
+                    ? undefined
+                    : this.linkMonitor.follow(upstreamId, domain);
             },
             claimPathSwitch: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
             hasEnded: (id) => this.view.hasEnded(id),
@@ -451,23 +490,16 @@
         };
     }
 
-    private getConnections(target: CallTarget): RequestDispatcher {
-        const connections = this.options.connections.get(target);
-        return {
-            dispatch: (options, handler) => {
-                const exchange = this.contact.trackExchange(target.upstreamId);
-                return connections.dispatch(
-                    options,
-                    observeHandler(handler, {
-                        handleStart: () => undefined,
-                        handleBytes: exchange.recordBytes,
-                        handleEnd: (error) => {
-                            exchange.end(error !== undefined);
-                        },
-                    }),
-                );
-            },
-        };
+    /** Reports are fetched over this entry's own connections; a relay is asked whether it reaches the engine. */
+    private async queryStall(target: CallTarget, requestId: string): Promise<StallReport> {
+        const relay = this.links.getRelay(target);
+        if (relay !== undefined) {
+            const isReached = await this.links.relays.isReachedBy(relay, target.upstreamId);
+            return { kind: isReached ? "moving" : "unreachable" };
+        }
+        return this.links.isCutOff
+            ? { kind: "stalled", faultAddress: undefined }
+            : await this.engineReports.checkStall({ id: target.upstreamId, address: target.address }, requestId);
     }
 
     /** Without the check a service is served by usual sizes, and engines that decline are avoided. */
--- a/packages/daemon/src/process/entry/pathStallDetector.ts
+++ b/packages/daemon/src/process/entry/pathStallDetector.ts
@@ -73,6 +73,13 @@
         this.stopTicking = undefined;
     }
 
+    /** Forgets which paths stalled, because this entry's own links caused it. */
+    clearStalls(): void {
+        this.paths.forEach((path) => {
+            path.avoidUntilMs = 0;
+        });
+    }
+
     /** Checks run only while a path is tracked, so that an idle entry does not wake up fifty times a second. */
     private start(): void {
         this.lastCheckMs = this.options.getNowMs();
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -1,10 +1,12 @@
 /**
  * Runs an entry from start to graceful shutdown.
  */
-import type { FleetSettings, RoutingTable } from "@crankfork/schemas";
+import { type FleetSettings, reachParametersSchema, type RoutingTable } from "@crankfork/schemas";
 import { JSONRPCServer } from "json-rpc-2.0";
 import { createServer } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
+import { createPeerAgent } from "../../connection/httpClient.js";
+import { RELAY_PATH } from "../../connection/relayProtocol.js";
 import { UpstreamConnections } from "../../connection/upstreamConnections.js";
 import type { CallCodec } from "../../request/routedCall.js";
 import { type FleetProcess, openFleetProcess, type SettingsReader } from "../fleetProcess.js";
@@ -53,6 +55,9 @@
         ...protocol,
         settings,
         connections: new UpstreamConnections(),
+        peers: fleet.peers,
+        relayConnections: createPeerAgent(),
+        ownAddress: fleet.ownAddress,
         log,
         metrics,
         getNowMs,
@@ -97,7 +102,7 @@
     await fleet.openPort(settings.ports.readiness, (_request, response) => {
         response.writeHead(entry.isReady ? 200 : 503, { "content-length": 0 }).end();
     });
-    await openStatusPort(fleet, entry);
+    await openPeersPort(fleet, entry);
     leaderSync.start();
     process.once("SIGTERM", () => {
         void stopEntry();
@@ -117,12 +122,17 @@
     }
 }
 
-/** An entry serves callers also where its port for operators is in use. */
-async function openStatusPort(fleet: FleetProcess, entry: FleetEntry): Promise<void> {
+/** An entry serves callers also where its port for operators and other entries is in use. */
+async function openPeersPort(fleet: FleetProcess, entry: FleetEntry): Promise<void> {
     const server = new JSONRPCServer({ errorListener: () => undefined });
     server.addMethod("status", () => entry.createStatus());
+    server.addMethod("reach", (raw) => entry.relayServer.probeUpstreams(reachParametersSchema.parse(raw).upstreams));
     try {
-        await fleet.openPeers(server);
+        await fleet.openPeers(server, {
+            [RELAY_PATH]: (request, response) => {
+                entry.relayServer.handle(request, response);
+            },
+        });
     }
     catch (error) {
         fleet.log.record("warn", "status-not-served", { reason: String(error) });
--- a/packages/daemon/src/process/entry/upstreamContact.ts
+++ b/packages/daemon/src/process/entry/upstreamContact.ts
@@ -76,6 +76,11 @@
         };
     }
 
+    /** Time since an upstream last sent a byte, in milliseconds. */
+    get sinceBytesMs(): number {
+        return this.options.getNowMs() - this.lastBytesMs;
+    }
+
     /**
      * Time for which exchanges have been open and no upstream has sent a byte, in milliseconds; 0 without open exchanges.
      */
--- a/packages/daemon/src/process/entry/upstreamFaultHandler.ts
+++ b/packages/daemon/src/process/entry/upstreamFaultHandler.ts
@@ -16,6 +16,8 @@
     readonly engineReports: EngineReportCache;
     readonly log: EventLog;
     readonly countSuspicion: () => void;
+    /** Whether this entry is cut off from all upstreams, so that failures show nothing about one; not if absent. */
+    readonly isCutOff?: () => boolean;
     /** Whether the memory of a service's engines is checked in tokens; by default it is not. */
     readonly isMemoryChecked?: (service: string) => boolean;
     /** Tokens in use in an engine; undefined where not known. */
@@ -59,7 +61,10 @@
      * @param reason - what was observed, for the log
      */
     suspect(id: string, reason: string): void {
-        const { health, reportSuspects, countSuspicion, log, view } = this.options;
+        const { health, reportSuspects, countSuspicion, isCutOff, log, view } = this.options;
+        if (isCutOff?.() === true) {
+            return;
+        }
         health.suspect(id);
         reportSuspects();
         countSuspicion();
--- a/packages/daemon/src/process/entry/upstreamHealth.ts
+++ b/packages/daemon/src/process/entry/upstreamHealth.ts
@@ -159,6 +159,17 @@
         this.unreportedDeclines.delete(id);
     }
 
+    /** Drops all evidence of failures, because this entry's own links caused them. */
+    clearFailures(): void {
+        this.byId.forEach((health) => {
+            health.suspectUntilMs = 0;
+            health.downUntilMs = 0;
+            health.suspicionCount = 0;
+            health.failures = 0;
+        });
+        this.unreportedSuspects.clear();
+    }
+
     /**
      * Skips an upstream for a moment after it declined for lack of capacity. This is not a failure: engines decline
      * while their memory is full. To exclude an engine that half of all paths share for seconds would move its load to
--- /dev/null
+++ b/packages/daemon/src/process/entry/upstreamLinks.ts
@@ -0,0 +1,192 @@
+/**
+ * The ways of this entry to upstreams: its own connections and, where these fail, other entries.
+ */
+import type { FleetSettings, RelayOffer } from "@crankfork/schemas";
+import { RelayError } from "../../connection/exchangeFailure.js";
+import { observeHandler, type RequestDispatcher } from "../../connection/observeDispatch.js";
+import type { PeerClient } from "../../connection/peerClient.js";
+import { probeConnection } from "../../connection/probeConnection.js";
+import { createRelayDispatcher } from "../../connection/relayDispatcher.js";
+import type { UpstreamConnections, UpstreamEndpoint } from "../../connection/upstreamConnections.js";
+import type { CallTarget } from "../../request/routedCall.js";
+import type { FleetView } from "../../version/fleetView.js";
+import type { EventLog } from "../eventLog.js";
+import type { FleetMetrics } from "../fleetMetrics.js";
+import { ReachMonitor } from "./reachMonitor.js";
+import { RelayPool } from "./relayPool.js";
+import { UpstreamContact } from "./upstreamContact.js";
+
+/** Dependencies of {@link UpstreamLinks}. */
+export interface UpstreamLinksOptions {
+    readonly settings: Pick<FleetSettings, "limits">;
+    readonly view: FleetView;
+    readonly getNowMs: () => number;
+    readonly random: () => number;
+    readonly log: EventLog;
+    readonly metrics: FleetMetrics;
+    readonly connections: UpstreamConnections;
+    readonly peers: Pick<PeerClient, "call">;
+    /** Connections to the peers' ports of other entries. */
+    readonly relayConnections: RequestDispatcher;
+    /** Peer address of this entry. */
+    readonly ownAddress: string;
+    readonly isStopping: () => boolean;
+    readonly handleBackoff: (upstreamId: string, backoffMs: number) => void;
+    /** Called when the entry is cut off from all upstreams, and when it is not any more. */
+    readonly handleCutOff: (isCutOff: boolean) => void;
+}
+
+/** Bytes received this recently show that the entry reaches upstreams. */
+const RECENT_BYTES_MS = 50;
+/** How long an upstream that no relay reaches either is not tried through them again. */
+const UNREACHABLE_MS = 1_000;
+
+/** Opens the ways to upstreams. */
+export class UpstreamLinks {
+    readonly relays: RelayPool;
+    private readonly contact: UpstreamContact;
+    private readonly reach: ReachMonitor;
+    /** The relay of each attempt that is sent through one. */
+    private readonly relayByTarget = new WeakMap<CallTarget, string>();
+    private readonly unreachableUntilMs = new Map<string, number>();
+
+    /**
+     * @param options - upstreams, connections and clock
+     */
+    constructor(private readonly options: UpstreamLinksOptions) {
+        this.contact = new UpstreamContact(options);
+        this.relays = new RelayPool({ ...options, connections: options.relayConnections });
+        this.reach = new ReachMonitor({
+            ...options,
+            listUpstreams: () => options.view.listAllReady(),
+            probe: probeConnection,
+            queryOthers: (upstreams) => this.relays.queryReach(upstreams),
+            getSilentMs: () => this.contact.silentMs,
+            handleChange: (isCutOff) => {
+                // Whatever is left on the connections from before the change would wait in vain.
+                options.connections.retireAll();
+                this.unreachableUntilMs.clear();
+                options.handleCutOff(isCutOff);
+            },
+        });
+    }
+
+    /** Starts the periodic checks. */
+    start(): void {
+        this.contact.start();
+        this.reach.start();
+    }
+
+    /** Whether this entry reaches no upstream, and others do. */
+    get isCutOff(): boolean {
+        return this.reach.isCutOff;
+    }
+
+    /** Whether requests can be sent to upstreams. */
+    get canSend(): boolean {
+        return !this.reach.isCutOff || this.relays.hasUsable;
+    }
+
+    /** How other entries may send requests through this one. */
+    get relayOffer(): RelayOffer {
+        return { address: this.options.ownAddress, is_available: !this.isCutOff && !this.options.isStopping() };
+    }
+
+    /**
+     * Gets the way of an attempt: this entry's own connections, then relays where no connection can be established; only relays
+     * while the entry is cut off.
+     * @param target - the target of the attempt
+     * @returns sends the request
+     */
+    getConnections(target: CallTarget): RequestDispatcher {
+        const relayed = createRelayDispatcher(target, this.relays, (relay) => this.relayByTarget.set(target, relay));
+        return this.isCutOff ? relayed : {
+            dispatch: (options, handler) => {
+                let hasStarted = false;
+                return this.getOwnConnections(target).dispatch(options, {
+                    ...handler,
+                    onRequestStart: (controller, context) => {
+                        hasStarted = true;
+                        handler.onRequestStart?.(controller, context);
+                    },
+                    onResponseError: (controller, error) => {
+                        if (!hasStarted && this.mayRelay(target.upstreamId)) {
+                            void this.checkAfterFailure();
+                            relayed.dispatch(options, this.observeUnreachable(target.upstreamId, handler));
+                        }
+                        else {
+                            handler.onResponseError?.(controller, error);
+                        }
+                    },
+                });
+            },
+        };
+    }
+
+    /**
+     * Gets this entry's own connections to an upstream.
+     * @param endpoint - the upstream
+     * @returns sends a request over them
+     */
+    getOwnConnections(endpoint: UpstreamEndpoint): RequestDispatcher {
+        const connections = this.options.connections.get(endpoint);
+        return {
+            dispatch: (options, handler) => {
+                const exchange = this.contact.trackExchange(endpoint.upstreamId);
+                return connections.dispatch(
+                    options,
+                    observeHandler(handler, {
+                        handleBytes: exchange.recordBytes,
+                        handleEnd: (error) => {
+                            exchange.end(error !== undefined);
+                        },
+                    }),
+                );
+            },
+        };
+    }
+
+    /**
+     * Gets the relay through which an attempt was sent.
+     * @param target - the target of the attempt
+     * @returns its peer address; undefined for this entry's own connections
+     */
+    getRelay(target: CallTarget): string | undefined {
+        return this.relayByTarget.get(target);
+    }
+
+    /**
+     * Checks after a failure whether this entry is cut off, unless it has just received bytes from an upstream.
+     * @returns true if it is
+     */
+    async checkAfterFailure(): Promise<boolean> {
+        return this.isCutOff || (this.contact.sinceBytesMs >= RECENT_BYTES_MS && await this.reach.checkAfterFailure());
+    }
+
+    /**
+     * Checks after a connection was closed whether this entry is cut off. Others may have delivered bytes just before.
+     * @returns true if it is
+     */
+    async checkAfterClose(): Promise<boolean> {
+        return await this.reach.checkAfterFailure();
+    }
+
+    private mayRelay(upstreamId: string): boolean {
+        const untilMs = this.unreachableUntilMs.get(upstreamId) ?? Number.NEGATIVE_INFINITY;
+        return this.relays.hasUsable && untilMs <= this.options.getNowMs();
+    }
+
+    private observeUnreachable(
+        upstreamId: string,
+        handler: Parameters<typeof observeHandler>[0],
+    ): Parameters<typeof observeHandler>[0] {
+        return observeHandler(handler, {
+            handleBytes: () => undefined,
+            handleEnd: (error) => {
+                if (error instanceof RelayError && error.kind === "unreachable") {
+                    this.unreachableUntilMs.set(upstreamId, this.options.getNowMs() + UNREACHABLE_MS);
+                }
+            },
+        });
+    }
+}
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -48,6 +48,12 @@
     readonly observeUnreadBytes: (read: () => number) => void;
     /** An upstream was paused because its caller does not read. */
     readonly countReaderPause: () => void;
+    /** Whether this entry is cut off from all upstreams. */
+    readonly recordCutOff: (isCutOff: boolean) => void;
+    /** A request was sent through another entry, or received from one. */
+    readonly countRelayedRequest: (side: "sent" | "received", outcome: string) => void;
+    /** Time for which a request of another entry was open here. */
+    readonly recordRelayedRequestMs: (durationMs: number) => void;
     /** Upstreams that sent bytes to this entry in the last second, and others that it sent requests to. */
     readonly recordUpstreamContact: (counts: { readonly answering: number; readonly unanswered: number; }) => void;
     /** Formats all metrics in the text format that a scraper reads. */
@@ -209,8 +215,34 @@
         labelNames: ["state"],
         registers,
     });
+    const cutOff = new Gauge({
+        name: "crankfork_cut_off",
+        help: "1 while this entry reaches no upstream and other entries do",
+        registers,
+    });
+    const relayed = new Counter({
+        name: "crankfork_relayed_requests_total",
+        help: "Requests that were sent through another entry, or received from one, by outcome",
+        labelNames: ["side", "outcome"],
+        registers,
+    });
+    const relayedLatency = new Histogram({
+        name: "crankfork_relayed_request_ms",
+        help: "Time for which requests of other entries were open here, in milliseconds",
+        buckets: LATENCY_BOUNDS_MS,
+        registers,
+    });
     const leading = new Gauge({ name: "crankfork_leading", help: "1 while this voter leads", registers });
     return {
+        recordCutOff: (isCutOff) => {
+            cutOff.set(isCutOff ? 1 : 0);
+        },
+        countRelayedRequest: (side, outcome) => {
+            relayed.inc({ side, outcome });
+        },
+        recordRelayedRequestMs: (durationMs) => {
+            relayedLatency.observe(durationMs);
+        },
         recordUpstreamContact: ({ answering, unanswered }) => {
             contact.set({ state: "answering" }, answering);
             contact.set({ state: "unanswered" }, unanswered);
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -41,7 +41,11 @@
         handle: RequestHandler,
         idleMs?: number,
     ) => Promise<OpenServer | undefined>;
-    readonly openPeers: (server: JSONRPCServer) => Promise<void>;
+    /** `handlers` take requests to other paths than that of JSON-RPC, by path. */
+    readonly openPeers: (
+        server: JSONRPCServer,
+        handlers?: Readonly<Record<string, RequestHandler>>,
+    ) => Promise<void>;
     /** Closes the servers and connections. */
     readonly close: () => void;
 }
@@ -121,11 +125,16 @@
         suspendAwareClock,
         getSeeds: () => listPeerAddresses(settings),
         openPort,
-        openPeers: async (server) => {
-            await openPort(
-                `${host}:${String(initial.ports.peers_port)}`,
-                createRpcHandler({ secret: undefined, clock, server, recordResponse: traffic.recordResponse }),
-            );
+        openPeers: async (server, handlers = {}) => {
+            const handleRpc = createRpcHandler({
+                secret: undefined,
+                clock,
+                server,
+                recordResponse: traffic.recordResponse,
+            });
+            await openPort(`${host}:${String(initial.ports.peers_port)}`, (request, response) => {
+                (handlers[request.url ?? ""] ?? handleRpc)(request, response);
+            });
         },
         close: () => {
             clearInterval(timer);
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -1,9 +1,10 @@
 /**
  * The entries known to a leader and their open requests; answers their state synchronisation requests.
  */
-import { decaySpending } from "@crankfork/decisions";
+import { chooseRelays, decaySpending } from "@crankfork/decisions";
 import type {
     RateLimitCursor,
+    RelayOffer,
     RetryBudgetUsage,
     SynchronisedState,
     SynchroniseParameters,
@@ -67,6 +68,9 @@
     notifiedMs: number;
     loads: UpstreamLoads;
     spending: RetryBudgetUsage;
+    readonly domain: string | undefined;
+    /** How other entries may send requests through this one. */
+    readonly relay: RelayOffer | undefined;
 }
 
 /** Requests that a restarted entry had sent before; they count until the budget window has passed. */
@@ -127,7 +131,17 @@
     }
 
     private recordEntry(
-        { instance, loads, spending = {}, known_index, applied_version, domain, links, demand }: SynchroniseParameters,
+        {
+            instance,
+            loads,
+            spending = {},
+            known_index,
+            applied_version,
+            domain,
+            links,
+            demand,
+            relay,
+        }: SynchroniseParameters,
     ): KnownEntry {
         this.trackTerm();
         if (domain !== undefined) {
@@ -148,6 +162,8 @@
             notifiedMs,
             loads,
             spending,
+            domain,
+            relay,
         };
         this.entries.set(instance, entry);
         this.options.rollout.recordApplied(instance, applied_version);
@@ -217,12 +233,24 @@
             suspects: [...this.options.listSuspects()],
             limits: this.options.limits.listUpdates(parameters.limits_known ?? NO_LIMITS),
             ...(links === undefined ? {} : { links }),
+            ...(parameters.relay === undefined ? {} : { relays: [...this.chooseRelays(parameters)] }),
             // An entry of an older build would only discard it.
             ...(parameters.demand === undefined ? {} : { demand: this.demand.summarise() }),
             voters: [...replicas.voters, ...replicas.learners].map((replica) => replica.address),
         };
     }
 
+    /** Entries start at different relays, so that the load of those that are cut off together is spread. */
+    private chooseRelays({ instance, domain }: SynchroniseParameters): readonly string[] {
+        const sinceMs = this.options.getNowMs() - ACTIVE_WINDOW_MS;
+        const candidates = [...this.entries].flatMap(([other, { relay, lastSeenMs, domain: otherDomain }]) =>
+            other !== instance && relay?.is_available === true && lastSeenMs >= sinceMs
+                ? [{ address: relay.address, domain: otherDomain }]
+                : []
+        );
+        return chooseRelays(candidates, domain, [...this.entries.keys()].indexOf(instance));
+    }
+
     private createNotLeaderResult(): SynchroniseResult {
         const { leader } = this.options.host.replica.getStatus();
         return leader === undefined || leader.id === this.options.host.self.id
--- a/packages/daemon/src/request/recordAttempt.ts
+++ b/packages/daemon/src/request/recordAttempt.ts
@@ -41,7 +41,9 @@
     const { upstreamId } = target;
     recordCrash(context, target, result, progress, functions);
     const label = result.kind === "ended" ? `${result.end}(${result.reason})` : result.kind;
-    context.attemptLog.push(`${upstreamId}:${label}:${String(Math.round(durationMs))}ms`);
+    const relay = functions.getRelay?.(target);
+    const via = relay === undefined ? "" : `(via ${relay})`;
+    context.attemptLog.push(`${upstreamId}${via}:${label}:${String(Math.round(durationMs))}ms`);
     switch (result.kind) {
         case "answered":
         case "streamed":
@@ -69,6 +71,10 @@
     functions: RoutedRequestFunctions,
 ): void {
     const { upstreamId } = target;
+    if (result.isLinkFault === true) {
+        recordPossibleRun(context, upstreamId, result);
+        return;
+    }
     const faultyId = result.faultAddress === undefined ? undefined : functions.findIdAt(result.faultAddress);
     if (result.end === "declined" && namesFaultyEngine(result)) {
         functions.recordDecline(faultyId ?? upstreamId, result.reason);
@@ -82,7 +88,15 @@
     else if (result.end !== "left") {
         functions.recordAnswer(upstreamId, durationMs, true);
     }
-    if (result.end !== "not-sent" && result.end !== "declined") {
+    recordPossibleRun(context, upstreamId, result);
+}
+
+function recordPossibleRun(
+    context: RequestContext,
+    upstreamId: string,
+    { end }: Extract<AttemptResult, { kind: "ended"; }>,
+): void {
+    if (end !== "not-sent" && end !== "declined") {
         context.mayHaveRun = true;
         context.mayHaveRunOn.add(upstreamId);
     }
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -117,6 +117,8 @@
 /** Dependencies of a routed request. */
 export interface RoutedRequestFunctions {
     readonly getConnections: (target: CallTarget) => RequestDispatcher;
+    /** Gets the entry through which an attempt was sent; undefined for a direct one. */
+    readonly getRelay?: (target: CallTarget) => string | undefined;
     readonly codec: CallCodec;
     readonly getNowMs: () => number;
     readonly chooseTarget: (
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -12,6 +12,7 @@
     | "body-too-large"
     | "unreadable"
     | "no-upstream"
+    | "cut-off"
     | "too-few-engines"
     | "full"
     | "declined"
@@ -95,6 +96,12 @@
         text: "no upstream can take the request now; it has not run",
         retryAfterMs: NO_UPSTREAM_RETRY_MS,
     },
+    "cut-off": {
+        id: "cut-off",
+        status: 503,
+        text: "this instance cannot reach the upstreams, others can; the request has not run",
+        retryAfterMs: OTHER_INSTANCE_RETRY_MS,
+    },
     "too-few-engines": {
         id: "too-few-engines",
         status: 503,
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -267,7 +267,7 @@
                 tries: context.attempts,
                 left_ms: Math.round(context.remainingMs),
             });
-            if (result.end === "declined" && context.attempts >= IMMEDIATE_ATTEMPTS) {
+            if ((result.end === "declined" && context.attempts >= IMMEDIATE_ATTEMPTS) || isWithoutRelay(result)) {
                 await waitMs(TARGET_POLL_MS);
             }
             return undefined;
@@ -276,7 +276,11 @@
         case "refuse":
             return isThrottled(choice) || (isMemoryFull && choice.kind === "full")
                 ? refuseWithoutTarget(context, response, choice, functions)
-                : sendRefusal(context, response, getNotRunRefusal(result.end, step.hasFreeUpstream));
+                : sendRefusal(
+                    context,
+                    response,
+                    isWithoutRelay(result) ? "cut-off" : getNotRunRefusal(result.end, step.hasFreeUpstream),
+                );
         case "fail":
             return sendRefusal(context, response, "upstream-failed");
     }
@@ -300,11 +304,12 @@
         maxExecutions: route.most_attempts,
         remainingMs: context.remainingMs,
         // A trial is sent only once.
-        hasAlternative: !context.isTrial && choice.kind === "target",
+        hasAlternative: !context.isTrial && choice.kind === "target" && !isWithoutRelay(result),
         streamGraceMs: hasStarted && !context.isTrial ? computeGraceMs(route, relay) : 0,
         // If all remaining upstreams are in backoff or rate-limited, none accepts the request before the caller's
         // Retry-After.
-        maxQueueMs: hasStarted || context.isTrial || service.engine === undefined || isThrottled(choice)
+        maxQueueMs: hasStarted || isWithoutRelay(result) || context.isTrial || service.engine === undefined
+                || isThrottled(choice)
             ? 0
             : computeQueueLimitMs(context, choice) - context.ageMs,
         claimRetry: () => functions.claimRetry(service.name, response.hasStarted),
@@ -318,6 +323,11 @@
         : computeMaxWaitMs(context.remainingMs + context.ageMs);
 }
 
+/** Whether a request was not sent because this entry is cut off and no relay took it; another upstream would not help. */
+function isWithoutRelay({ end, isLinkFault }: FailedAttempt["result"]): boolean {
+    return end === "not-sent" && isLinkFault === true;
+}
+
 /** Whether only backoffs or rate limits keep a request from being sent. */
 function isThrottled(choice: TargetChoice): choice is Extract<TargetChoice, { kind: "resting" | "limited"; }> {
     return choice.kind === "resting" || choice.kind === "limited";
--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -36,6 +36,8 @@
         readonly faultAddress?: string | undefined;
         /** Set if the upstream closed its connection before the end of its response. */
         readonly hasConnectionEnded?: boolean;
+        /** Set if the way to the upstream failed, so that nothing is known about the upstream itself. */
+        readonly isLinkFault?: boolean;
     };
 
 /** Receives a stream. */
@@ -126,9 +128,14 @@
             handleEnd: () => {
                 this.handleEnd();
             },
-            handleError: (reason, wasSent, isMalformed) => {
-                const hasConnectionEnded = wasSent && !isMalformed;
-                this.settle({ kind: "ended", end: wasSent ? "broken" : "not-sent", reason, hasConnectionEnded });
+            handleError: ({ reason, wasSent, isUpstreamClosed, isLinkFault }) => {
+                this.settle({
+                    kind: "ended",
+                    end: wasSent ? "broken" : "not-sent",
+                    reason,
+                    hasConnectionEnded: isUpstreamClosed,
+                    isLinkFault,
+                });
             },
         });
         this.options.handleStart?.((stall) => {
--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -120,6 +120,14 @@
         return [...this.upstreams.values()].filter((one) => one.service === service && one.status === "ready");
     }
 
+    /**
+     * Lists the upstreams that accept new requests.
+     * @returns those of all services that are ready
+     */
+    listAllReady(): readonly RegisteredUpstream[] {
+        return [...this.upstreams.values()].filter((one) => one.status === "ready");
+    }
+
     /**
      * Gets the paths of a service that runs a model.
      * @param service - the service
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -156,6 +156,8 @@
     /** Budget of the unread bytes; none by default. */
     readonly unread?: UnreadBudget;
     readonly queryStall?: (target: CallTarget) => Promise<StallReport>;
+    /** The way to an upstream; a direct connection by default. */
+    readonly getConnections?: RoutedRequestFunctions["getConnections"];
     /** Observes the links of streams; none by default. */
     readonly followLink?: NonNullable<RoutedRequestFunctions["followLink"]>;
 }
@@ -229,7 +231,7 @@
 
     private createFunctions(options: EntryOptions): RoutedRequestFunctions {
         return {
-            getConnections: (target) => this.connections.get(target),
+            getConnections: options.getConnections ?? ((target) => this.connections.get(target)),
             codec: testCodec,
             getNowMs: () => performance.now(),
             chooseTarget: (context, lastEventId) => {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -5,12 +5,14 @@
 export * from "./connection/bandwidthLimiter.js";
 export * from "./connection/chooseNewerLimit.js";
 export * from "./connection/chooseReadersToPause.js";
+export { chooseRelays, type RelayCandidate } from "./connection/chooseRelays.js";
 export {
     CircuitBreaker,
     type CircuitBreakerOptions,
     type CircuitState,
     defaultCircuitBreakerOptions,
 } from "./connection/circuitBreaker.js";
+export { classifyReach, type ReachEvidence, type ReachVerdict } from "./connection/classifyReach.js";
 export * from "./connection/decaySpending.js";
 export * from "./connection/equalSharePacer.js";
 export * from "./connection/linkLoss.js";
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -67,6 +67,14 @@
     age_ms: z.number().nonnegative(),
 });
 
+/** How other entries may send requests to upstreams through an entry. */
+export const relayOfferSchema = z.object({
+    /** Peer address of the entry. */
+    address: z.string(),
+    /** Whether it reaches upstreams itself and is not about to stop. */
+    is_available: z.boolean(),
+});
+
 /** Parameters of `synchronise`: how much of the state an entry has, and its own activity. */
 export const synchroniseParametersSchema = z.object({
     instance: z.string(),
@@ -88,6 +96,8 @@
     links: linkReportSchema.optional().catch(undefined),
     /** Demand at the entry. An invalid value is dropped: the rest of the message counts. */
     demand: demandReportSchema.optional().catch(undefined),
+    /** Absent from entries that do not relay requests. */
+    relay: relayOfferSchema.optional().catch(undefined),
 });
 
 /** Parameters of `suspect`: upstreams that failed an entry's requests; sent immediately, since `synchronise` is a long poll. */
@@ -136,6 +146,8 @@
         links: z.array(lossyLinkSchema).optional().catch(undefined),
         /** Demand over all entries; only for an entry that reports its own. */
         demand: demandSummarySchema.optional().catch(undefined),
+        /** Peer addresses of entries that relay requests for this one, in order of preference; absent where it sent no `relay`. */
+        relays: z.array(z.string()).optional().catch(undefined),
         /** Peer addresses of all replicas. */
         voters: z.array(z.string()),
     }),
@@ -188,6 +200,15 @@
     z.object({ kind: z.literal("busy"), retry_ms: z.number().nonnegative() }),
 ]);
 
+/** Most upstreams in one request of `reach`. */
+const MAX_REACH_UPSTREAMS = 32;
+
+/** Parameters of `reach`: upstreams to which an entry is asked to connect. */
+export const reachParametersSchema = z.object({ upstreams: z.array(z.string()).max(MAX_REACH_UPSTREAMS) });
+
+/** Result of `reach`: those to which it could connect. */
+export const reachResultSchema = z.object({ reached: z.array(z.string()) });
+
 /** Parameters of `join`: a replica that asks to become a member of the cluster. */
 export const joinParametersSchema = z.object({ replica: replicaAddressSchema });
 /** Result of `join`. */
@@ -219,6 +240,12 @@
 export type LeavingParameters = z.infer<typeof leavingParametersSchema>;
 /** Result of `leaving`. */
 export type LeavingResult = z.infer<typeof leavingResultSchema>;
+/** How other entries may send requests to upstreams through an entry. */
+export type RelayOffer = z.infer<typeof relayOfferSchema>;
+/** Parameters of `reach`. */
+export type ReachParameters = z.infer<typeof reachParametersSchema>;
+/** Result of `reach`. */
+export type ReachResult = z.infer<typeof reachResultSchema>;
 /** Parameters of `document`. */
 export type DocumentParameters = z.infer<typeof documentParametersSchema>;
 /** Result of `document`. */
