fix(entry): do not record connections that a cut resets as crashes of upstreams

Where four of six entries were cut off while they had the same request in flight, every caller of that request at every entry was refused for good (503 held, "coming back won't help"): each reset connection was reported as a crash of its upstream, and three of them quarantine a request. Found by a test for the same cause as the incident: what the entry's own links do is taken for what upstreams do.

Change: an entry probes its links after a connection was closed before it records a crash, and records none while it is cut off. With sound links this takes one connection; the caller of a broken attempt already waits until its crash is stored.

Not covered: if all relays that are asked are cut off as well, the closed connections still count as crashes.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -117,6 +117,8 @@
     private readonly stallDetector: PathStallDetector;
     private readonly linkMonitor: LinkMonitor;
     private readonly links: UpstreamLinks;
+    /** Checks whether closed connections were crashes of their upstreams. */
+    private readonly closeChecks = new WeakMap<AdmittedCall, Promise<void>>();
     private readonly budgets: RetryBudgets;
     private readonly crashes: CrashTracker;
     private readonly notices: UpstreamNoticeHandler;
@@ -523,9 +525,18 @@
             claimTrial: (admitted) => crashes.claimTrial(admitted),
             needsResendGrant: (admitted) => crashes.needsResendGrant(admitted),
             claimResend: (admitted, maxWaitMs) => crashes.claimResend(admitted, maxWaitMs),
-            waitUntilStored: (admitted, maxWaitMs) => crashes.waitUntilStored(admitted, maxWaitMs),
+            waitUntilStored: async (admitted, maxWaitMs) => {
+                await this.closeChecks.get(admitted);
+                await crashes.waitUntilStored(admitted, maxWaitMs);
+            },
             recordCrash: (run, upstream, hadProgress) => {
-                crashes.recordCrash(run, upstream, hadProgress);
+                // A cut closes the connections to all upstreams, none of which has crashed.
+                const check = this.links.checkAfterClose().then((isCutOff) => {
+                    if (!isCutOff) {
+                        crashes.recordCrash(run, upstream, hadProgress);
+                    }
+                });
+                this.closeChecks.set(run.admitted, check);
             },
             recordUnanswered: (run, ended) => {
                 crashes.recordUnanswered(run, ended);
