fix(connection): do not time out a connection that is there when the process resumes

After a pause of the process its timers fire before the event loop handles a connection that was established meanwhile, so that each new connection counts as not established, and its upstream as unreachable. The time-out now leaves the event loop one turn, for upstreams, peers and probes. The new row of withConnectTimeout.test.ts (a pause of 60 ms, a limit of 20 ms) failed before. The other rows now also fake setImmediate, by which the failure is delivered.

--- a/packages/daemon/src/connection/probeConnection.ts
+++ b/packages/daemon/src/connection/probeConnection.ts
@@ -19,8 +19,11 @@
             socket.destroy();
             resolve(isReached);
         };
+        // After a pause of the process the timer fires before the event loop has seen that the connection is there.
         const timer = setTimeout(() => {
-            settle(false);
+            setImmediate(() => {
+                settle(false);
+            });
         }, timeoutMs);
         socket.once("connect", () => {
             settle(true);
--- a/packages/daemon/src/connection/withConnectTimeout.ts
+++ b/packages/daemon/src/connection/withConnectTimeout.ts
@@ -14,10 +14,14 @@
 export function withConnectTimeout(connect: buildConnector.connector, timeoutMs: number): buildConnector.connector {
     return (options, callback) => {
         let isSettled = false;
-        const timer = setTimeout(() => {
-            isSettled = true;
-            callback(new errors.ConnectTimeoutError(`no connection within ${String(timeoutMs)} ms`), null);
-        }, timeoutMs);
+        const fail = (): void => {
+            if (!isSettled) {
+                isSettled = true;
+                callback(new errors.ConnectTimeoutError(`no connection within ${String(timeoutMs)} ms`), null);
+            }
+        };
+        // After a pause of the process the timer fires before the event loop has seen that the connection is there.
+        const timer = setTimeout(() => setImmediate(fail), timeoutMs);
         connect(options, (...result) => {
             clearTimeout(timer);
             if (isSettled) {
--- a/packages/daemon/tests/withConnectTimeout.test.ts
+++ b/packages/daemon/tests/withConnectTimeout.test.ts
@@ -1,7 +1,7 @@
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { Socket } from "node:net";
-import type { buildConnector } from "undici";
+import { type AddressInfo, createServer, Socket } from "node:net";
+import { buildConnector } from "undici";
 import { withConnectTimeout } from "../src/connection/withConnectTimeout.js";
 
 const TIMEOUT_MS = 300;
@@ -44,7 +44,7 @@
 describe("a connection is established within the time-out or fails", () => {
     for (const { title, endsMs, fails, found, isClosed } of rows) {
         it(title, () => {
-            const clock = FakeTimers.install({ toFake: ["setTimeout", "clearTimeout"] });
+            const clock = FakeTimers.install({ toFake: ["setTimeout", "clearTimeout", "setImmediate"] });
             const socket = new Socket();
             const seen: string[] = [];
             const connect: buildConnector.connector = (_options, callback) => {
@@ -69,4 +69,23 @@
             socket.destroy();
         });
     }
+
+    it("also if the process stands still for longer while the connection is established", async () => {
+        const server = createServer();
+        await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+        const port = String((server.address() as AddressInfo).port);
+        const connect = withConnectTimeout(buildConnector({}), 20);
+        const result = new Promise<unknown>((resolve) => {
+            connect({ hostname: "127.0.0.1", protocol: "http:", port }, (...[error, socket]) => {
+                socket?.destroy();
+                resolve(error);
+            });
+        });
+        const endMs = performance.now() + 60;
+        while (performance.now() < endMs) {
+            // Keeps the event loop busy.
+        }
+        expect(await result).to.equal(null);
+        server.close();
+    });
 });
