fix(entry): offer a request that could not be sent to one relay while not cut off

An upstream that went dark hangs the connection attempts of relays as well, 300 ms each; three relays in a row would hold the request for 1.2 s. One relay tells whether others reach the upstream.

--- a/packages/daemon/src/connection/relayDispatcher.ts
+++ b/packages/daemon/src/connection/relayDispatcher.ts
@@ -15,6 +15,16 @@
 import type { UpstreamEndpoint } from "./upstreamConnections.js";
 import { formatRawHeaders } from "./upstreamExchange.js";
 
+/** Where the requests of one attempt are relayed. */
+export interface RelayOptions {
+    readonly endpoint: UpstreamEndpoint;
+    readonly relays: RelaySource;
+    /** Most relays that a request is offered to while it has not reached the upstream. */
+    readonly maxRelays: number;
+    /** Called with the relay that a request is sent through. */
+    readonly handleRelay: (relay: string) => void;
+}
+
 /** Chooses relays, and learns how they do. */
 export interface RelaySource {
     /** Connections to other entries. */
@@ -34,24 +44,16 @@
 }
 
 const SILENCE_MS = 400;
-/** Most relays that one request is offered to. */
-const MAX_RELAYS = 3;
 
 /**
  * Creates a dispatcher that relays requests to an upstream.
- * @param endpoint - the upstream
- * @param relays - the relays
- * @param handleRelay - called with the relay that a request is sent through
+ * @param relayOptions - the upstream and the relays
  * @returns the dispatcher; its errors are of class RelayError
  */
-export function createRelayDispatcher(
-    endpoint: UpstreamEndpoint,
-    relays: RelaySource,
-    handleRelay: (relay: string) => void,
-): RequestDispatcher {
+export function createRelayDispatcher(relayOptions: RelayOptions): RequestDispatcher {
     return {
         dispatch: (options, handler) => {
-            new RelayedExchange(endpoint, relays, handleRelay, options, handler).start();
+            new RelayedExchange(relayOptions, options, handler).start();
             return true;
         },
     };
@@ -69,9 +71,7 @@
     private wasUnreachable = false;
 
     constructor(
-        private readonly endpoint: UpstreamEndpoint,
-        private readonly relays: RelaySource,
-        private readonly handleRelay: (relay: string) => void,
+        private readonly relayOptions: RelayOptions,
         private readonly options: Dispatcher.DispatchOptions,
         private readonly handler: Dispatcher.DispatchHandler,
     ) {}
@@ -103,30 +103,32 @@
 
     /** Sends the request through the next relay. */
     start(): void {
-        const relay = this.tried.size < MAX_RELAYS ? this.relays.choose(this.tried) : undefined;
+        const { endpoint, relays, maxRelays } = this.relayOptions;
+        const relay = this.tried.size < maxRelays ? relays.choose(this.tried) : undefined;
         if (relay === undefined) {
             this.fail(this.wasUnreachable ? "unreachable" : "no-relay", `not sent by ${this.formatTried()}`);
             return;
         }
         this.tried.add(relay);
         const { method, path, headers, body } = this.options;
-        this.relays.connections.dispatch({
+        relays.connections.dispatch({
             origin: `http://${relay}`,
             method: "POST",
             path: RELAY_PATH,
-            headers: encodeRelayedRequest(this.endpoint, { method, path, headers: headers as string[] }),
+            headers: encodeRelayedRequest(endpoint, { method, path, headers: headers as string[] }),
             body: body ?? null,
         }, this.createHopHandler(relay));
     }
 
     private createHopHandler(relay: string): Dispatcher.DispatchHandler {
+        const { endpoint, relays, handleRelay } = this.relayOptions;
         let result: RelayResult | undefined;
         let wasWritten = false;
         let silenceTimer: NodeJS.Timeout | undefined;
         const end = (isServed: boolean): void => {
             if (wasWritten) {
                 wasWritten = false;
-                this.relays.recordEnd(relay, isServed);
+                relays.recordEnd(relay, isServed);
             }
         };
         return {
@@ -141,10 +143,10 @@
                     return;
                 }
                 wasWritten = true;
-                this.handleRelay(relay);
-                this.relays.recordStart(relay);
+                handleRelay(relay);
+                relays.recordStart(relay);
                 silenceTimer = setTimeout(() => {
-                    this.relays.handleSilence(relay, this.endpoint.upstreamId);
+                    relays.handleSilence(relay, endpoint.upstreamId);
                 }, SILENCE_MS);
             },
             onResponseStart: (controller, status, headers) => {
@@ -173,7 +175,7 @@
                 clearTimeout(silenceTimer);
                 end(false);
                 if (!this.aborted) {
-                    this.relays.recordFailure(relay, error.message);
+                    relays.recordFailure(relay, error.message);
                 }
                 if (wasSent || this.aborted) {
                     this.fail("relay-lost", `relay ${relay}: ${error.message}`);
@@ -194,17 +196,17 @@
                 this.handleAnswerEnd(relay, result.end);
                 return;
             case "withheld":
-                this.relays.handleBackoff(this.endpoint.upstreamId, result.backoffMs);
+                this.relayOptions.relays.handleBackoff(this.relayOptions.endpoint.upstreamId, result.backoffMs);
                 this.fail("withheld", `withheld by ${relay}`);
                 return;
             case "not-sent":
                 this.wasUnreachable ||= result.refusal === "unreachable";
-                this.relays.recordFailure(relay, result.refusal);
+                this.relayOptions.relays.recordFailure(relay, result.refusal);
                 this.start();
                 return;
             case "unsupported":
             case undefined:
-                this.relays.recordFailure(relay, "unsupported");
+                this.relayOptions.relays.recordFailure(relay, "unsupported");
                 this.start();
         }
     }
@@ -222,7 +224,7 @@
                 this.fail("malformed", "the upstream's response is malformed");
                 return;
             case undefined:
-                this.relays.recordFailure(relay, "incomplete response");
+                this.relayOptions.relays.recordFailure(relay, "incomplete response");
                 this.fail("relay-lost", `relay ${relay} ended the response early`);
         }
     }
--- a/packages/daemon/src/process/entry/upstreamLinks.ts
+++ b/packages/daemon/src/process/entry/upstreamLinks.ts
@@ -38,6 +38,8 @@
 
 /** Bytes received this recently show that the entry reaches upstreams. */
 const RECENT_BYTES_MS = 50;
+/** Relays that a request is offered to while this entry is cut off; otherwise one tells whether others reach the upstream. */
+const MAX_RELAYS = 3;
 /** How long an upstream that no relay reaches either is not tried through them again. */
 const UNREACHABLE_MS = 1_000;
 
@@ -99,8 +101,14 @@
      * @returns sends the request
      */
     getConnections(target: CallTarget): RequestDispatcher {
-        const relayed = createRelayDispatcher(target, this.relays, (relay) => this.relayByTarget.set(target, relay));
-        return this.isCutOff ? relayed : {
+        const { isCutOff, relays } = this;
+        const relayed = createRelayDispatcher({
+            endpoint: target,
+            relays,
+            maxRelays: isCutOff ? MAX_RELAYS : 1,
+            handleRelay: (relay) => this.relayByTarget.set(target, relay),
+        });
+        return isCutOff ? relayed : {
             dispatch: (options, handler) => {
                 let hasStarted = false;
                 return this.getOwnConnections(target).dispatch(options, {
--- a/packages/daemon/tests/testRelay.ts
+++ b/packages/daemon/tests/testRelay.ts
@@ -103,7 +103,7 @@
     }
 
     readonly getConnections: RoutedRequestFunctions["getConnections"] = (target) =>
-        createRelayDispatcher(target, this, () => undefined);
+        createRelayDispatcher({ endpoint: target, relays: this, maxRelays: 3, handleRelay: () => undefined });
 
     choose(tried: ReadonlySet<string>): string | undefined {
         return this.addresses.find((address) => !tried.has(address));
