fix(entry): try another upstream where the relay does not take a request either

A request whose own connection was refused was offered to a relay; if that was stopping, busy or of the previous build, the request was refused as cut-off although the entry reached other upstreams: the failure of the relay took the place of that of the connection. It is reported as an upstream that cannot be reached now, so that it is suspected and the next one is tried. Found by reading the change; of the four rows of upstreamLinks.test.ts two failed before (503 in place of 200).

--- a/packages/daemon/src/process/entry/upstreamLinks.ts
+++ b/packages/daemon/src/process/entry/upstreamLinks.ts
@@ -1,7 +1,8 @@
 /**
  * The ways of this entry to upstreams: its own connections and, where these fail, other entries.
  */
-import type { FleetSettings, RelayOffer } from "@crankfork/schemas";
+import type { RelayOffer } from "@crankfork/schemas";
+import type { Dispatcher } from "undici";
 import { RelayError } from "../../connection/exchangeFailure.js";
 import { observeHandler, type RequestDispatcher } from "../../connection/observeDispatch.js";
 import type { PeerClient } from "../../connection/peerClient.js";
@@ -18,7 +19,6 @@
 
 /** Dependencies of {@link UpstreamLinks}. */
 export interface UpstreamLinksOptions {
-    readonly settings: Pick<FleetSettings, "limits">;
     readonly view: FleetView;
     readonly getNowMs: () => number;
     readonly random: () => number;
@@ -120,7 +120,7 @@
                     onResponseError: (controller, error) => {
                         if (!hasStarted && this.mayRelay(target.upstreamId)) {
                             void this.checkAfterFailure();
-                            relayed.dispatch(options, this.observeUnreachable(target.upstreamId, handler));
+                            relayed.dispatch(options, this.createFallbackHandler(target.upstreamId, handler, error));
                         }
                         else {
                             handler.onResponseError?.(controller, error);
@@ -184,17 +184,22 @@
         return this.relays.hasUsable && untilMs <= this.options.getNowMs();
     }
 
-    private observeUnreachable(
+    /** Where the relay does not take the request, the failure is that of this entry's own connection. */
+    private createFallbackHandler(
         upstreamId: string,
-        handler: Parameters<typeof observeHandler>[0],
-    ): Parameters<typeof observeHandler>[0] {
-        return observeHandler(handler, {
-            handleBytes: () => undefined,
-            handleEnd: (error) => {
-                if (error instanceof RelayError && error.kind === "unreachable") {
+        handler: Dispatcher.DispatchHandler,
+        ownError: Error,
+    ): Dispatcher.DispatchHandler {
+        return {
+            ...handler,
+            onResponseError: (controller, error) => {
+                const kind = error instanceof RelayError ? error.kind : undefined;
+                if (kind === "unreachable") {
                     this.unreachableUntilMs.set(upstreamId, this.options.getNowMs() + UNREACHABLE_MS);
                 }
+                const reported = kind === "no-relay" ? new RelayError("unreachable", ownError.message) : error;
+                handler.onResponseError?.(controller, reported);
             },
-        });
+        };
     }
 }
