--- a/packages/daemon/src/connection/relayProtocol.ts
+++ b/packages/daemon/src/connection/relayProtocol.ts
@@ -1,7 +1,7 @@
 /**
  * The protocol by which an entry sends a request to an upstream through another entry. The request and its response are
  * the bodies of an HTTP exchange between the two; headers describe them. The response body is always chunked and ends with a
- * trailer, so that a relay that fails is told from an upstream that closed its connection.
+ * trailer, which distinguishes an upstream that closed its connection from a relay that failed.
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { isSelfDelimited, removeHopByHopHeaders } from "../request/routedResponse.js";
@@ -181,7 +181,7 @@
 /**
  * Decodes how a response ended.
  * @param trailers - the trailers of the hop, or its headers where the upstream gave no response
- * @returns how it ended; undefined if the relay failed before it could tell
+ * @returns how it ended; undefined if the relay failed before the end
  */
 export function decodeRelayEnd(trailers: ResponseHead["headers"]): RelayEnd | undefined {
     const end = getText(trailers[names.end]);
--- a/packages/daemon/src/process/entry/reachMonitor.ts
+++ b/packages/daemon/src/process/entry/reachMonitor.ts
@@ -120,7 +120,7 @@
         if (await this.probe(first)) {
             return "reachable";
         }
-        // A single upstream may have failed; from here on the check takes place for all.
+        // The upstream may have failed by itself, so others are probed as well, here and by other entries.
         const probed = others.length === 0 ? [first] : others;
         const [results, reach] = await Promise.all([
             Promise.all(probed.map((one) => this.probe(one))),
--- a/packages/daemon/src/process/entry/upstreamLinks.ts
+++ b/packages/daemon/src/process/entry/upstreamLinks.ts
@@ -38,7 +38,7 @@
 
 /** Bytes received this recently show that the entry reaches upstreams. */
 const RECENT_BYTES_MS = 50;
-/** Relays that a request is offered to while this entry is cut off; otherwise one tells whether others reach the upstream. */
+/** Relays that a request is offered to while this entry is cut off; otherwise one shows whether others reach the upstream. */
 const MAX_RELAYS = 3;
 /** How long an upstream that no relay reaches either is not tried through them again. */
 const UNREACHABLE_MS = 1_000;
--- a/packages/decisions/src/connection/classifyReach.ts
+++ b/packages/decisions/src/connection/classifyReach.ts
@@ -1,5 +1,5 @@
 /**
- * Tells whether an entry is cut off from all upstreams, from probes that it and other entries made.
+ * Classifies the results of probes that an entry and others made: whether the entry is cut off from all upstreams.
  */
 
 /** Results of probes of the same upstreams. */
