fix(entry): drop what is held of upstreams that have ended

The times until which an upstream is not offered to a relay again were cleared only when the entry was cut off or reached upstreams again, so one entry of the map stayed for each incarnation that once refused a connection. They are pruned with the other state of incarnations.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -331,6 +331,7 @@
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
         this.health.prune(isKnown);
         this.notices.prune(isKnown);
+        this.links.prune(isKnown);
         this.options.connections.closeStale(isKnown);
         const isConfigured = (service: string): boolean => this.view.routing?.services.has(service) === true;
         this.queues.prune(isConfigured);
--- a/packages/daemon/src/process/entry/upstreamLinks.ts
+++ b/packages/daemon/src/process/entry/upstreamLinks.ts
@@ -179,6 +179,16 @@
         return await this.reach.checkAfterFailure();
     }
 
+    /**
+     * Drops what is held of incarnations that have ended.
+     * @param isKnown - whether an incarnation is still registered
+     */
+    prune(isKnown: (id: string) => boolean): void {
+        [...this.unreachableUntilMs.keys()].filter((id) => !isKnown(id)).forEach((id) => {
+            this.unreachableUntilMs.delete(id);
+        });
+    }
+
     private mayRelay(upstreamId: string): boolean {
         const untilMs = this.unreachableUntilMs.get(upstreamId) ?? Number.NEGATIVE_INFINITY;
         return this.relays.hasUsable && untilMs <= this.options.getNowMs();
