feat(entry): log the shared segments of prompts under which upstreams crashed

The log did not tell which prompts a crash spoke against, so that one segment common to all of them could not be seen.

--- a/packages/daemon/src/process/entry/requestLog.ts
+++ b/packages/daemon/src/process/entry/requestLog.ts
@@ -31,6 +31,9 @@
     readonly taken_by?: string | undefined;
 }
 
+/** Prompts usually have a few segments; a hostile one may have a thousand. */
+const MAX_LOGGED_SEGMENTS = 10;
+
 /** Where requests are recorded. */
 export interface RequestLogOptions {
     readonly log: EventLog;
@@ -77,7 +80,9 @@
         tries: run.attemptLog.join(" "),
         bound_by: run.throttledBy.join(","),
         ...refusedClass,
-        ...(run.hasCrash ? describeCrashes() : {}),
+        ...(run.hasCrash
+            ? { segments: call.sharedSegments?.slice(0, MAX_LOGGED_SEGMENTS).join(","), ...describeCrashes() }
+            : {}),
         admitted_by: basis.version,
         admitted_age_ms: roundMs(basis.ageMs),
         ...formatEntryState(state),
--- a/packages/daemon/src/request/routedCall.ts
+++ b/packages/daemon/src/request/routedCall.ts
@@ -22,6 +22,8 @@
     readonly deadlineMs: number | undefined;
     /** Size of a generation; undefined for a request that does not run a model. */
     readonly size: RequestSize | undefined;
+    /** Ids of the segments that the prompt may share with other prompts; absent where none are stated. */
+    readonly sharedSegments?: readonly string[];
     /** Id of the last event that the caller received, when it resumes a stream. */
     readonly lastEventId: string | undefined;
     /** Unmodified headers, alternating names and values. */
