fix(entry): quarantine prompt segments that crash upstreams

Cause: all that guards against such requests named them by organisation, host, target and body (crash records, grants, completions), and no two of these were alike. Class: evidence counted under a name that callers vary. The log could not show it, as no line held what the requests had in common.

Change: crashes are counted by shared prompt segment as well, in the voters' log. A completion anywhere clears the segments of its prompt. Five crashes quarantine a segment: early ones, not simultaneous, that no other segment explains. From the second crash on entries ask the leader, from the third on it agrees to one prompt at a time.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -42,3 +42,4 @@
 export { type CrashChanges, CrashRegister } from "./version/crashRegister.js";
 export { type FleetChanges, FleetState, type StoredDocument } from "./version/fleetState.js";
 export { ReplicatedState } from "./version/replicatedState.js";
+export { SegmentRegister } from "./version/segmentRegister.js";
--- a/packages/coordination/src/version/fleetState.ts
+++ b/packages/coordination/src/version/fleetState.ts
@@ -11,13 +11,16 @@
     formatIncarnationId,
     getIncarnation,
     isEarlierIncarnation,
+    parseSegmentKey,
     type RegisteredUpstream,
     registeredUpstreamSchema,
+    type SegmentStatus,
     type UpstreamIncarnation,
     upstreamIncarnationSchema,
 } from "@crankfork/schemas";
 import * as z from "zod";
 import { type CrashChanges, CrashRegister, crashSnapshotSchema } from "./crashRegister.js";
+import { SegmentRegister, segmentSnapshotSchema } from "./segmentRegister.js";
 
 /** Maximum number of ended incarnations kept, so that a delayed heartbeat cannot register one of them again. */
 const MAX_REMOVED_INCARNATIONS = 2_000;
@@ -34,6 +37,8 @@
     index: z.int(),
     /** Missing in snapshots written before crashes were recorded. */
     crashes: crashSnapshotSchema.optional(),
+    /** Missing in snapshots written before crashes were counted by segment. */
+    segments: segmentSnapshotSchema.optional(),
 });
 
 /** The operator's document as stored in the log. */
@@ -48,6 +53,8 @@
     readonly removed: readonly string[];
     /** Requests that were running when upstreams crashed. */
     readonly crashes: CrashChanges;
+    /** All suspected prompt segments; undefined if none of them changed. */
+    readonly segments: readonly SegmentStatus[] | undefined;
 }
 
 interface UpstreamEntry {
@@ -65,6 +72,8 @@
 export class FleetState {
     /** Crash records; changed by commands alone. */
     readonly crashes = new CrashRegister();
+    /** Crash records by prompt segment; changed by commands alone. */
+    readonly segments = new SegmentRegister();
     private document: StoredDocument | undefined;
     private upstreams = new Map<string, UpstreamEntry>();
     private removed = new Map<string, RemovedIncarnation>();
@@ -157,6 +166,7 @@
             upstreams: changed.map((entry) => entry.upstream),
             removed,
             crashes: this.crashes.getChanges(from),
+            segments: this.segments.lastChangeIndex > from ? this.segments.listStatuses() : undefined,
         };
     }
 
@@ -172,6 +182,7 @@
             forgotten_index: this.compactedIndex,
             index: this.index,
             crashes: this.crashes.getState(),
+            segments: this.segments.getState(),
         };
     }
 
@@ -196,6 +207,7 @@
         this.compactedIndex = state.forgotten_index;
         this.index = state.index;
         this.crashes.restore(state.crashes);
+        this.segments.restore(state.segments);
     }
 
     private applyCommand(command: FleetCommand, index: number): boolean {
@@ -215,12 +227,20 @@
                 this.removeIncarnation(incarnation, index);
                 return true;
             }
-            case "record-crashes":
-                return this.crashes.add(command.crashes, command.at_ms, index);
-            case "forget-crashes":
-                return this.crashes.forget(command.fingerprints, index);
-            case "claim-trial":
-                return this.crashes.claimTrial(command.fingerprint, command.at_ms, index);
+            case "record-crashes": {
+                const areAdded = this.crashes.add(command.crashes, command.at_ms, index);
+                return this.segments.add(command.crashes, command.at_ms, index) || areAdded;
+            }
+            case "forget-crashes": {
+                const areForgotten = this.crashes.forget(command.fingerprints, index);
+                return this.segments.forget(command.fingerprints, index) || areForgotten;
+            }
+            case "claim-trial": {
+                const segment = parseSegmentKey(command.fingerprint);
+                return segment === undefined
+                    ? this.crashes.claimTrial(command.fingerprint, command.at_ms, index)
+                    : this.segments.claimTrial(segment, index);
+            }
         }
     }
 
--- a/packages/daemon/src/process/entry/crashTracker.ts
+++ b/packages/daemon/src/process/entry/crashTracker.ts
@@ -20,9 +20,10 @@
 } from "@crankfork/schemas";
 import type { AdmittedCall, RequestContext } from "../../request/requestContext.js";
 import { computeFingerprint } from "../../request/requestFingerprint.js";
-import type { EventLog } from "../eventLog.js";
+import type { EventFields, EventLog } from "../eventLog.js";
 import { CrashReports } from "./crashReports.js";
 import { ResendClaims, type ResendDecision } from "./resendClaims.js";
+import { SegmentTracker, type SegmentTrackerOptions } from "./segmentTracker.js";
 
 /** Dependencies of the tracker. */
 export interface CrashTrackerOptions {
@@ -33,14 +34,25 @@
     readonly askLeader: (method: "crashes" | "trial" | "resend", parameters: object) => Promise<unknown>;
     /** Whether the voters consider an upstream ended. */
     readonly hasEnded: (id: string) => boolean;
+    readonly recordSegmentCounts?: SegmentTrackerOptions["recordCounts"];
 }
 
-/** An attempt that ended without a response; one of its upstreams may turn out to have crashed. */
-export interface UnansweredAttempt {
-    readonly upstreams: readonly string[];
+/** What an attempt had delivered when it ended. */
+export interface AttemptOutput {
+    /** Whether a part of the response had arrived. */
     readonly hadProgress: boolean;
+    /** Time from its first to its last part, in milliseconds. */
+    readonly outputMs: number;
+}
+
+/** An attempt after which one of its upstreams may turn out to have crashed. */
+export interface UnansweredAttempt extends AttemptOutput {
+    readonly upstreams: readonly string[];
 }
 
+/** Output after which a crash is less likely to be caused by the request. */
+const LATE_OUTPUT_MS = 500;
+
 /** Requests with a crash seen by this entry; the oldest are dropped beyond this. */
 const MAX_LOCAL_RECORDS = 500;
 /** How long a completion clears a request: crashes in which it was in flight are reported seconds later. */
@@ -51,10 +63,12 @@
 /** Silent upstreams are detected as ended within this time: four heartbeats, and one in reserve. */
 const UNANSWERED_WINDOW_MS = 8_000;
 const MAX_UNANSWERED = 300;
+const MAX_LOGGED_SEGMENTS = 10;
 
-interface UnansweredRecord extends UnansweredAttempt {
-    readonly fingerprint: string;
-    readonly origin: ReportedCrash["origin"];
+interface PendingCrash {
+    readonly upstreams: readonly string[];
+    /** The crash to be recorded if one of the upstreams has ended. */
+    readonly crash: ReportedCrash;
     readonly atMs: number;
 }
 
@@ -67,9 +81,10 @@
     /** Origins of recorded requests, so that requests of other origins need no fingerprint. */
     private originKeys = new Set<string>();
     private readonly completions = new Map<string, number>();
-    private unanswered: UnansweredRecord[] = [];
+    private unanswered: readonly PendingCrash[] = [];
     private readonly reports: CrashReports;
     private readonly resends: ResendClaims;
+    private readonly segments: SegmentTracker;
 
     /**
      * @param options - clocks, log and connection to the leader
@@ -77,6 +92,13 @@
     constructor(private readonly options: CrashTrackerOptions) {
         this.reports = new CrashReports(options);
         this.resends = new ResendClaims(options);
+        this.segments = new SegmentTracker({
+            ...options,
+            recordCounts: options.recordSegmentCounts,
+            reportCompletion: (key) => {
+                this.reports.addCompletion(key);
+            },
+        });
     }
 
     /**
@@ -85,6 +107,14 @@
      * @returns true where it crashed too many upstreams
      */
     isQuarantined(admitted: AdmittedCall): boolean {
+        return this.findQuarantiningSegment(admitted) !== undefined || this.isRequestQuarantined(admitted);
+    }
+
+    private findQuarantiningSegment({ call }: AdmittedCall): string | undefined {
+        return this.segments.findQuarantining(call.sharedSegments ?? []);
+    }
+
+    private isRequestQuarantined(admitted: AdmittedCall): boolean {
         if (!this.originKeys.has(getOriginKey(admitted))) {
             return false;
         }
@@ -96,12 +126,19 @@
     /**
      * Describes why a request is quarantined, for the log.
      * @param admitted - the request
-     * @returns its fingerprint, and the incarnations of upstreams that crashed under it
+     * @returns its fingerprint, the incarnations of upstreams that crashed under it, and the segment that quarantines it
      */
-    describe(admitted: AdmittedCall): { readonly fingerprint: string; readonly crashes: string; } {
+    describe(admitted: AdmittedCall): EventFields {
         const fingerprint = computeFingerprint(admitted);
         const record = this.findRecord(fingerprint);
-        return { fingerprint, crashes: [...record?.silent ?? [], ...record?.midway ?? []].join(",") };
+        const segment = this.findQuarantiningSegment(admitted);
+        return {
+            fingerprint,
+            crashes: [...record?.silent ?? [], ...record?.midway ?? []].join(","),
+            ...(segment === undefined
+                ? {}
+                : { held_segment: segment, segment_score: this.segments.getScore(segment) }),
+        };
     }
 
     /**
@@ -112,7 +149,8 @@
     async claimTrial(admitted: AdmittedCall): Promise<boolean> {
         const fingerprint = computeFingerprint(admitted);
         const record = this.clusterRecords.get(fingerprint);
-        if (record === undefined || !isTrialDue(record, this.options.getUnixMs())) {
+        const isDue = record !== undefined && isTrialDue(record, this.options.getUnixMs());
+        if (!isDue || this.findQuarantiningSegment(admitted) !== undefined) {
             return false;
         }
         try {
@@ -128,9 +166,13 @@
     /**
      * Checks whether the leader must agree before a request is sent.
      * @param admitted - the request
-     * @returns true where an upstream crashed under it and it has not completed since
+     * @returns true where an upstream crashed under it, or several under one of its segments, and none completed since
      */
     needsResendGrant(admitted: AdmittedCall): boolean {
+        return this.segments.needsGrant(admitted.call.sharedSegments ?? []) || this.needsRequestGrant(admitted);
+    }
+
+    private needsRequestGrant(admitted: AdmittedCall): boolean {
         return this.originKeys.has(getOriginKey(admitted)) && this.isGrantNeeded(computeFingerprint(admitted));
     }
 
@@ -142,10 +184,12 @@
      */
     async claimResend(admitted: AdmittedCall, maxWaitMs: number): Promise<ResendDecision> {
         const fingerprint = computeFingerprint(admitted);
+        const segments = admitted.call.sharedSegments ?? [];
         return await this.resends.claim({
             fingerprint,
+            getSegments: () => this.segments.listSuspected(segments),
             maxWaitMs,
-            isNeeded: () => this.isGrantNeeded(fingerprint),
+            isNeeded: () => this.segments.needsGrant(segments) || this.isGrantNeeded(fingerprint),
             waitUntilStored: (waitMs) => this.reports.waitUntilStored(fingerprint, waitMs),
         });
     }
@@ -165,10 +209,10 @@
      * Records that an upstream closed its connection during a request.
      * @param run - the request
      * @param upstream - the incarnation that it was sent to
-     * @param hadProgress - whether part of the answer had arrived
+     * @param output - what of the answer had arrived
      */
-    recordCrash(run: RequestContext, upstream: string, hadProgress: boolean): void {
-        this.addCrash(createCrash(run.admitted, upstream, hadProgress));
+    recordCrash(run: RequestContext, upstream: string, output: AttemptOutput): void {
+        this.addCrash(createCrash(run.admitted, upstream, output));
     }
 
     /**
@@ -177,12 +221,11 @@
      * @param run - the request
      * @param ended - its upstreams and progress
      */
-    recordUnanswered(run: RequestContext, { upstreams, hadProgress }: UnansweredAttempt): void {
-        const { fingerprint, origin } = createCrash(run.admitted, "", hadProgress);
-        const atMs = this.options.getNowMs();
-        this.unanswered.push({ fingerprint, origin, upstreams, hadProgress, atMs });
-        this.unanswered.splice(0, this.unanswered.length - MAX_UNANSWERED);
-        this.resolveUnanswered();
+    recordUnanswered(run: RequestContext, { upstreams, ...output }: UnansweredAttempt): void {
+        const crash = createCrash(run.admitted, "", output);
+        const pending = { upstreams, crash, atMs: this.options.getNowMs() };
+        this.unanswered = [...this.unanswered, pending].slice(-MAX_UNANSWERED);
+        this.resolvePending();
     }
 
     /**
@@ -190,13 +233,17 @@
      * @param admitted - the request
      */
     recordCompletion(admitted: AdmittedCall): void {
+        this.segments.recordCompletion(admitted.call.sharedSegments ?? []);
         const isTracked = this.originKeys.has(getOriginKey(admitted));
         if (!isTracked && (admitted.body?.length ?? 0) > MAX_FINGERPRINTED_BYTES) {
             return;
         }
-        const fingerprint = computeFingerprint(admitted);
+        this.completeRequest(computeFingerprint(admitted));
+    }
+
+    private completeRequest(fingerprint: string): void {
         this.rememberCompletion(fingerprint);
-        if (isTracked && this.findRecord(fingerprint) !== undefined) {
+        if (this.findRecord(fingerprint) !== undefined) {
             this.clearRecord(fingerprint);
         }
     }
@@ -205,7 +252,8 @@
      * Applies a state update from the leader.
      * @param state - changed records, or all of them
      */
-    applyState(state: Pick<SynchronisedState, "is_whole" | "crashes" | "crashes_forgotten">): void {
+    applyState(state: Pick<SynchronisedState, "is_whole" | "crashes" | "crashes_forgotten" | "segments">): void {
+        this.segments.applyStatuses(state.segments);
         const { is_whole, crashes = [], crashes_forgotten = [] } = state;
         if (is_whole) {
             this.clusterRecords.clear();
@@ -223,7 +271,7 @@
         if (is_whole || crashes.length > 0 || crashes_forgotten.length > 0) {
             this.indexOrigins();
         }
-        this.resolveUnanswered();
+        this.resolvePending();
     }
 
     private addCrash(crash: ReportedCrash): void {
@@ -240,8 +288,15 @@
             this.localRecords.delete([...this.localRecords.keys()][0] ?? "");
         }
         this.originKeys.add(formatOriginKey(origin));
-        this.options.log.record("info", "crash-recorded", { fingerprint, upstream, had_progress });
-        this.reports.addCrash(crash);
+        const segments = this.segments.recordCrash(crash.segments ?? [], upstream, crash.is_late === true);
+        this.options.log.record("info", "crash-recorded", {
+            fingerprint,
+            upstream,
+            had_progress,
+            is_late: crash.is_late,
+            segments: segments.slice(0, MAX_LOGGED_SEGMENTS).join(","),
+        });
+        this.reports.addCrash({ ...crash, segments: [...segments] });
     }
 
     private isGrantNeeded(fingerprint: string): boolean {
@@ -261,17 +316,20 @@
         return { ...clusterRecord, silent: [...silent], midway: [...new Set(midway)] };
     }
 
-    private resolveUnanswered(): void {
-        const sinceMs = this.options.getNowMs() - UNANSWERED_WINDOW_MS;
-        const waiting = this.unanswered.filter((one) => one.atMs >= sinceMs);
-        this.unanswered = waiting.filter((one) => {
-            const ended = one.upstreams.find((id) => this.options.hasEnded(id));
-            if (ended !== undefined) {
-                const { fingerprint, origin, hadProgress } = one;
-                this.addCrash({ fingerprint, origin, upstream: ended, had_progress: hadProgress });
-            }
-            return ended === undefined;
-        });
+    private resolvePending(): void {
+        const nowMs = this.options.getNowMs();
+        this.unanswered = this.unanswered.filter((one) =>
+            nowMs - one.atMs <= UNANSWERED_WINDOW_MS && !this.resolveCrash(one)
+        );
+    }
+
+    /** Records the crash if one of the upstreams has ended. */
+    private resolveCrash({ upstreams, crash }: PendingCrash): boolean {
+        const ended = upstreams.find((id) => this.options.hasEnded(id));
+        if (ended !== undefined) {
+            this.addCrash({ ...crash, upstream: ended });
+        }
+        return ended !== undefined;
     }
 
     private rememberCompletion(fingerprint: string): void {
@@ -302,7 +360,11 @@
     }
 }
 
-function createCrash(admitted: AdmittedCall, upstream: string, hadProgress: boolean): ReportedCrash {
+function createCrash(
+    admitted: AdmittedCall,
+    upstream: string,
+    { hadProgress, outputMs }: AttemptOutput,
+): ReportedCrash {
     const { call, organisation } = admitted;
     const origin = { host: call.host, target: call.target };
     return {
@@ -310,6 +372,8 @@
         upstream,
         had_progress: hadProgress,
         origin: organisation === undefined ? origin : { ...origin, organisation: organisation.name },
+        segments: [...call.sharedSegments ?? []],
+        is_late: outputMs >= LATE_OUTPUT_MS,
     };
 }
 
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -235,6 +235,7 @@
             ...options,
             getUnixMs: Date.now,
             hasEnded: (id) => this.view.hasEnded(id),
+            recordSegmentCounts: options.metrics.recordSegmentCounts,
         });
         this.queues = new RequestQueues({
             getNowMs: options.getNowMs,
@@ -409,7 +410,7 @@
         this.notices.rateLimiter.withdraw(run);
         recordRequest(this.options, run, end, this.createEntryState(), {
             refusedClass: end.outcome === "refused" ? this.recordRefusedClass(run, end) : undefined,
-            describeCrashes: () => ({ ...this.crashes.describe(admitted) }),
+            describeCrashes: () => this.crashes.describe(admitted),
         });
     }
 
@@ -530,11 +531,11 @@
                 await this.closeChecks.get(admitted);
                 await crashes.waitUntilStored(admitted, maxWaitMs);
             },
-            recordCrash: (run, upstream, hadProgress) => {
+            recordCrash: (run, upstream, output) => {
                 // A cut closes the connections to all upstreams, none of which has crashed.
                 const check = this.links.checkAfterClose().then((isCutOff) => {
                     if (!isCutOff) {
-                        crashes.recordCrash(run, upstream, hadProgress);
+                        crashes.recordCrash(run, upstream, output);
                     }
                 });
                 this.closeChecks.set(run.admitted, check);
--- a/packages/daemon/src/process/entry/resendClaims.ts
+++ b/packages/daemon/src/process/entry/resendClaims.ts
@@ -25,6 +25,8 @@
 /** A request to be sent again. */
 export interface ResendClaim {
     readonly fingerprint: string;
+    /** Suspected segments of its prompt. */
+    readonly getSegments?: () => readonly string[];
     readonly maxWaitMs: number;
     /** Whether a grant is still needed; it is not once the same request has completed. */
     readonly isNeeded: () => boolean;
@@ -65,21 +67,24 @@
         }
     }
 
-    private async askAlone({ fingerprint, waitUntilStored }: ResendClaim, endMs: number): Promise<ResendDecision> {
+    private async askAlone(
+        { fingerprint, getSegments, waitUntilStored }: ResendClaim,
+        endMs: number,
+    ): Promise<ResendDecision> {
         this.pending.add(fingerprint);
         try {
             const isStored = await waitUntilStored(endMs - this.options.getNowMs());
-            return isStored ? await this.ask(fingerprint) : "undecided";
+            return isStored ? await this.ask(fingerprint, getSegments?.() ?? []) : "undecided";
         }
         finally {
             this.pending.delete(fingerprint);
         }
     }
 
-    private async ask(fingerprint: string): Promise<ResendDecision> {
+    private async ask(fingerprint: string, segments: readonly string[]): Promise<ResendDecision> {
         const { askLeader, log } = this.options;
         try {
-            const { outcome } = resendResultSchema.parse(await askLeader("resend", { fingerprint }));
+            const { outcome } = resendResultSchema.parse(await askLeader("resend", { fingerprint, segments }));
             return outcome === "granted" || outcome === "quarantined" ? outcome : "undecided";
         }
         catch (error) {
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -56,6 +56,8 @@
     readonly recordRelayedRequestMs: (durationMs: number) => void;
     /** Upstreams that sent bytes to this entry in the last second, and others that it sent requests to. */
     readonly recordUpstreamContact: (counts: { readonly answering: number; readonly unanswered: number; }) => void;
+    /** Prompt segments under which upstreams crashed, according to the voters. */
+    readonly recordSegmentCounts: (counts: { readonly suspected: number; readonly quarantined: number; }) => void;
     /** Formats all metrics in the text format that a scraper reads. */
     readonly format: () => Promise<string>;
 }
@@ -215,6 +217,12 @@
         labelNames: ["state"],
         registers,
     });
+    const segments = new Gauge({
+        name: "crankfork_prompt_segments",
+        help: "Prompt segments under which several upstreams crashed, by whether prompts with them are rejected",
+        labelNames: ["state"],
+        registers,
+    });
     const cutOff = new Gauge({
         name: "crankfork_cut_off",
         help: "1 while this entry reaches no upstream and other entries do",
@@ -247,6 +255,10 @@
             contact.set({ state: "answering" }, answering);
             contact.set({ state: "unanswered" }, unanswered);
         },
+        recordSegmentCounts: ({ suspected, quarantined }) => {
+            segments.set({ state: "suspected" }, suspected);
+            segments.set({ state: "quarantined" }, quarantined);
+        },
         countRequest: (service, outcome, rank) => {
             requests.inc({ service, outcome, ...(rank === undefined ? {} : { rank: String(rank) }) });
         },
--- a/packages/daemon/src/process/voter/crashRegistry.ts
+++ b/packages/daemon/src/process/voter/crashRegistry.ts
@@ -1,16 +1,23 @@
 /**
- * Counts, across all entries, the requests during which upstreams crashed. The counts are part of the replicated log, so they
+ * Counts, across all entries, the requests and prompt segments during which upstreams crashed. The counts are part of the replicated log, so they
  * survive restarts of entries, changes of leader and lost disks.
  */
 import {
     type CrashesParameters,
     type CrashesResult,
     type CrashRecord,
+    EXCLUSIVE_SEGMENT_SCORE,
+    findQuarantiningSegment,
     type FleetCommand,
+    formatSegmentKey,
     isNearQuarantine,
     isRequestQuarantined,
+    parseSegmentKey,
+    type ReportedCrash,
     type ResendParameters,
     type ResendResult,
+    type SegmentRecord,
+    type SegmentStatus,
     type TrialParameters,
 } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
@@ -75,39 +82,62 @@
      * @returns whether the trial was granted
      */
     async claimTrial({ fingerprint }: TrialParameters): Promise<CrashesResult> {
+        return { is_taken: this.options.host.replica.hasLeaderLease() && await this.commitTrial(fingerprint) };
+    }
+
+    private async commitTrial(key: string): Promise<boolean> {
         const { host, log, getUnixMs } = this.options;
-        if (!host.replica.hasLeaderLease()) {
-            return { is_taken: false };
-        }
-        const result = await host.propose({ kind: "claim-trial", fingerprint, at_ms: getUnixMs() });
+        const result = await host.propose({ kind: "claim-trial", fingerprint: key, at_ms: getUnixMs() });
         const isTaken = result.kind === "applied" && isTakenResult(result.result);
-        log.record("info", "trial", { fingerprint, outcome: isTaken ? "granted" : "permit-denied" });
-        return { is_taken: isTaken };
+        log.record("info", "trial", { fingerprint: key, outcome: isTaken ? "granted" : "permit-denied" });
+        return isTaken;
     }
 
     /**
-     * Decides whether a request under which an upstream crashed may be sent again.
-     * @param parameters - the request's fingerprint
+     * Decides whether a request under which an upstream crashed, or with a suspected segment, may be sent.
+     * @param parameters - the request's fingerprint and segments
      * @returns granted to one attempt at a time, while the request is not quarantined
      */
-    grantResend({ fingerprint }: ResendParameters): ResendResult {
+    async grantResend(parameters: ResendParameters): Promise<ResendResult> {
         const { host, log } = this.options;
         if (!host.replica.hasLeaderLease()) {
             return { outcome: "not-leader" };
         }
-        const record = host.state.crashes.get(fingerprint);
-        const isQuarantined = record !== undefined && isRequestQuarantined(record);
-        const outcome = isQuarantined
-            ? "quarantined"
-            : this.areEntriesInformed(fingerprint) && this.resends.claim(fingerprint)
-            ? "granted"
-            : "pending";
+        const outcome = await this.decideResend(parameters);
         if (outcome !== "pending") {
-            log.record("info", "resend", { fingerprint, outcome });
+            const { fingerprint, segments = [] } = parameters;
+            log.record("info", "resend", {
+                fingerprint,
+                segments: segments.filter((one) => this.getSegmentStatus(one) !== undefined).join(","),
+                outcome,
+            });
         }
         return { outcome };
     }
 
+    private async decideResend({ fingerprint, segments = [] }: ResendParameters): Promise<ResendResult["outcome"]> {
+        const record = this.options.host.state.crashes.get(fingerprint);
+        const getStatus = (segment: string): SegmentStatus | undefined => this.getSegmentStatus(segment);
+        if (
+            (record !== undefined && isRequestQuarantined(record))
+            || findQuarantiningSegment(segments, getStatus) !== undefined
+        ) {
+            return "quarantined";
+        }
+        const exclusive = segments.filter((segment) => (getStatus(segment)?.score ?? 0) >= EXCLUSIVE_SEGMENT_SCORE);
+        const keys = [fingerprint, ...exclusive.map(formatSegmentKey)];
+        if (!this.areEntriesInformed(fingerprint) || !this.resends.claim(keys)) {
+            return "pending";
+        }
+        const trials = exclusive.filter((segment) => getStatus(segment)?.quarantined_with !== undefined);
+        const areGranted = await Promise.all(trials.map((segment) => this.commitTrial(formatSegmentKey(segment))));
+        return areGranted.every((isGranted) => isGranted) ? "granted" : "quarantined";
+    }
+
+    private getSegmentStatus(segment: string): SegmentStatus | undefined {
+        return this.options.host.state.segments.getStatus(segment);
+    }
+
     /**
      * Lists quarantined requests.
      * @returns their crash records, if this voter leads and holds its lease
@@ -120,8 +150,25 @@
     }
 
     /**
-     * Releases a request from quarantine on behalf of an operator.
-     * @param fingerprint - the request's fingerprint
+     * Lists quarantined prompt segments.
+     * @returns their crash records, if this voter leads and holds its lease
+     */
+    listQuarantinedSegments(): VoterResult<readonly SegmentRecord[]> {
+        const { host } = this.options;
+        return host.replica.hasLeaderLease()
+            ? { kind: "done", value: this.getQuarantinedSegments() }
+            : createNotLeaderResult(host);
+    }
+
+    private getQuarantinedSegments(): readonly SegmentRecord[] {
+        const { segments } = this.options.host.state;
+        return segments.listStatuses().filter((status) => status.quarantined_with !== undefined)
+            .flatMap(({ segment }) => segments.get(segment) ?? []);
+    }
+
+    /**
+     * Releases a request or a prompt segment from quarantine on behalf of an operator.
+     * @param fingerprint - the request's fingerprint, or the segment's key
      * @returns done once a quorum has committed the release
      */
     async release(fingerprint: string): Promise<VoterResult<undefined>> {
@@ -130,7 +177,11 @@
             return createNotLeaderResult(host);
         }
         const result = await proposeChange(this.options, { kind: "forget-crashes", fingerprints: [fingerprint] });
-        log.record("info", "request-released", { fingerprint, cause: "operator", outcome: result.kind });
+        log.record("info", parseSegmentKey(fingerprint) === undefined ? "request-released" : "segment-released", {
+            fingerprint,
+            cause: "operator",
+            outcome: result.kind,
+        });
         return result;
     }
 
@@ -159,14 +210,14 @@
         this.flush = undefined;
         const crashes = pending.flatMap((one) => one.crashes);
         const ranWell = [...new Set(pending.flatMap((one) => one.ran_well))];
-        const quarantinedBefore = this.listQuarantinedFingerprints();
+        const quarantinedBefore = this.listQuarantinedKeys();
         const isTaken = await this.propose(crashes.length > 0, {
             kind: "record-crashes",
             crashes,
             at_ms: this.options.getUnixMs(),
         }) && await this.propose(ranWell.length > 0, { kind: "forget-crashes", fingerprints: ranWell });
         if (isTaken) {
-            this.resends.release([...crashes.map((crash) => crash.fingerprint), ...ranWell]);
+            this.resends.release([...crashes.flatMap(listKeys), ...ranWell]);
         }
         this.logChanges(quarantinedBefore, ranWell, {
             crashes: crashes.length,
@@ -179,9 +230,12 @@
         return !isNeeded || (await proposeChange(this.options, command)).kind === "done";
     }
 
-    private listQuarantinedFingerprints(): ReadonlySet<string> {
-        const quarantined = this.options.host.state.crashes.list().filter(isRequestQuarantined);
-        return new Set(quarantined.map((record) => record.fingerprint));
+    private listQuarantinedKeys(): ReadonlySet<string> {
+        const requests = this.options.host.state.crashes.list().filter(isRequestQuarantined);
+        return new Set([
+            ...requests.map((record) => record.fingerprint),
+            ...this.getQuarantinedSegments().map(({ segment }) => formatSegmentKey(segment)),
+        ]);
     }
 
     private logChanges(
@@ -190,7 +244,12 @@
         { crashes, outcome }: { readonly crashes: number; readonly outcome: "taken" | "not-taken"; },
     ): void {
         const { host, log } = this.options;
-        log.record("info", "crashes-committed", { crashes, outcome, index: host.state.lastChangeIndex });
+        log.record("info", "crashes-committed", {
+            crashes,
+            segments: host.state.segments.size,
+            outcome,
+            index: host.state.lastChangeIndex,
+        });
         const quarantined = host.state.crashes.list().filter(isRequestQuarantined);
         quarantined.filter(({ fingerprint }) => !quarantinedBefore.has(fingerprint)).forEach((record) => {
             log.record("warn", "request-held", {
@@ -203,8 +262,19 @@
                 index: host.state.lastChangeIndex,
             });
         });
+        this.getQuarantinedSegments().filter(({ segment }) => !quarantinedBefore.has(formatSegmentKey(segment)))
+            .forEach(
+                ({ segment, upstreams }) => {
+                    log.record("warn", "segment-held", {
+                        segment,
+                        with: this.getSegmentStatus(segment)?.quarantined_with?.join(","),
+                        upstreams: upstreams.join(","),
+                        index: host.state.lastChangeIndex,
+                    });
+                },
+            );
         ranWell.filter((fingerprint) => quarantinedBefore.has(fingerprint)).forEach((fingerprint) => {
-            log.record("info", "request-released", {
+            log.record("info", parseSegmentKey(fingerprint) === undefined ? "request-released" : "segment-released", {
                 fingerprint,
                 cause: "upstream-recovered",
                 index: host.state.lastChangeIndex,
@@ -216,3 +286,8 @@
 function isTakenResult(result: unknown): boolean {
     return typeof result === "object" && result !== null && "kind" in result && result.kind === "taken";
 }
+
+/** Keys by which the grants of a crashed attempt are found. */
+function listKeys({ fingerprint, segments = [] }: ReportedCrash): readonly string[] {
+    return [fingerprint, ...segments.map(formatSegmentKey)];
+}
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -226,6 +226,7 @@
             removed: [...changes.removed],
             crashes: [...changes.crashes.records],
             crashes_forgotten: [...changes.crashes.forgotten],
+            ...(changes.segments === undefined ? {} : { segments: [...changes.segments] }),
             entries: this.countEntries(),
             loads_elsewhere: this.sumLoadsElsewhere(parameters.instance),
             spending_elsewhere: this.sumSpendingElsewhere(parameters.instance, parameters.spending ?? {}),
--- a/packages/daemon/src/process/voter/resendGrants.ts
+++ b/packages/daemon/src/process/voter/resendGrants.ts
@@ -9,7 +9,7 @@
 /** Time after which another attempt may start: a request that crashes upstreams does so when it starts. */
 const GRANT_MS = 1_000;
 
-/** Grants by request fingerprint. */
+/** Grants by request fingerprint and by the key of a prompt segment. */
 export class ResendGrants {
     private readonly untilMs = new Map<string, number>();
 
@@ -20,24 +20,24 @@
 
     /**
      * Claims the next attempt of a request.
-     * @param fingerprint - the request
-     * @returns false while another attempt is in progress
+     * @param keys - its fingerprint, and the keys of its suspected segments
+     * @returns false while an attempt with one of them is in progress
      */
-    claim(fingerprint: string): boolean {
+    claim(keys: readonly string[]): boolean {
         this.removeExpired();
-        if (this.untilMs.has(fingerprint)) {
+        if (keys.some((key) => this.untilMs.has(key))) {
             return false;
         }
-        this.untilMs.set(fingerprint, this.getNowMs() + GRANT_MS);
+        keys.forEach((key) => this.untilMs.set(key, this.getNowMs() + GRANT_MS));
         return true;
     }
 
     /**
      * Ends the grants of requests whose attempts have crashed or completed.
-     * @param fingerprints - the requests
+     * @param keys - fingerprints, and keys of segments
      */
-    release(fingerprints: readonly string[]): void {
-        fingerprints.forEach((fingerprint) => this.untilMs.delete(fingerprint));
+    release(keys: readonly string[]): void {
+        keys.forEach((key) => this.untilMs.delete(key));
     }
 
     private removeExpired(): void {
--- a/packages/daemon/src/request/recordAttempt.ts
+++ b/packages/daemon/src/request/recordAttempt.ts
@@ -11,6 +11,8 @@
 export interface AttemptProgress {
     /** Whether this attempt delivered a part of the response. */
     readonly hadProgress: boolean;
+    /** Time from the first to the last part that it delivered, in milliseconds. */
+    readonly outputMs: number;
     /** Time since its last output, in milliseconds. */
     readonly silentMs: number;
 }
@@ -112,12 +114,13 @@
     context: RequestContext,
     target: CallTarget,
     result: AttemptResult,
-    { hadProgress, silentMs }: AttemptProgress,
+    { hadProgress, outputMs, silentMs }: AttemptProgress,
     { crashes, findIdAt }: RoutedRequestFunctions,
 ): void {
     const { upstreamId, stages = [] } = target;
     const passed = stages.length === 0 ? [upstreamId] : stages.map(({ engine }) => engine.id);
     const isSilent = silentMs >= SILENCE_THRESHOLD_MS;
+    const output = { hadProgress, outputMs };
     switch (result.kind) {
         case "answered":
             recordDelimitedSuccess(context, result.response, crashes);
@@ -127,7 +130,7 @@
             return;
         case "stopped":
             if (isSilent) {
-                crashes.recordUnanswered(context, { upstreams: passed, hadProgress });
+                crashes.recordUnanswered(context, { upstreams: passed, ...output });
             }
             return;
         case "ended":
@@ -144,16 +147,16 @@
             return;
         case "stalled":
         case "left":
-            crashes.recordUnanswered(context, { upstreams: faultyId === undefined ? passed : [faultyId], hadProgress });
+            crashes.recordUnanswered(context, { upstreams: faultyId === undefined ? passed : [faultyId], ...output });
             return;
         case "broken":
             context.hasCrash = true;
             if (passed.length > 1 && isSilent) {
                 // The first engine also closes connections of requests that stalled at a later engine.
-                crashes.recordUnanswered(context, { upstreams: passed, hadProgress });
+                crashes.recordUnanswered(context, { upstreams: passed, ...output });
             }
             else if (result.hasConnectionEnded === true) {
-                crashes.recordCrash(context, upstreamId, hadProgress);
+                crashes.recordCrash(context, upstreamId, output);
             }
     }
 }
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -3,7 +3,7 @@
  */
 import type { RoutedService } from "@crankfork/schemas";
 import type { RequestDispatcher } from "../connection/observeDispatch.js";
-import type { UnansweredAttempt } from "../process/entry/crashTracker.js";
+import type { AttemptOutput, UnansweredAttempt } from "../process/entry/crashTracker.js";
 import type { PathStallHandler, PausableTracker, StreamTracker } from "../process/entry/pathStallDetector.js";
 import type { RequestQueue } from "../process/entry/requestQueue.js";
 import type { ResendDecision } from "../process/entry/resendClaims.js";
@@ -85,7 +85,7 @@
     readonly claimResend: (admitted: AdmittedCall, maxWaitMs: number) => Promise<ResendDecision>;
     /** Waits until the voters have stored the crashes of the request, for at most `maxWaitMs` milliseconds. */
     readonly waitUntilStored: (admitted: AdmittedCall, maxWaitMs: number) => Promise<void>;
-    readonly recordCrash: (context: RequestContext, upstream: string, hadProgress: boolean) => void;
+    readonly recordCrash: (context: RequestContext, upstream: string, output: AttemptOutput) => void;
     readonly recordUnanswered: (context: RequestContext, ended: UnansweredAttempt) => void;
     /** The request completed at an upstream that survived it. */
     readonly recordSuccess: (admitted: AdmittedCall) => void;
--- a/packages/daemon/src/request/routedRefusal.ts
+++ b/packages/daemon/src/request/routedRefusal.ts
@@ -151,13 +151,16 @@
     "held": {
         id: "held",
         status: 503,
-        text: "upstreams ended whenever they ran this request; it has not run, and coming back won't help",
+        text:
+            "upstreams crashed whenever they ran this request, or others with a part of its prompt; it has not run, and "
+            + "a retry will not help",
         isFinal: true,
     },
     "held-after-run": {
         id: "held-after-run",
         status: 502,
-        text: "upstreams ended whenever they ran this request; coming back won't help",
+        text:
+            "upstreams crashed whenever they ran this request, or others with a part of its prompt; a retry will not help",
         isFinal: true,
     },
     "resend-undecided": {
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -141,7 +141,9 @@
     const recordOutcome = once((isServed: boolean) => {
         notices.recordOutcome(target, isServed);
     });
+    let firstEventMs: number | undefined;
     const recordFirstEvent = once(() => {
+        firstEventMs = functions.getNowMs();
         functions.waiting?.recordFirstEvent(context.admitted, functions.getNowMs() - startMs);
     });
     let watch: StallWatch | undefined;
@@ -187,7 +189,8 @@
     const durationMs = functions.getNowMs() - startMs;
     const hadProgress = (relay?.eventCount ?? 0) > eventsBefore;
     const silentMs = hadProgress && relay !== undefined ? relay.sinceEventMs : durationMs;
-    recordAttempt(context, target, result, durationMs, { hadProgress, silentMs }, functions);
+    const outputMs = firstEventMs === undefined ? 0 : Math.max(0, functions.getNowMs() - firstEventMs - silentMs);
+    recordAttempt(context, target, result, durationMs, { hadProgress, outputMs, silentMs }, functions);
     return result;
 }
 
--- a/packages/daemon/tests/crashReplay.ts
+++ b/packages/daemon/tests/crashReplay.ts
@@ -282,7 +282,7 @@
             tracker.recordCompletion(context.admitted);
         }
         else {
-            tracker.recordCrash(context, worker, false);
+            tracker.recordCrash(context, worker, { hadProgress: false, outputMs: 0 });
             await waitUntilCrashesStored(context, functions);
         }
     }
--- a/packages/daemon/tests/crashTracker.test.ts
+++ b/packages/daemon/tests/crashTracker.test.ts
@@ -92,7 +92,7 @@
         hadProgress: boolean = false,
     ): Promise<void> {
         for (const [at, upstream] of upstreams.entries()) {
-            harness.entries[at % 3]!.recordCrash(createRun(parts), upstream, hadProgress);
+            harness.entries[at % 3]!.recordCrash(createRun(parts), upstream, { hadProgress, outputMs: 0 });
             await clock.tickAsync(50);
         }
     }
@@ -159,7 +159,7 @@
             run: async () => {
                 harness.entries[1]!.recordCompletion(createAdmitted());
                 ["a", "b", "c"].forEach((upstream, at) => {
-                    harness.entries[at]!.recordCrash(createRun(), upstream, false);
+                    harness.entries[at]!.recordCrash(createRun(), upstream, { hadProgress: false, outputMs: 0 });
                 });
                 await clock.tickAsync(100);
             },
@@ -191,6 +191,7 @@
                     harness.entries[0]!.recordUnanswered(createRun(), {
                         upstreams: ["z", upstream],
                         hadProgress: false,
+                        outputMs: 0,
                     });
                     harness.ended.add(upstream);
                     harness.entries[0]!.applyState({ is_whole: false, crashes: [], crashes_forgotten: [] });
@@ -203,7 +204,11 @@
             title: "after silent attempts, whose upstreams end much later",
             run: async () => {
                 for (const upstream of ["a", "b", "c"]) {
-                    harness.entries[0]!.recordUnanswered(createRun(), { upstreams: [upstream], hadProgress: false });
+                    harness.entries[0]!.recordUnanswered(createRun(), {
+                        upstreams: [upstream],
+                        hadProgress: false,
+                        outputMs: 0,
+                    });
                     await clock.tickAsync(10_000);
                     harness.ended.add(upstream);
                 }
@@ -227,7 +232,7 @@
     it("an entry without a leader quarantines by the crashes it saw itself", async () => {
         harness.hasLeader = false;
         ["a", "b", "c"].forEach((upstream) => {
-            harness.entries[0]!.recordCrash(createRun(), upstream, false);
+            harness.entries[0]!.recordCrash(createRun(), upstream, { hadProgress: false, outputMs: 0 });
         });
         await clock.tickAsync(50);
         expect(isQuarantinedEverywhere()).to.deep.equal([true, false, false]);
--- a/packages/daemon/tests/quarantinedRequest.test.ts
+++ b/packages/daemon/tests/quarantinedRequest.test.ts
@@ -59,7 +59,7 @@
                 upstreams: [upstream],
                 route: { kind, timeout_ms: 1_000 },
                 crashes: {
-                    recordCrash: (_context, upstreamId, hadProgress) =>
+                    recordCrash: (_context, upstreamId, { hadProgress }) =>
                         recorded.push(`crash at ${upstreamId}, ${hadProgress ? "midway" : "silent"}`),
                     recordSuccess: () => recorded.push("completed"),
                 },
--- a/packages/daemon/tests/relayedRequest.test.ts
+++ b/packages/daemon/tests/relayedRequest.test.ts
@@ -66,7 +66,9 @@
         upstreams: [upstream],
         route: { most_attempts: 1 },
         getConnections: source.getConnections,
-        crashes: { recordCrash: (_run, id, hadProgress) => crashes.push(`${id} ${hadProgress ? "midway" : "silent"}`) },
+        crashes: {
+            recordCrash: (_run, id, { hadProgress }) => crashes.push(`${id} ${hadProgress ? "midway" : "silent"}`),
+        },
         ...options,
     });
     try {
--- a/packages/daemon/tests/resendGrants.test.ts
+++ b/packages/daemon/tests/resendGrants.test.ts
@@ -9,6 +9,14 @@
         readonly isGranted: boolean;
     }[] = [
         { title: "while the first attempt runs", apply: () => undefined, isGranted: false },
+        {
+            title: "while one with the same segment runs",
+            apply: (grants) => {
+                grants.release(["f"]);
+                grants.claim(["f", "segment:b"]);
+            },
+            isGranted: false,
+        },
         {
             title: "while the first attempt runs, and another request's has ended",
             apply: (grants) => {
@@ -35,11 +43,11 @@
         it(`${title}: ${isGranted ? "granted" : "not granted"}`, () => {
             let nowMs = 0;
             const grants = new ResendGrants(() => nowMs);
-            expect([grants.claim("f"), grants.claim("other")]).to.deep.equal([true, true]);
+            expect([grants.claim(["f", "segment:a"]), grants.claim(["other"])]).to.deep.equal([true, true]);
             apply(grants, (ms) => {
                 nowMs += ms;
             });
-            expect(grants.claim("f")).to.equal(isGranted);
+            expect(grants.claim(["f"])).to.equal(isGranted);
         });
     }
 });
--- a/packages/schemas/src/fleetCommand.ts
+++ b/packages/schemas/src/fleetCommand.ts
@@ -16,9 +16,12 @@
     z.object({ kind: z.literal("remove-upstream"), id: z.string(), life: upstreamIncarnationSchema.optional() }),
     /** Records upstream crashes and the requests that ran at that time; `at_ms` is the leader's Unix time. */
     z.object({ kind: z.literal("record-crashes"), crashes: z.array(reportedCrashSchema), at_ms: z.number() }),
-    /** Deletes the crash records of requests that completed or that an operator released from quarantine. */
+    /**
+     * Deletes the crash records of requests that completed or that an operator released from quarantine, by fingerprint, and
+     * those of prompt segments, by key.
+     */
     z.object({ kind: z.literal("forget-crashes"), fingerprints: z.array(z.string()) }),
-    /** Permits one trial send of a quarantined request. */
+    /** Permits one trial send of a quarantined request, or of a prompt with a quarantined segment. */
     z.object({ kind: z.literal("claim-trial"), fingerprint: z.string(), at_ms: z.number() }),
 ]);
 
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -7,6 +7,7 @@
 import { registeredUpstreamSchema } from "./registeredUpstream.js";
 import { replicaAddressSchema } from "./replicaMessage.js";
 import { crashRecordSchema, reportedCrashSchema } from "./requestCrash.js";
+import { segmentStatusSchema } from "./segmentCrash.js";
 
 /** Most ranks that are reported apart; less urgent ones count as the last. */
 export const MAX_REPORTED_RANKS = 64;
@@ -130,6 +131,8 @@
         crashes: z.array(crashRecordSchema).default([]),
         /** Fingerprints of requests whose crash records were deleted. */
         crashes_forgotten: z.array(z.string()).default([]),
+        /** All suspected and quarantined prompt segments; absent if none of them changed. */
+        segments: z.array(segmentStatusSchema).optional().catch(undefined),
         /** Number of entries that contacted the leader recently, including this one. */
         entries: z.int().positive(),
         /** Requests that other entries have open. */
@@ -155,7 +158,10 @@
     z.object({ kind: z.literal("not-leader"), leader: replicaAddressSchema.optional() }),
 ]);
 
-/** Parameters of `crashes`: upstream crashes with the requests that ran there, and recorded requests that completed since. */
+/**
+ * Parameters of `crashes`: upstream crashes with the requests that ran there, and recorded requests and prompt segments that
+ * completed since, by fingerprint and by key.
+ */
 export const crashesParametersSchema = z.object({
     crashes: z.array(reportedCrashSchema),
     ran_well: z.array(z.string()),
@@ -167,8 +173,12 @@
 /** Result of `crashes` and `trial`: whether a quorum stored the command and, for a trial, whether it is granted. */
 export const crashesResultSchema = z.object({ is_taken: z.boolean() });
 
-/** Parameters of `resend`: a request under which an upstream crashed, to be sent again. */
-export const resendParametersSchema = z.object({ fingerprint: z.string() });
+/** Parameters of `resend`: a request under which an upstream crashed, or one with a suspected prompt segment, to be sent. */
+export const resendParametersSchema = z.object({
+    fingerprint: z.string(),
+    /** All shared segments of its prompt if some of them are suspected. */
+    segments: z.array(z.string()).default([]),
+});
 
 /** Result of `resend`. */
 export const resendResultSchema = z.object({
@@ -233,7 +243,7 @@
 /** Result of `crashes` and `trial`. */
 export type CrashesResult = z.infer<typeof crashesResultSchema>;
 /** Parameters of `resend`. */
-export type ResendParameters = z.infer<typeof resendParametersSchema>;
+export type ResendParameters = z.input<typeof resendParametersSchema>;
 /** Result of `resend`. */
 export type ResendResult = z.infer<typeof resendResultSchema>;
 /** Parameters of `leaving`. */
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -25,5 +25,6 @@
 export * from "./replicaMessage.js";
 export * from "./requestCrash.js";
 export * from "./routing.js";
+export * from "./segmentCrash.js";
 export * from "./settings.js";
 export * from "./upstreamIncarnation.js";
--- a/packages/schemas/src/requestCrash.ts
+++ b/packages/schemas/src/requestCrash.ts
@@ -19,7 +19,13 @@
 const crashOriginSchema = z.object({ organisation: z.string().optional(), host: z.string(), target: z.string() });
 
 /** A crash as reported by an entry. */
-export const reportedCrashSchema = requestCrashSchema.extend({ origin: crashOriginSchema });
+export const reportedCrashSchema = requestCrashSchema.extend({
+    origin: crashOriginSchema,
+    /** Segments of the prompt that the crash speaks against; missing in commands of older builds. */
+    segments: z.array(z.string()).optional(),
+    /** Whether the upstream had answered the request for some time. */
+    is_late: z.boolean().optional(),
+});
 
 /** Crashes and trials of one request. */
 export const crashRecordSchema = z.object({
