fix(entry): do not take the end of a close-delimited stream for a completion

A crash between two events looks like the end of such a stream, and the entry recorded it as a completion, which cleared the segment and the request of all crashes.

Change: a response that ended with its connection counts as a completion once its upstream has survived it by 3 s, and as a crash if the voters find the upstream ended before. Upstreams that announced their shutdown are left out. Whole answers without framing are recorded the same way, where they used to say nothing.

--- a/packages/daemon/src/process/entry/crashTracker.ts
+++ b/packages/daemon/src/process/entry/crashTracker.ts
@@ -34,6 +34,8 @@
     readonly askLeader: (method: "crashes" | "trial" | "resend", parameters: object) => Promise<unknown>;
     /** Whether the voters consider an upstream ended. */
     readonly hasEnded: (id: string) => boolean;
+    /** Whether an upstream is shutting down, so that its end is no crash. */
+    readonly isLeaving: (id: string) => boolean;
     readonly recordSegmentCounts?: SegmentTrackerOptions["recordCounts"];
 }
 
@@ -63,6 +65,12 @@
 /** Silent upstreams are detected as ended within this time: four heartbeats, and one in reserve. */
 const UNANSWERED_WINDOW_MS = 8_000;
 const MAX_UNANSWERED = 300;
+/**
+ * Time after the end of a close-delimited response within which a crash of its upstream is detected: the next connection to
+ * it fails, and the voters probe it.
+ */
+const UNCONFIRMED_WINDOW_MS = 3_000;
+const MAX_UNCONFIRMED = 2_000;
 const MAX_LOGGED_SEGMENTS = 10;
 
 interface PendingCrash {
@@ -82,6 +90,8 @@
     private originKeys = new Set<string>();
     private readonly completions = new Map<string, number>();
     private unanswered: readonly PendingCrash[] = [];
+    /** Responses whose end may have been a crash. */
+    private unconfirmed: readonly PendingCrash[] = [];
     private readonly reports: CrashReports;
     private readonly resends: ResendClaims;
     private readonly segments: SegmentTracker;
@@ -228,6 +238,22 @@
         this.resolvePending();
     }
 
+    /**
+     * Records a response that ended with its connection, as it does when the upstream crashes. It counts as a completion
+     * once the upstream has survived it for a while.
+     * @param run - the request
+     * @param ended - the upstreams that it passed, and the response
+     */
+    recordUnconfirmed(run: RequestContext, { upstreams, ...output }: UnansweredAttempt): void {
+        const { admitted } = run;
+        const hasSegments = (admitted.call.sharedSegments ?? []).length > 0;
+        if (!hasSegments && (admitted.body?.length ?? 0) > MAX_FINGERPRINTED_BYTES) {
+            return;
+        }
+        const pending = { upstreams, crash: createCrash(admitted, "", output), atMs: this.options.getNowMs() };
+        this.unconfirmed = [...this.unconfirmed.slice(1 - MAX_UNCONFIRMED), pending];
+    }
+
     /**
      * Records that a request completed and its upstream survived.
      * @param admitted - the request
@@ -321,6 +347,17 @@
         this.unanswered = this.unanswered.filter((one) =>
             nowMs - one.atMs <= UNANSWERED_WINDOW_MS && !this.resolveCrash(one)
         );
+        this.unconfirmed = this.unconfirmed.filter((one) => {
+            if (one.upstreams.some((id) => this.options.isLeaving(id)) || this.resolveCrash(one)) {
+                return false;
+            }
+            const isSurvived = nowMs - one.atMs > UNCONFIRMED_WINDOW_MS;
+            if (isSurvived) {
+                this.segments.recordCompletion(one.crash.segments ?? []);
+                this.completeRequest(one.crash.fingerprint);
+            }
+            return !isSurvived;
+        });
     }
 
     /** Records the crash if one of the upstreams has ended. */
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -235,6 +235,7 @@
             ...options,
             getUnixMs: Date.now,
             hasEnded: (id) => this.view.hasEnded(id),
+            isLeaving: (id) => this.view.getUpstream(id)?.status === "leaving",
             recordSegmentCounts: options.metrics.recordSegmentCounts,
         });
         this.queues = new RequestQueues({
@@ -543,6 +544,9 @@
             recordUnanswered: (run, ended) => {
                 crashes.recordUnanswered(run, ended);
             },
+            recordUnconfirmed: (run, ended) => {
+                crashes.recordUnconfirmed(run, ended);
+            },
             recordSuccess: (admitted) => {
                 crashes.recordCompletion(admitted);
             },
--- a/packages/daemon/src/request/recordAttempt.ts
+++ b/packages/daemon/src/request/recordAttempt.ts
@@ -1,11 +1,12 @@
 /**
  * Records what a finished attempt shows about its upstream and about the request.
  */
+import type { UnansweredAttempt } from "../process/entry/crashTracker.js";
 import type { RequestContext } from "./requestContext.js";
 import type { CrashFunctions, RoutedRequestFunctions } from "./requestFunctions.js";
 import type { CallTarget } from "./routedCall.js";
 import { isSelfDelimited } from "./routedResponse.js";
-import type { AttemptResult, BufferedResponse } from "./upstreamAttempt.js";
+import type { AttemptResult } from "./upstreamAttempt.js";
 
 /** How far the response had come when the attempt ended. */
 export interface AttemptProgress {
@@ -123,10 +124,10 @@
     const output = { hadProgress, outputMs };
     switch (result.kind) {
         case "answered":
-            recordDelimitedSuccess(context, result.response, crashes);
+            recordEnd(context, { upstreams: passed, ...output }, isSelfDelimited(result.response.head), crashes);
             return;
         case "streamed":
-            crashes.recordSuccess(context.admitted);
+            recordEnd(context, { upstreams: passed, ...output }, result.isSelfDelimited, crashes);
             return;
         case "stopped":
             if (isSilent) {
@@ -143,7 +144,9 @@
         case "declined":
             return;
         case "failed":
-            recordDelimitedSuccess(context, result.response, crashes);
+            if (result.response !== undefined) {
+                recordEnd(context, { upstreams: passed, ...output }, isSelfDelimited(result.response.head), crashes);
+            }
             return;
         case "stalled":
         case "left":
@@ -161,13 +164,17 @@
     }
 }
 
-/** Records a success only for a self-delimited response; a close-delimited one may have been truncated by a crash. */
-function recordDelimitedSuccess(
+/** A close-delimited response may have been truncated by a crash. */
+function recordEnd(
     context: RequestContext,
-    response: BufferedResponse | undefined,
-    { recordSuccess }: CrashFunctions,
+    ended: UnansweredAttempt,
+    hasDeclaredEnd: boolean,
+    { recordSuccess, recordUnconfirmed }: CrashFunctions,
 ): void {
-    if (response !== undefined && isSelfDelimited(response.head)) {
+    if (hasDeclaredEnd) {
         recordSuccess(context.admitted);
     }
+    else {
+        recordUnconfirmed(context, ended);
+    }
 }
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -87,6 +87,8 @@
     readonly waitUntilStored: (admitted: AdmittedCall, maxWaitMs: number) => Promise<void>;
     readonly recordCrash: (context: RequestContext, upstream: string, output: AttemptOutput) => void;
     readonly recordUnanswered: (context: RequestContext, ended: UnansweredAttempt) => void;
+    /** The response ended with its connection, as it does when the upstream crashes. */
+    readonly recordUnconfirmed: (context: RequestContext, ended: UnansweredAttempt) => void;
     /** The request completed at an upstream that survived it. */
     readonly recordSuccess: (admitted: AdmittedCall) => void;
 }
--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -8,6 +8,7 @@
 import type { RequestContext, StopReason } from "./requestContext.js";
 import type { NoticeFunctions } from "./requestFunctions.js";
 import type { CallCodec, CallTarget, ResponseVerdict, UpstreamNotice } from "./routedCall.js";
+import { isSelfDelimited } from "./routedResponse.js";
 
 /** Why an attempt is aborted from outside, and the address of the failed engine if known. */
 export interface AttemptAbort {
@@ -25,8 +26,8 @@
 /** Result of an attempt. */
 export type AttemptResult =
     | { readonly kind: "answered"; readonly response: BufferedResponse; }
-    /** A stream that was completed. */
-    | { readonly kind: "streamed"; }
+    /** A stream that was completed; a close-delimited one may have been truncated between two events. */
+    | { readonly kind: "streamed"; readonly isSelfDelimited: boolean; }
     | { readonly kind: "stopped"; readonly stop: StopReason; }
     | {
         readonly kind: "ended";
@@ -190,7 +191,11 @@
         }
         if (this.isStreaming) {
             const problem = this.options.sink?.handleEnd();
-            this.settle(problem === undefined ? { kind: "streamed" } : createTruncatedResult(problem));
+            this.settle(
+                problem === undefined
+                    ? { kind: "streamed", isSelfDelimited: isSelfDelimited(head) }
+                    : createTruncatedResult(problem),
+            );
             return;
         }
         const response = { head, body: Buffer.concat(this.chunks) };
--- a/packages/daemon/tests/crashReplay.ts
+++ b/packages/daemon/tests/crashReplay.ts
@@ -148,6 +148,7 @@
             getUnixMs: () => performance.now(),
             log: { record: () => undefined },
             hasEnded: () => false,
+            isLeaving: () => false,
             askLeader: async (method, parameters) => {
                 await waitMs(this.drawUpTo(MAX_MESSAGE_MS));
                 if (!this.isLeading || incarnation !== entry.incarnation) {
--- a/packages/daemon/tests/crashTracker.test.ts
+++ b/packages/daemon/tests/crashTracker.test.ts
@@ -25,6 +25,7 @@
                 log: { record: () => undefined },
                 askLeader: (method, parameters) => this.answer(method, parameters),
                 hasEnded: (id) => this.ended.has(id),
+                isLeaving: () => false,
             }));
     }
 
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -306,6 +306,7 @@
                 waitUntilStored: () => Promise.resolve(),
                 recordCrash: () => undefined,
                 recordUnanswered: () => undefined,
+                recordUnconfirmed: () => undefined,
                 recordSuccess: () => undefined,
                 ...options.crashes,
             },
