fix(entry): count crashes that another entry reports for a relayed request

A closed connection was no crash while the entry is cut off, since a cut closes all of them; but the relay tells that the upstream closed its connection to the relay, which is sound.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -532,7 +532,11 @@
                 await this.closeChecks.get(admitted);
                 await crashes.waitUntilStored(admitted, maxWaitMs);
             },
-            recordCrash: (run, upstream, output) => {
+            recordCrash: (run, upstream, output, isRelayed) => {
+                if (isRelayed) {
+                    crashes.recordCrash(run, upstream, output);
+                    return;
+                }
                 // A cut closes the connections to all upstreams, none of which has crashed.
                 const check = this.links.checkAfterClose().then((isCutOff) => {
                     if (!isCutOff) {
--- a/packages/daemon/src/request/recordAttempt.ts
+++ b/packages/daemon/src/request/recordAttempt.ts
@@ -116,7 +116,7 @@
     target: CallTarget,
     result: AttemptResult,
     { hadProgress, outputMs, silentMs }: AttemptProgress,
-    { crashes, findIdAt }: RoutedRequestFunctions,
+    { crashes, findIdAt, getRelay }: RoutedRequestFunctions,
 ): void {
     const { upstreamId, stages = [] } = target;
     const passed = stages.length === 0 ? [upstreamId] : stages.map(({ engine }) => engine.id);
@@ -159,7 +159,7 @@
                 crashes.recordUnanswered(context, { upstreams: passed, ...output });
             }
             else if (result.hasConnectionEnded === true) {
-                crashes.recordCrash(context, upstreamId, output);
+                crashes.recordCrash(context, upstreamId, output, getRelay?.(target) !== undefined);
             }
     }
 }
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -85,7 +85,13 @@
     readonly claimResend: (admitted: AdmittedCall, maxWaitMs: number) => Promise<ResendDecision>;
     /** Waits until the voters have stored the crashes of the request, for at most `maxWaitMs` milliseconds. */
     readonly waitUntilStored: (admitted: AdmittedCall, maxWaitMs: number) => Promise<void>;
-    readonly recordCrash: (context: RequestContext, upstream: string, output: AttemptOutput) => void;
+    /** `isRelayed` if another entry reported that the upstream closed its connection. */
+    readonly recordCrash: (
+        context: RequestContext,
+        upstream: string,
+        output: AttemptOutput,
+        isRelayed: boolean,
+    ) => void;
     readonly recordUnanswered: (context: RequestContext, ended: UnansweredAttempt) => void;
     /** The response ended with its connection, as it does when the upstream crashes. */
     readonly recordUnconfirmed: (context: RequestContext, ended: UnansweredAttempt) => void;
