fix(entry): mark a stream without framing as broken off where it ends early

Callers of streams without length or chunks that broke off took the part for the whole: the entry closed the connection in an orderly way, as at the end of a complete stream.

A reset does not help: Node.js ends the connection in an orderly way before it resets it. The stream now ends with an unfinished comment, which parsers ignore: one that ends inside an event has been broken off.

--- a/packages/daemon/src/request/routedResponse.ts
+++ b/packages/daemon/src/request/routedResponse.ts
@@ -29,6 +29,8 @@
  */
 const RETRY_AFTER_FRACTION = 0.3;
 const MIN_RETRY_AFTER_MS = 10;
+/** Part of an event stream that parsers ignore (HTML Living Standard, section 9.2). */
+const UNFINISHED_COMMENT = ":";
 
 /**
  * Removes the hop-by-hop headers.
@@ -209,7 +211,13 @@
 
     /** Aborts the connection so that the caller notices that the response is incomplete. */
     abort(): void {
-        this.response.destroy();
+        if (this.closeDelimited && !this.isPaused) {
+            // The end of the connection is that of a complete stream, unless it comes within an event.
+            this.response.end(UNFINISHED_COMMENT);
+        }
+        else {
+            this.response.destroy();
+        }
     }
 
     /**
