fix(entry): keep 2,000 unanswered attempts in place of 300

An entry that gets most connections has more of them open on engines that fall silent than it kept, so that crashes were lost before the voters found the engines ended.

--- a/packages/daemon/src/process/entry/crashTracker.ts
+++ b/packages/daemon/src/process/entry/crashTracker.ts
@@ -64,7 +64,7 @@
 const MAX_FINGERPRINTED_BYTES = 4_096;
 /** Silent upstreams are detected as ended within this time: four heartbeats, and one in reserve. */
 const UNANSWERED_WINDOW_MS = 8_000;
-const MAX_UNANSWERED = 300;
+const MAX_UNANSWERED = 2_000;
 /**
  * Time after the end of a close-delimited response within which a crash of its upstream is detected: the next connection to
  * it fails, and the voters probe it.
