--- a/packages/daemon/src/process/entry/crashTracker.ts
+++ b/packages/daemon/src/process/entry/crashTracker.ts
@@ -120,19 +120,6 @@
         return this.findQuarantiningSegment(admitted) !== undefined || this.isRequestQuarantined(admitted);
     }
 
-    private findQuarantiningSegment({ call }: AdmittedCall): string | undefined {
-        return this.segments.findQuarantining(call.sharedSegments ?? []);
-    }
-
-    private isRequestQuarantined(admitted: AdmittedCall): boolean {
-        if (!this.originKeys.has(getOriginKey(admitted))) {
-            return false;
-        }
-        const fingerprint = computeFingerprint(admitted);
-        const record = this.findRecord(fingerprint);
-        return record !== undefined && isRequestQuarantined(record) && !this.hasCompletedRecently(fingerprint);
-    }
-
     /**
      * Describes why a request is quarantined, for the log.
      * @param admitted - the request
@@ -182,10 +169,6 @@
         return this.segments.needsGrant(admitted.call.sharedSegments ?? []) || this.needsRequestGrant(admitted);
     }
 
-    private needsRequestGrant(admitted: AdmittedCall): boolean {
-        return this.originKeys.has(getOriginKey(admitted)) && this.isGrantNeeded(computeFingerprint(admitted));
-    }
-
     /**
      * Claims one attempt of a request under which an upstream crashed.
      * @param admitted - the request
@@ -267,13 +250,6 @@
         this.completeRequest(computeFingerprint(admitted));
     }
 
-    private completeRequest(fingerprint: string): void {
-        this.rememberCompletion(fingerprint);
-        if (this.findRecord(fingerprint) !== undefined) {
-            this.clearRecord(fingerprint);
-        }
-    }
-
     /**
      * Applies a state update from the leader.
      * @param state - changed records, or all of them
@@ -300,6 +276,30 @@
         this.resolvePending();
     }
 
+    private findQuarantiningSegment({ call }: AdmittedCall): string | undefined {
+        return this.segments.findQuarantining(call.sharedSegments ?? []);
+    }
+
+    private isRequestQuarantined(admitted: AdmittedCall): boolean {
+        if (!this.originKeys.has(getOriginKey(admitted))) {
+            return false;
+        }
+        const fingerprint = computeFingerprint(admitted);
+        const record = this.findRecord(fingerprint);
+        return record !== undefined && isRequestQuarantined(record) && !this.hasCompletedRecently(fingerprint);
+    }
+
+    private needsRequestGrant(admitted: AdmittedCall): boolean {
+        return this.originKeys.has(getOriginKey(admitted)) && this.isGrantNeeded(computeFingerprint(admitted));
+    }
+
+    private completeRequest(fingerprint: string): void {
+        this.rememberCompletion(fingerprint);
+        if (this.findRecord(fingerprint) !== undefined) {
+            this.clearRecord(fingerprint);
+        }
+    }
+
     private addCrash(crash: ReportedCrash): void {
         const { fingerprint, upstream, had_progress, origin } = crash;
         const existing = this.localRecords.get(fingerprint);
--- a/packages/daemon/src/process/voter/crashRegistry.ts
+++ b/packages/daemon/src/process/voter/crashRegistry.ts
@@ -85,14 +85,6 @@
         return { is_taken: this.options.host.replica.hasLeaderLease() && await this.commitTrial(fingerprint) };
     }
 
-    private async commitTrial(key: string): Promise<boolean> {
-        const { host, log, getUnixMs } = this.options;
-        const result = await host.propose({ kind: "claim-trial", fingerprint: key, at_ms: getUnixMs() });
-        const isTaken = result.kind === "applied" && isTakenResult(result.result);
-        log.record("info", "trial", { fingerprint: key, outcome: isTaken ? "granted" : "permit-denied" });
-        return isTaken;
-    }
-
     /**
      * Decides whether a request under which an upstream crashed, or with a suspected segment, may be sent.
      * @param parameters - the request's fingerprint and segments
@@ -115,29 +107,6 @@
         return { outcome };
     }
 
-    private async decideResend({ fingerprint, segments = [] }: ResendParameters): Promise<ResendResult["outcome"]> {
-        const record = this.options.host.state.crashes.get(fingerprint);
-        const getStatus = (segment: string): SegmentStatus | undefined => this.getSegmentStatus(segment);
-        if (
-            (record !== undefined && isRequestQuarantined(record))
-            || findQuarantiningSegment(segments, getStatus) !== undefined
-        ) {
-            return "quarantined";
-        }
-        const exclusive = segments.filter((segment) => (getStatus(segment)?.score ?? 0) >= EXCLUSIVE_SEGMENT_SCORE);
-        const keys = [fingerprint, ...exclusive.map(formatSegmentKey)];
-        if (!this.areEntriesInformed(fingerprint) || !this.resends.claim(keys)) {
-            return "pending";
-        }
-        const trials = exclusive.filter((segment) => getStatus(segment)?.quarantined_with !== undefined);
-        const areGranted = await Promise.all(trials.map((segment) => this.commitTrial(formatSegmentKey(segment))));
-        return areGranted.every((isGranted) => isGranted) ? "granted" : "quarantined";
-    }
-
-    private getSegmentStatus(segment: string): SegmentStatus | undefined {
-        return this.options.host.state.segments.getStatus(segment);
-    }
-
     /**
      * Lists quarantined requests.
      * @returns their crash records, if this voter leads and holds its lease
@@ -160,12 +129,6 @@
             : createNotLeaderResult(host);
     }
 
-    private getQuarantinedSegments(): readonly SegmentRecord[] {
-        const { segments } = this.options.host.state;
-        return segments.listStatuses().filter((status) => status.quarantined_with !== undefined)
-            .flatMap(({ segment }) => segments.get(segment) ?? []);
-    }
-
     /**
      * Releases a request or a prompt segment from quarantine on behalf of an operator.
      * @param fingerprint - the request's fingerprint, or the segment's key
@@ -185,6 +148,43 @@
         return result;
     }
 
+    private async commitTrial(key: string): Promise<boolean> {
+        const { host, log, getUnixMs } = this.options;
+        const result = await host.propose({ kind: "claim-trial", fingerprint: key, at_ms: getUnixMs() });
+        const isTaken = result.kind === "applied" && isTakenResult(result.result);
+        log.record("info", "trial", { fingerprint: key, outcome: isTaken ? "granted" : "permit-denied" });
+        return isTaken;
+    }
+
+    private async decideResend({ fingerprint, segments = [] }: ResendParameters): Promise<ResendResult["outcome"]> {
+        const record = this.options.host.state.crashes.get(fingerprint);
+        const getStatus = (segment: string): SegmentStatus | undefined => this.getSegmentStatus(segment);
+        if (
+            (record !== undefined && isRequestQuarantined(record))
+            || findQuarantiningSegment(segments, getStatus) !== undefined
+        ) {
+            return "quarantined";
+        }
+        const exclusive = segments.filter((segment) => (getStatus(segment)?.score ?? 0) >= EXCLUSIVE_SEGMENT_SCORE);
+        const keys = [fingerprint, ...exclusive.map(formatSegmentKey)];
+        if (!this.areEntriesInformed(fingerprint) || !this.resends.claim(keys)) {
+            return "pending";
+        }
+        const trials = exclusive.filter((segment) => getStatus(segment)?.quarantined_with !== undefined);
+        const areGranted = await Promise.all(trials.map((segment) => this.commitTrial(formatSegmentKey(segment))));
+        return areGranted.every((isGranted) => isGranted) ? "granted" : "quarantined";
+    }
+
+    private getSegmentStatus(segment: string): SegmentStatus | undefined {
+        return this.options.host.state.segments.getStatus(segment);
+    }
+
+    private getQuarantinedSegments(): readonly SegmentRecord[] {
+        const { segments } = this.options.host.state;
+        return segments.listStatuses().filter((status) => status.quarantined_with !== undefined)
+            .flatMap(({ segment }) => segments.get(segment) ?? []);
+    }
+
     /** Entries that do not know a request would send it without a grant. Records of a single crash are not sent to them. */
     private areEntriesInformed(fingerprint: string): boolean {
         const { host, haveEntriesApplied } = this.options;
