fix(scenarios): give each entry a loopback address of its own

Entries got ports of 127.0.0.1 from the range of outgoing connections and listened on them again after a restart; while one is down, a connection of any process, all of which come from 127.0.0.1, can take its port.

Entries now listen on addresses of 127.0.0.0/8 that no connection comes from.

--- a/packages/scenarios/src/harness/cluster.ts
+++ b/packages/scenarios/src/harness/cluster.ts
@@ -57,7 +57,10 @@
 
 /** A set of entries that are configured as peers of each other. */
 export class Cluster {
+    private static count = 0;
     readonly folder = mkdtempSync(join(tmpdir(), "crankfork-"));
+    /** Tells the clusters of a process apart. */
+    private readonly number = Cluster.count++ % 250;
     readonly entries = new Map<string, Entry>();
 
     /**
@@ -68,14 +71,15 @@
     async startEntry(options: EntryOptions): Promise<Entry> {
         const instanceFolder = join(this.folder, options.name);
         mkdirSync(instanceFolder, { recursive: true });
+        const anyPort = this.createHost(this.entries.size);
         const entry = {
             options,
             logFile: join(instanceFolder, "events.log"),
             dataFolder: join(instanceFolder, "data"),
             ...await this.startProcess(options, {
-                callers: LOOPBACK_ANY_PORT,
-                operators: LOOPBACK_ANY_PORT,
-                peers: LOOPBACK_ANY_PORT,
+                callers: anyPort,
+                operators: anyPort,
+                peers: anyPort,
             }),
         };
         this.entries.set(options.name, entry);
@@ -219,6 +223,15 @@
         rmSync(this.folder, { recursive: true, force: true });
     }
 
+    /**
+     * Each entry has a loopback address of its own. Connections from any process come from 127.0.0.1, and would take the ports of an
+     * entry there while it is down.
+     */
+    private createHost(entry: number): string {
+        const subnet = process.pid % 250 + 1;
+        return `127.${String(subnet)}.${String(this.number)}.${String(entry + 1)}:0`;
+    }
+
     private async startProcess(
         options: EntryOptions,
         ports: Addresses,
@@ -254,8 +267,6 @@
     }
 }
 
-const LOOPBACK_ANY_PORT = "127.0.0.1:0";
-
 /**
  * Sends a JSON request.
  * @param address - host and port
