fix(entry): do not blame long close-delimited responses for a later end of their upstream

A response that ended with its connection counted as a crash if its upstream ended within 3 s, so each failing engine spoke against all prompts that it had completed in that time; and it cleared nothing until 3 s had passed.

A response of more than 0.5 s whose upstream has ended now says nothing, and one whose upstream begins another response has survived at once.

--- a/packages/daemon/src/process/entry/crashTracker.ts
+++ b/packages/daemon/src/process/entry/crashTracker.ts
@@ -71,6 +71,8 @@
  */
 const UNCONFIRMED_WINDOW_MS = 3_000;
 const MAX_UNCONFIRMED = 2_000;
+/** Responses sent before a crash may be received this much later than the end of a connection. */
+const REORDERING_MS = 50;
 const MAX_LOGGED_SEGMENTS = 10;
 
 interface PendingCrash {
@@ -92,6 +94,8 @@
     private unanswered: readonly PendingCrash[] = [];
     /** Responses whose end may have been a crash. */
     private unconfirmed: readonly PendingCrash[] = [];
+    /** When each of their upstreams last began a response. */
+    private readonly respondedMs = new Map<string, number>();
     private readonly reports: CrashReports;
     private readonly resends: ResendClaims;
     private readonly segments: SegmentTracker;
@@ -223,20 +227,31 @@
 
     /**
      * Records a response that ended with its connection, as it does when the upstream crashes. It counts as a completion
-     * once the upstream has survived it for a while.
+     * once the upstream has survived it.
      * @param run - the request
      * @param ended - the upstreams that it passed, and the response
      */
-    recordUnconfirmed(run: RequestContext, { upstreams, ...output }: UnansweredAttempt): void {
+    recordUnconfirmed(run: RequestContext, { upstreams: [upstream = ""], ...output }: UnansweredAttempt): void {
         const { admitted } = run;
         const hasSegments = (admitted.call.sharedSegments ?? []).length > 0;
         if (!hasSegments && (admitted.body?.length ?? 0) > MAX_FINGERPRINTED_BYTES) {
             return;
         }
-        const pending = { upstreams, crash: createCrash(admitted, "", output), atMs: this.options.getNowMs() };
+        const crash = createCrash(admitted, upstream, output);
+        const pending = { upstreams: [upstream], crash, atMs: this.options.getNowMs() };
         this.unconfirmed = [...this.unconfirmed.slice(1 - MAX_UNCONFIRMED), pending];
     }
 
+    /**
+     * Records that an upstream has begun a response.
+     * @param upstream - its incarnation
+     */
+    recordResponse(upstream: string): void {
+        if (this.unconfirmed.length > 0) {
+            this.respondedMs.set(upstream, this.options.getNowMs());
+        }
+    }
+
     /**
      * Records that a request completed and its upstream survived.
      * @param admitted - the request
@@ -347,17 +362,26 @@
         this.unanswered = this.unanswered.filter((one) =>
             nowMs - one.atMs <= UNANSWERED_WINDOW_MS && !this.resolveCrash(one)
         );
-        this.unconfirmed = this.unconfirmed.filter((one) => {
-            if (one.upstreams.some((id) => this.options.isLeaving(id)) || this.resolveCrash(one)) {
-                return false;
-            }
-            const isSurvived = nowMs - one.atMs > UNCONFIRMED_WINDOW_MS;
-            if (isSurvived) {
-                this.segments.recordCompletion(one.crash.segments ?? []);
-                this.completeRequest(one.crash.fingerprint);
+        this.unconfirmed = this.unconfirmed.filter((one) => !this.resolveUnconfirmed(one, nowMs));
+        for (const upstream of this.respondedMs.keys()) {
+            if (this.unconfirmed.length === 0 || this.options.hasEnded(upstream)) {
+                this.respondedMs.delete(upstream);
             }
-            return !isSurvived;
-        });
+        }
+    }
+
+    private resolveUnconfirmed(pending: PendingCrash, nowMs: number): boolean {
+        const { crash, atMs } = pending;
+        const respondedMs = this.respondedMs.get(crash.upstream) ?? Number.NEGATIVE_INFINITY;
+        if (respondedMs > atMs + REORDERING_MS || nowMs - atMs > UNCONFIRMED_WINDOW_MS) {
+            this.segments.recordCompletion(crash.segments ?? []);
+            this.completeRequest(crash.fingerprint);
+            return true;
+        }
+        // A long response was probably whole, though its upstream has ended soon after it.
+        const isUnknown = this.options.isLeaving(crash.upstream)
+            || (crash.is_late === true && this.options.hasEnded(crash.upstream));
+        return isUnknown || this.resolveCrash(pending);
     }
 
     /** Records the crash if one of the upstreams has ended. */
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -485,7 +485,7 @@
             },
             claimPathSwitch: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
             hasEnded: (id) => this.view.hasEnded(id),
-            notices: this.notices.createFunctions(),
+            notices: this.createNoticeFunctions(),
             crashes: this.createCrashFunctions(),
             waiting: this.queues.createFunctions(),
             unread: this.unread,
@@ -521,6 +521,17 @@
             : { rank: 0, rankCount: 1, isRanked: false };
     }
 
+    private createNoticeFunctions(): RoutedRequestFunctions["notices"] {
+        const functions = this.notices.createFunctions();
+        return {
+            ...functions,
+            receive: (target, notice, answer) => {
+                this.crashes.recordResponse(target.upstreamId);
+                functions.receive(target, notice, answer);
+            },
+        };
+    }
+
     private createCrashFunctions(): RoutedRequestFunctions["crashes"] {
         const { crashes } = this;
         return {
--- a/packages/daemon/tests/crashTracker.test.ts
+++ b/packages/daemon/tests/crashTracker.test.ts
@@ -201,6 +201,34 @@
             },
             isQuarantined: true,
         },
+        ...[
+            { title: "whose upstreams have ended", outputMs: 100, isQuarantined: true },
+            { title: "whose upstreams have ended, after long responses", outputMs: 600, isQuarantined: false },
+            {
+                title: "whose upstreams respond once more before they end",
+                outputMs: 100,
+                hasResponded: true,
+                isQuarantined: false,
+            },
+            { title: "whose upstreams end much later", outputMs: 100, endsAfterMs: 4_000, isQuarantined: false },
+        ].map(({ title, outputMs, hasResponded = false, endsAfterMs = 500, isQuarantined }) => ({
+            title: `after responses that end with their connection, ${title}`,
+            run: async () => {
+                for (const upstream of ["a", "b", "c"]) {
+                    const entry = harness.entries[0]!;
+                    entry.recordUnconfirmed(createRun(), { upstreams: [upstream], hadProgress: false, outputMs });
+                    await clock.tickAsync(endsAfterMs);
+                    if (hasResponded) {
+                        entry.recordResponse(upstream);
+                    }
+                    entry.applyState({ is_whole: false, crashes: [], crashes_forgotten: [] });
+                    harness.ended.add(upstream);
+                    entry.applyState({ is_whole: false, crashes: [], crashes_forgotten: [] });
+                    await clock.tickAsync(50);
+                }
+            },
+            isQuarantined,
+        })),
         {
             title: "after silent attempts, whose upstreams end much later",
             run: async () => {
