fix(entry): count the end of an unframed answer as a crash after progress

Found by reading the change: since a whole answer without framing counts as a crash if its upstream ends soon after it, and it counted as one before any part of a response, three of which quarantine a request in place of five. A part had arrived, though it is buffered.

The row closeDelimited of quarantinedRequest.test.ts fails without the change ("silent"); its expectation was "nothing", which is what was recorded before, and now names what is recorded. Two rows on streams are new.

--- a/packages/daemon/src/request/recordAttempt.ts
+++ b/packages/daemon/src/request/recordAttempt.ts
@@ -122,9 +122,11 @@
     const passed = stages.length === 0 ? [upstreamId] : stages.map(({ engine }) => engine.id);
     const isSilent = silentMs >= SILENCE_THRESHOLD_MS;
     const output = { hadProgress, outputMs };
+    // A buffered response counts as progress once it has arrived.
+    const response = { ...output, hadProgress: true };
     switch (result.kind) {
         case "answered":
-            recordEnd(context, { upstreams: passed, ...output }, isSelfDelimited(result.response.head), crashes);
+            recordEnd(context, { upstreams: passed, ...response }, isSelfDelimited(result.response.head), crashes);
             return;
         case "streamed":
             recordEnd(context, { upstreams: passed, ...output }, result.isSelfDelimited, crashes);
@@ -145,7 +147,7 @@
             return;
         case "failed":
             if (result.response !== undefined) {
-                recordEnd(context, { upstreams: passed, ...output }, isSelfDelimited(result.response.head), crashes);
+                recordEnd(context, { upstreams: passed, ...response }, isSelfDelimited(result.response.head), crashes);
             }
             return;
         case "stalled":
--- a/packages/daemon/tests/quarantinedRequest.test.ts
+++ b/packages/daemon/tests/quarantinedRequest.test.ts
@@ -25,6 +25,9 @@
         setTimeout(() => socket.resetAndDestroy(), 5);
     },
     closeDelimited: (socket, id) => socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nconnection: close\r\n\r\nto the end`),
+    streamCloseDelimited: (socket, id) =>
+        socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nconnection: close\r\n\r\n${formatEvent(1)}`),
+    streamClosedEarly: (socket, id) => socket.end(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nconnection: close\r\n\r\n`),
     stream: (socket, id) => socket.write(formatStreamHead(id) + formatChunk(formatEvent(1)) + formatChunk("")),
     streamReset: (socket, id) => {
         socket.write(formatStreamHead(id) + formatChunk(formatEvent(1)));
@@ -42,7 +45,7 @@
         { script: "failing", seen: ["completed"] },
         { script: "declining", seen: [] },
         { script: "crossed", seen: [] },
-        { script: "closeDelimited", seen: [] },
+        { script: "closeDelimited", seen: ["unconfirmed at u, midway"] },
         { script: "rubbish", seen: [] },
         { script: "reset", seen: ["crash at u, silent"] },
         { script: "closed", seen: ["crash at u, silent"] },
@@ -50,6 +53,8 @@
         { script: "stream", kind: "stream", seen: ["completed"] },
         { script: "streamReset", kind: "stream", seen: ["crash at u, midway"] },
         { script: "streamResetEarly", kind: "stream", seen: ["crash at u, silent"] },
+        { script: "streamCloseDelimited", kind: "stream", seen: ["unconfirmed at u, midway"] },
+        { script: "streamClosedEarly", kind: "stream", seen: ["unconfirmed at u, silent"] },
     ];
     for (const { script, kind = "call", seen } of rows) {
         it(`${script}: ${seen.join() || "nothing"}`, async () => {
@@ -61,6 +66,8 @@
                 crashes: {
                     recordCrash: (_context, upstreamId, { hadProgress }) =>
                         recorded.push(`crash at ${upstreamId}, ${hadProgress ? "midway" : "silent"}`),
+                    recordUnconfirmed: (_context, { upstreams, hadProgress }) =>
+                        recorded.push(`unconfirmed at ${upstreams.join()}, ${hadProgress ? "midway" : "silent"}`),
                     recordSuccess: () => recorded.push("completed"),
                 },
             });
