fix(entry): close the connection of a caller that does not read the end of an aborted stream

Since a stream without framing that breaks off is ended rather than destroyed, so that its connection and what it buffers stayed for as long as the caller did not read: nothing cleared them. The connection is now closed after a second without progress.

The new row of unframedAnswers.test.ts fails without the change: the connection is open after 5 s.

--- a/packages/daemon/src/request/routedResponse.ts
+++ b/packages/daemon/src/request/routedResponse.ts
@@ -29,6 +29,8 @@
  */
 const RETRY_AFTER_FRACTION = 0.3;
 const MIN_RETRY_AFTER_MS = 10;
+/** Time for a caller to read the end of an aborted stream. */
+const ABORT_FLUSH_MS = 1_000;
 /** Part of an event stream that parsers ignore (HTML Living Standard, section 9.2). */
 const UNFINISHED_COMMENT = ":";
 
@@ -214,6 +216,7 @@
         if (this.closeDelimited && !this.isPaused) {
             // The end of the connection is that of a complete stream, unless it comes within an event.
             this.response.end(UNFINISHED_COMMENT);
+            this.response.setTimeout(ABORT_FLUSH_MS, () => this.response.destroy());
         }
         else {
             this.response.destroy();
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -222,6 +222,15 @@
         return entry;
     }
 
+    /** Counts the open connections of callers. */
+    async countConnections(): Promise<number> {
+        return await new Promise((resolve) => {
+            this.server.getConnections((_error, count) => {
+                resolve(count);
+            });
+        });
+    }
+
     async close(): Promise<void> {
         this.stallDetector.stop();
         this.server.close();
--- a/packages/daemon/tests/unframedAnswers.test.ts
+++ b/packages/daemon/tests/unframedAnswers.test.ts
@@ -142,3 +142,31 @@
         }
     }
 });
+
+describe("the connection of a caller that does not read is closed", () => {
+    it("after a stream without framing broke off", async () => {
+        // More than the kernel buffers, so that the end of the stream does not get through.
+        const event = `id: 1\ndata: ${"x".repeat(8_000_000)}\n\n`;
+        const upstream = await ScriptedUpstream.open("u", (socket, id) => {
+            socket.end(`${formatUnframedHead(id)}${event}id: 2\nda`);
+        });
+        const entry = await TestEntry.open({ upstreams: [upstream], route: { kind: "stream", most_attempts: 1 } });
+        const { hostname, port } = new URL(entry.url);
+        const caller = createConnection(Number(port), hostname);
+        try {
+            caller.pause();
+            caller.on("error", () => undefined);
+            caller.write("POST / HTTP/1.1\r\nhost: h\r\nx-id: one\r\ncontent-length: 1\r\n\r\nb");
+            const endMs = performance.now() + 5_000;
+            while (await entry.countConnections() > 0 || entry.ends.length === 0) {
+                expect(performance.now(), "the connection is still open").to.be.below(endMs);
+                await new Promise((resolve) => setTimeout(resolve, 50));
+            }
+        }
+        finally {
+            caller.destroy();
+            await entry.close();
+            upstream.close();
+        }
+    });
+});
