test(entry): crashes behind hundreds of silent attempts are counted

A row of crashTracker.test.ts now does: three silent crashes behind 600 other silent attempts; with 300 the request is not quarantined. The lists are changed in place again, since a copy of 2,000 for each attempt is needless.

--- a/packages/daemon/src/process/entry/crashTracker.ts
+++ b/packages/daemon/src/process/entry/crashTracker.ts
@@ -91,9 +91,9 @@
     /** Origins of recorded requests, so that requests of other origins need no fingerprint. */
     private originKeys = new Set<string>();
     private readonly completions = new Map<string, number>();
-    private unanswered: readonly PendingCrash[] = [];
+    private unanswered: PendingCrash[] = [];
     /** Responses whose end may have been a crash. */
-    private unconfirmed: readonly PendingCrash[] = [];
+    private unconfirmed: PendingCrash[] = [];
     /** When each of their upstreams last began a response. */
     private readonly respondedMs = new Map<string, number>();
     private readonly reports: CrashReports;
@@ -220,8 +220,8 @@
      */
     recordUnanswered(run: RequestContext, { upstreams, ...output }: UnansweredAttempt): void {
         const crash = createCrash(run.admitted, "", output);
-        const pending = { upstreams, crash, atMs: this.options.getNowMs() };
-        this.unanswered = [...this.unanswered, pending].slice(-MAX_UNANSWERED);
+        this.unanswered.push({ upstreams, crash, atMs: this.options.getNowMs() });
+        this.unanswered.splice(0, this.unanswered.length - MAX_UNANSWERED);
         this.resolvePending();
     }
 
@@ -238,8 +238,8 @@
             return;
         }
         const crash = createCrash(admitted, upstream, output);
-        const pending = { upstreams: [upstream], crash, atMs: this.options.getNowMs() };
-        this.unconfirmed = [...this.unconfirmed.slice(1 - MAX_UNCONFIRMED), pending];
+        this.unconfirmed.push({ upstreams: [upstream], crash, atMs: this.options.getNowMs() });
+        this.unconfirmed.splice(0, this.unconfirmed.length - MAX_UNCONFIRMED);
     }
 
     /**
--- a/packages/daemon/tests/crashTracker.test.ts
+++ b/packages/daemon/tests/crashTracker.test.ts
@@ -201,6 +201,29 @@
             },
             isQuarantined: true,
         },
+        {
+            title: "after silent attempts, and hundreds of others at upstreams that fell silent, too",
+            run: async () => {
+                const entry = harness.entries[0]!;
+                const silent = (upstream: string, parts?: RequestParts): void => {
+                    entry.recordUnanswered(createRun(parts), {
+                        upstreams: [upstream],
+                        hadProgress: false,
+                        outputMs: 0,
+                    });
+                };
+                ["a", "b", "c"].forEach((upstream) => {
+                    silent(upstream);
+                });
+                Array.from({ length: 600 }, (_none, at) => String(at)).forEach((at) => {
+                    silent(`other-${at}`, { body: at });
+                });
+                ["a", "b", "c"].forEach((upstream) => harness.ended.add(upstream));
+                entry.applyState({ is_whole: false, crashes: [], crashes_forgotten: [] });
+                await clock.tickAsync(100);
+            },
+            isQuarantined: true,
+        },
         ...[
             { title: "whose upstreams have ended", outputMs: 100, isQuarantined: true },
             { title: "whose upstreams have ended, after long responses", outputMs: 600, isQuarantined: false },
