fix(entry): name groups of quarantined segments by number

Each quarantined segment carried the ids of all others in the same crashes, so that the message to every entry grew with the square of the prompt's segments: 8.7 KB for 20 of them, 195 KB for 100, 771 KB for 200 (16 digits each), at each change and to each of up to 195 entries. A prompt of 100 segments is usual where segments are blocks of a prefix cache.

A status now has the number and the size of its group: 1.7, 8.8 and 17.6 KB. A prompt is quarantined where it holds as many segments of a group as the group has; one that holds a segment which has just completed there is refused as before. Groups are formed of the segments that entries are told of, so that a larger one is still complete there: a row with 300 segments. Log lines name at most ten.

--- a/packages/coordination/src/version/findCrashingSegments.ts
+++ b/packages/coordination/src/version/findCrashingSegments.ts
@@ -9,7 +9,7 @@
  * crashes first, then others by the crashes that it does not explain.
  * @param records - crashes by segment
  * @param minScore - least score of a segment, and least number of crashes that it must explain
- * @returns groups of segments that were in the same crashes, so that only a further prompt can tell them apart
+ * @returns groups of segments that were in the same crashes, which do not distinguish them
  */
 export function findCrashingSegments(
     records: readonly SegmentRecord[],
--- a/packages/coordination/src/version/segmentRegister.ts
+++ b/packages/coordination/src/version/segmentRegister.ts
@@ -89,10 +89,8 @@
      */
     claimTrial(segment: string, index: number): boolean {
         const record = this.records.get(segment);
-        if (this.getStatus(segment)?.quarantined_with === undefined || record === undefined) {
-            return false;
-        }
-        if (record.trials >= MAX_SEGMENT_TRIALS) {
+        const isQuarantined = this.getStatus(segment)?.quarantine !== undefined;
+        if (!isQuarantined || record === undefined || record.trials >= MAX_SEGMENT_TRIALS) {
             return false;
         }
         this.records.set(segment, { ...record, trials: record.trials + 1 });
@@ -190,19 +188,20 @@
 
     private updateStatuses(index: number): void {
         const records = [...this.records.values()];
-        const groups = findCrashingSegments(records, SEGMENT_SCORE_LIMIT);
-        const suspected = records.filter((record) => computeSegmentScore(record) >= SUSPECTED_SEGMENT_SCORE).map(
-            ({ segment, trials, ...counts }) => {
-                const group = groups.find((one) => one.includes(segment));
-                return {
-                    segment,
-                    score: computeSegmentScore(counts),
-                    trials,
-                    ...(group === undefined ? {} : { quarantined_with: group.filter((one) => one !== segment) }),
-                };
-            },
+        const suspected = records.map((record) => ({ ...record, score: computeSegmentScore(record) }))
+            .filter(({ score }) => score >= SUSPECTED_SEGMENT_SCORE)
+            .sort((left, right) => right.score - left.score)
+            .slice(0, MAX_STATUSES);
+        const groups = findCrashingSegments(suspected, SEGMENT_SCORE_LIMIT);
+        const quarantines = new Map(
+            groups.flatMap((segments, group) =>
+                segments.map((segment) => [segment, { group, size: segments.length }] as const)
+            ),
         );
-        const statuses = suspected.sort((left, right) => right.score - left.score).slice(0, MAX_STATUSES);
+        const statuses = suspected.map(({ segment, score, trials }) => {
+            const quarantine = quarantines.get(segment);
+            return { segment, score, trials, ...(quarantine === undefined ? {} : { quarantine }) };
+        });
         if (!isDeepStrictEqual(statuses, this.statuses)) {
             this.statuses = statuses;
             this.changeIndex = index;
--- a/packages/coordination/tests/segmentRegister.test.ts
+++ b/packages/coordination/tests/segmentRegister.test.ts
@@ -25,9 +25,11 @@
     });
 }
 
+/** Lists the quarantined segments, with the number of their group and its size. */
 function listQuarantined(register: SegmentRegister): readonly string[] {
-    return register.listStatuses().filter((status) => status.quarantined_with !== undefined)
-        .map(({ segment, quarantined_with = [] }) => [segment, ...quarantined_with].join("+"));
+    return register.listStatuses().flatMap(({ segment, quarantine }) =>
+        quarantine === undefined ? [] : [`${segment} ${String(quarantine.group)}/${String(quarantine.size)}`]
+    );
 }
 
 function repeat(times: number, segments: readonly string[]): readonly (readonly string[])[] {
@@ -52,7 +54,7 @@
             apply: (register) => {
                 addCrashes(register, repeat(5, ["a"]));
             },
-            quarantined: ["a"],
+            quarantined: ["a 0/1"],
         },
         {
             title: "five reports of one crash",
@@ -104,28 +106,35 @@
             apply: (register) => {
                 addCrashes(register, repeat(10, ["a"]), true);
             },
-            quarantined: ["a"],
+            quarantined: ["a 0/1"],
         },
         {
             title: "a segment that was in five of six crashes of another",
             apply: (register) => {
                 addCrashes(register, [...repeat(5, ["a", "b"]), ["a"]]);
             },
-            quarantined: ["a"],
+            quarantined: ["a 0/1"],
         },
         {
             title: "two segments with five crashes each",
             apply: (register) => {
                 addCrashes(register, [...repeat(5, ["a"]), ...repeat(5, ["b"])]);
             },
-            quarantined: ["a", "b"],
+            quarantined: ["a 0/1", "b 1/1"],
         },
         {
             title: "two segments in the same crashes: only prompts with both are known to crash upstreams",
             apply: (register) => {
                 addCrashes(register, repeat(5, ["a", "b"]));
             },
-            quarantined: ["a+b", "b+a"],
+            quarantined: ["a 0/2", "b 0/2"],
+        },
+        {
+            title: "more segments in the same crashes than are sent to entries",
+            apply: (register) => {
+                addCrashes(register, repeat(5, Array.from({ length: 300 }, (_none, at) => `s${String(at)}`)));
+            },
+            quarantined: Array.from({ length: 200 }, (_none, at) => `s${String(at)} 0/200`),
         },
         {
             title: "one of them completes",
@@ -133,7 +142,7 @@
                 addCrashes(register, repeat(5, ["a", "b"]));
                 register.forget(["segment:b"], 50);
             },
-            quarantined: ["a"],
+            quarantined: ["a 0/1"],
         },
         {
             title: "five crashes, and another under other segments a day later",
@@ -152,7 +161,7 @@
                     register.add([createCrash(`v${String(at)}`, others)], (5 + at) * INTERVAL_MS, 50 + at);
                 }
             },
-            quarantined: ["a"],
+            quarantined: ["a 0/1"],
         },
         {
             title: "a crash of an older build, without segments",
--- a/packages/daemon/src/process/entry/segmentTracker.ts
+++ b/packages/daemon/src/process/entry/segmentTracker.ts
@@ -62,7 +62,8 @@
             ? undefined
             : findQuarantiningSegment(
                 segments,
-                (segment) => this.hasCompletedRecently(segment) ? undefined : this.statuses.get(segment),
+                (segment) => this.statuses.get(segment),
+                (segment) => this.hasCompletedRecently(segment),
             );
     }
 
@@ -116,7 +117,7 @@
             return;
         }
         this.statuses = new Map(statuses.map((status) => [status.segment, status]));
-        const quarantined = statuses.filter((status) => status.quarantined_with !== undefined).length;
+        const quarantined = statuses.filter((status) => status.quarantine !== undefined).length;
         this.options.recordCounts?.({ suspected: statuses.length, quarantined });
         statuses.filter(({ segment }) => this.hasCompletedRecently(segment)).forEach(({ segment }) => {
             this.options.reportCompletion(formatSegmentKey(segment));
--- a/packages/daemon/src/process/voter/crashRegistry.ts
+++ b/packages/daemon/src/process/voter/crashRegistry.ts
@@ -1,6 +1,6 @@
 /**
- * Counts, across all entries, the requests and prompt segments during which upstreams crashed. The counts are part of the replicated log, so they
- * survive restarts of entries, changes of leader and lost disks.
+ * Counts, across all entries, the requests and prompt segments during which upstreams crashed. The counts are part of the
+ * replicated log, so they survive restarts of entries, changes of leader and lost disks.
  */
 import {
     type CrashesParameters,
@@ -44,6 +44,7 @@
  */
 const MAX_INFORM_MS = 500;
 const INFORM_POLL_MS = 10;
+const MAX_LOGGED_SEGMENTS = 10;
 
 /** Records crashes and decides which requests are quarantined. */
 export class CrashRegistry {
@@ -100,7 +101,8 @@
             const { fingerprint, segments = [] } = parameters;
             log.record("info", "resend", {
                 fingerprint,
-                segments: segments.filter((one) => this.getSegmentStatus(one) !== undefined).join(","),
+                segments: segments.filter((one) => this.getSegmentStatus(one) !== undefined)
+                    .slice(0, MAX_LOGGED_SEGMENTS).join(","),
                 outcome,
             });
         }
@@ -170,7 +172,7 @@
         if (!this.areEntriesInformed(fingerprint) || !this.resends.claim(keys)) {
             return "pending";
         }
-        const trials = exclusive.filter((segment) => getStatus(segment)?.quarantined_with !== undefined);
+        const trials = exclusive.filter((segment) => getStatus(segment)?.quarantine !== undefined);
         const areGranted = await Promise.all(trials.map((segment) => this.commitTrial(formatSegmentKey(segment))));
         return areGranted.every((isGranted) => isGranted) ? "granted" : "quarantined";
     }
@@ -181,10 +183,18 @@
 
     private getQuarantinedSegments(): readonly SegmentRecord[] {
         const { segments } = this.options.host.state;
-        return segments.listStatuses().filter((status) => status.quarantined_with !== undefined)
+        return segments.listStatuses().filter((status) => status.quarantine !== undefined)
             .flatMap(({ segment }) => segments.get(segment) ?? []);
     }
 
+    /** Lists the other segments that were in the same crashes as a quarantined one. */
+    private listGroup(segment: string): readonly string[] {
+        const group = this.getSegmentStatus(segment)?.quarantine?.group;
+        return this.options.host.state.segments.listStatuses()
+            .filter((status) => status.segment !== segment && status.quarantine?.group === group)
+            .map((status) => status.segment);
+    }
+
     /** Entries that do not know a request would send it without a grant. Records of a single crash are not sent to them. */
     private areEntriesInformed(fingerprint: string): boolean {
         const { host, haveEntriesApplied } = this.options;
@@ -263,16 +273,14 @@
             });
         });
         this.getQuarantinedSegments().filter(({ segment }) => !quarantinedBefore.has(formatSegmentKey(segment)))
-            .forEach(
-                ({ segment, upstreams }) => {
-                    log.record("warn", "segment-held", {
-                        segment,
-                        with: this.getSegmentStatus(segment)?.quarantined_with?.join(","),
-                        upstreams: upstreams.join(","),
-                        index: host.state.lastChangeIndex,
-                    });
-                },
-            );
+            .forEach(({ segment, upstreams }) => {
+                log.record("warn", "segment-held", {
+                    segment,
+                    with: this.listGroup(segment).slice(0, MAX_LOGGED_SEGMENTS).join(","),
+                    upstreams: upstreams.join(","),
+                    index: host.state.lastChangeIndex,
+                });
+            });
         ranWell.filter((fingerprint) => quarantinedBefore.has(fingerprint)).forEach((fingerprint) => {
             log.record("info", parseSegmentKey(fingerprint) === undefined ? "request-released" : "segment-released", {
                 fingerprint,
--- a/packages/daemon/tests/segmentReplay.ts
+++ b/packages/daemon/tests/segmentReplay.ts
@@ -270,18 +270,16 @@
 
     private listStatuses(): readonly SegmentStatus[] {
         const statuses = this.register.listStatuses();
-        return this.options.way.explains ? statuses : statuses.map(({ segment, score, trials }) => ({
+        return this.options.way.explains ? statuses : statuses.map(({ segment, score, trials }, group) => ({
             segment,
             score,
             trials,
-            ...(score >= SEGMENT_SCORE_LIMIT ? { quarantined_with: [] } : {}),
+            ...(score >= SEGMENT_SCORE_LIMIT ? { quarantine: { group, size: 1 } } : {}),
         }));
     }
 
     private listQuarantined(): readonly string[] {
-        return this.listStatuses().filter((status) => status.quarantined_with !== undefined).map(({ segment }) =>
-            segment
-        );
+        return this.listStatuses().filter((status) => status.quarantine !== undefined).map(({ segment }) => segment);
     }
 
     private listUp(): Engine[] {
--- a/packages/daemon/tests/segmentTracker.test.ts
+++ b/packages/daemon/tests/segmentTracker.test.ts
@@ -25,6 +25,11 @@
     return { segment, score: 5, trials: 0, ...change };
 }
 
+/** Two segments that were in the same crashes. */
+function createPair(trials: number): readonly SegmentStatus[] {
+    return ["a", "b"].map((segment) => createStatus(segment, { quarantine: { group: 0, size: 2 }, trials }));
+}
+
 describe("an entry sends, refuses or asks about prompts by their segments", () => {
     const rows: readonly {
         readonly title: string;
@@ -101,7 +106,7 @@
         {
             title: "a quarantined segment",
             apply: ({ tracker }) => {
-                tracker.applyStatuses([createStatus("a", { quarantined_with: [] })]);
+                tracker.applyStatuses([createStatus("a", { quarantine: { group: 0, size: 1 } })]);
             },
             prompt: ["b", "a"],
             decision: "refuse",
@@ -109,7 +114,7 @@
         {
             title: "another segment",
             apply: ({ tracker }) => {
-                tracker.applyStatuses([createStatus("a", { quarantined_with: [] })]);
+                tracker.applyStatuses([createStatus("a", { quarantine: { group: 0, size: 1 } })]);
             },
             prompt: ["b"],
             decision: "send",
@@ -117,7 +122,7 @@
         {
             title: "one of two that were in the same crashes",
             apply: ({ tracker }) => {
-                tracker.applyStatuses([createStatus("a", { quarantined_with: ["b"] })]);
+                tracker.applyStatuses([...createPair(0)]);
             },
             prompt: ["a"],
             decision: "ask",
@@ -125,15 +130,25 @@
         {
             title: "both of them",
             apply: ({ tracker }) => {
-                tracker.applyStatuses([createStatus("a", { quarantined_with: ["b"] })]);
+                tracker.applyStatuses([...createPair(0)]);
+            },
+            prompt: ["b", "a"],
+            decision: "refuse",
+        },
+        {
+            title: "both of them, one of which has just completed",
+            apply: ({ tracker }) => {
+                tracker.applyStatuses([...createPair(0)]);
+                tracker.recordCompletion(["b"]);
             },
             prompt: ["b", "a"],
             decision: "refuse",
+            reported: ["segment:b"],
         },
         {
             title: "one of them, after its trials",
             apply: ({ tracker }) => {
-                tracker.applyStatuses([createStatus("a", { quarantined_with: ["b"], trials: 2 })]);
+                tracker.applyStatuses([...createPair(2)]);
             },
             prompt: ["a"],
             decision: "refuse",
@@ -141,7 +156,7 @@
         {
             title: "a leader of an older build, which states no segments",
             apply: ({ tracker }) => {
-                tracker.applyStatuses([createStatus("a", { quarantined_with: [] })]);
+                tracker.applyStatuses([createStatus("a", { quarantine: { group: 0, size: 1 } })]);
                 tracker.applyStatuses(undefined);
             },
             prompt: ["a"],
@@ -150,7 +165,7 @@
         {
             title: "a segment that was released",
             apply: ({ tracker }) => {
-                tracker.applyStatuses([createStatus("a", { quarantined_with: [] })]);
+                tracker.applyStatuses([createStatus("a", { quarantine: { group: 0, size: 1 } })]);
                 tracker.applyStatuses([]);
             },
             prompt: ["a"],
--- a/packages/schemas/src/segmentCrash.ts
+++ b/packages/schemas/src/segmentCrash.ts
@@ -25,10 +25,10 @@
     /** See {@link computeSegmentScore}. */
     score: z.number().nonnegative(),
     /**
-     * Other segments that were in the same crashes; only for a quarantined segment. A prompt that lacks one of them may
-     * be sent as a trial.
+     * Only for a quarantined segment: the number of its group, whose segments were in the same crashes, and the size of the
+     * group. A prompt that lacks one of them may be sent as a trial.
      */
-    quarantined_with: z.array(z.string()).optional(),
+    quarantine: z.object({ group: z.int().nonnegative(), size: z.int().positive() }).optional(),
     trials: z.int().nonnegative(),
 });
 
@@ -100,15 +100,24 @@
  * Decides whether a prompt is quarantined because of its segments.
  * @param segments - shared segments of the prompt
  * @param getStatus - status of a segment; undefined if it is not suspected
- * @returns the segment that quarantines it; undefined if none does, or only a trial can tell
+ * @param isCleared - whether a prompt with the segment has just completed, so that it is no reason; never by default
+ * @returns the segment that quarantines it; undefined if none does, or if it may be sent as a trial
  */
 export function findQuarantiningSegment(
     segments: readonly string[],
     getStatus: (segment: string) => SegmentStatus | undefined,
+    isCleared: (segment: string) => boolean = () => false,
 ): string | undefined {
+    const counts = new Map<number, number>();
+    segments.forEach((segment) => {
+        const group = getStatus(segment)?.quarantine?.group;
+        if (group !== undefined) {
+            counts.set(group, (counts.get(group) ?? 0) + 1);
+        }
+    });
     return segments.find((segment) => {
         const status = getStatus(segment);
-        return status?.quarantined_with !== undefined
-            && (status.trials >= MAX_SEGMENT_TRIALS || status.quarantined_with.every((one) => segments.includes(one)));
+        return status?.quarantine !== undefined && !isCleared(segment)
+            && (status.trials >= MAX_SEGMENT_TRIALS || counts.get(status.quarantine.group) === status.quarantine.size);
     });
 }
