--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -100,7 +100,7 @@
         id: "i-7f3a91c2",
         service: "huvo11a",
         host: `${fleet.subnet}.100`,
-        port: 8_080,
+        port: fleet.ports.worker,
         slots: 8,
         card: { kind: "a100s", mb: 36_000, layerMb: 1_750, model: "daka510000", loadMs: 300 },
         serve,
--- a/review/common/fleet.ts
+++ b/review/common/fleet.ts
@@ -30,6 +30,9 @@
     readonly ready: number;
     readonly control: number;
     readonly internal: number;
+    readonly metrics: number;
+    /** For stand-ins of workers, on addresses of their own. */
+    readonly worker: number;
 }
 
 /** One process of the system. */
@@ -198,7 +201,8 @@
                 tolerance: { machines: Math.floor((voters - 1) / 2) },
                 bounds: BOUNDS,
                 ...(isVoter ? { data_directory: join(folder, name) } : {}),
-            }),
+                // The template has a fixed port here, which may be in use on this machine.
+            }).replace(/^metrics_port = \d+$/m, `metrics_port = ${String(ports.metrics)}`),
         );
         (isVoter ? this.voters : this.entries).push(
             new Machine(name, role, host, file, join(folder, `${name}.log`)),
@@ -273,6 +277,14 @@
                 });
             });
         });
-    const [front, ready, control, internal] = [await find(), await find(), await find(), await find()];
-    return { front, ready, control, internal: Math.min(internal, 65_000) };
+    const [front, ready, control, metrics, worker] = [
+        await find(),
+        await find(),
+        await find(),
+        await find(),
+        await find(),
+    ];
+    // The first of a range of 16.
+    const internal = Math.min(await find(), 65_000);
+    return { front, ready, control, internal, metrics, worker };
 }
