review: each case names its record.txt, and starts it anew

The cause: the name of the record was put together in review/common, so that nothing in a case's folder told where it is written; and where the bundle or the build failed, the record of an earlier run stayed.

What is played and checked is unchanged.

--- a/review/1/case.ts
+++ b/review/1/case.ts
@@ -18,7 +18,7 @@
     readonly atMs: number;
 }
 
-await runCase("review/1", async (record, cleanUps) => {
+await runCase("review/1/record.txt", async (record, cleanUps) => {
     const fleet = await Fleet.open(record, 3, 1);
     cleanUps.push(() => fleet.close());
     const runs = new Map<string, Run[]>();
--- a/review/common/fleet.ts
+++ b/review/common/fleet.ts
@@ -212,10 +212,10 @@
 
 /** Runs a case: exits with what it returns, or with 2 where it could not run, after all processes were ended. */
 export async function runCase(
-    folder: string,
+    recordFile: string,
     play: (record: CaseRecord, cleanUps: (() => Promise<void> | void)[]) => Promise<number>,
 ): Promise<void> {
-    const record = new CaseRecord(folder);
+    const record = new CaseRecord(recordFile);
     const cleanUps: (() => Promise<void> | void)[] = [];
     const finish = async (code: number): Promise<void> => {
         for (const cleanUp of cleanUps.splice(0).reverse()) {
--- a/review/common/record.ts
+++ b/review/common/record.ts
@@ -2,7 +2,6 @@
  * The record of a case: what was sent, answered and run, a line each with its time, and the verdict.
  */
 import { appendFileSync, writeFileSync } from "node:fs";
-import { join } from "node:path";
 
 /** Exit codes of a case. */
 export const HELD = 0;
@@ -12,14 +11,12 @@
 /** Set where the case runs without its disruption. */
 export const isCalm = process.env.TROUBLE === "0";
 
-/** Writes `record.txt`. */
+/** Writes the `record.txt` of a case. */
 export class CaseRecord {
-    private readonly file: string;
     private readonly startMs = performance.now();
 
-    constructor(folder: string) {
-        this.file = join(folder, "record.txt");
-        writeFileSync(this.file, `started ${new Date().toISOString()}, disruption ${isCalm ? "left out" : "played"}\n`);
+    constructor(private readonly file: string) {
+        writeFileSync(file, `started ${new Date().toISOString()}, disruption ${isCalm ? "left out" : "played"}\n`);
     }
 
     /** Time since the start, in milliseconds. */
