--- a/review/common/fleet.ts
+++ b/review/common/fleet.ts
@@ -108,12 +108,7 @@
     /** Ends all processes and removes their files. */
     async close(): Promise<void> {
         await Promise.all([...this.voters, ...this.entries].map((machine) => machine.end()));
-        if (process.env.KEEP_LOGS === undefined) {
-            rmSync(this.folder, { recursive: true, force: true });
-        }
-        else {
-            this.record.write(`logs kept in ${this.folder}`);
-        }
+        rmSync(this.folder, { recursive: true, force: true });
     }
 
     /** Sends one call to one voter. */
