fix(entry): send a request that an upstream has answered over a new connection to it

Cause: responses are told apart by the request's id alone. A refused request was sent again to the same upstream over the kept connection; a late surplus copy of the refusal came in the place of the next response, passed for it, and a third attempt followed while the second ran.

Change: an attempt at an upstream that has answered the request before opens a connection of its own, which is closed after it. A relay is told the same in a header; a relay of an older build ignores it. The same holds for a late copy of a failure.

--- a/packages/daemon/src/connection/relayProtocol.ts
+++ b/packages/daemon/src/connection/relayProtocol.ts
@@ -15,6 +15,7 @@
 const names = {
     upstream: `${PREFIX}upstream`,
     address: `${PREFIX}address`,
+    connection: `${PREFIX}connection`,
     method: `${PREFIX}method`,
     path: `${PREFIX}path`,
     result: `${PREFIX}result`,
@@ -25,6 +26,8 @@
     end: `${PREFIX}end`,
 } as const;
 
+const NEW_CONNECTION = "new";
+
 /** Headers that the HTTP server or client of a hop adds by itself. */
 const HOP_HEADERS: ReadonlySet<string> = new Set(["content-length", "connection", "keep-alive", "transfer-encoding"]);
 
@@ -64,7 +67,7 @@
  * @returns the headers of the hop, alternating names and values
  */
 export function encodeRelayedRequest(
-    { upstreamId, address }: UpstreamEndpoint,
+    { upstreamId, address, needsNewConnection }: UpstreamEndpoint,
     { method, path, headers }: Omit<UpstreamRequest, "body" | "address">,
 ): string[] {
     return [
@@ -77,6 +80,7 @@
         method,
         names.path,
         path,
+        ...(needsNewConnection === true ? [names.connection, NEW_CONNECTION] : []),
     ];
 }
 
@@ -98,7 +102,11 @@
         return undefined;
     }
     const forwarded = removeRelayHeaders(removeHopByHopHeaders(rawHeaders, HOP_HEADERS));
-    return { endpoint: { upstreamId, address }, request: { address, method, path, headers: forwarded } };
+    const needsNewConnection = getText(headers[names.connection]) === NEW_CONNECTION;
+    return {
+        endpoint: { upstreamId, address, needsNewConnection },
+        request: { address, method, path, headers: forwarded },
+    };
 }
 
 /**
--- a/packages/daemon/src/connection/upstreamConnections.ts
+++ b/packages/daemon/src/connection/upstreamConnections.ts
@@ -2,7 +2,8 @@
  * Connection pools per upstream incarnation. A restarted upstream may reuse its former address, and a half-open
  * connection to its previous incarnation would accept a request and never answer it.
  */
-import { type Dispatcher, Pool } from "undici";
+import { Client, type Dispatcher, Pool } from "undici";
+import type { RequestDispatcher } from "./observeDispatch.js";
 import { upstreamConnectionOptions } from "./upstreamExchange.js";
 
 /** Destination of a connection. */
@@ -10,18 +11,44 @@
     /** Identifies one incarnation of the upstream. */
     readonly upstreamId: string;
     readonly address: string;
+    /**
+     * Set if the upstream has answered an earlier attempt of the request. A surplus copy of that answer may still arrive on
+     * its connection, and could not be told from the answer to the next attempt, since both have the request's id.
+     */
+    readonly needsNewConnection?: boolean;
 }
 
 /** Connection pools by incarnation and address. */
 export class UpstreamConnections {
     private readonly pools = new Map<string, { readonly id: string; readonly pool: Pool; }>();
 
+    private readonly unshared = new Set<Client>();
+
     /**
-     * Gets the connection pool of an upstream.
-     * @param place - incarnation and address
-     * @returns the pool, created on first use
+     * Gets connections to an upstream.
+     * @param endpoint - incarnation and address, and whether a connection may be reused
+     * @returns a dispatcher
      */
-    get({ upstreamId, address }: UpstreamEndpoint): Dispatcher {
+    get(endpoint: UpstreamEndpoint): RequestDispatcher {
+        return endpoint.needsNewConnection === true
+            ? { dispatch: (options, handler) => this.dispatchUnshared(endpoint, options, handler) }
+            : this.getPool(endpoint);
+    }
+
+    /** Sends one request over a connection that is closed after it. */
+    private dispatchUnshared(
+        { address }: UpstreamEndpoint,
+        options: Dispatcher.DispatchOptions,
+        handler: Dispatcher.DispatchHandler,
+    ): boolean {
+        const client = new Client(`http://${address}`, upstreamConnectionOptions);
+        this.unshared.add(client);
+        const mayContinue = client.dispatch(options, handler);
+        void client.close().finally(() => this.unshared.delete(client));
+        return mayContinue;
+    }
+
+    private getPool({ upstreamId, address }: UpstreamEndpoint): Dispatcher {
         const key = `${upstreamId} ${address}`;
         const existing = this.pools.get(key);
         if (existing !== undefined) {
@@ -56,6 +83,9 @@
     async destroy(): Promise<void> {
         const pools = [...this.pools.values()];
         this.pools.clear();
-        await Promise.all(pools.map(({ pool }) => pool.destroy()));
+        await Promise.all([
+            ...pools.map(({ pool }) => pool.destroy()),
+            ...[...this.unshared].map((one) => one.destroy()),
+        ]);
     }
 }
--- a/packages/daemon/src/request/routedCall.ts
+++ b/packages/daemon/src/request/routedCall.ts
@@ -45,6 +45,8 @@
     /** Rank of the request; absent where its service is not ranked. */
     readonly rank?: number;
     readonly lastEventId: string | undefined;
+    /** See `UpstreamEndpoint`. */
+    readonly needsNewConnection?: boolean;
 }
 
 /** Classification of a response by its headers. */
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -97,7 +97,10 @@
         if (choice.kind !== "target") {
             return refuseWithoutTarget(context, response, choice, functions);
         }
-        const { target } = choice;
+        const target = {
+            ...choice.target,
+            needsNewConnection: context.attemptedUpstreams.has(choice.target.upstreamId),
+        };
         const result = await attemptTarget(context, target, relay, functions);
         switch (result.kind) {
             case "answered":
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -133,6 +133,8 @@
     readonly maySwitchPath?: boolean;
     /** The choice if no upstream is left; "none" by default. */
     readonly fallback?: "none" | "full" | "too-few-engines" | "limited";
+    /** Whether an upstream may be attempted again where no other is left; not by default. */
+    readonly mayRepeatUpstream?: boolean;
     /** Number of checks after which no upstream is left. */
     readonly lostAfterChecks?: number;
     /** If set, upstreams are in backoff for this long once none is left. */
@@ -254,7 +256,8 @@
                 const isLost = this.targetChecks > (options.lostAfterChecks ?? Number.POSITIVE_INFINITY);
                 const next = isLost
                     ? undefined
-                    : options.upstreams.find((one) => !context.attemptedUpstreams.has(one.name));
+                    : options.upstreams.find((one) => !context.attemptedUpstreams.has(one.name))
+                        ?? (options.mayRepeatUpstream === true ? options.upstreams[0] : undefined);
                 if (next === undefined && options.backoffMs !== undefined) {
                     return { kind: "resting", remainingMs: options.backoffMs, upstreams: [] };
                 }
