--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -49,6 +49,8 @@
         | { readonly kind: "begun"; }
         /** Rejected by the engine, or never sent. */
         | { readonly kind: "refused"; readonly reason: string; }
+        /** Rejected by another upstream, which has the address now. */
+        | { readonly kind: "misdirected"; readonly reason: string; }
         /** No response: the order may be executed now, later or never. */
         | { readonly kind: "unclear"; readonly reason: string; }
     );
--- a/packages/daemon/src/process/layers/placementController.ts
+++ b/packages/daemon/src/process/layers/placementController.ts
@@ -206,7 +206,7 @@
             layers: formatSpan({ held: span }),
             fence: host.replica.getStatus().term,
             outcome: end.kind,
-            reason: end.kind === "refused" || end.kind === "unclear" ? end.reason : undefined,
+            reason: end.kind === "begun" ? undefined : end.reason,
         });
         this.applyOrderEnd(id, order, end);
     }
@@ -248,6 +248,18 @@
             case "refused":
                 this.orders.delete(id);
                 return;
+            case "misdirected":
+                this.orders.delete(id);
+                this.markMisdirected(id);
+                return;
+        }
+    }
+
+    private markMisdirected(id: string): void {
+        const { host, upstreams } = this.options;
+        const upstream = host.state.getUpstream(id);
+        if (upstream !== undefined && host.replica.hasLeaderLease()) {
+            upstreams.markLost(upstream, "another upstream answers at its address");
         }
     }
 
--- a/packages/daemon/tests/placementController.test.ts
+++ b/packages/daemon/tests/placementController.test.ts
@@ -62,6 +62,18 @@
         expect(harness.orders).to.have.length(4);
     });
 
+    it("gives no further order to an engine whose address another upstream has, until its next heartbeat", async () => {
+        harness.orderEnd = { kind: "misdirected", reason: "status 421: " };
+        await clock.tickAsync(HEARTBEAT_MS + 3_000);
+        expect(harness.orders).to.deep.equal(["a=4-8", "b=0-4"]);
+        expect(harness.state.getUpstream("a")?.status).to.equal("lost");
+        harness.orderEnd = { kind: "begun" };
+        await harness.register("a");
+        await harness.register("b");
+        await clock.tickAsync(HEARTBEAT_MS + 400);
+        expect(harness.orders).to.have.length(4);
+    });
+
     it("records the layers that an engine reports instead of ordering others", async () => {
         harness.setReport("a", { first: 0, end: 4 });
         await clock.tickAsync(HEARTBEAT_MS + 400);
