fix(entry): forward responses without a length in chunks, so that a cut is visible

Cause: such a response was forwarded without framing, so that the end of the connection was its only end, whoever caused it. The operating system closes the sockets of a process in order. Stopping, an entry also exited without ending what was still open.

Change: callers of HTTP/1.1 get chunks, whose missing end shows any cut. So that the last chunk does not claim more than the upstream did, an upstream whose response ended with its connection is asked for a connection first: one that has crashed accepts none, and the response counts as truncated. A stream whose first part was framed still may not end with an unframed part. To callers of HTTP/1.0, who can't read chunks, responses stay close-delimited; at the end of its time a stopping entry ends them within an event.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -127,7 +127,7 @@
     private readonly loadReportAge: LoadReportAge;
     private readonly queues: RequestQueues;
     private readonly unread: UnreadBudget;
-    private openCount = 0;
+    private readonly open = new Set<RoutedResponse>();
 
     /**
      * @param options - settings, codec, leader connection and log
@@ -264,7 +264,7 @@
 
     /** Number of requests in flight. */
     get openRequests(): number {
-        return this.openCount + this.relayServer.openRequests;
+        return this.open.size + this.relayServer.openRequests;
     }
 
     /** Keep-alive time of idle caller connections, in milliseconds; undefined before the first routing table. */
@@ -362,20 +362,31 @@
      * @param response - its response
      */
     handle(message: IncomingMessage, response: ServerResponse): void {
-        this.openCount += 1;
-        void this.serve(message, response).catch((error: unknown) => {
+        const answer = new RoutedResponse(response, this.options.codec, this.options.isStopping);
+        this.open.add(answer);
+        // A caller that reads slowly receives the rest of a response after its request has ended here.
+        const closed = new Promise<void>((resolve) => {
+            response.once("close", resolve);
+        });
+        void this.serve(message, response, answer).catch((error: unknown) => {
             this.options.log.record("error", "request-fault", { reason: String(error) });
             response.destroy();
-        }).finally(() => {
-            this.openCount -= 1;
+        }).then(() => closed).then(() => {
+            this.open.delete(answer);
+        });
+    }
+
+    /** Ends all open responses so that their callers notice that these are incomplete. */
+    abortOpenResponses(): void {
+        this.open.forEach((answer) => {
+            answer.abort();
         });
     }
 
-    private async serve(message: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { codec, isStopping, getNowMs } = this.options;
+    private async serve(message: IncomingMessage, response: ServerResponse, answer: RoutedResponse): Promise<void> {
+        const { codec, getNowMs } = this.options;
         const arrivedMs = getNowMs();
         const call = codec.parseCall(message);
-        const answer = new RoutedResponse(response, codec, isStopping);
         if (!this.options.acceptsRequests()) {
             message.resume();
             this.refuse(call, answer, "stopping", arrivedMs);
@@ -444,6 +455,7 @@
         return {
             getConnections: (target) => this.links.getConnections(target),
             getRelay: (target) => this.links.getRelay(target),
+            isReachable: (target) => this.links.isReachable(target),
             codec,
             getNowMs,
             chooseTarget: (run, lastEventId, isUnderWay) => {
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -31,6 +31,8 @@
 /** Time before the end of the stop period at which the process exits, whatever is still open. */
 const STOP_MARGIN_MS = 700;
 const IDLE_POLL_MS = 50;
+/** Time to hand the ends of aborted responses to the operating system. */
+const ABORT_FLUSH_MS = 50;
 
 /**
  * Runs an entry.
@@ -118,6 +120,10 @@
             await waitMs(IDLE_POLL_MS);
         }
         log.record("info", "stopped", { open: entry.openRequests, ms: Math.round(getNowMs() - startMs) });
+        if (entry.openRequests > 0) {
+            entry.abortOpenResponses();
+            await waitMs(ABORT_FLUSH_MS);
+        }
         process.exit(0);
     }
 }
--- a/packages/daemon/src/process/entry/upstreamLinks.ts
+++ b/packages/daemon/src/process/entry/upstreamLinks.ts
@@ -13,7 +13,7 @@
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
-import { ReachMonitor } from "./reachMonitor.js";
+import { PROBE_TIMEOUT_MS, ReachMonitor } from "./reachMonitor.js";
 import { RelayPool } from "./relayPool.js";
 import { UpstreamContact } from "./upstreamContact.js";
 
@@ -163,6 +163,18 @@
         return this.relayByTarget.get(target);
     }
 
+    /**
+     * Checks whether an upstream accepts connections, over the way that an attempt took.
+     * @param target - the target of the attempt
+     * @returns false if no connection could be established in time
+     */
+    async isReachable(target: CallTarget): Promise<boolean> {
+        const relay = this.getRelay(target);
+        return relay === undefined
+            ? await probeConnection(target.address, PROBE_TIMEOUT_MS)
+            : await this.relays.isReachedBy(relay, target.upstreamId);
+    }
+
     /**
      * Checks after a failure whether this entry is cut off, unless it has just received bytes from an upstream.
      * @returns true if it is
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -127,6 +127,8 @@
     readonly getConnections: (target: CallTarget) => RequestDispatcher;
     /** Gets the entry through which an attempt was sent; undefined for a direct one. */
     readonly getRelay?: (target: CallTarget) => string | undefined;
+    /** Whether an upstream accepts connections; one that has crashed does not. Assumed if absent. */
+    readonly isReachable?: (target: CallTarget) => Promise<boolean>;
     readonly codec: CallCodec;
     readonly getNowMs: () => number;
     readonly chooseTarget: (
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -157,6 +157,7 @@
         context,
         target,
         notices,
+        isReachable: () => functions.isReachable?.(target) ?? Promise.resolve(true),
         getNowMs: functions.getNowMs,
         sink: relay?.createSink(() => {
             recordFirstOutput();
--- a/packages/daemon/src/request/routedResponse.ts
+++ b/packages/daemon/src/request/routedResponse.ts
@@ -153,7 +153,7 @@
             headers.push("Content-Length", String(buffered.body.length));
         }
         else {
-            this.delimitByClose();
+            this.delimitByCloseIfNeeded();
         }
         this.writeHead(buffered.head.status, headers);
         this.response.end(buffered.body);
@@ -182,19 +182,11 @@
      */
     beginStream(head: ResponseHead): void {
         if (!isSelfDelimited(head)) {
-            this.delimitByClose();
+            this.delimitByCloseIfNeeded();
         }
         this.writeHead(head.status, removeHopByHopHeaders(head.rawHeaders, LENGTH_HEADERS));
     }
 
-    /**
-     * Whether the response is close-delimited. Its end then does not claim completeness, so an early end is not
-     * presented as a complete response.
-     */
-    get isCloseDelimited(): boolean {
-        return this.closeDelimited;
-    }
-
     /**
      * Sends a complete event, and pauses the upstream while the caller does not read.
      * @param bytes - the event
@@ -224,10 +216,13 @@
     }
 
     /**
-     * Sends the response close-delimited. An upstream that crashes closes its connection just like one that has
-     * finished, so a response without a length is forwarded without one: it must not claim more than the upstream did.
+     * Delimits the response by the end of its connection if the caller cannot read chunks (RFC 9112, section 6.1). Any other
+     * caller gets chunks, whose missing end shows that the response was cut.
      */
-    private delimitByClose(): void {
+    private delimitByCloseIfNeeded(): void {
+        if (this.response.req.httpVersionMajor !== 1 || this.response.req.httpVersionMinor > 0) {
+            return;
+        }
         this.closeDelimited = true;
         this.response.shouldKeepAlive = false;
         this.response.useChunkedEncodingByDefault = false;
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -14,6 +14,8 @@
     private maxPauseMs = 0;
     private lastEventMs = 0;
     private firstEventMs: number | undefined;
+    /** Whether the first upstream declared where the stream ends; one that continues it must not declare less. */
+    private hasDelimitedStart = false;
 
     /**
      * @param response - the response to the caller
@@ -104,7 +106,7 @@
                     return "stream ended within an event";
                 }
                 this.startResponse(head);
-                const isComplete = head === undefined || isSelfDelimited(head) || this.response.isCloseDelimited;
+                const isComplete = !this.hasDelimitedStart || head === undefined || isSelfDelimited(head);
                 return isComplete ? undefined : "close-delimited part of a stream: its end cannot be verified";
             },
         };
@@ -144,6 +146,7 @@
     /** Sends the headers of the first upstream; they also apply if others continue the stream. */
     private startResponse(head: ResponseHead | undefined): void {
         if (!this.response.hasStarted && head !== undefined) {
+            this.hasDelimitedStart = isSelfDelimited(head);
             this.response.beginStream(head);
         }
     }
--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -61,6 +61,8 @@
     /** Receives a successful response as a stream; undefined for a response that is read completely. */
     readonly sink?: StreamSink | undefined;
     readonly notices: NoticeFunctions;
+    /** Whether the target accepts connections; assumed if absent. */
+    readonly isReachable?: (() => Promise<boolean>) | undefined;
     /** The monotonic clock. */
     readonly getNowMs: () => number;
     /** Called with a function that aborts the attempt. */
@@ -127,7 +129,7 @@
                 this.handleData(chunk);
             },
             handleEnd: () => {
-                this.handleEnd();
+                void this.verifyEnd();
             },
             handleError: ({ reason, wasSent, isUpstreamClosed, isLinkFault }) => {
                 this.settle({
@@ -183,8 +185,22 @@
         }
     }
 
+    /** A crash closes the connection as the end of a close-delimited response does, but it also closes the port. */
+    private async verifyEnd(): Promise<void> {
+        const { isReachable } = this.options;
+        const isDelimited = this.head === undefined || isSelfDelimited(this.head);
+        if (!isDelimited && isReachable !== undefined && !await isReachable()) {
+            this.settle(createTruncatedResult("the upstream accepts no connections after a close-delimited response"));
+            return;
+        }
+        this.handleEnd();
+    }
+
     private handleEnd(): void {
         const { head, verdict } = this;
+        if (this.isSettled) {
+            return;
+        }
         if (head === undefined || verdict === undefined) {
             this.settle(createTruncatedResult("no response"));
             return;
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -1,6 +1,7 @@
 import type { EngineProfile, Route } from "@crankfork/schemas";
 import { createServer, type Server } from "node:http";
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
+import { probeConnection } from "../src/connection/probeConnection.js";
 import { readRetryAfter } from "../src/connection/readRetryAfter.js";
 import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
 import { PathStallDetector } from "../src/process/entry/pathStallDetector.js";
@@ -18,6 +19,8 @@
 import { removeHopByHopHeaders, RoutedResponse } from "../src/request/routedResponse.js";
 import { confirmedBasis } from "./configurationFakes.js";
 
+const PROBE_MS = 250;
+
 /** A codec with short header names in place of a platform's. */
 export const testCodec: CallCodec = {
     parseCall: (message) => ({
@@ -84,6 +87,12 @@
         return upstream;
     }
 
+    /** Ends the upstream as a crash does: its connections are closed in order, and it accepts no more. */
+    crash(): void {
+        this.server.close();
+        this.sockets.forEach((socket) => socket.end());
+    }
+
     close(): void {
         this.server.close();
         this.sockets.forEach((socket) => socket.destroy());
@@ -243,6 +252,7 @@
     private createFunctions(options: EntryOptions): RoutedRequestFunctions {
         return {
             getConnections: options.getConnections ?? ((target) => this.connections.get(target)),
+            isReachable: ({ address }) => probeConnection(address, PROBE_MS),
             codec: testCodec,
             getNowMs: () => performance.now(),
             chooseTarget: (context, lastEventId) => {
--- a/packages/daemon/tests/unframedAnswers.test.ts
+++ b/packages/daemon/tests/unframedAnswers.test.ts
@@ -11,6 +11,8 @@
 } from "./routedHarness.js";
 import { TestRelay, TestRelaySource } from "./testRelay.js";
 
+type HttpVersion = "1.0" | "1.1";
+
 /** What a caller received: the ids of whole events or the body, and whether the end can be taken for that of a whole answer. */
 interface Received {
     readonly content: string;
@@ -36,10 +38,13 @@
     rest: (socket, id) => socket.end(formatUnframedHead(id) + [2, 3].map(formatEvent).join("")),
     framedRest: (socket, id) =>
         socket.write(formatStreamHead(id) + formatChunk([2, 3].map(formatEvent).join("")) + formatChunk("")),
+    crashInAnswer: (socket, id) => socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nconnection: close\r\n\r\nto the`),
+    crashBetweenEvents: (socket, id) => socket.write(formatUnframedHead(id) + [1, 2].map(formatEvent).join("")),
 } satisfies Readonly<Record<string, UpstreamScript>>;
+const crashing = new Set<UpstreamScript>([scripts.crashInAnswer, scripts.crashBetweenEvents]);
 
 /** Sends a request on a connection of its own and reads to the end of the connection. */
-function receive(url: string): Promise<Received> {
+function receive(url: string, version: HttpVersion): Promise<Received> {
     const { hostname, port } = new URL(url);
     return new Promise((resolve) => {
         let text = "";
@@ -47,9 +52,10 @@
         const finish = (wasReset: boolean): void => {
             const [head = "", body = ""] = text.split("\r\n\r\n", 2);
             const isChunked = /transfer-encoding: chunked/i.test(head);
+            const content = isChunked ? body.replace(/(?:^|\r\n)[0-9a-f]+(?:\r\n|$)/g, "") : body;
             const ids = [...text.matchAll(/id: (\d+)\ndata: token\d+\n\n/g)].map((match) => match[1]);
             resolve({
-                content: ids.length > 0 ? ids.join(" ") : body,
+                content: ids.length > 0 ? ids.join(" ") : content,
                 isComplete: !wasReset
                     && (isChunked ? text.endsWith("0\r\n\r\n") : ids.length === 0 || text.endsWith("\n\n")),
             });
@@ -66,7 +72,7 @@
         caller.once("error", () => {
             finish(true);
         });
-        caller.write("POST / HTTP/1.1\r\nhost: h\r\nx-id: one\r\ncontent-length: 1\r\n\r\nb");
+        caller.write(`POST / HTTP/${version}\r\nhost: h\r\nx-id: one\r\ncontent-length: 1\r\n\r\nb`);
     });
 }
 
@@ -74,10 +80,19 @@
     scriptsInOrder: readonly UpstreamScript[],
     kind: "stream" | "call",
     isRelayed: boolean,
+    version: HttpVersion = "1.1",
 ): Promise<Received> {
-    const upstreams = await Promise.all(
-        scriptsInOrder.map((script, at) => ScriptedUpstream.open(`u${String(at)}`, script)),
-    );
+    const upstreams: ScriptedUpstream[] = [];
+    for (const [at, script] of scriptsInOrder.entries()) {
+        upstreams.push(
+            await ScriptedUpstream.open(`u${String(at)}`, (socket, id, request) => {
+                script(socket, id, request);
+                if (crashing.has(script)) {
+                    upstreams[at]?.crash();
+                }
+            }),
+        );
+    }
     const relay = await TestRelay.open(upstreams);
     const source = new TestRelaySource([relay]);
     const options: EntryOptions = { upstreams, route: { kind, most_attempts: upstreams.length } };
@@ -85,7 +100,7 @@
         isRelayed ? { ...options, getConnections: source.getConnections } : options,
     );
     try {
-        return await receive(entry.url);
+        return await receive(entry.url, version);
     }
     finally {
         await entry.close();
@@ -101,6 +116,7 @@
     const rows: readonly {
         readonly title: string;
         readonly kind?: "call";
+        readonly version?: HttpVersion;
         readonly scripts: readonly UpstreamScript[];
         readonly received: Received;
     }[] = [
@@ -111,6 +127,29 @@
             received: { content: "to the end", isComplete: true },
         },
         { title: "a stream", scripts: [scripts.stream], received: { content: "1 2 3", isComplete: true } },
+        {
+            title: "an answer whose upstream crashes",
+            kind: "call",
+            scripts: [scripts.crashInAnswer, scripts.answer],
+            received: { content: "to the end", isComplete: true },
+        },
+        {
+            title: "a stream whose upstream crashes between two events",
+            scripts: [scripts.crashBetweenEvents],
+            received: { content: "1 2", isComplete: false },
+        },
+        {
+            title: "a stream whose upstream crashes between two events, to a caller of HTTP/1.0",
+            version: "1.0",
+            scripts: [scripts.crashBetweenEvents],
+            received: { content: "1 2", isComplete: false },
+        },
+        {
+            title: "a stream to a caller of HTTP/1.0",
+            version: "1.0",
+            scripts: [scripts.stream],
+            received: { content: "1 2 3", isComplete: true },
+        },
         {
             title: "a stream that ends within an event",
             scripts: [scripts.withinEvent],
@@ -135,9 +174,9 @@
         },
     ];
     for (const isRelayed of [false, true]) {
-        for (const { title, kind = "stream", scripts: scriptsInOrder, received } of rows) {
+        for (const { title, kind = "stream", version, scripts: scriptsInOrder, received } of rows) {
             it(`${title}, ${isRelayed ? "through a relay" : "directly"}`, async () => {
-                expect(await receiveFrom(scriptsInOrder, kind, isRelayed)).to.deep.equal(received);
+                expect(await receiveFrom(scriptsInOrder, kind, isRelayed, version)).to.deep.equal(received);
             });
         }
     }
