feat(metrics): record the share of a second for which the event loop was busy

Tells a leader without processor time apart from one without a quorum or with a full link: timers that are 30 ms late occur at a use of 0.5 as well as at 1. peer-traffic is logged for busy seconds too, with loop_use.

--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -42,6 +42,8 @@
     /** A request was admitted; `ageMs` is the time since a leader confirmed the document version. */
     readonly recordAdmissionAgeMs: (ageMs: number, isOverdue: boolean) => void;
     readonly recordLoopDelayMs: (delayMs: number) => void;
+    /** Share of the last second for which the event loop was busy, 0 to 1. */
+    readonly recordLoopUse: (use: number) => void;
     /** Number of pairs of failure domains whose links lose packets. */
     readonly recordLossyLinks: (count: number) => void;
     /** Sets how the unread bytes of all responses are read; they are read whenever metrics are formatted. */
@@ -192,6 +194,11 @@
         help: "Most that a timer of the last second was late, in milliseconds",
         registers,
     });
+    const loopUse = new Gauge({
+        name: "crankfork_loop_use",
+        help: "Share of the last second for which the event loop was busy, from 0 to 1",
+        registers,
+    });
     const lossyLinks = new Gauge({
         name: "crankfork_lossy_links",
         help: "Pairs of failure domains whose links lose packets now, as this leader sees",
@@ -328,6 +335,9 @@
         recordLoopDelayMs: (delayMs) => {
             loopDelay.set(delayMs);
         },
+        recordLoopUse: (use) => {
+            loopUse.set(use);
+        },
         recordLossyLinks: (count) => {
             lossyLinks.set(count);
         },
--- a/packages/daemon/src/process/peerTraffic.ts
+++ b/packages/daemon/src/process/peerTraffic.ts
@@ -29,8 +29,10 @@
 const REPORT_INTERVAL_MS = 1_000;
 /** Each check wakes the process; ten per second suffice to detect a processor that is busy for as long as an election. */
 const LOOP_CHECK_INTERVAL_MS = 100;
-/** Seconds with fewer bytes, such as heartbeats and loads of a small fleet, are not logged. */
+/** Seconds with fewer bytes, such as heartbeats and loads of a small fleet, are not logged unless the process is busy. */
 const MIN_REPORTED_BYTES = 2_000_000;
+/** Share of a second for which the event loop was busy, from which on the second is logged. */
+const MIN_REPORTED_LOOP_USE = 0.8;
 
 /**
  * Feeds the metrics, and logs a line for each second with much traffic, resent entries or abandoned answers.
@@ -47,14 +49,24 @@
         return known;
     };
     const loopDelay = watchLoopDelay();
+    let utilization = performance.eventLoopUtilization();
     startPeriodicTask(REPORT_INTERVAL_MS, () => {
         const loopDelayMs = loopDelay.take();
         metrics.recordLoopDelayMs(loopDelayMs);
+        const { utilization: loopUse } = performance.eventLoopUtilization(utilization);
+        utilization = performance.eventLoopUtilization();
+        metrics.recordLoopUse(loopUse);
         const all = [...methods.values()];
         const isHeavy = all.reduce((sum, one) => sum + one.bytes, 0) >= MIN_REPORTED_BYTES;
-        if (isHeavy || resent > 0 || all.some((one) => one.abandoned > 0)) {
+        const isBusy = loopUse >= MIN_REPORTED_LOOP_USE;
+        if (isHeavy || isBusy || resent > 0 || all.some((one) => one.abandoned > 0)) {
             const lines = [...methods].map(([method, one]) => formatMethod(method, one));
-            log.record("info", "peer-traffic", { sent: lines.join(" "), resent, loop_delay_ms: loopDelayMs });
+            log.record("info", "peer-traffic", {
+                sent: lines.join(" "),
+                resent,
+                loop_delay_ms: loopDelayMs,
+                loop_use: Number(loopUse.toFixed(2)),
+            });
         }
         methods.clear();
         resent = 0;
