--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -327,3 +327,46 @@
         expect((shortest[1] ?? 0) / (shortest[0] ?? 1)).to.be.below(3);
     });
 });
+
+/** Guards against a leader without processor time left, which confirmed nothing for seconds while changes came in quick succession. */
+describe("the work for an answer does not grow with the number of entries", () => {
+    /** A record, its replacement, and the answer. */
+    const MAX_READS_PER_ANSWER = 4;
+    const ROUNDS = 5;
+    for (const entries of [9, 59, 195]) {
+        it(`${String(entries)} entries`, async () => {
+            let reads = 0;
+            const observe = <Report extends object>(report: Report): Report =>
+                new Proxy(report, {
+                    ownKeys: (target) => {
+                        reads += 1;
+                        return Reflect.ownKeys(target);
+                    },
+                });
+            let nowMs = 0;
+            const registry = new EntryRegistry({
+                host: createHost(new FleetState()),
+                getNowMs: () => nowMs,
+                rollout: noRollout,
+                listSuspects: () => [],
+                limits: noLimits,
+            });
+            let answers = 0;
+            for (let round = 0; round < ROUNDS; round += 1) {
+                for (let entry = 0; entry < entries; entry += 1) {
+                    nowMs += 1;
+                    answers += 1;
+                    await registry.synchronise({
+                        instance: `i${String(entry)}`,
+                        known_index: 0,
+                        may_wait: false,
+                        loads: observe({ u: { open: 2, unstarted: 1 } }),
+                        spending: observe({ s: { requests: 1, repeats: 0, lost: 0 } }),
+                    });
+                }
+            }
+            // Loads and spending are two reports.
+            expect(reads / answers).to.be.at.most(2 * MAX_READS_PER_ANSWER);
+        });
+    }
+});
