fix(voter): keep totals of what entries report in place of summing all reports for each answer

Cause: the leader summed the loads and retry budgets of all other entries for each answer, and listed all of them as relays, so that its work grew with the square of the fleet. The interval between notifications allows 1,000 answers a second whatever they cost.

Change: totals are updated with each report (ReportTotals), an answer subtracts the entry's own one; relays are listed every 100 ms.

--- a/packages/daemon/src/process/sumLoads.ts
+++ b/packages/daemon/src/process/sumLoads.ts
@@ -18,24 +18,6 @@
     return sum;
 }
 
-/**
- * Adds the loads of an entry to sums by upstream. The sums are changed in place: the leader sums the loads of all other
- * entries for each answer, up to 1,000 times a second, and new lists for each addition take several times as long.
- * @param sums - the sums
- * @param loads - loads to add; they are not changed
- */
-export function addLoads(sums: Map<string, UpstreamLoad>, loads: UpstreamLoads): void {
-    for (const [id, load] of Object.entries(loads)) {
-        const sum = sums.get(id);
-        if (sum === undefined) {
-            sums.set(id, copyLoad(load));
-        }
-        else {
-            addLoad(sum, load);
-        }
-    }
-}
-
 /**
  * Multiplies a load, as an estimate of the load of that many entries.
  * @param load - the load of one entry
@@ -57,7 +39,7 @@
 
 /** Adds the tokens, and counts how many open requests they cover where an entry of an earlier build reports none. */
 function addTokens(sum: UpstreamLoad, other: UpstreamLoad): void {
-    const sizedOpen = countSized(sum) + countSized(other);
+    const sizedOpen = countSizedRequests(sum) + countSizedRequests(other);
     if (sizedOpen === 0) {
         return;
     }
@@ -70,7 +52,12 @@
     }
 }
 
-function countSized(load: UpstreamLoad): number {
+/**
+ * Counts the open requests that the tokens of a load cover.
+ * @param load - the load
+ * @returns 0 if its entry reports no tokens
+ */
+export function countSizedRequests(load: UpstreamLoad): number {
     return load.tokens === undefined ? 0 : load.sized_open ?? load.open;
 }
 
@@ -99,8 +86,14 @@
     }
 }
 
-function addCounts(sum: number[], counts: readonly number[]): void {
+/**
+ * Adds counts by rank to a sum in place.
+ * @param sum - the sum
+ * @param counts - the counts
+ * @param sign - -1 to subtract them
+ */
+export function addCounts(sum: number[], counts: readonly number[], sign: 1 | -1 = 1): void {
     for (let rank = 0; rank < counts.length; rank += 1) {
-        sum[rank] = (sum[rank] ?? 0) + (counts[rank] ?? 0);
+        sum[rank] = (sum[rank] ?? 0) + sign * (counts[rank] ?? 0);
     }
 }
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -1,7 +1,7 @@
 /**
  * The entries known to a leader and their open requests; answers their state synchronisation requests.
  */
-import { chooseRelays, decaySpending } from "@crankfork/decisions";
+import { chooseRelays, decaySpending, type RelayCandidate } from "@crankfork/decisions";
 import type {
     RateLimitCursor,
     RelayOffer,
@@ -9,15 +9,14 @@
     SynchronisedState,
     SynchroniseParameters,
     SynchroniseResult,
-    UpstreamLoads,
 } from "@crankfork/schemas";
-import { addLoads, type UpstreamLoad } from "../sumLoads.js";
 import { waitMs } from "../waitMs.js";
 import { DemandRegistry } from "./demandRegistry.js";
 import type { DocumentRollout } from "./documentRollout.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 import type { LinkRegistry } from "./linkRegistry.js";
 import type { RateLimitCoordinator } from "./rateLimitCoordinator.js";
+import { ReportTotals } from "./reportTotals.js";
 
 /** Dependencies of {@link EntryRegistry}. */
 export interface EntryRegistryOptions {
@@ -59,6 +58,8 @@
  * about 1.2 s.
  */
 const ACTIVE_WINDOW_MS = 1_500;
+/** Interval between two lists of the entries that relay requests. */
+const RELAY_LIST_INTERVAL_MS = 100;
 
 interface KnownEntry {
     lastSeenMs: number;
@@ -66,13 +67,20 @@
     knownIndex: number;
     /** When the entry was last sent a change. */
     notifiedMs: number;
-    loads: UpstreamLoads;
-    spending: RetryBudgetUsage;
+    readonly spending: RetryBudgetUsage;
     readonly domain: string | undefined;
     /** How other entries may send requests through this one. */
     readonly relay: RelayOffer | undefined;
 }
 
+interface RelayList {
+    readonly atMs: number;
+    /** By instance. */
+    readonly candidates: ReadonlyMap<string, RelayCandidate>;
+    /** Position of each entry, so that entries start at different relays. */
+    readonly positions: ReadonlyMap<string, number>;
+}
+
 /** Requests that a restarted entry had sent before; they count until the budget window has passed. */
 interface FormerSpending {
     readonly lastSeenMs: number;
@@ -84,6 +92,8 @@
     /** Demand that the entries report. */
     readonly demand: DemandRegistry;
     private readonly entries = new Map<string, KnownEntry>();
+    private readonly totals = new ReportTotals(LOAD_EXPIRY_MS);
+    private relayList: RelayList | undefined;
     private pendingPolls: (() => void)[] = [];
     private formerSpending: FormerSpending[] = [];
     private term = 0;
@@ -160,12 +170,12 @@
             lastSeenMs: this.options.getNowMs(),
             knownIndex: known_index,
             notifiedMs,
-            loads,
             spending,
             domain,
             relay,
         };
         this.entries.set(instance, entry);
+        this.totals.record(instance, { loads, spending }, entry.lastSeenMs);
         this.options.rollout.recordApplied(instance, applied_version);
         return entry;
     }
@@ -208,6 +218,7 @@
 
     private createState(parameters: SynchroniseParameters): SynchronisedState {
         const { host } = this.options;
+        this.totals.expire(this.options.getNowMs());
         const { replicas, term, commitIndex } = host.replica.getStatus();
         const { ageMs } = this.options.rollout;
         const behindMs = this.options.rollout.getBehindMs(parameters.applied_version);
@@ -228,7 +239,7 @@
             crashes_forgotten: [...changes.crashes.forgotten],
             ...(changes.segments === undefined ? {} : { segments: [...changes.segments] }),
             entries: this.countEntries(),
-            loads_elsewhere: this.sumLoadsElsewhere(parameters.instance),
+            loads_elsewhere: this.totals.sumOtherLoads(parameters.instance),
             spending_elsewhere: this.sumSpendingElsewhere(parameters.instance, parameters.spending ?? {}),
             spending_known_ms: this.options.getNowMs() - this.leadingSinceMs,
             suspects: [...this.options.listSuspects()],
@@ -243,13 +254,27 @@
 
     /** Entries start at different relays, so that the load of those that are cut off together is spread. */
     private chooseRelays({ instance, domain }: SynchroniseParameters): readonly string[] {
-        const sinceMs = this.options.getNowMs() - ACTIVE_WINDOW_MS;
-        const candidates = [...this.entries].flatMap(([other, { relay, lastSeenMs, domain: otherDomain }]) =>
-            other !== instance && relay?.is_available === true && lastSeenMs >= sinceMs
-                ? [{ address: relay.address, domain: otherDomain }]
-                : []
-        );
-        return chooseRelays(candidates, domain, [...this.entries.keys()].indexOf(instance));
+        const { candidates, positions } = this.listRelays();
+        const own = candidates.get(instance);
+        const others = [...candidates.values()].filter((one) => one !== own);
+        return chooseRelays(others, domain, positions.get(instance) ?? 0);
+    }
+
+    private listRelays(): RelayList {
+        const nowMs = this.options.getNowMs();
+        if (this.relayList === undefined || nowMs - this.relayList.atMs >= RELAY_LIST_INTERVAL_MS) {
+            const candidates = [...this.entries].flatMap(([instance, { relay, lastSeenMs, domain }]) =>
+                relay?.is_available === true && nowMs - lastSeenMs <= ACTIVE_WINDOW_MS
+                    ? [[instance, { address: relay.address, domain }] as const]
+                    : []
+            );
+            this.relayList = {
+                atMs: nowMs,
+                candidates: new Map(candidates),
+                positions: new Map([...this.entries.keys()].map((instance, position) => [instance, position])),
+            };
+        }
+        return this.relayList;
     }
 
     private createNotLeaderResult(): SynchroniseResult {
@@ -296,6 +321,7 @@
         for (const [instance, { lastSeenMs }] of this.entries) {
             if (nowMs - lastSeenMs > expiryMs) {
                 this.entries.delete(instance);
+                this.totals.remove(instance);
             }
         }
     }
@@ -304,37 +330,34 @@
     private sumSpendingElsewhere(instance: string, own: RetryBudgetUsage): RetryBudgetUsage {
         const sinceMs = this.options.getNowMs() - ENTRY_EXPIRY_MS;
         this.formerSpending = this.formerSpending.filter(({ lastSeenMs }) => lastSeenMs > sinceMs);
-        const others = [...this.entries].filter(([other]) => other !== instance).map(([, entry]) => entry);
         const { getNowMs, budgetWindowMs = Number.POSITIVE_INFINITY } = this.options;
         // To an entry of an older build lost retries count as sent.
         const isLostKnown = Object.values(own).some(({ lost }) => lost !== undefined);
         const sums: RetryBudgetUsage = {};
-        [...others, ...this.formerSpending].forEach(({ spending, lastSeenMs }) => {
+        const add = (service: string, { requests, repeats, lost = 0 }: RetryBudgetUsage[string]): void => {
+            const sum = sums[service];
+            sums[service] = {
+                requests: (sum?.requests ?? 0) + requests,
+                repeats: (sum?.repeats ?? 0) + repeats + (isLostKnown ? 0 : lost),
+                ...(isLostKnown ? { lost: (sum?.lost ?? 0) + lost } : {}),
+            };
+        };
+        this.totals.sumOtherSpending(instance).forEach((usage, service) => {
+            add(service, usage);
+        });
+        [...this.listSilentEntries(instance), ...this.formerSpending].forEach(({ spending, lastSeenMs }) => {
             Object.entries(spending).forEach(([service, reported]) => {
-                const { requests, repeats, lost = 0 } = decaySpending(
-                    reported,
-                    getNowMs() - lastSeenMs,
-                    budgetWindowMs,
-                );
-                const sum = sums[service];
-                sums[service] = {
-                    requests: (sum?.requests ?? 0) + requests,
-                    repeats: (sum?.repeats ?? 0) + repeats + (isLostKnown ? 0 : lost),
-                    ...(isLostKnown ? { lost: (sum?.lost ?? 0) + lost } : {}),
-                };
+                add(service, decaySpending(reported, getNowMs() - lastSeenMs, budgetWindowMs));
             });
         });
         return sums;
     }
 
-    private sumLoadsElsewhere(instance: string): UpstreamLoads {
-        const nowMs = this.options.getNowMs();
-        const sums = new Map<string, UpstreamLoad>();
-        for (const [other, { lastSeenMs, loads }] of this.entries) {
-            if (other !== instance && nowMs - lastSeenMs <= LOAD_EXPIRY_MS) {
-                addLoads(sums, loads);
-            }
-        }
-        return Object.fromEntries(sums);
+    /** Entries whose reports are too old for the totals. */
+    private listSilentEntries(except: string): readonly KnownEntry[] {
+        return this.entries.size === this.totals.size
+            ? []
+            : [...this.entries].filter(([instance]) => instance !== except && !this.totals.has(instance))
+                .map(([, entry]) => entry);
     }
 }
