fix(peers): do not process requests whose callers have given up

Cause: an entry gives up a synchronise request after 1.2 s and sends others. What it gave up was still parsed, computed and answered, so that a late leader worked for nobody while new requests queued behind. Class: attempts given up by the clock whose work is done all the same (docs/incidents/document-storm.md).

Change: a request waits two turns of the event loop after its body was read, and is dropped if its connection has ended by then.

--- a/packages/daemon/src/process/rpcHandler.ts
+++ b/packages/daemon/src/process/rpcHandler.ts
@@ -3,6 +3,7 @@
  */
 import type { JSONRPCServer } from "json-rpc-2.0";
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { setImmediate } from "node:timers/promises";
 import { CLOCK_HEADER, receiveClock } from "../connection/peerClient.js";
 import { hasSecret, readBody, type RequestHandler, sendJson } from "./httpServer.js";
 import { formatHybridTime, type HybridClock } from "./hybridClock.js";
@@ -45,6 +46,15 @@
     receiveClock(options.clock, request.headers[CLOCK_HEADER]);
     const body = await readBody(request, MAX_BODY_BYTES);
     const text = body.toString("utf8");
+    // After a stall of this process there are requests whose callers have given up. The end of such a connection is read one turn
+    // of the event loop after its data.
+    await setImmediate();
+    await setImmediate();
+    if (isCallerGone(request)) {
+        options.recordResponse?.(readMethod(text), 0, "abandoned");
+        response.destroy();
+        return;
+    }
     const answer = await options.server.receiveJSON(text);
     const headers = { [CLOCK_HEADER]: formatHybridTime(options.clock.get()) };
     if (answer === null) {
@@ -57,6 +67,11 @@
     });
 }
 
+/** Peers close a connection only to give up the request on it. */
+function isCallerGone({ socket }: IncomingMessage): boolean {
+    return socket.destroyed || socket.readableEnded;
+}
+
 /** The project's own client writes the method near the start of the body, which avoids a second parse of a large body. */
 function readMethod(text: string): string {
     return METHOD_PATTERN.exec(text.slice(0, METHOD_SEARCH_LENGTH))?.[1] ?? "unknown";
