fix(voter): pace notifications of entries by the processor time that is left

Cause: the interval between two notifications was a constant that assumes 1 ms of processor time for 1,000 answers a second. On a slower processor, or with a dearer answer, notifications took all of it, and leases, commits and documents waited in the same queue. Class: a bound in requests a second where the resource is processor time.

The first change after a pause is sent at once, as before.

--- a/packages/daemon/src/process/peerTraffic.ts
+++ b/packages/daemon/src/process/peerTraffic.ts
@@ -1,6 +1,7 @@
 /**
  * Traffic between instances by RPC method, which reveals a saturated link and answers whose caller has given up.
  */
+import { createLoopUseMeter } from "./createLoopUseMeter.js";
 import type { EventLog } from "./eventLog.js";
 import type { FleetMetrics } from "./fleetMetrics.js";
 import { startPeriodicTask } from "./startPeriodicTask.js";
@@ -49,12 +50,11 @@
         return known;
     };
     const loopDelay = watchLoopDelay();
-    let utilization = performance.eventLoopUtilization();
+    const takeLoopUse = createLoopUseMeter();
     startPeriodicTask(REPORT_INTERVAL_MS, () => {
         const loopDelayMs = loopDelay.take();
         metrics.recordLoopDelayMs(loopDelayMs);
-        const { utilization: loopUse } = performance.eventLoopUtilization(utilization);
-        utilization = performance.eventLoopUtilization();
+        const loopUse = takeLoopUse();
         metrics.recordLoopUse(loopUse);
         const all = [...methods.values()];
         const isHeavy = all.reduce((sum, one) => sum + one.bytes, 0) >= MIN_REPORTED_BYTES;
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -15,6 +15,7 @@
 import type { DocumentRollout } from "./documentRollout.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 import type { LinkRegistry } from "./linkRegistry.js";
+import { NotificationPacer } from "./notificationPacer.js";
 import type { RateLimitCoordinator } from "./rateLimitCoordinator.js";
 import { ReportTotals } from "./reportTotals.js";
 
@@ -30,6 +31,8 @@
     readonly budgetWindowMs?: number;
     /** Rollout state of the newest document. */
     readonly rollout: Pick<DocumentRollout, "ageMs" | "getBehindMs" | "recordApplied">;
+    /** Share of the time since the last call for which the event loop was busy, 0 to 1; never busy if absent. */
+    readonly takeLoopUse?: () => number;
     /** Links between failure domains that lose packets. */
     readonly links?: Pick<LinkRegistry, "record" | "list" | "reset">;
 }
@@ -42,15 +45,6 @@
 const MIN_HOLD_MS = 200;
 const HOLD_MS_PER_ENTRY = 8;
 const MAX_HOLD_MS = 600;
-/**
- * Minimum interval between two change notifications to one entry, per connected entry. An entry asks again as soon as it is
- * answered, so without it every change would be sent to every entry separately. It bounds the leader to about 1,000 answers per
- * second regardless of the number of entries; the first change after an idle period is still sent immediately.
- */
-const NOTIFY_INTERVAL_MS_PER_ENTRY = 1;
-/** Together with the longest hold time this stays below the time for which an entry waits for an answer. */
-const MAX_NOTIFY_INTERVAL_MS = 500;
-
 /** Position of an entry that reports no knowledge of rate limits. */
 const NO_LIMITS: RateLimitCursor = { term: 0, change: 0 };
 /**
@@ -92,6 +86,7 @@
     /** Demand that the entries report. */
     readonly demand: DemandRegistry;
     private readonly entries = new Map<string, KnownEntry>();
+    private readonly pacer: NotificationPacer;
     private readonly totals = new ReportTotals(LOAD_EXPIRY_MS);
     private relayList: RelayList | undefined;
     private pendingPolls: (() => void)[] = [];
@@ -104,6 +99,7 @@
      */
     constructor(private readonly options: EntryRegistryOptions) {
         this.demand = new DemandRegistry(options.getNowMs);
+        this.pacer = new NotificationPacer({ ...options, takeLoopUse: options.takeLoopUse ?? ((): number => 0) });
     }
 
     /** Answers all pending long polls, because the state changed. */
@@ -197,7 +193,7 @@
     /** Delays the answer to the minimum notification interval, so that changes in the meantime are batched. */
     private async waitForNotifyInterval(entry: KnownEntry): Promise<void> {
         const { getNowMs } = this.options;
-        const intervalMs = Math.min(MAX_NOTIFY_INTERVAL_MS, this.entries.size * NOTIFY_INTERVAL_MS_PER_ENTRY);
+        const intervalMs = this.pacer.computeIntervalMs(this.entries.size);
         const remainingMs = entry.notifiedMs + intervalMs - getNowMs();
         if (remainingMs > 0) {
             await waitMs(remainingMs);
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -25,6 +25,7 @@
 import { JSONRPCServer } from "json-rpc-2.0";
 import { createHash } from "node:crypto";
 import type { EngineControl } from "../../connection/engineControl.js";
+import { createLoopUseMeter } from "../createLoopUseMeter.js";
 import { type FleetProcess, listPeerAddresses, openFleetProcess, type SettingsReader } from "../fleetProcess.js";
 import type { RequestHandler } from "../httpServer.js";
 import { PlacementController } from "../layers/placementController.js";
@@ -217,6 +218,7 @@
         limits: rateLimitCoordinator,
         budgetWindowMs: contract.retry_window,
         rollout,
+        takeLoopUse: createLoopUseMeter(),
         links,
     });
     const crashes = new CrashRegistry({
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -34,13 +34,19 @@
 async function runEntry(
     register: EntryRegistry,
     instance: string,
-    progress: { answers: number; readonly known: Map<string, number>; isOver: boolean; },
+    progress: {
+        answers: number;
+        readonly known: Map<string, number>;
+        isOver: boolean;
+        readonly recordAnswer?: (instance: string) => void;
+    },
 ): Promise<void> {
     while (!progress.isOver) {
         await waitMs(LATENCY_MS);
         const known_index = progress.known.get(instance) ?? 0;
         const result = await register.synchronise({ instance, known_index, loads: {} });
         progress.answers += 1;
+        progress.recordAnswer?.(instance);
         progress.known.set(instance, result.kind === "state" ? result.index : known_index);
     }
 }
@@ -105,6 +111,67 @@
     }
 });
 
+/** Guards against a leader that spends all of its processor time on notifications, so that entries wait in vain for leases and documents. */
+describe("a busy leader notifies entries less often, and still within the time for which they wait", () => {
+    const ENTRIES = 59;
+    /** An entry gives up after 1.2 s. */
+    const MAX_GAP_MS = 1_200;
+    const rows = [
+        { title: "idle", loopUse: 0.3, minAnswers: 900, maxAnswers: 1_100 },
+        // Twice a second each.
+        { title: "busy", loopUse: 1, minAnswers: 1, maxAnswers: 2 * ENTRIES + ENTRIES },
+    ];
+    for (const { title, loopUse, minAnswers, maxAnswers } of rows) {
+        it(title, async () => {
+            const clock = FakeTimers.install();
+            const state = new FleetState();
+            const register = new EntryRegistry({
+                host: createHost(state),
+                getNowMs: () => performance.now(),
+                rollout: noRollout,
+                listSuspects: () => [],
+                limits: noLimits,
+                takeLoopUse: () => loopUse,
+            });
+            const answeredMs = new Map<string, number>();
+            let longestGapMs = 0;
+            const progress = {
+                answers: 0,
+                known: new Map<string, number>(),
+                isOver: false,
+                recordAnswer: (instance: string) => {
+                    const nowMs = performance.now();
+                    longestGapMs = Math.max(longestGapMs, nowMs - (answeredMs.get(instance) ?? nowMs));
+                    answeredMs.set(instance, nowMs);
+                },
+            };
+            for (let number = 0; number < ENTRIES; number += 1) {
+                void runEntry(register, `e${String(number)}`, progress);
+            }
+            const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
+            let index = 0;
+            const changeFor = async (durationMs: number): Promise<void> => {
+                for (let ms = 0; ms < durationMs; ms += CHANGE_MS) {
+                    index += 1;
+                    state.apply({ kind: "put-upstream", facts, status: "ready" }, index);
+                    register.handleStateChange();
+                    await clock.tickAsync(CHANGE_MS);
+                }
+            };
+            await changeFor(2_000);
+            progress.answers = 0;
+            await changeFor(STORM_MS);
+            const { answers } = progress;
+            progress.isOver = true;
+            register.handleStateChange();
+            await clock.tickAsync(2_000);
+            clock.uninstall();
+            expect(answers).to.be.within(minAnswers, maxAnswers);
+            expect(longestGapMs).to.be.below(MAX_GAP_MS);
+        });
+    }
+});
+
 describe("an entry receives the request counts of the other entries", () => {
     let nowMs: number;
     let term: number;
