fix(entry): end a request's wait for the leader with the request

Cause: a request that needs the leader's agreement, a trial, or a crash to be stored waited with time-outs of those questions, 1.2 s each and up to 1.8 s in all, which did not end at the route's time-out of 600 to 806 ms. Class: awaits on the way of a request with an end of their own.

Change: all three end when the request is stopped, by its time-out or its caller (RequestContext.waitUnlessStopped).

Elsewhere: the queue, retries and attempts end with the request already; the wait of the admission ends with a tenth of the caller's deadline.

--- a/packages/daemon/src/request/checkSend.ts
+++ b/packages/daemon/src/request/checkSend.ts
@@ -38,7 +38,8 @@
     if (isQuarantined(context, functions)) {
         context.hasCrash = true;
         // A trial is claimed only if it can be sent, since there are only two.
-        context.isTrial = choice.kind === "target" && !context.mayHaveRun && await crashes.claimTrial(admitted);
+        context.isTrial = choice.kind === "target" && !context.mayHaveRun
+            && await context.waitUnlessStopped(crashes.claimTrial(admitted)) === true;
         return context.isTrial ? "send" : "quarantined";
     }
     const isDecided = choice.kind !== "target" || context.isTrial || context.hasResendGrant;
@@ -46,9 +47,11 @@
         return "send";
     }
     context.hasCrash = true;
-    const decision = await crashes.claimResend(admitted, computeMaxWaitMs(context.remainingMs));
+    const decision = await context.waitUnlessStopped(
+        crashes.claimResend(admitted, computeMaxWaitMs(context.remainingMs)),
+    );
     if (decision !== "granted") {
-        return decision;
+        return decision ?? "undecided";
     }
     context.hasResendGrant = true;
     return "choose-again";
@@ -60,8 +63,9 @@
  * @param functions - access to the recorded crashes
  */
 export async function waitUntilCrashesStored(
-    { admitted, remainingMs }: RequestContext,
+    context: RequestContext,
     { crashes }: RoutedRequestFunctions,
 ): Promise<void> {
-    await crashes.waitUntilStored(admitted, Math.min(remainingMs, MAX_STORE_WAIT_MS));
+    const { admitted, remainingMs } = context;
+    await context.waitUnlessStopped(crashes.waitUntilStored(admitted, Math.min(remainingMs, MAX_STORE_WAIT_MS)));
 }
--- a/packages/daemon/src/request/requestContext.ts
+++ b/packages/daemon/src/request/requestContext.ts
@@ -121,6 +121,26 @@
         };
     }
 
+    /**
+     * Waits for something that has a time-out of its own, at most until the request is stopped.
+     * @param promise - what to wait for
+     * @returns its value; undefined if the request was stopped first
+     */
+    async waitUnlessStopped<Value>(promise: Promise<Value>): Promise<Value | undefined> {
+        let removeHandler = (): void => undefined;
+        const stopped = new Promise<undefined>((resolve) => {
+            removeHandler = this.onStop(() => {
+                resolve(undefined);
+            });
+        });
+        try {
+            return this.stopped === undefined ? await Promise.race([promise, stopped]) : undefined;
+        }
+        finally {
+            removeHandler();
+        }
+    }
+
     /** Releases the timer and the handlers. */
     close(): void {
         clearTimeout(this.timer);
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -78,12 +78,12 @@
         // Checked right before sending: while the request waited for a path, similar requests may have crashed three
         // upstreams.
         const check = context.stopReason === undefined ? await checkSend(context, choice, functions) : "send";
-        if (check === "quarantined") {
-            return sendRefusal(context, response, context.mayHaveRun ? "held-after-run" : "held");
-        }
         if (context.stopReason !== undefined) {
             return finishStopped(context, response, context.stopReason);
         }
+        if (check === "quarantined") {
+            return sendRefusal(context, response, context.mayHaveRun ? "held-after-run" : "held");
+        }
         if (check === "undecided") {
             return sendRefusal(context, response, context.mayHaveRun ? "upstream-failed" : "resend-undecided");
         }
@@ -114,6 +114,9 @@
             case "ended": {
                 if (result.end === "broken") {
                     await waitUntilCrashesStored(context, functions);
+                    if (context.stopReason !== undefined) {
+                        return finishStopped(context, response, context.stopReason);
+                    }
                 }
                 const end = await applyNextStep(context, response, relay, result, functions);
                 if (end !== undefined) {
