--- a/packages/daemon/src/request/checkSend.ts
+++ b/packages/daemon/src/request/checkSend.ts
@@ -2,7 +2,7 @@
  * Checks right before a request is sent whether crashes of upstreams under it forbid that. One that crashed every
  * upstream that ran it would crash one after another, and abort all other requests that run there.
  */
-import type { RequestContext } from "./requestContext.js";
+import type { RequestContext, StopReason } from "./requestContext.js";
 import type { RoutedRequestFunctions, TargetChoice } from "./requestFunctions.js";
 import { computeMaxWaitMs, isQuarantined } from "./waitForTarget.js";
 
@@ -61,11 +61,13 @@
  * Waits until the voters have stored the crashes under a request, before its caller is answered or it is sent again.
  * @param context - the request
  * @param functions - access to the recorded crashes
+ * @returns why the request was stopped meanwhile; undefined if it goes on
  */
 export async function waitUntilCrashesStored(
     context: RequestContext,
     { crashes }: RoutedRequestFunctions,
-): Promise<void> {
+): Promise<StopReason | undefined> {
     const { admitted, remainingMs } = context;
     await context.waitUnlessStopped(crashes.waitUntilStored(admitted, Math.min(remainingMs, MAX_STORE_WAIT_MS)));
+    return context.stopReason;
 }
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -112,8 +112,9 @@
             case "stopped":
                 return finishStopped(context, response, result.stop);
             case "ended": {
-                if (result.end === "broken") {
-                    await waitUntilCrashesStored(context, functions);
+                const stop = result.end === "broken" ? await waitUntilCrashesStored(context, functions) : undefined;
+                if (stop !== undefined) {
+                    return finishStopped(context, response, stop);
                 }
                 const end = await applyNextStep(context, response, relay, result, functions);
                 if (end !== undefined) {
@@ -251,9 +252,6 @@
     result: Extract<AttemptResult, { kind: "ended"; }>,
     functions: RoutedRequestFunctions,
 ): Promise<RequestEnd | undefined> {
-    if (context.stopReason !== undefined) {
-        return finishStopped(context, response, context.stopReason);
-    }
     // Where the attempt was declined for lack of memory, a path without room would decline it again, and use up a retry.
     const isMemoryFull = result.end === "declined" && result.faultAddress !== undefined && !response.hasStarted
         && isMemoryChecked(context.admitted.service.name, functions);
