fix(entry): learn of newer configurations from followers while the leader is late

Cause: only a leader named the newest version. One that is late, but not gone, is not replaced, and its followers, which hold the version and have time, named the leader alone. Class: a single source for what all voters know.

Change: a voter that does not lead names the newest document that it has applied, its age, and for how long the entry lacks it. An entry loads it from there, and stops admitting requests by the older one at the time to apply; the age counts from the follower's commit, so a quarter of a second is added. It renews no lease. An entry that reaches no voter goes on as before. Older builds omit the members and ignore them.

--- a/packages/daemon/src/process/entry/leaderSync.ts
+++ b/packages/daemon/src/process/entry/leaderSync.ts
@@ -58,6 +58,8 @@
 const PROBE_ROUND_MS_PER_ENTRY = 0.75;
 /** Requests that fail within this time are reported together. */
 const SUSPECT_BATCH_MS = 20;
+/** A follower learns of a commit with the next message of the leader: within a heartbeat and its way. */
+const FOLLOWER_DELAY_MS = 250;
 /** The number of entries is the maximum over this window, so that a new leader's low count does not lower it. */
 const ENTRY_COUNT_WINDOW_MS = 15_000;
 
@@ -74,6 +76,7 @@
     readonly commit_index?: number;
 }
 
+type DocumentState = Pick<SynchronisedState, "document_version" | "document_age_ms" | "behind_ms">;
 type SynchroniseAnswer = z.infer<typeof synchroniseResultSchema>;
 
 /** Keeps the state of an entry up to date. */
@@ -228,6 +231,7 @@
             const result = await this.synchronise(address, true);
             if (result.kind === "not-leader") {
                 this.leader = undefined;
+                this.applyFollowerState(address, context, result);
                 this.leaderHint = getOtherAddress(result.leader, address);
                 return false;
             }
@@ -262,6 +266,9 @@
     private async probeVoter(address: string): Promise<void> {
         const context = this.createRequestContext();
         const result = await this.synchronise(address, false);
+        if (result.kind === "not-leader") {
+            this.applyFollowerState(address, context, result);
+        }
         if (this.leader !== undefined) {
             return;
         }
@@ -321,7 +328,7 @@
     }
 
     private applyState(address: string, { sentMs, appliedVersion }: RequestContext, state: SynchronisedState): void {
-        const { log, handleState, getNowMs, getAppliedVersion } = this.options;
+        const { log, handleState, getNowMs } = this.options;
         if (!this.isConnected || this.leader !== address) {
             log.record("info", "voters-reached", {
                 peer: address,
@@ -337,17 +344,42 @@
         handleState(state);
         this.answeredSentMs = Math.max(this.answeredSentMs, sentMs);
         this.lastAnswer = { peer: address, ...state.confirmed_by };
-        if (state.document_age_ms !== undefined) {
-            this.appliedAtLeaderMs = getNowMs() - state.document_age_ms;
+        this.applyDocumentState(address, { sentMs, appliedVersion }, state);
+        this.renewLeaseIfCurrent();
+    }
+
+    /**
+     * Applies what a follower knows of the newest document. It renews no lease, since the follower may lack a newer version, but
+     * the version that it names is committed; so entries learn of it although the leader is late.
+     */
+    private applyFollowerState(address: string, context: RequestContext, state: DocumentState): void {
+        const { behind_ms } = state;
+        this.applyDocumentState(address, context, {
+            ...state,
+            behind_ms: behind_ms === undefined ? undefined : behind_ms + FOLLOWER_DELAY_MS,
+        });
+    }
+
+    private applyDocumentState(
+        address: string,
+        { sentMs, appliedVersion }: RequestContext,
+        { document_version, document_age_ms, behind_ms }: DocumentState,
+    ): void {
+        const { getNowMs, getAppliedVersion } = this.options;
+        const current = getAppliedVersion();
+        if (document_version === undefined || document_version < (current ?? Number.NEGATIVE_INFINITY)) {
+            return;
+        }
+        if (document_age_ms !== undefined) {
+            this.appliedAtLeaderMs = getNowMs() - document_age_ms;
         }
         // If a document was applied since the request was sent, only a version newer than that one is outstanding.
-        const behindMs = appliedVersion === getAppliedVersion() ? state.behind_ms : state.document_age_ms;
-        if (behindMs !== undefined) {
-            // Counted from the send time, which is not later than the time at which the leader answered.
+        const behindMs = appliedVersion === current ? behind_ms : document_age_ms;
+        if (behindMs !== undefined && document_version !== current) {
+            // Counted from the send time, which is not later than the time at which the voter answered.
             this.outdatedSinceMs = Math.min(this.outdatedSinceMs ?? Number.POSITIVE_INFINITY, sentMs - behindMs);
         }
-        this.documents.setTarget(state.document_version, address, state.voters);
-        this.renewLeaseIfCurrent();
+        this.documents.setTarget(document_version, address, this.voters);
     }
 
     /**
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -67,6 +67,8 @@
     readonly relay: RelayOffer | undefined;
 }
 
+type DocumentDescription = Pick<SynchronisedState, "document_version" | "document_age_ms" | "behind_ms">;
+
 interface RelayList {
     readonly atMs: number;
     /** By instance. */
@@ -119,7 +121,7 @@
     async synchronise(parameters: SynchroniseParameters): Promise<SynchroniseResult> {
         const { host } = this.options;
         if (!host.replica.hasLeaderLease()) {
-            return this.createNotLeaderResult();
+            return this.createNotLeaderResult(parameters);
         }
         const entry = this.recordEntry(parameters);
         if (parameters.may_wait !== false && !this.hasUpdates(parameters)) {
@@ -128,7 +130,7 @@
         if (this.hasUpdates(parameters)) {
             await this.waitForNotifyInterval(entry);
         }
-        return host.replica.hasLeaderLease() ? this.createState(parameters) : this.createNotLeaderResult();
+        return host.replica.hasLeaderLease() ? this.createState(parameters) : this.createNotLeaderResult(parameters);
     }
 
     private hasUpdates({ known_index, limits_known = NO_LIMITS }: SynchroniseParameters): boolean {
@@ -216,17 +218,12 @@
         const { host } = this.options;
         this.totals.expire(this.options.getNowMs());
         const { replicas, term, commitIndex } = host.replica.getStatus();
-        const { ageMs } = this.options.rollout;
-        const behindMs = this.options.rollout.getBehindMs(parameters.applied_version);
         const changes = host.state.getChanges(parameters.known_index);
-        const document = host.state.getDocument();
         const links = parameters.domain === undefined ? undefined : this.options.links?.list(parameters.domain);
         return {
             kind: "state",
             index: changes.index,
-            ...(document === undefined ? {} : { document_version: document.version }),
-            ...(ageMs === undefined ? {} : { document_age_ms: ageMs }),
-            ...(behindMs === undefined ? {} : { behind_ms: behindMs }),
+            ...this.describeDocument(parameters),
             confirmed_by: { term, commit_index: commitIndex },
             is_whole: changes.isFullState,
             upstreams: [...changes.upstreams],
@@ -273,11 +270,27 @@
         return this.relayList;
     }
 
-    private createNotLeaderResult(): SynchroniseResult {
-        const { leader } = this.options.host.replica.getStatus();
-        return leader === undefined || leader.id === this.options.host.self.id
-            ? { kind: "not-leader" }
-            : { kind: "not-leader", leader };
+    /** A leader may be late; its followers know what it has committed and have time to tell it. */
+    private createNotLeaderResult(parameters: SynchroniseParameters): SynchroniseResult {
+        const { host } = this.options;
+        const { leader } = host.replica.getStatus();
+        return {
+            kind: "not-leader",
+            ...(leader === undefined || leader.id === host.self.id ? {} : { leader }),
+            ...this.describeDocument(parameters),
+        };
+    }
+
+    private describeDocument({ applied_version }: SynchroniseParameters): DocumentDescription {
+        const { host, rollout } = this.options;
+        const document = host.state.getDocument();
+        const { ageMs } = rollout;
+        const behindMs = rollout.getBehindMs(applied_version);
+        return {
+            ...(document === undefined ? {} : { document_version: document.version }),
+            ...(ageMs === undefined ? {} : { document_age_ms: ageMs }),
+            ...(behindMs === undefined ? {} : { behind_ms: behindMs }),
+        };
     }
 
     /**
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -14,12 +14,16 @@
 const STORM_MS = 1_000;
 
 /** Creates the replica host of a leader that holds its lease. */
-function createHost(state: FleetState, getTerm: () => number = () => 1): FleetReplicaHost {
+function createHost(
+    state: FleetState,
+    getTerm: () => number = () => 1,
+    isLeading: boolean = true,
+): FleetReplicaHost {
     return {
         state,
         self,
         replica: {
-            hasLeaderLease: () => true,
+            hasLeaderLease: () => isLeading,
             getStatus: () => ({
                 leader: self,
                 term: getTerm(),
@@ -438,3 +442,24 @@
         });
     }
 });
+
+describe("a follower tells entries which document it has applied", () => {
+    it("with its age, and for how long the entry lacks it", async () => {
+        const state = new FleetState();
+        state.apply({ kind: "put-document", version: 7, packed: "" }, 1);
+        const registry = new EntryRegistry({
+            host: createHost(state, () => 1, false),
+            getNowMs: () => 0,
+            rollout: { ageMs: 300, getBehindMs: () => 400, recordApplied: () => undefined },
+            listSuspects: () => [],
+            limits: noLimits,
+        });
+        const result = await registry.synchronise({ instance: "i", known_index: 0, loads: {}, applied_version: 5 });
+        expect(result).to.deep.equal({
+            kind: "not-leader",
+            document_version: 7,
+            document_age_ms: 300,
+            behind_ms: 400,
+        });
+    });
+});
--- a/packages/daemon/tests/leaderSync.test.ts
+++ b/packages/daemon/tests/leaderSync.test.ts
@@ -3,7 +3,7 @@
  * unreachable one: with two of five down it found the new leader only after up to 3.7 s, later than the time to apply a change. Probing
  * voters in sequence took 1,670 ms where the old leader refuses connections and two others are silent.
  */
-import { packDocument } from "@crankfork/schemas";
+import { packDocument, type SynchroniseParameters } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { LeaderSync } from "../src/process/entry/leaderSync.js";
@@ -247,3 +247,87 @@
         });
     }
 });
+
+/** Guards against entries that go on by a superseded configuration for seconds while their leader is late, but not gone. */
+describe("an entry whose leader is late learns of a newer version from the followers, within the time to apply it", () => {
+    const APPLY_MS = 2_000;
+    const LATE_MS = 6_000;
+    const rows = [
+        { title: "all followers answer", silent: [] },
+        { title: "two of four followers are silent", silent: ["v1", "v2"] },
+    ];
+    for (const { title, silent } of rows) {
+        it(title, async () => {
+            const clock = FakeTimers.install();
+            let committedMs = Number.POSITIVE_INFINITY;
+            let appliedVersion = 1;
+            let appliedMs = Number.POSITIVE_INFINITY;
+            const getVersion = (): number => performance.now() < committedMs ? 1 : 2;
+            const isLate = (address: string): boolean => address === "v0" && performance.now() >= committedMs;
+            const leaderSync = new LeaderSync({
+                peers: {
+                    call: async (address, method, parameters, timeoutMs) => {
+                        await waitMs(LATENCY_MS);
+                        if (silent.includes(address) || isLate(address)) {
+                            await waitMs(timeoutMs);
+                            throw new Error("no answer in time");
+                        }
+                        if (method === "document") {
+                            return { kind: "document", version: 2, packed: packDocument({ version: 2 }) };
+                        }
+                        const { may_wait, applied_version } = parameters as SynchroniseParameters;
+                        const ageMs = performance.now() - committedMs;
+                        const document = {
+                            document_version: getVersion(),
+                            ...(ageMs >= 0 ? { document_age_ms: ageMs } : {}),
+                            ...(ageMs >= 0 && applied_version === 1 ? { behind_ms: ageMs } : {}),
+                        };
+                        if (address !== "v0") {
+                            return { kind: "not-leader", leader: { id: "v0", address: "v0" }, ...document };
+                        }
+                        await waitMs(may_wait === false ? 0 : HOLD_MS);
+                        if (isLate(address)) {
+                            await waitMs(timeoutMs - HOLD_MS);
+                            throw new Error("no answer in time");
+                        }
+                        return { ...createFullState(1, [], 1, VOTERS), ...document };
+                    },
+                    send: () => undefined,
+                },
+                log: { record: () => undefined },
+                getNowMs: () => performance.now(),
+                getLastResumeMs: () => Number.NEGATIVE_INFINITY,
+                getSeeds: () => VOTERS,
+                instance: "e",
+                createParameters: () => ({
+                    instance: "e",
+                    known_index: 1,
+                    loads: {},
+                    applied_version: appliedVersion,
+                }),
+                takeSuspects: () => [],
+                handleState: () => undefined,
+                getAppliedVersion: () => appliedVersion,
+                handleDocument: () => {
+                    appliedVersion = 2;
+                    appliedMs = performance.now();
+                },
+                random: () => 0,
+            });
+            try {
+                leaderSync.start();
+                await clock.tickAsync(FAILOVER_MS);
+                committedMs = performance.now();
+                await clock.tickAsync(LATE_MS);
+                leaderSync.stop();
+                expect(appliedMs - committedMs).to.be.below(APPLY_MS);
+                // A follower confirms nothing.
+                expect(leaderSync.confirmationAgeMs).to.be.at.least(LATE_MS);
+                await clock.tickAsync(APPLY_MS);
+            }
+            finally {
+                clock.uninstall();
+            }
+        });
+    }
+});
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -154,8 +154,17 @@
         /** Peer addresses of all replicas. */
         voters: z.array(z.string()),
     }),
-    /** This voter is not a leader confirmed by a quorum; `leader` is the last known one. */
-    z.object({ kind: z.literal("not-leader"), leader: replicaAddressSchema.optional() }),
+    /**
+     * This voter is not a leader confirmed by a quorum; `leader` is the last known one. The other members describe the newest
+     * document that it has applied, which is committed.
+     */
+    z.object({
+        kind: z.literal("not-leader"),
+        leader: replicaAddressSchema.optional(),
+        document_version: z.int().optional().catch(undefined),
+        document_age_ms: z.number().nonnegative().optional().catch(undefined),
+        behind_ms: z.number().nonnegative().optional().catch(undefined),
+    }),
 ]);
 
 /**
