fix(entry): report failed upstreams to the leader one request at a time

Cause: each failed or declined request was reported within 20 ms, however many reports were on their way. Class: requests to the leader whose number follows that of callers' requests, without a bound.

Change: one report at a time, at least 100 ms after the one before; the first after a pause is sent within 20 ms, as before.

Evidence: leaderSync.test.ts, a failure each 5 ms for 2 s: 100 reports before, at most 22 to a leader that answers, at most 4 to one that takes 0.7 s; none is lost.

--- a/packages/daemon/src/process/entry/leaderSync.ts
+++ b/packages/daemon/src/process/entry/leaderSync.ts
@@ -58,6 +58,8 @@
 const PROBE_ROUND_MS_PER_ENTRY = 0.75;
 /** Requests that fail within this time are reported together. */
 const SUSPECT_BATCH_MS = 20;
+/** Minimum interval between two reports: with all engines at capacity, each request may be declined. */
+const SUSPECT_INTERVAL_MS = 100;
 /** A follower learns of a commit with the next message of the leader: within a heartbeat and its way. */
 const FOLLOWER_DELAY_MS = 250;
 /** The number of entries is the maximum over this window, so that a new leader's low count does not lower it. */
@@ -101,6 +103,10 @@
     /** Local time at which the leader applied the newest document; never later than the arrival of its answer. */
     private appliedAtLeaderMs: number | undefined;
     private reportTimer: NodeJS.Timeout | undefined;
+    /** Whether a report is on its way, and whether another one is due after it. */
+    private isReporting = false;
+    private isReportDue = false;
+    private reportedMs = Number.NEGATIVE_INFINITY;
     private entryCounts: { readonly atMs: number; readonly entries: number; }[] = [];
 
     /**
@@ -146,12 +152,35 @@
         clearTimeout(this.reportTimer);
     }
 
-    /** Schedules a report of failed upstreams to the leader. Without a leader they remain for a later report. */
+    /**
+     * Schedules a report of failed upstreams to the leader, one at a time, so that a late leader gets fewer. Without a leader they
+     * remain for a later report.
+     */
     reportSuspects(): void {
+        if (this.isReporting) {
+            this.isReportDue = true;
+            return;
+        }
+        const sinceMs = this.options.getNowMs() - this.reportedMs;
         this.reportTimer ??= setTimeout(() => {
             this.reportTimer = undefined;
-            void this.sendSuspects();
-        }, SUSPECT_BATCH_MS);
+            void this.runReport();
+        }, Math.max(SUSPECT_BATCH_MS, SUSPECT_INTERVAL_MS - sinceMs));
+    }
+
+    private async runReport(): Promise<void> {
+        this.isReporting = true;
+        this.isReportDue = false;
+        this.reportedMs = this.options.getNowMs();
+        await this.sendSuspects();
+        this.isReporting = false;
+        this.continueReports();
+    }
+
+    private continueReports(): void {
+        if (this.isReportDue && !this.isStopped) {
+            this.reportSuspects();
+        }
     }
 
     private async sendSuspects(): Promise<void> {
--- a/packages/daemon/tests/leaderSync.test.ts
+++ b/packages/daemon/tests/leaderSync.test.ts
@@ -3,7 +3,7 @@
  * unreachable one: with two of five down it found the new leader only after up to 3.7 s, later than the time to apply a change. Probing
  * voters in sequence took 1,670 ms where the old leader refuses connections and two others are silent.
  */
-import { packDocument, type SynchroniseParameters } from "@crankfork/schemas";
+import { packDocument, type SuspectParameters, type SynchroniseParameters } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { LeaderSync } from "../src/process/entry/leaderSync.js";
@@ -331,3 +331,67 @@
         });
     }
 });
+
+/** Guards against entries that report each declined request by itself: with all engines at capacity the leader did little else. */
+describe("failures are reported to the leader one request at a time", () => {
+    const STORM_MS = 2_000;
+    const FAILURE_MS = 5;
+    const rows = [
+        { title: "a leader that answers: ten times a second at most", answerMs: 2, maxReports: 22 },
+        { title: "a late leader: once in the time that it takes", answerMs: 700, maxReports: 4 },
+    ];
+    for (const { title, answerMs, maxReports } of rows) {
+        it(title, async () => {
+            const clock = FakeTimers.install();
+            const reports: (readonly string[])[] = [];
+            let failed: string[] = [];
+            const leaderSync = new LeaderSync({
+                peers: {
+                    call: async (_address, method, parameters) => {
+                        if (method === "suspect") {
+                            reports.push((parameters as SuspectParameters).suspects);
+                            await waitMs(answerMs);
+                            return {};
+                        }
+                        await waitMs(HOLD_MS);
+                        return createFullState(1, [], 1, VOTERS);
+                    },
+                    send: () => undefined,
+                },
+                log: { record: () => undefined },
+                getNowMs: () => performance.now(),
+                getLastResumeMs: () => Number.NEGATIVE_INFINITY,
+                getSeeds: () => VOTERS,
+                instance: "e",
+                createParameters: () => ({ instance: "e", known_index: 1, loads: {} }),
+                takeSuspects: () => {
+                    const taken = failed;
+                    failed = [];
+                    return taken;
+                },
+                handleState: () => undefined,
+                getAppliedVersion: () => undefined,
+                handleDocument: () => undefined,
+                random: () => 0,
+            });
+            try {
+                leaderSync.start();
+                await clock.tickAsync(1_000);
+                let failures = 0;
+                for (let ms = 0; ms < STORM_MS; ms += FAILURE_MS) {
+                    failures += 1;
+                    failed.push(`u${String(failures)}`);
+                    leaderSync.reportSuspects();
+                    await clock.tickAsync(FAILURE_MS);
+                }
+                expect(reports.length).to.be.at.most(maxReports);
+                await clock.tickAsync(2 * answerMs + 200);
+                leaderSync.stop();
+                expect(reports.flat()).to.have.lengthOf(failures);
+            }
+            finally {
+                clock.uninstall();
+            }
+        });
+    }
+});
