--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -200,7 +200,10 @@
         return;
     }
     if (progress.nextIndex <= log.start.index) {
-        if (!isAwaitingAnswer) {
+        if (isAwaitingAnswer) {
+            sendHeartbeatBesideSnapshot(context, to, now);
+        }
+        else {
             sendSnapshot(context, to, progress, now);
         }
         return;
@@ -227,6 +230,22 @@
     });
 }
 
+/**
+ * A snapshot may take longer than an election timeout to arrive and to be synced. This message follows the beginning of the log,
+ * so a replica accepts it whatever it holds, and its answer acknowledges none of the snapshot.
+ */
+function sendHeartbeatBesideSnapshot(context: ReplicaContext, to: ReplicaAddress, now: number): void {
+    context.options.functions.send(to, {
+        kind: "append",
+        term: context.term,
+        previous_index: 0,
+        previous_term: 0,
+        entries: [],
+        commit_index: 0,
+        sent_ms: now,
+    });
+}
+
 /** Exponential backoff, so that a link that is slower than expected is not saturated with resent entries (RFC 6298). */
 function computeResendDelayMs(heartbeatMs: number, resends: number): number {
     return heartbeatMs * Math.min(MAX_RESEND_HEARTBEATS, FIRST_RESEND_HEARTBEATS * 2 ** resends);
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -25,7 +25,11 @@
 
     constructor(private readonly clock: InstalledClock) {}
 
-    async start(entries: readonly LogEntry[] = [], set: ReplicaSet = replicas): Promise<void> {
+    async start(
+        entries: readonly LogEntry[] = [],
+        set: ReplicaSet = replicas,
+        snapshotThreshold: number = 1_000,
+    ): Promise<void> {
         const folder = new MemoryFolder();
         const storage = createLogStorage(folder.open());
         await storage.read();
@@ -35,7 +39,7 @@
             self,
             timing,
             storage: createLogStorage(folder.open()),
-            snapshotThreshold: 1_000,
+            snapshotThreshold,
             functions: {
                 send: (to, message) => this.sent.push({ to: to.id, message }),
                 random: () => 0,
@@ -183,6 +187,31 @@
         });
     }
 
+    // A follower that heard nothing for an election timeout while its snapshot was in transit started elections.
+    it("sends heartbeats to a follower whose snapshot is in transit, and no more snapshots for their answers", async () => {
+        const heartbeats = 8;
+        await peers.start([], replicas, 5);
+        await peers.elect();
+        for (let index = 2; index <= 8; index += 1) {
+            void peers.replica.propose(`entry ${String(index)}`);
+            await clock.tickAsync(1);
+            peers.answerAppend(left, index);
+            await clock.tickAsync(1);
+        }
+        peers.answerAppend(right, 1);
+        await clock.tickAsync(4 * timing.heartbeatMs);
+        peers.sent.length = 0;
+        for (let heartbeat = 0; heartbeat < heartbeats; heartbeat += 1) {
+            peers.answerAppend(left, 9);
+            // It has received the heartbeat, and not yet the snapshot.
+            peers.answerAppend(right, 1);
+            await clock.tickAsync(timing.heartbeatMs);
+        }
+        const kinds = peers.sent.filter(({ to }) => to === right.id).map(({ message }) => message.kind);
+        expect(kinds.length).to.be.at.least(heartbeats);
+        expect(kinds.filter((kind) => kind === "snapshot").length).to.be.at.most(2);
+    });
+
     it("bounds the size of a message as well as its number of entries", async () => {
         await peers.start();
         await peers.elect();
