fix(voter): grant a trial of a quarantined prompt segment some time after its last crash

Cause: trials were granted only to prompts that lack a segment of the quarantined group, so that a segment in all prompts of a service could be cleared by an operator alone. Requests have trials in time, segments had none.

Change: 10 s after the last crash the leader grants one prompt with the segment, 60 s after it a second one, of the two trials that a segment has; the contract allows three later sends. Entries ask once a second at most.

--- a/packages/daemon/src/process/entry/crashTracker.ts
+++ b/packages/daemon/src/process/entry/crashTracker.ts
@@ -12,6 +12,7 @@
 import {
     crashesResultSchema,
     type CrashRecord,
+    formatSegmentKey,
     isRequestQuarantined,
     isTrialDue,
     needsResendGrant,
@@ -148,12 +149,18 @@
      * @returns true where the voters granted it
      */
     async claimTrial(admitted: AdmittedCall): Promise<boolean> {
+        const segment = this.findQuarantiningSegment(admitted);
+        if (segment !== undefined) {
+            return !this.isRequestQuarantined(admitted) && this.segments.isTrialQuestionDue(segment)
+                && await this.askForTrial(formatSegmentKey(segment));
+        }
         const fingerprint = computeFingerprint(admitted);
         const record = this.clusterRecords.get(fingerprint);
-        const isDue = record !== undefined && isTrialDue(record, this.options.getUnixMs());
-        if (!isDue || this.findQuarantiningSegment(admitted) !== undefined) {
-            return false;
-        }
+        return record !== undefined && isTrialDue(record, this.options.getUnixMs())
+            && await this.askForTrial(fingerprint);
+    }
+
+    private async askForTrial(fingerprint: string): Promise<boolean> {
         try {
             const raw = await this.options.askLeader("trial", { fingerprint });
             return crashesResultSchema.parse(raw).is_taken;
--- a/packages/daemon/src/process/entry/segmentTracker.ts
+++ b/packages/daemon/src/process/entry/segmentTracker.ts
@@ -29,6 +29,7 @@
 const MAX_COMPLETIONS = 2_000;
 /** Segments with a crash seen by this entry; the oldest are dropped beyond this. */
 const MAX_LOCAL_RECORDS = 500;
+const TRIAL_QUESTION_INTERVAL_MS = 1_000;
 /** Segments reported for one request. */
 const MAX_REPORTED = 200;
 
@@ -46,6 +47,8 @@
     /** Crashes seen here, so that entries without a leader suspect segments, too. */
     private readonly localRecords = new Map<string, LocalRecord>();
     private readonly completions = new Map<string, number>();
+    /** When the leader was last asked for a trial, by segment. */
+    private readonly trialAskedMs = new Map<string, number>();
 
     /**
      * @param options - clock and reports
@@ -124,6 +127,23 @@
         });
     }
 
+    /**
+     * Checks whether the leader may be asked for a trial of a quarantined segment, at most once a second.
+     * @param segment - the segment
+     * @returns true if it has not been asked for some time
+     */
+    isTrialQuestionDue(segment: string): boolean {
+        const nowMs = this.options.getNowMs();
+        const isDue =
+            nowMs - (this.trialAskedMs.get(segment) ?? Number.NEGATIVE_INFINITY) >= TRIAL_QUESTION_INTERVAL_MS;
+        if (isDue) {
+            this.trialAskedMs.delete(segment);
+            this.trialAskedMs.set(segment, nowMs);
+            dropOldest(this.trialAskedMs, MAX_LOCAL_RECORDS);
+        }
+        return isDue;
+    }
+
     /**
      * Gets the score of a segment.
      * @param segment - the segment
--- a/packages/daemon/src/process/voter/crashRegistry.ts
+++ b/packages/daemon/src/process/voter/crashRegistry.ts
@@ -12,6 +12,7 @@
     formatSegmentKey,
     isNearQuarantine,
     isRequestQuarantined,
+    isSegmentTrialDue,
     parseSegmentKey,
     type ReportedCrash,
     type ResendParameters,
@@ -78,12 +79,22 @@
     }
 
     /**
-     * Grants one trial run of a quarantined request if one is due.
-     * @param parameters - the request's fingerprint
+     * Grants one trial run of a quarantined request, or of a prompt with a quarantined segment, if one is due.
+     * @param parameters - the request's fingerprint, or the segment's key
      * @returns whether the trial was granted
      */
     async claimTrial({ fingerprint }: TrialParameters): Promise<CrashesResult> {
-        return { is_taken: this.options.host.replica.hasLeaderLease() && await this.commitTrial(fingerprint) };
+        const segment = parseSegmentKey(fingerprint);
+        const mayTry = this.options.host.replica.hasLeaderLease()
+            && (segment === undefined || this.claimSegmentTrial(segment));
+        return { is_taken: mayTry && await this.commitTrial(fingerprint) };
+    }
+
+    private claimSegmentTrial(segment: string): boolean {
+        const { host, getUnixMs } = this.options;
+        const record = host.state.segments.get(segment);
+        return record !== undefined && isSegmentTrialDue(record, getUnixMs())
+            && this.resends.claim([formatSegmentKey(segment)]);
     }
 
     /**
--- a/packages/schemas/src/segmentCrash.ts
+++ b/packages/schemas/src/segmentCrash.ts
@@ -53,6 +53,25 @@
 /** Trial sends for each segment; the third send that the contract allows is reserved for a send already in flight. */
 export const MAX_SEGMENT_TRIALS = 2;
 
+/** Time from the last crash to the first trial of a quarantined segment; the second one follows after several times as long. */
+const SEGMENT_TRIAL_DELAY_MS = 10_000;
+const SEGMENT_TRIAL_DELAY_FACTOR = 6;
+
+/**
+ * Checks whether a prompt with a quarantined segment may be sent to find out whether it still crashes upstreams. Nothing else
+ * would clear a segment that is in all prompts of a service.
+ * @param record - crashes of the segment
+ * @param nowMs - Unix time, in milliseconds
+ * @returns true once the segment has caused no crash for some time, while a trial is left
+ */
+export function isSegmentTrialDue(
+    { trials, changed_at_ms }: Pick<SegmentRecord, "trials" | "changed_at_ms">,
+    nowMs: number,
+): boolean {
+    return trials < MAX_SEGMENT_TRIALS
+        && nowMs - changed_at_ms >= SEGMENT_TRIAL_DELAY_MS * SEGMENT_TRIAL_DELAY_FACTOR ** trials;
+}
+
 /** Crashes that a segment was in. */
 export type SegmentCrashCounts = Pick<SegmentRecord, "early" | "late">;
 
