fix(entry): forward responses without a length without one again

Cause: gave callers of HTTP/1.1 chunks; a worker that cuts its own answer in order accepts connections afterwards, so the check before the last chunk passed.

Change: no chunks, as before. What stays: an upstream that accepts no connections, the wait for callers that read, and the unfinished event at the end of a stop, so that SIGTERM is visible (cutStreams.test.ts, 2 of 2).

--- a/packages/daemon/src/request/routedResponse.ts
+++ b/packages/daemon/src/request/routedResponse.ts
@@ -153,7 +153,7 @@
             headers.push("Content-Length", String(buffered.body.length));
         }
         else {
-            this.delimitByCloseIfNeeded();
+            this.delimitByClose();
         }
         this.writeHead(buffered.head.status, headers);
         this.response.end(buffered.body);
@@ -182,7 +182,7 @@
      */
     beginStream(head: ResponseHead): void {
         if (!isSelfDelimited(head)) {
-            this.delimitByCloseIfNeeded();
+            this.delimitByClose();
         }
         this.writeHead(head.status, removeHopByHopHeaders(head.rawHeaders, LENGTH_HEADERS));
     }
@@ -216,13 +216,10 @@
     }
 
     /**
-     * Delimits the response by the end of its connection if the caller cannot read chunks (RFC 9112, section 6.1). Any other
-     * caller gets chunks, whose missing end shows that the response was cut.
+     * Sends the response close-delimited. An upstream that crashes closes its connection just like one that has
+     * finished, so a response without a length is forwarded without one: it must not claim more than the upstream did.
      */
-    private delimitByCloseIfNeeded(): void {
-        if (this.response.req.httpVersionMajor !== 1 || this.response.req.httpVersionMinor > 0) {
-            return;
-        }
+    private delimitByClose(): void {
         this.closeDelimited = true;
         this.response.shouldKeepAlive = false;
         this.response.useChunkedEncodingByDefault = false;
