fix(entry): end the wait for a confirmed configuration at the route's time-out

What callers saw: a request with a deadline of 20 s, on a route with a time-out of 600 ms, was refused after 1,800 ms at an entry that knew of a newer version and could not load it. The contract allows 600 + 500 ms. Cause: admitOrWait waited for a tenth of the caller's deadline, at most 1,800 ms, from the last byte of the body. It was the one wait for the leader that the route's time-out did not end; found by reading each await on the way of a request. Change: the wait ends at the time-out of the route that the entry holds, counted from the arrival of the headers. An entry without a routing table knows no time-out and waits as before.

--- a/packages/daemon/src/process/entry/entryAdmission.ts
+++ b/packages/daemon/src/process/entry/entryAdmission.ts
@@ -13,7 +13,7 @@
 /** Dependencies of the admission control. */
 export interface EntryAdmissionOptions {
     readonly view: FleetView;
-    readonly contract: FleetSettings["contract"];
+    readonly contract: Pick<FleetSettings["contract"], "apply" | "revocation">;
     readonly getNowMs: () => number;
     readonly random: () => number;
     /** Time since a leader confirmed that the local state is current. */
@@ -34,17 +34,18 @@
 
     /**
      * Admits a call. Where the reason for a refusal may be transient, such as a state update in progress, the call
-     * waits for a short time before it is refused.
+     * waits for a short time before it is refused, no longer than until its route's time-out.
      * @param call - the call
+     * @param arrivedMs - arrival of its headers, by the monotonic clock
      * @param isCallerGone - whether the caller has disconnected
      * @returns the admitted route, or the reason for the refusal
      */
-    async admitOrWait(call: RoutedCall, isCallerGone: () => boolean): Promise<CallAdmission> {
+    async admitOrWait(call: RoutedCall, arrivedMs: number, isCallerGone: () => boolean): Promise<CallAdmission> {
         const { getNowMs, acceptsRequests } = this.options;
-        const untilMs = getNowMs() + computeMaxWaitMs(call.deadlineMs ?? 0);
+        const lastMs = getNowMs() + computeMaxWaitMs(call.deadlineMs ?? 0);
         let admission = this.admit(call);
         while (admission.kind === "refused" && isTransient(admission.refusal) && !isCallerGone()) {
-            if (getNowMs() >= untilMs || !acceptsRequests()) {
+            if (getNowMs() >= Math.min(lastMs, this.computeTimeoutMs(call, arrivedMs)) || !acceptsRequests()) {
                 return admission;
             }
             await waitMs(TARGET_POLL_MS);
@@ -54,6 +55,12 @@
         return admission;
     }
 
+    /** The end of the route's time-out; the route may change while the call waits. */
+    private computeTimeoutMs({ host, path }: RoutedCall, arrivedMs: number): number {
+        const route = this.options.view.routing?.findRoute(host, path);
+        return arrivedMs + (route?.timeout_ms ?? Number.POSITIVE_INFINITY);
+    }
+
     private recordAdmissionAge(admission: CallAdmission): void {
         if (admission.kind === "admitted") {
             const { metrics, contract } = this.options;
