--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -232,7 +232,7 @@
 
 /**
  * A snapshot may take longer than an election timeout to arrive and to be synced. This message follows the beginning of the log,
- * so a replica accepts it whatever it holds, and its answer acknowledges none of the snapshot.
+ * so a replica accepts it regardless of its log, and its answer acknowledges none of the snapshot.
  */
 function sendHeartbeatBesideSnapshot(context: ReplicaContext, to: ReplicaAddress, now: number): void {
     context.options.functions.send(to, {
--- a/packages/daemon/src/connection/upstreamConnections.ts
+++ b/packages/daemon/src/connection/upstreamConnections.ts
@@ -13,7 +13,7 @@
     readonly address: string;
     /**
      * Set if the upstream has answered an earlier attempt of the request. A surplus copy of that answer may still arrive on
-     * its connection, and could not be told from the answer to the next attempt, since both have the request's id.
+     * its connection, and could not be distinguished from the answer to the next attempt, since both have the request's id.
      */
     readonly needsNewConnection?: boolean;
 }
@@ -21,7 +21,7 @@
 /** Connection pools by incarnation and address. */
 export class UpstreamConnections {
     private readonly pools = new Map<string, { readonly id: string; readonly pool: Pool; }>();
-
+    /** Connections that serve one request each. */
     private readonly unshared = new Set<Client>();
 
     /**
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -364,7 +364,7 @@
     handle(message: IncomingMessage, response: ServerResponse): void {
         const answer = new RoutedResponse(response, this.options.codec, this.options.isStopping);
         this.open.add(answer);
-        // A caller that reads slowly receives the rest of a response after its request has ended here.
+        // The request is open until its caller's connection has taken the whole response.
         const closed = new Promise<void>((resolve) => {
             response.once("close", resolve);
         });
--- a/packages/daemon/src/process/entry/leaderSync.ts
+++ b/packages/daemon/src/process/entry/leaderSync.ts
@@ -378,8 +378,8 @@
     }
 
     /**
-     * Applies what a follower knows of the newest document. It renews no lease, since the follower may lack a newer version, but
-     * the version that it names is committed; so entries learn of it although the leader is late.
+     * Applies a follower's report of the newest document. It renews no lease, since the follower may lack a newer version, but
+     * the version that it names is committed; so entries learn of it while the leader is slow.
      */
     private applyFollowerState(address: string, context: RequestContext, state: DocumentState): void {
         const { behind_ms } = state;
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -270,7 +270,7 @@
         return this.relayList;
     }
 
-    /** A leader may be late; its followers know what it has committed and have time to tell it. */
+    /** Reports the newest committed document, so that entries need not wait for a slow leader to learn of it. */
     private createNotLeaderResult(parameters: SynchroniseParameters): SynchroniseResult {
         const { host } = this.options;
         const { leader } = host.replica.getStatus();
--- a/packages/daemon/src/process/voter/reportTotals.ts
+++ b/packages/daemon/src/process/voter/reportTotals.ts
@@ -97,7 +97,7 @@
     }
 
     /**
-     * Tells whether the report of an entry is included.
+     * Checks whether the report of an entry is included.
      * @param instance - the entry
      * @returns false if it has expired
      */
