fix(http): close the responses to pipelined requests with their connection

What callers saw: nothing. An entry whose caller sent two requests without waiting and left kept the second one as open, so a stop waited all of its time, and the unread bytes of that caller's organisation were counted for good. Change: openServer, which opens all servers of an instance, destroys queued responses and emits their "close" at the end of their connection. Where the code asked for "closed", which Node.js sets only with its own event, it asks for "destroyed". Found by reading; that the stop and the budget are right now follows from the event, no run of a whole entry shows it.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -397,7 +397,7 @@
             this.refuse(call, answer, body === "too-large" ? "body-too-large" : "unreadable", arrivedMs);
             return;
         }
-        const admission = await this.admission.admitOrWait(call, arrivedMs, () => response.closed);
+        const admission = await this.admission.admitOrWait(call, arrivedMs, () => response.destroyed);
         if (admission.kind === "refused") {
             this.refuse(call, answer, admission.refusal, arrivedMs);
             return;
--- a/packages/daemon/src/process/entry/relayServer.ts
+++ b/packages/daemon/src/process/entry/relayServer.ts
@@ -136,7 +136,7 @@
 
     private forward({ endpoint, request }: RelayedRequest, body: Buffer | undefined, response: ServerResponse): void {
         const exchange: OpenExchange = startExchange(this.options.getConnections(endpoint), { ...request, body }, {
-            shouldSend: () => !response.closed,
+            shouldSend: () => !response.destroyed,
             handleWithheld: () => undefined,
             handleHead: (head) => {
                 this.options.handleHead(endpoint.upstreamId, head);
--- a/packages/daemon/src/process/entry/unreadBudget.ts
+++ b/packages/daemon/src/process/entry/unreadBudget.ts
@@ -186,7 +186,7 @@
             exchange?.pause();
         }
         this.exchange = exchange;
-        if (this.response.closed) {
+        if (this.response.destroyed) {
             return;
         }
         const beforeBytes = this.unreadBytes;
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -37,6 +37,7 @@
 ): Promise<OpenServer> {
     const { host, port } = parseAddress(address);
     server.keepAliveTimeout = idleMs;
+    server.prependListener("request", closeWithConnection);
     await listen(server, host, port);
     const bound = server.address() as AddressInfo;
     return {
@@ -129,6 +130,26 @@
     return bytes;
 }
 
+/**
+ * When a connection ends, Node.js closes the response that is being written to it, but not the responses to pipelined requests
+ * that are queued behind it.
+ */
+function closeWithConnection({ socket }: IncomingMessage, response: ServerResponse): void {
+    const handleConnectionEnd = (): void => {
+        const isQueued = response.socket === null;
+        if (isQueued && !response.closed) {
+            response.destroy();
+            response.emit("close");
+        }
+    };
+    // A caller may send any number of requests without waiting for the responses.
+    socket.setMaxListeners(0);
+    socket.once("close", handleConnectionEnd);
+    response.once("close", () => {
+        socket.off("close", handleConnectionEnd);
+    });
+}
+
 function listen(server: Server, host: string, port: number): Promise<void> {
     return new Promise((resolve, reject) => {
         server.once("error", reject);
