feat(entry): count responses that are cut, and log why a request is not attempted again

The line of a request had the end of each attempt but not why no other attempt was made, and cut responses were counted among refusals only.

Change: chooseNextStep names the obstacle (permission, time, attempt, upstream, retry); the request's line has it as obstacle; counter crankfork_responses_cut_total by service, last attempt and cause. No decision changes.

--- a/packages/daemon/src/process/entry/requestLog.ts
+++ b/packages/daemon/src/process/entry/requestLog.ts
@@ -66,6 +66,9 @@
     const { call, route, service, arrivedMs, basis } = run.admitted;
     const firstMs = end.firstMs === undefined ? undefined : end.firstMs - arrivedMs;
     metrics.countRequest(service.name, end.refusal ?? end.outcome, refusedClass?.rank);
+    if (end.outcome === "broken-off") {
+        metrics.countCutResponse(service.name, run.lastAttemptEnd ?? "", end.obstacle ?? end.refusal ?? "");
+    }
     metrics.recordRequestMs(service.name, run.ageMs);
     log.record(end.outcome === "answered" && !isLate(run, end, firstMs) ? "debug" : "info", "request", {
         request: call.requestId,
@@ -73,6 +76,7 @@
         service: service.name,
         outcome: end.outcome,
         refusal: end.refusal,
+        obstacle: end.obstacle,
         status: end.status,
         ms: Math.round(run.ageMs),
         first_ms: roundMs(firstMs),
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -9,6 +9,11 @@
 export interface FleetMetrics {
     /** `rank` is given for refusals of services whose demand is reported. */
     readonly countRequest: (service: string, outcome: string, rank?: number) => void;
+    /**
+     * A response ended before its end: how its last attempt ended, and why there was no other, or the refusal that ended
+     * it.
+     */
+    readonly countCutResponse: (service: string, attempt: string, cause: string) => void;
     /** Share of the room of a service that a class may take. */
     readonly recordClassRoom: (service: string, rank: number, share: number) => void;
     /** The service is no longer configured. */
@@ -82,6 +87,12 @@
         labelNames: ["service", "outcome", "rank"],
         registers,
     });
+    const cutResponses = new Counter({
+        name: "crankfork_responses_cut_total",
+        help: "Responses that were begun and cut, by how the last attempt ended and why no other was made",
+        labelNames: ["service", "attempt", "cause"],
+        registers,
+    });
     const classRoom = new Gauge({
         name: "crankfork_class_room",
         help: "Share of the room of a service that a class may take, from 0 to 1",
@@ -269,6 +280,9 @@
         countRequest: (service, outcome, rank) => {
             requests.inc({ service, outcome, ...(rank === undefined ? {} : { rank: String(rank) }) });
         },
+        countCutResponse: (service, attempt, cause) => {
+            cutResponses.inc({ service, attempt, cause });
+        },
         recordClassRoom: (service, rank, share) => {
             classRoom.set({ service, rank: String(rank) }, share);
         },
--- a/packages/daemon/src/request/recordAttempt.ts
+++ b/packages/daemon/src/request/recordAttempt.ts
@@ -46,6 +46,7 @@
     const label = result.kind === "ended" ? `${result.end}(${result.reason})` : result.kind;
     const relay = functions.getRelay?.(target);
     const via = relay === undefined ? "" : `(via ${relay})`;
+    context.lastAttemptEnd = result.kind === "ended" ? result.end : result.kind;
     context.attemptLog.push(`${upstreamId}${via}:${label}:${String(Math.round(durationMs))}ms`);
     switch (result.kind) {
         case "answered":
--- a/packages/daemon/src/request/refuseRequest.ts
+++ b/packages/daemon/src/request/refuseRequest.ts
@@ -1,7 +1,7 @@
 /**
  * Ends routed requests that get no response from an upstream: the response to the caller, and its Retry-After.
  */
-import type { AttemptOutcome } from "@crankfork/decisions";
+import type { AttemptOutcome, RetryObstacle } from "@crankfork/decisions";
 import type { RequestContext, StopReason } from "./requestContext.js";
 import type { RoutedRequestFunctions, TargetChoice } from "./requestFunctions.js";
 import { type RefusalId, refusals } from "./routedRefusal.js";
@@ -13,6 +13,8 @@
     readonly outcome: "answered" | "handed-on" | "refused" | "failed" | "broken-off" | "caller-left";
     readonly status: number | undefined;
     readonly refusal: RefusalId | undefined;
+    /** Why a request that may have run was not attempted again. */
+    readonly obstacle?: RetryObstacle | undefined;
     /** When the first event of a stream was forwarded, on the monotonic clock. */
     readonly firstMs?: number | undefined;
     readonly longestPauseMs?: number | undefined;
@@ -42,7 +44,7 @@
     functions: RoutedRequestFunctions,
 ): RequestEnd {
     if (context.mayHaveRun) {
-        return sendRefusal(context, response, "upstream-failed");
+        return { ...sendRefusal(context, response, "upstream-failed"), obstacle: "upstream" };
     }
     if (choice.kind !== "resting" && choice.kind !== "limited") {
         context.takenBy = choice.kind === "full" ? choice.takenBy : undefined;
--- a/packages/daemon/src/request/requestContext.ts
+++ b/packages/daemon/src/request/requestContext.ts
@@ -48,6 +48,8 @@
     throttledBy: readonly string[] = [];
     /** Open requests by rank that held the room it lacked, for the log. */
     takenBy: string | undefined;
+    /** How its last attempt ended, for the metrics. */
+    lastAttemptEnd: string | undefined;
     /** Results of its attempts, for the log. */
     readonly attemptLog: string[] = [];
     private stopped: StopReason | undefined;
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -290,7 +290,7 @@
                     isWithoutRelay(result) ? "cut-off" : getNotRunRefusal(result.end, step.hasFreeUpstream),
                 );
         case "fail":
-            return sendRefusal(context, response, "upstream-failed");
+            return { ...sendRefusal(context, response, "upstream-failed"), obstacle: step.lacks };
     }
 }
 
--- a/packages/decisions/src/request/chooseNextStep.ts
+++ b/packages/decisions/src/request/chooseNextStep.ts
@@ -59,7 +59,20 @@
      */
     | { readonly kind: "refuse"; readonly hasFreeUpstream: boolean; }
     /** It may have been executed and has no answer. */
-    | { readonly kind: "fail"; };
+    | { readonly kind: "fail"; readonly lacks: RetryObstacle; };
+
+/** Why a request is not attempted again. */
+export type RetryObstacle =
+    /** It may be executed only once. */
+    | "permission"
+    /** The route allows no further attempt. */
+    | "attempt"
+    /** No other upstream can take it. */
+    | "upstream"
+    /** The retry budget is spent. */
+    | "retry"
+    /** Its deadline is too close. */
+    | "time";
 
 /** Most attempts of one request, so that it does not go round a fleet that declines everything. */
 const MAX_ATTEMPTS = 4;
@@ -85,7 +98,22 @@
     if (view.outcome === "failed") {
         return { kind: "hand-on" };
     }
-    return view.mayHaveRun ? { kind: "fail" } : { kind: "refuse", hasFreeUpstream: view.hasAlternative };
+    return view.mayHaveRun
+        ? { kind: "fail", lacks: findObstacle(view) }
+        : { kind: "refuse", hasFreeUpstream: view.hasAlternative };
+}
+
+function findObstacle(view: AttemptView): RetryObstacle {
+    if (!view.isRepeatable) {
+        return "permission";
+    }
+    if (view.remainingMs < MIN_REMAINING_MS) {
+        return "time";
+    }
+    if (view.executions >= view.maxExecutions || view.attempts >= MAX_ATTEMPTS) {
+        return "attempt";
+    }
+    return view.hasAlternative ? "retry" : "upstream";
 }
 
 function mayRetry(view: AttemptView): boolean {
--- a/packages/decisions/tests/chooseNextStep.test.ts
+++ b/packages/decisions/tests/chooseNextStep.test.ts
@@ -6,6 +6,7 @@
     chooseVoterChange,
     computeVoterTarget,
     type NextStep,
+    type RetryObstacle,
     SharedRetryBudget,
     type VoterView,
 } from "../src/index.js";
@@ -129,6 +130,22 @@
     }
 });
 
+describe("a request that fails says why it is not attempted again", () => {
+    const failures: readonly { readonly change: Partial<AttemptView>; readonly lacks: RetryObstacle; }[] = [
+        { change: { isRepeatable: false }, lacks: "permission" },
+        { change: { remainingMs: 5 }, lacks: "time" },
+        { change: { executions: 2 }, lacks: "attempt" },
+        { change: { attempts: 4 }, lacks: "attempt" },
+        { change: { hasAlternative: false }, lacks: "upstream" },
+        { change: { claimRetry: () => false }, lacks: "retry" },
+    ];
+    for (const { change, lacks } of failures) {
+        it(lacks, () => {
+            expect(chooseNextStep({ ...view, ...change })).to.deep.equal({ kind: "fail", lacks });
+        });
+    }
+});
+
 describe("a refusal for lack of retries says whether an upstream is free", () => {
     for (const hasAlternative of [true, false]) {
         it(hasAlternative ? "one is" : "none is", () => {
