--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -166,6 +166,8 @@
     readonly engine?: EngineProfile;
     /** Budget of the unread bytes; none by default. */
     readonly unread?: UnreadBudget;
+    /** Takes a retry from the retry budget; always possible by default. */
+    readonly claimRetry?: () => boolean;
     readonly queryStall?: (target: CallTarget) => Promise<StallReport>;
     /** The way to an upstream; a direct connection by default. */
     readonly getConnections?: RoutedRequestFunctions["getConnections"];
@@ -303,14 +305,16 @@
             suspect: (id) => this.suspects.push(id),
             recordDecline: (id) => this.declines.push(id),
             findIdAt: (address) => options.upstreams.find((one) => one.address === address)?.name ?? address,
-            claimRetry: () => true,
+            claimRetry: options.claimRetry ?? (() => true),
             queryStall: options.queryStall ?? (() => Promise.resolve({ kind: "moving" })),
             watchPath: (target, pauseMs, leave) =>
                 this.stallDetector.follow({ id: target.upstreamId, laterStages: "" }, pauseMs, leave),
             ...(options.followLink === undefined ? {} : { followLink: options.followLink }),
             claimPathSwitch: (context) =>
                 options.maySwitchPath !== false
-                && options.upstreams.some((one) => !context.attemptedUpstreams.has(one.name)),
+                && context.mayHaveRunOn.size + 1 < context.admitted.route.most_attempts
+                && options.upstreams.some((one) => !context.attemptedUpstreams.has(one.name))
+                && options.claimRetry?.() !== false,
             hasEnded: (id) => options.ended?.includes(id) === true,
             notices: {
                 receive: () => undefined,
--- /dev/null
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -0,0 +1,363 @@
+/**
+ * Guards against answers that an entry cuts because their upstreams are silent for a while.
+ */
+import type { Route } from "@crankfork/schemas";
+import { expect } from "chai";
+import { request as sendHttp } from "node:http";
+import type { Socket } from "node:net";
+import type { StallReport } from "../src/request/requestFunctions.js";
+import {
+    formatChunk,
+    formatEvent,
+    formatResponse,
+    formatStreamHead,
+    type ReceivedResponse,
+    ScriptedUpstream,
+    TestEntry,
+} from "./routedHarness.js";
+
+const EVENTS = 20;
+const EVENT_INTERVAL_MS = 10;
+/** Time for which a paused upstream does not answer a query of its state. */
+const REPORT_TIMEOUT_MS = 40;
+const TIMEOUT_MS = 4_000;
+
+/** An upstream that runs a request step by step, and does nothing while it is paused. */
+class PausableUpstream {
+    isPaused = false;
+    /** Answers to requests that arrive from now on. */
+    behaviour: "run" | "decline" | "reset" | "fail" = "run";
+    private readonly timers = new Set<NodeJS.Timeout>();
+
+    private constructor(readonly upstream: ScriptedUpstream, private readonly responseMs: number) {}
+
+    static async open(name: string, responseMs: number): Promise<PausableUpstream> {
+        let handle: (socket: Socket, id: string, text: string) => void = () => undefined;
+        const scripted = await ScriptedUpstream.open(name, (socket, id, text) => {
+            handle(socket, id, text);
+        });
+        const pausable = new PausableUpstream(scripted, responseMs);
+        handle = (socket, id, text) => {
+            pausable.respond(socket, id, text);
+        };
+        return pausable;
+    }
+
+    async getReport(): Promise<StallReport> {
+        if (!this.isPaused) {
+            return { kind: "moving" };
+        }
+        await new Promise((resolve) => setTimeout(resolve, REPORT_TIMEOUT_MS));
+        return { kind: "unreachable" };
+    }
+
+    close(): void {
+        this.timers.forEach((timer) => {
+            clearInterval(timer);
+        });
+        this.upstream.close();
+    }
+
+    private respond(socket: Socket, id: string, text: string): void {
+        switch (this.behaviour) {
+            case "decline":
+                socket.write(formatResponse(503, id, "", "x-not-run: 1\r\n"));
+                return;
+            case "reset":
+                socket.resetAndDestroy();
+                return;
+            case "fail":
+                socket.write(formatResponse(500, id, "bad"));
+                return;
+            case "run":
+                break;
+        }
+        const isStream = /x-kind: stream/i.test(text);
+        let event = Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0);
+        let waitedMs = 0;
+        let hasHead = false;
+        const timer = setInterval(() => {
+            if (socket.destroyed) {
+                clearInterval(timer);
+                return;
+            }
+            if (this.isPaused) {
+                return;
+            }
+            waitedMs += EVENT_INTERVAL_MS;
+            if (waitedMs < this.responseMs) {
+                return;
+            }
+            if (!isStream) {
+                socket.write(formatResponse(200, id, "good"));
+                clearInterval(timer);
+                return;
+            }
+            if (!hasHead) {
+                hasHead = true;
+                socket.write(formatStreamHead(id));
+            }
+            event += 1;
+            if (event <= EVENTS) {
+                socket.write(formatChunk(formatEvent(event)));
+            }
+            else {
+                socket.write(formatChunk(""));
+                clearInterval(timer);
+            }
+        }, EVENT_INTERVAL_MS);
+        this.timers.add(timer);
+    }
+}
+
+async function ask(url: string, kind: Route["kind"]): Promise<ReceivedResponse> {
+    return await new Promise((resolve) => {
+        let body = "";
+        const headers = { "x-id": "one", "x-kind": kind, "x-deadline": String(TIMEOUT_MS) };
+        const request = sendHttp(url, { method: "POST", headers, agent: false }, (response) => {
+            response.on("data", (chunk: Buffer) => body += chunk.toString());
+            response.on("end", () => {
+                resolve({ status: response.statusCode, body, isComplete: true });
+            });
+            response.on("error", () => {
+                resolve({ status: response.statusCode, body, isComplete: false });
+            });
+        });
+        request.on("error", () => {
+            resolve({ status: undefined, body, isComplete: false });
+        });
+        request.end("body");
+    });
+}
+
+interface PauseCase {
+    readonly title: string;
+    readonly kind?: Route["kind"];
+    readonly mostAttempts: number;
+    /** Names of the upstreams. */
+    readonly upstreams: number;
+    /** When upstreams pause and continue, in milliseconds after the request, with their numbers; all by default. */
+    readonly pauses: readonly { readonly fromMs: number; readonly toMs: number; readonly at?: readonly number[]; }[];
+    /** Behaviour of the upstreams from the first pause on, for requests that arrive later. */
+    readonly later?: readonly PausableUpstream["behaviour"][];
+    /** Retries that the budget allows; any number by default. */
+    readonly retries?: number;
+    /** Time that an upstream takes until it begins to answer. */
+    readonly responseMs?: number;
+    readonly maySwitchPath?: boolean;
+}
+
+const streams: readonly PauseCase[] = [1, 2, 3].flatMap((mostAttempts) =>
+    [100, 400, 1_000].map((pauseMs) => ({
+        title: `all upstreams pause for ${String(pauseMs)} ms, ${String(mostAttempts)} attempts`,
+        mostAttempts,
+        upstreams: 3,
+        pauses: [{ fromMs: 60, toMs: 60 + pauseMs }],
+    }))
+);
+
+const rows: readonly PauseCase[] = [
+    ...streams,
+    {
+        title: "the only upstream pauses",
+        mostAttempts: 2,
+        upstreams: 1,
+        pauses: [{ fromMs: 60, toMs: 500 }],
+    },
+    {
+        title: "the retry budget is spent",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 60, toMs: 500, at: [0] }],
+        retries: 0,
+    },
+    {
+        title: "the retry budget is spent, and silence alone is no reason to switch",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 60, toMs: 500, at: [0] }],
+        retries: 0,
+        maySwitchPath: false,
+    },
+    {
+        title: "the second attempt is declined",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 60, toMs: 500, at: [0] }],
+        later: ["run", "decline"],
+    },
+    {
+        title: "the connection of the second attempt is reset",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 60, toMs: 500, at: [0] }],
+        later: ["run", "reset"],
+    },
+    {
+        title: "the second attempt fails",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 60, toMs: 500, at: [0] }],
+        later: ["run", "fail"],
+    },
+    {
+        title: "two pauses, one after the other",
+        mostAttempts: 2,
+        upstreams: 3,
+        pauses: [{ fromMs: 60, toMs: 300 }, { fromMs: 380, toMs: 700 }],
+    },
+    {
+        title: "one upstream pauses, then the next one",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 60, toMs: 300, at: [0] }, { fromMs: 200, toMs: 700, at: [1] }],
+    },
+    {
+        title: "all upstreams pause before the first event",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 0, toMs: 600 }],
+    },
+    {
+        title: "the only upstream pauses before the first event",
+        mostAttempts: 2,
+        upstreams: 1,
+        pauses: [{ fromMs: 0, toMs: 600 }],
+    },
+    {
+        title: "a call that all upstreams answer late",
+        kind: "call",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 0, toMs: 600 }],
+    },
+    {
+        title: "a call whose budget is spent",
+        kind: "call",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 0, toMs: 300 }],
+        retries: 0,
+    },
+    {
+        title: "a call whose second attempt fails",
+        kind: "call",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 0, toMs: 300 }],
+        later: ["run", "fail"],
+    },
+    {
+        title: "a call whose second attempt is reset",
+        kind: "call",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [{ fromMs: 0, toMs: 300 }],
+        later: ["run", "reset"],
+    },
+    {
+        title: "a call that takes longer than its objective everywhere",
+        kind: "call",
+        mostAttempts: 2,
+        upstreams: 2,
+        pauses: [],
+        responseMs: 250,
+    },
+];
+
+async function play(row: PauseCase): Promise<{
+    readonly seen: ReceivedResponse;
+    readonly sent: readonly number[];
+}> {
+    const { kind = "stream" } = row;
+    const pausables = await Promise.all(
+        Array.from(
+            { length: row.upstreams },
+            (_unused, at) => PausableUpstream.open(`u${String(at)}`, row.responseMs ?? 0),
+        ),
+    );
+    let retries = 0;
+    const entry = await TestEntry.open({
+        upstreams: pausables.map(({ upstream }) => upstream),
+        route: { kind, most_attempts: row.mostAttempts, timeout_ms: TIMEOUT_MS },
+        isPath: kind === "stream",
+        maySwitchPath: row.maySwitchPath ?? true,
+        claimRetry: () => {
+            retries += 1;
+            return retries <= (row.retries ?? Number.POSITIVE_INFINITY);
+        },
+        queryStall: async ({ upstreamName }) =>
+            await pausables.find(({ upstream }) => upstream.name === upstreamName)!.getReport(),
+    });
+    const timers = row.pauses.flatMap(({ fromMs, toMs, at }) => {
+        const chosen = pausables.filter((_one, number) => at?.includes(number) !== false);
+        const setPaused = (isPaused: boolean): void => {
+            chosen.forEach((one) => {
+                one.isPaused = isPaused;
+            });
+        };
+        if (fromMs === 0) {
+            setPaused(true);
+        }
+        return [
+            setTimeout(() => {
+                setPaused(true);
+                row.later?.slice(1).forEach((behaviour, at) => {
+                    pausables[at + 1]!.behaviour = behaviour;
+                });
+            }, fromMs),
+            setTimeout(() => {
+                setPaused(false);
+            }, toMs),
+        ];
+    });
+    try {
+        const seen = await ask(entry.url, kind);
+        return { seen, sent: pausables.map(({ upstream }) => upstream.requests.length) };
+    }
+    finally {
+        timers.forEach((timer) => {
+            clearTimeout(timer);
+        });
+        await entry.close();
+        pausables.forEach((one) => {
+            one.close();
+        });
+    }
+}
+
+describe("an answer is whole although its upstreams are silent for a while", () => {
+    for (const row of rows) {
+        it(row.title, async () => {
+            const { seen, sent } = await play(row);
+            const whole = row.kind === "call"
+                ? "good"
+                : Array.from({ length: EVENTS }, (_unused, at) => formatEvent(at + 1)).join("");
+            expect(seen).to.deep.equal({ status: 200, body: whole, isComplete: true });
+            expect(sent.filter((count) => count > 0).length).to.be.at.most(row.mostAttempts);
+        });
+    }
+});
+
+describe("a stream whose upstream is gone goes on elsewhere within its pause objective", () => {
+    it("three streams that fall silent together", async () => {
+        const PAUSE_MS = 200;
+        const silent = await PausableUpstream.open("silent", 0);
+        const good = await PausableUpstream.open("good", 0);
+        const entry = await TestEntry.open({
+            upstreams: [silent.upstream, good.upstream],
+            route: { kind: "stream", pause_objective_ms: PAUSE_MS, timeout_ms: TIMEOUT_MS },
+            isPath: true,
+        });
+        setTimeout(() => {
+            silent.isPaused = true;
+        }, 80);
+        const seen = await Promise.all([1, 2, 3].map(() => ask(entry.url, "stream")));
+        await entry.close();
+        silent.close();
+        good.close();
+        expect(seen.every(({ isComplete }) => isComplete)).to.equal(true);
+        expect(entry.ends.map(({ longestPauseMs }) => (longestPauseMs ?? 0) <= PAUSE_MS))
+            .to.deep.equal([true, true, true]);
+    });
+});
