fix(entry): keep silent attempts open until another attempt delivers

Cause: an entry aborted an attempt for a reported stall or two missing reports without asking whether the request may go on anywhere. It did ask before it left a silent path, but aborted before the new attempt had delivered; that attempt was then silent as well and was aborted by the first rule, with no attempt left.

Change: AttemptGroup. While all open attempts of a repeatable request are silent, a backup attempt is started at another upstream, within the route's most attempts and the retry budget. The first that delivers is kept, the others are aborted in the same turn of the loop. Silence ends no attempt; before a caller has received anything, two things do: an upstream that sends no report and accepts no connections, and a quarantined request whose upstreams have ended. Engines that send no report are suspected as before. A silent attempt counts as a possible crash from the start of its backup, as it did from its abort. The end of an attempt is now runObservedAttempt (from routedRequest.ts); each attempt has its own part of the stream.

Why this works: whatever becomes of the backup, the attempt that was going on is still there.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -495,7 +495,7 @@
                     ? undefined
                     : this.linkMonitor.follow(upstreamId, domain);
             },
-            claimPathSwitch: (run, isUnderWay) => this.claimLeave(run, isUnderWay),
+            hasOtherPath: (run) => run.admitted.service.engine === undefined || this.chooser.hasOtherPath(run),
             hasEnded: (id) => this.view.hasEnded(id),
             notices: this.createNoticeFunctions(),
             crashes: this.createCrashFunctions(),
@@ -588,12 +588,4 @@
         const others = this.options.countEntries() - 1;
         return others * this.budgets.get(service).requestsPerSecond * this.loadReportAge.getMeanAgeMs() / MS_PER_SECOND;
     }
-
-    /** A stream may move to another path only where an attempt, another path and retry budget are left. */
-    private claimLeave(run: RequestContext, isUnderWay: boolean): boolean {
-        const { route, service } = run.admitted;
-        return run.mayHaveRunOn.size + 1 < route.most_attempts
-            && this.chooser.hasOtherPath(run)
-            && this.budgets.get(service.name).claimRetry(isUnderWay);
-    }
 }
--- /dev/null
+++ b/packages/daemon/src/request/attemptGroup.ts
@@ -0,0 +1,320 @@
+/**
+ * The attempts of a request that are open at the same time. While all of them are silent, a backup attempt is started at
+ * another upstream; the first attempt that delivers is kept, and the others are aborted. An attempt is never aborted for its
+ * silence alone: a sound upstream may be silent for seconds and go on.
+ */
+import { findRetryObstacle, type RetryObstacle } from "@crankfork/decisions";
+import type { AttemptOutput } from "../process/entry/crashTracker.js";
+import { checkSend } from "./checkSend.js";
+import { runObservedAttempt } from "./observedAttempt.js";
+import type { RequestContext } from "./requestContext.js";
+import type { RoutedRequestFunctions } from "./requestFunctions.js";
+import type { CallTarget } from "./routedCall.js";
+import type { Silence } from "./stallWatch.js";
+import type { StreamRelay } from "./streamRelay.js";
+import type { AbortAttempt, AttemptResult } from "./upstreamAttempt.js";
+import { isKeyUsable, isQuarantined } from "./waitForTarget.js";
+
+/** Interval between checks whether a backup attempt can be started. */
+const BACKUP_CHECK_INTERVAL_MS = 100;
+
+/** Target of a backup attempt, or why there is none. */
+type BackupChoice =
+    | { readonly kind: "target"; readonly target: CallTarget; }
+    | { readonly kind: "none"; readonly obstacle: RetryObstacle; };
+
+const NO_OUTPUT: AttemptOutput = { hadProgress: false, outputMs: 0 };
+
+/** Result of the attempt that delivered, or of the last one that ended. */
+export type GroupResult = Exclude<AttemptResult, { kind: "superseded"; }>;
+
+/** One open attempt. */
+interface OpenAttempt {
+    readonly target: CallTarget;
+    abort: AbortAttempt;
+    /** The evidence of its present silence, and what it had delivered before. */
+    silence: Silence | undefined;
+    output: AttemptOutput;
+    /** The silence for which its upstream was probed. */
+    checkedSilence?: Silence;
+}
+
+/**
+ * Runs an attempt, and backup attempts while it is silent.
+ * @param context - the request
+ * @param target - target of the first attempt
+ * @param relay - the stream, for a streamed response
+ * @param functions - upstreams, budgets and clock
+ * @returns the result of the attempt that delivered, or of the last one that ended; never rejects
+ */
+export function runAttemptGroup(
+    context: RequestContext,
+    target: CallTarget,
+    relay: StreamRelay | undefined,
+    functions: RoutedRequestFunctions,
+): Promise<GroupResult> {
+    return new Promise((resolve) => {
+        new AttemptGroup(context, relay, functions, resolve).start(target);
+    });
+}
+
+class AttemptGroup {
+    private readonly open = new Set<OpenAttempt>();
+    private backupTimer: NodeJS.Timeout | undefined;
+    private isChoosingBackup = false;
+    private isSettled = false;
+    /** The obstacle in the last log line, so that it is not repeated at each check. */
+    private loggedObstacle: RetryObstacle | undefined;
+
+    constructor(
+        private readonly context: RequestContext,
+        private readonly relay: StreamRelay | undefined,
+        private readonly functions: RoutedRequestFunctions,
+        private readonly resolve: (result: GroupResult) => void,
+    ) {}
+
+    /**
+     * Starts an attempt.
+     * @param target - where the request is sent
+     */
+    start(target: CallTarget): void {
+        const attempt: OpenAttempt = { target, abort: () => undefined, silence: undefined, output: NO_OUTPUT };
+        this.open.add(attempt);
+        void runObservedAttempt(this.context, target, this.relay, this.functions, {
+            handleStart: (abort) => {
+                attempt.abort = abort;
+            },
+            handleEvent: () => {
+                this.handleProgress(attempt);
+            },
+            handleSilence: (silence, output) => {
+                this.handleSilence(attempt, silence, output);
+            },
+        }).then((result) => {
+            this.handleEnd(attempt, result);
+        });
+    }
+
+    private get isSilent(): boolean {
+        return this.open.size > 0 && [...this.open].every(({ silence }) => silence !== undefined);
+    }
+
+    private hasStarted(): boolean {
+        return (this.relay?.eventCount ?? 0) > 0;
+    }
+
+    private handleProgress(attempt: OpenAttempt): void {
+        attempt.silence = undefined;
+        if (this.open.size > 1) {
+            this.abortOthers(attempt);
+        }
+    }
+
+    private handleSilence(attempt: OpenAttempt, silence: Silence, output: AttemptOutput): void {
+        if (this.isSettled) {
+            return;
+        }
+        attempt.silence = silence;
+        attempt.output = output;
+        if (silence.kind === "stalled" || silence.kind === "no-report") {
+            this.functions.suspect(this.findFaultyId(attempt) ?? attempt.target.upstreamId, formatSilence(silence));
+        }
+        void this.checkBackup();
+    }
+
+    private findFaultyId({ silence }: OpenAttempt): string | undefined {
+        return silence?.kind === "stalled" && silence.faultAddress !== undefined
+            ? this.functions.findIdAt(silence.faultAddress)
+            : undefined;
+    }
+
+    private handleEnd(attempt: OpenAttempt, result: AttemptResult): void {
+        this.open.delete(attempt);
+        if (this.isSettled || result.kind === "superseded") {
+            return;
+        }
+        if (result.kind === "ended" && this.open.size > 0) {
+            this.scheduleBackup();
+            return;
+        }
+        this.isSettled = true;
+        clearTimeout(this.backupTimer);
+        this.abortOthers(undefined);
+        this.resolve(result);
+    }
+
+    private abortOthers(kept: OpenAttempt | undefined): void {
+        [...this.open].filter((one) => one !== kept).forEach((one) => {
+            this.open.delete(one);
+            const reason = one.silence === undefined ? "another attempt delivered" : formatSilence(one.silence);
+            one.abort({ kind: "superseded", reason });
+        });
+    }
+
+    private scheduleBackup(): void {
+        clearTimeout(this.backupTimer);
+        this.backupTimer = setTimeout(() => void this.checkBackup(), BACKUP_CHECK_INTERVAL_MS);
+    }
+
+    private async checkBackup(): Promise<void> {
+        if (!this.isBackupNeeded() || this.isChoosingBackup) {
+            return;
+        }
+        this.isChoosingBackup = true;
+        const choice = await this.chooseBackup();
+        this.isChoosingBackup = false;
+        if (!this.isBackupNeeded()) {
+            return;
+        }
+        const obstacle = choice.kind === "target" ? this.startBackup(choice.target) : choice.obstacle;
+        if (obstacle !== undefined) {
+            this.logObstacle(obstacle);
+            this.scheduleBackup();
+            this.open.forEach((attempt) => void this.checkReachable(attempt));
+            this.endQuarantined();
+        }
+    }
+
+    /** Returns why the backup was not started. */
+    private startBackup(target: CallTarget): RetryObstacle | undefined {
+        const { context, functions } = this;
+        if (!functions.claimRetry(context.admitted.service.name, this.hasStarted() && this.isCertain)) {
+            return "retry";
+        }
+        this.recordBackup();
+        this.start(target);
+        return undefined;
+    }
+
+    /** A caller that has received nothing need not wait for an upstream that accepts no connections. */
+    private async checkReachable(attempt: OpenAttempt): Promise<void> {
+        const { functions } = this;
+        const { silence, target } = attempt;
+        if (silence?.kind !== "no-report" || attempt.checkedSilence === silence || this.hasStarted()) {
+            return;
+        }
+        attempt.checkedSilence = silence;
+        const isReachable = await functions.isReachable?.(target) ?? true;
+        if (!isReachable && attempt.silence !== undefined) {
+            this.endStalled(attempt, `no connection, ${formatSilence(silence)}`);
+        }
+    }
+
+    /** Ends the attempts of a quarantined request whose upstreams have ended: nothing else can answer it. */
+    private endQuarantined(): void {
+        const { context, functions, open } = this;
+        if (
+            isQuarantined(context, functions) && [...open].every(({ target }) => functions.hasEnded(target.upstreamId))
+        ) {
+            open.forEach((attempt) => {
+                this.endStalled(attempt, "the request is quarantined and its upstream has ended");
+            });
+        }
+    }
+
+    private endStalled(attempt: OpenAttempt, reason: string): void {
+        if (!this.hasStarted()) {
+            attempt.abort({ kind: "ended", end: "stalled", reason });
+        }
+    }
+
+    private isBackupNeeded(): boolean {
+        return !this.isSettled && this.isSilent && this.context.stopReason === undefined
+            && this.relay?.isPaused !== true;
+    }
+
+    private async chooseBackup(): Promise<BackupChoice> {
+        const { context, functions } = this;
+        // A trial of a quarantined request is sent only once.
+        if (context.isTrial || isQuarantined(context, functions) || !isKeyUsable(context, functions)) {
+            return { kind: "none", obstacle: "permission" };
+        }
+        const obstacle = this.findObstacle();
+        const target = obstacle === undefined ? this.chooseUntried() : undefined;
+        if (target === undefined) {
+            return { kind: "none", obstacle: obstacle ?? "upstream" };
+        }
+        const check = await checkSend(context, { kind: "target", target }, functions);
+        if (check === "send") {
+            return { kind: "target", target };
+        }
+        const next = check === "choose-again" ? this.chooseUntried() : undefined;
+        return next === undefined ? { kind: "none", obstacle: "permission" } : { kind: "target", target: next };
+    }
+
+    private findObstacle(): RetryObstacle | undefined {
+        const { context, functions, open } = this;
+        const { route } = context.admitted;
+        const runs = new Set([...context.mayHaveRunOn, ...[...open].map(({ target }) => target.upstreamId)]);
+        const obstacle = findRetryObstacle({
+            isRepeatable: route.is_repeatable,
+            executions: [...runs].filter((id) => !functions.hasEnded(id)).length,
+            attempts: context.attempts,
+            maxExecutions: route.most_attempts,
+            remainingMs: context.remainingMs,
+            hasAlternative: true,
+        });
+        return obstacle ?? (functions.hasOtherPath(context) ? undefined : "upstream");
+    }
+
+    private chooseUntried(): CallTarget | undefined {
+        const { context, functions, relay } = this;
+        const choice = functions.chooseTarget(context, relay?.lastEventId, this.hasStarted());
+        return choice.kind === "target" && !context.attemptedUpstreams.has(choice.target.upstreamId)
+            ? choice.target
+            : undefined;
+    }
+
+    /** Whether the silence is more than that of a few streams, which may be waiting for lost packets. */
+    private get isCertain(): boolean {
+        return [...this.open].every(({ silence }) => silence?.kind !== "path" || silence.isCertain);
+    }
+
+    /** A silent upstream may have crashed; the request must not be sent to others without this being counted. */
+    private recordBackup(): void {
+        const { context, functions } = this;
+        this.open.forEach((attempt) => {
+            const { target, silence, output } = attempt;
+            const faultyId = this.findFaultyId(attempt);
+            const passed = target.stages?.map(({ engine }) => engine.id) ?? [target.upstreamId];
+            const upstreams = faultyId === undefined ? passed : [faultyId];
+            functions.crashes.recordUnanswered(context, { upstreams, ...output });
+            if (silence?.kind === "late") {
+                functions.suspect(target.upstreamId, formatSilence(silence));
+            }
+        });
+        functions.record("backup-attempt", this.describe());
+    }
+
+    private logObstacle(obstacle: RetryObstacle): void {
+        if (obstacle !== this.loggedObstacle) {
+            this.loggedObstacle = obstacle;
+            this.functions.record("attempt-silent", { ...this.describe(), obstacle });
+        }
+    }
+
+    private describe(): Readonly<Record<string, string | number>> {
+        const { context, open } = this;
+        return {
+            request: context.admitted.call.requestId,
+            peer: [...open].map(({ target }) => target.upstreamId).join(","),
+            reason: [...open].flatMap(({ silence }) => silence === undefined ? [] : formatSilence(silence)).join("; "),
+            tries: context.attempts,
+            left_ms: Math.round(context.remainingMs),
+        };
+    }
+}
+
+function formatSilence(silence: Silence): string {
+    const ms = String(Math.round(silence.silentMs));
+    switch (silence.kind) {
+        case "path":
+            return `path silent for ${ms} ms`;
+        case "stalled":
+            return `stalled, silent for ${ms} ms`;
+        case "no-report":
+            return `no report, silent for ${ms} ms`;
+        case "late":
+            return `no response for ${ms} ms`;
+    }
+}
--- a/packages/daemon/src/request/recordAttempt.ts
+++ b/packages/daemon/src/request/recordAttempt.ts
@@ -43,10 +43,12 @@
 ): void {
     const { upstreamId } = target;
     recordCrash(context, target, result, progress, functions);
-    const label = result.kind === "ended" ? `${result.end}(${result.reason})` : result.kind;
+    const label = formatResult(result);
     const relay = functions.getRelay?.(target);
     const via = relay === undefined ? "" : `(via ${relay})`;
-    context.lastAttemptEnd = result.kind === "ended" ? result.end : result.kind;
+    if (result.kind !== "superseded") {
+        context.lastAttemptEnd = result.kind === "ended" ? result.end : result.kind;
+    }
     context.attemptLog.push(`${upstreamId}${via}:${label}:${String(Math.round(durationMs))}ms`);
     switch (result.kind) {
         case "answered":
@@ -59,6 +61,9 @@
                 functions.recordAnswer(upstreamId, durationMs, true);
             }
             return;
+        case "superseded":
+            recordPossibleRun(context, upstreamId);
+            return;
         case "ended":
             // A backoff is no failure of the upstream, and a withheld request never reached it.
             if (result.end !== "kept-back") {
@@ -67,6 +72,19 @@
     }
 }
 
+function formatResult(result: AttemptResult): string {
+    switch (result.kind) {
+        case "ended":
+            return `${result.end}(${result.reason})`;
+        case "superseded":
+            return `superseded(${result.reason})`;
+        case "answered":
+        case "streamed":
+        case "stopped":
+            return result.kind;
+    }
+}
+
 function recordFailedAttempt(
     context: RequestContext,
     target: CallTarget,
@@ -75,10 +93,20 @@
     functions: RoutedRequestFunctions,
 ): void {
     const { upstreamId } = target;
-    if (result.isLinkFault === true) {
-        recordPossibleRun(context, upstreamId, result);
-        return;
+    if (result.isLinkFault !== true) {
+        recordFault(upstreamId, result, durationMs, functions);
+    }
+    if (result.end !== "not-sent" && result.end !== "declined") {
+        recordPossibleRun(context, upstreamId);
     }
+}
+
+function recordFault(
+    upstreamId: string,
+    result: Extract<AttemptResult, { kind: "ended"; }>,
+    durationMs: number,
+    functions: RoutedRequestFunctions,
+): void {
     const faultyId = result.faultAddress === undefined ? undefined : functions.findIdAt(result.faultAddress);
     if (result.end === "declined" && namesFaultyEngine(result)) {
         functions.recordDecline(faultyId ?? upstreamId, result.reason);
@@ -89,21 +117,14 @@
     else if (result.end === "not-sent" || result.end === "stalled") {
         functions.suspect(upstreamId, result.reason);
     }
-    else if (result.end !== "left") {
+    else {
         functions.recordAnswer(upstreamId, durationMs, true);
     }
-    recordPossibleRun(context, upstreamId, result);
 }
 
-function recordPossibleRun(
-    context: RequestContext,
-    upstreamId: string,
-    { end }: Extract<AttemptResult, { kind: "ended"; }>,
-): void {
-    if (end !== "not-sent" && end !== "declined") {
-        context.mayHaveRun = true;
-        context.mayHaveRunOn.add(upstreamId);
-    }
+function recordPossibleRun(context: RequestContext, upstreamId: string): void {
+    context.mayHaveRun = true;
+    context.mayHaveRunOn.add(upstreamId);
 }
 
 /** Whether the response names the engine that has no capacity or is gone. */
@@ -133,6 +154,7 @@
             recordEnd(context, { upstreams: passed, ...output }, result.isSelfDelimited, crashes);
             return;
         case "stopped":
+        case "superseded":
             if (isSilent) {
                 crashes.recordUnanswered(context, { upstreams: passed, ...output });
             }
@@ -152,7 +174,6 @@
             }
             return;
         case "stalled":
-        case "left":
             crashes.recordUnanswered(context, { upstreams: faultyId === undefined ? passed : [faultyId], ...output });
             return;
         case "broken":
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -161,8 +161,8 @@
     readonly watchPath: (target: CallTarget, pauseMs: number, leave: PathStallHandler) => PausableTracker;
     /** Observes how the events of a stream come over the link to its path; undefined for targets without a path. */
     readonly followLink?: (target: CallTarget) => StreamTracker | undefined;
-    /** Whether a stream may switch to another path; if so, takes a retry from the retry budget. */
-    readonly claimPathSwitch: (context: RequestContext, hasStarted: boolean) => boolean;
+    /** Whether there may be another path that the request has not tried and that is not stalled. */
+    readonly hasOtherPath: (context: RequestContext) => boolean;
     /** Whether an upstream has terminated or is cut off, so that it cannot respond any more. */
     readonly hasEnded: (id: string) => boolean;
     /** Notices of upstreams. */
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -2,17 +2,12 @@
  * Handles a routed request after its admission: attempts it at one upstream after another until one returns a complete
  * response or no further attempt is allowed.
  */
-import {
-    chooseNextStep,
-    computeHeldTokens,
-    computeStreamResumeWindowMs,
-    getUsualSize,
-    type NextStep,
-} from "@crankfork/decisions";
+import { chooseNextStep, computeStreamResumeWindowMs, type NextStep } from "@crankfork/decisions";
 import type { Route } from "@crankfork/schemas";
 import { waitMs } from "../process/waitMs.js";
+import { runAttemptGroup } from "./attemptGroup.js";
 import { checkSend, waitUntilCrashesStored } from "./checkSend.js";
-import { recordAttempt } from "./recordAttempt.js";
+import { isMemoryChecked } from "./observedAttempt.js";
 import {
     finishStopped,
     forwardFailure,
@@ -23,18 +18,11 @@
 } from "./refuseRequest.js";
 import type { RequestContext } from "./requestContext.js";
 import type { RoutedRequestFunctions, TargetChoice } from "./requestFunctions.js";
-import type { CallTarget } from "./routedCall.js";
 import type { RoutedResponse } from "./routedResponse.js";
-import { type StallWatch, startStallWatch } from "./stallWatch.js";
 import { StreamRelay } from "./streamRelay.js";
-import { type AttemptResult, runAttempt } from "./upstreamAttempt.js";
+import type { AttemptResult } from "./upstreamAttempt.js";
 import { computeFullWaitMs, computeMaxWaitMs, isKeyUsable, TARGET_POLL_MS, waitForTarget } from "./waitForTarget.js";
 
-/**
- * Pause of an upstream after which the end of its connection is put down to the caller that did not read: upstreams cut
- * an answer that stays unread for some seconds.
- */
-const UNREAD_CUT_MS = 1_000;
 /** Attempts made without a delay; more would only drain the retry budget while the engines' memory is full. */
 const IMMEDIATE_ATTEMPTS = 2;
 
@@ -101,7 +89,7 @@
             ...choice.target,
             needsNewConnection: context.attemptedUpstreams.has(choice.target.upstreamId),
         };
-        const result = await attemptTarget(context, target, relay, functions);
+        const result = await runAttemptGroup(context, target, relay, functions);
         switch (result.kind) {
             case "answered":
                 response.sendBuffered(result.response);
@@ -112,7 +100,9 @@
             case "stopped":
                 return finishStopped(context, response, result.stop);
             case "ended": {
-                const stop = result.end === "broken" ? await waitUntilCrashesStored(context, functions) : undefined;
+                const stop = result.end === "broken" || context.hasCrash
+                    ? await waitUntilCrashesStored(context, functions)
+                    : undefined;
                 if (stop !== undefined) {
                     return finishStopped(context, response, stop);
                 }
@@ -125,120 +115,6 @@
     }
 }
 
-async function attemptTarget(
-    context: RequestContext,
-    target: CallTarget,
-    relay: StreamRelay | undefined,
-    functions: RoutedRequestFunctions,
-): Promise<AttemptResult> {
-    const startMs = functions.getNowMs();
-    const eventsBefore = relay?.eventCount ?? 0;
-    const { notices } = functions;
-    context.attempts += 1;
-    context.hasResendGrant = false;
-    context.attemptedUpstreams.add(target.upstreamId);
-    const heldTokens = computeRequestTokens(context, functions);
-    functions.recordStart(target.upstreamId, target.rank, heldTokens);
-    const recordFirstOutput = once(() => {
-        functions.recordFirstOutput(target.upstreamId, target.rank);
-    });
-    const recordOutcome = once((isServed: boolean) => {
-        notices.recordOutcome(target, isServed);
-    });
-    let firstEventMs: number | undefined;
-    const recordFirstEvent = once(() => {
-        firstEventMs = functions.getNowMs();
-        functions.waiting?.recordFirstEvent(context.admitted, functions.getNowMs() - startMs);
-    });
-    let watch: StallWatch | undefined;
-    let link = relay === undefined ? undefined : functions.followLink?.(target);
-    const raw = await runAttempt({
-        connections: functions.getConnections(target),
-        codec: functions.codec,
-        context,
-        target,
-        notices,
-        isReachable: () => functions.isReachable?.(target) ?? Promise.resolve(true),
-        getNowMs: functions.getNowMs,
-        sink: relay?.createSink(() => {
-            recordFirstOutput();
-            recordFirstEvent();
-            recordOutcome(true);
-            watch?.recordEvent();
-            link?.recordEvent();
-        }, () => {
-            // The gap of a pause says nothing about the path or the link.
-            watch?.recordPause();
-            link?.close();
-            link = functions.followLink?.(target);
-        }),
-        handleStart: (abort) => {
-            watch = startStallWatch(context, target, relay, functions, abort);
-        },
-    });
-    const result = endUnread(raw, relay);
-    watch?.stop();
-    link?.close();
-    if (result.kind === "answered") {
-        recordFirstEvent();
-    }
-    recordFirstOutput();
-    if (result.kind === "ended" && result.end === "kept-back") {
-        // Nothing was sent, so it does not count as an attempt.
-        context.attempts -= 1;
-    }
-    else {
-        recordOutcome(result.kind === "answered" || result.kind === "streamed");
-    }
-    functions.recordEnd(target.upstreamId, target.rank, heldTokens);
-    const durationMs = functions.getNowMs() - startMs;
-    const hadProgress = (relay?.eventCount ?? 0) > eventsBefore;
-    const silentMs = hadProgress && relay !== undefined ? relay.sinceEventMs : durationMs;
-    const outputMs = firstEventMs === undefined ? 0 : Math.max(0, functions.getNowMs() - firstEventMs - silentMs);
-    recordAttempt(context, target, result, durationMs, { hadProgress, outputMs, silentMs }, functions);
-    return result;
-}
-
-/** Tokens that a request holds in engines on average; undefined where their memory is not checked. */
-function computeRequestTokens(
-    { admitted: { call, service } }: RequestContext,
-    functions: RoutedRequestFunctions,
-): number | undefined {
-    return service.engine === undefined || !isMemoryChecked(service.name, functions)
-        ? undefined
-        : Math.round(computeHeldTokens(call.size ?? getUsualSize(service.engine)));
-}
-
-function isMemoryChecked(service: string, functions: RoutedRequestFunctions): boolean {
-    return functions.isMemoryChecked?.(service) === true;
-}
-
-/**
- * Ends a stream that the upstream cut because its caller did not read: it is no failure of the upstream, and would stay
- * unread at another one, too.
- */
-function endUnread(result: AttemptResult, relay: StreamRelay | undefined): AttemptResult {
-    const isCut = result.kind === "ended" && result.end === "broken" && result.hasConnectionEnded === true
-        && relay !== undefined && relay.longestPausedMs >= UNREAD_CUT_MS;
-    if (!isCut) {
-        return result;
-    }
-    relay.abort();
-    return { kind: "stopped", stop: "caller-left" };
-}
-
-function once<Arguments extends readonly unknown[]>(
-    run: (...values: Arguments) => void,
-): (...values: Arguments) => void {
-    let isDone = false;
-    return (...values) => {
-        if (!isDone) {
-            isDone = true;
-            run(...values);
-        }
-    };
-}
-
 /** A failed attempt, and the target of a further one. */
 interface FailedAttempt {
     readonly result: Extract<AttemptResult, { kind: "ended"; }>;
--- a/packages/daemon/src/request/stallWatch.ts
+++ b/packages/daemon/src/request/stallWatch.ts
@@ -1,17 +1,16 @@
 /**
- * Watches an attempt of a repeatable request: if its path stalls or its upstream stays silent, the attempt is aborted
- * early enough to get a response elsewhere. A request that is not repeatable has to wait.
+ * Watches an attempt of a repeatable request for silence, so that another attempt can be started beside it early enough. A
+ * request that is not repeatable has to wait.
  */
 import type { PausableTracker } from "../process/entry/pathStallDetector.js";
 import type { RequestContext } from "./requestContext.js";
 import type { RoutedRequestFunctions, StallReport } from "./requestFunctions.js";
 import type { CallTarget } from "./routedCall.js";
-import type { StreamRelay } from "./streamRelay.js";
-import type { AttemptAbort } from "./upstreamAttempt.js";
+import type { AttemptStream, StreamRelay } from "./streamRelay.js";
 
 /**
  * Silence of a stream, in multiples of the pause objective, after which its engine is queried: slightly above one, so
- * that a stalled path is left before the caller gives up.
+ * that another path is tried before the caller gives up.
  */
 const STALL_QUERY_PAUSE_FACTOR = 1.25;
 /** Pause objective if the route states none. */
@@ -20,9 +19,20 @@
 const FIRST_EVENT_QUERY_FACTOR = 0.6;
 /** Delay before an engine that reported no stall is queried again: its report lags, so the next one may show it. */
 const STALL_QUERY_INTERVAL_MS = 80;
-/** Consecutive missing reports after which the first engine is considered gone. */
+/** Consecutive missing reports after which the first engine is considered silent. */
 const MAX_MISSED_REPORTS = 2;
 
+/** What shows that an attempt makes no progress. */
+export type Silence =
+    /** All streams on its path are silent; `isCertain` is false where few streams show it. */
+    | { readonly kind: "path"; readonly isCertain: boolean; readonly silentMs: number; }
+    /** Its engine reports that the request is stalled, and maybe the address of the engine that it waits for. */
+    | { readonly kind: "stalled"; readonly faultAddress: string | undefined; readonly silentMs: number; }
+    /** Its engine sends no report. */
+    | { readonly kind: "no-report"; readonly silentMs: number; }
+    /** It has no response within the latency objective. */
+    | { readonly kind: "late"; readonly silentMs: number; };
+
 /** A watch on an attempt. */
 export interface StallWatch {
     /** Records that a part of the response was received. */
@@ -32,37 +42,35 @@
     readonly stop: () => void;
 }
 
+/** What a watch needs. */
+export interface StallWatchOptions {
+    readonly context: RequestContext;
+    readonly target: CallTarget;
+    /** The stream to the caller and its part from this attempt; undefined for a response that is not streamed. */
+    readonly stream: { readonly relay: StreamRelay; readonly attempt: AttemptStream; } | undefined;
+    /** Access to the engines' reports. */
+    readonly functions: RoutedRequestFunctions;
+    /** Called when the attempt is found silent; for a stream maybe again, with other evidence or in a later silence. */
+    readonly handleSilence: (silence: Silence) => void;
+}
+
 /**
  * Starts to watch an attempt.
- * @param context - the request
- * @param target - the target of the attempt
- * @param relay - the stream, for a streamed response
- * @param functions - access to the engines' reports
- * @param abort - aborts the attempt
- * @returns the watch, or undefined if the attempt must not be aborted or aborting it would not help
+ * @param options - the attempt, and the handler of its silence
+ * @returns the watch, or undefined if no other attempt may run beside it
  */
-export function startStallWatch(
-    context: RequestContext,
-    target: CallTarget,
-    relay: StreamRelay | undefined,
-    functions: RoutedRequestFunctions,
-    abort: (reason: AttemptAbort) => void,
-): StallWatch | undefined {
-    const { route } = context.admitted;
+export function startStallWatch(options: StallWatchOptions): StallWatch | undefined {
+    const { context: { admitted: { route } }, target, stream, functions, handleSilence } = options;
     if (!route.is_repeatable) {
         return undefined;
     }
-    if (relay !== undefined) {
-        return target.stages === undefined ? undefined : new StreamStallWatch(context, target, relay, functions, abort);
-    }
-    if (
-        context.mayHaveRunOn.size + 1 >= route.most_attempts
-        || functions.chooseTarget(context, undefined, true).kind !== "target"
-    ) {
-        return undefined;
+    if (stream !== undefined) {
+        return target.stages === undefined
+            ? undefined
+            : new StreamStallWatch(options.context, target, stream.relay, stream.attempt, functions, handleSilence);
     }
     const timer = setTimeout(() => {
-        abort({ end: "stalled", reason: `no response for ${String(route.objective_ms)} ms` });
+        handleSilence({ kind: "late", silentMs: route.objective_ms });
     }, route.objective_ms);
     return {
         recordEvent: () => undefined,
@@ -84,11 +92,12 @@
         private readonly context: RequestContext,
         private readonly target: CallTarget,
         private readonly relay: StreamRelay,
+        private readonly attempt: AttemptStream,
         private readonly functions: RoutedRequestFunctions,
-        private readonly abort: (reason: AttemptAbort) => void,
+        private readonly handleSilence: (silence: Silence) => void,
     ) {
-        this.tracker = functions.watchPath(target, this.pauseMs, (isSure) => {
-            this.switchPath(isSure);
+        this.tracker = functions.watchPath(target, this.pauseMs, (isCertain) => {
+            this.applyPathStall(isCertain);
         });
         this.timer = setTimeout(() => void this.check(), this.limitMs);
     }
@@ -117,24 +126,22 @@
             : this.pauseMs * STALL_QUERY_PAUSE_FACTOR;
     }
 
-    /** Leaves the path; called if all its streams are silent. */
-    private switchPath(isSure: boolean): void {
-        // A switch that may be unnecessary only uses what other retries leave of the budget.
-        const hasStarted = isSure && this.relay.eventCount > 0;
-        if (!this.isStopped && !this.relay.isPaused && this.functions.claimPathSwitch(this.context, hasStarted)) {
-            this.abort({ end: "left", reason: `silent for ${String(Math.round(this.relay.silentMs))} ms` });
+    private applyPathStall(isCertain: boolean): void {
+        if (!this.isStopped && !this.relay.isPaused) {
+            this.handleSilence({ kind: "path", isCertain, silentMs: this.attempt.silentMs });
         }
     }
 
     private async check(): Promise<void> {
-        const remainingMs = this.limitMs - this.relay.silentMs;
+        const remainingMs = this.limitMs - this.attempt.silentMs;
         if (remainingMs > 0) {
             this.wait(remainingMs);
             return;
         }
         const { functions, target, context } = this;
         const report = await functions.queryStall(target, context.admitted.call.requestId);
-        if (this.isStopped || this.relay.silentMs < this.limitMs) {
+        if (this.isStopped || this.attempt.silentMs < this.limitMs) {
+            this.missedReports = 0;
             this.wait(this.limitMs);
             return;
         }
@@ -142,18 +149,20 @@
     }
 
     private applyReport(report: StallReport): void {
-        const silentMs = Math.round(this.relay.silentMs);
+        const { silentMs } = this.attempt;
         this.missedReports = report.kind === "unreachable" ? this.missedReports + 1 : 0;
         if (report.kind === "stalled") {
-            const reason = `stalled, silent for ${String(silentMs)} ms`;
-            this.abort({ end: "stalled", reason, faultAddress: report.faultAddress });
-            return;
+            this.handleSilence({ kind: "stalled", faultAddress: report.faultAddress, silentMs });
+            this.wait(this.limitMs);
         }
-        if (this.missedReports >= MAX_MISSED_REPORTS) {
-            this.abort({ end: "stalled", reason: `no report, silent for ${String(silentMs)} ms` });
-            return;
+        else if (this.missedReports >= MAX_MISSED_REPORTS) {
+            this.missedReports = 0;
+            this.handleSilence({ kind: "no-report", silentMs });
+            this.wait(this.limitMs);
+        }
+        else {
+            this.wait(report.kind === "unreachable" ? 1 : STALL_QUERY_INTERVAL_MS);
         }
-        this.wait(report.kind === "unreachable" ? 1 : STALL_QUERY_INTERVAL_MS);
     }
 
     private wait(ms: number): void {
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -1,21 +1,31 @@
 /**
- * Relays a stream to the caller across one or more attempts: complete events only, with strictly increasing ids.
+ * Relays a stream to the caller from one or more attempts: complete events only, with strictly increasing ids.
  */
 import type { OpenExchange, ResponseHead } from "../connection/upstreamExchange.js";
 import { EventSplitter } from "./eventSplitter.js";
 import { isSelfDelimited, type RoutedResponse } from "./routedResponse.js";
 import type { StreamSink } from "./upstreamAttempt.js";
 
+/** Callbacks of one attempt's part of a stream. */
+export interface AttemptStreamHandlers {
+    /** Called when bytes are received. */
+    readonly handleBytes: () => void;
+    /** Called before a complete event is forwarded. */
+    readonly handleEvent: () => void;
+    /** Called when the upstream is paused because the caller does not read. */
+    readonly handlePause: () => void;
+}
+
 /** The stream of one caller. */
 export class StreamRelay {
     private lastId: string | undefined;
-    private lastProgressMs: number;
     private eventTotal = 0;
     private maxPauseMs = 0;
     private lastEventMs = 0;
     private firstEventMs: number | undefined;
     /** Whether the first upstream declared where the stream ends; one that continues it must not declare less. */
     private hasDelimitedStart = false;
+    private readonly open = new Set<AttemptStream>();
 
     /**
      * @param response - the response to the caller
@@ -28,7 +38,11 @@
         private readonly getNowMs: () => number,
     ) {
         this.lastId = lastEventId;
-        this.lastProgressMs = getNowMs();
+        response.watchPauses((isPaused) => {
+            this.open.forEach((stream) => {
+                stream.applyPause(isPaused);
+            });
+        });
     }
 
     /** Id of the last event sent to the caller, for the next attempt. */
@@ -56,11 +70,6 @@
         return this.eventTotal === 0 ? 0 : this.getNowMs() - this.lastEventMs;
     }
 
-    /** Time since the last event or the start of the current attempt, in milliseconds; 0 while its caller does not read. */
-    get silentMs(): number {
-        return this.response.isPaused ? 0 : this.getNowMs() - this.lastProgressMs;
-    }
-
     /** Whether the upstream is paused because the caller does not read. */
     get isPaused(): boolean {
         return this.response.isPaused;
@@ -77,57 +86,61 @@
     }
 
     /**
-     * Starts an attempt.
-     * @param handleEvent - called when bytes are received
-     * @param handlePause - called when the upstream is paused because the caller does not read
-     * @returns the sink for the upstream's response
+     * Opens the part of the stream that an attempt delivers.
+     * @param handlers - callbacks
+     * @returns receives the upstream's response; close it at the end of the attempt
      */
-    createSink(handleEvent: () => void, handlePause: () => void): StreamSink {
-        const splitter = new EventSplitter();
-        let head: ResponseHead | undefined;
-        this.lastProgressMs = this.getNowMs();
-        this.response.watchPauses((isPaused) => {
-            // The pause is the caller's, so the upstream's silence is counted from its end.
-            this.lastProgressMs = this.getNowMs();
-            if (isPaused) {
-                handlePause();
-            }
-        });
-        return {
-            handleHead: (started) => {
-                head = started;
-            },
-            handleData: (chunk, exchange) => {
-                handleEvent();
-                return this.handleData(splitter, head, chunk, exchange);
-            },
-            handleEnd: () => {
-                if (splitter.hasPartialEvent) {
-                    return "stream ended within an event";
-                }
-                this.startResponse(head);
-                const isComplete = !this.hasDelimitedStart || head === undefined || isSelfDelimited(head);
-                return isComplete ? undefined : "close-delimited part of a stream: its end cannot be verified";
-            },
-        };
-    }
-
-    private handleData(
-        splitter: EventSplitter,
+    openAttempt(handlers: AttemptStreamHandlers): AttemptStream {
+        const stream = new AttemptStream(this, handlers, this.getNowMs);
+        this.open.add(stream);
+        return stream;
+    }
+
+    /**
+     * Removes the part of an attempt that has ended.
+     * @param stream - the part
+     */
+    remove(stream: AttemptStream): void {
+        this.open.delete(stream);
+    }
+
+    /**
+     * Forwards an event.
+     * @param event - its bytes and id
+     * @param head - headers of the response that it came in
+     * @param exchange - the exchange that delivered it
+     */
+    forward(
+        event: { readonly id: string | undefined; readonly bytes: Buffer; },
         head: ResponseHead | undefined,
-        chunk: Buffer,
         exchange: OpenExchange,
-    ): string | undefined {
-        for (const event of splitter.push(chunk)) {
-            if (!this.isInOrder(event.id)) {
-                return `event id out of order: ${event.id ?? "none"} after ${this.lastId ?? "none"}`;
-            }
-            this.startResponse(head);
-            this.response.sendEvent(event.bytes, exchange);
-            this.lastId = event.id ?? this.lastId;
-            this.recordEvent();
-        }
-        return undefined;
+    ): void {
+        this.startResponse(head);
+        this.response.sendEvent(event.bytes, exchange);
+        this.lastId = event.id ?? this.lastId;
+        this.recordEvent();
+    }
+
+    /**
+     * Checks whether an event may follow those forwarded so far.
+     * @param id - its id
+     * @returns why it may not
+     */
+    findProblem(id: string | undefined): string | undefined {
+        return isAfter(id, this.lastId)
+            ? undefined
+            : `event id out of order: ${id ?? "none"} after ${this.lastId ?? "none"}`;
+    }
+
+    /**
+     * Completes the stream.
+     * @param head - headers of the response that ended
+     * @returns why the stream is incomplete, or undefined if it is complete
+     */
+    complete(head: ResponseHead | undefined): string | undefined {
+        this.startResponse(head);
+        const isComplete = !this.hasDelimitedStart || head === undefined || isSelfDelimited(head);
+        return isComplete ? undefined : "close-delimited part of a stream: its end cannot be verified";
     }
 
     private recordEvent(): void {
@@ -139,7 +152,6 @@
             this.maxPauseMs = Math.max(this.maxPauseMs, nowMs - this.lastEventMs);
         }
         this.lastEventMs = nowMs;
-        this.lastProgressMs = nowMs;
         this.eventTotal += 1;
     }
 
@@ -150,13 +162,93 @@
             this.response.beginStream(head);
         }
     }
+}
+
+/** The part of a stream that one attempt delivers. */
+export class AttemptStream implements StreamSink {
+    private readonly splitter = new EventSplitter();
+    private head: ResponseHead | undefined;
+    private lastEventMs: number;
+    /** Like the time of the last event, but moved to the end of each pause. */
+    private lastProgressMs: number;
+    private eventTotal = 0;
+
+    /**
+     * @param relay - the stream of the caller
+     * @param handlers - callbacks
+     * @param getNowMs - the monotonic clock
+     */
+    constructor(
+        private readonly relay: StreamRelay,
+        private readonly handlers: AttemptStreamHandlers,
+        private readonly getNowMs: () => number,
+    ) {
+        this.lastEventMs = getNowMs();
+        this.lastProgressMs = this.lastEventMs;
+    }
+
+    /** Number of events that this attempt delivered. */
+    get eventCount(): number {
+        return this.eventTotal;
+    }
+
+    /** Time since its last event or its start, in milliseconds; 0 while the caller does not read. */
+    get silentMs(): number {
+        return this.relay.isPaused ? 0 : this.getNowMs() - this.lastProgressMs;
+    }
+
+    /** Time since its last event, in milliseconds; since its start before the first. */
+    get sinceEventMs(): number {
+        return this.getNowMs() - this.lastEventMs;
+    }
+
+    /**
+     * Applies a pause of the upstream, or its end.
+     * @param isPaused - whether the caller does not read
+     */
+    applyPause(isPaused: boolean): void {
+        // The pause is the caller's, so the upstream's silence is counted from its end.
+        this.lastProgressMs = this.getNowMs();
+        if (isPaused) {
+            this.handlers.handlePause();
+        }
+    }
+
+    /** Ends the part. */
+    close(): void {
+        this.relay.remove(this);
+    }
 
-    private isInOrder(id: string | undefined): boolean {
-        if (id === undefined || this.lastId === undefined) {
-            return true;
+    handleHead(head: ResponseHead): void {
+        this.head = head;
+    }
+
+    handleData(chunk: Buffer, exchange: OpenExchange): string | undefined {
+        this.handlers.handleBytes();
+        for (const event of this.splitter.push(chunk)) {
+            const problem = this.relay.findProblem(event.id);
+            if (problem !== undefined) {
+                return problem;
+            }
+            this.handlers.handleEvent();
+            this.relay.forward(event, this.head, exchange);
+            this.lastEventMs = this.getNowMs();
+            this.lastProgressMs = this.lastEventMs;
+            this.eventTotal += 1;
         }
-        const next = Number(id);
-        const last = Number(this.lastId);
-        return Number.isNaN(next) || Number.isNaN(last) || next > last;
+        return undefined;
+    }
+
+    handleEnd(): string | undefined {
+        return this.splitter.hasPartialEvent ? "stream ended within an event" : this.relay.complete(this.head);
+    }
+}
+
+function isAfter(id: string | undefined, lastId: string | undefined): boolean {
+    if (id === undefined || lastId === undefined) {
+        return true;
     }
+    const next = Number(id);
+    const last = Number(lastId);
+    return Number.isNaN(next) || Number.isNaN(last) || next > last;
 }
--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -10,13 +10,6 @@
 import type { CallCodec, CallTarget, ResponseVerdict, UpstreamNotice } from "./routedCall.js";
 import { isSelfDelimited } from "./routedResponse.js";
 
-/** Why an attempt is aborted from outside, and the address of the failed engine if known. */
-export interface AttemptAbort {
-    readonly end: Extract<AttemptOutcome, "stalled" | "left">;
-    readonly reason: string;
-    readonly faultAddress?: string | undefined;
-}
-
 /** A complete response of an upstream. */
 export interface BufferedResponse {
     readonly head: ResponseHead;
@@ -29,6 +22,8 @@
     /** A stream that was completed; a close-delimited one may have been truncated between two events. */
     | { readonly kind: "streamed"; readonly isSelfDelimited: boolean; }
     | { readonly kind: "stopped"; readonly stop: StopReason; }
+    /** Aborted because another attempt delivered. */
+    | { readonly kind: "superseded"; readonly reason: string; }
     | {
         readonly kind: "ended";
         readonly end: AttemptOutcome;
@@ -41,6 +36,9 @@
         readonly isLinkFault?: boolean;
     };
 
+/** Aborts an attempt with a result. */
+export type AbortAttempt = (result: Extract<AttemptResult, { kind: "ended" | "superseded"; }>) => void;
+
 /** Receives a stream. */
 export interface StreamSink {
     /** The upstream started a stream. */
@@ -66,7 +64,7 @@
     /** The monotonic clock. */
     readonly getNowMs: () => number;
     /** Called with a function that aborts the attempt. */
-    readonly handleStart?: (abort: (reason: AttemptAbort) => void) => void;
+    readonly handleStart?: (abort: AbortAttempt) => void;
 }
 
 /** Maximum size of a buffered response; an entry's memory does not hold many larger ones. */
@@ -141,8 +139,8 @@
                 });
             },
         });
-        this.options.handleStart?.((stall) => {
-            this.cancel({ kind: "ended", ...stall });
+        this.options.handleStart?.((result) => {
+            this.cancel(result);
         });
     }
 
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -308,13 +308,13 @@
             claimRetry: options.claimRetry ?? (() => true),
             queryStall: options.queryStall ?? (() => Promise.resolve({ kind: "moving" })),
             watchPath: (target, pauseMs, leave) =>
-                this.stallDetector.follow({ id: target.upstreamId, laterStages: "" }, pauseMs, leave),
+                this.stallDetector.follow(
+                    { id: target.upstreamId, laterStages: "" },
+                    pauseMs,
+                    options.maySwitchPath === false ? () => undefined : leave,
+                ),
             ...(options.followLink === undefined ? {} : { followLink: options.followLink }),
-            claimPathSwitch: (context) =>
-                options.maySwitchPath !== false
-                && context.mayHaveRunOn.size + 1 < context.admitted.route.most_attempts
-                && options.upstreams.some((one) => !context.attemptedUpstreams.has(one.name))
-                && options.claimRetry?.() !== false,
+            hasOtherPath: (context) => options.upstreams.some((one) => !context.attemptedUpstreams.has(one.name)),
             hasEnded: (id) => options.ended?.includes(id) === true,
             notices: {
                 receive: () => undefined,
--- a/packages/decisions/src/request/chooseNextStep.ts
+++ b/packages/decisions/src/request/chooseNextStep.ts
@@ -15,10 +15,8 @@
     | "failed"
     /** The connection broke, or the response did not belong to this request: it may have been executed. */
     | "broken"
-    /** No progress, and the engine reports that its chain is stalled. */
-    | "stalled"
-    /** All streams of its chain are silent; a retry was claimed from the budget before the attempt was abandoned. */
-    | "left";
+    /** No progress, and its upstream cannot be reached any more. */
+    | "stalled";
 
 /** State of a request after an attempt. */
 export interface AttemptView {
@@ -99,11 +97,22 @@
         return { kind: "hand-on" };
     }
     return view.mayHaveRun
-        ? { kind: "fail", lacks: findObstacle(view) }
+        ? { kind: "fail", lacks: findRetryObstacle(view) ?? "retry" }
         : { kind: "refuse", hasFreeUpstream: view.hasAlternative };
 }
 
-function findObstacle(view: AttemptView): RetryObstacle {
+/** What decides whether a request may be attempted again, apart from the retry budget. */
+export type RetryView = Pick<
+    AttemptView,
+    "isRepeatable" | "executions" | "attempts" | "maxExecutions" | "remainingMs" | "hasAlternative"
+>;
+
+/**
+ * Finds out why a request that may have been executed is not attempted again.
+ * @param view - state of the request
+ * @returns the first obstacle; undefined if only the retry budget decides
+ */
+export function findRetryObstacle(view: RetryView): RetryObstacle | undefined {
     if (!view.isRepeatable) {
         return "permission";
     }
@@ -113,7 +122,7 @@
     if (view.executions >= view.maxExecutions || view.attempts >= MAX_ATTEMPTS) {
         return "attempt";
     }
-    return view.hasAlternative ? "retry" : "upstream";
+    return view.hasAlternative ? undefined : "upstream";
 }
 
 function mayRetry(view: AttemptView): boolean {
@@ -128,7 +137,6 @@
         case "failed":
         case "broken":
         case "stalled":
-        case "left":
             return canAttempt && view.isRepeatable && view.executions < view.maxExecutions;
     }
 }
@@ -148,8 +156,8 @@
 }
 
 function isRetryAllowed(view: AttemptView): boolean {
-    // An attempt that did not reach the upstream adds no load; a chain is abandoned only with a retry already claimed.
-    return isNotSent(view.outcome) || view.outcome === "left" || view.claimRetry();
+    // An attempt that did not reach the upstream adds no load.
+    return isNotSent(view.outcome) || view.claimRetry();
 }
 
 function isNotSent(outcome: AttemptOutcome): boolean {
