fix(entry): start a backup attempt once an engine's report is late

Cause: an attempt counted as silent for want of a report only after two time-outs of 350 ms in a row. That is right for excluding the engine, but now that a backup attempt takes nothing from the one that is going on, it can start sooner.

Test that failed before: silentAttempts.test.ts, begins elsewhere within its objective: first event after 1,048 ms, 500 allowed.

--- a/packages/daemon/src/request/attemptGroup.ts
+++ b/packages/daemon/src/request/attemptGroup.ts
@@ -117,10 +117,12 @@
         if (this.isSettled) {
             return;
         }
-        attempt.silence = silence;
+        if (attempt.silence === undefined || isCertain(silence) || !isCertain(attempt.silence)) {
+            attempt.silence = silence;
+        }
         attempt.output = output;
         const { upstreamId } = attempt.target;
-        if (silence.kind === "no-report") {
+        if (silence.kind === "no-report" && silence.isCertain) {
             this.functions.recordMissingReport(upstreamId, formatSilence(silence));
         }
         else if (silence.kind === "stalled") {
@@ -197,7 +199,10 @@
     private async checkReachable(attempt: OpenAttempt): Promise<void> {
         const { functions } = this;
         const { silence, target } = attempt;
-        if (silence?.kind !== "no-report" || attempt.checkedSilence === silence || this.hasStarted()) {
+        if (
+            silence?.kind !== "no-report" || !silence.isCertain || attempt.checkedSilence === silence
+            || this.hasStarted()
+        ) {
             return;
         }
         attempt.checkedSilence = silence;
@@ -272,9 +277,8 @@
             : undefined;
     }
 
-    /** Whether the silence is more than that of a few streams, which may be waiting for lost packets. */
     private get isCertain(): boolean {
-        return [...this.open].every(({ silence }) => silence?.kind !== "path" || silence.isCertain);
+        return [...this.open].every(({ silence }) => silence === undefined || isCertain(silence));
     }
 
     /** A silent upstream may have crashed; the request must not be sent to others without this being counted. */
@@ -312,6 +316,11 @@
     }
 }
 
+/** Whether the silence is more than that of a few streams, which may be waiting for lost packets, or a late report. */
+function isCertain(silence: Silence): boolean {
+    return silence.kind === "path" || silence.kind === "no-report" ? silence.isCertain : true;
+}
+
 function formatSilence(silence: Silence): string {
     const ms = String(Math.round(silence.silentMs));
     switch (silence.kind) {
--- a/packages/daemon/src/request/stallWatch.ts
+++ b/packages/daemon/src/request/stallWatch.ts
@@ -19,6 +19,8 @@
 const FIRST_EVENT_QUERY_FACTOR = 0.6;
 /** Delay before an engine that reported no stall is queried again: its report lags, so the next one may show it. */
 const STALL_QUERY_INTERVAL_MS = 80;
+/** Time without a report after which another attempt is worth its cost: a sound engine answers within some milliseconds. */
+const LATE_REPORT_MS = 100;
 /** Consecutive missing reports after which the first engine is considered silent. */
 const MAX_MISSED_REPORTS = 2;
 
@@ -28,8 +30,8 @@
     | { readonly kind: "path"; readonly isCertain: boolean; readonly silentMs: number; }
     /** Its engine reports that the request is stalled, and maybe the address of the engine that it waits for. */
     | { readonly kind: "stalled"; readonly faultAddress: string | undefined; readonly silentMs: number; }
-    /** Its engine sends no report. */
-    | { readonly kind: "no-report"; readonly silentMs: number; }
+    /** Its engine sends no report; `isCertain` is false while one may only be late. */
+    | { readonly kind: "no-report"; readonly isCertain: boolean; readonly silentMs: number; }
     /** It has no response within the latency objective. */
     | { readonly kind: "late"; readonly silentMs: number; };
 
@@ -139,7 +141,11 @@
             return;
         }
         const { functions, target, context } = this;
+        const lateTimer = setTimeout(() => {
+            this.applyLateReport();
+        }, LATE_REPORT_MS);
         const report = await functions.queryStall(target, context.admitted.call.requestId);
+        clearTimeout(lateTimer);
         if (this.isStopped || this.attempt.silentMs < this.limitMs) {
             this.missedReports = 0;
             this.wait(this.limitMs);
@@ -148,6 +154,13 @@
         this.applyReport(report);
     }
 
+    private applyLateReport(): void {
+        const { silentMs } = this.attempt;
+        if (!this.isStopped && silentMs >= this.limitMs) {
+            this.handleSilence({ kind: "no-report", isCertain: false, silentMs });
+        }
+    }
+
     private applyReport(report: StallReport): void {
         const { silentMs } = this.attempt;
         this.missedReports = report.kind === "unreachable" ? this.missedReports + 1 : 0;
@@ -157,7 +170,7 @@
         }
         else if (this.missedReports >= MAX_MISSED_REPORTS) {
             this.missedReports = 0;
-            this.handleSilence({ kind: "no-report", silentMs });
+            this.handleSilence({ kind: "no-report", isCertain: true, silentMs });
             this.wait(this.limitMs);
         }
         else {
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -361,3 +361,32 @@
             .to.deep.equal([true, true, true]);
     });
 });
+
+describe("a stream whose engine is silent begins elsewhere within its objective", () => {
+    it("the engine sends no report", async () => {
+        const OBJECTIVE_MS = 500;
+        const ENGINE_TIMEOUT_MS = 350;
+        const silent = await PausableUpstream.open("silent", 0);
+        const good = await PausableUpstream.open("good", 0);
+        silent.isPaused = true;
+        const entry = await TestEntry.open({
+            upstreams: [silent.upstream, good.upstream],
+            route: { kind: "stream", objective_ms: OBJECTIVE_MS, pause_objective_ms: 200, timeout_ms: TIMEOUT_MS },
+            isPath: true,
+            queryStall: async ({ upstreamName }) => {
+                if (upstreamName === "silent") {
+                    await new Promise((resolve) => setTimeout(resolve, ENGINE_TIMEOUT_MS));
+                    return { kind: "unreachable" };
+                }
+                return { kind: "moving" };
+            },
+        });
+        const startMs = performance.now();
+        const seen = await ask(entry.url, "stream");
+        await entry.close();
+        silent.close();
+        good.close();
+        expect(seen.isComplete).to.equal(true);
+        expect((entry.ends[0]?.firstMs ?? Number.POSITIVE_INFINITY) - startMs).to.be.at.most(OBJECTIVE_MS);
+    });
+});
