fix(entry): start backup attempts on paths that are seen to deliver

Cause: the backup's path was chosen like that of a new request, among all paths that had not stalled here; a path without a stream of this entry is never seen to stall.

Change: PathStallDetector.isActive (an event in the last 100 ms); for a backup attempt listCandidateChains takes active chains first, others where there is none. Case table of listCandidateChains: two rows.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -217,6 +217,7 @@
             estimateUnreported: (service) => this.estimateUnreported(service),
             getLoadAgeMs: () => this.loadReportAge.getMeanAgeMs(),
             isPathAvoided: (path) => this.stallDetector.isAvoided(path),
+            isPathActive: (path) => this.stallDetector.isActive(path),
             isLinkLossy: (to) => this.linkMonitor.isLossy(to),
             getDemand: (service) => createServiceDemand(this.demand.fleet.get(service)),
             levels: this.levels,
--- a/packages/daemon/src/process/entry/pathCandidates.ts
+++ b/packages/daemon/src/process/entry/pathCandidates.ts
@@ -21,6 +21,8 @@
     readonly leaving: LeavingNotices;
     /** Whether new requests avoid a path because it stalled recently. */
     readonly isPathAvoided: (path: PathKey) => boolean;
+    /** Whether a path delivered events a moment ago; not known if absent. */
+    readonly isPathActive?: (path: PathKey) => boolean;
     /** Whether the links of this entry to a failure domain lose packets now. */
     readonly isLinkLossy?: (domain: string) => boolean;
     /** Rate at which this entry sends requests to a service. */
@@ -48,7 +50,7 @@
      * @returns paths of reachable engines
      */
     list(run: RequestContext, service: RoutedService): readonly Chain[] {
-        const { view, health, backoffs, leaving } = this.options;
+        const { view, health, backoffs, leaving, isPathActive } = this.options;
         return listCandidateChains({
             usable: this.listUsable(service),
             listReachable: () =>
@@ -59,6 +61,9 @@
                 ),
             isTried: (chain) => isTried(run, chain),
             isStalled: (chain) => this.isAvoided(chain),
+            isActive: run.hasSilentAttempt && isPathActive !== undefined
+                ? (chain) => isPathActive(getPathKey(chain.stages))
+                : undefined,
         });
     }
 
--- a/packages/daemon/src/process/entry/pathStallDetector.ts
+++ b/packages/daemon/src/process/entry/pathStallDetector.ts
@@ -38,6 +38,8 @@
 const LATE_CHECK_MS = 60;
 /** How long new requests avoid a stalled path; by then the faulty engine is identified. */
 const AVOID_MS = 600;
+/** A path that delivered this recently is not silent: engines of a busy path pause for up to 60 ms between two passes. */
+const ACTIVE_MS = 100;
 /** Initial estimate of a path's longest gap, as a fraction of the pause that the contract allows. */
 const INITIAL_GAP_SHARE = 0.4;
 /** Half-life of the longest observed gap. */
@@ -135,6 +137,17 @@
             && !siblings.some((path) => path.lastProgressMs > stalledSinceMs && path.startedStreams.size > 0);
     }
 
+    /**
+     * Checks whether a path delivered events a moment ago.
+     * @param key - the path
+     * @returns false also where no stream here is on it
+     */
+    isActive(key: PathKey): boolean {
+        const path = this.paths.get(formatKey(key));
+        return path !== undefined && path.startedStreams.size > 0
+            && this.options.getNowMs() - path.lastProgressMs <= ACTIVE_MS;
+    }
+
     /** Single-stage paths share no engine with others. */
     private listSiblings({ id, laterStages }: PathKey): readonly Path[] {
         if (laterStages === "") {
--- a/packages/daemon/src/request/attemptGroup.ts
+++ b/packages/daemon/src/request/attemptGroup.ts
@@ -271,7 +271,9 @@
 
     private chooseUntried(): CallTarget | undefined {
         const { context, functions, relay } = this;
+        context.hasSilentAttempt = true;
         const choice = functions.chooseTarget(context, relay?.lastEventId, this.hasStarted());
+        context.hasSilentAttempt = false;
         return choice.kind === "target" && !context.attemptedUpstreams.has(choice.target.upstreamId)
             ? choice.target
             : undefined;
--- a/packages/daemon/src/request/requestContext.ts
+++ b/packages/daemon/src/request/requestContext.ts
@@ -38,6 +38,8 @@
     /** Upstreams that ran it or may have; for paths, their first engines. */
     readonly mayHaveRunOn = new Set<string>();
     mayHaveRun = false;
+    /** Whether its open attempts are silent, so that the next one should be at an upstream that is seen to work. */
+    hasSilentAttempt = false;
     /** Whether it is quarantined and sent once more as a trial, to find out whether it still crashes upstreams. */
     isTrial = false;
     /** Whether the leader has agreed to one more attempt although an upstream crashed under the request. */
--- a/packages/decisions/src/request/listCandidateChains.ts
+++ b/packages/decisions/src/request/listCandidateChains.ts
@@ -18,11 +18,16 @@
     readonly isTried: (chain: Chain) => boolean;
     /** Whether the chain was stalled a moment ago. */
     readonly isStalled: (chain: Chain) => boolean;
+    /**
+     * Whether the chain delivered a moment ago; given for a backup attempt, since a chain without streams here may be as
+     * silent as the one that the request is on.
+     */
+    readonly isActive?: ((chain: Chain) => boolean) | undefined;
 }
 
 /**
- * Lists the chains that a request may take: those that it has not tried and that are not stalled; where there are none,
- * those that it has not tried; otherwise any.
+ * Lists the chains that a request may take: those that it has not tried and that are not stalled, for a backup attempt only
+ * active ones; where there are none, those that it has not tried; otherwise any.
  * @param view - what is known
  * @returns chains of reachable engines; empty where each leads through an unreachable one
  */
@@ -30,5 +35,6 @@
     const chains = view.usable.length > 0 ? view.usable : view.listReachable();
     const untried = chains.filter((chain) => !view.isTried(chain));
     const unstalled = untried.filter((chain) => !view.isStalled(chain));
-    return [unstalled, untried, chains].find((some) => some.length > 0) ?? [];
+    const active = view.isActive === undefined ? [] : unstalled.filter(view.isActive);
+    return [active, unstalled, untried, chains].find((some) => some.length > 0) ?? [];
 }
--- a/packages/decisions/tests/listCandidateChains.test.ts
+++ b/packages/decisions/tests/listCandidateChains.test.ts
@@ -10,6 +10,7 @@
     readonly reachable: readonly Chain[];
     readonly tried: readonly Chain[];
     readonly stalled: readonly Chain[];
+    readonly active?: readonly Chain[];
     readonly expected: readonly Chain[];
 }[] = [
     {
@@ -46,17 +47,36 @@
         stalled: [],
         expected: [c],
     },
+    {
+        title: "for a backup attempt an active one",
+        usable: [a, b, c],
+        reachable: [],
+        tried: [a],
+        stalled: [],
+        active: [a, c],
+        expected: [c],
+    },
+    {
+        title: "for a backup attempt any, where none is active",
+        usable: [a, b, c],
+        reachable: [],
+        tried: [a],
+        stalled: [],
+        active: [a],
+        expected: [b, c],
+    },
     { title: "none through an unreachable engine", usable: [], reachable: [], tried: [], stalled: [], expected: [] },
 ];
 
 describe("a request takes an untried chain that is not stalled and whose engines are reachable", () => {
-    for (const { title, usable, reachable, tried, stalled, expected } of rows) {
+    for (const { title, usable, reachable, tried, stalled, active, expected } of rows) {
         it(title, () => {
             const found = listCandidateChains({
                 usable,
                 listReachable: () => reachable,
                 isTried: (chain) => tried.includes(chain),
                 isStalled: (chain) => stalled.includes(chain),
+                isActive: active === undefined ? undefined : (chain) => active.includes(chain),
             });
             expect(found).to.deep.equal(expected);
         });
