fix(entry): let a stream that its upstream broke off wait as long as its caller does

Cause: chooseNextStep waited for a path only where there was one; the window in which it waited for a retry stands for callers that leave by themselves. The wait for a path of a stream that had begun was bounded like that of a new request.

Change: isStreamWaiting in place of streamGraceMs: a partly delivered stream with attempts and time left waits for a path or a retry until its caller leaves or its deadline. After the window, which now only says when most callers have left, it checks each 500 ms in place of 40. It ends at once where too few engines are left to hold the model, and for the last attempt of a route.

Tests: chooseNextStep.test.ts, the rows with a grace of 500 ms now say isStreamWaiting, three new rows; silentAttempts.test.ts, two rows that failed before: a path or a retry that comes after 2.5 s.

--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -3,7 +3,6 @@
  * response or no further attempt is allowed.
  */
 import { chooseNextStep, computeStreamResumeWindowMs, type NextStep } from "@crankfork/decisions";
-import type { Route } from "@crankfork/schemas";
 import { waitMs } from "../process/waitMs.js";
 import { runAttemptGroup } from "./attemptGroup.js";
 import { checkSend, waitUntilCrashesStored } from "./checkSend.js";
@@ -23,6 +22,8 @@
 import type { AttemptResult } from "./upstreamAttempt.js";
 import { computeFullWaitMs, computeMaxWaitMs, isKeyUsable, TARGET_POLL_MS, waitForTarget } from "./waitForTarget.js";
 
+/** Interval between checks for a stream that was broken off long ago. */
+const LATE_POLL_MS = 500;
 /** Attempts made without a delay; more would only drain the retry budget while the engines' memory is full. */
 const IMMEDIATE_ATTEMPTS = 2;
 
@@ -135,7 +136,7 @@
     let choice = findAlternative();
     let step = chooseStep(context, response, relay, { result, choice }, functions);
     while (step.kind === "wait") {
-        await waitMs(TARGET_POLL_MS);
+        await waitMs(computePollMs(context, relay));
         if (context.stopReason !== undefined) {
             return finishStopped(context, response, context.stopReason);
         }
@@ -152,7 +153,7 @@
                 left_ms: Math.round(context.remainingMs),
             });
             if ((result.end === "declined" && context.attempts >= IMMEDIATE_ATTEMPTS) || isWithoutRelay(result)) {
-                await waitMs(TARGET_POLL_MS);
+                await waitMs(computePollMs(context, relay));
             }
             return undefined;
         case "hand-on":
@@ -189,7 +190,7 @@
         remainingMs: context.remainingMs,
         // A trial is sent only once.
         hasAlternative: !context.isTrial && choice.kind === "target" && !isWithoutRelay(result),
-        streamGraceMs: hasStarted && !context.isTrial ? computeGraceMs(route, relay) : 0,
+        isStreamWaiting: hasStarted && !context.isTrial && choice.kind !== "too-few-engines",
         // If all remaining upstreams are in backoff or rate-limited, none accepts the request before the caller's
         // Retry-After.
         maxQueueMs: hasStarted || isWithoutRelay(result) || context.isTrial || service.engine === undefined
@@ -217,9 +218,11 @@
     return choice.kind === "resting" || choice.kind === "limited";
 }
 
-function computeGraceMs(route: Route, relay: StreamRelay): number {
+/** Most callers have left after the window in which a stream can be resumed; the others are tried less often. */
+function computePollMs({ admitted: { route } }: RequestContext, relay: StreamRelay | undefined): number {
     const contract = { objectiveMs: route.objective_ms, pauseMs: route.pause_objective_ms };
-    return computeStreamResumeWindowMs(contract) - relay.sinceEventMs;
+    const isWithinWindow = relay === undefined || relay.sinceEventMs < computeStreamResumeWindowMs(contract);
+    return isWithinWindow ? TARGET_POLL_MS : LATE_POLL_MS;
 }
 
 /**
--- a/packages/daemon/src/request/waitForTarget.ts
+++ b/packages/daemon/src/request/waitForTarget.ts
@@ -116,6 +116,10 @@
             ) {
                 return 0;
             }
+            if (hasStarted) {
+                // The caller, which has received a part, may still wait; it ends the wait by leaving.
+                return context.remainingMs;
+            }
             return requestRank.isRanked && reason.kind === "full" ? computeRankedMs() : getWaitLimitMs(reason, limits);
         },
     });
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -166,6 +166,8 @@
     readonly engine?: EngineProfile;
     /** Budget of the unread bytes; none by default. */
     readonly unread?: UnreadBudget;
+    /** Whether an upstream can be chosen now; always by default. */
+    readonly isAvailable?: (name: string) => boolean;
     /** Takes a retry from the retry budget; always possible by default. */
     readonly claimRetry?: () => boolean;
     readonly queryStall?: (target: CallTarget) => Promise<StallReport>;
@@ -268,7 +270,9 @@
                 const isLost = this.targetChecks > (options.lostAfterChecks ?? Number.POSITIVE_INFINITY);
                 const next = isLost
                     ? undefined
-                    : options.upstreams.find((one) => !context.attemptedUpstreams.has(one.name))
+                    : options.upstreams.find((one) =>
+                        !context.attemptedUpstreams.has(one.name) && options.isAvailable?.(one.name) !== false
+                    )
                         ?? (options.mayRepeatUpstream === true ? options.upstreams[0] : undefined);
                 if (next === undefined && options.backoffMs !== undefined) {
                     return { kind: "resting", remainingMs: options.backoffMs, upstreams: [] };
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -390,3 +390,34 @@
         expect((entry.ends[0]?.firstMs ?? Number.POSITIVE_INFINITY) - startMs).to.be.at.most(OBJECTIVE_MS);
     });
 });
+
+describe("a stream whose upstream broke off waits for another one as long as its caller does", () => {
+    const AVAILABLE_AFTER_MS = 2_500;
+    const rows = [
+        { title: "no other upstream can take it before", isAvailable: false, hasRetry: true },
+        { title: "the retry budget is spent before", isAvailable: true, hasRetry: false },
+    ];
+    for (const { title, isAvailable, hasRetry } of rows) {
+        it(title, async () => {
+            const broken = await ScriptedUpstream.open("broken", (socket, id) => {
+                socket.write(formatStreamHead(id) + formatChunk(formatEvent(1)));
+                setTimeout(() => socket.resetAndDestroy(), 20);
+            });
+            const good = await PausableUpstream.open("good", 0);
+            const startMs = performance.now();
+            const isLate = (): boolean => performance.now() - startMs > AVAILABLE_AFTER_MS;
+            const entry = await TestEntry.open({
+                upstreams: [broken, good.upstream],
+                route: { kind: "stream", timeout_ms: 2 * TIMEOUT_MS },
+                isPath: true,
+                isAvailable: (name) => name === "broken" || isAvailable || isLate(),
+                claimRetry: () => hasRetry || isLate(),
+            });
+            const seen = await ask(entry.url, "stream");
+            await entry.close();
+            broken.close();
+            good.close();
+            expect(seen.isComplete).to.equal(true);
+        });
+    }
+});
--- a/packages/decisions/src/request/chooseNextStep.ts
+++ b/packages/decisions/src/request/chooseNextStep.ts
@@ -33,11 +33,8 @@
     readonly remainingMs: number;
     /** Whether another upstream can take it. */
     readonly hasAlternative: boolean;
-    /**
-     * How long the caller of a partly delivered stream still waits for the next event, in milliseconds; 0 for any other
-     * request.
-     */
-    readonly streamGraceMs: number;
+    /** Whether it is a partly delivered stream whose caller may still get the rest: it has not left, and has time left. */
+    readonly isStreamWaiting: boolean;
     /** How long a request that has not been executed may still wait here for a chain, in milliseconds. */
     readonly maxQueueMs: number;
     /** Claims a retry from the budget; called only where everything else allows one. */
@@ -47,7 +44,7 @@
 /** What is done next. */
 export type NextStep =
     | { readonly kind: "try-again"; }
-    /** Check again shortly: a chain may take the stream before its caller gives up. */
+    /** Check again shortly: a chain may take the stream before its caller leaves. */
     | { readonly kind: "wait"; }
     /** Pass the upstream's failure on to the caller. */
     | { readonly kind: "hand-on"; }
@@ -87,7 +84,7 @@
     if (canRetry && isRetryAllowed(view)) {
         return { kind: "try-again" };
     }
-    if (canRetry && view.streamGraceMs > 0) {
+    if (view.isStreamWaiting && mayRetry({ ...view, hasAlternative: true })) {
         return { kind: "wait" };
     }
     if (mayWaitForChain(view)) {
@@ -133,7 +130,7 @@
         case "declined":
             // A partly delivered stream is not given up for lack of capacity: engines decline while their memory is
             // full.
-            return (canAttempt || view.streamGraceMs > 0) && (view.isRepeatable || !view.mayHaveRun);
+            return (canAttempt || view.isStreamWaiting) && (view.isRepeatable || !view.mayHaveRun);
         case "failed":
         case "broken":
         case "stalled":
--- a/packages/decisions/tests/chooseNextStep.test.ts
+++ b/packages/decisions/tests/chooseNextStep.test.ts
@@ -20,7 +20,7 @@
     maxExecutions: 2,
     remainingMs: 1_000,
     hasAlternative: true,
-    streamGraceMs: 0,
+    isStreamWaiting: false,
     maxQueueMs: 0,
     claimRetry: () => true,
 };
@@ -71,22 +71,37 @@
     },
     {
         title: "a partly delivered stream that all declined",
-        change: { outcome: "declined", attempts: 6, hasAlternative: false, streamGraceMs: 500 },
+        change: { outcome: "declined", attempts: 6, hasAlternative: false, isStreamWaiting: true },
         step: "try-again",
     },
     {
         title: "a partly delivered stream while the budget is spent",
-        change: { streamGraceMs: 500, claimRetry: () => false },
+        change: { isStreamWaiting: true, claimRetry: () => false },
         step: "wait",
     },
+    {
+        title: "a partly delivered stream that broke while no chain is left",
+        change: { isStreamWaiting: true, hasAlternative: false },
+        step: "wait",
+    },
+    {
+        title: "a partly delivered stream whose upstream cannot be reached while no chain is left",
+        change: { outcome: "stalled", isStreamWaiting: true, hasAlternative: false },
+        step: "wait",
+    },
+    {
+        title: "a partly delivered stream that broke shortly before its deadline",
+        change: { isStreamWaiting: true, hasAlternative: false, remainingMs: 5 },
+        step: "fail",
+    },
     {
         title: "a partly delivered stream whose attempts are used up",
-        change: { streamGraceMs: 500, executions: 2 },
+        change: { isStreamWaiting: true, executions: 2 },
         step: "fail",
     },
     {
         title: "a partly delivered stream that may run only once",
-        change: { outcome: "declined", streamGraceMs: 500, isRepeatable: false },
+        change: { outcome: "declined", isStreamWaiting: true, isRepeatable: false },
         step: "fail",
     },
     {
