fix(voter): do not take an upstream that is only silent for one that has ended

Cause: a leader marks an upstream lost for missing reports or heartbeats, and entries took each lost one for ended.

Change: the state says why an upstream is lost: gone (its address refuses connections, or the failure is not a time-out), or silent. Entries count an attempt as a crash, or not as a run, only for one that is gone, removed or replaced by a later incarnation; a silent crash is therefore counted when the incarnation is replaced. The field is optional: losses of a leader of an earlier build count as before.

--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -35,7 +35,12 @@
     & (
         | EngineReport
         /** No response. */
-        | { readonly kind: "failed"; readonly reason: string; }
+        | {
+            readonly kind: "failed";
+            readonly reason: string;
+            /** Whether only time ran out, so that the engine may still run. */
+            readonly isSilent?: boolean;
+        }
         /** The engine is reachable but asked for a backoff, now or earlier. */
         | { readonly kind: "turned-away"; readonly reason: string; }
         /** The response could not be parsed: it neither describes the engine nor shows that the engine is gone. */
--- a/packages/daemon/src/process/layers/placementController.ts
+++ b/packages/daemon/src/process/layers/placementController.ts
@@ -259,7 +259,7 @@
         const { host, upstreams } = this.options;
         const upstream = host.state.getUpstream(id);
         if (upstream !== undefined && host.replica.hasLeaderLease()) {
-            upstreams.markLost(upstream, "another upstream answers at its address");
+            upstreams.markLost(upstream, "gone", "another upstream answers at its address");
         }
     }
 
--- a/packages/daemon/src/process/voter/suspectProbe.ts
+++ b/packages/daemon/src/process/voter/suspectProbe.ts
@@ -2,7 +2,7 @@
  * Probes engines that entries suspect or that declined their requests: an engine that fails two consecutive reports is
  * marked lost, sooner than by its heartbeats.
  */
-import type { RegisteredUpstream, SuspectParameters } from "@crankfork/schemas";
+import type { RegisteredUpstream, SuspectParameters, UpstreamLoss } from "@crankfork/schemas";
 import type { EngineControl, ReportResult } from "../../connection/engineControl.js";
 import { isSameSpan } from "../layers/layerSpans.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
@@ -133,6 +133,7 @@
     private async probe(id: string, pending: PendingProbe): Promise<void> {
         const { host, upstreams, control } = this.options;
         let reason = "";
+        let loss: UpstreamLoss = "silent";
         for (let probe = 0; probe < this.getFailureLimit(id); probe += 1) {
             const upstream = host.state.getUpstream(id);
             if (upstream?.accelerator === undefined || upstream.status !== "ready") {
@@ -149,10 +150,11 @@
             pending.hasFailed = true;
             this.notifyChange();
             ({ reason } = report);
+            loss = report.isSilent === true ? loss : "gone";
         }
         const upstream = host.state.getUpstream(id);
         if (upstream !== undefined && host.replica.hasLeaderLease()) {
-            upstreams.markLost(upstream, `no report: ${reason}`);
+            upstreams.markLost(upstream, loss, `no report: ${reason}`);
             await upstreams.awaitChange(id);
         }
     }
--- a/packages/daemon/src/process/voter/upstreamRegistry.ts
+++ b/packages/daemon/src/process/voter/upstreamRegistry.ts
@@ -13,6 +13,7 @@
     type RegisteredUpstream,
     type UpstreamFacts,
     type UpstreamIncarnation,
+    type UpstreamLoss,
     type UpstreamStatus,
 } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
@@ -244,7 +245,7 @@
             const heardMs = Math.max(this.lastHeartbeats.get(upstream.id)?.heardMs ?? this.electedMs, lastResumeMs);
             const silentMs = getNowMs() - heardMs;
             if (silentMs > limitMs) {
-                this.markLost(upstream, `no heartbeat for ${String(Math.round(silentMs))} ms`);
+                this.markLost(upstream, "silent", `no heartbeat for ${String(Math.round(silentMs))} ms`);
             }
         });
     }
@@ -252,17 +253,18 @@
     /**
      * Marks an upstream lost until its next heartbeat.
      * @param upstream - the upstream
+     * @param loss - whether it is certain that it has ended
      * @param reason - the observed fault, for the log
      */
-    markLost(upstream: RegisteredUpstream, reason: string): void {
+    markLost(upstream: RegisteredUpstream, loss: UpstreamLoss, reason: string): void {
         const { status, ...facts } = upstream;
         if (status === "lost" || this.pendingLosses.has(facts.id)) {
             return;
         }
-        this.options.log.record("warn", "upstream-lost", { peer: facts.id, address: facts.address, reason });
+        this.options.log.record("warn", "upstream-lost", { peer: facts.id, address: facts.address, loss, reason });
         const command: FleetCommand = status === "leaving"
             ? { kind: "remove-upstream", id: facts.id, life: getIncarnation(facts) }
-            : { kind: "put-upstream", facts, status: "lost" };
+            : { kind: "put-upstream", facts: { ...facts, loss }, status: "lost" };
         this.pendingLosses.add(facts.id);
         void this.proposeUpstreamChange(facts.id, command).finally(() => this.pendingLosses.delete(facts.id));
     }
--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -94,12 +94,14 @@
     }
 
     /**
-     * Tells whether an upstream has ended or is lost according to the voters. One that is leaving still works.
+     * Tells whether an upstream has ended according to the voters. One that is leaving still works, and one that was lost
+     * for its silence may go on.
      * @param id - the upstream's incarnation
      * @returns true if it can no longer answer
      */
     hasEnded(id: string): boolean {
-        return (this.upstreams.get(id)?.status ?? "lost") === "lost";
+        const upstream = this.upstreams.get(id);
+        return upstream === undefined || (upstream.status === "lost" && upstream.loss !== "silent");
     }
 
     /**
--- a/packages/daemon/tests/fleetView.test.ts
+++ b/packages/daemon/tests/fleetView.test.ts
@@ -8,12 +8,15 @@
         { title: "ready", status: "ready", hasEnded: false },
         { title: "leaving, still serving", status: "leaving", hasEnded: false },
         { title: "lost", status: "lost", hasEnded: true },
+        { title: "lost, and gone", status: "lost", loss: "gone", hasEnded: true },
+        { title: "lost for its silence", status: "lost", loss: "silent", hasEnded: false },
         { title: "no longer registered", status: undefined, hasEnded: true },
     ] as const;
-    for (const { title, status, hasEnded } of rows) {
+    for (const { title, status, hasEnded, ...row } of rows) {
         it(title, () => {
             const view = new FleetView();
-            const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
+            const loss = "loss" in row ? { loss: row.loss } : {};
+            const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1, ...loss };
             view.applyUpstreams(createFullState(1, status === undefined ? [] : [{ ...facts, status }]));
             expect(view.hasEnded("u")).to.equal(hasEnded);
         });
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -76,6 +76,21 @@
         });
     }
 
+    // Requests at an upstream that has ended count as its crashes, and may be sent to another one beyond the route's limit.
+    const lossRows = [
+        { title: "reports time out", result: { isSilent: true }, loss: "silent" },
+        { title: "connections are refused", result: { isSilent: false }, loss: "gone" },
+        { title: "the failure is not known further", result: {}, loss: "gone" },
+    ];
+    for (const { title, result, loss } of lossRows) {
+        it(`an engine is lost as ${loss} if ${title}`, async () => {
+            const probe = createProbe(() => Promise.resolve({ kind: "failed", reason: title, ...result }));
+            probe.handleSuspects({ instance: "one", suspects: ["a"] });
+            await clock.tickAsync(1_000);
+            expect(harness.state.getUpstream("a")).to.include({ status: "lost", loss });
+        });
+    }
+
     it("an engine that rejects reports with a backoff is not marked lost", async () => {
         const probe = createProbe(() => Promise.resolve({ kind: "turned-away", reason: "status 503" }));
         probe.handleSuspects({ instance: "e1", suspects: ["a"] });
@@ -192,9 +207,10 @@
         await clock.tickAsync(200);
         harness.upstreams.markSilentUpstreams();
         await clock.tickAsync(1);
-        expect(harness.state.getUpstream("a")?.status).to.equal("lost");
+        expect(harness.state.getUpstream("a")).to.include({ status: "lost", loss: "silent" });
         await harness.register("a");
         expect(harness.state.getUpstream("a")?.status).to.equal("ready");
+        expect(harness.state.getUpstream("a")).to.not.have.property("loss");
     });
 
     it("a leader that resumes from sleep does not mark upstreams lost for heartbeats missed while it slept", async () => {
--- a/packages/daemon/tests/leavingUpstream.test.ts
+++ b/packages/daemon/tests/leavingUpstream.test.ts
@@ -39,7 +39,7 @@
     it("an upstream considered lost that sends a notice is shutting down", async () => {
         const stand = new LeaderHarness();
         await stand.registerIncarnation(INCARNATION);
-        stand.upstreams.markLost(stand.state.getUpstream(ID)!, "silent");
+        stand.upstreams.markLost(stand.state.getUpstream(ID)!, "silent", "silent");
         await stand.upstreams.recordLeavingNotice(ID, "entry-1");
         expect(getStatus(stand)).to.equal("leaving");
     });
--- a/packages/daemon/tests/placementController.test.ts
+++ b/packages/daemon/tests/placementController.test.ts
@@ -85,7 +85,7 @@
         await clock.tickAsync(HEARTBEAT_MS * 2);
         const [lost] = harness.state.listUpstreams();
         if (lost !== undefined) {
-            harness.upstreams.markLost(lost, "no report");
+            harness.upstreams.markLost(lost, "gone", "no report");
         }
         await clock.tickAsync(HEARTBEAT_MS);
         const listShortageEvents = (): readonly string[] =>
@@ -109,7 +109,7 @@
         await harness.register("c");
         const [lost] = harness.state.listUpstreams();
         if (lost !== undefined) {
-            harness.upstreams.markLost(lost, "test");
+            harness.upstreams.markLost(lost, "gone", "test");
         }
         await clock.tickAsync(300);
         expect(harness.orders.at(-1)).to.equal("c=0-4");
@@ -123,7 +123,7 @@
         });
         const lost = harness.state.getUpstream("b");
         if (lost !== undefined) {
-            harness.upstreams.markLost(lost, "test");
+            harness.upstreams.markLost(lost, "gone", "test");
         }
         await clock.tickAsync(600);
         expect(harness.orders).to.deep.equal(["a=4-8"]);
@@ -139,7 +139,7 @@
         await harness.register("c", { first: 0, end: 4 });
         const lost = harness.state.getUpstream("b");
         if (lost !== undefined) {
-            harness.upstreams.markLost(lost, "test");
+            harness.upstreams.markLost(lost, "gone", "test");
         }
         harness.setReport("a", { first: 0, end: 4 }, { isOrderInProgress: true });
         for (let second = 0; second < 9; second += 1) {
--- a/packages/schemas/src/registeredUpstream.ts
+++ b/packages/schemas/src/registeredUpstream.ts
@@ -23,6 +23,11 @@
     held: layerSpanSchema.optional(),
     /** Self-reported slowdown factor relative to the nominal speed of its accelerator; 1 if absent. */
     slowness: z.number().positive().optional(),
+    /**
+     * Why it is lost: it is `gone`, as when its address refuses connections, or it was only `silent` and may go on; absent
+     * unless it is lost, and where a leader of an earlier build marked it.
+     */
+    loss: z.enum(["gone", "silent"]).optional(),
 });
 
 /** `lost`: no heartbeat or report in time; the same incarnation may become `ready` again. */
@@ -35,6 +40,8 @@
 export type LayerSpan = z.infer<typeof layerSpanSchema>;
 /** Properties that an upstream reports about itself. */
 export type UpstreamFacts = z.infer<typeof upstreamFactsSchema>;
+/** Why an upstream is lost. */
+export type UpstreamLoss = NonNullable<UpstreamFacts["loss"]>;
 /** Whether requests may be sent to an upstream. */
 export type UpstreamStatus = z.infer<typeof upstreamStatusSchema>;
 /** An upstream in the replicated state. */
