fix(bundle): include the client that repeats a request at the same upstream

What callers saw: in a deployment, a request that is repeated at an upstream that it was sent to before (a small service, a declined stream) was never sent there, and the upstream was suspected; the next step treated it as not sent.

Cause: the bundle takes the parts of undici that are listed in scripts/undiciParts.cjs, and Client, which dispatchUnshared needs since connections of a repeated attempt are not shared, was not among them: "Client is not a constructor" in each such dispatch. All tests but those of the bundle run the sources. Found by reading.

Change: Client is listed.

--- a/scripts/undiciParts.cjs
+++ b/scripts/undiciParts.cjs
@@ -9,6 +9,7 @@
 
 module.exports = {
     Dispatcher,
+    Client: require("undici/lib/dispatcher/client.js"),
     Pool: require("undici/lib/dispatcher/pool.js"),
     buildConnector: require("undici/lib/core/connect.js"),
     errors: require("undici/lib/core/errors.js"),
