fix(http): reset connections of responses without a length if the process is killed

Cause: such a response ends with its connection, and the kernel closes the connections of a process that is killed in order.

Change: ExitGuard sets a linger time of 0 (SO_LINGER) on the connection of a response that is delimited by it, so that the kernel resets it when the process ends, and takes that back once the whole response has been handed over. What upstreams do reaches callers as before: a close in order, a reset, or an end within an event. Node has no function for the option; koffi calls setsockopt, and is loaded with the first such response (11 ms). The bundle leaves it where it is installed, and turns dynamic imports into requires, which are all that its start supports. A response to a caller of HTTP/1.0 counts as delimited by its connection whatever its upstream sent; a cut of one is marked now as that of the others is.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -11,6 +11,7 @@
 } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
+import { ExitGuard } from "../../connection/exitGuard.js";
 import type { RequestDispatcher } from "../../connection/observeDispatch.js";
 import type { PeerClient } from "../../connection/peerClient.js";
 import { probeConnection } from "../../connection/probeConnection.js";
@@ -128,6 +129,7 @@
     private readonly queues: RequestQueues;
     private readonly unread: UnreadBudget;
     private readonly open = new Set<RoutedResponse>();
+    private readonly exitGuard: ExitGuard;
 
     /**
      * @param options - settings, codec, leader connection and log
@@ -142,6 +144,11 @@
             },
         });
         options.metrics.observeUnreadBytes(() => this.unread.unreadBytes);
+        this.exitGuard = new ExitGuard({
+            handleUnavailable: (reason) => {
+                options.log.record("warn", "exit-guard-unavailable", { reason });
+            },
+        });
         this.levels = new AdmissionLevels(options);
         this.refusals = new RefusalWindow(options.getNowMs);
         this.demand = new EntryDemand({ ...options, getRouting: () => this.view.routing });
@@ -364,7 +371,7 @@
      * @param response - its response
      */
     handle(message: IncomingMessage, response: ServerResponse): void {
-        const answer = new RoutedResponse(response, this.options.codec, this.options.isStopping);
+        const answer = new RoutedResponse(response, this.options.codec, this.options.isStopping, this.exitGuard);
         this.open.add(answer);
         // The request is open until its caller's connection has taken the whole response.
         const closed = new Promise<void>((resolve) => {
--- a/packages/daemon/src/request/routedResponse.ts
+++ b/packages/daemon/src/request/routedResponse.ts
@@ -2,6 +2,7 @@
  * Writes the response to a routed request.
  */
 import type { ServerResponse } from "node:http";
+import type { ExitGuard } from "../connection/exitGuard.js";
 import type { OpenExchange, ResponseHead } from "../connection/upstreamExchange.js";
 import type { UnreadBudget, UnreadResponse } from "../process/entry/unreadBudget.js";
 import type { CallCodec, RoutedCall } from "./routedCall.js";
@@ -90,18 +91,21 @@
 
 /** Writes one response. */
 export class RoutedResponse {
-    private closeDelimited = false;
+    private isCloseDelimited = false;
+    private releaseConnection = (): void => undefined;
     private unread: UnreadResponse | undefined;
 
     /**
      * @param response - the server response; nothing has been written yet
      * @param codec - the codec that creates headers
      * @param isStopping - whether callers should close this connection
+     * @param exitGuard - resets the connection of a response that is delimited by it if this process is killed
      */
     constructor(
         private readonly response: ServerResponse,
         private readonly codec: CallCodec,
         private readonly isStopping: () => boolean,
+        private readonly exitGuard?: Pick<ExitGuard, "guard">,
     ) {}
 
     /**
@@ -156,6 +160,7 @@
             this.delimitByClose();
         }
         this.writeHead(buffered.head.status, headers);
+        this.releaseAtFinish();
         this.response.end(buffered.body);
         this.unread?.recordWrite(undefined);
     }
@@ -199,14 +204,16 @@
 
     /** Completes a stream. */
     endStream(): void {
+        this.releaseAtFinish();
         this.response.end();
         this.unread?.recordWrite(undefined);
     }
 
     /** Aborts the connection so that the caller notices that the response is incomplete. */
     abort(): void {
-        if (this.closeDelimited && !this.isPaused) {
+        if (this.isCloseDelimited && !this.isPaused) {
             // The end of the connection is that of a complete stream, unless it comes within an event.
+            this.releaseAtFinish();
             this.response.end(UNFINISHED_COMMENT);
             this.response.setTimeout(ABORT_FLUSH_MS, () => this.response.destroy());
         }
@@ -220,7 +227,6 @@
      * finished, so a response without a length is forwarded without one: it must not claim more than the upstream did.
      */
     private delimitByClose(): void {
-        this.closeDelimited = true;
         this.response.shouldKeepAlive = false;
         this.response.useChunkedEncodingByDefault = false;
     }
@@ -230,9 +236,29 @@
             headers.push("Connection", "close");
         }
         this.response.writeHead(status, headers);
+        this.isCloseDelimited = isDelimitedByClose(this.response, headers);
+        const { socket } = this.response;
+        if (this.isCloseDelimited && socket !== null) {
+            this.releaseConnection = this.exitGuard?.guard(socket) ?? this.releaseConnection;
+        }
+    }
+
+    /** The connection is closed in order once the whole response has been handed to the kernel. */
+    private releaseAtFinish(): void {
+        if (this.isCloseDelimited) {
+            this.response.once("finish", () => {
+                this.releaseConnection();
+            });
+        }
     }
 }
 
+/** Also true for a caller of HTTP/1.0, which does not know chunks. */
+function isDelimitedByClose(response: ServerResponse, headers: readonly string[]): boolean {
+    const hasLength = headers.some((name, at) => at % 2 === 0 && name.toLowerCase() === "content-length");
+    return !hasLength && !response.chunkedEncoding;
+}
+
 function parseConnectionOptions(rawHeaders: readonly string[]): ReadonlySet<string> {
     const names = new Set<string>();
     for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -13,6 +13,8 @@
 const optionalModules = ["dtrace-provider", "mv", "moment", "safe-json-stringify"];
 /** Upstreams and peers speak HTTP/1.1; undici goes on without HTTP/2, which takes 23 ms of a start to load. */
 const unusedModules = ["node:http2"];
+/** Has a native part for each platform, which is loaded from where it is installed. */
+const nativeModules = ["koffi"];
 const takeParts = {
     name: "take-parts",
     setup(bundle) {
@@ -40,6 +42,9 @@
     minifyWhitespace: true,
     sourcemap: false,
     logLevel: "warning",
+    external: nativeModules,
+    // The program runs as a script of node:vm, which can only require modules.
+    supported: { "dynamic-import": false },
     plugins: [takeParts],
     alias: Object.fromEntries(
         ["schemas", "coordination", "decisions", "daemon"].map((name) => [
