feat(entry): log which bound of the retry budget denied a retry

Change: SharedRetryBudget names the bound that a denied retry would exceed, what is used of it, and its value; event retry-denied. No decision changes: the 86 tests of the retry budget pass.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -501,7 +501,7 @@
             },
             recordDecline: (id, reason) => void this.faultHandler.handleDecline(id, reason),
             findIdAt: (address) => this.view.findIdByAddress(address),
-            claimRetry: (service, isUnderWay) => this.budgets.get(service).claimRetry(isUnderWay),
+            claimRetry: (service, isUnderWay) => this.claimRetry(service, isUnderWay),
             queryStall: (target, requestId) => this.queryStall(target, requestId),
             watchPath: (target, pauseMs, leave) =>
                 this.stallDetector.follow(getPathKey(target.stages ?? []), pauseMs, leave),
@@ -523,6 +523,19 @@
         };
     }
 
+    private claimRetry(service: string, isUnderWay: boolean): boolean {
+        const budget = this.budgets.get(service);
+        const isGranted = budget.claimRetry(isUnderWay);
+        if (!isGranted) {
+            this.options.log.record("info", "retry-denied", {
+                service,
+                is_under_way: isUnderWay,
+                ...budget.lastDenial,
+            });
+        }
+        return isGranted;
+    }
+
     /** Reports are fetched over this entry's own connections; a relay is asked whether it reaches the engine. */
     private async queryStall(target: CallTarget, requestId: string): Promise<StallReport> {
         const relay = this.links.getRelay(target);
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -94,6 +94,30 @@
     repeats: number;
 }
 
+/** Why a retry was denied: a bound that it would exceed, what is used of it, and its value, in retries. */
+export interface RetryDenial {
+    readonly bound:
+        /** No leader has reported yet; in milliseconds since the start. */
+        | "first-report"
+        /** This entry's equal share, without a recent report. */
+        | "equal-share"
+        /** The fleet's retries, of which a part is reserved for requests with a part of an answer. */
+        | "unanswered"
+        /** This entry's part of the remainder. */
+        | "remainder"
+        /** Retries that the leader does not know yet. */
+        | "unreported"
+        /** Retries of one entry in a window. */
+        | "entry";
+    readonly used: number;
+    readonly limit: number;
+}
+
+/** Finds the first bound that one more retry exceeds. */
+function findDenial(bounds: readonly RetryDenial[]): RetryDenial | undefined {
+    return bounds.find(({ used, limit }) => used + 1 > limit);
+}
+
 /** Counts requests and retries of one service at one entry. */
 export class SharedRetryBudget {
     private readonly slots: Slot[] = [];
@@ -116,6 +140,7 @@
     private repeats = 0;
     private sentRepeats = 0;
     private knownRepeats = 0;
+    private denial: RetryDenial | undefined;
 
     /**
      * @param options - the whole fleet's budget
@@ -168,7 +193,10 @@
      */
     claimRetry(hasPartialAnswer: boolean): boolean {
         const isReported = this.getNowMs() - this.reportedMs < this.options.windowMs;
-        if (!(isReported ? this.isWithinRemainder(hasPartialAnswer) : this.isWithinEqualShare(hasPartialAnswer))) {
+        this.denial = isReported
+            ? this.findRemainderDenial(hasPartialAnswer)
+            : this.findEqualShareDenial(hasPartialAnswer);
+        if (this.denial !== undefined) {
             return false;
         }
         this.repeats += 1;
@@ -176,6 +204,11 @@
         return true;
     }
 
+    /** Why the last retry was denied; undefined if it was not. */
+    get lastDenial(): RetryDenial | undefined {
+        return this.denial;
+    }
+
     /**
      * Computes what this entry sent.
      * @returns requests and retries in the last window
@@ -207,19 +240,23 @@
         return this.computeSpending().requests * MS_PER_SECOND / this.options.windowMs;
     }
 
-    private isWithinEqualShare(hasPartialAnswer: boolean): boolean {
+    private findEqualShareDenial(hasPartialAnswer: boolean): RetryDenial | undefined {
         if (!this.hasReport && this.ageMs < this.process.firstReportMs) {
-            return false;
+            return { bound: "first-report", used: this.ageMs, limit: this.process.firstReportMs };
         }
         const { requests, repeats } = this.computeSpending();
         const { ratio, slack } = this.options;
         const steady = hasPartialAnswer ? STATIC_SHARE : STATIC_SHARE * STATIC_UNANSWERED_SHARE;
         const startup = hasPartialAnswer ? STARTUP_SHARE : STARTUP_UNANSWERED_SHARE;
         const share = this.isStarting ? startup : steady;
-        return repeats + 1 <= share * (requests * ratio + slack / this.getEntries());
+        return findDenial([{
+            bound: "equal-share",
+            used: repeats,
+            limit: share * (requests * ratio + slack / this.getEntries()),
+        }]);
     }
 
-    private isWithinRemainder(hasPartialAnswer: boolean): boolean {
+    private findRemainderDenial(hasPartialAnswer: boolean): RetryDenial | undefined {
         const allowed = this.computeAllowed();
         const limit = Math.min(REPORTED_SHARE * allowed, (allowed - this.computeUnknown(allowed)) / REMAINDER_PARTS);
         const sinceMs = this.reportedMs - REPORT_LAG_MS;
@@ -229,10 +266,18 @@
         // Other entries do not know yet what this one may have lost.
         const unreported = this.isWindowObserved && this.startedMs >= sinceMs ? this.maxLost : 0;
         const unansweredLimit = limit * REPORTED_UNANSWERED_SHARE / REPORTED_SHARE;
-        return (hasPartialAnswer || known + recent + 1 <= unansweredLimit)
-            && recent + unreported + 1 <= REMAINDER_PARTS * (limit - known) / this.getEntries() + this.rounding
-            && this.repeats - this.knownRepeats + 1 <= this.maxUnreported
-            && repeats + 1 <= MAX_ENTRY_SHARES * this.computeEqualShare();
+        return findDenial([
+            ...(hasPartialAnswer
+                ? []
+                : [{ bound: "unanswered", used: known + recent, limit: unansweredLimit } as const]),
+            {
+                bound: "remainder",
+                used: recent + unreported,
+                limit: REMAINDER_PARTS * (limit - known) / this.getEntries() + this.rounding,
+            },
+            { bound: "unreported", used: this.repeats - this.knownRepeats, limit: this.maxUnreported },
+            { bound: "entry", used: repeats, limit: MAX_ENTRY_SHARES * this.computeEqualShare() },
+        ]);
     }
 
     /** The most retries that may have been sent and are in no report; never more than the fleet gives out. */
