fix(voter): do not count retries that may be lost as sent, to entries that have sent nothing yet

Cause: a leader gives the retries that restarted entries may have lost by themselves only to an entry that reports its own; to one of an older build they count as sent. An entry that had not sent anything reported no spending at all and was taken for an older build: 69 or 138 retries that nobody had made used up a budget of 14 to 26, and it then reported its own lost ones as sent to all others.

Change: an entry is taken for an older build only if it reports spending without lost retries.

The row stays in KNOWN-RED.txt for six no-upstream of one entry, which were not seen again.

--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -340,8 +340,9 @@
         const sinceMs = this.options.getNowMs() - ENTRY_EXPIRY_MS;
         this.formerSpending = this.formerSpending.filter(({ lastSeenMs }) => lastSeenMs > sinceMs);
         const { getNowMs, budgetWindowMs = Number.POSITIVE_INFINITY } = this.options;
-        // To an entry of an older build lost retries count as sent.
-        const isLostKnown = Object.values(own).some(({ lost }) => lost !== undefined);
+        // To an entry of an older build, which reports none, lost retries count as sent. One that has sent nothing yet reports
+        // no spending at all.
+        const isLostKnown = Object.values(own).every(({ lost }) => lost !== undefined);
         const sums: RetryBudgetUsage = {};
         const add = (service: string, { requests, repeats, lost = 0 }: RetryBudgetUsage[string]): void => {
             const sum = sums[service];
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -237,6 +237,11 @@
             own: { s: { requests: 1, repeats: 0, lost: 0 } },
             seen: { s: { requests: 30, repeats: 2, lost: 4 } },
         },
+        {
+            title: "with the retries that restarted entries may have lost, to an entry that has sent nothing yet",
+            own: {},
+            seen: { s: { requests: 30, repeats: 2, lost: 4 } },
+        },
         {
             title: "with lost retries as sent ones, to an entry of an older build",
             own: { s: { requests: 1, repeats: 0 } },
