fix(entry): send backup attempts only to upstreams that respond

Callers: streams held until their deadline or their caller's patience, although a sound upstream was there.

Cause: while engines are silent, a backup attempt was started at the next upstream that was not known to be silent. Where several pause at the same moment it used up one of the route's attempts and a retry at one that was silent as well, and neither was left once the first one was gone for good.

Change: before a backup attempt is sent, the first engine of its path is asked for its report. Without a report within 100 ms, or with a request that waits for an engine of the path, the next upstream is chosen.

silentAttempts.test.ts, three new rows: all failed without the check, and pass with it.

--- a/packages/daemon/src/process/entry/engineReportCache.ts
+++ b/packages/daemon/src/process/entry/engineReportCache.ts
@@ -42,6 +42,19 @@
         return stalled === undefined ? { kind: "moving" } : { kind: "stalled", faultAddress: stalled.address };
     }
 
+    /**
+     * Checks whether a path can be expected to run a request.
+     * @param engine - its first engine
+     * @param addresses - addresses of all its engines
+     * @returns false if the engine sends no report, or reports a request that waits for one of the engines
+     */
+    async isPathResponsive(engine: EngineEndpoint, addresses: readonly string[]): Promise<boolean> {
+        const report = await this.getReport(engine);
+        return report.kind === "report"
+            ? !report.stalled.some(({ address }) => address !== undefined && addresses.includes(address))
+            : report.kind !== "failed";
+    }
+
     /**
      * Finds the engines that block the requests of a path.
      * @param engine - the first engine of the path
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -503,6 +503,7 @@
             findIdAt: (address) => this.view.findIdByAddress(address),
             claimRetry: (service, isUnderWay) => this.claimRetry(service, isUnderWay),
             queryStall: (target, requestId) => this.queryStall(target, requestId),
+            isPathResponsive: (target) => this.isPathResponsive(target),
             watchPath: (target, pauseMs, leave) =>
                 this.stallDetector.follow(getPathKey(target.stages ?? []), pauseMs, leave),
             followLink: ({ upstreamId, stages }) => {
@@ -548,6 +549,14 @@
             : await this.engineReports.checkStall({ id: target.upstreamId, address: target.address }, requestId);
     }
 
+    /** A relay asks no engine for reports, and an entry that is cut off gets none. */
+    private async isPathResponsive({ upstreamId, address, stages }: CallTarget): Promise<boolean> {
+        return stages === undefined || this.links.isCutOff || await this.engineReports.isPathResponsive(
+            { id: upstreamId, address },
+            stages.map(({ engine }) => engine.address),
+        );
+    }
+
     /** Without the check a service is served by usual sizes, and engines that decline are avoided. */
     private isMemoryChecked(service: string): boolean {
         const { check_memory } = this.options.settings.admission;
--- a/packages/daemon/src/process/entry/pathCandidates.ts
+++ b/packages/daemon/src/process/entry/pathCandidates.ts
@@ -123,7 +123,8 @@
 }
 
 function isTried(run: RequestContext, chain: Chain): boolean {
-    return run.attemptedUpstreams.has(chain.stages[0]?.engine.id ?? "");
+    const first = chain.stages[0]?.engine.id ?? "";
+    return run.attemptedUpstreams.has(first) || run.unresponsiveUpstreams.has(first);
 }
 
 function getFirstDomain(chain: Chain): string {
--- a/packages/daemon/src/request/attemptGroup.ts
+++ b/packages/daemon/src/request/attemptGroup.ts
@@ -5,6 +5,7 @@
  */
 import { findRetryObstacle, type RetryObstacle } from "@crankfork/decisions";
 import type { AttemptOutput } from "../process/entry/crashTracker.js";
+import { waitMs } from "../process/waitMs.js";
 import { checkSend } from "./checkSend.js";
 import { runObservedAttempt } from "./observedAttempt.js";
 import type { RequestContext } from "./requestContext.js";
@@ -17,6 +18,8 @@
 
 /** Interval between checks whether a backup attempt can be started. */
 const BACKUP_CHECK_INTERVAL_MS = 100;
+/** Time for an upstream to show that it responds before a backup attempt is sent there; a sound one needs milliseconds. */
+const RESPONSE_CHECK_MS = 100;
 
 /** Target of a backup attempt, or why there is none. */
 type BackupChoice =
@@ -107,7 +110,10 @@
         if (attempt.silence?.kind === "no-report") {
             this.functions.recordProgress(attempt.target.upstreamId);
         }
-        attempt.silence = undefined;
+        if (attempt.silence !== undefined) {
+            attempt.silence = undefined;
+            this.context.unresponsiveUpstreams.clear();
+        }
         if (this.open.size > 1) {
             this.abortOthers(attempt);
         }
@@ -242,7 +248,7 @@
             return { kind: "none", obstacle: "permission" };
         }
         const obstacle = this.findObstacle();
-        const target = obstacle === undefined ? this.chooseUntried() : undefined;
+        const target = obstacle === undefined ? await this.chooseResponsive() : undefined;
         if (target === undefined) {
             return { kind: "none", obstacle: obstacle ?? "upstream" };
         }
@@ -269,14 +275,35 @@
         return obstacle ?? (functions.hasOtherPath(context) ? undefined : "upstream");
     }
 
+    /** An attempt at an upstream that is silent as well would use up one of the route's attempts, and a retry. */
+    private async chooseResponsive(): Promise<CallTarget | undefined> {
+        const { context, functions } = this;
+        const target = this.chooseUntried();
+        if (target === undefined) {
+            context.unresponsiveUpstreams.clear();
+            return undefined;
+        }
+        if (
+            functions.isPathResponsive === undefined
+            || await Promise.race([
+                functions.isPathResponsive(target),
+                waitMs(RESPONSE_CHECK_MS).then(() => false),
+            ])
+        ) {
+            return target;
+        }
+        context.unresponsiveUpstreams.add(target.upstreamId);
+        return undefined;
+    }
+
     private chooseUntried(): CallTarget | undefined {
         const { context, functions, relay } = this;
         context.hasSilentAttempt = true;
         const choice = functions.chooseTarget(context, relay?.lastEventId, this.hasStarted());
         context.hasSilentAttempt = false;
-        return choice.kind === "target" && !context.attemptedUpstreams.has(choice.target.upstreamId)
-            ? choice.target
-            : undefined;
+        const isUntried = choice.kind === "target" && !context.attemptedUpstreams.has(choice.target.upstreamId)
+            && !context.unresponsiveUpstreams.has(choice.target.upstreamId);
+        return isUntried ? choice.target : undefined;
     }
 
     private get isCertain(): boolean {
--- a/packages/daemon/src/request/requestContext.ts
+++ b/packages/daemon/src/request/requestContext.ts
@@ -40,6 +40,8 @@
     mayHaveRun = false;
     /** Whether its open attempts are silent, so that the next one should be at an upstream that is seen to work. */
     hasSilentAttempt = false;
+    /** Upstreams that did not respond when a backup attempt was about to be sent there. */
+    readonly unresponsiveUpstreams = new Set<string>();
     /** Whether it is quarantined and sent once more as a trial, to find out whether it still crashes upstreams. */
     isTrial = false;
     /** Whether the leader has agreed to one more attempt although an upstream crashed under the request. */
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -161,6 +161,11 @@
     /** Takes a retry from the retry budget; `hasStarted` tells whether the response has started. */
     readonly claimRetry: (service: string, hasStarted: boolean) => boolean;
     readonly queryStall: (target: CallTarget, requestId: string) => Promise<StallReport>;
+    /**
+     * Whether the first engine of a path sends a report, and reports no request that waits for a later one. Assumed if
+     * absent.
+     */
+    readonly isPathResponsive?: (target: CallTarget) => Promise<boolean>;
     /** Monitors a stream on its path; `leave` is called if the path stalls. */
     readonly watchPath: (target: CallTarget, pauseMs: number, leave: PathStallHandler) => PausableTracker;
     /** Observes how the events of a stream come over the link to its path; undefined for targets without a path. */
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -171,6 +171,7 @@
     /** Takes a retry from the retry budget; always possible by default. */
     readonly claimRetry?: () => boolean;
     readonly queryStall?: (target: CallTarget) => Promise<StallReport>;
+    readonly isPathResponsive?: (target: CallTarget) => Promise<boolean>;
     /** The way to an upstream; a direct connection by default. */
     readonly getConnections?: RoutedRequestFunctions["getConnections"];
     /** Observes the links of streams; none by default. */
@@ -271,7 +272,8 @@
                 const next = isLost
                     ? undefined
                     : options.upstreams.find((one) =>
-                        !context.attemptedUpstreams.has(one.name) && options.isAvailable?.(one.name) !== false
+                        !context.attemptedUpstreams.has(one.name) && !context.unresponsiveUpstreams.has(one.name)
+                        && options.isAvailable?.(one.name) !== false
                     )
                         ?? (options.mayRepeatUpstream === true ? options.upstreams[0] : undefined);
                 if (next === undefined && options.backoffMs !== undefined) {
@@ -313,6 +315,7 @@
             findIdAt: (address) => options.upstreams.find((one) => one.address === address)?.name ?? address,
             claimRetry: options.claimRetry ?? (() => true),
             queryStall: options.queryStall ?? (() => Promise.resolve({ kind: "moving" })),
+            ...(options.isPathResponsive === undefined ? {} : { isPathResponsive: options.isPathResponsive }),
             watchPath: (target, pauseMs, leave) =>
                 this.stallDetector.follow(
                     { id: target.upstreamId, laterStages: "" },
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -362,6 +362,72 @@
     });
 });
 
+describe("an attempt or a retry is not spent at an upstream that is silent as well", () => {
+    const MOST_MS = 1_500;
+    const rows: readonly {
+        readonly title: string;
+        /** When each upstream pauses and continues, in milliseconds after the request. */
+        readonly pauses: readonly (readonly { readonly fromMs: number; readonly toMs: number; }[])[];
+        readonly retries?: number;
+    }[] = [
+        {
+            title: "both pause, the first one goes on and is then silent for good",
+            pauses: [[{ fromMs: 60, toMs: 300 }, { fromMs: 400, toMs: TIMEOUT_MS }], [{ fromMs: 60, toMs: 600 }]],
+        },
+        {
+            title: "the first two of three are silent for good",
+            pauses: [[{ fromMs: 60, toMs: TIMEOUT_MS }], [{ fromMs: 60, toMs: TIMEOUT_MS }], []],
+        },
+        {
+            title: "the first two of three are silent for good, and one retry is left",
+            pauses: [[{ fromMs: 60, toMs: TIMEOUT_MS }], [{ fromMs: 60, toMs: TIMEOUT_MS }], []],
+            retries: 1,
+        },
+    ];
+    for (const { title, pauses, retries = Number.POSITIVE_INFINITY } of rows) {
+        it(title, async () => {
+            const pausables = await Promise.all(
+                pauses.map((_unused, at) => PausableUpstream.open(`u${String(at)}`, 0)),
+            );
+            const getReport = ({ upstreamName }: { readonly upstreamName: string; }): Promise<StallReport> =>
+                pausables.find(({ upstream }) => upstream.name === upstreamName)!.getReport();
+            let claimed = 0;
+            const entry = await TestEntry.open({
+                upstreams: pausables.map(({ upstream }) => upstream),
+                route: { kind: "stream", most_attempts: 2, timeout_ms: TIMEOUT_MS },
+                isPath: true,
+                claimRetry: () => {
+                    claimed += 1;
+                    return claimed <= retries;
+                },
+                queryStall: getReport,
+                isPathResponsive: async (target) => (await getReport(target)).kind !== "unreachable",
+            });
+            const timers = pauses.flatMap((spans, at) =>
+                spans.flatMap(({ fromMs, toMs }) =>
+                    [{ ms: fromMs, isPaused: true }, { ms: toMs, isPaused: false }].map(({ ms, isPaused }) =>
+                        setTimeout(() => {
+                            pausables[at]!.isPaused = isPaused;
+                        }, ms)
+                    )
+                )
+            );
+            const startMs = performance.now();
+            const seen = await ask(entry.url, "stream");
+            const durationMs = performance.now() - startMs;
+            timers.forEach((timer) => {
+                clearTimeout(timer);
+            });
+            await entry.close();
+            pausables.forEach((one) => {
+                one.close();
+            });
+            expect(seen.isComplete).to.equal(true);
+            expect(durationMs).to.be.at.most(MOST_MS);
+        });
+    }
+});
+
 describe("a stream whose engine is silent begins elsewhere within its objective", () => {
     it("the engine sends no report", async () => {
         const OBJECTIVE_MS = 500;
