fix(entry): make backup attempts again that did not run

Cause: an upstream that declined a backup attempt, or could not be reached, was never tried again for that request, the attempt counted toward the most attempts of a request, and a retry was spent on it although nothing had been sent.

Change: such upstreams are avoided for one second; for a stream under way only attempts that may have run count, since the retry budget bounds the others; the retry of an attempt that was not sent is returned.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -502,6 +502,9 @@
             recordDecline: (id, reason) => void this.faultHandler.handleDecline(id, reason),
             findIdAt: (address) => this.view.findIdByAddress(address),
             claimRetry: (service, isUnderWay) => this.claimRetry(service, isUnderWay),
+            releaseRetry: (service) => {
+                this.budgets.get(service).releaseRetry();
+            },
             queryStall: (target, requestId) => this.queryStall(target, requestId),
             isPathResponsive: (target) => this.isPathResponsive(target),
             watchPath: (target, pauseMs, leave) =>
--- a/packages/daemon/src/request/attemptGroup.ts
+++ b/packages/daemon/src/request/attemptGroup.ts
@@ -3,7 +3,7 @@
  * another upstream; the first attempt that delivers is kept, and the others are aborted. An attempt is never aborted for its
  * silence alone: a sound upstream may be silent for seconds and go on.
  */
-import { findRetryObstacle, type RetryObstacle } from "@crankfork/decisions";
+import { type AttemptOutcome, findRetryObstacle, type RetryObstacle } from "@crankfork/decisions";
 import type { AttemptOutput } from "../process/entry/crashTracker.js";
 import { waitMs } from "../process/waitMs.js";
 import { checkSend } from "./checkSend.js";
@@ -18,6 +18,8 @@
 
 /** Interval between checks whether a backup attempt can be started. */
 const BACKUP_CHECK_INTERVAL_MS = 100;
+/** Time after which an upstream that did not run the request may be sent it again. */
+const DECLINE_MEMORY_MS = 1_000;
 /** Time for an upstream to show that it responds before a backup attempt is sent there; a sound one needs milliseconds. */
 const RESPONSE_CHECK_MS = 100;
 
@@ -34,6 +36,8 @@
 /** One open attempt. */
 interface OpenAttempt {
     readonly target: CallTarget;
+    /** Whether it was started beside another one, with a retry from the budget. */
+    readonly isBackup: boolean;
     abort: AbortAttempt;
     /** The evidence of its present silence, and what it had delivered before. */
     silence: Silence | undefined;
@@ -66,6 +70,8 @@
     private backupTimer: NodeJS.Timeout | undefined;
     private isChoosingBackup = false;
     private isSettled = false;
+    /** When the last attempt ended that did not run, on the monotonic clock; at first when the group was created. */
+    private lastUnrunMs: number;
     /** The obstacle in the last log line, so that it is not repeated at each check. */
     private loggedObstacle: RetryObstacle | undefined;
 
@@ -74,14 +80,23 @@
         private readonly relay: StreamRelay | undefined,
         private readonly functions: RoutedRequestFunctions,
         private readonly resolve: (result: GroupResult) => void,
-    ) {}
+    ) {
+        this.lastUnrunMs = functions.getNowMs();
+    }
 
     /**
      * Starts an attempt.
      * @param target - where the request is sent
      */
     start(target: CallTarget): void {
-        const attempt: OpenAttempt = { target, abort: () => undefined, silence: undefined, output: NO_OUTPUT };
+        const isBackup = this.open.size > 0;
+        const attempt: OpenAttempt = {
+            target,
+            isBackup,
+            abort: () => undefined,
+            silence: undefined,
+            output: NO_OUTPUT,
+        };
         this.open.add(attempt);
         void runObservedAttempt(this.context, target, this.relay, this.functions, {
             handleStart: (abort) => {
@@ -149,6 +164,7 @@
             return;
         }
         if (result.kind === "ended" && this.open.size > 0) {
+            this.recordUnrun(attempt, result.end);
             this.scheduleBackup();
             return;
         }
@@ -158,6 +174,31 @@
         this.resolve(result);
     }
 
+    private recordUnrun({ isBackup }: OpenAttempt, end: AttemptOutcome): void {
+        const { context, functions } = this;
+        const wasNotSent = end === "not-sent" || end === "kept-back";
+        if (wasNotSent && isBackup) {
+            functions.releaseRetry(context.admitted.service.name);
+        }
+        if (wasNotSent || end === "declined") {
+            this.lastUnrunMs = functions.getNowMs();
+        }
+    }
+
+    /** An upstream that declined, or could not be reached, may be able to take the request later. */
+    private forgetUnrun(): void {
+        const { context, functions, open } = this;
+        if (functions.getNowMs() - this.lastUnrunMs < DECLINE_MEMORY_MS) {
+            return;
+        }
+        const running = new Set([...context.mayHaveRunOn, ...[...open].map(({ target }) => target.upstreamId)]);
+        context.attemptedUpstreams.forEach((id) => {
+            if (!running.has(id)) {
+                context.attemptedUpstreams.delete(id);
+            }
+        });
+    }
+
     private abortOthers(kept: OpenAttempt | undefined): void {
         [...this.open].filter((one) => one !== kept).forEach((one) => {
             this.open.delete(one);
@@ -197,7 +238,7 @@
             return "retry";
         }
         this.recordBackup();
-        this.start(target);
+        this.start({ ...target, needsNewConnection: context.contactedUpstreams.has(target.upstreamId) });
         return undefined;
     }
 
@@ -247,6 +288,7 @@
         if (context.isTrial || isQuarantined(context, functions) || !isKeyUsable(context, functions)) {
             return { kind: "none", obstacle: "permission" };
         }
+        this.forgetUnrun();
         const obstacle = this.findObstacle();
         const target = obstacle === undefined ? await this.chooseResponsive() : undefined;
         if (target === undefined) {
@@ -267,7 +309,8 @@
         const obstacle = findRetryObstacle({
             isRepeatable: route.is_repeatable,
             executions: [...runs].filter((id) => !functions.hasEnded(id)).length,
-            attempts: context.attempts,
+            // The retry budget bounds the attempts of a stream under way that upstreams declined.
+            attempts: this.hasStarted() ? runs.size : context.attempts,
             maxExecutions: route.most_attempts,
             remainingMs: context.remainingMs,
             hasAlternative: true,
--- a/packages/daemon/src/request/observedAttempt.ts
+++ b/packages/daemon/src/request/observedAttempt.ts
@@ -48,6 +48,7 @@
     context.attempts += 1;
     context.hasResendGrant = false;
     context.attemptedUpstreams.add(target.upstreamId);
+    context.contactedUpstreams.add(target.upstreamId);
     const heldTokens = computeRequestTokens(context, functions);
     functions.recordStart(target.upstreamId, target.rank, heldTokens);
     const recordFirstOutput = once(() => {
--- a/packages/daemon/src/request/requestContext.ts
+++ b/packages/daemon/src/request/requestContext.ts
@@ -27,8 +27,10 @@
 
 /** State of one request from its admission to its end. */
 export class RequestContext {
-    /** Upstreams it was sent to; for paths, their first engines. */
+    /** Upstreams that further attempts avoid, since it was sent there; for paths, their first engines. */
     readonly attemptedUpstreams = new Set<string>();
+    /** Upstreams it was sent to, whether they are avoided or not. */
+    readonly contactedUpstreams = new Set<string>();
     attempts = 0;
     /**
      * Position among the requests of its organisation, at random from 0 up to 1, so that a repeated check of its room has
--- a/packages/daemon/src/request/requestFunctions.ts
+++ b/packages/daemon/src/request/requestFunctions.ts
@@ -160,6 +160,8 @@
     readonly findIdAt: (address: string) => string | undefined;
     /** Takes a retry from the retry budget; `hasStarted` tells whether the response has started. */
     readonly claimRetry: (service: string, hasStarted: boolean) => boolean;
+    /** Returns a retry to the budget: nothing was sent. */
+    readonly releaseRetry: (service: string) => void;
     readonly queryStall: (target: CallTarget, requestId: string) => Promise<StallReport>;
     /**
      * Whether the first engine of a path sends a report, and reports no request that waits for a later one. Assumed if
--- a/packages/daemon/src/request/routedRequest.ts
+++ b/packages/daemon/src/request/routedRequest.ts
@@ -88,7 +88,7 @@
         }
         const target = {
             ...choice.target,
-            needsNewConnection: context.attemptedUpstreams.has(choice.target.upstreamId),
+            needsNewConnection: context.contactedUpstreams.has(choice.target.upstreamId),
         };
         const result = await runAttemptGroup(context, target, relay, functions);
         switch (result.kind) {
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -170,6 +170,8 @@
     readonly isAvailable?: (name: string) => boolean;
     /** Takes a retry from the retry budget; always possible by default. */
     readonly claimRetry?: () => boolean;
+    /** Returns a retry to the budget; ignored by default. */
+    readonly releaseRetry?: () => void;
     readonly queryStall?: (target: CallTarget) => Promise<StallReport>;
     readonly isPathResponsive?: (target: CallTarget) => Promise<boolean>;
     /** The way to an upstream; a direct connection by default. */
@@ -314,6 +316,7 @@
             recordDecline: (id) => this.declines.push(id),
             findIdAt: (address) => options.upstreams.find((one) => one.address === address)?.name ?? address,
             claimRetry: options.claimRetry ?? (() => true),
+            releaseRetry: options.releaseRetry ?? (() => undefined),
             queryStall: options.queryStall ?? (() => Promise.resolve({ kind: "moving" })),
             ...(options.isPathResponsive === undefined ? {} : { isPathResponsive: options.isPathResponsive }),
             watchPath: (target, pauseMs, leave) =>
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -428,6 +428,72 @@
     }
 });
 
+describe("a backup attempt that did not run does not prevent another one", () => {
+    const SERVED_AGAIN_MS = 1_200;
+    const MOST_MS = 3_000;
+    const rows: readonly {
+        readonly title: string;
+        /** Upstreams beside the first one, which is silent for good. */
+        readonly others: readonly ("declines at first" | "accepts no connections" | "sound")[];
+        readonly retries?: number;
+    }[] = [
+        { title: "the only other upstream declines at first", others: ["declines at first"] },
+        {
+            title: "four others decline at first",
+            others: Array.from({ length: 4 }, () => "declines at first" as const),
+        },
+        {
+            title: "the second upstream accepts no connections, and one retry is left",
+            others: ["accepts no connections", "sound"],
+            retries: 1,
+        },
+    ];
+    for (const { title, others, retries = Number.POSITIVE_INFINITY } of rows) {
+        it(title, async () => {
+            const pausables = await Promise.all(
+                ["silent", ...others].map((_unused, at) => PausableUpstream.open(`u${String(at)}`, 0)),
+            );
+            let claimed = 0;
+            const entry = await TestEntry.open({
+                upstreams: pausables.map(({ upstream }) => upstream),
+                route: { kind: "stream", most_attempts: 2, timeout_ms: TIMEOUT_MS },
+                isPath: true,
+                claimRetry: () => {
+                    claimed += 1;
+                    return claimed <= retries;
+                },
+                releaseRetry: () => {
+                    claimed -= 1;
+                },
+            });
+            setTimeout(() => {
+                pausables[0]!.isPaused = true;
+            }, 60);
+            const declining = pausables.filter((_one, at) => others[at - 1] === "declines at first");
+            declining.forEach((one) => {
+                one.behaviour = "decline";
+            });
+            setTimeout(() => {
+                declining.forEach((one) => {
+                    one.behaviour = "run";
+                });
+            }, SERVED_AGAIN_MS);
+            pausables.filter((_one, at) => others[at - 1] === "accepts no connections").forEach((one) => {
+                one.close();
+            });
+            const startMs = performance.now();
+            const seen = await ask(entry.url, "stream");
+            const durationMs = performance.now() - startMs;
+            await entry.close();
+            pausables.forEach((one) => {
+                one.close();
+            });
+            expect(seen.isComplete).to.equal(true);
+            expect(durationMs).to.be.at.most(MOST_MS);
+        });
+    }
+});
+
 describe("a stream whose engine is silent begins elsewhere within its objective", () => {
     it("the engine sends no report", async () => {
         const OBJECTIVE_MS = 500;
--- a/packages/decisions/src/connection/sharedRetryBudget.ts
+++ b/packages/decisions/src/connection/sharedRetryBudget.ts
@@ -204,6 +204,16 @@
         return true;
     }
 
+    /** Returns a retry that was taken and not sent. */
+    releaseRetry(): void {
+        this.getSlot();
+        const slot = this.slots.findLast(({ repeats }) => repeats > 0);
+        if (slot !== undefined) {
+            slot.repeats -= 1;
+            this.repeats -= 1;
+        }
+    }
+
     /** Why the last retry was denied; undefined if it was not. */
     get lastDenial(): RetryDenial | undefined {
         return this.denial;
