fix(entry): ask an engine that tells its start for reports under its name

Cause: since a request for a report names the incarnation that it is meant for. The queries about silent streams left the incarnation out, so that the id was taken for the name. An engine that registers with its start time has another name, and answered 421 at once. Two such answers counted as missing reports: 250 ms after its last event, a stream's engine was taken for silent, though it runs.

Evidence: the stand-in engines answer 421 to another name, as the platform's documentation says. namedReports.test.ts failed with "upstream-suspected ... no report, silent for 254 ms" for each pause of a sound engine, and passed three times of three with the change. In the record the run ends 273 ms after its start; missing reports that time out take 0.9 s.

Change: the query names the incarnation of the attempt's target.

--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -10,7 +10,7 @@
     SynchroniseParameters,
 } from "@crankfork/schemas";
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { EngineControl } from "../../connection/engineControl.js";
+import type { EngineControl, EngineEndpoint } from "../../connection/engineControl.js";
 import { ExitGuard } from "../../connection/exitGuard.js";
 import type { RequestDispatcher } from "../../connection/observeDispatch.js";
 import type { PeerClient } from "../../connection/peerClient.js";
@@ -549,13 +549,14 @@
         }
         return this.links.isCutOff
             ? { kind: "stalled", faultAddress: undefined }
-            : await this.engineReports.checkStall({ id: target.upstreamId, address: target.address }, requestId);
+            : await this.engineReports.checkStall(createEndpoint(target), requestId);
     }
 
     /** A relay asks no engine for reports, and an entry that is cut off gets none. */
-    private async isPathResponsive({ upstreamId, address, stages }: CallTarget): Promise<boolean> {
+    private async isPathResponsive(target: CallTarget): Promise<boolean> {
+        const { stages } = target;
         return stages === undefined || this.links.isCutOff || await this.engineReports.isPathResponsive(
-            { id: upstreamId, address },
+            createEndpoint(target),
             stages.map(({ engine }) => engine.address),
         );
     }
@@ -630,3 +631,8 @@
         return others * this.budgets.get(service).requestsPerSecond * this.loadReportAge.getMeanAgeMs() / MS_PER_SECOND;
     }
 }
+
+/** The id alone does not name an upstream that tells its start. */
+function createEndpoint({ upstreamId, upstreamName, address }: CallTarget): EngineEndpoint {
+    return { id: upstreamId, life: { name: upstreamName }, address };
+}
