--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,11 +1,13 @@
 /**
- * Bundles the programs of a deployment into single files under target/, so that a start loads one file, and compiles
- * them ahead of their starts.
+ * `node scripts/bundle.mjs [FOLDER]` bundles the programs of a deployment into single files in a folder, target/ by default,
+ * so that a start loads one file, and compiles them ahead of their starts.
  */
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { copyFileSync } from "node:fs";
-import { resolve } from "node:path";
+import { join, resolve } from "node:path";
+
+const folder = process.argv[2] ?? "target";
 
 /** The flags of deploy/system.toml: code that was compiled under others is compiled anew at each start. */
 const startFlags = ["--max-old-space-size=200"];
@@ -31,7 +33,7 @@
 
 await build({
     entryPoints: { program: "platform/src/main.ts" },
-    outdir: "target",
+    outdir: folder,
     outExtension: { ".js": ".cjs" },
     bundle: true,
     platform: "node",
@@ -53,5 +55,5 @@
         ]),
     ),
 });
-copyFileSync("scripts/startProgram.cjs", "target/crankfork.cjs");
-execFileSync(process.execPath, [...startFlags, "scripts/compileProgram.cjs"], { stdio: "inherit" });
+copyFileSync("scripts/startProgram.cjs", join(folder, "crankfork.cjs"));
+execFileSync(process.execPath, [...startFlags, "scripts/compileProgram.cjs", folder], { stdio: "inherit" });
--- a/scripts/compileProgram.cjs
+++ b/scripts/compileProgram.cjs
@@ -1,14 +1,15 @@
 /**
- * Compiles the bundled program, every function of it, and keeps the result for its starts.
+ * `node scripts/compileProgram.cjs FOLDER` compiles the bundled program in a folder, every function of it, and keeps the
+ * result for its starts.
  */
 "use strict";
 const { readFileSync, writeFileSync } = require("node:fs");
 const { wrap } = require("node:module");
-const { join } = require("node:path");
+const { join, resolve } = require("node:path");
 const { setFlagsFromString } = require("node:v8");
 const { Script } = require("node:vm");
 
-const target = join(__dirname, "..", "target");
+const target = resolve(process.argv[2]);
 const filename = join(target, "program.cjs");
 
 // Functions are usually compiled at their first call; what is kept has to fit the flags of a usual start.
