fix(voter): end the grant of a segment only by a crash of the prompt that holds it

Cause: one attempt with a suspected segment runs at a time, but any crash report that names the segment ended the grant, also of an attempt that was sent long before. 20 ms after the first trial of the sound segment a report of earlier crashes arrived, and its second and last trial was granted (17.913 and 17.933 s of the log); both ran while engines were down.

A grant now keeps the request that holds it.

segmentReplay.test.ts compared what a quarantine without completions refuses.

--- a/packages/daemon/src/process/voter/crashRegistry.ts
+++ b/packages/daemon/src/process/voter/crashRegistry.ts
@@ -14,7 +14,6 @@
     isRequestQuarantined,
     isSegmentTrialDue,
     parseSegmentKey,
-    type ReportedCrash,
     type ResendParameters,
     type ResendResult,
     type SegmentRecord,
@@ -94,7 +93,7 @@
         const { host, getUnixMs } = this.options;
         const record = host.state.segments.get(segment);
         return record !== undefined && isSegmentTrialDue(record, getUnixMs())
-            && this.resends.claim([formatSegmentKey(segment)]);
+            && this.resends.claim(formatSegmentKey(segment), []);
     }
 
     /**
@@ -179,8 +178,10 @@
             return "quarantined";
         }
         const exclusive = segments.filter((segment) => (getStatus(segment)?.score ?? 0) >= EXCLUSIVE_SEGMENT_SCORE);
-        const keys = [fingerprint, ...exclusive.map(formatSegmentKey)];
-        if (!this.areEntriesInformed(fingerprint) || !this.resends.claim(keys)) {
+        if (
+            !this.areEntriesInformed(fingerprint)
+            || !this.resends.claim(fingerprint, exclusive.map(formatSegmentKey))
+        ) {
             return "pending";
         }
         const trials = exclusive.filter((segment) => getStatus(segment)?.quarantine !== undefined);
@@ -238,7 +239,8 @@
             at_ms: this.options.getUnixMs(),
         }) && await this.propose(ranWell.length > 0, { kind: "forget-crashes", fingerprints: ranWell });
         if (isTaken) {
-            this.resends.release([...crashes.flatMap(listKeys), ...ranWell]);
+            this.resends.releaseCrashed(crashes.map(({ fingerprint }) => fingerprint));
+            this.resends.releaseCompleted(ranWell);
         }
         this.logChanges(quarantinedBefore, ranWell, {
             crashes: crashes.length,
@@ -305,8 +307,3 @@
 function isTakenResult(result: unknown): boolean {
     return typeof result === "object" && result !== null && "kind" in result && result.kind === "taken";
 }
-
-/** Keys by which the grants of a crashed attempt are found. */
-function listKeys({ fingerprint, segments = [] }: ReportedCrash): readonly string[] {
-    return [fingerprint, ...segments.map(formatSegmentKey)];
-}
--- a/packages/daemon/src/process/voter/resendGrants.ts
+++ b/packages/daemon/src/process/voter/resendGrants.ts
@@ -9,9 +9,14 @@
 /** Time after which another attempt may start: a request that crashes upstreams does so when it starts. */
 const GRANT_MS = 1_000;
 
+interface Grant {
+    readonly fingerprint: string;
+    readonly untilMs: number;
+}
+
 /** Grants by request fingerprint and by the key of a prompt segment. */
 export class ResendGrants {
-    private readonly untilMs = new Map<string, number>();
+    private readonly grants = new Map<string, Grant>();
 
     /**
      * @param getNowMs - the monotonic clock
@@ -20,33 +25,49 @@
 
     /**
      * Claims the next attempt of a request.
-     * @param keys - its fingerprint, and the keys of its suspected segments
+     * @param fingerprint - the request, or the key of a segment that any request may try
+     * @param segmentKeys - keys of its suspected segments
      * @returns false while an attempt with one of them is in progress
      */
-    claim(keys: readonly string[]): boolean {
+    claim(fingerprint: string, segmentKeys: readonly string[]): boolean {
         this.removeExpired();
-        if (keys.some((key) => this.untilMs.has(key))) {
+        const keys = [fingerprint, ...segmentKeys];
+        if (keys.some((key) => this.grants.has(key))) {
             return false;
         }
-        keys.forEach((key) => this.untilMs.set(key, this.getNowMs() + GRANT_MS));
+        const grant = { fingerprint, untilMs: this.getNowMs() + GRANT_MS };
+        keys.forEach((key) => this.grants.set(key, grant));
         return true;
     }
 
     /**
-     * Ends the grants of requests whose attempts have crashed or completed.
+     * Ends the grants of requests whose attempts have crashed. Crashes of other requests with the same segments do not end them.
+     * @param fingerprints - the requests
+     */
+    releaseCrashed(fingerprints: readonly string[]): void {
+        const crashed = new Set(fingerprints);
+        for (const [key, grant] of this.grants) {
+            if (crashed.has(grant.fingerprint)) {
+                this.grants.delete(key);
+            }
+        }
+    }
+
+    /**
+     * Ends the grants of requests and segments that have completed.
      * @param keys - fingerprints, and keys of segments
      */
-    release(keys: readonly string[]): void {
-        keys.forEach((key) => this.untilMs.delete(key));
+    releaseCompleted(keys: readonly string[]): void {
+        keys.forEach((key) => this.grants.delete(key));
     }
 
     private removeExpired(): void {
-        for (const [fingerprint, untilMs] of this.untilMs) {
+        for (const [key, { untilMs }] of this.grants) {
             if (untilMs > this.getNowMs()) {
                 // The map is in the order of the claims, which all last as long.
                 return;
             }
-            this.untilMs.delete(fingerprint);
+            this.grants.delete(key);
         }
     }
 }
--- a/packages/daemon/tests/segmentReplay.test.ts
+++ b/packages/daemon/tests/segmentReplay.test.ts
@@ -44,30 +44,36 @@
 });
 
 describe("each part of the decision keeps sound segments usable", () => {
-    const rows: readonly { readonly title: string; readonly load: Load; readonly way: Partial<QuarantineWay>; }[] = [
+    const countRefused = ({ refused }: SegmentReplayResult): number => refused;
+    const rows: readonly {
+        readonly title: string;
+        readonly load: Load;
+        readonly way: Partial<QuarantineWay>;
+        /** What the part saves sound prompts. */
+        readonly count: (result: SegmentReplayResult) => number;
+    }[] = [
         {
             title: "completions clear segments",
             load: loads["a crashing prompt each 150 ms"],
             way: { clears: false, explains: false },
+            count: ({ refused, waitedMs }) => refused + waitedMs,
         },
         {
             title: "segments whose crashes another one explains are left out",
             load: loads["a crashing prompt each 40 ms"],
             way: { explains: false },
+            count: countRefused,
         },
         {
             title: "crashes of upstreams that have answered for some time count less",
             load: loads["an engine that fails by itself each 0.4 s"],
             way: { lateOutputMs: Number.POSITIVE_INFINITY },
+            count: countRefused,
         },
     ];
-    for (const { title, load, way } of rows) {
+    for (const { title, load, way, count } of rows) {
         it(title, () => {
-            const countRefused = (results: readonly SegmentReplayResult[]): number =>
-                sum(results, ({ refused }) => refused);
-            expect(countRefused(runSeeds(load, chosen))).to.be.below(
-                countRefused(runSeeds(load, { ...chosen, ...way })),
-            );
+            expect(sum(runSeeds(load, chosen), count)).to.be.below(sum(runSeeds(load, { ...chosen, ...way }), count));
         });
     }
 });
--- a/packages/daemon/tests/segmentReplay.ts
+++ b/packages/daemon/tests/segmentReplay.ts
@@ -51,6 +51,7 @@
 }
 
 interface Stream {
+    readonly fingerprint: string;
     readonly segments: readonly string[];
     readonly entry: number;
     readonly isCrashing: boolean;
@@ -115,7 +116,7 @@
                 getNowMs: () => this.nowMs,
                 reportCompletion: (key) => {
                     this.schedule(this.drawMessageMs(), () => {
-                        this.grants.release([key]);
+                        this.grants.releaseCompleted([key]);
                         this.commit(() => this.register.forget([key], this.index));
                     });
                 },
@@ -157,7 +158,10 @@
     private arrive(segments: readonly string[], isCrashing: boolean): void {
         const entry = Math.floor(this.draw() * ENTRIES);
         this.sent += isCrashing ? 0 : 1;
-        this.send({ segments, entry, isCrashing, sentMs: 0, endMs: 0, attempts: 0 }, this.nowMs);
+        this.send(
+            { fingerprint: this.createId(), segments, entry, isCrashing, sentMs: 0, endMs: 0, attempts: 0 },
+            this.nowMs,
+        );
     }
 
     private send(stream: Stream, sinceMs: number): void {
@@ -188,10 +192,10 @@
         return this.arrivalsMs.filter((atMs) => atMs > fifthMs + CONTACT_MS).length;
     }
 
-    private claim({ segments }: Stream): boolean {
+    private claim({ fingerprint, segments }: Stream): boolean {
         const { exclusiveScore } = this.options.way;
         const exclusive = segments.filter((one) => (this.register.getStatus(one)?.score ?? 0) >= exclusiveScore);
-        return this.grants.claim(exclusive.map(formatSegmentKey));
+        return this.grants.claim(fingerprint, exclusive.map(formatSegmentKey));
     }
 
     private endStreams(): void {
@@ -243,7 +247,7 @@
             is_late: isLate,
         };
         this.schedule(this.drawMessageMs(), () => {
-            this.grants.release(segments.map(formatSegmentKey));
+            this.grants.releaseCrashed(streams.map(({ fingerprint }) => fingerprint));
             this.commit(() => this.register.add([crash], this.nowMs, this.index));
         });
     }
