fix(layers): repeat an order that an engine refuses with a backoff

Each repeat was a report request and an order, on a leader whose processor was short.

Cause: a refusal dropped the order, and the next plan, 100 ms later, gave it again.

A refused order now stays planned while its engine is asked for reports. If they list an order in progress, the next order waits until they list none, or until the engine holds layers by the earlier order. Otherwise it is repeated after 250 ms, doubled with each refusal up to 2 s. Orders that were not sent, as the report before them showed other layers, are planned again at once as before.

--- a/packages/daemon/src/process/layers/placementController.ts
+++ b/packages/daemon/src/process/layers/placementController.ts
@@ -10,7 +10,7 @@
     type PlannedEngine,
 } from "@crankfork/decisions";
 import type { EngineProfile, LayerSpan, RegisteredUpstream, RoutedService } from "@crankfork/schemas";
-import type { EngineControl, OrderOutcome } from "../../connection/engineControl.js";
+import type { EngineControl, EngineReport, OrderOutcome } from "../../connection/engineControl.js";
 import type { EventLog } from "../eventLog.js";
 import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
 import type { FleetReplicaHost } from "../voter/fleetProposal.js";
@@ -18,6 +18,7 @@
 import { ArrivalTracker } from "./arrivalTracker.js";
 import { formatSpan, isSameSpan, isWithin } from "./layerSpans.js";
 import { PlanThrottle } from "./planThrottle.js";
+import { RefusalBackoff } from "./refusalBackoff.js";
 
 /** Dependencies of {@link PlacementController}. */
 export interface PlacementControllerOptions {
@@ -61,10 +62,15 @@
     /** What the engine held when the order was given; its reports lag and may list this for a while. */
     readonly previousSpan: LayerSpan | undefined;
     deadlineMs: number;
-    state: "pending" | "loading" | "unclear";
+    state: "pending" | "loading" | "unclear" | "refused";
     lastReportMs: number;
+    /** Whether the engine refused the order and reported another one in progress. */
+    isBlocked?: boolean;
 }
 
+/** Outcome of an order, with the report on which it was based; absent if that report ruled the order out. */
+type SentOrderOutcome = OrderOutcome & { readonly report?: EngineReport; };
+
 /** Gives placement orders and tracks them to completion. */
 export class PlacementController {
     private readonly orders = new Map<string, OpenOrder>();
@@ -72,6 +78,7 @@
     /** Services whose engines cannot hold the whole model. */
     private readonly shortServices = new Set<string>();
     private readonly throttle = new PlanThrottle();
+    private readonly refusals = new RefusalBackoff();
     private stopTask: StopPeriodicTask | undefined;
 
     /**
@@ -96,9 +103,11 @@
         if (!host.replica.hasLeaderLease()) {
             this.orders.clear();
             this.throttle.reset();
+            this.refusals.reset();
             return;
         }
         this.removeExpiredOrders();
+        this.refusals.prune((id) => host.state.getUpstream(id) !== undefined);
         getServices().forEach((service) => {
             if (service.engine !== undefined) {
                 this.planService(service.name, service.engine);
@@ -212,7 +221,7 @@
     }
 
     /** Requests a report first, which gives the held layers and the order count that the engine expects with its next order. */
-    private async sendOrder(upstream: RegisteredUpstream, span: LayerSpan): Promise<OrderOutcome> {
+    private async sendOrder(upstream: RegisteredUpstream, span: LayerSpan): Promise<SentOrderOutcome> {
         const { host, control, upstreams } = this.options;
         const report = await control.getReport(upstream);
         if (report.kind !== "report") {
@@ -229,16 +238,18 @@
             return { kind: "refused", reason: "leadership was lost" };
         }
         const { term } = host.replica.getStatus();
-        return await control.placeLayers(upstream, span, { fence: term, expectedOrders: report.orders });
+        const end = await control.placeLayers(upstream, span, { fence: term, expectedOrders: report.orders });
+        return { ...end, report };
     }
 
-    private applyOrderEnd(id: string, order: OpenOrder, end: OrderOutcome): void {
+    private applyOrderEnd(id: string, order: OpenOrder, end: SentOrderOutcome): void {
         if (this.orders.get(id) !== order) {
             return;
         }
         switch (end.kind) {
             case "begun":
                 order.state = "loading";
+                this.refusals.clear(id);
                 this.recordRelease(id, order);
                 return;
             case "unclear":
@@ -246,7 +257,11 @@
                 this.orders.set(id, { ...order, deadlineMs: this.options.getNowMs() + UNCLEAR_ORDER_TIMEOUT_MS });
                 return;
             case "refused":
-                this.orders.delete(id);
+                if (end.report === undefined) {
+                    this.orders.delete(id);
+                    return;
+                }
+                this.deferOrder(id, order, end.report);
                 return;
             case "misdirected":
                 this.orders.delete(id);
@@ -255,6 +270,16 @@
         }
     }
 
+    /** Keeps a refused order planned until the engine can take it, so that no other engine loads the same layers. */
+    private deferOrder(id: string, order: OpenOrder, { isOrderInProgress }: EngineReport): void {
+        const intervalMs = this.refusals.recordRefusal(id);
+        const waitMs = isOrderInProgress ? Math.max(intervalMs, MIN_LOAD_TIMEOUT_MS) : intervalMs;
+        const deadlineMs = this.options.getNowMs() + waitMs;
+        // A report is due at once; the one before the order lags and may not list another order yet.
+        const lastReportMs = Number.NEGATIVE_INFINITY;
+        this.orders.set(id, { ...order, state: "refused", deadlineMs, lastReportMs, isBlocked: isOrderInProgress });
+    }
+
     private markMisdirected(id: string): void {
         const { host, upstreams } = this.options;
         const upstream = host.state.getUpstream(id);
@@ -307,6 +332,10 @@
         }
         else if (report.isOrderInProgress) {
             order.deadlineMs = Math.max(order.deadlineMs, getNowMs() + MIN_LOAD_TIMEOUT_MS);
+            order.isBlocked = order.state === "refused";
+        }
+        else if (order.isBlocked === true) {
+            this.orders.delete(upstream.id);
         }
     }
 
@@ -315,7 +344,8 @@
         for (const [id, order] of this.orders) {
             // With many engines loading, an engine may be polled only after its order's deadline; until then the order
             // is kept.
-            const wasPolled = nowMs - order.lastReportMs < REPORT_INTERVAL_MS + REPORT_SLACK_MS;
+            const wasPolled = order.state === "refused"
+                || nowMs - order.lastReportMs < REPORT_INTERVAL_MS + REPORT_SLACK_MS;
             if (order.state !== "pending" && nowMs > order.deadlineMs && wasPolled) {
                 this.orders.delete(id);
             }
