fix(http): limit the size of responses of engines, peers and the platform

A body without an end was collected until the time-out of the call, and for calls with a time-out of silence until the process was out of memory; one whose connection ended after a status of 200 was taken for a response.

`fetchJson` and `readText` fail as `oversized` once more bytes have been announced or received than the sender may send, and close the connection. `messageLimits.ts` holds the limits.

Heads, status lines, trailers, chunk extensions and interim responses without an end were within bounds before.

--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -4,6 +4,7 @@
  */
 import { buildConnector, type Dispatcher, errors } from "undici";
 import { KeepAliveAgent } from "./keepAliveAgent.js";
+import { HEAD_LIMIT_BYTES, PEER_MESSAGE_LIMIT_BYTES } from "./messageLimits.js";
 import { readRetryAfter } from "./readRetryAfter.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
@@ -19,6 +20,8 @@
     | "rubbish"
     /** The response has a success status, but its body is not JSON. */
     | "unreadable"
+    /** The response exceeds its size limit. */
+    | "oversized"
     /** Cancelled by this process. */
     | "cancelled";
 
@@ -64,7 +67,12 @@
  */
 export function createAgent(idleTimeoutMs: number = IDLE_TIMEOUT_MS): KeepAliveAgent {
     const connect = withConnectTimeout(buildConnector({}), CONNECT_TIMEOUT_MS);
-    return new KeepAliveAgent({ connect, idleTimeoutMs, maxConnections: MAX_CONNECTIONS });
+    return new KeepAliveAgent({
+        connect,
+        idleTimeoutMs,
+        maxConnections: MAX_CONNECTIONS,
+        maxHeaderSize: HEAD_LIMIT_BYTES,
+    });
 }
 
 /**
@@ -84,6 +92,8 @@
     readonly headers?: Readonly<Record<string, string>>;
     readonly body?: string | Buffer;
     readonly signal?: AbortSignal;
+    /** Size limit of the response's body; by default that of the largest message between instances. */
+    readonly limitBytes?: number;
     /** Called with the headers and the status of the response, whatever the status. */
     readonly handleHeaders?: (headers: Dispatcher.ResponseData["headers"], status: number) => void;
 }
@@ -152,7 +162,8 @@
         const response = await sendRequest({ ...options, signal });
         options.handleHeaders?.(response.headers, response.statusCode);
         const handleBytes = scope === "silence" ? deadline.restart : (): void => undefined;
-        return parseResponse(options, response, await readText(response, options.peer, signal, handleBytes));
+        const text = await readText(response, { ...options, signal }, handleBytes);
+        return parseResponse(options, response, text);
     }
     catch (error) {
         if (deadline.signal.aborted && options.agent instanceof KeepAliveAgent) {
@@ -214,6 +225,13 @@
             isTimeout ? "no response within the time-out" : "cancelled",
         );
     }
+    if (error instanceof errors.HeadersOverflowError) {
+        return new ExchangeError(
+            "oversized",
+            peer,
+            `head of the response: found more than the limit of ${String(HEAD_LIMIT_BYTES)} bytes`,
+        );
+    }
     const message = error instanceof Error ? error.message : String(error);
     const failure = isConnectFailure(error) ? "not-reached" : "lost";
     return new ExchangeError(failure, peer, message, getErrorCode(error) === "ECONNREFUSED");
@@ -241,26 +259,51 @@
     };
 }
 
-async function readText(
+/** Options of reading a body. */
+type ReadOptions = Pick<ExchangeOptions, "peer" | "limitBytes" | "signal">;
+
+/**
+ * Reads the body of a response as text. Above the size limit the connection is closed, and nothing more is read from it.
+ * @param response - the response
+ * @param options - name of the other side, size limit, and a signal that cancels it
+ * @param handleBytes - called at the start and for each chunk
+ * @returns the text
+ * @throws ExchangeError
+ */
+export async function readText(
     response: Dispatcher.ResponseData,
-    peer: string,
-    signal: AbortSignal,
-    handleBytes: () => void,
+    options: ReadOptions,
+    handleBytes: () => void = () => undefined,
 ): Promise<string> {
+    const { peer, signal, limitBytes = PEER_MESSAGE_LIMIT_BYTES } = options;
     try {
+        assertWithinLimit(Number(response.headers["content-length"] ?? 0), peer, limitBytes);
         handleBytes();
         const chunks: Buffer[] = [];
+        let receivedBytes = 0;
         for await (const chunk of response.body as AsyncIterable<Buffer>) {
+            receivedBytes += chunk.length;
+            assertWithinLimit(receivedBytes, peer, limitBytes);
             chunks.push(chunk);
             handleBytes();
         }
         return Buffer.concat(chunks).toString("utf8");
     }
     catch (error) {
+        response.body.on("error", () => undefined).destroy();
         throw createExchangeError(error, peer, signal);
     }
 }
 
+function assertWithinLimit(foundBytes: number, peer: string, limitBytes: number): void {
+    if (foundBytes > limitBytes) {
+        const message = `body of the response: found ${String(foundBytes)} bytes, more than the limit of ${
+            String(limitBytes)
+        }`;
+        throw new ExchangeError("oversized", peer, message);
+    }
+}
+
 function isConnectFailure(error: unknown): boolean {
     if (error instanceof errors.ConnectTimeoutError) {
         return true;
--- a/packages/daemon/src/connection/keepAliveAgent.ts
+++ b/packages/daemon/src/connection/keepAliveAgent.ts
@@ -10,6 +10,8 @@
     readonly idleTimeoutMs: number;
     /** Maximum number of connections to one origin. */
     readonly maxConnections: number;
+    /** Size limit of the head of a response, in bytes. */
+    readonly maxHeaderSize: number;
 }
 
 /**
@@ -59,10 +61,11 @@
         if (existing !== undefined) {
             return existing;
         }
-        const { connect, idleTimeoutMs, maxConnections } = this.options;
+        const { connect, idleTimeoutMs, maxConnections, maxHeaderSize } = this.options;
         const pool = new Pool(origin, {
             connect,
             connections: maxConnections,
+            maxHeaderSize,
             keepAliveTimeout: idleTimeoutMs,
             // Caps the keep-alive hint of the server.
             keepAliveMaxTimeout: idleTimeoutMs,
--- a/packages/daemon/src/connection/peerClient.ts
+++ b/packages/daemon/src/connection/peerClient.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from "undici";
 import { formatHybridTime, type HybridClock, parseHybridTime } from "../process/hybridClock.js";
 import { fetchJson } from "./httpClient.js";
+import { getResultLimitBytes } from "./messageLimits.js";
 
 /** Header that carries hybrid logical time between instances. */
 export const CLOCK_HEADER = "x-crankfork-clock";
@@ -62,6 +63,7 @@
                     method: "POST",
                     headers: createHeaders(),
                     body,
+                    limitBytes: getResultLimitBytes(method),
                     handleHeaders: (headers) => {
                         receiveClock(options.clock, headers[CLOCK_HEADER]);
                     },
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,7 +4,13 @@
  */
 export { createEngineClient, type EngineClient, tokenizePrompt } from "./connection/engineClient.js";
 export * from "./connection/engineControl.js";
-export { createAgent, ExchangeError, fetchJson, sendRequest } from "./connection/httpClient.js";
+export { createAgent, ExchangeError, fetchJson, readText, sendRequest } from "./connection/httpClient.js";
+export {
+    DOCUMENT_LIMIT_BYTES,
+    HEARTBEAT_LIMIT_BYTES,
+    ORDER_RESPONSE_LIMIT_BYTES,
+    REPORT_LIMIT_BYTES,
+} from "./connection/messageLimits.js";
 export { readRetryAfter } from "./connection/readRetryAfter.js";
 export { type OpenExchange, type ResponseHead } from "./connection/upstreamExchange.js";
 export {
--- a/packages/daemon/src/process/daemon/platformPoller.ts
+++ b/packages/daemon/src/process/daemon/platformPoller.ts
@@ -5,6 +5,7 @@
 import type { Dispatcher } from "undici";
 import * as z from "zod";
 import { fetchJson } from "../../connection/httpClient.js";
+import { INSTANCE_LIST_LIMIT_BYTES } from "../../connection/messageLimits.js";
 
 const listSchema = z.object({
     instances: z.array(z.object({ address: z.string(), state: z.string() })),
@@ -44,7 +45,13 @@
     private async poll(): Promise<void> {
         try {
             const raw = await fetchJson(
-                { agent: this.agent, peer: "platform", url: this.url, method: "GET" },
+                {
+                    agent: this.agent,
+                    peer: "platform",
+                    url: this.url,
+                    method: "GET",
+                    limitBytes: INSTANCE_LIST_LIMIT_BYTES,
+                },
                 REQUEST_TIMEOUT_MS,
             );
             const leaving = listSchema.parse(raw).instances.filter((one) => one.state === "leaving");
--- a/packages/daemon/src/request/stageFailure.ts
+++ b/packages/daemon/src/request/stageFailure.ts
@@ -85,6 +85,7 @@
     "silent": "upstream-silent",
     "rubbish": "upstream-rubbish",
     "unreadable": "upstream-rubbish",
+    "oversized": "upstream-rubbish",
     "cancelled": "cancelled",
 } as const satisfies Record<ExchangeFailure, string>;
 
--- a/packages/daemon/tests/pipelineRun.test.ts
+++ b/packages/daemon/tests/pipelineRun.test.ts
@@ -78,6 +78,7 @@
             case "silent":
             case "rubbish":
             case "unreadable":
+            case "oversized":
             case "cancelled":
                 return Promise.reject(new ExchangeError(fault, upstream, fault));
             case undefined:
