fix(peers): reject calls between instances with a typed error, also where the response holds no result

The JSON-RPC client passes on only the message of an error, so the promised ExchangeError never arrived: a proposal to a voter that was not reached counted as one with an unknown outcome. It ignores a response with another id, or none, and the call was never settled, since its time-out had ended with the response; an entry did not ask that voter again.

--- a/packages/daemon/src/connection/peerClient.ts
+++ b/packages/daemon/src/connection/peerClient.ts
@@ -1,10 +1,10 @@
 /**
  * JSON-RPC 2.0 client for other instances, over keep-alive HTTP connections.
  */
-import { JSONRPCClient, type JSONRPCResponse } from "json-rpc-2.0";
+import { JSONRPCClient, type JSONRPCRequest, type JSONRPCResponse } from "json-rpc-2.0";
 import type { Dispatcher } from "undici";
 import { formatHybridTime, type HybridClock, parseHybridTime } from "../process/hybridClock.js";
-import { fetchJson } from "./httpClient.js";
+import { ExchangeError, fetchJson } from "./httpClient.js";
 import { getResultLimitBytes } from "./messageLimits.js";
 
 /** Header that carries hybrid logical time between instances. */
@@ -51,29 +51,46 @@
         [CLOCK_HEADER]: formatHybridTime(options.clock.get()),
         ...(options.secret === undefined ? {} : { authorization: `Bearer ${options.secret}` }),
     });
-    const call: PeerClient["call"] = async (address, method, parameters, inactivityTimeoutMs) => {
-        const client: JSONRPCClient = new JSONRPCClient(async (payload) => {
-            const body = JSON.stringify(payload);
-            options.recordRequest?.(method, Buffer.byteLength(body));
-            const response = await fetchJson(
-                {
-                    agent: options.agent,
-                    peer: address,
-                    url: `http://${address}/rpc`,
-                    method: "POST",
-                    headers: createHeaders(),
-                    body,
-                    limitBytes: getResultLimitBytes(method),
-                    handleHeaders: (headers) => {
-                        receiveClock(options.clock, headers[CLOCK_HEADER]);
-                    },
+    const send = (address: string, method: string, payload: object, timeoutMs: number): Promise<unknown> => {
+        const body = JSON.stringify(payload);
+        options.recordRequest?.(method, Buffer.byteLength(body));
+        return fetchJson(
+            {
+                agent: options.agent,
+                peer: address,
+                url: `http://${address}/rpc`,
+                method: "POST",
+                headers: createHeaders(),
+                body,
+                limitBytes: getResultLimitBytes(method),
+                handleHeaders: (headers) => {
+                    receiveClock(options.clock, headers[CLOCK_HEADER]);
                 },
-                inactivityTimeoutMs,
-                "silence",
-            );
-            client.receive(response as JSONRPCResponse);
+            },
+            timeoutMs,
+            "silence",
+        );
+    };
+    const call: PeerClient["call"] = async (address, method, parameters, inactivityTimeoutMs) => {
+        let failure: unknown;
+        const client: JSONRPCClient = new JSONRPCClient(async (payload: JSONRPCRequest) => {
+            try {
+                const response = await send(address, method, payload, inactivityTimeoutMs);
+                assertAnswers(response, payload, address);
+                client.receive(response);
+            }
+            catch (error) {
+                failure = error;
+                throw error;
+            }
         });
-        return await (client.request(method, parameters) as Promise<unknown>);
+        try {
+            return await (client.request(method, parameters) as Promise<unknown>);
+        }
+        catch (error) {
+            // The JSON-RPC client passes on only the message of an error.
+            throw failure ?? error;
+        }
     };
     return {
         call,
@@ -83,6 +100,14 @@
     };
 }
 
+/** The JSON-RPC client ignores other responses and waits on. */
+function assertAnswers(response: unknown, request: JSONRPCRequest, peer: string): asserts response is JSONRPCResponse {
+    const id = typeof response === "object" && response !== null && "id" in response ? response.id : undefined;
+    if (id !== request.id) {
+        throw new ExchangeError("unreadable", peer, `response to ${request.method}: found no result of the request`);
+    }
+}
+
 /**
  * Advances the clock by the time received in a header.
  * @param clock - the clock of this process
--- a/packages/daemon/tests/endlessReplies.test.ts
+++ b/packages/daemon/tests/endlessReplies.test.ts
@@ -2,6 +2,8 @@
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { createAgent, ExchangeError, fetchJson, type TimeoutScope } from "../src/connection/httpClient.js";
+import { createPeerClient } from "../src/connection/peerClient.js";
+import { HybridClock } from "../src/process/hybridClock.js";
 import { endlessReplies, EndlessServer } from "./endlessServer.js";
 
 const MIB = 1_048_576;
@@ -81,3 +83,43 @@
         expect(read).to.have.lengthOf(LIMIT_BYTES - 2);
     });
 });
+
+describe("a call to a peer whose reply never ends fails", () => {
+    for (const title of ["chunks", "a trickling body"]) {
+        it(title, async () => {
+            const reply = endlessReplies.find((one) => one.title === title);
+            const server = await EndlessServer.open(reply ?? expect.fail(), MAX_SENT_BYTES);
+            const agent = createAgent();
+            const peers = createPeerClient({ agent, secret: undefined, clock: new HybridClock() });
+            try {
+                const call = peers.call(server.address, "synchronise", {}, TIMEOUT_MS);
+                const { error, ms } = await awaitFailure(call, END_MS.silence);
+                expect(error).to.be.instanceOf(ExchangeError);
+                expect(ms).to.be.below(END_MS.silence);
+                expect(server.sentBytes).to.be.below(16 * MIB + SOCKET_BYTES);
+            }
+            finally {
+                await agent.destroy();
+                server.close();
+            }
+        });
+    }
+});
+
+describe("a call to a peer whose response holds no result of it fails", () => {
+    for (const text of ['{"jsonrpc":"2.0","id":99,"result":{}}', "{}", "[]", "null", "1"]) {
+        it(text, async () => {
+            const server = createServer((_request, response) => response.end(text));
+            await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+            const agent = createAgent();
+            const peers = createPeerClient({ agent, secret: undefined, clock: new HybridClock() });
+            const address = `127.0.0.1:${String((server.address() as AddressInfo).port)}`;
+            const { error } = await awaitFailure(peers.call(address, "synchronise", {}, TIMEOUT_MS), TIMEOUT_MS);
+            await agent.destroy();
+            server.closeAllConnections();
+            server.close();
+            expect(error).to.be.instanceOf(ExchangeError);
+            expect((error as ExchangeError).failure).to.equal("unreadable");
+        });
+    }
+});
