fix(http): keep bodies of requests in one buffer, not in a list of chunks

Each chunk of a body took more than a hundred bytes beside its content, and a caller or peer chooses the size of its chunks: the limit on a body did not limit its memory.

--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -5,6 +5,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { BodyBuffer } from "./bodyBuffer.js";
 
 /** A listening server. */
 export interface OpenServer {
@@ -97,16 +98,16 @@
     if (Number(request.headers["content-length"] ?? 0) > limitBytes) {
         throw new BodyTooLargeError();
     }
-    const chunks: Buffer[] = [];
+    const body = new BodyBuffer();
     let length = 0;
     for await (const chunk of request as AsyncIterable<Buffer>) {
         length += chunk.length;
         if (length > limitBytes) {
             throw new BodyTooLargeError();
         }
-        chunks.push(chunk);
+        body.append(chunk);
     }
-    return Buffer.concat(chunks);
+    return body.copy();
 }
 
 /**
