fix(entry): enforce the operator's limits on heads, and on the time that a request may take

An entry took heads of 64 KiB whatever the operator's limit, closed a head that trickled only after 60 to 90 s, and waited for the rest of a body without a limit: each held a connection and its memory.

- Heads above `max_header_bytes` are refused with 431; above 64 KiB the connection is closed after it.
- A head that takes longer than `header_timeout_ms` is refused with 408.
The server counts that time from the opening of a connection, but callers may also rest on a connection that is new: before its first byte it has the idle time.
- A body of which nothing arrives for `idle_timeout_ms` ends with its connection, as does one that trickles.

--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -4,7 +4,7 @@
  */
 import { buildConnector, type Dispatcher, errors } from "undici";
 import { KeepAliveAgent } from "./keepAliveAgent.js";
-import { HEAD_LIMIT_BYTES, LOWEST_RATE_BYTES_PER_S, PEER_MESSAGE_LIMIT_BYTES } from "./messageLimits.js";
+import { computeTrickleLimitMs, HEAD_LIMIT_BYTES, PEER_MESSAGE_LIMIT_BYTES } from "./messageLimits.js";
 import { readRetryAfter } from "./readRetryAfter.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
@@ -143,12 +143,6 @@
     /** Time without a byte received: a slow response that makes progress is not aborted, unless it trickles. */
     | "silence";
 
-/**
- * Time-outs of silence after which a response has to exceed {@link LOWEST_RATE_BYTES_PER_S}. Otherwise one byte at a time
- * would keep an exchange open for good.
- */
-const TIMEOUTS_UNTIL_TRICKLE = 4;
-
 /**
  * Sends a request and parses the response as JSON.
  * @param options - the request
@@ -260,8 +254,7 @@
     return {
         signal: controller.signal,
         restart: (receivedBytes) => {
-            const allowedMs = TIMEOUTS_UNTIL_TRICKLE * timeoutMs + receivedBytes * 1_000 / LOWEST_RATE_BYTES_PER_S;
-            if (performance.now() - startMs > allowedMs) {
+            if (performance.now() - startMs > computeTrickleLimitMs(timeoutMs, receivedBytes)) {
                 abort();
                 return;
             }
--- a/packages/daemon/src/connection/messageLimits.ts
+++ b/packages/daemon/src/connection/messageLimits.ts
@@ -52,4 +52,18 @@
 export const INSTANCE_LIST_LIMIT_BYTES = 4 * MIB;
 
 /** Lowest rate at which a large message is still received, in bytes a second. */
-export const LOWEST_RATE_BYTES_PER_S = 256 * KIB;
+const LOWEST_RATE_BYTES_PER_S = 256 * KIB;
+
+/** Time-outs of silence after which a message has to come at {@link LOWEST_RATE_BYTES_PER_S}. */
+const TIMEOUTS_UNTIL_TRICKLE = 4;
+
+/**
+ * Computes how long a message may take that is never silent for its time-out. Without this limit one byte at a time would
+ * keep a connection open for good.
+ * @param silenceTimeoutMs - time-out of silence, in milliseconds
+ * @param receivedBytes - bytes received so far
+ * @returns the time since the start of the exchange, in milliseconds
+ */
+export function computeTrickleLimitMs(silenceTimeoutMs: number, receivedBytes: number): number {
+    return TIMEOUTS_UNTIL_TRICKLE * silenceTimeoutMs + receivedBytes * 1_000 / LOWEST_RATE_BYTES_PER_S;
+}
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -276,9 +276,9 @@
         return this.open.size + this.relayServer.openRequests;
     }
 
-    /** Keep-alive time of idle caller connections, in milliseconds; undefined before the first routing table. */
-    get idleTimeoutMs(): number | undefined {
-        return this.view.routing?.table.limits.idle_timeout_ms;
+    /** Limits on what callers send; undefined before the first routing table. */
+    get limits(): RoutingTable["limits"] | undefined {
+        return this.view.routing?.table.limits;
     }
 
     /**
@@ -401,7 +401,8 @@
             this.refuse(call, answer, "stopping", arrivedMs);
             return;
         }
-        const body = await readCallerBody(message, this.view.routing?.table.limits.body_bytes);
+        const limits = this.limits;
+        const body = await readCallerBody(message, limits?.body_bytes, limits?.idle_timeout_ms);
         if (body === "too-large" || body === "unreadable") {
             this.refuse(call, answer, body === "too-large" ? "body-too-large" : "unreadable", arrivedMs);
             return;
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -3,16 +3,15 @@
  */
 import { type FleetSettings, reachParametersSchema, type RoutingTable } from "@crankfork/schemas";
 import { JSONRPCServer } from "json-rpc-2.0";
-import { createServer } from "node:http";
 import type { EngineControl } from "../../connection/engineControl.js";
 import { createPeerAgent } from "../../connection/httpClient.js";
 import { RELAY_PATH } from "../../connection/relayProtocol.js";
 import { UpstreamConnections } from "../../connection/upstreamConnections.js";
 import type { CallCodec } from "../../request/routedCall.js";
 import { type FleetProcess, openFleetProcess, type SettingsReader } from "../fleetProcess.js";
-import { openServer, type RequestHandler } from "../httpServer.js";
 import { startLifecycle } from "../lifecycle.js";
 import { waitMs } from "../waitMs.js";
+import { CallerPort } from "./callerPort.js";
 import { FleetEntry } from "./fleetEntry.js";
 import { LeaderSync } from "./leaderSync.js";
 
@@ -92,13 +91,13 @@
         },
         handleDocument: (content, origin) => {
             entry.document.apply(content, origin);
-            if (entry.idleTimeoutMs !== undefined) {
-                callerServer.setIdleTimeoutMs(entry.idleTimeoutMs);
+            if (entry.limits !== undefined) {
+                callerPort.applyLimits(entry.limits);
                 lifecycle.send("configured");
             }
         },
     });
-    const callerServer = await openCallerServer(settings, (request, response) => {
+    const callerPort = await CallerPort.open(settings.ports.callers ?? "", (request, response) => {
         entry.handle(request, response);
     });
     await fleet.openPort(settings.ports.readiness, (_request, response) => {
@@ -144,30 +143,3 @@
         fleet.log.record("warn", "status-not-served", { reason: String(error) });
     }
 }
-
-interface CallerServer {
-    readonly setIdleTimeoutMs: (ms: number) => void;
-}
-
-/**
- * Callers may reuse a connection that has been idle for up to four fifths of the idle time; the server keeps it for all
- * of it.
- */
-async function openCallerServer(settings: FleetSettings, handle: RequestHandler): Promise<CallerServer> {
-    const server = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0 }, handle);
-    server.on("clientError", (_error, socket) => {
-        socket.destroy();
-    });
-    await openServer(settings.ports.callers ?? "", handle, server);
-    return {
-        setIdleTimeoutMs: (ms) => {
-            server.keepAliveTimeout = ms;
-        },
-    };
-}
-
-/**
- * Four times the limit in the example of the platform's documentation. The operator's own limit is not enforced; see
- * docs/OPEN.md.
- */
-const MAX_HEADER_BYTES = 65_536;
