--- a/packages/daemon/src/connection/messageLimits.ts
+++ b/packages/daemon/src/connection/messageLimits.ts
@@ -12,8 +12,8 @@
 /** Largest operator's document. */
 export const DOCUMENT_LIMIT_BYTES = 32 * MIB;
 
-/** Largest heartbeat or deregistration of an upstream: some twenty short fields. */
-export const HEARTBEAT_LIMIT_BYTES = 64 * KIB;
+/** Largest heartbeat or deregistration of an upstream: some twenty fields, and a list of spans of layers. */
+export const HEARTBEAT_LIMIT_BYTES = 256 * KIB;
 
 /** Largest report of an engine: 4,096 stalled requests, with 256 bytes for the id and the address of each. */
 export const REPORT_LIMIT_BYTES = MIB;
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -5,6 +5,7 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { computeTrickleLimitMs } from "../connection/messageLimits.js";
 import { BodyBuffer } from "./bodyBuffer.js";
 
 /** A listening server. */
@@ -85,29 +86,77 @@
 /** The body exceeds its size limit. */
 export class BodyTooLargeError extends Error {
     override readonly name = "BodyTooLargeError";
+
+    /**
+     * @param foundBytes - announced or received bytes
+     * @param limitBytes - the limit
+     */
+    constructor(foundBytes: number, limitBytes: number) {
+        super(`body: found ${String(foundBytes)} bytes, more than the limit of ${String(limitBytes)}`);
+    }
 }
 
+/** Idle time of bodies where the operator sets none; the same as in the example of the platform's documentation. */
+const DEFAULT_IDLE_MS = 15_000;
+/** After a pause of the process the first check sees what arrived meanwhile. */
+const CHECKS_PER_IDLE_TIME = 4;
+
 /**
- * Reads a whole body.
+ * Reads a whole body. If nothing arrives for the idle time, or the body trickles, the connection is closed.
  * @param request - the request
  * @param limitBytes - maximum size
+ * @param idleMs - the idle time, in milliseconds
  * @returns the body
- * @throws BodyTooLargeError as soon as the body is known to be larger
+ * @throws BodyTooLargeError as soon as the body is known to be larger; where its length was announced, the connection
+ *     can still carry a response
  */
-export async function readBody(request: IncomingMessage, limitBytes: number): Promise<Buffer> {
-    if (Number(request.headers["content-length"] ?? 0) > limitBytes) {
-        throw new BodyTooLargeError();
+export async function readBody(
+    request: IncomingMessage,
+    limitBytes: number,
+    idleMs: number = DEFAULT_IDLE_MS,
+): Promise<Buffer> {
+    const announcedBytes = Number(request.headers["content-length"] ?? 0);
+    if (announcedBytes > limitBytes) {
+        throw new BodyTooLargeError(announcedBytes, limitBytes);
     }
     const body = new BodyBuffer();
     let length = 0;
-    for await (const chunk of request as AsyncIterable<Buffer>) {
-        length += chunk.length;
-        if (length > limitBytes) {
-            throw new BodyTooLargeError();
+    const stopWatch = watchSilence(request, idleMs);
+    try {
+        for await (const chunk of request as AsyncIterable<Buffer>) {
+            length += chunk.length;
+            if (length > limitBytes) {
+                throw new BodyTooLargeError(length, limitBytes);
+            }
+            body.append(chunk);
         }
-        body.append(chunk);
+        return body.copy();
     }
-    return body.copy();
+    finally {
+        stopWatch();
+    }
+}
+
+/** Counts bytes of the connection, since the body has one reader. */
+function watchSilence({ socket, complete }: IncomingMessage, idleMs: number): () => void {
+    if (complete) {
+        return () => undefined;
+    }
+    const startMs = performance.now();
+    const startBytes = socket.bytesRead;
+    let seenBytes = startBytes;
+    let silentChecks = 0;
+    const timer = setInterval(() => {
+        silentChecks = socket.bytesRead === seenBytes ? silentChecks + 1 : 0;
+        seenBytes = socket.bytesRead;
+        const elapsedMs = performance.now() - startMs;
+        if (silentChecks >= CHECKS_PER_IDLE_TIME || elapsedMs > computeTrickleLimitMs(idleMs, seenBytes - startBytes)) {
+            socket.destroy();
+        }
+    }, idleMs / CHECKS_PER_IDLE_TIME);
+    return () => {
+        clearInterval(timer);
+    };
 }
 
 /**
