fix(cli): limit the size of responses to the operator's command, and their whole time

A response without an end was collected for good, as was one that trickles: the time-out of 60 s counted silence.

A response may have 64 MiB and take 60 s in all.

--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -2,13 +2,15 @@
  * Client of an instance's operator API.
  */
 import { operatorErrorBodySchema } from "@crankfork/schemas";
-import { request } from "undici";
+import { Agent, errors, request } from "undici";
 
 /** Address and credentials of an instance. */
 export interface OperatorClientOptions {
     /** Operator address of any instance. */
     readonly address: string;
     readonly secret: string | undefined;
+    /** Time limit for a whole response, in milliseconds. */
+    readonly timeoutMs?: number;
 }
 
 /** An error that the operator API returned, or a failure to reach it. */
@@ -42,6 +44,9 @@
 }
 
 const REQUEST_TIMEOUT_MS = 60_000;
+/** Size limit of a response: a history of configurations, or the state of a fleet with its upstreams. */
+const RESPONSE_LIMIT_BYTES = 64 * 1_024 * 1_024;
+const CHECK_ADDRESS = "check that --at is the address of an operator API";
 
 /**
  * Sends a request to an instance.
@@ -71,21 +76,30 @@
     operatorRequest: OperatorRequest,
     headers: Record<string, string>,
 ): Promise<{ statusCode: number; text: string; }> {
+    const timeoutMs = options.timeoutMs ?? REQUEST_TIMEOUT_MS;
+    const dispatcher = new Agent({ maxResponseSize: RESPONSE_LIMIT_BYTES });
     try {
         const response = await request(`http://${options.address}${operatorRequest.path}`, {
             method: operatorRequest.method,
             headers,
             body: operatorRequest.body ?? null,
-            headersTimeout: REQUEST_TIMEOUT_MS,
-            bodyTimeout: REQUEST_TIMEOUT_MS,
+            signal: AbortSignal.timeout(timeoutMs),
+            dispatcher,
         });
         return { statusCode: response.statusCode, text: await response.body.text() };
     }
     catch (error) {
         const reason = error instanceof Error ? error.message : String(error);
         const next = "name another instance with --at; repeating the request is safe";
+        if (error instanceof errors.ResponseExceededMaxSizeError) {
+            const message = `the response is larger than the limit of ${String(RESPONSE_LIMIT_BYTES)} bytes`;
+            throw new OperatorError(message, "answer", options.address, CHECK_ADDRESS);
+        }
         throw new OperatorError(`the instance can't be reached: ${reason}`, "connect", options.address, next);
     }
+    finally {
+        await dispatcher.destroy();
+    }
 }
 
 function parseBody(text: string, peer: string): unknown {
@@ -93,8 +107,8 @@
         return JSON.parse(text);
     }
     catch {
-        const next = "check that --at is the address of an operator API";
-        throw new OperatorError(`the response is not valid JSON: ${text.slice(0, 80)}`, "answer", peer, next);
+        const reason = text.slice(0, 80);
+        throw new OperatorError(`the response is not valid JSON: ${reason}`, "answer", peer, CHECK_ADDRESS);
     }
 }
 
@@ -105,7 +119,7 @@
             `unexpected HTTP status ${String(status)}`,
             "answer",
             address,
-            "check that --at is the address of an operator API",
+            CHECK_ADDRESS,
         );
     }
     const { message, step, peer, next, details } = parsed.data.error;
