--- a/packages/schemas/tests/packedDocument.test.ts
+++ b/packages/schemas/tests/packedDocument.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { gzipSync } from "node:zlib";
 import { packDocument, unpackDocument } from "../src/index.js";
 
 describe("packDocument and unpackDocument", () => {
@@ -36,3 +37,10 @@
         expect(packDocument({ routes }).length).to.be.below(JSON.stringify({ routes }).length / 3);
     });
 });
+
+describe("unpackDocument", () => {
+    it("rejects a document that is larger than any that is accepted", () => {
+        const packed = gzipSync(Buffer.alloc(256 * 1_024 * 1_024 + 1, " ")).toString("base64");
+        expect(() => unpackDocument(packed)).to.throw(RangeError, /larger than 268435456 bytes/);
+    });
+});
