--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -38,7 +38,7 @@
         | {
             readonly kind: "failed";
             readonly reason: string;
-            /** Whether only time ran out, so that the engine may still run. */
+            /** Whether only time ran out, or the response had no end, so that the engine may still run. */
             readonly isSilent?: boolean;
         }
         /** The engine is reachable but asked for a backoff, now or earlier. */
