fix(entry): close connections on which heads, interim responses or framing do not end

Callers of an upstream that sent interim responses, a reason phrase, short headers, blank lines, a chunk size, a chunk extension or trailers without end waited for a backup attempt or ran into 504, and connections stayed open for seconds. Blank lines after a whole answer left the connection in use.

A pool now counts what a connection receives besides content, in bytes, reads and interim responses, and closes it. Such bytes are no crash of the upstream: HeadersOverflowError counted as one.

--- a/packages/daemon/src/connection/exchangeFailure.ts
+++ b/packages/daemon/src/connection/exchangeFailure.ts
@@ -41,8 +41,12 @@
     readonly isLinkFault: boolean;
 }
 
-/** Name of undici's error for a response that it cannot parse. */
-const PARSER_ERROR_NAME = "HTTPParserError";
+/** Names of errors for bytes that are no response; the connection was closed here. */
+const SPOILED_ERROR_NAMES: ReadonlySet<string> = new Set([
+    "HTTPParserError",
+    "HeadersOverflowError",
+    "EndlessResponseError",
+]);
 
 /**
  * Describes a failed exchange.
@@ -53,7 +57,7 @@
 export function describeFailure(error: unknown, wasStarted: boolean): ExchangeFailure | undefined {
     const { message, name } = error instanceof Error ? error : { message: String(error), name: "" };
     if (!(error instanceof RelayError)) {
-        const isUpstreamClosed = wasStarted && name !== PARSER_ERROR_NAME;
+        const isUpstreamClosed = wasStarted && !SPOILED_ERROR_NAMES.has(name);
         return { reason: message, wasSent: wasStarted, isUpstreamClosed, isLinkFault: false };
     }
     const failure = { reason: message, wasSent: false, isUpstreamClosed: false, isLinkFault: false };
--- a/packages/daemon/src/connection/upstreamConnections.ts
+++ b/packages/daemon/src/connection/upstreamConnections.ts
@@ -2,7 +2,8 @@
  * Connection pools per upstream incarnation. A restarted upstream may reuse its former address, and a half-open
  * connection to its previous incarnation would accept a request and never answer it.
  */
-import { Client, type Dispatcher, Pool } from "undici";
+import type { Dispatcher, Pool } from "undici";
+import { BoundedPool } from "./boundedPool.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
 import { upstreamConnectionOptions } from "./upstreamExchange.js";
 
@@ -22,7 +23,7 @@
 export class UpstreamConnections {
     private readonly pools = new Map<string, { readonly id: string; readonly pool: Pool; }>();
     /** Connections that serve one request each. */
-    private readonly unshared = new Set<Client>();
+    private readonly unshared = new Set<Pool>();
 
     /**
      * Gets connections to an upstream.
@@ -41,7 +42,7 @@
         options: Dispatcher.DispatchOptions,
         handler: Dispatcher.DispatchHandler,
     ): boolean {
-        const client = new Client(`http://${address}`, upstreamConnectionOptions);
+        const client = new BoundedPool(`http://${address}`, upstreamConnectionOptions);
         this.unshared.add(client);
         const mayContinue = client.dispatch(options, handler);
         void client.close().finally(() => this.unshared.delete(client));
@@ -54,7 +55,7 @@
         if (existing !== undefined) {
             return existing.pool;
         }
-        const pool = new Pool(`http://${address}`, upstreamConnectionOptions);
+        const pool = new BoundedPool(`http://${address}`, upstreamConnectionOptions);
         this.pools.set(key, { id: upstreamId, pool });
         return pool;
     }
--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -3,7 +3,8 @@
  * connection is not reused after a truncated, late or oversized response: undici ensures this, and the caller compares
  * the request id.
  */
-import { buildConnector, type Dispatcher, type Pool } from "undici";
+import { buildConnector, type Dispatcher } from "undici";
+import type { BoundedOptions } from "./boundedPool.js";
 import { describeFailure, type ExchangeFailure } from "./exchangeFailure.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
@@ -55,8 +56,6 @@
 export const UPSTREAM_KEEP_ALIVE_MS = 4_000;
 /** Subtracted from the keep-alive time that an upstream states, so that a request does not race with its close. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
-/** Maximum size of the response headers. */
-const MAX_HEADER_BYTES = 32_768;
 
 /**
  * Reports a connection reset as an error. If a connection is reset with code ECONNRESET, undici takes a response
@@ -78,13 +77,12 @@
 const RESET_CODE = "UPSTREAM_RESET";
 
 /** Options of the connection pools to upstreams. */
-export const upstreamConnectionOptions: Pool.Options = {
+export const upstreamConnectionOptions: BoundedOptions = {
     connect: createConnector(),
     keepAliveTimeout: UPSTREAM_KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     headersTimeout: 0,
     bodyTimeout: 0,
-    maxHeaderSize: MAX_HEADER_BYTES,
     pipelining: 1,
 };
 
