fix(entry): end attempts whose stream sends an event that does not end

Callers ran into 504 or got no answer, and the entry's thread stood still: EventSplitter kept an event without a bound, and copied and searched it again at each chunk; bytes of an incomplete event counted as progress, so that the silence of the attempt was never noticed.

Progress is an event for all observers: the watch for silence, first output, the outcome of a backoff, and the link monitor, which counts events and late ones, and whose share of late ones a flood of pieces would dilute.

--- a/packages/daemon/src/request/observedAttempt.ts
+++ b/packages/daemon/src/request/observedAttempt.ts
@@ -65,14 +65,14 @@
     let watch: StallWatch | undefined;
     let link = relay === undefined ? undefined : functions.followLink?.(target);
     const stream: AttemptStream | undefined = relay?.openAttempt({
-        handleBytes: () => {
+        handleEvent: () => {
             recordFirstOutput();
             recordFirstEvent();
             recordOutcome(true);
             watch?.recordEvent();
             link?.recordEvent();
+            observer.handleEvent();
         },
-        handleEvent: observer.handleEvent,
         handlePause: () => {
             // The gap of a pause says nothing about the path or the link.
             watch?.recordPause();
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -2,15 +2,14 @@
  * Relays a stream to the caller from one or more attempts: complete events only, with strictly increasing ids.
  */
 import type { OpenExchange, ResponseHead } from "../connection/upstreamExchange.js";
-import { EventSplitter } from "./eventSplitter.js";
+import { EventSplitter, MAX_EVENT_BYTES } from "./eventSplitter.js";
 import { isSelfDelimited, type RoutedResponse } from "./routedResponse.js";
+import { TrickleDetector } from "./trickleDetector.js";
 import type { StreamSink } from "./upstreamAttempt.js";
 
 /** Callbacks of one attempt's part of a stream. */
 export interface AttemptStreamHandlers {
-    /** Called when bytes are received. */
-    readonly handleBytes: () => void;
-    /** Called before a complete event is forwarded. */
+    /** Called before a complete event is forwarded; bytes of an incomplete one are no progress, as it may never end. */
     readonly handleEvent: () => void;
     /** Called when the upstream is paused because the caller does not read. */
     readonly handlePause: () => void;
@@ -172,6 +171,7 @@
     /** Like the time of the last event, but moved to the end of each pause. */
     private lastProgressMs: number;
     private eventTotal = 0;
+    private readonly trickle: TrickleDetector;
 
     /**
      * @param relay - the stream of the caller
@@ -185,6 +185,7 @@
     ) {
         this.lastEventMs = getNowMs();
         this.lastProgressMs = this.lastEventMs;
+        this.trickle = new TrickleDetector(getNowMs);
     }
 
     /** Number of events that this attempt delivered. */
@@ -224,7 +225,6 @@
     }
 
     handleData(chunk: Buffer, exchange: OpenExchange): string | undefined {
-        this.handlers.handleBytes();
         for (const event of this.splitter.push(chunk)) {
             const problem = this.relay.findProblem(event.id);
             if (problem !== undefined) {
@@ -235,8 +235,12 @@
             this.lastEventMs = this.getNowMs();
             this.lastProgressMs = this.lastEventMs;
             this.eventTotal += 1;
+            this.trickle.reset();
         }
-        return undefined;
+        if (this.splitter.isOversized) {
+            return `event larger than ${String(MAX_EVENT_BYTES)} bytes`;
+        }
+        return this.trickle.isTrickling(chunk.length) ? "event comes in small pieces without end" : undefined;
     }
 
     handleEnd(): string | undefined {
--- a/packages/daemon/tests/endlessResponses.test.ts
+++ b/packages/daemon/tests/endlessResponses.test.ts
@@ -149,6 +149,15 @@
     expect(stats.open, "open connections").to.equal(0);
 }
 
+describe("an event that does not end costs neither memory nor the time of others", () => {
+    testRows([
+        { title: "with chunks", prelude: streamHead, unit: formatChunk("x".repeat(32_768)) },
+        { title: "delimited by close", prelude: closeHead, unit: "x" },
+        { title: "in chunks of one byte", prelude: streamHead, unit: formatChunk("x") },
+        { title: "slowly", prelude: streamHead, unit: formatChunk("x"), intervalMs: 10 },
+    ]);
+});
+
 describe("a head that does not end costs neither memory nor the time of others", () => {
     testRows([
         { title: "interim responses", prelude: "", unit: "HTTP/1.1 102 Processing\r\n\r\n" },
