fix(entry): bound the time for the body of a failure

A stream whose upstream answered with a failure, and a body that came slowly and did not end, ran into 504, although the head had told all that another attempt depends on. Bodies are collected in blocks, so that chunks of one byte do not keep the buffers of the socket alive.

--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -5,6 +5,7 @@
 import type { AttemptOutcome } from "@crankfork/decisions";
 import type { RequestDispatcher } from "../connection/observeDispatch.js";
 import { type OpenExchange, type ResponseHead, startExchange } from "../connection/upstreamExchange.js";
+import { ByteBuffer } from "./byteBuffer.js";
 import type { RequestContext, StopReason } from "./requestContext.js";
 import type { NoticeFunctions } from "./requestFunctions.js";
 import type { CallCodec, CallTarget, ResponseVerdict, UpstreamNotice } from "./routedCall.js";
@@ -69,6 +70,8 @@
 
 /** Maximum size of a buffered response; an entry's memory does not hold many larger ones. */
 const MAX_BUFFERED_RESPONSE_BYTES = 8 * 1_024 * 1_024;
+/** Time for the body of a failure, which is not worth waiting for. */
+const MAX_FAILURE_BODY_MS = 500;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /**
@@ -88,8 +91,8 @@
     private head: ResponseHead | undefined;
     private sentMs = Number.NEGATIVE_INFINITY;
     private verdict: ResponseVerdict | undefined;
-    private readonly chunks: Buffer[] = [];
-    private length = 0;
+    private readonly body = new ByteBuffer();
+    private failureTimer: NodeJS.Timeout | undefined;
     private isSettled = false;
     private removeStopHandler: () => void = () => undefined;
 
@@ -166,6 +169,25 @@
         else if (this.isStreaming) {
             this.options.sink?.handleHead(head);
         }
+        else if (this.isFailure(head)) {
+            this.failureTimer = setTimeout(() => {
+                this.endFailure(head);
+            }, MAX_FAILURE_BODY_MS);
+        }
+    }
+
+    private isFailure(head: ResponseHead): boolean {
+        return this.verdict?.kind === "declined" || head.status >= FIRST_SERVER_ERROR_STATUS;
+    }
+
+    /** Ends a failure whose body does not end: the head tells all that the next attempt depends on. */
+    private endFailure(head: ResponseHead): void {
+        this.cancel({
+            kind: "ended",
+            end: this.verdict?.kind === "declined" ? "declined" : "failed",
+            reason: `status ${String(head.status)}, body without end`,
+            faultAddress: this.verdict?.faultAddress,
+        });
     }
 
     private handleData(chunk: Buffer): void {
@@ -176,9 +198,8 @@
             }
             return;
         }
-        this.length += chunk.length;
-        this.chunks.push(chunk);
-        if (this.length > MAX_BUFFERED_RESPONSE_BYTES) {
+        this.body.append(chunk);
+        if (this.body.length > MAX_BUFFERED_RESPONSE_BYTES) {
             this.cancel({ kind: "ended", end: "broken", reason: "response larger than 8 MiB" });
         }
     }
@@ -212,7 +233,7 @@
             );
             return;
         }
-        const response = { head, body: Buffer.concat(this.chunks) };
+        const response = { head, body: this.body.take() };
         const { faultAddress } = verdict;
         const reason = describeHead(head, this.options.codec.readNotice(head));
         if (verdict.kind === "declined") {
@@ -234,6 +255,7 @@
     private settle(result: AttemptResult): void {
         if (!this.isSettled) {
             this.isSettled = true;
+            clearTimeout(this.failureTimer);
             this.removeStopHandler();
             this.resolve(result);
         }
--- a/packages/daemon/tests/endlessResponses.test.ts
+++ b/packages/daemon/tests/endlessResponses.test.ts
@@ -181,6 +181,27 @@
     ]);
 });
 
+describe("a body that does not end costs neither memory nor the time of others", () => {
+    testRows([
+        { title: "an answer", kind: "call", prelude: answerHead, unit: formatChunk("x".repeat(32_768)) },
+        { title: "an answer in chunks of one byte", kind: "call", prelude: answerHead, unit: formatChunk("x") },
+        { title: "an answer, slowly", kind: "call", prelude: answerHead, unit: formatChunk("x"), intervalMs: 10 },
+        {
+            title: "a failure, slowly",
+            prelude: answerHead.replace("200", "500"),
+            unit: formatChunk("x"),
+            intervalMs: 10,
+        },
+        {
+            title: "a failure of a call, slowly",
+            kind: "call",
+            prelude: answerHead.replace("200", "500"),
+            unit: formatChunk("x"),
+            intervalMs: 10,
+        },
+    ]);
+});
+
 describe("bytes without end after a whole answer end its connection", () => {
     const answer = formatResponse(200, "ID", "good");
     testRows([
