fix(decisions): do not count declined attempts against a stream under way

It had run at one upstream, two others answered 421, and the first one was the fourth attempt, after which no further one was made.

Cause: the most attempts of a request, four, included those that upstreams declined, also for a stream of which the caller has a part. Once they were used up, the next failure ended the stream at once, although the route allowed a further execution.

Change: for such a stream only executions and the retry budget count.

--- a/packages/decisions/src/request/chooseNextStep.ts
+++ b/packages/decisions/src/request/chooseNextStep.ts
@@ -101,7 +101,13 @@
 /** What decides whether a request may be attempted again, apart from the retry budget. */
 export type RetryView = Pick<
     AttemptView,
-    "isRepeatable" | "executions" | "attempts" | "maxExecutions" | "remainingMs" | "hasAlternative"
+    | "isRepeatable"
+    | "executions"
+    | "attempts"
+    | "maxExecutions"
+    | "remainingMs"
+    | "hasAlternative"
+    | "isStreamWaiting"
 >;
 
 /**
@@ -116,14 +122,14 @@
     if (view.remainingMs < MIN_REMAINING_MS) {
         return "time";
     }
-    if (view.executions >= view.maxExecutions || view.attempts >= MAX_ATTEMPTS) {
+    if (view.executions >= view.maxExecutions || !isBelowMaxAttempts(view)) {
         return "attempt";
     }
     return view.hasAlternative ? undefined : "upstream";
 }
 
 function mayRetry(view: AttemptView): boolean {
-    const canAttempt = view.attempts < MAX_ATTEMPTS && view.remainingMs >= MIN_REMAINING_MS && view.hasAlternative;
+    const canAttempt = isBelowMaxAttempts(view) && view.remainingMs >= MIN_REMAINING_MS && view.hasAlternative;
     switch (view.outcome) {
         case "not-sent":
         case "kept-back":
@@ -138,6 +144,11 @@
     }
 }
 
+/** Attempts of a partly delivered stream that were not executed are bounded by the retry budget only. */
+function isBelowMaxAttempts({ attempts, isStreamWaiting }: Pick<AttemptView, "attempts" | "isStreamWaiting">): boolean {
+    return isStreamWaiting || attempts < MAX_ATTEMPTS;
+}
+
 /**
  * A request that no upstream took and that has no alternative waits for a chain as a new request does: the lost part of
  * a model is reloaded within a second or two, and a retry by its caller would meet the same state.
