fix(entry): claim the retry of a backup attempt before upstreams are asked

A stream whose budget was spent asked upstreams for reports every 100 ms in vain, and candidates that did not respond were passed over one each 200 ms. Now the retry is claimed first, and returned if no upstream responds or the silence has ended; all candidates are asked in turn. Once none responded, hasOtherPath stayed false, since the set of unresponsive upstreams was kept; it is cleared at each check.

sharedRetryBudget: a row for releaseRetry, which had none.

--- a/packages/daemon/src/request/attemptGroup.ts
+++ b/packages/daemon/src/request/attemptGroup.ts
@@ -23,7 +23,7 @@
 /** Time for an upstream to show that it responds before a backup attempt is sent there; a sound one needs milliseconds. */
 const RESPONSE_CHECK_MS = 100;
 
-/** Target of a backup attempt, or why there is none. */
+/** Target of a backup attempt, for which a retry has been claimed, or why there is none. */
 type BackupChoice =
     | { readonly kind: "target"; readonly target: CallTarget; }
     | { readonly kind: "none"; readonly obstacle: RetryObstacle; };
@@ -163,10 +163,12 @@
         if (this.isSettled || result.kind === "superseded") {
             return;
         }
-        if (result.kind === "ended" && this.open.size > 0) {
+        if (result.kind === "ended") {
             this.recordUnrun(attempt, result.end);
-            this.scheduleBackup();
-            return;
+            if (this.open.size > 0) {
+                this.scheduleBackup();
+                return;
+            }
         }
         this.isSettled = true;
         clearTimeout(this.backupTimer);
@@ -175,13 +177,12 @@
     }
 
     private recordUnrun({ isBackup }: OpenAttempt, end: AttemptOutcome): void {
-        const { context, functions } = this;
         const wasNotSent = end === "not-sent" || end === "kept-back";
         if (wasNotSent && isBackup) {
-            functions.releaseRetry(context.admitted.service.name);
+            this.releaseRetry();
         }
         if (wasNotSent || end === "declined") {
-            this.lastUnrunMs = functions.getNowMs();
+            this.lastUnrunMs = this.functions.getNowMs();
         }
     }
 
@@ -219,11 +220,19 @@
         this.isChoosingBackup = true;
         const choice = await this.chooseBackup();
         this.isChoosingBackup = false;
-        if (!this.isBackupNeeded()) {
-            return;
+        if (choice.kind === "none") {
+            this.handleObstacle(choice.obstacle);
         }
-        const obstacle = choice.kind === "target" ? this.startBackup(choice.target) : choice.obstacle;
-        if (obstacle !== undefined) {
+        else if (this.isBackupNeeded()) {
+            this.startBackup(choice.target);
+        }
+        else {
+            this.releaseRetry();
+        }
+    }
+
+    private handleObstacle(obstacle: RetryObstacle): void {
+        if (this.isBackupNeeded()) {
             this.logObstacle(obstacle);
             this.scheduleBackup();
             this.open.forEach((attempt) => void this.checkReachable(attempt));
@@ -231,15 +240,9 @@
         }
     }
 
-    /** Returns why the backup was not started. */
-    private startBackup(target: CallTarget): RetryObstacle | undefined {
-        const { context, functions } = this;
-        if (!functions.claimRetry(context.admitted.service.name, this.hasStarted() && this.isCertain)) {
-            return "retry";
-        }
+    private startBackup(target: CallTarget): void {
         this.recordBackup();
-        this.start({ ...target, needsNewConnection: context.contactedUpstreams.has(target.upstreamId) });
-        return undefined;
+        this.start({ ...target, needsNewConnection: this.context.contactedUpstreams.has(target.upstreamId) });
     }
 
     /** A caller that has received nothing need not wait for an upstream that accepts no connections. */
@@ -289,11 +292,33 @@
             return { kind: "none", obstacle: "permission" };
         }
         this.forgetUnrun();
+        context.unresponsiveUpstreams.clear();
         const obstacle = this.findObstacle();
-        const target = obstacle === undefined ? await this.chooseResponsive() : undefined;
+        const target = obstacle === undefined ? this.chooseUntried() : undefined;
         if (target === undefined) {
             return { kind: "none", obstacle: obstacle ?? "upstream" };
         }
+        if (!functions.claimRetry(context.admitted.service.name, this.hasStarted() && this.isCertain)) {
+            return { kind: "none", obstacle: "retry" };
+        }
+        const choice = await this.checkTarget(target);
+        if (choice.kind === "none") {
+            this.releaseRetry();
+        }
+        return choice;
+    }
+
+    /** Finds the next target that responds; an attempt at another one would use up one of the route's attempts. */
+    private async checkTarget(first: CallTarget): Promise<BackupChoice> {
+        const { context, functions } = this;
+        let target: CallTarget | undefined = first;
+        while (target !== undefined && !await this.isResponsive(target)) {
+            context.unresponsiveUpstreams.add(target.upstreamId);
+            target = this.isBackupNeeded() ? this.chooseUntried() : undefined;
+        }
+        if (target === undefined) {
+            return { kind: "none", obstacle: "upstream" };
+        }
         const check = await checkSend(context, { kind: "target", target }, functions);
         if (check === "send") {
             return { kind: "target", target };
@@ -302,6 +327,17 @@
         return next === undefined ? { kind: "none", obstacle: "permission" } : { kind: "target", target: next };
     }
 
+    private async isResponsive(target: CallTarget): Promise<boolean> {
+        const { isPathResponsive } = this.functions;
+        return isPathResponsive === undefined
+            || await Promise.race([isPathResponsive(target), waitMs(RESPONSE_CHECK_MS).then(() => false)]);
+    }
+
+    private releaseRetry(): void {
+        const { context, functions } = this;
+        functions.releaseRetry(context.admitted.service.name);
+    }
+
     private findObstacle(): RetryObstacle | undefined {
         const { context, functions, open } = this;
         const { route } = context.admitted;
@@ -309,8 +345,8 @@
         const obstacle = findRetryObstacle({
             isRepeatable: route.is_repeatable,
             executions: [...runs].filter((id) => !functions.hasEnded(id)).length,
-            // The retry budget bounds the attempts of a stream under way that upstreams declined.
-            attempts: this.hasStarted() ? runs.size : context.attempts,
+            attempts: context.attempts,
+            isStreamWaiting: this.hasStarted(),
             maxExecutions: route.most_attempts,
             remainingMs: context.remainingMs,
             hasAlternative: true,
@@ -318,27 +354,6 @@
         return obstacle ?? (functions.hasOtherPath(context) ? undefined : "upstream");
     }
 
-    /** An attempt at an upstream that is silent as well would use up one of the route's attempts, and a retry. */
-    private async chooseResponsive(): Promise<CallTarget | undefined> {
-        const { context, functions } = this;
-        const target = this.chooseUntried();
-        if (target === undefined) {
-            context.unresponsiveUpstreams.clear();
-            return undefined;
-        }
-        if (
-            functions.isPathResponsive === undefined
-            || await Promise.race([
-                functions.isPathResponsive(target),
-                waitMs(RESPONSE_CHECK_MS).then(() => false),
-            ])
-        ) {
-            return target;
-        }
-        context.unresponsiveUpstreams.add(target.upstreamId);
-        return undefined;
-    }
-
     private chooseUntried(): CallTarget | undefined {
         const { context, functions, relay } = this;
         context.hasSilentAttempt = true;
--- a/packages/decisions/tests/chooseNextStep.test.ts
+++ b/packages/decisions/tests/chooseNextStep.test.ts
@@ -210,6 +210,14 @@
         expect(fresh + resumed).to.be.at.most(options.slack);
     });
 
+    it("a retry that is released can be claimed again, and no more than were claimed", () => {
+        const budget = new SharedRetryBudget(options, () => 1, () => 0);
+        budget.releaseRetry();
+        const claimed = claimAll(budget);
+        budget.releaseRetry();
+        expect([claimed <= options.slack, claimAll(budget)]).to.deep.equal([true, 1]);
+    });
+
     it("a retry is counted for the whole window", () => {
         let nowMs = 0;
         const budget = new SharedRetryBudget(options, () => 1, () => nowMs);
