fix(entry): do not count one failed report as two missing ones

A report that failed at once was asked for again 1 ms later. Reports are shared for 70 ms, so the same failure was counted twice, and an engine that reset one connection was suspected, with a retry spent on a backup attempt. The next query now follows after 80 ms.

silentAttempts.test.ts, new row: failed before.

--- a/packages/daemon/src/request/stallWatch.ts
+++ b/packages/daemon/src/request/stallWatch.ts
@@ -17,7 +17,7 @@
 const DEFAULT_PAUSE_OBJECTIVE_MS = 200;
 /** Fraction of the latency objective after which the engine is queried about a stream that has not started. */
 const FIRST_EVENT_QUERY_FACTOR = 0.6;
-/** Delay before an engine that reported no stall is queried again: its report lags, so the next one may show it. */
+/** Delay before an engine is queried again: its report lags, and one report is shared by all queries of 70 ms. */
 const STALL_QUERY_INTERVAL_MS = 80;
 /** Time without a report after which another attempt is worth its cost: a sound engine answers within some milliseconds. */
 const LATE_REPORT_MS = 100;
@@ -174,7 +174,7 @@
             this.wait(this.limitMs);
         }
         else {
-            this.wait(report.kind === "unreachable" ? 1 : STALL_QUERY_INTERVAL_MS);
+            this.wait(STALL_QUERY_INTERVAL_MS);
         }
     }
 
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -494,6 +494,36 @@
     }
 });
 
+describe("one report that fails at once does not count as two missing ones", () => {
+    /** Time for which an entry shares a report. */
+    const SHARED_MS = 70;
+    it("an engine that pauses longer than contracted, and then reports", async () => {
+        const engine = await PausableUpstream.open("engine", 0);
+        let firstMs: number | undefined;
+        const entry = await TestEntry.open({
+            upstreams: [engine.upstream],
+            route: { kind: "stream", timeout_ms: TIMEOUT_MS },
+            isPath: true,
+            queryStall: () => {
+                firstMs ??= performance.now();
+                const isShared = performance.now() - firstMs < SHARED_MS;
+                return Promise.resolve({ kind: isShared ? "unreachable" : "moving" });
+            },
+        });
+        setTimeout(() => {
+            engine.isPaused = true;
+        }, 60);
+        setTimeout(() => {
+            engine.isPaused = false;
+        }, 400);
+        const seen = await ask(entry.url, "stream");
+        await entry.close();
+        engine.close();
+        expect(seen.isComplete).to.equal(true);
+        expect(entry.suspects).to.deep.equal([]);
+    });
+});
+
 describe("a stream whose engine is silent begins elsewhere within its objective", () => {
     it("the engine sends no report", async () => {
         const OBJECTIVE_MS = 500;
