fix(entry): compare the start of an engine in reports about its streams

A restarted engine that answers under its earlier name reported no stall for the requests of the incarnation before it, so that their streams were taken for moving. The queries now carry the incarnation as registered, and the report of another one counts as none.

upstreamHealth.test.ts, new row: failed before.

--- a/packages/daemon/src/process/entry/engineReportCache.ts
+++ b/packages/daemon/src/process/entry/engineReportCache.ts
@@ -1,6 +1,7 @@
 /**
  * Caches status reports of engines, so that requests that stall together share a report.
  */
+import { getIncarnation, matchesStart } from "@crankfork/schemas";
 import type { EngineControl, EngineEndpoint, ReportResult } from "../../connection/engineControl.js";
 import type { StallReport } from "../../request/requestFunctions.js";
 import { waitMs } from "../waitMs.js";
@@ -38,6 +39,9 @@
             // A report that could not be read is no evidence against the engine.
             return { kind: report.kind === "failed" ? "unreachable" : "moving" };
         }
+        if (!matchesStart(getIncarnation(engine), report.startedAtMs)) {
+            return { kind: "unreachable" };
+        }
         const stalled = report.stalled.find((one) => one.requestId === requestId);
         return stalled === undefined ? { kind: "moving" } : { kind: "stalled", faultAddress: stalled.address };
     }
@@ -51,7 +55,8 @@
     async isPathResponsive(engine: EngineEndpoint, addresses: readonly string[]): Promise<boolean> {
         const report = await this.getReport(engine);
         return report.kind === "report"
-            ? !report.stalled.some(({ address }) => address !== undefined && addresses.includes(address))
+            ? matchesStart(getIncarnation(engine), report.startedAtMs)
+                && !report.stalled.some(({ address }) => address !== undefined && addresses.includes(address))
             : report.kind !== "failed";
     }
 
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -550,14 +550,19 @@
         }
         return this.links.isCutOff
             ? { kind: "stalled", faultAddress: undefined }
-            : await this.engineReports.checkStall(createEndpoint(target), requestId);
+            : await this.engineReports.checkStall(this.createEndpoint(target), requestId);
+    }
+
+    /** The id alone does not name an upstream that tells its start. */
+    private createEndpoint({ upstreamId, upstreamName, address }: CallTarget): EngineEndpoint {
+        return { id: upstreamId, life: this.view.getUpstream(upstreamId)?.life ?? { name: upstreamName }, address };
     }
 
     /** A relay asks no engine for reports, and an entry that is cut off gets none. */
     private async isPathResponsive(target: CallTarget): Promise<boolean> {
         const { stages } = target;
         return stages === undefined || this.links.isCutOff || await this.engineReports.isPathResponsive(
-            createEndpoint(target),
+            this.createEndpoint(target),
             stages.map(({ engine }) => engine.address),
         );
     }
@@ -632,8 +637,3 @@
         return others * this.budgets.get(service).requestsPerSecond * this.loadReportAge.getMeanAgeMs() / MS_PER_SECOND;
     }
 }
-
-/** The id alone does not name an upstream that tells its start. */
-function createEndpoint({ upstreamId, upstreamName, address }: CallTarget): EngineEndpoint {
-    return { id: upstreamId, life: { name: upstreamName }, address };
-}
--- a/packages/daemon/tests/upstreamHealth.test.ts
+++ b/packages/daemon/tests/upstreamHealth.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { EngineReportCache } from "../src/process/entry/engineReportCache.js";
 import { UpstreamHealth } from "../src/process/entry/upstreamHealth.js";
+import { emptyReport } from "./leaderHarness.js";
 
 describe("an upstream that failed is excluded for a while, longer each time", () => {
     const rows = [
@@ -170,4 +171,14 @@
         await reports.checkStall({ id: "e", address: "e:1" }, "one");
         expect(reportCount).to.equal(2);
     });
+
+    it("the report of a later start tells that the requests of an earlier one do not go on", async () => {
+        const reports = new EngineReportCache({
+            getReport: () => Promise.resolve({ ...emptyReport, startedAtMs: 2 }),
+            placeLayers: () => Promise.resolve({ kind: "begun" }),
+        }, () => 0);
+        const engine = { id: "e@1", life: { name: "e", started_at_ms: 1 }, address: "e:1" };
+        expect([await reports.checkStall(engine, "one"), await reports.isPathResponsive(engine, [])])
+            .to.deep.equal([{ kind: "unreachable" }, false]);
+    });
 });
