fix(entry): close relayed connections that send more framing than content

Callers of a call that must not be repeated waited until their time-out (504) where the upstream sent an answer in chunks of one byte without end and the request was relayed. Directly they got 502.

Cause: a relay pauses the exchange when the hop's buffer is full. undici then puts the rest of the read back into the socket, but ConnectionGuard has counted the whole read as used with the first content of it. At the next event no byte was unused, and the check ended before it came to the share of framing: in a trace a connection had received 1,687,606 bytes with 95,585 of content and was still open.

The share of framing concerns the whole exchange and does not depend on unused bytes, so it is checked first. Bytes that wait in a paused socket count as framing; the largest amount seen in the trace was 164 KB, below the bound of 256 KiB.

--- a/packages/daemon/src/connection/boundedPool.ts
+++ b/packages/daemon/src/connection/boundedPool.ts
@@ -131,7 +131,15 @@
 
     private check(socket: Socket): void {
         const unusedBytes = socket.bytesRead - this.usedBytes;
-        if (socket !== this.socket || socket.destroyed || unusedBytes === 0) {
+        if (socket !== this.socket || socket.destroyed) {
+            return;
+        }
+        // Checked first: where the receiver pauses within a read, the rest of it is counted as used.
+        if (this.isRunning && this.isMostlyFraming(socket)) {
+            socket.destroy(new EndlessResponseError("more framing than content"));
+            return;
+        }
+        if (unusedBytes === 0) {
             return;
         }
         const nowMs = performance.now();
@@ -147,9 +155,6 @@
                 new EndlessResponseError(`${String(unusedBytes)} bytes without an end of a head or a chunk`),
             );
         }
-        else if (this.isMostlyFraming(socket)) {
-            socket.destroy(new EndlessResponseError("more framing than content"));
-        }
     }
 
     private isMostlyFraming(socket: Socket): boolean {
