fix(entry): relay responses with heads of up to 32 KiB

A response with a head of 24 KiB reached callers directly, but not through another entry: the upstream had run the request, and the entry took the relay as failed.

Cause: the hop between entries used the connections for messages between instances, whose heads are limited to 16 KiB. The relayed head is that of the upstream, which may have 32 KiB, and the relay's own headers.

Relays get connections with a limit of 33 KiB. The limit for upstreams moves to messageLimits.ts, from which that of the hop is derived. Calls between instances keep 16 KiB.

--- a/packages/daemon/src/connection/boundedPool.ts
+++ b/packages/daemon/src/connection/boundedPool.ts
@@ -4,11 +4,10 @@
  */
 import type { Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher, Pool } from "undici";
+import { UPSTREAM_HEAD_LIMIT_BYTES } from "./messageLimits.js";
 
 /** Bytes without a final head or a part of a body after which a connection is closed; above the largest head. */
 const MAX_UNUSED_BYTES = 128 * 1_024;
-/** Maximum size of the headers of a response. */
-const MAX_HEADER_BYTES = 32_768;
 /** Not reached: undici creates an error for each header above its maximum, which takes seconds where headers are short. */
 const UNDICI_MAX_HEADER_BYTES = 4 * MAX_UNUSED_BYTES;
 /** Framing of a body that is larger than this, and than twice the content. */
@@ -182,8 +181,9 @@
         },
         onResponseStart: (controller, status, headers, text) => {
             interimResponses += status < FIRST_FINAL_STATUS ? 1 : 0;
-            if (sumBytes(controller.rawHeaders) > MAX_HEADER_BYTES) {
-                controller.abort(new EndlessResponseError(`headers larger than ${String(MAX_HEADER_BYTES)} bytes`));
+            if (sumBytes(controller.rawHeaders) > UPSTREAM_HEAD_LIMIT_BYTES) {
+                const reason = `headers larger than ${String(UPSTREAM_HEAD_LIMIT_BYTES)} bytes`;
+                controller.abort(new EndlessResponseError(reason));
                 return;
             }
             if (interimResponses > MAX_INTERIM_RESPONSES) {
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -4,7 +4,12 @@
  */
 import { buildConnector, type Dispatcher, errors } from "undici";
 import { KeepAliveAgent } from "./keepAliveAgent.js";
-import { computeTrickleLimitMs, HEAD_LIMIT_BYTES, PEER_MESSAGE_LIMIT_BYTES } from "./messageLimits.js";
+import {
+    computeTrickleLimitMs,
+    HEAD_LIMIT_BYTES,
+    PEER_MESSAGE_LIMIT_BYTES,
+    RELAYED_HEAD_LIMIT_BYTES,
+} from "./messageLimits.js";
 import { readRetryAfter } from "./readRetryAfter.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
@@ -63,15 +68,19 @@
 /**
  * Creates a pool of keep-alive connections that all exchanges share.
  * @param idleTimeoutMs - how long an unused connection is kept, in milliseconds
+ * @param maxHeaderSize - size limit of the head of a response, in bytes
  * @returns the connections; close them at the end of the process
  */
-export function createAgent(idleTimeoutMs: number = IDLE_TIMEOUT_MS): KeepAliveAgent {
+export function createAgent(
+    idleTimeoutMs: number = IDLE_TIMEOUT_MS,
+    maxHeaderSize: number = HEAD_LIMIT_BYTES,
+): KeepAliveAgent {
     const connect = withConnectTimeout(buildConnector({}), CONNECT_TIMEOUT_MS);
     return new KeepAliveAgent({
         connect,
         idleTimeoutMs,
         maxConnections: MAX_CONNECTIONS,
-        maxHeaderSize: HEAD_LIMIT_BYTES,
+        maxHeaderSize,
     });
 }
 
@@ -83,6 +92,14 @@
     return createAgent(PEER_IDLE_TIMEOUT_MS);
 }
 
+/**
+ * Creates a pool of connections to other entries, for responses of upstreams that these relay.
+ * @returns the connections; close them at the end of the process
+ */
+export function createRelayAgent(): KeepAliveAgent {
+    return createAgent(PEER_IDLE_TIMEOUT_MS, RELAYED_HEAD_LIMIT_BYTES);
+}
+
 /** A request. */
 export interface ExchangeOptions {
     readonly agent: Dispatcher;
--- a/packages/daemon/src/connection/messageLimits.ts
+++ b/packages/daemon/src/connection/messageLimits.ts
@@ -9,6 +9,12 @@
 /** Largest head of a response, all its headers and trailers together. */
 export const HEAD_LIMIT_BYTES = 16 * KIB;
 
+/** Largest head of an upstream's response to a request of a caller. */
+export const UPSTREAM_HEAD_LIMIT_BYTES = 32 * KIB;
+
+/** Largest head of a relayed response: that of the upstream, and headers of the relay. */
+export const RELAYED_HEAD_LIMIT_BYTES = UPSTREAM_HEAD_LIMIT_BYTES + KIB;
+
 /** Largest operator's document. */
 export const DOCUMENT_LIMIT_BYTES = 32 * MIB;
 
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -4,7 +4,7 @@
 import { type FleetSettings, reachParametersSchema, type RoutingTable } from "@crankfork/schemas";
 import { JSONRPCServer } from "json-rpc-2.0";
 import type { EngineControl } from "../../connection/engineControl.js";
-import { createPeerAgent } from "../../connection/httpClient.js";
+import { createRelayAgent } from "../../connection/httpClient.js";
 import { RELAY_PATH } from "../../connection/relayProtocol.js";
 import { UpstreamConnections } from "../../connection/upstreamConnections.js";
 import type { CallCodec } from "../../request/routedCall.js";
@@ -57,7 +57,7 @@
         settings,
         connections: new UpstreamConnections(),
         peers: fleet.peers,
-        relayConnections: createPeerAgent(),
+        relayConnections: createRelayAgent(),
         ownAddress: fleet.ownAddress,
         log,
         metrics,
--- a/packages/daemon/tests/relayedRequest.test.ts
+++ b/packages/daemon/tests/relayedRequest.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { createConnection } from "node:net";
-import { request } from "undici";
+import { Agent, request } from "undici";
 import { UnreadBudget } from "../src/process/entry/unreadBudget.js";
 import { postToEntry } from "./postToEntry.js";
 import {
@@ -212,6 +212,22 @@
         });
     });
 
+    for (const headBytes of [24 * 1_024, 32_700]) {
+        it(`a head of ${String(headBytes)} bytes arrives whole`, async () => {
+            const value = "v".repeat(headBytes - "x-idonex-largecontent-length2".length);
+            const script: UpstreamScript = (socket, id) =>
+                socket.write(`HTTP/1.1 200 OK\r\nx-id: ${id}\r\nx-large: ${value}\r\ncontent-length: 2\r\n\r\nok`);
+            await withTestbed({ script }, async ({ entry, source }) => {
+                const dispatcher = new Agent({ maxHeaderSize: 2 * headBytes });
+                const response = await request(entry.url, { method: "POST", headers: { "x-id": "one" }, dispatcher });
+                expect(source.failures).to.deep.equal([]);
+                expect([response.statusCode, await response.body.text()]).to.deep.equal([200, "ok"]);
+                expect(response.headers["x-large"]).to.equal(value);
+                await dispatcher.close();
+            });
+        });
+    }
+
     it("method, path, body and headers arrive unchanged, without headers that a caller made up for relays", async () => {
         await withTestbed({}, async ({ entry, upstream }) => {
             await request(`${entry.url}/a/b?c=d%20e`, {
--- a/packages/daemon/tests/testRelay.ts
+++ b/packages/daemon/tests/testRelay.ts
@@ -1,7 +1,7 @@
 import type { RegisteredUpstream } from "@crankfork/schemas";
 import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
-import { createAgent } from "../src/connection/httpClient.js";
+import { createRelayAgent } from "../src/connection/httpClient.js";
 import { createRelayDispatcher, type RelaySource } from "../src/connection/relayDispatcher.js";
 import { UpstreamConnections } from "../src/connection/upstreamConnections.js";
 import { RelayServer, type RelayServerOptions } from "../src/process/entry/relayServer.js";
@@ -93,7 +93,7 @@
 
 /** The relays of an entry that is cut off. */
 export class TestRelaySource implements RelaySource {
-    readonly connections = createAgent(1_000);
+    readonly connections = createRelayAgent();
     readonly backoffs: string[] = [];
     readonly failures: string[] = [];
     private readonly addresses: readonly string[];
