fix(daemon): limit the size of an engine's answers to steps

A step whose engine sent a line without an end ran into its time-out, and the connection stayed open: the batcher kept the line without a bound, and copied and split it again at each chunk. Answers that match no step went on without a bound as well, also after all steps of the call had been answered.

A line now has 64 KiB and 32 bytes for each input of the largest step, since an answer has as many outputs as its step has inputs. The response has two such lines for each step. A breach fails the unanswered steps as oversized and closes the connection. Each byte is searched once, and small chunks are copied instead of keeping the buffers of the socket alive.

--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -5,6 +5,7 @@
 import { type Step, type StepResponse, stepResponseSchema } from "@crankfork/schemas";
 import type { Dispatcher } from "undici";
 import { waitMs } from "../process/waitMs.js";
+import { ByteBuffer } from "../request/byteBuffer.js";
 import { createExchangeError, ExchangeError, readRetryAfterMs, sendRequest } from "./httpClient.js";
 
 /** Options of a step batcher. */
@@ -24,6 +25,20 @@
 
 const MAX_STEPS_PER_CALL = 256;
 
+/** Largest answer apart from its outputs: the fields that it echoes, and the text of a token. */
+const ANSWER_BYTES = 65_536;
+/** Largest output; an answer has as many as its step has inputs. */
+const OUTPUT_BYTES = 32;
+/** Answers to one step; an engine may repeat one. */
+const MAX_ANSWERS_PER_STEP = 2;
+const NEWLINE = 0x0A;
+
+/** Size limits of the response to a call. */
+interface CallLimits {
+    readonly lineBytes: number;
+    readonly totalBytes: number;
+}
+
 /** Sends steps to one engine. */
 export class StepBatcher {
     private queued: PendingStep[] = [];
@@ -137,7 +152,7 @@
                 const reason = `status ${String(response.statusCode)}`;
                 throw new ExchangeError("rubbish", name, reason, false, readRetryAfterMs(response));
             }
-            await this.readAnswers(response.body);
+            await this.readAnswers(response.body, computeLimits(steps));
             this.rejectUnanswered(
                 steps,
                 () => new ExchangeError("rubbish", name, "response ended before all steps were answered"),
@@ -154,15 +169,30 @@
         });
     }
 
-    private async readAnswers(body: AsyncIterable<Buffer>): Promise<void> {
-        const decoder = new TextDecoder();
-        let partialLine = "";
+    private async readAnswers(body: AsyncIterable<Buffer>, { lineBytes, totalBytes }: CallLimits): Promise<void> {
+        const partialLine = new ByteBuffer();
+        const append = (bytes: Buffer): void => {
+            this.assertWithinLimit("line", partialLine.length + bytes.length, lineBytes);
+            partialLine.append(bytes);
+        };
+        let receivedBytes = 0;
         for await (const chunk of body) {
-            const lines = (partialLine + decoder.decode(chunk, { stream: true })).split("\n");
-            partialLine = lines.pop() ?? "";
-            lines.forEach((line) => {
-                this.handleLine(line);
-            });
+            receivedBytes += chunk.length;
+            this.assertWithinLimit("response", receivedBytes, totalBytes);
+            let from = 0;
+            for (let end = chunk.indexOf(NEWLINE); end !== -1; end = chunk.indexOf(NEWLINE, from)) {
+                append(chunk.subarray(from, end));
+                this.handleLine(partialLine.take().toString("utf8"));
+                from = end + 1;
+            }
+            append(chunk.subarray(from));
+        }
+    }
+
+    private assertWithinLimit(part: string, foundBytes: number, limitBytes: number): void {
+        if (foundBytes > limitBytes) {
+            const message = `${part}: found ${String(foundBytes)} bytes, more than the limit of ${String(limitBytes)}`;
+            throw new ExchangeError("oversized", this.options.name, message);
         }
     }
 
@@ -177,6 +207,11 @@
     }
 }
 
+function computeLimits(steps: readonly PendingStep[]): CallLimits {
+    const lineBytes = ANSWER_BYTES + OUTPUT_BYTES * Math.max(...steps.map(({ step }) => step.inputs.length));
+    return { lineBytes, totalBytes: MAX_ANSWERS_PER_STEP * steps.length * lineBytes };
+}
+
 function parseAnswer(line: string, peer: string): StepResponse {
     try {
         return stepResponseSchema.parse(JSON.parse(line));
