fix(daemon): limit the time of a call with steps

An engine that went on sending slowly, before or after the answers to all steps of a call, kept one of its 256 connections for good: only the steps had a time-out, not the call.

A call now ends, and its connection is closed, two time-outs of a step after its start. Its steps fail after one as before; late answers are counted during the second.

--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -32,6 +32,8 @@
 /** Answers to one step; an engine may repeat one. */
 const MAX_ANSWERS_PER_STEP = 2;
 const NEWLINE = 0x0A;
+/** Time-outs of a step after which its call ends; late answers are counted until then. */
+const TIMEOUTS_PER_CALL = 2;
 
 /** Size limits of the response to a call. */
 interface CallLimits {
@@ -141,8 +143,9 @@
     }
 
     private async sendCall(steps: readonly PendingStep[]): Promise<void> {
-        const { agent, name, url } = this.options;
-        const { signal } = this.callAbort;
+        const { agent, name, url, timeoutMs } = this.options;
+        const deadline = AbortSignal.timeout(Math.ceil(TIMEOUTS_PER_CALL * timeoutMs));
+        const signal = AbortSignal.any([this.callAbort.signal, deadline]);
         try {
             const body = JSON.stringify({ steps: steps.map((one) => one.step) });
             const headers = { "content-type": "application/json" };
--- a/packages/daemon/tests/endlessUpstreams.test.ts
+++ b/packages/daemon/tests/endlessUpstreams.test.ts
@@ -122,6 +122,7 @@
     const rows: readonly (EndlessReply & { readonly kinds: readonly string[]; })[] = [
         { title: "a line", opening: STREAM, repeated: LONG, pauseMs: 0, kinds: ["oversized"] },
         { title: "a line in chunks of one byte", opening: STREAM, repeated: SHORT, pauseMs: 0, kinds: ["oversized"] },
+        { title: "a line, slowly", opening: STREAM, repeated: formatChunk("x"), pauseMs: 25, kinds: ["silent"] },
         {
             title: "answers to other steps",
             opening: STREAM,
@@ -129,6 +130,13 @@
             pauseMs: 0,
             kinds: ["oversized"],
         },
+        {
+            title: "answers to other steps, slowly",
+            opening: STREAM,
+            repeated: formatChunk(OTHER),
+            pauseMs: 25,
+            kinds: ["silent"],
+        },
     ];
     for (const { kinds, ...row } of rows) {
         it(row.title, async () => {
@@ -142,7 +150,10 @@
 describe("a call whose steps are all answered ends, whatever follows", () => {
     const rows: readonly EndlessReply[] = [
         { title: "a line", opening: STREAM + formatChunk(LINE), repeated: LONG, pauseMs: 0 },
+        { title: "a line, slowly", opening: STREAM + formatChunk(LINE), repeated: formatChunk("x"), pauseMs: 25 },
         { title: "the answer", opening: STREAM, repeated: formatChunk(LINE.repeat(100)), pauseMs: 0 },
+        { title: "the answer, slowly", opening: STREAM, repeated: formatChunk(LINE), pauseMs: 25 },
+        { title: "trailers, slowly", opening: `${STREAM}${formatChunk(LINE)}0\r\n`, repeated: "a: b\r\n", pauseMs: 25 },
     ];
     for (const row of rows) {
         it(row.title, async () => {
