fix(daemon): fail steps by the head of a failure

Steps whose engine answered with an error status and a body that came slowly and did not end ran into their time-out, so that the backoff in the head was lost: the batcher read the body to its end first.

The steps now fail as soon as the head has arrived. The body is read after that, at most 64 KiB of it and until the end of the call, so that the connection can be used again.

--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -32,6 +32,8 @@
 /** Answers to one step; an engine may repeat one. */
 const MAX_ANSWERS_PER_STEP = 2;
 const NEWLINE = 0x0A;
+/** Body of a failure that is read in order to use the connection again. */
+const MAX_FAILURE_BYTES = 65_536;
 /** Time-outs of a step after which its call ends; late answers are counted until then. */
 const TIMEOUTS_PER_CALL = 2;
 
@@ -151,9 +153,11 @@
             const headers = { "content-type": "application/json" };
             const response = await sendRequest({ agent, peer: name, url, method: "POST", headers, body, signal });
             if (response.statusCode !== 200) {
-                await response.body.dump();
                 const reason = `status ${String(response.statusCode)}`;
-                throw new ExchangeError("rubbish", name, reason, false, readRetryAfterMs(response));
+                const failure = new ExchangeError("rubbish", name, reason, false, readRetryAfterMs(response));
+                this.rejectUnanswered(steps, () => failure);
+                await response.body.dump({ limit: MAX_FAILURE_BYTES, signal });
+                return;
             }
             await this.readAnswers(response.body, computeLimits(steps));
             this.rejectUnanswered(
--- a/packages/daemon/tests/endlessUpstreams.test.ts
+++ b/packages/daemon/tests/endlessUpstreams.test.ts
@@ -163,3 +163,20 @@
         });
     }
 });
+
+describe("a failure of steps whose body does not end counts as its head says", () => {
+    const opening = "HTTP/1.1 503 Busy\r\nretry-after: 2\r\ntransfer-encoding: chunked\r\n\r\n";
+    const rows: readonly EndlessReply[] = [
+        { title: "chunks", opening, repeated: LONG, pauseMs: 0 },
+        { title: "chunks of one byte", opening, repeated: SHORT, pauseMs: 0 },
+        { title: "slowly", opening, repeated: formatChunk("x"), pauseMs: 25 },
+    ];
+    for (const row of rows) {
+        it(row.title, async () => {
+            const observed = await play(row, runStep);
+            checkFailure(observed, ["rubbish"]);
+            expect((observed.result as ExchangeError).retryAfterMs).to.equal(2_000);
+            checkBounds(observed);
+        });
+    }
+});
