fix(daemon): limit the size of an engine's small replies

The replies of an engine to a status request, an order, a cancellation and an import of caches had the default limit of 256 MiB, that of messages between instances, so that an endless one was received until its time-out.

A status now has the limit of a report, 1 MiB, and the others that of the response to an order, 64 KiB; they fail as oversized. An export of caches keeps 256 MiB, since caches have no limit of their own.

--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -16,6 +16,7 @@
 import crc32 from "crc-32";
 import type { Dispatcher } from "undici";
 import { fetchJson } from "./httpClient.js";
+import { ORDER_RESPONSE_LIMIT_BYTES, PEER_MESSAGE_LIMIT_BYTES, REPORT_LIMIT_BYTES } from "./messageLimits.js";
 import { readRateLimit } from "./readRateLimit.js";
 import { RunCanceller } from "./runCanceller.js";
 import { StepBatcher } from "./stepBatcher.js";
@@ -62,11 +63,16 @@
     const { agent, name: peer, address, timeoutMs, statusTimeoutMs } = options;
     const base = `http://${address}/v1`;
     const batcher = new StepBatcher({ ...options, url: `${base}/steps` });
-    const post = (path: string, body: unknown, limitMs = timeoutMs): Promise<unknown> =>
-        fetchJson(
-            { agent, peer, url: `${base}/${path}`, method: "POST", headers: jsonHeaders, body: JSON.stringify(body) },
-            limitMs,
-        );
+    const post = (
+        path: string,
+        body: unknown,
+        limitMs = timeoutMs,
+        limitBytes = ORDER_RESPONSE_LIMIT_BYTES,
+    ): Promise<unknown> => {
+        const url = `${base}/${path}`;
+        const text = JSON.stringify(body);
+        return fetchJson({ agent, peer, url, method: "POST", headers: jsonHeaders, body: text, limitBytes }, limitMs);
+    };
     const canceller = new RunCanceller({
         send: (run) => post("cancel", { run }),
         waitForSteps: (run) => batcher.waitForSteps(run),
@@ -83,11 +89,18 @@
                 options.handleLimitNotice(readRateLimit({ headers }), requestedAtMs);
             };
             const url = `${base}/status`;
-            const raw = await fetchJson({ agent, peer, url, method: "GET", handleHeaders }, statusTimeoutMs);
+            const limitBytes = REPORT_LIMIT_BYTES;
+            const raw = await fetchJson(
+                { agent, peer, url, method: "GET", limitBytes, handleHeaders },
+                statusTimeoutMs,
+            );
             return engineStatusSchema.parse(raw);
         },
         sendOrder: async (order) => orderResponseSchema.parse(await post("orders", order)),
-        exportCache: async (run) => exportedCacheSchema.array().parse(await post("export", { run }, statusTimeoutMs)),
+        exportCache: async (run) => {
+            const raw = await post("export", { run }, statusTimeoutMs, PEER_MESSAGE_LIMIT_BYTES);
+            return exportedCacheSchema.array().parse(raw);
+        },
         importCache: async (caches) => {
             await post("import", { caches }, statusTimeoutMs);
         },
--- a/packages/daemon/tests/endlessUpstreams.test.ts
+++ b/packages/daemon/tests/endlessUpstreams.test.ts
@@ -180,3 +180,19 @@
         });
     }
 });
+
+describe("a small reply of an engine has a small limit", () => {
+    const operations: Readonly<Record<string, (client: EngineClient) => Promise<unknown>>> = {
+        status: (client) => client.getStatus(),
+        order: (client) => client.sendOrder({} as Parameters<EngineClient["sendOrder"]>[0]),
+        import: (client) => client.importCache([]),
+    };
+    for (const [title, run] of Object.entries(operations)) {
+        it(title, async () => {
+            const observed = await play({ opening: STREAM, repeated: LONG, pauseMs: 0 }, callEngine(run));
+            checkFailure(observed, ["oversized"]);
+            checkBounds(observed);
+            expect(observed.sentBytes, "bytes sent").to.be.below(16 * MIB);
+        });
+    }
+});
