fix(entry): forget upstreams that did not respond once an attempt group ends

Callers: a stream whose silent attempt broke off was not continued at an upstream that responded again, and ran into its deadline.

Cause: upstreams found unresponsive before a backup attempt stayed on the list that the choice of the next attempt avoids; it was cleared only at the next check of the same group, which had ended.

Change: the list is cleared when the group ends.

silentAttempts.test.ts, new row: failed 3 of 3 without the change (no complete stream in 4 s), passes 3 of 3 with it (0.64 s).

--- a/packages/daemon/src/request/attemptGroup.ts
+++ b/packages/daemon/src/request/attemptGroup.ts
@@ -171,6 +171,8 @@
             }
         }
         this.isSettled = true;
+        // The next attempt is not bound by what backup attempts found out.
+        this.context.unresponsiveUpstreams.clear();
         clearTimeout(this.backupTimer);
         this.abortOthers(undefined);
         this.resolve(result);
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -428,6 +428,33 @@
     }
 });
 
+describe("an upstream that did not respond to a backup attempt is used for the next attempt", () => {
+    it("the silent attempt breaks off once it responds again", async () => {
+        const silent = await PausableUpstream.open("silent", 0);
+        const other = await PausableUpstream.open("other", 0);
+        const entry = await TestEntry.open({
+            upstreams: [silent.upstream, other.upstream],
+            route: { kind: "stream", most_attempts: 2, timeout_ms: TIMEOUT_MS },
+            isPath: true,
+            queryStall: () => silent.getReport(),
+            isPathResponsive: () => Promise.resolve(!other.isPaused),
+        });
+        setTimeout(() => {
+            silent.isPaused = true;
+            other.isPaused = true;
+        }, 60);
+        setTimeout(() => {
+            other.isPaused = false;
+            silent.upstream.crash();
+        }, 425);
+        const seen = await ask(entry.url, "stream");
+        await entry.close();
+        silent.close();
+        other.close();
+        expect(seen.isComplete).to.equal(true);
+    });
+});
+
 describe("a backup attempt that did not run does not prevent another one", () => {
     const SERVED_AGAIN_MS = 1_200;
     const MOST_MS = 3_000;
