fix(entry): do not count silence toward the time for the body of a failure

Callers: a failure of a sound upstream that fell silent for a second within its body was answered with 502 in its place.

Change: only checks in which bytes came count, two of 250 ms; a body that comes without end is still ended after half a second of receiving.

--- a/packages/daemon/src/connection/boundedPool.ts
+++ b/packages/daemon/src/connection/boundedPool.ts
@@ -133,7 +133,7 @@
         if (socket !== this.socket || socket.destroyed) {
             return;
         }
-        // Checked first: where the receiver pauses within a read, the rest of it is counted as used.
+        // Checked first, since a read that the receiver pauses is counted as used as a whole.
         if (this.isRunning && this.isMostlyFraming(socket)) {
             socket.destroy(new EndlessResponseError("more framing than content"));
             return;
--- a/packages/daemon/src/process/entry/callerPort.ts
+++ b/packages/daemon/src/process/entry/callerPort.ts
@@ -94,8 +94,8 @@
     }
 
     /**
-     * The server's limit on the time of a head counts from the opening of a connection, which may also rest for the idle
-     * time before its first request. The limit counts again from the first byte.
+     * The server's limit on the time of a head counts from the opening of a connection, which may also be idle before its
+     * first request. The limit counts again from the first byte.
      */
     private closeUnlessUsed(socket: Socket): void {
         const { keepAliveTimeout, headersTimeout } = this.server;
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -553,7 +553,7 @@
             : await this.engineReports.checkStall(this.createEndpoint(target), requestId);
     }
 
-    /** The id alone does not name an upstream that tells its start. */
+    /** The id of an upstream that reports its start time is not its name. */
     private createEndpoint({ upstreamId, upstreamName, address }: CallTarget): EngineEndpoint {
         return { id: upstreamId, life: this.view.getUpstream(upstreamId)?.life ?? { name: upstreamName }, address };
     }
--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -70,8 +70,10 @@
 
 /** Maximum size of a buffered response; an entry's memory does not hold many larger ones. */
 const MAX_BUFFERED_RESPONSE_BYTES = 8 * 1_024 * 1_024;
-/** Time for the body of a failure, which is not worth waiting for. */
-const MAX_FAILURE_BODY_MS = 500;
+/** Interval between checks of the body of a failure. */
+const FAILURE_CHECK_MS = 250;
+/** Checks with further bytes after which it is not awaited. Silence does not count: a sound upstream may go on after it. */
+const MAX_FAILURE_CHECKS = 2;
 const FIRST_SERVER_ERROR_STATUS = 500;
 
 /**
@@ -170,9 +172,7 @@
             this.options.sink?.handleHead(head);
         }
         else if (this.isFailure(head)) {
-            this.failureTimer = setTimeout(() => {
-                this.endFailure(head);
-            }, MAX_FAILURE_BODY_MS);
+            this.watchFailure(head);
         }
     }
 
@@ -180,7 +180,21 @@
         return this.verdict?.kind === "declined" || head.status >= FIRST_SERVER_ERROR_STATUS;
     }
 
-    /** Ends a failure whose body does not end: the head tells all that the next attempt depends on. */
+    private watchFailure(head: ResponseHead): void {
+        let receivedBytes = 0;
+        let checks = 0;
+        this.failureTimer = setInterval(() => {
+            const isSilent = this.body.length === receivedBytes;
+            receivedBytes = this.body.length;
+            // Nothing of the body of a declined request is needed.
+            checks += isSilent && this.verdict?.kind !== "declined" ? 0 : 1;
+            if (checks >= MAX_FAILURE_CHECKS) {
+                this.endFailure(head);
+            }
+        }, FAILURE_CHECK_MS);
+    }
+
+    /** Ends a failure whose body does not end: the next attempt depends on the head only. */
     private endFailure(head: ResponseHead): void {
         this.cancel({
             kind: "ended",
@@ -255,7 +269,7 @@
     private settle(result: AttemptResult): void {
         if (!this.isSettled) {
             this.isSettled = true;
-            clearTimeout(this.failureTimer);
+            clearInterval(this.failureTimer);
             this.removeStopHandler();
             this.resolve(result);
         }
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -428,6 +428,31 @@
     }
 });
 
+describe("a failure whose upstream is silent within its body is passed on whole", () => {
+    const PAUSE_MS = 1_200;
+    const rows = [
+        { title: "of a request that may run once", isRepeatable: false },
+        { title: "of the last attempt of a repeatable request", isRepeatable: true },
+    ];
+    for (const { title, isRepeatable } of rows) {
+        it(title, async () => {
+            const upstream = await ScriptedUpstream.open("u", (socket, id) => {
+                const [head = "", rest = ""] = formatResponse(500, id, "failure").split("lure");
+                socket.write(head);
+                setTimeout(() => socket.write(`lure${rest}`), PAUSE_MS);
+            });
+            const entry = await TestEntry.open({
+                upstreams: [upstream],
+                route: { kind: "call", is_repeatable: isRepeatable, most_attempts: 1, timeout_ms: TIMEOUT_MS },
+            });
+            const { status, body } = await ask(entry.url, "call");
+            await entry.close();
+            upstream.close();
+            expect({ status, body }).to.deep.equal({ status: 500, body: "failure" });
+        });
+    }
+});
+
 describe("an upstream that did not respond to a backup attempt is used for the next attempt", () => {
     it("the silent attempt breaks off once it responds again", async () => {
         const silent = await PausableUpstream.open("silent", 0);
