refactor(http): collect bodies of requests in the buffer that responses use

BodyBuffer and ByteBuffer were two classes for the same thing, written in parallel. ByteBuffer moves to connection/, where all of its users may import it. bodyMemory, callerLimits, endlessReplies, endlessUpstreams, routedRequest and invalidHeartbeats: 146 passed, once.

--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -5,7 +5,7 @@
 import { type Step, type StepResponse, stepResponseSchema } from "@crankfork/schemas";
 import type { Dispatcher } from "undici";
 import { waitMs } from "../process/waitMs.js";
-import { ByteBuffer } from "../request/byteBuffer.js";
+import { ByteBuffer } from "./byteBuffer.js";
 import { createExchangeError, ExchangeError, readRetryAfterMs, sendRequest } from "./httpClient.js";
 
 /** Options of a step batcher. */
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -5,8 +5,8 @@
 import { createHash, timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { ByteBuffer } from "../connection/byteBuffer.js";
 import { computeTrickleLimitMs } from "../connection/messageLimits.js";
-import { BodyBuffer } from "./bodyBuffer.js";
 
 /** A listening server. */
 export interface OpenServer {
@@ -119,7 +119,7 @@
     if (announcedBytes > limitBytes) {
         throw new BodyTooLargeError(announcedBytes, limitBytes);
     }
-    const body = new BodyBuffer();
+    const body = new ByteBuffer();
     let length = 0;
     const stopWatch = watchSilence(request, idleMs);
     try {
@@ -130,7 +130,7 @@
             }
             body.append(chunk);
         }
-        return body.copy();
+        return body.take();
     }
     finally {
         stopWatch();
--- a/packages/daemon/src/request/eventSplitter.ts
+++ b/packages/daemon/src/request/eventSplitter.ts
@@ -2,7 +2,7 @@
  * Splits a stream of server-sent events into complete events and reads their ids. A parser library would return the
  * fields and lose the original bytes, which must reach the caller unchanged.
  */
-import { ByteBuffer } from "./byteBuffer.js";
+import { ByteBuffer } from "../connection/byteBuffer.js";
 
 /** A complete event. */
 export interface ServerSentEvent {
--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -3,9 +3,9 @@
  * forwarded; streams are forwarded event by event.
  */
 import type { AttemptOutcome } from "@crankfork/decisions";
+import { ByteBuffer } from "../connection/byteBuffer.js";
 import type { RequestDispatcher } from "../connection/observeDispatch.js";
 import { type OpenExchange, type ResponseHead, startExchange } from "../connection/upstreamExchange.js";
-import { ByteBuffer } from "./byteBuffer.js";
 import type { RequestContext, StopReason } from "./requestContext.js";
 import type { NoticeFunctions } from "./requestFunctions.js";
 import type { CallCodec, CallTarget, ResponseVerdict, UpstreamNotice } from "./routedCall.js";
