review: case 4, no leader again after a planned replacement and two lost disks

A core machine is replaced as planned, the new one first. For about 3 s after the old one has ended it stays a voter and its successor a learner. If two other machines lose their disks in that time, which `tolerance` permits, no election can succeed any more.

Test: review/4/run.sh, five voters, a sixth that replaces one of them, and an entry as processes.

--- a/review/4/main.ts
+++ b/review/4/main.ts
@@ -1,8 +1,9 @@
 /**
- * A voter is killed while it takes over the leader's snapshot, and restarted once more later. What it acknowledged in
- * between is gone from its disk.
+ * A core machine is replaced as planned, the new one first. While the old one is still among the voters, two other
+ * machines lose their disks, which is as many as `tolerance` permits. There is never a leader again.
  */
-import { readdirSync, readFileSync, watch, writeFileSync } from "node:fs";
+import { writeFileSync } from "node:fs";
+import { readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { setTimeout as wait } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
@@ -10,18 +11,23 @@
 
 const RULE_BROKEN = 1;
 const COULD_NOT_RUN = 2;
-/** Ends well before the 120 s that a script may take. */
-const MAX_MS = 100_000;
-/** More than the log entries between two snapshots. */
-const CHANGES_WHILE_AWAY = 170;
-const PARALLEL_CHANGES = 8;
-const RETURN_MS = 4_000;
-/** `catch_up_s` and an election. */
-const CATCH_UP_MS = 5_000;
-/** `recovery_s` of the deployments' sheets. */
+const MAX_MS = 115_000;
+const VOTERS = 5;
+/** `catch_up_s` is 4: after it the new machine no longer counts as lost, nor does the one that it replaces. */
+const CATCH_UP_MS = 6_000;
+/** Time from the end of the replaced machine to the loss of the disks. */
+const PAUSE_MS = 1_000;
+/** `recovery_s`. */
 const RECOVERY_MS = 12_000;
+/** The operator asks again and again for much longer than `contact_ms`. */
+const READ_MS = 30_000;
+const TRAFFIC_MS = 5_000;
+const REQUEST_INTERVAL_MS = 100;
+const SERVED_SHARE = 0.25;
 
 const hasTrouble = process.env.TROUBLE !== "0";
+/** For comparison: the same loss of disks without a replacement before it. */
+const hasReplacement = process.env.REPLACEMENT !== "0";
 const startMs = performance.now();
 const lines: string[] = [];
 
@@ -35,10 +41,10 @@
         version,
         routes: [{
             name: "r",
-            host: "h.example",
+            host: "printer.example",
             path_prefix: "/print/",
             route_kind: "unsafe",
-            timeout_ms: 3_000 + version,
+            timeout_ms: 3_000,
             service: "printer",
             max_attempts: 1,
         }],
@@ -47,22 +53,15 @@
     };
 }
 
-/** Sends the changes after `from`, some at a time; returns the newest version, all of them acknowledged. */
-async function sendChanges(fleet: Fleet, from: number, count: number): Promise<number> {
-    const last = from + count;
-    for (let version = from + 1; version <= last; version += PARALLEL_CHANGES) {
-        const group = Array.from({ length: Math.min(PARALLEL_CHANGES, last - version + 1) }, (_, at) => version + at);
-        await Promise.all(group.map((one) => fleet.confirmDocument(createDocument(one))));
-    }
-    record(`operator: versions ${String(from + 1)} to ${String(last)} acknowledged`);
-    return last;
+async function confirm(fleet: Fleet, version: number): Promise<void> {
+    await fleet.confirmDocument(createDocument(version));
+    record(`operator: version ${String(version)} acknowledged`);
 }
 
 async function findLeader(fleet: Fleet): Promise<FleetInstance> {
     for (;;) {
         for (const voter of fleet.voters) {
-            const answer = await askAlone(fleet, voter);
-            if (answer) {
+            if (await isLeader(fleet, voter)) {
                 return voter;
             }
         }
@@ -71,7 +70,7 @@
 }
 
 /** Whether a voter answers the operator's read itself, which only the leader does. */
-async function askAlone(fleet: Fleet, { host }: FleetInstance): Promise<boolean> {
+async function isLeader(fleet: Fleet, { host }: FleetInstance): Promise<boolean> {
     const origin = fleet.operatorOrigins.find((one) => one.includes(`//${host}:`)) ?? "";
     try {
         const response = await fetch(`${origin}/configuration`, {
@@ -86,99 +85,86 @@
     }
 }
 
-function getDataFolder(voter: FleetInstance): string {
-    return (voter as unknown as { readonly dataFolder: string; }).dataFolder;
-}
-
-/** Kills a voter as soon as its snapshot file is replaced. */
-async function killAtSnapshot(voter: FleetInstance): Promise<boolean> {
-    const folder = getDataFolder(voter);
-    return await new Promise<boolean>((resolve) => {
-        const watcher = watch(folder, (_event, name) => {
-            if (name === "snapshot.json") {
-                voter.signal("SIGKILL");
-                end(true);
-            }
-        });
-        const timer = setTimeout(() => {
-            end(false);
-        }, RETURN_MS);
-        function end(isKilled: boolean): void {
-            clearTimeout(timer);
-            watcher.close();
-            resolve(isKilled);
-        }
-        voter.start();
-    });
+/** Adds a machine with an empty disk and an address of its own, after the first start of the system. */
+async function addVoter(fleet: Fleet): Promise<FleetInstance> {
+    const host = fleet.voters[0]?.host ?? "";
+    const newHost = host.replace(/\d+$/, "200");
+    const harness = fleet as unknown as {
+        addInstance(role: "voter", host: string, voters: number): Promise<void>;
+    };
+    await harness.addInstance("voter", newHost, VOTERS);
+    const added = fleet.voters.at(-1);
+    if (added === undefined) {
+        throw new Error("no voter was added");
+    }
+    const { settingsFile } = added as unknown as { readonly settingsFile: string; };
+    const settings = await readFile(settingsFile, "utf8");
+    await writeFile(settingsFile, settings.replace("founding = true", "founding = false"));
+    added.start();
+    return added;
 }
 
-/** Whether the kill came before the voter had written the log that follows the snapshot; else it is tried again. */
-function wasInTime(voter: FleetInstance): boolean {
-    const folder = getDataFolder(voter);
-    const snapshot = readFileSync(join(folder, "snapshot.json"), "utf8");
-    const index = /"index":(\d+)/.exec(snapshot)?.[1] ?? "";
-    return !readdirSync(folder).filter((name) => name.startsWith("log-")).some((name) =>
-        readFileSync(join(folder, name), "utf8").includes(`"kind":"reset","index":${index},`)
-    );
+async function countServed(fleet: Fleet): Promise<number> {
+    const [entry] = fleet.entries;
+    let sent = 0;
+    let served = 0;
+    for (const endMs = performance.now() + TRAFFIC_MS; entry !== undefined && performance.now() < endMs;) {
+        sent += 1;
+        served += (await fleet.call(entry, "printer.example"))?.status === 200 ? 1 : 0;
+        await wait(REQUEST_INTERVAL_MS);
+    }
+    record(`callers: ${String(sent)} sent, ${String(served)} served`);
+    return served / sent;
 }
 
-/** Keeps a voter away for more changes than the leader's log holds, and lets it return. */
-async function returnLate(fleet: Fleet, voter: FleetInstance, from: number): Promise<number> {
-    let newest = from;
-    for (;;) {
-        record(`kill ${voter.host}`);
-        await voter.kill();
-        newest = await sendChanges(fleet, newest, CHANGES_WHILE_AWAY);
-        if (!hasTrouble) {
-            voter.start();
-            await wait(CATCH_UP_MS);
-            record(`${voter.host} is back`);
-            return newest;
-        }
-        const isKilled = await killAtSnapshot(voter);
-        await voter.kill();
-        const isHit = isKilled && wasInTime(voter);
-        record(`${voter.host} returned and was killed as its snapshot came${isHit ? "" : "; too late, again"}`);
-        if (isHit) {
-            voter.start();
-            await wait(CATCH_UP_MS);
-            record(`${voter.host} is back`);
-            return newest;
-        }
-        if (performance.now() - startMs > MAX_MS / 2) {
-            throw new Error("no kill came in time");
+async function readBack(fleet: Fleet): Promise<number | undefined> {
+    for (const endMs = performance.now() + READ_MS; performance.now() < endMs;) {
+        const answer = await fleet.requestFromVoters("GET", "/configuration");
+        if (answer?.status === 200) {
+            return (JSON.parse(answer.body) as { readonly version: number; }).version;
         }
-        voter.start();
-        await wait(1_000);
+        await wait(250);
     }
+    return undefined;
 }
 
 async function run(fleet: Fleet): Promise<number> {
-    await fleet.confirmDocument(createDocument(1));
-    record("operator: version 1 acknowledged");
+    await confirm(fleet, 1);
+    const [entry] = fleet.entries;
+    if (entry === undefined) {
+        return COULD_NOT_RUN;
+    }
+    await fleet.waitForRoute(entry, "printer.example");
     const leader = await findLeader(fleet);
-    const [late, other] = fleet.voters.filter((voter) => voter !== leader);
-    if (late === undefined || other === undefined) {
+    const [old, other] = fleet.voters.filter((voter) => voter !== leader);
+    if (old === undefined || other === undefined) {
         return COULD_NOT_RUN;
     }
-    record(`leader ${leader.host}; late voter ${late.host}; third voter ${other.host}`);
-    let newest = await returnLate(fleet, late, 1);
-    record(`kill ${other.host}`);
-    await other.kill();
-    newest = await sendChanges(fleet, newest, 1);
-    record(`kill ${late.host} and start it again`);
-    await late.kill();
-    late.start();
-    await wait(CATCH_UP_MS);
-    record(`final fault: ${leader.host} loses its disk, the others are killed; all start again`);
-    await Promise.all([leader.loseDisk(), late.kill()]);
-    fleet.voters.forEach((voter) => {
-        voter.start();
-    });
+    await countServed(fleet);
+    if (hasReplacement) {
+        const added = await addVoter(fleet);
+        record(`planned work: ${added.host} is added with an empty disk`);
+        await wait(CATCH_UP_MS);
+        record(`planned work: SIGTERM to ${old.host}, which ${added.host} replaces`);
+        old.signal("SIGTERM");
+        await old.waitForExit();
+        fleet.voters.splice(fleet.voters.indexOf(old), 1);
+        record(`${old.host} has ended, and does not come back`);
+    }
+    await wait(PAUSE_MS);
+    await confirm(fleet, 2);
+    if (hasTrouble) {
+        await Promise.all([leader.loseDisk(), other.loseDisk()]);
+        record(`final fault: ${leader.host} and ${other.host} lose their disks`);
+        leader.start();
+        other.start();
+        record("both start again");
+    }
     await wait(RECOVERY_MS);
-    const { version } = await fleet.readDocument();
-    record(`operator: newest acknowledged version ${String(newest)}, read back ${String(version)}`);
-    return version < newest ? RULE_BROKEN : 0;
+    const share = await countServed(fleet);
+    const version = await readBack(fleet);
+    record(`operator: version 2 acknowledged, read back ${version === undefined ? "none" : String(version)}`);
+    return version === 2 && share >= SERVED_SHARE ? 0 : RULE_BROKEN;
 }
 
 const timer = setTimeout(() => {
@@ -187,7 +173,7 @@
 }, MAX_MS);
 let code = COULD_NOT_RUN;
 const root = fileURLToPath(new URL("../../", import.meta.url));
-const fleet = await Fleet.open(3, 1, {
+const fleet = await Fleet.open(VOTERS, 1, {
     script: join(root, "target/crankfork.cjs"),
     flags: ["--max-old-space-size=200"],
 });
--- a/review/5/main.ts
+++ b/review/5/main.ts
@@ -1,11 +1,8 @@
 /**
- * The first heartbeats of the workers of a service are held up by a cut, and arrive after these workers have crashed and
- * new incarnations have registered at their addresses. The new ones are sound, and are never used again.
+ * A voter is killed while it takes over the leader's snapshot, and restarted once more later. What it acknowledged in
+ * between is gone from its disk.
  */
-import { randomUUID } from "node:crypto";
-import { writeFileSync } from "node:fs";
-import { createServer, type Server } from "node:http";
-import { connect, createServer as createTcpServer, type Server as TcpServer, type Socket } from "node:net";
+import { readdirSync, readFileSync, watch, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { setTimeout as wait } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
@@ -13,20 +10,16 @@
 
 const RULE_BROKEN = 1;
 const COULD_NOT_RUN = 2;
+/** Ends well before the 120 s that a script may take. */
 const MAX_MS = 100_000;
-const HEARTBEAT_MS = 200;
-const HEARTBEAT_TIMEOUT_MS = 1_000;
-const WORKER_HOST = "127.0.0.1";
-/** As many as the services of the deployments' sheets that run no model. */
-const WORKERS = 3;
-/** The cut, and the time until the bytes that it held up are sent again on their old connections. */
-const CUT_MS = 5_500;
-const RESEND_MS = 2_000;
-const FIRST_LIFE_MS = 4_200;
-const DOWN_MS = 800;
-const TRAFFIC_MS = 50_000;
-const REQUEST_INTERVAL_MS = 100;
-const SERVED_SHARE = 0.25;
+/** More than the log entries between two snapshots. */
+const CHANGES_WHILE_AWAY = 170;
+const PARALLEL_CHANGES = 8;
+const RETURN_MS = 4_000;
+/** `catch_up_s` and an election. */
+const CATCH_UP_MS = 5_000;
+/** `recovery_s` of the deployments' sheets. */
+const RECOVERY_MS = 12_000;
 
 const hasTrouble = process.env.TROUBLE !== "0";
 const startMs = performance.now();
@@ -37,264 +30,155 @@
     writeFileSync(process.argv[2] ?? "record.txt", `${lines.join("\n")}\n`);
 }
 
-/** Links from a worker to the voters: while they are cut, bytes wait, and connections go on afterwards. */
-class CutLinks {
-    private readonly servers: TcpServer[] = [];
-    private readonly held: (() => void)[] = [];
-    private isCut = false;
-    readonly origins: string[] = [];
-
-    static async open(targets: readonly string[]): Promise<CutLinks> {
-        const links = new CutLinks();
-        for (const target of targets) {
-            const { hostname, port } = new URL(target);
-            const server = createTcpServer({ allowHalfOpen: true }, (near) => {
-                links.join(near, connect({ host: hostname, port: Number(port), allowHalfOpen: true }));
-            });
-            await new Promise<void>((resolve) => server.listen(0, WORKER_HOST, resolve));
-            const address = server.address();
-            links.servers.push(server);
-            links.origins.push(`http://${WORKER_HOST}:${String(typeof address === "object" ? address?.port : 0)}`);
-        }
-        return links;
-    }
-
-    cut(): void {
-        this.isCut = true;
-    }
-
-    /** New connections work at once, bytes on old ones are sent again a little later. */
-    async heal(): Promise<void> {
-        this.isCut = false;
-        const held = this.held.splice(0);
-        await wait(RESEND_MS);
-        held.forEach((send) => {
-            send();
-        });
-    }
-
-    close(): void {
-        this.servers.forEach((server) => server.close());
-    }
+function createDocument(version: number): object {
+    return {
+        version,
+        routes: [{
+            name: "r",
+            host: "h.example",
+            path_prefix: "/print/",
+            route_kind: "unsafe",
+            timeout_ms: 3_000 + version,
+            service: "printer",
+            max_attempts: 1,
+        }],
+        services: [{ name: "printer", health_check_path: "/health" }],
+        tenants: [{ name: "t", api_keys: ["key-1"] }],
+    };
+}
 
-    private join(near: Socket, far: Socket): void {
-        for (const [from, to] of [[near, far], [far, near]] as const) {
-            from.on("error", () => undefined);
-            from.on("data", (bytes: Buffer) => {
-                this.pass(() => to.write(bytes));
-            });
-            from.on("end", () => {
-                this.pass(() => to.end());
-            });
-        }
+/** Sends the changes after `from`, some at a time; returns the newest version, all of them acknowledged. */
+async function sendChanges(fleet: Fleet, from: number, count: number): Promise<number> {
+    const last = from + count;
+    for (let version = from + 1; version <= last; version += PARALLEL_CHANGES) {
+        const group = Array.from({ length: Math.min(PARALLEL_CHANGES, last - version + 1) }, (_, at) => version + at);
+        await Promise.all(group.map((one) => fleet.confirmDocument(createDocument(one))));
     }
+    record(`operator: versions ${String(from + 1)} to ${String(last)} acknowledged`);
+    return last;
+}
 
-    private pass(send: () => void): void {
-        if (this.isCut) {
-            this.held.push(send);
-        }
-        else {
-            send();
+async function findLeader(fleet: Fleet): Promise<FleetInstance> {
+    for (;;) {
+        for (const voter of fleet.voters) {
+            const answer = await askAlone(fleet, voter);
+            if (answer) {
+                return voter;
+            }
         }
+        await wait(100);
     }
 }
 
-/** One life of a worker: a new id, the same address. */
-class Worker {
-    readonly id = `i-${randomUUID().slice(0, 8)}`;
-    acknowledged = 0;
-    ran = 0;
-    turnedAway = 0;
-    private server: Server | undefined;
-    private sequence = 0;
-    private isRunning = true;
-    private port = 0;
-    private preferred: string | undefined;
-
-    constructor(private readonly name: string, private readonly origins: readonly string[]) {}
-
-    /** Starts on a port, a free one if it is 0; returns the port. */
-    async start(port: number): Promise<number> {
-        const server = createServer((message, response) => {
-            const id = String(message.headers["crankfork-request-id"]);
-            message.resume();
-            if (message.headers["crankfork-expect-instance"] !== this.id) {
-                this.turnedAway += 1;
-                response.writeHead(421, { "crankfork-request-id": id, "crankfork-not-executed": "1" }).end();
-                return;
-            }
-            this.ran += 1;
-            response.writeHead(200, { "crankfork-request-id": id, "crankfork-server-stamp": this.id });
-            response.end(`slip ${id}`);
+/** Whether a voter answers the operator's read itself, which only the leader does. */
+async function askAlone(fleet: Fleet, { host }: FleetInstance): Promise<boolean> {
+    const origin = fleet.operatorOrigins.find((one) => one.includes(`//${host}:`)) ?? "";
+    try {
+        const response = await fetch(`${origin}/configuration`, {
+            redirect: "manual",
+            signal: AbortSignal.timeout(1_000),
         });
-        await new Promise<void>((resolve) => server.listen(port, WORKER_HOST, resolve));
-        const address = server.address();
-        this.port = typeof address === "object" ? address?.port ?? 0 : 0;
-        this.server = server;
-        record(`worker ${this.name} (${this.id}) starts`);
-        void this.run();
-        return this.port;
-    }
-
-    describe(): string {
-        return `worker ${this.name}: ${String(this.acknowledged)} heartbeats acknowledged, ${
-            String(this.ran)
-        } requests run, `
-            + `${String(this.turnedAway)} for another worker turned away`;
+        await response.arrayBuffer();
+        return response.status === 200;
     }
-
-    crash(): void {
-        this.isRunning = false;
-        this.server?.closeAllConnections();
-        this.server?.close();
-        record(`worker ${this.name} crashes`);
+    catch {
+        return false;
     }
+}
 
-    /** Calls one node after another, as workers do; the address that an answer names is used first. */
-    private async run(): Promise<void> {
-        for (let turn = 0; this.isRunning; turn += 1) {
-            const origin = this.preferred ?? this.origins[turn % this.origins.length] ?? "";
-            await this.beat(origin);
-            await wait(HEARTBEAT_MS);
-        }
-    }
+function getDataFolder(voter: FleetInstance): string {
+    return (voter as unknown as { readonly dataFolder: string; }).dataFolder;
+}
 
-    private async beat(origin: string): Promise<void> {
-        this.sequence += 1;
-        const body = JSON.stringify({
-            service: "till",
-            address: `${WORKER_HOST}:${String(this.port)}`,
-            zone: "d1",
-            version: "v1",
-            slots: 8,
-            state: "ready",
-            cold_remaining_ms: 0,
-            sequence: this.sequence,
-        });
-        try {
-            const response = await fetch(`${origin}/instances/${this.id}`, {
-                method: "PUT",
-                body,
-                headers: { "content-type": "application/json" },
-                redirect: "follow",
-                signal: AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS),
-            });
-            await response.arrayBuffer();
-            if (response.ok) {
-                this.acknowledged += 1;
-                if (this.acknowledged === 1) {
-                    record(`worker ${this.name}: heartbeat ${String(this.sequence)} acknowledged`);
-                }
+/** Kills a voter as soon as its snapshot file is replaced. */
+async function killAtSnapshot(voter: FleetInstance): Promise<boolean> {
+    const folder = getDataFolder(voter);
+    return await new Promise<boolean>((resolve) => {
+        const watcher = watch(folder, (_event, name) => {
+            if (name === "snapshot.json") {
+                voter.signal("SIGKILL");
+                end(true);
             }
+        });
+        const timer = setTimeout(() => {
+            end(false);
+        }, RETURN_MS);
+        function end(isKilled: boolean): void {
+            clearTimeout(timer);
+            watcher.close();
+            resolve(isKilled);
         }
-        catch {
-            // The next node is called.
-            this.preferred = undefined;
-        }
-    }
+        voter.start();
+    });
 }
 
-function createDocument(): object {
-    const route = { path_prefix: "/print/", route_kind: "unsafe", timeout_ms: 3_000, max_attempts: 1 };
-    return {
-        version: 1,
-        routes: [
-            { ...route, name: "till", host: "till.example", service: "till" },
-            { ...route, name: "printer", host: "printer.example", service: "printer" },
-        ],
-        services: [
-            { name: "till", health_check_path: "/health" },
-            { name: "printer", health_check_path: "/health" },
-        ],
-        tenants: [{ name: "t", api_keys: ["key-1"] }],
-    };
+/** Whether the kill came before the voter had written the log that follows the snapshot; else it is tried again. */
+function wasInTime(voter: FleetInstance): boolean {
+    const folder = getDataFolder(voter);
+    const snapshot = readFileSync(join(folder, "snapshot.json"), "utf8");
+    const index = /"index":(\d+)/.exec(snapshot)?.[1] ?? "";
+    return !readdirSync(folder).filter((name) => name.startsWith("log-")).some((name) =>
+        readFileSync(join(folder, name), "utf8").includes(`"kind":"reset","index":${index},`)
+    );
 }
 
-/** Requests of one kind, and what became of them. */
-class Kind {
-    sent = 0;
-    served = 0;
-    readonly statuses = new Map<string, number>();
-
-    constructor(readonly host: string) {}
-
-    async request(fleet: Fleet, entry: FleetInstance): Promise<void> {
-        this.sent += 1;
-        const answer = await fleet.call(entry, this.host);
-        const status = answer === undefined ? "closed" : String(answer.status);
-        this.served += status === "200" ? 1 : 0;
-        this.statuses.set(status, (this.statuses.get(status) ?? 0) + 1);
-    }
-
-    get share(): number {
-        return this.served / this.sent;
-    }
-
-    describe(): string {
-        const statuses = [...this.statuses].map(([status, count]) => `${status}: ${String(count)}`).join(", ");
-        return `${this.host}: ${String(this.sent)} sent, ${String(this.served)} served (${statuses})`;
-    }
-}
-
-async function runTraffic(fleet: Fleet, kinds: readonly Kind[]): Promise<void> {
-    const [entry] = fleet.entries;
-    const open: Promise<void>[] = [];
-    const endMs = performance.now() + TRAFFIC_MS;
-    let reportMs = performance.now();
-    while (entry !== undefined && performance.now() < endMs) {
-        open.push(...kinds.map((kind) => kind.request(fleet, entry)));
-        await wait(REQUEST_INTERVAL_MS);
-        if (performance.now() - reportMs > 5_000) {
-            reportMs = performance.now();
-            kinds.forEach((kind) => {
-                record(kind.describe());
-            });
+/** Keeps a voter away for more changes than the leader's log holds, and lets it return. */
+async function returnLate(fleet: Fleet, voter: FleetInstance, from: number): Promise<number> {
+    let newest = from;
+    for (;;) {
+        record(`kill ${voter.host}`);
+        await voter.kill();
+        newest = await sendChanges(fleet, newest, CHANGES_WHILE_AWAY);
+        if (!hasTrouble) {
+            voter.start();
+            await wait(CATCH_UP_MS);
+            record(`${voter.host} is back`);
+            return newest;
+        }
+        const isKilled = await killAtSnapshot(voter);
+        await voter.kill();
+        const isHit = isKilled && wasInTime(voter);
+        record(`${voter.host} returned and was killed as its snapshot came${isHit ? "" : "; too late, again"}`);
+        if (isHit) {
+            voter.start();
+            await wait(CATCH_UP_MS);
+            record(`${voter.host} is back`);
+            return newest;
+        }
+        if (performance.now() - startMs > MAX_MS / 2) {
+            throw new Error("no kill came in time");
         }
+        voter.start();
+        await wait(1_000);
     }
-    await Promise.all(open);
 }
 
-async function run(fleet: Fleet, links: CutLinks): Promise<number> {
-    await fleet.confirmDocument(createDocument());
-    const [entry] = fleet.entries;
-    if (entry === undefined) {
+async function run(fleet: Fleet): Promise<number> {
+    await fleet.confirmDocument(createDocument(1));
+    record("operator: version 1 acknowledged");
+    const leader = await findLeader(fleet);
+    const [late, other] = fleet.voters.filter((voter) => voter !== leader);
+    if (late === undefined || other === undefined) {
         return COULD_NOT_RUN;
     }
-    await fleet.waitForRoute(entry, "printer.example");
-    record("operator: version 1 acknowledged; traffic starts");
-    const till = new Kind("till.example");
-    const printer = new Kind("printer.example");
-    const traffic = runTraffic(fleet, [till, printer]);
-    if (hasTrouble) {
-        links.cut();
-        record("the links of the workers' machine to the voters are cut");
-    }
-    const names = Array.from({ length: WORKERS }, (_unused, at) => String(at + 1));
-    const first = names.map((name) => new Worker(`A${name}`, links.origins));
-    const ports = await Promise.all(first.map((worker) => worker.start(0)));
-    await wait(FIRST_LIFE_MS);
-    first.forEach((worker) => {
-        worker.crash();
-    });
-    await wait(DOWN_MS);
-    const second = names.map((name) => new Worker(`B${name}`, links.origins));
-    await Promise.all(second.map((worker, at) => worker.start(ports[at] ?? 0)));
-    await wait(CUT_MS - FIRST_LIFE_MS - DOWN_MS);
-    if (hasTrouble) {
-        record("the cut ends");
-        await links.heal();
-        record("what the cut held up arrives");
-    }
-    await traffic;
-    second.forEach((worker) => {
-        record(worker.describe());
-        worker.crash();
+    record(`leader ${leader.host}; late voter ${late.host}; third voter ${other.host}`);
+    let newest = await returnLate(fleet, late, 1);
+    record(`kill ${other.host}`);
+    await other.kill();
+    newest = await sendChanges(fleet, newest, 1);
+    record(`kill ${late.host} and start it again`);
+    await late.kill();
+    late.start();
+    await wait(CATCH_UP_MS);
+    record(`final fault: ${leader.host} loses its disk, the others are killed; all start again`);
+    await Promise.all([leader.loseDisk(), late.kill()]);
+    fleet.voters.forEach((voter) => {
+        voter.start();
     });
-    record(till.describe());
-    record(printer.describe());
-    const allShare = (till.served + printer.served) / (till.sent + printer.sent);
-    record(`share served: till ${till.share.toFixed(3)}, all ${allShare.toFixed(3)}`);
-    return till.share < SERVED_SHARE * allShare ? RULE_BROKEN : 0;
+    await wait(RECOVERY_MS);
+    const { version } = await fleet.readDocument();
+    record(`operator: newest acknowledged version ${String(newest)}, read back ${String(version)}`);
+    return version < newest ? RULE_BROKEN : 0;
 }
 
 const timer = setTimeout(() => {
@@ -307,16 +191,14 @@
     script: join(root, "target/crankfork.cjs"),
     flags: ["--max-old-space-size=200"],
 });
-const links = await CutLinks.open(fleet.operatorOrigins);
 try {
     record(hasTrouble ? "with the disruption" : "without the disruption");
-    code = await run(fleet, links);
+    code = await run(fleet);
 }
 catch (error) {
     record(`could not run: ${String(error)}`);
 }
 finally {
-    links.close();
     await fleet.close();
     clearTimeout(timer);
 }
