review: case 4, a second order of events that needs no successor in place

Change: with CUT=1 the disks are lost 8.3 s after the machine was gone, right after a cut of the core in two.

--- a/review/4/main.ts
+++ b/review/4/main.ts
@@ -2,12 +2,14 @@
  * A core machine is replaced as planned, the new one first. While the old one is still among the voters, two other
  * machines lose their disks, which is as many as `tolerance` permits. There is never a leader again.
  */
+import { LinkProxy } from "@crankfork/scenarios/dist/src/soak/linkProxy.js";
 import { writeFileSync } from "node:fs";
 import { readFile, writeFile } from "node:fs/promises";
 import { join } from "node:path";
 import { setTimeout as wait } from "node:timers/promises";
 import { fileURLToPath } from "node:url";
 import { Fleet, type FleetInstance } from "../../platform/dist/tests/fleetHarness.js";
+import { getProxyHost } from "../../platform/dist/tests/proxyHost.js";
 
 const RULE_BROKEN = 1;
 const COULD_NOT_RUN = 2;
@@ -28,6 +30,14 @@
 const hasTrouble = process.env.TROUBLE !== "0";
 /** For comparison: the same loss of disks without a replacement before it. */
 const hasReplacement = process.env.REPLACEMENT !== "0";
+/** For comparison: the machine is gone without notice, and the core is cut in two before the disks are lost. */
+const isCut = process.env.CUT === "1";
+/** The longest cut of the core that the site file names. */
+const CUT_MS = 5_500;
+/** Time from the loss of the machine to the start of its successor, to the cut and to the loss of the disks. */
+const SUCCESSOR_MS = 1_000;
+const CUT_START_MS = 2_000;
+const LOSS_MS = 8_300;
 const startMs = performance.now();
 const lines: string[] = [];
 
@@ -100,10 +110,57 @@
     const { settingsFile } = added as unknown as { readonly settingsFile: string; };
     const settings = await readFile(settingsFile, "utf8");
     await writeFile(settingsFile, settings.replace("founding = true", "founding = false"));
+    if (isCut) {
+        await openProxy(fleet, added);
+    }
     added.start();
     return added;
 }
 
+/** Opens the proxy of a machine that was not there when the fleet was opened. */
+async function openProxy({ links }: Fleet, { host }: FleetInstance): Promise<void> {
+    const internals = links as unknown as {
+        readonly peersPort: number;
+        readonly proxies: Map<string, LinkProxy>;
+        get(from: string, to: string): never;
+    };
+    const port = String(internals.peersPort);
+    internals.proxies.set(
+        host,
+        await LinkProxy.open({
+            target: `${host}:${port}`,
+            listenOn: `${getProxyHost(host)}:${port}`,
+            getLinks: (caller) => ({
+                toTarget: internals.get(caller, host),
+                fromTarget: internals.get(host, caller),
+            }),
+        }),
+    );
+}
+
+/** The machine is gone, its successor comes, and the core is cut in two halves without a majority of voters. */
+async function replaceBesideCut(fleet: Fleet, leader: FleetInstance, old: FleetInstance): Promise<void> {
+    const goneMs = performance.now();
+    const waitUntilMs = (ms: number): Promise<void> => wait(Math.max(0, goneMs + ms - performance.now()));
+    await old.kill();
+    fleet.voters.splice(fleet.voters.indexOf(old), 1);
+    record(`${old.host} is gone for good`);
+    await waitUntilMs(SUCCESSOR_MS);
+    const added = await addVoter(fleet);
+    record(`${added.host} is added with an empty disk`);
+    await waitUntilMs(CUT_START_MS);
+    const rest = fleet.voters.filter((voter) => voter !== leader && voter !== added).map(({ host }) => host);
+    const half = [leader.host, rest[0] ?? ""];
+    const others = [...rest.slice(1), added.host];
+    fleet.links.setState(half, others, { kind: "held" });
+    fleet.links.setState(others, half, { kind: "held" });
+    record(`the core is cut in two: ${half.join(", ")} / ${others.join(", ")}`);
+    await wait(CUT_MS);
+    fleet.links.heal();
+    record("the cut ends");
+    await waitUntilMs(LOSS_MS);
+}
+
 async function countServed(fleet: Fleet): Promise<number> {
     const [entry] = fleet.entries;
     let sent = 0;
@@ -141,7 +198,10 @@
         return COULD_NOT_RUN;
     }
     await countServed(fleet);
-    if (hasReplacement) {
+    if (isCut) {
+        await replaceBesideCut(fleet, leader, old);
+    }
+    else if (hasReplacement) {
         const added = await addVoter(fleet);
         record(`planned work: ${added.host} is added with an empty disk`);
         await wait(CATCH_UP_MS);
@@ -151,7 +211,9 @@
         fleet.voters.splice(fleet.voters.indexOf(old), 1);
         record(`${old.host} has ended, and does not come back`);
     }
-    await wait(PAUSE_MS);
+    if (!isCut) {
+        await wait(PAUSE_MS);
+    }
     await confirm(fleet, 2);
     if (hasTrouble) {
         await Promise.all([leader.loseDisk(), other.loseDisk()]);
@@ -173,10 +235,8 @@
 }, MAX_MS);
 let code = COULD_NOT_RUN;
 const root = fileURLToPath(new URL("../../", import.meta.url));
-const fleet = await Fleet.open(VOTERS, 1, {
-    script: join(root, "target/crankfork.cjs"),
-    flags: ["--max-old-space-size=200"],
-});
+const program = { script: join(root, "target/crankfork.cjs"), flags: ["--max-old-space-size=200"] };
+const fleet = await Fleet.open(VOTERS, 1, program, undefined, isCut);
 try {
     record(hasTrouble ? "with the disruption" : "without the disruption");
     code = await run(fleet);
