--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -8,7 +8,9 @@
     CorruptLogError,
     createLogStorage,
     type HardState,
+    LogGapError,
     type LogStorage,
+    type SnapshotRecovery,
     type StorageRecord,
     type StoredState,
 } from "./process/logStorage.js";
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -111,6 +111,9 @@
             context.appliedIndex = stored.snapshot.index;
         }
         context.log.append(stored.entries);
+        if (stored.recovery !== undefined) {
+            options.functions.handleEvent({ kind: "snapshot-recovered", ...stored.recovery });
+        }
         resetRetryTimeout(context);
         const tickMs = options.timing.heartbeatMs / TICKS_PER_HEARTBEAT;
         replica.timer = setInterval(() => {
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -11,7 +11,7 @@
 } from "@crankfork/schemas";
 import type { ReplicaLog } from "../version/replicaLog.js";
 import type { GroupCommitQueue } from "./groupCommitQueue.js";
-import type { LogStorage } from "./logStorage.js";
+import type { LogStorage, SnapshotRecovery } from "./logStorage.js";
 import type { Role, RoleService } from "./roleMachine.js";
 
 /** Timing of a replica, in milliseconds. */
@@ -27,6 +27,8 @@
     | { readonly kind: "role"; readonly role: Role; readonly term: number; }
     | { readonly kind: "replicas"; readonly replicas: ReplicaSet; }
     | { readonly kind: "snapshot"; readonly index: number; }
+    /** A snapshot that a crash had interrupted was completed at the start. */
+    | ({ readonly kind: "snapshot-recovered"; } & SnapshotRecovery)
     /** Entries are sent to a replica again. */
     | { readonly kind: "resent"; readonly to: string; readonly entries: number; }
     | { readonly kind: "fault"; readonly error: unknown; };
--- a/packages/coordination/tests/logStorage.test.ts
+++ b/packages/coordination/tests/logStorage.test.ts
@@ -1,6 +1,7 @@
 import type { LogEntry, Snapshot } from "@crankfork/schemas";
 import { expect } from "chai";
-import { CorruptLogError, createLogStorage } from "../src/index.js";
+import crc32 from "crc-32";
+import { CorruptLogError, createLogStorage, LogGapError, type StorageRecord } from "../src/index.js";
 import { MemoryFolder } from "./memoryFolder.js";
 
 const createEntry = (index: number, term = 1): LogEntry => ({
@@ -113,4 +114,90 @@
         expect([stored.snapshot?.index, stored.hardState.term, stored.entries.map((entry) => entry.index)])
             .to.deep.equal([2, 1, [3]]);
     });
+
+    it("an append that does not follow the log is refused, and nothing is written", async () => {
+        const folder = new MemoryFolder();
+        await writeThreeEntries(folder);
+        const storage = createLogStorage(folder.open());
+        await storage.read();
+        for (const entries of [[createEntry(5)], [createEntry(4), createEntry(6)], [createEntry(4), createEntry(4)]]) {
+            const error: unknown = await storage.write([{ kind: "append", entries }]).catch((one: unknown) => one);
+            expect(error).to.be.instanceOf(LogGapError);
+        }
+        await storage.write([{ kind: "append", entries: [createEntry(4)] }]);
+        const stored = await createLogStorage(folder.open()).read();
+        expect(stored.entries.map((entry) => entry.index)).to.deep.equal([1, 2, 3, 4]);
+    });
+});
+
+const append = (...indexes: readonly number[]): StorageRecord => ({
+    kind: "append",
+    entries: indexes.map((index) => createEntry(index)),
 });
+const reset = (index: number): StorageRecord => ({ kind: "reset", index, term: 1 });
+
+interface GapRow {
+    readonly title: string;
+    readonly snapshotIndex: number;
+    readonly lines: readonly (readonly StorageRecord[])[];
+    /** Line that is reported as corrupt, or the entries and how many were discarded. */
+    readonly expected: number | { readonly indexes: readonly number[]; readonly discarded: number | undefined; };
+}
+
+const gapRows: readonly GapRow[] = [
+    {
+        title: "entries after the reset that follows the snapshot",
+        snapshotIndex: 2,
+        lines: [[append(1, 2)], [reset(2), append(3)], [append(4)]],
+        expected: { indexes: [3, 4], discarded: undefined },
+    },
+    {
+        title: "removed entries, some of which are back, before the reset",
+        snapshotIndex: 7,
+        lines: [[append(1, 2)], [append(6)], [reset(7)], [append(8)]],
+        expected: { indexes: [8], discarded: undefined },
+    },
+    {
+        title: "an earlier version's entries right after a snapshot without a reset",
+        snapshotIndex: 7,
+        lines: [[append(1, 2)], [append(8)], [append(9)]],
+        expected: { indexes: [8, 9], discarded: 0 },
+    },
+    {
+        title: "a snapshot that the log contradicts, and no reset",
+        snapshotIndex: 2,
+        lines: [[{ kind: "append", entries: [1, 2, 3].map((index) => createEntry(index, 5)) }]],
+        expected: { indexes: [], discarded: 1 },
+    },
+    { title: "a gap that no snapshot fills", snapshotIndex: 2, lines: [[append(1, 2)], [append(4)]], expected: 2 },
+    { title: "a gap after the reset", snapshotIndex: 2, lines: [[reset(2), append(3)], [append(5)]], expected: 2 },
+    { title: "no beginning", snapshotIndex: 0, lines: [[append(4)]], expected: 1 },
+    { title: "a reset to a later snapshot", snapshotIndex: 2, lines: [[append(1, 2, 3)], [reset(3)]], expected: 2 },
+    { title: "a reset without a snapshot", snapshotIndex: 0, lines: [[reset(3), append(4)]], expected: 1 },
+];
+
+describe("a gap in the log is an error with its line, unless a snapshot covers it", () => {
+    for (const { title, snapshotIndex, lines, expected } of gapRows) {
+        it(title, async () => {
+            const folder = new MemoryFolder();
+            if (snapshotIndex > 0) {
+                folder.corrupt("snapshot.json", () => formatLine({ ...snapshot, index: snapshotIndex }));
+            }
+            folder.corrupt("log-00000001.jsonl", () => Buffer.concat(lines.map(formatLine)));
+            const read = createLogStorage(folder.open()).read();
+            if (typeof expected === "number") {
+                const error: unknown = await read.catch((one: unknown) => one);
+                expect(error).to.be.instanceOf(CorruptLogError).and.have.property("line", expected);
+                return;
+            }
+            const { entries, recovery } = await read;
+            expect([entries.map((entry) => entry.index), recovery?.discardedEntries])
+                .to.deep.equal([expected.indexes, expected.discarded]);
+        });
+    }
+});
+
+function formatLine(value: unknown): Buffer {
+    const text = JSON.stringify(value);
+    return Buffer.from(`${(crc32.str(text) >>> 0).toString(16).padStart(8, "0")} ${text}\n`);
+}
--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -172,6 +172,12 @@
         case "snapshot":
             log.record("info", "snapshot", { index: event.index });
             return;
+        case "snapshot-recovered":
+            log.record("warn", "snapshot-recovered", {
+                index: event.snapshotIndex,
+                discarded: event.discardedEntries,
+            });
+            return;
         case "resent":
             log.record("debug", "entries-resent", { peer: event.to, entries: event.entries });
             return;
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -122,6 +122,12 @@
             else if (event.kind === "resent") {
                 fleet.traffic.recordResend(event.entries);
             }
+            else if (event.kind === "snapshot-recovered") {
+                log.record("warn", "snapshot-recovered", {
+                    index: event.snapshotIndex,
+                    discarded: event.discardedEntries,
+                });
+            }
             else if (event.kind === "fault") {
                 log.record("error", "replica-fault", { reason: String(event.error) });
             }
