fix(coordination): remove temporary files of replacements that did not end

Cause: Folder.replace prepares a file of its own name and leaves it where the write or the rename fails, or the process is killed. A replica that met a full disk is restarted every 500 ms, rewrites its last segment each time and left another file, so a full disk could stay full.

Change: replace removes its file when it fails, and a folder that is opened removes those of an earlier process.

Evidence: folder.test.ts, 2 of 2 rows failed before, pass now.

--- a/packages/coordination/src/process/folder.ts
+++ b/packages/coordination/src/process/folder.ts
@@ -18,13 +18,17 @@
     readonly remove: (name: string) => Promise<void>;
 }
 
+/** Name of the file in which `replace` prepares the new content. */
+const temporaryPattern = /\.[\da-f-]{36}\.tmp$/;
+
 /**
- * Opens a folder on disk.
+ * Opens a folder on disk, and removes what interrupted replacements left there.
  * @param path - the folder; created if it does not exist
  * @returns operations that sync before they resolve
  */
 export async function openDiskFolder(path: string): Promise<Folder> {
     await mkdir(path, { recursive: true });
+    await removeTemporaryFiles(path);
     await syncPath(path);
     const known = new Set(await readdir(path));
     return {
@@ -39,8 +43,15 @@
         },
         replace: async (name, content) => {
             const temporary = join(path, `${name}.${randomUUID()}.tmp`);
-            await writeSynced(temporary, "w", content);
-            await rename(temporary, join(path, name));
+            try {
+                await writeSynced(temporary, "w", content);
+                await rename(temporary, join(path, name));
+            }
+            catch (error) {
+                // A full disk would stay full if each attempt left a file behind.
+                await rm(temporary, { force: true }).catch(() => undefined);
+                throw error;
+            }
             await syncPath(path);
             known.add(name);
         },
@@ -51,6 +62,14 @@
     };
 }
 
+async function removeTemporaryFiles(path: string): Promise<void> {
+    for (const name of await readdir(path)) {
+        if (temporaryPattern.test(name)) {
+            await rm(join(path, name), { force: true });
+        }
+    }
+}
+
 function handleMissing(error: unknown): undefined {
     if (error instanceof Error && "code" in error && error.code === "ENOENT") {
         return undefined;
--- /dev/null
+++ b/packages/coordination/tests/folder.test.ts
@@ -0,0 +1,33 @@
+import { expect } from "chai";
+import { mkdir, mkdtemp, readdir, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { openDiskFolder } from "../src/index.js";
+
+describe("a folder on disk keeps no temporary files of replacements that did not end", () => {
+    let path: string;
+
+    beforeEach(async () => {
+        path = await mkdtemp(join(tmpdir(), "folder-"));
+    });
+
+    afterEach(async () => {
+        await rm(path, { recursive: true });
+    });
+
+    it("a replacement that failed", async () => {
+        const folder = await openDiskFolder(path);
+        await mkdir(join(path, "state.json"));
+        const error: unknown = await folder.replace("state.json", Buffer.from("new")).catch((one: unknown) => one);
+        expect(error).to.be.instanceOf(Error);
+        expect(await readdir(path)).to.deep.equal(["state.json"]);
+    });
+
+    it("a replacement during which the process was killed", async () => {
+        const leftover = "state.json.0b7ac1c5-4ad2-4b43-9c6b-2f0b6a5b1f3e.tmp";
+        await writeFile(join(path, leftover), "half");
+        await writeFile(join(path, "notes.tmp"), "not a replacement");
+        await openDiskFolder(path);
+        expect(await readdir(path)).to.deep.equal(["notes.tmp"]);
+    });
+});
