fix(daemon): let an interrupted creation of a cluster be completed

Cause: createCluster wrote the log first and the name of the cluster second. After a crash in between, each further "crankfork init" was refused with "already holds a log", and nothing completed the first.

Change: the identity is written first, with the founders, as the founding of a fleet does; each start writes the log that is missing. The replica that is replaced ends its write before the files are written again.

--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -3,7 +3,6 @@
  */
 import {
     bootstrapLog,
-    bootstrapSingleVoter,
     CorruptLogError,
     createAnswerForReplacedReplica,
     createLogStorage,
@@ -148,8 +147,9 @@
             throw new Error(`instance already belongs to cluster ${this.identity.cluster}`);
         }
         this.replica.stop();
-        await bootstrapSingleVoter(createLogStorage(this.folder), this.self);
-        await this.writeIdentity({ ...this.identity, cluster: ulid() });
+        await this.awaitWritten();
+        // The log is written by the next start if a crash comes first.
+        await this.writeIdentity({ ...this.identity, cluster: ulid(), founders: [this.self] });
         await this.startReplica();
     }
 
