fix(coordination): stop counting entries that a follower has lost

Cause: matchIndex was only ever raised, so that refusals of such a follower were taken for late ones, and each new message followed an entry that it did not have.

Change: a refusal of a message that was sent after the last acknowledgement, by a follower with fewer entries than it acknowledged, resets matchIndex; the entries are sent again and "acknowledged-entries-lost" is reported. A refusal of an earlier message, which may be reordered, changes nothing.

--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -29,6 +29,13 @@
     | { readonly kind: "snapshot"; readonly index: number; }
     /** A snapshot that a crash had interrupted was completed at the start. */
     | ({ readonly kind: "snapshot-recovered"; } & SnapshotRecovery)
+    /** A replica no longer has entries that it had acknowledged. */
+    | {
+        readonly kind: "acknowledged-entries-lost";
+        readonly replica: string;
+        readonly acknowledgedIndex: number;
+        readonly lastIndex: number;
+    }
     /** Entries are sent to a replica again. */
     | { readonly kind: "resent"; readonly to: string; readonly entries: number; }
     | { readonly kind: "fault"; readonly error: unknown; };
@@ -70,6 +77,8 @@
 export interface Progress {
     nextIndex: number;
     matchIndex: number;
+    /** When `matchIndex` was last raised, by the leader's monotonic clock. */
+    matchedMs: number;
     /** When the newest answered message was sent, by the leader's monotonic clock. */
     lastAckedSendMs: number;
     /** When the unanswered entries were last sent; undefined if there are none. */
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -150,11 +150,15 @@
         progress.resends = 0;
     }
     if (message.is_accepted) {
-        progress.matchIndex = Math.max(progress.matchIndex, message.match_index);
+        if (message.match_index > progress.matchIndex) {
+            progress.matchIndex = message.match_index;
+            progress.matchedMs = getMonotonicMs(context);
+        }
         progress.nextIndex = Math.max(progress.nextIndex, progress.matchIndex + 1);
         applyCommits(context);
     }
     else {
+        resetMatchIfLost(context, from.id, progress, message);
         progress.nextIndex = Math.max(
             progress.matchIndex + 1,
             Math.min(progress.nextIndex - 1, message.match_index + 1),
@@ -165,6 +169,28 @@
     }
 }
 
+/**
+ * Every message that was sent after an acknowledgement follows an entry that the replica has acknowledged. If it refuses
+ * such a message and has fewer entries, it has lost some, and these must be neither counted nor left out.
+ */
+function resetMatchIfLost(
+    context: ReplicaContext,
+    replica: string,
+    progress: Progress,
+    refusal: ReplicaMessageOf<"append-answer">,
+): void {
+    if (refusal.sent_ms <= progress.matchedMs || refusal.match_index >= progress.matchIndex) {
+        return;
+    }
+    context.options.functions.handleEvent({
+        kind: "acknowledged-entries-lost",
+        replica,
+        acknowledgedIndex: progress.matchIndex,
+        lastIndex: refusal.match_index,
+    });
+    progress.matchIndex = 0;
+}
+
 /**
  * Gets the replication progress of a replica, and creates it if there is none.
  * @param context - the leader
@@ -180,6 +206,7 @@
     const progress: Progress = {
         nextIndex,
         matchIndex: 0,
+        matchedMs: Number.NEGATIVE_INFINITY,
         lastAckedSendMs: Number.NEGATIVE_INFINITY,
         inFlightSinceMs: undefined,
         lastSentIndex: 0,
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -1,7 +1,7 @@
 import type { LogEntry, ReplicaAddress, ReplicaMessage, ReplicaMessageOf, ReplicaSet } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
-import { createLogStorage, Replica } from "../src/index.js";
+import { createLogStorage, Replica, type ReplicaEvent } from "../src/index.js";
 import { MemoryFolder } from "./memoryFolder.js";
 import type { InstalledClock } from "./simulation.js";
 
@@ -19,6 +19,7 @@
 class ScriptedPeers {
     readonly sent: { readonly to: string; readonly message: ReplicaMessage; }[] = [];
     readonly applied: unknown[] = [];
+    readonly events: ReplicaEvent[] = [];
     replica!: Replica;
     /** When the replica's machine last resumed. */
     lastResumeMs = Number.NEGATIVE_INFINITY;
@@ -46,7 +47,7 @@
                 applyCommand: (command) => this.applied.push(command),
                 getState: () => [...this.applied],
                 restoreState: () => undefined,
-                handleEvent: () => undefined,
+                handleEvent: (event) => this.events.push(event),
                 clock: { getNowMs: () => performance.now(), getLastResumeMs: () => this.lastResumeMs },
             },
         });
@@ -106,6 +107,44 @@
         expect([peers.replica.getStatus().commitIndex, peers.applied]).to.deep.equal([3, ["old"]]);
     });
 
+    const refusals = [
+        { title: "of a message sent after the acknowledgement", sentAfterMs: 1, isResent: true },
+        { title: "of an earlier message, which arrives late", sentAfterMs: -1, isResent: false },
+    ];
+    for (const { title, sentAfterMs, isResent } of refusals) {
+        it(`does not count entries that a follower has lost: a refusal ${title}`, async () => {
+            const command = (index: number): LogEntry => ({
+                index,
+                term: 0,
+                payload: { kind: "command", command: index },
+            });
+            await peers.start([command(2), command(3), command(4)]);
+            await peers.elect();
+            peers.answerAppend(left, 5);
+            const acknowledgedMs = performance.now();
+            await clock.tickAsync(timing.heartbeatMs);
+            peers.replica.receive(left, {
+                kind: "append-answer",
+                term: peers.term,
+                is_accepted: false,
+                match_index: 2,
+                sent_ms: acknowledgedMs + sentAfterMs,
+            });
+            await clock.tickAsync(timing.heartbeatMs);
+            const sent = peers.sent.flatMap(({ to, message }) =>
+                to === left.id && message.kind === "append" ? [[message.previous_index, message.entries.length]] : []
+            );
+            expect(sent.at(-2)).to.deep.equal(isResent ? [2, 3] : [5, 0]);
+            const lost = peers.events.filter((event) => event.kind === "acknowledged-entries-lost");
+            expect(lost).to.have.length(isResent ? 1 : 0);
+            // Only the other follower can complete the quorum now.
+            void peers.replica.propose("new");
+            await clock.tickAsync(1);
+            peers.answerAppend(right, 6);
+            expect(peers.replica.getStatus().commitIndex).to.equal(6);
+        });
+    }
+
     it("has no lease when it continues after a freeze, even before any of its timers has run", async () => {
         await peers.start();
         await peers.elect();
--- a/packages/coordination/tests/simulation.ts
+++ b/packages/coordination/tests/simulation.ts
@@ -110,6 +110,9 @@
                     if (event.kind === "role" && event.role === "leader") {
                         this.recordLeader(event.term, node.address.id);
                     }
+                    if (event.kind === "acknowledged-entries-lost") {
+                        this.violations.push(`${event.replica} has lost entries that it had acknowledged`);
+                    }
                     if (event.kind === "fault") {
                         this.violations.push(`fault at ${node.address.id}: ${String(event.error)}`);
                     }
--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -178,6 +178,13 @@
                 discarded: event.discardedEntries,
             });
             return;
+        case "acknowledged-entries-lost":
+            log.record("error", "acknowledged-entries-lost", {
+                peer: event.replica,
+                acknowledged: event.acknowledgedIndex,
+                last: event.lastIndex,
+            });
+            return;
         case "resent":
             log.record("debug", "entries-resent", { peer: event.to, entries: event.entries });
             return;
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -128,6 +128,13 @@
                     discarded: event.discardedEntries,
                 });
             }
+            else if (event.kind === "acknowledged-entries-lost") {
+                log.record("error", "acknowledged-entries-lost", {
+                    peer: event.replica,
+                    acknowledged: event.acknowledgedIndex,
+                    last: event.lastIndex,
+                });
+            }
             else if (event.kind === "fault") {
                 log.record("error", "replica-fault", { reason: String(event.error) });
             }
