fix(voter): replace a voter that stops before its process ends

There is no leader any more, and no configuration, although three machines hold the whole log.

Cause: the voter that stopped stayed in the set, and its successor a learner, until the leader had not heard it for 3 s (VOTER_TIMEOUT_MS). Nobody announced the stop, so it was found out by silence like a crash.

Change: a voter that stops announces it to the leader ("leave") until it is replaced or no learner is there, and ends after that, at the latest after 3 s. The leader promotes the learner first and removes the leaving voter then, without a pause in between, so that the set bears the losses all the time. A leader that stops hands over to a voter that does not leave, and again if it is elected meanwhile. Each step is a change of one voter, checked by the log as before.

--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -213,15 +213,16 @@
 
     /**
      * Transfers leadership to the most up-to-date other voter; does nothing unless this replica leads.
+     * @param isEligible - whether a voter may become the leader
      * @returns the voter that was asked, or undefined if there is none
      */
-    transferLeadership(): ReplicaAddress | undefined {
+    transferLeadership(isEligible: (id: string) => boolean = () => true): ReplicaAddress | undefined {
         const { context } = this;
         const { self } = context.options;
         if (context.role.get() !== "leader") {
             return undefined;
         }
-        const others = context.log.getReplicas().voters.filter((voter) => voter.id !== self.id);
+        const others = context.log.getReplicas().voters.filter((voter) => voter.id !== self.id && isEligible(voter.id));
         const getMatchIndex = (id: string): number => getProgress(context, id).matchIndex;
         const target = others.sort((left, right) => getMatchIndex(right.id) - getMatchIndex(left.id))[0];
         if (target === undefined) {
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -76,8 +76,9 @@
  * upstreams that have moved to another voter or ended accumulate to several per upstream.
  */
 const IDLE_HEARTBEATS = 3.5;
-/** Time for the next leader to be elected before this process exits. */
-const LEADERSHIP_TRANSFER_MS = 400;
+
+/** Time for requests in progress to end before this process exits. */
+const MIN_STOP_MS = 400;
 
 /**
  * Runs a voter.
@@ -152,7 +153,7 @@
     const idleMs = settings.contract.upstream_heartbeat * IDLE_HEARTBEATS;
     await fleet.openPort(settings.ports.operators, protocol.createOperatorHandler(components, fleet), idleMs);
     process.once("SIGTERM", () => {
-        void stopVoter(fleet, host);
+        void stopVoter(fleet, host, components.group);
     });
 }
 
@@ -309,6 +310,7 @@
         const leader = group.handleJoinRequest(joinParametersSchema.parse(raw).replica);
         return leader === undefined ? {} : { leader };
     });
+    server.addMethod("leave", (raw) => group.handleLeaveRequest(joinParametersSchema.parse(raw).replica));
     server.addMethod("suspect", (raw) => {
         probe.handleSuspects(suspectParametersSchema.parse(raw));
         return {};
@@ -342,10 +344,8 @@
 
 const CLUSTER_ID_LENGTH = 16;
 
-async function stopVoter(fleet: FleetProcess, host: FleetReplicaHost): Promise<void> {
-    const next = host.replica.transferLeadership();
-    fleet.log.record("info", "stopping", { handed_to: next?.id });
-    await waitMs(LEADERSHIP_TRANSFER_MS);
+async function stopVoter(fleet: FleetProcess, host: FleetReplicaHost, group: VoterGroup): Promise<void> {
+    await Promise.all([waitMs(MIN_STOP_MS), group.leave()]);
     host.stop();
     fleet.log.record("info", "stopped", {});
     process.exit(0);
--- a/packages/daemon/src/process/voter/voterGroup.ts
+++ b/packages/daemon/src/process/voter/voterGroup.ts
@@ -1,11 +1,12 @@
 /**
  * Voter membership: a replica without a leader requests to join, and the leader admits and removes replicas.
  */
-import { chooseVoterChange } from "@crankfork/decisions";
-import { joinResultSchema, type ReplicaAddress } from "@crankfork/schemas";
+import { chooseVoterChange, type VoterView } from "@crankfork/decisions";
+import { joinResultSchema, type LeaveResult, leaveResultSchema, type ReplicaAddress } from "@crankfork/schemas";
 import type { PeerClient } from "../../connection/peerClient.js";
 import type { EventLog } from "../eventLog.js";
 import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { waitMs } from "../waitMs.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 
 /** Dependencies of {@link VoterGroup}. */
@@ -20,21 +21,27 @@
 }
 
 const CHECK_INTERVAL_MS = 200;
-/** Time after which a join request expires unless it is repeated. */
-const JOIN_REQUEST_TTL_MS = 2_000;
+/** Time after which a request to join or leave expires unless it is repeated. */
+const REQUEST_TTL_MS = 2_000;
 /** Time without a leader after which a replica requests to join; longer than an election takes. */
 const LEADERLESS_TIMEOUT_MS = 1_500;
 const JOIN_INTERVAL_MS = 500;
-const JOIN_TIMEOUT_MS = 500;
+const REQUEST_TIMEOUT_MS = 500;
+const LEAVE_INTERVAL_MS = 100;
+/** Time for the next leader to be elected when this voter hands over the leadership. */
+const LEADERSHIP_TRANSFER_MS = 400;
+/** Time for a successor to take the place of a voter that stops: two changes of the set, and an election before them. */
+const MAX_LEAVE_MS = 3_000;
 
-interface JoinRequest {
+interface MemberRequest {
     readonly replica: ReplicaAddress;
     readonly receivedMs: number;
 }
 
 /** Admits and removes replicas. */
 export class VoterGroup {
-    private readonly joining = new Map<string, JoinRequest>();
+    private readonly joining = new Map<string, MemberRequest>();
+    private readonly leaving = new Map<string, MemberRequest>();
     private stopTask: StopPeriodicTask | undefined;
     private isChanging = false;
     private leaderSeenMs: number;
@@ -69,6 +76,82 @@
         return this.options.host.replica.getStatus().leader;
     }
 
+    /**
+     * Returns whether a replica has announced that its process is about to end.
+     * @param id - the replica
+     * @returns true until the announcement expires
+     */
+    isLeaving(id: string): boolean {
+        return this.leaving.has(id);
+    }
+
+    /**
+     * Handles the announcement of a voter whose process is about to end. It is replaced while it still votes.
+     * @param replica - the voter
+     * @returns whether it should wait for its replacement
+     */
+    handleLeaveRequest(replica: ReplicaAddress): LeaveResult {
+        const { host, getNowMs } = this.options;
+        this.leaving.set(replica.id, { replica, receivedMs: getNowMs() });
+        void this.changeIfDue();
+        if (!host.replica.hasLeaderLease()) {
+            return { is_replacement_pending: true };
+        }
+        const isVoter = host.replica.getStatus().replicas.voters.some((voter) => voter.id === replica.id);
+        const isChangeDue = this.isChanging || chooseVoterChange(this.createView()) !== undefined;
+        return { is_replacement_pending: isVoter && isChangeDue };
+    }
+
+    /**
+     * Prepares for the end of the process: hands over the leadership, announces that this voter leaves, and waits while a
+     * learner takes its place. Without that, the set would keep a voter that may never return until its silence is noticed.
+     */
+    async leave(): Promise<void> {
+        const { host, getNowMs, log } = this.options;
+        this.stop();
+        log.record("info", "stopping", { role: host.replica.getStatus().role });
+        const startMs = getNowMs();
+        let transferredMs: number | undefined;
+        let isPending = true;
+        while (isPending && getNowMs() - startMs < MAX_LEAVE_MS) {
+            const { leader, replicas } = host.replica.getStatus();
+            if (leader?.id === host.self.id) {
+                transferredMs ??= this.transferLeadership();
+                isPending = getNowMs() - transferredMs < LEADERSHIP_TRANSFER_MS;
+            }
+            else {
+                transferredMs = undefined;
+                isPending = leader === undefined
+                    ? replicas.learners.length > 0
+                    : await this.sendLeaveRequest(leader.address);
+            }
+            if (isPending) {
+                await waitMs(LEAVE_INTERVAL_MS);
+            }
+        }
+        log.record("info", "voter-left", { pending: isPending, ms: Math.round(getNowMs() - startMs) });
+    }
+
+    /** Returns when it was handed over. */
+    private transferLeadership(): number {
+        const { host, getNowMs, log } = this.options;
+        const next = host.replica.transferLeadership((id) => !this.isLeaving(id));
+        log.record("info", "leadership-transfer", { handed_to: next?.id });
+        return getNowMs();
+    }
+
+    private async sendLeaveRequest(leader: string): Promise<boolean> {
+        const { host, peers, log } = this.options;
+        try {
+            const raw = await peers.call(leader, "leave", { replica: host.self }, REQUEST_TIMEOUT_MS);
+            return leaveResultSchema.parse(raw).is_replacement_pending;
+        }
+        catch (error) {
+            log.record("debug", "leave-failed", { peer: leader, reason: String(error) });
+            return true;
+        }
+    }
+
     private check(): void {
         const { host, getNowMs } = this.options;
         const status = host.replica.getStatus();
@@ -105,7 +188,7 @@
     private async sendJoinRequest(address: string, mayRedirect: boolean = true): Promise<void> {
         const { host, peers, log } = this.options;
         try {
-            const raw = await peers.call(address, "join", { replica: host.self }, JOIN_TIMEOUT_MS);
+            const raw = await peers.call(address, "join", { replica: host.self }, REQUEST_TIMEOUT_MS);
             const { leader } = joinResultSchema.parse(raw);
             if (mayRedirect && leader !== undefined && leader.address !== address) {
                 await this.sendJoinRequest(leader.address, false);
@@ -116,40 +199,50 @@
         }
     }
 
+    /** Changes the set until nothing has to change. */
     private async changeIfDue(): Promise<void> {
-        const { host, log, toleratedLosses } = this.options;
-        this.removeExpiredRequests();
+        const { host, log } = this.options;
         if (this.isChanging) {
             return;
         }
+        this.isChanging = true;
+        for (let isApplied = true; isApplied && host.replica.hasLeaderLease();) {
+            removeExpired(this.joining, this.options.getNowMs());
+            removeExpired(this.leaving, this.options.getNowMs());
+            const next = chooseVoterChange(this.createView());
+            if (next === undefined) {
+                break;
+            }
+            const result = await host.replica.changeReplicas(next);
+            isApplied = result.kind === "applied";
+            log.record("info", "voters", {
+                voters: next.voters.map((one) => one.id).join(","),
+                learners: next.learners.map((one) => one.id).join(","),
+                outcome: result.kind === "refused" ? result.reason : result.kind,
+            });
+        }
+        this.isChanging = false;
+    }
+
+    private createView(): VoterView {
+        const { host, toleratedLosses } = this.options;
         const { replicas } = host.replica.getStatus();
         const known = new Set([...replicas.voters, ...replicas.learners].map((one) => one.id));
-        const next = chooseVoterChange({
+        return {
             replicas,
             selfId: host.self.id,
             joining: [...this.joining.values()].map((one) => one.replica).filter((one) => !known.has(one.id)),
             getSilenceMs: (id) => host.replica.getMsSinceLastContact(id),
+            isLeaving: (id) => this.isLeaving(id),
             toleratedLosses,
-        });
-        if (next === undefined) {
-            return;
-        }
-        this.isChanging = true;
-        const result = await host.replica.changeReplicas(next);
-        this.isChanging = false;
-        log.record("info", "voters", {
-            voters: next.voters.map((one) => one.id).join(","),
-            learners: next.learners.map((one) => one.id).join(","),
-            outcome: result.kind === "refused" ? result.reason : result.kind,
-        });
+        };
     }
+}
 
-    private removeExpiredRequests(): void {
-        const nowMs = this.options.getNowMs();
-        for (const [id, { receivedMs }] of this.joining) {
-            if (nowMs - receivedMs > JOIN_REQUEST_TTL_MS) {
-                this.joining.delete(id);
-            }
+function removeExpired(requests: Map<string, MemberRequest>, nowMs: number): void {
+    for (const [id, { receivedMs }] of requests) {
+        if (nowMs - receivedMs > REQUEST_TTL_MS) {
+            requests.delete(id);
         }
     }
 }
--- a/packages/decisions/src/version/chooseVoterChange.ts
+++ b/packages/decisions/src/version/chooseVoterChange.ts
@@ -11,6 +11,8 @@
     readonly joining: readonly ReplicaAddress[];
     /** Time since the last message of a replica, in milliseconds. */
     readonly getSilenceMs: (id: string) => number;
+    /** Whether a replica has announced that its process is about to end. */
+    readonly isLeaving: (id: string) => boolean;
     /** Simultaneous losses to tolerate. */
     readonly toleratedLosses: number;
 }
@@ -59,13 +61,24 @@
 
 function promoteLearner(view: VoterView): ReplicaSet | undefined {
     const { voters, learners } = view.replicas;
-    const learner = learners.find((one) => view.getSilenceMs(one.id) < VOTER_TIMEOUT_MS);
+    const others = voters.filter((one) => one.id !== view.selfId);
+    const leaving = others.find((one) => view.isLeaving(one.id));
+    const silent = others.find((one) => view.getSilenceMs(one.id) > VOTER_TIMEOUT_MS);
+    const surplus = voters.length - computeVoterTarget(view.toleratedLosses);
+    const learner = learners.find((one) => view.getSilenceMs(one.id) < VOTER_TIMEOUT_MS && !view.isLeaving(one.id));
+    if (surplus > 0) {
+        return removeVoter(view.replicas, silent ?? leaving);
+    }
     if (learner === undefined) {
         return undefined;
     }
-    if (voters.length < computeVoterTarget(view.toleratedLosses)) {
+    // A leaving voter still votes, so its successor comes first: with it there are never too few for the losses.
+    if (surplus < 0 || leaving !== undefined) {
         return { voters: [...voters, learner], learners: learners.filter((one) => one !== learner) };
     }
-    const silent = voters.find((one) => one.id !== view.selfId && view.getSilenceMs(one.id) > VOTER_TIMEOUT_MS);
-    return silent === undefined ? undefined : { voters: voters.filter((one) => one !== silent), learners };
+    return removeVoter(view.replicas, silent);
+}
+
+function removeVoter({ voters, learners }: ReplicaSet, removed: ReplicaAddress | undefined): ReplicaSet | undefined {
+    return removed === undefined ? undefined : { voters: voters.filter((one) => one !== removed), learners };
 }
--- a/packages/decisions/tests/chooseNextStep.test.ts
+++ b/packages/decisions/tests/chooseNextStep.test.ts
@@ -237,6 +237,7 @@
     selfId: "a",
     joining: [],
     getSilenceMs: () => 0,
+    isLeaving: () => false,
     toleratedLosses: 2,
 };
 const five = ["a", "b", "c", "d", "e"].map((id) => replica(id));
@@ -268,6 +269,40 @@
         change: { getSilenceMs: (id) => id === "c" ? 60_000 : 0 },
         next: undefined,
     },
+    {
+        title: "a leaving voter stays until a learner has joined it",
+        change: { replicas: { voters: five, learners: [replica("f")] }, isLeaving: (id) => id === "c" },
+        next: "a,b,c,d,e,f|",
+    },
+    {
+        title: "a leaving voter goes once there are voters enough without it",
+        change: { replicas: { voters: [...five, replica("f")], learners: [] }, isLeaving: (id) => id === "c" },
+        next: "a,b,d,e,f|",
+    },
+    {
+        title: "of too many voters a silent one goes before a leaving one",
+        change: {
+            replicas: { voters: [...five, replica("f")], learners: [] },
+            isLeaving: (id) => id === "c",
+            getSilenceMs: (id) => id === "d" ? 4_000 : 0,
+        },
+        next: "a,b,c,e,f|",
+    },
+    {
+        title: "a leaving voter stays while no learner waits",
+        change: { replicas: { voters: five, learners: [] }, isLeaving: (id) => id === "c" },
+        next: undefined,
+    },
+    {
+        title: "a leaving learner takes nobody's place",
+        change: { replicas: { voters: five, learners: [replica("f")] }, isLeaving: (id) => id === "c" || id === "f" },
+        next: undefined,
+    },
+    {
+        title: "a leader that leaves hands over before it is replaced",
+        change: { replicas: { voters: [...five, replica("f")], learners: [] }, isLeaving: (id) => id === "a" },
+        next: undefined,
+    },
     {
         title: "another replica at a voter's address means its disk is gone",
         change: { joining: [replica("b2", "b")] },
--- a/packages/schemas/src/fleetMessage.ts
+++ b/packages/schemas/src/fleetMessage.ts
@@ -233,6 +233,12 @@
 /** Result of `join`. */
 export const joinResultSchema = z.object({ leader: replicaAddressSchema.optional() });
 
+/** Result of `leave`, whose parameters are those of `join`: a voter whose process is about to end. */
+export const leaveResultSchema = z.object({
+    /** Whether the replica still is a voter that a learner is about to replace. */
+    is_replacement_pending: z.boolean(),
+});
+
 /** Requests and retries sent to each service in the latest window of the retry budget. */
 export type RetryBudgetUsage = z.infer<typeof retryBudgetUsageSchema>;
 /** Request counts by the first upstream of the request's path. */
@@ -257,6 +263,8 @@
 export type ResendResult = z.infer<typeof resendResultSchema>;
 /** Parameters of `leaving`. */
 export type LeavingParameters = z.infer<typeof leavingParametersSchema>;
+/** Result of `leave`. */
+export type LeaveResult = z.infer<typeof leaveResultSchema>;
 /** Result of `leaving`. */
 export type LeavingResult = z.infer<typeof leavingResultSchema>;
 /** How other entries may send requests to upstreams through an entry. */
