fix(coordination): let a new leader know which voters were silent before it

There is no leader any more.

Cause: each leader counted the 3 s after which a silent voter is replaced from its own election.

Change: the leader's messages name the voters that have not answered for longer than an election timeout, and for how long; a follower knows when it last heard the leader itself, and a leader that steps down keeps what it knows. A new leader counts on from there, after two heartbeats in which a sound voter answers it. Messages without the field are read as before.

--- a/packages/coordination/src/process/election.ts
+++ b/packages/coordination/src/process/election.ts
@@ -168,6 +168,7 @@
  * @param context - the replica
  */
 export function stepDown(context: ReplicaContext): void {
+    keepLastHeard(context);
     context.role.send("stepped-down");
     context.leader = undefined;
     context.isTransferringLeadership = false;
@@ -180,6 +181,15 @@
     });
 }
 
+/** Keeps what a leader knows of silent voters, in case it is elected again. */
+function keepLastHeard(context: ReplicaContext): void {
+    for (const [id, { lastAckedSendMs }] of context.progress) {
+        if (lastAckedSendMs > (context.lastHeardMs.get(id) ?? Number.NEGATIVE_INFINITY)) {
+            context.lastHeardMs.set(id, lastAckedSendMs);
+        }
+    }
+}
+
 /**
  * Restarts the election timer with a new random timeout.
  * @param context - the replica
@@ -261,6 +271,10 @@
     context.leader = options.self;
     context.isTransferringLeadership = false;
     context.progress.clear();
+    const now = getMonotonicMs(context);
+    log.getReplicas().voters.forEach(({ id }) => {
+        context.lastHeardMs.set(id, context.lastHeardMs.get(id) ?? now);
+    });
     // Entries of earlier terms are committed only together with one of the leader's own term (Raft, section 5.4.2).
     appendAsLeader(context, { kind: "none" });
     sendAppendToAll(context);
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -27,6 +27,7 @@
 } from "./replicaContext.js";
 import {
     appendAsLeader,
+    getLastHeardMs,
     getProgress,
     handleAppend,
     handleAppendAnswer,
@@ -38,6 +39,8 @@
 
 /** Timer ticks per heartbeat interval. */
 const TICKS_PER_HEARTBEAT = 2;
+/** Heartbeat intervals in which a replica that is not silent answers a new leader. */
+const HEARTBEATS_TO_ANSWER = 2;
 
 /** Status of a replica. */
 export interface ReplicaStatus {
@@ -252,16 +255,21 @@
     }
 
     /**
-     * Gets how long another replica has not answered this leader.
+     * Gets how long another replica has not answered this leader and those before it.
      * @param id - the replica
-     * @returns milliseconds, counted from this leader's election at the earliest; 0 unless this replica leads
+     * @returns milliseconds, counted from this leader's election until a sound replica must have answered it; 0 unless this
+     * replica leads
      */
     getMsSinceLastContact(id: string): number {
         const { context } = this;
         if (context.role.get() !== "leader") {
             return 0;
         }
-        return getMonotonicMs(context) - Math.max(getProgress(context, id).lastAckedSendMs, this.electedMs);
+        const now = getMonotonicMs(context);
+        const sinceElectionMs = now - this.electedMs;
+        const silenceMs = now - getLastHeardMs(context, id, this.electedMs);
+        const answerMs = context.options.timing.heartbeatMs * HEARTBEATS_TO_ANSWER;
+        return sinceElectionMs < answerMs ? Math.min(silenceMs, sinceElectionMs) : silenceMs;
     }
 
     /**
@@ -343,6 +351,7 @@
         roundStartedMs: now,
         restartReports: new Map(),
         progress: new Map(),
+        lastHeardMs: new Map(),
         proposals: new Map(),
         isTransferringLeadership: false,
         lastBroadcastMs: 0,
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -137,6 +137,8 @@
     /** Reports of voters, in the current pre-vote round, that they have heard no leader since their start. */
     restartReports: Map<string, RestartReport>;
     progress: Map<string, Progress>;
+    /** When other voters were last heard, by this replica or an earlier leader, by the local monotonic clock. */
+    lastHeardMs: Map<string, number>;
     proposals: Map<number, PendingProposal>;
     /** Set during a leadership transfer: the leader holds no lease and accepts no proposals. */
     isTransferringLeadership: boolean;
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -65,6 +65,27 @@
     });
 }
 
+/**
+ * Gets when a voter was last heard, by this leader or an earlier one.
+ * @param context - the leader
+ * @param id - the voter
+ * @param otherwiseMs - the time to count from if no silence of the voter is known
+ * @returns milliseconds by the monotonic clock
+ */
+export function getLastHeardMs(context: ReplicaContext, id: string, otherwiseMs: number): number {
+    return Math.max(getProgress(context, id).lastAckedSendMs, context.lastHeardMs.get(id) ?? otherwiseMs);
+}
+
+/** Lists the voters that a later leader should not have to find silent anew. */
+function listSilentVoters(context: ReplicaContext): { id: string; ms: number; }[] {
+    const { timing, self } = context.options;
+    const now = getMonotonicMs(context);
+    return context.log.getReplicas().voters.flatMap(({ id }) => {
+        const ms = id === self.id ? 0 : now - getLastHeardMs(context, id, now);
+        return ms > timing.minElectionTimeoutMs ? [{ id, ms }] : [];
+    });
+}
+
 /**
  * Handles entries from the leader. The answer is sent once they are on disk.
  * @param context - the replica
@@ -81,6 +102,7 @@
         return;
     }
     followLeader(context, from, message.term);
+    recordSilentVoters(context, from.id, message.silent ?? []);
     const { log } = context;
     const startIndex = log.start.index;
     const hasPrevious = message.previous_index < startIndex
@@ -246,6 +268,7 @@
         progress.highestSentIndex = Math.max(progress.highestSentIndex, progress.lastSentIndex);
         progress.inFlightSinceMs = now;
     }
+    const silent = listSilentVoters(context);
     options.functions.send(to, {
         kind: "append",
         term: context.term,
@@ -253,6 +276,7 @@
         previous_term: log.getTerm(previousIndex) ?? 0,
         entries,
         commit_index: context.commitIndex,
+        ...(silent.length === 0 ? {} : { silent }),
         sent_ms: now,
     });
 }
@@ -317,6 +341,15 @@
     resetElectionTimeout(context);
 }
 
+function recordSilentVoters(
+    context: ReplicaContext,
+    leader: string,
+    silent: readonly { readonly id: string; readonly ms: number; }[],
+): void {
+    const now = getMonotonicMs(context);
+    context.lastHeardMs = new Map([...silent.map(({ id, ms }) => [id, now - ms] as const), [leader, now]]);
+}
+
 function answerAfterSync(context: ReplicaContext, to: ReplicaAddress, sentMs: number, matchIndex: number): void {
     const { term } = context;
     context.queue.runAfterSync(() => {
--- a/packages/daemon/tests/voterLosses.test.ts
+++ b/packages/daemon/tests/voterLosses.test.ts
@@ -8,6 +8,14 @@
 const CATCH_UP_MS = 4_000;
 /** Time after the return of all machines within which there has to be a leader. */
 const RECOVERY_MS = 12_000;
+/** Time from the loss of a machine without notice to the start of its successor. */
+const SUCCESSOR_MS = 1_000;
+const MAX_RESTART_MS = 500;
+const MAX_PAUSE_MS = 2_500;
+/** The longest cut that the losses contain. */
+const CUT_MS = 5_500;
+/** Nothing is lost by a cut, so its end is not waited for as that of a loss. */
+const AFTER_CUT_MS = 800;
 /** CI uses some seeds; more by hand. */
 const seeds = Number(process.env.VOTER_SEEDS ?? 10);
 const firstSeed = Number(process.env.VOTER_FROM ?? 1);
@@ -31,6 +39,30 @@
     await simulation.terminate(chooseReplaced(voters));
 }
 
+/**
+ * A machine is gone without notice, its successor comes a second later, and the leader is killed and returns some times
+ * meanwhile. Each of them counts as lost until `CATCH_UP_MS` after its start.
+ */
+async function replaceWithoutNotice(
+    simulation: VoterSimulation,
+    gone: SimulatedMachine | undefined,
+    leaderChanges: number,
+): Promise<void> {
+    simulation.kill(gone ?? simulation.choose(simulation.listRunning()));
+    await simulation.wait(SUCCESSOR_MS);
+    await simulation.addMachine();
+    for (let change = 0; change < leaderChanges; change += 1) {
+        await simulation.wait(simulation.drawRandom() * MAX_PAUSE_MS);
+        const leader = simulation.getLeader();
+        if (leader !== undefined) {
+            simulation.kill(leader);
+            await simulation.wait(simulation.drawRandom() * MAX_RESTART_MS);
+            await simulation.startMachine(leader);
+        }
+    }
+    await simulation.wait(CATCH_UP_MS);
+}
+
 const rows: readonly Row[] = [
     {
         title: "a follower is replaced as planned",
@@ -59,6 +91,38 @@
             }
         },
     },
+    {
+        title: "a follower is gone without notice",
+        replace: (simulation) =>
+            replaceWithoutNotice(simulation, chooseFollower(simulation, simulation.listRunning()), 0),
+    },
+    {
+        title: "the leader is gone without notice",
+        replace: (simulation) => replaceWithoutNotice(simulation, simulation.getLeader(), 0),
+    },
+    {
+        title: "a machine is gone without notice, and the leader changes",
+        replace: (simulation) => replaceWithoutNotice(simulation, undefined, 1),
+    },
+    {
+        title: "a machine is gone without notice, and the leader changes twice",
+        replace: (simulation) => replaceWithoutNotice(simulation, undefined, 2),
+    },
+    {
+        title: "a machine is gone without notice, and the voters are cut in two halves",
+        replace: async (simulation) => {
+            simulation.kill(chooseFollower(simulation, simulation.listRunning()));
+            await simulation.wait(SUCCESSOR_MS);
+            const successor = await simulation.addMachine();
+            await simulation.wait(SUCCESSOR_MS);
+            const leader = simulation.getLeader() ?? successor;
+            const others = simulation.listRunning().filter((machine) => machine !== leader && machine !== successor);
+            simulation.cut([leader, ...others.slice(0, 1)], [...others.slice(1), successor]);
+            await simulation.wait(CUT_MS);
+            simulation.heal();
+            await simulation.wait(AFTER_CUT_MS);
+        },
+    },
 ];
 
 /** Guards against a set of voters that keeps a replaced machine, so that the tolerated losses leave no quorum. */
--- a/packages/schemas/src/replicaMessage.ts
+++ b/packages/schemas/src/replicaMessage.ts
@@ -82,6 +82,8 @@
         previous_term: z.int(),
         entries: z.array(logEntrySchema),
         commit_index: z.int(),
+        /** Voters that have not answered for longer than an election timeout, and for how long. */
+        silent: z.array(z.object({ id: z.string(), ms: z.number() })).optional(),
         /** The leader's monotonic send time, echoed in the reply; the lease starts at that time. */
         sent_ms: z.number(),
     }),
