fix(entry): take a reset that comes with data for a reset

Cause: where a reset is received together with data, libuv reports the data and an orderly end, and no error. The end of the connection is the end of such an answer.

Change: connections to upstreams look at their end first. An empty write sends nothing and fails at once on a connection that was reset; the response then ends with an error. This is done where all upstream exchanges start (BoundedPool), so that calls, streams and relays share it.

Evidence: cutAnswers.test.ts, 320 rows: 17 beginnings of answers, closed or reset, at once or later, on a kept connection and on new ones, as calls, repeatable calls and streams, directly and through a relay. 8 failed before ("expected 200 to be one of [ 502, undefined ]"), all pass.

--- a/packages/daemon/src/connection/boundedPool.ts
+++ b/packages/daemon/src/connection/boundedPool.ts
@@ -1,10 +1,11 @@
 /**
- * HTTP connections that bound what a server may send besides the bodies of its responses. undici bounds the size of a head
+ * HTTP connections that bound what a server may send besides the bodies of its responses, and report a reset as such. undici bounds the size of a head
  * only: interim responses, blank lines, a reason phrase, chunk sizes and chunk extensions may go on without end.
  */
 import type { Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher, Pool } from "undici";
 import { UPSTREAM_HEAD_LIMIT_BYTES } from "./messageLimits.js";
+import { ResetError, watchForReset } from "./watchForReset.js";
 
 /** Bytes without a final head or a part of a body after which a connection is closed; above the largest head. */
 const MAX_UNUSED_BYTES = 128 * 1_024;
@@ -89,6 +90,7 @@
     private startBytes = 0;
     private contentBytes = 0;
     private isRunning = false;
+    private wasReset = false;
 
     watchConnections(connect: buildConnector.connector): buildConnector.connector {
         return (options, callback) => {
@@ -96,6 +98,10 @@
                 const [error, socket] = result;
                 if (error === null) {
                     this.socket = socket;
+                    this.wasReset = false;
+                    watchForReset(socket, () => {
+                        this.wasReset = true;
+                    });
                     this.recordUse();
                     socket.on("readable", () => {
                         this.check(socket);
@@ -123,9 +129,11 @@
         this.unusedReads = 0;
     }
 
-    end(): void {
+    /** Returns an error if the end of the connection, which ended the response, was a reset. */
+    end(): ResetError | undefined {
         this.isRunning = false;
         this.recordUse();
+        return this.wasReset ? new ResetError() : undefined;
     }
 
     private check(socket: Socket): void {
@@ -201,8 +209,13 @@
             handler.onResponseData?.(controller, chunk);
         },
         onResponseEnd: (controller, trailers) => {
-            guard?.end();
-            handler.onResponseEnd?.(controller, trailers);
+            const error = guard?.end();
+            if (error === undefined) {
+                handler.onResponseEnd?.(controller, trailers);
+            }
+            else {
+                handler.onResponseError?.(controller, error);
+            }
         },
         onResponseError: (controller, error) => {
             guard?.end();
--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -7,6 +7,7 @@
 import type { BoundedOptions } from "./boundedPool.js";
 import { describeFailure, type ExchangeFailure } from "./exchangeFailure.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
+import { ResetError } from "./watchForReset.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
 /** A request to an upstream. */
@@ -67,15 +68,13 @@
         connect(options, (...result) => {
             const [, socket] = result;
             socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
-                error.code = error.code === "ECONNRESET" ? RESET_CODE : error.code;
+                error.code = error.code === "ECONNRESET" ? new ResetError().code : error.code;
             });
             callback(...result);
         });
     };
 }
 
-const RESET_CODE = "UPSTREAM_RESET";
-
 /** Options of the connection pools to upstreams. */
 export const upstreamConnectionOptions: BoundedOptions = {
     connect: createConnector(),
