test(daemon): run the time-outs of trueRefusals by the turns of the event loop

Known failures: rows in which none of the requests was refused as not run. Suspected until now: the process stands still for longer than the time-out of 250 ms, of which no request sees anything but its end.

A fault of the test.

Change: a paused clock advances by a millisecond with each turn of the loop, so a process that stands still or is slow has the same time as a fast one. Requests, time-outs, waits and checks are as before.

--- a/packages/daemon/tests/trueRefusals.test.ts
+++ b/packages/daemon/tests/trueRefusals.test.ts
@@ -1,6 +1,7 @@
 import type { Route } from "@crankfork/schemas";
 import { expect } from "chai";
-import { setTimeout as delay } from "node:timers/promises";
+import { waitMs } from "../src/process/waitMs.js";
+import { installClock } from "./installedClock.js";
 import {
     type EntryOptions,
     formatChunk,
@@ -63,6 +64,27 @@
     quarantine: (hasBeenSent) => ({ crashes: { isQuarantined: hasBeenSent } }),
 };
 
+/**
+ * Advances a paused clock by a millisecond with each turn of the event loop, so that time-outs do not depend on how fast
+ * the process runs.
+ * @returns restores the clock
+ */
+function startLoopClock(): () => void {
+    const clock = installClock();
+    let isRunning = true;
+    const advance = (): void => {
+        if (isRunning) {
+            clock.tick(1);
+            setImmediate(advance);
+        }
+    };
+    setImmediate(advance);
+    return () => {
+        isRunning = false;
+        clock.uninstall();
+    };
+}
+
 interface Played {
     readonly status: number | undefined;
     /** Upstreams that received the request and may have run it. */
@@ -97,7 +119,7 @@
         () => undefined,
     );
     const sentBefore = countSent();
-    await delay(LATER_MS);
+    await waitMs(LATER_MS);
     const sentLater = countSent() - sentBefore;
     const runs =
         upstreams.filter((one, index) => one.requests.length > 0 && endings[names[index] ?? ""]?.mayRun).length;
@@ -110,6 +132,16 @@
 
 // Guards against a caller that repeats a request elsewhere although it ran, since it was told that it had not.
 describe("a refusal that says that the request has not run is true", () => {
+    let stopClock: () => void;
+
+    beforeEach(() => {
+        stopClock = startLoopClock();
+    });
+
+    afterEach(() => {
+        stopClock();
+    });
+
     const attempts = Object.keys(endings).flatMap((first) => [
         [first],
         ...seconds.map((next) => [first, next]),
