--- a/packages/daemon/src/connection/boundedPool.ts
+++ b/packages/daemon/src/connection/boundedPool.ts
@@ -1,6 +1,7 @@
 /**
- * HTTP connections that bound what a server may send besides the bodies of its responses, and report a reset as such. undici bounds the size of a head
- * only: interim responses, blank lines, a reason phrase, chunk sizes and chunk extensions may go on without end.
+ * HTTP connections that bound what a server may send besides the bodies of its responses, and report a reset as such. undici
+ * bounds the size of a head only: interim responses, blank lines, a reason phrase, chunk sizes and chunk extensions may go
+ * on without end.
  */
 import type { Socket } from "node:net";
 import { type buildConnector, Client, type Dispatcher, Pool } from "undici";
