fix(voter): acknowledge a configuration once voters that are gone are replaced

There is no leader any more, and the acknowledged configuration is gone.

Cause: a new leader needs some tenths of a second to remove the voter that is gone and to promote its successor. What was committed in that time was acknowledged at once, though the set did not bear the tolerated losses yet.

Change: the acknowledgement waits while a change of the set is due or under way, and in the first 0.6 s of a leader while a voter has not answered it; a successor that was cut off as well repeats its join request in that time. The limit is 0.9 s, since operators repeat a request after a second. A leader that loses its lease meanwhile leaves the outcome open.

Evidence: voterLosses.test.ts, two new rows.

--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -272,6 +272,14 @@
         return sinceElectionMs < answerMs ? Math.min(silenceMs, sinceElectionMs) : silenceMs;
     }
 
+    /**
+     * Gets how long this replica has led.
+     * @returns milliseconds; 0 unless it leads
+     */
+    getMsSinceElection(): number {
+        return this.context.role.get() === "leader" ? getMonotonicMs(this.context) - this.electedMs : 0;
+    }
+
     /**
      * Handles a change of the role. A new leader steps down unless a quorum answers within the minimum election timeout
      * of its election.
--- a/packages/daemon/src/process/voter/documentStore.ts
+++ b/packages/daemon/src/process/voter/documentStore.ts
@@ -9,6 +9,11 @@
 /** Dependencies of {@link DocumentStore}. */
 export interface DocumentStoreOptions extends ProposalOptions {
     readonly log: EventLog;
+    /**
+     * Waits until voters that are gone have been replaced, where successors are there; resolves to whether this replica still
+     * leads.
+     */
+    readonly awaitReplacements: () => Promise<boolean>;
 }
 
 /** Commits and reads the operator's document. */
@@ -22,7 +27,7 @@
      * Commits a version of the operator's document. The highest version wins; a version that is not higher changes nothing.
      * @param table - the decoded document
      * @param content - the document as received
-     * @returns done once a quorum has committed this version or a higher one
+     * @returns done once a quorum that bears the tolerated losses has committed this version or a higher one
      */
     async commitDocument(table: RoutingTable, content: unknown): Promise<VoterResult<undefined>> {
         const { host, log, getNowMs } = this.options;
@@ -32,20 +37,32 @@
         const held = host.state.getDocument()?.version;
         if (held !== undefined && held >= table.version) {
             log.record("info", "document-overtaken", { version: table.version, held });
-            return { kind: "done", value: undefined };
+            return await this.createAcknowledgement();
         }
         const startMs = getNowMs();
         // Compressed once here: the log, disks, snapshots and entries then store and send about a tenth of the bytes.
         const packed = packDocument(content);
-        const result = await proposeChange(this.options, { kind: "put-document", version: table.version, packed });
-        const ms = Math.round(getNowMs() - startMs);
-        const bytes = packed.length;
+        const commit = await proposeChange(this.options, { kind: "put-document", version: table.version, packed });
+        const commitMs = Math.round(getNowMs() - startMs);
+        const result = commit.kind === "done" ? await this.createAcknowledgement() : commit;
         const { term, commitIndex } = host.replica.getStatus();
-        const position = { term, commit_index: commitIndex };
-        log.record("info", "document", { version: table.version, held, outcome: result.kind, ms, bytes, ...position });
+        log.record("info", "document", {
+            version: table.version,
+            held,
+            outcome: result.kind,
+            ms: commitMs,
+            replacement_ms: Math.round(getNowMs() - startMs) - commitMs,
+            bytes: packed.length,
+            term,
+            commit_index: commitIndex,
+        });
         return result;
     }
 
+    private async createAcknowledgement(): Promise<VoterResult<undefined>> {
+        return await this.options.awaitReplacements() ? { kind: "done", value: undefined } : { kind: "unavailable" };
+    }
+
     /**
      * Gets the newest committed document.
      * @returns the document as received, or undefined if none has been committed
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -187,7 +187,13 @@
         getNowMs,
     });
     const getServices = createServiceReader(host, protocol.decodeDocument);
-    const document = new DocumentStore({ host, log, getNowMs, recordCommitMs: metrics.recordCommitMs });
+    const document = new DocumentStore({
+        host,
+        log,
+        getNowMs,
+        recordCommitMs: metrics.recordCommitMs,
+        awaitReplacements: () => group.awaitReplacements(),
+    });
     const upstreams: UpstreamRegistry = new UpstreamRegistry({
         host,
         log,
@@ -243,7 +249,7 @@
         haveEntriesApplied: (index) => entries.haveApplied(index),
     });
     const documents = new DocumentSource({ host, getNowMs, linkMbps: resourceLimits.link });
-    const group = new VoterGroup({
+    const group: VoterGroup = new VoterGroup({
         host,
         peers,
         log,
--- a/packages/daemon/src/process/voter/voterGroup.ts
+++ b/packages/daemon/src/process/voter/voterGroup.ts
@@ -32,6 +32,10 @@
 const LEADERSHIP_TRANSFER_MS = 400;
 /** Time for a successor to take the place of a voter that stops: two changes of the set, and an election before them. */
 const MAX_LEAVE_MS = 3_000;
+/** Time after an election within which every replica that waits for a leader has repeated its join request. */
+const JOIN_WINDOW_MS = JOIN_INTERVAL_MS + 100;
+/** Limit for the wait for a replacement; operators repeat a request that is not answered within a second. */
+const MAX_REPLACEMENT_MS = 900;
 
 interface MemberRequest {
     readonly replica: ReplicaAddress;
@@ -98,8 +102,25 @@
             return { is_replacement_pending: true };
         }
         const isVoter = host.replica.getStatus().replicas.voters.some((voter) => voter.id === replica.id);
-        const isChangeDue = this.isChanging || chooseVoterChange(this.createView()) !== undefined;
-        return { is_replacement_pending: isVoter && isChangeDue };
+        return { is_replacement_pending: isVoter && this.isChangeDue() };
+    }
+
+    /**
+     * Waits until voters that are gone have been replaced, where successors are there. Until then, what is committed would
+     * not survive the tolerated losses.
+     * @returns whether this replica still leads; resolves at the latest after {@link MAX_REPLACEMENT_MS}
+     */
+    async awaitReplacements(): Promise<boolean> {
+        const { host, getNowMs } = this.options;
+        const startMs = getNowMs();
+        while (
+            host.replica.hasLeaderLease()
+            && this.isReplacementExpected()
+            && getNowMs() - startMs < MAX_REPLACEMENT_MS
+        ) {
+            await waitMs(CHECK_INTERVAL_MS);
+        }
+        return host.replica.hasLeaderLease();
     }
 
     /**
@@ -224,6 +245,20 @@
         this.isChanging = false;
     }
 
+    private isChangeDue(): boolean {
+        return this.isChanging || chooseVoterChange(this.createView()) !== undefined;
+    }
+
+    /** Right after an election it is unknown which voters are gone, and which replicas want to join. */
+    private isReplacementExpected(): boolean {
+        const { replica, self } = this.options.host;
+        const ledMs = replica.getMsSinceElection();
+        const hasSilentVoter = replica.getStatus().replicas.voters.some(({ id }) =>
+            id !== self.id && replica.getMsSinceLastContact(id) >= ledMs
+        );
+        return this.isChangeDue() || (hasSilentVoter && ledMs < JOIN_WINDOW_MS);
+    }
+
     private createView(): VoterView {
         const { host, toleratedLosses } = this.options;
         const { replicas } = host.replica.getStatus();
--- a/packages/daemon/tests/leaderHarness.ts
+++ b/packages/daemon/tests/leaderHarness.ts
@@ -104,7 +104,12 @@
         getUnixMs: () => 0,
         haveEntriesApplied: () => true,
     });
-    readonly document = new DocumentStore({ host: this.host, log, getNowMs: () => performance.now() });
+    readonly document = new DocumentStore({
+        host: this.host,
+        log,
+        getNowMs: () => performance.now(),
+        awaitReplacements: () => Promise.resolve(true),
+    });
 
     readonly upstreams = new UpstreamRegistry({
         host: this.host,
--- a/packages/daemon/tests/voterLosses.test.ts
+++ b/packages/daemon/tests/voterLosses.test.ts
@@ -63,6 +63,36 @@
     await simulation.wait(CATCH_UP_MS);
 }
 
+/**
+ * A machine is gone without notice, and the others are cut in two halves without a majority of the voters. Its successor
+ * starts a second before or after the cut.
+ */
+async function replaceBesideCut(
+    simulation: VoterSimulation,
+    { afterCutMs, startsInCut = false }: { readonly afterCutMs: number; readonly startsInCut?: boolean; },
+): Promise<void> {
+    simulation.kill(chooseFollower(simulation, simulation.listRunning()));
+    await simulation.wait(SUCCESSOR_MS);
+    const leader = simulation.getLeader() ?? simulation.choose(simulation.listRunning());
+    const others = simulation.listRunning().filter((machine) => machine !== leader);
+    const successor = startsInCut ? undefined : await simulation.addMachine();
+    await simulation.wait(SUCCESSOR_MS);
+    const half = [leader, ...others.slice(0, 1)];
+    const otherHalf = others.slice(1);
+    if (successor === undefined) {
+        simulation.cut(half, otherHalf);
+        await simulation.wait(SUCCESSOR_MS);
+        simulation.cut(half, [await simulation.addMachine()]);
+        await simulation.wait(CUT_MS - SUCCESSOR_MS);
+    }
+    else {
+        simulation.cut(half, [...otherHalf, successor]);
+        await simulation.wait(CUT_MS);
+    }
+    simulation.heal();
+    await simulation.wait(afterCutMs);
+}
+
 const rows: readonly Row[] = [
     {
         title: "a follower is replaced as planned",
@@ -110,18 +140,15 @@
     },
     {
         title: "a machine is gone without notice, and the voters are cut in two halves",
-        replace: async (simulation) => {
-            simulation.kill(chooseFollower(simulation, simulation.listRunning()));
-            await simulation.wait(SUCCESSOR_MS);
-            const successor = await simulation.addMachine();
-            await simulation.wait(SUCCESSOR_MS);
-            const leader = simulation.getLeader() ?? successor;
-            const others = simulation.listRunning().filter((machine) => machine !== leader && machine !== successor);
-            simulation.cut([leader, ...others.slice(0, 1)], [...others.slice(1), successor]);
-            await simulation.wait(CUT_MS);
-            simulation.heal();
-            await simulation.wait(AFTER_CUT_MS);
-        },
+        replace: (simulation) => replaceBesideCut(simulation, { afterCutMs: AFTER_CUT_MS }),
+    },
+    {
+        title: "the same, and the loss comes with the first acknowledgement after the cut",
+        replace: (simulation) => replaceBesideCut(simulation, { afterCutMs: 0 }),
+    },
+    {
+        title: "the same, and the successor starts while they are cut",
+        replace: (simulation) => replaceBesideCut(simulation, { afterCutMs: 0, startsInCut: true }),
     },
 ];
 
--- a/packages/daemon/tests/voterSimulation.ts
+++ b/packages/daemon/tests/voterSimulation.ts
@@ -197,8 +197,8 @@
         const value = this.lastValue;
         const outcome = { isApplied: false };
         for (const endMs = performance.now() + limitMs; !outcome.isApplied && performance.now() < endMs;) {
-            void this.getLeader()?.replica?.propose(value).then((result) => {
-                outcome.isApplied ||= result.kind === "applied";
+            void this.propose(value).then((isConfirmed) => {
+                outcome.isApplied ||= isConfirmed;
             });
             await this.waitUntil(() => outcome.isApplied, CONFIRM_ATTEMPT_MS);
         }
@@ -208,6 +208,12 @@
         return outcome.isApplied;
     }
 
+    private async propose(value: number): Promise<boolean> {
+        const { replica, group } = this.getLeader() ?? {};
+        const result = await replica?.propose(value);
+        return result?.kind === "applied" && await group?.awaitReplacements() === true;
+    }
+
     private async waitUntil(isReached: () => boolean, limitMs: number): Promise<void> {
         for (const endMs = performance.now() + limitMs; !isReached() && performance.now() < endMs;) {
             await this.wait(STEP_MS);
--- a/packages/daemon/tests/voterState.test.ts
+++ b/packages/daemon/tests/voterState.test.ts
@@ -60,6 +60,7 @@
         getNowMs: () => performance.now(),
         heartbeatMs: 1_000,
         isServiceNamed: () => true,
+        awaitReplacements: () => Promise.resolve(true),
     };
     const document = new DocumentStore(options);
     const upstreams = new UpstreamRegistry(options);
