fix(voter): let the upstream that sends heartbeats keep its address

Cause: an unknown id counted as the newest one at its address, and the upstream registered there was removed for good; its later heartbeats were acknowledged and ignored as those of an ended upstream.

Change, for upstreams that do not report their start: one that was heard at the address in the last 1.5 heartbeat intervals keeps it ("address-in-use"). Otherwise it is marked lost instead of removed, so that its next heartbeat can take the address back, and removed after eight intervals of silence. The commands of the log are unchanged. Entries look up an address among upstreams that are not lost first.

--- a/packages/daemon/src/process/voter/upstreamRegistry.ts
+++ b/packages/daemon/src/process/voter/upstreamRegistry.ts
@@ -3,7 +3,7 @@
  * that holds its lease accepts updates.
  */
 import type { ReplicaEvent } from "@crankfork/coordination";
-import { classifyHeartbeat, type HeartbeatVerdict } from "@crankfork/decisions";
+import { type AddressHolder, classifyHeartbeat, type HeartbeatVerdict } from "@crankfork/decisions";
 import {
     type FleetCommand,
     formatIncarnationId,
@@ -42,6 +42,10 @@
 
 /** Missed heartbeats after which an upstream is marked lost; heartbeats may be delayed by seconds. */
 const MAX_MISSED_HEARTBEATS = 4;
+/** Heartbeat intervals after which an upstream without start time gives up its address to another one that reports it. */
+const ADDRESS_HOLD_HEARTBEATS = 1.5;
+/** Heartbeat intervals after which a lost upstream is removed if another one holds its address; longer than a partition. */
+const REPLACED_HEARTBEATS = 8;
 
 interface ReceivedHeartbeat {
     heardMs: number;
@@ -87,11 +91,14 @@
         }
         const { status } = heartbeat;
         const verdict = this.evaluateHeartbeat(heartbeat.facts);
+        const present = host.state.getUpstream(heartbeat.facts.id);
         if (verdict.kind !== "taken") {
+            if (verdict.reason === "address-in-use" && present !== undefined) {
+                this.recordHeartbeat(heartbeat.facts.id, heartbeat.sequence);
+            }
             return this.rejectHeartbeat(heartbeat, verdict);
         }
         const isNewer = this.recordHeartbeat(heartbeat.facts.id, heartbeat.sequence);
-        const present = host.state.getUpstream(heartbeat.facts.id);
         // Slowness is known from reports only; heartbeats do not carry it.
         const held = this.releasedLayers.getHeldLayers(heartbeat.facts);
         const facts = { ...heartbeat.facts, held, slowness: present?.slowness };
@@ -101,7 +108,7 @@
         if (!isNewer || hasLeft || !hasChanged(present, facts, status)) {
             return { kind: "done", value: undefined };
         }
-        this.endPredecessorsAt(facts);
+        this.replaceOthersAt(facts);
         const result = await proposeChange(this.options, { kind: "put-upstream", facts, status });
         log.record("info", "upstream", {
             peer: facts.id,
@@ -124,7 +131,8 @@
             latest: state.getLatestIncarnation(incarnation.name),
             hasEnded: state.hasEnded(incarnation),
             registeredService: present?.service,
-            findHolder: () => present?.address === facts.address ? undefined : this.findHolder(facts),
+            findHolder: () =>
+                present?.address === facts.address && present.status !== "lost" ? undefined : this.findHolder(facts),
             countServiceUpstreams: () => this.countPeers(facts.service),
             isServiceNamed: isServiceNamed(facts.service),
         });
@@ -242,23 +250,55 @@
         const limitMs = heartbeatMs * MAX_MISSED_HEARTBEATS;
         host.state.listUpstreams().filter((upstream) => upstream.status !== "lost").forEach((upstream) => {
             // No heartbeats arrive while the machine sleeps; without this, all upstreams would be marked lost when it resumes.
-            const heardMs = Math.max(this.lastHeartbeats.get(upstream.id)?.heardMs ?? this.electedMs, lastResumeMs);
-            const silentMs = getNowMs() - heardMs;
+            const silentMs = getNowMs() - Math.max(this.getHeardMs(upstream.id), lastResumeMs);
             if (silentMs > limitMs) {
                 this.markLost(upstream, "silent", `no heartbeat for ${String(Math.round(silentMs))} ms`);
             }
         });
+        this.removeReplacedUpstreams();
+    }
+
+    /** Removes upstreams that have been lost for so long that the one which now holds their address has replaced them. */
+    private removeReplacedUpstreams(): void {
+        const { host, getNowMs, heartbeatMs } = this.options;
+        const heardBeforeMs = getNowMs() - heartbeatMs * REPLACED_HEARTBEATS;
+        const upstreams = host.state.listUpstreams();
+        const lost = upstreams.filter(({ id, status }) =>
+            status === "lost" && this.getHeardMs(id) < heardBeforeMs && !this.pendingChanges.has(id)
+        );
+        if (lost.length === 0) {
+            return;
+        }
+        const holders = new Map(upstreams.filter((one) => this.isHeard(one)).map((one) => [one.address, one.id]));
+        lost.forEach((upstream) => {
+            const holderId = holders.get(upstream.address);
+            if (holderId !== undefined) {
+                void this.endIncarnation(getIncarnation(upstream), `replaced at its address by ${holderId}`);
+            }
+        });
+    }
+
+    /** When an upstream was last heard; a new leader counts from its election. */
+    private getHeardMs(id: string): number {
+        return this.lastHeartbeats.get(id)?.heardMs ?? this.electedMs;
+    }
+
+    /** Whether an upstream was heard so recently that it holds its address. */
+    private isHeard({ id, status }: RegisteredUpstream): boolean {
+        const { getNowMs, heartbeatMs } = this.options;
+        return status !== "lost" && getNowMs() - this.getHeardMs(id) < heartbeatMs * ADDRESS_HOLD_HEARTBEATS;
     }
 
     /**
-     * Marks an upstream lost until its next heartbeat.
+     * Marks an upstream lost until its next heartbeat; one that was lost for its silence may be marked as gone.
      * @param upstream - the upstream
      * @param loss - whether it is certain that it has ended
      * @param reason - the observed fault, for the log
      */
     markLost(upstream: RegisteredUpstream, loss: UpstreamLoss, reason: string): void {
         const { status, ...facts } = upstream;
-        if (status === "lost" || this.pendingLosses.has(facts.id)) {
+        const isKnown = status === "lost" && (facts.loss !== "silent" || loss === "silent");
+        if (isKnown || this.pendingLosses.has(facts.id)) {
             return;
         }
         this.options.log.record("warn", "upstream-lost", { peer: facts.id, address: facts.address, loss, reason });
@@ -338,16 +378,30 @@
         return isNewer;
     }
 
-    /** An address is reused only after the upstream that had it before has ended. */
-    private endPredecessorsAt(facts: UpstreamFacts): void {
+    /**
+     * An address is reused only after the upstream that had it before has ended. Without start times it is not certain which
+     * of the two has; the other one may register again.
+     */
+    private replaceOthersAt(facts: UpstreamFacts): void {
+        const isCertain = getIncarnation(facts).started_at_ms !== undefined;
+        const reason = `replaced at its address by ${facts.id}`;
         this.listOthersAtAddress(facts).forEach((other) => {
-            void this.endIncarnation(getIncarnation(other), `replaced at its address by ${facts.id}`);
+            if (isCertain) {
+                void this.endIncarnation(getIncarnation(other), reason);
+            }
+            else {
+                this.markLost(other, "gone", reason);
+            }
         });
     }
 
-    private findHolder(facts: UpstreamFacts): UpstreamIncarnation | undefined {
-        const holder = this.listOthersAtAddress(facts)[0];
-        return holder === undefined ? undefined : getIncarnation(holder);
+    private findHolder(facts: UpstreamFacts): AddressHolder | undefined {
+        const others = this.listOthersAtAddress(facts);
+        const holder = others.find(({ status }) => status !== "lost") ?? others[0];
+        if (holder === undefined) {
+            return undefined;
+        }
+        return { incarnation: getIncarnation(holder), isHeard: this.isHeard(holder) };
     }
 
     /**
--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -160,7 +160,12 @@
 
     private indexAddresses(): void {
         this.idsByAddress.clear();
-        this.upstreams.forEach((upstream, id) => this.idsByAddress.set(upstream.address, id));
+        this.upstreams.forEach(({ address, status }, id) => {
+            // A lost upstream may have been replaced at its address.
+            if (status !== "lost" || !this.idsByAddress.has(address)) {
+                this.idsByAddress.set(address, id);
+            }
+        });
     }
 }
 
--- a/packages/decisions/src/version/classifyHeartbeat.ts
+++ b/packages/decisions/src/version/classifyHeartbeat.ts
@@ -5,6 +5,13 @@
  */
 import { isEarlierIncarnation, type UpstreamIncarnation } from "@crankfork/schemas";
 
+/** An incarnation that is registered at the address that another one reports. */
+export interface AddressHolder {
+    readonly incarnation: UpstreamIncarnation;
+    /** Whether it has sent a heartbeat so recently that it may be running. */
+    readonly isHeard: boolean;
+}
+
 /** What is known when a heartbeat arrives. */
 export interface HeartbeatView {
     /** The incarnation that sent it. */
@@ -17,10 +24,10 @@
     /** Service under which this incarnation is registered; undefined for a new one. */
     readonly registeredService: string | undefined;
     /**
-     * Finds the incarnation that is registered at the same address under another name; undefined where the sender is
-     * registered at that address already. Called only for a sender that reports its start time.
+     * Finds the incarnation that is registered at the same address under another name; undefined where the sender holds that
+     * address already.
      */
-    readonly findHolder: () => UpstreamIncarnation | undefined;
+    readonly findHolder: () => AddressHolder | undefined;
     /**
      * Counts the upstreams of the service, and those that report their start time; called only for a sender that does
      * not.
@@ -34,7 +41,7 @@
 export type HeartbeatVerdict =
     | { readonly kind: "taken"; }
     /** Delayed: nothing changes, and the sender need not repeat it. */
-    | { readonly kind: "overtaken"; readonly reason: "life-over" | "address-taken-over"; }
+    | { readonly kind: "overtaken"; readonly reason: "life-over" | "address-taken-over" | "address-in-use"; }
     /** Not from an upstream of this fleet. */
     | { readonly kind: "foreign"; readonly reason: "no-start" | "other-service" | "unknown-service"; };
 
@@ -57,9 +64,19 @@
     if (view.registeredService === undefined && !view.isServiceNamed) {
         return { kind: "foreign", reason: "unknown-service" };
     }
-    // An address is reused only after its former upstream has ended, so the incarnation that started later runs there.
-    const holder = incarnation.started_at_ms === undefined ? undefined : view.findHolder();
-    return holder !== undefined && isEarlierIncarnation(incarnation, holder)
+    const holder = view.findHolder();
+    return holder === undefined ? { kind: "taken" } : compareWithHolder(incarnation, holder);
+}
+
+/**
+ * An address is reused only after its former upstream has ended, so the incarnation that started later runs there. Without
+ * start times it is the one that goes on sending heartbeats; the other one's were delayed.
+ */
+function compareWithHolder(incarnation: UpstreamIncarnation, holder: AddressHolder): HeartbeatVerdict {
+    if (incarnation.started_at_ms === undefined) {
+        return holder.isHeard ? { kind: "overtaken", reason: "address-in-use" } : { kind: "taken" };
+    }
+    return isEarlierIncarnation(incarnation, holder.incarnation)
         ? { kind: "overtaken", reason: "address-taken-over" }
         : { kind: "taken" };
 }
