fix(entry): resume a stream whose caller paused earlier and has caught up

Cause: the end of the upstream's connection was put down to the caller by the longest pause of the whole stream.

Change: by the time for which the caller has been behind, from a pause until a second after the last one.

--- a/packages/daemon/src/process/entry/unreadBudget.ts
+++ b/packages/daemon/src/process/entry/unreadBudget.ts
@@ -26,6 +26,8 @@
 /** Above this share of the unread bytes an organisation gets no further requests while the budget is exceeded. */
 const REFUSED_SHARE = 0.5;
 const LOG_INTERVAL_MS = 1_000;
+/** Time after its last pause in which a caller is still reading what was sent before. */
+const CATCH_UP_MS = 1_000;
 
 /**
  * Computes the budget.
@@ -135,11 +137,13 @@
 export class UnreadResponse {
     /** Unread bytes when last asked. */
     unreadBytes = 0;
+    /** Whether its upstream is paused. */
+    isPaused = false;
     /** Called when its upstream pauses (true) and resumes (false). */
     handlePause: ((isPaused: boolean) => void) | undefined;
     private exchange: OpenExchange | undefined;
-    private pausedSinceMs: number | undefined;
-    private maxPausedMs = 0;
+    private behindSinceMs = Number.NEGATIVE_INFINITY;
+    private resumedMs = Number.NEGATIVE_INFINITY;
 
     /**
      * @param response - the response
@@ -152,15 +156,13 @@
         private readonly budget: UnreadBudget,
     ) {}
 
-    /** Whether its upstream is paused. */
-    get isPaused(): boolean {
-        return this.pausedSinceMs !== undefined;
-    }
-
-    /** Longest time for which its upstream was paused, in milliseconds. */
-    get longestPausedMs(): number {
-        const { getNowMs } = this.budget.options;
-        return Math.max(this.maxPausedMs, this.pausedSinceMs === undefined ? 0 : getNowMs() - this.pausedSinceMs);
+    /** How long the caller has not kept up, in milliseconds, from a pause on; 0 once it has caught up. */
+    get behindMs(): number {
+        const nowMs = this.budget.options.getNowMs();
+        if (this.isPaused) {
+            return nowMs - this.behindSinceMs;
+        }
+        return nowMs - this.resumedMs < CATCH_UP_MS ? this.resumedMs - this.behindSinceMs : 0;
     }
 
     /** Whether the caller does not keep up, so that Node emits `drain` once it has read, and the upstream still sends. */
@@ -202,13 +204,16 @@
             return;
         }
         const { countPause, getNowMs } = this.budget.options;
-        this.pausedSinceMs = getNowMs();
+        if (this.behindMs === 0) {
+            this.behindSinceMs = getNowMs();
+        }
+        this.isPaused = true;
         countPause();
         this.exchange?.pause();
         this.handlePause?.(true);
         this.response.once("drain", () => {
-            this.maxPausedMs = this.longestPausedMs;
-            this.pausedSinceMs = undefined;
+            this.resumedMs = getNowMs();
+            this.isPaused = false;
             this.handlePause?.(false);
             this.exchange?.resume();
         });
--- a/packages/daemon/src/request/observedAttempt.ts
+++ b/packages/daemon/src/request/observedAttempt.ts
@@ -12,7 +12,7 @@
 import { type AbortAttempt, type AttemptResult, runAttempt } from "./upstreamAttempt.js";
 
 /**
- * Pause of an upstream after which the end of its connection is put down to the caller that did not read: upstreams cut
+ * Time for which a caller has not kept up, after which the end of the upstream's connection is put down to it: upstreams cut
  * an answer that stays unread for some seconds.
  */
 const UNREAD_CUT_MS = 1_000;
@@ -156,7 +156,7 @@
  */
 function endUnread(result: AttemptResult, relay: StreamRelay | undefined): AttemptResult {
     const isCut = result.kind === "ended" && result.end === "broken" && result.hasConnectionEnded === true
-        && relay !== undefined && relay.longestPausedMs >= UNREAD_CUT_MS;
+        && relay !== undefined && relay.behindMs >= UNREAD_CUT_MS;
     if (!isCut) {
         return result;
     }
--- a/packages/daemon/src/request/routedResponse.ts
+++ b/packages/daemon/src/request/routedResponse.ts
@@ -117,9 +117,9 @@
         this.unread = budget.open(this.response, organisation);
     }
 
-    /** Longest time for which the upstream was paused because the caller did not read, in milliseconds. */
-    get longestPausedMs(): number {
-        return this.unread?.longestPausedMs ?? 0;
+    /** How long the caller has not kept up with the upstream, in milliseconds; 0 once it has caught up. */
+    get behindMs(): number {
+        return this.unread?.behindMs ?? 0;
     }
 
     /** Whether the upstream is paused because the caller does not read. */
--- a/packages/daemon/src/request/streamRelay.ts
+++ b/packages/daemon/src/request/streamRelay.ts
@@ -74,9 +74,9 @@
         return this.response.isPaused;
     }
 
-    /** Longest time for which the upstream was paused because the caller did not read, in milliseconds. */
-    get longestPausedMs(): number {
-        return this.response.longestPausedMs;
+    /** How long the caller has not kept up with the upstream, in milliseconds; 0 once it has caught up. */
+    get behindMs(): number {
+        return this.response.behindMs;
     }
 
     /** Aborts the response. */
--- a/packages/daemon/tests/slowReaders.test.ts
+++ b/packages/daemon/tests/slowReaders.test.ts
@@ -15,6 +15,10 @@
 /** Most that undici passes on of one read after a pause. */
 const READ_BYTES = 65_536;
 const CUT_MS = 1_200;
+/** Time after which a caller has read all that was sent before its pause ended. */
+const RESET_MS = 2_000;
+/** More events than are sent before the reset. */
+const MAX_EVENTS = 1_000_000;
 const EVENT_TEXT = "x".repeat(4_000);
 
 /** Sends as long as the entry reads, and cuts the stream once it has not read for a while. */
@@ -36,10 +40,36 @@
     send();
 }
 
-/** Sends a small event every 5 ms. */
-function streamSteadily(socket: Socket, requestId: string): void {
+/** Sends until the entry has not read for a while, goes on steadily once it reads again, and resets the stream later. */
+function streamUntilReset(socket: Socket, requestId: string): void {
     socket.write(formatStreamHead(requestId));
     let id = 0;
+    const send = (): void => {
+        do {
+            id += 1;
+        }
+        while (socket.write(formatChunk(`id: ${String(id)}\ndata: ${EVENT_TEXT}\n\n`)));
+        const fullMs = performance.now();
+        socket.once("drain", () => {
+            if (performance.now() - fullMs < CUT_MS / 2) {
+                setImmediate(send);
+                return;
+            }
+            sendSteadily(socket, id);
+            setTimeout(() => socket.resetAndDestroy(), RESET_MS);
+        });
+    };
+    send();
+}
+
+/** Sends a small event every 5 ms. */
+function streamSteadily(socket: Socket, requestId: string, lastId: number = 0): void {
+    socket.write(formatStreamHead(requestId));
+    sendSteadily(socket, lastId);
+}
+
+function sendSteadily(socket: Socket, lastId: number): void {
+    let id = lastId;
     const timer = setInterval(() => {
         id += 1;
         socket.write(formatChunk(formatEvent(id)));
@@ -69,11 +99,21 @@
     }
 
     static async open(): Promise<Scene> {
+        let hasBegun = false;
         const answer = (socket: Socket, id: string): void => {
             switch (id) {
                 case "slow":
                     streamUntilCut(socket, id);
                     return;
+                case "reset":
+                    if (hasBegun) {
+                        streamSteadily(socket, id, MAX_EVENTS);
+                    }
+                    else {
+                        hasBegun = true;
+                        streamUntilReset(socket, id);
+                    }
+                    return;
                 case "steady":
                     streamSteadily(socket, id);
                     return;
@@ -197,6 +237,15 @@
         expect([scene.crashes, scene.entry.suspects, scene.budget.unreadBytes]).to.deep.equal([[], [], 0]);
     });
 
+    // Guards against a stream that ends although another upstream could go on, because its caller paused once.
+    it("an answer that is cut after its caller has caught up goes on at another upstream", async () => {
+        const paused = await scene.stall("reset", "a");
+        await delay(CUT_MS);
+        paused.resume();
+        await until(() => scene.upstreams.every(({ requests }) => requests.length === 1));
+        expect(scene.entry.ends).to.deep.equal([]);
+    });
+
     // Guards against bytes that stay counted, so that the organisation would be refused for ever.
     it("one that leaves while paused frees its bytes", async () => {
         const slow = await scene.stall("slow", "a");
