test(daemon): show that comments without an end hold their callers

Cause: a stream of comments has no event, no end and no bound; each comment is passed on. Change: four kinds of such streams in endlessResponses.test.ts, with the bounds of the other rows.

--- a/packages/daemon/tests/endlessResponses.test.ts
+++ b/packages/daemon/tests/endlessResponses.test.ts
@@ -216,6 +216,15 @@
     ]);
 });
 
+describe("comments that do not end cost neither memory nor the time of others", () => {
+    testRows([
+        { title: "in large chunks", prelude: streamHead, unit: formatChunk(": x\n\n".repeat(2_000)) },
+        { title: "in chunks of one comment", prelude: streamHead, unit: formatChunk(": x\n\n") },
+        { title: "without blank lines", prelude: streamHead, unit: formatChunk(": x\n") },
+        { title: "delimited by close", prelude: closeHead, unit: ": x\n\n" },
+    ]);
+});
+
 describe("a head that does not end costs neither memory nor the time of others", () => {
     testRows([
         { title: "interim responses", prelude: "", unit: "HTTP/1.1 102 Processing\r\n\r\n" },
