docs(voter): shorter comments on the wait for replacements

Cause: a read of the whole change; four comments needed a second reading. Change: their wording, no code.

--- a/packages/daemon/src/process/voter/documentStore.ts
+++ b/packages/daemon/src/process/voter/documentStore.ts
@@ -9,10 +9,7 @@
 /** Dependencies of {@link DocumentStore}. */
 export interface DocumentStoreOptions extends ProposalOptions {
     readonly log: EventLog;
-    /**
-     * Waits until voters that are gone have been replaced, where successors are there; resolves to whether this replica still
-     * leads.
-     */
+    /** Waits until learners have replaced the voters that are gone; resolves to whether this replica still leads. */
     readonly awaitReplacements: () => Promise<boolean>;
 }
 
--- a/packages/daemon/src/process/voter/voterGroup.ts
+++ b/packages/daemon/src/process/voter/voterGroup.ts
@@ -106,8 +106,8 @@
     }
 
     /**
-     * Waits until voters that are gone have been replaced, where successors are there. Until then, what is committed would
-     * not survive the tolerated losses.
+     * Waits until learners have replaced the voters that are gone. What is committed before may not survive the tolerated
+     * losses.
      * @returns whether this replica still leads; resolves at the latest after {@link MAX_REPLACEMENT_MS}
      */
     async awaitReplacements(): Promise<boolean> {
--- a/packages/daemon/tests/endlessUpstreamWorker.ts
+++ b/packages/daemon/tests/endlessUpstreamWorker.ts
@@ -36,7 +36,7 @@
 const UNIT_BYTES = 65_536;
 const { prelude, unit, intervalMs } = workerData as EndlessScript;
 const threadId = getThreadId();
-/** The process's id is that of its main thread. */
+/** The id of the process is that of its main thread, in which the entry runs. */
 const getNowMs = createProcessorClock(threadId === undefined ? [] : [threadId, process.pid]);
 const block = intervalMs === undefined ? unit.repeat(Math.max(1, Math.floor(UNIT_BYTES / unit.length))) : unit;
 const started = new Map<Socket, number>();
--- a/packages/daemon/tests/testRelay.ts
+++ b/packages/daemon/tests/testRelay.ts
@@ -38,7 +38,7 @@
                 getUpstream: (id) => upstreams.find(({ name }) => name === id) as RegisteredUpstream | undefined,
                 routing: undefined,
             },
-            // A relay whose timers are late is busy, and refuses; waiting for a processor is not meant by it here.
+            // A relay refuses if its timers are late; a wait of the test for a processor does not count.
             getNowMs: createProcessorClock([getThreadId()]),
             metrics: { countRelayedRequest: () => undefined, recordRelayedRequestMs: () => undefined },
             getConnections: (endpoint) => this.connections.get(endpoint),
