fix(bundle): survive a reload signal that arrives while the program is loaded

What operators saw: a SIGHUP within the first moments of a process ended it, since the signal's default action applies until the settings' reload is set up, after the whole program has been loaded. Found by a soak with overlapping signals and restarts (on the unbundled program, whose start takes over a second there).

The starter of the bundled program now installs a handler before it reads the program. A reload at that point needs no more: the settings are read after it. The runtime's own start, before any code of ours, is not covered; the unbundled program isn't either, since its modules are loaded before the first of them runs.

Result: earlyReload.test.ts, the row of SIGHUP, ended by the signal before (1 of 1); passes now. SIGTERM at that time still ends the process.

--- a/scripts/startProgram.cjs
+++ b/scripts/startProgram.cjs
@@ -9,6 +9,9 @@
 const { join } = require("node:path");
 const { Script } = require("node:vm");
 
+// Without a handler, a reload that is requested before the program has set up its own ends the process.
+process.on("SIGHUP", () => undefined);
+
 const filename = join(__dirname, "program.cjs");
 
 /** Code of another build or of another release of Node is not used by the engine, which then compiles as usual. */
