fix(bundle): a failed assertion of a library does not block the event loop

What callers saw: nothing from an entry, or from the leader, for seconds.

Cause: undici asserts that the status is at least 100. For an assertion without a message, Node.js opens the file of the call and parses its source line to quote it; in the bundle one line holds hundreds of kilobytes. Any other assertion of a library in the bundle does the same.

The bundle now uses a module of its own for node:assert, whose failures have a fixed message; all else is passed on.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -17,6 +17,7 @@
 const unusedModules = ["node:http2"];
 /** Has a native part for each platform, which is loaded from where it is installed. */
 const nativeModules = ["koffi"];
+const assertParts = resolve("scripts/assertParts.cjs");
 const takeParts = {
     name: "take-parts",
     setup(bundle) {
@@ -28,6 +29,10 @@
             }),
         );
         bundle.onResolve({ filter: /^undici$/ }, () => ({ path: resolve("scripts/undiciParts.cjs") }));
+        bundle.onResolve(
+            { filter: /^(node:)?assert$/ },
+            ({ importer }) => importer === assertParts ? undefined : { path: assertParts },
+        );
     },
 };
 
