fix(coordination): go on after a committed command that the state refuses

Callers saw: a heartbeat with 1e300 slots was never answered, and other proposals of the same batch were not settled either. `FleetState.apply` threw for what its schema refuses, after the applied index had moved on; the exception ended up in whatever had advanced the commit index: a message of a peer, a timer or the callback of a disk write, on every replica and again after each start.

If a state machine throws nevertheless, only the proposal of that entry ends as unknown, and an event tells the index.

--- a/packages/coordination/src/process/commit.ts
+++ b/packages/coordination/src/process/commit.ts
@@ -62,20 +62,30 @@
     compactIfDue(context);
 }
 
-function applyEntry(context: ReplicaContext, entry: LogEntry): unknown {
-    return entry.payload.kind === "command"
-        ? context.options.functions.applyCommand(entry.payload.command, entry.index)
-        : undefined;
+type AppliedEntry = { readonly kind: "applied"; readonly result: unknown; } | { readonly kind: "failed"; };
+
+/** The entry is committed, so a failure would return with each start and on each replica; the log goes on after it. */
+function applyEntry({ options: { functions } }: ReplicaContext, { payload, index }: LogEntry): AppliedEntry {
+    if (payload.kind !== "command") {
+        return { kind: "applied", result: undefined };
+    }
+    try {
+        return { kind: "applied", result: functions.applyCommand(payload.command, index) };
+    }
+    catch (error) {
+        functions.handleEvent({ kind: "command-failed", index, error });
+        return { kind: "failed" };
+    }
 }
 
-function settleProposal(context: ReplicaContext, entry: LogEntry, result: unknown): void {
+function settleProposal(context: ReplicaContext, entry: LogEntry, applied: AppliedEntry): void {
     const proposal = context.proposals.get(entry.index);
     if (proposal === undefined) {
         return;
     }
     context.proposals.delete(entry.index);
-    const settled: ProposalResult = proposal.term === entry.term
-        ? { kind: "applied", result, index: entry.index }
+    const settled: ProposalResult = proposal.term === entry.term && applied.kind === "applied"
+        ? { ...applied, index: entry.index }
         : { kind: "unknown" };
     proposal.settle(settled);
 }
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -40,6 +40,12 @@
     | ElectionTimeoutEvent
     /** Entries are sent to a replica again. */
     | { readonly kind: "resent"; readonly to: string; readonly entries: number; }
+    /** A committed command is invalid and changed nothing. */
+    | { readonly kind: "command-invalid"; readonly index: number; readonly command: string; readonly field: string; }
+    /** The state machine failed on a committed command; replicas go on with the next one. */
+    | { readonly kind: "command-failed"; readonly index: number; readonly error: unknown; }
+    /** What depends on the state failed on a change of it; the state itself is sound. */
+    | { readonly kind: "listener-failed"; readonly error: unknown; }
     | { readonly kind: "fault"; readonly error: unknown; };
 
 /** An election of this replica timed out. */
@@ -62,7 +68,10 @@
     readonly send: (to: ReplicaAddress, message: ReplicaMessage) => void;
     /** A number from 0 up to 1. */
     readonly random: () => number;
-    /** Applies a committed command to the state; its result is returned to the proposer. */
+    /**
+     * Applies a committed command to the state; its result is returned to the proposer. It must check the command before it changes
+     * anything, so that a command that fails has no effect on any replica.
+     */
     readonly applyCommand: (command: unknown, index: number) => unknown;
     /** The whole state as plain data. */
     readonly getState: () => unknown;
@@ -111,7 +120,7 @@
 export type ProposalResult =
     | { readonly kind: "applied"; readonly result: unknown; readonly index: number; }
     | { readonly kind: "not-leader"; readonly leader: ReplicaAddress | undefined; }
-    /** Leadership was lost before the commit was known: the entry may or may not be committed. */
+    /** Leadership was lost before the commit was known, or applying the entry failed: it may or may not be committed. */
     | { readonly kind: "unknown"; };
 
 /** A proposal waiting for its commit. */
--- a/packages/coordination/src/version/fleetState.ts
+++ b/packages/coordination/src/version/fleetState.ts
@@ -11,6 +11,8 @@
     formatIncarnationId,
     getIncarnation,
     isEarlierIncarnation,
+    parseCommand,
+    type ParsedCommand,
     parseSegmentKey,
     type RegisteredUpstream,
     registeredUpstreamSchema,
@@ -83,14 +85,26 @@
     private index = 0;
 
     /**
-     * Applies a committed command.
+     * Parses a command, as {@link FleetState.apply} does before it changes anything.
+     * @param raw - the command
+     * @returns the command, or what is wrong with it
+     */
+    parse(raw: unknown): ParsedCommand<FleetCommand> {
+        return parseCommand(fleetCommandSchema, raw);
+    }
+
+    /**
+     * Applies a committed command. A command that is invalid has no effect: the log may hold any, from other builds.
      * @param raw - the command as stored in the log
      * @param index - its log index
      * @returns whether it changed the state
      */
     apply(raw: unknown, index: number): FleetCommandResult {
-        const command = fleetCommandSchema.parse(raw);
-        const isTaken = this.applyCommand(command, index);
+        const parsed = this.parse(raw);
+        if (parsed.kind === "invalid") {
+            return parsed;
+        }
+        const isTaken = this.applyCommand(parsed.command, index);
         if (isTaken) {
             this.index = index;
         }
--- a/packages/coordination/src/version/replicatedState.ts
+++ b/packages/coordination/src/version/replicatedState.ts
@@ -1,7 +1,7 @@
 /**
  * The replicated state: configuration, plans and claims, changed by commands in log order.
  */
-import { stampedCommandSchema } from "@crankfork/schemas";
+import { parseCommand, type ParsedCommand, type StampedCommand, stampedCommandSchema } from "@crankfork/schemas";
 import * as z from "zod";
 import { claimListSchema, ClaimRegister } from "./claimRegister.js";
 import { ConfigurationRegister, configurationStateSchema } from "./configurationRegister.js";
@@ -14,12 +14,25 @@
     readonly claims = new ClaimRegister();
 
     /**
-     * Applies a committed command.
+     * Parses a command, as {@link ReplicatedState.apply} does before it changes anything.
+     * @param raw - the command
+     * @returns the command, or what is wrong with it
+     */
+    parse(raw: unknown): ParsedCommand<StampedCommand> {
+        return parseCommand(stampedCommandSchema, raw);
+    }
+
+    /**
+     * Applies a committed command. A command that is invalid has no effect: the log may hold any, from other builds.
      * @param raw - the command as stored in the log
      * @returns the result for the proposer
      */
     apply(raw: unknown): unknown {
-        const { command, at_ms, claim_retention_ms } = stampedCommandSchema.parse(raw);
+        const parsed = this.parse(raw);
+        if (parsed.kind === "invalid") {
+            return parsed;
+        }
+        const { command, at_ms, claim_retention_ms } = parsed.command;
         switch (command.kind) {
             case "record-plan":
                 return this.configurations.recordPlan(command.plan);
--- a/packages/coordination/tests/simulation.ts
+++ b/packages/coordination/tests/simulation.ts
@@ -14,11 +14,19 @@
     index: number | undefined;
 }
 
+/** A state machine that replaces the list of applied values. */
+export interface SimulatedState {
+    readonly apply: (command: unknown, index: number) => unknown;
+    readonly getState: () => unknown;
+    readonly restore: (state: unknown) => void;
+}
+
 interface SimulatedNode {
     readonly address: ReplicaAddress;
     readonly folder: MemoryFolder;
     replica: Replica | undefined;
     applied: { index: number; value: number; }[];
+    state: SimulatedState | undefined;
     /** Incremented by each start and crash, so that delayed callbacks of an earlier incarnation are dropped. */
     incarnation: number;
     /** While frozen, the replica neither sends nor receives; incoming messages are queued. */
@@ -52,6 +60,7 @@
         private readonly random: RandomGenerator,
         count: number,
         private readonly timing: ReplicaTiming = shortTiming,
+        private readonly createState?: () => SimulatedState,
     ) {
         for (let number = 0; number < count; number += 1) {
             const id = `r${String(number)}`;
@@ -60,6 +69,7 @@
                 folder: new MemoryFolder(() => this.drawRandom() * 8 + this.drawLatenessMs()),
                 replica: undefined,
                 applied: [],
+                state: undefined,
                 incarnation: 0,
                 isFrozen: false,
                 inbox: [],
@@ -111,6 +121,7 @@
         const node = this.nodes[number]!;
         node.incarnation += 1;
         node.applied = [];
+        node.state = this.createState?.();
         node.isFrozen = false;
         node.inbox = [];
         const { incarnation } = node;
@@ -126,10 +137,18 @@
                     }
                 },
                 random: () => this.drawRandom(),
-                applyCommand: (command, index) => this.apply(node, command as number, index),
-                getState: () => [...node.applied],
+                applyCommand: (command, index) =>
+                    node.state === undefined
+                        ? this.apply(node, command as number, index)
+                        : node.state.apply(command, index),
+                getState: () => node.state?.getState() ?? [...node.applied],
                 restoreState: (state) => {
-                    node.applied = [...state as SimulatedNode["applied"]];
+                    if (node.state === undefined) {
+                        node.applied = [...state as SimulatedNode["applied"]];
+                    }
+                    else {
+                        node.state.restore(state);
+                    }
                 },
                 handleEvent: (event) => {
                     if (event.kind === "role" && event.role === "leader") {
--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -9,6 +9,7 @@
 import type { Metrics } from "../metrics.js";
 import { PeerLink } from "../peerLink.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
+import { recordFailedCommand } from "../recordFailedCommand.js";
 import { ReplicaHost } from "../replicaHost.js";
 import { changeVoters } from "../voter/voterChange.js";
 import { ClaimManager } from "./claimManager.js";
@@ -192,6 +193,11 @@
         case "resent":
             log.record("debug", "entries-resent", { peer: event.to, entries: event.entries });
             return;
+        case "command-invalid":
+        case "command-failed":
+        case "listener-failed":
+            recordFailedCommand(log, event);
+            return;
         case "fault":
             log.record("error", "replica-fault", { reason: String(event.error) });
             return;
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -34,6 +34,7 @@
 import { createObservedControl } from "../observedControl.js";
 import { PeerLink } from "../peerLink.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
+import { recordFailedCommand } from "../recordFailedCommand.js";
 import { type Founding, ReplicaHost } from "../replicaHost.js";
 import { createBackoffHandlers, UpstreamBackoffs } from "../upstreamBackoffs.js";
 import { UpstreamRateLimits } from "../upstreamRateLimits.js";
@@ -143,6 +144,11 @@
                     last: event.lastIndex,
                 });
             }
+            else if (
+                event.kind === "command-invalid" || event.kind === "command-failed" || event.kind === "listener-failed"
+            ) {
+                recordFailedCommand(log, event);
+            }
             else if (event.kind === "fault") {
                 log.record("error", "replica-fault", { reason: String(event.error) });
             }
--- a/packages/schemas/src/fleetCommand.ts
+++ b/packages/schemas/src/fleetCommand.ts
@@ -2,6 +2,7 @@
  * Commands of a fleet's replicated state machine.
  */
 import * as z from "zod";
+import type { InvalidCommand } from "./parseCommand.js";
 import { upstreamFactsSchema, upstreamStatusSchema } from "./registeredUpstream.js";
 import { reportedCrashSchema } from "./requestCrash.js";
 import { upstreamIncarnationSchema } from "./upstreamIncarnation.js";
@@ -32,4 +33,6 @@
 export type FleetCommandResult =
     | { readonly kind: "taken"; }
     /** No effect: the stored version is at least as high, the incarnation was removed, or no trial is due. */
-    | { readonly kind: "overtaken"; };
+    | { readonly kind: "overtaken"; }
+    /** No effect: the schema refuses the command. */
+    | InvalidCommand;
--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -16,6 +16,7 @@
 export * from "./operatorMessage.js";
 export * from "./outcome.js";
 export * from "./packedDocument.js";
+export * from "./parseCommand.js";
 export * from "./peerMessage.js";
 export * from "./plan.js";
 export * from "./priorityClass.js";
