fix(voter): refuse a command that the replicated state cannot apply before it is proposed

Callers saw: a heartbeat whose slots no replica can apply was proposed, committed and never answered. Nothing compared a proposal with the schema of the state machine.

Such a heartbeat counts as none: it takes no address from another upstream. An invalid command that the log holds already is reported by index and field, and a listener that throws no longer looks like a failure of the command.

--- a/packages/daemon/src/process/daemon/leaderClient.ts
+++ b/packages/daemon/src/process/daemon/leaderClient.ts
@@ -13,6 +13,7 @@
 import { ExchangeError } from "../../connection/httpClient.js";
 import type { PeerClient } from "../../connection/peerClient.js";
 import type { CommandResult } from "../../request/claimedRun.js";
+import { createProposeResult } from "../createProposeResult.js";
 import type { ReplicaHost } from "../replicaHost.js";
 import { waitMs } from "../waitMs.js";
 
@@ -115,7 +116,7 @@
         const { host, peers } = this.options;
         const role = host?.replica.getStatus().role;
         if (host !== undefined && role === "leader") {
-            return await awaitWithTimeout(host.propose(command), timeoutMs);
+            return await awaitWithTimeout(host.propose(command).then(createProposeResult), timeoutMs);
         }
         const address = this.chooseLeaderAddress();
         if (address === undefined) {
--- a/packages/daemon/src/process/peerServer.ts
+++ b/packages/daemon/src/process/peerServer.ts
@@ -16,6 +16,7 @@
     type VoterChange,
 } from "@crankfork/schemas";
 import { JSONRPCServer } from "json-rpc-2.0";
+import { createProposeResult } from "./createProposeResult.js";
 import type { RequestHandler } from "./httpServer.js";
 import type { HybridClock } from "./hybridClock.js";
 import type { PeerLink } from "./peerLink.js";
@@ -56,7 +57,7 @@
     });
     server.addMethod("propose", async (raw): Promise<ProposeResult> => {
         const { command } = proposeParametersSchema.parse(raw);
-        return await (host?.propose(command) ?? { kind: "not-leader" as const });
+        return host === undefined ? { kind: "not-leader" } : createProposeResult(await host.propose(command));
     });
     server.addMethod("getNewest", (): NewestResult => getNewest(host));
     server.addMethod("getConfiguration", () => ({ configuration: options.getConfiguration() }));
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -17,6 +17,8 @@
 } from "@crankfork/coordination";
 import {
     type Command as ClaimCommand,
+    type InvalidCommand,
+    type ParsedCommand,
     type ReplicaAddress,
     replicaAddressSchema,
     type ReplicaEnvelope,
@@ -29,6 +31,8 @@
 const IDENTITY_FILE = "identity.json";
 /** Delay before a replica restarts after a refused write; a full or stalled disk often recovers within seconds. */
 const RESTART_DELAY_MS = 500;
+/** Length of a command's kind in events. */
+const MAX_LOGGED_KIND = 40;
 
 const identitySchema = z.object({
     replica: z.string(),
@@ -40,6 +44,9 @@
 
 /** The state machine that the log drives. */
 export interface ReplicaState {
+    /** Checks a command as `apply` does. */
+    readonly parse: (command: unknown) => ParsedCommand<unknown>;
+    /** Applies a committed command; an {@link InvalidCommand} is returned, and has no effect. */
     readonly apply: (command: unknown, index: number) => unknown;
     readonly getState: () => unknown;
     readonly restore: (state: unknown) => void;
@@ -130,12 +137,13 @@
     }
 
     /**
-     * Proposes a command; only the leader accepts it.
+     * Proposes a command; only the leader accepts it. An invalid command is not appended to the log.
      * @param command - the command
-     * @returns the outcome of the proposal
+     * @returns the outcome of the proposal, or what is wrong with the command
      */
-    propose(command: Command): Promise<ProposalResult> {
-        return this.replica.propose(this.options.stampCommand(command));
+    propose(command: Command): Promise<ProposalResult | InvalidCommand> {
+        const parsed = this.currentState.parse(this.options.stampCommand(command));
+        return parsed.kind === "invalid" ? Promise.resolve(parsed) : this.replica.propose(parsed.command);
     }
 
     /**
@@ -215,13 +223,14 @@
                 random: options.random,
                 applyCommand: (command, index) => {
                     const result = state.apply(command, index);
-                    options.handleStateChange(state);
+                    this.recordInvalidCommand(command, index, result);
+                    this.notify(state);
                     return result;
                 },
                 getState: () => state.getState(),
                 restoreState: (raw) => {
                     state.restore(raw);
-                    options.handleStateChange(state);
+                    this.notify(state);
                 },
                 handleEvent: (event) => {
                     this.handleEvent(event);
@@ -243,6 +252,23 @@
         await this.writeIdentity(identity);
     }
 
+    private recordInvalidCommand(command: unknown, index: number, result: unknown): void {
+        if (hasKind(result) && result.kind === "invalid") {
+            const { field } = result as InvalidCommand;
+            const kind = hasKind(command) && typeof command.kind === "string" ? command.kind : typeof command;
+            this.handleEvent({ kind: "command-invalid", index, command: kind.slice(0, MAX_LOGGED_KIND), field });
+        }
+    }
+
+    private notify(state: State): void {
+        try {
+            this.options.handleStateChange(state);
+        }
+        catch (error) {
+            this.handleEvent({ kind: "listener-failed", error });
+        }
+    }
+
     private handleEvent(event: ReplicaEvent): void {
         this.options.record(event);
         // A replica whose log has lost entries must not vote again; see CorruptLogError.
@@ -288,6 +314,10 @@
     }
 }
 
+function hasKind(value: unknown): value is { readonly kind: unknown; } {
+    return typeof value === "object" && value !== null && "kind" in value;
+}
+
 /** An empty folder gets a new id, so that a replica that lost its disk is not mistaken for its predecessor. */
 async function readIdentity(
     folder: Folder,
--- a/packages/daemon/src/process/voter/fleetProposal.ts
+++ b/packages/daemon/src/process/voter/fleetProposal.ts
@@ -2,7 +2,7 @@
  * Proposals of changes to the fleet's replicated state, and the results a voter returns when it cannot make them.
  */
 import type { FleetState } from "@crankfork/coordination";
-import type { FleetCommand, ReplicaAddress } from "@crankfork/schemas";
+import type { FleetCommand, InvalidCommand, ReplicaAddress } from "@crankfork/schemas";
 import type { ReplicaHost } from "../replicaHost.js";
 
 /** The replica that holds the fleet's state. */
@@ -16,7 +16,9 @@
     /** No leader is known, or the outcome of the change is unknown. */
     | { readonly kind: "unavailable"; }
     /** The sender is not an upstream of this fleet; nothing changes. */
-    | { readonly kind: "foreign"; readonly reason: string; };
+    | { readonly kind: "foreign"; readonly reason: string; }
+    /** The change has a value that the replicated state refuses; nothing changes. */
+    | InvalidCommand;
 
 /** Dependencies of a proposal. */
 export interface ProposalOptions {
@@ -32,7 +34,7 @@
  * Proposes a change of the fleet's state.
  * @param options - replica and clock
  * @param command - the change
- * @returns done once a quorum has committed it
+ * @returns done once a quorum has committed it; `invalid` names the field that the state refuses
  */
 export async function proposeChange(
     { host, getNowMs, recordCommitMs, recordProposal }: ProposalOptions,
@@ -49,6 +51,8 @@
             return createNotLeaderResult(host);
         case "unknown":
             return { kind: "unavailable" };
+        case "invalid":
+            return result;
     }
 }
 
--- a/packages/daemon/src/process/voter/upstreamRegistry.ts
+++ b/packages/daemon/src/process/voter/upstreamRegistry.ts
@@ -108,7 +108,8 @@
     /**
      * Handles a heartbeat. Changes are acknowledged once a quorum has committed them.
      * @param heartbeat - facts, status and sequence number
-     * @returns done if the heartbeat was accepted, or was too old to change anything
+     * @returns done if the heartbeat was accepted, or was too old to change anything; `invalid` if the state refuses one of its
+     * values, in which case it counts as none
      */
     async registerUpstream(heartbeat: UpstreamHeartbeat): Promise<VoterResult<undefined>> {
         const { host, log } = this.options;
@@ -116,6 +117,11 @@
             return createNotLeaderResult(host);
         }
         const { status } = heartbeat;
+        const parsed = host.state.parse({ kind: "put-upstream", facts: heartbeat.facts, status });
+        if (parsed.kind === "invalid") {
+            log.record("warn", "heartbeat-refused", { field: parsed.field, reason: parsed.reason });
+            return parsed;
+        }
         const verdict = this.evaluateHeartbeat(heartbeat.facts);
         const present = host.state.getUpstream(heartbeat.facts.id);
         if (verdict.kind !== "taken") {
