fix(placement): size plans and paths by the engines, not by the layers that one reports

Callers saw: one heartbeat with layers 0 to 10^6 ended each leader shortly after its election, also after a restart of all voters; with layers 5 to 2^53-1, V8 aborted. The coverage had a cell per layer up to the highest that anybody reported, and its copy passed all cells as arguments. A document whose model has half a layer or 1e300 of them ended leaders as well ("Invalid array length").

Coverage and step factors are now runs of layers with the same holders, so work and memory depend on the number of engines. An engine that reports layers beyond its model, or a range that ends before it begins, is neither planned with nor part of a path; the plan of the others is the one without it. A model without a positive integer of layers gets no plan.

--- a/packages/daemon/src/process/layers/placementController.ts
+++ b/packages/daemon/src/process/layers/placementController.ts
@@ -6,6 +6,7 @@
     canHoldModel,
     type computeLayerPlan,
     isPlacementDue,
+    isWithinModel,
     type LayerOrder,
     type PlannedEngine,
 } from "@crankfork/decisions";
@@ -140,7 +141,9 @@
 
     private planService(name: string, profile: EngineProfile): void {
         const engines = this.options.host.state.listUpstreams()
-            .filter((upstream) => upstream.service === name && upstream.status === "ready");
+            .filter((upstream) =>
+                upstream.service === name && upstream.status === "ready" && isWithinModel(upstream.held, profile)
+            );
         if (!this.isPlacementDue(name, engines)) {
             return;
         }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -81,6 +81,7 @@
 export { createPlan, formatDifferences, type PlanningResult } from "./version/createPlan.js";
 export { DecayingCounter } from "./version/decayingCounter.js";
 export * from "./version/isPlacementDue.js";
+export { isWithinModel } from "./version/isWithinModel.js";
 export * from "./version/layerCoverage.js";
 export { mayAdmitUnlessSuperseded } from "./version/mayAdmitUnlessSuperseded.js";
 export * from "./version/rankClasses.js";
--- a/packages/decisions/src/version/chooseFasterHolder.ts
+++ b/packages/decisions/src/version/chooseFasterHolder.ts
@@ -13,6 +13,11 @@
     readonly gain: number;
 }
 
+/** Adjacent layers whose fastest holder has the same step factor. */
+interface FactorRun extends LayerSpan {
+    readonly factor: number;
+}
+
 /**
  * Chooses the engine and the layers that make the chains of a failure domain faster by the most. The engine keeps what
  * it holds, so that requests in flight are not disturbed.
@@ -22,7 +27,7 @@
  */
 export function chooseFasterHolder(engines: readonly AssignableEngine[], layers: number): LayerOrder | undefined {
     const factors = listStepFactors(engines, layers);
-    const minGain = MIN_GAIN * factors.reduce((sum, factor) => sum + factor, 0);
+    const minGain = MIN_GAIN * factors.reduce((sum, { first, end, factor }) => sum + (end - first) * factor, 0);
     let best: Move | undefined;
     engines.forEach((engine) => {
         const found = chooseSpan(engine, factors);
@@ -33,34 +38,61 @@
     return best === undefined ? undefined : { id: best.id, span: best.span };
 }
 
-/** Step factor of the fastest holder of each layer. */
-function listStepFactors(engines: readonly AssignableEngine[], layers: number): readonly number[] {
-    return Array.from({ length: layers }, (_, layer) => {
-        const holders = engines.filter(({ span }) => span !== undefined && span.first <= layer && layer < span.end);
-        return Math.min(...holders.map(({ stepFactor }) => stepFactor));
+/** Step factor of the fastest holder of each layer, as runs of layers that have the same holders. */
+function listStepFactors(engines: readonly AssignableEngine[], layers: number): readonly FactorRun[] {
+    const bounds = new Set([
+        0,
+        layers,
+        ...engines.flatMap(({ span }) => span === undefined ? [] : [span.first, span.end]),
+    ]);
+    const sorted = [...bounds].filter((bound) => bound <= layers).sort((left, right) => left - right);
+    return sorted.slice(1).map((end, index) => {
+        const first = sorted[index] ?? 0;
+        const factor = engines.reduce(
+            (least, { span, stepFactor }) =>
+                span !== undefined && span.first <= first && first < span.end ? Math.min(least, stepFactor) : least,
+            Number.POSITIVE_INFINITY,
+        );
+        return { first, end, factor };
     });
 }
 
-function chooseSpan(engine: AssignableEngine, factors: readonly number[]): Move | undefined {
+function chooseSpan(engine: AssignableEngine, factors: readonly FactorRun[]): Move | undefined {
     const { layerCapacity: room, span, stepFactor, id } = engine;
+    const layers = factors.at(-1)?.end ?? 0;
     const firstStart = span === undefined ? 0 : Math.max(0, span.end - room);
-    const lastStart = span === undefined ? factors.length - 1 : span.first;
+    const lastStart = span === undefined ? layers - 1 : span.first;
+    // The gain is linear in the start between those at which either end of the span passes the end of a run.
+    const starts = new Set([firstStart, lastStart, ...factors.flatMap(({ end }) => [end, end - room])]);
     let best: Move | undefined;
-    for (let first = firstStart; first <= lastStart; first += 1) {
-        const end = Math.min(factors.length, first + room);
-        const gains = factors.slice(first, end).map((factor) => Math.max(0, factor - stepFactor));
-        const gain = gains.reduce((sum, one) => sum + one, 0);
+    for (const first of [...starts].sort((left, right) => left - right)) {
+        if (first < firstStart || first > lastStart) {
+            continue;
+        }
+        const chosen = { first, end: Math.min(layers, first + room) };
+        const faster = listFaster(chosen, factors, stepFactor);
+        const gain = faster.reduce((sum, one) => sum + (one.end - one.first) * (one.factor - stepFactor), 0);
         if (gain > (best?.gain ?? 0)) {
-            best = { id, span: trimSpan({ first, end }, span, gains), gain };
+            best = { id, span: trimSpan(chosen, span, faster), gain };
         }
     }
     return best;
 }
 
+/** The parts of a span that the engine makes faster. */
+function listFaster(span: LayerSpan, factors: readonly FactorRun[], stepFactor: number): readonly FactorRun[] {
+    return factors.filter(({ first, end, factor }) => factor > stepFactor && first < span.end && end > span.first)
+        .map(({ first, end, factor }) => ({
+            first: Math.max(first, span.first),
+            end: Math.min(end, span.end),
+            factor,
+        }));
+}
+
 /** Drops layers at both ends that the engine does not make faster, unless it holds them. */
-function trimSpan(span: LayerSpan, held: LayerSpan | undefined, gains: readonly number[]): LayerSpan {
-    const firstGain = span.first + gains.findIndex((gain) => gain > 0);
-    const endGain = span.first + gains.findLastIndex((gain) => gain > 0) + 1;
+function trimSpan(span: LayerSpan, held: LayerSpan | undefined, faster: readonly LayerSpan[]): LayerSpan {
+    const firstGain = faster[0]?.first ?? span.first;
+    const endGain = faster.at(-1)?.end ?? span.end;
     return {
         first: Math.min(firstGain, held?.first ?? firstGain),
         end: Math.max(endGain, held?.end ?? endGain),
--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -2,6 +2,7 @@
  * Chains of engines that run every layer once and in order, with the cost of a request on each.
  */
 import type { EngineProfile, LayerSpan } from "@crankfork/schemas";
+import { hasLayers, isWithinModel } from "./isWithinModel.js";
 
 /** An engine that holds layers. */
 export interface HoldingEngine {
@@ -54,11 +55,15 @@
  *
  * Chains across failure domains are for domains that are too small for the model, and for the remaining engines of a
  * domain that has lost a stage.
- * @param engines - engines that may get requests
+ * @param holders - engines that may get requests; those that report layers beyond the model are left out
  * @param profile - the model and the accelerators
  * @returns chains
  */
-export function computeChains(engines: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
+export function computeChains(holders: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
+    if (!hasLayers(profile)) {
+        return [];
+    }
+    const engines = holders.filter(({ span }) => isWithinModel(span, profile));
     const domains = [...new Set(engines.map((engine) => engine.failureDomain))].sort();
     const inside = domains.flatMap((domain) =>
         computeDisjointChains(engines.filter((engine) => engine.failureDomain === domain), profile)
@@ -190,8 +195,12 @@
     return last === undefined ? undefined : createChain(listStages(last), profile);
 }
 
-function hasVisited(node: SearchNode | undefined, id: string): boolean {
-    return node !== undefined && (node.stage.engine.id === id || hasVisited(node.previous, id));
+function hasVisited(last: SearchNode | undefined, id: string): boolean {
+    let node = last;
+    while (node !== undefined && node.stage.engine.id !== id) {
+        node = node.previous;
+    }
+    return node !== undefined;
 }
 
 function listStages(last: SearchNode): readonly ChainStage[] {
@@ -237,7 +246,8 @@
     const { span } = stage.engine;
     const freeMb = getAccelerator(stage.engine, profile).memory_mb - (span.end - span.first) * profile.layer_mb;
     const bytesPerToken = (stage.span.end - stage.span.first) * profile.token_bytes / profile.layers;
-    return bytesPerToken === 0 ? Number.MAX_SAFE_INTEGER : Math.max(0, freeMb) * BYTES_PER_MB / bytesPerToken;
+    const tokens = Math.max(0, freeMb) / bytesPerToken * BYTES_PER_MB;
+    return bytesPerToken === 0 ? Number.MAX_SAFE_INTEGER : Math.min(Number.MAX_SAFE_INTEGER, tokens);
 }
 
 function createChain(stages: readonly ChainStage[], profile: EngineProfile): Chain {
@@ -248,6 +258,9 @@
         isCrossDomain: listLinks(stages).length > 0,
         stepMs: stages.reduce((sum, stage) => sum + computeStepMs(stage, profile), transferMs),
         prefillMs: stages.reduce((sum, stage) => sum + computePrefillMs(stage, profile), transferMs),
-        contextTokens: Math.min(...stages.map((stage) => computeContextTokens(stage, profile))),
+        contextTokens: stages.reduce(
+            (least, stage) => Math.min(least, computeContextTokens(stage, profile)),
+            Number.MAX_SAFE_INTEGER,
+        ),
     };
 }
--- a/packages/decisions/src/version/computeLayerCapacity.ts
+++ b/packages/decisions/src/version/computeLayerCapacity.ts
@@ -31,5 +31,6 @@
     contextShare: number = CONTEXT_SHARE,
 ): number {
     const contextMb = profile.capacity_tokens * contextShare * profile.token_bytes / profile.layers / BYTES_PER_MB;
-    return Math.min(profile.layers, Math.floor(accelerator.memory_mb / (profile.layer_mb + contextMb)));
+    const capacity = Math.floor(accelerator.memory_mb / (profile.layer_mb + contextMb));
+    return Number.isNaN(capacity) ? 0 : Math.max(0, Math.min(profile.layers, capacity));
 }
--- a/packages/decisions/src/version/computeLayerPlan.ts
+++ b/packages/decisions/src/version/computeLayerPlan.ts
@@ -15,6 +15,7 @@
 import { chooseFasterHolder } from "./chooseFasterHolder.js";
 import { computeLayerCapacity, TIGHT_CONTEXT_SHARE } from "./computeLayerCapacity.js";
 import { fillChains, type FilledChains } from "./fillChains.js";
+import { hasLayers, isWithinModel } from "./isWithinModel.js";
 import type { LayerCoverage } from "./layerCoverage.js";
 
 /**
@@ -37,12 +38,17 @@
 }
 
 /**
- * Computes orders for empty engines and for those whose layers others hold as well.
- * @param engines - live engines of one service
+ * Computes orders for empty engines and for those whose layers others hold as well. Engines that report layers beyond the model
+ * are left out.
+ * @param live - live engines of one service
  * @param profile - the model and the accelerators
  * @returns orders; empty where no change is useful
  */
-export function computeLayerPlan(engines: readonly PlannedEngine[], profile: EngineProfile): readonly LayerOrder[] {
+export function computeLayerPlan(live: readonly PlannedEngine[], profile: EngineProfile): readonly LayerOrder[] {
+    if (!hasLayers(profile)) {
+        return [];
+    }
+    const engines = live.filter(({ span }) => isWithinModel(span, profile));
     const domains = [...new Set(engines.map((engine) => engine.failureDomain))].sort();
     const plans = domains.map((domain) =>
         fillGroup(engines.filter((engine) => engine.failureDomain === domain), profile)
@@ -133,7 +139,7 @@
     const takers = all.filter(({ id, span }) =>
         healthyIds.has(id) && (span === undefined || countEqualSpans(held, span) > 1)
     );
-    const fastest = Math.min(...takers.map(({ stepFactor }) => stepFactor));
+    const fastest = takers.reduce((least, { stepFactor }) => Math.min(least, stepFactor), Number.POSITIVE_INFINITY);
     const slow = engines.filter(({ id, span }) => {
         const stepFactor = all.find((one) => one.id === id)?.stepFactor ?? Number.POSITIVE_INFINITY;
         return !healthyIds.has(id) && span !== undefined && stepFactor <= fastest;
--- a/packages/decisions/src/version/fillChains.ts
+++ b/packages/decisions/src/version/fillChains.ts
@@ -53,7 +53,7 @@
             return { orders, rest, loaded: coverages.loaded, chains, isComplete };
         }
         coverages = fill;
-        orders.push(...fill.orders);
+        fill.orders.forEach((order) => orders.push(order));
         const used = new Set(fill.orders.map(({ id }) => id));
         rest = rest.filter((engine) => !used.has(engine.id));
     }
--- a/packages/decisions/src/version/layerCoverage.ts
+++ b/packages/decisions/src/version/layerCoverage.ts
@@ -3,16 +3,20 @@
  */
 import type { LayerSpan } from "@crankfork/schemas";
 
-/** Counts the holders of each layer. */
+/**
+ * Counts the holders of each layer. Stored as runs of adjacent layers with the same count, so that the size depends on the number
+ * of engines and not on the number of layers that somebody reports.
+ */
 export class LayerCoverage {
-    private readonly counts: number[];
+    /** First layer of each run, ascending; a run ends where the next one begins, the last one at the last layer. */
+    private firsts: number[] = [0];
+    private counts: number[] = [0];
 
     /**
      * @param layers - layers of the model
-     * @param spans - layers that engines hold
+     * @param spans - layers that engines hold; those beyond the model are ignored
      */
-    constructor(layers: number, spans: readonly LayerSpan[]) {
-        this.counts = new Array<number>(layers).fill(0);
+    constructor(private readonly layers: number, spans: readonly LayerSpan[]) {
         spans.forEach((span) => {
             this.add(span);
         });
@@ -46,8 +50,8 @@
         if (last === -1) {
             return undefined;
         }
-        const before = this.counts.slice(0, last).findLastIndex((count) => count >= depth);
-        return { first: before + 1, end: last + 1 };
+        const before = this.counts.findLastIndex((count, run) => run < last && count >= depth);
+        return { first: this.firsts[before + 1] ?? 0, end: this.getEnd(last) };
     }
 
     /**
@@ -57,7 +61,9 @@
      * @returns false where one layer has fewer
      */
     isCovered(span: LayerSpan, depth: number): boolean {
-        return this.counts.slice(span.first, span.end).every((count) => count >= depth);
+        return this.counts.every((count, run) =>
+            count >= depth || this.getEnd(run) <= span.first || (this.firsts[run] ?? 0) >= span.end
+        );
     }
 
     /**
@@ -65,14 +71,39 @@
      * @returns an independent copy
      */
     copy(): LayerCoverage {
-        const copy = new LayerCoverage(this.counts.length, []);
-        copy.counts.splice(0, copy.counts.length, ...this.counts);
+        const copy = new LayerCoverage(this.layers, []);
+        copy.firsts = [...this.firsts];
+        copy.counts = [...this.counts];
         return copy;
     }
 
+    private getEnd(run: number): number {
+        return this.firsts[run + 1] ?? this.layers;
+    }
+
     private change(span: LayerSpan, by: number): void {
-        for (let layer = span.first; layer < span.end; layer += 1) {
-            this.counts[layer] = (this.counts[layer] ?? 0) + by;
+        const first = Math.max(0, span.first);
+        const end = Math.min(this.layers, span.end);
+        if (first < end) {
+            const from = this.splitAt(first);
+            const to = this.splitAt(end);
+            for (let run = from; run < to; run += 1) {
+                this.counts[run] = (this.counts[run] ?? 0) + by;
+            }
+        }
+    }
+
+    /** Returns the run that begins at a layer. */
+    private splitAt(layer: number): number {
+        if (layer >= this.layers) {
+            return this.counts.length;
+        }
+        const run = this.firsts.findLastIndex((first) => first <= layer);
+        if (this.firsts[run] === layer) {
+            return run;
         }
+        this.firsts.splice(run + 1, 0, layer);
+        this.counts.splice(run + 1, 0, this.counts[run] ?? 0);
+        return run + 1;
     }
 }
