fix(voter): survive a stored document that cannot be read

The services of the stored document are read within a timer that places layers. A document that cannot be unpacked, or on which the codec throws, ended the voter there (by reading; the function could not be called by a test), and one that the codec refuses left no service, so that every heartbeat was refused as foreign.

Reading has a class of its own: an unreadable version is reported once, places nothing and lets upstreams register, as while there is no document. The next version replaces it.

--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -14,13 +14,11 @@
     type LeavingResult,
     replicaParametersSchema,
     resendParametersSchema,
-    type RoutedService,
     type RoutingTable,
     sendsParametersSchema,
     suspectParametersSchema,
     synchroniseParametersSchema,
     trialParametersSchema,
-    unpackDocument,
     watchParametersSchema,
 } from "@crankfork/schemas";
 import { JSONRPCServer } from "json-rpc-2.0";
@@ -42,6 +40,7 @@
 import { CrashRegistry } from "./crashRegistry.js";
 import { createVoterStatus } from "./createVoterStatus.js";
 import { DocumentRollout } from "./documentRollout.js";
+import { DocumentServices } from "./documentServices.js";
 import { DocumentSource } from "./documentSource.js";
 import { DocumentStore } from "./documentStore.js";
 import { EntryRegistry } from "./entryRegistry.js";
@@ -202,7 +201,7 @@
         },
         getNowMs,
     });
-    const getServices = createServiceReader(host, protocol.decodeDocument);
+    const services = new DocumentServices({ host, log, decodeDocument: protocol.decodeDocument });
     const document = new DocumentStore({
         host,
         log,
@@ -218,8 +217,7 @@
         getLastResumeMs: () => fleet.suspendAwareClock.getLastResumeMs(),
         heartbeatMs: contract.upstream_heartbeat,
         takeLoopUse: createLoopUseMeter(),
-        isServiceNamed: (service) =>
-            host.state.getDocument() === undefined || getServices().some((one) => one.name === service),
+        isServiceNamed: (service) => services.mayRegister(service),
         handleShutdown: (id) => {
             shutdowns.recordAcknowledged(id);
         },
@@ -294,7 +292,7 @@
         control,
         log,
         getNowMs,
-        getServices,
+        getServices: () => services.list(),
         heartbeatMs: contract.upstream_heartbeat,
         isBackingOff: (id) => backoffs.isBackingOff(id),
         computePlan: computeLayerPlan,
@@ -332,23 +330,6 @@
     };
 }
 
-/** Decodes the document once per version. */
-function createServiceReader(
-    host: FleetReplicaHost,
-    decodeDocument: VoterProtocol["decodeDocument"],
-): () => readonly RoutedService[] {
-    let version: number | undefined;
-    let services: readonly RoutedService[] = [];
-    return () => {
-        const document = host.state.getDocument();
-        if (document !== undefined && document.version !== version) {
-            ({ version } = document);
-            services = decodeDocument(unpackDocument(document.packed))?.services ?? [];
-        }
-        return services;
-    };
-}
-
 function createRpcServer(
     instance: string,
     host: FleetReplicaHost,
