fix(coordination): append any number of entries without passing them as arguments

Entries, records and lines of the log were appended with spread arguments, whose number is limited by the stack.

Evidence: longLog.test.ts, 2 of 2 failed before with "Maximum call stack size exceeded" for 200,000 entries.

--- a/packages/coordination/src/process/groupCommitQueue.ts
+++ b/packages/coordination/src/process/groupCommitQueue.ts
@@ -33,7 +33,7 @@
     write(records: readonly StorageRecord[]): void {
         const last = this.queued.at(-1);
         if (last?.kind === "records") {
-            last.records.push(...records);
+            records.forEach((record) => last.records.push(record));
         }
         else {
             this.queued.push({ kind: "records", records: [...records], callbacks: [] });
--- a/packages/coordination/src/process/logStorage.ts
+++ b/packages/coordination/src/process/logStorage.ts
@@ -214,7 +214,8 @@
     const segments = await listSegments(folder);
     const lines: SegmentLine[] = [];
     for (const number of segments) {
-        lines.push(...await readSegment(folder, formatSegmentName(number), number === segments.at(-1)));
+        const read = await readSegment(folder, formatSegmentName(number), number === segments.at(-1));
+        read.forEach((line) => lines.push(line));
     }
     const { hardState, entries, baseIndex } = replayLines(lines, snapshot);
     open.number = (segments.at(-1) ?? 0) + 1;
--- a/packages/coordination/src/version/replicaLog.ts
+++ b/packages/coordination/src/version/replicaLog.ts
@@ -75,7 +75,7 @@
             return;
         }
         this.entries.length = Math.min(this.entries.length, first.index - this.snapshotPosition.index - 1);
-        this.entries.push(...entries);
+        entries.forEach((entry) => this.entries.push(entry));
         this.replicaChanges = [
             ...this.replicaChanges.filter((change) =>
                 change.index < first.index || change.index <= this.snapshotPosition.index
