fix(voter): bound the permits of one answer

An entry names how many permits it wants, and the leader filled an array of that length, or looped as often where the limit's interval rounds to 0.

Evidence: "a request for more permits than the leader can list" failed before with "Invalid array length" without a limit, and ran until it was stopped after 10 s with a limit of 1e300 requests per second.

--- a/packages/daemon/src/process/voter/rateLimitCoordinator.ts
+++ b/packages/daemon/src/process/voter/rateLimitCoordinator.ts
@@ -25,6 +25,8 @@
 const MAX_LIMITS_PER_ANSWER = 100;
 /** How long entries keep using the highest entry count that they were sent. */
 const COUNT_EXPIRY_MS = 15_000;
+/** Maximum number of permits in one answer for an upstream; an entry with more waiting requests asks again. */
+const MAX_PERMITS = 10_000;
 
 /** Grants send permits while this instance leads. */
 export class RateLimitCoordinator {
@@ -76,7 +78,8 @@
         });
         const sharingEntries = this.computeSharingEntries(parameters.entries, nowMs);
         const share = Math.min(1, this.options.countActiveEntries() / sharingEntries);
-        const granted = parameters.wanted.map(({ upstream, count, within_ms: withinMs }) => {
+        const granted = parameters.wanted.map(({ upstream, count: wanted, within_ms: withinMs }) => {
+            const count = Math.min(wanted, MAX_PERMITS);
             const requestsPerSecond = limits.getLimit(upstream);
             // The limit has ended: granting every permit lets an entry that still knows it discover this from the upstream's
             // answer.
--- a/packages/daemon/tests/rateLimitCoordinator.test.ts
+++ b/packages/daemon/tests/rateLimitCoordinator.test.ts
@@ -162,3 +162,16 @@
         expect(next.kind === "sends" ? next.granted[0]?.in_ms : undefined).to.deep.equal([250]);
     });
 });
+
+describe("a request for more permits than the leader can list is granted in part", () => {
+    for (const limit of [undefined, 1e300, 1]) {
+        it(`limit of ${String(limit)} requests per second`, () => {
+            const harness = new CoordinatorHarness();
+            const heard = limit === undefined ? [] : [createReportedLimit("u", limit)];
+            const wanted = [{ upstream: "u", count: Number.MAX_SAFE_INTEGER, within_ms: 500 }];
+            const result = harness.ask({ heard, wanted });
+            expect(result).to.have.property("kind", "sends");
+            expect(result.kind === "sends" ? result.granted[0]?.in_ms.length : undefined).to.be.at.most(10_000);
+        });
+    }
+});
