fix(daemon): count a model's slots by placements instead of layers

The count had a cell for each layer that a placement or the model names.

Evidence: slotCapacity.test.ts ended before with "Fatal JavaScript invalid size error" at the row "layers beyond the model"; the property compares the new count with one by layers.

--- a/packages/daemon/src/version/slotCapacity.ts
+++ b/packages/daemon/src/version/slotCapacity.ts
@@ -11,16 +11,15 @@
  */
 export function computeModelSlots(configuration: Configuration, model: Model): number {
     const slotsOf = new Map(configuration.upstreams.map((upstream) => [upstream.name, upstream.slots]));
-    const byLayer = new Array<number>(model.layers).fill(0);
-    for (const placement of configuration.placements) {
-        if (placement.model === model.name && placement.version === model.version) {
-            const slots = slotsOf.get(placement.upstream) ?? 0;
-            for (let layer = placement.first_layer; layer < placement.end_layer; layer += 1) {
-                byLayer[layer] = (byLayer[layer] ?? 0) + slots;
-            }
-        }
-    }
-    return Math.min(...byLayer);
+    const placements = configuration.placements.filter((one) =>
+        one.model === model.name && one.version === model.version && one.first_layer < one.end_layer
+    );
+    // The number of holders changes only where a placement begins or ends.
+    const starts = new Set([0, ...placements.flatMap((one) => [one.first_layer, one.end_layer])]);
+    return [...starts].filter((layer) => layer < model.layers).map((layer) =>
+        placements.filter((one) => one.first_layer <= layer && layer < one.end_layer)
+            .reduce((sum, { upstream }) => sum + (slotsOf.get(upstream) ?? 0), 0)
+    ).reduce((least, slots) => Math.min(least, slots), Number.POSITIVE_INFINITY);
 }
 
 /**
