--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -44,6 +44,10 @@
     | { readonly kind: "command-invalid"; readonly index: number; readonly command: string; readonly field: string; }
     /** The state machine failed on a committed command; replicas go on with the next one. */
     | { readonly kind: "command-failed"; readonly index: number; readonly error: unknown; }
+    /** A leader's snapshot cannot be restored; this replica stays at its entry. */
+    | { readonly kind: "snapshot-refused"; readonly index: number; readonly error: unknown; }
+    /** A snapshot was restored without the records that cannot be parsed. */
+    | { readonly kind: "snapshot-records-dropped"; readonly records: number; }
     /** What depends on the state failed on a change of it; the state itself is sound. */
     | { readonly kind: "listener-failed"; readonly error: unknown; }
     | { readonly kind: "fault"; readonly error: unknown; };
@@ -75,7 +79,7 @@
     readonly applyCommand: (command: unknown, index: number) => unknown;
     /** The whole state as plain data. */
     readonly getState: () => unknown;
-    /** Replaces the state with the state of a snapshot. */
+    /** Replaces the state with the state of a snapshot; if it throws, the state is as before. */
     readonly restoreState: (state: unknown) => void;
     readonly handleEvent: (event: ReplicaEvent) => void;
     /** Clock that accounts for suspended time. Defaults to the runtime's monotonic clock, which does not. */
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -146,14 +146,29 @@
     followLeader(context, from, message.term);
     const { snapshot } = message;
     if (snapshot.index > context.commitIndex) {
+        // The log is compacted only once the state that replaces its entries is restored.
+        if (!tryRestoreState(context, snapshot)) {
+            return;
+        }
         applyCompaction(context, snapshot);
-        context.options.functions.restoreState(snapshot.state);
         context.commitIndex = snapshot.index;
         context.appliedIndex = snapshot.index;
     }
     answerAfterSync(context, from, message.sent_ms, snapshot.index);
 }
 
+/** Without an answer, the leader sends a snapshot again, of its state at that time. */
+function tryRestoreState({ options: { functions } }: ReplicaContext, { state, index }: Snapshot): boolean {
+    try {
+        functions.restoreState(state);
+        return true;
+    }
+    catch (error) {
+        functions.handleEvent({ kind: "snapshot-refused", index, error });
+        return false;
+    }
+}
+
 /**
  * Handles an answer: advances the commit index, or backs up to where the logs may agree.
  * @param context - the leader
--- a/packages/coordination/src/version/crashRegister.ts
+++ b/packages/coordination/src/version/crashRegister.ts
@@ -16,6 +16,7 @@
     type ReportedCrash,
 } from "@crankfork/schemas";
 import * as z from "zod";
+import { createTolerantArray } from "./tolerantArray.js";
 
 /**
  * At about 300 bytes each, under 0.5 MB in a snapshot, and three times the requests lost with a rack of ten engines.
@@ -35,8 +36,8 @@
 
 /** Schema of the crash records in a snapshot. */
 export const crashSnapshotSchema = z.object({
-    records: z.array(indexedRecordSchema),
-    forgotten: z.array(forgottenSchema),
+    records: createTolerantArray(indexedRecordSchema),
+    forgotten: createTolerantArray(forgottenSchema),
     forgotten_index: z.int(),
 });
 
--- a/packages/coordination/src/version/fleetState.ts
+++ b/packages/coordination/src/version/fleetState.ts
@@ -23,6 +23,7 @@
 import * as z from "zod";
 import { type CrashChanges, CrashRegister, crashSnapshotSchema } from "./crashRegister.js";
 import { SegmentRegister, segmentSnapshotSchema } from "./segmentRegister.js";
+import { countRecords, createTolerantArray } from "./tolerantArray.js";
 
 /** Maximum number of ended incarnations kept, so that a delayed heartbeat cannot register one of them again. */
 const MAX_REMOVED_INCARNATIONS = 2_000;
@@ -31,9 +32,11 @@
 
 const fleetSnapshotSchema = z.object({
     document: documentSchema.optional(),
-    upstreams: z.array(z.object({ upstream: registeredUpstreamSchema, index: z.int() })),
+    upstreams: createTolerantArray(z.object({ upstream: registeredUpstreamSchema, index: z.int() })),
     /** `life` is missing in snapshots written before upstreams reported incarnations. */
-    removed: z.array(z.object({ id: z.string(), index: z.int(), life: upstreamIncarnationSchema.optional() })),
+    removed: createTolerantArray(
+        z.object({ id: z.string(), index: z.int(), life: upstreamIncarnationSchema.optional() }),
+    ),
     /** Removals up to this index are no longer recorded. */
     forgotten_index: z.int(),
     index: z.int(),
@@ -203,8 +206,10 @@
     /**
      * Replaces the state with that of a snapshot.
      * @param raw - the result of `getState`
+     * @returns number of records that cannot be parsed and were left out
+     * @throws ZodError if it is no snapshot; the state is as before
      */
-    restore(raw: unknown): void {
+    restore(raw: unknown): number {
         const state = fleetSnapshotSchema.parse(raw);
         this.document = state.document;
         this.upstreams = new Map(state.upstreams.map((entry) => [entry.upstream.id, entry]));
@@ -222,6 +227,7 @@
         this.index = state.index;
         this.crashes.restore(state.crashes, state.index);
         this.segments.restore(state.segments);
+        return countRecords(raw as object) - countRecords(state);
     }
 
     private applyCommand(command: FleetCommand, index: number): boolean {
--- a/packages/coordination/src/version/replicatedState.ts
+++ b/packages/coordination/src/version/replicatedState.ts
@@ -58,10 +58,13 @@
     /**
      * Replaces the state with that of a snapshot.
      * @param raw - the result of `getState`
+     * @returns number of records that were left out: none, as every claim counts
+     * @throws ZodError if a part of it cannot be parsed; the state is as before
      */
-    restore(raw: unknown): void {
+    restore(raw: unknown): number {
         const state = replicatedStateSchema.parse(raw);
         this.configurations.restore(state.configuration);
         this.claims.restore(state.claims);
+        return 0;
     }
 }
--- a/packages/coordination/src/version/segmentRegister.ts
+++ b/packages/coordination/src/version/segmentRegister.ts
@@ -20,6 +20,7 @@
 import { isDeepStrictEqual } from "node:util";
 import * as z from "zod";
 import { findCrashingSegments } from "./findCrashingSegments.js";
+import { createTolerantArray } from "./tolerantArray.js";
 
 /** At about 100 bytes each, 0.2 MB in a snapshot. */
 const MAX_RECORDS = 2_000;
@@ -31,7 +32,7 @@
 const MAX_STATUSES = 200;
 
 /** Schema of the segment records in a snapshot. */
-export const segmentSnapshotSchema = z.object({ records: z.array(segmentRecordSchema), index: z.int() });
+export const segmentSnapshotSchema = z.object({ records: createTolerantArray(segmentRecordSchema), index: z.int() });
 
 type SegmentSnapshot = z.infer<typeof segmentSnapshotSchema>;
 
--- a/packages/coordination/tests/foreignCommands.test.ts
+++ b/packages/coordination/tests/foreignCommands.test.ts
@@ -155,6 +155,36 @@
         expect(simulation.violations).to.deep.equal([]);
     });
 
+    it("a snapshot that a follower cannot restore leaves its state and its log as they are", async () => {
+        let isRefused = true;
+        const simulation = await open(() => {
+            const state = new FleetState();
+            return {
+                apply: (command, index) => state.apply(command, index),
+                getState: () => state.getState(),
+                restore: (raw) => {
+                    if (isRefused) {
+                        throw new Error("not restored");
+                    }
+                    state.restore(raw);
+                },
+            };
+        });
+        await commit(simulation, [putSound("before")]);
+        const behind = simulation.nodes.findIndex((node) => node !== simulation.getLeader());
+        simulation.isolate(behind);
+        await commit(simulation, Array.from({ length: 30 }, (_, at) => putSound(String(at))));
+        simulation.heal();
+        await clock.tickAsync(SETTLE_MS);
+        const state = JSON.stringify(simulation.nodes[behind]?.state?.getState());
+        expect(state).to.include('"before"').and.not.include('"29"');
+        expect(simulation.nodes[behind]?.replica?.getStatus().lastIndex).to.be.below(10);
+        isRefused = false;
+        await clock.tickAsync(SETTLE_MS);
+        expect(listStates(simulation)).to.have.length(1);
+        expect(simulation.violations).to.deep.equal([]);
+    });
+
     it("any values: replicas stay equal through log, snapshot and restart", async () => {
         await fc.assert(
             fc.asyncProperty(fc.array(foreignCommand, { minLength: 1, maxLength: 40 }), async (commands) => {
--- /dev/null
+++ b/packages/coordination/tests/foreignSnapshots.test.ts
@@ -0,0 +1,77 @@
+import { expect } from "chai";
+import fc from "fast-check";
+import { FleetState } from "../src/index.js";
+
+const SEED = 82;
+const facts = { id: "u", service: "s", address: "127.0.0.1:1", failure_domain: "d", slots: 1 };
+const crash = {
+    fingerprint: "f",
+    upstream: "u",
+    had_progress: false,
+    origin: { host: "h", target: "/" },
+    segments: ["a"],
+};
+
+interface SnapshotLists {
+    readonly upstreams: unknown[];
+    readonly removed: unknown[];
+    readonly crashes: { readonly records: unknown[]; readonly forgotten: unknown[]; };
+    readonly segments: { readonly records: unknown[]; };
+}
+
+/** The state as read from a snapshot. */
+function createSnapshot(): SnapshotLists {
+    const state = new FleetState();
+    state.apply({ kind: "put-upstream", facts, status: "ready" }, 1);
+    state.apply({ kind: "remove-upstream", id: "v@5", life: { name: "v", started_at_ms: 5 } }, 2);
+    state.apply({ kind: "record-crashes", crashes: [crash], at_ms: 1 }, 3);
+    state.apply({ kind: "put-document", version: 1, packed: "packed" }, 4);
+    return JSON.parse(JSON.stringify(state.getState())) as SnapshotLists;
+}
+
+function restore(snapshot: unknown): { readonly state: unknown; readonly dropped: number; } {
+    const state = new FleetState();
+    const dropped = state.restore(snapshot);
+    return { state: JSON.parse(JSON.stringify(state.getState())), dropped };
+}
+
+const lists: readonly { readonly title: string; readonly get: (snapshot: SnapshotLists) => unknown[]; }[] = [
+    { title: "upstreams", get: ({ upstreams }) => upstreams },
+    { title: "removed upstreams", get: ({ removed }) => removed },
+    { title: "crashes", get: ({ crashes }) => crashes.records },
+    { title: "forgotten crashes", get: ({ crashes }) => crashes.forgotten },
+    { title: "segments", get: ({ segments }) => segments.records },
+];
+
+describe("a record of a snapshot that cannot be parsed costs only itself", () => {
+    const sound = restore(createSnapshot());
+
+    for (const { title, get } of lists) {
+        it(title, () => {
+            const snapshot = createSnapshot();
+            get(snapshot).unshift({ upstream: { ...facts, id: "w", slots: 1e300 }, id: 1, index: 1e300 });
+            expect(restore(snapshot)).to.deep.equal({ ...sound, dropped: 1 });
+        });
+
+        it(`${title}: any value`, () => {
+            fc.assert(
+                fc.property(fc.jsonValue(), (value) => {
+                    const snapshot = createSnapshot();
+                    get(snapshot).push(value);
+                    expect(restore(snapshot)).to.deep.equal({ ...sound, dropped: 1 });
+                }),
+                { seed: SEED },
+            );
+        });
+    }
+
+    it("what is no snapshot changes nothing", () => {
+        const state = new FleetState();
+        state.restore(createSnapshot());
+        const before = JSON.stringify(state.getState());
+        for (const raw of [null, 1, [], {}, { ...createSnapshot(), index: 1e300 }]) {
+            expect(() => state.restore(raw)).to.throw();
+        }
+        expect(JSON.stringify(state.getState())).to.equal(before);
+    });
+});
--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -196,6 +196,8 @@
         case "command-invalid":
         case "command-failed":
         case "listener-failed":
+        case "snapshot-refused":
+        case "snapshot-records-dropped":
             recordFailedCommand(log, event);
             return;
         case "fault":
--- a/packages/daemon/src/process/recordFailedCommand.ts
+++ b/packages/daemon/src/process/recordFailedCommand.ts
@@ -1,13 +1,20 @@
 /**
- * Log lines about committed commands that changed nothing, or whose change was not passed on.
+ * Log lines about committed commands and snapshots that were not applied, or whose change was not passed on.
  */
 import type { ReplicaEvent } from "@crankfork/coordination";
 import type { EventLog } from "./eventLog.js";
 
-/** A command that is invalid or that failed, or a listener that failed on its change. */
+/** A command or a snapshot that was not applied, at least in part, or a listener that failed on the change. */
 export type FailedCommandEvent = Extract<
     ReplicaEvent,
-    { kind: "command-invalid" | "command-failed" | "listener-failed"; }
+    {
+        kind:
+            | "command-invalid"
+            | "command-failed"
+            | "listener-failed"
+            | "snapshot-refused"
+            | "snapshot-records-dropped";
+    }
 >;
 
 /**
@@ -23,6 +30,12 @@
         case "command-failed":
             log.record("error", "command-failed", { index: event.index, reason: formatStack(event.error) });
             return;
+        case "snapshot-refused":
+            log.record("error", "snapshot-refused", { index: event.index, reason: formatStack(event.error) });
+            return;
+        case "snapshot-records-dropped":
+            log.record("warn", "snapshot-records-dropped", { records: event.records });
+            return;
         case "listener-failed":
             log.record("error", "listener-failed", { reason: formatStack(event.error) });
             return;
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -49,7 +49,8 @@
     /** Applies a committed command; an {@link InvalidCommand} is returned, and has no effect. */
     readonly apply: (command: unknown, index: number) => unknown;
     readonly getState: () => unknown;
-    readonly restore: (state: unknown) => void;
+    /** Replaces the state; returns the number of records that cannot be parsed and were left out. */
+    readonly restore: (state: unknown) => number;
 }
 
 /** The initial replicas of a log, and the name of their cluster. */
@@ -229,7 +230,10 @@
                 },
                 getState: () => state.getState(),
                 restoreState: (raw) => {
-                    state.restore(raw);
+                    const records = state.restore(raw);
+                    if (records > 0) {
+                        this.handleEvent({ kind: "snapshot-records-dropped", records });
+                    }
                     this.notify(state);
                 },
                 handleEvent: (event) => {
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -145,6 +145,7 @@
             }
             else if (
                 event.kind === "command-invalid" || event.kind === "command-failed" || event.kind === "listener-failed"
+                || event.kind === "snapshot-refused" || event.kind === "snapshot-records-dropped"
             ) {
                 recordFailedCommand(log, event);
             }
