fix(entry): keep the times of paths finite

A path whose step or prompt time is not finite has no finite cost, and only paths with one are chosen. So a service got nothing where the document gives a step time of 1e308 ms, a reading speed or a link of almost 0, or where an engine reports itself 1e308 times slower.

Times are limited to 1e12 ms where paths are computed.

--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -45,6 +45,8 @@
 const STAGE_COST_MS = 0.01;
 const BYTES_PER_MB = 1_000_000;
 const MS_PER_SECOND = 1_000;
+/** Largest time of a step or a token. Chains without a finite time could not be compared, and would get no requests. */
+const MAX_TIME_MS = 1e12;
 const BITS_PER_BYTE = 8;
 /** Utilisation from which a link counts as busy: one more chain would wait for it nearly all of its time. */
 const BUSY_LINK_UTILISATION = 0.9;
@@ -119,7 +121,11 @@
 function computeTransferMs({ activation_bytes = 0, crossing_mbps }: EngineProfile): number {
     return crossing_mbps === undefined
         ? 0
-        : activation_bytes * BITS_PER_BYTE * MS_PER_SECOND / (crossing_mbps * BYTES_PER_MB);
+        : limitMs(activation_bytes * BITS_PER_BYTE * MS_PER_SECOND / (crossing_mbps * BYTES_PER_MB));
+}
+
+function limitMs(timeMs: number): number {
+    return timeMs >= 0 ? Math.min(MAX_TIME_MS, timeMs) : MAX_TIME_MS;
 }
 
 /** Adds a chain for each unused engine that holds a copy of a first stage in the same failure domain. */
@@ -227,13 +233,13 @@
 
 function computeStepMs(stage: ChainStage, profile: EngineProfile): number {
     const { step_factor } = getAccelerator(stage.engine, profile);
-    return computeLayerShare(stage.span, profile) * profile.step_ms * step_factor * stage.engine.slowness;
+    return limitMs(computeLayerShare(stage.span, profile) * profile.step_ms * step_factor * stage.engine.slowness);
 }
 
 function computePrefillMs(stage: ChainStage, profile: EngineProfile): number {
     const { read_factor } = getAccelerator(stage.engine, profile);
     const msPerToken = read_factor * stage.engine.slowness * MS_PER_SECOND / profile.read_tokens_a_second;
-    return computeLayerShare(stage.span, profile) * msPerToken;
+    return limitMs(computeLayerShare(stage.span, profile) * msPerToken);
 }
 
 /**
--- a/packages/decisions/tests/foreignFleets.test.ts
+++ b/packages/decisions/tests/foreignFleets.test.ts
@@ -1,7 +1,15 @@
 import type { EngineProfile, LayerSpan } from "@crankfork/schemas";
 import { expect } from "chai";
 import fc from "fast-check";
-import { canHoldModel, computeChains, computeLayerPlan, type HoldingEngine, type PlannedEngine } from "../src/index.js";
+import {
+    canHoldModel,
+    chooseChain,
+    computeChains,
+    computeLayerPlan,
+    hasChainCapacity,
+    type HoldingEngine,
+    type PlannedEngine,
+} from "../src/index.js";
 import { profile } from "./layerProfile.js";
 
 const SEED = 82;
@@ -65,6 +73,32 @@
     }
 });
 
+describe("a service gets requests, whatever times its document and its engines give", () => {
+    const rows: readonly {
+        readonly title: string;
+        readonly model: Partial<EngineProfile>;
+        readonly slowness?: number;
+    }[] = [
+        { title: "steps of 1e308 ms", model: { step_ms: 1e308 }, slowness: 10 },
+        { title: "prompts read at 5e-324 tokens per second", model: { read_tokens_a_second: Number.MIN_VALUE } },
+        { title: "links of 5e-324 Mbit/s", model: { activation_bytes: 1e9, crossing_mbps: Number.MIN_VALUE } },
+        { title: "tokens of 1e308 bytes", model: { token_bytes: 1e308 } },
+        { title: "prompts of 1e308 tokens", model: { usual_prompt_tokens: 1e308, usual_answer_tokens: 1e308 } },
+        { title: "an engine that is 1e308 times slower", model: { step_ms: 10 }, slowness: 1e308 },
+        { title: "a slowness of -1e308", model: { step_ms: 10 }, slowness: -1e308 },
+    ];
+    for (const { title, model, slowness = 1 } of rows) {
+        it(title, () => {
+            const service = { ...profile, ...model };
+            const chains = computeChains(createHolders(soundEngines.map((one) => ({ ...one, slowness }))), service)
+                .map((chain) => ({ chain, open: 0, unstarted: 0 }));
+            expect(chains).to.have.length(1);
+            expect(chooseChain(chains, { promptTokens: 1e6, answerTokens: 1e6 })).to.equal(chains[0]);
+            expect(chains.every((one) => hasChainCapacity(one.chain, one, service, 1_000))).to.equal(true);
+        });
+    }
+});
+
 const positive = fc.oneof(
     { weight: 3, arbitrary: fc.double({ min: 0.01, max: 10_000, noNaN: true }) },
     fc.constantFrom(
@@ -159,6 +193,9 @@
                     });
                     expect(contextTokens).to.satisfy((tokens: number) => tokens >= 0);
                 });
+                const idle = chains.map((chain) => ({ chain, open: 0, unstarted: 0 }));
+                expect(chooseChain(idle, { promptTokens: 1e6, answerTokens: 1e6 }) === undefined)
+                    .to.equal(chains.length === 0);
             }),
             { seed: SEED, numRuns: RUNS },
         );
