--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -14,13 +14,11 @@
     type LeavingResult,
     replicaParametersSchema,
     resendParametersSchema,
-    type RoutedService,
     type RoutingTable,
     sendsParametersSchema,
     suspectParametersSchema,
     synchroniseParametersSchema,
     trialParametersSchema,
-    unpackDocument,
     watchParametersSchema,
 } from "@crankfork/schemas";
 import { JSONRPCServer } from "json-rpc-2.0";
@@ -34,6 +32,7 @@
 import { createObservedControl } from "../observedControl.js";
 import { PeerLink } from "../peerLink.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
+import { recordFailedCommand } from "../recordFailedCommand.js";
 import { type Founding, ReplicaHost } from "../replicaHost.js";
 import { createBackoffHandlers, UpstreamBackoffs } from "../upstreamBackoffs.js";
 import { UpstreamRateLimits } from "../upstreamRateLimits.js";
@@ -41,6 +40,7 @@
 import { CrashRegistry } from "./crashRegistry.js";
 import { createVoterStatus } from "./createVoterStatus.js";
 import { DocumentRollout } from "./documentRollout.js";
+import { DocumentServices } from "./documentServices.js";
 import { DocumentSource } from "./documentSource.js";
 import { DocumentStore } from "./documentStore.js";
 import { EntryRegistry } from "./entryRegistry.js";
@@ -143,6 +143,12 @@
                     last: event.lastIndex,
                 });
             }
+            else if (
+                event.kind === "command-invalid" || event.kind === "command-failed" || event.kind === "listener-failed"
+                || event.kind === "snapshot-refused" || event.kind === "snapshot-records-dropped"
+            ) {
+                recordFailedCommand(log, event);
+            }
             else if (event.kind === "fault") {
                 log.record("error", "replica-fault", { reason: String(event.error) });
             }
@@ -196,7 +202,7 @@
         },
         getNowMs,
     });
-    const getServices = createServiceReader(host, protocol.decodeDocument);
+    const services = new DocumentServices({ host, log, decodeDocument: protocol.decodeDocument });
     const document = new DocumentStore({
         host,
         log,
@@ -212,8 +218,7 @@
         getLastResumeMs: () => fleet.suspendAwareClock.getLastResumeMs(),
         heartbeatMs: contract.upstream_heartbeat,
         takeLoopUse: createLoopUseMeter(),
-        isServiceNamed: (service) =>
-            host.state.getDocument() === undefined || getServices().some((one) => one.name === service),
+        isServiceNamed: (service) => services.mayRegister(service),
         handleShutdown: (id) => {
             shutdowns.recordAcknowledged(id);
         },
@@ -288,7 +293,7 @@
         control,
         log,
         getNowMs,
-        getServices,
+        getServices: () => services.list(),
         heartbeatMs: contract.upstream_heartbeat,
         isBackingOff: (id) => backoffs.isBackingOff(id),
         computePlan: computeLayerPlan,
@@ -326,23 +331,6 @@
     };
 }
 
-/** Decodes the document once per version. */
-function createServiceReader(
-    host: FleetReplicaHost,
-    decodeDocument: VoterProtocol["decodeDocument"],
-): () => readonly RoutedService[] {
-    let version: number | undefined;
-    let services: readonly RoutedService[] = [];
-    return () => {
-        const document = host.state.getDocument();
-        if (document !== undefined && document.version !== version) {
-            ({ version } = document);
-            services = decodeDocument(unpackDocument(document.packed))?.services ?? [];
-        }
-        return services;
-    };
-}
-
 function createRpcServer(
     instance: string,
     host: FleetReplicaHost,
--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -2,6 +2,7 @@
  * Chains of engines that run every layer once and in order, with the cost of a request on each.
  */
 import type { EngineProfile, LayerSpan } from "@crankfork/schemas";
+import { hasLayers, isWithinModel } from "./isWithinModel.js";
 
 /** An engine that holds layers. */
 export interface HoldingEngine {
@@ -44,6 +45,8 @@
 const STAGE_COST_MS = 0.01;
 const BYTES_PER_MB = 1_000_000;
 const MS_PER_SECOND = 1_000;
+/** Largest time of a step or a token. Chains without a finite time could not be compared, and would get no requests. */
+const MAX_TIME_MS = 1e12;
 const BITS_PER_BYTE = 8;
 /** Utilisation from which a link counts as busy: one more chain would wait for it nearly all of its time. */
 const BUSY_LINK_UTILISATION = 0.9;
@@ -54,11 +57,15 @@
  *
  * Chains across failure domains are for domains that are too small for the model, and for the remaining engines of a
  * domain that has lost a stage.
- * @param engines - engines that may get requests
+ * @param holders - engines that may get requests; those that report layers beyond the model are left out
  * @param profile - the model and the accelerators
  * @returns chains
  */
-export function computeChains(engines: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
+export function computeChains(holders: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
+    if (!hasLayers(profile)) {
+        return [];
+    }
+    const engines = holders.filter(({ span }) => isWithinModel(span, profile));
     const domains = [...new Set(engines.map((engine) => engine.failureDomain))].sort();
     const inside = domains.flatMap((domain) =>
         computeDisjointChains(engines.filter((engine) => engine.failureDomain === domain), profile)
@@ -114,7 +121,11 @@
 function computeTransferMs({ activation_bytes = 0, crossing_mbps }: EngineProfile): number {
     return crossing_mbps === undefined
         ? 0
-        : activation_bytes * BITS_PER_BYTE * MS_PER_SECOND / (crossing_mbps * BYTES_PER_MB);
+        : limitMs(activation_bytes * BITS_PER_BYTE * MS_PER_SECOND / (crossing_mbps * BYTES_PER_MB));
+}
+
+function limitMs(timeMs: number): number {
+    return timeMs >= 0 ? Math.min(MAX_TIME_MS, timeMs) : MAX_TIME_MS;
 }
 
 /** Adds a chain for each unused engine that holds a copy of a first stage in the same failure domain. */
@@ -190,8 +201,12 @@
     return last === undefined ? undefined : createChain(listStages(last), profile);
 }
 
-function hasVisited(node: SearchNode | undefined, id: string): boolean {
-    return node !== undefined && (node.stage.engine.id === id || hasVisited(node.previous, id));
+function hasVisited(last: SearchNode | undefined, id: string): boolean {
+    let node = last;
+    while (node !== undefined && node.stage.engine.id !== id) {
+        node = node.previous;
+    }
+    return node !== undefined;
 }
 
 function listStages(last: SearchNode): readonly ChainStage[] {
@@ -218,13 +233,13 @@
 
 function computeStepMs(stage: ChainStage, profile: EngineProfile): number {
     const { step_factor } = getAccelerator(stage.engine, profile);
-    return computeLayerShare(stage.span, profile) * profile.step_ms * step_factor * stage.engine.slowness;
+    return limitMs(computeLayerShare(stage.span, profile) * profile.step_ms * step_factor * stage.engine.slowness);
 }
 
 function computePrefillMs(stage: ChainStage, profile: EngineProfile): number {
     const { read_factor } = getAccelerator(stage.engine, profile);
     const msPerToken = read_factor * stage.engine.slowness * MS_PER_SECOND / profile.read_tokens_a_second;
-    return computeLayerShare(stage.span, profile) * msPerToken;
+    return limitMs(computeLayerShare(stage.span, profile) * msPerToken);
 }
 
 /**
@@ -237,7 +252,8 @@
     const { span } = stage.engine;
     const freeMb = getAccelerator(stage.engine, profile).memory_mb - (span.end - span.first) * profile.layer_mb;
     const bytesPerToken = (stage.span.end - stage.span.first) * profile.token_bytes / profile.layers;
-    return bytesPerToken === 0 ? Number.MAX_SAFE_INTEGER : Math.max(0, freeMb) * BYTES_PER_MB / bytesPerToken;
+    const tokens = Math.max(0, freeMb) / bytesPerToken * BYTES_PER_MB;
+    return bytesPerToken === 0 ? Number.MAX_SAFE_INTEGER : Math.min(Number.MAX_SAFE_INTEGER, tokens);
 }
 
 function createChain(stages: readonly ChainStage[], profile: EngineProfile): Chain {
@@ -248,6 +264,9 @@
         isCrossDomain: listLinks(stages).length > 0,
         stepMs: stages.reduce((sum, stage) => sum + computeStepMs(stage, profile), transferMs),
         prefillMs: stages.reduce((sum, stage) => sum + computePrefillMs(stage, profile), transferMs),
-        contextTokens: Math.min(...stages.map((stage) => computeContextTokens(stage, profile))),
+        contextTokens: stages.reduce(
+            (least, stage) => Math.min(least, computeContextTokens(stage, profile)),
+            Number.MAX_SAFE_INTEGER,
+        ),
     };
 }
