fix(schemas): bound the depth, length and number of the faults of a value

A voter answered a heartbeat that was nested some thousands deep by closing the connection: formatting the fault stringified the whole value, and the recursion exhausted the stack. Lists had no bound on their faults either.

Faults now format values with bounded depth, length and work.

--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -12,6 +12,8 @@
 export * from "./fleetMessage.js";
 export * from "./fleetSettings.js";
 export * from "./fleetStatus.js";
+export * from "./formatValue.js";
+export * from "./listSchema.js";
 export * from "./member.js";
 export * from "./operatorMessage.js";
 export * from "./outcome.js";
--- a/packages/schemas/src/readToml.ts
+++ b/packages/schemas/src/readToml.ts
@@ -3,6 +3,11 @@
  */
 import { parse, TomlError } from "smol-toml";
 import type * as z from "zod";
+import { formatValue, shortenText } from "./formatValue.js";
+import { MAX_FAULTS } from "./listSchema.js";
+
+/** Length up to which a key is named in full, in UTF-16 code units. */
+const MAX_KEY_LENGTH = 80;
 
 /** A valid value, or one message for each fault. */
 export type ValidationResult<Value> =
@@ -38,7 +43,7 @@
  * @param schema - schema of the value
  * @param raw - parsed value
  * @param source - origin of the value, for messages
- * @returns the value, or one message per fault
+ * @returns the value, or one message per fault, of which at most `MAX_FAULTS` are listed; the messages are of bounded length
  */
 export function validateValue<Schema extends z.ZodType>(
     schema: Schema,
@@ -49,19 +54,24 @@
     if (result.success) {
         return { kind: "valid", value: result.data };
     }
-    return { kind: "invalid", faults: result.error.issues.flatMap((issue) => formatIssue(issue, raw, source)) };
+    const issues = result.error.issues.slice(0, MAX_FAULTS);
+    return { kind: "invalid", faults: issues.flatMap((issue) => formatIssue(issue, raw, source)).slice(0, MAX_FAULTS) };
 }
 
 function formatIssue(issue: z.core.$ZodIssue, raw: unknown, source: string): readonly string[] {
     if (issue.code === "unrecognized_keys") {
-        return issue.keys.map((key) => {
-            const path = [...issue.path, key].join(".");
+        return issue.keys.slice(0, MAX_FAULTS).map((key) => {
+            const path = formatPath([...issue.path, key]);
             return `${source}: ${path}: found an unknown key; expected one that the documentation lists`;
         });
     }
     const value = getValueAt(raw, issue.path);
-    const found = value === undefined ? "nothing" : JSON.stringify(value);
-    return [`${source}: ${issue.path.join(".")}: found ${found}; ${formatExpectation(issue)}`];
+    const found = value === undefined ? "nothing" : formatValue(value);
+    return [`${source}: ${formatPath(issue.path)}: found ${found}; ${formatExpectation(issue)}`];
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+    return path.map((key) => shortenText(String(key), MAX_KEY_LENGTH)).join(".");
 }
 
 function formatExpectation(issue: z.core.$ZodIssue): string {
