fix(schemas): bound the depth and memory of JSON before it is parsed

A document nested 4,000 deep exhausted the stack where it was formatted, and a document of 32 MiB with many small objects, or with many different member names, took more heap than a voter has: parsing alone aborts the process.

parseJson scans the text first and refuses more than 100 nested containers, 2,000,000 values, 1,000,000 containers or 100,000 different names. A document of 32 MiB with 110,000 routes is within these limits; scanning it takes about as long as parsing it. formatJson formats documents of any depth that were stored before without recursion.

--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -18,6 +18,7 @@
 export * from "./operatorMessage.js";
 export * from "./outcome.js";
 export * from "./packedDocument.js";
+export * from "./parseJson.js";
 export * from "./peerMessage.js";
 export * from "./plan.js";
 export * from "./priorityClass.js";
--- a/packages/schemas/src/packedDocument.ts
+++ b/packages/schemas/src/packedDocument.ts
@@ -2,6 +2,7 @@
  * Storage and wire format of the operator's document: the accepting leader compresses it once, and each reader unpacks it.
  */
 import { gunzipSync, gzipSync } from "node:zlib";
+import { formatJson } from "./parseJson.js";
 
 /**
  * Largest document as JSON. A document that was accepted with 32 MiB may be longer once it is formatted again, since numbers
@@ -15,7 +16,7 @@
  * @returns gzipped JSON as base64, so that it can be embedded in JSON messages and files
  */
 export function packDocument(content: unknown): string {
-    return gzipSync(JSON.stringify(content)).toString("base64");
+    return gzipSync(formatJson(content)).toString("base64");
 }
 
 /**
