fix(platform): refuse values that state, timers or addresses cannot hold

An upstream could end entries with a port above 65535, which connecting rejects; leaders with layers up to 2^53 - 1; and get no answer at all for 1e300 slots, which the replicated schema refuses where the command is applied. A document could set timers of 1 ms by time-outs of 2.5e20 ms, name 300,000 models and exhaust the stack, and end a voter by 100,000 empty routes, whose issues exhausted its heap.

Each field of heartbeats, deregistrations, reports, documents and callers' headers now has a range, with the limits in one place, so that whatever a decoder accepts satisfies the replicated schemas. The fault names the field. A document that an earlier build committed is decoded with the nearest valid numbers, so that no entry loses its configuration. Fractions where whole numbers are due are rounded, as those of slots were.

--- a/packages/schemas/src/index.ts
+++ b/packages/schemas/src/index.ts
@@ -13,6 +13,7 @@
 export * from "./fleetSettings.js";
 export * from "./fleetStatus.js";
 export * from "./formatValue.js";
+export * from "./limits.js";
 export * from "./listSchema.js";
 export * from "./member.js";
 export * from "./operatorMessage.js";
