feat(daemon): write why a process ends as its last line, and count tasks that fail

An uncaught exception or a rejected promise ended entries and voters with a stack on standard error only; nothing in the log named the cause. Both programs now write `process-failed`, `start-failed` or `stop-failed` with reason and stack synchronously to the log's destination, past its rate limit, and exit with code 1.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -24,6 +24,7 @@
 export { BodyTooLargeError, readBody, type RequestHandler, sendJson } from "./process/httpServer.js";
 export { formatHybridTime, HybridClock, type HybridTime, parseHybridTime } from "./process/hybridClock.js";
 export { createObservedControl, type NoticeHandlers } from "./process/observedControl.js";
+export { endProcess } from "./process/processFailures.js";
 export { readSettings } from "./process/readSettings.js";
 export type { VoterResult } from "./process/voter/fleetProposal.js";
 export { runVoter, type VoterProtocol, type VoterState } from "./process/voter/runVoter.js";
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -7,10 +7,10 @@
 import { readFileSync } from "node:fs";
 import { dirname, resolve } from "node:path";
 import { Daemon } from "./process/daemon/daemon.js";
+import { endProcess, EXIT_FAILED } from "./process/processFailures.js";
 import { readSettings } from "./process/readSettings.js";
 
 const EXIT_INVALID_SETTINGS = 2;
-const EXIT_FAILED = 1;
 
 const cli = cac("crankforkd");
 cli.command("", "run one instance").option("--settings <file>", "TOML file with the settings").action(run);
@@ -31,6 +31,7 @@
 
 async function startDaemon(settings: Settings): Promise<void> {
     const daemon = new Daemon(settings);
+    daemon.watchFailures();
     try {
         await daemon.start();
         if (settings.instance.alone) {
@@ -38,7 +39,7 @@
         }
     }
     catch (error) {
-        fail(EXIT_FAILED, [`crankforkd: ${error instanceof Error ? error.message : String(error)}`]);
+        endProcess("start-failed", error);
     }
     stopOnSignal(daemon);
 }
@@ -51,7 +52,7 @@
             process.exit(EXIT_FAILED);
         }
         isStopping = true;
-        void daemon.stop().then(() => process.exit(0));
+        daemon.stop().then(() => process.exit(0), (error: unknown) => endProcess("stop-failed", error));
     };
     process.on("SIGTERM", handle);
     process.on("SIGINT", handle);
--- a/packages/daemon/src/process/daemon/daemon.ts
+++ b/packages/daemon/src/process/daemon/daemon.ts
@@ -7,13 +7,15 @@
 import { createAgent, createPeerAgent } from "../../connection/httpClient.js";
 import { createPeerClient } from "../../connection/peerClient.js";
 import { ActiveConfiguration } from "../../version/activeConfiguration.js";
-import { type EventLog, openEventLog } from "../eventLog.js";
+import { type LastLineLog, openEventLog } from "../eventLog.js";
 import { type OpenServer, openServer, type RequestHandler, sendJson } from "../httpServer.js";
 import { HybridClock } from "../hybridClock.js";
 import { type Lifecycle, startLifecycle } from "../lifecycle.js";
 import { type Metrics, openMetrics } from "../metrics.js";
 import { createPeerHandler } from "../peerServer.js";
+import { watchProcessFailures } from "../processFailures.js";
 import { stopWasmOptimisation } from "../stopWasmOptimisation.js";
+import { createTaskFailureHandler, watchTaskFailures } from "../taskFailures.js";
 import { waitMs } from "../waitMs.js";
 import { type CallerServer, createCallerServer } from "./callerServer.js";
 import { ConfigurationPuller } from "./configurationPuller.js";
@@ -47,7 +49,7 @@
 /** One instance and its lifecycle. */
 export class Daemon {
     private readonly clock = new HybridClock();
-    private readonly log: EventLog;
+    private readonly log: LastLineLog;
     private readonly metrics: Metrics;
     private readonly agent: Dispatcher = createAgent();
     private readonly peerConnections: Dispatcher = createPeerAgent();
@@ -71,6 +73,19 @@
         });
     }
 
+    /** Makes this daemon's log and metrics those of the process: they record what fails in it. */
+    watchFailures(): void {
+        const { log, metrics } = this;
+        watchProcessFailures(log);
+        watchTaskFailures(createTaskFailureHandler({
+            log,
+            getNowMs: () => performance.now(),
+            count: (task) => {
+                metrics.count("task.failed", { task });
+            },
+        }));
+    }
+
     /**
      * Starts all components.
      * @returns the listen addresses
--- a/packages/daemon/src/process/fleetMetrics.ts
+++ b/packages/daemon/src/process/fleetMetrics.ts
@@ -69,6 +69,8 @@
     readonly recordUpstreamContact: (counts: { readonly answering: number; readonly unanswered: number; }) => void;
     /** Prompt segments under which upstreams crashed, according to the voters. */
     readonly recordSegmentCounts: (counts: { readonly suspected: number; readonly quarantined: number; }) => void;
+    /** A task threw or rejected, and lost its own work only. */
+    readonly countTaskFailure: (task: string) => void;
     /** Formats all metrics in the text format that a scraper reads. */
     readonly format: () => Promise<string>;
 }
@@ -91,6 +93,12 @@
         labelNames: ["service", "outcome", "rank"],
         registers,
     });
+    const taskFailures = new Counter({
+        name: "crankfork_task_failures_total",
+        help: "Tasks that failed by an exception, by name",
+        labelNames: ["task"],
+        registers,
+    });
     const cutResponses = new Counter({
         name: "crankfork_responses_cut_total",
         help: "Responses that were begun and cut, by how the last attempt ended and why no other was made",
@@ -276,6 +284,9 @@
     });
     const leading = new Gauge({ name: "crankfork_leading", help: "1 while this voter leads", registers });
     return {
+        countTaskFailure: (task) => {
+            taskFailures.inc({ task });
+        },
         recordCutOff: (isCutOff) => {
             cutOff.set(isCutOff ? 1 : 0);
         },
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -15,9 +15,11 @@
 import { type OpenServer, openServer, type RequestHandler } from "./httpServer.js";
 import { HybridClock } from "./hybridClock.js";
 import { type PeerTraffic, startPeerTraffic } from "./peerTraffic.js";
+import { watchProcessFailures } from "./processFailures.js";
 import { createRateLimitedLog } from "./rateLimitedLog.js";
 import { createRpcHandler } from "./rpcHandler.js";
 import { stopWasmOptimisation } from "./stopWasmOptimisation.js";
+import { createTaskFailureHandler, watchTaskFailures } from "./taskFailures.js";
 
 /** Reads the settings file again; undefined if it is invalid now. */
 export type SettingsReader = () => FleetSettings | undefined;
@@ -66,11 +68,11 @@
     const clock = new HybridClock();
     const suspendAwareClock = createSuspendAwareClock(() => log);
     const getNowMs = (): number => suspendAwareClock.getNowMs();
-    const log: EventLog = createRateLimitedLog(
-        openEventLog({ instance: initial.instance.id, level: "info", file: undefined, clock }),
-        getNowMs,
-    );
+    const eventLog = openEventLog({ instance: initial.instance.id, level: "info", file: undefined, clock });
+    watchProcessFailures(eventLog);
+    const log: EventLog = createRateLimitedLog(eventLog, getNowMs);
     const metrics = openFleetMetrics(initial.instance.id);
+    watchTaskFailures(createTaskFailureHandler({ log, getNowMs, count: metrics.countTaskFailure }));
     const traffic = startPeerTraffic(log, metrics);
     const agent = createAgent();
     const peerConnections = createPeerAgent();
