--- a/eslint.config.js
+++ b/eslint.config.js
@@ -44,6 +44,16 @@
             }],
         },
     },
+    {
+        files: ["packages/{coordination,daemon}/src/**/*.ts", "platform/src/**/*.ts"],
+        rules: {
+            "@typescript-eslint/no-floating-promises": ["error", { ignoreVoid: false }],
+            "no-restricted-syntax": ["error", {
+                selector: "UnaryExpression[operator='void']",
+                message: "A promise that nobody awaits needs a handler of its failure; see startTask.ts.",
+            }],
+        },
+    },
     {
         files: ["packages/*/tests/**/*.ts", "platform/tests/**/*.ts"],
         rules: { "@typescript-eslint/no-unused-expressions": "off", "@typescript-eslint/no-non-null-assertion": "off" },
--- a/packages/daemon/src/connection/engineClient.ts
+++ b/packages/daemon/src/connection/engineClient.ts
@@ -15,6 +15,7 @@
 } from "@crankfork/schemas";
 import crc32 from "crc-32";
 import type { Dispatcher } from "undici";
+import { startTask } from "../process/startTask.js";
 import { fetchJson } from "./httpClient.js";
 import { ORDER_RESPONSE_LIMIT_BYTES, PEER_MESSAGE_LIMIT_BYTES, REPORT_LIMIT_BYTES } from "./messageLimits.js";
 import { readRateLimit } from "./readRateLimit.js";
@@ -81,7 +82,7 @@
     return {
         runStep: (step, signal) => batcher.run(step, signal),
         cancelRun: (run) => {
-            void canceller.cancel(run);
+            startTask("run-cancel", () => canceller.cancel(run));
         },
         getStatus: async () => {
             const requestedAtMs = performance.now();
--- a/packages/daemon/src/connection/exitGuard.ts
+++ b/packages/daemon/src/connection/exitGuard.ts
@@ -3,6 +3,7 @@
  * delimited by its connection ends, so that a part of one would look complete.
  */
 import type { Socket } from "node:net";
+import { startTask } from "../process/startTask.js";
 
 /** Dependencies of {@link ExitGuard}. */
 export interface ExitGuardOptions {
@@ -50,7 +51,9 @@
         };
         let release = (): void => undefined;
         this.loading ??= this.load();
-        void this.loading.then((set) => {
+        const { loading } = this;
+        startTask("exit-guard", async () => {
+            const set = await loading;
             if (set !== undefined && !isReleased) {
                 apply(set, true);
                 release = () => {
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -3,6 +3,7 @@
  * sent.
  */
 import { buildConnector, type Dispatcher, errors } from "undici";
+import { limitTimerMs } from "../process/waitMs.js";
 import { KeepAliveAgent } from "./keepAliveAgent.js";
 import {
     computeTrickleLimitMs,
@@ -271,7 +272,7 @@
     // After a pause of the process the timer fires before the event loop has read a response that is there.
     const timer = setTimeout(() => {
         lastTurn = setImmediate(abort);
-    }, timeoutMs);
+    }, limitTimerMs(timeoutMs));
     return {
         signal: controller.signal,
         restart: (receivedBytes) => {
--- a/packages/daemon/src/connection/keepAliveAgent.ts
+++ b/packages/daemon/src/connection/keepAliveAgent.ts
@@ -2,6 +2,7 @@
  * Keep-alive connection pools, one per origin.
  */
 import { type buildConnector, Dispatcher, Pool } from "undici";
+import { startTask } from "../process/startTask.js";
 
 /** Options of the connection pools. */
 export interface KeepAliveAgentOptions {
@@ -46,7 +47,7 @@
     retire(origin: string): void {
         const pool = this.pools.get(origin);
         this.pools.delete(origin);
-        void pool?.close();
+        startTask("close", () => pool?.close());
     }
 
     /** Closes all connections and aborts what runs on them. */
--- a/packages/daemon/src/connection/relayDispatcher.ts
+++ b/packages/daemon/src/connection/relayDispatcher.ts
@@ -2,6 +2,7 @@
  * Sends a request to an upstream through other entries: to the next one while the request has not reached the upstream.
  */
 import type { Dispatcher } from "undici";
+import { startTimer } from "../process/startTask.js";
 import { RelayError, type RelayFailureKind } from "./exchangeFailure.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
 import {
@@ -145,9 +146,9 @@
                 wasWritten = true;
                 handleRelay(relay);
                 relays.recordStart(relay);
-                silenceTimer = setTimeout(() => {
+                silenceTimer = startTimer("relay-query", SILENCE_MS, () => {
                     relays.handleSilence(relay, endpoint.upstreamId);
-                }, SILENCE_MS);
+                });
             },
             onResponseStart: (controller, status, headers) => {
                 if (status < 200) {
--- a/packages/daemon/src/connection/serviceClient.ts
+++ b/packages/daemon/src/connection/serviceClient.ts
@@ -5,6 +5,7 @@
 import type { BufferedResponse } from "@crankfork/schemas";
 import { isUtf8 } from "node:buffer";
 import type { Dispatcher } from "undici";
+import { limitTimerMs } from "../process/waitMs.js";
 import { createExchangeError, ExchangeError, readRetryAfterMs, sendRequest } from "./httpClient.js";
 import { readRateLimit } from "./readRateLimit.js";
 
@@ -48,7 +49,7 @@
     address: string,
     call: ServiceCall,
 ): Promise<ServiceAnswer> {
-    const signal = AbortSignal.any([call.signal, AbortSignal.timeout(call.timeoutMs)]);
+    const signal = AbortSignal.any([call.signal, AbortSignal.timeout(Math.ceil(limitTimerMs(call.timeoutMs)))]);
     const headers: Record<string, string> = call.contentType === undefined ? {} : { "content-type": call.contentType };
     const hasBody = call.body.length > 0;
     const response = await sendRequest({
--- a/packages/daemon/src/connection/stepBatcher.ts
+++ b/packages/daemon/src/connection/stepBatcher.ts
@@ -4,6 +4,8 @@
  */
 import { type Step, type StepResponse, stepResponseSchema } from "@crankfork/schemas";
 import type { Dispatcher } from "undici";
+import { startTask } from "../process/startTask.js";
+import { limitTimerMs } from "../process/waitMs.js";
 import { waitMs } from "../process/waitMs.js";
 import { ByteBuffer } from "./byteBuffer.js";
 import { createExchangeError, ExchangeError, readRetryAfterMs, sendRequest } from "./httpClient.js";
@@ -87,7 +89,7 @@
             };
             const timer = setTimeout(() => {
                 pendingStep.reject(new ExchangeError("silent", this.options.name, "no response within the time-out"));
-            }, this.options.timeoutMs);
+            }, limitTimerMs(this.options.timeoutMs));
             if (signal.aborted) {
                 cancel();
                 return;
@@ -123,7 +125,9 @@
         this.queued.push(step);
         if (this.queued.length === 1) {
             setImmediate(() => {
-                this.flush();
+                startTask("step-batch", () => {
+                    this.flush();
+                });
             });
         }
     }
@@ -139,9 +143,10 @@
     private startCall(steps: readonly PendingStep[]): void {
         const call = { runs: new Set(steps.map(({ step }) => step.run)), end: this.sendCall(steps) };
         this.inFlight.add(call);
-        void call.end.finally(() => {
-            this.inFlight.delete(call);
-        });
+        startTask("step-batch", () =>
+            call.end.finally(() => {
+                this.inFlight.delete(call);
+            }));
     }
 
     private async sendCall(steps: readonly PendingStep[]): Promise<void> {
--- a/packages/daemon/src/connection/upstreamConnections.ts
+++ b/packages/daemon/src/connection/upstreamConnections.ts
@@ -3,6 +3,7 @@
  * connection to its previous incarnation would accept a request and never answer it.
  */
 import type { Dispatcher, Pool } from "undici";
+import { runForEach, startTask } from "../process/startTask.js";
 import { BoundedPool } from "./boundedPool.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
 import { upstreamConnectionOptions } from "./upstreamExchange.js";
@@ -45,7 +46,7 @@
         const client = new BoundedPool(`http://${address}`, upstreamConnectionOptions);
         this.unshared.add(client);
         const mayContinue = client.dispatch(options, handler);
-        void client.close().finally(() => this.unshared.delete(client));
+        startTask("close", () => client.close().finally(() => this.unshared.delete(client)));
         return mayContinue;
     }
 
@@ -68,7 +69,7 @@
         for (const [key, { id, pool }] of this.pools) {
             if (!isCurrent(id)) {
                 this.pools.delete(key);
-                void pool.close();
+                startTask("close", () => pool.close());
             }
         }
     }
@@ -77,7 +78,7 @@
     retireAll(): void {
         const pools = [...this.pools.values()];
         this.pools.clear();
-        pools.forEach(({ pool }) => void pool.close());
+        runForEach("close", pools, ({ pool }) => pool.close());
     }
 
     /** Closes all connections and aborts what runs on them. */
--- a/packages/daemon/src/process/daemon/admissionController.ts
+++ b/packages/daemon/src/process/daemon/admissionController.ts
@@ -14,6 +14,7 @@
 import { type LatencyBound, type PriorityClass, priorityClasses } from "@crankfork/schemas";
 import type VError from "verror";
 import { createCallerError } from "../../request/callerError.js";
+import { limitTimerMs } from "../waitMs.js";
 
 /** A request that asks for admission. */
 export interface AdmissionRequest extends QueuedRequest {
@@ -183,7 +184,7 @@
                 };
                 const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.meanFirstTokenMs);
                 waiting.fail(createCallerError("overloaded", { step: "queue", peer: this.name, values, retryAfterMs }));
-            }, limitMs);
+            }, limitTimerMs(limitMs));
             request.signal.addEventListener("abort", cancel, { once: true });
             this.queue.push(waiting);
             this.drainMeters.get(request.priority).recordArrival(performance.now());
--- a/packages/daemon/src/process/daemon/callerServer.ts
+++ b/packages/daemon/src/process/daemon/callerServer.ts
@@ -13,6 +13,7 @@
 import type { ConfigurationView } from "../../version/activeConfiguration.js";
 import { BodyTooLargeError, readBody, sendJson } from "../httpServer.js";
 import type { LifecycleState } from "../lifecycle.js";
+import { startTask } from "../startTask.js";
 
 /** Dependencies of the API. */
 export interface CallerServerOptions {
@@ -54,9 +55,11 @@
     const serve = (run: ServeFunction) => (polkaRequest: IncomingMessage, response: ServerResponse): void => {
         const request = polkaRequest as CallerHttpRequest;
         open += 1;
-        void handleRequest(options, request, response, run).finally(() => {
-            open -= 1;
-        });
+        const handle = (): Promise<void> =>
+            handleRequest(options, request, response, run).finally(() => {
+                open -= 1;
+            });
+        startTask("request", handle, () => response.destroy());
     };
     const serveNotFound = serve((context) => {
         const values = { path: context.request.path };
--- a/packages/daemon/src/process/daemon/claimManager.ts
+++ b/packages/daemon/src/process/daemon/claimManager.ts
@@ -8,6 +8,7 @@
 import type { PeerClient } from "../../connection/peerClient.js";
 import type { ClaimFunctions } from "../../request/claimedRun.js";
 import type { EventLog } from "../eventLog.js";
+import { startTimer } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 import { ClaimTable } from "./claimTable.js";
 import type { LeaderClient } from "./leaderClient.js";
@@ -84,11 +85,7 @@
             return;
         }
         this.options.log.record("warn", "claim-not-settled", { token: command.token });
-        setTimeout(() => {
-            if (!this.isStopped) {
-                void this.settle(command);
-            }
-        }, SETTLE_RETRY_DELAY_MS);
+        startTimer("claim-settle", SETTLE_RETRY_DELAY_MS, () => this.isStopped ? undefined : this.settle(command));
     }
 
     private async askOwner(owner: string, token: string): Promise<AwaitAnswerResult> {
--- a/packages/daemon/src/process/daemon/claimTable.ts
+++ b/packages/daemon/src/process/daemon/claimTable.ts
@@ -3,6 +3,8 @@
  * Other instances query the owner of a claim before they answer a caller.
  */
 import type { AwaitAnswerResult, BufferedResponse } from "@crankfork/schemas";
+import { startTask } from "../startTask.js";
+import { limitTimerMs } from "../waitMs.js";
 
 /** How a claimed request ended. */
 export type ClaimEnd =
@@ -32,12 +34,12 @@
      */
     recordOpen(token: string, end: Promise<ClaimEnd>): void {
         this.open.set(token, end);
-        void end.then((result) => {
-            this.open.delete(token);
-            if (result.kind === "finished") {
-                this.unsettled.set(token, result.answer);
-            }
-        });
+        startTask("claim-end", () =>
+            end.then((result) => {
+                if (result.kind === "finished") {
+                    this.unsettled.set(token, result.answer);
+                }
+            }).finally(() => this.open.delete(token)));
     }
 
     /**
@@ -63,7 +65,7 @@
         const timeout = new Promise<AwaitAnswerResult>((resolve) => {
             setTimeout(() => {
                 resolve({ kind: "running" });
-            }, waitMs);
+            }, limitTimerMs(waitMs));
         });
         return await Promise.race([open, timeout]);
     }
--- a/packages/daemon/src/process/daemon/configurationPuller.ts
+++ b/packages/daemon/src/process/daemon/configurationPuller.ts
@@ -5,6 +5,8 @@
 import { type Configuration, configurationResultSchema } from "@crankfork/schemas";
 import type { PeerClient } from "../../connection/peerClient.js";
 import type { ActiveConfiguration } from "../../version/activeConfiguration.js";
+import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { startTask } from "../startTask.js";
 import type { LeaderClient } from "./leaderClient.js";
 
 /** Dependencies of the puller. */
@@ -22,7 +24,7 @@
 
 /** Pulls configurations from the leader at first, then from peers. */
 export class ConfigurationPuller {
-    private timer: NodeJS.Timeout | undefined;
+    private stopTask: StopPeriodicTask | undefined;
     private hasFirstConfiguration = false;
     private isPulling = false;
 
@@ -33,21 +35,19 @@
 
     /** Starts the periodic pull. */
     start(): void {
-        this.timer = setInterval(() => {
-            void this.pull();
-        }, PULL_INTERVAL_MS);
+        this.stopTask = startPeriodicTask("configuration-pull", PULL_INTERVAL_MS, () => this.pull());
     }
 
     /** Pulls immediately instead of at the next interval, after gossip of a newer version. */
     pullNow(): void {
         if (this.hasFirstConfiguration) {
-            void this.pull();
+            startTask("configuration-pull", () => this.pull());
         }
     }
 
     /** Stops the periodic pull. */
     stop(): void {
-        clearInterval(this.timer);
+        this.stopTask?.();
     }
 
     private async pull(): Promise<void> {
--- a/packages/daemon/src/process/daemon/daemon.ts
+++ b/packages/daemon/src/process/daemon/daemon.ts
@@ -14,6 +14,8 @@
 import { type Metrics, openMetrics } from "../metrics.js";
 import { createPeerHandler } from "../peerServer.js";
 import { watchProcessFailures } from "../processFailures.js";
+import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { runForEach, startTask } from "../startTask.js";
 import { stopWasmOptimisation } from "../stopWasmOptimisation.js";
 import { createTaskFailureHandler, watchTaskFailures } from "../taskFailures.js";
 import { waitMs } from "../waitMs.js";
@@ -43,7 +45,7 @@
     readonly reconciler: PlacementReconciler | undefined;
     readonly platformPoller: PlatformPoller | undefined;
     readonly callerServer: CallerServer;
-    readonly publishTimer: NodeJS.Timeout;
+    readonly stopPublishing: StopPeriodicTask;
 }
 
 /** One instance and its lifecycle. */
@@ -159,16 +161,15 @@
             return;
         }
         this.startedComponents = undefined;
-        clearInterval(components.publishTimer);
+        components.stopPublishing();
         components.controlPlane.stop();
         components.dataPlane.upstreams.stop();
         components.puller.stop();
         components.reconciler?.stop();
         components.platformPoller?.stop();
-        this.servers.forEach((server) => void server.close());
+        runForEach("close", this.servers, (server) => server.close());
         this.metrics.close();
-        void this.agent.destroy();
-        void this.peerConnections.destroy();
+        runForEach("close", [this.agent, this.peerConnections], (connections) => connections.destroy());
     }
 
     private get components(): DaemonComponents {
@@ -250,9 +251,9 @@
             reconciler: this.startReconciler(controlPlane, dataPlane),
             platformPoller: this.startPlatformPoller(dataPlane),
             callerServer: this.createCallerApi(dataPlane),
-            publishTimer: setInterval(() => {
+            stopPublishing: startPeriodicTask("load-publish", LOAD_PUBLISH_INTERVAL_MS, () => {
                 dataPlane.publishLoad();
-            }, LOAD_PUBLISH_INTERVAL_MS),
+            }),
         };
     }
 
@@ -267,10 +268,11 @@
             inForce: this.inForce,
             handleFirstConfiguration: () => {
                 // Before the engines have been polled once there is no route, so every request would be refused.
-                void upstreams.pollAll().then(() => {
-                    this.acceptsRequests = true;
-                    this.lifecycle.send("configured");
-                });
+                startTask("engine-poll", () =>
+                    upstreams.pollAll().finally(() => {
+                        this.acceptsRequests = true;
+                        this.lifecycle.send("configured");
+                    }));
             },
         });
         puller.start();
--- a/packages/daemon/src/process/daemon/leaderClient.ts
+++ b/packages/daemon/src/process/daemon/leaderClient.ts
@@ -14,6 +14,7 @@
 import type { PeerClient } from "../../connection/peerClient.js";
 import type { CommandResult } from "../../request/claimedRun.js";
 import type { ReplicaHost } from "../replicaHost.js";
+import { limitTimerMs } from "../waitMs.js";
 import { waitMs } from "../waitMs.js";
 
 /** Dependencies of the client. */
@@ -158,7 +159,7 @@
     const timeout = new Promise<ProposeResult>((resolve) => {
         timer = setTimeout(() => {
             resolve({ kind: "unknown" });
-        }, timeoutMs);
+        }, limitTimerMs(timeoutMs));
     });
     try {
         return await Promise.race([result, timeout]);
--- a/packages/daemon/src/process/daemon/operatorServer.ts
+++ b/packages/daemon/src/process/daemon/operatorServer.ts
@@ -15,6 +15,7 @@
 import type { ActiveConfiguration } from "../../version/activeConfiguration.js";
 import { hasSecret, readBody, type RequestHandler, sendJson } from "../httpServer.js";
 import type { ReplicaHost } from "../replicaHost.js";
+import { startTask } from "../startTask.js";
 import type { LeaderClient } from "./leaderClient.js";
 import { createNoQuorumError, OperatorApiError, sendOperatorError } from "./operatorApiError.js";
 import { confirmPlan, recordPlan } from "./planRequests.js";
@@ -56,7 +57,7 @@
         },
     });
     const route = (run: (request: polka.Request) => unknown): polka.Middleware => (request, response) => {
-        void respond(options, request, response, run);
+        startTask("operator-request", () => respond(options, request, response, run), () => response.destroy());
     };
     app.get("/v1/status", route(() => getStatus(options)));
     app.get(
--- a/packages/daemon/src/process/daemon/placementReconciler.ts
+++ b/packages/daemon/src/process/daemon/placementReconciler.ts
@@ -9,6 +9,8 @@
 import type { ConfigurationView } from "../../version/activeConfiguration.js";
 import type { EventFields } from "../eventLog.js";
 import type { ReplicaHost } from "../replicaHost.js";
+import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { runForEach } from "../startTask.js";
 import type { UpstreamState } from "./upstreamState.js";
 import type { UpstreamTable } from "./upstreamTable.js";
 
@@ -28,7 +30,7 @@
 
 /** Sends orders to engines whose layers differ from the configuration. */
 export class PlacementReconciler {
-    private timer: NodeJS.Timeout | undefined;
+    private stopTask: StopPeriodicTask | undefined;
     private leaderTerm = 0;
     private leaderSinceMs = 0;
     private readonly pending = new Set<string>();
@@ -40,14 +42,14 @@
 
     /** Starts the periodic reconciliation. */
     start(): void {
-        this.timer = setInterval(() => {
+        this.stopTask = startPeriodicTask("placement", RECONCILE_INTERVAL_MS, () => {
             this.reconcile();
-        }, RECONCILE_INTERVAL_MS);
+        });
     }
 
     /** Stops the reconciliation. */
     stop(): void {
-        clearInterval(this.timer);
+        this.stopTask?.();
     }
 
     private reconcile(): void {
@@ -62,12 +64,12 @@
         }
         const { placements } = getView().configuration;
         const wantedByUpstream = groupByUpstream(placements);
-        for (const state of upstreams.getAll()) {
+        runForEach("layer-order", upstreams.getAll(), async (state) => {
             const wanted = wantedByUpstream.get(state.upstream.name) ?? [];
             if (this.isOrderDue(state, wanted)) {
-                void this.send(state, wanted, { term: status.term, index: status.commitIndex });
+                await this.send(state, wanted, { term: status.term, index: status.commitIndex });
             }
-        }
+        });
     }
 
     private isOrderDue(state: UpstreamState, wanted: readonly ModelLayerRange[]): boolean {
--- a/packages/daemon/src/process/daemon/platformPoller.ts
+++ b/packages/daemon/src/process/daemon/platformPoller.ts
@@ -6,6 +6,7 @@
 import * as z from "zod";
 import { fetchJson } from "../../connection/httpClient.js";
 import { INSTANCE_LIST_LIMIT_BYTES } from "../../connection/messageLimits.js";
+import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
 
 const listSchema = z.object({
     instances: z.array(z.object({ address: z.string(), state: z.string() })),
@@ -15,7 +16,7 @@
 
 /** Polls the platform's instance list. */
 export class PlatformPoller {
-    private timer: NodeJS.Timeout | undefined;
+    private stopTask: StopPeriodicTask | undefined;
 
     /**
      * @param agent - connection pool
@@ -32,14 +33,12 @@
 
     /** Starts polling. */
     start(): void {
-        this.timer = setInterval(() => {
-            void this.poll();
-        }, this.pollMs);
+        this.stopTask = startPeriodicTask("platform-poll", this.pollMs, () => this.poll());
     }
 
     /** Stops polling. */
     stop(): void {
-        clearInterval(this.timer);
+        this.stopTask?.();
     }
 
     private async poll(): Promise<void> {
--- a/packages/daemon/src/process/daemon/upstreamTable.ts
+++ b/packages/daemon/src/process/daemon/upstreamTable.ts
@@ -16,6 +16,8 @@
 import type { EngineClient } from "../../connection/engineClient.js";
 import { ExchangeError } from "../../connection/httpClient.js";
 import type { ConfigurationView } from "../../version/activeConfiguration.js";
+import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { startTask } from "../startTask.js";
 import { UpstreamState } from "./upstreamState.js";
 
 /** Dependencies of the table. */
@@ -40,7 +42,7 @@
 export class UpstreamTable {
     private states = new Map<string, UpstreamState>();
     private indexes = new Map<string, HolderIndex>();
-    private timer: NodeJS.Timeout | undefined;
+    private stopTask: StopPeriodicTask | undefined;
     private leavingAddresses: ReadonlySet<string> = new Set();
 
     /**
@@ -51,14 +53,12 @@
 
     /** Starts polling. */
     start(): void {
-        this.timer = setInterval(() => {
-            void this.pollAll();
-        }, this.pollMs);
+        this.stopTask = startPeriodicTask("engine-poll", this.pollMs, () => this.pollAll());
     }
 
     /** Stops polling. */
     stop(): void {
-        clearInterval(this.timer);
+        this.stopTask?.();
     }
 
     /**
@@ -73,7 +73,7 @@
             return [upstream.name, isSame ? known.updateUpstream(upstream) : this.createState(upstream)];
         }));
         this.indexes.clear();
-        void this.pollAll();
+        startTask("engine-poll", () => this.pollAll());
     }
 
     /**
--- a/packages/daemon/src/process/entry/callerPort.ts
+++ b/packages/daemon/src/process/entry/callerPort.ts
@@ -6,6 +6,7 @@
 import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 import { type OpenServer, openServer, type RequestHandler, sendJson } from "../httpServer.js";
+import { limitTimerMs } from "../waitMs.js";
 
 /** Limits of the routing table. */
 type Limits = RoutingTable["limits"];
@@ -60,8 +61,8 @@
      * @param limits - limits of the routing table
      */
     applyLimits(limits: Limits): void {
-        this.server.keepAliveTimeout = limits.idle_timeout_ms;
-        this.server.headersTimeout = limits.header_timeout_ms;
+        this.server.keepAliveTimeout = limitTimerMs(limits.idle_timeout_ms);
+        this.server.headersTimeout = limitTimerMs(limits.header_timeout_ms);
         this.headerLimitBytes = limits.header_bytes;
     }
 
--- a/packages/daemon/src/process/entry/crashReports.ts
+++ b/packages/daemon/src/process/entry/crashReports.ts
@@ -4,6 +4,7 @@
  */
 import { crashesResultSchema, type ReportedCrash } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
+import { startTask } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 import { LeaderNotifier } from "./leaderNotifier.js";
 
@@ -44,7 +45,7 @@
      */
     addCrash(crash: ReportedCrash): void {
         this.crashes = [...this.crashes, crash].slice(-MAX_CRASHES);
-        void this.notifier.run();
+        startTask("leader-notice", () => this.notifier.run());
     }
 
     /**
@@ -53,7 +54,7 @@
      */
     addCompletion(fingerprint: string): void {
         this.completions.add(fingerprint);
-        void this.notifier.run();
+        startTask("leader-notice", () => this.notifier.run());
     }
 
     /**
--- a/packages/daemon/src/process/entry/documentLoader.ts
+++ b/packages/daemon/src/process/entry/documentLoader.ts
@@ -5,6 +5,7 @@
 import { documentResultSchema, unpackDocument } from "@crankfork/schemas";
 import type { PeerClient } from "../../connection/peerClient.js";
 import type { EventLog } from "../eventLog.js";
+import { runLoop, startTask } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 
 /** Dependencies of the loader. */
@@ -65,7 +66,7 @@
         }
         if (!this.isLoading && !this.isUpToDate()) {
             this.source = leader;
-            void this.load();
+            startTask("document-load", () => this.load());
         }
     }
 
@@ -75,17 +76,16 @@
     }
 
     private async load(): Promise<void> {
-        this.isLoading = true;
-        while (!this.isStopped && !this.isUpToDate()) {
+        // Reset in the same turn of the event loop as the last check of the target, so that a version set in between is
+        // not missed.
+        const shouldContinue = (): boolean => this.isLoading = !this.isStopped && !this.isUpToDate();
+        await runLoop("document-load", shouldContinue, async () => {
             const pauseMs = await this.fetchFrom(this.source);
             if (pauseMs > 0) {
                 this.switchVoter();
                 await waitMs(pauseMs);
             }
-        }
-        // Reset in the same turn of the event loop as the last check of the target, so that a version set in between is
-        // not missed.
-        this.isLoading = false;
+        });
     }
 
     /**
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -31,6 +31,8 @@
 import { readCallerBody } from "../callerBody.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { startTask } from "../startTask.js";
+import { describeError } from "../taskFailures.js";
 import { AdmissionLevels } from "./admissionLevels.js";
 import { CrashTracker } from "./crashTracker.js";
 import { createEntryStatus } from "./createEntryStatus.js";
@@ -217,7 +219,9 @@
             handleProcessPause: (durationMs) => {
                 this.linkMonitor.recordProcessPause(durationMs);
             },
-            handleStall: (id, streams, silentMs) => void this.faultHandler.handlePathStall(id, streams, silentMs),
+            handleStall: (id, streams, silentMs) => {
+                startTask("engine-report", () => this.faultHandler.handlePathStall(id, streams, silentMs));
+            },
         });
         this.chooser = new TargetChooser({
             backoffs: this.notices.backoffs,
@@ -418,10 +422,15 @@
         const closed = new Promise<void>((resolve) => {
             response.once("close", resolve);
         });
-        void this.serve(message, response, answer, request).catch((error: unknown) => {
-            this.options.log.record("error", "request-fault", { reason: String(error) });
-            response.destroy();
-        }).then(() => closed).then(() => {
+        startTask("request", async () => {
+            try {
+                await this.serve(message, response, answer, request);
+            }
+            catch (error) {
+                this.options.log.record("error", "request-fault", describeError(error));
+                response.destroy();
+            }
+            await closed;
             this.open.delete(answer);
         });
     }
@@ -569,16 +578,18 @@
             },
             suspect: (id, reason) => {
                 this.faultHandler.suspect(id, reason);
-                void this.links.checkAfterFailure();
+                startTask("reach-check", () => this.links.checkAfterFailure());
             },
             recordMissingReport: (id, reason) => {
                 this.faultHandler.handleMissingReport(id, reason);
-                void this.links.checkAfterFailure();
+                startTask("reach-check", () => this.links.checkAfterFailure());
             },
             recordProgress: (id) => {
                 this.faultHandler.handleProgress(id);
             },
-            recordDecline: (id, reason) => void this.faultHandler.handleDecline(id, reason),
+            recordDecline: (id, reason) => {
+                startTask("engine-report", () => this.faultHandler.handleDecline(id, reason));
+            },
             findIdAt: (address) => this.view.findIdByAddress(address),
             claimRetry: (service, isUnderWay) => this.claimRetry(service, isUnderWay),
             releaseRetry: (service) => {
--- a/packages/daemon/src/process/entry/leaderNotifier.ts
+++ b/packages/daemon/src/process/entry/leaderNotifier.ts
@@ -1,6 +1,7 @@
 /**
  * Reports findings of an entry to the leader, and retries until a quorum has stored them, since the leader may change.
  */
+import { runLoop } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 
 /** What to send, and how. */
@@ -30,11 +31,10 @@
         }
         this.isRunning = true;
         await waitMs(this.options.batchMs);
-        while (this.options.hasPending()) {
+        await runLoop("leader-notice", () => this.isRunning = this.options.hasPending(), async () => {
             if (!await this.options.send()) {
                 await waitMs(RETRY_MS);
             }
-        }
-        this.isRunning = false;
+        });
     }
 }
--- a/packages/daemon/src/process/entry/leaderSync.ts
+++ b/packages/daemon/src/process/entry/leaderSync.ts
@@ -14,6 +14,7 @@
 import type { DocumentOrigin } from "../../version/activeDocument.js";
 import type { EventLog } from "../eventLog.js";
 import { formatAgeMs } from "../formatAgeMs.js";
+import { runLoop, startTask, startTimer } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 import { DocumentLoader } from "./documentLoader.js";
 import { PeerBackoffs } from "./peerBackoffs.js";
@@ -176,7 +177,7 @@
 
     /** Starts the synchronisation. */
     start(): void {
-        void this.run();
+        startTask("leader-sync", () => this.run());
     }
 
     /** Stops the synchronisation. */
@@ -196,19 +197,27 @@
             return;
         }
         const sinceMs = this.options.getNowMs() - this.reportedMs;
-        this.reportTimer ??= setTimeout(() => {
-            this.reportTimer = undefined;
-            void this.runReport();
-        }, Math.max(SUSPECT_BATCH_MS, SUSPECT_INTERVAL_MS - sinceMs));
+        this.reportTimer ??= startTimer(
+            "suspect-report",
+            Math.max(SUSPECT_BATCH_MS, SUSPECT_INTERVAL_MS - sinceMs),
+            () => {
+                this.reportTimer = undefined;
+                return this.runReport();
+            },
+        );
     }
 
     private async runReport(): Promise<void> {
         this.isReporting = true;
         this.isReportDue = false;
         this.reportedMs = this.options.getNowMs();
-        await this.sendSuspects();
-        this.isReporting = false;
-        this.continueReports();
+        try {
+            await this.sendSuspects();
+        }
+        finally {
+            this.isReporting = false;
+            this.continueReports();
+        }
     }
 
     private continueReports(): void {
@@ -277,14 +286,14 @@
     }
 
     private async run(): Promise<void> {
-        while (!this.isStopped) {
+        await runLoop("leader-sync", () => !this.isStopped, async () => {
             if (this.leader === undefined) {
                 await this.discoverLeader();
             }
             else if (!await this.pollLeader(this.leader)) {
                 await waitMs(RETRY_MS);
             }
-        }
+        });
     }
 
     /** Long-polls the known leader. */
--- a/packages/daemon/src/process/entry/leavingNotices.ts
+++ b/packages/daemon/src/process/entry/leavingNotices.ts
@@ -7,6 +7,7 @@
 import { leavingResultSchema } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { startTask } from "../startTask.js";
 import { LeaderNotifier } from "./leaderNotifier.js";
 
 /** Dependencies of the notices. */
@@ -57,7 +58,7 @@
         metrics.countLeavingNotice();
         log.record("info", "upstream-leaving-notice", { peer: id, asked, drain_ms: drainMs });
         this.unreported = [...this.unreported, id];
-        void this.notifier.run();
+        startTask("leader-notice", () => this.notifier.run());
     }
 
     /**
--- a/packages/daemon/src/process/entry/pathStallDetector.ts
+++ b/packages/daemon/src/process/entry/pathStallDetector.ts
@@ -85,7 +85,7 @@
     /** Checks run only while a path is tracked, so that an idle entry does not wake up fifty times a second. */
     private start(): void {
         this.lastCheckMs = this.options.getNowMs();
-        this.stopTicking ??= startPeriodicTask(CHECK_INTERVAL_MS, () => {
+        this.stopTicking ??= startPeriodicTask("path-check", CHECK_INTERVAL_MS, () => {
             this.checkPaths();
         });
     }
--- a/packages/daemon/src/process/entry/reachMonitor.ts
+++ b/packages/daemon/src/process/entry/reachMonitor.ts
@@ -6,6 +6,8 @@
 import type { RegisteredUpstream } from "@crankfork/schemas";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { startPeriodicTask } from "../startPeriodicTask.js";
+import { startTask } from "../startTask.js";
 import type { OthersReach } from "./relayPool.js";
 
 /** Dependencies of {@link ReachMonitor}. */
@@ -61,9 +63,9 @@
 
     /** Starts the periodic check. */
     start(): void {
-        setInterval(() => {
+        startPeriodicTask("reach-check", TICK_MS, () => {
             this.tick();
-        }, TICK_MS);
+        });
     }
 
     /** Whether this entry reaches no upstream, and others do. */
@@ -90,7 +92,7 @@
         this.lastTickMs = nowMs;
         if (this.cutOffSinceMs !== undefined) {
             if (nowMs - this.lastCheckMs >= RECHECK_INTERVAL_MS) {
-                void this.recheck();
+                startTask("reach-check", () => this.recheck());
             }
         }
         else if (
@@ -98,7 +100,7 @@
             && nowMs - this.lastCheckMs >= SILENCE_CHECK_INTERVAL_MS
             && this.options.getSilentMs() >= SILENCE_MS
         ) {
-            void this.check();
+            startTask("reach-check", () => this.check());
         }
     }
 
--- a/packages/daemon/src/process/entry/relayPool.ts
+++ b/packages/daemon/src/process/entry/relayPool.ts
@@ -7,6 +7,7 @@
 import type { RelaySource } from "../../connection/relayDispatcher.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { startTask } from "../startTask.js";
 
 /** Dependencies of {@link RelayPool}. */
 export interface RelayPoolOptions {
@@ -135,7 +136,10 @@
     handleSilence(relay: string, upstreamId: string): void {
         if (!this.asked.has(relay) && !this.hasFailed(relay)) {
             this.asked.add(relay);
-            void this.queryRelay(relay, [upstreamId]).finally(() => this.asked.delete(relay));
+            startTask(
+                "relay-query",
+                () => this.queryRelay(relay, [upstreamId]).finally(() => this.asked.delete(relay)),
+            );
         }
     }
 
--- a/packages/daemon/src/process/entry/relayServer.ts
+++ b/packages/daemon/src/process/entry/relayServer.ts
@@ -21,6 +21,7 @@
 import type { FleetView } from "../../version/fleetView.js";
 import { readCallerBody } from "../callerBody.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { startTask } from "../startTask.js";
 import { PROBE_TIMEOUT_MS } from "./reachMonitor.js";
 
 /** Dependencies of {@link RelayServer}. */
@@ -156,7 +157,7 @@
                     refuse(response, "unreachable");
                 }
                 else if (isUpstreamClosed) {
-                    void this.endClosed(response);
+                    startTask("relayed-end", () => this.endClosed(response), () => response.destroy());
                 }
                 else {
                     endResponse(response, "malformed");
--- a/packages/daemon/src/process/entry/requestQueue.ts
+++ b/packages/daemon/src/process/entry/requestQueue.ts
@@ -5,6 +5,7 @@
 import { ClassDrainMeters, computeHeldTokens, MultiClassQueue, type QueuedRequest } from "@crankfork/decisions";
 import type { RequestContext } from "../../request/requestContext.js";
 import type { TargetChoice } from "../../request/requestFunctions.js";
+import { startTask } from "../startTask.js";
 
 /** Interval at which waiting requests are tried when nothing else wakes the queue. */
 export const TARGET_POLL_MS = 40;
@@ -183,7 +184,9 @@
         this.drainMeters.get(waiting.priority).recordArrival(this.options.getNowMs());
         this.recordWaiting(waiting, 1);
         this.timer ??= setInterval(() => {
-            this.wake();
+            startTask("request-queue", () => {
+                this.wake();
+            });
         }, TARGET_POLL_MS);
     }
 
@@ -217,7 +220,9 @@
             this.isBusy = true;
             setImmediate(() => {
                 this.isBusy = false;
-                this.wake();
+                startTask("request-queue", () => {
+                    this.wake();
+                });
             });
         }
         this.stopIfEmpty();
--- a/packages/daemon/src/process/entry/runEntry.ts
+++ b/packages/daemon/src/process/entry/runEntry.ts
@@ -10,6 +10,8 @@
 import type { CallCodec } from "../../request/routedCall.js";
 import { type FleetProcess, openFleetProcess, type SettingsReader } from "../fleetProcess.js";
 import { startLifecycle } from "../lifecycle.js";
+import { endProcess } from "../processFailures.js";
+import { startTask, startTimer } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 import { CallerPort } from "./callerPort.js";
 import { FleetEntry } from "./fleetEntry.js";
@@ -123,7 +125,7 @@
     leaderSync.start();
     stateWatch.start();
     process.once("SIGTERM", () => {
-        void stopEntry();
+        startTask("stop", stopEntry, (error) => endProcess("stop-failed", error));
     });
 
     async function stopEntry(): Promise<void> {
@@ -131,9 +133,9 @@
         stopMs = startMs;
         log.record("info", "stopping", { open: entry.openRequests });
         lifecycle.send("asked-to-stop");
-        setTimeout(() => {
+        startTimer("stop", BALANCER_DRAIN_MS, () => {
             entry.refuseUnsentRequests();
-        }, BALANCER_DRAIN_MS);
+        });
         const endMs = startMs + settings.contract.stop - STOP_MARGIN_MS;
         while (getNowMs() < endMs && (entry.openRequests > 0 || getNowMs() - startMs < BALANCER_DRAIN_MS)) {
             await waitMs(IDLE_POLL_MS);
--- a/packages/daemon/src/process/entry/stateWatch.ts
+++ b/packages/daemon/src/process/entry/stateWatch.ts
@@ -6,6 +6,7 @@
 import type { PeerClient } from "../../connection/peerClient.js";
 import type { EventLog } from "../eventLog.js";
 import { ExponentialBackoffs } from "../exponentialBackoffs.js";
+import { runLoop, startTask } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 
 /** Dependencies of {@link StateWatch}. */
@@ -69,7 +70,7 @@
 
     /** Starts watching. */
     start(): void {
-        void this.run();
+        startTask("state-watch", () => this.run());
     }
 
     /** Stops watching. */
@@ -83,7 +84,7 @@
     }
 
     private async run(): Promise<void> {
-        while (!this.isStopped) {
+        await runLoop("state-watch", () => !this.isStopped, async () => {
             const source = this.chooseSource();
             this.isReached &&= source === this.source;
             this.source = source;
@@ -94,7 +95,7 @@
             else {
                 await this.watchVoter(source);
             }
-        }
+        });
     }
 
     /**
--- a/packages/daemon/src/process/entry/upstreamContact.ts
+++ b/packages/daemon/src/process/entry/upstreamContact.ts
@@ -48,7 +48,7 @@
      * @returns stops it
      */
     start(): StopPeriodicTask {
-        return startPeriodicTask(REPORT_INTERVAL_MS, () => {
+        return startPeriodicTask("upstream-contact", REPORT_INTERVAL_MS, () => {
             this.report();
         });
     }
--- a/packages/daemon/src/process/entry/upstreamFaultHandler.ts
+++ b/packages/daemon/src/process/entry/upstreamFaultHandler.ts
@@ -6,6 +6,7 @@
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import { isSameSpan } from "../layers/layerSpans.js";
+import { startTask } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 import type { EngineReportCache } from "./engineReportCache.js";
 import type { UpstreamHealth } from "./upstreamHealth.js";
@@ -93,7 +94,7 @@
         this.suspect(id, reason);
         if (!this.silentSinceMs.has(id)) {
             this.silentSinceMs.set(id, this.options.getNowMs());
-            void this.awaitReport(id).finally(() => this.silentSinceMs.delete(id));
+            startTask("engine-report", () => this.awaitReport(id).finally(() => this.silentSinceMs.delete(id)));
         }
     }
 
--- a/packages/daemon/src/process/entry/upstreamLinks.ts
+++ b/packages/daemon/src/process/entry/upstreamLinks.ts
@@ -13,6 +13,7 @@
 import type { FleetView } from "../../version/fleetView.js";
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
+import { startTask } from "../startTask.js";
 import { PROBE_TIMEOUT_MS, ReachMonitor } from "./reachMonitor.js";
 import { RelayPool } from "./relayPool.js";
 import { UpstreamContact } from "./upstreamContact.js";
@@ -119,7 +120,7 @@
                     },
                     onResponseError: (controller, error) => {
                         if (!hasStarted && this.mayRelay(target.upstreamId)) {
-                            void this.checkAfterFailure();
+                            startTask("reach-check", () => this.checkAfterFailure());
                             relayed.dispatch(options, this.createFallbackHandler(target.upstreamId, handler, error));
                         }
                         else {
--- a/packages/daemon/src/process/entry/upstreamRateLimiter.ts
+++ b/packages/daemon/src/process/entry/upstreamRateLimiter.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from "../eventLog.js";
 import type { FleetMetrics } from "../fleetMetrics.js";
 import { computePermitHorizonMs, computePermitIntervalMs } from "../permitIntervals.js";
+import { runLoop, startTask } from "../startTask.js";
 import type { LimitChange, UpstreamRateLimits } from "../upstreamRateLimits.js";
 import { waitMs } from "../waitMs.js";
 import { LimitReportQueue } from "./limitReportQueue.js";
@@ -56,7 +57,7 @@
     /** Reports all limits received here to a new leader, which starts without any. */
     resendLimits(): void {
         this.limitReports.queueAll();
-        void this.requestPermits();
+        startTask("permit-request", () => this.requestPermits());
     }
 
     /**
@@ -73,7 +74,7 @@
         this.pacers.delete(id);
         if (isReceivedHere) {
             this.limitReports.add(id);
-            void this.requestPermits();
+            startTask("permit-request", () => this.requestPermits());
         }
     }
 
@@ -92,7 +93,7 @@
         }
         const isPermitted = this.getPool(id).tryClaim(claim, this.options.getNowMs());
         if (!isPermitted) {
-            void this.requestPermits();
+            startTask("permit-request", () => this.requestPermits());
         }
         return isPermitted;
     }
@@ -198,11 +199,17 @@
             return;
         }
         this.isRequesting = true;
-        for (let request = this.takeRequest(); request !== undefined; request = this.takeRequest()) {
-            await this.sendRequest(request);
+        let request: SendsParameters | undefined;
+        const shouldContinue = (): boolean => {
+            request = this.takeRequest();
+            return this.isRequesting = request !== undefined;
+        };
+        await runLoop("permit-request", shouldContinue, async () => {
+            if (request !== undefined) {
+                await this.sendRequest(request);
+            }
             await waitMs(computePermitIntervalMs(this.options.countEntries()));
-        }
-        this.isRequesting = false;
+        });
     }
 
     private takeRequest(): SendsParameters | undefined {
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -18,6 +18,8 @@
 import { watchProcessFailures } from "./processFailures.js";
 import { createRateLimitedLog } from "./rateLimitedLog.js";
 import { createRpcHandler } from "./rpcHandler.js";
+import { startPeriodicTask } from "./startPeriodicTask.js";
+import { runForEach, startTask } from "./startTask.js";
 import { stopWasmOptimisation } from "./stopWasmOptimisation.js";
 import { createTaskFailureHandler, watchTaskFailures } from "./taskFailures.js";
 
@@ -91,11 +93,13 @@
         }
         settings = next;
     };
-    const timer = setInterval(() => {
+    const stopReload = startPeriodicTask("settings-reload", RELOAD_INTERVAL_MS, () => {
         reload("timer");
-    }, RELOAD_INTERVAL_MS);
+    });
     process.on("SIGHUP", () => {
-        reload("signal");
+        startTask("settings-reload", () => {
+            reload("signal");
+        });
     });
     log.record("info", "starting", { role, failure_domain: initial.instance.failure_domain });
     const openPort: FleetProcess["openPort"] = async (address, handle, idleMs) => {
@@ -108,9 +112,11 @@
     };
     const metricsPort = initial.ports.metrics_port;
     if (metricsPort !== undefined) {
-        void openPort(`${host}:${String(metricsPort)}`, (_request, response) => {
-            void metrics.format().then((text) => response.end(text));
-        });
+        startTask("metrics-port", () =>
+            openPort(`${host}:${String(metricsPort)}`, (_request, response) => {
+                const send = async (): Promise<unknown> => response.end(await metrics.format());
+                startTask("metrics-port", send, () => response.destroy());
+            }));
     }
     return {
         getSettings: () => settings,
@@ -142,10 +148,9 @@
             });
         },
         close: () => {
-            clearInterval(timer);
-            servers.forEach((server) => void server.close());
-            void agent.destroy();
-            void peerConnections.destroy();
+            stopReload();
+            runForEach("close", servers, (server) => server.close());
+            runForEach("close", [agent, peerConnections], (connections) => connections.destroy());
         },
     };
 }
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo } from "node:net";
 import { ByteBuffer } from "../connection/byteBuffer.js";
 import { computeTrickleLimitMs } from "../connection/messageLimits.js";
+import { limitTimerMs } from "./waitMs.js";
 
 /** A listening server. */
 export interface OpenServer {
@@ -38,7 +39,7 @@
     idleMs: number = KEEP_ALIVE_MS,
 ): Promise<OpenServer> {
     const { host, port } = parseAddress(address);
-    server.keepAliveTimeout = idleMs;
+    server.keepAliveTimeout = limitTimerMs(idleMs);
     server.prependListener("request", closeWithConnection);
     await listen(server, host, port);
     const bound = server.address() as AddressInfo;
@@ -153,7 +154,7 @@
         if (silentChecks >= CHECKS_PER_IDLE_TIME || elapsedMs > computeTrickleLimitMs(idleMs, seenBytes - startBytes)) {
             socket.destroy();
         }
-    }, idleMs / CHECKS_PER_IDLE_TIME);
+    }, limitTimerMs(idleMs / CHECKS_PER_IDLE_TIME));
     return () => {
         clearInterval(timer);
     };
--- a/packages/daemon/src/process/layers/placementController.ts
+++ b/packages/daemon/src/process/layers/placementController.ts
@@ -14,6 +14,7 @@
 import type { EventLog } from "../eventLog.js";
 import { ExponentialBackoffs } from "../exponentialBackoffs.js";
 import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { runForEach, startTask } from "../startTask.js";
 import type { FleetReplicaHost } from "../voter/fleetProposal.js";
 import type { UpstreamRegistry } from "../voter/upstreamRegistry.js";
 import { ArrivalTracker } from "./arrivalTracker.js";
@@ -101,7 +102,7 @@
 
     /** Starts the periodic check. */
     start(): void {
-        this.stopTask = startPeriodicTask(TICK_INTERVAL_MS, () => {
+        this.stopTask = startPeriodicTask("placement", TICK_INTERVAL_MS, () => {
             this.tick();
         });
     }
@@ -119,7 +120,7 @@
         this.resetOnNewTerm();
         this.removeExpiredOrders();
         this.refusals.prune((id) => host.state.getUpstream(id) !== undefined);
-        getServices().forEach((service) => {
+        runForEach("placement", getServices(), (service) => {
             if (service.engine !== undefined) {
                 this.planService(service.name, service.engine);
             }
@@ -154,7 +155,7 @@
         const orders = this.options.computePlan(planned, profile);
         this.throttle.recordPlan(name, key, orders.length === 0, nowMs);
         orders.slice(0, MAX_PENDING_ORDERS - this.countPendingOrders()).forEach((order) => {
-            void this.giveOrder(order, profile);
+            startTask("layer-order", () => this.giveOrder(order, profile), () => this.orders.delete(order.id));
         });
     }
 
@@ -261,7 +262,7 @@
             return { kind: "refused", reason: "report has another start time than expected" };
         }
         if (!isSameSpan(report.held, upstream.held)) {
-            void this.recordReportedLayers(upstream, report.held);
+            startTask("held-layers", () => this.recordReportedLayers(upstream, report.held));
             return { kind: "refused", reason: "engine holds other layers than expected" };
         }
         // While it waited, a new term may have begun, in which it was not planned.
@@ -352,7 +353,7 @@
             const upstream = host.state.getUpstream(id);
             if (upstream !== undefined) {
                 order.lastReportMs = getNowMs();
-                void this.pollOrder(upstream, order);
+                startTask("layer-order", () => this.pollOrder(upstream, order));
             }
         });
     }
@@ -367,7 +368,7 @@
             return;
         }
         if (hasNewLayers(report.held, order)) {
-            void upstreams.recordHeldLayers(upstream, report.held);
+            startTask("held-layers", () => upstreams.recordHeldLayers(upstream, report.held));
         }
         else if (report.isOrderInProgress) {
             order.deadlineMs = Math.max(order.deadlineMs, getNowMs() + MIN_LOAD_TIMEOUT_MS);
--- a/packages/daemon/src/process/layers/slownessMonitor.ts
+++ b/packages/daemon/src/process/layers/slownessMonitor.ts
@@ -6,6 +6,7 @@
 import type { RegisteredUpstream } from "@crankfork/schemas";
 import type { EngineControl } from "../../connection/engineControl.js";
 import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { runForEach } from "../startTask.js";
 import type { FleetReplicaHost } from "../voter/fleetProposal.js";
 import type { UpstreamRegistry } from "../voter/upstreamRegistry.js";
 
@@ -47,7 +48,7 @@
 
     /** Starts polling. */
     start(): void {
-        this.stopTask = startPeriodicTask(TICK_INTERVAL_MS, () => {
+        this.stopTask = startPeriodicTask("slowness-poll", TICK_INTERVAL_MS, () => {
             this.tick();
         });
     }
@@ -68,7 +69,7 @@
         const from = this.nextIndex < engines.length ? this.nextIndex : 0;
         const polled = engines.slice(from, from + count);
         this.nextIndex = from + polled.length;
-        polled.forEach((upstream) => void this.poll(upstream));
+        runForEach("slowness-poll", polled, (upstream) => this.poll(upstream));
     }
 
     private givesWay(): boolean {
--- a/packages/daemon/src/process/peerLink.ts
+++ b/packages/daemon/src/process/peerLink.ts
@@ -10,6 +10,7 @@
 } from "@crankfork/schemas";
 import type { PeerClient } from "../connection/peerClient.js";
 import { ReplyCollector } from "../connection/replyCollector.js";
+import { runForEach } from "./startTask.js";
 
 /** Receivers of messages from peers. */
 export interface PeerLinkReceivers {
@@ -67,9 +68,8 @@
      */
     sendReplica(to: ReplicaAddress, envelope: ReplicaEnvelope): void {
         this.peers.send(to.address, "replica", envelope, (raw) => {
-            replicaResultSchema.parse(raw).answers.forEach((answer) => {
-                void this.receiveAnswer(to, answer);
-            });
+            const { answers } = replicaResultSchema.parse(raw);
+            runForEach("replica-answer", answers, (answer) => this.receiveAnswer(to, answer));
         });
     }
 
--- a/packages/daemon/src/process/peerTraffic.ts
+++ b/packages/daemon/src/process/peerTraffic.ts
@@ -57,7 +57,7 @@
     };
     const loopDelay = watchLoopDelay();
     const takeLoopUse = createLoopUseMeter();
-    startPeriodicTask(REPORT_INTERVAL_MS, () => {
+    startPeriodicTask("peer-traffic", REPORT_INTERVAL_MS, () => {
         const loopDelayMs = loopDelay.take();
         metrics.recordLoopDelayMs(loopDelayMs);
         const loopUse = takeLoopUse();
@@ -124,7 +124,7 @@
 function watchLoopDelay(): { readonly take: () => number; } {
     let maxDelayMs = 0;
     let dueMs = performance.now() + LOOP_CHECK_INTERVAL_MS;
-    startPeriodicTask(LOOP_CHECK_INTERVAL_MS, () => {
+    startPeriodicTask("loop-delay", LOOP_CHECK_INTERVAL_MS, () => {
         const nowMs = performance.now();
         maxDelayMs = Math.max(maxDelayMs, Math.round(nowMs - dueMs));
         dueMs = nowMs + LOOP_CHECK_INTERVAL_MS;
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -25,6 +25,7 @@
 import { ulid } from "ulid";
 import * as z from "zod";
 import { ReplyCollector } from "../connection/replyCollector.js";
+import { startTimer } from "./startTask.js";
 
 const IDENTITY_FILE = "identity.json";
 /** Delay before a replica restarts after a refused write; a full or stalled disk often recovers within seconds. */
@@ -254,9 +255,7 @@
     /** Restarts a replica that stopped itself because a disk write failed; all it has acknowledged is on disk. */
     private scheduleRestart(): void {
         clearTimeout(this.restartTimer);
-        this.restartTimer = setTimeout(() => {
-            void this.restart();
-        }, RESTART_DELAY_MS);
+        this.restartTimer = startTimer("replica-restart", RESTART_DELAY_MS, () => this.restart());
     }
 
     private async restart(): Promise<void> {
--- a/packages/daemon/src/process/voter/leaderWait.ts
+++ b/packages/daemon/src/process/voter/leaderWait.ts
@@ -34,7 +34,7 @@
         }
         return new Promise((resolve) => {
             this.waiting.push({ hasNews, untilMs: this.getNowMs() + MAX_WAIT_MS, resolve });
-            this.stopTask ??= startPeriodicTask(CHECK_INTERVAL_MS, () => {
+            this.stopTask ??= startPeriodicTask("leader-wait", CHECK_INTERVAL_MS, () => {
                 this.check();
             });
         });
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -33,8 +33,11 @@
 import { SlownessMonitor } from "../layers/slownessMonitor.js";
 import { createObservedControl } from "../observedControl.js";
 import { PeerLink } from "../peerLink.js";
+import { endProcess } from "../processFailures.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
 import { type Founding, ReplicaHost } from "../replicaHost.js";
+import { startPeriodicTask } from "../startPeriodicTask.js";
+import { startTask } from "../startTask.js";
 import { createBackoffHandlers, UpstreamBackoffs } from "../upstreamBackoffs.js";
 import { UpstreamRateLimits } from "../upstreamRateLimits.js";
 import { waitMs } from "../waitMs.js";
@@ -161,7 +164,7 @@
     const idleMs = settings.contract.upstream_heartbeat * IDLE_HEARTBEATS;
     await fleet.openPort(settings.ports.operators, protocol.createOperatorHandler(components, fleet), idleMs);
     process.once("SIGTERM", () => {
-        void stopVoter(fleet, host, components.group);
+        startTask("stop", () => stopVoter(fleet, host, components.group), (error) => endProcess("stop-failed", error));
     });
 }
 
@@ -190,7 +193,9 @@
     });
     const control = createObservedControl(protocol.control, {
         ...createBackoffHandlers(backoffs),
-        handleLeaving: (id, asked) => void upstreams.recordLeavingNotice(id, asked),
+        handleLeaving: (id, asked) => {
+            startTask("leaving-notice", () => upstreams.recordLeavingNotice(id, asked));
+        },
         handleLimit: (id, limit, source) => {
             limits.applyNotice(id, limit, source);
         },
@@ -296,22 +301,37 @@
     group.start();
     placement.start();
     new SlownessMonitor({ host, upstreams, control, takeLoopUse: createLoopUseMeter() }).start();
-    setInterval(() => {
+    const isKnown = (id: string): boolean => host.state.getUpstream(id) !== undefined;
+    const startCheck = (task: string, check: () => void): void => {
+        startPeriodicTask(task, SILENCE_CHECK_INTERVAL_MS, check);
+    };
+    startCheck("silence-check", () => {
         upstreams.markSilentUpstreams();
-        const isKnown = (id: string): boolean => host.state.getUpstream(id) !== undefined;
+    });
+    startCheck("upstream-prune", () => {
         backoffs.prune(isKnown);
         limits.prune(isKnown);
         rateLimitCoordinator.prune();
+    });
+    startCheck("document-rollout", () => {
         rollout.checkOverdue();
+    });
+    startCheck("link-check", () => {
         if (host.replica.hasLeaderLease()) {
             links.update();
-            shutdowns.check();
         }
         else {
             links.reset();
+        }
+    });
+    startCheck("shutdown-rollout", () => {
+        if (host.replica.hasLeaderLease()) {
+            shutdowns.check();
+        }
+        else {
             shutdowns.reset();
         }
-    }, SILENCE_CHECK_INTERVAL_MS);
+    });
     return {
         rollout,
         document,
--- a/packages/daemon/src/process/voter/suspectProbe.ts
+++ b/packages/daemon/src/process/voter/suspectProbe.ts
@@ -5,6 +5,7 @@
 import type { RegisteredUpstream, SuspectParameters, UpstreamLoss } from "@crankfork/schemas";
 import type { EngineControl, ReportResult } from "../../connection/engineControl.js";
 import { isSameSpan } from "../layers/layerSpans.js";
+import { startTask, startTimer } from "../startTask.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 import type { UpstreamRegistry } from "./upstreamRegistry.js";
 
@@ -89,20 +90,21 @@
     private startProbe(id: string): void {
         const pending: PendingProbe = {
             startedMs: this.options.getNowMs(),
-            timer: setTimeout(() => {
+            timer: startTimer("suspect-probe", DECLINED_ANSWER_MS, () => {
                 this.notifyChange();
-            }, DECLINED_ANSWER_MS),
+            }),
             hasAnswered: false,
             hasFailed: false,
         };
         this.probing.set(id, pending);
-        void this.probe(id, pending).finally(() => {
-            clearTimeout(pending.timer);
-            this.probing.delete(id);
-            this.suspicions.delete(id);
-            this.reports.delete(id);
-            this.notifyChange();
-        });
+        startTask("suspect-probe", () =>
+            this.probe(id, pending).finally(() => {
+                clearTimeout(pending.timer);
+                this.probing.delete(id);
+                this.suspicions.delete(id);
+                this.reports.delete(id);
+                this.notifyChange();
+            }));
     }
 
     private isUnanswered({ startedMs, hasAnswered, hasFailed }: PendingProbe): boolean {
@@ -167,7 +169,7 @@
         }
         const isExpected = upstreams.recordReportedStart(upstream, report.startedAtMs);
         if (isExpected && !report.isOrderInProgress && !isSameSpan(report.held, upstream.held)) {
-            void upstreams.recordHeldLayers(upstream, report.held);
+            startTask("held-layers", () => upstreams.recordHeldLayers(upstream, report.held));
         }
     }
 }
--- a/packages/daemon/src/process/voter/upstreamRegistry.ts
+++ b/packages/daemon/src/process/voter/upstreamRegistry.ts
@@ -21,6 +21,7 @@
 import { formatSpan, isSameSpan } from "../layers/layerSpans.js";
 import { ReleasedLayers } from "../layers/releasedLayers.js";
 import { ReportedLayers } from "../layers/reportedLayers.js";
+import { runForEach, startTask } from "../startTask.js";
 import { createNotLeaderResult, type ProposalOptions, proposeChange, type VoterResult } from "./fleetProposal.js";
 
 /** A heartbeat from an upstream. */
@@ -234,10 +235,8 @@
             startedAtMs !== undefined
             && isEarlierIncarnation(incarnation, { name: incarnation.name, started_at_ms: startedAtMs })
         ) {
-            void this.endIncarnation(
-                incarnation,
-                `report from its address has a later start time, ${String(startedAtMs)}`,
-            );
+            const reason = `report from its address has a later start time, ${String(startedAtMs)}`;
+            startTask("upstream-change", () => this.endIncarnation(incarnation, reason));
         }
         return false;
     }
@@ -289,7 +288,8 @@
         }
         const lastResumeMs = getLastResumeMs?.() ?? Number.NEGATIVE_INFINITY;
         const limitMs = heartbeatMs * MAX_MISSED_HEARTBEATS;
-        host.state.listUpstreams().filter((upstream) => upstream.status !== "lost").forEach((upstream) => {
+        const present = host.state.listUpstreams().filter((upstream) => upstream.status !== "lost");
+        runForEach("silence-check", present, (upstream) => {
             // No heartbeats arrive while the machine sleeps; without this, all upstreams would be marked lost when it resumes.
             const silentMs = getNowMs() - Math.max(this.getHeardMs(upstream.id), lastResumeMs);
             const readMs = silentMs - this.getSaturatedMsSinceHeard(upstream.id);
@@ -297,7 +297,9 @@
                 this.markLost(upstream, "silent", `no heartbeat for ${String(Math.round(silentMs))} ms`);
             }
         });
-        this.removeReplacedUpstreams();
+        startTask("silence-check", () => {
+            this.removeReplacedUpstreams();
+        });
         this.reportedLayers.prune((id) => host.state.getUpstream(id) !== undefined);
     }
 
@@ -328,7 +330,8 @@
         lost.forEach((upstream) => {
             const holderId = holders.get(upstream.address);
             if (holderId !== undefined) {
-                void this.endIncarnation(getIncarnation(upstream), `replaced at its address by ${holderId}`);
+                const reason = `replaced at its address by ${holderId}`;
+                startTask("upstream-change", () => this.endIncarnation(getIncarnation(upstream), reason));
             }
         });
     }
@@ -361,7 +364,10 @@
             ? { kind: "remove-upstream", id: facts.id, life: getIncarnation(facts) }
             : { kind: "put-upstream", facts: { ...facts, loss }, status: "lost" };
         this.pendingLosses.add(facts.id);
-        void this.proposeUpstreamChange(facts.id, command).finally(() => this.pendingLosses.delete(facts.id));
+        startTask(
+            "upstream-change",
+            () => this.proposeUpstreamChange(facts.id, command).finally(() => this.pendingLosses.delete(facts.id)),
+        );
     }
 
     /**
@@ -423,7 +429,7 @@
     recordReleasedLayers(upstream: RegisteredUpstream): void {
         if (upstream.held !== undefined) {
             this.releasedLayers.record(upstream.id, upstream.held);
-            void this.commitHeldLayers(upstream, undefined);
+            startTask("held-layers", () => this.commitHeldLayers(upstream, undefined));
         }
     }
 
@@ -439,7 +445,8 @@
         }
         const { status, ...facts } = present;
         this.options.log.record("info", "upstream-pace", { peer: upstream.id, slowness, before: present.slowness });
-        void proposeChange(this.options, { kind: "put-upstream", facts: { ...facts, slowness }, status });
+        const command: FleetCommand = { kind: "put-upstream", facts: { ...facts, slowness }, status };
+        startTask("upstream-change", () => proposeChange(this.options, command));
     }
 
     /** Tells whether a heartbeat is newer than all others received from its upstream. */
@@ -462,7 +469,7 @@
         const reason = `replaced at its address by ${facts.id}`;
         this.listOthersAtAddress(facts).forEach((other) => {
             if (isCertain) {
-                void this.endIncarnation(getIncarnation(other), reason);
+                startTask("upstream-change", () => this.endIncarnation(getIncarnation(other), reason));
             }
             else {
                 this.markLost(other, "gone", reason);
--- a/packages/daemon/src/process/voter/voterGroup.ts
+++ b/packages/daemon/src/process/voter/voterGroup.ts
@@ -6,6 +6,7 @@
 import type { PeerClient } from "../../connection/peerClient.js";
 import type { EventLog } from "../eventLog.js";
 import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { runForEach, startTask } from "../startTask.js";
 import { waitMs } from "../waitMs.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 
@@ -60,7 +61,7 @@
 
     /** Starts the periodic check. */
     start(): void {
-        this.stopTask = startPeriodicTask(CHECK_INTERVAL_MS, () => {
+        this.stopTask = startPeriodicTask("voter-group", CHECK_INTERVAL_MS, () => {
             this.check();
         });
     }
@@ -97,7 +98,7 @@
     handleLeaveRequest(replica: ReplicaAddress): LeaveResult {
         const { host, getNowMs } = this.options;
         this.leaving.set(replica.id, { replica, receivedMs: getNowMs() });
-        void this.changeIfDue();
+        startTask("voter-group", () => this.changeIfDue());
         if (!host.replica.hasLeaderLease()) {
             return { is_replacement_pending: true };
         }
@@ -181,7 +182,7 @@
             this.leaderSeenMs = nowMs;
         }
         if (host.replica.hasLeaderLease()) {
-            void this.changeIfDue();
+            startTask("voter-group", () => this.changeIfDue());
         }
         else if (this.isRequestDue(nowMs)) {
             this.lastRequestMs = nowMs;
@@ -203,7 +204,7 @@
         const { voters } = host.replica.getStatus().replicas;
         const addresses = new Set([...getSeeds(), ...voters.map((voter) => voter.address)]);
         addresses.delete(host.self.address);
-        addresses.forEach((address) => void this.sendJoinRequest(address));
+        runForEach("voter-group", addresses, (address) => this.sendJoinRequest(address));
     }
 
     private async sendJoinRequest(address: string, mayRedirect: boolean = true): Promise<void> {
--- a/packages/daemon/src/request/attemptGroup.ts
+++ b/packages/daemon/src/request/attemptGroup.ts
@@ -5,6 +5,7 @@
  */
 import { type AttemptOutcome, findRetryObstacle, type RetryObstacle } from "@crankfork/decisions";
 import type { AttemptOutput } from "../process/entry/crashTracker.js";
+import { runForEach, startTask } from "../process/startTask.js";
 import { waitMs } from "../process/waitMs.js";
 import { checkSend } from "./checkSend.js";
 import { runObservedAttempt } from "./observedAttempt.js";
@@ -98,18 +99,22 @@
             output: NO_OUTPUT,
         };
         this.open.add(attempt);
-        void runObservedAttempt(this.context, target, this.relay, this.functions, {
-            handleStart: (abort) => {
-                attempt.abort = abort;
-            },
-            handleEvent: () => {
-                this.handleProgress(attempt);
-            },
-            handleSilence: (silence, output) => {
-                this.handleSilence(attempt, silence, output);
-            },
-        }).then((result) => {
+        const run = async (): Promise<void> => {
+            const result = await runObservedAttempt(this.context, target, this.relay, this.functions, {
+                handleStart: (abort) => {
+                    attempt.abort = abort;
+                },
+                handleEvent: () => {
+                    this.handleProgress(attempt);
+                },
+                handleSilence: (silence, output) => {
+                    this.handleSilence(attempt, silence, output);
+                },
+            });
             this.handleEnd(attempt, result);
+        };
+        startTask("attempt", run, (error) => {
+            this.handleEnd(attempt, { kind: "ended", end: "broken", reason: String(error) });
         });
     }
 
@@ -149,7 +154,7 @@
         else if (silence.kind === "stalled") {
             this.functions.suspect(this.findFaultyId(attempt) ?? upstreamId, formatSilence(silence));
         }
-        void this.checkBackup();
+        this.startBackupCheck();
     }
 
     private findFaultyId({ silence }: OpenAttempt): string | undefined {
@@ -212,7 +217,15 @@
 
     private scheduleBackup(): void {
         clearTimeout(this.backupTimer);
-        this.backupTimer = setTimeout(() => void this.checkBackup(), BACKUP_CHECK_INTERVAL_MS);
+        this.backupTimer = setTimeout(() => {
+            this.startBackupCheck();
+        }, BACKUP_CHECK_INTERVAL_MS);
+    }
+
+    private startBackupCheck(): void {
+        startTask("backup-attempt", () => this.checkBackup(), () => {
+            this.scheduleBackup();
+        });
     }
 
     private async checkBackup(): Promise<void> {
@@ -220,8 +233,9 @@
             return;
         }
         this.isChoosingBackup = true;
-        const choice = await this.chooseBackup();
-        this.isChoosingBackup = false;
+        const choice = await this.chooseBackup().finally(() => {
+            this.isChoosingBackup = false;
+        });
         if (choice.kind === "none") {
             this.handleObstacle(choice.obstacle);
         }
@@ -237,7 +251,7 @@
         if (this.isBackupNeeded()) {
             this.logObstacle(obstacle);
             this.scheduleBackup();
-            this.open.forEach((attempt) => void this.checkReachable(attempt));
+            runForEach("backup-attempt", this.open, (attempt) => this.checkReachable(attempt));
             this.endQuarantined();
         }
     }
--- a/packages/daemon/src/request/callerResponse.ts
+++ b/packages/daemon/src/request/callerResponse.ts
@@ -4,6 +4,7 @@
 import type { BufferedResponse } from "@crankfork/schemas";
 import type { ServerResponse } from "node:http";
 import { sendJson } from "../process/httpServer.js";
+import { limitTimerMs } from "../process/waitMs.js";
 import { createCallerError, createErrorResponse } from "./callerError.js";
 
 /** Limits for slow readers. */
@@ -106,7 +107,7 @@
                 this.response.destroy();
                 this.disconnect.abort();
                 finish();
-            }, this.limits.stallTimeoutMs);
+            }, limitTimerMs(this.limits.stallTimeoutMs));
             this.response.once("drain", finish);
             this.response.once("close", finish);
         });
--- a/packages/daemon/src/request/requestContext.ts
+++ b/packages/daemon/src/request/requestContext.ts
@@ -2,6 +2,7 @@
  * State of one routed request: its deadline, its attempts, and whether it may have run.
  */
 import type { Route, RoutedOrganisation, RoutedService } from "@crankfork/schemas";
+import { startTimer } from "../process/startTask.js";
 import type { AdmissionBasis } from "./admitCall.js";
 import type { RoutedCall } from "./routedCall.js";
 
@@ -74,9 +75,9 @@
     constructor(readonly admitted: AdmittedCall, private readonly getNowMs: () => number) {
         const { call, route, arrivedMs } = admitted;
         this.deadlineMs = arrivedMs + Math.min(route.timeout_ms, call.deadlineMs ?? route.timeout_ms);
-        this.timer = setTimeout(() => {
+        this.timer = startTimer("request-timeout", Math.max(0, this.remainingMs), () => {
             this.stop("timeout");
-        }, Math.max(0, this.remainingMs));
+        });
     }
 
     /** Time until the caller's deadline or the route's time-out, whichever comes first. */
--- a/packages/daemon/src/request/stallWatch.ts
+++ b/packages/daemon/src/request/stallWatch.ts
@@ -3,6 +3,7 @@
  * request that is not repeatable has to wait.
  */
 import type { PausableTracker } from "../process/entry/pathStallDetector.js";
+import { startTask, startTimer } from "../process/startTask.js";
 import type { RequestContext } from "./requestContext.js";
 import type { RoutedRequestFunctions, StallReport } from "./requestFunctions.js";
 import type { CallTarget } from "./routedCall.js";
@@ -71,9 +72,9 @@
             ? undefined
             : new StreamStallWatch(options.context, target, stream.relay, stream.attempt, functions, handleSilence);
     }
-    const timer = setTimeout(() => {
+    const timer = startTimer("stall-watch", route.objective_ms, () => {
         handleSilence({ kind: "late", silentMs: route.objective_ms });
-    }, route.objective_ms);
+    });
     return {
         recordEvent: () => undefined,
         recordPause: () => undefined,
@@ -101,7 +102,7 @@
         this.tracker = functions.watchPath(target, this.pauseMs, (isCertain) => {
             this.applyPathStall(isCertain);
         });
-        this.timer = setTimeout(() => void this.check(), this.limitMs);
+        this.timer = this.startCheck(this.limitMs);
     }
 
     recordEvent(): void {
@@ -141,11 +142,12 @@
             return;
         }
         const { functions, target, context } = this;
-        const lateTimer = setTimeout(() => {
+        const lateTimer = startTimer("stall-watch", LATE_REPORT_MS, () => {
             this.applyLateReport();
-        }, LATE_REPORT_MS);
-        const report = await functions.queryStall(target, context.admitted.call.requestId);
-        clearTimeout(lateTimer);
+        });
+        const report = await functions.queryStall(target, context.admitted.call.requestId).finally(() => {
+            clearTimeout(lateTimer);
+        });
         if (this.isStopped || this.attempt.silentMs < this.limitMs) {
             this.missedReports = 0;
             this.wait(this.limitMs);
@@ -180,7 +182,15 @@
 
     private wait(ms: number): void {
         if (!this.isStopped) {
-            this.timer = setTimeout(() => void this.check(), ms);
+            this.timer = this.startCheck(ms);
         }
     }
+
+    private startCheck(afterMs: number): NodeJS.Timeout {
+        return startTimer("stall-watch", afterMs, () => {
+            startTask("stall-watch", () => this.check(), () => {
+                this.wait(this.limitMs);
+            });
+        });
+    }
 }
--- a/packages/daemon/src/request/upstreamAttempt.ts
+++ b/packages/daemon/src/request/upstreamAttempt.ts
@@ -6,6 +6,7 @@
 import { ByteBuffer } from "../connection/byteBuffer.js";
 import type { RequestDispatcher } from "../connection/observeDispatch.js";
 import { type OpenExchange, type ResponseHead, startExchange } from "../connection/upstreamExchange.js";
+import { startTask } from "../process/startTask.js";
 import type { RequestContext, StopReason } from "./requestContext.js";
 import type { NoticeFunctions } from "./requestFunctions.js";
 import type { CallCodec, CallTarget, ResponseVerdict, UpstreamNotice } from "./routedCall.js";
@@ -132,7 +133,9 @@
                 this.handleData(chunk);
             },
             handleEnd: () => {
-                void this.verifyEnd();
+                startTask("response-end", () => this.verifyEnd(), (error) => {
+                    this.settle(createTruncatedResult(String(error)));
+                });
             },
             handleError: ({ reason, wasSent, isUpstreamClosed, isLinkFault }) => {
                 this.settle({
@@ -189,7 +192,9 @@
             // Nothing of the body of a declined request is needed.
             checks += isSilent && this.verdict?.kind !== "declined" ? 0 : 1;
             if (checks >= MAX_FAILURE_CHECKS) {
-                this.endFailure(head);
+                startTask("response-end", () => {
+                    this.endFailure(head);
+                });
             }
         }, FAILURE_CHECK_MS);
     }
