fix(voter): make an exception in a replica's timer a fault of the replica

An exception in the timer of a replica ended its voter, and one in a listener of its events or its state ended it or left a committed batch half applied. The timer now reports the event `fault`, as a failed write does: the replica stops, and its host starts it again from its disk. Listeners run as tasks of their own, so that their failures never reach the replica. A protocol period of the membership that fails is reported to the process, and the next one runs.

--- a/packages/coordination/src/process/groupCommitQueue.ts
+++ b/packages/coordination/src/process/groupCommitQueue.ts
@@ -6,7 +6,7 @@
 /** Dependencies of the queue. */
 export interface GroupCommitQueueFunctions {
     readonly storage: LogStorage;
-    /** Called once when a write fails; nothing is written afterwards. */
+    /** Called once when a write or a callback fails; nothing is written afterwards. */
     readonly handleFault: (error: unknown) => void;
 }
 
--- a/packages/coordination/src/process/membership.ts
+++ b/packages/coordination/src/process/membership.ts
@@ -28,6 +28,8 @@
     readonly handleStatus: (member: Member) => void;
     /** Called when another instance reports a newer configuration version than before. */
     readonly handleVersion: (member: Member) => void;
+    /** Called when a protocol period fails by an exception; the next one runs as usual. */
+    readonly handleFault: (error: unknown) => void;
 }
 
 /** What an instance reports about itself, apart from its status. */
@@ -80,7 +82,9 @@
     /** Starts probing. */
     start(): void {
         this.timer = setInterval(() => {
-            this.runProtocolPeriod();
+            this.runOrReport(() => {
+                this.runProtocolPeriod();
+            });
         }, this.options.timing.probeMs);
         this.options.seeds.filter((seed) => seed !== this.self.address).forEach((seed) => {
             this.sendProbe(seed, undefined);
@@ -157,6 +161,15 @@
         }
     }
 
+    private runOrReport(run: () => void): void {
+        try {
+            run();
+        }
+        catch (error) {
+            this.options.functions.handleFault(error);
+        }
+    }
+
     private runProtocolPeriod(): void {
         this.suspectUnresponsive();
         this.expireMembers();
@@ -173,7 +186,9 @@
         this.options.functions.send(address, message);
         if (targetId !== undefined) {
             setTimeout(() => {
-                this.requestIndirectProbes(message.sequence, address);
+                this.runOrReport(() => {
+                    this.requestIndirectProbes(message.sequence, address);
+                });
             }, this.options.timing.probeTimeoutMs);
         }
     }
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -127,7 +127,12 @@
         resetRetryTimeout(context);
         const tickMs = options.timing.heartbeatMs / TICKS_PER_HEARTBEAT;
         replica.timer = setInterval(() => {
-            replica.tick();
+            try {
+                replica.tick();
+            }
+            catch (error) {
+                replica.fail(error);
+            }
         }, tickMs);
         return replica;
     }
@@ -140,6 +145,19 @@
         stepDown(this.context);
     }
 
+    /**
+     * Stops after an exception: what it left half changed must not be acted on.
+     * @param error - the cause
+     */
+    fail(error: unknown): void {
+        try {
+            this.context.options.functions.handleEvent({ kind: "fault", error });
+        }
+        finally {
+            this.stop();
+        }
+    }
+
     /**
      * Waits for a write that was in progress when the replica was stopped.
      * @returns resolves once the files are no longer written
@@ -353,8 +371,7 @@
         queue: new GroupCommitQueue({
             storage: options.storage,
             handleFault: (error) => {
-                functions.handleEvent({ kind: "fault", error });
-                getReplica().stop();
+                getReplica().fail(error);
             },
         }),
         role: startRoleMachine((role) => {
--- a/packages/coordination/tests/membership.test.ts
+++ b/packages/coordination/tests/membership.test.ts
@@ -44,6 +44,9 @@
                 random: () => (this.random.next() >>> 0) / 2 ** 32,
                 handleStatus: () => undefined,
                 handleVersion: () => undefined,
+                handleFault: (error) => {
+                    throw error;
+                },
             },
         });
         this.nodes[number] = membership;
--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -10,6 +10,7 @@
 import { PeerLink } from "../peerLink.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
 import { ReplicaHost } from "../replicaHost.js";
+import { recordTaskFailure } from "../taskFailures.js";
 import { changeVoters } from "../voter/voterChange.js";
 import { ClaimManager } from "./claimManager.js";
 import { LeaderClient } from "./leaderClient.js";
@@ -115,6 +116,9 @@
                     this.link.sendMember(to, message);
                 },
                 random: Math.random,
+                handleFault: (error) => {
+                    recordTaskFailure("membership", error);
+                },
                 handleStatus: (member) => {
                     log.record("info", "member", { peer: member.id, status: member.status });
                     handleMemberStatus(member);
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -25,7 +25,7 @@
 import { ulid } from "ulid";
 import * as z from "zod";
 import { ReplyCollector } from "../connection/replyCollector.js";
-import { startTimer } from "./startTask.js";
+import { startTask, startTimer } from "./startTask.js";
 
 const IDENTITY_FILE = "identity.json";
 /** Delay before a replica restarts after a refused write; a full or stalled disk often recovers within seconds. */
@@ -216,13 +216,13 @@
                 random: options.random,
                 applyCommand: (command, index) => {
                     const result = state.apply(command, index);
-                    options.handleStateChange(state);
+                    this.notifyChange(state);
                     return result;
                 },
                 getState: () => state.getState(),
                 restoreState: (raw) => {
                     state.restore(raw);
-                    options.handleStateChange(state);
+                    this.notifyChange(state);
                 },
                 handleEvent: (event) => {
                     this.handleEvent(event);
@@ -244,8 +244,17 @@
         await this.writeIdentity(identity);
     }
 
+    /** A listener that fails must not end the replica between two commands. */
+    private notifyChange(state: State): void {
+        startTask("state-change", () => {
+            this.options.handleStateChange(state);
+        });
+    }
+
     private handleEvent(event: ReplicaEvent): void {
-        this.options.record(event);
+        startTask("replica-event", () => {
+            this.options.record(event);
+        });
         // A replica whose log has lost entries must not vote again; see CorruptLogError.
         if (event.kind === "fault" && !(event.error instanceof CorruptLogError)) {
             this.scheduleRestart();
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -38,6 +38,7 @@
 import { type Founding, ReplicaHost } from "../replicaHost.js";
 import { startPeriodicTask } from "../startPeriodicTask.js";
 import { startTask } from "../startTask.js";
+import { describeError } from "../taskFailures.js";
 import { createBackoffHandlers, UpstreamBackoffs } from "../upstreamBackoffs.js";
 import { UpstreamRateLimits } from "../upstreamRateLimits.js";
 import { waitMs } from "../waitMs.js";
@@ -147,7 +148,7 @@
                 });
             }
             else if (event.kind === "fault") {
-                log.record("error", "replica-fault", { reason: String(event.error) });
+                log.record("error", "replica-fault", describeError(event.error));
             }
             started.components?.upstreams.handleReplicaEvent(event);
         },
--- a/packages/daemon/tests/replicaHost.test.ts
+++ b/packages/daemon/tests/replicaHost.test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { ReplicaHost } from "../src/process/replicaHost.js";
+import { watchTaskFailures } from "../src/process/taskFailures.js";
 
 const self = { id: "one.a", address: "one" };
 
@@ -69,3 +70,45 @@
         });
     }
 });
+
+describe("listeners that fail", () => {
+    it("do not keep a replica from leading and applying", async () => {
+        const path = await mkdtemp(join(tmpdir(), "replica-host-"));
+        const failed = new Set<string>();
+        const stopWatch = watchTaskFailures((task) => failed.add(task));
+        const fail = (): never => {
+            throw new Error("injected");
+        };
+        const applied: unknown[] = [];
+        const state = {
+            apply: (command: unknown) => applied.push(command),
+            getState: () => [],
+            restore: () => undefined,
+        };
+        const host = await ReplicaHost.start<typeof state, string>({
+            instance: "one",
+            folder: path,
+            address: self.address,
+            heartbeatMs: 10,
+            minElectionTimeoutMs: 40,
+            snapshotThreshold: 5,
+            createState: () => state,
+            stampCommand: (command) => command,
+            random: Math.random,
+            send: () => undefined,
+            record: fail,
+            handleStateChange: fail,
+        });
+        await host.createCluster();
+        while (!host.replica.hasLeaderLease()) {
+            await new Promise((resolve) => setTimeout(resolve, 5));
+        }
+        expect(await host.propose("x")).to.have.property("kind", "applied");
+        expect(applied).to.deep.equal(["x"]);
+        expect([...failed].sort()).to.deep.equal(["replica-event", "state-change"]);
+        host.stop();
+        await host.awaitWritten();
+        stopWatch();
+        await rm(path, { recursive: true });
+    });
+});
--- a/packages/scenarios/src/bench/control.ts
+++ b/packages/scenarios/src/bench/control.ts
@@ -256,6 +256,9 @@
                 send: (to, message) => this.deliver(address, to, message),
                 random: () => (this.random.next() >>> 0) / 2 ** 32,
                 handleStatus: () => undefined,
+                handleFault: (error) => {
+                    throw error;
+                },
                 handleVersion: ({ configuration_version }) => {
                     if (configuration_version > (membership.getMembers()[0]?.configuration_version ?? 0)) {
                         membership.updateSelf({ configuration_version });
