--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -48,8 +48,6 @@
     | { readonly kind: "snapshot-refused"; readonly index: number; readonly error: unknown; }
     /** A snapshot was restored without the records that cannot be parsed. */
     | { readonly kind: "snapshot-records-dropped"; readonly records: number; }
-    /** What depends on the state failed on a change of it; the state itself is sound. */
-    | { readonly kind: "listener-failed"; readonly error: unknown; }
     | { readonly kind: "fault"; readonly error: unknown; };
 
 /** An election of this replica timed out. */
--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -11,6 +11,7 @@
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
 import { recordFailedCommand } from "../recordFailedCommand.js";
 import { ReplicaHost } from "../replicaHost.js";
+import { recordTaskFailure } from "../taskFailures.js";
 import { changeVoters } from "../voter/voterChange.js";
 import { ClaimManager } from "./claimManager.js";
 import { LeaderClient } from "./leaderClient.js";
@@ -116,6 +117,9 @@
                     this.link.sendMember(to, message);
                 },
                 random: Math.random,
+                handleFault: (error) => {
+                    recordTaskFailure("membership", error);
+                },
                 handleStatus: (member) => {
                     log.record("info", "member", { peer: member.id, status: member.status });
                     handleMemberStatus(member);
@@ -195,7 +199,6 @@
             return;
         case "command-invalid":
         case "command-failed":
-        case "listener-failed":
         case "snapshot-refused":
         case "snapshot-records-dropped":
             recordFailedCommand(log, event);
--- a/packages/daemon/src/process/daemon/leaderClient.ts
+++ b/packages/daemon/src/process/daemon/leaderClient.ts
@@ -15,6 +15,7 @@
 import type { CommandResult } from "../../request/claimedRun.js";
 import { createProposeResult } from "../createProposeResult.js";
 import type { ReplicaHost } from "../replicaHost.js";
+import { limitTimerMs } from "../waitMs.js";
 import { waitMs } from "../waitMs.js";
 
 /** Dependencies of the client. */
@@ -159,7 +160,7 @@
     const timeout = new Promise<ProposeResult>((resolve) => {
         timer = setTimeout(() => {
             resolve({ kind: "unknown" });
-        }, timeoutMs);
+        }, limitTimerMs(timeoutMs));
     });
     try {
         return await Promise.race([result, timeout]);
--- a/packages/daemon/src/process/layers/placementController.ts
+++ b/packages/daemon/src/process/layers/placementController.ts
@@ -15,6 +15,7 @@
 import type { EventLog } from "../eventLog.js";
 import { ExponentialBackoffs } from "../exponentialBackoffs.js";
 import { startPeriodicTask, type StopPeriodicTask } from "../startPeriodicTask.js";
+import { runForEach, startTask } from "../startTask.js";
 import type { FleetReplicaHost } from "../voter/fleetProposal.js";
 import type { UpstreamRegistry } from "../voter/upstreamRegistry.js";
 import { ArrivalTracker } from "./arrivalTracker.js";
@@ -102,7 +103,7 @@
 
     /** Starts the periodic check. */
     start(): void {
-        this.stopTask = startPeriodicTask(TICK_INTERVAL_MS, () => {
+        this.stopTask = startPeriodicTask("placement", TICK_INTERVAL_MS, () => {
             this.tick();
         });
     }
@@ -120,7 +121,7 @@
         this.resetOnNewTerm();
         this.removeExpiredOrders();
         this.refusals.prune((id) => host.state.getUpstream(id) !== undefined);
-        getServices().forEach((service) => {
+        runForEach("placement", getServices(), (service) => {
             if (service.engine !== undefined) {
                 this.planService(service.name, service.engine);
             }
@@ -157,7 +158,7 @@
         const orders = this.options.computePlan(planned, profile);
         this.throttle.recordPlan(name, key, orders.length === 0, nowMs);
         orders.slice(0, MAX_PENDING_ORDERS - this.countPendingOrders()).forEach((order) => {
-            void this.giveOrder(order, profile);
+            startTask("layer-order", () => this.giveOrder(order, profile), () => this.orders.delete(order.id));
         });
     }
 
@@ -264,7 +265,7 @@
             return { kind: "refused", reason: "report has another start time than expected" };
         }
         if (!isSameSpan(report.held, upstream.held)) {
-            void this.recordReportedLayers(upstream, report.held);
+            startTask("held-layers", () => this.recordReportedLayers(upstream, report.held));
             return { kind: "refused", reason: "engine holds other layers than expected" };
         }
         // While it waited, a new term may have begun, in which it was not planned.
@@ -355,7 +356,7 @@
             const upstream = host.state.getUpstream(id);
             if (upstream !== undefined) {
                 order.lastReportMs = getNowMs();
-                void this.pollOrder(upstream, order);
+                startTask("layer-order", () => this.pollOrder(upstream, order));
             }
         });
     }
@@ -370,7 +371,7 @@
             return;
         }
         if (hasNewLayers(report.held, order)) {
-            void upstreams.recordHeldLayers(upstream, report.held);
+            startTask("held-layers", () => upstreams.recordHeldLayers(upstream, report.held));
         }
         else if (report.isOrderInProgress) {
             order.deadlineMs = Math.max(order.deadlineMs, getNowMs() + MIN_LOAD_TIMEOUT_MS);
--- a/packages/daemon/src/process/recordFailedCommand.ts
+++ b/packages/daemon/src/process/recordFailedCommand.ts
@@ -1,17 +1,17 @@
 /**
- * Log lines about committed commands and snapshots that were not applied, or whose change was not passed on.
+ * Log lines about committed commands and snapshots that were not applied, at least in part.
  */
 import type { ReplicaEvent } from "@crankfork/coordination";
 import type { EventLog } from "./eventLog.js";
+import { describeError } from "./taskFailures.js";
 
-/** A command or a snapshot that was not applied, at least in part, or a listener that failed on the change. */
+/** A command or a snapshot that was not applied, at least in part. */
 export type FailedCommandEvent = Extract<
     ReplicaEvent,
     {
         kind:
             | "command-invalid"
             | "command-failed"
-            | "listener-failed"
             | "snapshot-refused"
             | "snapshot-records-dropped";
     }
@@ -28,20 +28,13 @@
             log.record("warn", "command-invalid", { index: event.index, command: event.command, field: event.field });
             return;
         case "command-failed":
-            log.record("error", "command-failed", { index: event.index, reason: formatStack(event.error) });
+            log.record("error", "command-failed", { index: event.index, ...describeError(event.error) });
             return;
         case "snapshot-refused":
-            log.record("error", "snapshot-refused", { index: event.index, reason: formatStack(event.error) });
+            log.record("error", "snapshot-refused", { index: event.index, ...describeError(event.error) });
             return;
         case "snapshot-records-dropped":
             log.record("warn", "snapshot-records-dropped", { records: event.records });
             return;
-        case "listener-failed":
-            log.record("error", "listener-failed", { reason: formatStack(event.error) });
-            return;
     }
 }
-
-function formatStack(error: unknown): string {
-    return error instanceof Error ? error.stack ?? String(error) : String(error);
-}
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -27,6 +27,7 @@
 import { ulid } from "ulid";
 import * as z from "zod";
 import { ReplyCollector } from "../connection/replyCollector.js";
+import { startTask, startTimer } from "./startTask.js";
 
 const IDENTITY_FILE = "identity.json";
 /** Delay before a replica restarts after a refused write; a full or stalled disk often recovers within seconds. */
@@ -225,7 +226,7 @@
                 applyCommand: (command, index) => {
                     const result = state.apply(command, index);
                     this.recordInvalidCommand(command, index, result);
-                    this.notify(state);
+                    this.notifyChange(state);
                     return result;
                 },
                 getState: () => state.getState(),
@@ -234,7 +235,7 @@
                     if (records > 0) {
                         this.handleEvent({ kind: "snapshot-records-dropped", records });
                     }
-                    this.notify(state);
+                    this.notifyChange(state);
                 },
                 handleEvent: (event) => {
                     this.handleEvent(event);
@@ -264,17 +265,17 @@
         }
     }
 
-    private notify(state: State): void {
-        try {
+    /** A listener that fails must not end the replica between two commands. */
+    private notifyChange(state: State): void {
+        startTask("state-change", () => {
             this.options.handleStateChange(state);
-        }
-        catch (error) {
-            this.handleEvent({ kind: "listener-failed", error });
-        }
+        });
     }
 
     private handleEvent(event: ReplicaEvent): void {
-        this.options.record(event);
+        startTask("replica-event", () => {
+            this.options.record(event);
+        });
         // A replica whose log has lost entries must not vote again; see CorruptLogError.
         if (event.kind === "fault" && !(event.error instanceof CorruptLogError)) {
             this.scheduleRestart();
@@ -284,9 +285,7 @@
     /** Restarts a replica that stopped itself because a disk write failed; all it has acknowledged is on disk. */
     private scheduleRestart(): void {
         clearTimeout(this.restartTimer);
-        this.restartTimer = setTimeout(() => {
-            void this.restart();
-        }, RESTART_DELAY_MS);
+        this.restartTimer = startTimer("replica-restart", RESTART_DELAY_MS, () => this.restart());
     }
 
     private async restart(): Promise<void> {
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -31,9 +31,13 @@
 import { SlownessMonitor } from "../layers/slownessMonitor.js";
 import { createObservedControl } from "../observedControl.js";
 import { PeerLink } from "../peerLink.js";
+import { endProcess } from "../processFailures.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
 import { recordFailedCommand } from "../recordFailedCommand.js";
 import { type Founding, ReplicaHost } from "../replicaHost.js";
+import { startPeriodicTask } from "../startPeriodicTask.js";
+import { runForEach, startTask } from "../startTask.js";
+import { describeError } from "../taskFailures.js";
 import { createBackoffHandlers, UpstreamBackoffs } from "../upstreamBackoffs.js";
 import { UpstreamRateLimits } from "../upstreamRateLimits.js";
 import { waitMs } from "../waitMs.js";
@@ -144,20 +148,25 @@
                 });
             }
             else if (
-                event.kind === "command-invalid" || event.kind === "command-failed" || event.kind === "listener-failed"
+                event.kind === "command-invalid" || event.kind === "command-failed"
                 || event.kind === "snapshot-refused" || event.kind === "snapshot-records-dropped"
             ) {
                 recordFailedCommand(log, event);
             }
             else if (event.kind === "fault") {
-                log.record("error", "replica-fault", { reason: String(event.error) });
+                log.record("error", "replica-fault", describeError(event.error));
             }
             started.components?.upstreams.handleReplicaEvent(event);
         },
         handleStateChange: () => {
-            started.components?.rollout.handleStateChange();
-            started.components?.entries.handleReplicatedChange();
-            started.components?.feed.handleStateChange();
+            const { rollout, entries, feed } = started.components ?? {};
+            runForEach("state-change", [
+                () => rollout?.handleStateChange(),
+                () => entries?.handleReplicatedChange(),
+                () => feed?.handleStateChange(),
+            ], (notify) => {
+                notify();
+            });
         },
     });
     log.record("info", "replica", { id: host.self.id, cluster: host.cluster, index: host.state.lastChangeIndex });
@@ -167,7 +176,7 @@
     const idleMs = settings.contract.upstream_heartbeat * IDLE_HEARTBEATS;
     await fleet.openPort(settings.ports.operators, protocol.createOperatorHandler(components, fleet), idleMs);
     process.once("SIGTERM", () => {
-        void stopVoter(fleet, host, components.group);
+        startTask("stop", () => stopVoter(fleet, host, components.group), (error) => endProcess("stop-failed", error));
     });
 }
 
@@ -196,7 +205,9 @@
     });
     const control = createObservedControl(protocol.control, {
         ...createBackoffHandlers(backoffs),
-        handleLeaving: (id, asked) => void upstreams.recordLeavingNotice(id, asked),
+        handleLeaving: (id, asked) => {
+            startTask("leaving-notice", () => upstreams.recordLeavingNotice(id, asked));
+        },
         handleLimit: (id, limit, source) => {
             limits.applyNotice(id, limit, source);
         },
@@ -301,22 +312,37 @@
     group.start();
     placement.start();
     new SlownessMonitor({ host, upstreams, control, takeLoopUse: createLoopUseMeter() }).start();
-    setInterval(() => {
+    const isKnown = (id: string): boolean => host.state.getUpstream(id) !== undefined;
+    const startCheck = (task: string, check: () => void): void => {
+        startPeriodicTask(task, SILENCE_CHECK_INTERVAL_MS, check);
+    };
+    startCheck("silence-check", () => {
         upstreams.markSilentUpstreams();
-        const isKnown = (id: string): boolean => host.state.getUpstream(id) !== undefined;
+    });
+    startCheck("upstream-prune", () => {
         backoffs.prune(isKnown);
         limits.prune(isKnown);
         rateLimitCoordinator.prune();
+    });
+    startCheck("document-rollout", () => {
         rollout.checkOverdue();
+    });
+    startCheck("link-check", () => {
         if (host.replica.hasLeaderLease()) {
             links.update();
-            shutdowns.check();
         }
         else {
             links.reset();
+        }
+    });
+    startCheck("shutdown-rollout", () => {
+        if (host.replica.hasLeaderLease()) {
+            shutdowns.check();
+        }
+        else {
             shutdowns.reset();
         }
-    }, SILENCE_CHECK_INTERVAL_MS);
+    });
     return {
         rollout,
         document,
--- a/packages/daemon/tests/invalidCommands.test.ts
+++ b/packages/daemon/tests/invalidCommands.test.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { ReplicaHost } from "../src/process/replicaHost.js";
+import { watchTaskFailures } from "../src/process/taskFailures.js";
 import { LeaderHarness } from "./leaderHarness.js";
 
 const facts: UpstreamFacts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
@@ -115,10 +116,14 @@
     });
 
     it("a listener of the state that throws does not undo the change", async () => {
+        const failed = new Set<string>();
+        const stopWatch = watchTaskFailures((task) => failed.add(task));
         notify = () => {
             throw new Error("listener");
         };
         expect(await host.propose(putSound)).to.deep.include({ kind: "applied", result: { kind: "taken" } });
-        expect(events.map(({ kind }) => kind)).to.include("listener-failed").and.not.include("fault");
+        stopWatch();
+        expect([...failed]).to.deep.equal(["state-change"]);
+        expect(events.map(({ kind }) => kind)).to.not.include("fault");
     });
 });
