fix(daemon): split any number of layers over a pipeline in bounded time

Layers were given to stages one at a time, so an intent with a model and memory of 1e15 layers kept the instance that planned it busy for good. All but a few per stage are now computed from speeds and memory, and only the rest is compared one by one. A stage whose time is infinite no longer loses layers.

--- a/packages/decisions/src/version/computePlacement.ts
+++ b/packages/decisions/src/version/computePlacement.ts
@@ -58,14 +58,40 @@
     if (countMemory(engines) < layers) {
         return undefined;
     }
-    const counts = engines.map(() => 0);
-    for (let layer = 0; layer < layers; layer += 1) {
+    const counts = computeLeastShares(engines, layers);
+    for (let layer = counts.reduce((sum, count) => sum + count, 0); layer < layers; layer += 1) {
         const next = findLeastLoaded(engines, counts);
         counts[next] = (counts[next] ?? 0) + 1;
     }
     return counts;
 }
 
+/**
+ * Layers that each stage gets in any case, by speed and memory: all but a few per stage, so that the time to split does not depend
+ * on the number of layers.
+ */
+function computeLeastShares(engines: readonly Upstream[], layers: number): number[] {
+    const counts = engines.map(() => 0);
+    for (let isOneFilled = true; isOneFilled;) {
+        const open = engines.map((engine, index) => ({ engine, index }))
+            .filter(({ engine, index }) => (counts[index] ?? 0) < engine.memory_layers);
+        const isOpen = new Set(open.map(({ index }) => index));
+        const filled = counts.reduce((sum, count, index) => isOpen.has(index) ? sum : sum + count, 0);
+        // Speeds relative to the fastest, whose sum is finite.
+        const fastest = open.reduce((most, { engine }) => Math.max(most, engine.speed), 0);
+        const speeds = open.reduce((sum, { engine }) => sum + engine.speed / fastest, 0);
+        // One layer per stage is kept back for rounding.
+        const left = Math.max(0, layers - filled - open.length);
+        isOneFilled = false;
+        for (const { engine, index } of open) {
+            const share = Math.floor(left * (engine.speed / fastest) / speeds);
+            counts[index] = Math.min(engine.memory_layers, share);
+            isOneFilled ||= share >= engine.memory_layers;
+        }
+    }
+    return counts;
+}
+
 /** The stage that would be fastest with one more layer, among those with memory left. */
 function findLeastLoaded(engines: readonly Upstream[], counts: readonly number[]): number {
     let best = -1;
@@ -73,7 +99,7 @@
     engines.forEach((engine, index) => {
         const count = counts[index] ?? 0;
         const time = (count + 1) / engine.speed;
-        if (count < engine.memory_layers && time < bestTime) {
+        if (count < engine.memory_layers && (best === -1 || time < bestTime)) {
             best = index;
             bestTime = time;
         }
--- a/packages/decisions/tests/placement.test.ts
+++ b/packages/decisions/tests/placement.test.ts
@@ -9,6 +9,7 @@
     type Upstream,
 } from "@crankfork/schemas";
 import { expect } from "chai";
+import fc from "fast-check";
 import {
     ClassSlots,
     computePlacement,
@@ -53,6 +54,44 @@
     }
 });
 
+describe("the time to split layers does not depend on their number", () => {
+    /** One layer at a time, each to the stage that is fastest with it. */
+    function splitOneByOne(engines: readonly Upstream[], layers: number): readonly number[] {
+        const counts = engines.map(() => 0);
+        for (let layer = 0; layer < layers; layer += 1) {
+            const times = engines.map(({ speed, memory_layers }, index) =>
+                counts[index]! < memory_layers ? (counts[index]! + 1) / speed : Number.POSITIVE_INFINITY
+            );
+            counts[times.indexOf(Math.min(...times))]! += 1;
+        }
+        return counts;
+    }
+
+    it("the counts are those of one layer at a time", () => {
+        const drawn = fc.record({ speed: fc.constantFrom(0.1, 1, 1.5, 3, 7), memory: fc.integer({ min: 1, max: 60 }) });
+        fc.assert(
+            fc.property(
+                fc.array(drawn, { minLength: 1, maxLength: 6 }),
+                fc.double({ min: 0, max: 1 }),
+                (some, share) => {
+                    const engines = some.map(({ speed, memory }, index) => engine(String(index), speed, memory));
+                    const memory = some.reduce((sum, one) => sum + one.memory, 0);
+                    const layers = Math.max(1, Math.floor(memory * (Number.isNaN(share) ? 1 : share)));
+                    expect(splitLayers(engines, layers)).to.deep.equal(splitOneByOne(engines, layers));
+                },
+            ),
+            { seed: 82, numRuns: 500 },
+        );
+    });
+
+    for (const speeds of [[1, 1], [3, 1], [1e308, 1e308], [1, 1e-300], [Number.MIN_VALUE, Number.MIN_VALUE]]) {
+        it(`1e15 layers at speeds of ${speeds.join(" and ")}`, () => {
+            const counts = splitLayers(speeds.map((speed, index) => engine(String(index), speed, 1e15)), 1e15);
+            expect(counts?.reduce((sum, count) => sum + count, 0)).to.equal(1e15);
+        });
+    }
+});
+
 const placed: readonly {
     readonly title: string;
     readonly engines: readonly Upstream[];
