fix(voter): propose no slowness and no layers of a report that the state refuses

An engine whose report gives a slowness of 1e308 got a proposal of Infinity, since it was rounded to tenths, and layers that the state refuses replaced those of the engine's next heartbeat. Either was committed and could not be applied.

Slowness is limited to 10^6 before it is rounded, and such layers are logged and otherwise ignored.

--- a/packages/daemon/src/process/layers/slownessMonitor.ts
+++ b/packages/daemon/src/process/layers/slownessMonitor.ts
@@ -32,6 +32,8 @@
 const BUSY_TICKS = 5;
 /** Minimum factor of change that is worth a log entry. */
 const MIN_CHANGE_FACTOR = 1.4;
+/** Upper bound of the recorded slowness; an engine that is slower is not distinguished from one that does not work. */
+const MAX_SLOWNESS = 1_000_000;
 
 /** Polls the slowness of engines. */
 export class SlownessMonitor {
@@ -88,7 +90,7 @@
             return;
         }
         const before = upstream.slowness ?? 1;
-        const slowness = Math.max(1, Math.round(report.slowness * 10) / 10);
+        const slowness = Math.max(1, Math.round(Math.min(MAX_SLOWNESS, report.slowness) * 10) / 10);
         if (slowness / before >= MIN_CHANGE_FACTOR || before / slowness >= MIN_CHANGE_FACTOR) {
             upstreams.recordSlowness(upstream, slowness);
         }
--- a/packages/daemon/src/process/voter/upstreamRegistry.ts
+++ b/packages/daemon/src/process/voter/upstreamRegistry.ts
@@ -10,6 +10,7 @@
     getIncarnation,
     isEarlierIncarnation,
     type LayerSpan,
+    layerSpanSchema,
     matchesStart,
     type RegisteredUpstream,
     type UpstreamFacts,
@@ -392,11 +393,15 @@
      * Records the layers that an engine reports.
      * @param upstream - the engine
      * @param held - the layers
-     * @returns resolves once the change is committed or has failed
+     * @returns resolves once the change is committed or has failed, or if the state refuses the layers
      */
-    recordHeldLayers(upstream: RegisteredUpstream, held: LayerSpan | undefined): Promise<void> {
+    async recordHeldLayers(upstream: RegisteredUpstream, held: LayerSpan | undefined): Promise<void> {
+        if (held !== undefined && !layerSpanSchema.safeParse(held).success) {
+            this.options.log.record("warn", "layers-refused", { peer: upstream.id, held: formatSpan({ held }) });
+            return;
+        }
         this.reportedLayers.record(upstream.id, held);
-        return this.commitHeldLayers(upstream, held);
+        await this.commitHeldLayers(upstream, held);
     }
 
     /** A change that is already pending is not proposed again. */
