fix(entry): pass on no answer whose status or transfer coding is invalid

Callers got answers with the status 600 or 999, and bodies in a transfer coding: of `transfer-encoding: gzip, chunked` only the chunks were decoded and the header was dropped, so the body was not the upstream's; one of `gzip` alone ends with its connection but was presented with a length. An answer relayed by another entry was passed on with any number as status and any text as length. Replies to other requests (reports, orders, calls between instances, calls of the daemon to services) were read by connections that do not report a reset as such, so a part without a length was taken for the whole.

Cause: undici's parser checks lines, lengths and chunks, but takes each status of three digits and any transfer coding; the relay protocol carries the head in headers of its own, which no parser checks; and only the pools to upstreams of an entry checked the end of a connection.

One rule now applies to each head, `assertValidHead`: a status from 200 to 599 (RFC 9110, section 15), or an interim one; names and values that Node can pass on; one length or `chunked`, and no other transfer coding, since no request asks for one. `BoundedPool` applies it to what comes from the wire, and is now used by all connections of instances, so that the limits of endless answers and the check of resets hold for all of them; the relay protocol applies it after decoding, since a relay of an earlier build may not have checked the head. Such an answer fails the attempt as spoiled bytes do: 502, or another attempt of a repeatable request. A backoff that a relay states without a valid time is 0.

An error that a handler of the end of a response throws now fails its exchange, which was never settled before.

--- a/packages/daemon/src/connection/boundedPool.ts
+++ b/packages/daemon/src/connection/boundedPool.ts
@@ -1,11 +1,14 @@
 /**
- * HTTP connections that bound what a server may send besides the bodies of its responses, and report a reset as such. undici
+ * HTTP connections that accept only valid and complete responses: they check the head, report a reset as such, and bound what a
+ * server may send besides the bodies of its responses. undici
  * bounds the size of a head only: interim responses, blank lines, a reason phrase, chunk sizes and chunk extensions may go
  * on without end.
  */
 import type { Socket } from "node:net";
-import { type buildConnector, Client, type Dispatcher, Pool } from "undici";
+import { type buildConnector, Client, type Dispatcher, errors, Pool } from "undici";
 import { UPSTREAM_HEAD_LIMIT_BYTES } from "./messageLimits.js";
+import { formatRawHeaders } from "./rawHeaders.js";
+import { assertValidHead, isInterim } from "./responseRule.js";
 import { ResetError, watchForReset } from "./watchForReset.js";
 
 /** Bytes without a final head or a part of a body after which a connection is closed; above the largest head. */
@@ -19,7 +22,6 @@
 const MAX_UNUSED_MS = 1_000;
 /** Interim responses to one request. */
 const MAX_INTERIM_RESPONSES = 16;
-const FIRST_FINAL_STATUS = 200;
 
 /** The server sent more than a response may have. */
 export class EndlessResponseError extends Error {
@@ -28,13 +30,14 @@
     readonly code = "UND_ERR_SOCKET";
 }
 
-/** Options of the connections. */
-export type BoundedOptions = Client.Options & { readonly connect: buildConnector.connector; };
+/** Options of the connections; `maxHeaderSize` applies to all headers of a response together. */
+export type BoundedOptions = Pool.Options & { readonly connect: buildConnector.connector; };
 
 /** Connections to one server. */
 export class BoundedPool extends Pool {
     /** Clients by the options object of the exchange that they run, which a pool passes on to the client that it chose. */
     private readonly guards: WeakMap<Dispatcher.DispatchOptions, ConnectionGuard>;
+    private readonly headLimitBytes: number;
 
     /**
      * @param origin - the server
@@ -44,6 +47,7 @@
         const guards = new WeakMap<Dispatcher.DispatchOptions, ConnectionGuard>();
         super(origin, { ...options, factory: (url) => new BoundedClient(url, options, new ConnectionGuard(), guards) });
         this.guards = guards;
+        this.headLimitBytes = options.maxHeaderSize ?? UPSTREAM_HEAD_LIMIT_BYTES;
     }
 
     /**
@@ -54,7 +58,7 @@
      */
     override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
         const own = { ...options };
-        return super.dispatch(own, createBoundedHandler(handler, () => this.guards.get(own)));
+        return super.dispatch(own, createBoundedHandler(handler, this.headLimitBytes, () => this.guards.get(own)));
     }
 }
 
@@ -130,7 +134,7 @@
         this.unusedReads = 0;
     }
 
-    /** Returns an error if the end of the connection, which ended the response, was a reset. */
+    /** Returns an error if the connection was reset, so that its end is not that of the response. */
     end(): ResetError | undefined {
         this.isRunning = false;
         this.recordUse();
@@ -178,6 +182,7 @@
 /** Wraps the handler of an exchange; the client that it runs on is known from its start. */
 function createBoundedHandler(
     handler: Dispatcher.DispatchHandler,
+    headLimitBytes: number,
     getGuard: () => ConnectionGuard | undefined,
 ): Dispatcher.DispatchHandler {
     let interimResponses = 0;
@@ -189,10 +194,12 @@
             handler.onRequestStart?.(controller, context);
         },
         onResponseStart: (controller, status, headers, text) => {
-            interimResponses += status < FIRST_FINAL_STATUS ? 1 : 0;
-            if (sumBytes(controller.rawHeaders) > UPSTREAM_HEAD_LIMIT_BYTES) {
-                const reason = `headers larger than ${String(UPSTREAM_HEAD_LIMIT_BYTES)} bytes`;
-                controller.abort(new EndlessResponseError(reason));
+            interimResponses += isInterim(status) ? 1 : 0;
+            const rawHeaders = formatRawHeaders(controller.rawHeaders, headers);
+            if (sumBytes(rawHeaders) > headLimitBytes) {
+                controller.abort(
+                    new errors.HeadersOverflowError(`headers larger than ${String(headLimitBytes)} bytes`),
+                );
                 return;
             }
             if (interimResponses > MAX_INTERIM_RESPONSES) {
@@ -200,7 +207,9 @@
                 controller.abort(new EndlessResponseError(reason));
                 return;
             }
-            if (status >= FIRST_FINAL_STATUS) {
+            // An error that is thrown here aborts the exchange.
+            assertValidHead(status, rawHeaders);
+            if (!isInterim(status)) {
                 guard?.recordUse();
             }
             handler.onResponseStart?.(controller, status, headers, text);
@@ -225,7 +234,6 @@
     };
 }
 
-function sumBytes(rawHeaders: unknown): number {
-    const parts = Array.isArray(rawHeaders) ? rawHeaders as readonly (Buffer | string)[] : [];
-    return parts.reduce((sum, { length }) => sum + length, 0);
+function sumBytes(rawHeaders: readonly string[]): number {
+    return rawHeaders.reduce((sum, { length }) => sum + length, 0);
 }
--- a/packages/daemon/src/connection/exchangeFailure.ts
+++ b/packages/daemon/src/connection/exchangeFailure.ts
@@ -46,6 +46,7 @@
     "HTTPParserError",
     "HeadersOverflowError",
     "EndlessResponseError",
+    "InvalidHeadError",
 ]);
 
 /**
--- a/packages/daemon/src/connection/httpClient.ts
+++ b/packages/daemon/src/connection/httpClient.ts
@@ -3,6 +3,7 @@
  * sent.
  */
 import { buildConnector, type Dispatcher, errors } from "undici";
+import { EndlessResponseError } from "./boundedPool.js";
 import { KeepAliveAgent } from "./keepAliveAgent.js";
 import {
     computeTrickleLimitMs,
@@ -11,6 +12,7 @@
     RELAYED_HEAD_LIMIT_BYTES,
 } from "./messageLimits.js";
 import { readRetryAfter } from "./readRetryAfter.js";
+import { InvalidHeadError } from "./responseRule.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
 /** Why an exchange failed. */
@@ -250,6 +252,12 @@
         );
     }
     const message = error instanceof Error ? error.message : String(error);
+    if (error instanceof EndlessResponseError) {
+        return new ExchangeError("oversized", peer, message);
+    }
+    if (error instanceof InvalidHeadError) {
+        return new ExchangeError("rubbish", peer, message);
+    }
     const failure = isConnectFailure(error) ? "not-reached" : "lost";
     return new ExchangeError(failure, peer, message, getErrorCode(error) === "ECONNREFUSED");
 }
--- a/packages/daemon/src/connection/keepAliveAgent.ts
+++ b/packages/daemon/src/connection/keepAliveAgent.ts
@@ -1,7 +1,8 @@
 /**
  * Keep-alive connection pools, one per origin.
  */
-import { type buildConnector, Dispatcher, Pool } from "undici";
+import { type buildConnector, Dispatcher, type Pool } from "undici";
+import { BoundedPool } from "./boundedPool.js";
 
 /** Options of the connection pools. */
 export interface KeepAliveAgentOptions {
@@ -36,7 +37,8 @@
      * @returns false if all connections are busy
      */
     override dispatch(options: Dispatcher.DispatchOptions, handler: Dispatcher.DispatchHandler): boolean {
-        return this.getPool(String(options.origin)).dispatch(options, handler);
+        // Composing wraps handlers of undici's earlier interface, which its own request function passes.
+        return this.getPool(String(options.origin)).compose((dispatch) => dispatch).dispatch(options, handler);
     }
 
     /**
@@ -62,7 +64,7 @@
             return existing;
         }
         const { connect, idleTimeoutMs, maxConnections, maxHeaderSize } = this.options;
-        const pool = new Pool(origin, {
+        const pool = new BoundedPool(origin, {
             connect,
             connections: maxConnections,
             maxHeaderSize,
--- a/packages/daemon/src/connection/relayDispatcher.ts
+++ b/packages/daemon/src/connection/relayDispatcher.ts
@@ -4,6 +4,7 @@
 import type { Dispatcher } from "undici";
 import { RelayError, type RelayFailureKind } from "./exchangeFailure.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
+import { formatRawHeaders } from "./rawHeaders.js";
 import {
     decodeRelayEnd,
     decodeRelayResult,
@@ -12,8 +13,8 @@
     type RelayEnd,
     type RelayResult,
 } from "./relayProtocol.js";
+import { isInterim } from "./responseRule.js";
 import type { UpstreamEndpoint } from "./upstreamConnections.js";
-import { formatRawHeaders } from "./upstreamExchange.js";
 
 /** Where the requests of one attempt are relayed. */
 export interface RelayOptions {
@@ -150,7 +151,7 @@
                 }, SILENCE_MS);
             },
             onResponseStart: (controller, status, headers) => {
-                if (status < 200) {
+                if (isInterim(status)) {
                     return;
                 }
                 clearTimeout(silenceTimer);
@@ -160,6 +161,9 @@
                     this.rawHeaders = [...head.rawHeaders];
                     this.handler.onResponseStart?.(this, head.status, { ...head.headers });
                 }
+                else if (result.kind === "invalid") {
+                    this.abort(new RelayError("malformed", result.reason));
+                }
             },
             onResponseData: (_controller, chunk) => {
                 if (result?.kind === "answer") {
@@ -195,6 +199,9 @@
             case "broken":
                 this.handleAnswerEnd(relay, result.end);
                 return;
+            case "invalid":
+                this.fail("malformed", result.reason);
+                return;
             case "withheld":
                 this.relayOptions.relays.handleBackoff(this.relayOptions.endpoint.upstreamId, result.backoffMs);
                 this.fail("withheld", `withheld by ${relay}`);
--- a/packages/daemon/src/connection/relayProtocol.ts
+++ b/packages/daemon/src/connection/relayProtocol.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { isSelfDelimited, removeHopByHopHeaders } from "../request/routedResponse.js";
+import { assertValidHead, InvalidHeadError, isInterim } from "./responseRule.js";
 import type { UpstreamEndpoint } from "./upstreamConnections.js";
 import type { ResponseHead, UpstreamRequest } from "./upstreamExchange.js";
 
@@ -27,6 +28,7 @@
 } as const;
 
 const NEW_CONNECTION = "new";
+const STATUS_PATTERN = /^\d{3}$/;
 
 /** Headers that the HTTP server or client of a hop adds by itself. */
 const HOP_HEADERS: ReadonlySet<string> = new Set(["content-length", "connection", "keep-alive", "transfer-encoding"]);
@@ -49,6 +51,8 @@
 /** What a relay did with a request. */
 export type RelayResult =
     | { readonly kind: "answer"; readonly head: ResponseHead; }
+    /** The head of the upstream's response is invalid, which a relay of another build may not have checked. */
+    | { readonly kind: "invalid"; readonly reason: string; }
     | { readonly kind: "not-sent"; readonly refusal: string; }
     /** Nothing was sent, because the upstream asked the relay to back off. */
     | { readonly kind: "withheld"; readonly backoffMs: number; }
@@ -175,11 +179,11 @@
         case "not-sent":
             return { kind: "not-sent", refusal: getText(headers[names.reason]) ?? "" };
         case "withheld":
-            return { kind: "withheld", backoffMs: Number(getText(headers[names.backoffMs]) ?? 0) };
+            return { kind: "withheld", backoffMs: decodeBackoffMs(getText(headers[names.backoffMs])) };
         case "broken":
             return { kind: "broken", end: decodeRelayEnd(headers) };
         case "answer":
-            return { kind: "answer", head: decodeHead(headers, rawHeaders) };
+            return decodeAnswer(headers, rawHeaders);
         case undefined:
         default:
             return { kind: "unsupported" };
@@ -196,6 +200,28 @@
     return end === "whole" || end === "closed" || end === "malformed" ? end : undefined;
 }
 
+/** Without a valid time, the upstream is asked again at once. */
+function decodeBackoffMs(text: string | undefined): number {
+    const backoffMs = Number(text);
+    return backoffMs > 0 ? backoffMs : 0;
+}
+
+function decodeAnswer(headers: ResponseHead["headers"], rawHeaders: readonly string[]): RelayResult {
+    const head = decodeHead(headers, rawHeaders);
+    try {
+        assertValidHead(head.status, head.rawHeaders);
+        return isInterim(head.status)
+            ? { kind: "invalid", reason: `interim status ${String(head.status)}` }
+            : { kind: "answer", head };
+    }
+    catch (error) {
+        if (error instanceof InvalidHeadError) {
+            return { kind: "invalid", reason: error.message };
+        }
+        throw error;
+    }
+}
+
 function decodeHead(headers: ResponseHead["headers"], rawHeaders: readonly string[]): ResponseHead {
     const framing = getText(headers[names.framing]) ?? "close";
     const framingHeader = framing === "close"
@@ -207,12 +233,17 @@
     const kept = Object.entries(headers).filter(([name]) => !HOP_HEADERS.has(name) && !name.startsWith(PREFIX));
     const [name, value] = framingHeader;
     return {
-        status: Number(getText(headers[names.status])),
+        status: decodeStatus(getText(headers[names.status])),
         rawHeaders: raw,
         headers: Object.fromEntries(name === undefined ? kept : [...kept, [name, value]]),
     };
 }
 
+/** NaN for a text that is no status. */
+function decodeStatus(text: string = ""): number {
+    return STATUS_PATTERN.test(text) ? Number(text) : Number.NaN;
+}
+
 /** A caller's header of such a name means nothing, and is not forwarded. */
 function removeRelayHeaders(rawHeaders: readonly string[]): string[] {
     return rawHeaders.flatMap((name, at) =>
--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -7,6 +7,8 @@
 import type { BoundedOptions } from "./boundedPool.js";
 import { describeFailure, type ExchangeFailure } from "./exchangeFailure.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
+import { formatRawHeaders } from "./rawHeaders.js";
+import { isInterim } from "./responseRule.js";
 import { ResetError } from "./watchForReset.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
@@ -128,7 +130,7 @@
             wasSent = true;
         },
         onResponseStart: (started, status, headers) => {
-            if (!isSettled && status >= 200) {
+            if (!isSettled && !isInterim(status)) {
                 handlers.handleHead({ status, headers, rawHeaders: formatRawHeaders(started.rawHeaders, headers) });
             }
         },
@@ -139,8 +141,9 @@
         },
         onResponseEnd: () => {
             if (!isSettled) {
-                isSettled = true;
+                // undici passes an error that is thrown here to onResponseError.
                 handlers.handleEnd();
+                isSettled = true;
             }
         },
         onResponseError: (_started, error) => {
@@ -168,21 +171,3 @@
         resume: () => controller?.resume(),
     };
 }
-
-/**
- * Formats the headers of a response.
- * @param raw - alternating names and values as undici gives them, if it does
- * @param headers - the same headers by name
- * @returns alternating names and values
- */
-export function formatRawHeaders(
-    raw: unknown,
-    headers: Readonly<Record<string, string | string[] | undefined>>,
-): readonly string[] {
-    if (Array.isArray(raw)) {
-        return raw.map((part) => Buffer.isBuffer(part) ? part.toString("latin1") : String(part));
-    }
-    return Object.entries(headers).flatMap(([name, value]) =>
-        (Array.isArray(value) ? value : [value ?? ""]).flatMap((one) => [name, one])
-    );
-}
