fix(entry): take no part of an answer for the whole while the request is still being sent

An upstream answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while it read nothing. Callers got the part as a complete answer, of calls and streams, directly and through a relay.

Cause: a reset that arrives together with data is reported as data and an orderly end. The check for it is an empty write, which fails at once on such a connection, but while a part of the request waits to be written, the empty write waits behind it, so that nothing had failed when the response was completed.

While bytes of the request wait, the end of the connection now ends no response. An orderly end cannot be told from a reset then, and an upstream that ends its connection with unread bytes resets it anyway. Such an attempt fails with the upstream's connection closed: 502, or another attempt of a repeatable request. A response with a length or chunks is complete at its own end, as before, whether or not the request was read. The code of resets that are reported as errors is changed in the same place, for all connections.

--- a/packages/daemon/src/connection/boundedPool.ts
+++ b/packages/daemon/src/connection/boundedPool.ts
@@ -9,7 +9,7 @@
 import { UPSTREAM_HEAD_LIMIT_BYTES } from "./messageLimits.js";
 import { formatRawHeaders } from "./rawHeaders.js";
 import { assertValidHead, isInterim } from "./responseRule.js";
-import { ResetError, watchForReset } from "./watchForReset.js";
+import { type ResetError, watchForReset } from "./watchForReset.js";
 
 /** Bytes without a final head or a part of a body after which a connection is closed; above the largest head. */
 const MAX_UNUSED_BYTES = 128 * 1_024;
@@ -95,7 +95,7 @@
     private startBytes = 0;
     private contentBytes = 0;
     private isRunning = false;
-    private wasReset = false;
+    private reset: ResetError | undefined;
 
     watchConnections(connect: buildConnector.connector): buildConnector.connector {
         return (options, callback) => {
@@ -103,9 +103,9 @@
                 const [error, socket] = result;
                 if (error === null) {
                     this.socket = socket;
-                    this.wasReset = false;
-                    watchForReset(socket, () => {
-                        this.wasReset = true;
+                    this.reset = undefined;
+                    watchForReset(socket, (reset) => {
+                        this.reset = reset;
                     });
                     this.recordUse();
                     socket.on("readable", () => {
@@ -138,7 +138,7 @@
     end(): ResetError | undefined {
         this.isRunning = false;
         this.recordUse();
-        return this.wasReset ? new ResetError() : undefined;
+        return this.reset;
     }
 
     private check(socket: Socket): void {
--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -9,7 +9,6 @@
 import type { RequestDispatcher } from "./observeDispatch.js";
 import { formatRawHeaders } from "./rawHeaders.js";
 import { isInterim } from "./responseRule.js";
-import { ResetError } from "./watchForReset.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
 /** A request to an upstream. */
@@ -60,26 +59,9 @@
 /** Subtracted from the keep-alive time that an upstream states, so that a request does not race with its close. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
-/**
- * Reports a connection reset as an error. If a connection is reset with code ECONNRESET, undici takes a response
- * without a length as complete although it is truncated; a different code prevents that.
- */
-function createConnector(): buildConnector.connector {
-    const connect = withConnectTimeout(buildConnector({}), CONNECT_TIMEOUT_MS);
-    return (options, callback) => {
-        connect(options, (...result) => {
-            const [, socket] = result;
-            socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
-                error.code = error.code === "ECONNRESET" ? new ResetError().code : error.code;
-            });
-            callback(...result);
-        });
-    };
-}
-
 /** Options of the connection pools to upstreams. */
 export const upstreamConnectionOptions: BoundedOptions = {
-    connect: createConnector(),
+    connect: withConnectTimeout(buildConnector({}), CONNECT_TIMEOUT_MS),
     keepAliveTimeout: UPSTREAM_KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     headersTimeout: 0,
