--- a/packages/daemon/src/connection/upstreamExchange.ts
+++ b/packages/daemon/src/connection/upstreamExchange.ts
@@ -7,7 +7,8 @@
 import type { BoundedOptions } from "./boundedPool.js";
 import { describeFailure, type ExchangeFailure } from "./exchangeFailure.js";
 import type { RequestDispatcher } from "./observeDispatch.js";
-import { ResetError } from "./watchForReset.js";
+import { formatRawHeaders } from "./rawHeaders.js";
+import { isInterim } from "./responseRule.js";
 import { withConnectTimeout } from "./withConnectTimeout.js";
 
 /** A request to an upstream. */
@@ -58,26 +59,9 @@
 /** Subtracted from the keep-alive time that an upstream states, so that a request does not race with its close. */
 const KEEP_ALIVE_MARGIN_MS = 1_000;
 
-/**
- * Reports a connection reset as an error. If a connection is reset with code ECONNRESET, undici takes a response
- * without a length as complete although it is truncated; a different code prevents that.
- */
-function createConnector(): buildConnector.connector {
-    const connect = withConnectTimeout(buildConnector({}), CONNECT_TIMEOUT_MS);
-    return (options, callback) => {
-        connect(options, (...result) => {
-            const [, socket] = result;
-            socket?.prependListener("error", (error: NodeJS.ErrnoException) => {
-                error.code = error.code === "ECONNRESET" ? new ResetError().code : error.code;
-            });
-            callback(...result);
-        });
-    };
-}
-
 /** Options of the connection pools to upstreams. */
 export const upstreamConnectionOptions: BoundedOptions = {
-    connect: createConnector(),
+    connect: withConnectTimeout(buildConnector({}), CONNECT_TIMEOUT_MS),
     keepAliveTimeout: UPSTREAM_KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     headersTimeout: 0,
@@ -128,7 +112,7 @@
             wasSent = true;
         },
         onResponseStart: (started, status, headers) => {
-            if (!isSettled && status >= 200) {
+            if (!isSettled && !isInterim(status)) {
                 handlers.handleHead({ status, headers, rawHeaders: formatRawHeaders(started.rawHeaders, headers) });
             }
         },
@@ -139,8 +123,9 @@
         },
         onResponseEnd: () => {
             if (!isSettled) {
-                isSettled = true;
+                // undici passes an error that is thrown here to onResponseError.
                 handlers.handleEnd();
+                isSettled = true;
             }
         },
         onResponseError: (_started, error) => {
@@ -168,21 +153,3 @@
         resume: () => controller?.resume(),
     };
 }
-
-/**
- * Formats the headers of a response.
- * @param raw - alternating names and values as undici gives them, if it does
- * @param headers - the same headers by name
- * @returns alternating names and values
- */
-export function formatRawHeaders(
-    raw: unknown,
-    headers: Readonly<Record<string, string | string[] | undefined>>,
-): readonly string[] {
-    if (Array.isArray(raw)) {
-        return raw.map((part) => Buffer.isBuffer(part) ? part.toString("latin1") : String(part));
-    }
-    return Object.entries(headers).flatMap(([name, value]) =>
-        (Array.isArray(value) ? value : [value ?? ""]).flatMap((one) => [name, one])
-    );
-}
