fix(entry): treat an address that can't be connected as an unreachable upstream

Upstreams registered with an address such as 127.0.0.1:99999 ended entries: the check whether an entry is cut off probed such an address, net.connect threw ERR_SOCKET_BAD_PORT, and nothing handled the rejection. Requests that chose such an upstream first also spent the retry budget of its service.

An address names a host and a port from 1 to 65535, or nothing is connected: a probe of another one fails, an entry never chooses its upstream (event upstream-unconnectable), does not ask other entries about it, and does not check its own links because of it. This holds for whatever the replicated state holds already.

--- a/packages/daemon/src/connection/probeConnection.ts
+++ b/packages/daemon/src/connection/probeConnection.ts
@@ -3,14 +3,18 @@
  */
 import { parseAddress } from "@crankfork/schemas";
 import { connect } from "node:net";
+import { isConnectable } from "./isConnectable.js";
 
 /**
  * Opens a connection and closes it at once.
  * @param address - host and port
  * @param timeoutMs - the time-out, in milliseconds
- * @returns whether it was established in time
+ * @returns whether it was established in time; never rejects
  */
 export function probeConnection(address: string, timeoutMs: number): Promise<boolean> {
+    if (!isConnectable(address)) {
+        return Promise.resolve(false);
+    }
     const { host, port } = parseAddress(address);
     return new Promise((resolve) => {
         const socket = connect({ host, port });
--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -10,7 +10,7 @@
 import { PeerLink } from "../peerLink.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
 import { ReplicaHost } from "../replicaHost.js";
-import { recordTaskFailure } from "../taskFailures.js";
+import { describeError, recordTaskFailure } from "../taskFailures.js";
 import { changeVoters } from "../voter/voterChange.js";
 import { ClaimManager } from "./claimManager.js";
 import { LeaderClient } from "./leaderClient.js";
@@ -197,7 +197,7 @@
             log.record("debug", "entries-resent", { peer: event.to, entries: event.entries });
             return;
         case "fault":
-            log.record("error", "replica-fault", { reason: String(event.error) });
+            log.record("error", "replica-fault", describeError(event.error));
             return;
     }
 }
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -5,6 +5,7 @@
 import type {
     FleetSettings,
     FleetStatus,
+    RegisteredUpstream,
     RoutingTable,
     StateChanges,
     SynchronisedState,
@@ -14,6 +15,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { EngineControl, EngineEndpoint } from "../../connection/engineControl.js";
 import { ExitGuard } from "../../connection/exitGuard.js";
+import { isConnectable } from "../../connection/isConnectable.js";
 import type { RequestDispatcher } from "../../connection/observeDispatch.js";
 import type { PeerClient } from "../../connection/peerClient.js";
 import { probeConnection } from "../../connection/probeConnection.js";
@@ -120,7 +122,7 @@
     /** Relays requests of other entries. */
     readonly relayServer: RelayServer;
     private readonly refusals: RefusalWindow;
-    private readonly view = new FleetView();
+    private readonly view = new FleetView((upstream) => this.canConnect(upstream));
     private readonly health: UpstreamHealth;
     private readonly chooser: TargetChooser;
     private readonly engineReports: EngineReportCache;
@@ -385,6 +387,14 @@
         this.queues.recordReport();
     }
 
+    private canConnect({ id, address }: RegisteredUpstream): boolean {
+        const canConnect = isConnectable(address);
+        if (!canConnect) {
+            this.options.log.record("warn", "upstream-unconnectable", { peer: id, address });
+        }
+        return canConnect;
+    }
+
     /** Drops what is kept for upstreams that have ended. */
     private pruneUpstreams(): void {
         const isKnown = (id: string): boolean => this.view.getUpstream(id) !== undefined;
@@ -578,11 +588,11 @@
             },
             suspect: (id, reason) => {
                 this.faultHandler.suspect(id, reason);
-                startTask("reach-check", () => this.links.checkAfterFailure());
+                startTask("reach-check", () => this.links.checkAfterFailure(id));
             },
             recordMissingReport: (id, reason) => {
                 this.faultHandler.handleMissingReport(id, reason);
-                startTask("reach-check", () => this.links.checkAfterFailure());
+                startTask("reach-check", () => this.links.checkAfterFailure(id));
             },
             recordProgress: (id) => {
                 this.faultHandler.handleProgress(id);
--- a/packages/daemon/src/process/entry/upstreamLinks.ts
+++ b/packages/daemon/src/process/entry/upstreamLinks.ts
@@ -4,6 +4,7 @@
 import type { RelayOffer } from "@crankfork/schemas";
 import type { Dispatcher } from "undici";
 import { RelayError } from "../../connection/exchangeFailure.js";
+import { isConnectable, UnconnectableError } from "../../connection/isConnectable.js";
 import { observeHandler, type RequestDispatcher } from "../../connection/observeDispatch.js";
 import type { PeerClient } from "../../connection/peerClient.js";
 import { probeConnection } from "../../connection/probeConnection.js";
@@ -61,7 +62,7 @@
         this.relays = new RelayPool({ ...options, connections: options.relayConnections });
         this.reach = new ReachMonitor({
             ...options,
-            listUpstreams: () => options.view.listAllReady(),
+            listUpstreams: () => options.view.listAllReady().filter(({ address }) => isConnectable(address)),
             probe: probeConnection,
             queryOthers: (upstreams) => this.relays.queryReach(upstreams),
             getSilentMs: () => this.contact.silentMs,
@@ -138,19 +139,29 @@
      * @returns sends a request over them
      */
     getOwnConnections(endpoint: UpstreamEndpoint): RequestDispatcher {
-        const connections = this.options.connections.get(endpoint);
         return {
             dispatch: (options, handler) => {
+                // Says nothing about the links of this entry, so it is not tracked.
+                if (!isConnectable(endpoint.address)) {
+                    throw new UnconnectableError(endpoint.address);
+                }
+                const connections = this.options.connections.get(endpoint);
                 const exchange = this.contact.trackExchange(endpoint.upstreamId);
-                return connections.dispatch(
-                    options,
-                    observeHandler(handler, {
-                        handleBytes: exchange.recordBytes,
-                        handleEnd: (error) => {
-                            exchange.end(error !== undefined);
-                        },
-                    }),
-                );
+                try {
+                    return connections.dispatch(
+                        options,
+                        observeHandler(handler, {
+                            handleBytes: exchange.recordBytes,
+                            handleEnd: (error) => {
+                                exchange.end(error !== undefined);
+                            },
+                        }),
+                    );
+                }
+                catch (error) {
+                    exchange.end(false);
+                    throw error;
+                }
             },
         };
     }
@@ -178,9 +189,14 @@
 
     /**
      * Checks after a failure whether this entry is cut off, unless it has just received bytes from an upstream.
+     * @param upstreamId - the upstream that failed; its failure shows nothing if no connection to it can be attempted
      * @returns true if it is
      */
-    async checkAfterFailure(): Promise<boolean> {
+    async checkAfterFailure(upstreamId?: string): Promise<boolean> {
+        const address = upstreamId === undefined ? undefined : this.options.view.getUpstream(upstreamId)?.address;
+        if (address !== undefined && !isConnectable(address)) {
+            return this.isCutOff;
+        }
         return this.isCutOff || (this.contact.sinceBytesMs >= RECENT_BYTES_MS && await this.reach.checkAfterFailure());
     }
 
--- a/packages/daemon/src/version/fleetView.ts
+++ b/packages/daemon/src/version/fleetView.ts
@@ -39,6 +39,13 @@
     private readonly chainCache = new Map<string, readonly Chain[]>();
     private readonly idsByAddress = new Map<string, string>();
     private index = 0;
+    /** Upstreams to which no connection can be attempted. */
+    private readonly unconnectable = new Set<string>();
+
+    /**
+     * @param canConnect - whether a connection to an upstream can be attempted; true by default
+     */
+    constructor(private readonly canConnect: (upstream: RegisteredUpstream) => boolean = () => true) {}
 
     /** Position in the voters' log up to which this entry is informed. */
     get knownIndex(): number {
@@ -78,9 +85,15 @@
         }
         if (state.is_whole) {
             this.upstreams = new Map();
+            this.unconnectable.clear();
         }
-        state.removed.forEach((id) => this.upstreams.delete(id));
-        state.upstreams.forEach((upstream) => this.upstreams.set(upstream.id, upstream));
+        state.removed.forEach((id) => {
+            this.upstreams.delete(id);
+            this.unconnectable.delete(id);
+        });
+        state.upstreams.forEach((upstream) => {
+            this.setUpstream(upstream);
+        });
         this.index = state.index;
         if (state.is_whole || state.removed.length > 0 || state.upstreams.length > 0) {
             this.clearChains();
@@ -121,18 +134,18 @@
     /**
      * Lists the upstreams of a service that accept new requests.
      * @param service - the service's name
-     * @returns those that are ready
+     * @returns those that are ready, and to which a connection can be attempted
      */
     listReady(service: string): readonly RegisteredUpstream[] {
-        return [...this.upstreams.values()].filter((one) => one.service === service && one.status === "ready");
+        return [...this.upstreams.values()].filter((one) => one.service === service && this.isReady(one));
     }
 
     /**
      * Lists the upstreams that accept new requests.
-     * @returns those of all services that are ready
+     * @returns those of all services that are ready, and to which a connection can be attempted
      */
     listAllReady(): readonly RegisteredUpstream[] {
-        return [...this.upstreams.values()].filter((one) => one.status === "ready");
+        return [...this.upstreams.values()].filter((one) => this.isReady(one));
     }
 
     /**
@@ -163,6 +176,20 @@
         this.chainCache.clear();
     }
 
+    private isReady({ id, status }: RegisteredUpstream): boolean {
+        return status === "ready" && !this.unconnectable.has(id);
+    }
+
+    private setUpstream(upstream: RegisteredUpstream): void {
+        this.upstreams.set(upstream.id, upstream);
+        if (this.canConnect(upstream)) {
+            this.unconnectable.delete(upstream.id);
+        }
+        else {
+            this.unconnectable.add(upstream.id);
+        }
+    }
+
     private indexAddresses(): void {
         this.idsByAddress.clear();
         this.upstreams.forEach(({ address, status }, id) => {
