fix(daemon): lose only the request whose handler or response fails

An exception in a request handler, such as for a header value that can't be sent, and an error event of a response ended the process, as an error of a listening server (a connection that could not be accepted) would have. Every port now runs its handler as a task, destroys the response of one that fails, and records errors of responses and servers.

With the former httpServer and callerPort, 6 of 18 rows of failedRequests.test.ts fail with an uncaught exception: a handler that throws, a header value that can't be sent and a write after the end, at both kinds of ports. The row for upgrades, tunnels, expectations, aborted uploads, pipelined and malformed requests passed before, too.

--- a/packages/daemon/src/process/entry/callerPort.ts
+++ b/packages/daemon/src/process/entry/callerPort.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse, STATUS_CODES } from "node:http";
 import { Socket } from "node:net";
 import type { Duplex } from "node:stream";
-import { type OpenServer, openServer, type RequestHandler, sendJson } from "../httpServer.js";
+import { createSafeHandler, type OpenServer, openServer, type RequestHandler, sendJson } from "../httpServer.js";
 import { limitTimerMs } from "../waitMs.js";
 
 /** Limits of the routing table. */
@@ -46,9 +46,9 @@
             connectionsCheckingInterval: CHECK_INTERVAL_MS,
         });
         const port = new CallerPort(server, handle);
-        const receive: RequestHandler = (request, response) => {
+        const receive = createSafeHandler((request, response) => {
             port.receive(request, response);
-        };
+        });
         server.on("request", receive).on("clientError", (error: NodeJS.ErrnoException, socket) => {
             port.handleClientError(error, socket);
         });
--- a/packages/daemon/src/process/fleetProcess.ts
+++ b/packages/daemon/src/process/fleetProcess.ts
@@ -5,7 +5,6 @@
 import type { FleetSettings } from "@crankfork/schemas";
 import { parseAddress } from "@crankfork/schemas";
 import type { JSONRPCServer } from "json-rpc-2.0";
-import { createServer } from "node:http";
 import type { Dispatcher } from "undici";
 import { createAgent, createPeerAgent } from "../connection/httpClient.js";
 import { createPeerClient, type PeerClient } from "../connection/peerClient.js";
@@ -106,7 +105,7 @@
         if (address === undefined) {
             return undefined;
         }
-        const server = await openServer(address, handle, createServer(handle), idleMs);
+        const server = await openServer(address, handle, undefined, idleMs);
         servers.push(server);
         return server;
     };
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -7,6 +7,8 @@
 import type { AddressInfo } from "node:net";
 import { ByteBuffer } from "../connection/byteBuffer.js";
 import { computeTrickleLimitMs } from "../connection/messageLimits.js";
+import { startTask } from "./startTask.js";
+import { recordTaskFailure } from "./taskFailures.js";
 import { limitTimerMs } from "./waitMs.js";
 
 /** A listening server. */
@@ -35,13 +37,17 @@
 export async function openServer(
     address: string,
     handle: RequestHandler,
-    server: Server = createServer(handle),
+    server: Server = createServer(createSafeHandler(handle)),
     idleMs: number = KEEP_ALIVE_MS,
 ): Promise<OpenServer> {
     const { host, port } = parseAddress(address);
     server.keepAliveTimeout = limitTimerMs(idleMs);
     server.prependListener("request", closeWithConnection);
     await listen(server, host, port);
+    // Such as a connection that could not be accepted for want of file descriptors.
+    server.on("error", (error) => {
+        recordTaskFailure("server", error);
+    });
     const bound = server.address() as AddressInfo;
     return {
         address: `${bound.family === "IPv6" ? `[${bound.address}]` : bound.address}:${String(bound.port)}`,
@@ -55,6 +61,23 @@
     };
 }
 
+/**
+ * Creates a handler that loses only the request at which another one fails.
+ * @param handle - may throw
+ * @returns a handler that never throws
+ */
+export function createSafeHandler(handle: RequestHandler): RequestHandler {
+    return (request, response) => {
+        response.on("error", (error) => {
+            recordTaskFailure("response", error);
+        });
+        const run = (): void => {
+            handle(request, response);
+        };
+        startTask("request", run, () => response.destroy());
+    };
+}
+
 /**
  * Checks a bearer secret in constant time.
  * @param header - the `authorization` header
