--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -11,7 +11,7 @@
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
 import { recordFailedCommand } from "../recordFailedCommand.js";
 import { ReplicaHost } from "../replicaHost.js";
-import { recordTaskFailure } from "../taskFailures.js";
+import { describeError, recordTaskFailure } from "../taskFailures.js";
 import { changeVoters } from "../voter/voterChange.js";
 import { ClaimManager } from "./claimManager.js";
 import { LeaderClient } from "./leaderClient.js";
@@ -204,7 +204,7 @@
             recordFailedCommand(log, event);
             return;
         case "fault":
-            log.record("error", "replica-fault", { reason: String(event.error) });
+            log.record("error", "replica-fault", describeError(event.error));
             return;
     }
 }
