fix(voter): deliver 413 to a client that is still sending the body

Cause: the connection was closed with the rest of the body unread, which the system answers with a reset; it discards what the client has not read yet. In chunks, the reader had destroyed the request as well.

The response is sent whole, the rest of the body is read and dropped for a second at most, then the connection is closed.

The callers' port and the operators' port of crankforkd are unchanged.

--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo } from "node:net";
 import { ByteBuffer } from "../connection/byteBuffer.js";
 import { computeTrickleLimitMs } from "../connection/messageLimits.js";
-import { startTask } from "./startTask.js";
+import { startTask, startTimer } from "./startTask.js";
 import { recordTaskFailure } from "./taskFailures.js";
 import { limitTimerMs } from "./waitMs.js";
 
@@ -131,8 +131,7 @@
  * @param limitBytes - maximum size
  * @param idleMs - the idle time, in milliseconds
  * @returns the body
- * @throws BodyTooLargeError as soon as the body is known to be larger; where its length was announced, the connection
- *     can still carry a response
+ * @throws BodyTooLargeError as soon as the body is known to be larger; the connection can still carry a response
  */
 export async function readBody(
     request: IncomingMessage,
@@ -147,7 +146,8 @@
     let length = 0;
     const stopWatch = watchSilence(request, idleMs);
     try {
-        for await (const chunk of request as AsyncIterable<Buffer>) {
+        // Not destroyed at the limit: the connection can still carry a response.
+        for await (const chunk of request.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
             length += chunk.length;
             if (length > limitBytes) {
                 throw new BodyTooLargeError(length, limitBytes);
@@ -204,6 +204,33 @@
     return bytes;
 }
 
+/** Time for which the rest of a request is read and dropped after its response. */
+const MAX_DROP_MS = 1_000;
+
+/**
+ * Sends a JSON response to a request whose body is not read to its end, and closes the connection once the body has ended, or
+ * after a second. The system resets a connection that is closed with unread bytes, so that the client may lose the response.
+ * @param request - the request
+ * @param response - a response that has not been started
+ * @param status - HTTP status
+ * @param body - the value to send
+ */
+export function sendEarlyJson(request: IncomingMessage, response: ServerResponse, status: number, body: unknown): void {
+    const text = JSON.stringify(body);
+    response.writeHead(status, {
+        "content-type": "application/json",
+        "content-length": Buffer.byteLength(text),
+        "connection": "close",
+    });
+    response.write(text);
+    const end = (): void => {
+        clearTimeout(timer);
+        response.end();
+    };
+    const timer = startTimer("dropped-body", MAX_DROP_MS, end);
+    request.once("end", end).once("close", end).resume();
+}
+
 /**
  * When a connection ends, Node.js closes the response that is being written to it, but not the responses to pipelined requests
  * that are queued behind it.
