fix(entry): accept blanks after a length or a transfer coding

Callers got 502 for an answer with blanks after its length or transfer coding, since undici keeps them in the value and the check of heads compared it as a whole (found in review, before any release). Blanks around a value are no part of it. A tab stays invalid, as undici does not decode such chunks.

Result: invalidHeads.test.ts, the two new rows with blanks failed before, and pass.

--- a/packages/daemon/src/connection/responseRule.ts
+++ b/packages/daemon/src/connection/responseRule.ts
@@ -36,6 +36,8 @@
     if (!Number.isInteger(status) || status < FIRST_STATUS || status > LAST_STATUS || status === SWITCHING_PROTOCOLS) {
         throw new InvalidHeadError(`status ${String(status)}: expected one from 200 to ${String(LAST_STATUS)}`);
     }
+    // Blanks around a value are no part of it (RFC 9110, section 5.5), and undici keeps those after it. It does not decode chunks if
+    // there is a tab.
     const lengths: string[] = [];
     const codings: string[] = [];
     for (let at = 0; at + 1 < rawHeaders.length; at += 2) {
@@ -44,10 +46,10 @@
         assertValidLine(name, value);
         switch (name.toLowerCase()) {
             case "content-length":
-                lengths.push(value);
+                lengths.push(trimBlanks(value));
                 break;
             case "transfer-encoding":
-                codings.push(value);
+                codings.push(trimBlanks(value));
                 break;
         }
     }
@@ -59,6 +61,10 @@
     }
 }
 
+function trimBlanks(value: string): string {
+    return value.replace(/^ +| +$/g, "");
+}
+
 function assertValidLine(name: string, value: string): void {
     try {
         validateHeaderName(name);
