fix(voter): end no upstream because another one reports its address

Cause: a heartbeat with a start time counted as certain evidence that whoever is registered at its address has ended, and an end is final. An upstream that reports no start time cannot be compared by it, so that a wrong address of another upstream ended it.

The evidence is certain only where both report their start times. Otherwise the address belongs to whoever goes on sending heartbeats, and a silent holder is marked lost, which its next heartbeat revokes. An upstream that reports an earlier start than the one at its address cannot take it, as before; one that reports a later one still can.

A row of classifyHeartbeat.test.ts asked that such a newcomer takes the address at once, which is the fault; it is replaced by two, for a holder that is heard and for one that is silent.

--- a/packages/daemon/src/process/voter/upstreamRegistry.ts
+++ b/packages/daemon/src/process/voter/upstreamRegistry.ts
@@ -472,14 +472,14 @@
     }
 
     /**
-     * An address is reused only after the upstream that had it before has ended. Without start times it is not certain which
-     * of the two has; the other one may register again.
+     * An address is reused only after the upstream that had it before has ended. Unless both report their start times, it is not
+     * certain which of the two has; the other one may register again.
      */
     private replaceOthersAt(facts: UpstreamFacts): void {
-        const isCertain = getIncarnation(facts).started_at_ms !== undefined;
+        const hasStart = getIncarnation(facts).started_at_ms !== undefined;
         const reason = `replaced at its address by ${facts.id}`;
         this.listOthersAtAddress(facts).forEach((other) => {
-            if (isCertain) {
+            if (hasStart && getIncarnation(other).started_at_ms !== undefined) {
                 startTask("upstream-change", () => this.endIncarnation(getIncarnation(other), reason));
             }
             else {
--- a/packages/decisions/src/version/classifyHeartbeat.ts
+++ b/packages/decisions/src/version/classifyHeartbeat.ts
@@ -69,11 +69,11 @@
 }
 
 /**
- * An address is reused only after its former upstream has ended, so the incarnation that started later runs there. Without
- * start times it is the one that goes on sending heartbeats; the other one's were delayed.
+ * An address is reused only after its former upstream has ended, so the incarnation that started later runs there. Unless both
+ * report their start times, it is the one that goes on sending heartbeats.
  */
 function compareWithHolder(incarnation: UpstreamIncarnation, holder: AddressHolder): HeartbeatVerdict {
-    if (incarnation.started_at_ms === undefined) {
+    if (incarnation.started_at_ms === undefined || holder.incarnation.started_at_ms === undefined) {
         return holder.isHeard ? { kind: "overtaken", reason: "address-in-use" } : { kind: "taken" };
     }
     return isEarlierIncarnation(incarnation, holder.incarnation)
