--- a/packages/daemon/src/process/entry/documentLoader.ts
+++ b/packages/daemon/src/process/entry/documentLoader.ts
@@ -29,6 +29,8 @@
 const NOT_HELD_RETRY_MS = 20;
 /** Delay after a voter could not be reached, or sent a document that could not be parsed. */
 const RETRY_MS = 100;
+/** Longest delay that a busy voter may ask for; another voter is asked then. */
+const MAX_BUSY_RETRY_MS = 1_000;
 
 /** Loads documents, one at a time. */
 export class DocumentLoader {
@@ -127,7 +129,7 @@
                         reason: result.kind,
                         retry_ms: Math.round(result.retry_ms),
                     });
-                    return result.retry_ms * (1 + random());
+                    return Math.min(result.retry_ms, MAX_BUSY_RETRY_MS) * (1 + random());
             }
         }
         catch (error) {
--- a/packages/daemon/src/process/entry/leaderSync.ts
+++ b/packages/daemon/src/process/entry/leaderSync.ts
@@ -77,6 +77,8 @@
 const FOLLOWER_DELAY_MS = 250;
 /** The number of entries is the maximum over this window, so that a new leader's low count does not lower it. */
 const ENTRY_COUNT_WINDOW_MS = 15_000;
+/** Highest number of entries that counts; intervals grow with it. */
+const MAX_COUNTED_ENTRIES = 10_000;
 
 /** Local state at the time of a request, to which the answer relates. */
 export interface RequestContext {
@@ -466,7 +468,7 @@
         this.failures.reset();
         this.voters = state.voters;
         this.entryCounts = this.entryCounts.filter((one) => getNowMs() - one.atMs < ENTRY_COUNT_WINDOW_MS);
-        this.entryCounts.push({ atMs: getNowMs(), entries: state.entries });
+        this.entryCounts.push({ atMs: getNowMs(), entries: Math.min(state.entries, MAX_COUNTED_ENTRIES) });
         handleState(state, parameters.known_index);
         this.answeredSentMs = Math.max(this.answeredSentMs, sentMs);
         this.lastAnswer = { peer: address, ...state.confirmed_by };
--- a/packages/daemon/tests/documentLoader.test.ts
+++ b/packages/daemon/tests/documentLoader.test.ts
@@ -60,6 +60,13 @@
             loaded: 4,
             queried: ["a", "b"],
         },
+        {
+            title: "despite a busy voter that asks for a delay without end",
+            script: [{ kind: "busy", retry_ms: 1e300 }, createResult(4)],
+            targets: [4],
+            loaded: 4,
+            queried: ["a", "b"],
+        },
         {
             title: "despite voters that are unreachable or send invalid answers",
             script: ["unreachable", "rubbish", createResult(4)],
