fix(coordination): ignore messages whose term no election can have reached

What callers saw (three voters and an entry as processes, one message to the peers' port of one voter with the term 2^53-1, from a sender that is no member): no leader any more, the configuration can't be read; a voter that counted on to 2^53 could not read its own log. No build sends such a message.

Cause: any higher term is adopted and stored, and the schemas refuse the term after the highest integer.

A message that is 2^32 terms ahead is ignored: that many elections take centuries, and a replica without its disk is never so far behind.

--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -48,6 +48,11 @@
 const TICKS_PER_HEARTBEAT = 2;
 /** Heartbeat intervals in which a replica that is not silent answers a new leader. */
 const HEARTBEATS_TO_ANSWER = 1;
+/**
+ * A message whose term is further ahead is ignored. No elections take so many terms, and a term near the end of the range of
+ * integers would leave none for the next elections.
+ */
+const MAX_TERM_LEAD = 2 ** 32;
 
 /** Status of a replica. */
 export interface ReplicaStatus {
@@ -172,7 +177,7 @@
      * @param message - the message
      */
     receive(from: ReplicaAddress, message: ReplicaMessage): void {
-        if (this.context.isStopped) {
+        if (this.context.isStopped || message.term - this.context.term > MAX_TERM_LEAD) {
             return;
         }
         switch (message.kind) {
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -384,6 +384,32 @@
         expect(peers.find("vote-answer", "left")?.is_granted).to.equal(true);
     });
 
+    const foreignTerms: readonly { readonly title: string; readonly message: ReplicaMessage; }[] = [
+        { title: "a vote", message: { kind: "vote-answer", term: Number.MAX_SAFE_INTEGER, is_granted: false } },
+        { title: "a transfer", message: { kind: "take-over", term: Number.MAX_SAFE_INTEGER } },
+        {
+            title: "an append",
+            message: {
+                kind: "append",
+                term: 2 ** 48,
+                previous_index: 0,
+                previous_term: 0,
+                entries: [],
+                commit_index: 0,
+                sent_ms: 0,
+            },
+        },
+    ];
+    for (const { title, message } of foreignTerms) {
+        it(`keeps its term, and wins elections, after a message with a term that none has reached: ${title}`, async () => {
+            await peers.start();
+            peers.replica.receive(createAddress("unknown"), message);
+            expect(peers.replica.getStatus().term).to.equal(0);
+            await peers.elect();
+            expect(peers.replica.getStatus()).to.include({ role: "leader", term: 1 });
+        });
+    }
+
     it("grants one vote per term", async () => {
         await peers.start();
         const message = { kind: "vote" as const, term: 9, last_index: 9, last_term: 9, is_transfer: true };
