fix(daemon): deliver any JSON response to a client that is still sending its request

Cause: as for 413, the connection is closed with the rest of the body unread, whatever the status.

sendJson now drops the rest of a request that has not been read to its end, for a second at most, before it ends the response.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -21,7 +21,7 @@
 export { Daemon, type DaemonAddresses } from "./process/daemon/daemon.js";
 export { type EntryProtocol, runEntry } from "./process/entry/runEntry.js";
 export type { FleetProcess, SettingsReader } from "./process/fleetProcess.js";
-export { BodyTooLargeError, readBody, type RequestHandler, sendEarlyJson, sendJson } from "./process/httpServer.js";
+export { BodyTooLargeError, readBody, type RequestHandler, sendJson } from "./process/httpServer.js";
 export { formatHybridTime, HybridClock, type HybridTime, parseHybridTime } from "./process/hybridClock.js";
 export { createObservedControl, type NoticeHandlers } from "./process/observedControl.js";
 export { endProcess } from "./process/processFailures.js";
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -183,8 +183,12 @@
     };
 }
 
+/** Time for which the rest of a request is read and dropped after its response. */
+const MAX_DROP_MS = 1_000;
+
 /**
- * Sends a JSON response.
+ * Sends a JSON response. If the request has not been read to its end, the rest is dropped before the response ends, for a second at
+ * most: the system resets a connection that is closed with unread bytes, so that the client may lose the response.
  * @param response - a response that has not been started
  * @param status - HTTP status
  * @param body - the value to send
@@ -200,35 +204,23 @@
     const text = JSON.stringify(body);
     const bytes = Buffer.byteLength(text);
     response.writeHead(status, { "content-type": "application/json", "content-length": bytes, ...headers });
-    response.end(text);
+    if (response.req.complete) {
+        response.end(text);
+    }
+    else {
+        response.write(text);
+        endAfterRequest(response);
+    }
     return bytes;
 }
 
-/** Time for which the rest of a request is read and dropped after its response. */
-const MAX_DROP_MS = 1_000;
-
-/**
- * Sends a JSON response to a request whose body is not read to its end, and closes the connection once the body has ended, or
- * after a second. The system resets a connection that is closed with unread bytes, so that the client may lose the response.
- * @param request - the request
- * @param response - a response that has not been started
- * @param status - HTTP status
- * @param body - the value to send
- */
-export function sendEarlyJson(request: IncomingMessage, response: ServerResponse, status: number, body: unknown): void {
-    const text = JSON.stringify(body);
-    response.writeHead(status, {
-        "content-type": "application/json",
-        "content-length": Buffer.byteLength(text),
-        "connection": "close",
-    });
-    response.write(text);
+function endAfterRequest(response: ServerResponse): void {
     const end = (): void => {
         clearTimeout(timer);
         response.end();
     };
     const timer = startTimer("dropped-body", MAX_DROP_MS, end);
-    request.once("end", end).once("close", end).resume();
+    response.req.once("end", end).once("close", end).resume();
 }
 
 /**
--- a/packages/daemon/tests/earlyResponse.test.ts
+++ b/packages/daemon/tests/earlyResponse.test.ts
@@ -2,7 +2,7 @@
 import { createServer } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { text } from "node:stream/consumers";
-import { BodyTooLargeError, readBody, sendEarlyJson } from "../src/process/httpServer.js";
+import { BodyTooLargeError, readBody, sendJson } from "../src/process/httpServer.js";
 
 const LIMIT_BYTES = 64 * 1_024;
 const BODY_BYTES = 4 * 1_024 * 1_024;
@@ -29,12 +29,21 @@
 ];
 
 describe("a client that is still sending a body above the limit receives the response", () => {
-    for (const { title, head, body } of rows) {
+    for (
+        const { title, head, body, isRead } of rows.flatMap((row) => [
+            { ...row, isRead: true },
+            { ...row, title: `${row.title}, which is not read at all`, isRead: false },
+        ])
+    ) {
         it(title, async () => {
             const server = createServer((request, response) => {
+                if (!isRead) {
+                    sendJson(response, 413, { error: "too large" }, { connection: "close" });
+                    return;
+                }
                 readBody(request, LIMIT_BYTES).catch((error: unknown) => {
                     expect(error).to.be.instanceOf(BodyTooLargeError);
-                    sendEarlyJson(request, response, 413, { error: "too large" });
+                    sendJson(response, 413, { error: "too large" }, { connection: "close" });
                 });
             });
             await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
