--- a/packages/daemon/src/process/waitMs.ts
+++ b/packages/daemon/src/process/waitMs.ts
@@ -8,10 +8,10 @@
 /**
  * Limits the time of a timer that comes from settings, documents or messages.
  * @param ms - duration in milliseconds
- * @returns the duration, or the longest one that a timer can have; 0 for NaN
+ * @returns the duration, or the longest one that a timer can have; also for NaN, with which a loop would not pause
  */
 export function limitTimerMs(ms: number): number {
-    return Number.isNaN(ms) ? 0 : Math.min(ms, MAX_TIMER_MS);
+    return ms < MAX_TIMER_MS ? ms : MAX_TIMER_MS;
 }
 
 /**
