--- a/packages/daemon/tests/demandTraffic.test.ts
+++ b/packages/daemon/tests/demandTraffic.test.ts
@@ -5,13 +5,23 @@
  */
 import { expect } from "chai";
 import { CLASS_RATES, TestFleet, type Traffic } from "./demandFleet.js";
-import { installClock } from "./installedClock.js";
+import { installClock, type InstalledClock } from "./installedClock.js";
 
 const MEASURED_S = 4;
 const REFERENCE_ENTRIES = 69;
 const VOTERS = 5;
 
 describe("reports and sums of demand stay within the budgets of entries and leader", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = installClock();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     const rows = [
         { instances: 74, perEntry: false, hasChanges: false, maxEntryBytes: 3_300, maxLeaderMbps: 2 },
         { instances: 137, perEntry: true, hasChanges: false, maxEntryBytes: 3_200, maxLeaderMbps: 4 },
@@ -25,7 +35,6 @@
         const load = perEntry ? "load in proportion" : "the load of 69 entries";
         const changes = hasChanges ? ", a change every 10 ms" : "";
         it(`${String(instances)} instances, ${load}${changes}`, async () => {
-            const clock = installClock();
             const entries = instances - VOTERS;
             const scale = perEntry ? entries / REFERENCE_ENTRIES : 1;
             const rates = CLASS_RATES.map((rate, rank) => rate * scale * (rank === 2 ? 2.4 : 1));
@@ -41,7 +50,6 @@
             });
             const bytesPerS = (sum() - before) / MEASURED_S;
             fleet.stop();
-            clock.uninstall();
             expect(bytesPerS / entries, "bytes a second of an entry, both ways").to.be.below(maxEntryBytes);
             expect(bytesPerS * 8 / 1e6, "Mbit/s of the leader, both ways").to.be.below(maxLeaderMbps);
         });
--- a/packages/daemon/tests/failedTasks.test.ts
+++ b/packages/daemon/tests/failedTasks.test.ts
@@ -15,7 +15,7 @@
 import { watchTaskFailures } from "../src/process/taskFailures.js";
 import { VoterGroup } from "../src/process/voter/voterGroup.js";
 import { waitMs } from "../src/process/waitMs.js";
-import { installClock } from "./installedClock.js";
+import { installClock, type InstalledClock } from "./installedClock.js";
 import { LeaderHarness, log } from "./leaderHarness.js";
 
 const OBSERVED_MS = 10_000;
@@ -223,9 +223,18 @@
 ];
 
 describe("a failed round does not end its loop", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = installClock();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     for (const { title, task, start } of rows) {
         it(title, async () => {
-            const clock = installClock();
             const failed: string[] = [];
             const stopWatch = watchTaskFailures((name, error) => failed.push(`${name} ${(error as Error).message}`));
             const fault = new Fault();
@@ -233,7 +242,6 @@
             await clock.tickAsync(OBSERVED_MS);
             stop();
             await clock.tickAsync(OBSERVED_MS);
-            clock.uninstall();
             stopWatch();
             expect(failed).to.deep.equal([`${task} injected`]);
             expect(fault.laterCalls).to.be.at.least(3);
@@ -242,6 +250,16 @@
 });
 
 describe("a failure of one item leaves the others as they are", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = installClock();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     const collect = (run: () => void): readonly string[] => {
         const failed: string[] = [];
         const stop = watchTaskFailures((task) => failed.push(task));
@@ -264,7 +282,6 @@
     });
 
     it("silent upstreams of which one can't be marked lost", async () => {
-        const clock = installClock();
         const harness = new LeaderHarness();
         await harness.register("u1");
         await harness.register("u2");
@@ -280,16 +297,24 @@
         const failed = collect(() => {
             harness.upstreams.markSilentUpstreams();
         });
-        clock.uninstall();
         expect([lost, failed]).to.deep.equal([["u2", "u3"], ["silence-check"]]);
     });
 });
 
 describe("a time beyond the range of timers does not fire at once", () => {
     const durations = [MAX_TIMER_MS, MAX_TIMER_MS + 1, 2.5e20, Number.MAX_VALUE, Number.POSITIVE_INFINITY, Number.NaN];
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = installClock();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     for (const durationMs of durations) {
         it(String(durationMs), async () => {
-            const clock = installClock();
             let fired = 0;
             const count = (): number => fired += 1;
             startTimer("t", durationMs, count);
@@ -298,7 +323,6 @@
             await clock.tickAsync(MAX_TIMER_MS - 1);
             const early = fired;
             await clock.tickAsync(1);
-            clock.uninstall();
             expect([early, fired]).to.deep.equal([0, 3]);
         });
     }
--- a/packages/daemon/tests/stateWatch.test.ts
+++ b/packages/daemon/tests/stateWatch.test.ts
@@ -2,7 +2,7 @@
 import { expect } from "chai";
 import { StateWatch } from "../src/process/entry/stateWatch.js";
 import { waitMs } from "../src/process/waitMs.js";
-import { installClock } from "./installedClock.js";
+import { installClock, type InstalledClock } from "./installedClock.js";
 import { log } from "./leaderHarness.js";
 
 const FOLLOWERS = ["v1", "v2", "v3", "v4"];
@@ -57,9 +57,18 @@
 ];
 
 describe("an entry watches the freshest voter that it reaches, with a bounded number of requests", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = installClock();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     for (const { title, voters, isActive, source } of rows) {
         it(title, async () => {
-            const clock = installClock();
             const asked: string[] = [];
             const watch = new StateWatch({
                 peers: {
@@ -87,7 +96,6 @@
             const wasActive = watch.isActive;
             watch.stop();
             await clock.tickAsync(5_000);
-            clock.uninstall();
             expect(asked.length).to.be.at.most(MAX_REQUESTS);
             expect(wasActive).to.equal(isActive);
             if (source !== undefined) {
