fix(placement): order engines that hold layers beyond the model

Cause: engines that report layers beyond the model were left out of the placement, so that after a model had been made smaller they got neither orders nor requests until they reported other layers, as after a restart. Change: they are planned like empty engines, after the others, and while one of them can be ordered no engine that holds layers is moved. They still take no part in paths, in coverage or in the question whether a placement has begun. An engine that does not carry its order out is left out for 13 s (the time in which an unanswered order may still be carried out), then for twice that each time, up to 5 min, whatever it reports in between. So a report that is wrong costs few orders, and moves no other engine.

--- a/packages/daemon/src/process/layers/placementController.ts
+++ b/packages/daemon/src/process/layers/placementController.ts
@@ -4,6 +4,7 @@
  */
 import {
     canHoldModel,
+    computeEngineOrders,
     type computeLayerPlan,
     isPlacementDue,
     isWithinModel,
@@ -21,6 +22,7 @@
 import { ArrivalTracker } from "./arrivalTracker.js";
 import { ConcurrencyLimit } from "./concurrencyLimit.js";
 import { formatSpan, isSameSpan, isWithin } from "./layerSpans.js";
+import { OutsideOrders } from "./outsideOrders.js";
 import { PlanThrottle } from "./planThrottle.js";
 
 /** Dependencies of {@link PlacementController}. */
@@ -49,6 +51,8 @@
 const REPORT_SLACK_MS = 2 * TICK_INTERVAL_MS;
 /** An unanswered order may be carried out up to 12 s later (see the platform's documentation); one more second covers transit. */
 const UNCLEAR_ORDER_TIMEOUT_MS = 13_000;
+/** Longest interval between orders to an engine that goes on reporting layers beyond the model. */
+const MAX_OUTSIDE_INTERVAL_MS = 300_000;
 /** Multiple of the expected load time after which an order is dropped and its engine planned again. */
 const LOAD_TIMEOUT_FACTOR = 6;
 const MIN_LOAD_TIMEOUT_MS = 3_000;
@@ -90,6 +94,8 @@
     private readonly shortServices = new Set<string>();
     private readonly throttle = new PlanThrottle();
     private readonly refusals = new ExponentialBackoffs(MIN_REFUSAL_INTERVAL_MS, MAX_REFUSAL_INTERVAL_MS);
+    /** Orders to engines that report layers beyond the model. */
+    private readonly outside = new OutsideOrders(UNCLEAR_ORDER_TIMEOUT_MS, MAX_OUTSIDE_INTERVAL_MS);
     private readonly sends = new ConcurrencyLimit(MAX_CONCURRENT_SENDS);
     /** Layers of engines by their reports, until the registry lists them. */
     private readonly reportedSpans = new Map<string, LayerSpan | undefined>();
@@ -120,7 +126,9 @@
         }
         this.resetOnNewTerm();
         this.removeExpiredOrders();
-        this.refusals.prune((id) => host.state.getUpstream(id) !== undefined);
+        const isKnown = (id: string): boolean => host.state.getUpstream(id) !== undefined;
+        this.refusals.prune(isKnown);
+        this.outside.prune(isKnown);
         runForEach("placement", getServices(), (service) => {
             if (service.engine !== undefined) {
                 this.planService(service.name, service.engine);
@@ -137,15 +145,14 @@
             this.orders.clear();
             this.throttle.reset();
             this.refusals.reset();
+            this.outside.reset();
         }
     }
 
     private planService(name: string, profile: EngineProfile): void {
         const engines = this.options.host.state.listUpstreams()
-            .filter((upstream) =>
-                upstream.service === name && upstream.status === "ready" && isWithinModel(upstream.held, profile)
-            );
-        if (!this.isPlacementDue(name, engines)) {
+            .filter((upstream) => upstream.service === name && upstream.status === "ready");
+        if (!this.isPlacementDue(name, engines, profile)) {
             return;
         }
         this.logShortage(name, engines, profile);
@@ -154,26 +161,28 @@
         if (!this.throttle.isDue(name, key, engines.length, nowMs)) {
             return;
         }
-        const planned = engines.flatMap((upstream) => this.createPlannedEngine(upstream) ?? []);
-        const orders = this.options.computePlan(planned, profile);
+        const planned = engines.flatMap((upstream) => this.createPlannedEngine(upstream, profile) ?? []);
+        const orders = computeEngineOrders(planned, profile, this.options.computePlan);
         this.throttle.recordPlan(name, key, orders.length === 0, nowMs);
         orders.slice(0, MAX_PENDING_ORDERS - this.countPendingOrders()).forEach((order) => {
             startTask("layer-order", () => this.giveOrder(order, profile), () => this.orders.delete(order.id));
         });
     }
 
-    /** Everything a plan depends on: the replicated state, open orders, engines that are backing off, and the engine profile. */
+    /** Everything a plan depends on: the replicated state, open orders, engines that may not be ordered, and the engine profile. */
     private formatPlanKey(engines: readonly RegisteredUpstream[], profile: EngineProfile): string {
-        const { host, isBackingOff } = this.options;
+        const { host, isBackingOff, getNowMs } = this.options;
         const orders = [...this.orders].map(([id, { state, span }]) =>
             `${id} ${state} ${formatSpan({ held: span }) ?? ""}`
         );
         const backingOff = engines.map(({ id }) => id).filter(isBackingOff);
+        const waiting = engines.map(({ id }) => id).filter((id) => this.outside.isWaiting(id, getNowMs()));
         const reported = [...this.reportedSpans.keys()];
         return [
             host.state.lastChangeIndex,
             orders.join(),
             backingOff.join(),
+            waiting.join(),
             reported.join(),
             JSON.stringify(profile),
         ].join(";");
@@ -202,26 +211,36 @@
         });
     }
 
-    private isPlacementDue(service: string, engines: readonly RegisteredUpstream[]): boolean {
+    private isPlacementDue(
+        service: string,
+        engines: readonly RegisteredUpstream[],
+        profile: EngineProfile,
+    ): boolean {
         const { getNowMs, heartbeatMs } = this.options;
         const arrivals = this.arrivals.get(service) ?? new ArrivalTracker();
         this.arrivals.set(service, arrivals);
-        const isPlacementStarted = engines.some(({ id, held }) => held !== undefined || this.orders.has(id));
+        const isPlacementStarted = engines.some(({ id, held }) =>
+            (held !== undefined && isWithinModel(held, profile)) || this.orders.has(id)
+        );
         arrivals.update(engines.map(({ id }) => id), isPlacementStarted, getNowMs());
         return isPlacementDue({ isPlacementStarted, heartbeatMs, ...arrivals.computeAges(getNowMs()) });
     }
 
-    private createPlannedEngine(upstream: RegisteredUpstream): PlannedEngine | undefined {
+    private createPlannedEngine(upstream: RegisteredUpstream, profile: EngineProfile): PlannedEngine | undefined {
         const order = this.orders.get(upstream.id);
-        if (order?.state === "unclear" && upstream.held === undefined) {
+        const isReported = this.reportedSpans.has(upstream.id);
+        const held = isReported ? this.reportedSpans.get(upstream.id) : upstream.held;
+        const isEmpty = held === undefined || !isWithinModel(held, profile);
+        // An engine that waits may have been recorded as empty while it was to release layers beyond the model.
+        const isWaiting = order === undefined && this.outside.isWaiting(upstream.id, this.options.getNowMs());
+        if (isEmpty && (order?.state === "unclear" || isWaiting)) {
             return undefined;
         }
-        const isReported = this.reportedSpans.has(upstream.id);
         return {
             id: upstream.id,
             failureDomain: upstream.failure_domain,
             accelerator: upstream.accelerator ?? "",
-            span: order?.span ?? (isReported ? this.reportedSpans.get(upstream.id) : upstream.held),
+            span: order?.span ?? held,
             slowness: upstream.slowness ?? 1,
             mayBeOrdered: order === undefined && !isReported && !this.options.isBackingOff(upstream.id),
         };
@@ -233,6 +252,9 @@
         if (upstream === undefined) {
             return;
         }
+        if (!isWithinModel(upstream.held, profile)) {
+            this.outside.record(id, getNowMs());
+        }
         const loadMs = profile.load_ms * (span.end - span.first) / profile.layers;
         const order: OpenOrder = {
             span,
--- a/packages/daemon/tests/layerOrderStorm.test.ts
+++ b/packages/daemon/tests/layerOrderStorm.test.ts
@@ -24,6 +24,8 @@
     readonly silentMs?: number;
     /** Whether the registry does not list the layers that engines hold. */
     readonly isOutdated?: boolean;
+    /** Whether engines hold layers beyond the model, which has become smaller. */
+    readonly isBeyond?: boolean;
     /** Age of the heartbeats when the leader reads them. */
     readonly heartbeatAgeMs?: number;
 }
@@ -33,6 +35,7 @@
     { title: "commits take 1 s", commitDelayMs: 1_000 },
     { title: "engines hold layers that are not registered", isOutdated: true },
     { title: "engines hold layers that are not registered, commits take 1 s", isOutdated: true, commitDelayMs: 1_000 },
+    { title: "engines hold layers beyond the model", isBeyond: true },
     { title: "the lease lapses for 300 ms", lapseMs: 300 },
     { title: "the lease lapses for 300 ms, commits take 1 s", lapseMs: 300, commitDelayMs: 1_000 },
     { title: "engines do not answer for 2 s", silentMs: 2_000 },
@@ -78,9 +81,10 @@
         };
     }
 
-    async start(): Promise<void> {
+    async start(held: LayerSpan | undefined): Promise<void> {
         const ids = Array.from({ length: ENGINES }, (_unused, at) => `e${String(at)}`);
-        await Promise.all(ids.map((id) => this.harness.register(id)));
+        await Promise.all(ids.map((id) => this.harness.register(id, held)));
+        ids.forEach((id) => this.held.set(id, held));
         ids.forEach((id, at) => {
             setTimeout(() => {
                 setInterval(() => {
@@ -109,7 +113,7 @@
     cases.forEach((row) => {
         it(row.title, async () => {
             const engines = new SimulatedEngines(harness, row.heartbeatAgeMs ?? 0);
-            await engines.start();
+            await engines.start(row.isBeyond === true ? { first: 8, end: 12 } : undefined);
             harness.commitDelayMs = row.commitDelayMs ?? 0;
             if (row.isOutdated === true) {
                 harness.state.listUpstreams().forEach(({ id }, at) => {
--- a/packages/daemon/tests/leaderHarness.ts
+++ b/packages/daemon/tests/leaderHarness.ts
@@ -66,6 +66,8 @@
     /** Time from a proposal to its commit. */
     commitDelayMs = 0;
     isLeading = true;
+    /** The model of the newest document. */
+    model = profile;
     private index = 0;
     private sequence = 0;
 
@@ -130,7 +132,7 @@
         control: this.control,
         log: { record: (_level, event) => this.events.push(event) },
         getNowMs: () => performance.now(),
-        getServices: () => [{ name: "s", engine: profile }],
+        getServices: () => [{ name: "s", engine: this.model }],
         heartbeatMs: HEARTBEAT_MS,
         isBackingOff: (id) => this.backingOff.has(id),
         computePlan: (engines, engineProfile) => {
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -68,6 +68,7 @@
 export * from "./version/chooseVoterChange.js";
 export * from "./version/classifyHeartbeat.js";
 export * from "./version/computeChains.js";
+export * from "./version/computeEngineOrders.js";
 export * from "./version/computeLayerCapacity.js";
 export * from "./version/computeLayerPlan.js";
 export {
--- a/packages/decisions/tests/foreignFleets.test.ts
+++ b/packages/decisions/tests/foreignFleets.test.ts
@@ -5,6 +5,7 @@
     canHoldModel,
     chooseChain,
     computeChains,
+    computeEngineOrders,
     computeLayerPlan,
     hasChainCapacity,
     type HoldingEngine,
@@ -160,22 +161,32 @@
 }
 
 describe("plans and paths stay sound and cheap, whatever engines report and the document contains", () => {
-    it("layer plans: orders to engines that may get them, within the model", () => {
-        fc.assert(
-            fc.property(strangeEngines, strangeProfile, (engines, model) => {
-                const start = performance.now();
-                const orders = computeLayerPlan(engines, model);
-                assertWithin(start);
-                orders.forEach(({ id, span }) => {
-                    expect(engines.find((one) => one.id === id)?.mayBeOrdered).to.equal(true);
-                    expect(span.first).to.be.within(0, span.end - 1);
-                    expect(span.end).to.be.at.most(model.layers);
-                });
-                canHoldModel(engines.map(({ accelerator }) => accelerator), model);
-            }),
-            { seed: SEED, numRuns: RUNS },
-        );
-    });
+    const plans: readonly { readonly title: string; readonly computePlan: typeof computeLayerPlan; }[] = [
+        { title: "layer plans", computePlan: computeLayerPlan },
+        {
+            title: "orders for all engines",
+            computePlan: (engines, model) => computeEngineOrders(engines, model, computeLayerPlan),
+        },
+    ];
+    for (const { title, computePlan } of plans) {
+        it(`${title}: each at most one, to engines that may get them, within the model`, () => {
+            fc.assert(
+                fc.property(strangeEngines, strangeProfile, (engines, model) => {
+                    const start = performance.now();
+                    const orders = computePlan(engines, model);
+                    assertWithin(start);
+                    expect(new Set(orders.map(({ id }) => id)).size).to.equal(orders.length);
+                    orders.forEach(({ id, span }) => {
+                        expect(engines.find((one) => one.id === id)?.mayBeOrdered).to.equal(true);
+                        expect(span.first).to.be.within(0, span.end - 1);
+                        expect(span.end).to.be.at.most(model.layers);
+                    });
+                    canHoldModel(engines.map(({ accelerator }) => accelerator), model);
+                }),
+                { seed: SEED, numRuns: RUNS },
+            );
+        });
+    }
 
     it("paths: every layer once and in order, by engines that report it", () => {
         fc.assert(
