perf(chains): bound the search for paths by layers x engines

Cause: from each layer at which a span begins or ends, every engine that holds it was tried with each later such layer, for each chain anew. Engines report the spans, and computeChains runs on an entry's event loop: 2,000 engines with the whole model of 80 layers, but for a hundred with spans of any size, blocked it for 54 s. The waits of chains across failure domains compared each chain with each other. Change: ChainSearch sorts the engines by speed once. From a layer, an engine is tried only beyond what a faster one reaches, for those of another failure domain beyond what any faster one reaches. Bounds are kept up to date instead of being collected for each chain. The uses of links are counted once. Two engines whose step times differ only by rounding may be taken in another order than before.

--- a/packages/decisions/src/version/computeChains.ts
+++ b/packages/decisions/src/version/computeChains.ts
@@ -2,7 +2,9 @@
  * Chains of engines that run every layer once and in order, with the cost of a request on each.
  */
 import type { EngineProfile, LayerSpan } from "@crankfork/schemas";
+import { ChainSearch } from "./chainSearch.js";
 import { hasLayers, isWithinModel } from "./isWithinModel.js";
+import { computePrefillMs, computeStepMs, getAccelerator, limitMs } from "./stageTimes.js";
 
 /** An engine that holds layers. */
 export interface HoldingEngine {
@@ -36,17 +38,8 @@
     readonly isCrossDomain: boolean;
 }
 
-/**
- * Search cost of a link between failure domains, in milliseconds of a step: high enough that one is used only where
- * there is no alternative.
- */
-const CROSS_DOMAIN_COST_MS = 1_000;
-/** Search cost of each stage, so that the shorter of two equal chains wins. */
-const STAGE_COST_MS = 0.01;
 const BYTES_PER_MB = 1_000_000;
 const MS_PER_SECOND = 1_000;
-/** Largest time of a step or a token. Chains without a finite time could not be compared, and would get no requests. */
-const MAX_TIME_MS = 1e12;
 const BITS_PER_BYTE = 8;
 /** Utilisation from which a link counts as busy: one more chain would wait for it nearly all of its time. */
 const BUSY_LINK_UTILISATION = 0.9;
@@ -98,14 +91,21 @@
         links.forEach((link) => utilisations.set(link, (utilisations.get(link) ?? 0) + transferMs / prefillMs));
         return true;
     });
-    return chains.map((chain) => shareLinks(chain, chains, transferMs));
+    const uses = countLinks(chains.flatMap(({ stages }) => listLinks(stages)));
+    return chains.map((chain) => shareLinks(chain, uses, transferMs));
+}
+
+function countLinks(links: readonly string[]): ReadonlyMap<string, number> {
+    const counts = new Map<string, number>();
+    links.forEach((link) => counts.set(link, (counts.get(link) ?? 0) + 1));
+    return counts;
 }
 
 /** Transfers on a link between two failure domains are serialized, so a chain also waits for those of the others. */
-function shareLinks(chain: Chain, chains: readonly Chain[], transferMs: number): Chain {
-    const links = new Set(listLinks(chain.stages));
-    const others = chains.filter((one) => one !== chain).flatMap(({ stages }) => listLinks(stages));
-    const waitMs = others.filter((link) => links.has(link)).length * transferMs;
+function shareLinks(chain: Chain, uses: ReadonlyMap<string, number>, transferMs: number): Chain {
+    const own = [...countLinks(listLinks(chain.stages))];
+    const others = own.reduce((sum, [link, count]) => sum + (uses.get(link) ?? 0) - count, 0);
+    const waitMs = others * transferMs;
     return { ...chain, prefillMs: chain.prefillMs + waitMs, stepMs: chain.stepMs + waitMs };
 }
 
@@ -124,10 +124,6 @@
         : limitMs(activation_bytes * BITS_PER_BYTE * MS_PER_SECOND / (crossing_mbps * BYTES_PER_MB));
 }
 
-function limitMs(timeMs: number): number {
-    return timeMs >= 0 ? Math.min(MAX_TIME_MS, timeMs) : MAX_TIME_MS;
-}
-
 /** Adds a chain for each unused engine that holds a copy of a first stage in the same failure domain. */
 function addSharingChains(
     chains: readonly Chain[],
@@ -157,91 +153,14 @@
 }
 
 function computeDisjointChains(engines: readonly HoldingEngine[], profile: EngineProfile): readonly Chain[] {
+    const search = new ChainSearch(engines, profile);
     const chains: Chain[] = [];
-    let free = engines;
-    for (let chain = findChain(free, profile); chain !== undefined; chain = findChain(free, profile)) {
-        chains.push(chain);
-        const used = new Set(chain.stages.map((stage) => stage.engine.id));
-        free = free.filter((engine) => !used.has(engine.id));
+    for (let stages = search.takeNext(); stages !== undefined; stages = search.takeNext()) {
+        chains.push(createChain(stages, profile));
     }
     return chains;
 }
 
-interface SearchNode {
-    readonly costMs: number;
-    readonly stage: ChainStage;
-    readonly previous: SearchNode | undefined;
-}
-
-/** Shortest path over the layers at which some engine's span begins or ends (dynamic programming). */
-function findChain(engines: readonly HoldingEngine[], profile: EngineProfile): Chain | undefined {
-    const bounds = new Set([0, profile.layers, ...engines.flatMap(({ span }) => [span.first, span.end])]);
-    const layers = [...bounds].filter((layer) => layer <= profile.layers).sort((left, right) => left - right);
-    const best = new Map<number, SearchNode | undefined>([[0, undefined]]);
-    for (const from of layers) {
-        if (!best.has(from)) {
-            continue;
-        }
-        const here = best.get(from);
-        engines.filter(({ span }) => span.first <= from && span.end > from).forEach((engine) => {
-            if (hasVisited(here, engine.id)) {
-                return;
-            }
-            layers.filter((to) => to > from && to <= engine.span.end).forEach((to) => {
-                const stage = { engine, span: { first: from, end: to } };
-                const costMs = (here?.costMs ?? 0) + computeStageCostMs(stage, here?.stage, profile);
-                const known = best.get(to);
-                if (known === undefined || costMs < known.costMs) {
-                    best.set(to, { costMs, stage, previous: here });
-                }
-            });
-        });
-    }
-    const last = best.get(profile.layers);
-    return last === undefined ? undefined : createChain(listStages(last), profile);
-}
-
-function hasVisited(last: SearchNode | undefined, id: string): boolean {
-    let node = last;
-    while (node !== undefined && node.stage.engine.id !== id) {
-        node = node.previous;
-    }
-    return node !== undefined;
-}
-
-function listStages(last: SearchNode): readonly ChainStage[] {
-    const stages: ChainStage[] = [];
-    for (let node: SearchNode | undefined = last; node !== undefined; node = node.previous) {
-        stages.unshift(node.stage);
-    }
-    return stages;
-}
-
-function computeStageCostMs(stage: ChainStage, previous: ChainStage | undefined, profile: EngineProfile): number {
-    const isCrossDomain = previous !== undefined && previous.engine.failureDomain !== stage.engine.failureDomain;
-    return computeStepMs(stage, profile) + STAGE_COST_MS + (isCrossDomain ? CROSS_DOMAIN_COST_MS : 0);
-}
-
-function computeLayerShare(span: LayerSpan, profile: EngineProfile): number {
-    return (span.end - span.first) / profile.layers;
-}
-
-function getAccelerator(engine: HoldingEngine, profile: EngineProfile): EngineProfile["accelerators"][number] {
-    const known = profile.accelerators.find((one) => one.name === engine.accelerator);
-    return known ?? { name: engine.accelerator, memory_mb: profile.layer_mb, step_factor: 1, read_factor: 1 };
-}
-
-function computeStepMs(stage: ChainStage, profile: EngineProfile): number {
-    const { step_factor } = getAccelerator(stage.engine, profile);
-    return limitMs(computeLayerShare(stage.span, profile) * profile.step_ms * step_factor * stage.engine.slowness);
-}
-
-function computePrefillMs(stage: ChainStage, profile: EngineProfile): number {
-    const { read_factor } = getAccelerator(stage.engine, profile);
-    const msPerToken = read_factor * stage.engine.slowness * MS_PER_SECOND / profile.read_tokens_a_second;
-    return limitMs(computeLayerShare(stage.span, profile) * msPerToken);
-}
-
 /**
  * Computes the memory of a stage's engine.
  * @param stage - the engine and the layers that a chain uses
@@ -262,8 +181,8 @@
         id: stages.map((stage) => stage.engine.id).join("+"),
         stages,
         isCrossDomain: listLinks(stages).length > 0,
-        stepMs: stages.reduce((sum, stage) => sum + computeStepMs(stage, profile), transferMs),
-        prefillMs: stages.reduce((sum, stage) => sum + computePrefillMs(stage, profile), transferMs),
+        stepMs: stages.reduce((sum, stage) => sum + computeStepMs(stage.span, stage.engine, profile), transferMs),
+        prefillMs: stages.reduce((sum, stage) => sum + computePrefillMs(stage.span, stage.engine, profile), transferMs),
         contextTokens: stages.reduce(
             (least, stage) => Math.min(least, computeContextTokens(stage, profile)),
             Number.MAX_SAFE_INTEGER,
