--- a/packages/daemon/tests/outsideLayers.test.ts
+++ b/packages/daemon/tests/outsideLayers.test.ts
@@ -155,7 +155,7 @@
     },
 ];
 
-describe("an engine that reports layers beyond the model, whatever it is ordered, gets few orders and displaces none", () => {
+describe("an engine that reports layers beyond the model, whatever it is ordered, does not keep the leader from the others", () => {
     let clock: InstalledClock;
 
     beforeEach(() => {
