fix(coordination): ignore messages with a position that no log can have reached

By reading: an answer that acknowledges more than the leader has counts towards the quorum of each later entry, and keeps its sender from getting any.

Cause: only the term of a message was bounded.

--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -24,6 +24,7 @@
     stepDownIfQuorumLost,
 } from "./lease.js";
 import type { LogStorage } from "./logStorage.js";
+import { isPossible } from "./messageCheck.js";
 import { checkReplicaChange, type ReplicaChangeRefusal } from "./replicaChange.js";
 import {
     getMonotonicMs,
@@ -48,11 +49,6 @@
 const TICKS_PER_HEARTBEAT = 2;
 /** Heartbeat intervals in which a replica that is not silent answers a new leader. */
 const HEARTBEATS_TO_ANSWER = 1;
-/**
- * A message whose term is further ahead is ignored. No elections take so many terms, and a term near the end of the range of
- * integers would leave none for the next elections.
- */
-const MAX_TERM_LEAD = 2 ** 32;
 
 /** Status of a replica. */
 export interface ReplicaStatus {
@@ -172,12 +168,12 @@
     }
 
     /**
-     * Handles a message from another replica.
+     * Handles a message from another replica. One that no replica can have sent is ignored.
      * @param from - the sender
      * @param message - the message
      */
     receive(from: ReplicaAddress, message: ReplicaMessage): void {
-        if (this.context.isStopped || message.term - this.context.term > MAX_TERM_LEAD) {
+        if (this.context.isStopped || !isPossible(this.context, message)) {
             return;
         }
         switch (message.kind) {
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -23,6 +23,7 @@
     replica!: Replica;
     /** When the replica's machine last resumed. */
     lastResumeMs = Number.NEGATIVE_INFINITY;
+    private folder = new MemoryFolder();
 
     constructor(private readonly clock: InstalledClock) {}
 
@@ -32,18 +33,28 @@
         snapshotThreshold: number = 1_000,
         hardState: { readonly term: number; readonly voted_for?: string; } = { term: 0 },
     ): Promise<void> {
-        const folder = new MemoryFolder();
-        const storage = createLogStorage(folder.open());
+        this.folder = new MemoryFolder();
+        const storage = createLogStorage(this.folder.open());
         await storage.read();
         const first: LogEntry = { index: 1, term: 0, payload: { kind: "replicas", replicas: set } };
         await storage.write([{ kind: "append", entries: [first, ...entries] }, {
             kind: "hard-state",
             state: hardState,
         }]);
+        await this.open(snapshotThreshold);
+    }
+
+    /** Starts again from what is on disk. */
+    async restart(): Promise<void> {
+        this.replica.stop();
+        await this.open(1_000);
+    }
+
+    private async open(snapshotThreshold: number): Promise<void> {
         this.replica = await Replica.start({
             self,
             timing,
-            storage: createLogStorage(folder.open()),
+            storage: createLogStorage(this.folder.open()),
             snapshotThreshold,
             functions: {
                 send: (to, message) => this.sent.push({ to: to.id, message }),
@@ -410,6 +421,81 @@
         });
     }
 
+    const far = Number.MAX_SAFE_INTEGER - 8;
+    const createAppend = (changes: Partial<ReplicaMessageOf<"append">>): ReplicaMessage => ({
+        kind: "append",
+        term: 1,
+        previous_index: 1,
+        previous_term: 0,
+        entries: [],
+        commit_index: 0,
+        sent_ms: 0,
+        ...changes,
+    });
+    const createNone = (index: number, term = 1): LogEntry => ({ index, term, payload: { kind: "none" } });
+    const createSnapshot = (index: number, term: number): ReplicaMessage => ({
+        kind: "snapshot",
+        term: 1,
+        snapshot: { index, term, replicas, state: [] },
+        sent_ms: 0,
+    });
+    const createVote = (last_index: number, last_term: number): ReplicaMessage => ({
+        kind: "vote",
+        term: 1,
+        last_index,
+        last_term,
+        is_transfer: true,
+    });
+    const foreignPositions: readonly { readonly title: string; readonly message: ReplicaMessage; }[] = [
+        { title: "a snapshot at a far index", message: createSnapshot(far, 1) },
+        { title: "a snapshot at the shortest index that no log reaches", message: createSnapshot(2 ** 48 + 1, 1) },
+        { title: "a snapshot of a term after the leader's", message: createSnapshot(5, far) },
+        {
+            title: "entries after a far index",
+            message: createAppend({ previous_index: far, entries: [createNone(far + 1)] }),
+        },
+        { title: "a far entry after a known one", message: createAppend({ entries: [createNone(far)] }) },
+        { title: "a gap between entries", message: createAppend({ entries: [createNone(2), createNone(4)] }) },
+        { title: "an entry twice", message: createAppend({ entries: [createNone(2), createNone(2)] }) },
+        { title: "an entry of a term after the leader's", message: createAppend({ entries: [createNone(2, far)] }) },
+        { title: "a far commit index", message: createAppend({ commit_index: far }) },
+        { title: "a negative previous index", message: createAppend({ previous_index: -1 }) },
+        { title: "a far previous term", message: createAppend({ previous_term: far }) },
+        { title: "a vote for a log with a far index", message: createVote(far, 1) },
+        { title: "a vote for a log of a term after the candidate's", message: createVote(5, far) },
+    ];
+    for (const { title, message } of foreignPositions) {
+        it(`keeps its state, and can restart and lead, after a message with a position that no log has reached: ${title}`, async () => {
+            await peers.start();
+            const before = peers.replica.getStatus();
+            peers.replica.receive(createAddress("unknown"), message);
+            await clock.tickAsync(1);
+            expect(peers.replica.getStatus()).to.deep.equal(before);
+            expect([peers.sent, peers.events]).to.deep.equal([[], []]);
+            await peers.elect();
+            expect(peers.replica.getStatus()).to.include({ role: "leader", term: 1, lastIndex: 2 });
+            await peers.restart();
+            expect(peers.replica.getStatus().lastIndex).to.equal(2);
+        });
+    }
+
+    for (const match_index of [far, 2 ** 48, 4, -1]) {
+        it(`counts no entries that a leader does not have as acknowledged: ${String(match_index)} of 3`, async () => {
+            await peers.start();
+            await peers.elect();
+            peers.answerAppend(right, 2);
+            void peers.replica.propose("command");
+            peers.answerAppend(left, match_index);
+            await clock.tickAsync(1);
+            expect(peers.replica.getStatus()).to.include({ commitIndex: 2, lastIndex: 3 });
+            peers.answerAppend(left, 2);
+            await clock.tickAsync(timing.heartbeatMs * 4);
+            expect(peers.find("append", left.id)).to.deep.include({ previous_index: 2 });
+            peers.answerAppend(left, 3);
+            expect(peers.replica.getStatus().commitIndex).to.equal(3);
+        });
+    }
+
     it("grants one vote per term", async () => {
         await peers.start();
         const message = { kind: "vote" as const, term: 9, last_index: 9, last_term: 9, is_transfer: true };
