fix(coordination): name the position that keeps a stored log from being read

A voter of an earlier build may have stored an index near 2^53 from a message.

Such a log is a CorruptLogError now, for which a replica is not restarted, and the last line names file, line and position.

--- a/packages/coordination/src/process/logStorage.ts
+++ b/packages/coordination/src/process/logStorage.ts
@@ -8,6 +8,7 @@
 import crc32 from "crc-32";
 import * as z from "zod";
 import type { Folder } from "./folder.js";
+import { isIndex } from "./messageCheck.js";
 
 const MAX_SEGMENT_BYTES = 1_048_576;
 const SNAPSHOT_FILE = "snapshot.json";
@@ -323,7 +324,27 @@
     if (value === undefined) {
         throw new CorruptLogError(SNAPSHOT_FILE, 1);
     }
-    return snapshotSchema.parse(value);
+    const snapshot = parseStored(snapshotSchema, value, SNAPSHOT_FILE, 1);
+    // Earlier versions adopted any index from a message; entries after it could not be read, and no other replica has it.
+    if (!isIndex(snapshot.index)) {
+        throw new CorruptLogError(SNAPSHOT_FILE, 1, `no log reaches entry ${String(snapshot.index)} of the snapshot`);
+    }
+    return snapshot;
+}
+
+/**
+ * Parses a value of a file whose checksum matches.
+ * @throws CorruptLogError if a term or an index is no integer that can be counted on
+ */
+function parseStored<Value>(schema: z.ZodType<Value>, value: unknown, file: string, line: number): Value {
+    const parsed = schema.safeParse(value);
+    if (parsed.success) {
+        return parsed.data;
+    }
+    const position = parsed.error.issues.find(({ path }) => path.at(-1) === "index" || path.at(-1) === "term");
+    throw position === undefined
+        ? parsed.error
+        : new CorruptLogError(file, line, `${position.path.join(".")} is out of range: ${position.message}`);
 }
 
 /** Reads a segment. The last one is rewritten: its end may be torn, or may have been read before it was synced. */
@@ -348,7 +369,7 @@
     return values.slice(0, validLines.length).map((value, at) => ({
         file: name,
         number: at + 1,
-        records: z.array(storageRecordSchema).parse(value),
+        records: parseStored(z.array(storageRecordSchema), value, name, at + 1),
     }));
 }
 
--- a/packages/coordination/tests/logStorage.test.ts
+++ b/packages/coordination/tests/logStorage.test.ts
@@ -197,6 +197,51 @@
     }
 });
 
+const farRows: readonly {
+    readonly title: string;
+    readonly snapshot?: { readonly index: number; readonly term: number; };
+    readonly line: readonly unknown[];
+    readonly message: string;
+}[] = [
+    {
+        title: "a snapshot",
+        snapshot: { index: Number.MAX_SAFE_INTEGER - 8, term: 1 },
+        line: [reset(Number.MAX_SAFE_INTEGER - 8)],
+        message: "snapshot.json:1: no log reaches entry 9007199254740983 of the snapshot",
+    },
+    {
+        title: "a snapshot that was taken beyond the safe integers",
+        snapshot: { index: 2 ** 53, term: 1 },
+        line: [{ kind: "reset", index: 2 ** 53, term: 1 }],
+        message: "snapshot.json:1: index is out of range",
+    },
+    {
+        title: "an entry beyond the safe integers",
+        line: [{ kind: "append", entries: [{ ...createEntry(1), index: 2 ** 53 }] }],
+        message: "log-00000001.jsonl:1: 0.entries.0.index is out of range",
+    },
+    {
+        title: "a term beyond the safe integers",
+        line: [{ kind: "hard-state", state: { term: 2 ** 53 } }],
+        message: "log-00000001.jsonl:1: 0.state.term is out of range",
+    },
+];
+
+describe("a position that no log reaches, as earlier versions adopted it, is an error that says so", () => {
+    for (const { title, snapshot: position, line, message } of farRows) {
+        it(title, async () => {
+            const folder = new MemoryFolder();
+            if (position !== undefined) {
+                folder.corrupt("snapshot.json", () => formatLine({ ...snapshot, ...position }));
+            }
+            folder.corrupt("log-00000001.jsonl", () => formatLine(line));
+            const error: unknown = await createLogStorage(folder.open()).read().catch((one: unknown) => one);
+            expect(error).to.be.instanceOf(CorruptLogError);
+            expect((error as CorruptLogError).message).to.include(message).and.include("replace this voter");
+        });
+    }
+});
+
 function formatLine(value: unknown): Buffer {
     const text = JSON.stringify(value);
     return Buffer.from(`${(crc32.str(text) >>> 0).toString(16).padStart(8, "0")} ${text}\n`);
