--- a/packages/coordination/src/version/fleetState.ts
+++ b/packages/coordination/src/version/fleetState.ts
@@ -82,7 +82,10 @@
     private document: StoredDocument | undefined;
     private upstreams = new Map<string, UpstreamEntry>();
     private removed = new Map<string, RemovedIncarnation>();
-    /** The latest incarnation of each name, running or ended. */
+    /**
+     * The latest incarnation of each name, running or ended. It follows from the records above at all times, since a snapshot holds
+     * only those, and replicas that restored it must not differ from others.
+     */
     private latest = new Map<string, UpstreamIncarnation>();
     private compactedIndex = 0;
     private index = 0;
@@ -273,8 +276,10 @@
             return false;
         }
         this.removeEarlierIncarnation(incarnation, index);
-        this.recordIncarnation(incarnation);
+        const replaced = this.upstreams.get(upstream.id);
         this.upstreams.set(upstream.id, { upstream, index });
+        this.recordIncarnation(incarnation);
+        this.replaceIncarnation(replaced === undefined ? undefined : getIncarnation(replaced.upstream), incarnation);
         return true;
     }
 
@@ -290,12 +295,39 @@
 
     private removeIncarnation(incarnation: UpstreamIncarnation, index: number): void {
         const id = formatIncarnationId(incarnation);
+        const upstream = this.upstreams.get(id)?.upstream;
+        const removed = this.removed.get(id)?.life;
         this.upstreams.delete(id);
         this.removed.set(id, { life: incarnation, index });
         this.recordIncarnation(incarnation);
+        this.replaceIncarnation(upstream === undefined ? undefined : getIncarnation(upstream), incarnation);
+        this.replaceIncarnation(removed, incarnation);
         this.evictOldRemovals();
     }
 
+    /** Records without incarnations may share an id with those of another name. */
+    private replaceIncarnation(former: UpstreamIncarnation | undefined, next: UpstreamIncarnation): void {
+        if (former !== undefined && !isSameIncarnation(former, next)) {
+            this.dropIncarnation(former);
+        }
+    }
+
+    /** Finds the latest incarnation of a name again, once a record of the one that was the latest is gone. */
+    private dropIncarnation(former: UpstreamIncarnation): void {
+        const latest = this.latest.get(former.name);
+        if (latest === undefined || !isSameIncarnation(latest, former)) {
+            return;
+        }
+        this.latest.delete(former.name);
+        const left = [
+            ...[...this.removed.values()].map(({ life: incarnation }) => incarnation),
+            ...this.listUpstreams().map(getIncarnation),
+        ];
+        left.filter(({ name }) => name === former.name).forEach((incarnation) => {
+            this.recordIncarnation(incarnation);
+        });
+    }
+
     private recordIncarnation(incarnation: UpstreamIncarnation): void {
         const latest = this.latest.get(incarnation.name);
         if (latest === undefined || isEarlierIncarnation(latest, incarnation)) {
@@ -310,10 +342,11 @@
             }
             this.removed.delete(id);
             this.compactedIndex = Math.max(this.compactedIndex, index);
-            const latest = this.latest.get(incarnation.name);
-            if (latest !== undefined && formatIncarnationId(latest) === id) {
-                this.latest.delete(incarnation.name);
-            }
+            this.dropIncarnation(incarnation);
         }
     }
 }
+
+function isSameIncarnation(one: UpstreamIncarnation, other: UpstreamIncarnation): boolean {
+    return one.name === other.name && one.started_at_ms === other.started_at_ms;
+}
--- a/packages/coordination/tests/fleetState.test.ts
+++ b/packages/coordination/tests/fleetState.test.ts
@@ -5,6 +5,7 @@
     type UpstreamStatus,
 } from "@crankfork/schemas";
 import { expect } from "chai";
+import fc from "fast-check";
 import { FleetState } from "../src/index.js";
 
 const putDocument = (version: number, packed: string = `packed ${String(version)}`): FleetCommand => ({
@@ -251,3 +252,67 @@
         expect(copy.hasEnded({ name: "a" })).to.equal(true);
     });
 });
+
+describe("a replica that restored a snapshot judges later commands as one that applied the log", () => {
+    const SEED = 82;
+    const RUNS = 1_500;
+    const incarnation = fc.record({
+        name: fc.constantFrom("u", "u@2"),
+        started_at_ms: fc.option(fc.integer({ min: 1, max: 4 }), { nil: undefined }),
+    }).map(({ name, started_at_ms }) => started_at_ms === undefined ? { name } : { name, started_at_ms });
+    /** Earlier builds wrote no incarnation, and ids as their upstreams chose them. */
+    const identity = fc.oneof(
+        incarnation.map((life) => ({ id: formatIncarnationId(life), life })),
+        fc.constantFrom("u", "u@1", "u@2", "u@3", "u@2@1").map((id) => ({ id })),
+        fc.record({ id: fc.constantFrom("u", "u@1", "u@2"), life: incarnation }),
+    );
+    const command = fc.oneof(
+        fc.record({ identity, status: fc.constantFrom<UpstreamStatus>("ready", "leaving", "lost") }).map((
+            { identity: { ...identified }, status },
+        ): FleetCommand => ({
+            kind: "put-upstream",
+            facts: { ...identified, service: "s", address: "a", failure_domain: "d", slots: 1 },
+            status,
+        })),
+        identity.map((identified): FleetCommand => ({ kind: "remove-upstream", ...identified })),
+    );
+    const restore = (snapshot: unknown): FleetState => {
+        const state = new FleetState();
+        state.restore(JSON.parse(JSON.stringify(snapshot)));
+        return state;
+    };
+    const rows = [
+        { title: "a new fleet", removed: 0, runs: RUNS },
+        { title: "a fleet with as many removed upstreams as are kept", removed: 1_999, runs: 50 },
+    ];
+    for (const { title, removed, runs } of rows) {
+        it(title, () => {
+            const start = {
+                ...new FleetState().getState() as object,
+                removed: Array.from({ length: removed }, (_, at) => ({
+                    id: at < 3 ? `u@${String(4 - at)}` : `old ${String(at)}`,
+                    life: at < 3 ? { name: "u", started_at_ms: 4 - at } : { name: `old ${String(at)}` },
+                    index: at + 1,
+                })),
+                index: removed,
+            };
+            fc.assert(
+                fc.property(fc.array(command, { minLength: 2, maxLength: 12 }), fc.nat(), (commands, at) => {
+                    const snapshotAt = at % commands.length;
+                    const applied = restore(start);
+                    let restored = applied;
+                    for (const [position, one] of commands.entries()) {
+                        restored = position === snapshotAt ? restore(applied.getState()) : restored;
+                        const index = removed + position + 1;
+                        const result = applied.apply(one, index);
+                        if (restored !== applied) {
+                            expect(restored.apply(one, index)).to.deep.equal(result);
+                        }
+                        expect(restored.getState()).to.deep.equal(applied.getState());
+                    }
+                }),
+                { seed: SEED, numRuns: runs },
+            );
+        });
+    }
+});
