test(daemon): bound the entries that a leader's answer names

The bound on the number of entries that intervals grow with had no test of its own. Three rows: without the bound, an entry whose leader has named 2^53-1 entries does not find it again after an outage of 3 s.

--- a/packages/daemon/tests/leaderSync.test.ts
+++ b/packages/daemon/tests/leaderSync.test.ts
@@ -519,3 +519,58 @@
         });
     }
 });
+
+/** Guards against an entry that never looks for a leader again, because intervals grow with the number of entries. */
+describe("an entry finds the leader again after an outage, however many entries the leader has named", () => {
+    const rows = [
+        { title: "1", entries: 1, counted: 1, maxMs: 2_500 },
+        { title: "as many as count", entries: 10_000, counted: 10_000, maxMs: 16_000 },
+        { title: "more", entries: Number.MAX_SAFE_INTEGER, counted: 10_000, maxMs: 16_000 },
+    ];
+    const outageMs = 3_000;
+    for (const { title, entries, counted, maxMs } of rows) {
+        it(title, async () => {
+            const clock = FakeTimers.install();
+            const reachedMs: number[] = [];
+            const isOut = (): boolean => reachedMs.length > 0 && performance.now() < outageMs;
+            const leaderSync = new LeaderSync({
+                peers: {
+                    call: async () => {
+                        await waitMs(LATENCY_MS);
+                        if (isOut()) {
+                            throw new Error("refused");
+                        }
+                        return createFullState(1, [], entries, ["v0"]);
+                    },
+                    send: () => undefined,
+                },
+                log: { record: () => undefined },
+                getNowMs: () => performance.now(),
+                getLastResumeMs: () => Number.NEGATIVE_INFINITY,
+                getSeeds: () => ["v0"],
+                instance: "e",
+                createParameters: () => ({ instance: "e", known_index: 1, loads: {} }),
+                takeSuspects: () => [],
+                handleState: () => {
+                    reachedMs.push(performance.now());
+                },
+                getAppliedVersion: () => undefined,
+                handleDocument: () => undefined,
+                random: () => 0,
+            });
+            try {
+                leaderSync.start();
+                await clock.tickAsync(outageMs - 1);
+                expect(leaderSync.countEntries()).to.equal(counted);
+                await clock.tickAsync(maxMs);
+                leaderSync.stop();
+                expect(reachedMs.find((ms) => ms >= outageMs) ?? Number.POSITIVE_INFINITY).to.be.below(
+                    outageMs + maxMs,
+                );
+            }
+            finally {
+                clock.uninstall();
+            }
+        });
+    }
+});
