fix(voter): do not count an entry as informed by an index that the log has not reached

A leader that gets an index or a version above its own from an entry took the entry for informed of everything: callers whose request may be quarantined were answered before that entry knew it, its poll was held although requests may be quarantined, and the rollout of a document was logged as complete.

Cause: the index and the version are only compared with "at least". A leader with a lease has applied all that is committed, so that neither can be true.

Such an entry counts as having nothing, and its version as not reported; it is still sent the whole state, which replaces what it has.

--- a/packages/daemon/src/process/voter/documentRollout.ts
+++ b/packages/daemon/src/process/voter/documentRollout.ts
@@ -65,10 +65,10 @@
     /**
      * Records the version an entry has applied, and logs a line once all recently seen entries have the newest one.
      * @param instance - the entry
-     * @param version - the version it has applied; undefined if none
+     * @param version - the version it has applied; undefined if none. One that is newer than the leader's was never committed
      */
     recordApplied(instance: string, version: number | undefined): void {
-        if (version !== undefined) {
+        if (version !== undefined && version <= (this.options.getVersion() ?? Number.NEGATIVE_INFINITY)) {
             this.applied.set(instance, version);
         }
         this.logProgress(false);
--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -181,11 +181,16 @@
         const { host, limits } = this.options;
         const { lastChangeIndex, crashes } = host.state;
         const lacksChanges = is_watching === true
-            ? crashes.lastReportedIndex > known_index
+            ? crashes.lastReportedIndex > this.limitIndex(known_index)
             : lastChangeIndex !== known_index;
         return lacksChanges || limits.hasUpdates(limits_known);
     }
 
+    /** A leader with a lease has applied all that is committed, so an entry that names more has another state. */
+    private limitIndex(knownIndex: number): number {
+        return knownIndex > this.options.host.state.lastChangeIndex ? 0 : knownIndex;
+    }
+
     private recordEntry(
         {
             instance,
@@ -214,7 +219,7 @@
         const notifiedMs = known?.notifiedMs ?? Number.NEGATIVE_INFINITY;
         const entry: KnownEntry = {
             lastSeenMs: this.options.getNowMs(),
-            knownIndex: known_index,
+            knownIndex: this.limitIndex(known_index),
             notifiedMs,
             spending,
             domain,
--- a/packages/daemon/tests/documentRollout.test.ts
+++ b/packages/daemon/tests/documentRollout.test.ts
@@ -44,6 +44,12 @@
             steps: [apply(3), pass(100), apply(4), report("a", 4), pass(3_000)],
             lines: ["config-rolled-out version=4 ms=0 behind=0"],
         },
+        {
+            title: "overdue at an entry that has reported a version that was never committed",
+            activeEntries: ["a"],
+            steps: [apply(3), report("a", Number.MAX_SAFE_INTEGER), pass(2_100)],
+            lines: ["config-overdue version=3 ms=2100 behind=1 at=a:none"],
+        },
         { title: "no active entries", activeEntries: [], steps: [apply(3), pass(3_000)], lines: [] },
     ];
     for (const { title, activeEntries, steps, lines } of rows) {
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -125,24 +125,36 @@
         at_ms: 0,
     });
     const facts = { id: "u", service: "s", address: "a", failure_domain: "d", slots: 1 };
-    const rows: readonly { title: string; isWatching: boolean; changes: readonly FleetCommand[]; isEarly: boolean; }[] =
-        [
-            {
-                title: "an upstream, entry without a watch",
-                isWatching: false,
-                changes: [{ kind: "put-upstream", facts, status: "ready" }],
-                isEarly: true,
-            },
-            {
-                title: "an upstream",
-                isWatching: true,
-                changes: [{ kind: "put-upstream", facts, status: "ready" }],
-                isEarly: false,
-            },
-            { title: "a first crash of a request", isWatching: true, changes: [crash("u1")], isEarly: false },
-            { title: "a second crash of it", isWatching: true, changes: [crash("u1"), crash("u2")], isEarly: true },
-        ];
-    for (const { title, isWatching, changes, isEarly } of rows) {
+    const rows: readonly {
+        title: string;
+        isWatching: boolean;
+        known?: number;
+        changes: readonly FleetCommand[];
+        isEarly: boolean;
+    }[] = [
+        {
+            title: "an upstream, entry without a watch",
+            isWatching: false,
+            changes: [{ kind: "put-upstream", facts, status: "ready" }],
+            isEarly: true,
+        },
+        {
+            title: "an upstream",
+            isWatching: true,
+            changes: [{ kind: "put-upstream", facts, status: "ready" }],
+            isEarly: false,
+        },
+        { title: "a first crash of a request", isWatching: true, changes: [crash("u1")], isEarly: false },
+        { title: "a second crash of it", isWatching: true, changes: [crash("u1"), crash("u2")], isEarly: true },
+        {
+            title: "a second crash of it, entry that names an index that the log has not reached",
+            isWatching: true,
+            known: Number.MAX_SAFE_INTEGER,
+            changes: [crash("u1"), crash("u2")],
+            isEarly: true,
+        },
+    ];
+    for (const { title, isWatching, known = 0, changes, isEarly } of rows) {
         it(title, async () => {
             const clock = FakeTimers.install();
             const state = new FleetState();
@@ -157,7 +169,7 @@
             for (let number = 0; number < ENTRIES; number += 1) {
                 const parameters = {
                     instance: `e${String(number)}`,
-                    known_index: 0,
+                    known_index: known,
                     loads: {},
                     is_watching: isWatching,
                 };
@@ -334,6 +346,13 @@
         { title: "one has an earlier one", known: 5, silentMs: 0, leadingMs: 2_000, haveApplied: false },
         { title: "the one that has not is gone", known: 5, silentMs: 1_600, leadingMs: 2_000, haveApplied: true },
         { title: "the leader is new", known: 6, silentMs: 0, leadingMs: 0, haveApplied: false },
+        {
+            title: "one names an index that the log has not reached",
+            known: Number.MAX_SAFE_INTEGER,
+            silentMs: 0,
+            leadingMs: 2_000,
+            haveApplied: false,
+        },
     ];
     for (const { title, known, silentMs, leadingMs, haveApplied } of appliedRows) {
         it(`whether entries have applied an index: ${title}`, async () => {
