fix(coordination): ignore an answer to a message that the leader has not sent yet

A leader that got an answer with a far send time kept its lease and its role although no voter answered any more. Found by reading; no build sends such an answer.

Cause: the lease is counted from the send time that an answer echoes, whatever it is.

An answer in the leader's term whose send time lies ahead of the leader's clock is ignored.

--- a/packages/coordination/src/process/messageCheck.ts
+++ b/packages/coordination/src/process/messageCheck.ts
@@ -1,9 +1,9 @@
 /**
- * Checks the positions that a message names against those that a log can have reached. They are stored and counted on from, so
- * that one near the end of the range of integers would leave none for later entries.
+ * Checks the positions that a message names against those that a log can have reached, and the times that it echoes. Positions are
+ * stored and counted on from, so that one near the end of the range of integers would leave none for later entries.
  */
 import type { LogEntry, ReplicaMessage, ReplicaMessageOf } from "@crankfork/schemas";
-import type { ReplicaContext } from "./replicaContext.js";
+import { getMonotonicMs, type ReplicaContext } from "./replicaContext.js";
 
 /** No log grows so long: at a million entries a second it would take nine years. */
 export const MAX_LOG_INDEX = 2 ** 48;
@@ -17,7 +17,7 @@
  * Checks whether a replica can have sent a message.
  * @param context - the replica that received it
  * @param message - the message
- * @returns false if a term or an index cannot be true; the message must be ignored then
+ * @returns false if a term, an index or an echoed time cannot be true; the message must be ignored then
  */
 export function isPossible(context: ReplicaContext, message: ReplicaMessage): boolean {
     if (message.term - context.term > MAX_TERM_LEAD) {
@@ -30,7 +30,7 @@
         case "append":
             return isPossibleAppend(message);
         case "append-answer":
-            return isIndex(message.match_index) && !exceedsLog(context, message);
+            return isIndex(message.match_index) && canAnswer(context, message);
         case "snapshot":
             return isIndex(message.snapshot.index) && message.snapshot.term <= message.term;
         case "pre-vote-answer":
@@ -56,8 +56,14 @@
         && previous_term <= term && entries.every((entry, at) => entry.term <= term && isNext(entry, at));
 }
 
-/** A leader's log only grows, and each match in its term is a match with one of its entries. */
-function exceedsLog(context: ReplicaContext, answer: ReplicaMessageOf<"append-answer">): boolean {
-    return answer.is_accepted && answer.term === context.term && context.role.get() === "leader"
-        && answer.match_index > context.log.last.index;
+/**
+ * A leader's log only grows, and each match in its term is a match with one of its entries. Its clock never goes back, and its lease
+ * is counted from the time that an answer echoes.
+ */
+function canAnswer(context: ReplicaContext, answer: ReplicaMessageOf<"append-answer">): boolean {
+    if (answer.term !== context.term || context.role.get() !== "leader") {
+        return true;
+    }
+    return answer.sent_ms <= getMonotonicMs(context)
+        && (!answer.is_accepted || answer.match_index <= context.log.last.index);
 }
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -244,6 +244,25 @@
         expect(peers.replica.hasLeaderLease()).to.equal(true);
     });
 
+    for (const aheadMs of [1, 10_000, 1e300]) {
+        it(`has no lease by an answer to a message that it has not sent yet, ${String(aheadMs)} ms ahead`, async () => {
+            await peers.start();
+            await peers.elect();
+            peers.answerAppend(left, 2);
+            const { leaseRemainingMs } = peers.replica.getStatus();
+            peers.replica.receive(left, {
+                kind: "append-answer",
+                term: peers.term,
+                is_accepted: true,
+                match_index: 2,
+                sent_ms: performance.now() + aheadMs,
+            });
+            expect(peers.replica.getStatus().leaseRemainingMs).to.equal(leaseRemainingMs);
+            await clock.tickAsync(timing.minElectionTimeoutMs + timing.heartbeatMs);
+            expect(peers.replica.getStatus().role).to.not.equal("leader");
+        });
+    }
+
     it("has no lease before it has committed an entry of its own term", async () => {
         await peers.start();
         await peers.elect();
