--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -117,7 +117,7 @@
         context.votedFor = stored.hardState.voted_for;
         if (stored.snapshot !== undefined) {
             context.log.compact(stored.snapshot);
-            options.functions.restoreState(stored.snapshot.state);
+            options.functions.restoreState(stored.snapshot.state, stored.snapshot.index);
             context.commitIndex = stored.snapshot.index;
             context.appliedIndex = stored.snapshot.index;
         }
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -77,8 +77,8 @@
     readonly applyCommand: (command: unknown, index: number) => unknown;
     /** The whole state as plain data. */
     readonly getState: () => unknown;
-    /** Replaces the state with the state of a snapshot; if it throws, the state is as before. */
-    readonly restoreState: (state: unknown) => void;
+    /** Replaces the state with the state of a snapshot at a log index; if it throws, the state is as before. */
+    readonly restoreState: (state: unknown, index: number) => void;
     readonly handleEvent: (event: ReplicaEvent) => void;
     /** Clock that accounts for suspended time. Defaults to the runtime's monotonic clock, which does not. */
     readonly clock?: ReplicaClock | undefined;
--- a/packages/coordination/src/process/replication.ts
+++ b/packages/coordination/src/process/replication.ts
@@ -160,7 +160,7 @@
 /** Without an answer, the leader sends a snapshot again, of its state at that time. */
 function tryRestoreState({ options: { functions } }: ReplicaContext, { state, index }: Snapshot): boolean {
     try {
-        functions.restoreState(state);
+        functions.restoreState(state, index);
         return true;
     }
     catch (error) {
--- a/packages/coordination/src/version/fleetState.ts
+++ b/packages/coordination/src/version/fleetState.ts
@@ -46,6 +46,8 @@
     segments: segmentSnapshotSchema.optional(),
 });
 
+type FleetSnapshot = z.infer<typeof fleetSnapshotSchema>;
+
 /** The operator's document as stored in the log. */
 export type StoredDocument = z.infer<typeof documentSchema>;
 
@@ -209,11 +211,12 @@
     /**
      * Replaces the state with that of a snapshot.
      * @param raw - the result of `getState`
+     * @param snapshotIndex - log index of the snapshot; changes after it are taken as made by its last command
      * @returns number of records that cannot be parsed and were left out
      * @throws ZodError if it is no snapshot; the state is as before
      */
-    restore(raw: unknown): number {
-        const state = fleetSnapshotSchema.parse(raw);
+    restore(raw: unknown, snapshotIndex: number = Number.MAX_SAFE_INTEGER): number {
+        const state = limitIndexes(fleetSnapshotSchema.parse(raw), snapshotIndex);
         this.document = state.document;
         this.upstreams = new Map(state.upstreams.map((entry) => [entry.upstream.id, entry]));
         this.removed = new Map(
@@ -347,6 +350,27 @@
     }
 }
 
+/** Entries are sent what changed after the index that they have, so that a far index would be sent to them each time. */
+function limitIndexes(state: FleetSnapshot, max: number): FleetSnapshot {
+    const limit = (index: number): number => Math.min(index, max);
+    const limitAll = <Entry extends { readonly index: number; }>(entries: readonly Entry[]): Entry[] =>
+        entries.map((entry) => ({ ...entry, index: limit(entry.index) }));
+    const { crashes, segments } = state;
+    return {
+        ...state,
+        upstreams: limitAll(state.upstreams),
+        removed: limitAll(state.removed),
+        forgotten_index: limit(state.forgotten_index),
+        index: limit(state.index),
+        crashes: crashes === undefined ? undefined : {
+            records: limitAll(crashes.records),
+            forgotten: limitAll(crashes.forgotten),
+            forgotten_index: limit(crashes.forgotten_index),
+        },
+        segments: segments === undefined ? undefined : { ...segments, index: limit(segments.index) },
+    };
+}
+
 function isSameIncarnation(one: UpstreamIncarnation, other: UpstreamIncarnation): boolean {
     return one.name === other.name && one.started_at_ms === other.started_at_ms;
 }
--- a/packages/coordination/tests/foreignSnapshots.test.ts
+++ b/packages/coordination/tests/foreignSnapshots.test.ts
@@ -75,3 +75,41 @@
         expect(JSON.stringify(state.getState())).to.equal(before);
     });
 });
+
+/** Guards against records that all entries are sent with each answer, and against answers that are due at once for good. */
+describe("an index in a snapshot's state is at most that of the snapshot", () => {
+    const SNAPSHOT_INDEX = 4;
+    const FAR = Number.MAX_SAFE_INTEGER;
+    const rows: readonly { readonly title: string; readonly change: (snapshot: SnapshotLists) => object; }[] = [
+        { title: "of the last change", change: (snapshot) => ({ ...snapshot, index: FAR }) },
+        { title: "of the compaction", change: (snapshot) => ({ ...snapshot, forgotten_index: FAR }) },
+        { title: "of upstreams", change: (snapshot) => ({ ...snapshot, upstreams: setFar(snapshot.upstreams) }) },
+        { title: "of removed upstreams", change: (snapshot) => ({ ...snapshot, removed: setFar(snapshot.removed) }) },
+        {
+            title: "of crashes",
+            change: ({ crashes, ...snapshot }) => ({
+                ...snapshot,
+                crashes: { ...crashes, records: setFar(crashes.records), forgotten_index: FAR },
+            }),
+        },
+        {
+            title: "of segments",
+            change: ({ segments, ...snapshot }) => ({ ...snapshot, segments: { ...segments, index: FAR } }),
+        },
+    ];
+    const setFar = (records: readonly unknown[]): unknown[] =>
+        records.map((record) => ({ ...record as object, index: FAR }));
+    for (const { title, change } of rows) {
+        it(title, () => {
+            const state = new FleetState();
+            expect(state.restore(change(createSnapshot()), SNAPSHOT_INDEX)).to.equal(0);
+            expect(JSON.stringify(state.getState())).to.not.include(String(FAR));
+            state.apply({ kind: "put-upstream", facts: { ...facts, id: "later" }, status: "ready" }, 5);
+            expect(state.lastChangeIndex).to.equal(5);
+            const { isFullState, upstreams, removed, crashes, segments } = state.getChanges(SNAPSHOT_INDEX);
+            expect([isFullState, upstreams.map(({ id }) => id), removed, crashes.records, segments])
+                .to.deep.equal([false, ["later"], [], [], undefined]);
+            expect(state.crashes.lastReportedIndex).to.be.at.most(SNAPSHOT_INDEX);
+        });
+    }
+});
--- a/packages/daemon/src/process/replicaHost.ts
+++ b/packages/daemon/src/process/replicaHost.ts
@@ -50,8 +50,8 @@
     /** Applies a committed command; an {@link InvalidCommand} is returned, and has no effect. */
     readonly apply: (command: unknown, index: number) => unknown;
     readonly getState: () => unknown;
-    /** Replaces the state; returns the number of records that cannot be parsed and were left out. */
-    readonly restore: (state: unknown) => number;
+    /** Replaces the state with that at a log index; returns the number of records that cannot be parsed and were left out. */
+    readonly restore: (state: unknown, index: number) => number;
 }
 
 /** The initial replicas of a log, and the name of their cluster. */
@@ -230,8 +230,8 @@
                     return result;
                 },
                 getState: () => state.getState(),
-                restoreState: (raw) => {
-                    const records = state.restore(raw);
+                restoreState: (raw, index) => {
+                    const records = state.restore(raw, index);
                     if (records > 0) {
                         this.handleEvent({ kind: "snapshot-records-dropped", records });
                     }
