test(daemon): invalid and cut replies of instances and engines

Calls between instances, and steps, statuses, orders and caches of engines, as well as reports and orders of the fleet's leader, were not covered by a test of cut answers and invalid heads; only answers to callers and the function that fetches JSON were.

Change: one table of answers on a raw socket (`invalidAnswers.ts`) that each reader has to refuse: heads that are none of HTTP/1.1, and answers that end before they are complete, by a reset or an orderly end, also while the request is still being written. The heads are those of `invalidHeads.test.ts`, which uses the same list, with two equal lengths and NUL in a value added.

--- a/packages/daemon/tests/invalidHeads.test.ts
+++ b/packages/daemon/tests/invalidHeads.test.ts
@@ -3,78 +3,23 @@
  * get is not the upstream's.
  */
 import { expect } from "chai";
-import fc from "fast-check";
 import { createConnection } from "node:net";
 import { createAgent, ExchangeError, fetchJson } from "../src/connection/httpClient.js";
 import { UnreadBudget } from "../src/process/entry/unreadBudget.js";
 import { waitMs } from "../src/process/waitMs.js";
+import { createInvalidHeads, formatAnswer, formatLength, type Head } from "./invalidAnswers.js";
 import { postToEntry } from "./postToEntry.js";
 import { formatChunk, formatEvent, ScriptedUpstream, TestEntry } from "./routedHarness.js";
 import { TestRelay, TestRelaySource } from "./testRelay.js";
 
-const SEED = 7;
 const BODY = "id: 1\ndata: 1\n\n";
-const LENGTH = `content-length: ${String(BODY.length)}`;
-const TOKEN = /^[!#$%&'*+.^_`|~\w-]+$/;
-
-/** A character that may not stand in the name of a header, except those that end it. */
-const invalidNames = fc.tuple(
-    fc.constantFrom("", "x", "x-id"),
-    fc.integer({ min: 0, max: 255 }).map((code) => String.fromCharCode(code)).filter((char) =>
-        !TOKEN.test(char) && !":\r\n".includes(char)
-    ),
-    fc.constantFrom("", "y"),
-).map((parts) => parts.join(""));
-const invalidValues = fc.integer({ min: 0, max: 255 }).map((code) => String.fromCharCode(code)).filter((char) =>
-    /[^\t\x20-\x7e\x80-\xff]/.test(char) && !"\r\n".includes(char)
-);
-
-interface Head {
-    readonly title: string;
-    readonly status?: string;
-    /** Lines after that of the id. */
-    readonly lines?: readonly string[];
-}
+const LENGTH = formatLength(BODY);
 
 const heads: readonly Head[] = [
-    ...["000", "099", "0", "20", "2000", "-20", "abc", "2 0", "101", "600", "999"].map((status) => ({
-        title: `the status ${status}`,
-        status,
-    })),
-    ...fc.sample(invalidNames, { seed: SEED, numRuns: 40 }).map((name) => ({
-        title: `the name ${JSON.stringify(name)}`,
-        lines: [`${name}: v`, LENGTH],
-    })),
-    ...fc.sample(invalidValues, { seed: SEED, numRuns: 20 }).map((char) => ({
-        title: `the character ${JSON.stringify(char)} in a value`,
-        lines: [`x-y: a${char}b`, LENGTH],
-    })),
-    { title: "a line without a colon", lines: ["x-y", LENGTH] },
-    { title: "an empty name", lines: [": v", LENGTH] },
-    { title: "a folded line", lines: ["x-y: a", " b", LENGTH] },
-    { title: "two lengths", lines: [LENGTH, "content-length: 4"] },
-    { title: "a list of lengths", lines: ["content-length: 4, 4"] },
-    { title: "a signed length", lines: ["content-length: +4"] },
-    { title: "a length that is no number", lines: ["content-length: 4x"] },
-    { title: "a length beyond the range of numbers", lines: [`content-length: ${"9".repeat(30)}`] },
+    ...createInvalidHeads(BODY),
     { title: "a length of 2^60", lines: [`content-length: ${String(2 ** 60)}`] },
-    { title: "a length and chunks", lines: [LENGTH, "transfer-encoding: chunked"] },
-    { title: "a transfer coding without chunks", lines: ["transfer-encoding: gzip"] },
-    { title: "a transfer coding within chunks", lines: ["transfer-encoding: gzip, chunked"] },
-    { title: "chunks within a transfer coding", lines: ["transfer-encoding: chunked, gzip"] },
-    { title: "no transfer coding by name", lines: ["transfer-encoding: identity"] },
-    { title: "a tab after the transfer coding", lines: ["transfer-encoding: chunked\t"] },
-    { title: "two transfer codings", lines: ["transfer-encoding: chunked", "transfer-encoding: chunked"] },
 ];
 
-function formatAnswer(id: string, { status = "200", lines = [LENGTH] }: Head): Buffer {
-    const isChunked = lines.some((line) => line.toLowerCase().includes("chunked"));
-    const head = [`HTTP/1.1 ${status} OK`, `x-id: ${id}`, "content-type: text/event-stream", ...lines, "", ""].join(
-        "\r\n",
-    );
-    return Buffer.from(head + (isChunked ? formatChunk(BODY) + formatChunk("") : BODY), "latin1");
-}
-
 const ways = [
     { title: "a call", kind: "call", isRelayed: false },
     { title: "a stream", kind: "stream", isRelayed: false },
@@ -85,7 +30,10 @@
     for (const { title: way, kind, isRelayed } of ways) {
         for (const head of heads) {
             it(`${way}: ${head.title}`, async () => {
-                const upstream = await ScriptedUpstream.open("u", (socket, id) => socket.end(formatAnswer(id, head)));
+                const upstream = await ScriptedUpstream.open(
+                    "u",
+                    (socket, id) => socket.end(formatAnswer(id, head, BODY)),
+                );
                 const relay = await TestRelay.open([upstream]);
                 const source = new TestRelaySource([relay]);
                 const entry = await TestEntry.open({
@@ -116,7 +64,7 @@
 describe("an answer with an unusual but valid head is passed on", () => {
     for (const head of validHeads) {
         it(head.title, async () => {
-            const upstream = await ScriptedUpstream.open("u", (socket, id) => socket.end(formatAnswer(id, head)));
+            const upstream = await ScriptedUpstream.open("u", (socket, id) => socket.end(formatAnswer(id, head, BODY)));
             const entry = await TestEntry.open({
                 upstreams: [upstream],
                 route: { kind: "call", is_repeatable: false, most_attempts: 1 },
@@ -136,7 +84,10 @@
     for (const head of heads) {
         it(head.title, async () => {
             const server = await ScriptedUpstream.open("u", (socket) => {
-                const text = formatAnswer("one", head).toString("latin1").replace(BODY, "[1]".padEnd(BODY.length));
+                const text = formatAnswer("one", head, BODY).toString("latin1").replace(
+                    BODY,
+                    "[1]".padEnd(BODY.length),
+                );
                 socket.end(Buffer.from(text, "latin1"));
             });
             const agent = createAgent();
