fix(cli): refuse responses that are cut or invalid

Cause: `crankfork` sent its requests over undici's own connections, which check neither the head of a response nor whether its end is a reset. A part of a response was taken for the whole, as it was for calls before.

Change: the command uses `BoundedPool`, as all other clients do. `@crankfork/daemon/connection` exports it without the rest of the daemon. Invalid heads and endless responses are errors of the step `answer`.

endlessResponses.test.ts: a head that does not end is now refused by the bound of these connections instead of undici's, with a message of its own, so that the row expects that message. Its other checks (time, bytes, closed connection) are the same.

--- a/packages/cli/src/operatorClient.ts
+++ b/packages/cli/src/operatorClient.ts
@@ -1,8 +1,9 @@
 /**
  * Client of an instance's operator API.
  */
+import { BoundedPool, EndlessResponseError, InvalidHeadError } from "@crankfork/daemon/connection";
 import { operatorErrorBodySchema } from "@crankfork/schemas";
-import { Agent, errors, request } from "undici";
+import { buildConnector, errors, request } from "undici";
 
 /** Address and credentials of an instance. */
 export interface OperatorClientOptions {
@@ -76,30 +77,42 @@
     operatorRequest: OperatorRequest,
     headers: Record<string, string>,
 ): Promise<{ statusCode: number; text: string; }> {
-    const timeoutMs = options.timeoutMs ?? REQUEST_TIMEOUT_MS;
-    const dispatcher = new Agent({ maxResponseSize: RESPONSE_LIMIT_BYTES });
+    let connections: BoundedPool | undefined;
     try {
-        const response = await request(`http://${options.address}${operatorRequest.path}`, {
+        const url = new URL(`http://${options.address}${operatorRequest.path}`);
+        connections = new BoundedPool(url.origin, {
+            connect: buildConnector({}),
+            maxResponseSize: RESPONSE_LIMIT_BYTES,
+        });
+        const response = await request(url, {
             method: operatorRequest.method,
             headers,
             body: operatorRequest.body ?? null,
-            signal: AbortSignal.timeout(timeoutMs),
-            dispatcher,
+            signal: AbortSignal.timeout(options.timeoutMs ?? REQUEST_TIMEOUT_MS),
+            // Composing wraps handlers of undici's earlier interface, which its request function passes.
+            dispatcher: connections.compose((dispatch) => dispatch),
         });
         return { statusCode: response.statusCode, text: await response.body.text() };
     }
     catch (error) {
-        const reason = error instanceof Error ? error.message : String(error);
-        const next = "name another instance with --at; repeating the request is safe";
-        if (error instanceof errors.ResponseExceededMaxSizeError) {
-            const message = `the response is larger than the limit of ${String(RESPONSE_LIMIT_BYTES)} bytes`;
-            throw new OperatorError(message, "answer", options.address, CHECK_ADDRESS);
-        }
-        throw new OperatorError(`the instance can't be reached: ${reason}`, "connect", options.address, next);
+        throw createSendError(error, options.address);
     }
     finally {
-        await dispatcher.destroy();
+        await connections?.destroy();
+    }
+}
+
+function createSendError(error: unknown, address: string): OperatorError {
+    const reason = error instanceof Error ? error.message : String(error);
+    if (error instanceof errors.ResponseExceededMaxSizeError) {
+        const message = `the response is larger than the limit of ${String(RESPONSE_LIMIT_BYTES)} bytes`;
+        return new OperatorError(message, "answer", address, CHECK_ADDRESS);
+    }
+    if (error instanceof InvalidHeadError || error instanceof EndlessResponseError) {
+        return new OperatorError(`the response is invalid: ${reason}`, "answer", address, CHECK_ADDRESS);
     }
+    const next = "name another instance with --at; repeating the request is safe";
+    return new OperatorError(`the instance can't be reached: ${reason}`, "connect", address, next);
 }
 
 function parseBody(text: string, peer: string): unknown {
--- a/packages/cli/tests/endlessResponses.test.ts
+++ b/packages/cli/tests/endlessResponses.test.ts
@@ -33,7 +33,14 @@
             timeoutMs: 500,
             message: /timeout/,
         },
-        { title: "a head", opening: `${HEAD}a: `, repeated: CHUNK, pauseMs: 0, timeoutMs: 15_000, message: /Overflow/ },
+        {
+            title: "a head",
+            opening: `${HEAD}a: `,
+            repeated: CHUNK,
+            pauseMs: 0,
+            timeoutMs: 15_000,
+            message: /bytes without an end of a head/,
+        },
         {
             title: "a head that trickles",
             opening: HEAD,
