fix(platform): an invalid or cut report does not prove that an engine has ended

Cause: each failed report but a time-out, an endless response and a failure to connect counted as proof. A voter's probe therefore marked an engine that sends cut or invalid responses, or errors, as lost and `gone`, so that entries no longer counted its runs toward the most attempts.

Change: only a refused connection and a 421, which another upstream sends, are proof.

--- a/packages/daemon/src/connection/engineControl.ts
+++ b/packages/daemon/src/connection/engineControl.ts
@@ -34,11 +34,11 @@
     & ResultWithNotice
     & (
         | EngineReport
-        /** No response. */
+        /** No valid response. */
         | {
             readonly kind: "failed";
             readonly reason: string;
-            /** Whether only time ran out, or the response had no end, so that the engine may still run. */
+            /** Whether the engine may still run, since its address neither refuses connections nor belongs to another upstream. */
             readonly isSilent?: boolean;
         }
         /** The engine is reachable but asked for a backoff, now or earlier. */
