fix(coordination): find the latest incarnations once for all evicted removals

The names of all evicted removals are collected first, and their latest incarnations are found in one pass.

--- a/packages/coordination/src/version/fleetState.ts
+++ b/packages/coordination/src/version/fleetState.ts
@@ -311,22 +311,26 @@
     /** Records without incarnations may share an id with those of another name. */
     private replaceIncarnation(former: UpstreamIncarnation | undefined, next: UpstreamIncarnation): void {
         if (former !== undefined && !isSameIncarnation(former, next)) {
-            this.dropIncarnation(former);
+            this.dropIncarnations([former]);
         }
     }
 
-    /** Finds the latest incarnation of a name again, once a record of the one that was the latest is gone. */
-    private dropIncarnation(former: UpstreamIncarnation): void {
-        const latest = this.latest.get(former.name);
-        if (latest === undefined || !isSameIncarnation(latest, former)) {
+    /** Finds the latest incarnations of names again, once the records of those that were the latest are gone. */
+    private dropIncarnations(former: readonly UpstreamIncarnation[]): void {
+        const dropped = former.filter((incarnation) => {
+            const latest = this.latest.get(incarnation.name);
+            return latest !== undefined && isSameIncarnation(latest, incarnation);
+        });
+        const names = new Set(dropped.map(({ name }) => name));
+        if (names.size === 0) {
             return;
         }
-        this.latest.delete(former.name);
+        names.forEach((name) => this.latest.delete(name));
         const left = [
             ...[...this.removed.values()].map(({ life: incarnation }) => incarnation),
             ...this.listUpstreams().map(getIncarnation),
         ];
-        left.filter(({ name }) => name === former.name).forEach((incarnation) => {
+        left.filter(({ name }) => names.has(name)).forEach((incarnation) => {
             this.recordIncarnation(incarnation);
         });
     }
@@ -339,14 +343,16 @@
     }
 
     private evictOldRemovals(): void {
+        const evicted: UpstreamIncarnation[] = [];
         for (const [id, { life: incarnation, index }] of this.removed) {
             if (this.removed.size <= MAX_REMOVED_INCARNATIONS) {
-                return;
+                break;
             }
             this.removed.delete(id);
             this.compactedIndex = Math.max(this.compactedIndex, index);
-            this.dropIncarnation(incarnation);
+            evicted.push(incarnation);
         }
+        this.dropIncarnations(evicted);
     }
 }
 
--- a/packages/coordination/tests/foreignSnapshots.test.ts
+++ b/packages/coordination/tests/foreignSnapshots.test.ts
@@ -113,3 +113,34 @@
         });
     }
 });
+
+/** Guards against a replica that is blocked by the removals in one snapshot: it was for 20 s by 3 MB of them. */
+describe("removed upstreams beyond those that are kept are evicted at once", () => {
+    const KEPT = 2_000;
+    const REMOVED = 20_000;
+    /** A leader that is blocked for longer loses its lease. */
+    const MAX_MS = 480;
+    const rows: readonly { readonly title: string; readonly getName: (at: number) => string; }[] = [
+        { title: "of as many names", getName: (at) => `u${String(at)}` },
+        { title: "of one name", getName: () => "u" },
+    ];
+    for (const { title, getName } of rows) {
+        it(title, () => {
+            const removed = Array.from({ length: REMOVED }, (_, at) => {
+                const life = { name: getName(at), started_at_ms: REMOVED - at };
+                return { id: `${life.name}@${String(life.started_at_ms)}`, life, index: at + 1 };
+            });
+            const state = new FleetState();
+            state.restore({ ...createSnapshot(), removed, index: REMOVED });
+            const startMs = performance.now();
+            state.apply({ kind: "remove-upstream", id: "last" }, REMOVED + 1);
+            expect(performance.now() - startMs).to.be.below(MAX_MS);
+            const copy = new FleetState();
+            copy.restore(JSON.parse(JSON.stringify(state.getState())));
+            expect((copy.getState() as SnapshotLists).removed).to.have.lengthOf(KEPT);
+            for (const { life } of [...removed, { life: { name: "last" } }]) {
+                expect(state.getLatestIncarnation(life.name)).to.deep.equal(copy.getLatestIncarnation(life.name));
+            }
+        });
+    }
+});
