fix(voter): limit the send permits of a whole answer

One request for permits ended a leader that has 400 MB of heap, and the next one, since it is asked again.

Cause: an answer lists at most 10,000 permits for an upstream, but a request may name any number of upstreams, and the same one many times.

An answer now lists at most 100,000 permits; an entry that got fewer than it wants asks again, as before.

--- a/packages/daemon/src/process/voter/rateLimitCoordinator.ts
+++ b/packages/daemon/src/process/voter/rateLimitCoordinator.ts
@@ -27,6 +27,8 @@
 const COUNT_EXPIRY_MS = 15_000;
 /** Maximum number of permits in one answer for an upstream; an entry with more waiting requests asks again. */
 const MAX_PERMITS = 10_000;
+/** Maximum number of permits in one answer for all upstreams together. */
+const MAX_PERMITS_PER_ANSWER = 100_000;
 
 /** Grants send permits while this instance leads. */
 export class RateLimitCoordinator {
@@ -78,8 +80,9 @@
         });
         const sharingEntries = this.computeSharingEntries(parameters.entries, nowMs);
         const share = Math.min(1, this.options.countActiveEntries() / sharingEntries);
+        let remaining = MAX_PERMITS_PER_ANSWER;
         const granted = parameters.wanted.map(({ upstream, count: wanted, within_ms: withinMs }) => {
-            const count = Math.min(wanted, MAX_PERMITS);
+            const count = Math.min(wanted, MAX_PERMITS, remaining);
             const requestsPerSecond = limits.getLimit(upstream);
             // The limit has ended: granting every permit lets an entry that still knows it discover this from the upstream's
             // answer.
@@ -93,6 +96,7 @@
                     nowMs,
                     withinMs,
                 });
+            remaining -= sendsMs.length;
             return {
                 upstream,
                 in_ms: sendsMs.map((sendMs) => Math.round(sendMs - nowMs)),
--- a/packages/daemon/tests/rateLimitCoordinator.test.ts
+++ b/packages/daemon/tests/rateLimitCoordinator.test.ts
@@ -173,5 +173,15 @@
             expect(result).to.have.property("kind", "sends");
             expect(result.kind === "sends" ? result.granted[0]?.in_ms.length : undefined).to.be.at.most(10_000);
         });
+
+        it(`limit of ${String(limit)} requests per second, asked for many times over`, () => {
+            const harness = new CoordinatorHarness();
+            const heard = limit === undefined ? [] : [createReportedLimit("u", limit)];
+            const wanted = Array.from({ length: 200 }, () => ({ upstream: "u", count: 10_000, within_ms: 500 }));
+            const result = harness.ask({ heard, wanted });
+            const granted = result.kind === "sends" ? result.granted : [];
+            expect(granted).to.have.lengthOf(wanted.length);
+            expect(granted.reduce((sum, { in_ms }) => sum + in_ms.length, 0)).to.be.at.most(100_000);
+        });
     }
 });
