fix(voter): limit the counts that an entry reports

One entry that reported a count near the end of the range of integers took the leader from all other entries, which refuse requests then.

Cause: the leader adds what entries report, and the others read the sum as safe integers. A report of 2^53 - 1 open requests, or of as many sent, was taken; with another one the sum was beyond, and the whole answer was refused. Reports are subtracted from the sum when they end, and what was lost in rounding stayed for as long as others named the upstream.

--- a/packages/daemon/src/process/voter/entryRegistry.ts
+++ b/packages/daemon/src/process/voter/entryRegistry.ts
@@ -16,6 +16,7 @@
 import type { DocumentRollout } from "./documentRollout.js";
 import type { FleetReplicaHost } from "./fleetProposal.js";
 import { LeaderWait } from "./leaderWait.js";
+import { limitReport } from "./limitReport.js";
 import type { LinkRegistry } from "./linkRegistry.js";
 import { NotificationPacer } from "./notificationPacer.js";
 import type { RateLimitCoordinator } from "./rateLimitCoordinator.js";
@@ -217,16 +218,17 @@
             this.formerSpending.push({ lastSeenMs: known.lastSeenMs, spending: known.spending });
         }
         const notifiedMs = known?.notifiedMs ?? Number.NEGATIVE_INFINITY;
+        const report = limitReport({ loads, spending });
         const entry: KnownEntry = {
             lastSeenMs: this.options.getNowMs(),
             knownIndex: this.limitIndex(known_index),
             notifiedMs,
-            spending,
+            spending: report.spending,
             domain,
             relay,
         };
         this.entries.set(instance, entry);
-        this.totals.record(instance, { loads, spending }, entry.lastSeenMs);
+        this.totals.record(instance, report, entry.lastSeenMs);
         this.options.rollout.recordApplied(instance, applied_version);
         return entry;
     }
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -1,5 +1,13 @@
 import { FleetState } from "@crankfork/coordination";
-import type { FleetCommand, RateLimitCursor, RateLimitUpdates, UpstreamLoads } from "@crankfork/schemas";
+import {
+    type FleetCommand,
+    type RateLimitCursor,
+    type RateLimitUpdates,
+    type SynchroniseParameters,
+    synchroniseParametersSchema,
+    synchroniseResultSchema,
+    type UpstreamLoads,
+} from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { EntryRegistry } from "../src/process/voter/entryRegistry.js";
@@ -488,6 +496,56 @@
     });
 });
 
+/** Guards against answers that no other entry can read: all of them would lose the leader by one report. */
+describe("the counts that one entry reports leave the answers to the others readable", () => {
+    const FAR = Number.MAX_SAFE_INTEGER;
+    const sound = {
+        loads: { u: { open: 2, unstarted: 1, tokens: 5, open_by_rank: [2], unstarted_by_rank: [1] } },
+        spending: { s: { requests: 5, repeats: 3, lost: 1 } },
+    };
+    const rows: readonly {
+        readonly title: string;
+        readonly report: Pick<SynchroniseParameters, "loads" | "spending">;
+    }[] = [
+        { title: "open requests", report: { loads: { u: { open: FAR, unstarted: 0 } } } },
+        { title: "unstarted requests", report: { loads: { u: { open: 0, unstarted: FAR } } } },
+        { title: "sized requests", report: { loads: { u: { open: 0, unstarted: 0, tokens: 1, sized_open: FAR } } } },
+        {
+            title: "requests by rank",
+            report: { loads: { u: { open: 0, unstarted: 0, open_by_rank: [FAR], unstarted_by_rank: [FAR] } } },
+        },
+        { title: "requests sent", report: { loads: {}, spending: { s: { requests: FAR, repeats: 0, lost: 0 } } } },
+        { title: "retries", report: { loads: {}, spending: { s: { requests: 0, repeats: FAR, lost: 0 } } } },
+        { title: "lost retries", report: { loads: {}, spending: { s: { requests: 0, repeats: 0, lost: FAR } } } },
+    ];
+    for (const { title, report } of rows) {
+        it(title, async () => {
+            const registry = new EntryRegistry({
+                host: createHost(new FleetState()),
+                getNowMs: () => 0,
+                rollout: noRollout,
+                listSuspects: () => [],
+                limits: noLimits,
+            });
+            const ask = async (instance: string, reported: typeof report): Promise<unknown> => {
+                const parameters = { instance, known_index: 0, may_wait: false, ...reported };
+                const result = await registry.synchronise(synchroniseParametersSchema.parse(parameters));
+                return synchroniseResultSchema.parse(JSON.parse(JSON.stringify(result)));
+            };
+            await ask("far", report);
+            for (const instance of ["a", "b", "c"]) {
+                await ask(instance, sound);
+            }
+            await ask("far", { loads: {}, spending: {} });
+            expect(await ask("a", sound)).to.deep.include({
+                loads_elsewhere: {
+                    u: { open: 4, unstarted: 2, tokens: 10, open_by_rank: [4], unstarted_by_rank: [2] },
+                },
+            });
+        });
+    }
+});
+
 /** Guards against a leader without processor time left, which confirmed nothing for seconds while changes came in quick succession. */
 describe("the work for an answer does not grow with the number of entries", () => {
     /** A record, its replacement, and the answer. */
