fix(voter): let the voters be changed again after a change has failed

A leader whose change of the voters failed by an exception replaced none again: lost voters stayed in the set until another one led, and each document waited 0.9 s for a replacement.

Cause: the flag that keeps changes from running at once was not reset by an exception, which ended the process before failures cost one task only.

--- a/packages/daemon/src/process/voter/voterGroup.ts
+++ b/packages/daemon/src/process/voter/voterGroup.ts
@@ -221,19 +221,28 @@
         }
     }
 
-    /** Changes the set until nothing has to change. */
     private async changeIfDue(): Promise<void> {
-        const { host, log } = this.options;
         if (this.isChanging) {
             return;
         }
         this.isChanging = true;
+        try {
+            await this.changeUntilDone();
+        }
+        finally {
+            this.isChanging = false;
+        }
+    }
+
+    /** Changes the set until nothing has to change. */
+    private async changeUntilDone(): Promise<void> {
+        const { host, log } = this.options;
         for (let isApplied = true; isApplied && host.replica.hasLeaderLease();) {
             removeExpired(this.joining, this.options.getNowMs());
             removeExpired(this.leaving, this.options.getNowMs());
             const next = chooseVoterChange(this.createView());
             if (next === undefined) {
-                break;
+                return;
             }
             const result = await host.replica.changeReplicas(next);
             isApplied = result.kind === "applied";
@@ -243,7 +252,6 @@
                 outcome: result.kind === "refused" ? result.reason : result.kind,
             });
         }
-        this.isChanging = false;
     }
 
     private isChangeDue(): boolean {
--- a/packages/daemon/tests/failedTasks.test.ts
+++ b/packages/daemon/tests/failedTasks.test.ts
@@ -196,6 +196,21 @@
             };
         },
     },
+    {
+        title: "a change of the voters",
+        task: "voter-group",
+        start: (fault) => {
+            const { host } = new LeaderHarness();
+            host.replica.changeReplicas = () =>
+                fault.pass(Promise.resolve({ kind: "refused", reason: "another-change-is-open" }));
+            const group = new VoterGroup({ host, peers, log, getNowMs, getSeeds: () => [], toleratedLosses: 1 });
+            group.handleJoinRequest({ id: "joining", address: "joining" });
+            group.start();
+            return () => {
+                group.stop();
+            };
+        },
+    },
     {
         title: "placement",
         task: "placement",
