fix(coordination): ignore reports of an instance that are far ahead of it

One message took an instance of the product's own interface out of the group until it restarted.

Cause: an instance refutes a report with the next incarnation. After 2^53 - 1 there is none that the others' schema takes, so that all messages of the instance were refused. As a leaving instance it was not refuted at all, and a far revision kept its own attributes from being taken.

A report whose incarnation or revision is more than 2^42 ahead of what is known is ignored. That is 139 years of the milliseconds at which instances begin.

--- a/packages/coordination/src/process/memberRecord.ts
+++ b/packages/coordination/src/process/memberRecord.ts
@@ -15,9 +15,26 @@
 /** Members piggybacked on one message, besides the sender. */
 const MAX_GOSSIPED_MEMBERS = 4;
 
+/**
+ * A report whose incarnation or revision is further ahead is ignored: one near the end of the range of integers would leave none to
+ * refute it with. An instance begins with its Unix time in milliseconds, and its clock may have been set since its last start.
+ */
+const MAX_REPORT_LEAD = 2 ** 42;
+
 /** Of two reports of one incarnation the higher rank prevails; leaving prevails over alive and suspect. */
 const statusRanks: Readonly<Record<MemberStatus, number>> = { alive: 0, suspect: 1, leaving: 2, dead: 3 };
 
+/**
+ * Checks whether an instance can have come as far as a report says.
+ * @param known - what was known of it, if anything
+ * @param heard - the received report
+ * @returns false if the report must be ignored
+ */
+export function isPossibleReport(known: Member | undefined, heard: Member): boolean {
+    return heard.incarnation - (known?.incarnation ?? 0) <= MAX_REPORT_LEAD
+        && heard.revision - (known?.revision ?? 0) <= MAX_REPORT_LEAD;
+}
+
 /**
  * Merges a received report into the local record.
  * @param known - the local record, if any
--- a/packages/coordination/src/process/membership.ts
+++ b/packages/coordination/src/process/membership.ts
@@ -6,7 +6,7 @@
  * with the number of nodes: one probe per protocol period, and a bounded list of members on each message.
  */
 import type { Member, MembershipMessage } from "@crankfork/schemas";
-import { chooseGossip, type MemberRecord, mergeMember } from "./memberRecord.js";
+import { chooseGossip, isPossibleReport, type MemberRecord, mergeMember } from "./memberRecord.js";
 
 /** Timing of the membership protocol, in milliseconds. */
 export interface MembershipTiming {
@@ -309,11 +309,14 @@
     }
 
     private merge(heard: Member): void {
+        const record = this.records.get(heard.id);
+        if (!isPossibleReport(heard.id === this.self.id ? this.self : record?.member, heard)) {
+            return;
+        }
         if (heard.id === this.self.id) {
             this.refute(heard);
             return;
         }
-        const record = this.records.get(heard.id);
         const merged = mergeMember(record, heard, performance.now());
         if (merged === record) {
             return;
--- a/packages/coordination/tests/membership.test.ts
+++ b/packages/coordination/tests/membership.test.ts
@@ -1,4 +1,4 @@
-import type { Member, MembershipMessage } from "@crankfork/schemas";
+import { type Member, type MembershipMessage, membershipMessageSchema } from "@crankfork/schemas";
 import FakeTimers from "@sinonjs/fake-timers";
 import { expect } from "chai";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
@@ -169,6 +169,49 @@
     });
 });
 
+describe("a report of an instance that is far ahead is ignored", () => {
+    const FAR = Number.MAX_SAFE_INTEGER;
+    const rows: readonly { readonly title: string; readonly report: Partial<Member>; }[] = [
+        { title: "it is suspected", report: { status: "suspect", incarnation: FAR } },
+        { title: "it is dead", report: { status: "dead", incarnation: FAR } },
+        { title: "it is leaving", report: { status: "leaving", incarnation: FAR } },
+        { title: "it is alive at another address", report: { address: createAddress(7), incarnation: FAR } },
+        { title: "it has another configuration", report: { configuration_version: 9, revision: FAR } },
+    ];
+    for (const { title, report } of rows) {
+        it(title, async () => {
+            const clock = FakeTimers.install();
+            const network = new Network(3);
+            try {
+                await clock.tickAsync(5_000);
+                const members = network.nodes[1]!.getMembers().slice(0, 1).map((self) => ({ ...self, ...report }));
+                network.nodes.forEach((node) => {
+                    node.receive(createAddress(2), { kind: "acknowledge", sequence: 0, members });
+                });
+                await clock.tickAsync(5_000);
+                network.nodes[1]!.updateSelf({ configuration_version: 1 });
+                await clock.tickAsync(5_000);
+                for (const node of network.nodes) {
+                    const sent = membershipMessageSchema.parse({
+                        kind: "acknowledge",
+                        sequence: 0,
+                        members: node.getMembers(),
+                    });
+                    expect(sent.members.find(({ id }) => id === "n1")).to.include({
+                        status: "alive",
+                        address: createAddress(1),
+                        configuration_version: 1,
+                    });
+                }
+            }
+            finally {
+                network.close();
+                clock.uninstall();
+            }
+        });
+    }
+});
+
 describe("the load per node does not grow with the number of nodes", () => {
     it("messages per node and second, 9 nodes against 90", async () => {
         const clock = FakeTimers.install({
