feat(coordination): log messages between replicas that are ignored

Change: the replica reports each as the event message-ignored, and instances log peer, kind and term at a bounded rate.

--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -173,7 +173,12 @@
      * @param message - the message
      */
     receive(from: ReplicaAddress, message: ReplicaMessage): void {
-        if (this.context.isStopped || !isPossible(this.context, message)) {
+        if (this.context.isStopped) {
+            return;
+        }
+        if (!isPossible(this.context, message)) {
+            const { kind, term } = message;
+            this.context.options.functions.handleEvent({ kind: "message-ignored", from: from.id, message: kind, term });
             return;
         }
         switch (message.kind) {
--- a/packages/coordination/src/process/replicaContext.ts
+++ b/packages/coordination/src/process/replicaContext.ts
@@ -48,6 +48,13 @@
     | { readonly kind: "snapshot-refused"; readonly index: number; readonly error: unknown; }
     /** A snapshot was restored without the records that cannot be parsed. */
     | { readonly kind: "snapshot-records-dropped"; readonly records: number; }
+    /** A message was ignored: a term, an index or an echoed time in it cannot be true. */
+    | {
+        readonly kind: "message-ignored";
+        readonly from: string;
+        readonly message: ReplicaMessage["kind"];
+        readonly term: number;
+    }
     | { readonly kind: "fault"; readonly error: unknown; };
 
 /** An election of this replica timed out. */
--- a/packages/coordination/tests/replica.test.ts
+++ b/packages/coordination/tests/replica.test.ts
@@ -490,7 +490,8 @@
             peers.replica.receive(createAddress("unknown"), message);
             await clock.tickAsync(1);
             expect(peers.replica.getStatus()).to.deep.equal(before);
-            expect([peers.sent, peers.events]).to.deep.equal([[], []]);
+            const ignored = { kind: "message-ignored", from: "unknown", message: message.kind, term: message.term };
+            expect([peers.sent, peers.events]).to.deep.equal([[], [ignored]]);
             await peers.elect();
             expect(peers.replica.getStatus()).to.include({ role: "leader", term: 1, lastIndex: 2 });
             await peers.restart();
--- a/packages/daemon/src/process/daemon/controlPlane.ts
+++ b/packages/daemon/src/process/daemon/controlPlane.ts
@@ -10,6 +10,7 @@
 import { PeerLink } from "../peerLink.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
 import { recordFailedCommand } from "../recordFailedCommand.js";
+import { recordIgnoredMessage } from "../recordIgnoredMessage.js";
 import { ReplicaHost } from "../replicaHost.js";
 import { describeError, recordTaskFailure } from "../taskFailures.js";
 import { changeVoters } from "../voter/voterChange.js";
@@ -203,6 +204,9 @@
         case "snapshot-records-dropped":
             recordFailedCommand(log, event);
             return;
+        case "message-ignored":
+            recordIgnoredMessage(log, event);
+            return;
         case "fault":
             log.record("error", "replica-fault", describeError(event.error));
             return;
--- a/packages/daemon/src/process/voter/runVoter.ts
+++ b/packages/daemon/src/process/voter/runVoter.ts
@@ -34,6 +34,7 @@
 import { endProcess } from "../processFailures.js";
 import { recordElectionTimeout } from "../recordElectionTimeout.js";
 import { recordFailedCommand } from "../recordFailedCommand.js";
+import { recordIgnoredMessage } from "../recordIgnoredMessage.js";
 import { type Founding, ReplicaHost } from "../replicaHost.js";
 import { startPeriodicTask } from "../startPeriodicTask.js";
 import { runForEach, startTask } from "../startTask.js";
@@ -153,6 +154,9 @@
             ) {
                 recordFailedCommand(log, event);
             }
+            else if (event.kind === "message-ignored") {
+                recordIgnoredMessage(log, event);
+            }
             else if (event.kind === "fault") {
                 log.record("error", "replica-fault", describeError(event.error));
             }
