fix(entry): deliver refusals to callers that are still sending the body

What callers saw: no response at all, in place of 413 to a body in chunks above the limit, or of 503 during a planned stop. A body of a huge announced length was read after its 413 for as long as the caller went on. At the product's own interface, a 413 or 503 was lost if the body took longer than a second.

Cause: the response ended with the rest of the request unread, so that the system reset the connection, or the connection stood still; where Node.js reads the rest by itself, it has no limit.

A request that ends in time leaves the connection usable.

Not looked at: 408 and 431 to a head that is not complete.

--- a/packages/daemon/src/process/daemon/callerServer.ts
+++ b/packages/daemon/src/process/daemon/callerServer.ts
@@ -127,10 +127,6 @@
     }
     catch (error) {
         scope.recordError(error);
-        if (!request.complete && !response.headersSent) {
-            // Otherwise the unread rest of the body would be parsed as the next request.
-            response.setHeader("connection", "close");
-        }
         answer.sendError(error);
     }
 }
--- a/packages/daemon/src/process/entry/callerPort.ts
+++ b/packages/daemon/src/process/entry/callerPort.ts
@@ -73,7 +73,6 @@
             this.openRequests.set(socket, this.countOpen(socket) - 1);
         });
         if (countHeadBytes(request) > this.headerLimitBytes) {
-            request.resume();
             sendJson(response, HEAD_TOO_LARGE, { error: "the head is larger than allowed" }, { connection: "close" });
             return;
         }
--- a/packages/daemon/src/process/entry/fleetEntry.ts
+++ b/packages/daemon/src/process/entry/fleetEntry.ts
@@ -482,7 +482,6 @@
         const call = codec.parseCall(message);
         request.call = call;
         if (!acceptsRequests()) {
-            message.resume();
             this.refuse(call, answer, "stopping", arrivedMs);
             return;
         }
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -184,11 +184,10 @@
 }
 
 /** Time for which the rest of a request is read and dropped after its response. */
-const MAX_DROP_MS = 1_000;
+const MAX_DROP_MS = 5_000;
 
 /**
- * Sends a JSON response. If the request has not been read to its end, the rest is dropped before the response ends, for a second at
- * most: the system resets a connection that is closed with unread bytes, so that the client may lose the response.
+ * Sends a JSON response, also to a client that is still sending its request (see `endResponse`).
  * @param response - a response that has not been started
  * @param status - HTTP status
  * @param body - the value to send
@@ -201,26 +200,38 @@
     body: unknown,
     headers: Readonly<Record<string, string>> = {},
 ): number {
-    const text = JSON.stringify(body);
-    const bytes = Buffer.byteLength(text);
-    response.writeHead(status, { "content-type": "application/json", "content-length": bytes, ...headers });
-    if (response.req.complete) {
-        response.end(text);
-    }
-    else {
-        response.write(text);
-        endAfterRequest(response);
-    }
-    return bytes;
+    const text = Buffer.from(JSON.stringify(body));
+    response.writeHead(status, { "content-type": "application/json", "content-length": text.length, ...headers });
+    endResponse(response, text);
+    return text.length;
 }
 
-function endAfterRequest(response: ServerResponse): void {
+/**
+ * Sends the body of a response and ends it. If the client is still sending its request, the rest is read and dropped first, for a
+ * limited time, after which the connection is closed: the system resets a connection that is closed with unread bytes, so that the
+ * client may lose the response.
+ * @param response - a response whose headers declare the length of the body
+ * @param body - the whole body
+ */
+export function endResponse(response: ServerResponse, body: Buffer): void {
+    const { req: request } = response;
+    if (request.complete || request.destroyed) {
+        response.end(body);
+        return;
+    }
+    response.write(body);
     const end = (): void => {
         clearTimeout(timer);
         response.end();
     };
-    const timer = startTimer("dropped-body", MAX_DROP_MS, end);
-    response.req.once("end", end).once("close", end).resume();
+    const timer = startTimer("dropped-body", MAX_DROP_MS, () => {
+        // A response that is queued behind another one on the connection must not end that one.
+        request.pause();
+        response.end(() => {
+            request.socket.destroySoon();
+        });
+    });
+    request.once("end", end).once("close", end).resume();
 }
 
 /**
