fix(log): keep any text within its line

What readers of the log saw: for text from outside, such as the answer of an engine to an order, a line broken in parts for programs that also end lines at U+0085 or U+2028, and bytes that control a terminal. An instance id with a line break broke every line.

Cause: only CR and LF were escaped, and not in the instance id.

Control characters, line and paragraph separators and lone surrogates are escaped in each field and in the instance id.

--- a/packages/daemon/src/process/eventLog.ts
+++ b/packages/daemon/src/process/eventLog.ts
@@ -125,17 +125,29 @@
 
 function formatEvent(raw: RawRecord, options: EventLogOptions): string {
     const present = Object.entries(raw.fields).filter(([, value]) => value !== undefined && value !== "")
-        .map(([name, value]) => [name, typeof value === "string" ? escapeLineBreaks(value) : value] as const);
+        .map(([name, value]) => [name, typeof value === "string" ? escapeUnprintable(value) : value] as const);
     return stringify({
         time: raw.time.toISOString(),
         clock: formatHybridTime(options.clock.get()),
         level: bunyan.nameFromLevel[raw.level] ?? String(raw.level),
-        instance: options.instance,
+        instance: escapeUnprintable(options.instance),
         event: raw.msg,
         ...Object.fromEntries(present),
     });
 }
 
-function escapeLineBreaks(text: string): string {
-    return text.replaceAll("\r", "\\r").replaceAll("\n", "\\n");
+/** Escapes what ends a line for some readers, controls a terminal, or has no encoding. */
+function escapeUnprintable(text: string): string {
+    return text.replace(/[\p{Cc}\p{Zl}\p{Zp}\p{Cs}]/gu, formatEscape);
+}
+
+function formatEscape(character: string): string {
+    switch (character) {
+        case "\r":
+            return "\\r";
+        case "\n":
+            return "\\n";
+        default:
+            return `\\u${character.charCodeAt(0).toString(16).padStart(4, "0")}`;
+    }
 }
