--- a/packages/daemon/src/connection/relayProtocol.ts
+++ b/packages/daemon/src/connection/relayProtocol.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { isSelfDelimited, removeHopByHopHeaders } from "../request/routedResponse.js";
+import { decodeHeaderText, encodeHeaderText } from "./headerText.js";
 import { assertValidHead, InvalidHeadError, isInterim } from "./responseRule.js";
 import type { UpstreamEndpoint } from "./upstreamConnections.js";
 import type { ResponseHead, UpstreamRequest } from "./upstreamExchange.js";
@@ -77,7 +78,7 @@
     return [
         ...removeRelayHeaders(headers),
         names.upstream,
-        upstreamId,
+        encodeHeaderText(upstreamId),
         names.address,
         address,
         names.method,
@@ -108,7 +109,7 @@
     const forwarded = removeRelayHeaders(removeHopByHopHeaders(rawHeaders, HOP_HEADERS));
     const needsNewConnection = getText(headers[names.connection]) === NEW_CONNECTION;
     return {
-        endpoint: { upstreamId, address, needsNewConnection },
+        endpoint: { upstreamId: decodeHeaderText(upstreamId), address, needsNewConnection },
         request: { address, method, path, headers: forwarded },
     };
 }
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -4,6 +4,7 @@
  */
 export { createEngineClient, type EngineClient, tokenizePrompt } from "./connection/engineClient.js";
 export * from "./connection/engineControl.js";
+export { decodeHeaderText, encodeHeaderText, escapeHeaderValue } from "./connection/headerText.js";
 export { createAgent, ExchangeError, fetchJson, readText, sendRequest } from "./connection/httpClient.js";
 export {
     DOCUMENT_LIMIT_BYTES,
--- a/packages/daemon/src/process/httpServer.ts
+++ b/packages/daemon/src/process/httpServer.ts
@@ -6,6 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
 import { ByteBuffer } from "../connection/byteBuffer.js";
+import { decodeHeaderText } from "../connection/headerText.js";
 import { computeTrickleLimitMs } from "../connection/messageLimits.js";
 import { startTask, startTimer } from "./startTask.js";
 import { recordTaskFailure } from "./taskFailures.js";
@@ -85,7 +86,7 @@
  * @returns true if the header holds the secret
  */
 export function hasSecret(header: string | undefined, secret: string | undefined): boolean {
-    return secret === undefined || isEqualSecret(header?.replace(/^Bearer /i, "") ?? "", secret);
+    return secret === undefined || isEqualSecret(decodeHeaderText(header?.replace(/^Bearer /i, "") ?? ""), secret);
 }
 
 /**
--- a/packages/daemon/src/request/callerRequest.ts
+++ b/packages/daemon/src/request/callerRequest.ts
@@ -4,6 +4,7 @@
 import type { Organisation, PriorityClass } from "@crankfork/schemas";
 import { priorityClassSchema } from "@crankfork/schemas";
 import type { IncomingHttpHeaders } from "node:http";
+import { decodeHeaderText } from "../connection/headerText.js";
 import { computeSecretDigest, isEqualSecret } from "../process/httpServer.js";
 import type { ConfigurationView } from "../version/activeConfiguration.js";
 import { createCallerError } from "./callerError.js";
@@ -45,7 +46,7 @@
     if (organisation === undefined) {
         throw createCallerError("unknown-organisation", { step: STEP, peer: "", values: { organisation: name } });
     }
-    const secret = (getHeader(headers, "authorization") ?? "").replace(/^Bearer /i, "");
+    const secret = decodeHeaderText((getHeader(headers, "authorization") ?? "").replace(/^Bearer /i, ""));
     if (!isEqualSecret(computeSecretDigest(secret), organisation.secret_sha256)) {
         throw createCallerError("wrong-secret", { step: STEP, peer: "", values: { organisation: name } });
     }
--- a/packages/daemon/tests/relayedRequest.test.ts
+++ b/packages/daemon/tests/relayedRequest.test.ts
@@ -55,13 +55,14 @@
 const HELD_MS = 300;
 
 async function withTestbed(
-    { script = scripts.good, relays: behaviours = ["relay"], ...options }: Partial<EntryOptions> & {
+    { script = scripts.good, relays: behaviours = ["relay"], name = "u", ...options }: Partial<EntryOptions> & {
         readonly script?: UpstreamScript;
         readonly relays?: readonly RelayBehaviour[];
+        readonly name?: string;
     },
     check: (testbed: Testbed) => Promise<void>,
 ): Promise<void> {
-    const upstream = await ScriptedUpstream.open("u", script);
+    const upstream = await ScriptedUpstream.open(name, script);
     const relays = await Promise.all(behaviours.map((behaviour) => TestRelay.open([upstream], behaviour)));
     const source = new TestRelaySource(relays);
     const crashes: string[] = [];
@@ -208,6 +209,14 @@
         });
     });
 
+    for (const name of ["u@1", "a%2Fb@1", "é@1", "名@1", "名".repeat(200), 'a"b@1']) {
+        it(`the upstream is named ${name.slice(0, 9)}`, async () => {
+            await withTestbed({ name }, async ({ entry }) => {
+                expect((await postToEntry(entry.url)).status).to.equal(200);
+            });
+        });
+    }
+
     it("the relay receives the notices in the answer", async () => {
         await withTestbed({ script: scripts.declining }, async ({ entry, relays }) => {
             await postToEntry(entry.url);
