--- a/packages/daemon/tests/earlyCallerResponse.test.ts
+++ b/packages/daemon/tests/earlyCallerResponse.test.ts
@@ -14,6 +14,9 @@
 const LARGE_BYTES = 10_000_000;
 const PIECE_BYTES = 32 * 1_024;
 const MAX_CLOSE_MS = 8_000;
+/** Longer than the rest of a request is read. */
+const SLOW_MS = 6_000;
+const MAX_MEMORY_BYTES = 64 * 1_024 * 1_024;
 const SOUND_REQUEST = "GET /health HTTP/1.1\r\nhost: a\r\n\r\n";
 
 /** Opens a port that serves /health, and refuses other requests: with 413 once it has read too much, or with 503 before it reads. */
@@ -167,10 +170,34 @@
                     caller.close();
                     return found === expected.join() ? [] : [`${title}: ${found}`];
                 };
+                let peakBytes = 0;
+                const timer = setInterval(() => {
+                    peakBytes = Math.max(peakBytes, process.memoryUsage().arrayBuffers);
+                }, 20);
                 const lost = await Promise.all(rows.map(run));
+                clearInterval(timer);
                 await server.close();
+                expect(peakBytes).to.be.below(MAX_MEMORY_BYTES);
                 expect(lost.flat()).to.deep.equal([]);
             });
         }
     }
+
+    it("413 behind another response, which is not cut off", async () => {
+        const server = await CallerPort.open("127.0.0.1:0", (request, response) => {
+            if (request.url === "/health") {
+                setTimeout(() => response.end("late"), SLOW_MS);
+                return;
+            }
+            const answer = new RoutedResponse(response, testCodec, () => false);
+            answer.sendRefusal(testCodec.parseCall(request), refusals["body-too-large"], { remainingMs: 1_000 });
+        });
+        const caller = await Caller.open(server);
+        await caller.write(SOUND_REQUEST);
+        await caller.upload({ path: "/a", framing: "in chunks", bytes: Number.POSITIVE_INFINITY, ms: 2_000 });
+        expect(await caller.readStatuses(2)).to.deep.equal(["200", "413"]);
+        expect(caller.received).to.include("late").and.to.include("body");
+        expect(caller.isClosed).to.equal(true);
+        await server.close();
+    });
 });
