test(daemon): send to a port that nobody can take where connections are to be refused

Cause: rows closed a server to get an address that refuses connections, and the system gave its port to the next server: the sound upstream, the entry itself, or one of another process. Change: such an upstream is at port 1, as in trueRefusals.test.ts, also in relayedRequest and silentAttempts. The checks are as before; the row of relayedRequest.test.ts names the upstream gone in place of u.

--- a/packages/daemon/tests/relayedRequest.test.ts
+++ b/packages/daemon/tests/relayedRequest.test.ts
@@ -9,6 +9,7 @@
     formatEvent,
     formatResponse,
     formatStreamHead,
+    goneUpstream,
     ScriptedUpstream,
     TestEntry,
     type UpstreamScript,
@@ -178,24 +179,22 @@
     }
 
     it("an upstream that no relay reaches is suspected, and the request was not sent", async () => {
-        const upstream = await ScriptedUpstream.open("u", scripts.good);
-        upstream.close();
-        await withTestbed({ upstreams: [upstream] }, async ({ entry, relays }) => {
-            const gone = await TestRelay.open([upstream]);
-            const source = new TestRelaySource([gone]);
+        await withTestbed({ upstreams: [goneUpstream] }, async ({ entry, relays }) => {
+            const relay = await TestRelay.open([goneUpstream]);
+            const source = new TestRelaySource([relay]);
             const other = await TestEntry.open({
-                upstreams: [upstream],
+                upstreams: [goneUpstream],
                 route: { most_attempts: 1 },
                 getConnections: source.getConnections,
             });
             try {
                 expect((await postToEntry(other.url)).status).to.equal(503);
-                expect(other.suspects).to.deep.equal(["u"]);
+                expect(other.suspects).to.deep.equal(["gone"]);
                 expect([entry.suspects.length, relays[0]?.received]).to.deep.equal([0, 0]);
             }
             finally {
                 await other.close();
-                await gone.close();
+                await relay.close();
                 await source.connections.destroy();
             }
         });
--- a/packages/daemon/tests/routedHarness.ts
+++ b/packages/daemon/tests/routedHarness.ts
@@ -99,6 +99,9 @@
     }
 }
 
+/** An upstream that refuses connections. The port of one that was closed may be given to another server of the test. */
+export const goneUpstream: Pick<ScriptedUpstream, "name" | "address"> = { name: "gone", address: "127.0.0.1:1" };
+
 /** Formats a response with a Content-Length. */
 export function formatResponse(status: number, requestId: string, body: string, headers: string = ""): string {
     return `HTTP/1.1 ${String(status)} X\r\nx-id: ${requestId}\r\n${headers}content-length: ${
--- a/packages/daemon/tests/routedRequest.test.ts
+++ b/packages/daemon/tests/routedRequest.test.ts
@@ -1,13 +1,14 @@
 import type { Route } from "@crankfork/schemas";
 import { expect } from "chai";
 import { request as sendHttp } from "node:http";
-import { createServer, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import {
     type EntryOptions,
     formatChunk,
     formatEvent,
     formatResponse,
     formatStreamHead,
+    goneUpstream,
     type ReceivedResponse,
     ScriptedUpstream,
     TestEntry,
@@ -400,13 +401,8 @@
     });
 
     it("an upstream that refuses connections was sent nothing", async () => {
-        const closed = createServer();
-        await new Promise<void>((resolve) => closed.listen(0, "127.0.0.1", resolve));
-        const { port } = closed.address() as { port: number; };
-        await new Promise((resolve) => closed.close(resolve));
-        const gone = { name: "gone", address: `127.0.0.1:${String(port)}` };
         const good = await ScriptedUpstream.open("good", scripts.good ?? (() => undefined));
-        const entry = await TestEntry.open({ upstreams: [gone, good], route: notRepeatable });
+        const entry = await TestEntry.open({ upstreams: [goneUpstream, good], route: notRepeatable });
         expect(await ask(entry.url)).to.include({ status: 200, body: "good" });
         expect(entry.suspects).to.deep.equal(["gone"]);
         await entry.close();
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -11,6 +11,7 @@
     formatEvent,
     formatResponse,
     formatStreamHead,
+    goneUpstream,
     type ReceivedResponse,
     ScriptedUpstream,
     TestEntry,
@@ -507,7 +508,9 @@
             );
             let claimed = 0;
             const entry = await TestEntry.open({
-                upstreams: pausables.map(({ upstream }) => upstream),
+                upstreams: pausables.map(({ upstream }, at) =>
+                    others[at - 1] === "accepts no connections" ? goneUpstream : upstream
+                ),
                 route: { kind: "stream", most_attempts: 2, timeout_ms: TIMEOUT_MS },
                 isPath: true,
                 claimRetry: () => {
@@ -530,9 +533,6 @@
                     one.behaviour = "run";
                 });
             }, SERVED_AGAIN_MS);
-            pausables.filter((_one, at) => others[at - 1] === "accepts no connections").forEach((one) => {
-                one.close();
-            });
             const startMs = performance.now();
             const seen = await ask(entry.url, "stream");
             const durationMs = performance.now() - startMs;
--- a/packages/daemon/tests/upstreamLinks.test.ts
+++ b/packages/daemon/tests/upstreamLinks.test.ts
@@ -5,7 +5,7 @@
 import type { FleetMetrics } from "../src/process/fleetMetrics.js";
 import { FleetView } from "../src/version/fleetView.js";
 import { postToEntry } from "./postToEntry.js";
-import { formatResponse, ScriptedUpstream, TestEntry } from "./routedHarness.js";
+import { formatResponse, goneUpstream, ScriptedUpstream, TestEntry } from "./routedHarness.js";
 import { type RelayBehaviour, TestRelay } from "./testRelay.js";
 
 /** Creates the links of an entry that is not cut off and knows some relays. */
@@ -41,18 +41,18 @@
     ];
     for (const { title, relays: behaviours } of rows) {
         it(title, async () => {
-            const gone = await ScriptedUpstream.open("gone", () => undefined);
-            gone.close();
             const sound = await ScriptedUpstream.open(
                 "sound",
                 (socket, id) => socket.write(formatResponse(200, id, "good")),
             );
-            const relays = await Promise.all(behaviours.map((behaviour) => TestRelay.open([gone, sound], behaviour)));
+            const relays = await Promise.all(
+                behaviours.map((behaviour) => TestRelay.open([goneUpstream, sound], behaviour)),
+            );
             const connections = new UpstreamConnections();
             const relayConnections = createPeerAgent();
             const links = createLinks(connections, relayConnections, relays);
             const entry = await TestEntry.open({
-                upstreams: [gone, sound],
+                upstreams: [goneUpstream, sound],
                 route: {},
                 getConnections: (target) => links.getConnections(target),
             });
