test(daemon): leave out waits for a processor where rows depend on timers

Cause: on a busy machine a timer of the runtime fires before bytes are read that arrived first, so rows whose upstreams answer within 20 to 500 ms saw sound ones as silent, or paused an upstream before its first event. Traced with the time that the thread spent on a run queue (schedstat): of 5 failed rows of silentUpstream 340 to 424 ms of 450 to 530 ms, with gaps of 60 to 129 ms where the time-out is 150 ms; of 6 of upstreamLinks 120 to 269 ms of 135 to 284 ms (objective 100 ms); of 6 of silentAttempts 181 to 1360 ms, among them one of 332 ms at once where 500 ms are allowed. Change: the timers and the clock of these three files stand still while the thread waits for a processor, as those that measure do in endlessResponses. Time-outs, bounds and checks are as before, and the thread's own work still counts.

--- a/packages/daemon/tests/processorWait.ts
+++ b/packages/daemon/tests/processorWait.ts
@@ -6,6 +6,8 @@
 
 const THREAD_LINK = "/proc/thread-self";
 const NS_PER_MS = 1e6;
+/** The runtime's clock, also while a fake one is installed. */
+const getRuntimeMs = performance.now.bind(performance);
 
 /**
  * Gets the id of the calling thread.
@@ -28,5 +30,5 @@
  */
 export function createProcessorClock(threadIds: readonly (number | undefined)[]): () => number {
     const known = threadIds.filter((id) => id !== undefined);
-    return () => performance.now() - known.reduce((sum, id) => sum + getWaitMs(id), 0);
+    return () => getRuntimeMs() - known.reduce((sum, id) => sum + getWaitMs(id), 0);
 }
--- a/packages/daemon/tests/silentAttempts.test.ts
+++ b/packages/daemon/tests/silentAttempts.test.ts
@@ -6,6 +6,7 @@
 import { request as sendHttp } from "node:http";
 import type { Socket } from "node:net";
 import type { StallReport } from "../src/request/requestFunctions.js";
+import { installProcessorTimers } from "./processorTimers.js";
 import {
     formatChunk,
     formatEvent,
@@ -328,6 +329,8 @@
 }
 
 describe("an answer is whole although its upstreams are silent for a while", () => {
+    installProcessorTimers();
+
     for (const row of rows) {
         it(row.title, async () => {
             const { seen, sent } = await play(row);
@@ -341,6 +344,8 @@
 });
 
 describe("a stream whose upstream is gone goes on elsewhere within its pause objective", () => {
+    installProcessorTimers();
+
     it("three streams that fall silent together", async () => {
         const PAUSE_MS = 200;
         const silent = await PausableUpstream.open("silent", 0);
@@ -364,6 +369,8 @@
 });
 
 describe("an attempt or a retry is not spent at an upstream that is silent as well", () => {
+    installProcessorTimers();
+
     const MOST_MS = 1_500;
     const rows: readonly {
         readonly title: string;
@@ -430,6 +437,8 @@
 });
 
 describe("a failure whose upstream is silent within its body is passed on whole", () => {
+    installProcessorTimers();
+
     const PAUSE_MS = 1_200;
     const rows = [
         { title: "of a request that may run once", isRepeatable: false },
@@ -455,6 +464,8 @@
 });
 
 describe("an upstream that did not respond to a backup attempt is used for the next attempt", () => {
+    installProcessorTimers();
+
     it("the silent attempt breaks off once it responds again", async () => {
         const silent = await PausableUpstream.open("silent", 0);
         const other = await PausableUpstream.open("other", 0);
@@ -482,6 +493,8 @@
 });
 
 describe("a backup attempt that did not run does not prevent another one", () => {
+    installProcessorTimers();
+
     const SERVED_AGAIN_MS = 1_200;
     const MOST_MS = 3_000;
     const rows: readonly {
@@ -547,6 +560,8 @@
 });
 
 describe("one report that fails at once does not count as two missing ones", () => {
+    installProcessorTimers();
+
     /** Time for which an entry shares a report. */
     const SHARED_MS = 70;
     it("an engine that pauses longer than contracted, and then reports", async () => {
@@ -577,6 +592,8 @@
 });
 
 describe("a stream whose engine is silent begins elsewhere within its objective", () => {
+    installProcessorTimers();
+
     it("the engine sends no report", async () => {
         const OBJECTIVE_MS = 500;
         const ENGINE_TIMEOUT_MS = 350;
@@ -606,6 +623,8 @@
 });
 
 describe("a stream whose upstream broke off waits for another one as long as its caller does", () => {
+    installProcessorTimers();
+
     const AVAILABLE_AFTER_MS = 2_500;
     const rows = [
         { title: "no other upstream can take it before", isAvailable: false, hasRetry: true },
--- a/packages/daemon/tests/silentUpstream.test.ts
+++ b/packages/daemon/tests/silentUpstream.test.ts
@@ -5,6 +5,7 @@
 import { expect } from "chai";
 import { request as sendHttp } from "node:http";
 import type { Socket } from "node:net";
+import { installProcessorTimers } from "./processorTimers.js";
 import { formatResponse, ScriptedUpstream, TestEntry } from "./routedHarness.js";
 
 const IDLE = 4;
@@ -26,6 +27,8 @@
 }
 
 describe("connections to an upstream that went silent make at most one caller time out", () => {
+    installProcessorTimers();
+
     const rows = [
         { title: "a request that is not repeatable", isRepeatable: false, isSilent: true, unanswered: 1 },
         { title: "a repeatable request", isRepeatable: true, isSilent: true, unanswered: 1 },
--- a/packages/daemon/tests/upstreamLinks.test.ts
+++ b/packages/daemon/tests/upstreamLinks.test.ts
@@ -5,6 +5,7 @@
 import type { FleetMetrics } from "../src/process/fleetMetrics.js";
 import { FleetView } from "../src/version/fleetView.js";
 import { postToEntry } from "./postToEntry.js";
+import { installProcessorTimers } from "./processorTimers.js";
 import { formatResponse, goneUpstream, ScriptedUpstream, TestEntry } from "./routedHarness.js";
 import { type RelayBehaviour, TestRelay } from "./testRelay.js";
 
@@ -33,6 +34,8 @@
 }
 
 describe("a request to an upstream that refuses connections goes on to another one", () => {
+    installProcessorTimers();
+
     const rows: readonly { readonly title: string; readonly relays: readonly RelayBehaviour[]; }[] = [
         { title: "no relay is known", relays: [] },
         { title: "the relay cannot connect either", relays: ["relay"] },
