test: uninstall fake clocks in hooks in six more files

Cause: rows of membership, replicaFaults, entryRegistry, documentLoader, leaderSync and voterState uninstalled the clock in a later statement, so an exception before it, or in entryRegistry a failed check, would leave it installed for the files after it in the same worker. Found by reading; no run was seen to fail for it. Change: hooks, as in the other files. No check changes.

--- a/packages/coordination/tests/membership.test.ts
+++ b/packages/coordination/tests/membership.test.ts
@@ -213,10 +213,19 @@
 });
 
 describe("the load per node does not grow with the number of nodes", () => {
-    it("messages per node and second, 9 nodes against 90", async () => {
-        const clock = FakeTimers.install({
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install({
             toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "performance"],
         });
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
+    it("messages per node and second, 9 nodes against 90", async () => {
         const rates: number[] = [];
         for (const count of [9, 90]) {
             const network = new Network(count);
@@ -226,7 +235,6 @@
             rates.push(network.sent / count / 10);
             network.close();
         }
-        clock.uninstall();
         expect(rates[1]).to.be.below(rates[0]! * 1.2);
     });
 });
--- a/packages/coordination/tests/replicaFaults.test.ts
+++ b/packages/coordination/tests/replicaFaults.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import { bootstrapLog, createLogStorage, Membership, Replica, type ReplicaEvent } from "../src/index.js";
 import { MemoryFolder } from "./memoryFolder.js";
+import type { InstalledClock } from "./simulation.js";
 
 const [self, ...others] = ["a", "b", "c"].map((id) => ({ id, address: id })) as [
     { id: string; address: string; },
@@ -31,9 +32,18 @@
 ];
 
 describe("an exception stops a replica with a fault", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install({ toFake: ["setTimeout", "setInterval", "clearInterval", "performance"] });
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     for (const { title, voters, failing } of rows) {
         it(title, async () => {
-            const clock = FakeTimers.install({ toFake: ["setTimeout", "setInterval", "clearInterval", "performance"] });
             const storage = createLogStorage(new MemoryFolder().open());
             await bootstrapLog(storage, voters);
             const fail = failOnce();
@@ -73,7 +83,6 @@
             await clock.tickAsync(2_000);
             const sentAtFault = sent;
             await clock.tickAsync(5_000);
-            clock.uninstall();
             const faults = events.flatMap((event) => event.kind === "fault" ? [String(event.error)] : []);
             expect(faults).to.deep.equal(["Error: injected"]);
             expect(sent).to.equal(sentAtFault);
@@ -83,8 +92,17 @@
 });
 
 describe("an exception in a protocol period of the membership", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install({ toFake: ["setTimeout", "setInterval", "clearInterval", "performance"] });
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     it("is reported, and the next period runs", async () => {
-        const clock = FakeTimers.install({ toFake: ["setTimeout", "setInterval", "clearInterval", "performance"] });
         const fail = failOnce();
         const faults: string[] = [];
         let sent = 0;
@@ -114,7 +132,6 @@
         membership.receive("b", message);
         await clock.tickAsync(1_000);
         membership.stop();
-        clock.uninstall();
         expect(faults).to.deep.equal(["Error: injected"]);
         expect(sent).to.be.above(3);
     });
--- a/packages/daemon/tests/documentLoader.test.ts
+++ b/packages/daemon/tests/documentLoader.test.ts
@@ -3,6 +3,7 @@
 import { expect } from "chai";
 import type { PeerClient } from "../src/connection/peerClient.js";
 import { DocumentLoader } from "../src/process/entry/documentLoader.js";
+import type { InstalledClock } from "./installedClock.js";
 
 const createResult = (version: number): DocumentResult => ({
     kind: "document",
@@ -31,6 +32,16 @@
 type Script = readonly (DocumentResult | "unreachable" | "rubbish")[];
 
 describe("an entry loads the newest known document", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     const rows: readonly {
         readonly title: string;
         readonly script: Script;
@@ -98,7 +109,6 @@
     ];
     for (const { title, script, targets, loaded, queried } of rows) {
         it(title, async () => {
-            const clock = FakeTimers.install();
             const requests: string[] = [];
             let version: number | undefined;
             const loader = createLoader(
@@ -119,7 +129,6 @@
             });
             await clock.tickAsync(2_000);
             loader.stop();
-            clock.uninstall();
             expect({ loaded: version, queried: requests, isNewest: loader.isUpToDate() }).to.deep.equal({
                 loaded,
                 queried,
@@ -129,7 +138,6 @@
     }
 
     it("at once if the leader is the only reachable voter", async () => {
-        const clock = FakeTimers.install();
         let version: number | undefined;
         const loader = createLoader(
             (address, _method, _parameters, timeoutMs) =>
@@ -144,7 +152,6 @@
         loader.setTarget(4, "leader", ["away", "cut-off", "leader"]);
         await clock.tickAsync(10);
         loader.stop();
-        clock.uninstall();
         expect(version).to.equal(4);
     });
 });
--- a/packages/daemon/tests/entryRegistry.test.ts
+++ b/packages/daemon/tests/entryRegistry.test.ts
@@ -14,6 +14,7 @@
 import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
 import { waitMs } from "../src/process/waitMs.js";
 import { noRollout } from "./configurationFakes.js";
+import type { InstalledClock } from "./installedClock.js";
 import { noLimits } from "./limitFakes.js";
 
 const self = { id: "v", address: "v" };
@@ -64,6 +65,16 @@
 }
 
 describe("changes in quick succession are batched into few answers", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     // One answer at the first change and one per notification interval: entries x (1 + 1,000 ms / interval), plus a margin.
     const rows = [
         { title: "9 entries", entries: 9, maxAnswers: 1_100 },
@@ -73,7 +84,6 @@
     ];
     for (const { title, entries, maxAnswers } of rows) {
         it(title, async () => {
-            const clock = FakeTimers.install();
             const state = new FleetState();
             const host = createHost(state);
             const register = new EntryRegistry({
@@ -116,7 +126,6 @@
             progress.isOver = true;
             register.handleStateChange();
             await clock.tickAsync(2_000);
-            clock.uninstall();
             expect(answers, "answers during one second of changes").to.be.below(maxAnswers);
             expect(behind, "entries that lack a change after an idle period").to.be.below(entries / 3);
         });
@@ -125,6 +134,16 @@
 
 /** Guards against a leader that answers each entry at each change, although the entries learn of changes from followers. */
 describe("entries that watch the state at a follower are answered early for requests that may be quarantined alone", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     const ENTRIES = 195;
     const origin = { host: "h", method: "POST", target: "/", organisation: "o" };
     const crash = (upstream: string): FleetCommand => ({
@@ -164,7 +183,6 @@
     ];
     for (const { title, isWatching, known = 0, changes, isEarly } of rows) {
         it(title, async () => {
-            const clock = FakeTimers.install();
             const state = new FleetState();
             const register = new EntryRegistry({
                 host: createHost(state),
@@ -193,7 +211,6 @@
             await clock.tickAsync(50);
             const early = answers;
             await clock.tickAsync(1_000);
-            clock.uninstall();
             expect(early).to.equal(isEarly ? ENTRIES : 0);
             expect(answers).to.equal(ENTRIES);
         });
@@ -202,6 +219,16 @@
 
 /** Guards against a leader that spends all of its processor time on notifications, so that entries wait in vain for leases and documents. */
 describe("a busy leader notifies entries less often, and still within the time for which they wait", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     const ENTRIES = 59;
     /** An entry gives up after 1.2 s. */
     const MAX_GAP_MS = 1_200;
@@ -212,7 +239,6 @@
     ];
     for (const { title, loopUse, minAnswers, maxAnswers } of rows) {
         it(title, async () => {
-            const clock = FakeTimers.install();
             const state = new FleetState();
             const register = new EntryRegistry({
                 host: createHost(state),
@@ -254,7 +280,6 @@
             progress.isOver = true;
             register.handleStateChange();
             await clock.tickAsync(2_000);
-            clock.uninstall();
             expect(answers).to.be.within(minAnswers, maxAnswers);
             expect(longestGapMs).to.be.below(MAX_GAP_MS);
         });
@@ -406,13 +431,22 @@
 });
 
 describe("an entry that lacks a rate limit is answered immediately", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     const rows = [
         { title: "lacks a limit", known: { term: 0, change: 0 }, isImmediate: true },
         { title: "knows all limits", known: { term: 3, change: 7 }, isImmediate: false },
     ];
     for (const { title, known, isImmediate } of rows) {
         it(title, async () => {
-            const clock = FakeTimers.install();
             const state = new FleetState();
             const host = createHost(state, () => 3);
             const limits = {
@@ -439,7 +473,6 @@
             await clock.tickAsync(LATENCY_MS);
             expect(isAnswered).to.equal(isImmediate);
             await clock.tickAsync(1_000);
-            clock.uninstall();
             expect(isAnswered).to.equal(true);
         });
     }
--- a/packages/daemon/tests/leaderSync.test.ts
+++ b/packages/daemon/tests/leaderSync.test.ts
@@ -9,6 +9,7 @@
 import { LeaderSync } from "../src/process/entry/leaderSync.js";
 import { waitMs } from "../src/process/waitMs.js";
 import { createFullState } from "./fullState.js";
+import type { InstalledClock } from "./installedClock.js";
 
 const VOTERS = ["v0", "v1", "v2", "v3", "v4"];
 const LATENCY_MS = 2;
@@ -472,6 +473,16 @@
 
 /** Guards against answers that an overloaded leader produces and no entry waits for. */
 describe("an entry that learns of changes elsewhere waits longer for a late leader, the more entries there are", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install();
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     const rows = [
         { title: "195 entries, watching", entries: 195, is_watching: true, maxAgeMs: 4_000 },
         { title: "195 entries, not watching", entries: 195, is_watching: false, maxAgeMs: Number.POSITIVE_INFINITY },
@@ -479,7 +490,6 @@
     ];
     for (const { title, entries, is_watching, maxAgeMs } of rows) {
         it(title, async () => {
-            const clock = FakeTimers.install();
             let delayMs = 0;
             const leaderSync = new LeaderSync({
                 peers: {
@@ -511,7 +521,6 @@
             const { confirmationAgeMs } = leaderSync;
             leaderSync.stop();
             await clock.tickAsync(5_000);
-            clock.uninstall();
             expect(confirmationAgeMs).to.be.at.most(maxAgeMs);
             if (!Number.isFinite(maxAgeMs)) {
                 expect(confirmationAgeMs).to.be.above(4_000);
--- a/packages/daemon/tests/voterState.test.ts
+++ b/packages/daemon/tests/voterState.test.ts
@@ -13,6 +13,7 @@
 import type { FleetReplicaHost } from "../src/process/voter/fleetProposal.js";
 import { type UpstreamHeartbeat, UpstreamRegistry } from "../src/process/voter/upstreamRegistry.js";
 import { noRollout } from "./configurationFakes.js";
+import type { InstalledClock } from "./installedClock.js";
 import { noLimits } from "./limitFakes.js";
 
 const silentLog: EventLog = { record: () => undefined };
@@ -241,8 +242,17 @@
 });
 
 describe("the event log is rate-limited", () => {
+    let clock: InstalledClock;
+
+    beforeEach(() => {
+        clock = FakeTimers.install({ now: 0 });
+    });
+
+    afterEach(() => {
+        clock.uninstall();
+    });
+
     it("reports the number of suppressed lines per event", () => {
-        const clock = FakeTimers.install({ now: 0 });
         const lines: string[] = [];
         const log = createRateLimitedLog({
             record: (_level, event, fields) => lines.push(`${event} ${JSON.stringify(fields ?? {})}`),
@@ -253,7 +263,6 @@
         log.record("info", "seldom");
         clock.tick(1_000);
         log.record("info", "often");
-        clock.uninstall();
         expect(lines.filter((line) => line.startsWith("often"))).to.have.length(41);
         expect(lines).to.include('lines-dropped {"of":"often","count":60}');
         expect(lines).to.include("seldom {}");
