fix(voter): mark an engine gone that ends while its report is under way

What fleets saw: an engine that two entries suspect, and that ends while the leader waits for its report, was lost as `silent`. Entries do not count the requests that it left unanswered as crashed then, until it registers anew: not at all if that takes longer than 8 s.

Cause: since a cut report does not prove the end. With one report alone, which is what is requested of an engine that several entries suspect, no refused connection follows it.

An engine that was lost as `silent` is asked for one more report after the loss is committed. If that is refused, the loss becomes `gone`; otherwise it stays as it is.

--- a/packages/daemon/src/process/voter/suspectProbe.ts
+++ b/packages/daemon/src/process/voter/suspectProbe.ts
@@ -158,6 +158,23 @@
         if (upstream !== undefined && host.replica.hasLeaderLease()) {
             upstreams.markLost(upstream, loss, `no report: ${reason}`);
             await upstreams.awaitChange(id);
+            if (loss === "silent") {
+                startTask("suspect-probe", () => this.checkEnd(id));
+            }
+        }
+    }
+
+    /** Requests one more report: where the process ended while its last report was under way, its connections are refused by now. */
+    private async checkEnd(id: string): Promise<void> {
+        const { host, upstreams, control } = this.options;
+        const suspected = host.state.getUpstream(id);
+        const report = suspected === undefined ? undefined : await control.getReport(suspected);
+        const upstream = host.state.getUpstream(id);
+        if (
+            report?.kind === "failed" && report.isSilent !== true
+            && upstream?.status === "lost" && host.replica.hasLeaderLease()
+        ) {
+            upstreams.markLost(upstream, "gone", `no report: ${report.reason}`);
         }
     }
 
--- a/packages/daemon/tests/leaderUpstreams.test.ts
+++ b/packages/daemon/tests/leaderUpstreams.test.ts
@@ -91,6 +91,26 @@
         });
     }
 
+    // As when its process ends while the report is under way.
+    const endRows = [
+        { title: "then connections are refused", later: { kind: "failed", reason: "refused" }, loss: "gone" },
+        { title: "then reports time out", later: { kind: "failed", reason: "silent", isSilent: true }, loss: "silent" },
+        { title: "then it reports", later: emptyReport, loss: "silent" },
+    ] as const;
+    for (const { title, later, loss } of endRows) {
+        it(`an engine that two entries suspect and whose report is cut is lost as ${loss} if ${title}`, async () => {
+            const reports: ReportResult[] = [{ kind: "failed", reason: "cut", isSilent: true }];
+            const probe = createProbe(async () => {
+                await new Promise((resolve) => setTimeout(resolve, 1));
+                return reports.shift() ?? later;
+            });
+            probe.handleSuspects({ instance: "e1", suspects: ["a"] });
+            probe.handleSuspects({ instance: "e2", suspects: ["a"] });
+            await clock.tickAsync(1_000);
+            expect(harness.state.getUpstream("a")).to.include({ status: "lost", loss });
+        });
+    }
+
     it("an engine that rejects reports with a backoff is not marked lost", async () => {
         const probe = createProbe(() => Promise.resolve({ kind: "turned-away", reason: "status 503" }));
         probe.handleSuspects({ instance: "e1", suspects: ["a"] });
