fix(daemon): wait at a stop until callers have the whole response

What callers saw: no response in place of 503 if an instance of the product's own interface stopped while they were sending the body.

Cause: a request counted as open until its response was handed over, not until the connection had taken it. The stop waits for open requests alone and exits then, which resets connections with unread bytes.

A request is open until its response is closed, as at entries. The limit on the stop's wait (`drain`) is the same.

--- a/packages/daemon/src/process/daemon/callerServer.ts
+++ b/packages/daemon/src/process/daemon/callerServer.ts
@@ -34,7 +34,7 @@
 /** The HTTP API for callers. */
 export interface CallerServer {
     readonly handle: (request: IncomingMessage, response: ServerResponse) => void;
-    /** Number of requests that are not answered yet. */
+    /** Number of requests whose whole response the caller's connection has not taken yet. */
     readonly countOpenRequests: () => number;
 }
 
@@ -55,8 +55,11 @@
     const serve = (run: ServeFunction) => (polkaRequest: IncomingMessage, response: ServerResponse): void => {
         const request = polkaRequest as CallerHttpRequest;
         open += 1;
+        const closed = new Promise<void>((resolve) => {
+            response.once("close", resolve);
+        });
         const handle = (): Promise<void> =>
-            handleRequest(options, request, response, run).finally(() => {
+            handleRequest(options, request, response, run).then(() => closed).finally(() => {
                 open -= 1;
             });
         startTask("request", handle, () => response.destroy());
--- a/packages/daemon/tests/earlyCallerResponse.test.ts
+++ b/packages/daemon/tests/earlyCallerResponse.test.ts
@@ -3,7 +3,7 @@
 import { connect, type Socket } from "node:net";
 import { setTimeout as sleep } from "node:timers/promises";
 import { readCallerBody } from "../src/process/callerBody.js";
-import { type CallerServerOptions, createCallerServer } from "../src/process/daemon/callerServer.js";
+import { type CallerServer, type CallerServerOptions, createCallerServer } from "../src/process/daemon/callerServer.js";
 import { CallerPort } from "../src/process/entry/callerPort.js";
 import { type OpenServer, openServer } from "../src/process/httpServer.js";
 import { refusals } from "../src/request/routedRefusal.js";
@@ -46,20 +46,22 @@
     {
         name: "the product's own interface",
         path: "/v1/completions",
-        open: (isReading) => {
-            const options: Partial<CallerServerOptions> = {
-                instance: "i",
-                bodyLimit: LIMIT_BYTES,
-                answerLimits: { maxBufferedBytes: 1_024, stallTimeoutMs: 1_000 },
-                getState: () => "ready",
-                acceptsRequests: () => isReading,
-                scopeFunctions: { record: () => undefined, count: () => undefined, recordMs: () => undefined },
-            };
-            return openServer("127.0.0.1:0", createCallerServer(options as CallerServerOptions).handle);
-        },
+        open: (isReading) => openServer("127.0.0.1:0", createOwnServer(isReading).handle),
     },
 ];
 
+function createOwnServer(isReading: boolean): CallerServer {
+    const options: Partial<CallerServerOptions> = {
+        instance: "i",
+        bodyLimit: LIMIT_BYTES,
+        answerLimits: { maxBufferedBytes: 1_024, stallTimeoutMs: 1_000 },
+        getState: () => "ready",
+        acceptsRequests: () => isReading,
+        scopeFunctions: { record: () => undefined, count: () => undefined, recordMs: () => undefined },
+    };
+    return createCallerServer(options as CallerServerOptions);
+}
+
 const rows = [
     { size: "just above the limit", bytes: LIMIT_BYTES + 1 },
     { size: "10 MB", bytes: LARGE_BYTES },
@@ -183,6 +185,25 @@
         }
     }
 
+    it("503 of the product's own interface, whose stop waits for it", async () => {
+        const callerServer = createOwnServer(false);
+        const server = await openServer("127.0.0.1:0", callerServer.handle);
+        const caller = await Caller.open(server);
+        const upload = caller.upload({ path: "/v1/completions", framing: "in chunks", bytes: LIMIT_BYTES, ms: 400 });
+        await sleep(200);
+        const whileSending = callerServer.countOpenRequests();
+        await upload;
+        const statuses = await caller.readStatuses(1);
+        const afterwards = callerServer.countOpenRequests();
+        caller.close();
+        await server.close();
+        expect({ whileSending, statuses, afterwards }).to.deep.equal({
+            whileSending: 1,
+            statuses: ["503"],
+            afterwards: 0,
+        });
+    });
+
     it("413 behind another response, which is not cut off", async () => {
         const server = await CallerPort.open("127.0.0.1:0", (request, response) => {
             if (request.url === "/health") {
