--- a/packages/daemon/src/connection/responseRule.ts
+++ b/packages/daemon/src/connection/responseRule.ts
@@ -17,7 +17,7 @@
 }
 
 /**
- * Tells whether a response is an interim one, which another one follows.
+ * Checks whether a response is an interim one, which another one follows.
  * @param status - its status
  * @returns true for 1xx
  */
--- a/packages/daemon/src/process/layers/outsideOrders.ts
+++ b/packages/daemon/src/process/layers/outsideOrders.ts
@@ -31,7 +31,7 @@
     }
 
     /**
-     * Tells whether an engine's next order is not due yet.
+     * Checks whether an engine's next order is not due yet.
      * @param id - the engine
      * @param nowMs - the monotonic clock
      * @returns false for an engine without such an order
--- a/packages/decisions/src/version/computeEngineOrders.ts
+++ b/packages/decisions/src/version/computeEngineOrders.ts
@@ -1,6 +1,6 @@
 /**
  * Orders for all engines of a service, including those that report layers beyond the model. Such a report is left over from a larger
- * model, or it is wrong; which of the two, only the engine's answer to an order tells.
+ * model, or it is wrong; only the engine's answer to an order shows which.
  */
 import type { EngineProfile } from "@crankfork/schemas";
 import type { LayerOrder } from "./assignableEngine.js";
--- a/packages/decisions/src/version/isWithinModel.ts
+++ b/packages/decisions/src/version/isWithinModel.ts
@@ -5,7 +5,7 @@
 import type { EngineProfile, LayerSpan } from "@crankfork/schemas";
 
 /**
- * Tells whether an engine's layers exist in the model. Where they don't, it is unknown what the engine would run.
+ * Checks whether an engine's layers exist in the model. Where they don't, it is unknown what the engine would run.
  * @param span - the layers that it reports; undefined for none
  * @param profile - the model
  * @returns false for layers beyond the last one, for parts of layers, and for a range that ends before it begins
@@ -18,7 +18,7 @@
 }
 
 /**
- * Tells whether a model has layers that can be assigned.
+ * Checks whether a model has layers that can be assigned.
  * @param profile - the model
  * @returns false unless the number of layers is a positive integer
  */
