test(daemon): read a full pipe when it is full, not after a fixed time

Cause: the row read the pipe 300 ms after it had started the process, which gives up its last line after 500 ms. Where the test's thread gets no processor meanwhile, the process has ended, and the runtime drops output that nobody reads. Change: the process says on standard error when the pipe is full, and the reader begins then. What is checked is the same.

--- a/packages/daemon/tests/processFailures.test.ts
+++ b/packages/daemon/tests/processFailures.test.ts
@@ -5,7 +5,6 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { text } from "node:stream/consumers";
-import { setTimeout as wait } from "node:timers/promises";
 import { createTaskFailureHandler } from "../src/process/taskFailures.js";
 
 const SOURCES = new URL("../src/process/", import.meta.url).href;
@@ -34,8 +33,8 @@
     readonly fail: string;
     readonly code: number;
     readonly lastLine: RegExp;
-    /** Delay before standard output is read, in milliseconds. */
-    readonly readsAfterMs?: number;
+    /** Whether standard output is read only once something was written to standard error. */
+    readonly readsAfterError?: boolean;
     readonly hasFile?: boolean;
 }
 
@@ -52,11 +51,12 @@
     },
     {
         title: "an exception while the pipe of the log is full",
-        fail:
-            `for (let line = 0; line < 5_000; line += 1) { log.record("info", "l", { text: "x".repeat(100) }); } failDeep();`,
+        fail: `for (let line = 0; line < 5_000; line += 1) { log.record("info", "l", { text: "x".repeat(100) }); }
+            process.stderr.write("full");
+            failDeep();`,
         code: 1,
         lastLine: EXCEPTION,
-        readsAfterMs: 300,
+        readsAfterError: true,
     },
     { title: "an exception, with a log file", fail: "failDeep();", code: 1, lastLine: EXCEPTION, hasFile: true },
     {
@@ -81,16 +81,20 @@
 ];
 
 describe("the last line of a process says why it failed", () => {
-    for (const { title, fail, code, lastLine, readsAfterMs = 0, hasFile = false } of cases) {
+    for (const { title, fail, code, lastLine, readsAfterError = false, hasFile = false } of cases) {
         it(title, async () => {
             const folder = mkdtempSync(join(tmpdir(), "crankfork-log-"));
             const file = hasFile ? join(folder, "log") : undefined;
             const script = createScript(file, fail);
             const child = spawn(process.execPath, ["--input-type=module", "-e", script], {
-                stdio: ["ignore", "pipe", "ignore"],
+                stdio: ["ignore", "pipe", "pipe"],
             });
             const exit = once(child, "exit");
-            await wait(readsAfterMs);
+            child.stderr.resume();
+            if (readsAfterError) {
+                // Output that nobody reads when the process ends is dropped.
+                await once(child.stderr, "data");
+            }
             const output = await text(child.stdout);
             const [found] = await exit as [number];
             const lines = (file === undefined ? output : readFileSync(file, "utf8")).trimEnd().split("\n");
