refactor: one constant for the highest port, and a clearer name for the check of messages

Found on the last read: 65,535 stood in three places, of which limits.ts is the one that others import; isPossible said nothing without its comment; MAX_LOG_INDEX was exported and used nowhere else. No behaviour changes.

--- a/packages/coordination/src/process/messageCheck.ts
+++ b/packages/coordination/src/process/messageCheck.ts
@@ -6,7 +6,7 @@
 import { getMonotonicMs, type ReplicaContext } from "./replicaContext.js";
 
 /** No log grows so long: at a million entries a second it would take nine years. */
-export const MAX_LOG_INDEX = 2 ** 48;
+const MAX_LOG_INDEX = 2 ** 48;
 /**
  * A message whose term is further ahead is ignored. No elections take so many terms, and a term near the end of the range of
  * integers would leave none for the next elections.
@@ -19,7 +19,7 @@
  * @param message - the message
  * @returns false if a term, an index or an echoed time cannot be true; the message must be ignored then
  */
-export function isPossible(context: ReplicaContext, message: ReplicaMessage): boolean {
+export function isPossibleMessage(context: ReplicaContext, message: ReplicaMessage): boolean {
     if (message.term - context.term > MAX_TERM_LEAD) {
         return false;
     }
--- a/packages/coordination/src/process/replica.ts
+++ b/packages/coordination/src/process/replica.ts
@@ -24,7 +24,7 @@
     stepDownIfQuorumLost,
 } from "./lease.js";
 import type { LogStorage } from "./logStorage.js";
-import { isPossible } from "./messageCheck.js";
+import { isPossibleMessage } from "./messageCheck.js";
 import { checkReplicaChange, type ReplicaChangeRefusal } from "./replicaChange.js";
 import {
     getMonotonicMs,
@@ -176,7 +176,7 @@
         if (this.context.isStopped) {
             return;
         }
-        if (!isPossible(this.context, message)) {
+        if (!isPossibleMessage(this.context, message)) {
             const { kind, term } = message;
             this.context.options.functions.handleEvent({ kind: "message-ignored", from: from.id, message: kind, term });
             return;
--- a/packages/daemon/src/connection/isConnectable.ts
+++ b/packages/daemon/src/connection/isConnectable.ts
@@ -1,9 +1,7 @@
 /**
  * Addresses that others name.
  */
-import { parseAddress } from "@crankfork/schemas";
-
-const MAX_PORT = 65_535;
+import { MAX_PORT, parseAddress } from "@crankfork/schemas";
 
 /**
  * Checks whether a connection to an address can be attempted. The runtime throws for others, or connects elsewhere.
--- a/packages/daemon/src/connection/watchForReset.ts
+++ b/packages/daemon/src/connection/watchForReset.ts
@@ -6,7 +6,7 @@
 /** undici takes a response without a length as complete where the code of the error is ECONNRESET. */
 const RESET_CODE = "UPSTREAM_RESET";
 
-/** The server reset the connection, or ended it where a reset cannot be told from an orderly end. */
+/** The server reset the connection, or ended it where a reset cannot be distinguished from an orderly end. */
 export class ResetError extends Error {
     override readonly name = "ResetError";
     readonly code = RESET_CODE;
--- a/packages/schemas/src/address.ts
+++ b/packages/schemas/src/address.ts
@@ -2,8 +2,7 @@
  * Network addresses in settings and intents.
  */
 import * as z from "zod";
-
-const MAX_PORT = 65_535;
+import { MAX_PORT } from "./limits.js";
 
 /** `host:port`, where the host is an IP address; with port 0 the operating system assigns a free port. */
 export const addressSchema = z.string().refine(isAddress, {
